Add stand-ins for engine, platform and plain service

Cause: every other package needs something to talk to that fails on demand. The engine generates tokens as a pure function of model, fleet seed and all ids so far, so that a continuation elsewhere can be compared token by token. The platform speaks the JSON gateway of etcd v3; the service counts its runs.

Ruled out: a timer for each stream (one step timer serves all), and building chunks as objects (text is put together from a prepared head).

Conclusion: usable in the process of a test.

--- /dev/null
+++ b/packages/sequoiarill-standins/src/engine/engine.ts
@@ -0,0 +1,154 @@
+/** A model engine for tests and the demonstration: published interface, deterministic tokens. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import * as Gates from '../shared/gate';
+import * as Http from '../shared/http';
+import * as Servers from '../shared/server';
+import * as Cores from './core';
+import type { EngineCounters } from './counters';
+import * as Errors from './errors';
+import * as Faults from './faults';
+import type { EngineFault } from './faults';
+import type { Generation } from './generation';
+import * as Routes from './routes';
+import * as Settings from './settings';
+
+export interface EngineStandin {
+  readonly start: () => Promise<{ readonly address: string }>;
+  readonly stop: () => Promise<void>;
+  /** Ends when the fault is in force. */
+  readonly setFault: (fault: EngineFault) => Promise<void>;
+  readonly getCounters: () => EngineCounters;
+  /** The load as it is now, without the lag of `GET /load`. */
+  readonly getLoad: () => Cores.EngineLoad;
+}
+
+interface TokenLimit {
+  readonly kind: 'die' | 'stall';
+  readonly count: number;
+  readonly reviveAfterMs?: number;
+}
+
+export function createEngineStandin(input: Settings.EngineSettingsInput = {}): EngineStandin {
+  const settings = Settings.engineSettingsSchema.parse(input);
+  const gate = Gates.createGate();
+  const core = Cores.createEngineCore(settings, handleTokens);
+  const server = Servers.createStandinServer(settings.listen, handleRequest);
+  let toldLoad = core.getLoad();
+  let loadTimer: NodeJS.Timeout | undefined;
+  let failsFast = false;
+  let tokenLimit: TokenLimit | undefined;
+
+  function handleTokens(generation: Generation): void {
+    if (tokenLimit === undefined || generation.getOutputIds().length < tokenLimit.count) return;
+    core.scheduler.setPaused(true);
+    const { kind, reviveAfterMs } = tokenLimit;
+    tokenLimit = undefined;
+    // What was written in this step still goes out: sockets are flushed at the end of the tick.
+    if (kind === 'die') setImmediate(() => failEngine(reviveAfterMs));
+  }
+
+  function failEngine(reviveAfterMs: number | undefined): void {
+    server.refuseConnections();
+    core.clear();
+    if (reviveAfterMs === undefined) return;
+    setTimeout(() => {
+      resumeEngine().catch(() => undefined);
+    }, reviveAfterMs).unref();
+  }
+
+  function removeFaults(): void {
+    failsFast = false;
+    tokenLimit = undefined;
+    core.setDraining(false);
+    core.scheduler.setSlowness(1);
+    core.scheduler.setPaused(false);
+    gate.open();
+  }
+
+  async function resumeEngine(): Promise<void> {
+    server.refuseConnections();
+    core.clear();
+    removeFaults();
+    await server.start();
+  }
+
+  function applyFault(fault: EngineFault): void {
+    if (fault.kind === 'pause') {
+      gate.close();
+      core.scheduler.setPaused(true);
+    } else if (fault.kind === 'unpause') {
+      core.scheduler.setPaused(false);
+      gate.open();
+    } else if (fault.kind === 'slow') core.scheduler.setSlowness(fault.factor);
+    else if (fault.kind === 'dieAfterTokens') tokenLimit = { ...fault, kind: 'die' };
+    else if (fault.kind === 'stallAfterTokens') tokenLimit = { ...fault, kind: 'stall' };
+    else if (fault.kind === 'failFast') failsFast = true;
+    else if (fault.kind === 'drain') core.setDraining(true);
+    else if (fault.kind === 'heal') removeFaults();
+  }
+
+  async function setFault(fault: EngineFault): Promise<void> {
+    if (fault.kind === 'die') failEngine(fault.reviveAfterMs);
+    else if (fault.kind === 'revive') await resumeEngine();
+    else applyFault(fault);
+  }
+
+  async function handleControl(exchange: Http.Exchange): Promise<void> {
+    const { response } = exchange;
+    if (exchange.method === 'GET') {
+      Http.sendJson(response, 200, core.counters.getCounters());
+      return;
+    }
+    const parsed = Faults.engineFaultSchema.safeParse(Http.parseJson(exchange.body));
+    if (!parsed.success) {
+      Errors.sendError(response, Errors.buildInvalid(parsed.error.message, 'kind'));
+      return;
+    }
+    await setFault(parsed.data);
+    Http.sendJson(response, 200, {});
+  }
+
+  async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const exchange = await Http.readExchange(request, response);
+    if (exchange.url.pathname.startsWith('/standin/')) {
+      await handleControl(exchange);
+      return;
+    }
+    const { incarnation } = core.getLoad();
+    await gate.waitOpen();
+    if (core.getLoad().incarnation !== incarnation) return;
+    if (failsFast) Errors.sendError(response, Errors.buildOverloaded('it fails everything'));
+    else await Routes.handleEngineRequest({ core, getToldLoad }, exchange);
+  }
+
+  function getToldLoad(): Cores.EngineLoad {
+    return settings.loadLagMs === 0 ? core.getLoad() : toldLoad;
+  }
+
+  async function start(): Promise<{ readonly address: string }> {
+    loadTimer ??= setInterval(
+      () => {
+        toldLoad = core.getLoad();
+      },
+      Math.max(1, settings.loadLagMs),
+    ).unref();
+    return server.start();
+  }
+
+  async function stop(): Promise<void> {
+    clearInterval(loadTimer);
+    loadTimer = undefined;
+    core.clear();
+    gate.open();
+    await server.stop();
+  }
+
+  return {
+    start,
+    stop,
+    setFault,
+    getCounters: core.counters.getCounters,
+    getLoad: core.getLoad,
+  };
+}
--- a/packages/sequoiarill-standins/src/index.ts
+++ b/packages/sequoiarill-standins/src/index.ts
@@ -1,2 +1,4 @@
 /** Stand-ins for the platform, model engines and plain services. */
-export {};
+export * from './engine';
+export * from './platform';
+export * from './service';
--- /dev/null
+++ b/packages/sequoiarill-standins/src/platform/counters.ts
@@ -0,0 +1,26 @@
+/** What the platform was asked for, to set against its budget. */
+import type { PlatformPath } from './requests';
+
+export interface PlatformCounters {
+  /** Range calls. */
+  readonly reads: number;
+  /** Puts, deletes, transactions and compactions. */
+  readonly writes: number;
+  readonly leaseCalls: number;
+  readonly watchesOpen: number;
+  /** Watches opened since the start. */
+  readonly watchesOpened: number;
+}
+
+export type PlatformCallKind = 'reads' | 'writes' | 'leaseCalls' | 'watchesOpened';
+
+export function getCallKind(path: PlatformPath): PlatformCallKind {
+  if (path === '/v3/kv/range') return 'reads';
+  if (path === '/v3/watch') return 'watchesOpened';
+  return path.startsWith('/v3/lease/') ? 'leaseCalls' : 'writes';
+}
+
+/** Whether a call changes the store, so that losing its answer leaves its caller in doubt. */
+export function isWritingCall(path: PlatformPath): boolean {
+  return path !== '/v3/kv/range' && path !== '/v3/watch' && path !== '/v3/lease/timetolive';
+}
--- /dev/null
+++ b/packages/sequoiarill-standins/src/platform/platform.ts
@@ -0,0 +1,194 @@
+/** The platform's key-value service for tests: the JSON gateway of etcd v3 as published. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import * as Gates from '../shared/gate';
+import * as Http from '../shared/http';
+import * as Servers from '../shared/server';
+import * as Calls from './calls';
+import * as Counters from './counters';
+import * as Errors from './errors';
+import type { PlatformError } from './errors';
+import * as Faults from './faults';
+import type { PlatformFault } from './faults';
+import * as LeaseCalls from './leaseCalls';
+import * as Leases from './leases';
+import * as Requests from './requests';
+import type { PlatformPath } from './requests';
+import * as Settings from './settings';
+import * as Stores from './store';
+import * as Watches from './watches';
+
+export interface PlatformStandin {
+  readonly start: () => Promise<{ readonly address: string }>;
+  readonly stop: () => Promise<void>;
+  readonly setFault: (fault: PlatformFault) => Promise<void>;
+  readonly getCounters: () => Counters.PlatformCounters;
+  readonly getRevision: () => number;
+}
+
+export interface PlatformOptions {
+  /** The real monotonic clock unless a test gives its own. */
+  readonly clock?: Settings.PlatformClock;
+}
+
+/** Bytes travel as base64 in the gateway's JSON, which takes a third more. */
+const BASE64_GROWTH = 4 / 3;
+
+const SYSTEM_CLOCK: Settings.PlatformClock = { getNowMs: () => performance.now() };
+
+export function createPlatformStandin(
+  input: Settings.PlatformSettingsInput = {},
+  options: PlatformOptions = {},
+): PlatformStandin {
+  const settings = Settings.platformSettingsSchema.parse(input);
+  const clock = options.clock ?? SYSTEM_CLOCK;
+  const store = Stores.createStore(settings.historyRevisions);
+  const leases = Leases.createLeases(store, clock);
+  const keyCalls = Calls.createKeyCalls(store, leases, settings);
+  const leaseCalls = LeaseCalls.createLeaseCalls(store, leases, clock);
+  const watches = Watches.createWatches(store);
+  const server = Servers.createStandinServer(settings.listen, handleRequest);
+  const gate = Gates.createGate();
+  const counts = { reads: 0, writes: 0, leaseCalls: 0, watchesOpened: 0 };
+  let leaseTimer: NodeJS.Timeout | undefined;
+  let isDown = false;
+  let slowMs = 0;
+  let answersToLose = 0;
+
+  function runCall(path: Exclude<PlatformPath, '/v3/watch'>, raw: unknown): Calls.CallResult {
+    const handlers: Readonly<Record<typeof path, () => Calls.CallResult>> = {
+      '/v3/kv/range': () => runParsed('/v3/kv/range', raw, keyCalls.readRange),
+      '/v3/kv/put': () => runParsed('/v3/kv/put', raw, keyCalls.writeKey),
+      '/v3/kv/deleterange': () => runParsed('/v3/kv/deleterange', raw, keyCalls.removeRange),
+      '/v3/kv/txn': () => runParsed('/v3/kv/txn', raw, keyCalls.runTransaction),
+      '/v3/kv/compaction': () =>
+        runParsed('/v3/kv/compaction', raw, (body) => keyCalls.compact(body.revision)),
+      '/v3/lease/grant': () =>
+        runParsed('/v3/lease/grant', raw, (body) => leaseCalls.grantLease(body.ID, body.TTL)),
+      '/v3/lease/keepalive': () =>
+        runParsed('/v3/lease/keepalive', raw, (body) => leaseCalls.updateLease(body.ID)),
+      '/v3/lease/revoke': () =>
+        runParsed('/v3/lease/revoke', raw, (body) => leaseCalls.revokeLease(body.ID)),
+      '/v3/lease/timetolive': () =>
+        runParsed('/v3/lease/timetolive', raw, (body) => leaseCalls.readLease(body.ID, body.keys)),
+    };
+    leases.removeExpired();
+    return handlers[path]();
+  }
+
+  async function handleCall(path: PlatformPath, exchange: Http.Exchange): Promise<void> {
+    const { response } = exchange;
+    counts[Counters.getCallKind(path)] += 1;
+    if (slowMs > 0) await Gates.waitMs(slowMs);
+    await gate.waitOpen();
+    if (isDown) {
+      response.destroy();
+      return;
+    }
+    const raw = Http.parseJson(exchange.body);
+    if (path === '/v3/watch') {
+      openWatch(raw, response);
+      return;
+    }
+    const isTooLarge = exchange.body.length > settings.maxRequestBytes * BASE64_GROWTH;
+    const result = isTooLarge ? Errors.REQUEST_TOO_LARGE : runCall(path, raw);
+    if (answersToLose > 0 && Counters.isWritingCall(path)) {
+      answersToLose -= 1;
+      response.destroy();
+    } else if (Calls.isError(result)) sendError(response, result);
+    else Http.sendJson(response, 200, result);
+  }
+
+  function openWatch(raw: unknown, response: ServerResponse): void {
+    const parsed = Requests.parseBody('/v3/watch', raw);
+    if (parsed.kind === 'invalid') sendError(response, Errors.buildInvalid(parsed.message));
+    else watches.openWatch(parsed.body.create_request, response);
+  }
+
+  async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const exchange = await Http.readExchange(request, response);
+    const path = exchange.url.pathname;
+    if (path.startsWith('/standin/')) await handleControl(exchange);
+    else if (isDown) response.destroy();
+    else if (Requests.isPlatformPath(path)) await handleCall(path, exchange);
+    else sendError(response, Errors.PATH_UNKNOWN);
+  }
+
+  async function handleControl(exchange: Http.Exchange): Promise<void> {
+    const { response } = exchange;
+    if (exchange.method === 'GET') {
+      Http.sendJson(response, 200, getCounters());
+      return;
+    }
+    const parsed = Faults.platformFaultSchema.safeParse(Http.parseJson(exchange.body));
+    if (!parsed.success) {
+      sendError(response, Errors.buildInvalid(parsed.error.message));
+      return;
+    }
+    // Answered first: some faults cut the connection that asked for them.
+    Http.sendJson(response, 200, {});
+    await setFault(parsed.data);
+  }
+
+  async function setFault(fault: PlatformFault): Promise<void> {
+    if (fault.kind === 'up') await removeFaults();
+    else if (fault.kind === 'down') failConnections();
+    else if (fault.kind === 'refuse') server.refuseConnections();
+    else if (fault.kind === 'hang') gate.close();
+    else if (fault.kind === 'slow') slowMs = fault.ms;
+    else if (fault.kind === 'loseAnswers') answersToLose = fault.count;
+    else failWatches();
+  }
+
+  function failConnections(): void {
+    isDown = true;
+    server.closeConnections();
+  }
+
+  async function removeFaults(): Promise<void> {
+    isDown = false;
+    slowMs = 0;
+    answersToLose = 0;
+    gate.open();
+    await server.start();
+  }
+
+  /** Two revisions ahead, so that the one after the last that any watcher saw is compacted. */
+  function failWatches(): void {
+    store.addEmptyRevisions(2);
+    store.compact(store.getRevision());
+    watches.closeAll();
+  }
+
+  function getCounters(): Counters.PlatformCounters {
+    return { ...counts, watchesOpen: watches.getOpenCount() };
+  }
+
+  async function start(): Promise<{ readonly address: string }> {
+    leaseTimer ??= setInterval(leases.removeExpired, settings.leaseCheckMs).unref();
+    return server.start();
+  }
+
+  async function stop(): Promise<void> {
+    clearInterval(leaseTimer);
+    leaseTimer = undefined;
+    gate.open();
+    await server.stop();
+  }
+
+  return { start, stop, setFault, getCounters, getRevision: store.getRevision };
+}
+
+function runParsed<Path extends PlatformPath>(
+  path: Path,
+  raw: unknown,
+  run: (body: Extract<Requests.ParsedBody<Path>, { kind: 'body' }>['body']) => Calls.CallResult,
+): Calls.CallResult {
+  const parsed = Requests.parseBody(path, raw);
+  return parsed.kind === 'invalid' ? Errors.buildInvalid(parsed.message) : run(parsed.body);
+}
+
+function sendError(response: ServerResponse, error: PlatformError): void {
+  const { code, message, status } = error;
+  Http.sendJson(response, status, { error: message, code, message });
+}
--- /dev/null
+++ b/packages/sequoiarill-standins/src/platform/watches.ts
@@ -0,0 +1,72 @@
+/** Watches: each is one response that stays open and gets a line for each revision. */
+import type { ServerResponse } from 'node:http';
+
+import * as Answers from './answers';
+import type { WatchRequest } from './requests';
+import type { Store, StoreRevision } from './store';
+import * as Stores from './store';
+
+export interface Watches {
+  readonly openWatch: (request: WatchRequest, response: ServerResponse) => void;
+  readonly getOpenCount: () => number;
+  /** Cuts the connection of every watch. */
+  readonly closeAll: () => void;
+}
+
+export function createWatches(store: Store): Watches {
+  const open = new Set<ServerResponse>();
+
+  function openWatch(request: WatchRequest, response: ServerResponse): void {
+    response.writeHead(200, { 'content-type': 'application/json' });
+    sendResult(response, { created: true });
+    const compacted = store.getCompactRevision();
+    if (request.start_revision > 0 && request.start_revision < compacted) {
+      sendResult(response, { canceled: true, compact_revision: String(compacted) });
+      response.end();
+      return;
+    }
+    if (request.start_revision > 0) sendPast(request, response);
+    watchStore(request, response);
+  }
+
+  function sendPast(request: WatchRequest, response: ServerResponse): void {
+    for (const past of store.listRevisionsFrom(request.start_revision)) {
+      sendRevision(request, response, past);
+    }
+  }
+
+  function watchStore(request: WatchRequest, response: ServerResponse): void {
+    const unsubscribe = store.subscribeRevisions((revision) => {
+      if (revision.revision >= request.start_revision) sendRevision(request, response, revision);
+    });
+    open.add(response);
+    response.on('close', () => {
+      open.delete(response);
+      unsubscribe();
+    });
+  }
+
+  function sendRevision(
+    request: WatchRequest,
+    response: ServerResponse,
+    revision: StoreRevision,
+  ): void {
+    const range = { key: request.key, rangeEnd: request.range_end };
+    const seen = revision.events.filter(({ stored }) => Stores.isInRange(range, stored.key));
+    const events = seen.map((event) => Answers.buildEvent(event, request.prev_kv));
+    if (events.length > 0) sendResult(response, { events });
+  }
+
+  function sendResult(response: ServerResponse, fields: Answers.Answer): void {
+    const header = Answers.buildHeader(store.getRevision());
+    response.write(`${JSON.stringify({ result: { header, ...fields } })}\n`);
+  }
+
+  return {
+    openWatch,
+    getOpenCount: () => open.size,
+    closeAll() {
+      for (const response of open) response.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/sequoiarill-standins/src/service/index.ts
@@ -0,0 +1,5 @@
+/** Plain service stand-in. */
+export * from './service';
+export type { ServiceFault } from './faults';
+export type { ServiceAnswer, ServiceCounters } from './runs';
+export * from './settings';
--- /dev/null
+++ b/packages/sequoiarill-standins/src/service/service.ts
@@ -0,0 +1,119 @@
+/** A plain service for tests: runs any call, counts it and echoes it. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import * as Gates from '../shared/gate';
+import * as Http from '../shared/http';
+import * as Servers from '../shared/server';
+import * as Faults from './faults';
+import type { ServiceFault } from './faults';
+import * as Runs from './runs';
+import * as Settings from './settings';
+
+export interface ServiceStandin {
+  readonly start: () => Promise<{ readonly address: string }>;
+  readonly stop: () => Promise<void>;
+  readonly setFault: (fault: ServiceFault) => Promise<void>;
+  readonly getCounters: () => Runs.ServiceCounters;
+}
+
+export function createServiceStandin(input: Settings.ServiceSettingsInput = {}): ServiceStandin {
+  const settings = Settings.serviceSettingsSchema.parse(input);
+  const runs = Runs.createServiceRuns(settings.checksIdempotencyKey);
+  const gate = Gates.createGate();
+  const server = Servers.createStandinServer(settings.listen, handleRequest);
+  let slowMs = 0;
+  let answersToLose = 0;
+  let failsFast = false;
+  let incarnation = 1;
+
+  async function handleCall(exchange: Http.Exchange): Promise<void> {
+    const { response } = exchange;
+    const started = incarnation;
+    await gate.waitOpen();
+    if (started !== incarnation) return;
+    if (failsFast) {
+      sendError(response, 503, 'the service fails everything');
+      return;
+    }
+    const answer = runs.runCall(buildCall(exchange));
+    const delayMs = settings.answerMs + slowMs;
+    if (delayMs > 0) await Gates.waitMs(delayMs);
+    if (answersToLose > 0) {
+      answersToLose -= 1;
+      response.destroy();
+    } else Http.sendJson(response, 200, answer);
+  }
+
+  async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const exchange = await Http.readExchange(request, response);
+    if (exchange.url.pathname.startsWith('/standin/')) await handleControl(exchange);
+    else await handleCall(exchange);
+  }
+
+  async function handleControl(exchange: Http.Exchange): Promise<void> {
+    const { response } = exchange;
+    if (exchange.method === 'GET') {
+      Http.sendJson(response, 200, runs.getCounters());
+      return;
+    }
+    const parsed = Faults.serviceFaultSchema.safeParse(Http.parseJson(exchange.body));
+    if (!parsed.success) {
+      sendError(response, 400, parsed.error.message);
+      return;
+    }
+    // Answered first: some faults cut the connection that asked for them.
+    Http.sendJson(response, 200, {});
+    await setFault(parsed.data);
+  }
+
+  function removeFaults(): void {
+    slowMs = 0;
+    answersToLose = 0;
+    failsFast = false;
+    gate.open();
+  }
+
+  function failService(): void {
+    incarnation += 1;
+    server.refuseConnections();
+  }
+
+  async function resumeService(): Promise<void> {
+    failService();
+    removeFaults();
+    await server.start();
+  }
+
+  async function setFault(fault: ServiceFault): Promise<void> {
+    if (fault.kind === 'die') failService();
+    else if (fault.kind === 'revive') await resumeService();
+    else if (fault.kind === 'pause') gate.close();
+    else if (fault.kind === 'unpause') gate.open();
+    else if (fault.kind === 'slow') slowMs = fault.ms;
+    else if (fault.kind === 'loseAnswers') answersToLose = fault.count;
+    else if (fault.kind === 'failFast') failsFast = true;
+    else removeFaults();
+  }
+
+  async function stop(): Promise<void> {
+    incarnation += 1;
+    gate.open();
+    await server.stop();
+  }
+
+  return { start: server.start, stop, setFault, getCounters: runs.getCounters };
+}
+
+function buildCall(exchange: Http.Exchange): Runs.ServiceCall {
+  const key = exchange.request.headers['idempotency-key'];
+  return {
+    method: exchange.method,
+    path: exchange.url.pathname + exchange.url.search,
+    idempotencyKey: key === undefined ? undefined : String(key),
+    body: exchange.body.toString('utf8'),
+  };
+}
+
+function sendError(response: ServerResponse, status: number, message: string): void {
+  Http.sendJson(response, status, { error: { message } });
+}
--- /dev/null
+++ b/packages/sequoiarill-standins/src/service/settings.ts
@@ -0,0 +1,15 @@
+/** Settings of the plain service stand-in; every one has a default. */
+import * as Zod from 'zod';
+
+import * as SharedSettings from '../shared/settings';
+
+export const serviceSettingsSchema = Zod.strictObject({
+  listen: SharedSettings.listenSchema,
+  /** Whether a repeated `Idempotency-Key` gets the first answer again in place of a second run. */
+  checksIdempotencyKey: SharedSettings.flagSchema,
+  /** Time for one answer, in milliseconds. */
+  answerMs: SharedSettings.createCountSchema(0, 0),
+});
+
+export type ServiceSettings = Readonly<Zod.infer<typeof serviceSettingsSchema>>;
+export type ServiceSettingsInput = Readonly<Zod.input<typeof serviceSettingsSchema>>;
--- /dev/null
+++ b/packages/sequoiarill-standins/src/shared/server.ts
@@ -0,0 +1,109 @@
+/** An HTTP server that can vanish and come back on the same port, as a process that dies does. */
+import * as Http from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+export type HandleRequest = (
+  request: Http.IncomingMessage,
+  response: Http.ServerResponse,
+) => Promise<void>;
+
+export interface StandinServer {
+  readonly start: () => Promise<{ readonly address: string }>;
+  readonly stop: () => Promise<void>;
+  /** Cuts every connection; new ones are still taken. */
+  readonly closeConnections: () => void;
+  /** Cuts every connection and refuses new ones until `start`. */
+  readonly refuseConnections: () => void;
+}
+
+/** Another process may hold the port for a moment when a stand-in comes back to it. */
+const LISTEN_ATTEMPTS = 40;
+const LISTEN_RETRY_MS = 50;
+const INTERNAL_ERROR = 500;
+
+export function createStandinServer(listen: string, handleRequest: HandleRequest): StandinServer {
+  const separator = listen.lastIndexOf(':');
+  const host = listen.slice(0, separator);
+  let port = Number(listen.slice(separator + 1));
+  const sockets = new Set<Socket>();
+  let server: Http.Server | undefined;
+
+  function createServer(): Http.Server {
+    const created = Http.createServer((request, response) => {
+      handleRequest(request, response).catch((error: unknown) => failRequest(response, error));
+    });
+    created.keepAliveTimeout = 0;
+    created.requestTimeout = 0;
+    created.on('connection', (socket) => {
+      socket.setNoDelay(true);
+      sockets.add(socket);
+      socket.on('close', () => sockets.delete(socket));
+      socket.on('error', () => undefined);
+    });
+    return created;
+  }
+
+  async function openListener(): Promise<Http.Server> {
+    for (let attempt = 1; ; attempt += 1) {
+      const candidate = createServer();
+      const error = await openPort(candidate, port, host);
+      if (error === undefined) return candidate;
+      if (attempt === LISTEN_ATTEMPTS || error.code !== 'EADDRINUSE') throw error;
+      await new Promise((resolve) => {
+        setTimeout(resolve, LISTEN_RETRY_MS);
+      });
+    }
+  }
+
+  async function start(): Promise<{ readonly address: string }> {
+    server ??= await openListener();
+    ({ port } = server.address() as AddressInfo);
+    return { address: `${host}:${port}` };
+  }
+
+  function closeConnections(): void {
+    for (const socket of sockets) socket.destroy();
+  }
+
+  function refuseConnections(): void {
+    server?.close();
+    server = undefined;
+    closeConnections();
+  }
+
+  async function stop(): Promise<void> {
+    const closing = server;
+    server = undefined;
+    if (closing === undefined) return;
+    const closed = new Promise<void>((resolve) => {
+      closing.close(() => resolve());
+    });
+    closeConnections();
+    await closed;
+  }
+
+  return { start, stop, closeConnections, refuseConnections };
+}
+
+function openPort(
+  server: Http.Server,
+  port: number,
+  host: string,
+): Promise<NodeJS.ErrnoException | undefined> {
+  return new Promise((resolve) => {
+    server.once('error', resolve);
+    server.listen(port, host, () => {
+      server.off('error', resolve);
+      resolve(undefined);
+    });
+  });
+}
+
+function failRequest(response: Http.ServerResponse, error: unknown): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  response.writeHead(INTERNAL_ERROR, { 'content-type': 'application/json' });
+  response.end(JSON.stringify({ error: { message: String(error), type: 'internal_error' } }));
+}
