Continue a generation on another engine by token ids

Cause: an engine that dies leaves half an answer. The generator asks the next engine with the prompt's ids and every certain output id; ids whose text is not whole yet are made again, so that the text begins on a character's boundary. Stop sequences, output limit and usage belong to the whole answer.

Ruled out: continuing from text, since text that is tokenised again need not give the same ids; trusting an engine's text after a prompt that ends inside a character, since engines get it wrong.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -68,6 +68,8 @@
       // Named exports and namespace imports are the brief's rule.
       'import-x/prefer-default-export': 'off',
       'import-x/no-namespace': 'off',
+      // A state object that a function is named to update is its job; bindings stay untouched.
+      'no-param-reassign': ['error', { props: false }],
       // Small modules and short functions.
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }],
       'max-lines-per-function': ['error', { max: 130, skipBlankLines: true, skipComments: true }],
--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/enginePools.ts
@@ -0,0 +1,74 @@
+/** One connection pool for each engine, with what this router has open there. */
+import type { EngineTarget } from '@sequoiarill/types';
+import * as Undici from 'undici';
+
+export interface EnginePool {
+  readonly dispatcher: Undici.Dispatcher;
+  readonly origin: string;
+}
+
+export interface EnginePools {
+  readonly getPool: (target: EngineTarget) => EnginePool;
+  readonly getInFlight: (target: string) => number;
+  readonly addInFlight: (target: string, change: 1 | -1) => void;
+  /** Closes pools of targets that left the configuration; streams in progress end first. */
+  readonly removeMissing: (targets: ReadonlySet<string>) => void;
+  readonly close: () => Promise<void>;
+}
+
+export interface EnginePoolOptions {
+  readonly connectTimeoutMs: number;
+  /** Connections to one engine; a stream holds one. */
+  readonly maxConnections: number;
+}
+
+interface Entry extends EnginePool {
+  readonly address: string;
+  readonly pool: Undici.Pool;
+}
+
+export function createEnginePools(options: EnginePoolOptions): EnginePools {
+  const entries = new Map<string, Entry>();
+  const inFlight = new Map<string, number>();
+
+  function openEntry(target: EngineTarget): Entry {
+    const origin = `http://${target.address}`;
+    // Headers and body have no limits here: the attempt's own limits know what it waits for.
+    const pool = new Undici.Pool(origin, {
+      connections: options.maxConnections,
+      connect: { timeout: options.connectTimeoutMs },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    const entry: Entry = { address: target.address, pool, dispatcher: pool, origin };
+    entries.set(target.name, entry);
+    return entry;
+  }
+
+  function closeEntry(name: string, entry: Entry): void {
+    entries.delete(name);
+    entry.pool.close().catch(() => undefined);
+  }
+
+  return {
+    getPool(target) {
+      const known = entries.get(target.name);
+      if (known !== undefined && known.address === target.address) return known;
+      if (known !== undefined) closeEntry(target.name, known);
+      return openEntry(target);
+    },
+    getInFlight: (target) => inFlight.get(target) ?? 0,
+    addInFlight(target, change) {
+      const count = (inFlight.get(target) ?? 0) + change;
+      if (count === 0) inFlight.delete(target);
+      else inFlight.set(target, count);
+    },
+    removeMissing(targets) {
+      for (const [name, entry] of entries) if (!targets.has(name)) closeEntry(name, entry);
+    },
+    async close() {
+      await Promise.all([...entries.values()].map(({ pool }) => pool.destroy()));
+      entries.clear();
+    },
+  };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/engineRequests.ts
@@ -0,0 +1,44 @@
+/** What is sent to an engine: a chat completion at the start, a completion by token ids after. */
+import type { EngineTarget, Model } from '@sequoiarill/types';
+
+import type { AttemptOrder } from './generation';
+
+const CHAT_PATH = '/v1/chat/completions';
+const COMPLETION_PATH = '/v1/completions';
+
+export interface EngineRequest {
+  readonly path: string;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/**
+ * The name under which a target serves a model, or undefined. A target that names a version serves
+ * only that one, so that a continuation never changes the version while a new one rolls out.
+ */
+export function findServedName(target: EngineTarget, model: Model): string | undefined {
+  const pinned = `${model.name}@${model.version}`;
+  return target.models.find((served) => served === pinned || served === model.name);
+}
+
+export function createEngineRequest(order: AttemptOrder): EngineRequest {
+  const { request, target, model } = order;
+  const shared = {
+    model: findServedName(target, model) ?? model.name,
+    max_tokens: order.maxTokens,
+    stream: true,
+    stream_options: { include_usage: true },
+    return_token_ids: true,
+    priority: request.organisation.priority,
+    ...(request.temperature !== undefined && { temperature: request.temperature }),
+    ...(request.topP !== undefined && { top_p: request.topP }),
+    ...(request.seed !== undefined && { seed: request.seed }),
+  };
+  // Stop sequences stay with the relay: an engine sees only its part of the answer's text.
+  return order.tokenIds === undefined
+    ? { path: CHAT_PATH, body: { ...shared, messages: request.messages } }
+    : { path: COMPLETION_PATH, body: { ...shared, prompt: order.tokenIds } };
+}
+
+export function createCancelPath(requestId: string): string {
+  return `${COMPLETION_PATH}/${encodeURIComponent(requestId)}/cancel`;
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/progress.ts
@@ -0,0 +1,94 @@
+/** What one generation has gone through so far, and the outcomes that follow from it. */
+import type {
+  FinishReason,
+  GenerationCancelled,
+  GenerationCompleted,
+  GenerationLost,
+  GenerationNotRun,
+  GenerationRequest,
+} from '@sequoiarill/types';
+
+import * as Answers from './answer';
+import type { Answer } from './answer';
+import type { AttemptLost } from './attempt';
+
+const RETRY_SECONDS = 2;
+
+export interface Progress {
+  readonly answer: Answer;
+  /** Engines that failed or refused this request; not asked again. */
+  readonly getExcluded: () => ReadonlySet<string>;
+  /** Starts the next generation and returns its number, which is also its fencing number. */
+  readonly addGeneration: () => number;
+  readonly getGeneration: () => number;
+  /** Returns how many engines were lost. */
+  readonly addLoss: (target: string, loss: AttemptLost, nowMs: number) => number;
+  /** Returns how many engines refused. */
+  readonly addRefusal: (target: string, retryAfterSeconds: number) => number;
+  /** Whether an engine may have run any of it: from then on it is never said to be "not run". */
+  readonly hasMaybeRun: () => boolean;
+  /** When the last engine was lost; undefined if tokens have flowed since. */
+  readonly takeLostAtMs: () => number | undefined;
+  readonly setRetryAfter: (seconds: number) => void;
+  readonly createCompleted: (finishReason: FinishReason) => GenerationCompleted;
+  readonly createCancelled: () => GenerationCancelled;
+  /** The final answer of a request that is given up, told at once. */
+  readonly createGivenUp: (
+    reason: GenerationNotRun['reason'],
+    message: string,
+  ) => GenerationLost | GenerationNotRun;
+}
+
+export function createProgress(request: GenerationRequest): Progress {
+  const answer = Answers.createAnswer(request.maxOutputTokens, request.stop);
+  const excluded = new Set<string>();
+  let generation = 0;
+  let losses = 0;
+  let refusals = 0;
+  let mayHaveRun = false;
+  let lostAtMs: number | undefined;
+  let retryAfterSeconds = RETRY_SECONDS;
+
+  return {
+    answer,
+    getExcluded: () => excluded,
+    addGeneration() {
+      generation += 1;
+      return generation;
+    },
+    getGeneration: () => generation,
+    addLoss(target, loss, nowMs) {
+      excluded.add(target);
+      answer.removePending();
+      losses += 1;
+      mayHaveRun ||= loss.mayHaveRun;
+      lostAtMs ??= nowMs;
+      return losses;
+    },
+    addRefusal(target, seconds) {
+      excluded.add(target);
+      refusals += 1;
+      retryAfterSeconds = seconds;
+      return refusals;
+    },
+    hasMaybeRun: () => mayHaveRun,
+    takeLostAtMs() {
+      const since = lostAtMs;
+      lostAtMs = undefined;
+      return since;
+    },
+    setRetryAfter(seconds) {
+      retryAfterSeconds = seconds;
+    },
+    createCompleted: (finishReason) => ({
+      kind: 'completed',
+      finishReason,
+      usage: answer.getUsage(),
+    }),
+    createCancelled: () => ({ kind: 'cancelled', usage: answer.getUsage() }),
+    createGivenUp: (reason, message) =>
+      mayHaveRun
+        ? { kind: 'lost', message, usage: answer.getUsage(), retryAfterSeconds }
+        : { kind: 'notRun', reason, message, retryAfterSeconds },
+  };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/settings.ts
@@ -0,0 +1,11 @@
+/** The `[generations]` section of the settings. */
+import * as Zod from 'zod';
+
+export const settingsSchema = Zod.strictObject({
+  /** Time to open a connection to an engine. A live one in the region answers in a few ms. */
+  connectTimeoutMs: Zod.coerce.number().int().min(10).max(5_000).default(300),
+  /** Connections, and so streams, to one engine. */
+  maxConnectionsPerEngine: Zod.coerce.number().int().min(1).max(4_096).default(512),
+});
+
+export type GenerationsSettings = Readonly<Zod.infer<typeof settingsSchema>>;
--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/stopSequences.ts
@@ -0,0 +1,58 @@
+/**
+ * Finds stop sequences in text that arrives in pieces. They belong to the whole answer: one may
+ * begin in the last piece of a dead engine and end in the first piece of the next one.
+ */
+
+export interface StopScan {
+  /** Text that can no longer be part of a stop sequence. */
+  readonly released: string;
+  readonly stopped: boolean;
+}
+
+export interface StopScanner {
+  readonly addText: (text: string) => StopScan;
+  /** The answer has ended: what was held back is text after all. */
+  readonly takeHeld: () => string;
+}
+
+export function createStopScanner(stops: readonly string[]): StopScanner {
+  let held = '';
+
+  function addText(text: string): StopScan {
+    const all = held + text;
+    const firstStop = findFirstStop(all, stops);
+    if (firstStop !== undefined) {
+      held = '';
+      return { released: all.slice(0, firstStop), stopped: true };
+    }
+    const keep = computeHeldLength(all, stops);
+    held = all.slice(all.length - keep);
+    return { released: all.slice(0, all.length - keep), stopped: false };
+  }
+
+  function takeHeld(): string {
+    const rest = held;
+    held = '';
+    return rest;
+  }
+
+  if (stops.length === 0) {
+    return { addText: (text) => ({ released: text, stopped: false }), takeHeld: () => '' };
+  }
+  return { addText, takeHeld };
+}
+
+function findFirstStop(text: string, stops: readonly string[]): number | undefined {
+  const found = stops.map((stop) => text.indexOf(stop)).filter((index) => index >= 0);
+  return found.length === 0 ? undefined : Math.min(...found);
+}
+
+/** Length of the longest end of the text that begins a stop sequence. */
+function computeHeldLength(text: string, stops: readonly string[]): number {
+  const longest = Math.max(...stops.map((stop) => stop.length - 1));
+  for (let length = Math.min(longest, text.length); length > 0; length -= 1) {
+    const end = text.slice(text.length - length);
+    if (stops.some((stop) => stop.startsWith(end))) return length;
+  }
+  return 0;
+}
