--- /dev/null
+++ b/packages/sequoiarill/src/commands/commandOutput.ts
@@ -0,0 +1,21 @@
+/** Where a command writes and how it tells its shell of a failure; tests pass their own. */
+
+export interface CommandOutput {
+  readonly print: (text: string) => void;
+  readonly printError: (text: string) => void;
+  readonly setExitCode: (code: number) => void;
+}
+
+export function createProcessOutput(): CommandOutput {
+  return {
+    print: (text) => {
+      process.stdout.write(`${text}\n`);
+    },
+    printError: (text) => {
+      process.stderr.write(`error: ${text}\n`);
+    },
+    setExitCode: (code) => {
+      process.exitCode = code;
+    },
+  };
+}
--- /dev/null
+++ b/packages/sequoiarill/src/commands/state.ts
@@ -0,0 +1,41 @@
+/** `sequoiarill state`: the state of one process, for people or as JSON. */
+import * as Commander from 'commander';
+
+import * as Outputs from './commandOutput';
+import * as OperatorsClient from './operatorsClient';
+import * as StateText from './stateText';
+
+interface StateOptions {
+  readonly at: string;
+  readonly plugin?: string;
+  readonly json?: boolean;
+  readonly tokenFile?: string;
+}
+
+export function createStateCommand(
+  output: Outputs.CommandOutput = Outputs.createProcessOutput(),
+): Commander.Command {
+  return new Commander.Command('state')
+    .description('show what a process does and knows')
+    .requiredOption('--at <address>', "IP:PORT of the process's listener for operators")
+    .option('--plugin <name>', 'only the state of this plug-in')
+    .option('--json', 'print JSON instead of aligned text')
+    .option('--token-file <file>', 'file that holds the token of the listener')
+    .action((options: StateOptions) => printState(options, output));
+}
+
+async function printState(options: StateOptions, output: Outputs.CommandOutput): Promise<void> {
+  const token = OperatorsClient.loadToken(options.tokenFile);
+  const path =
+    options.plugin === undefined ? '/state' : `/state/${encodeURIComponent(options.plugin)}`;
+  const outcome = await OperatorsClient.callOperators(options.at, path, token);
+  if (outcome.kind !== 'answer') {
+    output.printError(outcome.message);
+    output.setExitCode(1);
+    return;
+  }
+  const text = options.json
+    ? JSON.stringify(outcome.body, undefined, 2)
+    : StateText.formatState(outcome.body);
+  output.print(text);
+}
