Write down processes, state and the options for going on after a loss

Cause: the choice to continue by token ids from the router's memory, without a store, needs its reasons and what was ruled out where the next reader looks.

--- a/packages/sequoiarill/src/cli.ts
+++ b/packages/sequoiarill/src/cli.ts
@@ -1,8 +1,10 @@
 /** The whole command line, put together from its commands. */
 import * as Commander from 'commander';
 
+import * as ExplainCommands from './commands/explain';
 import * as RouterCommands from './commands/router';
 import * as SettingsCommands from './commands/settings';
+import * as StateCommands from './commands/state';
 
 const EXAMPLES = `
 Examples:
@@ -18,5 +20,7 @@
     .showHelpAfterError()
     .addCommand(RouterCommands.createRouterCommand())
     .addCommand(SettingsCommands.createSettingsCommand())
+    .addCommand(StateCommands.createStateCommand())
+    .addCommand(ExplainCommands.createExplainCommand())
     .addHelpText('after', EXAMPLES);
 }
