Add the key-value client, the document's schema and the followed configuration

A write is 'unavailable' only when no byte left or the gateway refused it; everything else is 'unknown'. Confirming reads ask only for keys changed after what is held, because a watch gives no progress often enough to prove completeness. Ruled out: one watch over the whole prefix (claims of orders would be carried to each zone's reader).

--- /dev/null
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/fakeClock.ts
@@ -0,0 +1,65 @@
+/** Virtual time: waits end when the test moves the clock, in the order of their deadlines. */
+import type { Clock } from '@sequoiarill/types';
+
+interface Waiter {
+  readonly dueMs: number;
+  readonly resume: () => void;
+}
+
+export interface FakeClock extends Clock {
+  /** Moves time forward and lets every task run that becomes due meanwhile. */
+  readonly runFor: (ms: number) => Promise<void>;
+  /** Moves time without running anything, as a paused process sees it. */
+  readonly delay: (ms: number) => void;
+}
+
+/** Long enough for the longest chain of awaits between two waits of the code under test. */
+const TURNS = 60;
+
+export async function waitForTurns(turns = TURNS): Promise<void> {
+  for (let turn = 0; turn < turns; turn += 1) await Promise.resolve();
+}
+
+export function createFakeClock(): FakeClock {
+  let nowMs = 0;
+  let waiters: readonly Waiter[] = [];
+
+  function takeDue(limitMs: number): Waiter | undefined {
+    const [first] = [...waiters].sort((left, right) => left.dueMs - right.dueMs);
+    if (first === undefined || first.dueMs > limitMs) return undefined;
+    waiters = waiters.filter((waiter) => waiter !== first);
+    return first;
+  }
+
+  return {
+    getNowMs: () => nowMs,
+    getWallTime: () => new Date(nowMs).toISOString(),
+    waitMs: (ms, signal) =>
+      new Promise((resolve) => {
+        if (signal?.aborted === true) {
+          resolve();
+          return;
+        }
+        const waiter: Waiter = { dueMs: nowMs + ms, resume: resolve };
+        waiters = [...waiters, waiter];
+        const handleAbort = () => {
+          waiters = waiters.filter((other) => other !== waiter);
+          resolve();
+        };
+        signal?.addEventListener('abort', handleAbort, { once: true });
+      }),
+    async runFor(ms) {
+      const endMs = nowMs + ms;
+      await waitForTurns();
+      for (let due = takeDue(endMs); due !== undefined; due = takeDue(endMs)) {
+        nowMs = Math.max(nowMs, due.dueMs);
+        due.resume();
+        await waitForTurns();
+      }
+      nowMs = endMs;
+    },
+    delay(ms) {
+      nowMs += ms;
+    },
+  };
+}
--- a/packages/sequoiarill-plugin-platform/src/index.ts
+++ b/packages/sequoiarill-plugin-platform/src/index.ts
@@ -1,2 +1,16 @@
 /** Configuration document, leases and watches in the key-value service of the platform. */
-export {};
+import * as Kernel from '@sequoiarill/kernel';
+
+import { platformPlugin } from './platformPlugin';
+
+Kernel.registerPlugin(platformPlugin);
+
+export * from './apiKeys';
+export * from './configurationBuilder';
+export * from './documentSchema';
+export * from './leaseKeeper';
+export * from './metrics';
+export * from './platformConnection';
+export * from './platformPlugin';
+export * from './platformSettings';
+export * from './sectionParser';
--- /dev/null
+++ b/packages/sequoiarill-plugin-platform/src/keyValueStore.ts
@@ -0,0 +1,213 @@
+/**
+ * The platform's key-value service over the JSON gateway of etcd v3. Every key of this system lies
+ * below one prefix; callers name keys without it, so that two installations can share a platform.
+ */
+import type {
+  KeyComparison,
+  KeyTransaction,
+  KeyValueEntry,
+  KeyValueRange,
+  KeyValueStore,
+  KeyValueUnavailable,
+  KeyValueUnknown,
+  KeyWrite,
+  WatchEvent,
+} from '@sequoiarill/types';
+import type { ZodType } from 'zod';
+
+import type { CallCounter, CallKind } from './callCounter';
+import type { CallOutcome, GatewayCaller } from './gatewayCaller';
+import * as Messages from './gatewayMessages';
+import * as LineReader from './lineReader';
+
+/** The store, and a read that only this plug-in needs. */
+export interface PlatformStore extends KeyValueStore {
+  /** Keys below the prefix changed after a revision, without values: cheap to ask each second. */
+  readonly readChangedKeys: (
+    prefix: string,
+    afterRevision: number,
+  ) => Promise<KeyValueRange | KeyValueUnavailable>;
+}
+
+export interface KeyValueStoreOptions {
+  readonly gateway: GatewayCaller;
+  readonly counter: CallCounter;
+  readonly keyPrefix: string;
+}
+
+/** Values of a page: 6,700 VM records are read in seven calls. Halved when the answer is too long. */
+const PAGE_KEYS = 1_000;
+
+type FailedCall = Exclude<CallOutcome<never>, { readonly kind: 'answer' }>;
+
+function reportUnavailable(outcome: FailedCall): KeyValueUnavailable {
+  return { kind: 'unavailable', message: outcome.message };
+}
+
+/** A write with a lost answer stays unknown: telling it as not written would be sent twice. */
+function reportFailedWrite(outcome: FailedCall): KeyValueUnavailable | KeyValueUnknown {
+  return { kind: outcome.kind === 'notRun' ? 'unavailable' : 'unknown', message: outcome.message };
+}
+
+function compareFields(revision: number): object {
+  return { target: 'MOD', result: 'EQUAL', modRevision: String(revision) };
+}
+
+interface RangeRequest {
+  readonly key: string;
+  readonly range_end?: string;
+  readonly revision?: string;
+  readonly keys_only?: boolean;
+  readonly min_mod_revision?: string;
+}
+
+export function createKeyValueStore(options: KeyValueStoreOptions): PlatformStore {
+  const { gateway, counter, keyPrefix } = options;
+
+  function encodeKey(key: string): string {
+    return Messages.encodeText(`${keyPrefix}${key}`);
+  }
+
+  function callCounted<Answer>(
+    kind: CallKind,
+    path: string,
+    body: object,
+    schema: ZodType<Answer>,
+  ): Promise<CallOutcome<Answer>> {
+    counter.addCall(kind);
+    return gateway.callGateway(path, body, schema);
+  }
+
+  function encodeComparison(comparison: KeyComparison): object {
+    return { key: encodeKey(comparison.key), ...compareFields(comparison.revision) };
+  }
+
+  function encodeWrite(write: KeyWrite): object {
+    const key = encodeKey(write.key);
+    if (write.value === undefined) return { requestDeleteRange: { key } };
+    const value = Messages.encodeText(write.value);
+    const lease = write.leaseId === undefined ? {} : { lease: write.leaseId };
+    return { requestPut: { key, value, ...lease } };
+  }
+
+  function callRange(request: RangeRequest, limit: number) {
+    const body = { ...request, limit: String(limit) };
+    return callCounted('read', '/v3/kv/range', body, Messages.rangeSchema);
+  }
+
+  /** Reads page by page at the revision of the first, so that the whole is one consistent state. */
+  async function readPages(request: RangeRequest): Promise<KeyValueRange | KeyValueUnavailable> {
+    const entries: KeyValueEntry[] = [];
+    let revision = 0;
+    let pageKeys = PAGE_KEYS;
+    let next = request;
+    for (;;) {
+      const outcome = await callRange(next, pageKeys);
+      if (outcome.kind === 'tooLarge' && pageKeys > 1) {
+        pageKeys = Math.floor(pageKeys / 2);
+        continue;
+      }
+      if (outcome.kind !== 'answer') return reportUnavailable(outcome);
+      const { header, kvs, more } = outcome.answer;
+      if (revision === 0) revision = header.revision;
+      entries.push(...kvs.map((kv) => Messages.decodeEntry(kv, keyPrefix)));
+      const last = kvs.at(-1);
+      if (!more || last === undefined) return { kind: 'range', revision, entries };
+      const key = Messages.encodeText(`${Messages.decodeText(last.key)}\0`);
+      next = { ...next, key, revision: String(revision) };
+    }
+  }
+
+  function encodePrefix(prefix: string): RangeRequest {
+    const rangeEnd = Messages.encodePrefixEnd(`${keyPrefix}${prefix}`);
+    return { key: encodeKey(prefix), range_end: rangeEnd };
+  }
+
+  async function writeTransaction(transaction: KeyTransaction) {
+    const { comparisons, writes } = transaction;
+    const body = {
+      compare: comparisons.map(encodeComparison),
+      success: writes.map(encodeWrite),
+      failure: comparisons.map(({ key }) => ({ requestRange: { key: encodeKey(key) } })),
+    };
+    const outcome = await callCounted('write', '/v3/kv/txn', body, Messages.transactionSchema);
+    if (outcome.kind !== 'answer') return reportFailedWrite(outcome);
+    const { header, succeeded, responses } = outcome.answer;
+    if (succeeded) return { kind: 'written', revision: header.revision } as const;
+    const kvs = responses.flatMap((response) => response.response_range?.kvs ?? []);
+    const current = kvs.map((kv) => Messages.decodeEntry(kv, keyPrefix));
+    return { kind: 'conflict', revision: header.revision, current } as const;
+  }
+
+  async function* watchPrefix(
+    prefix: string,
+    fromRevision: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<WatchEvent, void, void> {
+    counter.addCall('watch');
+    const create = { ...encodePrefix(prefix), start_revision: String(fromRevision) };
+    const body = { create_request: { ...create, progress_notify: true } };
+    const stream = await gateway.openStream('/v3/watch', body, signal);
+    if (stream === undefined) return;
+    try {
+      for await (const line of LineReader.readLines(stream)) {
+        const event = decodeWatchLine(line, keyPrefix);
+        if (event === 'ended') return;
+        if (event !== 'created') yield event;
+        if (event !== 'created' && event.kind === 'compacted') return;
+      }
+    } catch {
+      // The connection broke or was aborted; the caller watches anew from what it has.
+    }
+  }
+
+  return {
+    readPrefix: (prefix) => readPages(encodePrefix(prefix)),
+    readKey: (key) => readPages({ key: encodeKey(key) }),
+    readChangedKeys(prefix, afterRevision) {
+      const changed = { keys_only: true, min_mod_revision: String(afterRevision + 1) };
+      return readPages({ ...encodePrefix(prefix), ...changed });
+    },
+    writeTransaction,
+    watchPrefix,
+    async grantLease(ttlSeconds) {
+      const body = { TTL: String(ttlSeconds) };
+      const outcome = await callCounted('write', '/v3/lease/grant', body, Messages.leaseSchema);
+      if (outcome.kind !== 'answer') return reportFailedWrite(outcome);
+      const { ID: leaseId, TTL } = outcome.answer;
+      return { kind: 'granted', leaseId, ttlSeconds: TTL };
+    },
+    async refreshLease(leaseId) {
+      const body = { ID: leaseId };
+      const path = '/v3/lease/keepalive';
+      const outcome = await callCounted('write', path, body, Messages.keepAliveSchema);
+      if (outcome.kind !== 'answer') return reportUnavailable(outcome);
+      const ttlSeconds = outcome.answer.result?.TTL ?? 0;
+      // The service tells the end of a lease by a time to live of zero.
+      return ttlSeconds > 0 ? { kind: 'granted', leaseId, ttlSeconds } : { kind: 'expired' };
+    },
+    async revokeLease(leaseId) {
+      await callCounted('write', '/v3/lease/revoke', { ID: leaseId }, Messages.revokeSchema);
+    },
+  };
+}
+
+/** One message of a watch; a cancelled or unreadable one ends it. */
+function decodeWatchLine(line: string, keyPrefix: string): WatchEvent | 'created' | 'ended' {
+  const parsed = Messages.watchSchema.safeParse(JSON.parse(line));
+  const message = parsed.success ? parsed.data.result : undefined;
+  if (message === undefined) return 'ended';
+  if (message.compact_revision > 0) {
+    return { kind: 'compacted', oldestRevision: message.compact_revision };
+  }
+  if (message.canceled) return 'ended';
+  if (message.created && message.events.length === 0) return 'created';
+  const changes = Messages.decodeChanges(message, keyPrefix);
+  const revision = Math.max(0, ...changes.map((change) => change.revision));
+  // The header's revision may run ahead of the events still to come; only progress may use it.
+  return {
+    kind: 'changes',
+    revision: changes.length > 0 ? revision : message.header.revision,
+    changes,
+  };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-platform/src/platformConnection.ts
@@ -0,0 +1,44 @@
+/** Opens the key-value store that a settings section describes. */
+import { readFileSync } from 'node:fs';
+
+import type { Metrics } from '@sequoiarill/types';
+
+import * as CallCounters from './callCounter';
+import type { CallCounter } from './callCounter';
+import * as GatewayCallers from './gatewayCaller';
+import * as KeyValueStores from './keyValueStore';
+import type { PlatformStore } from './keyValueStore';
+import type { PlatformSettings } from './platformSettings';
+
+export interface PlatformConnection {
+  readonly store: PlatformStore;
+  readonly counter: CallCounter;
+  readonly close: () => Promise<void>;
+}
+
+export type ConnectionSettings = Pick<
+  PlatformSettings,
+  'endpoints' | 'keyPrefix' | 'callTimeoutMs' | 'username' | 'passwordFile'
+>;
+
+function readCredentials(settings: ConnectionSettings) {
+  const { username, passwordFile } = settings;
+  if (username === undefined || passwordFile === undefined) return {};
+  return { credentials: { username, password: readFileSync(passwordFile, 'utf8').trim() } };
+}
+
+export function openPlatform(
+  settings: ConnectionSettings,
+  metrics: Pick<Metrics, 'addCount'>,
+): PlatformConnection {
+  const { endpoints, callTimeoutMs, keyPrefix } = settings;
+  const credentials = readCredentials(settings);
+  const gateway = GatewayCallers.createGatewayCaller({
+    endpoints,
+    callTimeoutMs,
+    ...credentials,
+  });
+  const counter = CallCounters.createCallCounter(metrics);
+  const store = KeyValueStores.createKeyValueStore({ gateway, counter, keyPrefix });
+  return { store, counter, close: gateway.close };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-platform/src/platformReader.ts
@@ -0,0 +1,75 @@
+/** One session of reading the platform: everything once, then watches and a confirmation a second. */
+import type { Clock } from '@sequoiarill/types';
+
+import type { FollowOutcome, SourceFollower } from './sourceFollower';
+
+export interface PlatformReaderOptions {
+  readonly followers: readonly SourceFollower[];
+  readonly clock: Clock;
+  /** Told the revision up to which every change is known. */
+  readonly handleConfirmed: (revision: number) => void;
+  readonly markAway: (isAway: boolean) => void;
+}
+
+export interface PlatformReader {
+  readonly readOnce: () => Promise<FollowOutcome>;
+  /** Runs until the signal is aborted or the duty is lost. */
+  readonly runSession: (signal: AbortSignal, isAllowed: () => boolean) => Promise<void>;
+}
+
+/** Well below the age at which others take the reader for lost. */
+const CONFIRM_INTERVAL_MS = 1_000;
+/** Only the holder of the duty asks at this pace while the platform is away. */
+const READ_RETRY_MS = 500;
+
+export function createPlatformReader(options: PlatformReaderOptions): PlatformReader {
+  const { followers, clock, markAway } = options;
+
+  /** Asks all followers; what is confirmed for the whole is what the least of them confirms. */
+  async function mergeOutcomes(
+    readFollower: (follower: SourceFollower) => Promise<FollowOutcome>,
+  ): Promise<FollowOutcome> {
+    let revision = Number.POSITIVE_INFINITY;
+    for (const follower of followers) {
+      const outcome = await readFollower(follower);
+      markAway(outcome.kind === 'unavailable');
+      if (outcome.kind === 'unavailable') return outcome;
+      revision = Math.min(revision, outcome.revision);
+    }
+    return { kind: 'confirmed', revision };
+  }
+
+  async function runConfirmations(signal: AbortSignal, isAllowed: () => boolean): Promise<void> {
+    while (!signal.aborted && isAllowed()) {
+      await clock.waitMs(CONFIRM_INTERVAL_MS, signal);
+      if (signal.aborted || !isAllowed()) return;
+      const outcome = await mergeOutcomes((follower) => follower.checkRevision());
+      // The holder may have been paused while the answer was under way.
+      if (outcome.kind === 'confirmed' && isAllowed()) options.handleConfirmed(outcome.revision);
+    }
+  }
+
+  const readOnce = () => mergeOutcomes((follower) => follower.readAll());
+
+  async function readFirst(signal: AbortSignal, isAllowed: () => boolean): Promise<void> {
+    let outcome = await readOnce();
+    while (outcome.kind === 'unavailable' && !signal.aborted && isAllowed()) {
+      await clock.waitMs(READ_RETRY_MS, signal);
+      outcome = await readOnce();
+    }
+    if (outcome.kind === 'confirmed' && isAllowed()) options.handleConfirmed(outcome.revision);
+  }
+
+  return {
+    readOnce,
+    async runSession(signal, isAllowed) {
+      await readFirst(signal, isAllowed);
+      const stop = new AbortController();
+      const watched = AbortSignal.any([signal, stop.signal]);
+      const watches = followers.map((follower) => follower.runWatch(watched));
+      await runConfirmations(signal, isAllowed);
+      stop.abort();
+      await Promise.all(watches);
+    },
+  };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-platform/src/sourceFollower.ts
@@ -0,0 +1,111 @@
+/** Follows one place of the document in the platform: read all, watch from there, confirm by reads. */
+import type { Clock, ConfigurationSection, LogEvent, WatchEvent } from '@sequoiarill/types';
+
+import * as DocumentRecords from './documentRecords';
+import type { RecordSource } from './documentRecords';
+import * as Events from './events';
+import type { PlatformStore } from './keyValueStore';
+
+export interface SourceFollowerOptions {
+  readonly source: RecordSource;
+  readonly store: PlatformStore;
+  readonly clock: Clock;
+  readonly logEvent: LogEvent;
+  readonly nextRandom: () => number;
+  readonly applyRecords: (records: readonly ConfigurationSection[]) => void;
+}
+
+export type FollowOutcome =
+  { readonly kind: 'confirmed'; readonly revision: number } | { readonly kind: 'unavailable' };
+
+export interface SourceFollower {
+  /** Reads everything; what is missing there but known here is kept. */
+  readonly readAll: () => Promise<FollowOutcome>;
+  /** Applies changes until the signal is aborted, over as many watches as that takes. */
+  readonly runWatch: (signal: AbortSignal) => Promise<void>;
+  /** Asks which keys changed; mends a watch that missed one. */
+  readonly checkRevision: () => Promise<FollowOutcome>;
+}
+
+/** First wait before a watch is opened again, in milliseconds; doubles up to the bound. */
+const RETRY_MS = 100;
+/** Below the 8 s in which a change must be in force, with room for the reading. */
+const MAX_RETRY_MS = 3_000;
+
+export function createSourceFollower(options: SourceFollowerOptions): SourceFollower {
+  const { source, store, clock, logEvent } = options;
+  /** Every change up to it was seen. */
+  let seenRevision = 0;
+  /** Highest revision of a record that was seen, also of a refused one. */
+  let newestRecord = 0;
+  /** What the last confirming read missed; missed twice in a row, the watch has a gap. */
+  let missedRevision = 0;
+
+  function applyRecords(records: readonly ConfigurationSection[]): void {
+    newestRecord = Math.max(newestRecord, ...records.map((record) => record.revision));
+    options.applyRecords(records);
+  }
+
+  async function readAll(): Promise<FollowOutcome> {
+    const range = await store.readPrefix(source.prefix);
+    if (range.kind === 'unavailable') return { kind: 'unavailable' };
+    if (range.revision < seenRevision) {
+      // Failure: the platform was restored from a backup. Its records carry lower revisions than
+      // ours and would take accepted changes back; the state ignores them one by one.
+      const held = { platformRevision: range.revision, heldRevision: seenRevision };
+      logEvent(Events.PLATFORM_OLDER, { source: source.prefix, ...held });
+    }
+    applyRecords(range.entries.map((entry) => DocumentRecords.decodeEntry(source, entry)));
+    seenRevision = Math.max(seenRevision, range.revision);
+    return { kind: 'confirmed', revision: range.revision };
+  }
+
+  async function handleEvent(event: WatchEvent): Promise<void> {
+    if (event.kind === 'compacted') {
+      logEvent(Events.WATCH_COMPACTED, { source: source.prefix, oldest: event.oldestRevision });
+      await readAll();
+      return;
+    }
+    applyRecords(event.changes.map((change) => DocumentRecords.decodeChange(source, change)));
+    seenRevision = Math.max(seenRevision, event.revision);
+  }
+
+  async function runOneWatch(signal: AbortSignal): Promise<boolean> {
+    let hasEvents = false;
+    for await (const event of store.watchPrefix(source.prefix, seenRevision + 1, signal)) {
+      hasEvents = true;
+      await handleEvent(event);
+    }
+    return hasEvents;
+  }
+
+  async function runWatch(signal: AbortSignal): Promise<void> {
+    let retryMs = RETRY_MS;
+    while (!signal.aborted) {
+      const hasEvents = await runOneWatch(signal);
+      retryMs = hasEvents ? RETRY_MS : Math.min(MAX_RETRY_MS, retryMs * 2);
+      if (!signal.aborted) await clock.waitMs(retryMs * options.nextRandom(), signal);
+    }
+  }
+
+  /**
+   * Failure: a watch that looks open but delivers nothing any more, as after a lost connection that
+   * no side closed. It shows as a key that two confirming reads in a row know and we do not; then
+   * everything is read again, so a silent watch delays a change by seconds and never loses it.
+   */
+  async function checkRevision(): Promise<FollowOutcome> {
+    const range = await store.readChangedKeys(source.prefix, newestRecord);
+    if (range.kind === 'unavailable') return { kind: 'unavailable' };
+    const newest = Math.max(0, ...range.entries.map((entry) => entry.revision));
+    if (newest <= newestRecord) {
+      seenRevision = Math.max(seenRevision, range.revision);
+      missedRevision = 0;
+      return { kind: 'confirmed', revision: range.revision };
+    }
+    const isMissedAgain = missedRevision > newestRecord;
+    missedRevision = newest;
+    return isMissedAgain ? readAll() : { kind: 'confirmed', revision: seenRevision };
+  }
+
+  return { readAll, runWatch, checkRevision };
+}
