--- a/packages/sequoiarill-plugin-generations/src/__tests__/fakeEngines.ts
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/fakeEngines.ts
@@ -129,7 +129,8 @@
       return runFakeAttempt(order, faults[orders.length - 1] ?? { kind: 'none' });
     },
     cancelAttempt: () => undefined,
-    waitForRetry: async () => true,
+    takeRetry: () => true,
+    waitForStart: async () => undefined,
     journal,
     onLost: () => undefined,
     onBusy: () => undefined,
--- a/packages/sequoiarill-plugin-generations/src/generation.ts
+++ b/packages/sequoiarill-plugin-generations/src/generation.ts
@@ -48,8 +48,10 @@
   ) => AsyncGenerator<readonly EngineEvent[], AttemptEnd, void>;
   /** Tells an engine that nobody wants the attempt any more; best effort, never awaited. */
   readonly cancelAttempt: (order: AttemptOrder) => void;
-  /** Waits for the place of a further attempt; false when the retry budget is spent. */
-  readonly waitForRetry: (query: TargetQuery) => Promise<boolean>;
+  /** Whether another engine may be asked; false when the retry budget is spent. */
+  readonly takeRetry: (query: TargetQuery) => boolean;
+  /** Waits for the place of a continuation among the others that were lost with it. */
+  readonly waitForStart: (order: AttemptOrder) => Promise<void>;
   readonly journal: Journal;
   readonly onLost: (order: AttemptOrder, loss: AttemptLost) => void;
   readonly onBusy: (order: AttemptOrder, busy: AttemptBusy) => void;
@@ -71,7 +73,7 @@
   for (;;) {
     const purpose = progress.answer.hasTokens() ? 'continuation' : 'first';
     const query: TargetQuery = { request, model, excluded: progress.getExcluded(), purpose };
-    const mayTry = progress.getGeneration() === 0 || (await parts.waitForRetry(query));
+    const mayTry = progress.getGeneration() === 0 || parts.takeRetry(query);
     if (request.signal.aborted) return progress.createCancelled();
     if (!mayTry) return progress.createGivenUp('overloaded', 'too many engines failed at once');
     const decision = parts.chooseTarget(query);
@@ -80,6 +82,7 @@
       return progress.createGivenUp('noTarget', decision.reason);
     }
     const order = createOrder(query, decision.target, progress);
+    if (purpose === 'continuation') await parts.waitForStart(order);
     recordDispatch(order, decision.reason, parts);
     const end = yield* relayAttempt(order, progress, parts);
     const outcome = decideOutcome(end, order, progress, parts);
--- a/packages/sequoiarill-plugin-generations/src/plugin.ts
+++ b/packages/sequoiarill-plugin-generations/src/plugin.ts
@@ -1,36 +1,45 @@
 /** The generations plug-in: joins the pure parts with engines, clock and configuration. */
+import * as Decisions from '@sequoiarill/decisions';
+import type { AdmissionRequest, Permit } from '@sequoiarill/decisions';
 import type {
+  Configuration,
   GenerationOutcome,
   GenerationRequest,
+  Model,
   Plugin,
   PluginContext,
   PluginInstance,
   TokenBatch,
+  Usage,
 } from '@sequoiarill/types';
 
-import * as Attempts from './attempt';
+import * as AdmissionGates from './admissionGate';
+import * as EngineCalls from './engineCalls';
 import * as EnginePools from './enginePools';
-import * as EngineRequests from './engineRequests';
 import * as Events from './events';
 import * as Generations from './generation';
-import type { AttemptOrder, GenerationParts, TargetQuery } from './generation';
+import type { GenerationParts } from './generation';
+import * as Observers from './observer';
+import * as Prompts from './prompts';
 import * as Settings from './settings';
 import type { GenerationsSettings } from './settings';
 import * as Targets from './targets';
 
-const CANCEL_TIMEOUT_MS = 2_000;
-
 export const generationsPlugin: Plugin<GenerationsSettings> = {
   name: 'generations',
   settingsSchema: Settings.settingsSchema,
   provides: ['generations'],
-  needs: ['configuration'],
+  needs: ['configuration', 'membership'],
   events: Object.values(Events),
   createInstance,
 };
 
+/** Retries of requests that no engine has begun: a fifth of the requests, and a few each second. */
+const RETRY_BUDGET = { ratio: 0.2, minPerSecond: 5, burst: 100 };
+
 function createInstance(context: PluginContext, settings: GenerationsSettings): PluginInstance {
   const { clock, metrics, journal } = context;
+  const { getNowMs } = clock;
   const configuration = context.getCapability('configuration');
   const pools = EnginePools.createEnginePools({
     connectTimeoutMs: settings.connectTimeoutMs,
@@ -40,84 +49,36 @@
     zone: context.process.zone,
     getConfiguration: configuration.getConfiguration,
     getInFlight: pools.getInFlight,
+    membership: context.getCapability('membership'),
+    nextRandom: context.nextRandom,
+    getNowMs,
+  });
+  const gate = AdmissionGates.createAdmissionGate({
     nextRandom: context.nextRandom,
-    getNowMs: clock.getNowMs,
+    getNowMs,
+    getSlots: (model) => computeSlots(configuration.getConfiguration(), model),
   });
+  const retryBudget = Decisions.createRetryBudget(RETRY_BUDGET);
+  const pacer = Decisions.createContinuationPacer();
+  const engines = EngineCalls.createEngineCalls({ pools, targets, getNowMs });
+  const observer = Observers.createObserver(context, targets, engines.cancelAttempt);
   let running = 0;
 
-  function cancelAttempt(order: AttemptOrder): void {
-    const { dispatcher, origin } = pools.getPool(order.target);
-    dispatcher
-      .request({
-        origin,
-        path: EngineRequests.createCancelPath(order.request.requestId),
-        method: 'POST',
-        headers: { 'x-fencing-number': String(order.generation) },
-        signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
-      })
-      .then((response) => response.body.dump())
-      .catch(() => undefined);
-  }
-
-  async function* runAttempt(order: AttemptOrder): ReturnType<GenerationParts['runAttempt']> {
-    const { target, request } = order;
-    const { path, body } = EngineRequests.createEngineRequest(order);
-    const limits = targets.getLimits(target.name, request.organisation.preference, order);
-    pools.addInFlight(target.name, 1);
-    try {
-      return yield* Attempts.runAttempt({
-        target,
-        pool: pools.getPool(target),
-        path,
-        body,
-        requestId: request.requestId,
-        fencingNumber: order.generation,
-        limits,
-        signal: request.signal,
-        getNowMs: clock.getNowMs,
-        onGap: (gapMs, isFirst) => targets.recordGap(target.name, gapMs, isFirst),
-      });
-    } finally {
-      pools.addInFlight(target.name, -1);
-    }
-  }
-
   const parts: GenerationParts = {
     chooseTarget: targets.chooseTarget,
-    runAttempt,
-    cancelAttempt,
-    waitForRetry: async (query: TargetQuery) => targets.takeRetry(query.purpose),
-    journal,
-    getNowMs: clock.getNowMs,
-    onLost(order, loss) {
-      targets.recordFailure(order.target.name);
-      if (loss.cause === 'stalled' || loss.cause === 'noFirstToken') cancelAttempt(order);
-      const recomputed = order.tokenIds?.length ?? 0;
-      metrics.addCount('generations.lost', 1, { cause: loss.cause });
-      metrics.addCount('generations.tokensRecomputed', recomputed);
-      context.logEvent(Events.GENERATION_LOST, {
-        requestId: order.request.requestId,
-        target: order.target.name,
-        generation: order.generation,
-        cause: loss.cause,
-        reason: loss.message,
-      });
-    },
-    onBusy(order) {
-      targets.recordBusy(order.target.name);
-      context.logEvent(Events.ENGINE_BUSY, {
-        requestId: order.request.requestId,
-        target: order.target.name,
-      });
-    },
-    onResumed(order, resumeMs) {
-      const { requestId } = order.request;
-      metrics.recordTiming('generations.resume', resumeMs);
-      journal.recordDecision(requestId, 'continued', 'the next token came from another engine', {
-        target: order.target.name,
-        resumeMs: Math.round(resumeMs),
-      });
+    runAttempt: engines.runAttempt,
+    cancelAttempt: engines.cancelAttempt,
+    // What has begun goes on in any case, paced; only fresh starts draw on the budget.
+    takeRetry: (query) => query.purpose === 'continuation' || retryBudget.takeRetry(getNowMs()),
+    async waitForStart(order) {
+      const cost = order.tokenIds?.length ?? 0;
+      const { startAtMs } = pacer.reserveStart(getNowMs(), order.target.name, cost);
+      const delayMs = startAtMs - getNowMs();
+      if (delayMs >= 1) await clock.waitMs(delayMs, order.request.signal);
     },
+    journal,
+    getNowMs,
+    ...observer,
   };
 
   async function* runGeneration(
@@ -128,37 +89,74 @@
       const message = `model "${request.model}" is not configured`;
       return { kind: 'rejected', message, parameter: 'model' };
     }
+    const admitted = await gate.waitForPermit(createAdmissionRequest(request), request.signal);
+    if (admitted.kind === 'cancelled') return { kind: 'cancelled', usage: NO_USAGE };
+    if (admitted.kind === 'refused') return observer.recordRefusal(request, admitted);
+    return yield* runAdmitted(request, model, admitted.permit);
+  }
+
+  async function* runAdmitted(
+    request: GenerationRequest,
+    model: Model,
+    permit: Permit,
+  ): AsyncGenerator<TokenBatch, GenerationOutcome, void> {
+    const startedMs = getNowMs();
+    let outputTokens = 0;
     running += 1;
-    targets.recordRequest();
-    metrics.addCount('generations.started');
+    retryBudget.recordRequest(startedMs);
+    observer.recordStart(request, permit);
+    const generation = Generations.runGeneration(request, model, parts);
     try {
-      const outcome = yield* Generations.runGeneration(request, model, parts);
-      recordOutcome(request, outcome);
-      return outcome;
+      for (;;) {
+        const next = await generation.next();
+        if (next.done) return observer.recordOutcome(request, next.value);
+        if (outputTokens === 0) recordFirstToken(permit, getNowMs() - startedMs);
+        outputTokens += next.value.tokenCount;
+        yield next.value;
+      }
     } finally {
+      await generation.return({ kind: 'cancelled', usage: NO_USAGE });
       running -= 1;
+      gate.releasePermit(permit, outputTokens);
+      metrics.addCount('generations.tokens', outputTokens);
     }
   }
 
-  function recordOutcome(request: GenerationRequest, outcome: GenerationOutcome): void {
-    metrics.addCount('generations.finished', 1, { outcome: outcome.kind });
-    journal.recordDecision(request.requestId, 'finished', outcome.kind, { ...outcome });
-    if (outcome.kind !== 'lost') return;
-    const { requestId } = request;
-    context.logEvent(Events.GENERATION_GIVEN_UP, { requestId, reason: outcome.message });
+  function recordFirstToken(permit: Permit, ms: number): void {
+    gate.recordFirstToken(permit, ms);
+    metrics.recordTiming('generations.firstToken', ms);
   }
 
-  function removeMissingTargets(): void {
-    pools.removeMissing(new Set(configuration.getConfiguration().targets.keys()));
-  }
-
-  const unsubscribe = configuration.subscribeConfiguration(removeMissingTargets);
+  const unsubscribe = configuration.subscribeConfiguration(({ targets: known }) =>
+    pools.removeMissing(new Set(known.keys())),
+  );
   return {
     capabilities: { generations: { runGeneration } },
     async stop() {
       unsubscribe();
+      gate.close();
       await pools.close();
     },
-    dumpState: () => ({ running, targets: targets.dumpTargets() }),
+    dumpState: () => ({ running, lanes: gate.dumpLanes(), ...targets.dumpTargets() }),
+  };
+}
+
+const NO_USAGE: Usage = { promptTokens: 0, completionTokens: 0 };
+
+function computeSlots(configuration: Configuration, model: string): number {
+  let slots = 0;
+  for (const target of configuration.targets.values()) {
+    const serves = target.kind === 'engine' && target.models.some((name) => name.startsWith(model));
+    if (serves) slots += target.slots;
+  }
+  return slots;
+}
+
+function createAdmissionRequest(request: GenerationRequest): AdmissionRequest {
+  return {
+    organisation: request.organisation,
+    model: request.model,
+    promptTokens: Prompts.computePromptTokens(request.messages),
+    maxOutputTokens: request.maxOutputTokens,
   };
 }
