Serve chat completions and responses in the published form

Cause: routers had no API towards callers. moleculer-web routes once a request; the handlers write tokens straight to the socket.

Six tests with the openai client pass: chat and responses, streaming and not, models, a wrong key.

--- /dev/null
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/openai.test.ts
@@ -0,0 +1,104 @@
+import { after, before, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+import OpenAI from 'openai';
+
+import * as Fakes from './fakes';
+import type { Router } from './fakes';
+
+let router: Router;
+let client: OpenAI;
+
+before(async () => {
+  router = await Fakes.startRouter();
+  client = new OpenAI({ baseURL: `${router.url}/v1`, apiKey: Fakes.SHOP_KEY, maxRetries: 0 });
+});
+after(async () => router.stop());
+
+describe('the openai client, unchanged', () => {
+  it('gets a chat completion in one piece', async () => {
+    const answer = await client.chat.completions.create({
+      model: 'advisor',
+      messages: [{ role: 'user', content: [{ type: 'text', text: 'Which size?' }] }],
+      stop: '\n',
+      max_tokens: 20,
+    });
+    expect(answer.choices[0]?.message.content).toEqual('Hello world');
+    expect(answer.choices[0]?.finish_reason).toEqual('stop');
+    expect(answer.usage?.total_tokens).toEqual(10);
+  });
+
+  it('gets a chat completion as a stream with its usage', async () => {
+    const stream = await client.chat.completions.create({
+      model: 'advisor',
+      messages: [{ role: 'user', content: 'Which size?' }],
+      stream: true,
+      stream_options: { include_usage: true },
+    });
+    const texts: string[] = [];
+    let total = 0;
+    for await (const chunk of stream) {
+      texts.push(chunk.choices[0]?.delta.content ?? '');
+      total = chunk.usage?.total_tokens ?? total;
+    }
+    expect(texts.join('')).toEqual('Hello world');
+    expect(total).toEqual(10);
+  });
+
+  it('gets a response in one piece', async () => {
+    const answer = await client.responses.create({
+      model: 'advisor',
+      input: 'Which size?',
+      instructions: 'Be brief.',
+    });
+    expect(answer.output_text).toEqual('Hello world');
+    expect(answer.status).toEqual('completed');
+    expect(answer.usage?.output_tokens).toEqual(3);
+  });
+
+  it('gets a response as a stream whose events are numbered without a gap', async () => {
+    const stream = client.responses.stream({ model: 'advisor', input: 'Which size?' });
+    const types: string[] = [];
+    const numbers: number[] = [];
+    for await (const event of stream) {
+      types.push(event.type);
+      numbers.push(event.sequence_number);
+    }
+    const final = await stream.finalResponse();
+    // The client computes `output_text` for answers in one piece only.
+    const texts = final.output.flatMap((item) =>
+      item.type === 'message'
+        ? item.content.map((part) => (part.type === 'output_text' ? part.text : ''))
+        : [],
+    );
+    expect(texts).toEqual(['Hello world']);
+    expect(numbers).toEqual(types.map((_, index) => index));
+    expect(types).toEqual([
+      'response.created',
+      'response.in_progress',
+      'response.output_item.added',
+      'response.content_part.added',
+      'response.output_text.delta',
+      'response.output_text.delta',
+      'response.output_text.delta',
+      'response.output_text.done',
+      'response.content_part.done',
+      'response.output_item.done',
+      'response.completed',
+    ]);
+  });
+
+  it('lists only the models of its organisation', async () => {
+    const models = await client.models.list();
+    expect(models.data.map((model) => model.id)).toEqual(['advisor']);
+  });
+
+  it('is refused with a wrong key', async () => {
+    const wrong = client.withOptions({ apiKey: 'sqr_k1_wrong' });
+    const error = await wrong.models.list().then(
+      () => undefined,
+      (reason: unknown) => reason as InstanceType<typeof OpenAI.APIError>,
+    );
+    expect([error?.status, error?.code]).toEqual([401, 'invalid_api_key']);
+  });
+});
--- /dev/null
+++ b/packages/sequoiarill-plugin-callers/src/dispatch.ts
@@ -0,0 +1,125 @@
+/** From a routed HTTP request to its handler: request id, drain, key, method. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { KeyOwner } from '@sequoiarill/types';
+
+import * as Events from './events';
+import type { Exchange, Front, Handler } from './exchange';
+import * as Faults from './faults';
+import * as Generating from './generating';
+import * as Keys from './keys';
+import * as Metrics from './metrics';
+import * as Notices from './notices';
+import * as Refusals from './refusals';
+import * as Replies from './replies';
+import * as Routes from './routes';
+import type { Route } from './routes';
+
+/** moleculer-web keeps the whole target here and cuts `url` down. */
+export interface RoutedRequest extends IncomingMessage {
+  readonly originalUrl?: string;
+}
+
+export interface Dispatcher {
+  readonly handleRequest: (route: Route, request: RoutedRequest, response: ServerResponse) => void;
+  readonly getOpenCount: () => number;
+  readonly isDraining: () => boolean;
+  /** Refuses new requests and resolves when none is open. */
+  readonly drain: () => Promise<void>;
+}
+
+export function createDispatcher(front: Front): Dispatcher {
+  const changed = Notices.createNotice();
+  let open = 0;
+  let isDrainingNow = false;
+
+  function findOwner(request: IncomingMessage): KeyOwner | undefined {
+    const presented = Keys.parseBearer(request.headers.authorization);
+    if (presented === undefined) return undefined;
+    return Keys.verifyKey(front.configuration.getConfiguration(), presented);
+  }
+
+  async function runHandler(handler: Handler, exchange: Exchange): Promise<void> {
+    open += 1;
+    try {
+      await handler(front, exchange);
+    } catch (error) {
+      failExchange(front, exchange, error);
+    }
+    open -= 1;
+    changed.sendNotice();
+  }
+
+  function handleRequest(route: Route, request: RoutedRequest, response: ServerResponse): void {
+    const requestId = Generating.createRequestId(route.idPrefix);
+    response.setHeader('x-request-id', requestId);
+    // A caller that resets its connection shows as `close`; the error says nothing more.
+    response.on('error', () => undefined);
+    const fault = isDrainingNow ? Faults.DRAINING : checkMethod(route, request);
+    const owner = fault === undefined ? findOwner(request) : undefined;
+    if (owner === undefined) {
+      request.resume();
+      Replies.sendFault(response, fault ?? Faults.UNAUTHORISED);
+      return;
+    }
+    front.context.metrics.addCount(Metrics.REQUESTS, 1, { route: route.path });
+    const handler = findHandler(route, request);
+    const exchange = createExchange(request, response, requestId, owner);
+    if (handler !== undefined) runHandler(handler, exchange).catch(() => undefined);
+  }
+
+  return {
+    handleRequest,
+    getOpenCount: () => open,
+    isDraining: () => isDrainingNow,
+    async drain() {
+      isDrainingNow = true;
+      while (open > 0) await changed.waitNotice();
+    },
+  };
+}
+
+function findHandler(route: Route, request: IncomingMessage): Handler | undefined {
+  return route.methods[request.method ?? ''] ?? route.methods[Routes.ANY_METHOD];
+}
+
+function checkMethod(route: Route, request: IncomingMessage): Faults.Fault | undefined {
+  if (findHandler(route, request) !== undefined) return undefined;
+  return Faults.createWrongMethod(Object.keys(route.methods));
+}
+
+function createExchange(
+  request: RoutedRequest,
+  response: ServerResponse,
+  requestId: string,
+  owner: KeyOwner,
+): Exchange {
+  const target = request.originalUrl ?? request.url ?? '/';
+  const queryStart = target.indexOf('?');
+  const path = queryStart < 0 ? target : target.slice(0, queryStart);
+  const search = queryStart < 0 ? '' : target.slice(queryStart);
+  const closed = new AbortController();
+  response.on('close', () => closed.abort());
+  return {
+    request,
+    response,
+    requestId,
+    organisation: owner.organisation,
+    path,
+    search,
+    query: new URLSearchParams(search),
+    closed: closed.signal,
+  };
+}
+
+/**
+ * A handler threw, which is a fault of the program. The caller is told so if that is still
+ * possible; otherwise the stream is cut, so that it cannot be taken for a whole answer.
+ */
+function failExchange(front: Front, exchange: Exchange, error: unknown): void {
+  const { requestId, response } = exchange;
+  const stack = error instanceof Error ? error.stack : String(error);
+  front.context.logEvent(Events.HANDLER_FAILED, { requestId, stack });
+  if (response.headersSent) response.destroy();
+  else Refusals.refuseRequest(front, exchange, Faults.INTERNAL);
+}
--- a/packages/sequoiarill-plugin-callers/src/index.ts
+++ b/packages/sequoiarill-plugin-callers/src/index.ts
@@ -1,2 +1,12 @@
 /** The API that callers use: responses, chat completions, services. */
-export {};
+import * as Kernel from '@sequoiarill/kernel';
+
+import { plugin } from './plugin';
+
+export * from './cursors';
+export { AddressError } from './front';
+export * from './keys';
+export { METRICS } from './metrics';
+export { plugin } from './plugin';
+
+Kernel.registerPlugin(plugin);
--- /dev/null
+++ b/packages/sequoiarill-plugin-callers/src/services.ts
@@ -0,0 +1,168 @@
+/** `/v1/services/{service}/...`: requests to plain services. */
+import type { ServerResponse } from 'node:http';
+
+import type { OrderDone, OrderNotRun, OrderOutcome, OrderRequest } from '@sequoiarill/types';
+
+import * as Bodies from './bodies';
+import type { Exchange, Front } from './exchange';
+import type { Fault } from './faults';
+import * as Refusals from './refusals';
+
+const BAD_GATEWAY = 502;
+const OUTCOME_HEADER = 'x-sequoiarill-outcome';
+const PATH_PATTERN = /^\/v1\/services\/([^/]+)(\/.*)?$/;
+
+/** Headers of one connection (RFC 9110, section 7.6.1), never passed on. */
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+/** Set anew for the next connection, or meant for this router alone. */
+const OWN_REQUEST_HEADERS: ReadonlySet<string> = new Set([
+  'authorization',
+  'content-length',
+  'expect',
+  'host',
+]);
+/** The body is whole here, so its length is known anew. */
+const OWN_ANSWER_HEADERS: ReadonlySet<string> = new Set(['content-length', OUTCOME_HEADER]);
+
+const STATUS_BY_REASON = {
+  unknownService: 404,
+  noTarget: 503,
+  overloaded: 503,
+  organisationLimit: 429,
+  keyReused: 422,
+  inProgress: 409,
+  platformAway: 503,
+  draining: 503,
+} as const satisfies Record<OrderNotRun['reason'], number>;
+
+const CODE_BY_REASON = {
+  unknownService: 'unknown_service',
+  noTarget: 'no_target',
+  overloaded: 'overloaded',
+  organisationLimit: 'rate_limit_exceeded',
+  keyReused: 'idempotency_key_reused',
+  inProgress: 'in_progress',
+  platformAway: 'platform_away',
+  draining: 'draining',
+} as const satisfies Record<OrderNotRun['reason'], string>;
+
+const CLIENT_ERROR = 400;
+const SERVER_ERROR = 500;
+
+export async function handleService(front: Front, exchange: Exchange): Promise<void> {
+  const body = await Bodies.readBody(exchange.request, front.settings.maxBodyBytes);
+  if (body.kind === 'fault') {
+    markNotRun(exchange.response);
+    Refusals.refuseRequest(front, exchange, body.fault);
+    return;
+  }
+  const order = buildOrder(exchange, body.value);
+  front.context.journal.recordDecision(exchange.requestId, 'accepted', 'order', {
+    organisation: order.organisation.name,
+    service: order.service,
+    method: order.method,
+  });
+  const outcome = await runOrder(front, order);
+  sendOutcome(front, exchange, outcome);
+}
+
+/** A service of another organisation and one that does not exist look alike. */
+async function runOrder(front: Front, order: OrderRequest): Promise<OrderOutcome> {
+  if (order.organisation.services.includes(order.service)) return front.orders.runOrder(order);
+  const message = `The service "${order.service}" does not exist or your organisation may not use it.`;
+  return { kind: 'notRun', reason: 'unknownService', message, retryAfterSeconds: 0 };
+}
+
+function buildOrder(exchange: Exchange, body: Buffer): OrderRequest {
+  const { request, requestId, organisation, closed } = exchange;
+  const match = PATH_PATTERN.exec(exchange.path);
+  const headers = selectHeaders(request.headers, OWN_REQUEST_HEADERS);
+  const idempotencyKey = headers['idempotency-key'];
+  return {
+    requestId,
+    organisation,
+    service: match?.[1] ?? '',
+    method: request.method ?? 'GET',
+    path: `${match?.[2] ?? '/'}${exchange.search}`,
+    headers,
+    body,
+    signal: closed,
+    ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
+  };
+}
+
+type HeaderValues = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+function selectHeaders(
+  headers: HeaderValues,
+  own: ReadonlySet<string>,
+): Readonly<Record<string, string>> {
+  const connection = String(headers.connection ?? '').toLowerCase();
+  const named = new Set(connection.split(',').map((name) => name.trim()));
+  const selected: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    const isOwn = HOP_BY_HOP.has(name) || named.has(name) || own.has(name);
+    if (value !== undefined && !isOwn) selected[name] = String(value);
+  }
+  return selected;
+}
+
+function markNotRun(response: ServerResponse): void {
+  if (!response.headersSent) response.setHeader(OUTCOME_HEADER, 'not-run');
+}
+
+function sendOutcome(front: Front, exchange: Exchange, outcome: OrderOutcome): void {
+  if (outcome.kind === 'done') {
+    front.context.journal.recordDecision(exchange.requestId, 'finished', 'done', {
+      status: outcome.status,
+    });
+    sendDone(exchange.response, outcome);
+    return;
+  }
+  if (outcome.kind === 'notRun') {
+    markNotRun(exchange.response);
+    Refusals.refuseRequest(front, exchange, createNotRunFault(outcome));
+    return;
+  }
+  if (!exchange.response.headersSent) exchange.response.setHeader(OUTCOME_HEADER, 'unknown');
+  Refusals.refuseRequest(front, exchange, {
+    status: BAD_GATEWAY,
+    type: 'server_error',
+    code: 'outcome_unknown',
+    message: `Outcome unknown, it ran once or not at all: ${outcome.message}`,
+  });
+}
+
+function sendDone(response: ServerResponse, outcome: OrderDone): void {
+  if (response.headersSent || response.destroyed) return;
+  const headers = selectHeaders(outcome.headers, OWN_ANSWER_HEADERS);
+  for (const [name, value] of Object.entries(headers)) {
+    if (name !== 'x-request-id') response.setHeader(name, value);
+  }
+  response.setHeader(OUTCOME_HEADER, 'done');
+  response.statusCode = outcome.status;
+  response.end(outcome.body);
+}
+
+function createNotRunFault(outcome: OrderNotRun): Fault {
+  const status = STATUS_BY_REASON[outcome.reason];
+  const isCallers = status >= CLIENT_ERROR && status < SERVER_ERROR;
+  const fault: Fault = {
+    status,
+    type: isCallers ? 'invalid_request_error' : 'server_error',
+    code: CODE_BY_REASON[outcome.reason],
+    message: `Not run: ${outcome.message}`,
+  };
+  const { retryAfterSeconds } = outcome;
+  return retryAfterSeconds > 0 ? { ...fault, retryAfterSeconds } : fault;
+}
