Start the embedded default and keep event names apart from fields

Cause: a field called name replaced an event's own name in the log, and each local service cost a second of start, the broker's poll interval.

--- a/packages/sequoiarill-demo/src/index.ts
+++ b/packages/sequoiarill-demo/src/index.ts
@@ -1,2 +1,3 @@
 /** Embedded default: stand-ins and one router in one process. */
-export {};
+export * from './demo';
+export * from './document';
--- a/packages/sequoiarill-kernel/src/events.ts
+++ b/packages/sequoiarill-kernel/src/events.ts
@@ -41,7 +41,7 @@
   const pino = destination === undefined ? Pino(options) : Pino(options, destination);
   return {
     logEvent(definition, fields = {}) {
-      const record = { event: definition.number, name: definition.name, ...fields };
+      const record = { ...fields, event: definition.number, name: definition.name };
       pino[definition.level](record, definition.message);
     },
     close() {
--- a/packages/sequoiarill-kernel/src/kernel.ts
+++ b/packages/sequoiarill-kernel/src/kernel.ts
@@ -22,6 +22,9 @@
 
 const BYTES_PER_MB = 1_048_576;
 const MS_PER_SECOND = 1_000;
+/** A local service is up within milliseconds; the broker's own poll of a second would add up. */
+const START_TIMEOUT_MS = 10_000;
+const START_POLL_MS = 10;
 
 export interface KernelOptions {
   readonly settings: Settings;
@@ -120,7 +123,7 @@
     await instance.start?.();
     for (const schema of instance.services ?? []) {
       const service = broker.createService(schema);
-      await broker.waitForServices(service.fullName);
+      await broker.waitForServices(service.fullName, START_TIMEOUT_MS, START_POLL_MS);
     }
   }
 
@@ -131,7 +134,7 @@
         await startPlugin(plugin);
       }
       phase = 'ready';
-      logEvent(KernelEvents.PROCESS_READY, { ...settings.process });
+      logEvent(KernelEvents.PROCESS_READY, { zone: settings.process.zone });
     },
     async drain(limitMs) {
       phase = 'draining';
