Add target sets, outlier detection and fleet shares

Cause: a router must bound what it connects to, leave slow and failing targets out, and hold an organisation's limit without a central counter.

--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -8,3 +8,7 @@
 export * from './stallPolicy';
 export * from './targetChooser';
 export type * from './targets';
+export * from './fleetShares';
+export * from './outlierDetector';
+export type * from './outlierTypes';
+export * from './targetSet';
--- /dev/null
+++ b/packages/sequoiarill-decisions/src/outlierDetector.ts
@@ -0,0 +1,191 @@
+/**
+ * Tells slow and failing targets from healthy ones by comparing them with peers of the same model.
+ *
+ * Load patterns: one slow target; one that fails fast and so looks idle. Without detection the first
+ * holds every stream that was sent to it, and the second takes most new prompts, because a target
+ * that fails each within a millisecond never has any in progress. Comparison with the peers' median
+ * keeps a general slowdown from ejecting anybody; a cap on the ejected share keeps a fault of this
+ * router's own (its network, say) from ejecting everybody. An ejected target is let back in after a
+ * time that doubles with each ejection in a row, with a small share that grows: a target that lost
+ * its caches or is still ill gets little to spoil.
+ */
+import type * as Types from './outlierTypes';
+import * as Records from './targetRecord';
+import type { EjectionCause, TargetRecord } from './targetRecord';
+
+/** Peers may be this much slower than the median before they are outliers, and by at least this. */
+const FIRST_TOKEN_FACTOR = 3;
+const FIRST_TOKEN_MARGIN_MS = 300;
+const GAP_FACTOR = 2.5;
+const GAP_MARGIN_MS = 30;
+/** Samples before a target is judged, and peers before there is a median to be judged by. */
+const MIN_FIRST_TOKENS = 5;
+const MIN_GAPS = 20;
+const MIN_PEERS = 3;
+/** Failures in a row, or a share of the last seconds' attempts, that eject. */
+const MAX_CONSECUTIVE_FAILURES = 3;
+const MAX_FAILURE_SHARE = 0.4;
+const MIN_ATTEMPTS = 5;
+const DEFAULT_MAX_EJECTED_SHARE = 0.34;
+const FIRST_EJECTION_MS = 2_000;
+const MAX_EJECTION_MS = 60_000;
+const WARM_UP_MS = 10_000;
+/** Share at the start of a warm-up: some prompts a second, enough to be judged by. */
+const FIRST_WARM_SHARE = 0.1;
+/** Time after a warm-up without an ejection that forgets earlier ones. */
+const FORGIVEN_AFTER_MS = 60_000;
+/** The peers' medians are computed again after this time, so that a sample costs no sorting. */
+const MEDIAN_AGE_MS = 250;
+
+interface Medians {
+  readonly computedAtMs: number;
+  readonly firstTokenMs: number | undefined;
+  readonly gapMs: number | undefined;
+}
+
+/** One for each model of a router. */
+export function createOutlierDetector(
+  options: Types.OutlierDetectorOptions = {},
+): Types.OutlierDetector {
+  const maxEjectedShare = options.maxEjectedShare ?? DEFAULT_MAX_EJECTED_SHARE;
+  const records = new Map<string, TargetRecord>();
+  let medians: Medians | undefined;
+
+  function getRecord(target: string, nowMs: number): TargetRecord {
+    const known = records.get(target);
+    if (known !== undefined) return known;
+    const created = Records.createTargetRecord(nowMs);
+    records.set(target, created);
+    return created;
+  }
+
+  function getMedians(nowMs: number): Medians {
+    if (medians === undefined || nowMs - medians.computedAtMs > MEDIAN_AGE_MS) {
+      const all = [...records.values()];
+      medians = {
+        computedAtMs: nowMs,
+        firstTokenMs: computeMedian(
+          all
+            .filter((record) => record.firstTokenSamples >= MIN_FIRST_TOKENS)
+            .map((record) => record.firstTokenMs),
+        ),
+        gapMs: computeMedian(
+          all.filter((record) => record.gapSamples >= MIN_GAPS).map((record) => record.gapMs),
+        ),
+      };
+    }
+    return medians;
+  }
+
+  function hasRoomToEject(nowMs: number): boolean {
+    let ejected = 1;
+    for (const record of records.values()) {
+      if (record.ejectedUntilMs > nowMs) ejected += 1;
+    }
+    return ejected <= Math.max(1, Math.floor(records.size * maxEjectedShare));
+  }
+
+  function applyEjection(record: TargetRecord, cause: EjectionCause, nowMs: number): void {
+    if (record.ejectedUntilMs > nowMs || !hasRoomToEject(nowMs)) return;
+    const isForgiven = nowMs - record.ejectedUntilMs > WARM_UP_MS + FORGIVEN_AFTER_MS;
+    const earlier = isForgiven ? 0 : record.ejections;
+    const lastsMs = Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** earlier);
+    Object.assign(record, Records.createTargetRecord(nowMs), {
+      ejections: earlier + 1,
+      ejectedUntilMs: nowMs + lastsMs,
+      ejectionCause: cause,
+      warmingSinceMs: nowMs + lastsMs,
+    });
+  }
+
+  function recordFirstToken(target: string, ms: number, nowMs: number): void {
+    const record = getRecord(target, nowMs);
+    record.firstTokenMs = Records.computeSmoothed(
+      record.firstTokenMs,
+      record.firstTokenSamples,
+      ms,
+    );
+    record.firstTokenSamples += 1;
+    const median = getMedians(nowMs).firstTokenMs;
+    if (median === undefined || record.firstTokenSamples < MIN_FIRST_TOKENS) return;
+    const boundMs = Math.max(median * FIRST_TOKEN_FACTOR, median + FIRST_TOKEN_MARGIN_MS);
+    if (record.firstTokenMs > boundMs) applyEjection(record, 'firstToken', nowMs);
+  }
+
+  function recordGap(target: string, ms: number, nowMs: number): void {
+    const record = getRecord(target, nowMs);
+    record.gapMs = Records.computeSmoothed(record.gapMs, record.gapSamples, ms);
+    record.gapSamples += 1;
+    const median = getMedians(nowMs).gapMs;
+    if (median === undefined || record.gapSamples < MIN_GAPS) return;
+    const boundMs = Math.max(median * GAP_FACTOR, median + GAP_MARGIN_MS);
+    if (record.gapMs > boundMs) applyEjection(record, 'gap', nowMs);
+  }
+
+  function updateCounts(record: TargetRecord, nowMs: number): TargetRecord {
+    const decay = Records.computeDecay(record.countedAtMs, nowMs);
+    return Object.assign(record, {
+      successes: record.successes * decay,
+      failures: record.failures * decay,
+      countedAtMs: nowMs,
+    });
+  }
+
+  function recordFailure(target: string, nowMs: number): void {
+    const record = updateCounts(getRecord(target, nowMs), nowMs);
+    record.failures += 1;
+    record.consecutiveFailures += 1;
+    const attempts = record.failures + record.successes;
+    const isFailing =
+      record.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES ||
+      (attempts >= MIN_ATTEMPTS && record.failures / attempts >= MAX_FAILURE_SHARE);
+    if (isFailing) applyEjection(record, 'failures', nowMs);
+  }
+
+  function recordSuccess(target: string, nowMs: number): void {
+    const record = updateCounts(getRecord(target, nowMs), nowMs);
+    record.successes += 1;
+    record.consecutiveFailures = 0;
+  }
+
+  function getState(target: string, nowMs: number): Types.OutlierState {
+    const record = records.get(target);
+    if (record === undefined) return 'healthy';
+    if (record.ejectedUntilMs > nowMs) {
+      return record.ejectionCause === 'failures' ? 'dead' : 'slow';
+    }
+    return getWarmShare(target, nowMs) < 1 ? 'new' : 'healthy';
+  }
+
+  function getWarmShare(target: string, nowMs: number): number {
+    const since = records.get(target)?.warmingSinceMs;
+    if (since === undefined) return 1;
+    const progress = Math.max(0, nowMs - since) / WARM_UP_MS;
+    return Math.min(1, FIRST_WARM_SHARE + (1 - FIRST_WARM_SHARE) * progress);
+  }
+
+  function addTarget(target: string, nowMs: number): void {
+    records.set(target, { ...Records.createTargetRecord(nowMs), warmingSinceMs: nowMs });
+  }
+
+  return {
+    recordFirstToken,
+    recordGap,
+    recordFailure,
+    recordSuccess,
+    getState,
+    getWarmShare,
+    addTarget,
+    removeTarget: (target) => {
+      records.delete(target);
+    },
+    listEjected: (nowMs) =>
+      [...records].filter(([, record]) => record.ejectedUntilMs > nowMs).map(([name]) => name),
+  };
+}
+
+function computeMedian(values: readonly number[]): number | undefined {
+  if (values.length < MIN_PEERS) return undefined;
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)];
+}
