Compare engines with their peers and bound each router's set of them

Cause: an engine that refuses at once looks idle and draws the load; an engine that is slower than its peers keeps it; and 570 routers that each use 6,700 servers hold millions of connections. The outlier detector and the bounded set of the decisions package now rule the choice; the rest of the engines serve as a last resort.

--- a/packages/sequoiarill-plugin-generations/src/attempt.ts
+++ b/packages/sequoiarill-plugin-generations/src/attempt.ts
@@ -66,7 +66,12 @@
   readonly limits: AttemptLimits;
   readonly signal: AbortSignal;
   readonly getNowMs: () => number;
-  readonly onGap: (gapMs: number, isFirst: boolean) => void;
+  /** When the attempt was dispatched, on that clock. */
+  readonly startedMs: number;
+  /** Milliseconds from the dispatch. */
+  readonly onFirstToken: (ms: number) => void;
+  /** Milliseconds that the relay waited for the next tokens. */
+  readonly onGap: (ms: number) => void;
 }
 
 const HTTP_OK = 200;
@@ -131,15 +136,15 @@
   state: AttemptState,
   timer: StallTimers.StallTimer,
 ): AsyncGenerator<readonly EngineEvent[], AttemptEnd, void> {
-  const { limits, getNowMs } = options;
+  const { limits, getNowMs, startedMs } = options;
   const splitter = ServerSentEvents.createEventSplitter();
   let waitingSinceMs = getNowMs();
   for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
     timer.stop();
     const events = parseEvents(splitter.addBytes(bytes));
     if (events === undefined) return createLoss('broken', 'an event is malformed', true);
-    options.onGap(getNowMs() - waitingSinceMs, !state.hasTokens);
-    updateState(state, events);
+    if (state.hasTokens) options.onGap(getNowMs() - waitingSinceMs);
+    updateState(state, events, () => options.onFirstToken(getNowMs() - startedMs));
     yield events;
     // Reading goes on to the end of the body, so that its connection serves the next request.
     waitingSinceMs = getNowMs();
@@ -161,9 +166,16 @@
   return events;
 }
 
-function updateState(state: AttemptState, events: readonly EngineEvent[]): void {
+function updateState(
+  state: AttemptState,
+  events: readonly EngineEvent[],
+  onFirstToken: () => void,
+): void {
   for (const event of events) {
-    if (event.tokenIds.length > 0) state.hasTokens = true;
+    if (event.tokenIds.length > 0 && !state.hasTokens) {
+      state.hasTokens = true;
+      onFirstToken();
+    }
     if (event.finishReason !== undefined) state.finishReason = event.finishReason;
   }
 }
--- a/packages/sequoiarill-plugin-generations/src/engineCalls.ts
+++ b/packages/sequoiarill-plugin-generations/src/engineCalls.ts
@@ -47,7 +47,9 @@
         limits: targets.getLimits(order),
         signal: request.signal,
         getNowMs: options.getNowMs,
-        onGap: (gapMs, isFirst) => targets.recordGap(order, gapMs, isFirst),
+        startedMs: options.getNowMs(),
+        onFirstToken: (ms) => targets.recordFirstToken(order, ms),
+        onGap: (ms) => targets.recordGap(order, ms),
       });
     } finally {
       pools.addInFlight(target.name, -1);
--- a/packages/sequoiarill-plugin-generations/src/observer.ts
+++ b/packages/sequoiarill-plugin-generations/src/observer.ts
@@ -50,7 +50,7 @@
     onLost(order, loss) {
       const { requestId } = order.request;
       const target = order.target.name;
-      targets.recordFailure(target);
+      targets.recordFailure(order);
       // The engine may still be at work: what it does from now on is for nobody.
       if (loss.cause === 'stalled' || loss.cause === 'noFirstToken') cancelAttempt(order);
       metrics.addCount('generations.lost', 1, { cause: loss.cause });
@@ -63,6 +63,7 @@
       });
     },
     onBusy(order) {
+      targets.recordBusy(order);
       const { requestId } = order.request;
       logEvent(Events.ENGINE_BUSY, { requestId, target: order.target.name });
     },
--- a/packages/sequoiarill-plugin-generations/src/plugin.ts
+++ b/packages/sequoiarill-plugin-generations/src/plugin.ts
@@ -21,6 +21,7 @@
 import type { GenerationParts } from './generation';
 import * as Observers from './observer';
 import * as Prompts from './prompts';
+import * as ServingTargets from './servingTargets';
 import * as Settings from './settings';
 import type { GenerationsSettings } from './settings';
 import * as Targets from './targets';
@@ -47,7 +48,12 @@
   });
   const targets = Targets.createTargets({
     zone: context.process.zone,
-    getConfiguration: configuration.getConfiguration,
+    serving: ServingTargets.createServingTargets({
+      routerName: context.process.name,
+      zone: context.process.zone,
+      setSize: settings.targetsPerModel,
+      getConfiguration: configuration.getConfiguration,
+    }),
     getInFlight: pools.getInFlight,
     membership: context.getCapability('membership'),
     nextRandom: context.nextRandom,
--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/servingTargets.ts
@@ -0,0 +1,70 @@
+/**
+ * The engines of each model that this router uses, worked out once for each configuration.
+ *
+ * 570 routers that each talked to 6,700 servers would hold millions of connections; a bounded set
+ * for each router spreads evenly, and the rest are there for when the set has failed.
+ */
+import * as Decisions from '@sequoiarill/decisions';
+import type { Configuration, EngineTarget, Model } from '@sequoiarill/types';
+
+import * as EngineRequests from './engineRequests';
+
+export interface ServingTargets {
+  /** The router's own set. */
+  readonly listSet: (model: Model) => readonly EngineTarget[];
+  /** Every engine of the model, for a last resort. */
+  readonly listAll: (model: Model) => readonly EngineTarget[];
+}
+
+export interface ServingTargetsOptions {
+  readonly routerName: string;
+  readonly zone: string;
+  /** Engines of one model in the own zone. */
+  readonly setSize: number;
+  readonly getConfiguration: () => Configuration;
+}
+
+/** Part of the set that lies in other zones: enough to try when the own zone fails. */
+const OTHER_ZONES_SHARE = 0.25;
+
+interface ModelTargets {
+  readonly all: readonly EngineTarget[];
+  readonly set: readonly EngineTarget[];
+}
+
+export function createServingTargets(options: ServingTargetsOptions): ServingTargets {
+  const { routerName, zone, setSize, getConfiguration } = options;
+  const ownZone = Decisions.createTargetSet({ routerName, size: setSize });
+  const otherSize = Math.max(1, Math.ceil(setSize * OTHER_ZONES_SHARE));
+  const otherZones = Decisions.createTargetSet({ routerName, size: otherSize });
+  let known: Configuration | undefined;
+  const byModel = new Map<string, ModelTargets>();
+
+  function selectSet(all: readonly EngineTarget[]): readonly EngineTarget[] {
+    const own = all.filter((target) => target.zone === zone).map((target) => target.name);
+    const others = all.filter((target) => target.zone !== zone).map((target) => target.name);
+    const names = new Set([...ownZone.selectTargets(own), ...otherZones.selectTargets(others)]);
+    return all.filter((target) => names.has(target.name));
+  }
+
+  function getTargets(model: Model): ModelTargets {
+    const configuration = getConfiguration();
+    if (configuration !== known) byModel.clear();
+    known = configuration;
+    const key = `${model.name}@${model.version}`;
+    const cached = byModel.get(key);
+    if (cached !== undefined) return cached;
+    const all = [...configuration.targets.values()].filter(
+      (target): target is EngineTarget =>
+        target.kind === 'engine' && EngineRequests.findServedName(target, model) !== undefined,
+    );
+    const targets = { all, set: selectSet(all) };
+    byModel.set(key, targets);
+    return targets;
+  }
+
+  return {
+    listSet: (model) => getTargets(model).set,
+    listAll: (model) => getTargets(model).all,
+  };
+}
--- a/packages/sequoiarill-plugin-generations/src/settings.ts
+++ b/packages/sequoiarill-plugin-generations/src/settings.ts
@@ -6,6 +6,8 @@
   connectTimeoutMs: Zod.coerce.number().int().min(10).max(5_000).default(300),
   /** Connections, and so streams, to one engine. */
   maxConnectionsPerEngine: Zod.coerce.number().int().min(1).max(4_096).default(512),
+  /** Engines of one model in the own zone that this router uses; a quarter more in other zones. */
+  targetsPerModel: Zod.coerce.number().int().min(2).max(4_096).default(32),
 });
 
 export type GenerationsSettings = Readonly<Zod.infer<typeof settingsSchema>>;
