--- /dev/null
+++ b/packages/sequoiarill-testing/src/fleet.ts
@@ -0,0 +1,170 @@
+/** A small deployment as separate processes: platform, engines, services and routers. */
+import * as Demo from '@sequoiarill/demo';
+import * as Kernel from '@sequoiarill/kernel';
+import * as Platform from '@sequoiarill/plugin-platform';
+import type { ResumePreference } from '@sequoiarill/types';
+
+import * as Daemons from './daemons';
+import type { Daemon, IniSettings } from './daemons';
+
+export interface FleetOptions {
+  readonly engines: number;
+  readonly services?: number;
+  readonly routers?: number;
+  /** Members are spread over so many zones, in turn. */
+  readonly zones?: number;
+  readonly preference?: ResumePreference;
+  readonly checksFencing?: boolean;
+  readonly checksIdempotencyKey?: boolean;
+  readonly slots?: number;
+  /** More keys of the engines' `[engine]` section. */
+  readonly engineSettings?: Readonly<Record<string, string | number>>;
+  /** More sections, or more keys of sections, of each router. */
+  readonly routerSettings?: IniSettings;
+}
+
+export interface FleetRouter {
+  readonly daemon: Daemon;
+  /** `http://IP:port` towards callers. */
+  readonly callers: string;
+  /** `IP:port` towards operators. */
+  readonly operators: string;
+}
+
+export interface Fleet {
+  readonly apiKey: string;
+  readonly platform: Daemon;
+  readonly platformAddress: string;
+  readonly engines: readonly Daemon[];
+  readonly services: readonly Daemon[];
+  readonly routers: readonly FleetRouter[];
+  readonly stop: () => Promise<void>;
+}
+
+const LOCAL = '127.0.0.1:0';
+/** Signs what routers tell each other; any 32 bytes serve a test. */
+const SHARED_KEY = '5a'.repeat(32);
+const DOCUMENT_KEY = 'sections/fleet';
+
+function getZone(index: number, zones: number): string {
+  return `zone-${(index % zones) + 1}`;
+}
+
+function getStandinAddress(daemon: Daemon): string {
+  return daemon.addresses.get('')!;
+}
+
+async function startStandins(
+  kind: 'engine' | 'service',
+  count: number,
+  settings: Readonly<Record<string, string | number>>,
+): Promise<readonly Daemon[]> {
+  const starts = Array.from({ length: count }, () =>
+    Daemons.startDaemon(kind, { [kind]: { listen: LOCAL, ...settings } }, ['']),
+  );
+  return Promise.all(starts);
+}
+
+function listMembers(kind: string, daemons: readonly Daemon[], zones: number) {
+  return daemons.map((daemon, index) => ({
+    name: `${kind}-${index + 1}`,
+    zone: getZone(index, zones),
+    address: getStandinAddress(daemon),
+  }));
+}
+
+/** Writes the fleet's one section, in place of what was there. */
+export async function writeDocument(platformAddress: string, text: string): Promise<void> {
+  const settings = Platform.platformSchema.parse({ endpoints: platformAddress });
+  const connection = Platform.openPlatform(settings, Kernel.createMetrics(undefined, {}));
+  const known = await connection.store.readKey(DOCUMENT_KEY);
+  const revision = known.kind === 'range' ? (known.entries[0]?.revision ?? 0) : 0;
+  const outcome = await connection.store.writeTransaction({
+    comparisons: [{ key: DOCUMENT_KEY, revision }],
+    writes: [{ key: DOCUMENT_KEY, value: text }],
+  });
+  await connection.close();
+  if (outcome.kind !== 'written') throw new Error(`the document was not written: ${outcome.kind}`);
+}
+
+export async function startRouter(
+  index: number,
+  zones: number,
+  platformAddress: string,
+  seeds: readonly string[],
+  more: IniSettings = {},
+): Promise<FleetRouter> {
+  const settings: Record<string, Readonly<Record<string, string | number>>> = {
+    process: { name: `router-${index + 1}`, zone: getZone(index, zones), region: 'region-1' },
+    telemetry: { logLevel: 'info' },
+    platform: { endpoints: platformAddress },
+    callers: { listen: LOCAL },
+    operators: { listen: LOCAL },
+    membership: { listen: LOCAL, seeds: seeds.join(','), sharedKey: SHARED_KEY },
+  };
+  for (const [section, keys] of Object.entries(more)) {
+    settings[section] = { ...settings[section], ...keys };
+  }
+  const names = ['callers.listening', 'operators.listening', 'process.ready'];
+  const daemon = await Daemons.startDaemon('router', settings, names);
+  return {
+    daemon,
+    callers: `http://${daemon.addresses.get('callers.listening')!}`,
+    operators: daemon.addresses.get('operators.listening')!,
+  };
+}
+
+function getPeerAddress(router: FleetRouter): string | undefined {
+  return router.daemon.addresses.get('membership.listening');
+}
+
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+  const zones = options.zones ?? 1;
+  const platform = await Daemons.startDaemon('platform', { platform: { listen: LOCAL } }, ['']);
+  const platformAddress = getStandinAddress(platform);
+  const [engines, services] = await Promise.all([
+    startStandins('engine', options.engines, {
+      models: Demo.MODEL,
+      checksFencing: String(options.checksFencing ?? true),
+      ...options.engineSettings,
+    }),
+    startStandins('service', options.services ?? 0, {
+      checksIdempotencyKey: String(options.checksIdempotencyKey ?? false),
+    }),
+  ]);
+  const key = Platform.createKeyRecord();
+  const { preference, slots, checksFencing, checksIdempotencyKey } = options;
+  const document = Demo.buildDocument({
+    engines: listMembers('engine', engines, zones),
+    services: listMembers('service', services, zones),
+    keys: [key.record],
+    ...(preference && { preference }),
+    ...(slots !== undefined && { slots }),
+    ...(checksFencing !== undefined && { checksFencing }),
+    ...(checksIdempotencyKey !== undefined && { checksIdempotencyKey }),
+  });
+  await writeDocument(platformAddress, document);
+  const routers: FleetRouter[] = [];
+  for (let index = 0; index < (options.routers ?? 1); index += 1) {
+    const seeds = routers.flatMap((router) => getPeerAddress(router) ?? []);
+    const more = options.routerSettings;
+    routers.push(await startRouter(index, zones, platformAddress, seeds, more));
+  }
+  const daemons = [platform, ...engines, ...services, ...routers.map(({ daemon }) => daemon)];
+
+  async function stop(): Promise<void> {
+    // SIGCONT first: a daemon that a test paused would never see its end.
+    daemons.forEach((daemon) => daemon.send('SIGCONT'));
+    await Promise.all(daemons.map((daemon) => daemon.stop('SIGKILL')));
+  }
+
+  return {
+    apiKey: key.presented,
+    platform,
+    platformAddress,
+    engines,
+    services,
+    routers,
+    stop,
+  };
+}
