Follow the platform by one reader a zone and edit sections by compare-and-swap

Cause: 570 watches would cost more calls than the platform's budget, and operators race each other. One holder of a lease reads for its zone; the others call only when its news are older than 3 s. An edit compares the section and the marker of the last edit, so that two sections that claim one name at the same moment are both checked against each other. Ruled out: comparing every section's revision in the transaction (limits on operations), and a revision taken from watch events alone (two watches are not ordered against each other). The editor and the commands have no tests yet.

Conclusion: routers follow through outages, gaps, silent watches and restored backups.

--- a/packages/sequoiarill-plugin-platform/src/__tests__/fakeClock.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/fakeClock.ts
@@ -40,12 +40,15 @@
           resolve();
           return;
         }
-        const waiter: Waiter = { dueMs: nowMs + ms, resume: resolve };
-        waiters = [...waiters, waiter];
         const handleAbort = () => {
-          waiters = waiters.filter((other) => other !== waiter);
+          waiters = waiters.filter((other) => other.resume !== resumeWait);
           resolve();
         };
+        const resumeWait = () => {
+          signal?.removeEventListener('abort', handleAbort);
+          resolve();
+        };
+        waiters = [...waiters, { dueMs: nowMs + ms, resume: resumeWait }];
         signal?.addEventListener('abort', handleAbort, { once: true });
       }),
     async runFor(ms) {
--- /dev/null
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/following.test.ts
@@ -0,0 +1,114 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as Events from '../events';
+import * as StoredSection from '../storedSection';
+import * as Clocks from './fakeClock';
+import * as Platforms from './fakePlatform';
+import * as Fixtures from './fixtures';
+
+const KEY = `${StoredSection.SECTIONS_PREFIX}models`;
+
+async function startNode() {
+  const clock = Clocks.createFakeClock();
+  const platform = Platforms.createFakePlatform(clock);
+  platform.write(KEY, Fixtures.formatModelSection('v1'));
+  const node = Fixtures.createNode({ platform, clock, name: 'router-1' });
+  node.start();
+  await clock.runFor(1_000);
+  return { clock, platform, node };
+}
+
+describe('following the configuration', () => {
+  it('reads it soon after a start and applies a change as it is watched', async () => {
+    const { clock, platform, node } = await startNode();
+    expect(node.getVersion()).toEqual('v1');
+    platform.write(KEY, Fixtures.formatModelSection('v2'));
+    await clock.runFor(10);
+    expect(node.getVersion()).toEqual('v2');
+    await node.stop();
+  });
+
+  it('serves on through an outage and catches up after it', async () => {
+    // Story: the platform is down for an hour while operators get a change in just before its end.
+    // Routers must go on with what they have, then have the change within seconds.
+    const { clock, platform, node } = await startNode();
+    platform.faults.isAway = true;
+    platform.closeWatches();
+    await clock.runFor(3_600_000);
+    expect(node.getVersion()).toEqual('v1');
+    expect(node.isAway()).toEqual(true);
+    platform.write(KEY, Fixtures.formatModelSection('v2'));
+    platform.faults.isAway = false;
+    await clock.runFor(15_000);
+    expect(node.getVersion()).toEqual('v2');
+    const outage = [Events.PLATFORM_AWAY, Events.PLATFORM_BACK];
+    expect(node.events.filter((event) => outage.includes(event))).toEqual(outage);
+    await node.stop();
+  });
+
+  it('reads everything again when the watch missed changes', async () => {
+    // Story: a connection breaks, many changes follow, and the platform compacts them away before
+    // the watch is back. Going on from the present would lose the change between.
+    const { clock, platform, node } = await startNode();
+    platform.faults.isWatchSilent = true;
+    platform.write(KEY, Fixtures.formatModelSection('v2'));
+    platform.write('other', 'x');
+    platform.compact();
+    platform.faults.isWatchSilent = false;
+    platform.closeWatches();
+    await clock.runFor(400);
+    expect(node.getVersion()).toEqual('v2');
+    expect(node.events.includes(Events.WATCH_COMPACTED)).toEqual(true);
+    await node.stop();
+  });
+
+  it('notices a watch that is open and silent', async () => {
+    // Story: a firewall forgets the connection of a watch; neither side closes it. Operators see
+    // their change accepted, and the zone would never learn of it.
+    const { clock, platform, node } = await startNode();
+    platform.faults.isWatchSilent = true;
+    platform.write(KEY, Fixtures.formatModelSection('v2'));
+    await clock.runFor(4_000);
+    expect(node.getVersion()).toEqual('v2');
+    await node.stop();
+  });
+
+  it('does not go back when the platform comes back with old data', async () => {
+    // Story: the platform loses its disks and is restored from yesterday's backup. Its revisions are
+    // lower than what routers have, and its texts are what accepted changes had replaced.
+    const { clock, platform, node } = await startNode();
+    const old = platform.get(KEY);
+    const oldRevision = platform.getRevision();
+    platform.write(KEY, Fixtures.formatModelSection('v2'));
+    await clock.runFor(2_000);
+    platform.restore(oldRevision, old === undefined ? [] : [old]);
+    await clock.runFor(20_000);
+    expect(node.getVersion()).toEqual('v2');
+    expect(node.events.includes(Events.PLATFORM_OLDER)).toEqual(true);
+    await node.stop();
+  });
+
+  it('takes a removed key as an emptied section', async () => {
+    const { clock, platform, node } = await startNode();
+    platform.remove(KEY);
+    await clock.runFor(10);
+    expect(node.getVersion()).toEqual(undefined);
+    await node.stop();
+  });
+
+  it('keeps working when each call takes most of a second', async () => {
+    // Story: the platform is slow, not down. Leases are still refreshed in time and a change is
+    // still in force within the eight seconds that were promised.
+    const { clock, platform, node } = await startNode();
+    platform.faults.latencyMs = 800;
+    await clock.runFor(20_000);
+    platform.write(KEY, Fixtures.formatModelSection('v2'));
+    await clock.runFor(8_000);
+    expect(node.getVersion()).toEqual('v2');
+    const starts = node.events.filter((event) => event === Events.READER_STARTED);
+    expect(starts.length).toEqual(1);
+    await Promise.all([node.stop(), clock.runFor(5_000)]);
+  });
+});
--- /dev/null
+++ b/packages/sequoiarill-plugin-platform/src/followedConfiguration.ts
@@ -0,0 +1,84 @@
+/** Everything one router does to know the configuration: its state, news and share of the reading. */
+import type { Clock, LogEvent, Metrics, ProcessSettings } from '@sequoiarill/types';
+
+import * as News from './configurationNews';
+import * as States from './configurationState';
+import type { ConfigurationState } from './configurationState';
+import * as DocumentRecords from './documentRecords';
+import * as Events from './events';
+import type { PlatformStore } from './keyValueStore';
+import * as LeaseKeepers from './leaseKeeper';
+import * as PlatformReaders from './platformReader';
+import * as ReaderDuties from './readerDuty';
+import type { ReaderMode } from './readerDuty';
+import * as SourceFollowers from './sourceFollower';
+
+export interface FollowedConfigurationOptions {
+  readonly process: Pick<ProcessSettings, 'name' | 'zone'>;
+  readonly mode: ReaderMode;
+  readonly store: PlatformStore;
+  readonly clock: Clock;
+  readonly nextRandom: () => number;
+  readonly logEvent: LogEvent;
+  readonly metrics: Metrics;
+}
+
+export interface FollowedConfiguration {
+  readonly state: ConfigurationState;
+  readonly isReader: () => boolean;
+  /** The last call to the platform failed. */
+  readonly isAway: () => boolean;
+  /** Follows until the signal is aborted. */
+  readonly run: (signal: AbortSignal) => Promise<void>;
+}
+
+/** A dead reader is replaced about when its news count as stale; three refreshes fit in. */
+const READER_TTL_SECONDS = 4;
+
+interface AwayMark {
+  readonly markAway: (isAway: boolean) => void;
+  readonly isAway: () => boolean;
+}
+
+/** Logs an outage once at its start and once at its end. */
+function createAwayMark(logEvent: LogEvent): AwayMark {
+  let isAwayNow = false;
+  return {
+    markAway(isAway) {
+      if (isAway !== isAwayNow) logEvent(isAway ? Events.PLATFORM_AWAY : Events.PLATFORM_BACK);
+      isAwayNow = isAway;
+    },
+    isAway: () => isAwayNow,
+  };
+}
+
+export function createFollowedConfiguration(
+  options: FollowedConfigurationOptions,
+): FollowedConfiguration {
+  const { process, mode, store, clock, nextRandom, logEvent, metrics } = options;
+  const news = News.createNewsKeeper(clock, ReaderDuties.STALE_NEWS_MS);
+  const state = States.createConfigurationState({ clock, logEvent, metrics, news });
+  const { markAway, isAway } = createAwayMark(logEvent);
+  const keeper = LeaseKeepers.createLeaseKeeper({
+    store,
+    clock,
+    nextRandom,
+    key: `duties/${process.zone}/reader`,
+    holder: process.name,
+    ttlSeconds: READER_TTL_SECONDS,
+  });
+  const { applyRecords } = state;
+  const followers = DocumentRecords.SOURCES.map((source) => {
+    const parts = { source, store, clock, logEvent, nextRandom, applyRecords };
+    return SourceFollowers.createSourceFollower(parts);
+  });
+  const reader = PlatformReaders.createPlatformReader({
+    followers,
+    clock,
+    handleConfirmed: (revision) => news.confirmNews(keeper.getFence(), revision),
+    markAway,
+  });
+  const parts = { mode, keeper, reader, news, clock, logEvent, nextRandom, markAway };
+  const duty = ReaderDuties.createReaderDuty(parts);
+  return { state, isReader: duty.isReader, isAway, run: duty.run };
+}
--- a/packages/sequoiarill-plugin-platform/src/index.ts
+++ b/packages/sequoiarill-plugin-platform/src/index.ts
@@ -7,10 +7,16 @@
 
 export * from './apiKeys';
 export * from './configurationBuilder';
+export * from './documentDiff';
+export * from './documentEditor';
+export * from './documentReader';
 export * from './documentSchema';
+export * from './keyValueStore';
 export * from './leaseKeeper';
 export * from './metrics';
 export * from './platformConnection';
 export * from './platformPlugin';
 export * from './platformSettings';
+export * from './sectionHistory';
 export * from './sectionParser';
+export * from './storedSection';
--- a/packages/sequoiarill-plugin-platform/src/sourceFollower.ts
+++ b/packages/sequoiarill-plugin-platform/src/sourceFollower.ts
@@ -40,21 +40,30 @@
   let newestRecord = 0;
   /** What the last confirming read missed; missed twice in a row, the watch has a gap. */
   let missedRevision = 0;
+  let isOlder = false;
 
   function applyRecords(records: readonly ConfigurationSection[]): void {
     newestRecord = Math.max(newestRecord, ...records.map((record) => record.revision));
     options.applyRecords(records);
   }
 
+  /**
+   * Failure: the platform was restored from a backup. Its records carry lower revisions than ours and
+   * would take accepted changes back. The state ignores them one by one; this tells operators once.
+   */
+  function markOlder(platformRevision: number): void {
+    const isOlderNow = platformRevision < seenRevision;
+    if (isOlderNow && !isOlder) {
+      const held = { platformRevision, heldRevision: seenRevision };
+      logEvent(Events.PLATFORM_OLDER, { source: source.prefix, ...held });
+    }
+    isOlder = isOlderNow;
+  }
+
   async function readAll(): Promise<FollowOutcome> {
     const range = await store.readPrefix(source.prefix);
     if (range.kind === 'unavailable') return { kind: 'unavailable' };
-    if (range.revision < seenRevision) {
-      // Failure: the platform was restored from a backup. Its records carry lower revisions than
-      // ours and would take accepted changes back; the state ignores them one by one.
-      const held = { platformRevision: range.revision, heldRevision: seenRevision };
-      logEvent(Events.PLATFORM_OLDER, { source: source.prefix, ...held });
-    }
+    markOlder(range.revision);
     applyRecords(range.entries.map((entry) => DocumentRecords.decodeEntry(source, entry)));
     seenRevision = Math.max(seenRevision, range.revision);
     return { kind: 'confirmed', revision: range.revision };
@@ -96,6 +105,7 @@
   async function checkRevision(): Promise<FollowOutcome> {
     const range = await store.readChangedKeys(source.prefix, newestRecord);
     if (range.kind === 'unavailable') return { kind: 'unavailable' };
+    markOlder(range.revision);
     const newest = Math.max(0, ...range.entries.map((entry) => entry.revision));
     if (newest <= newestRecord) {
       seenRevision = Math.max(seenRevision, range.revision);
--- /dev/null
+++ b/packages/sequoiarill/src/commands/configOutput.ts
@@ -0,0 +1,150 @@
+/** What the `config` commands print, for people or as JSON, and how they exit. */
+import * as Platform from '@sequoiarill/plugin-platform';
+
+export interface CommandResult {
+  /** 0: done. 1: refused, mend and try again. 2: the platform did not decide it. */
+  readonly exitCode: 0 | 1 | 2;
+  readonly text: string;
+  readonly json: unknown;
+}
+
+function printLine(stream: NodeJS.WriteStream, text: string): void {
+  if (text !== '') stream.write(text.endsWith('\n') ? text : `${text}\n`);
+}
+
+export function printResult(result: CommandResult, isJson = false): void {
+  process.exitCode = result.exitCode;
+  if (isJson) printLine(process.stdout, JSON.stringify(result.json));
+  else printLine(result.exitCode === 0 ? process.stdout : process.stderr, result.text);
+}
+
+export function reportProblem(message: string): CommandResult {
+  return { exitCode: 1, text: message, json: { kind: 'refused', message } };
+}
+
+export function reportUnreadable(file: string): CommandResult {
+  return reportProblem(`${file}: can't be read; check its name and rights`);
+}
+
+export function reportCheck(
+  faults: readonly Platform.DocumentFault[],
+  scope: 'alone' | 'document',
+): CommandResult {
+  if (faults.length > 0) return reportFaults(faults);
+  const hint = scope === 'alone' ? '; name a --platform to check it with the other sections' : '';
+  return { exitCode: 0, text: `no faults${hint}`, json: { kind: 'checked', scope, faults: [] } };
+}
+
+function reportFaults(faults: readonly Platform.DocumentFault[]): CommandResult {
+  const text = faults.map(Platform.formatFault).join('\n');
+  return { exitCode: 1, text, json: { kind: 'faults', faults } };
+}
+
+export function reportDifferences(
+  revision: number,
+  differences: readonly Platform.Difference[],
+): CommandResult {
+  const lines = differences.map(Platform.formatDifference);
+  const text = lines.length === 0 ? `same as revision ${revision}` : lines.join('\n');
+  return { exitCode: 0, text, json: { kind: 'differences', revision, differences } };
+}
+
+function reportConflict(
+  section: string,
+  outcome: Extract<Platform.EditOutcome, { readonly kind: 'conflict' }>,
+): CommandResult {
+  const { revision, author, differences } = outcome;
+  const by = author === '' ? '' : ` by ${author}`;
+  const head = `[${section}] was changed meanwhile${by} (now revision ${revision}); nothing was written.`;
+  const advice = 'From what is stored to your text; take in what you miss and put it again:';
+  const lines = [head, advice, ...differences.map(Platform.formatDifference)];
+  return { exitCode: 1, text: lines.join('\n'), json: outcome };
+}
+
+export function reportEdit(section: string, outcome: Platform.EditOutcome): CommandResult {
+  switch (outcome.kind) {
+    case 'written':
+      return { exitCode: 0, text: `[${section}] is revision ${outcome.revision}`, json: outcome };
+    case 'unchanged':
+      return {
+        exitCode: 0,
+        text: `[${section}] has this text already, since revision ${outcome.revision}`,
+        json: outcome,
+      };
+    case 'faults':
+      return reportFaults(outcome.faults);
+    case 'conflict':
+      return reportConflict(section, outcome);
+    case 'busy':
+      return { exitCode: 1, text: outcome.message, json: outcome };
+    case 'unavailable': {
+      const text = `the platform does not answer, nothing was written: ${outcome.message}`;
+      return { exitCode: 2, text, json: outcome };
+    }
+    case 'unknown': {
+      const text = `it is not known whether [${section}] was written: ${outcome.message}`;
+      return { exitCode: 2, text, json: outcome };
+    }
+    default:
+      throw new Error('an outcome that is not known');
+  }
+}
+
+export function reportSection(
+  section: string,
+  stored: Platform.StoredState | undefined,
+): CommandResult {
+  if (stored === undefined) {
+    return reportProblem(`[${section}] does not exist; "config put" makes it`);
+  }
+  const { revision, author, at, text } = stored;
+  return { exitCode: 0, text, json: { kind: 'section', section, revision, author, at, text } };
+}
+
+export function reportHistory(
+  section: string,
+  history: readonly Platform.HistoryEntry[] | undefined,
+): CommandResult {
+  if (history === undefined) {
+    const message = 'the history was not read';
+    return reportEdit(section, { kind: 'unavailable', message });
+  }
+  const entries = history.map(({ revision, at, author, text }) => ({
+    revision,
+    at,
+    author,
+    bytes: Buffer.byteLength(text, 'utf8'),
+  }));
+  const lines = entries.map(
+    ({ revision, at, author, bytes }) => `${revision}  ${at}  ${author}  ${bytes} bytes`,
+  );
+  const text = lines.length === 0 ? `[${section}] has no history` : lines.join('\n');
+  return { exitCode: 0, text, json: { kind: 'history', section, entries } };
+}
+
+export function reportStatus(document: Platform.StoredDocument): CommandResult {
+  const sections = [...document.sections].map(([name, { revision, at, author }]) => ({
+    name,
+    revision,
+    at,
+    author,
+  }));
+  const newest = Math.max(0, ...sections.map(({ revision }) => revision));
+  const lines = sections.map(
+    ({ name, revision, at, author }) => `[${name}] revision ${revision}  ${at}  ${author}`,
+  );
+  const text = [`newest revision ${newest}`, ...lines].join('\n');
+  return { exitCode: 0, text, json: { kind: 'status', revision: newest, sections } };
+}
+
+export function reportKey(organisation: string, key: Platform.NewKey): CommandResult {
+  const record = JSON.stringify(key.record);
+  const lines = [
+    `API key of ${organisation}, shown this once:`,
+    `  ${key.presented}`,
+    `Add this to organisations.${organisation}.keys in its section:`,
+    `  ${record}`,
+  ];
+  const json = { kind: 'key', organisation, ...key };
+  return { exitCode: 0, text: lines.join('\n'), json };
+}
