--- /dev/null
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/apiKeys.test.ts
@@ -0,0 +1,40 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as ApiKeys from '../apiKeys';
+import * as Builder from '../configurationBuilder';
+import * as DocumentSchema from '../documentSchema';
+
+function buildWithKeys(keys: Readonly<Record<string, readonly object[]>>) {
+  const organisations = Object.fromEntries(
+    Object.entries(keys).map(([name, records]) => [name, { keys: records }]),
+  );
+  const content = DocumentSchema.sectionSchema.parse({ organisations });
+  return Builder.buildConfiguration(1, new Map([['a', Builder.buildParts(content)]]), new Map());
+}
+
+describe('API keys', () => {
+  it('belong to their organisation and to no other', () => {
+    const [first, second] = [ApiKeys.createKeyRecord(), ApiKeys.createKeyRecord()];
+    const configuration = buildWithKeys({ shop: [first.record], doors: [second.record] });
+    expect(ApiKeys.verifyKey(configuration, first.presented)?.name).toEqual('shop');
+    expect(ApiKeys.verifyKey(configuration, second.presented)?.name).toEqual('doors');
+    const [, , secret] = second.presented.split('_');
+    const crossed = `sqr_${first.record.id}_${secret}`;
+    expect(ApiKeys.verifyKey(configuration, crossed)).toEqual(undefined);
+  });
+
+  it('are refused when malformed, unknown or wrong', () => {
+    const { presented, record } = ApiKeys.createKeyRecord();
+    const configuration = buildWithKeys({ shop: [record] });
+    const bad = ['', 'sqr_', `${presented}0`, `x${presented}`, 'sqr_00_00', presented.slice(0, -1)];
+    bad.forEach((key) => expect(ApiKeys.verifyKey(configuration, key)).toEqual(undefined));
+  });
+
+  it('do not show in what is stored', () => {
+    const { presented, record } = ApiKeys.createKeyRecord();
+    const [, , secret] = presented.split('_');
+    expect(JSON.stringify(record).includes(secret ?? '')).toEqual(false);
+  });
+});
