Measure what relaying costs beside a bare pass-through

Cause: the cost of a token at many streams decides how many processes a node needs. Not run yet, since the commands of the stand-ins are still missing.

--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -1,2 +1,2 @@
 /** Measurements: ratios in one run, printed as JSON. */
-export {};
+export * from './output';
--- /dev/null
+++ b/bench/src/relay.ts
@@ -0,0 +1,106 @@
+/**
+ * What relaying costs: processor time of the router for each token at many open streams, beside a
+ * bare pass-through over the same engine. Both run in turn within one run, so that their ratio
+ * does not depend on the machine's mood.
+ */
+import path from 'node:path';
+
+import * as Testing from '@sequoiarill/testing';
+import type { Daemon } from '@sequoiarill/testing';
+import * as Undici from 'undici';
+
+import * as Outputs from './output';
+
+const STREAMS = 240;
+const TOKENS = 200;
+const WARM_UP_TOKENS = 20;
+const ROUNDS = 3;
+const STEP_MS = 30;
+const MICROS_PER_MS = 1_000;
+
+interface Load {
+  readonly tokens: number;
+  readonly cpuMs: number;
+  readonly elapsedMs: number;
+}
+
+async function runLoad(
+  url: string,
+  daemon: Daemon,
+  apiKey: string,
+  maxTokens: number,
+): Promise<Load> {
+  const dispatcher = new Undici.Agent({ connections: STREAMS, bodyTimeout: 0 });
+  const cpuBeforeMs = daemon.getCpuMs();
+  const startedMs = performance.now();
+  const answers = await Promise.all(
+    Array.from({ length: STREAMS }, (_unused, index) =>
+      Testing.readAnswer({ url, apiKey, prompt: `Stream ${index}`, maxTokens, dispatcher }),
+    ),
+  );
+  const elapsedMs = performance.now() - startedMs;
+  const cpuMs = daemon.getCpuMs() - cpuBeforeMs;
+  await dispatcher.close();
+  const tokens = answers.reduce((sum, answer) => sum + (answer.completionTokens ?? 0), 0);
+  if (tokens !== STREAMS * maxTokens) {
+    const failed = answers.find((answer) => answer.completionTokens !== maxTokens);
+    throw new Error(`an answer is not whole: ${JSON.stringify(failed)}`);
+  }
+  return { tokens, cpuMs, elapsedMs };
+}
+
+function mergeLoads(loads: readonly Load[]): Load {
+  const sum = (pick: (load: Load) => number) =>
+    loads.reduce((total, load) => total + pick(load), 0);
+  return {
+    tokens: sum((load) => load.tokens),
+    cpuMs: sum((load) => load.cpuMs),
+    elapsedMs: sum((load) => load.elapsedMs),
+  };
+}
+
+function computeCpuMicros({ cpuMs, tokens }: Load): number {
+  return (cpuMs * MICROS_PER_MS) / tokens;
+}
+
+async function measureRelay(): Promise<Outputs.Result> {
+  const fleet = await Testing.startFleet({
+    engines: 1,
+    slots: 4 * STREAMS,
+    engineSettings: { stepMs: STEP_MS, eosProbability: 0, slots: 2 * STREAMS },
+    routerSettings: { telemetry: { logLevel: 'info' } },
+  });
+  const [router] = fleet.routers;
+  const engine = fleet.engines[0]!.addresses.get('')!;
+  const script = path.join(__dirname, 'passThrough.js');
+  const baseline = await Testing.startProgram([script, engine], ['']);
+  const baselineUrl = `http://${baseline.addresses.get('')!}`;
+  try {
+    await runLoad(router!.callers, router!.daemon, fleet.apiKey, WARM_UP_TOKENS);
+    await runLoad(baselineUrl, baseline, fleet.apiKey, WARM_UP_TOKENS);
+    const routed: Load[] = [];
+    const passed: Load[] = [];
+    for (let round = 0; round < ROUNDS; round += 1) {
+      routed.push(await runLoad(router!.callers, router!.daemon, fleet.apiKey, TOKENS));
+      passed.push(await runLoad(baselineUrl, baseline, fleet.apiKey, TOKENS));
+    }
+    const ours = mergeLoads(routed);
+    const bare = mergeLoads(passed);
+    return {
+      streams: STREAMS,
+      tokens: ours.tokens,
+      tokensPerSecond: Math.round((ours.tokens * 1_000) / ours.elapsedMs),
+      cpuMicrosPerToken: Outputs.computeRounded(computeCpuMicros(ours)),
+      baselineCpuMicrosPerToken: Outputs.computeRounded(computeCpuMicros(bare)),
+      ratio: Outputs.computeRounded(computeCpuMicros(ours) / computeCpuMicros(bare)),
+      ratioByRound: routed.map((load, round) =>
+        Outputs.computeRounded(computeCpuMicros(load) / computeCpuMicros(passed[round]!)),
+      ),
+    };
+  } finally {
+    await baseline.stop('SIGKILL');
+    await fleet.stop();
+  }
+}
+
+Outputs.runBench(measureRelay);
--- a/packages/sequoiarill-testing/src/daemons.ts
+++ b/packages/sequoiarill-testing/src/daemons.ts
@@ -70,19 +70,25 @@
   const folder = mkdtempSync(path.join(tmpdir(), 'sequoiarill-'));
   const file = path.join(folder, `${kind}.ini`);
   writeFileSync(file, formatIni(settings));
-  const child = spawn(process.execPath, listArguments(kind, file), {
-    stdio: ['ignore', 'pipe', 'pipe'],
-  });
-  const exited = once(child, 'exit');
-  const log: string[] = [];
   try {
-    const addresses = await readAddresses(child, addressNames, log);
-    return createDaemon(child, exited, addresses, log);
+    return await startProgram(listArguments(kind, file), addressNames);
   } finally {
     rmSync(folder, { recursive: true, force: true });
   }
 }
 
+/** Starts any program of node that prints its addresses as daemons do. */
+export async function startProgram(
+  programArguments: readonly string[],
+  addressNames: readonly string[],
+): Promise<Daemon> {
+  const child = spawn(process.execPath, programArguments, { stdio: ['ignore', 'pipe', 'pipe'] });
+  const exited = once(child, 'exit');
+  const log: string[] = [];
+  const addresses = await readAddresses(child, addressNames, log);
+  return createDaemon(child, exited, addresses, log);
+}
+
 async function readAddresses(
   child: ChildProcess,
   names: readonly string[],
