Run orders at most once, claimed in the key-value service before they are sent

Cause: a non-idempotent order repeated at another router, after a lost answer or a router's death, would run twice. A claim is created by compare-and-swap in a transaction shared with other orders; an open mark under a short lease tells 'in progress' from 'unknown' without comparing clocks.

Ruled out: a claim by router name and deadline (compares clocks of two machines), a liveness lease for each router (writes grow with the fleet).

One order costs 2 calls, 30 orders at once 2 calls together, leases apart.

--- a/packages/sequoiarill-plugin-orders/src/index.ts
+++ b/packages/sequoiarill-plugin-orders/src/index.ts
@@ -1,2 +1,9 @@
 /** Calls to plain services, non-idempotent ones at most once. */
-export {};
+import * as Kernel from '@sequoiarill/kernel';
+
+import { plugin } from './plugin';
+
+export { METRICS } from './metrics';
+export { plugin } from './plugin';
+
+Kernel.registerPlugin(plugin);
--- /dev/null
+++ b/packages/sequoiarill-plugin-orders/src/orders.ts
@@ -0,0 +1,134 @@
+/** The life of one order, straight down: service, claim, sending, outcome. */
+import type {
+  Clock,
+  ConfigurationReader,
+  Journal,
+  OrderNotRun,
+  OrderOutcome,
+  OrderRequest,
+  PlainService,
+} from '@sequoiarill/types';
+
+import type { RunAttempts } from './attempts';
+import * as Records from './claimRecords';
+import type { ClaimBook, ClaimRefused, HeldClaim } from './claims';
+
+export interface OrdersOptions {
+  readonly clock: Clock;
+  readonly journal: Journal;
+  readonly configuration: ConfigurationReader;
+  readonly claims: ClaimBook;
+  readonly runAttempts: RunAttempts;
+}
+
+export type RunOrder = (order: OrderRequest) => Promise<OrderOutcome>;
+
+/** Long enough for a short outage to end; callers of a long one stay few. */
+const AWAY_RETRY_SECONDS = 5;
+const IN_PROGRESS_RETRY_SECONDS = 2;
+const MS_PER_SECOND = 1_000;
+
+export function createNotRun(
+  reason: OrderNotRun['reason'],
+  message: string,
+  retryAfterSeconds: number,
+): OrderNotRun {
+  return { kind: 'notRun', reason, message, retryAfterSeconds };
+}
+
+export function createOrders(options: OrdersOptions): RunOrder {
+  const { clock, claims, configuration, journal, runAttempts } = options;
+
+  /**
+   * Runs the attempts up to the service's time limit. A caller that leaves ends an order that may
+   * be repeated; any other goes on, because what left cannot be called back, and its answer is
+   * wanted for the caller's next try.
+   */
+  async function runWithDeadline(
+    order: OrderRequest,
+    service: PlainService,
+    canResend: boolean,
+  ): Promise<OrderOutcome> {
+    const deadline = new AbortController();
+    const ended = new AbortController();
+    const onLeft = (): void => deadline.abort();
+    if (canResend) order.signal.addEventListener('abort', onLeft, { once: true });
+    const waited = clock.waitMs(service.timeoutMs, ended.signal).then(() => deadline.abort());
+    const outcome = await runAttempts(order, service, canResend, deadline.signal);
+    order.signal.removeEventListener('abort', onLeft);
+    ended.abort();
+    await waited;
+    return outcome;
+  }
+
+  async function runHeld(
+    order: OrderRequest,
+    service: PlainService,
+    claim: HeldClaim,
+  ): Promise<OrderOutcome> {
+    if (order.signal.aborted || !claim.isFresh()) {
+      await claim.release();
+      return createNotRun('overloaded', 'it waited too long for its claim.', 1);
+    }
+    const outcome = await runWithDeadline(order, service, false);
+    if (outcome.kind === 'done') claim.recordDone(outcome);
+    else if (outcome.kind === 'unknown') claim.recordUnknown();
+    else await claim.release();
+    return outcome;
+  }
+
+  async function runClaimed(
+    order: OrderRequest,
+    service: PlainService,
+    idempotencyKey: string,
+  ): Promise<OrderOutcome> {
+    const { requestId } = order;
+    const identity = {
+      organisation: order.organisation.name,
+      service: service.name,
+      idempotencyKey,
+      requestHash: Records.hashRequest(order),
+      requestId,
+    };
+    const result = await claims.reserveOrder(identity, service.timeoutMs / MS_PER_SECOND);
+    journal.recordDecision(requestId, 'claimed', `claim by Idempotency-Key: ${result.kind}`);
+    if (result.kind === 'held') return runHeld(order, service, result);
+    if (result.kind === 'repeated') return result.done;
+    return createRefusedOutcome(result);
+  }
+
+  return async function runOrder(order) {
+    const service = configuration.getConfiguration().services.get(order.service);
+    if (service === undefined) {
+      return createNotRun('unknownService', `there is no service "${order.service}".`, 0);
+    }
+    const isIdempotent = service.idempotentMethods.includes(order.method);
+    const { idempotencyKey } = order;
+    if (isIdempotent) return runWithDeadline(order, service, true);
+    if (idempotencyKey === undefined) return runWithDeadline(order, service, false);
+    if (service.checksIdempotencyKey) return runWithDeadline(order, service, true);
+    return runClaimed(order, service, idempotencyKey);
+  };
+}
+
+function createRefusedOutcome(refused: ClaimRefused): OrderOutcome {
+  switch (refused.kind) {
+    case 'keyReused': {
+      const message = 'this Idempotency-Key was used for another request; use a new one.';
+      return createNotRun('keyReused', message, 0);
+    }
+    case 'inProgress': {
+      const message = 'an order with this Idempotency-Key is in progress.';
+      return createNotRun('inProgress', message, IN_PROGRESS_RETRY_SECONDS);
+    }
+    case 'away': {
+      const message = 'orders cannot be claimed right now; nothing was sent.';
+      return createNotRun('platformAway', message, AWAY_RETRY_SECONDS);
+    }
+    default:
+      return {
+        kind: 'unknown',
+        message: 'it was sent before and its answer is not known; it is not sent again.',
+      };
+  }
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-orders/src/plugin.ts
@@ -0,0 +1,162 @@
+/** The plug-in `orders`: wires targets, sending and claims together. */
+import type {
+  OrderOutcome,
+  OrderRequest,
+  Plugin,
+  PluginContext,
+  PluginInstance,
+  ServiceTarget,
+} from '@sequoiarill/types';
+
+import * as Attempts from './attempts';
+import * as ClaimLeases from './claimLeases';
+import * as Claims from './claims';
+import * as ClaimWriters from './claimWriter';
+import * as Events from './events';
+import * as Metrics from './metrics';
+import * as Orders from './orders';
+import * as RetryBudgets from './retryBudget';
+import * as Sending from './sending';
+import type { SendingResult } from './sending';
+import { settingsSchema } from './settings';
+import type { OrdersSettings } from './settings';
+import * as TargetChoice from './targetChoice';
+import * as TransactionBatches from './transactionBatches';
+
+type ClaimParts = Readonly<{
+  claims: Claims.ClaimBook;
+  writer: ClaimWriters.ClaimWriter;
+  batcher: TransactionBatches.TransactionBatcher;
+}>;
+
+function createClaims(context: PluginContext, settings: OrdersSettings): ClaimParts {
+  const { clock, logEvent, metrics } = context;
+  const store = context.getCapability('keyValue');
+  const { claimSeconds } = settings;
+  const batcher = TransactionBatches.createTransactionBatcher({
+    store,
+    clock,
+    windowMs: settings.claimWindowMs,
+    lazyMs: settings.resultDelayMs,
+    recordCall: () => metrics.addCount(Metrics.CLAIM_CALLS),
+  });
+  const leases = ClaimLeases.createLeaseBuckets(store, clock);
+  const writer = ClaimWriters.createClaimWriter({
+    batcher,
+    leases,
+    clock,
+    claimSeconds,
+    recordDropped: ({ requestId }, reason) =>
+      logEvent(Events.RESULT_DROPPED, { requestId, reason }),
+  });
+  const claims = Claims.createClaimBook({
+    batcher,
+    leases,
+    writer,
+    clock,
+    router: context.process.name,
+    prefix: settings.claimPrefix,
+    claimSeconds,
+  });
+  return { claims, writer, batcher };
+}
+
+function createInstance(context: PluginContext, settings: OrdersSettings): PluginInstance {
+  const { clock, journal, logEvent, metrics } = context;
+  const configuration = context.getCapability('configuration');
+  const { claims, writer, batcher } = createClaims(context, settings);
+  const sender = Sending.createOrderSender(settings);
+  const budget = RetryBudgets.createRetryBudget(settings.retryRatio, () =>
+    metrics.addCount(Metrics.RETRIES),
+  );
+  const chooser = TargetChoice.createTargetChooser({
+    maxInFlight: settings.maxInFlightPerTarget,
+    passOverMs: settings.passOverMs,
+  });
+  const open = new Set<Promise<unknown>>();
+  let isDraining = false;
+
+  function recordSending(order: OrderRequest, target: ServiceTarget, result: SendingResult): void {
+    const { requestId } = order;
+    const reason = `${result.kind} at ${target.name}`;
+    journal.recordDecision(requestId, 'dispatched', reason, { target: target.name });
+    if (result.kind !== 'notSent') return;
+    logEvent(Events.TARGET_PASSED_OVER, {
+      requestId,
+      target: target.name,
+      reason: result.message,
+    });
+  }
+
+  const runOne = Orders.createOrders({
+    clock,
+    journal,
+    configuration,
+    claims,
+    runAttempts: Attempts.createAttempts({
+      clock,
+      chooser,
+      budget,
+      sendOrder: sender.sendOrder,
+      listTargets: (service) =>
+        TargetChoice.listServiceTargets(configuration.getConfiguration(), service),
+      recordSending,
+    }),
+  });
+
+  function recordOutcome(order: OrderRequest, outcome: OrderOutcome, startedMs: number): void {
+    const { requestId, service } = order;
+    metrics.addCount(Metrics.OUTCOMES, 1, { outcome: outcome.kind, service });
+    metrics.recordTiming(Metrics.DURATION, clock.getNowMs() - startedMs);
+    if (outcome.kind === 'unknown') {
+      logEvent(Events.OUTCOME_UNKNOWN, { requestId, service, reason: outcome.message });
+    }
+    if (outcome.kind === 'notRun' && outcome.reason === 'platformAway') {
+      logEvent(Events.CLAIMS_AWAY, { requestId, service });
+    }
+  }
+
+  async function runOrder(order: OrderRequest): Promise<OrderOutcome> {
+    if (isDraining) return Orders.createNotRun('draining', 'this router is stopping.', 1);
+    const startedMs = clock.getNowMs();
+    const running = runOne(order);
+    open.add(running);
+    const outcome = await running.finally(() => open.delete(running));
+    recordOutcome(order, outcome, startedMs);
+    return outcome;
+  }
+
+  const unsubscribe = configuration.subscribeConfiguration(({ targets }) => {
+    sender.removePools(new Set([...targets.values()].map(({ address }) => address)));
+  });
+  return {
+    capabilities: { orders: { runOrder } },
+    async drain() {
+      isDraining = true;
+      while (open.size > 0) await Promise.allSettled([...open]);
+      await writer.drain();
+    },
+    async stop() {
+      unsubscribe();
+      writer.close();
+      await sender.close();
+    },
+    dumpState: () => ({
+      openOrders: open.size,
+      isDraining,
+      retriesRemaining: budget.getRemaining(),
+      targetsPassedOver: chooser.listPassedOver(clock.getNowMs()),
+      claimsQueued: batcher.getQueueLength(),
+      resultsPending: writer.getPendingCount(),
+    }),
+  };
+}
+
+export const plugin: Plugin<OrdersSettings> = {
+  name: 'orders',
+  settingsSchema,
+  provides: ['orders'],
+  needs: ['configuration', 'keyValue'],
+  events: Events.EVENTS,
+  createInstance,
+};
