Add a client that resumes a response by itself

Cause: a caller whose connection breaks has to come back with the id, the last event number and the signed cursor, and must neither repeat nor drop text; every caller writing that again would get it wrong in its own way.

Ruled out: an EventSource (no POST, no headers), and a fixed wait. Conclusion: to be run against a router as the next step.

--- a/packages/sequoiarill-client/src/index.ts
+++ b/packages/sequoiarill-client/src/index.ts
@@ -1,2 +1,6 @@
 /** A client that resumes an answer by itself. */
-export {};
+export * from './backoff';
+export * from './client';
+export type { ResponseRequest } from './connection';
+export type * from './outcomes';
+export type { TextDelta } from './reading';
