Test the loss of engine processes as a caller sees it

Cause: the promise on streams is about real processes. Not run yet: the router waits for its membership plug-in.

--- a/packages/sequoiarill-testing/src/answers.ts
+++ b/packages/sequoiarill-testing/src/answers.ts
@@ -9,7 +9,7 @@
   readonly maxTokens: number;
   readonly stop?: readonly string[];
   /** Told of each piece of text as it arrives. */
-  readonly onText?: (text: string, count: number) => void;
+  readonly onText?: (text: string, count: number, requestId: string) => void;
   readonly dispatcher?: Undici.Dispatcher;
 }
 
@@ -79,7 +79,8 @@
     const known = answer;
     answer = mergeChunk(known, chunk);
     if (answer.pieces > known.pieces) {
-      options.onText?.(answer.text.slice(known.text.length), answer.pieces);
+      const text = answer.text.slice(known.text.length);
+      options.onText?.(text, answer.pieces, answer.requestId ?? '');
     }
   }
   return answer;
--- a/packages/sequoiarill-testing/src/fleet.ts
+++ b/packages/sequoiarill-testing/src/fleet.ts
@@ -38,6 +38,8 @@
   readonly engines: readonly Daemon[];
   readonly services: readonly Daemon[];
   readonly routers: readonly FleetRouter[];
+  /** Starts an engine that was killed anew, at its old address and without memory. */
+  readonly startEngine: (index: number) => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
@@ -58,7 +60,7 @@
   kind: 'engine' | 'service',
   count: number,
   settings: Readonly<Record<string, string | number>>,
-): Promise<readonly Daemon[]> {
+): Promise<Daemon[]> {
   const starts = Array.from({ length: count }, () =>
     Daemons.startDaemon(kind, { [kind]: { listen: LOCAL, ...settings } }, ['']),
   );
@@ -122,12 +124,13 @@
   const zones = options.zones ?? 1;
   const platform = await Daemons.startDaemon('platform', { platform: { listen: LOCAL } }, ['']);
   const platformAddress = getStandinAddress(platform);
+  const engineSettings = {
+    models: Demo.MODEL,
+    checksFencing: String(options.checksFencing ?? true),
+    ...options.engineSettings,
+  };
   const [engines, services] = await Promise.all([
-    startStandins('engine', options.engines, {
-      models: Demo.MODEL,
-      checksFencing: String(options.checksFencing ?? true),
-      ...options.engineSettings,
-    }),
+    startStandins('engine', options.engines, engineSettings),
     startStandins('service', options.services ?? 0, {
       checksIdempotencyKey: String(options.checksIdempotencyKey ?? false),
     }),
@@ -150,9 +153,20 @@
     const more = options.routerSettings;
     routers.push(await startRouter(index, zones, platformAddress, seeds, more));
   }
-  const daemons = [platform, ...engines, ...services, ...routers.map(({ daemon }) => daemon)];
+
+  async function startEngine(index: number): Promise<void> {
+    const listen = getStandinAddress(engines[index]!);
+    await engines[index]!.stop('SIGKILL');
+    engines[index] = await Daemons.startDaemon(
+      'engine',
+      { engine: { ...engineSettings, listen } },
+      [''],
+    );
+  }
 
   async function stop(): Promise<void> {
+    const routerDaemons = routers.map(({ daemon }) => daemon);
+    const daemons = [platform, ...engines, ...services, ...routerDaemons];
     // SIGCONT first: a daemon that a test paused would never see its end.
     daemons.forEach((daemon) => daemon.send('SIGCONT'));
     await Promise.all(daemons.map((daemon) => daemon.stop('SIGKILL')));
@@ -165,6 +179,7 @@
     engines,
     services,
     routers,
+    startEngine,
     stop,
   };
 }
--- a/packages/sequoiarill-testing/src/index.ts
+++ b/packages/sequoiarill-testing/src/index.ts
@@ -2,3 +2,4 @@
 export * from './answers';
 export * from './daemons';
 export * from './fleet';
+export * from './journals';
