Add the config commands

Cause: operators need to check, get, put, diff, revert and look back at their sections. Pages of a long read are no longer pinned to the first page's revision: a platform that compacts in between would fail the read, and newer entries do no harm to whoever watches on from the first.

--- a/packages/sequoiarill-plugin-platform/src/keyValueStore.ts
+++ b/packages/sequoiarill-plugin-platform/src/keyValueStore.ts
@@ -56,7 +56,6 @@
 interface RangeRequest {
   readonly key: string;
   readonly range_end?: string;
-  readonly revision?: string;
   readonly keys_only?: boolean;
   readonly min_mod_revision?: string;
 }
@@ -95,7 +94,11 @@
     return callCounted('read', '/v3/kv/range', body, Messages.rangeSchema);
   }
 
-  /** Reads page by page at the revision of the first, so that the whole is one consistent state. */
+  /**
+   * Reads page by page. The revision is that of the first page: entries of later pages may be newer,
+   * never older, so whoever watches on from it misses nothing. Asking for later pages as of that
+   * revision instead would fail whenever the platform compacts in between.
+   */
   async function readPages(request: RangeRequest): Promise<KeyValueRange | KeyValueUnavailable> {
     const entries: KeyValueEntry[] = [];
     let revision = 0;
@@ -114,7 +117,7 @@
       const last = kvs.at(-1);
       if (!more || last === undefined) return { kind: 'range', revision, entries };
       const key = Messages.encodeText(`${Messages.decodeText(last.key)}\0`);
-      next = { ...next, key, revision: String(revision) };
+      next = { ...next, key };
     }
   }
 
--- /dev/null
+++ b/packages/sequoiarill/src/commands/__tests__/config.test.ts
@@ -0,0 +1,158 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+
+import * as Standins from '@sequoiarill/standins';
+import type { PlatformStandin } from '@sequoiarill/standins';
+import { expect } from 'earl';
+
+import * as ConfigCommands from '../config';
+
+interface Printed {
+  readonly out: string;
+  readonly error: string;
+  readonly exitCode: number;
+}
+
+const MODELS = { models: { advisor: { version: 'v1', contextTokens: 10_000 } } };
+
+let directory = '';
+let address = '';
+let platform: PlatformStandin;
+
+/** Runs `config` with these arguments, as the command line does. */
+async function runConfig(...args: readonly string[]): Promise<Printed> {
+  const printed = { out: '', error: '', exitCode: 0 };
+  const command = ConfigCommands.createConfigCommand({
+    writeOut(text) {
+      printed.out += text;
+    },
+    writeError(text) {
+      printed.error += text;
+    },
+    setExitCode(code) {
+      printed.exitCode = code;
+    },
+  });
+  await command.parseAsync(args, { from: 'user' });
+  return printed;
+}
+
+async function runSection(name: string, ...args: readonly string[]): Promise<Printed> {
+  return runConfig(...args, '--section', name, '--platform', address);
+}
+
+function writeFile(name: string, content: unknown): string {
+  const file = path.join(directory, name);
+  writeFileSync(file, typeof content === 'string' ? content : JSON.stringify(content));
+  return file;
+}
+
+async function readRevision(section: string): Promise<number> {
+  const { out } = await runSection(section, 'get', '--json');
+  return (JSON.parse(out) as { readonly revision: number }).revision;
+}
+
+describe('sequoiarill config', () => {
+  beforeEach(async () => {
+    directory = mkdtempSync(path.join(tmpdir(), 'sequoiarill-config-'));
+    platform = Standins.createPlatformStandin();
+    ({ address } = await platform.start());
+  });
+
+  afterEach(async () => {
+    await platform.stop();
+    rmSync(directory, { recursive: true });
+  });
+
+  it('puts a section, shows it and what another file would change', async () => {
+    const file = writeFile('models.json', MODELS);
+    expect((await runSection('models', 'put', file)).exitCode).toEqual(0);
+    expect((await runSection('models', 'get')).out.trim()).toEqual(JSON.stringify(MODELS));
+    const other = writeFile('other.json', JSON.stringify(MODELS).replace('v1', 'v2'));
+    const { out } = await runSection('models', 'diff', other);
+    expect(out).toEqual('~ models.advisor.version: "v1" -> "v2"\n');
+  });
+
+  it('refuses faults with file, section, key and reason', async () => {
+    const file = writeFile('teams.json', { organisations: { shop: { models: ['ghost'] } } });
+    expect(await runSection('teams', 'put', file)).toEqual({
+      out: '',
+      error: `${file}: [teams] organisations.shop.models: unknown model "ghost"; add it to a section first or mend the name\n`,
+      exitCode: 1,
+    });
+    expect(platform.getCounters().writes).toEqual(0);
+    expect((await runConfig('check', file)).exitCode).toEqual(0);
+    const checked = await runConfig('check', file, '--platform', address);
+    expect(checked.exitCode).toEqual(1);
+    const spelled = writeFile('spelled.json', { organisation: {} });
+    const alone = await runConfig('check', spelled);
+    const reason = 'unknown key; remove it or mend its spelling';
+    expect(alone.error).toEqual(`${spelled}: [spelled] organisation: ${reason}\n`);
+  });
+
+  it('lets the second of two operators see what the first one wrote', async () => {
+    const first = writeFile('first.json', MODELS);
+    await runSection('models', 'put', first);
+    const revision = await readRevision('models');
+    const second = writeFile('second.json', JSON.stringify(MODELS).replace('v1', 'v2'));
+    await runSection('models', 'put', second, '--author', 'ann');
+    const condition = ['--if-revision', String(revision)];
+    const third = writeFile('third.json', JSON.stringify(MODELS).replace('v1', 'v3'));
+    const { error, exitCode } = await runSection('models', 'put', third, ...condition);
+    expect(exitCode).toEqual(1);
+    expect(error.includes('by ann')).toEqual(true);
+    expect(error.includes('~ models.advisor.version: "v2" -> "v3"')).toEqual(true);
+  });
+
+  it('writes once although the answer is lost', async () => {
+    // Story: the platform applies the edit and the connection breaks before the answer. The operator
+    // must be told that it is in force, and the history must hold it once.
+    const file = writeFile('models.json', MODELS);
+    await platform.setFault({ kind: 'loseAnswers', count: 1 });
+    expect((await runSection('models', 'put', file)).exitCode).toEqual(0);
+    const { out } = await runSection('models', 'history', '--json');
+    const { entries } = JSON.parse(out) as { readonly entries: readonly unknown[] };
+    expect(entries.length).toEqual(1);
+  });
+
+  it('reverts to an earlier text as a new revision', async () => {
+    await runSection('models', 'put', writeFile('first.json', MODELS));
+    const revision = await readRevision('models');
+    const changed = JSON.stringify(MODELS).replace('v1', 'v2');
+    await runSection('models', 'put', writeFile('second.json', changed));
+    const reverted = await runSection('models', 'revert', '--to', String(revision));
+    expect(reverted.exitCode).toEqual(0);
+    expect((await runSection('models', 'get')).out.trim()).toEqual(JSON.stringify(MODELS));
+    expect((await readRevision('models')) > revision).toEqual(true);
+    expect((await runSection('models', 'revert', '--to', '1')).exitCode).toEqual(1);
+  });
+
+  it('says that nothing was written when the platform takes no connection', async () => {
+    await platform.setFault({ kind: 'refuse' });
+    const { error, exitCode } = await runSection('models', 'put', writeFile('a.json', MODELS));
+    expect(exitCode).toEqual(2);
+    expect(error.startsWith('the platform does not answer, nothing was written')).toEqual(true);
+  });
+
+  it("takes the connection from a router's settings file", async () => {
+    const settings = writeFile(
+      'router.ini',
+      `[process]\nname = r\nzone = z\nregion = r\n[platform]\nendpoints = ${address}\n[callers]\nlisten = x\n`,
+    );
+    const file = writeFile('models.json', MODELS);
+    const args = ['put', file, '--section', 'models', '--settings', settings];
+    expect((await runConfig(...args)).exitCode).toEqual(0);
+    const { out } = await runConfig('status', '--settings', settings);
+    expect(out.startsWith('newest revision')).toEqual(true);
+    const missing = await runConfig('get', '--section', 'models');
+    expect(missing.error).toEqual('name the platform: --platform IP:PORT or --settings FILE\n');
+  });
+
+  it('makes a key and shows its secret beside the record to store', async () => {
+    const { out } = await runConfig('key', '--organisation', 'shop', '--json');
+    const key = JSON.parse(out) as { presented: string; record: { id: string } };
+    expect(key.presented.startsWith(`sqr_${key.record.id}_`)).toEqual(true);
+  });
+});
--- a/packages/sequoiarill/src/commands/config.ts
+++ b/packages/sequoiarill/src/commands/config.ts
@@ -10,7 +10,7 @@
 import * as ConfigConnection from './configConnection';
 import type { ConnectionOptions } from './configConnection';
 import * as ConfigOutput from './configOutput';
-import type { CommandResult } from './configOutput';
+import type { CommandResult, Output } from './configOutput';
 
 interface CommonOptions extends ConnectionOptions {
   readonly json?: boolean;
@@ -48,11 +48,10 @@
   options: CommonOptions,
   author: string,
   run: (editor: Platform.DocumentEditor) => Promise<CommandResult>,
-): Promise<void> {
+): Promise<CommandResult> {
   const connection = ConfigConnection.openConnection(options);
   if (connection.kind === 'faults') {
-    ConfigOutput.printResult(ConfigOutput.reportProblem(connection.lines.join('\n')), options.json);
-    return;
+    return ConfigOutput.reportProblem(connection.lines.join('\n'));
   }
   const editor = Platform.createDocumentEditor({
     store: connection.store,
@@ -61,7 +60,7 @@
     author,
   });
   try {
-    ConfigOutput.printResult(await run(editor), options.json);
+    return await run(editor);
   } finally {
     await connection.close();
   }
@@ -76,40 +75,22 @@
   }
 }
 
-async function runWithFile(
-  file: string,
-  options: SectionOptions,
-  run: (editor: Platform.DocumentEditor, text: string) => Promise<CommandResult>,
-): Promise<void> {
+async function runCheck(file: string, options: Partial<SectionOptions>): Promise<CommandResult> {
   const text = readText(file);
-  if (text === undefined) {
-    ConfigOutput.printResult(ConfigOutput.reportUnreadable(file), options.json);
-    return;
-  }
-  await runConnected(options, getAuthor(options), (editor) => run(editor, text));
-}
-
-async function runCheck(file: string, options: Partial<SectionOptions>): Promise<void> {
-  const text = readText(file);
-  if (text === undefined) {
-    ConfigOutput.printResult(ConfigOutput.reportUnreadable(file), options.json);
-    return;
-  }
+  if (text === undefined) return ConfigOutput.reportUnreadable(file);
   const section = options.section ?? path.basename(file, path.extname(file));
   if (options.platform === undefined && options.settings === undefined) {
-    const faults = Platform.checkAlone(text, file, section);
-    ConfigOutput.printResult(ConfigOutput.reportCheck(faults, 'alone'), options.json);
-    return;
+    return ConfigOutput.reportCheck(Platform.checkAlone(text, file, section), 'alone');
   }
-  await runConnected(options, '', async (editor) => {
+  return runConnected(options, '', async (editor) => {
     const outcome = await editor.checkSection({ section, text, file });
     if (outcome.kind === 'unavailable') return ConfigOutput.reportEdit(section, outcome);
     return ConfigOutput.reportCheck(outcome.faults, 'document');
   });
 }
 
-async function runGet(options: SectionOptions): Promise<void> {
-  await runConnected(options, '', async (editor) => {
+function runGet(options: SectionOptions): Promise<CommandResult> {
+  return runConnected(options, '', async (editor) => {
     const document = await editor.readDocument();
     if (document.kind === 'unavailable') return ConfigOutput.reportEdit(options.section, document);
     return ConfigOutput.reportSection(options.section, document.sections.get(options.section));
@@ -120,17 +101,21 @@
   readonly ifRevision?: number;
 }
 
-async function runPut(file: string, options: PutOptions): Promise<void> {
+async function runPut(file: string, options: PutOptions): Promise<CommandResult> {
+  const text = readText(file);
+  if (text === undefined) return ConfigOutput.reportUnreadable(file);
   const { section, ifRevision } = options;
   const condition = ifRevision === undefined ? {} : { ifRevision };
-  await runWithFile(file, options, async (editor, text) => {
+  return runConnected(options, getAuthor(options), async (editor) => {
     const outcome = await editor.putSection({ section, text, file, ...condition });
     return ConfigOutput.reportEdit(section, outcome);
   });
 }
 
-async function runDiff(file: string, options: SectionOptions): Promise<void> {
-  await runWithFile(file, options, async (editor, text) => {
+async function runDiff(file: string, options: SectionOptions): Promise<CommandResult> {
+  const text = readText(file);
+  if (text === undefined) return ConfigOutput.reportUnreadable(file);
+  return runConnected(options, '', async (editor) => {
     const document = await editor.readDocument();
     if (document.kind === 'unavailable') return ConfigOutput.reportEdit(options.section, document);
     const stored = Platform.getSection(document, options.section);
@@ -139,8 +124,8 @@
   });
 }
 
-async function runHistory(options: SectionOptions): Promise<void> {
-  await runConnected(options, '', async (editor) =>
+function runHistory(options: SectionOptions): Promise<CommandResult> {
+  return runConnected(options, '', async (editor) =>
     ConfigOutput.reportHistory(options.section, await editor.listHistory(options.section)),
   );
 }
@@ -149,9 +134,9 @@
   readonly to: number;
 }
 
-async function runRevert(options: RevertOptions): Promise<void> {
+function runRevert(options: RevertOptions): Promise<CommandResult> {
   const { section, to } = options;
-  await runConnected(options, getAuthor(options), async (editor) => {
+  return runConnected(options, getAuthor(options), async (editor) => {
     const outcome = await editor.revertSection(section, to);
     if (outcome.kind !== 'noSuchRevision') return ConfigOutput.reportEdit(section, outcome);
     const hint = `see "sequoiarill config history --section ${section}"`;
@@ -159,14 +144,22 @@
   });
 }
 
-async function runStatus(options: CommonOptions): Promise<void> {
-  await runConnected(options, '', async (editor) => {
+function runStatus(options: CommonOptions): Promise<CommandResult> {
+  return runConnected(options, '', async (editor) => {
     const document = await editor.readDocument();
     if (document.kind === 'unavailable') return ConfigOutput.reportEdit('', document);
     return ConfigOutput.reportStatus(document);
   });
 }
 
+interface KeyOptions extends CommonOptions {
+  readonly organisation: string;
+}
+
+async function runKey(options: KeyOptions): Promise<CommandResult> {
+  return ConfigOutput.reportKey(options.organisation, Platform.createKeyRecord());
+}
+
 function addConnectionOptions(command: Commander.Command): Commander.Command {
   return command
     .option('--platform <ip:port>', 'gateway of the key-value service; several with commas')
@@ -187,7 +180,24 @@
   return command.option('--author <name>', 'who is shown in the history; the user by default');
 }
 
-function addReadingCommands(config: Commander.Command): void {
+type Run<Options> = (options: Options) => Promise<CommandResult>;
+type RunWithFile<Options> = (file: string, options: Options) => Promise<CommandResult>;
+
+/** Prints what a command without arguments decided. */
+function createAction<Options extends CommonOptions>(output: Output, run: Run<Options>) {
+  return async (options: Options) =>
+    ConfigOutput.printResult(output, await run(options), options.json);
+}
+
+function createFileAction<Options extends CommonOptions>(
+  output: Output,
+  run: RunWithFile<Options>,
+) {
+  return async (file: string, options: Options) =>
+    ConfigOutput.printResult(output, await run(file, options), options.json);
+}
+
+function addReadingCommands(config: Commander.Command, output: Output): void {
   addConnectionOptions(config.command('check <file>'))
     .description('check a section; against the whole document when a platform is named')
     .option(
@@ -195,43 +205,45 @@
       'name of the section; that of the file by default',
       parseSectionName,
     )
-    .action(runCheck);
-  addSectionOption(config.command('get')).description('print a section').action(runGet);
+    .action(createFileAction(output, runCheck));
+  addSectionOption(config.command('get'))
+    .description('print a section')
+    .action(createAction(output, runGet));
   addSectionOption(config.command('diff <file>'))
     .description('show what putting the file would change')
-    .action(runDiff);
+    .action(createFileAction(output, runDiff));
   addSectionOption(config.command('history'))
     .description('list the accepted texts of a section')
-    .action(runHistory);
+    .action(createAction(output, runHistory));
   addConnectionOptions(config.command('status'))
     .description('show the revision of every section in the platform')
-    .action(runStatus);
+    .action(createAction(output, runStatus));
 }
 
-function addWritingCommands(config: Commander.Command): void {
+function addWritingCommands(config: Commander.Command, output: Output): void {
   addAuthorOption(addSectionOption(config.command('put <file>')))
     .description('check a section and write it by compare-and-swap')
     .option('--if-revision <revision>', 'write only over this revision', parseRevision)
-    .action(runPut);
+    .action(createFileAction(output, runPut));
   addAuthorOption(addSectionOption(config.command('revert')))
     .description('write an earlier text as a new revision')
     .requiredOption('--to <revision>', 'revision of the earlier text', parseRevision)
-    .action(runRevert);
+    .action(createAction(output, runRevert));
   config
     .command('key')
     .description('make an API key; the secret is shown this once')
     .requiredOption('--organisation <name>', 'organisation it is for')
     .option('--json', 'print JSON')
-    .action((options: { readonly organisation: string; readonly json?: boolean }) => {
-      const result = ConfigOutput.reportKey(options.organisation, Platform.createKeyRecord());
-      ConfigOutput.printResult(result, options.json);
-    });
+    .action(createAction(output, runKey));
 }
 
-export function createConfigCommand(): Commander.Command {
+/** The `config` commands; tests give an output of their own. */
+export function createConfigCommand(
+  output: Output = ConfigOutput.PROCESS_OUTPUT,
+): Commander.Command {
   const config = new Commander.Command('config');
   config.description('edit sections of the configuration document');
-  addReadingCommands(config);
-  addWritingCommands(config);
+  addReadingCommands(config, output);
+  addWritingCommands(config, output);
   return config;
 }
--- a/packages/sequoiarill/src/commands/configOutput.ts
+++ b/packages/sequoiarill/src/commands/configOutput.ts
@@ -8,14 +8,30 @@
   readonly json: unknown;
 }
 
-function printLine(stream: NodeJS.WriteStream, text: string): void {
-  if (text !== '') stream.write(text.endsWith('\n') ? text : `${text}\n`);
+/** Where results go. */
+export interface Output {
+  readonly writeOut: (text: string) => void;
+  readonly writeError: (text: string) => void;
+  readonly setExitCode: (code: number) => void;
 }
 
-export function printResult(result: CommandResult, isJson = false): void {
-  process.exitCode = result.exitCode;
-  if (isJson) printLine(process.stdout, JSON.stringify(result.json));
-  else printLine(result.exitCode === 0 ? process.stdout : process.stderr, result.text);
+export const PROCESS_OUTPUT: Output = {
+  writeOut: (text) => process.stdout.write(text),
+  writeError: (text) => process.stderr.write(text),
+  setExitCode(code) {
+    process.exitCode = code;
+  },
+};
+
+function formatLine(text: string): string {
+  return text.endsWith('\n') ? text : `${text}\n`;
+}
+
+export function printResult(output: Output, result: CommandResult, isJson = false): void {
+  output.setExitCode(result.exitCode);
+  if (isJson) output.writeOut(formatLine(JSON.stringify(result.json)));
+  else if (result.exitCode === 0) output.writeOut(formatLine(result.text));
+  else output.writeError(formatLine(result.text));
 }
 
 export function reportProblem(message: string): CommandResult {
