--- a/packages/sequoiarill/src/cli.ts
+++ b/packages/sequoiarill/src/cli.ts
@@ -1,6 +1,7 @@
 /** The whole command line, put together from its commands. */
 import * as Commander from 'commander';
 
+import * as ConfigCommands from './commands/config';
 import * as ExplainCommands from './commands/explain';
 import * as RouterCommands from './commands/router';
 import * as SettingsCommands from './commands/settings';
@@ -20,6 +21,7 @@
     .showHelpAfterError()
     .addCommand(RouterCommands.createRouterCommand())
     .addCommand(SettingsCommands.createSettingsCommand())
+    .addCommand(ConfigCommands.createConfigCommand())
     .addCommand(StateCommands.createStateCommand())
     .addCommand(ExplainCommands.createExplainCommand())
     .addHelpText('after', EXAMPLES);
