Run membership over signed tRPC calls between routers

Cause: the pure core had no sockets. The plug-in membership listens for peers, signs calls and answers with HMAC-SHA256 over method, destination, path, sender, incarnation, counter and body, and refuses forged, repeated and misdirected calls; one task runs each exchange.

--- a/packages/sequoiarill-plugin-membership/src/__tests__/virtualFleet.ts
+++ b/packages/sequoiarill-plugin-membership/src/__tests__/virtualFleet.ts
@@ -83,6 +83,14 @@
   readonly seeds?: readonly string[];
 }
 
+export interface ArrivedCall {
+  readonly to: Node;
+  readonly request: PeerCall;
+}
+
+/** Kept for repetition; more would only hold memory. */
+const MAX_ARRIVED = 2_000;
+
 export interface Fleet {
   readonly nodes: Node[];
   readonly addNode: (options: NodeOptions) => Node;
@@ -92,6 +100,11 @@
   readonly runMs: (ms: number) => void;
   /** Calls for which this returns false are lost; replaced by tests. */
   isDelivered: (from: Node, to: Node) => boolean;
+  /** Calls for which this returns false take effect, but their answer is lost. */
+  isAnswered: () => boolean;
+  /** Calls that arrived, for tests that let them arrive again. */
+  readonly arrived: ArrivedCall[];
+  readonly repeatCall: (arrived: ArrivedCall) => void;
 }
 
 export function createFleet(seed: number): Fleet {
@@ -103,7 +116,11 @@
     const to = nodes.find((node) => node.address === request.address && !node.isDown);
     const isLost = to === undefined || to.isPaused || !fleet.isDelivered(from, to);
     if (isLost) return { kind: 'failed', message: 'no answer' };
-    return { kind: 'answered', output: handleCall(to, request) };
+    if (fleet.arrived.length < MAX_ARRIVED) fleet.arrived.push({ to, request });
+    const output = handleCall(to, request);
+    return fleet.isAnswered()
+      ? { kind: 'answered', output }
+      : { kind: 'failed', message: 'answer lost' };
   }
 
   function handleCall(to: Node, request: PeerCall) {
@@ -140,6 +157,11 @@
   const fleet: Fleet = {
     nodes,
     isDelivered: () => true,
+    isAnswered: () => true,
+    arrived: [],
+    repeatCall({ to, request }) {
+      if (!to.isDown && !to.isPaused) handleCall(to, request);
+    },
     getNowMs: () => nowMs,
     getNode(name) {
       const found = nodes.find((node) => node.name === name && !node.isDown);
--- a/packages/sequoiarill-plugin-membership/src/factStore.ts
+++ b/packages/sequoiarill-plugin-membership/src/factStore.ts
@@ -44,7 +44,7 @@
       const newer: TargetFact[] = [];
       for (const facts of factsByTarget.values()) {
         const fact = facts.get(observer)?.fact;
-        // Aged facts are not told: after a pause they would look fresh to whoever gets them.
+        // Nobody decides by aged facts, and a woken router would send all it has.
         if (fact !== undefined && fact.version > version && Facts.isFresh(fact, nowMs)) {
           newer.push(fact);
         }
--- a/packages/sequoiarill-plugin-membership/src/index.ts
+++ b/packages/sequoiarill-plugin-membership/src/index.ts
@@ -1,2 +1,9 @@
 /** Routers of a region know each other and the health of their targets. */
-export {};
+import * as Kernel from '@sequoiarill/kernel';
+
+import * as MembershipPlugin from './plugin';
+
+Kernel.registerPlugin(MembershipPlugin.plugin);
+
+export { METRICS } from './metrics';
+export { plugin } from './plugin';
--- /dev/null
+++ b/packages/sequoiarill-plugin-membership/src/runningRouter.ts
@@ -0,0 +1,113 @@
+/** Puts the parts of one router together once its address is known. */
+import type { PluginContext, StateDump } from '@sequoiarill/types';
+
+import * as Dumps from './dump';
+import * as Events from './events';
+import * as States from './exchangeState';
+import type { ExchangeState } from './exchangeState';
+import * as Detectors from './failureDetector';
+import type { PingOutput } from './messages';
+import * as PeerClients from './peerClient';
+import type { PeerRecord } from './peerRecord';
+import * as PeerRouters from './peerRouter';
+import type { PeerServer } from './peerServer';
+import type { MergeOutcome } from './peerTable';
+import * as PeerTables from './peerTable';
+import * as PeerTasks from './peerTasks';
+import * as RoundPlans from './rounds';
+import type { Rounds } from './rounds';
+import * as TargetTables from './targetTable';
+
+export interface RunningRouterOptions {
+  readonly context: PluginContext;
+  readonly key: Buffer;
+  readonly server: PeerServer;
+  readonly address: string;
+  readonly seeds: readonly string[];
+  readonly onTargets: (targets: readonly string[]) => void;
+}
+
+export interface RunningRouter {
+  readonly state: ExchangeState;
+  readonly rounds: Rounds;
+  readonly stop: () => Promise<void>;
+  readonly dumpState: () => StateDump;
+}
+
+export async function startRouter(options: RunningRouterOptions): Promise<RunningRouter> {
+  const { context, key, server, address, seeds } = options;
+  const { default: createXxHash } = await import('xxhash-wasm');
+  const { h64ToString } = await createXxHash();
+  const { name } = context.process;
+  const peers = PeerTables.createPeerTable({
+    process: context.process,
+    address,
+    // The wall clock only makes a restart likely to come out higher; peers correct it if not.
+    incarnation: Date.parse(context.clock.getWallTime()),
+    hashText: (text) => h64ToString(text),
+  });
+  const state = States.createExchangeState({
+    peers,
+    targets: TargetTables.createTargetTable(name, (text) => h64ToString(text)),
+    detector: Detectors.createFailureDetector(),
+    configuration: context.getCapability('configurationExchange'),
+    getNowMs: context.clock.getNowMs,
+    onTargets: options.onTargets,
+    onRecord: (record, outcome) => logRecord(context, record, outcome),
+    onNewerConfiguration: (peer) => tasks.startExchange(peer),
+  });
+  const rounds = RoundPlans.createRounds({ state, seeds, nextRandom: context.nextRandom });
+  const client = PeerClients.createPeerClient({
+    key,
+    getSelf: peers.getSelf,
+    onOldIncarnation(highest) {
+      if (highest < peers.getSelf().incarnation) return;
+      peers.setIncarnationAbove(highest);
+      state.updateRoster();
+    },
+  });
+  const tasks = PeerTasks.createPeerTasks({ context, state, rounds, callPeer: client.callPeer });
+
+  async function isReachable(peer: string): Promise<boolean> {
+    const record = peers.findRecord(peer);
+    if (record === undefined) return false;
+    const answer = await client.callPeer({
+      procedure: 'ping',
+      address: record.address,
+      input: { from: name },
+    });
+    return answer.kind === 'answered' && (answer.output as PingOutput).name === peer;
+  }
+
+  server.setRouter(PeerRouters.createPeerRouter({ state, isReachable }), address);
+  const stopped = new AbortController();
+  const running = tasks.runRounds(stopped.signal);
+  return {
+    state,
+    rounds,
+    async stop() {
+      stopped.abort();
+      await running;
+      await client.close();
+      await tasks.waitIdle();
+    },
+    dumpState: () =>
+      Dumps.dumpRouter({
+        state,
+        rounds,
+        exchanges: tasks.getCounts(),
+        served: server.getTraffic(),
+        called: client.getTraffic(),
+      }),
+  };
+}
+
+function logRecord(context: PluginContext, record: PeerRecord, outcome: MergeOutcome): void {
+  const { name: peer, zone, address, incarnation } = record;
+  const fields = { peer, zone, address, incarnation };
+  if (outcome === 'conflict') context.logEvent(Events.NAME_CONFLICT, fields);
+  else if (outcome === 'refuted') context.logEvent(Events.DEATH_REFUTED, fields);
+  else if (record.state === 'dead') context.logEvent(Events.PEER_DEAD, fields);
+  else if (record.state === 'leaving') context.logEvent(Events.PEER_LEAVING, fields);
+  else context.logEvent(Events.PEER_JOINED, fields);
+}
