--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/plugin.ts
@@ -0,0 +1,168 @@
+/** The generations plug-in: joins the pure parts with engines, clock and configuration. */
+import * as Decisions from '@sequoiarill/decisions';
+import type { AdmissionRequest, Permit } from '@sequoiarill/decisions';
+import type {
+  Configuration,
+  GenerationOutcome,
+  GenerationRequest,
+  Model,
+  Plugin,
+  PluginContext,
+  PluginInstance,
+  TokenBatch,
+  Usage,
+} from '@sequoiarill/types';
+
+import * as AdmissionGates from './admissionGate';
+import * as EngineCalls from './engineCalls';
+import * as EnginePools from './enginePools';
+import * as Events from './events';
+import * as Generations from './generation';
+import type { GenerationParts } from './generation';
+import * as Observers from './observer';
+import * as Prompts from './prompts';
+import * as ServingTargets from './servingTargets';
+import * as Settings from './settings';
+import type { GenerationsSettings } from './settings';
+import * as Targets from './targets';
+
+export const generationsPlugin: Plugin<GenerationsSettings> = {
+  name: 'generations',
+  settingsSchema: Settings.settingsSchema,
+  provides: ['generations'],
+  needs: ['configuration', 'membership'],
+  events: Object.values(Events),
+  createInstance,
+};
+
+/** Retries of requests that no engine has begun: a fifth of the requests, and a few each second. */
+const RETRY_BUDGET = { ratio: 0.2, minPerSecond: 5, burst: 100 };
+
+function createInstance(context: PluginContext, settings: GenerationsSettings): PluginInstance {
+  const { clock, metrics, journal } = context;
+  const { getNowMs } = clock;
+  const configuration = context.getCapability('configuration');
+  const pools = EnginePools.createEnginePools({
+    connectTimeoutMs: settings.connectTimeoutMs,
+    maxConnections: settings.maxConnectionsPerEngine,
+  });
+  const targets = Targets.createTargets({
+    zone: context.process.zone,
+    serving: ServingTargets.createServingTargets({
+      routerName: context.process.name,
+      zone: context.process.zone,
+      setSize: settings.targetsPerModel,
+      getConfiguration: configuration.getConfiguration,
+    }),
+    getInFlight: pools.getInFlight,
+    membership: context.getCapability('membership'),
+    nextRandom: context.nextRandom,
+    getNowMs,
+  });
+  const gate = AdmissionGates.createAdmissionGate({
+    nextRandom: context.nextRandom,
+    getNowMs,
+    getSlots: (model) => computeSlots(configuration.getConfiguration(), model),
+  });
+  const retryBudget = Decisions.createRetryBudget(RETRY_BUDGET);
+  const pacer = Decisions.createContinuationPacer();
+  const engines = EngineCalls.createEngineCalls({ pools, targets, getNowMs });
+  const observer = Observers.createObserver(context, targets, engines.cancelAttempt);
+  let running = 0;
+
+  const parts: GenerationParts = {
+    chooseTarget: targets.chooseTarget,
+    runAttempt: engines.runAttempt,
+    cancelAttempt: engines.cancelAttempt,
+    // What has begun goes on in any case, paced; only fresh starts draw on the budget.
+    takeRetry: (query) => query.purpose === 'continuation' || retryBudget.takeRetry(getNowMs()),
+    async waitForStart(order) {
+      const cost = order.tokenIds?.length ?? 0;
+      const { startAtMs } = pacer.reserveStart(getNowMs(), order.target.name, cost);
+      const delayMs = startAtMs - getNowMs();
+      if (delayMs >= 1) await clock.waitMs(delayMs, order.request.signal);
+    },
+    journal,
+    getNowMs,
+    ...observer,
+  };
+
+  async function* runGeneration(
+    request: GenerationRequest,
+  ): AsyncGenerator<TokenBatch, GenerationOutcome, void> {
+    const model = configuration.getConfiguration().models.get(request.model);
+    if (model === undefined) {
+      const message = `model "${request.model}" is not configured`;
+      return { kind: 'rejected', message, parameter: 'model' };
+    }
+    const admitted = await gate.waitForPermit(createAdmissionRequest(request), request.signal);
+    if (admitted.kind === 'cancelled') return { kind: 'cancelled', usage: NO_USAGE };
+    if (admitted.kind === 'refused') return observer.recordRefusal(request, admitted);
+    return yield* runAdmitted(request, model, admitted.permit);
+  }
+
+  async function* runAdmitted(
+    request: GenerationRequest,
+    model: Model,
+    permit: Permit,
+  ): AsyncGenerator<TokenBatch, GenerationOutcome, void> {
+    const startedMs = getNowMs();
+    let outputTokens = 0;
+    running += 1;
+    retryBudget.recordRequest(startedMs);
+    observer.recordStart(request, permit);
+    const generation = Generations.runGeneration(request, model, parts);
+    try {
+      for (;;) {
+        const next = await generation.next();
+        if (next.done) return observer.recordOutcome(request, next.value);
+        if (outputTokens === 0) recordFirstToken(permit, getNowMs() - startedMs);
+        outputTokens += next.value.tokenCount;
+        yield next.value;
+      }
+    } finally {
+      await generation.return({ kind: 'cancelled', usage: NO_USAGE });
+      running -= 1;
+      gate.releasePermit(permit, outputTokens);
+      metrics.addCount('generations.tokens', outputTokens);
+    }
+  }
+
+  function recordFirstToken(permit: Permit, ms: number): void {
+    gate.recordFirstToken(permit, ms);
+    metrics.recordTiming('generations.firstToken', ms);
+  }
+
+  const unsubscribe = configuration.subscribeConfiguration(({ targets: known }) =>
+    pools.removeMissing(new Set(known.keys())),
+  );
+  return {
+    capabilities: { generations: { runGeneration } },
+    async stop() {
+      unsubscribe();
+      gate.close();
+      await pools.close();
+    },
+    dumpState: () => ({ running, lanes: gate.dumpLanes(), ...targets.dumpTargets() }),
+  };
+}
+
+const NO_USAGE: Usage = { promptTokens: 0, completionTokens: 0 };
+
+function computeSlots(configuration: Configuration, model: string): number {
+  let slots = 0;
+  for (const target of configuration.targets.values()) {
+    const serves = target.kind === 'engine' && target.models.some((name) => name.startsWith(model));
+    if (serves) slots += target.slots;
+  }
+  return slots;
+}
+
+function createAdmissionRequest(request: GenerationRequest): AdmissionRequest {
+  return {
+    organisation: request.organisation,
+    model: request.model,
+    promptTokens: Prompts.computePromptTokens(request.messages),
+    maxOutputTokens: request.maxOutputTokens,
+  };
+}
