Keep a stand-in's process alive while it plays dead, and check the form

Cause: `die` in a process of its own left nothing that listens, so the process ended and `reviveAfterMs` never came. The refusing faults of platform and service can now end by themselves too, and a stop cancels what is pending. The published client of the interface reads the engine's stream in a test.

Ruled out: a separate control listener.

--- a/packages/sequoiarill-standins/src/__tests__/main.test.ts
+++ b/packages/sequoiarill-standins/src/__tests__/main.test.ts
@@ -42,6 +42,28 @@
     });
   }
 
+  // A bench that kills an engine for a moment would lose it for good.
+  // The engine plays dead, nothing is left that listens, and its process ends.
+  it('outlives the time in which it plays dead', async () => {
+    const child = startProcess('engine', Path.join(EXAMPLES, 'engine.ini'));
+    const [line] = (await once(child.stdout, 'data')) as [Buffer];
+    const { address } = JSON.parse(String(line)) as Announcement;
+    const fault = { kind: 'die', reviveAfterMs: 300 };
+    const answer = await Calls.sendJson(`http://${address}/standin/fault`, fault);
+    await answer.body.dump();
+    await expect(Calls.readGet(`http://${address}/health`)).toBeRejected();
+    await Calls.waitUntil(() =>
+      Calls.readGet(`http://${address}/health`).then(
+        (response) => response.body.dump().then(() => true),
+        () => child.exitCode !== null,
+      ),
+    );
+    expect(child.exitCode).toEqual(null);
+    child.kill('SIGINT');
+    const [code] = (await once(child, 'exit')) as [number | null];
+    expect(code).toEqual(0);
+  });
+
   it('lists every fault of a settings file at once', async () => {
     const file = Path.join(directory, 'bad.ini');
     writeFileSync(file, '[engine]\nlisten = nowhere\nslots = 0\nspeed = 1\n[mistake]\na = 1\n');
--- a/packages/sequoiarill-standins/src/engine/__tests__/continuation.test.ts
+++ b/packages/sequoiarill-standins/src/engine/__tests__/continuation.test.ts
@@ -2,6 +2,7 @@
 
 import { expect } from 'earl';
 import * as FastCheck from 'fast-check';
+import { OpenAI } from 'openai';
 
 import * as Calls from '../../shared/__tests__/calls';
 import * as Engine from '..';
@@ -81,6 +82,28 @@
     expect(answer.usage?.completion_tokens).toEqual(expected.ids.length);
   });
 
+  it("serves the interface's published client", async () => {
+    const openai = new OpenAI({ baseURL: `${firstUrl}/v1`, apiKey: 'none', maxRetries: 0 });
+    const messages = [{ role: 'user', content: 'Renew the contract.' }] as const;
+    const stream = await openai.chat.completions.create({
+      model: MODEL,
+      messages: [...messages],
+      max_tokens: MAX_TOKENS,
+      stream: true,
+      stream_options: { include_usage: true },
+    });
+    let text = '';
+    let tokens = 0;
+    for await (const chunk of stream) {
+      text += chunk.choices[0]?.delta.content ?? '';
+      tokens = chunk.usage?.completion_tokens ?? tokens;
+    }
+    const expected = Engine.computeOutput(OPTIONS, Engine.encodeMessages(messages), MAX_TOKENS);
+    expect([text, tokens]).toEqual([expected.text, expected.ids.length]);
+    const models = await openai.models.list();
+    expect(models.data.map((model) => model.id)).toEqual([MODEL]);
+  });
+
   // A caller would see U+FFFD in the middle of an Icelandic word.
   // The engine died between the two tokens of one character, and the continuation began there.
   // Cause: engines decode their own output only. A router has to cut before the character.
--- a/packages/sequoiarill-standins/src/engine/engine.ts
+++ b/packages/sequoiarill-standins/src/engine/engine.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import * as Control from '../shared/control';
-import * as Gates from '../shared/gate';
+import * as Waiting from '../shared/waiting';
 import * as Http from '../shared/http';
 import * as Servers from '../shared/server';
 import * as Cores from './core';
@@ -32,7 +32,8 @@
 
 export function createEngineStandin(input: Settings.EngineSettingsInput = {}): EngineStandin {
   const settings = Settings.engineSettingsSchema.parse(input);
-  const gate = Gates.createGate();
+  const gate = Waiting.createGate();
+  const revival = Waiting.createLaterTask();
   const core = Cores.createEngineCore(settings, handleTokens);
   const control: Control.ControlOptions<EngineFault> = {
     schema: Faults.engineFaultSchema,
@@ -57,10 +58,7 @@
   function failEngine(reviveAfterMs: number | undefined): void {
     server.refuseConnections();
     core.clear();
-    if (reviveAfterMs === undefined) return;
-    setTimeout(() => {
-      resumeEngine().catch(() => undefined);
-    }, reviveAfterMs).unref();
+    if (reviveAfterMs !== undefined) revival.delay(reviveAfterMs, resumeEngine);
   }
 
   function removeFaults(): void {
@@ -128,6 +126,7 @@
   }
 
   async function stop(): Promise<void> {
+    revival.cancel();
     clearInterval(loadTimer);
     loadTimer = undefined;
     const stopped = server.stop();
--- a/packages/sequoiarill-standins/src/engine/models.ts
+++ b/packages/sequoiarill-standins/src/engine/models.ts
@@ -1,5 +1,5 @@
 /** Which models an engine has loaded, and the orders that change it. */
-import * as Gates from '../shared/gate';
+import * as Waiting from '../shared/waiting';
 
 export interface ModelSet {
   readonly hasModel: (model: string) => boolean;
@@ -18,12 +18,12 @@
     listModels: () => [...loaded],
     async loadModel(model) {
       if (loaded.has(model)) return;
-      await Gates.waitMs(loadMs);
+      await Waiting.waitMs(loadMs);
       loaded.add(model);
     },
     async removeModel(model) {
       if (!loaded.delete(model)) return;
-      await Gates.waitMs(loadMs);
+      await Waiting.waitMs(loadMs);
     },
     clear() {
       loaded.clear();
--- a/packages/sequoiarill-standins/src/main.ts
+++ b/packages/sequoiarill-standins/src/main.ts
@@ -41,6 +41,8 @@
   },
 ];
 
+const KEEP_ALIVE_MS = 60_000;
+
 async function runStandin(kind: StandinKind, file: string | undefined): Promise<void> {
   const result = SettingsFiles.loadSettingsFile(file, kind.name, kind.schema);
   if (result.kind === 'faults') {
@@ -51,8 +53,11 @@
   const standin = kind.create(result.settings);
   const { address } = await standin.start();
   process.stdout.write(`${JSON.stringify({ standin: kind.name, address })}\n`);
+  // A stand-in that plays dead has no listener; without this timer its process would end.
+  const keepAlive = setInterval(() => undefined, KEEP_ALIVE_MS);
   // Nothing is left to run after the stop, so that the process ends by itself.
   const handleSignal = (): void => {
+    clearInterval(keepAlive);
     standin.stop().catch((error: unknown) => failProcess(error));
   };
   process.once('SIGTERM', handleSignal);
--- a/packages/sequoiarill-standins/src/platform/faults.ts
+++ b/packages/sequoiarill-standins/src/platform/faults.ts
@@ -4,8 +4,11 @@
 export const platformFaultSchema = Zod.discriminatedUnion('kind', [
   /** Connections are taken and cut before anything is done. */
   Zod.strictObject({ kind: Zod.literal('down') }),
-  /** Connections are cut and refused. */
-  Zod.strictObject({ kind: Zod.literal('refuse') }),
+  /** Connections are cut and refused, until `up` or for so many milliseconds. */
+  Zod.strictObject({
+    kind: Zod.literal('refuse'),
+    forMs: Zod.number().int().min(0).optional(),
+  }),
   /** Calls hang, and are done when the fault ends. */
   Zod.strictObject({ kind: Zod.literal('hang') }),
   /** Each call waits so long before it is done, in milliseconds; 0 ends it. */
--- a/packages/sequoiarill-standins/src/platform/platform.ts
+++ b/packages/sequoiarill-standins/src/platform/platform.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import * as Control from '../shared/control';
-import * as Gates from '../shared/gate';
+import * as Waiting from '../shared/waiting';
 import * as Http from '../shared/http';
 import * as Servers from '../shared/server';
 import * as Calls from './calls';
@@ -60,7 +60,8 @@
     setFault,
     getCounters,
   };
-  const gate = Gates.createGate();
+  const gate = Waiting.createGate();
+  const revival = Waiting.createLaterTask();
   const counts = { reads: 0, writes: 0, leaseCalls: 0, watchesOpened: 0 };
   let leaseTimer: NodeJS.Timeout | undefined;
   let isDown = false;
@@ -91,7 +92,7 @@
   async function handleCall(path: PlatformPath, exchange: Http.Exchange): Promise<void> {
     const { response } = exchange;
     counts[Counters.getCallKind(path)] += 1;
-    if (slowMs > 0) await Gates.waitMs(slowMs);
+    if (slowMs > 0) await Waiting.waitMs(slowMs);
     await gate.waitOpen();
     if (isDown) {
       response.destroy();
@@ -134,7 +135,7 @@
   async function setFault(fault: PlatformFault): Promise<void> {
     if (fault.kind === 'up') await removeFaults();
     else if (fault.kind === 'down') failConnections();
-    else if (fault.kind === 'refuse') server.refuseConnections();
+    else if (fault.kind === 'refuse') refuseConnections(fault.forMs);
     else if (fault.kind === 'hang') gate.close();
     else if (fault.kind === 'slow') slowMs = fault.ms;
     else if (fault.kind === 'loseAnswers') loss = fault;
@@ -146,6 +147,11 @@
     server.closeConnections();
   }
 
+  function refuseConnections(forMs: number | undefined): void {
+    server.refuseConnections();
+    if (forMs !== undefined) revival.delay(forMs, removeFaults);
+  }
+
   async function removeFaults(): Promise<void> {
     isDown = false;
     slowMs = 0;
@@ -171,6 +177,7 @@
   }
 
   async function stop(): Promise<void> {
+    revival.cancel();
     clearInterval(leaseTimer);
     leaseTimer = undefined;
     gate.open();
--- a/packages/sequoiarill-standins/src/service/faults.ts
+++ b/packages/sequoiarill-standins/src/service/faults.ts
@@ -3,7 +3,11 @@
 
 export const serviceFaultSchema = Zod.discriminatedUnion('kind', [
   /** Every connection is cut and new ones are refused. What was run stays counted. */
-  Zod.strictObject({ kind: Zod.literal('die') }),
+  Zod.strictObject({
+    kind: Zod.literal('die'),
+    /** Milliseconds after which it comes back by itself; without it, `revive` does. */
+    reviveAfterMs: Zod.number().int().min(0).optional(),
+  }),
   /** Back on the same port; ends every other fault too. */
   Zod.strictObject({ kind: Zod.literal('revive') }),
   /** Calls hang, and are run when the fault ends, also when their caller has left. */
--- a/packages/sequoiarill-standins/src/service/service.ts
+++ b/packages/sequoiarill-standins/src/service/service.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import * as Control from '../shared/control';
-import * as Gates from '../shared/gate';
+import * as Waiting from '../shared/waiting';
 import * as Http from '../shared/http';
 import * as Servers from '../shared/server';
 import * as Faults from './faults';
@@ -22,7 +22,8 @@
 export function createServiceStandin(input: Settings.ServiceSettingsInput = {}): ServiceStandin {
   const settings = Settings.serviceSettingsSchema.parse(input);
   const runs = Runs.createServiceRuns(settings.checksIdempotencyKey);
-  const gate = Gates.createGate();
+  const gate = Waiting.createGate();
+  const revival = Waiting.createLaterTask();
   const control: Control.ControlOptions<ServiceFault> = {
     schema: Faults.serviceFaultSchema,
     setFault,
@@ -48,7 +49,7 @@
     }
     const answer = runs.runCall(buildCall(exchange));
     const delayMs = settings.answerMs + slowMs;
-    if (delayMs > 0) await Gates.waitMs(delayMs);
+    if (delayMs > 0) await Waiting.waitMs(delayMs);
     if (answersToLose > 0) {
       answersToLose -= 1;
       response.destroy();
@@ -68,9 +69,10 @@
     gate.open();
   }
 
-  function failService(): void {
+  function failService(reviveAfterMs?: number): void {
     incarnation += 1;
     server.refuseConnections();
+    if (reviveAfterMs !== undefined) revival.delay(reviveAfterMs, resumeService);
   }
 
   async function resumeService(): Promise<void> {
@@ -80,7 +82,7 @@
   }
 
   async function setFault(fault: ServiceFault): Promise<void> {
-    if (fault.kind === 'die') failService();
+    if (fault.kind === 'die') failService(fault.reviveAfterMs);
     else if (fault.kind === 'revive') await resumeService();
     else if (fault.kind === 'pause') gate.close();
     else if (fault.kind === 'unpause') gate.open();
@@ -91,6 +93,7 @@
   }
 
   async function stop(): Promise<void> {
+    revival.cancel();
     incarnation += 1;
     gate.open();
     await server.stop();
--- a/packages/sequoiarill-standins/src/shared/gate.ts
+++ b/packages/sequoiarill-standins/src/shared/waiting.ts
@@ -1,6 +1,5 @@
-/** Holds requests back while a stand-in plays a paused process. */
+/** Waiting: for a paused stand-in to go on, and for time to pass. */
 export interface Gate {
-  readonly isClosed: () => boolean;
   readonly close: () => void;
   readonly open: () => void;
   /** Ends at once while the gate is open. */
@@ -12,7 +11,6 @@
   let release: () => void = () => undefined;
 
   return {
-    isClosed: () => opened !== undefined,
     close() {
       opened ??= new Promise((resolve) => {
         release = resolve;
@@ -34,3 +32,25 @@
     setTimeout(resolve, ms).unref();
   });
 }
+
+/** A task that may be put off; a later one replaces it. */
+export interface LaterTask {
+  /** Runs the task after so many milliseconds, unless the process has ended by then. */
+  readonly delay: (ms: number, task: () => Promise<void>) => void;
+  readonly cancel: () => void;
+}
+
+export function createLaterTask(): LaterTask {
+  let timer: NodeJS.Timeout | undefined;
+  return {
+    delay(ms, task) {
+      clearTimeout(timer);
+      timer = setTimeout(() => {
+        task().catch((error: unknown) => {
+          process.stderr.write(`${String(error)}\n`);
+        });
+      }, ms).unref();
+    },
+    cancel: () => clearTimeout(timer),
+  };
+}
