Refuse unknown fields at the platform stand-in and send watch progress

Cause: an option that the stand-in ignored in silence would let a test pass that the real gateway fails, and watches that ask for progress lines got none.

Ruled out: answering reads of old revisions from the history; nothing asks for them, and they are refused plainly.

Conclusion: no change of meaning for today's calls.

--- a/packages/sequoiarill-standins/src/platform/__tests__/platform.test.ts
+++ b/packages/sequoiarill-standins/src/platform/__tests__/platform.test.ts
@@ -14,6 +14,7 @@
 
 interface WatchLine {
   readonly result: {
+    readonly header: { readonly revision: string };
     readonly created?: boolean;
     readonly canceled?: boolean;
     readonly compact_revision?: string;
@@ -34,7 +35,10 @@
   let nowMs = 0;
 
   beforeEach(async () => {
-    platform = Platform.createPlatformStandin({ leaseCheckMs: 1 }, { clock: { getNowMs } });
+    platform = Platform.createPlatformStandin(
+      { leaseCheckMs: 1, progressMs: 5 },
+      { clock: { getNowMs } },
+    );
     url = `http://${(await platform.start()).address}`;
   });
 
@@ -68,12 +72,16 @@
     });
   }
 
-  async function openWatch(startRevision: number): Promise<AsyncGenerator<WatchLine, void, void>> {
+  async function openWatch(
+    startRevision: number,
+    wantsProgress = false,
+  ): Promise<AsyncGenerator<WatchLine, void, void>> {
     const response = await Calls.sendJson(`${url}/v3/watch`, {
       create_request: {
         key: encodeText('a/'),
         range_end: encodeText('a0'),
         start_revision: String(startRevision),
+        progress_notify: wantsProgress,
       },
     });
     return readLines(response);
@@ -131,6 +139,17 @@
     await Calls.waitUntil(() => platform.getCounters().watchesOpen === 0);
   });
 
+  it('tells a quiet watcher how far it is, where it asked for that', async () => {
+    const lines = await openWatch(1, true);
+    await lines.next();
+    await writeKey('b/1', 'elsewhere');
+    const revision = String(platform.getRevision());
+    let line = (await lines.next()).value;
+    while (line?.result.header.revision !== revision) line = (await lines.next()).value;
+    expect(line.result.events).toEqual(undefined);
+    await lines.return();
+  });
+
   // A router would serve an old configuration for ever.
   // Its watch broke, changes were made and compacted, and it went on from where it was.
   // Cause: the changes between are gone, which only the compacted answer tells.
@@ -185,6 +204,12 @@
     await many.body.dump();
   });
 
+  it('refuses fields that it does not know', async () => {
+    const nested = await Calls.sendJson(`${url}/v3/kv/txn`, { success: [{ request_txn: {} }] });
+    const { message } = await Calls.readJson<{ message: string }>(nested);
+    expect([nested.statusCode, message.includes('request_txn')]).toEqual([400, true]);
+  });
+
   it('counts calls for the budget', async () => {
     await writeKey('a/1', 'one');
     await readValue('a/1');
--- a/packages/sequoiarill-standins/src/platform/platform.ts
+++ b/packages/sequoiarill-standins/src/platform/platform.ts
@@ -53,7 +53,7 @@
   const leases = Leases.createLeases(store, clock);
   const keyCalls = Calls.createKeyCalls(store, leases, settings);
   const leaseCalls = LeaseCalls.createLeaseCalls(store, leases, clock);
-  const watches = Watches.createWatches(store);
+  const watches = Watches.createWatches(store, settings.progressMs);
   const server = Servers.createStandinServer(settings.listen, handleRequest);
   const control: Control.ControlOptions<PlatformFault> = {
     schema: Faults.platformFaultSchema,
--- a/packages/sequoiarill-standins/src/platform/requests.ts
+++ b/packages/sequoiarill-standins/src/platform/requests.ts
@@ -2,7 +2,8 @@
  * Checked bodies of the gateway's calls.
  *
  * The gateway takes field names in snake case and in camel case, 64-bit numbers as text or as
- * numbers, and enumerations by name or by number.
+ * numbers, and enumerations by name or by number. A field that the stand-in does not know is refused,
+ * so that no test passes because an option was silently ignored.
  */
 import * as Zod from 'zod';
 
@@ -50,11 +51,13 @@
   ]).default(names[0] as never);
 }
 
-const rangeSchema = Zod.object({
+const rangeSchema = Zod.strictObject({
   key: keySchema.default(''),
   range_end: rangeEndSchema,
   limit: numberSchema,
   revision: numberSchema,
+  /** Taken and of no effect, since there is one replica. */
+  serializable: flagSchema,
   keys_only: flagSchema,
   count_only: flagSchema,
   min_mod_revision: numberSchema,
@@ -63,20 +66,20 @@
   sort_target: createEnumSchema(['KEY', 'VERSION', 'CREATE', 'MOD', 'VALUE']),
 });
 
-const putSchema = Zod.object({
+const putSchema = Zod.strictObject({
   key: keySchema.default(''),
   value: bytesSchema.default(Buffer.alloc(0)),
   lease: idSchema,
   prev_kv: flagSchema,
 });
 
-const deleteSchema = Zod.object({
+const deleteSchema = Zod.strictObject({
   key: keySchema.default(''),
   range_end: rangeEndSchema,
   prev_kv: flagSchema,
 });
 
-const compareSchema = Zod.object({
+const compareSchema = Zod.strictObject({
   key: keySchema.default(''),
   range_end: rangeEndSchema,
   result: createEnumSchema(['EQUAL', 'GREATER', 'LESS', 'NOT_EQUAL']),
@@ -88,20 +91,20 @@
   lease: idSchema,
 });
 
-const operationSchema = Zod.object({
+const operationSchema = Zod.strictObject({
   request_range: rangeSchema.optional(),
   request_put: putSchema.optional(),
   request_delete_range: deleteSchema.optional(),
 });
 
-const transactionSchema = Zod.object({
+const transactionSchema = Zod.strictObject({
   compare: Zod.array(compareSchema).default([]),
   success: Zod.array(operationSchema).default([]),
   failure: Zod.array(operationSchema).default([]),
 });
 
-const watchSchema = Zod.object({
-  create_request: Zod.object({
+const watchSchema = Zod.strictObject({
+  create_request: Zod.strictObject({
     key: keySchema.default(''),
     range_end: rangeEndSchema,
     start_revision: numberSchema,
@@ -117,11 +120,11 @@
   '/v3/kv/put': putSchema,
   '/v3/kv/deleterange': deleteSchema,
   '/v3/kv/txn': transactionSchema,
-  '/v3/kv/compaction': Zod.object({ revision: numberSchema }),
-  '/v3/lease/grant': Zod.object({ TTL: numberSchema, ID: idSchema }),
-  '/v3/lease/keepalive': Zod.object({ ID: idSchema }),
-  '/v3/lease/revoke': Zod.object({ ID: idSchema }),
-  '/v3/lease/timetolive': Zod.object({ ID: idSchema, keys: flagSchema }),
+  '/v3/kv/compaction': Zod.strictObject({ revision: numberSchema }),
+  '/v3/lease/grant': Zod.strictObject({ TTL: numberSchema, ID: idSchema }),
+  '/v3/lease/keepalive': Zod.strictObject({ ID: idSchema }),
+  '/v3/lease/revoke': Zod.strictObject({ ID: idSchema }),
+  '/v3/lease/timetolive': Zod.strictObject({ ID: idSchema, keys: flagSchema }),
   '/v3/watch': watchSchema,
 } as const;
 
--- a/packages/sequoiarill-standins/src/platform/settings.ts
+++ b/packages/sequoiarill-standins/src/platform/settings.ts
@@ -13,6 +13,8 @@
   maxTransactionOperations: SharedSettings.createCountSchema(1, 128),
   /** Revisions that a watch can go back; older ones are compacted. */
   historyRevisions: SharedSettings.createCountSchema(1, 10_000),
+  /** Time between the progress lines of a watch that asked for them, in milliseconds. */
+  progressMs: SharedSettings.createCountSchema(1, 600_000),
   /** How often leases are looked through for expired ones, in milliseconds. */
   leaseCheckMs: SharedSettings.createCountSchema(1, 50),
 });
--- a/packages/sequoiarill-standins/src/platform/watches.ts
+++ b/packages/sequoiarill-standins/src/platform/watches.ts
@@ -13,7 +13,7 @@
   readonly closeAll: () => void;
 }
 
-export function createWatches(store: Store): Watches {
+export function createWatches(store: Store, progressMs: number): Watches {
   const open = new Set<ServerResponse>();
 
   function openWatch(request: WatchRequest, response: ServerResponse): void {
@@ -39,13 +39,20 @@
     const unsubscribe = store.subscribeRevisions((revision) => {
       if (revision.revision >= request.start_revision) sendRevision(request, response, revision);
     });
+    const timer = request.progress_notify ? startProgress(response) : undefined;
     open.add(response);
     response.on('close', () => {
+      clearInterval(timer);
       open.delete(response);
       unsubscribe();
     });
   }
 
+  /** A line without events tells the revision up to which there were none. */
+  function startProgress(response: ServerResponse): NodeJS.Timeout {
+    return setInterval(() => sendResult(response, {}), progressMs).unref();
+  }
+
   function sendRevision(
     request: WatchRequest,
     response: ServerResponse,
