Wait for a daemon's events whether or not they carry an address

Cause: the harness waited for an address in the event that tells readiness, which has none, so that every process test hung until its limit. Ruled out: the router itself, which was ready in 0.4 s.

Measured: the suite of engine losses ran to its limit of 180 s before; after, its 5 tests pass in 13 s: kill, kill before a stop sequence, pause and wake, official client through a kill, no engine left.

--- a/packages/sequoiarill-testing/src/daemons.ts
+++ b/packages/sequoiarill-testing/src/daemons.ts
@@ -59,8 +59,8 @@
 }
 
 /**
- * Starts a daemon and waits until it has logged an address for each event named, as
- * `callers.listening`. Rejects with the daemon's output if it ends before that.
+ * Starts a daemon and waits until it has logged each event named, such as `callers.listening`, with
+ * its address if it has one; stand-ins print theirs without a name. Rejects with the daemon's output if it ends before that.
  */
 export async function startDaemon(
   kind: DaemonKind,
@@ -102,8 +102,8 @@
     lines.on('line', (line) => {
       if (log.length < MAX_LOG_LINES) log.push(line);
       const record = parseLine(line);
-      if (record?.address === undefined) return;
-      addresses.set(record.name ?? '', record.address);
+      if (record === undefined) return;
+      addresses.set(record.name ?? '', record.address ?? '');
       if (names.every((name) => addresses.has(name))) resolve();
     });
   });
