--- a/packages/sequoiarill-plugin-orders/src/attempts.ts
+++ b/packages/sequoiarill-plugin-orders/src/attempts.ts
@@ -8,7 +8,7 @@
 } from '@sequoiarill/types';
 
 import type { RetryBudget } from './retryBudget';
-import type { SendingResult, SendOrder } from './sending';
+import type { SendingAnswered, SendingResult, SendOrder } from './sending';
 import type { TargetChooser } from './targetChoice';
 
 /** Three targets that fail in a row mean that the service is away, not a target. */
@@ -51,7 +51,7 @@
     const result = await options.sendOrder(target.address, order, signal);
     chooser.removeInFlight(target.name);
     if (result.kind === 'answered') chooser.recordAnswer(target.name);
-    if (result.kind === 'notSent' && !signal.aborted) {
+    if (result.kind === 'notSent' && result.isTargetFault) {
       chooser.markPassedOver(target.name, clock.getNowMs());
     }
     options.recordSending(order, target, result);
@@ -75,9 +75,14 @@
       if (result.kind === 'answered') return result.answer;
       message = `${target.name}: ${result.message}.`;
       hasLeft ||= result.kind === 'unanswered';
-      if (hasLeft && !canResend) break;
+      if (isFinal(result, canResend)) break;
     }
     if (hasLeft) return { kind: 'unknown', message };
     return { kind: 'notRun', reason: 'noTarget', message, retryAfterSeconds: RETRY_AFTER_SECONDS };
   };
 }
+
+/** Whether another target must not or need not be tried. */
+function isFinal(result: Exclude<SendingResult, SendingAnswered>, canResend: boolean): boolean {
+  return result.kind === 'notSent' ? !result.isTargetFault : !canResend;
+}
--- a/packages/sequoiarill-plugin-orders/src/plugin.ts
+++ b/packages/sequoiarill-plugin-orders/src/plugin.ts
@@ -80,7 +80,7 @@
     const { requestId } = order;
     const reason = `${result.kind} at ${target.name}`;
     journal.recordDecision(requestId, 'dispatched', reason, { target: target.name });
-    if (result.kind !== 'notSent') return;
+    if (result.kind !== 'notSent' || !result.isTargetFault) return;
     logEvent(Events.TARGET_PASSED_OVER, {
       requestId,
       target: target.name,
--- a/packages/sequoiarill-plugin-orders/src/sending.ts
+++ b/packages/sequoiarill-plugin-orders/src/sending.ts
@@ -1,6 +1,6 @@
 /** Sends one order to one target, once, and tells whether a byte of it may have left. */
 import type { OrderDone, OrderRequest } from '@sequoiarill/types';
-import { Pool } from 'undici';
+import { errors as Errors, Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 
 /** The service answered. */
@@ -12,6 +12,8 @@
 /** No byte left for the target. */
 export interface SendingNotSent {
   readonly kind: 'notSent';
+  /** Whether the target took no connection, as against an order that no target could be sent. */
+  readonly isTargetFault: boolean;
   readonly message: string;
 }
 
@@ -118,16 +120,17 @@
       signal.removeEventListener('abort', handleAborted);
       resolve(result);
     }
-    function fail(message: string): void {
-      handleResult({ kind: hasStarted ? 'unanswered' : 'notSent', message });
+    function fail(message: string, isTargetFault: boolean): void {
+      if (hasStarted) handleResult({ kind: 'unanswered', message });
+      else handleResult({ kind: 'notSent', message, isTargetFault });
     }
     function handleAborted(): void {
       // Before the request starts there is nothing to abort; `onRequestStart` then refuses it.
-      fail('no answer in time');
+      fail('no answer in time', false);
       abort?.(new Error('no answer in time'));
     }
     if (signal.aborted) {
-      fail('it was given up before it was sent');
+      fail('it was given up before it was sent', false);
       return;
     }
     signal.addEventListener('abort', handleAborted, { once: true });
@@ -162,7 +165,9 @@
           handleResult({ kind: 'answered', answer });
         },
         onResponseError(_controller, error) {
-          fail(error.message);
+          // One caller's malformed order must not make targets look dead to the others.
+          const isOrderFault = error instanceof Errors.InvalidArgumentError;
+          fail(error.message, !isOrderFault && !signal.aborted);
         },
       },
     );
--- a/packages/sequoiarill-plugin-orders/src/settings.ts
+++ b/packages/sequoiarill-plugin-orders/src/settings.ts
@@ -23,7 +23,7 @@
   /** A claim and its answer are kept for at least so many seconds. */
   claimSeconds: countSchema.default(86_400),
   /** Keys of claims in the platform's service begin with this. */
-  claimPrefix: Zod.string().min(1).default('/sequoiarill/claims/'),
+  claimPrefix: Zod.string().min(1).default('claims/'),
 });
 
 export type OrdersSettings = Readonly<Zod.infer<typeof settingsSchema>>;
