Resume responses and tell how an answer ended

A reader that was up to date got no status until the next token, since headers waited for the first byte of the body. A response asked for in one piece that was lost half-way came with status 200.

--- a/packages/sequoiarill-plugin-callers/src/responses.ts
+++ b/packages/sequoiarill-plugin-callers/src/responses.ts
@@ -53,10 +53,20 @@
   const live = startResponse(front, exchange, request, run, firstStep, controller);
   if (request.stream) {
     closed.removeEventListener('abort', onClosed);
+    EventStreams.startEventStream(exchange.response);
     await relayResponse(front, exchange, live, live.log.openReader(0));
   } else {
-    await live.ended;
+    await sendWhole(front, exchange, live);
+  }
+}
+
+/** A caller that asked for one piece gets a whole answer, or none. */
+async function sendWhole(front: Front, exchange: Exchange, live: LiveResponse): Promise<void> {
+  const outcome = await live.ended;
+  if (outcome.kind === 'completed' || outcome.kind === 'cancelled') {
     Replies.sendJson(exchange.response, HTTP_OK, formatResponse(live));
+  } else {
+    Refusals.refuseRequest(front, exchange, Outcomes.createFailureFault(outcome));
   }
 }
 
@@ -116,7 +126,6 @@
   reader: LogReader,
 ): Promise<void> {
   const { response, closed } = exchange;
-  EventStreams.startEventStream(response);
   closed.addEventListener('abort', live.log.wakeWaiting, { once: true });
   while (!response.destroyed && !reader.hasEnded()) {
     const events = reader.takeEvents();
@@ -156,6 +165,9 @@
     organisation: live.organisation,
     fromSequence: start.value,
   });
+  EventStreams.startEventStream(exchange.response);
+  // A caller that is up to date waits for the status, and the next token may take a while.
+  exchange.response.flushHeaders();
   await relayResponse(front, exchange, live, live.log.openReader(start.value));
 }
 
