--- /dev/null
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/front.test.ts
@@ -0,0 +1,128 @@
+import * as Net from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as Calls from './calls';
+import * as Fakes from './fakes';
+import type { Router } from './fakes';
+
+const routers: Router[] = [];
+
+async function startRouter(...settings: Parameters<typeof Fakes.startRouter>): Promise<Router> {
+  const router = await Fakes.startRouter(...settings);
+  routers.push(router);
+  return router;
+}
+afterEach(async () => {
+  while (routers.length > 0) await routers.pop()?.stop();
+});
+
+/** Sends bytes as they are and reads until the router closes the connection. */
+async function sendRaw(url: string, text: string): Promise<string> {
+  const { hostname, port } = new URL(url);
+  const socket = Net.connect(Number(port), hostname);
+  let answer = '';
+  socket.setEncoding('utf8').on('data', (chunk: string) => {
+    answer += chunk;
+  });
+  socket.write(text);
+  await new Promise((resolve) => {
+    socket.on('close', resolve);
+  });
+  return answer;
+}
+
+describe('the HTTP front', () => {
+  it('says which address is in use, and how to mend it', async () => {
+    // Two routers of one VM are given the same port. The second one must not seem to run.
+    const router = await startRouter();
+    const listen = router.url.replace('http://', '');
+    const error = await Fakes.startRouter({ listen }).then(
+      () => undefined,
+      (reason: unknown) => reason as Error,
+    );
+    expect(error?.message).toEqual(
+      `[callers] listen: ${listen} is in use by another process; choose another address or port`,
+    );
+  });
+
+  it('answers what is not HTTP in the usual form', async () => {
+    const router = await startRouter();
+    const answer = await sendRaw(router.url, 'HELLO\r\n\r\n');
+    expect(answer.startsWith('HTTP/1.1 400 ')).toEqual(true);
+    expect(answer.includes('"code":"malformed_request"')).toEqual(true);
+  });
+
+  it('answers headers that are too large in the usual form', async () => {
+    const router = await startRouter();
+    const answer = await sendRaw(router.url, `GET / HTTP/1.1\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`);
+    expect(answer.startsWith('HTTP/1.1 431 ')).toEqual(true);
+    expect(answer.includes('"code":"headers_too_large"')).toEqual(true);
+  });
+
+  it('shows connections, streams and responses in its state, and no secret', async () => {
+    const router = await startRouter();
+    const steps = Fakes.createStepScript();
+    router.setScript(steps.script);
+    steps.sendText('Secret answer');
+    const stream = await Calls.openCall(`${router.url}/v1/responses`, {
+      body: Calls.RESPONSE_BODY,
+    });
+    await stream.readUntil('Secret answer');
+    const dump = (await router.kernel.dumpProcess()).plugins.callers;
+    const responses = dump?.responses as Readonly<Record<string, number>>;
+    expect([dump?.openConnections, dump?.openRequests, responses.running]).toEqual([1, 1, 1]);
+    expect((responses.bytes ?? 0) > 0).toEqual(true);
+    const shown = JSON.stringify(dump);
+    expect(/Secret|Which size|shop-secret/.test(shown)).toEqual(false);
+    stream.leave();
+  });
+
+  it('drains: refuses what is new and ends what is open', async () => {
+    // An operator replaces the VM. Streams in progress must end by themselves, and a caller that
+    // comes now must be told to go elsewhere, with nothing run.
+    const router = await startRouter();
+    const steps = Fakes.createStepScript();
+    router.setScript(steps.script);
+    steps.sendText('Hello');
+    const open = await Calls.openCall(`${router.url}/v1/responses`, { body: Calls.RESPONSE_BODY });
+    await open.readUntil('Hello');
+    let isDrained = false;
+    const limitMs = 3_600_000;
+    const drained = router.kernel.drain(limitMs).then(() => {
+      isDrained = true;
+    });
+    const refused = await Calls.callOnce(`${router.url}/v1/responses`, {
+      body: Calls.RESPONSE_BODY,
+    });
+    expect(Calls.getError(refused)).toEqual([503, 'draining', null]);
+    expect([refused.headers['retry-after'], refused.headers.connection]).toEqual(['1', 'close']);
+    expect(isDrained).toEqual(false);
+    steps.sendText(' world');
+    steps.finish(Fakes.COMPLETED);
+    const text = await open.readUntil();
+    expect(Calls.getDeltas(text)).toEqual('Hello world');
+    await drained;
+  });
+
+  for (const [path, body] of [
+    ['/v1/chat/completions', Calls.CHAT_BODY],
+    ['/v1/responses', Calls.RESPONSE_BODY],
+  ] as const) {
+    it(`ends a stream with an error that the program failed: ${path}`, async () => {
+      // A fault of the program breaks a generation. Ended in the usual way, half an answer would
+      // look whole; not ended at all, its caller would wait for ever.
+      const router = await startRouter();
+      router.setScript(async function* runBroken() {
+        yield Fakes.createBatch('Half');
+        throw new Error('broken invariant');
+      });
+      const answer = await Calls.callOnce(router.url + path, { body });
+      const isMarked = /event: (error|response\.failed)\n/.test(answer.text);
+      expect([isMarked, answer.text.includes('[DONE]')]).toEqual([true, false]);
+      const next = await Calls.callOnce(`${router.url}/v1/models`);
+      expect(next.status).toEqual(200);
+    });
+  }
+});
--- a/packages/sequoiarill-plugin-callers/src/chat.ts
+++ b/packages/sequoiarill-plugin-callers/src/chat.ts
@@ -8,7 +8,6 @@
 import * as Events from './events';
 import * as EventStreams from './eventStream';
 import type { Exchange, Front } from './exchange';
-import * as Faults from './faults';
 import * as Generating from './generating';
 import type { GenerationRun } from './generating';
 import * as Metrics from './metrics';
@@ -106,7 +105,7 @@
 function formatEnd(chunks: ChatEvents.ChatChunks, outcome: GenerationOutcome): string {
   if (outcome.kind === 'completed') return chunks.formatEnd(outcome.finishReason, outcome.usage);
   // No `[DONE]`: a caller that looks for it sees that the answer is cut.
-  return `data: ${Faults.formatFault(Outcomes.createFailureFault(outcome))}\n\n`;
+  return EventStreams.formatErrorEvent(Outcomes.createFailureFault(outcome));
 }
 
 function recordEnd(
--- a/packages/sequoiarill-plugin-callers/src/dispatch.ts
+++ b/packages/sequoiarill-plugin-callers/src/dispatch.ts
@@ -4,6 +4,7 @@
 import type { KeyOwner } from '@sequoiarill/types';
 
 import * as Events from './events';
+import * as EventStreams from './eventStream';
 import type { Exchange, Front, Handler } from './exchange';
 import * as Faults from './faults';
 import * as Generating from './generating';
@@ -113,13 +114,12 @@
 }
 
 /**
- * A handler threw, which is a fault of the program. The caller is told so if that is still
- * possible; otherwise the stream is cut, so that it cannot be taken for a whole answer.
+ * A handler threw, which is a fault of the program. Handlers write whole events only, so a stream
+ * that is under way can still end with an error event instead of looking like a whole answer.
  */
 function failExchange(front: Front, exchange: Exchange, error: unknown): void {
   const { requestId, response } = exchange;
-  const stack = error instanceof Error ? error.stack : String(error);
-  front.context.logEvent(Events.HANDLER_FAILED, { requestId, stack });
-  if (response.headersSent) response.destroy();
-  else Refusals.refuseRequest(front, exchange, Faults.INTERNAL);
+  front.context.logEvent(Events.HANDLER_FAILED, { requestId, stack: Faults.formatStack(error) });
+  if (!response.headersSent) Refusals.refuseRequest(front, exchange, Faults.INTERNAL);
+  else if (!response.destroyed) response.end(EventStreams.formatErrorEvent(Faults.INTERNAL));
 }
--- a/packages/sequoiarill-plugin-callers/src/eventStream.ts
+++ b/packages/sequoiarill-plugin-callers/src/eventStream.ts
@@ -3,6 +3,9 @@
 
 import type { Clock } from '@sequoiarill/types';
 
+import * as Faults from './faults';
+import type { Fault } from './faults';
+
 const HTTP_OK = 200;
 
 /** Sends the headers; nothing can be refused with a status after this. */
@@ -36,3 +39,8 @@
   response.off('close', onSettled);
   if (!settled.signal.aborted) response.destroy();
 }
+
+/** Ends a stream that cannot go on; the clients of the published APIs raise it as an error. */
+export function formatErrorEvent(fault: Fault): string {
+  return `event: error\ndata: ${Faults.formatFault(fault)}\n\n`;
+}
--- a/packages/sequoiarill-plugin-callers/src/faults.ts
+++ b/packages/sequoiarill-plugin-callers/src/faults.ts
@@ -108,3 +108,8 @@
     retryAfterSeconds === undefined ? error : { ...error, retry_after_seconds: retryAfterSeconds };
   return JSON.stringify({ error: timed });
 }
+
+/** For logs, never for callers. */
+export function formatStack(error: unknown): string {
+  return error instanceof Error ? (error.stack ?? error.message) : String(error);
+}
--- a/packages/sequoiarill-plugin-callers/src/liveResponse.ts
+++ b/packages/sequoiarill-plugin-callers/src/liveResponse.ts
@@ -35,8 +35,17 @@
   /** Whether the generation may go on, or must wait for a reader. */
   readonly hasRoom: (log: ResponseLog) => boolean;
   readonly recordBytes: (change: number) => void;
+  /** Told of a generation that threw. */
+  readonly recordFault: (error: unknown) => void;
 }
 
+const BROKEN: GenerationOutcome = {
+  kind: 'lost',
+  message: 'The router met a fault of its own.',
+  usage: { promptTokens: 0, completionTokens: 0 },
+  retryAfterSeconds: 1,
+};
+
 export function createLiveResponse(options: LiveResponseOptions): LiveResponse {
   const { identity, run, controller, hasRoom, isStreamed } = options;
   const events = ResponseEvents.createResponseEvents(identity, options.signSequence);
@@ -61,7 +70,7 @@
     while (!controller.signal.aborted && !hasRoom(log)) await log.waitForReaders();
   }
 
-  async function runToEnd(): Promise<GenerationOutcome> {
+  async function readSteps(): Promise<GenerationOutcome> {
     let step = options.firstStep;
     while (step.done !== true) {
       addBatch(step.value);
@@ -69,7 +78,15 @@
       const isCancelled = controller.signal.aborted;
       step = isCancelled ? await run.return(Generating.CANCELLED) : await run.next();
     }
-    outcome = step.value;
+    return step.value;
+  }
+
+  /** A generation that throws is a fault of the program; without an end its readers would hang. */
+  async function runToEnd(): Promise<GenerationOutcome> {
+    outcome = await readSteps().catch((error: unknown): GenerationOutcome => {
+      options.recordFault(error);
+      return BROKEN;
+    });
     if (isStreamed) events.formatEnd(text, outcome).forEach(log.addEvent);
     log.close();
     return outcome;
--- a/packages/sequoiarill-plugin-callers/src/responses.ts
+++ b/packages/sequoiarill-plugin-callers/src/responses.ts
@@ -96,6 +96,11 @@
     signSequence: (sequence) => front.cursors.signCursor({ requestId, organisation, sequence }),
     hasRoom: request.stream ? front.store.hasRoom : () => true,
     recordBytes: front.store.recordBytes,
+    recordFault: (error) =>
+      front.context.logEvent(Events.HANDLER_FAILED, {
+        requestId,
+        stack: Faults.formatStack(error),
+      }),
   });
   front.store.addResponse(live);
   recordEnd(front, live).catch(() => undefined);
