--- a/packages/sequoiarill-decisions/src/admission.ts
+++ b/packages/sequoiarill-decisions/src/admission.ts
@@ -140,6 +140,7 @@
     recordFirstToken: permits.recordFirstToken,
     releasePermit: permits.releasePermit,
     getNextDeadlineMs: () => (dropped.length > 0 ? 0 : lanes.getNextDeadlineMs()),
+    setCapacity: (model, slots) => lanes.getLane(model).limit.setCapacity(slots),
     listLanes: () => lanes.listLanes().map(Lanes.dumpLane),
   };
 }
--- a/packages/sequoiarill-decisions/src/admissionTypes.ts
+++ b/packages/sequoiarill-decisions/src/admissionTypes.ts
@@ -98,5 +98,7 @@
   readonly releasePermit: (permit: Permit, use: AdmissionUse, nowMs: number) => void;
   /** When the next ticket is given up unless it starts; for the caller's one timer. */
   readonly getNextDeadlineMs: () => number | undefined;
+  /** Slots of a model's usable targets, at each change; see `ConcurrencyLimit.setCapacity`. */
+  readonly setCapacity: (model: string, slots: number) => void;
   readonly listLanes: () => readonly LaneState[];
 }
--- a/packages/sequoiarill-decisions/src/concurrencyLimit.ts
+++ b/packages/sequoiarill-decisions/src/concurrencyLimit.ts
@@ -20,16 +20,24 @@
 export interface ConcurrencyLimit {
   /** One first token of a generation that was let in; `inFlight` as it was let in. */
   readonly recordFirstToken: (ms: number, inFlight: number, nowMs: number) => void;
+  /**
+   * Slots of the targets that can be used now, weighted by how warm they are. A change moves the limit
+   * in proportion at once: after a third of the targets is lost, the streams that are continued need
+   * every slot that is left, and finding the new limit from late first tokens takes half a minute.
+   */
+  readonly setCapacity: (slots: number) => void;
   readonly getLimit: () => number;
 }
 
+/** Leaves the rest of a second for the queue before the engines. Milliseconds. */
+export const DEFAULT_TARGET_MS = 100;
 /** A window is judged after this time, milliseconds, and only with enough samples. */
-const WINDOW_MS = 1_000;
-const MIN_SAMPLES = 10;
+const WINDOW_MS = 3_000;
+const MIN_SAMPLES = 25;
 const JUDGED_SHARE = 0.9;
 /** Largest change in one window, as factors. */
-const MAX_CUT = 0.85;
-const MAX_RISE = 0.08;
+const MAX_CUT = 0.97;
+const MAX_RISE = 0.03;
 /** The limit only rises while this share of it is in use: unused room proves nothing. */
 const IN_USE_SHARE = 0.85;
 
@@ -38,6 +46,7 @@
   let windowStartMs: number | undefined;
   let samples: number[] = [];
   let highestInFlight = 0;
+  let capacity: number | undefined;
 
   function recordFirstToken(ms: number, inFlight: number, nowMs: number): void {
     windowStartMs ??= nowMs;
@@ -51,7 +60,14 @@
     highestInFlight = 0;
   }
 
-  return { recordFirstToken, getLimit: () => Math.floor(limit) };
+  function setCapacity(slots: number): void {
+    if (slots <= 0 || slots === capacity) return;
+    const factor = slots / (capacity ?? slots);
+    capacity = slots;
+    limit = Math.min(options.max, Math.max(options.min, limit * factor));
+  }
+
+  return { recordFirstToken, setCapacity, getLimit: () => Math.floor(limit) };
 }
 
 function pickRank(samples: readonly number[], share: number): number {
--- a/packages/sequoiarill-decisions/src/continuationPacer.ts
+++ b/packages/sequoiarill-decisions/src/continuationPacer.ts
@@ -25,7 +25,9 @@
 }
 
 export interface ContinuationPacer {
-  /** `costTokens`: to prefill at the target, so without what is cached there. */
+  /**
+   * From here on the caller counts the stream as in flight at the target, or the streams lost beside it
+   * choose the same one. `costTokens`: to prefill at the target, so without what is cached there. */
   readonly reserveStart: (nowMs: number, target: string, costTokens: number) => StartReservation;
   readonly removeTarget: (target: string) => void;
 }
--- a/packages/sequoiarill-decisions/src/door.ts
+++ b/packages/sequoiarill-decisions/src/door.ts
@@ -9,7 +9,7 @@
 import type { Lane, QueuedTicket } from './lane';
 
 /** The estimate errs; a ticket may wait this much longer than the bound before it is dropped. */
-const DEADLINE_SLACK = 1.5;
+const DEADLINE_SLACK = 1.6;
 /** More important work that waits this long turns less important work away, milliseconds. */
 const BROWN_OUT_MS = 100;
 const MAX_PRIORITY = 9;
--- a/packages/sequoiarill-decisions/src/expectedWait.ts
+++ b/packages/sequoiarill-decisions/src/expectedWait.ts
@@ -6,10 +6,12 @@
  * So a report counts together with what was sent after it, fades with its age, and never says less
  * than this router's own work there.
  */
-import type { TargetView } from './targets';
+import type { ChoiceRequest, TargetView } from './targets';
 
-/** A report loses half of its weight in this time; about the time in which a slot changes hands. */
-const REPORT_HALF_LIFE_MS = 4_000;
+/** A report is taken as it is up to this age: the usual lag, within which little else changes. */
+const REPORT_FRESH_MS = 2_500;
+/** An older one loses half of its weight in this time; about the length of a generation. */
+const REPORT_HALF_LIFE_MS = 15_000;
 /** Older reports say nothing any more. */
 const REPORT_MAX_AGE_MS = 30_000;
 /** Prefill of one token that is not cached, in milliseconds, where nothing was measured. */
@@ -22,21 +24,46 @@
 const OTHER_ZONE_MS = 60;
 /** A slow target is the last resort. */
 const SLOW_MS = 5_000;
+/** A stream that was cut once should not be the probe of a target that failed lately. */
+const PROBE_MS = 2_000;
+/** At most so many routers are taken to do what this one does. */
+const MAX_OTHERS_FACTOR = 3;
 const MIN_WARM_SHARE = 0.05;
 
 /** Work at the target now, its own and others', in generations. */
-export function computeOccupancy(view: TargetView): number {
+export function computeOccupancy(
+  view: TargetView,
+  purpose: ChoiceRequest['purpose'] = 'first',
+): number {
   if (view.reportedRunning === undefined) return view.inFlight;
   const ageMs = view.reportAgeMs ?? 0;
   if (ageMs > REPORT_MAX_AGE_MS) return view.inFlight;
   const reported = view.reportedRunning + (view.reportedWaiting ?? 0);
-  const weight = 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
-  const corrected = reported + view.sentSinceReport;
+  const weight = 0.5 ** (Math.max(0, ageMs - REPORT_FRESH_MS) / REPORT_HALF_LIFE_MS);
+  const ownChange = view.sentSinceReport - (view.endedSinceReport ?? 0);
+  const corrected = reported + ownChange * computeOthersFactor(reported, ownChange, view, purpose);
   const faded = weight * corrected + (1 - weight) * Math.max(view.inFlight, corrected / 2);
   return Math.max(view.inFlight, faded);
 }
 
+/**
+ * A loss makes all routers continue their streams at the same moment, towards the same targets that
+ * look emptiest; so what this router sent there is taken for its part of what all have sent. For new
+ * prompts the routers are independent, and scaling would only make noise of their differences.
+ */
+function computeOthersFactor(
+  reported: number,
+  ownChange: number,
+  view: TargetView,
+  purpose: ChoiceRequest['purpose'],
+): number {
+  if (purpose === 'first' || ownChange <= 0) return 1;
+  const ownBefore = Math.max(1, view.inFlight - ownChange);
+  return Math.min(MAX_OTHERS_FACTOR, Math.max(1, reported / ownBefore));
+}
+
 export interface WaitQuestion {
+  readonly purpose: ChoiceRequest['purpose'];
   readonly zone: string;
   readonly promptTokens: number;
   readonly cachedShare: number;
@@ -45,11 +72,12 @@
 /** Milliseconds; see the constants above for what each part stands for. */
 export function computeExpectedWait(view: TargetView, question: WaitQuestion): number {
   const usable = Math.max(1, view.slots * Math.max(view.warmShare, MIN_WARM_SHARE));
-  const occupancy = computeOccupancy(view);
+  const occupancy = computeOccupancy(view, question.purpose);
   const missingSlots = Math.max(0, occupancy + 1 - usable);
   const prefillMs = question.promptTokens * (1 - question.cachedShare) * PREFILL_MS_PER_TOKEN;
   const zoneMs = view.zone === question.zone ? 0 : OTHER_ZONE_MS;
   const slowMs = view.state === 'slow' ? SLOW_MS : 0;
+  const probeMs = view.state === 'new' && question.purpose === 'continuation' ? PROBE_MS : 0;
   const busyMs = (Math.min(occupancy, usable) / usable) * BUSY_MS;
-  return busyMs + missingSlots * SLOT_TURNOVER_MS + prefillMs + zoneMs + slowMs;
+  return busyMs + missingSlots * SLOT_TURNOVER_MS + prefillMs + zoneMs + slowMs + probeMs;
 }
--- a/packages/sequoiarill-decisions/src/fairQueue.ts
+++ b/packages/sequoiarill-decisions/src/fairQueue.ts
@@ -32,8 +32,8 @@
   readonly getLength: () => number;
   readonly getWork: () => number;
   readonly getOrganisationWork: (organisation: string) => number;
-  /** Weights and number of the organisations that wait. */
-  readonly getWaitingWeight: () => number;
+  /** Work that would start before a further request of this organisation. */
+  readonly computeWorkBefore: (organisation: string, weight: number) => number;
   readonly getWaitingCount: () => number;
   /** The last item of the organisation that waits with most work over its weight. */
   readonly findHeaviestLast: () => Item | undefined;
@@ -44,10 +44,18 @@
   weight: number;
   /** Work charged so far over weight, on the queue's virtual time. */
   finish: number;
+  /** Virtual time at which its next item is due. */
+  start: number;
   work: number;
   readonly items: Item[];
 }
 
+/**
+ * How far an organisation that used less than its share may start before the others, in work over
+ * weight. Without it one that asks for half of its share, but twice in a second, has its second request
+ * put behind the backlog of those who ask for too much.
+ */
+const CREDIT = 4_000;
 /** Organisations with nothing waiting that are remembered for what they were charged. */
 const MAX_LINES = 20_000;
 
@@ -60,17 +68,22 @@
   let virtualTime = 0;
   let length = 0;
   let totalWork = 0;
-  let waitingWeight = 0;
 
   function getLine(organisation: string, weight: number): Line<Item> {
     const known = lines.get(organisation);
     if (known !== undefined) {
-      if (waiting.has(organisation)) waitingWeight += weight - known.weight;
       known.weight = weight;
       return known;
     }
     if (lines.size >= MAX_LINES) removeIdleLines();
-    const created = { organisation, weight, finish: virtualTime, work: 0, items: [] };
+    const created = {
+      organisation,
+      weight,
+      finish: virtualTime - CREDIT,
+      start: virtualTime - CREDIT,
+      work: 0,
+      items: [],
+    };
     lines.set(organisation, created);
     return created;
   }
@@ -78,20 +91,24 @@
   /** An idle line that is not ahead of virtual time says nothing. */
   function removeIdleLines(): void {
     for (const [name, line] of lines) {
-      if (line.items.length === 0 && line.finish <= virtualTime) lines.delete(name);
+      if (line.items.length === 0 && line.finish <= virtualTime - CREDIT) lines.delete(name);
     }
   }
 
   function markWaiting(line: Line<Item>): void {
     if (waiting.has(line.organisation)) return;
     waiting.set(line.organisation, line);
-    waitingWeight += line.weight;
-    heap.addValue({ line, start: Math.max(virtualTime, line.finish) });
+    const start = computeStart(line);
+    Object.assign(line, { start });
+    heap.addValue({ line, start });
   }
 
   function markIdle(line: Line<Item>): void {
-    if (waiting.delete(line.organisation)) waitingWeight -= line.weight;
-    if (waiting.size === 0) waitingWeight = 0;
+    waiting.delete(line.organisation);
+  }
+
+  function computeStart(line: Line<Item>): number {
+    return Math.max(virtualTime - CREDIT, line.finish);
   }
 
   function addItem(item: Item): void {
@@ -126,7 +143,8 @@
         line.work -= item.work;
         totalWork -= item.work;
         length -= 1;
-        if (line.items.length > 0) heap.addValue({ line, start: line.finish });
+        line.start = line.finish;
+        if (line.items.length > 0) heap.addValue({ line, start: line.start });
         else markIdle(line);
         return item;
       }
@@ -136,10 +154,25 @@
 
   function recordStart(organisation: string, weight: number, work: number): void {
     const line = getLine(organisation, weight);
-    const start = Math.max(virtualTime, line.finish);
+    const start = computeStart(line);
     line.finish = start + work / weight;
     // Nothing waits, so nobody was kept from the engines: earlier use is no debt.
-    if (length === 0) virtualTime = start;
+    if (length === 0) virtualTime = Math.max(virtualTime, start);
+  }
+
+  function computeWorkBefore(organisation: string, weight: number): number {
+    const own = lines.get(organisation);
+    const ownWork = own?.work ?? 0;
+    const start = own === undefined ? virtualTime - CREDIT : computeStart(own);
+    const due = start + ownWork / weight;
+    let work = ownWork;
+    for (const line of waiting.values()) {
+      if (line !== own && line.start <= due && line.items.length > 0) {
+        const itemWork = line.work / line.items.length;
+        work += Math.min(line.work, (due - line.start) * line.weight + itemWork);
+      }
+    }
+    return work;
   }
 
   function findHeaviestLast(): Item | undefined {
@@ -161,7 +194,7 @@
     getLength: () => length,
     getWork: () => totalWork,
     getOrganisationWork: (organisation) => lines.get(organisation)?.work ?? 0,
-    getWaitingWeight: () => waitingWeight,
+    computeWorkBefore,
     getWaitingCount: () => waiting.size,
   };
 }
--- a/packages/sequoiarill-decisions/src/fleetShares.ts
+++ b/packages/sequoiarill-decisions/src/fleetShares.ts
@@ -185,7 +185,7 @@
     if (count === 1) return 1;
     const part = parts.getPart(organisation, nowMs);
     const lost = parts.getUnreachable(nowMs);
-    const {reachable} = splitDemand(organisation, lost);
+    const { reachable } = splitDemand(organisation, lost);
     const floor = FLOOR / count;
     const isQuiet = reachable < options.getLimit(organisation) * part * QUIET;
     if (isQuiet) return Math.max(QUIET_SHARE, 1 / Math.max(1, count - lost.size)) * part;
--- a/packages/sequoiarill-decisions/src/lane.ts
+++ b/packages/sequoiarill-decisions/src/lane.ts
@@ -115,13 +115,8 @@
   }
 
   function computeWaitMs(wait: LaneWait): number {
-    const ownWork = queue.getOrganisationWork(wait.organisation);
-    const others = queue.getWaitingWeight() - (ownWork > 0 ? wait.weight : 0);
-    const fairWork = (ownWork * (others + wait.weight)) / wait.weight;
-    const work = Math.min(fairWork, queue.getWork());
-    const meanWork = queue.getWork() / Math.max(1, queue.getLength());
-    const turnWork = ownWork > 0 ? 0 : (meanWork * queue.getWaitingCount()) / 2;
-    return ((work + turnWork) / getWorkPerSecond()) * 1000;
+    const work = queue.computeWorkBefore(wait.organisation, wait.weight);
+    return (work / getWorkPerSecond()) * 1000;
   }
 
   function computeBacklogAboveMs(priority: number): number {
--- a/packages/sequoiarill-decisions/src/outlierDetector.ts
+++ b/packages/sequoiarill-decisions/src/outlierDetector.ts
@@ -26,7 +26,12 @@
 const MAX_CONSECUTIVE_FAILURES = 3;
 const MAX_FAILURE_SHARE = 0.4;
 const MIN_ATTEMPTS = 5;
-const DEFAULT_MAX_EJECTED_SHARE = 0.34;
+/**
+ * Shares that may be ejected. A slow target still gives something, so slowness ejects few, and nobody
+ * while others have failed: survivors that queue after a loss look slow and are all there is.
+ */
+const DEFAULT_MAX_SLOW_SHARE = 0.2;
+const DEFAULT_MAX_FAILED_SHARE = 0.5;
 const FIRST_EJECTION_MS = 2_000;
 const MAX_EJECTION_MS = 60_000;
 const WARM_UP_MS = 10_000;
@@ -47,7 +52,8 @@
 export function createOutlierDetector(
   options: Types.OutlierDetectorOptions = {},
 ): Types.OutlierDetector {
-  const maxEjectedShare = options.maxEjectedShare ?? DEFAULT_MAX_EJECTED_SHARE;
+  const maxSlowShare = options.maxSlowShare ?? DEFAULT_MAX_SLOW_SHARE;
+  const maxFailedShare = options.maxFailedShare ?? DEFAULT_MAX_FAILED_SHARE;
   const records = new Map<string, TargetRecord>();
   let medians: Medians | undefined;
 
@@ -77,16 +83,19 @@
     return medians;
   }
 
-  function hasRoomToEject(nowMs: number): boolean {
-    let ejected = 1;
+  function hasRoomToEject(cause: EjectionCause, nowMs: number): boolean {
+    let counted = 1;
     for (const record of records.values()) {
-      if (record.ejectedUntilMs > nowMs) ejected += 1;
+      const isCounted = cause !== 'failures' || record.ejectionCause === 'failures';
+      if (record.ejectedUntilMs > nowMs && isCounted) counted += 1;
     }
-    return ejected <= Math.max(1, Math.floor(records.size * maxEjectedShare));
+    const maxShare = cause === 'failures' ? maxFailedShare : maxSlowShare;
+    return counted <= Math.max(1, Math.floor(records.size * maxShare));
   }
 
   function applyEjection(record: TargetRecord, cause: EjectionCause, nowMs: number): void {
-    if (record.ejectedUntilMs > nowMs || !hasRoomToEject(nowMs)) return;
+    const isOut = record.ejectedUntilMs > nowMs && record.ejectionCause === cause;
+    if (isOut || !hasRoomToEject(cause, nowMs)) return;
     const isForgiven = nowMs - record.ejectedUntilMs > WARM_UP_MS + FORGIVEN_AFTER_MS;
     const earlier = isForgiven ? 0 : record.ejections;
     const lastsMs = Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** earlier);
--- a/packages/sequoiarill-decisions/src/outlierTypes.ts
+++ b/packages/sequoiarill-decisions/src/outlierTypes.ts
@@ -3,8 +3,10 @@
 export type OutlierState = 'healthy' | 'slow' | 'dead' | 'new';
 
 export interface OutlierDetectorOptions {
-  /** Part of the targets that may be ejected at once, 0 to 1. */
-  readonly maxEjectedShare?: number;
+  /** Part of the targets, 0 to 1, that slowness may eject; those that failed count as well. */
+  readonly maxSlowShare?: number;
+  /** Part of the targets, 0 to 1, that failures may eject. */
+  readonly maxFailedShare?: number;
 }
 
 export interface OutlierDetector {
--- a/packages/sequoiarill-decisions/src/permits.ts
+++ b/packages/sequoiarill-decisions/src/permits.ts
@@ -11,6 +11,9 @@
 import type { OrganisationLimiter } from './organisationLimits';
 import type { OutputEstimates } from './outputEstimates';
 
+/** What is judged is waiting at the engine, so the prefill that a prompt needs is taken off. */
+const PREFILL_MS_PER_TOKEN = 0.1;
+
 export interface PermitQuestion {
   readonly organisation: string;
   readonly model: string;
@@ -46,7 +49,9 @@
 
   function recordFirstToken(permit: Permit, ms: number, nowMs: number): void {
     const lane = lanes.getLane(permit.model);
-    lane.limit.recordFirstToken(ms, inFlightByPermit.get(permit) ?? lane.getRunning(), nowMs);
+    const prefillMs = permit.cost.uncachedTokens * PREFILL_MS_PER_TOKEN;
+    const waitMs = Math.max(0, ms - prefillMs);
+    lane.limit.recordFirstToken(waitMs, inFlightByPermit.get(permit) ?? lane.getRunning(), nowMs);
   }
 
   function releasePermit(permit: Permit, use: AdmissionUse, nowMs: number): void {
--- /dev/null
+++ b/packages/sequoiarill-decisions/src/play/index.ts
@@ -0,0 +1,6 @@
+/** Played loads: a queueing model of engines and routers in virtual time, for tests and the bench. */
+export * from './ledger';
+export * from './patterns';
+export * from './playPattern';
+export * from './policies';
+export * from './random';
--- /dev/null
+++ b/packages/sequoiarill-decisions/src/play/playPattern.ts
@@ -0,0 +1,105 @@
+/** Plays one pattern of load through one policy and sums up what callers got. */
+import * as EngineModel from './engineModel';
+import * as Ledger from './ledger';
+import * as Patterns from './patterns';
+import type { FaultEvent, Pattern } from './patterns';
+import type { PolicyDefinition } from './policies';
+import * as Random from './random';
+import * as Reports from './reports';
+import * as RouterModel from './routerModel';
+import * as Timelines from './timeline';
+import * as Workload from './workload';
+
+const PREFILL_TOKENS_PER_MS = 10;
+const GAP_MS = 20;
+const BUSY_SHARE = 0.5;
+const CACHED_PREFIXES = 12;
+/** A refused caller who does not wait as it was told comes back after this time, milliseconds. */
+const IMPATIENT_MS = 200;
+/** Streams that began near the end are played out. */
+const PLAY_OUT_MS = 150_000;
+
+/** Tokens a second of all engines with every slot decoding; what nothing can exceed. */
+export function computeCapacity(): number {
+  const fullGapMs = GAP_MS * (1 + BUSY_SHARE);
+  return ((Patterns.ENGINES * Patterns.SLOTS) / fullGapMs) * 1000;
+}
+
+function createEngines(timeline: Timelines.Timeline): readonly EngineModel.EngineModel[] {
+  return Array.from({ length: Patterns.ENGINES }, (_value, index) =>
+    EngineModel.createEngineModel(
+      {
+        name: `engine-${index}`,
+        zone: `zone-${index % Patterns.ZONES}`,
+        slots: Patterns.SLOTS,
+        prefillTokensPerMs: PREFILL_TOKENS_PER_MS,
+        gapMs: GAP_MS,
+        busyShare: BUSY_SHARE,
+        cachedPrefixes: CACHED_PREFIXES,
+      },
+      timeline,
+    ),
+  );
+}
+
+function applyFault(fault: FaultEvent, engines: readonly EngineModel.EngineModel[]): void {
+  for (const index of fault.engines) {
+    const engine = engines[index];
+    if (fault.kind === 'slow') engine?.setSlowness(Patterns.getSlowness());
+    else if (fault.kind === 'failing') engine?.setFailing(true);
+    else engine?.setDead(fault.kind === 'dead');
+  }
+}
+
+function computeFreeShare(engines: readonly EngineModel.EngineModel[]): number {
+  const running = engines.reduce((sum, engine) => sum + engine.getReport().running, 0);
+  return 1 - running / (Patterns.ENGINES * Patterns.SLOTS);
+}
+
+export function playPattern(pattern: Pattern, definition: PolicyDefinition): Ledger.PlaySummary {
+  const timeline = Timelines.createTimeline();
+  const engines = createEngines(timeline);
+  const ledger = Ledger.createLedger(pattern);
+  const reports = Reports.createReports(pattern, engines, timeline);
+  const retries = new Map<string, number>();
+
+  /** The same caller again, as a new request of its own. */
+  function handleRefused(request: Workload.PlayRequest): void {
+    const key = `${request.organisation} ${request.outputTokens} ${request.promptTokens}`;
+    const count = retries.get(key) ?? 0;
+    if (count >= pattern.callerRetries) return;
+    retries.set(key, count + 1);
+    const arrivedMs = timeline.getNowMs() + IMPATIENT_MS;
+    timeline.addEvent(arrivedMs, () => sendRequest({ ...request, arrivedMs }));
+  }
+
+  const routers = Array.from({ length: Patterns.ROUTERS }, (_value, index) =>
+    RouterModel.createRouterModel({
+      zone: `zone-${index % Patterns.ZONES}`,
+      engines,
+      reports,
+      timeline,
+      ledger,
+      policy: definition.createPolicy(Random.createRandom(pattern.seed + index + 1)),
+      getFreeShare: () => computeFreeShare(engines),
+      onRefused: handleRefused,
+    }),
+  );
+
+  function sendRequest(request: Workload.PlayRequest): void {
+    ledger.recordAsked(request);
+    routers[request.router]?.handleRequest(request);
+  }
+
+  const capacity = computeCapacity();
+  const requestsPerSecond = capacity / Workload.computeMeanOutput(pattern.longShare);
+  pattern.faults.forEach((fault) =>
+    timeline.addEvent(fault.atMs, () => applyFault(fault, engines)),
+  );
+  for (const request of Workload.createRequests(pattern, requestsPerSecond)) {
+    timeline.playUntil(request.arrivedMs);
+    sendRequest(request);
+  }
+  timeline.playUntil(pattern.endMs + PLAY_OUT_MS);
+  return ledger.getSummary(definition.name, capacity);
+}
--- /dev/null
+++ b/packages/sequoiarill-decisions/src/play/random.ts
@@ -0,0 +1,27 @@
+/** Seeded random numbers for played loads. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+export type NextRandom = () => number;
+
+/** Uniform in [0, 1); the same numbers for the same seed on every machine. */
+export function createRandom(seed: number): NextRandom {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+/** Time to the next of events that are independent of each other. */
+export function pickExponential(nextRandom: NextRandom, mean: number): number {
+  return -Math.log(1 - nextRandom()) * mean;
+}
+
+/** An index, each with the chance of its weight. */
+export function pickWeighted(nextRandom: NextRandom, weights: readonly number[]): number {
+  const total = weights.reduce((sum, weight) => sum + weight, 0);
+  let left = nextRandom() * total;
+  for (const [index, weight] of weights.entries()) {
+    left -= weight;
+    if (left < 0) return index;
+  }
+  return weights.length - 1;
+}
--- a/packages/sequoiarill-decisions/src/targetChooser.ts
+++ b/packages/sequoiarill-decisions/src/targetChooser.ts
@@ -11,9 +11,17 @@
 import * as PrefixAffinity from './prefixAffinity';
 import type { Choice, ChoiceRequest, ConsideredTarget, TargetView } from './targets';
 
-/** Samples from the own zone and from others. */
-const ZONE_SAMPLES = 4;
-const OTHER_SAMPLES = 2;
+/** Usable candidates drawn from the own zone and from others. */
+export interface SampleCounts {
+  readonly zone: number;
+  readonly other: number;
+}
+
+const DEFAULT_SAMPLES: SampleCounts = { zone: 4, other: 2 };
+/** Targets where a stream of this router just ended, so that a slot is known to be free. */
+const MAX_FREED = 4;
+/** Other routers fill a freed slot in about this time. Milliseconds. */
+const FREED_MEMORY_MS = 200;
 /** Draws before the list is searched through: enough to find the samples among many unusable. */
 const MAX_DRAWS = 24;
 /** A middling prompt, where the request does not say. Tokens. */
@@ -24,12 +32,17 @@
 export interface TargetChooserOptions {
   /** Uniform in [0, 1). */
   readonly nextRandom: () => number;
+  readonly samples?: SampleCounts;
 }
 
 export interface TargetChooser {
   readonly chooseTarget: (request: ChoiceRequest) => Choice;
+  /** A stream ended there: in saturation the surest sign of a free slot, newer than any report. */
+  readonly recordEnd: (target: string, nowMs: number) => void;
 }
 
+type FreedTarget = PrefixAffinity.PrefixHolder;
+
 interface Considered extends ConsideredTarget {
   readonly index: number;
   readonly isHolder: boolean;
@@ -37,13 +50,34 @@
 
 export function createTargetChooser(options: TargetChooserOptions): TargetChooser {
   const affinity = PrefixAffinity.createPrefixAffinity();
+  const samples = options.samples ?? DEFAULT_SAMPLES;
+  let freed: readonly FreedTarget[] = [];
+
+  function recordEnd(target: string, nowMs: number): void {
+    freed = [{ name: target, indexHint: 0, usedAtMs: nowMs }, ...freed.slice(0, MAX_FREED - 1)];
+  }
+
+  function listFreed(request: ChoiceRequest): readonly number[] {
+    freed = freed.filter((one) => request.nowMs - one.usedAtMs <= FREED_MEMORY_MS);
+    return freed
+      .map((one) => findCandidate(request.candidates, one))
+      .filter((index) => {
+        const view = request.candidates[index];
+        return view !== undefined && isUsable(view, request);
+      });
+  }
 
   function chooseTarget(request: ChoiceRequest): Choice {
     const shares = listCachedShares(request, affinity);
-    const indices = new Set([...shares.keys(), ...sampleIndices(request, options.nextRandom)]);
+    const indices = new Set([
+      ...shares.keys(),
+      ...listFreed(request),
+      ...sampleIndices(request, samples, options.nextRandom),
+    ]);
     const considered = [...indices].map((index) => computeConsidered(request, index, shares));
     const best = pickShortest(considered);
     if (best === undefined) return decideNone(request);
+    freed = freed.filter((one) => one.name !== best.name);
     affinity.recordUse(request.prefixKeys, best.name, best.index, request.nowMs);
     return {
       kind: 'target',
@@ -57,7 +91,7 @@
     };
   }
 
-  return { chooseTarget };
+  return { chooseTarget, recordEnd };
 }
 
 function isUsable(view: TargetView, request: ChoiceRequest): boolean {
@@ -110,17 +144,21 @@
 }
 
 /** Indices of some usable candidates, own zone preferred; of all usable ones when draws fail. */
-function sampleIndices(request: ChoiceRequest, nextRandom: () => number): readonly number[] {
+function sampleIndices(
+  request: ChoiceRequest,
+  samples: SampleCounts,
+  nextRandom: () => number,
+): readonly number[] {
   const { candidates } = request;
   const local = new Set<number>();
   const other = new Set<number>();
   for (let draw = 0; draw < MAX_DRAWS; draw += 1) {
-    if (local.size >= ZONE_SAMPLES && other.size >= OTHER_SAMPLES) break;
+    if (local.size >= samples.zone && other.size >= samples.other) break;
     const index = Math.floor(nextRandom() * candidates.length);
     const view = candidates[index];
     if (view !== undefined && isUsable(view, request)) {
       const bucket = view.zone === request.zone ? local : other;
-      const room = bucket === local ? ZONE_SAMPLES : OTHER_SAMPLES;
+      const room = bucket === local ? samples.zone : samples.other;
       if (bucket.size < room) bucket.add(index);
     }
   }
@@ -140,6 +178,7 @@
   const cachedShare = shares.get(index) ?? 0;
   const expectedWait = ExpectedWait.computeExpectedWait(view, {
     zone: request.zone,
+    purpose: request.purpose,
     promptTokens: request.promptTokens ?? DEFAULT_PROMPT_TOKENS,
     cachedShare,
   });
--- a/packages/sequoiarill-decisions/src/targets.ts
+++ b/packages/sequoiarill-decisions/src/targets.ts
@@ -17,6 +17,8 @@
   readonly reportAgeMs?: number;
   /** What this router sent there after the report was counted. */
   readonly sentSinceReport: number;
+  /** What of this router's work ended there after the report was counted; none when absent. */
+  readonly endedSinceReport?: number;
   readonly state: TargetChoiceState;
   /** 0 to 1: how much of its full load a new or returning target is given. */
   readonly warmShare: number;
