Measure the decisions: patterns beside baselines, time and memory of a decision

Cause: the goals need figures. Ruled out: microbenchmarks of single calls by one mean (pauses of the machine show), so medians of batches.

--- /dev/null
+++ b/bench/src/decisions/cases.ts
@@ -0,0 +1,143 @@
+/** The decisions as a router of the size to design for makes them, ready to be timed. */
+import * as Decisions from '@sequoiarill/decisions';
+import * as Play from '@sequoiarill/decisions/lib/play';
+
+const SEED = 5;
+const SLOTS = 32;
+const MODEL = 'model';
+const LIMITS = { tokensPerSecond: 1e9, concurrentRequests: 1e6 };
+/** Of a router at 67 requests a second and 30 s a stream. */
+const RUNNING = 2_000;
+const ROUTERS = 32;
+
+function buildView(index: number, nextRandom: () => number): Decisions.TargetView {
+  return {
+    name: `10.0.${index % 250}.${Math.floor(index / 250)}:8000`,
+    zone: `zone-${index % 3}`,
+    slots: SLOTS,
+    inFlight: Math.floor(nextRandom() * 4),
+    reportedRunning: Math.floor(nextRandom() * SLOTS),
+    reportedWaiting: 0,
+    reportAgeMs: nextRandom() * 1_000,
+    sentSinceReport: Math.floor(nextRandom() * 3),
+    state: 'healthy',
+    warmShare: 1,
+  };
+}
+
+/** One choice among so many targets, with a prompt prefix that was mostly seen before. */
+export function createChoiceCase(targets: number): (index: number) => void {
+  const nextRandom = Play.createRandom(SEED);
+  const candidates = Array.from({ length: targets }, (_value, index) =>
+    buildView(index, nextRandom),
+  );
+  const chooser = Decisions.createTargetChooser({ nextRandom });
+  const excluded = new Set<string>();
+  return (index) => {
+    chooser.chooseTarget({
+      candidates,
+      zone: 'zone-0',
+      prefixKeys: [`question-${index}`, `shop-${index % 300}`],
+      nowMs: index,
+      excluded,
+      purpose: 'first',
+      promptTokens: 900,
+    });
+  };
+}
+
+interface AdmissionCase {
+  readonly admission: Decisions.Admission;
+  readonly playRequest: (index: number) => void;
+}
+
+/** A saturated router: each call is one request at the door and the end of one running. */
+export function createAdmissionCase(organisations: number): AdmissionCase {
+  const nextRandom = Play.createRandom(SEED);
+  const admission = Decisions.createAdmission({
+    nextRandom,
+    createLimit: () =>
+      Decisions.createConcurrencyLimit({
+        initial: RUNNING,
+        min: RUNNING,
+        max: RUNNING,
+        targetMs: Decisions.DEFAULT_TARGET_MS,
+      }),
+  });
+  const running: Decisions.Permit[] = [];
+  const known = Array.from({ length: organisations }, (_value, index) => ({
+    name: `organisation-${index}`,
+    weight: 1 + (index % 4),
+    priority: 5,
+    limits: LIMITS,
+  }));
+
+  function playRequest(index: number): void {
+    const nowMs = index * 10;
+    const organisation = known[Math.floor(nextRandom() * known.length)] ?? known[0];
+    if (organisation === undefined) return;
+    const answer = admission.admitRequest(
+      { organisation, model: MODEL, promptTokens: 900, maxOutputTokens: 4_000 },
+      nowMs,
+    );
+    if (answer.kind === 'admitted') running.push(answer.permit);
+    if (running.length < RUNNING) return;
+    const ended = running.shift();
+    if (ended !== undefined) admission.releasePermit(ended, { outputTokens: 500 }, nowMs);
+    for (const { outcome } of admission.takeNext(nowMs)) {
+      if (outcome.kind === 'admitted') running.push(outcome.permit);
+    }
+  }
+
+  for (let index = 0; index < organisations * 2; index += 1) playRequest(index);
+  return { admission, playRequest: (index) => playRequest(index + organisations * 2) };
+}
+
+interface SharesCase {
+  readonly shares: Decisions.FleetShares;
+  readonly playRequest: (index: number) => void;
+}
+
+/** Demand of all organisations, known of every router of a zone. */
+export function createSharesCase(organisations: number): SharesCase {
+  const nextRandom = Play.createRandom(SEED);
+  const shares = Decisions.createFleetShares({
+    routerName: 'router-0',
+    incarnation: 1,
+    getRouterCount: () => ROUTERS,
+    getLimit: () => 10_000,
+  });
+  for (let router = 1; router < ROUTERS; router += 1) {
+    for (let from = 0; from < organisations; from += 64) {
+      const entries = Array.from({ length: Math.min(64, organisations - from) }, (_value, at) => ({
+        organisation: `organisation-${from + at}`,
+        demand: 100 + nextRandom() * 100,
+      }));
+      shares.applyReport({
+        router: `router-${router}`,
+        incarnation: 1,
+        sequence: from + 1,
+        entries,
+      });
+    }
+  }
+  const playRequest = (index: number) => {
+    const organisation = `organisation-${Math.floor(nextRandom() * organisations)}`;
+    shares.recordDemand(organisation, 1_400, index * 15);
+    shares.getShare(organisation, index * 15);
+  };
+  return { shares, playRequest };
+}
+
+/** One gap at a stall policy and an outlier detector that know so many targets. */
+export function createGapCase(targets: number): (index: number) => void {
+  const nextRandom = Play.createRandom(SEED);
+  const policy = Decisions.createStallPolicy();
+  const detector = Decisions.createOutlierDetector();
+  return (index) => {
+    const target = `target-${index % targets}`;
+    const ms = 25 + nextRandom() * 10;
+    policy.recordGap(target, ms);
+    detector.recordGap(target, ms, index * 0.03);
+  };
+}
