Keep reported demand in rows of numbers

Cause: 18.5 MB for 6,500 organisations at 32 routers, of 64 MB that a node may spend. Ruled out: fewer organisations in reports (the limits of those left out would not follow).

--- a/packages/sequoiarill-decisions/src/fleetShares.ts
+++ b/packages/sequoiarill-decisions/src/fleetShares.ts
@@ -17,6 +17,7 @@
  * overshoot in that state, for the time a report takes (`propagationMs` and one round of reports).
  */
 import * as Claims from './demandClaims';
+import * as DemandTables from './demandTable';
 import * as PartitionParts from './partitionParts';
 
 /** Part of a limit that is split evenly, so that a router that had no demand can start at all. */
@@ -78,8 +79,8 @@
   readonly getShare: (organisation: string, nowMs: number) => number;
 }
 
-interface PeerDemand {
-  readonly demand: number;
+interface KnownReport {
+  readonly incarnation: number;
   readonly sequence: number;
 }
 
@@ -87,9 +88,8 @@
   const propagationMs = options.propagationMs ?? DEFAULT_PROPAGATION_MS;
   const maxEntries = options.maxEntries ?? DEFAULT_MAX_ENTRIES;
   const claimsByOrganisation = new Map<string, Claims.DemandClaims>();
-  const peersByOrganisation = new Map<string, Map<string, PeerDemand>>();
-  const totalByOrganisation = new Map<string, number>();
-  const incarnations = new Map<string, number>();
+  const peers = DemandTables.createDemandTable();
+  const lastReports = new Map<string, KnownReport>();
   const parts = PartitionParts.createPartitionParts();
   let sequence = 0;
 
@@ -124,36 +124,22 @@
     return { router, incarnation, sequence, entries };
   }
 
-  function applyEntry(report: DemandReport, entry: DemandEntry): void {
-    const { organisation, demand } = entry;
-    const peers = peersByOrganisation.get(organisation) ?? new Map<string, PeerDemand>();
-    peersByOrganisation.set(organisation, peers);
-    const known = peers.get(report.router);
-    if (known !== undefined && known.sequence >= report.sequence) return;
-    const total = totalByOrganisation.get(organisation) ?? 0;
-    totalByOrganisation.set(organisation, total + demand - (known?.demand ?? 0));
-    peers.set(report.router, { demand, sequence: report.sequence });
-  }
-
+  /** A report that comes after a newer one is dropped: what it told is repeated when refreshed. */
   function applyReport(report: DemandReport): void {
-    if (report.router === options.routerName) return;
-    const known = incarnations.get(report.router) ?? report.incarnation;
-    if (report.incarnation < known) return;
-    if (report.incarnation > known) removeRouter(report.router);
-    incarnations.set(report.router, report.incarnation);
-    report.entries.forEach((entry) => applyEntry(report, entry));
+    const { router, incarnation, sequence: number } = report;
+    if (router === options.routerName) return;
+    const last = lastReports.get(router);
+    if (last !== undefined && incarnation < last.incarnation) return;
+    if (last?.incarnation === incarnation && number <= last.sequence) return;
+    if (last !== undefined && incarnation > last.incarnation) removeRouter(router);
+    lastReports.set(router, { incarnation, sequence: number });
+    for (const { organisation, demand } of report.entries) {
+      peers.setDemand(router, organisation, demand);
+    }
   }
 
   function removeRouter(router: string): void {
-    for (const [organisation, peers] of peersByOrganisation) {
-      const total = totalByOrganisation.get(organisation) ?? 0;
-      totalByOrganisation.set(organisation, total - (peers.get(router)?.demand ?? 0));
-      peers.delete(router);
-      if (peers.size === 0) {
-        peersByOrganisation.delete(organisation);
-        totalByOrganisation.delete(organisation);
-      }
-    }
+    peers.removeRouter(router);
   }
 
   function getReported(organisation: string): number {
@@ -165,17 +151,16 @@
     routers: ReadonlySet<string>,
   ): PartitionParts.SplitDemand {
     let unreachable = 0;
-    const peers = peersByOrganisation.get(organisation);
-    for (const router of routers) unreachable += peers?.get(router)?.demand ?? 0;
-    const total = Math.max(0, totalByOrganisation.get(organisation) ?? 0);
-    const reachable = getReported(organisation) + Math.max(0, total - unreachable);
+    for (const router of routers) unreachable += peers.getDemand(router, organisation);
+    const heard = Math.max(0, peers.getTotal(organisation) - unreachable);
+    const reachable = getReported(organisation) + heard;
     return { organisation, reachable, unreachable };
   }
 
   function setUnreachable(routers: ReadonlySet<string>, nowMs: number): void {
     const earlier = parts.getUnreachable(nowMs);
     const newlyLost = new Set([...routers].filter((router) => !earlier.has(router)));
-    const organisations = new Set([...claimsByOrganisation.keys(), ...peersByOrganisation.keys()]);
+    const organisations = new Set([...claimsByOrganisation.keys(), ...peers.listOrganisations()]);
     const demands = [...organisations].map((name) => splitDemand(name, newlyLost));
     parts.setUnreachable(routers, options.getRouterCount(), demands, nowMs);
   }
@@ -190,9 +175,9 @@
     const isQuiet = reachable < options.getLimit(organisation) * part * QUIET;
     if (isQuiet) return Math.max(QUIET_SHARE, 1 / Math.max(1, count - lost.size)) * part;
     const claimed = claimsByOrganisation.get(organisation)?.getClaim(nowMs) ?? 0;
-    const peers = reachable - getReported(organisation);
-    if (claimed + peers < MIN_DEMAND) return floor;
-    return floor + (1 - FLOOR) * part * (claimed / (claimed + peers));
+    const heard = reachable - getReported(organisation);
+    if (claimed + heard < MIN_DEMAND) return floor;
+    return floor + (1 - FLOOR) * part * (claimed / (claimed + heard));
   }
 
   return { recordDemand, buildReport, applyReport, removeRouter, setUnreachable, getShare };
