--- a/packages/sequoiarill-plugin-platform/src/__tests__/fakePlatform.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/fakePlatform.ts
@@ -144,6 +144,8 @@
 
   async function writeTransaction({ comparisons, writes }: KeyTransaction) {
     if (!(await startCall('write'))) return AWAY;
+    // The real service refuses a key under a lease that no longer exists.
+    if (writes.some(({ leaseId }) => leaseId !== undefined && !leases.has(leaseId))) return AWAY;
     const isEqual = comparisons.every(
       ({ key, revision: wanted }) => (entries.get(key)?.revision ?? 0) === wanted,
     );
--- /dev/null
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/sockets.test.ts
@@ -0,0 +1,127 @@
+import { afterEach, beforeEach, describe, it } from 'node:test';
+
+import * as Kernel from '@sequoiarill/kernel';
+import * as Standins from '@sequoiarill/standins';
+import type { PlatformStandin } from '@sequoiarill/standins';
+import type { Configuration } from '@sequoiarill/types';
+import { expect } from 'earl';
+
+import * as DocumentEditors from '../documentEditor';
+import type { DocumentEditor } from '../documentEditor';
+import * as FollowedConfigurations from '../followedConfiguration';
+import type { FollowedConfiguration } from '../followedConfiguration';
+import * as PlatformConnections from '../platformConnection';
+import type { PlatformConnection } from '../platformConnection';
+import { platformSchema } from '../platformSettings';
+import * as Fixtures from './fixtures';
+
+const CLOCK = Kernel.createSystemClock();
+
+let platform: PlatformStandin;
+let connection: PlatformConnection;
+let editor: DocumentEditor;
+let followed: FollowedConfiguration;
+let stopping: AbortController;
+let running: Promise<void>;
+
+function getVersion(configuration: Configuration): string | undefined {
+  return configuration.models.get('advisor')?.version;
+}
+
+/** Ends when the version is in force; the runner's limit for a file bounds it. */
+async function waitForVersion(version: string): Promise<void> {
+  const { state } = followed;
+  if (getVersion(state.getConfiguration()) === version) return;
+  await new Promise<void>((resolve) => {
+    const unsubscribe = state.subscribeConfiguration((configuration) => {
+      if (getVersion(configuration) !== version) return;
+      unsubscribe();
+      resolve();
+    });
+  });
+}
+
+async function writeVersion(version: string): Promise<string> {
+  const text = Fixtures.formatModelSection(version);
+  const outcome = await editor.putSection({ section: 'models', text, file: 'models.json' });
+  return outcome.kind;
+}
+
+describe('configuration over real sockets', () => {
+  beforeEach(async () => {
+    platform = Standins.createPlatformStandin();
+    const { address } = await platform.start();
+    const settings = platformSchema.parse({ endpoints: address, callTimeoutMs: 500 });
+    connection = PlatformConnections.openPlatform(settings, Fixtures.SILENT_METRICS);
+    const { store } = connection;
+    const nextRandom = Fixtures.createRandom(7);
+    editor = DocumentEditors.createDocumentEditor({
+      store,
+      clock: CLOCK,
+      nextRandom,
+      author: 'ann',
+    });
+    followed = FollowedConfigurations.createFollowedConfiguration({
+      process: { name: 'router-1', zone: 'z1' },
+      mode: 'auto',
+      store,
+      clock: CLOCK,
+      nextRandom,
+      logEvent: () => undefined,
+      metrics: Fixtures.SILENT_METRICS,
+    });
+    stopping = new AbortController();
+    expect(await writeVersion('v1')).toEqual('written');
+    running = followed.run(stopping.signal);
+    await waitForVersion('v1');
+  });
+
+  afterEach(async () => {
+    stopping.abort();
+    await running;
+    await connection.close();
+    await platform.stop();
+  });
+
+  it('applies a change that is watched', async () => {
+    await writeVersion('v2');
+    await waitForVersion('v2');
+    expect(followed.isReader()).toEqual(true);
+  });
+
+  it('applies a change whose answer was lost, once', async () => {
+    // Story: the platform applies an edit and cuts the connection before its answer. The operator
+    // must learn that it is in force, and routers must see it once.
+    await platform.setFault({ kind: 'loseAnswers', count: 1 });
+    expect(await writeVersion('v2')).toEqual('written');
+    await waitForVersion('v2');
+    expect((await editor.listHistory('models'))?.length).toEqual(2);
+  });
+
+  it('has a change after the watch lost its place', async () => {
+    // Story: watches break and the revisions they would go on from are compacted away.
+    await platform.setFault({ kind: 'watchGap' });
+    await writeVersion('v2');
+    await waitForVersion('v2');
+  });
+
+  it('serves on while the platform is away and has the next change after it', async () => {
+    // Story: the platform takes no connections for longer than a lease lasts. The router keeps what
+    // it has; an edit is refused as not written; afterwards the next one is in force again.
+    await platform.setFault({ kind: 'refuse' });
+    expect(await writeVersion('lost')).toEqual('unavailable');
+    await CLOCK.waitMs(4_500);
+    expect(getVersion(followed.state.getConfiguration())).toEqual('v1');
+    await platform.setFault({ kind: 'up' });
+    expect(await writeVersion('v2')).toEqual('written');
+    await waitForVersion('v2');
+  });
+
+  it('keeps the duty while each call takes a third of a second', async () => {
+    await platform.setFault({ kind: 'slow', ms: 300 });
+    await CLOCK.waitMs(4_500);
+    expect(followed.isReader()).toEqual(true);
+    await writeVersion('v2');
+    await waitForVersion('v2');
+  });
+});
