Keep each zone's freshness its own when zones exchange the document

Cause: fences and beats of another zone's reader were taken over. That fence may be higher, so the own reader's confirmations would count as old, the zone's news would go stale, and its routers would ask the platform instead of their peers. Across zones now only sections and the revision are taken. Ruled out: one order of all readers; it makes each zone's freshness hang on links to another zone.

--- a/packages/sequoiarill-plugin-membership/src/__tests__/decisions.test.ts
+++ b/packages/sequoiarill-plugin-membership/src/__tests__/decisions.test.ts
@@ -2,7 +2,9 @@
 
 import { expect } from 'earl';
 
+import * as ConfigurationPull from '../configurationPull';
 import * as Deltas from '../delta';
+import * as Answers from '../exchangeAnswers';
 import * as Detectors from '../failureDetector';
 import * as Publishing from '../publishing';
 import * as Facts from '../targetFact';
@@ -124,3 +126,21 @@
     expect(Deltas.selectDelta([], 2)).toEqual({ versions: [], observers: [] });
   });
 });
+
+describe('news of the document', () => {
+  it("takes a zone mate's reader for its own, and of other zones only the sections", () => {
+    // Each zone has a reader of its own. The other zone's took its duty later, so its fencing
+    // number is higher; taken over, it would make each confirmation of the own one look old and
+    // the whole zone would ask the platform instead.
+    const own = { readerFence: 3, readerBeat: 9, revision: 20 };
+    const peer = { readerFence: 8, readerBeat: 1, revision: 21 };
+    expect(ConfigurationPull.selectNews(own, peer, true)).toEqual(peer);
+    expect(ConfigurationPull.selectNews(own, peer, false)).toEqual({ ...own, revision: 21 });
+    const { state } = Fleets.createZones(1, 2, 1).getNode('z1-1');
+    state.configuration.mergeSections(own, []);
+    state.mergeRecords([{ ...state.peers.getSelf(), name: 'z2-1', zone: 'z2', address: 'z2-1:1' }]);
+    const input = { ...state.buildInput(), from: 'z2-1' };
+    Answers.handleExchange(state, { ...input, configuration: { ...peer, revision: 20 } });
+    expect(state.configuration.getNews()).toEqual(own);
+  });
+});
--- a/packages/sequoiarill-plugin-membership/src/configurationPull.ts
+++ b/packages/sequoiarill-plugin-membership/src/configurationPull.ts
@@ -15,6 +15,13 @@
 /** One exchange asks for at most so many; the next exchange goes on, maybe with another peer. */
 const MAX_CHUNKS = 64;
 
+/** A peer that showed news in an exchange. */
+export interface NewsSource {
+  readonly address: string;
+  readonly news: ConfigurationNews;
+  readonly isZoneMate: boolean;
+}
+
 export function compareNews(left: ConfigurationNews, right: ConfigurationNews): number {
   return (
     left.readerFence - right.readerFence ||
@@ -44,6 +51,19 @@
   return { configuration, sections: chunk, isComplete: chunk.length === sections.length };
 }
 
+/**
+ * What a router takes over of a peer's news. Fences and beats are those of a zone's own reader:
+ * those of another zone's reader, which may be higher, would make the own reader's confirmations
+ * look old, and the zone would call the platform over and over. Across zones only sections count.
+ */
+export function selectNews(
+  own: ConfigurationNews,
+  peer: ConfigurationNews,
+  isZoneMate: boolean,
+): ConfigurationNews {
+  return isZoneMate ? peer : { ...own, revision: Math.max(own.revision, peer.revision) };
+}
+
 /**
  * Takes over what a peer has. A part of the document is merged under the reader this router heard
  * of last: only the whole may claim the peer's freshness, or `config status` would show a router
@@ -51,12 +71,11 @@
  */
 export function* runConfigurationPull(
   exchange: ConfigurationExchange,
-  address: string,
-  news: ConfigurationNews,
+  { address, news, isZoneMate }: NewsSource,
 ): PeerTask<boolean> {
   const own = exchange.getNews();
   if (news.revision <= own.revision) {
-    if (compareNews(news, own) > 0) exchange.mergeSections(news, []);
+    if (isZoneMate && compareNews(news, own) > 0) exchange.mergeSections(news, []);
     return true;
   }
   let after = own.revision;
@@ -67,7 +86,8 @@
     const output = answer.output as SectionsOutput;
     const last = output.sections.at(-1);
     if (output.isComplete || last === undefined) {
-      exchange.mergeSections(output.configuration, output.sections);
+      const merged = selectNews(exchange.getNews(), output.configuration, isZoneMate);
+      exchange.mergeSections(merged, output.sections);
       return true;
     }
     exchange.mergeSections({ ...exchange.getNews(), revision: last.revision }, output.sections);
--- a/packages/sequoiarill-plugin-membership/src/exchangeAnswers.ts
+++ b/packages/sequoiarill-plugin-membership/src/exchangeAnswers.ts
@@ -33,7 +33,10 @@
   if (input.configuration.revision > own.revision) {
     const sender = peers.findRecord(input.from);
     if (sender !== undefined) state.onNewerConfiguration(sender.address);
-  } else if (ConfigurationPull.compareNews(input.configuration, own) > 0) {
+  } else if (
+    state.isZoneMate(input.from) &&
+    ConfigurationPull.compareNews(input.configuration, own) > 0
+  ) {
     configuration.mergeSections(input.configuration, []);
   }
 }
--- a/packages/sequoiarill-plugin-membership/src/exchangeState.ts
+++ b/packages/sequoiarill-plugin-membership/src/exchangeState.ts
@@ -32,6 +32,7 @@
   readonly recordHeartbeats: (versions: readonly number[]) => void;
   /** The router was in touch and showed this revision. */
   readonly recordContact: (name: string, revision: number) => void;
+  readonly isZoneMate: (name: string) => boolean;
   /** Revision the router showed when it was last in touch; 0 before. */
   readonly getRevision: (name: string) => number;
 }
@@ -91,6 +92,7 @@
       const records = zones.flatMap((zone) => peers.listZoneRecords(zone));
       return { from: peers.getSelf().name, zones: [...zones], records };
     },
+    isZoneMate: (name) => peers.findRecord(name)?.zone === peers.getSelf().zone,
     mergeRecords,
     updateRoster,
     recordHeartbeats,
--- a/packages/sequoiarill-plugin-membership/src/exchangeTasks.ts
+++ b/packages/sequoiarill-plugin-membership/src/exchangeTasks.ts
@@ -27,16 +27,20 @@
 
 /** Makes two routers equal, as far as one round of messages allows: routers, facts, document. */
 export function* runExchange(state: ExchangeState, address: string): PeerTask<ExchangeOutcome> {
-  const { peers, configuration } = state;
+  const { configuration } = state;
   const output = yield* callExchange(state, address);
   if (typeof output === 'string') return { kind: 'failed', message: output };
   if (output.zoneHashes !== undefined) {
     const isMerged = yield* runPeersMerge(state, address, output.zoneHashes);
     // Once the rosters agree, facts can be told apart by their place in it.
-    const isZoneMate = peers.findRecord(output.from)?.zone === peers.getSelf().zone;
+    const isZoneMate = state.isZoneMate(output.from);
     if (isMerged && isZoneMate && output.targets === undefined) yield* callExchange(state, address);
   }
-  yield* ConfigurationPull.runConfigurationPull(configuration, address, output.configuration);
+  yield* ConfigurationPull.runConfigurationPull(configuration, {
+    address,
+    news: output.configuration,
+    isZoneMate: state.isZoneMate(output.from),
+  });
   return { kind: 'done', name: output.from };
 }
 
--- a/packages/sequoiarill-plugin-membership/src/index.ts
+++ b/packages/sequoiarill-plugin-membership/src/index.ts
@@ -5,5 +5,6 @@
 
 Kernel.registerPlugin(MembershipPlugin.plugin);
 
+export * as Core from './core';
 export { METRICS } from './metrics';
 export { plugin } from './plugin';
