Start the streams of bench:relay one after another

Cause: 240 streams opened in one instant are a burst, and admission rightly turned some away, so that the measurement of relaying failed. Ruled out: a loss of tokens, since every admitted answer was whole.

--- a/bench/src/relay.ts
+++ b/bench/src/relay.ts
@@ -4,6 +4,7 @@
  * does not depend on the machine's mood.
  */
 import path from 'node:path';
+import { setTimeout as startTimeout } from 'node:timers/promises';
 
 import * as Testing from '@sequoiarill/testing';
 import type { Daemon } from '@sequoiarill/testing';
@@ -12,10 +13,11 @@
 import * as Outputs from './output';
 
 const STREAMS = 240;
-const TOKENS = 200;
+const TOKENS = 300;
 const WARM_UP_TOKENS = 20;
 const ROUNDS = 3;
 const STEP_MS = 30;
+const START_INTERVAL_MS = 10;
 const MICROS_PER_MS = 1_000;
 
 interface Load {
@@ -34,9 +36,11 @@
   const cpuBeforeMs = daemon.getCpuMs();
   const startedMs = performance.now();
   const answers = await Promise.all(
-    Array.from({ length: STREAMS }, (_unused, index) =>
-      Testing.readAnswer({ url, apiKey, prompt: `Stream ${index}`, maxTokens, dispatcher }),
-    ),
+    Array.from({ length: STREAMS }, async (_unused, index) => {
+      // All at once would measure what admission does with a burst; see bench:decisions for that.
+      await startTimeout(index * START_INTERVAL_MS);
+      return Testing.readAnswer({ url, apiKey, prompt: `Stream ${index}`, maxTokens, dispatcher });
+    }),
   );
   const elapsedMs = performance.now() - startedMs;
   const cpuMs = daemon.getCpuMs() - cpuBeforeMs;
