Try an engine again after its time and take it back at its first token

Cause: a router's own word that an engine is dead outlived its passing over by 8 s, so that an engine restarted at once stayed unused; with four engines killed in turn none counted as usable.

--- a/packages/sequoiarill-plugin-generations/src/plugin.ts
+++ b/packages/sequoiarill-plugin-generations/src/plugin.ts
@@ -47,6 +47,7 @@
     maxConnections: settings.maxConnectionsPerEngine,
   });
   const targets = Targets.createTargets({
+    routerName: context.process.name,
     zone: context.process.zone,
     serving: ServingTargets.createServingTargets({
       routerName: context.process.name,
--- a/packages/sequoiarill-plugin-generations/src/targets.ts
+++ b/packages/sequoiarill-plugin-generations/src/targets.ts
@@ -15,6 +15,7 @@
 import type { ServingTargets } from './servingTargets';
 
 export interface TargetsOptions {
+  readonly routerName: string;
   readonly zone: string;
   readonly serving: ServingTargets;
   readonly getInFlight: (target: string) => number;
@@ -77,7 +78,11 @@
     if (failed !== undefined && nowMs - failed < PASS_OVER_MS) return 'dead';
     const own = outliers.getState(target.name, nowMs);
     if (own !== 'healthy') return own;
-    return membership.getTargetHealth(target.name)?.state ?? 'healthy';
+    const health = membership.getTargetHealth(target.name);
+    // Our own word that it is dead has had its time: whoever said so first also tries it first, or
+    // an engine that is back would stay unused until every router's word of it has aged.
+    const isOwnWord = health?.state === 'dead' && health.observer === options.routerName;
+    return health === undefined || isOwnWord ? 'healthy' : health.state;
   }
 
   function createView(target: EngineTarget, outliers: OutlierDetector, nowMs: number): TargetView {
@@ -143,6 +148,8 @@
     stalls.recordFirstToken(name, ms, tokens);
     outliers.recordFirstToken(name, ms, getNowMs());
     outliers.recordSuccess(name, getNowMs());
+    if (!failedAtMs.delete(name)) return;
+    membership.reportTarget({ target: name, state: 'healthy' });
   }
 
   function recordGap(order: AttemptOrder, ms: number): void {
