--- a/packages/sequoiarill-plugin-callers/src/__tests__/openai.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/openai.test.ts
@@ -88,6 +88,32 @@
     ]);
   });
 
+  it('raises an error when an answer is lost half-way', async () => {
+    // The last engine of a model dies in the middle of an answer. Ended in the usual way, the
+    // client would hand half an answer to the shopper as if it were whole.
+    router.setScript(
+      Fakes.createScript(['Half'], {
+        kind: 'lost',
+        message: 'No engine is left.',
+        usage: { promptTokens: 1, completionTokens: 1 },
+        retryAfterSeconds: 2,
+      }),
+    );
+    const stream = await client.chat.completions.create({
+      model: 'advisor',
+      messages: [{ role: 'user', content: 'Which size?' }],
+      stream: true,
+    });
+    let code: unknown;
+    try {
+      for await (const chunk of stream) expect(chunk.model).toEqual('advisor');
+    } catch (error) {
+      code = (error as InstanceType<typeof OpenAI.APIError>).code;
+    }
+    router.setScript(Fakes.createScript(['Hello', ' wor', 'ld']));
+    expect(code).toEqual('generation_lost');
+  });
+
   it('lists only the models of its organisation', async () => {
     const models = await client.models.list();
     expect(models.data.map((model) => model.id)).toEqual(['advisor']);
--- a/packages/sequoiarill-plugin-callers/src/cursors.ts
+++ b/packages/sequoiarill-plugin-callers/src/cursors.ts
@@ -30,8 +30,8 @@
 }
 
 const KEY_BYTES = 32;
-/** Half of SHA-256: 128 bits cannot be guessed, and each event carries one. */
-const MAC_BYTES = 16;
+/** 132 bits of the digest in base64url: they cannot be guessed, and each event carries them. */
+const MAC_LENGTH = 22;
 /** Raised when the payload changes in a way that older routers must refuse. */
 const VERSION = 1;
 
@@ -52,23 +52,25 @@
 
 /** `key` is hexadecimal; without it, cursors hold for this process only. */
 export function createCursorSigner(key: string | undefined): CursorSigner {
-  const bytes = key === undefined ? Crypto.randomBytes(KEY_BYTES) : Buffer.from(key, 'hex');
-  const secret = Crypto.createSecretKey(bytes);
+  // A buffer, not a key object: each event is signed, and a key object costs half as much again.
+  const secret = key === undefined ? Crypto.randomBytes(KEY_BYTES) : Buffer.from(key, 'hex');
 
-  function computeMac(encoded: string): Buffer {
-    return Crypto.createHmac('sha256', secret).update(encoded).digest().subarray(0, MAC_BYTES);
+  function computeMac(encoded: string): string {
+    const digest = Crypto.createHmac('sha256', secret).update(encoded).digest('base64url');
+    return digest.slice(0, MAC_LENGTH);
   }
 
   return {
     signCursor(cursor) {
       const encoded = Buffer.from(JSON.stringify(encodePayload(cursor))).toString('base64url');
-      return `${encoded}.${computeMac(encoded).toString('base64url')}`;
+      return `${encoded}.${computeMac(encoded)}`;
     },
     verifyCursor(text) {
       const [encoded = '', mac = '', ...rest] = text.split('.');
-      const given = Buffer.from(mac, 'base64url');
-      if (rest.length > 0 || given.length !== MAC_BYTES) return undefined;
-      if (!Crypto.timingSafeEqual(given, computeMac(encoded))) return undefined;
+      const given = Buffer.from(mac);
+      const expected = Buffer.from(computeMac(encoded));
+      if (rest.length > 0 || given.length !== expected.length) return undefined;
+      if (!Crypto.timingSafeEqual(given, expected)) return undefined;
       return decodePayload(Buffer.from(encoded, 'base64url').toString('utf8'));
     },
   };
--- a/packages/sequoiarill-plugin-callers/src/dispatch.ts
+++ b/packages/sequoiarill-plugin-callers/src/dispatch.ts
@@ -59,8 +59,10 @@
     const fault = isDrainingNow ? Faults.DRAINING : checkMethod(route, request);
     const owner = fault === undefined ? findOwner(request) : undefined;
     if (owner === undefined) {
+      const refusal = fault ?? Faults.UNAUTHORISED;
       request.resume();
-      Replies.sendFault(response, fault ?? Faults.UNAUTHORISED);
+      front.context.metrics.addCount(Metrics.REFUSED, 1, { code: refusal.code });
+      Replies.sendFault(response, refusal);
       return;
     }
     front.context.metrics.addCount(Metrics.REQUESTS, 1, { route: route.path });
--- a/packages/sequoiarill-plugin-callers/src/responseStore.ts
+++ b/packages/sequoiarill-plugin-callers/src/responseStore.ts
@@ -1,4 +1,6 @@
 /** Responses that can be read, resumed and cancelled: those running and those ended lately. */
+import { setMaxListeners } from 'node:events';
+
 import type { Clock } from '@sequoiarill/types';
 
 import type { LiveResponse } from './liveResponse';
@@ -39,6 +41,8 @@
   /** Oldest end first. */
   const ended = new Map<string, LiveResponse>();
   const closing = new AbortController();
+  // Every response that is kept waits for it.
+  setMaxListeners(0, closing.signal);
 
   let bytes = 0;
 
--- a/packages/sequoiarill-plugin-orders/src/claimWriter.ts
+++ b/packages/sequoiarill-plugin-orders/src/claimWriter.ts
@@ -1,4 +1,6 @@
 /** Writes how claimed orders ended, also when the platform is away for a while. */
+import { setMaxListeners } from 'node:events';
+
 import type { Clock, KeyTransaction } from '@sequoiarill/types';
 
 import type { LeaseBuckets } from './claimLeases';
@@ -47,6 +49,8 @@
   const unsent = new Set<string>();
   const tasks = new Set<Promise<void>>();
   const closing = new AbortController();
+  // Every result that waits for the platform waits for it too.
+  setMaxListeners(0, closing.signal);
 
   /** Runs until it says that it is done; waits between tries. */
   function startTask(runOnce: () => Promise<boolean>): void {
