--- a/packages/sequoiarill-standins/src/platform/platform.ts
+++ b/packages/sequoiarill-standins/src/platform/platform.ts
@@ -1,7 +1,8 @@
 /** The platform's key-value service for tests: the JSON gateway of etcd v3 as published. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import * as Gates from '../shared/gate';
+import * as Control from '../shared/control';
+import * as Waiting from '../shared/waiting';
 import * as Http from '../shared/http';
 import * as Servers from '../shared/server';
 import * as Calls from './calls';
@@ -26,6 +27,12 @@
   readonly getRevision: () => number;
 }
 
+/** Answers that are still to be lost. */
+interface AnswerLoss {
+  readonly count: number;
+  readonly path?: string | undefined;
+}
+
 export interface PlatformOptions {
   /** The real monotonic clock unless a test gives its own. */
   readonly clock?: Settings.PlatformClock;
@@ -46,14 +53,20 @@
   const leases = Leases.createLeases(store, clock);
   const keyCalls = Calls.createKeyCalls(store, leases, settings);
   const leaseCalls = LeaseCalls.createLeaseCalls(store, leases, clock);
-  const watches = Watches.createWatches(store);
+  const watches = Watches.createWatches(store, settings.progressMs);
   const server = Servers.createStandinServer(settings.listen, handleRequest);
-  const gate = Gates.createGate();
+  const control: Control.ControlOptions<PlatformFault> = {
+    schema: Faults.platformFaultSchema,
+    setFault,
+    getCounters,
+  };
+  const gate = Waiting.createGate();
+  const revival = Waiting.createLaterTask();
   const counts = { reads: 0, writes: 0, leaseCalls: 0, watchesOpened: 0 };
   let leaseTimer: NodeJS.Timeout | undefined;
   let isDown = false;
   let slowMs = 0;
-  let answersToLose = 0;
+  let loss: AnswerLoss = { count: 0 };
 
   function runCall(path: Exclude<PlatformPath, '/v3/watch'>, raw: unknown): Calls.CallResult {
     const handlers: Readonly<Record<typeof path, () => Calls.CallResult>> = {
@@ -79,7 +92,7 @@
   async function handleCall(path: PlatformPath, exchange: Http.Exchange): Promise<void> {
     const { response } = exchange;
     counts[Counters.getCallKind(path)] += 1;
-    if (slowMs > 0) await Gates.waitMs(slowMs);
+    if (slowMs > 0) await Waiting.waitMs(slowMs);
     await gate.waitOpen();
     if (isDown) {
       response.destroy();
@@ -92,13 +105,18 @@
     }
     const isTooLarge = exchange.body.length > settings.maxRequestBytes * BASE64_GROWTH;
     const result = isTooLarge ? Errors.REQUEST_TOO_LARGE : runCall(path, raw);
-    if (answersToLose > 0 && Counters.isWritingCall(path)) {
-      answersToLose -= 1;
+    if (isLost(path)) {
+      loss = { ...loss, count: loss.count - 1 };
       response.destroy();
     } else if (Calls.isError(result)) sendError(response, result);
     else Http.sendJson(response, 200, result);
   }
 
+  function isLost(path: PlatformPath): boolean {
+    if (loss.count === 0) return false;
+    return loss.path === undefined ? Counters.isWritingCall(path) : loss.path === path;
+  }
+
   function openWatch(raw: unknown, response: ServerResponse): void {
     const parsed = Requests.parseBody('/v3/watch', raw);
     if (parsed.kind === 'invalid') sendError(response, Errors.buildInvalid(parsed.message));
@@ -108,35 +126,19 @@
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const exchange = await Http.readExchange(request, response);
     const path = exchange.url.pathname;
-    if (path.startsWith('/standin/')) await handleControl(exchange);
+    if (Control.isControl(exchange)) await Control.handleControl(control, exchange);
     else if (isDown) response.destroy();
     else if (Requests.isPlatformPath(path)) await handleCall(path, exchange);
     else sendError(response, Errors.PATH_UNKNOWN);
   }
 
-  async function handleControl(exchange: Http.Exchange): Promise<void> {
-    const { response } = exchange;
-    if (exchange.method === 'GET') {
-      Http.sendJson(response, 200, getCounters());
-      return;
-    }
-    const parsed = Faults.platformFaultSchema.safeParse(Http.parseJson(exchange.body));
-    if (!parsed.success) {
-      sendError(response, Errors.buildInvalid(parsed.error.message));
-      return;
-    }
-    // Answered first: some faults cut the connection that asked for them.
-    Http.sendJson(response, 200, {});
-    await setFault(parsed.data);
-  }
-
   async function setFault(fault: PlatformFault): Promise<void> {
     if (fault.kind === 'up') await removeFaults();
     else if (fault.kind === 'down') failConnections();
-    else if (fault.kind === 'refuse') server.refuseConnections();
+    else if (fault.kind === 'refuse') refuseConnections(fault.forMs);
     else if (fault.kind === 'hang') gate.close();
     else if (fault.kind === 'slow') slowMs = fault.ms;
-    else if (fault.kind === 'loseAnswers') answersToLose = fault.count;
+    else if (fault.kind === 'loseAnswers') loss = fault;
     else failWatches();
   }
 
@@ -145,10 +147,15 @@
     server.closeConnections();
   }
 
+  function refuseConnections(forMs: number | undefined): void {
+    server.refuseConnections();
+    if (forMs !== undefined) revival.delay(forMs, removeFaults);
+  }
+
   async function removeFaults(): Promise<void> {
     isDown = false;
     slowMs = 0;
-    answersToLose = 0;
+    loss = { count: 0 };
     gate.open();
     await server.start();
   }
@@ -170,6 +177,7 @@
   }
 
   async function stop(): Promise<void> {
+    revival.cancel();
     clearInterval(leaseTimer);
     leaseTimer = undefined;
     gate.open();
