--- a/packages/sequoiarill-plugin-orders/src/__tests__/claims.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/claims.test.ts
@@ -200,7 +200,7 @@
     expect(target.getRuns()).toEqual(0);
   });
 
-  it('cost two calls for one order and two for thirty at once', async () => {
+  it('cost two calls for one order, two for thirty at once and one for a repeat', async () => {
     const store = FakeStores.createFakeStore();
     const target = createTarget();
     const router = createRouter('a', store, target.runAttempts);
@@ -213,5 +213,9 @@
     await Promise.all(orders.map(async (order) => router.runOrder(order)));
     await router.writer.drain();
     expect(store.getCallCount() - leaseCalls).toEqual(4);
+    await playOrder(router);
+    expect(store.getCallCount() - leaseCalls).toEqual(5);
+    await router.runOrder(FakeRouters.createOrder({ method: 'PUT' }));
+    expect(store.getCallCount() - leaseCalls).toEqual(5);
   });
 });
