--- a/packages/sequoiarill-decisions/src/admission.ts
+++ b/packages/sequoiarill-decisions/src/admission.ts
@@ -21,6 +21,8 @@
 
 /** With an engine's first token of up to half a second this leaves 95 in 100 inside 1 s. */
 const DEFAULT_MAX_WAIT_MS = 400;
+/** 10,000 tokens a second of one engine. */
+const DEFAULT_PREFILL_MS_PER_TOKEN = 0.1;
 const DEFAULT_MAX_QUEUE_LENGTH = 2_000;
 
 export function createAdmission(options: Types.AdmissionOptions): Types.Admission {
@@ -32,7 +34,12 @@
   const estimates = OutputEstimates.createOutputEstimates();
   const retryAfter = RetryAfter.createRetryAfter(options.nextRandom);
   const lanes = LaneSets.createLaneSet(options.createLimit);
-  const permits = Permits.createPermits({ lanes, limiter, estimates });
+  const permits = Permits.createPermits({
+    lanes,
+    limiter,
+    estimates,
+    prefillMsPerToken: options.prefillMsPerToken ?? DEFAULT_PREFILL_MS_PER_TOKEN,
+  });
   const queuedByTicket = new Map<Types.Ticket, Lanes.QueuedTicket>();
   const dropped: Types.TicketOutcome[] = [];
 
@@ -68,7 +75,7 @@
     cost: Cost,
     nowMs: number,
   ): Types.Queued | Types.Refused {
-    const decision = Door.decideDoor(lane, request, bounds);
+    const decision = Door.decideDoor(lane, request, cost, bounds);
     if (decision.kind === 'refuse') {
       limiter.releaseUse(request.organisation.name, cost.tokens, 0);
       return refuseOverloaded(decision.waitMs, decision.message, nowMs);
@@ -140,7 +147,8 @@
     recordFirstToken: permits.recordFirstToken,
     releasePermit: permits.releasePermit,
     getNextDeadlineMs: () => (dropped.length > 0 ? 0 : lanes.getNextDeadlineMs()),
-    setCapacity: (model, slots) => lanes.getLane(model).limit.setCapacity(slots),
+    setCapacity: (model, slots, busyShare) =>
+      lanes.getLane(model).limit.setCapacity(slots, busyShare),
     listLanes: () => lanes.listLanes().map(Lanes.dumpLane),
   };
 }
--- a/packages/sequoiarill-decisions/src/admissionTypes.ts
+++ b/packages/sequoiarill-decisions/src/admissionTypes.ts
@@ -74,6 +74,8 @@
   readonly getLimitShare?: (organisation: string, nowMs: number) => number;
   /** Longest expected wait that is accepted, milliseconds. */
   readonly maxWaitMs?: number;
+  /** Prefill of one token that is not cached, milliseconds; taken off measured first tokens. */
+  readonly prefillMsPerToken?: number;
   /** Requests that wait at once for one model. */
   readonly maxQueueLength?: number;
 }
@@ -99,6 +101,6 @@
   /** When the next ticket is given up unless it starts; for the caller's one timer. */
   readonly getNextDeadlineMs: () => number | undefined;
   /** Slots of a model's usable targets, at each change; see `ConcurrencyLimit.setCapacity`. */
-  readonly setCapacity: (model: string, slots: number) => void;
+  readonly setCapacity: (model: string, slots: number, busyShare?: number) => void;
   readonly listLanes: () => readonly LaneState[];
 }
--- a/packages/sequoiarill-decisions/src/concurrencyLimit.ts
+++ b/packages/sequoiarill-decisions/src/concurrencyLimit.ts
@@ -13,7 +13,7 @@
   readonly initial: number;
   readonly min: number;
   readonly max: number;
-  /** Wanted 90th percentile of an engine's first token, in milliseconds. */
+  /** Wanted 80th percentile of the wait for a slot of an engine, in milliseconds. */
   readonly targetMs: number;
 }
 
@@ -24,20 +24,25 @@
    * Slots of the targets that can be used now, weighted by how warm they are. A change moves the limit
    * in proportion at once: after a third of the targets is lost, the streams that are continued need
    * every slot that is left, and finding the new limit from late first tokens takes half a minute.
+   * `busyShare`: part of these slots that is taken by reports, all routers together. While slots are
+   * free, late first tokens have another cause (a slow target, cold caches), and a lower limit would
+   * refuse callers without helping anybody.
    */
-  readonly setCapacity: (slots: number) => void;
+  readonly setCapacity: (slots: number, busyShare?: number) => void;
   readonly getLimit: () => number;
 }
 
 /** Leaves the rest of a second for the queue before the engines. Milliseconds. */
-export const DEFAULT_TARGET_MS = 100;
+export const DEFAULT_TARGET_MS = 30;
 /** A window is judged after this time, milliseconds, and only with enough samples. */
 const WINDOW_MS = 3_000;
 const MIN_SAMPLES = 25;
-const JUDGED_SHARE = 0.9;
+const JUDGED_SHARE = 0.8;
 /** Largest change in one window, as factors. */
 const MAX_CUT = 0.97;
 const MAX_RISE = 0.03;
+/** Below this the targets are not what makes first tokens late. */
+const MIN_BUSY_SHARE = 0.93;
 /** The limit only rises while this share of it is in use: unused room proves nothing. */
 const IN_USE_SHARE = 0.85;
 
@@ -47,6 +52,7 @@
   let samples: number[] = [];
   let highestInFlight = 0;
   let capacity: number | undefined;
+  let isBusy = true;
 
   function recordFirstToken(ms: number, inFlight: number, nowMs: number): void {
     windowStartMs ??= nowMs;
@@ -54,13 +60,16 @@
     highestInFlight = Math.max(highestInFlight, inFlight);
     if (nowMs - windowStartMs < WINDOW_MS || samples.length < MIN_SAMPLES) return;
     const judged = pickRank(samples, JUDGED_SHARE);
-    limit = computeNextLimit(options, limit, judged, highestInFlight);
+    if (isBusy || judged <= options.targetMs) {
+      limit = computeNextLimit(options, limit, judged, highestInFlight);
+    }
     windowStartMs = nowMs;
     samples = [];
     highestInFlight = 0;
   }
 
-  function setCapacity(slots: number): void {
+  function setCapacity(slots: number, busyShare = 1): void {
+    isBusy = busyShare >= MIN_BUSY_SHARE;
     if (slots <= 0 || slots === capacity) return;
     const factor = slots / (capacity ?? slots);
     capacity = slots;
--- a/packages/sequoiarill-decisions/src/door.ts
+++ b/packages/sequoiarill-decisions/src/door.ts
@@ -9,7 +9,7 @@
 import type { Lane, QueuedTicket } from './lane';
 
 /** The estimate errs; a ticket may wait this much longer than the bound before it is dropped. */
-const DEADLINE_SLACK = 1.6;
+const DEADLINE_SLACK = 1.75;
 /** More important work that waits this long turns less important work away, milliseconds. */
 const BROWN_OUT_MS = 100;
 const MAX_PRIORITY = 9;
@@ -36,6 +36,7 @@
 export function decideDoor(
   lane: Lane,
   request: AdmissionRequest,
+  cost: Cost,
   bounds: DoorBounds,
 ): DoorAccepted | DoorRefused {
   const { organisation, model } = request;
@@ -47,6 +48,7 @@
   const waitMs = lane.computeWaitMs({
     organisation: organisation.name,
     weight: organisation.weight,
+    work: cost.work,
   });
   const acceptedMs = Math.min(bounds.maxWaitMs, request.maxWaitMs ?? bounds.maxWaitMs);
   if (waitMs > acceptedMs) {
--- a/packages/sequoiarill-decisions/src/fairQueue.ts
+++ b/packages/sequoiarill-decisions/src/fairQueue.ts
@@ -55,7 +55,7 @@
  * weight. Without it one that asks for half of its share, but twice in a second, has its second request
  * put behind the backlog of those who ask for too much.
  */
-const CREDIT = 4_000;
+const CREDIT = 8_000;
 /** Organisations with nothing waiting that are remembered for what they were charged. */
 const MAX_LINES = 20_000;
 
--- a/packages/sequoiarill-decisions/src/lane.ts
+++ b/packages/sequoiarill-decisions/src/lane.ts
@@ -26,6 +26,8 @@
 export interface LaneWait {
   readonly organisation: string;
   readonly weight: number;
+  /** Of the request itself: a slot has to be freed for it as well. */
+  readonly work: number;
 }
 
 export interface Lane {
@@ -115,8 +117,8 @@
   }
 
   function computeWaitMs(wait: LaneWait): number {
-    const work = queue.computeWorkBefore(wait.organisation, wait.weight);
-    return (work / getWorkPerSecond()) * 1000;
+    const workBefore = queue.computeWorkBefore(wait.organisation, wait.weight);
+    return ((workBefore + wait.work) / getWorkPerSecond()) * 1000;
   }
 
   function computeBacklogAboveMs(priority: number): number {
--- a/packages/sequoiarill-decisions/src/permits.ts
+++ b/packages/sequoiarill-decisions/src/permits.ts
@@ -11,9 +11,6 @@
 import type { OrganisationLimiter } from './organisationLimits';
 import type { OutputEstimates } from './outputEstimates';
 
-/** What is judged is waiting at the engine, so the prefill that a prompt needs is taken off. */
-const PREFILL_MS_PER_TOKEN = 0.1;
-
 export interface PermitQuestion {
   readonly organisation: string;
   readonly model: string;
@@ -31,9 +28,13 @@
   readonly lanes: LaneSet;
   readonly limiter: OrganisationLimiter;
   readonly estimates: OutputEstimates;
+  /** What is judged is waiting at the engine, so the prefill that a prompt needs is taken off. */
+  readonly prefillMsPerToken: number;
 }
 
-export function createPermits({ lanes, limiter, estimates }: PermitsOptions): Permits {
+export function createPermits(options: PermitsOptions): Permits {
+  const { lanes, limiter, estimates, prefillMsPerToken } = options;
+
   /** How many ran beside each permit when it was given. */
   const inFlightByPermit = new WeakMap<Permit, number>();
 
@@ -49,7 +50,7 @@
 
   function recordFirstToken(permit: Permit, ms: number, nowMs: number): void {
     const lane = lanes.getLane(permit.model);
-    const prefillMs = permit.cost.uncachedTokens * PREFILL_MS_PER_TOKEN;
+    const prefillMs = permit.cost.uncachedTokens * prefillMsPerToken;
     const waitMs = Math.max(0, ms - prefillMs);
     lane.limit.recordFirstToken(waitMs, inFlightByPermit.get(permit) ?? lane.getRunning(), nowMs);
   }
--- a/packages/sequoiarill-decisions/src/play/index.ts
+++ b/packages/sequoiarill-decisions/src/play/index.ts
@@ -1,4 +1,5 @@
 /** Played loads: a queueing model of engines and routers in virtual time, for tests and the bench. */
+export * from './capacity';
 export * from './ledger';
 export * from './patterns';
 export * from './playPattern';
