--- a/packages/sequoiarill-plugin-platform/src/__tests__/leaseKeeper.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/leaseKeeper.test.ts
@@ -89,6 +89,22 @@
     await refreshes;
   });
 
+  it('does not take the duty up again by a late answer', async () => {
+    // Story: the platform answers a refresh so late that the holder has stepped back meanwhile. Others
+    // have seen it stop; acting again on the late answer would make the duty jump to and fro.
+    const { clock, platform, keepers } = createKeepers(['a', 'b']);
+    const [first] = keepers;
+    await first.reserveDuty();
+    platform.faults.latencyMs = 2_500;
+    const refreshes = first.runRefreshes(new AbortController().signal);
+    await clock.runFor(3_100);
+    expect(first.isHolder()).toEqual(false);
+    await clock.runFor(900);
+    expect(first.isHolder()).toEqual(false);
+    await clock.runFor(5_000);
+    await refreshes;
+  });
+
   it('rides out a failed refresh', async () => {
     const { clock, platform, keepers } = createKeepers(['a', 'b']);
     const [first] = keepers;
--- a/packages/sequoiarill-plugin-platform/src/index.ts
+++ b/packages/sequoiarill-plugin-platform/src/index.ts
@@ -7,10 +7,13 @@
 
 export * from './apiKeys';
 export * from './configurationBuilder';
+export * from './configurationNews';
+export * from './configurationState';
 export * from './documentDiff';
 export * from './documentEditor';
 export * from './documentReader';
 export * from './documentSchema';
+export * from './followedConfiguration';
 export * from './keyValueStore';
 export * from './leaseKeeper';
 export * from './metrics';
