--- a/packages/sequoiarill-standins/src/service/service.ts
+++ b/packages/sequoiarill-standins/src/service/service.ts
@@ -1,7 +1,8 @@
 /** A plain service for tests: runs any call, counts it and echoes it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import * as Gates from '../shared/gate';
+import * as Control from '../shared/control';
+import * as Waiting from '../shared/waiting';
 import * as Http from '../shared/http';
 import * as Servers from '../shared/server';
 import * as Faults from './faults';
@@ -14,22 +15,33 @@
   readonly stop: () => Promise<void>;
   readonly setFault: (fault: ServiceFault) => Promise<void>;
   readonly getCounters: () => Runs.ServiceCounters;
+  /** Calls received and not yet run, since the service is paused. */
+  readonly getWaiting: () => number;
 }
 
 export function createServiceStandin(input: Settings.ServiceSettingsInput = {}): ServiceStandin {
   const settings = Settings.serviceSettingsSchema.parse(input);
   const runs = Runs.createServiceRuns(settings.checksIdempotencyKey);
-  const gate = Gates.createGate();
+  const gate = Waiting.createGate();
+  const revival = Waiting.createLaterTask();
+  const control: Control.ControlOptions<ServiceFault> = {
+    schema: Faults.serviceFaultSchema,
+    setFault,
+    getCounters: runs.getCounters,
+  };
   const server = Servers.createStandinServer(settings.listen, handleRequest);
   let slowMs = 0;
   let answersToLose = 0;
   let failsFast = false;
   let incarnation = 1;
+  let waiting = 0;
 
   async function handleCall(exchange: Http.Exchange): Promise<void> {
     const { response } = exchange;
     const started = incarnation;
+    waiting += 1;
     await gate.waitOpen();
+    waiting -= 1;
     if (started !== incarnation) return;
     if (failsFast) {
       sendError(response, 503, 'the service fails everything');
@@ -37,7 +49,7 @@
     }
     const answer = runs.runCall(buildCall(exchange));
     const delayMs = settings.answerMs + slowMs;
-    if (delayMs > 0) await Gates.waitMs(delayMs);
+    if (delayMs > 0) await Waiting.waitMs(delayMs);
     if (answersToLose > 0) {
       answersToLose -= 1;
       response.destroy();
@@ -46,26 +58,10 @@
 
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const exchange = await Http.readExchange(request, response);
-    if (exchange.url.pathname.startsWith('/standin/')) await handleControl(exchange);
+    if (Control.isControl(exchange)) await Control.handleControl(control, exchange);
     else await handleCall(exchange);
   }
 
-  async function handleControl(exchange: Http.Exchange): Promise<void> {
-    const { response } = exchange;
-    if (exchange.method === 'GET') {
-      Http.sendJson(response, 200, runs.getCounters());
-      return;
-    }
-    const parsed = Faults.serviceFaultSchema.safeParse(Http.parseJson(exchange.body));
-    if (!parsed.success) {
-      sendError(response, 400, parsed.error.message);
-      return;
-    }
-    // Answered first: some faults cut the connection that asked for them.
-    Http.sendJson(response, 200, {});
-    await setFault(parsed.data);
-  }
-
   function removeFaults(): void {
     slowMs = 0;
     answersToLose = 0;
@@ -73,9 +69,10 @@
     gate.open();
   }
 
-  function failService(): void {
+  function failService(reviveAfterMs?: number): void {
     incarnation += 1;
     server.refuseConnections();
+    if (reviveAfterMs !== undefined) revival.delay(reviveAfterMs, resumeService);
   }
 
   async function resumeService(): Promise<void> {
@@ -85,7 +82,7 @@
   }
 
   async function setFault(fault: ServiceFault): Promise<void> {
-    if (fault.kind === 'die') failService();
+    if (fault.kind === 'die') failService(fault.reviveAfterMs);
     else if (fault.kind === 'revive') await resumeService();
     else if (fault.kind === 'pause') gate.close();
     else if (fault.kind === 'unpause') gate.open();
@@ -96,12 +93,19 @@
   }
 
   async function stop(): Promise<void> {
+    revival.cancel();
     incarnation += 1;
     gate.open();
     await server.stop();
   }
 
-  return { start: server.start, stop, setFault, getCounters: runs.getCounters };
+  return {
+    start: server.start,
+    stop,
+    setFault,
+    getCounters: runs.getCounters,
+    getWaiting: () => waiting,
+  };
 }
 
 function buildCall(exchange: Http.Exchange): Runs.ServiceCall {
--- a/packages/sequoiarill-testing/src/daemons.ts
+++ b/packages/sequoiarill-testing/src/daemons.ts
@@ -59,8 +59,8 @@
 }
 
 /**
- * Starts a daemon and waits until it has logged an address for each event named, as
- * `callers.listening`. Rejects with the daemon's output if it ends before that.
+ * Starts a daemon and waits until it has logged each event named, such as `callers.listening`, with
+ * its address if it has one; stand-ins print theirs without a name. Rejects with the daemon's output if it ends before that.
  */
 export async function startDaemon(
   kind: DaemonKind,
@@ -70,19 +70,25 @@
   const folder = mkdtempSync(path.join(tmpdir(), 'sequoiarill-'));
   const file = path.join(folder, `${kind}.ini`);
   writeFileSync(file, formatIni(settings));
-  const child = spawn(process.execPath, listArguments(kind, file), {
-    stdio: ['ignore', 'pipe', 'pipe'],
-  });
-  const exited = once(child, 'exit');
-  const log: string[] = [];
   try {
-    const addresses = await readAddresses(child, addressNames, log);
-    return createDaemon(child, exited, addresses, log);
+    return await startProgram(listArguments(kind, file), addressNames);
   } finally {
     rmSync(folder, { recursive: true, force: true });
   }
 }
 
+/** Starts any program of node that prints its addresses as daemons do. */
+export async function startProgram(
+  programArguments: readonly string[],
+  addressNames: readonly string[],
+): Promise<Daemon> {
+  const child = spawn(process.execPath, programArguments, { stdio: ['ignore', 'pipe', 'pipe'] });
+  const exited = once(child, 'exit');
+  const log: string[] = [];
+  const addresses = await readAddresses(child, addressNames, log);
+  return createDaemon(child, exited, addresses, log);
+}
+
 async function readAddresses(
   child: ChildProcess,
   names: readonly string[],
@@ -96,8 +102,8 @@
     lines.on('line', (line) => {
       if (log.length < MAX_LOG_LINES) log.push(line);
       const record = parseLine(line);
-      if (record?.address === undefined) return;
-      addresses.set(record.name ?? '', record.address);
+      if (record === undefined) return;
+      addresses.set(record.name ?? '', record.address ?? '');
       if (names.every((name) => addresses.has(name))) resolve();
     });
   });
--- /dev/null
+++ b/packages/sequoiarill-testing/src/index.ts
@@ -0,0 +1,5 @@
+/** Starts routers and stand-ins as processes, for tests and measurements. */
+export * from './answers';
+export * from './daemons';
+export * from './fleet';
+export * from './journals';
