Tell peers what is confirmed, early after a change

Cause: peers count themselves as knowing everything up to the news' revision; a record handed out above it could make them miss an older one that another watch still holds back. The store's own revision rises with every claim of an order, and peers asked for sections each time. Peers are told the newest record's revision that is confirmed; a change brings the confirmation after a fifth of a second instead of a whole one. VMs of the platform's list are bounded. Conclusion: an unchanged document costs routers no questions.

--- a/packages/sequoiarill-plugin-platform/src/__tests__/configurationState.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/configurationState.test.ts
@@ -77,11 +77,33 @@
     expect(state.getConfiguration().models.get('advisor')?.version).toEqual('good');
     const refusals = events.filter((event) => event === Events.SECTION_REFUSED);
     expect(refusals.length).toEqual(1);
+    state.mergeSections({ readerFence: 1, readerBeat: 1, revision: 4 }, []);
     expect(state.listSectionsAfter(0).map(({ revision }) => revision)).toEqual([3]);
     state.applyRecords([createRecord('models', 5, Fixtures.formatModelSection('mended'))]);
     expect(state.getConfiguration().models.get('advisor')?.version).toEqual('mended');
   });
 
+  it('gives peers nothing beyond what is confirmed', () => {
+    // Story: two watches run side by side and the later of two changes arrives first. A peer given
+    // that one would count itself as knowing everything before it, and never ask for the other.
+    const { state } = createState();
+    state.applyRecords([
+      createRecord('models', 3, '{}'),
+      createRecord('vm:vm-1', 9, '{"state":"leaving"}'),
+    ]);
+    state.mergeSections(
+      { readerFence: 1, readerBeat: 1, revision: state.findNewestRevision(7) },
+      [],
+    );
+    expect(state.getNews().revision).toEqual(3);
+    expect(state.listSectionsAfter(0).map(({ name }) => name)).toEqual(['models']);
+    state.mergeSections(
+      { readerFence: 1, readerBeat: 2, revision: state.findNewestRevision(9) },
+      [],
+    );
+    expect(state.listSectionsAfter(3).map(({ name }) => name)).toEqual(['vm:vm-1']);
+  });
+
   it('makes a VM leaving when either source says so', () => {
     const { state } = createState();
     const getState = () => state.getConfiguration().targets.get('engine-1')?.vmState;
@@ -96,6 +118,18 @@
     expect(getState()).toEqual('leaving');
   });
 
+  it('forgets the VMs that changed longest ago beyond a bound', () => {
+    const { state } = createState();
+    const records = Array.from({ length: 20_002 }, (unused, index) =>
+      createRecord(`vm:vm-${index}`, index + 1, '{"state":"live"}'),
+    );
+    state.applyRecords(records);
+    state.mergeSections({ readerFence: 1, readerBeat: 1, revision: 30_000 }, []);
+    const kept = state.listSectionsAfter(0);
+    expect(kept.length).toEqual(20_000);
+    expect(kept[0]?.name).toEqual('vm:vm-2');
+  });
+
   it('tells subscribers of each change until they leave', () => {
     const { state } = createState();
     const revisions: number[] = [];
--- a/packages/sequoiarill-plugin-platform/src/__tests__/fixtures.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/fixtures.ts
@@ -3,6 +3,7 @@
 import * as Distribution from 'pure-rand/distribution/uniformFloat64';
 import * as Generator from 'pure-rand/generator/xoroshiro128plus';
 
+import * as News from '../configurationNews';
 import * as FollowedConfigurations from '../followedConfiguration';
 import type { FollowedConfiguration } from '../followedConfiguration';
 import type { ReaderMode } from '../readerDuty';
@@ -76,8 +77,11 @@
 export function mergeNodes(nodes: readonly Node[]): void {
   for (const from of nodes) {
     for (const to of nodes) {
-      const { revision } = to.state.getNews();
-      to.state.mergeSections(from.state.getNews(), from.state.listSectionsAfter(revision));
+      const news = from.state.getNews();
+      const own = to.state.getNews();
+      if (news.revision > own.revision) {
+        to.state.mergeSections(news, from.state.listSectionsAfter(own.revision));
+      } else if (News.compareNews(news, own) > 0) to.state.mergeSections(news, []);
     }
   }
 }
--- a/packages/sequoiarill-plugin-platform/src/__tests__/readerDuty.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/readerDuty.test.ts
@@ -46,11 +46,11 @@
     nodes.forEach((node) => node.start());
     await runFor(3_000);
     expect(listReaders(nodes).length).toEqual(1);
-    const before = platform.getCalls();
     platform.write(KEY, Fixtures.formatModelSection('v2'));
     await runFor(1_000);
     expect(listVersions(nodes)).toEqual(['v2']);
-    await runFor(9_000);
+    const before = platform.getCalls();
+    await runFor(10_000);
     // Ten seconds: two confirming reads a second and a refresh each four thirds of a second.
     const after = platform.getCalls();
     expect(after.read - before.read).toEqual(20);
--- a/packages/sequoiarill-plugin-platform/src/__tests__/sockets.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/sockets.test.ts
@@ -3,15 +3,17 @@
 import * as Kernel from '@sequoiarill/kernel';
 import * as Standins from '@sequoiarill/standins';
 import type { PlatformStandin } from '@sequoiarill/standins';
-import type { Configuration } from '@sequoiarill/types';
+import type { Configuration, Plugin } from '@sequoiarill/types';
 import { expect } from 'earl';
 
+import * as ApiKeys from '../apiKeys';
 import * as DocumentEditors from '../documentEditor';
 import type { DocumentEditor } from '../documentEditor';
 import * as FollowedConfigurations from '../followedConfiguration';
 import type { FollowedConfiguration } from '../followedConfiguration';
 import * as PlatformConnections from '../platformConnection';
 import type { PlatformConnection } from '../platformConnection';
+import { platformPlugin } from '../platformPlugin';
 import { platformSchema } from '../platformSettings';
 import * as Fixtures from './fixtures';
 
@@ -124,4 +126,28 @@
     await writeVersion('v2');
     await waitForVersion('v2');
   });
+
+  it('runs as a plug-in that is ready with its configuration and dumps no secret', async () => {
+    const key = ApiKeys.createKeyRecord();
+    const text = JSON.stringify({ organisations: { shop: { keys: [key.record] } } });
+    await editor.putSection({ section: 'teams', text, file: 'teams.json' });
+    const { address } = await platform.start();
+    const settings = Kernel.parseSettings(
+      `[process]\nname = r\nzone = z2\nregion = r\n[telemetry]\nlogLevel = silent\n[platform]\nendpoints = ${address}\n`,
+      'router.ini',
+      [platformPlugin as Plugin],
+    );
+    if (settings.kind !== 'settings') throw new Error('bad settings');
+    const kernel = Kernel.createKernel({
+      settings: settings.settings,
+      plugins: [platformPlugin as Plugin],
+    });
+    await kernel.start();
+    const configuration = kernel.getCapability('configuration').getConfiguration();
+    expect(ApiKeys.verifyKey(configuration, key.presented)?.name).toEqual('shop');
+    const dump = JSON.stringify(await kernel.dumpProcess());
+    expect(dump.includes('"organisations":1')).toEqual(true);
+    expect(dump.includes(key.record.hash)).toEqual(false);
+    await kernel.stop();
+  });
 });
--- a/packages/sequoiarill-plugin-platform/src/configurationState.ts
+++ b/packages/sequoiarill-plugin-platform/src/configurationState.ts
@@ -23,7 +23,8 @@
 export interface ConfigurationState extends ConfigurationReader, ConfigurationExchange {
   /** Takes in records; ones that are not newer than what is held change nothing. */
   readonly applyRecords: (records: readonly ConfigurationSection[]) => void;
-  readonly listRecords: () => readonly ConfigurationSection[];
+  /** The newest record up to a revision; 0 when there is none. */
+  readonly findNewestRevision: (upTo: number) => number;
   readonly dumpState: () => StateDump;
 }
 
@@ -40,6 +41,9 @@
 /** Beyond it, building anew costs no more than replacing. */
 const MAX_REPLACED_SECTIONS = 50;
 
+/** Three times the VMs of the largest fleet; those replaced stay in the list, 2,500 a day. */
+const MAX_VMS = 20_000;
+
 const EMPTY: Configuration = Builder.buildConfiguration(0, new Map(), new Map());
 
 export function createConfigurationState(options: ConfigurationStateOptions): ConfigurationState {
@@ -114,6 +118,13 @@
     return record.revision <= Math.max(held, refusedRevision);
   }
 
+  function removeOldestVm(): void {
+    const oldest = findOldestVm(records);
+    if (oldest === undefined) return;
+    records.delete(oldest.name);
+    vmStates.delete(DocumentRecords.getVmName(oldest));
+  }
+
   /**
    * Failure: text written past our checks does not parse. It shows as a refused record; the last good
    * one is kept in force and is what peers are given, so that one bad write takes no team out.
@@ -124,6 +135,7 @@
     if (!isApplied) return false;
     records.set(record.name, record);
     refused.delete(record.name);
+    if (vmStates.size > MAX_VMS) removeOldestVm();
     return true;
   }
 
@@ -137,40 +149,92 @@
     snapshots.updateSoon();
   }
 
-  function dumpState(): StateDump {
-    const configuration = snapshots.getConfiguration();
-    const ageMs = news.getAgeMs();
-    return {
-      revision: configuration.revision,
-      appliedAt: snapshots.getAppliedAt(),
-      news: news.getNews(),
-      newsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
-      sections: [...records.values()]
-        .filter((record) => !DocumentRecords.isVmRecord(record))
-        .map(({ name, revision }) => ({ name, revision })),
-      refused: [...refused].map(([name, revision]) => ({ name, revision })),
-      counts: {
-        models: configuration.models.size,
-        organisations: configuration.organisations.size,
-        services: configuration.services.size,
-        targets: configuration.targets.size,
-        leavingVms: [...vmStates.values()].filter((state) => state === 'leaving').length,
-      },
-    };
+  /**
+   * Refused records count too: they are known. Telling peers this revision and not that of the store,
+   * which rises with every claim of an order, spares them questions that bring nothing.
+   */
+  function findNewestRevision(upTo: number): number {
+    let newest = 0;
+    for (const { revision } of records.values()) {
+      if (revision <= upTo && revision > newest) newest = revision;
+    }
+    for (const revision of refused.values()) {
+      if (revision <= upTo && revision > newest) newest = revision;
+    }
+    return newest;
+  }
+
+  /**
+   * Failure: two watches are not ordered against each other, so a record can arrive before an older
+   * one. A peer that is given the newer one would take itself for complete and never ask for the
+   * older. So records above the confirmed revision wait for the confirmation, a fraction of a second.
+   */
+  function listSectionsAfter(revision: number): readonly ConfigurationSection[] {
+    const confirmed = news.getNews().revision;
+    return [...records.values()].filter(
+      (record) => record.revision > revision && record.revision <= confirmed,
+    );
   }
 
   return {
     applyRecords,
-    listRecords: () => [...records.values()],
+    findNewestRevision,
     getConfiguration: snapshots.getConfiguration,
     subscribeConfiguration: snapshots.subscribe,
     getNews: news.getNews,
-    listSectionsAfter: (revision) =>
-      [...records.values()].filter((record) => record.revision > revision),
+    listSectionsAfter,
     mergeSections(peerNews, sections) {
       applyRecords(sections);
       news.mergeNews(peerNews);
     },
-    dumpState,
+    dumpState() {
+      const configuration = snapshots.getConfiguration();
+      const appliedAt = snapshots.getAppliedAt();
+      return dumpKnown({ configuration, appliedAt, news, records, refused, vmStates });
+    },
+  };
+}
+
+/** Whose state changed longest ago: of those that are gone, the first to be forgotten. */
+function findOldestVm(
+  records: ReadonlyMap<string, ConfigurationSection>,
+): ConfigurationSection | undefined {
+  let oldest: ConfigurationSection | undefined;
+  for (const record of records.values()) {
+    const isCandidate = DocumentRecords.isVmRecord(record);
+    if (isCandidate && record.revision < (oldest?.revision ?? Infinity)) oldest = record;
+  }
+  return oldest;
+}
+
+interface Known {
+  readonly configuration: Configuration;
+  readonly appliedAt: string | undefined;
+  readonly news: NewsKeeper;
+  readonly records: ReadonlyMap<string, ConfigurationSection>;
+  readonly refused: ReadonlyMap<string, number>;
+  readonly vmStates: ReadonlyMap<string, VmState>;
+}
+
+/** Names and revisions only: texts hold hashes of keys. */
+function dumpKnown(known: Known): StateDump {
+  const { configuration, news, records, refused, vmStates } = known;
+  const ageMs = news.getAgeMs();
+  return {
+    revision: configuration.revision,
+    appliedAt: known.appliedAt,
+    news: news.getNews(),
+    newsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+    sections: [...records.values()]
+      .filter((record) => !DocumentRecords.isVmRecord(record))
+      .map(({ name, revision }) => ({ name, revision })),
+    refused: [...refused].map(([name, revision]) => ({ name, revision })),
+    counts: {
+      models: configuration.models.size,
+      organisations: configuration.organisations.size,
+      services: configuration.services.size,
+      targets: configuration.targets.size,
+      leavingVms: [...vmStates.values()].filter((state) => state === 'leaving').length,
+    },
   };
 }
--- a/packages/sequoiarill-plugin-platform/src/followedConfiguration.ts
+++ b/packages/sequoiarill-plugin-platform/src/followedConfiguration.ts
@@ -67,7 +67,10 @@
     holder: process.name,
     ttlSeconds: READER_TTL_SECONDS,
   });
-  const { applyRecords } = state;
+  const applyRecords: ConfigurationState['applyRecords'] = (records) => {
+    state.applyRecords(records);
+    reader.handleChange();
+  };
   const followers = DocumentRecords.SOURCES.map((source) => {
     const parts = { source, store, clock, logEvent, nextRandom, applyRecords };
     return SourceFollowers.createSourceFollower(parts);
@@ -75,10 +78,16 @@
   const reader = PlatformReaders.createPlatformReader({
     followers,
     clock,
-    handleConfirmed: (revision) => news.confirmNews(keeper.getFence(), revision),
+    handleConfirmed: (revision) =>
+      news.confirmNews(keeper.getFence(), state.findNewestRevision(revision)),
     markAway,
   });
-  const parts = { mode, keeper, reader, news, clock, logEvent, nextRandom, markAway };
+  const readInstead = async () => {
+    const outcome = await reader.readOnce();
+    if (outcome.kind !== 'confirmed') return;
+    news.updateRevision(state.findNewestRevision(outcome.revision));
+  };
+  const parts = { mode, readInstead, keeper, reader, news, clock, logEvent, nextRandom, markAway };
   const duty = ReaderDuties.createReaderDuty(parts);
   return { state, isReader: duty.isReader, isAway, run: duty.run };
 }
--- a/packages/sequoiarill-plugin-platform/src/platformReader.ts
+++ b/packages/sequoiarill-plugin-platform/src/platformReader.ts
@@ -13,17 +13,22 @@
 
 export interface PlatformReader {
   readonly readOnce: () => Promise<FollowOutcome>;
+  /** A watch brought something. */
+  readonly handleChange: () => void;
   /** Runs until the signal is aborted or the duty is lost. */
   readonly runSession: (signal: AbortSignal, isAllowed: () => boolean) => Promise<void>;
 }
 
 /** Well below the age at which others take the reader for lost. */
 const CONFIRM_INTERVAL_MS = 1_000;
+/** After a change the confirmation comes early, since peers are told only what is confirmed. */
+const EARLY_CONFIRM_MS = 200;
 /** Only the holder of the duty asks at this pace while the platform is away. */
 const READ_RETRY_MS = 500;
 
 export function createPlatformReader(options: PlatformReaderOptions): PlatformReader {
   const { followers, clock, markAway } = options;
+  let change = new AbortController();
 
   /** Asks all followers; what is confirmed for the whole is what the least of them confirms. */
   async function mergeOutcomes(
@@ -39,9 +44,20 @@
     return { kind: 'confirmed', revision };
   }
 
+  /** A second, or a fifth of it when something changed. */
+  async function waitForNext(signal: AbortSignal): Promise<void> {
+    change = new AbortController();
+    await clock.waitMs(EARLY_CONFIRM_MS, signal);
+    const isEnough = signal.aborted || change.signal.aborted;
+    if (isEnough) return;
+    await clock.waitMs(CONFIRM_INTERVAL_MS - EARLY_CONFIRM_MS, change.signal);
+  }
+
   async function runConfirmations(signal: AbortSignal, isAllowed: () => boolean): Promise<void> {
+    // One listener for the session; a combined signal for each wait would pile up on the long one.
+    signal.addEventListener('abort', () => change.abort(), { once: true });
     while (!signal.aborted && isAllowed()) {
-      await clock.waitMs(CONFIRM_INTERVAL_MS, signal);
+      await waitForNext(signal);
       if (signal.aborted || !isAllowed()) return;
       const outcome = await mergeOutcomes((follower) => follower.checkRevision());
       // The holder may have been paused while the answer was under way.
@@ -62,6 +78,7 @@
 
   return {
     readOnce,
+    handleChange: () => change.abort(),
     async runSession(signal, isAllowed) {
       await readFirst(signal, isAllowed);
       const stop = new AbortController();
--- a/packages/sequoiarill-plugin-platform/src/readerDuty.ts
+++ b/packages/sequoiarill-plugin-platform/src/readerDuty.ts
@@ -16,6 +16,8 @@
   readonly mode: ReaderMode;
   readonly keeper: LeaseKeeper;
   readonly reader: PlatformReader;
+  /** Reads everything once and takes it in, without being the reader. */
+  readonly readInstead: () => Promise<void>;
   readonly news: NewsKeeper;
   readonly clock: Clock;
   readonly logEvent: LogEvent;
@@ -66,12 +68,11 @@
     retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
   }
 
-  /** Reads once without the duty, so that broken links between routers keep no change away. */
-  async function readInstead(): Promise<void> {
+  /** Reads without the duty, so that broken links between routers keep no change away. */
+  async function readIfCutOff(): Promise<void> {
     if (news.getAgeMs() < BYPASS_NEWS_MS) return;
     logEvent(Events.READER_BYPASSED);
-    const outcome = await reader.readOnce();
-    if (outcome.kind === 'confirmed') news.updateRevision(outcome.revision);
+    await options.readInstead();
   }
 
   async function runAttempt(signal: AbortSignal): Promise<void> {
@@ -86,7 +87,7 @@
       await runAsHolder(signal);
       return;
     }
-    await readInstead();
+    await readIfCutOff();
     await clock.waitMs(STALE_NEWS_MS / 2 + nextRandom() * ATTEMPT_SPREAD_MS, signal);
   }
 
