--- a/packages/sequoiarill-plugin-platform/src/__tests__/keyValueStore.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/keyValueStore.test.ts
@@ -11,6 +11,7 @@
 import type { GatewayCaller } from '../gatewayCaller';
 import * as KeyValueStores from '../keyValueStore';
 import type { PlatformStore } from '../keyValueStore';
+import * as Fixtures from './fixtures';
 
 interface Reply {
   readonly status?: number;
@@ -83,7 +84,7 @@
     ...extra,
   });
   closers.unshift(gateway.close);
-  const counter = CallCounters.createCallCounter({ addCount: () => undefined });
+  const counter = CallCounters.createCallCounter(Fixtures.SILENT_METRICS);
   const store = KeyValueStores.createKeyValueStore({ gateway, counter, keyPrefix: '/t/' });
   return { store, counter };
 }
--- a/packages/sequoiarill-plugin-platform/src/callCounter.ts
+++ b/packages/sequoiarill-plugin-platform/src/callCounter.ts
@@ -11,6 +11,7 @@
 
 export interface CallCounter {
   readonly addCall: (kind: CallKind) => void;
+  readonly recordTiming: (kind: CallKind, outcome: string, elapsedMs: number) => void;
   readonly getCounts: () => CallCounts;
 }
 
@@ -20,13 +21,18 @@
   watch: 'platform.watches',
 };
 
-export function createCallCounter(metrics: Pick<Metrics, 'addCount'>): CallCounter {
+/** The part of the metrics that calls to the platform need. */
+export type CallMetrics = Pick<Metrics, 'addCount' | 'recordTiming'>;
+
+export function createCallCounter(metrics: CallMetrics): CallCounter {
   const counts = { read: 0, write: 0, watch: 0 };
   return {
     addCall(kind) {
       counts[kind] += 1;
       metrics.addCount(METRIC_NAMES[kind]);
     },
+    recordTiming: (kind, outcome, elapsedMs) =>
+      metrics.recordTiming('platform.call_ms', elapsedMs, { kind, outcome }),
     getCounts: () => ({ ...counts }),
   };
 }
--- a/packages/sequoiarill-plugin-platform/src/keyValueStore.ts
+++ b/packages/sequoiarill-plugin-platform/src/keyValueStore.ts
@@ -67,14 +67,17 @@
     return Messages.encodeText(`${keyPrefix}${key}`);
   }
 
-  function callCounted<Answer>(
+  async function callCounted<Answer>(
     kind: CallKind,
     path: string,
     body: object,
     schema: ZodType<Answer>,
   ): Promise<CallOutcome<Answer>> {
     counter.addCall(kind);
-    return gateway.callGateway(path, body, schema);
+    const startedMs = performance.now();
+    const outcome = await gateway.callGateway(path, body, schema);
+    counter.recordTiming(kind, outcome.kind, performance.now() - startedMs);
+    return outcome;
   }
 
   function encodeComparison(comparison: KeyComparison): object {
--- a/packages/sequoiarill-plugin-platform/src/metrics.ts
+++ b/packages/sequoiarill-plugin-platform/src/metrics.ts
@@ -12,7 +12,11 @@
     meaning: 'Writes and lease calls sent to the platform, out of several hundred a second',
   },
   { name: 'platform.watches', unit: 'calls', meaning: 'Watches opened' },
-  { name: 'platform.call_ms', unit: 'ms', meaning: 'Time of one call, by kind and outcome' },
+  {
+    name: 'platform.call_ms',
+    unit: 'ms',
+    meaning: 'Time of one call, tagged with its kind (read or write) and outcome',
+  },
   {
     name: 'configuration.revision',
     unit: 'revision',
@@ -23,9 +27,4 @@
     unit: 'ms',
     meaning: 'Time to build one snapshot of the configuration',
   },
-  {
-    name: 'configuration.news_age_ms',
-    unit: 'ms',
-    meaning: 'Since the reader last confirmed the configuration, as known here',
-  },
 ] as const;
--- a/packages/sequoiarill-plugin-platform/src/platformConnection.ts
+++ b/packages/sequoiarill-plugin-platform/src/platformConnection.ts
@@ -1,10 +1,8 @@
 /** Opens the key-value store that a settings section describes. */
 import { readFileSync } from 'node:fs';
 
-import type { Metrics } from '@sequoiarill/types';
-
 import * as CallCounters from './callCounter';
-import type { CallCounter } from './callCounter';
+import type { CallCounter, CallMetrics } from './callCounter';
 import * as GatewayCallers from './gatewayCaller';
 import * as KeyValueStores from './keyValueStore';
 import type { PlatformStore } from './keyValueStore';
@@ -29,7 +27,7 @@
 
 export function openPlatform(
   settings: ConnectionSettings,
-  metrics: Pick<Metrics, 'addCount'>,
+  metrics: CallMetrics,
 ): PlatformConnection {
   const { endpoints, callTimeoutMs, keyPrefix } = settings;
   const credentials = readCredentials(settings);
--- a/packages/sequoiarill/src/commands/configConnection.ts
+++ b/packages/sequoiarill/src/commands/configConnection.ts
@@ -70,6 +70,6 @@
 export function openConnection(options: ConnectionOptions): Connection {
   const outcome = parseOptions(options);
   if (outcome.kind === 'faults') return outcome;
-  const silent = { addCount: () => undefined };
+  const silent = { addCount: () => undefined, recordTiming: () => undefined };
   return { kind: 'open', ...Platform.openPlatform(outcome.settings, silent) };
 }
