Show in config status which routers lag, in what and since when

Cause: an accepted change is in force within seconds, and an operator could not see where it is not. Compared section by section over the routers' state, since a router's revision also counts the VM list. The commands now print through the same output as the others. Conclusion: a script can wait for a change by the exit code.

--- a/packages/sequoiarill/src/commands/__tests__/config.test.ts
+++ b/packages/sequoiarill/src/commands/__tests__/config.test.ts
@@ -1,4 +1,6 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import * as Http from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { afterEach, beforeEach, describe, it } from 'node:test';
@@ -25,11 +27,11 @@
 async function runConfig(...args: readonly string[]): Promise<Printed> {
   const printed = { out: '', error: '', exitCode: 0 };
   const command = ConfigCommands.createConfigCommand({
-    writeOut(text) {
-      printed.out += text;
+    print(text) {
+      printed.out += `${text}\n`;
     },
-    writeError(text) {
-      printed.error += text;
+    printError(text) {
+      printed.error += `${text}\n`;
     },
     setExitCode(code) {
       printed.exitCode = code;
@@ -49,6 +51,18 @@
   return file;
 }
 
+/** A router's listener for operators that shows this state. */
+async function startRouterState(state: object): Promise<Http.Server> {
+  const server = Http.createServer((request, response) => {
+    response.setHeader('connection', 'close');
+    response.end(request.url === '/state/platform' ? JSON.stringify(state) : '{}');
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return server;
+}
+
 async function readRevision(section: string): Promise<number> {
   const { out } = await runSection(section, 'get', '--json');
   return (JSON.parse(out) as { readonly revision: number }).revision;
@@ -150,6 +164,27 @@
     expect(missing.error).toEqual('name the platform: --platform IP:PORT or --settings FILE\n');
   });
 
+  it('shows which routers lag, in which section and since when', async () => {
+    // Story: a change was accepted, and one router sits in a zone that is cut off. Operators want to
+    // know who still serves by the old text before they rely on the new one.
+    await runSection('models', 'put', writeFile('models.json', MODELS));
+    const revision = await readRevision('models');
+    const held = { name: 'models', revision };
+    const states = [[held], [{ ...held, revision: revision - 1 }]].map((sections) => ({
+      configuration: { revision, sections, refused: [] },
+    }));
+    const servers = await Promise.all(states.map(startRouterState));
+    const at = servers.map((server) => `127.0.0.1:${(server.address() as AddressInfo).port}`);
+    const status = ['status', '--platform', address, '--at'];
+    expect((await runConfig(...status, at[0] ?? '')).exitCode).toEqual(0);
+    const { error, exitCode } = await runConfig(...status, at.join(','));
+    expect(exitCode).toEqual(1);
+    const lines = error.split('\n');
+    expect(lines[2]).toEqual(`${at[0]}: revision ${revision}, up to date`);
+    expect(lines[3]?.includes(`[models] at ${revision - 1} lags since 20`)).toEqual(true);
+    servers.forEach((server) => server.close());
+  });
+
   it('makes a key and shows its secret beside the record to store', async () => {
     const { out } = await runConfig('key', '--organisation', 'shop', '--json');
     const key = JSON.parse(out) as { presented: string; record: { id: string } };
--- a/packages/sequoiarill/src/commands/config.ts
+++ b/packages/sequoiarill/src/commands/config.ts
@@ -7,10 +7,13 @@
 import * as Platform from '@sequoiarill/plugin-platform';
 import * as Commander from 'commander';
 
+import * as Outputs from './commandOutput';
 import * as ConfigConnection from './configConnection';
 import type { ConnectionOptions } from './configConnection';
 import * as ConfigOutput from './configOutput';
-import type { CommandResult, Output } from './configOutput';
+import type { CommandResult } from './configOutput';
+import * as ConfigStatus from './configStatus';
+import * as OperatorsClient from './operatorsClient';
 
 interface CommonOptions extends ConnectionOptions {
   readonly json?: boolean;
@@ -144,11 +147,19 @@
   });
 }
 
-function runStatus(options: CommonOptions): Promise<CommandResult> {
+interface StatusOptions extends CommonOptions {
+  readonly at?: string;
+  readonly tokenFile?: string;
+}
+
+function runStatus(options: StatusOptions): Promise<CommandResult> {
+  const addresses = options.at === undefined ? [] : options.at.split(',');
   return runConnected(options, '', async (editor) => {
     const document = await editor.readDocument();
     if (document.kind === 'unavailable') return ConfigOutput.reportEdit('', document);
-    return ConfigOutput.reportStatus(document);
+    const token = OperatorsClient.loadToken(options.tokenFile);
+    const routers = await ConfigStatus.readRouters(document, addresses, token);
+    return ConfigStatus.reportStatus(document, routers);
   });
 }
 
@@ -184,20 +195,23 @@
 type RunWithFile<Options> = (file: string, options: Options) => Promise<CommandResult>;
 
 /** Prints what a command without arguments decided. */
-function createAction<Options extends CommonOptions>(output: Output, run: Run<Options>) {
+function createAction<Options extends CommonOptions>(
+  output: Outputs.CommandOutput,
+  run: Run<Options>,
+) {
   return async (options: Options) =>
     ConfigOutput.printResult(output, await run(options), options.json);
 }
 
 function createFileAction<Options extends CommonOptions>(
-  output: Output,
+  output: Outputs.CommandOutput,
   run: RunWithFile<Options>,
 ) {
   return async (file: string, options: Options) =>
     ConfigOutput.printResult(output, await run(file, options), options.json);
 }
 
-function addReadingCommands(config: Commander.Command, output: Output): void {
+function addReadingCommands(config: Commander.Command, output: Outputs.CommandOutput): void {
   addConnectionOptions(config.command('check <file>'))
     .description('check a section; against the whole document when a platform is named')
     .option(
@@ -216,11 +230,13 @@
     .description('list the accepted texts of a section')
     .action(createAction(output, runHistory));
   addConnectionOptions(config.command('status'))
-    .description('show the revision of every section in the platform')
+    .description('show the revision of every section, and which routers lag')
+    .option('--at <addresses>', "IP:PORT of routers' listeners for operators, with commas")
+    .option('--token-file <file>', 'file that holds the token of the listeners')
     .action(createAction(output, runStatus));
 }
 
-function addWritingCommands(config: Commander.Command, output: Output): void {
+function addWritingCommands(config: Commander.Command, output: Outputs.CommandOutput): void {
   addAuthorOption(addSectionOption(config.command('put <file>')))
     .description('check a section and write it by compare-and-swap')
     .option('--if-revision <revision>', 'write only over this revision', parseRevision)
@@ -239,7 +255,7 @@
 
 /** The `config` commands; tests give an output of their own. */
 export function createConfigCommand(
-  output: Output = ConfigOutput.PROCESS_OUTPUT,
+  output: Outputs.CommandOutput = Outputs.createProcessOutput(),
 ): Commander.Command {
   const config = new Commander.Command('config');
   config.description('edit sections of the configuration document');
--- a/packages/sequoiarill/src/commands/configOutput.ts
+++ b/packages/sequoiarill/src/commands/configOutput.ts
@@ -1,6 +1,8 @@
 /** What the `config` commands print, for people or as JSON, and how they exit. */
 import * as Platform from '@sequoiarill/plugin-platform';
 
+import type { CommandOutput } from './commandOutput';
+
 export interface CommandResult {
   /** 0: done. 1: refused, mend and try again. 2: the platform did not decide it. */
   readonly exitCode: 0 | 1 | 2;
@@ -8,30 +10,12 @@
   readonly json: unknown;
 }
 
-/** Where results go. */
-export interface Output {
-  readonly writeOut: (text: string) => void;
-  readonly writeError: (text: string) => void;
-  readonly setExitCode: (code: number) => void;
-}
-
-export const PROCESS_OUTPUT: Output = {
-  writeOut: (text) => process.stdout.write(text),
-  writeError: (text) => process.stderr.write(text),
-  setExitCode(code) {
-    process.exitCode = code;
-  },
-};
-
-function formatLine(text: string): string {
-  return text.endsWith('\n') ? text : `${text}\n`;
-}
-
-export function printResult(output: Output, result: CommandResult, isJson = false): void {
+export function printResult(output: CommandOutput, result: CommandResult, isJson = false): void {
   output.setExitCode(result.exitCode);
-  if (isJson) output.writeOut(formatLine(JSON.stringify(result.json)));
-  else if (result.exitCode === 0) output.writeOut(formatLine(result.text));
-  else output.writeError(formatLine(result.text));
+  const text = result.text.replace(/\n$/, '');
+  if (isJson) output.print(JSON.stringify(result.json));
+  else if (result.exitCode === 0) output.print(text);
+  else output.printError(text);
 }
 
 export function reportProblem(message: string): CommandResult {
@@ -138,21 +122,6 @@
   return { exitCode: 0, text, json: { kind: 'history', section, entries } };
 }
 
-export function reportStatus(document: Platform.StoredDocument): CommandResult {
-  const sections = [...document.sections].map(([name, { revision, at, author }]) => ({
-    name,
-    revision,
-    at,
-    author,
-  }));
-  const newest = Math.max(0, ...sections.map(({ revision }) => revision));
-  const lines = sections.map(
-    ({ name, revision, at, author }) => `[${name}] revision ${revision}  ${at}  ${author}`,
-  );
-  const text = [`newest revision ${newest}`, ...lines].join('\n');
-  return { exitCode: 0, text, json: { kind: 'status', revision: newest, sections } };
-}
-
 export function reportKey(organisation: string, key: Platform.NewKey): CommandResult {
   const record = JSON.stringify(key.record);
   const lines = [
