--- /dev/null
+++ b/bench/src/control.ts
@@ -0,0 +1,81 @@
+/**
+ * What control costs: calls to the platform, bytes, processor time and memory of a router for knowing
+ * its peers, its targets and the document, at 4 to 32 routers of one zone, and how that grows.
+ */
+import * as Fleets from './control/fleet';
+import type { ControlRow } from './control/fleet';
+import * as Slopes from './control/slopes';
+import * as Outputs from './output';
+
+const SIZES = [4, 8, 16, 32];
+/** Given for a node, for all control. */
+const BUDGETS = { bytesPerSecondPerNode: 23_000, cpuShare: 0.022, memoryMB: 64 } as const;
+const CHANGE_GOAL_MS = 8_000;
+const METRICS = [
+  'platformReadsPerSecond',
+  'platformWritesPerSecond',
+  'bytesPerSecondPerNode',
+  'cpuShare',
+  'memoryMB',
+  'changeInForceMsP99',
+] as const;
+const DIGITS = 5;
+
+const NOTES = [
+  'routers are kernels with the plug-ins platform and membership only, several in one process',
+  'one zone, so no calls to other zones; 372 targets, each reported by each router each second',
+  'the platform is the stand-in, counted there without the calls that make the changes',
+  'a waiting watch counts as one read a second; lease calls count as writes',
+  'bytes are of the sockets between routers, headers included, sent and received',
+  'memory is the growth of the heap after garbage collection, without that of Node.js itself',
+  'changes are accepted one a second; a change is in force when a router has applied it',
+];
+
+function computeSlopes(rows: readonly ControlRow[]): Readonly<Record<string, unknown>> {
+  const slopes = METRICS.map((metric) => {
+    const slope = Slopes.computeSlope(rows.map((row) => [row.routers, row[metric]]));
+    const rounded = {
+      perRouter: Outputs.computeRounded(slope.perUnit, DIGITS),
+      standardError: Outputs.computeRounded(slope.standardError, DIGITS),
+      intercept: Outputs.computeRounded(slope.intercept, DIGITS),
+    };
+    return [metric, rounded] as const;
+  });
+  return Object.fromEntries(slopes);
+}
+
+function listOverBudget(rows: readonly ControlRow[]): readonly string[] {
+  return rows.flatMap((row) => {
+    const over = Object.entries(BUDGETS).filter(
+      ([metric, budget]) => row[metric as keyof typeof BUDGETS] > budget,
+    );
+    const lines = over.map(
+      ([metric, budget]) =>
+        `${row.routers} routers: ${metric} ${row[metric as keyof typeof BUDGETS]} of ${budget}`,
+    );
+    const isLate = row.changeInForceMsP99 > CHANGE_GOAL_MS || row.changesMissed > 0;
+    return isLate ? [...lines, `${row.routers} routers: changes late or missed`] : lines;
+  });
+}
+
+function computeRoundedRow(row: ControlRow): ControlRow {
+  const entries = Object.entries(row).map(([name, value]) => [
+    name,
+    Outputs.computeRounded(value as number, DIGITS),
+  ]);
+  return Object.fromEntries(entries) as ControlRow;
+}
+
+async function measureControl(): Promise<Outputs.Result> {
+  const rows: ControlRow[] = [];
+  for (const size of SIZES) rows.push(computeRoundedRow(await Fleets.measureRouters(size)));
+  return {
+    rows,
+    slopes: computeSlopes(rows),
+    budgets: BUDGETS,
+    overBudget: listOverBudget(rows),
+    notes: NOTES,
+  };
+}
+
+Outputs.runBench(measureControl);
--- /dev/null
+++ b/bench/src/control/routers.ts
@@ -0,0 +1,155 @@
+/**
+ * Several routers in one process: only platform and membership, which are the control work, with
+ * every router telling the load of every target of its zone each second.
+ */
+import * as Kernel from '@sequoiarill/kernel';
+import * as MembershipPlugin from '@sequoiarill/plugin-membership';
+import * as PlatformPlugin from '@sequoiarill/plugin-platform';
+import type { Membership, Plugin } from '@sequoiarill/types';
+import * as Zod from 'zod';
+
+import * as Messages from './messages';
+import type { Order, Report, RoutersOrder } from './messages';
+
+/** Reports of a second are spread over so many ticks, as they are when streams bring them. */
+const TICKS_PER_SECOND = 20;
+const MS_PER_SECOND = 1_000;
+const MAX_LOAD = 170;
+
+interface Router {
+  readonly kernel: Kernel.Kernel;
+  readonly membership: Membership;
+}
+
+const routers: Router[] = [];
+const timers: NodeJS.Timeout[] = [];
+let idleHeapBytes = 0;
+
+function sendReport(report: Report): void {
+  process.send?.(report);
+}
+
+/** Tells when a revision is in force at a router. */
+function createWatcher(router: string): Plugin {
+  return {
+    name: 'watcher',
+    settingsSchema: Zod.unknown(),
+    provides: [],
+    needs: ['configuration'],
+    events: [],
+    createInstance(context) {
+      context.getCapability('configuration').subscribeConfiguration(({ revision }) => {
+        const atMs = Messages.getMachineMs();
+        sendReport({ kind: 'revision', router, revision, atMs });
+      });
+      return { dumpState: () => ({}) };
+    },
+  };
+}
+
+async function startRouter(name: string, order: RoutersOrder): Promise<Router> {
+  const platform = PlatformPlugin.platformSchema.parse({
+    endpoints: order.platform,
+    reader: 'auto',
+  });
+  const kernel = Kernel.createKernel({
+    settings: {
+      process: { name, zone: order.zone, region: order.region },
+      telemetry: { logLevel: 'silent' },
+      plugins: new Map<string, unknown>([
+        ['platform', platform],
+        ['membership', { listen: '127.0.0.1:0', seeds: order.seeds }],
+      ]),
+    },
+    plugins: [
+      PlatformPlugin.platformPlugin as Plugin,
+      MembershipPlugin.plugin as Plugin,
+      createWatcher(name),
+    ],
+  });
+  await kernel.start();
+  return { kernel, membership: kernel.getCapability('membership') };
+}
+
+/** Each router sees each target's load once a second. */
+function startReports(membership: Membership, targets: readonly string[]): void {
+  let tick = 0;
+  const timer = setInterval(() => {
+    tick += 1;
+    targets.forEach((target, index) => {
+      if (index % TICKS_PER_SECOND !== tick % TICKS_PER_SECOND) return;
+      const running = (index * 7 + tick) % MAX_LOAD;
+      membership.reportTarget({ target, state: 'healthy', running, waiting: tick % 5 });
+    });
+  }, MS_PER_SECOND / TICKS_PER_SECOND);
+  timers.push(timer);
+}
+
+async function runStart(order: RoutersOrder): Promise<void> {
+  idleHeapBytes = measureHeap();
+  const started = await Promise.all(order.names.map((name) => startRouter(name, order)));
+  routers.push(...started);
+  started.forEach(({ membership }) => startReports(membership, order.targets));
+  const dumps = await Promise.all(started.map(({ kernel }) => kernel.dumpProcess()));
+  const addresses = dumps.map((dump) => String(dump.plugins.membership?.address));
+  sendReport({ kind: 'started', addresses });
+}
+
+function measureHeap(): number {
+  globalThis.gc?.();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+interface MembershipDump {
+  readonly served: { readonly bytesSent: number; readonly bytesReceived: number };
+  readonly exchanges: { readonly failed: number };
+}
+
+async function runMeasure(): Promise<void> {
+  const { user, system } = process.cpuUsage();
+  const dumps = await Promise.all(routers.map(({ kernel }) => kernel.dumpProcess()));
+  const parts = dumps.map((dump) => dump.plugins.membership as unknown as MembershipDump);
+  const alive = routers.map(
+    ({ membership }) => membership.listPeers().filter(({ state }) => state === 'alive').length,
+  );
+  sendReport({
+    kind: 'usage',
+    cpuMicros: user + system,
+    servedBytes: parts.reduce(
+      (sum, { served }) => sum + served.bytesSent + served.bytesReceived,
+      0,
+    ),
+    heapBytes: measureHeap(),
+    idleHeapBytes,
+    alivePeers: Math.min(...alive),
+    failedExchanges: parts.reduce((sum, { exchanges }) => sum + exchanges.failed, 0),
+  });
+}
+
+async function runStop(): Promise<void> {
+  timers.forEach((timer) => clearInterval(timer));
+  await Promise.all(routers.map(({ kernel }) => kernel.stop()));
+  process.removeAllListeners('disconnect');
+  process.disconnect();
+}
+
+async function handleOrder(order: Order): Promise<void> {
+  if (order.kind === 'start') await runStart(order);
+  else if (order.kind === 'measure') await runMeasure();
+  else await runStop();
+}
+
+process.on('message', (order: Order) => {
+  handleOrder(order).catch((error: unknown) => {
+    process.stderr.write(`${(error as Error).stack ?? String(error)}\n`);
+    process.exitCode = 1;
+    process.disconnect();
+  });
+});
+
+// The measurement failed or was stopped: nobody would tell these routers to stop.
+process.on('disconnect', () => {
+  process.exitCode ??= 0;
+  setImmediate(() => process.kill(process.pid, 'SIGTERM'));
+});
