Try dead service targets ever more rarely, and refuse an empty Idempotency-Key

Cause: with a zone cut off, one order every two seconds for each of its targets waited the whole connect timeout (300 tries in ten minutes for one target, by the pause of 2 s). The pause now doubles up to 32 s: 22 tries, counted in targetChoice.test.ts. An empty key tied unrelated orders together. A caller that left before its first token was recorded as refused; it is recorded as cancelled.

--- a/packages/sequoiarill-plugin-callers/src/__tests__/services.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/services.test.ts
@@ -69,6 +69,15 @@
     });
   }
 
+  it('are refused with an empty key', async () => {
+    const router = await started;
+    const headers = { 'Idempotency-Key': '' };
+    const options = { method: 'POST', headers };
+    const answer = await Calls.callOnce(`${router.url}/v1/services/stock`, options);
+    expect(Calls.getError(answer)).toEqual([400, 'invalid_value', null]);
+    expect(answer.headers['x-sequoiarill-outcome']).toEqual('not-run');
+  });
+
   it('are told when the outcome is unknown', async () => {
     // A booking may or may not have run. "Not run" would bring a second crew; a plain 502 would
     // leave the technician guessing which of the two it was.
--- a/packages/sequoiarill-plugin-callers/src/chat.ts
+++ b/packages/sequoiarill-plugin-callers/src/chat.ts
@@ -58,10 +58,11 @@
     const { finishReason, usage } = outcome;
     const body = ChatEvents.formatCompletion(identity, text, finishReason, usage);
     Replies.sendJson(exchange.response, HTTP_OK, body);
-  } else {
-    Refusals.refuseRequest(front, exchange, Outcomes.createFailureFault(outcome));
+    recordEnd(front, exchange, outcome, tokens);
+    return;
   }
-  recordEnd(front, exchange, outcome, tokens);
+  if (outcome.kind === 'cancelled') front.context.metrics.addCount(Metrics.WASTED_TOKENS, tokens);
+  Refusals.refuseFailure(front, exchange, outcome);
 }
 
 /**
@@ -81,8 +82,7 @@
   let tokens = 0;
   let step = await run.next();
   if (step.done === true && step.value.kind !== 'completed') {
-    Refusals.refuseRequest(front, exchange, Outcomes.createFailureFault(step.value));
-    recordEnd(front, exchange, step.value, tokens);
+    Refusals.refuseFailure(front, exchange, step.value);
     return;
   }
   EventStreams.startEventStream(response);
--- a/packages/sequoiarill-plugin-callers/src/responses.ts
+++ b/packages/sequoiarill-plugin-callers/src/responses.ts
@@ -8,7 +8,6 @@
 import * as LiveResponses from './liveResponse';
 import type { LiveResponse } from './liveResponse';
 import * as Metrics from './metrics';
-import * as Outcomes from './outcomes';
 import * as Refusals from './refusals';
 import * as Replies from './replies';
 import * as ResponseEvents from './responseEvents';
@@ -47,7 +46,7 @@
   closed.addEventListener('abort', onClosed, { once: true });
   const firstStep = await run.next();
   if (firstStep.done === true && firstStep.value.kind !== 'completed') {
-    Refusals.refuseRequest(front, exchange, Outcomes.createFailureFault(firstStep.value));
+    Refusals.refuseFailure(front, exchange, firstStep.value);
     return;
   }
   const live = startResponse(front, exchange, request, run, firstStep, controller);
@@ -66,7 +65,7 @@
   if (outcome.kind === 'completed' || outcome.kind === 'cancelled') {
     Replies.sendJson(exchange.response, HTTP_OK, formatResponse(live));
   } else {
-    Refusals.refuseRequest(front, exchange, Outcomes.createFailureFault(outcome));
+    Refusals.refuseFailure(front, exchange, outcome);
   }
 }
 
--- a/packages/sequoiarill-plugin-callers/src/services.ts
+++ b/packages/sequoiarill-plugin-callers/src/services.ts
@@ -5,6 +5,7 @@
 
 import * as Bodies from './bodies';
 import type { Exchange, Front } from './exchange';
+import * as Faults from './faults';
 import type { Fault } from './faults';
 import * as Refusals from './refusals';
 
@@ -56,6 +57,12 @@
   draining: 'draining',
 } as const satisfies Record<OrderNotRun['reason'], string>;
 
+/** Taken as a key, it would tie unrelated orders together; as none, it would drop the guard. */
+const EMPTY_KEY: Fault = Faults.createInvalid(
+  'invalid_value',
+  'The header "Idempotency-Key" is empty; send a key of your own or leave it out.',
+);
+
 const CLIENT_ERROR = 400;
 const SERVER_ERROR = 500;
 
@@ -67,6 +74,11 @@
     return;
   }
   const order = buildOrder(exchange, body.value);
+  if (order.idempotencyKey === '') {
+    markNotRun(exchange.response);
+    Refusals.refuseRequest(front, exchange, EMPTY_KEY);
+    return;
+  }
   front.context.journal.recordDecision(exchange.requestId, 'accepted', 'order', {
     organisation: order.organisation.name,
     service: order.service,
--- a/packages/sequoiarill-plugin-orders/src/__tests__/targetChoice.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/targetChoice.test.ts
@@ -62,4 +62,22 @@
     chooser.recordAnswer('a');
     expect(chooser.chooseTarget(TARGETS, others, 2_000)?.name).toEqual('a');
   });
+
+  it('tries a target that stays dead ever more rarely', () => {
+    // A zone is cut off for ten minutes. Each order that tries a target there waits for the connect
+    // timeout; tried every two seconds, 300 callers would. A burst of failures counts once.
+    const chooser = TargetChoice.createTargetChooser({ maxInFlight: 8, passOverMs: 2_000 });
+    const others = new Set(['b', 'c']);
+    let tries = 0;
+    for (let nowMs = 0; nowMs < 600_000; nowMs += 100) {
+      if (chooser.chooseTarget(TARGETS, others, nowMs) !== undefined) {
+        tries += 1;
+        chooser.markPassedOver('a', nowMs);
+        chooser.markPassedOver('a', nowMs);
+      }
+    }
+    expect(tries).toEqual(22);
+    chooser.recordAnswer('a');
+    expect(chooser.chooseTarget(TARGETS, others, 600_000)?.name).toEqual('a');
+  });
 });
--- a/packages/sequoiarill-plugin-orders/src/targetChoice.ts
+++ b/packages/sequoiarill-plugin-orders/src/targetChoice.ts
@@ -5,7 +5,8 @@
  * Load pattern: a few targets, one of them slow or dead. Least in flight sends a slow target less
  * without any report of its load, since its orders stay open longer. A dead one would look idle and
  * attract every order, so one that refused a connection is passed over for a moment; after it, a
- * single order tries it again before others do.
+ * single order tries it again before others do. While it stays dead the pause doubles: in a zone that
+ * is cut off, each try costs one caller the whole connect timeout.
  */
 import type { Configuration, ServiceTarget } from '@sequoiarill/types';
 
@@ -25,6 +26,15 @@
   readonly listPassedOver: (nowMs: number) => readonly string[];
 }
 
+interface Pause {
+  readonly untilMs: number;
+  /** Connections refused in a row. */
+  readonly failures: number;
+}
+
+/** At the default of 2 s, a target that came back gets work after 32 s at most. */
+const MAX_DOUBLINGS = 4;
+
 export interface TargetChooserOptions {
   readonly maxInFlight: number;
   readonly passOverMs: number;
@@ -32,7 +42,7 @@
 
 export function createTargetChooser(options: TargetChooserOptions): TargetChooser {
   const inFlight = new Map<string, number>();
-  const passedOverUntil = new Map<string, number>();
+  const pauses = new Map<string, Pause>();
   let turn = 0;
 
   function getInFlight(target: string): number {
@@ -40,7 +50,7 @@
   }
 
   function isOpen(target: string, nowMs: number): boolean {
-    const untilMs = passedOverUntil.get(target);
+    const untilMs = pauses.get(target)?.untilMs;
     if (untilMs === undefined) return getInFlight(target) < options.maxInFlight;
     return nowMs >= untilMs && getInFlight(target) === 0;
   }
@@ -63,10 +73,17 @@
       if (count > 0) inFlight.set(target, count);
       else inFlight.delete(target);
     },
-    markPassedOver: (target, nowMs) => passedOverUntil.set(target, nowMs + options.passOverMs),
-    recordAnswer: (target) => passedOverUntil.delete(target),
+    markPassedOver(target, nowMs) {
+      const known = pauses.get(target);
+      // Orders that were on their way when the pause began tell nothing new.
+      if (known !== undefined && nowMs < known.untilMs) return;
+      const failures = (known?.failures ?? 0) + 1;
+      const doublings = Math.min(failures - 1, MAX_DOUBLINGS);
+      pauses.set(target, { untilMs: nowMs + options.passOverMs * 2 ** doublings, failures });
+    },
+    recordAnswer: (target) => pauses.delete(target),
     listPassedOver: (nowMs) =>
-      [...passedOverUntil].filter(([, untilMs]) => nowMs < untilMs).map(([target]) => target),
+      [...pauses].filter(([, { untilMs }]) => nowMs < untilMs).map(([target]) => target),
   };
 }
 
