Let running responses be resumed while draining, and turn saturated orders away

Cause: a caller that lost its connection during a planned stop was refused the rest of its answer. Orders over the bound of a target were told that no target is there rather than that it is full.

--- a/packages/sequoiarill-plugin-callers/src/__tests__/front.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/front.test.ts
@@ -80,8 +80,8 @@
   });
 
   it('drains: refuses what is new and ends what is open', async () => {
-    // An operator replaces the VM. Streams in progress must end by themselves, and a caller that
-    // comes now must be told to go elsewhere, with nothing run.
+    // An operator replaces the VM. Streams in progress must end by themselves, also one whose caller
+    // loses its connection meanwhile; a new request must be told to go elsewhere, with nothing run.
     const router = await startRouter();
     const steps = Fakes.createStepScript();
     router.setScript(steps.script);
@@ -99,10 +99,12 @@
     expect(Calls.getError(refused)).toEqual([503, 'draining', null]);
     expect([refused.headers['retry-after'], refused.headers.connection]).toEqual(['1', 'close']);
     expect(isDrained).toEqual(false);
+    open.leave();
+    const id = String(open.headers['x-request-id']);
+    const resumed = await Calls.openCall(`${router.url}/v1/responses/${id}?stream=true`);
     steps.sendText(' world');
     steps.finish(Fakes.COMPLETED);
-    const text = await open.readUntil();
-    expect(Calls.getDeltas(text)).toEqual('Hello world');
+    expect(Calls.getDeltas(await resumed.readUntil())).toEqual('Hello world');
     await drained;
   });
 
--- a/packages/sequoiarill-plugin-callers/src/dispatch.ts
+++ b/packages/sequoiarill-plugin-callers/src/dispatch.ts
@@ -25,7 +25,7 @@
   readonly handleRequest: (route: Route, request: RoutedRequest, response: ServerResponse) => void;
   readonly getOpenCount: () => number;
   readonly isDraining: () => boolean;
-  /** Refuses new requests and resolves when none is open. */
+  /** Refuses new work and resolves when no request is open. */
   readonly drain: () => Promise<void>;
 }
 
@@ -56,7 +56,8 @@
     response.setHeader('x-request-id', requestId);
     // A caller that resets its connection shows as `close`; the error says nothing more.
     response.on('error', () => undefined);
-    const fault = isDrainingNow ? Faults.DRAINING : checkMethod(route, request);
+    const isRefused = isDrainingNow && route.isOfRunning !== true;
+    const fault = isRefused ? Faults.DRAINING : checkMethod(route, request);
     const owner = fault === undefined ? findOwner(request) : undefined;
     if (owner === undefined) {
       const refusal = fault ?? Faults.UNAUTHORISED;
--- a/packages/sequoiarill-plugin-callers/src/routes.ts
+++ b/packages/sequoiarill-plugin-callers/src/routes.ts
@@ -12,6 +12,8 @@
   readonly methods: Readonly<Record<string, Handler>>;
   /** First part of the request id, which is also the id of what is made. */
   readonly idPrefix: string;
+  /** Answered while draining too: it belongs to a response that is already running here. */
+  readonly isOfRunning?: true;
 }
 
 export const ANY_METHOD = '*';
@@ -19,11 +21,17 @@
 export const ROUTES: readonly Route[] = [
   { path: '/v1/chat/completions', methods: { POST: Chat.handleChat }, idPrefix: 'chatcmpl' },
   { path: '/v1/responses', methods: { POST: Responses.handleCreateResponse }, idPrefix: 'resp' },
-  { path: '/v1/responses/:id', methods: { GET: Responses.handleReadResponse }, idPrefix: 'req' },
+  {
+    path: '/v1/responses/:id',
+    methods: { GET: Responses.handleReadResponse },
+    idPrefix: 'req',
+    isOfRunning: true,
+  },
   {
     path: '/v1/responses/:id/cancel',
     methods: { POST: Responses.handleCancelResponse },
     idPrefix: 'req',
+    isOfRunning: true,
   },
   { path: '/v1/models', methods: { GET: Models.handleListModels }, idPrefix: 'req' },
   { path: '/v1/models/:id', methods: { GET: Models.handleReadModel }, idPrefix: 'req' },
--- a/packages/sequoiarill-plugin-orders/src/__tests__/sending.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/sending.test.ts
@@ -221,6 +221,19 @@
     expect(leaving.getSeen().length).toEqual(0);
   });
 
+  it('are turned away at once when the service is saturated', async () => {
+    // A burst of a hundred reservations meets a stock server that takes two at once and hangs. The
+    // callers must hear so now; queued, most would be sent when their callers have given up.
+    const quiet = await startTarget('quiet', stayQuiet);
+    const settings = { maxInFlightPerTarget: 2 };
+    const runOrder = await startOrders([quiet.target], { timeoutMs: 50 }, settings);
+    const outcomes = await Promise.all(Array.from({ length: 100 }, async () => runOrder(NO_KEY)));
+    const reasons = outcomes.map((one) => (one.kind === 'notRun' ? one.reason : one.kind));
+    expect(reasons.filter((reason) => reason === 'overloaded').length).toEqual(98);
+    expect(reasons.filter((reason) => reason === 'unknown').length).toEqual(2);
+    expect(quiet.getSeen().length).toEqual(2);
+  });
+
   it('add little load to a service that fails every order', async () => {
     // Every stock server resets every connection. Retried up to the limit, each read would load
     // them three times, and they would not come back.
--- a/packages/sequoiarill-plugin-orders/src/attempts.ts
+++ b/packages/sequoiarill-plugin-orders/src/attempts.ts
@@ -60,6 +60,7 @@
 
   return async function runAttempts(order, service, canResend, signal) {
     const tried = new Set<string>();
+    const isFull = chooser.hasFull(options.listTargets(service.name));
     let hasLeft = false;
     let message = `no target of "${service.name}" takes orders right now.`;
     budget.addFirst();
@@ -78,7 +79,8 @@
       if (isFinal(result, canResend)) break;
     }
     if (hasLeft) return { kind: 'unknown', message };
-    return { kind: 'notRun', reason: 'noTarget', message, retryAfterSeconds: RETRY_AFTER_SECONDS };
+    const reason = isFull ? 'overloaded' : 'noTarget';
+    return { kind: 'notRun', reason, message, retryAfterSeconds: RETRY_AFTER_SECONDS };
   };
 }
 
--- a/packages/sequoiarill-plugin-orders/src/targetChoice.ts
+++ b/packages/sequoiarill-plugin-orders/src/targetChoice.ts
@@ -7,6 +7,9 @@
  * attract every order, so one that refused a connection is passed over for a moment; after it, a
  * single order tries it again before others do. While it stays dead the pause doubles: in a zone that
  * is cut off, each try costs one caller the whole connect timeout.
+ *
+ * Load pattern: saturation. Orders above what a target may have at once are turned away rather than
+ * queued: their callers wait seconds at most, and a queue would hand them on when they have left.
  */
 import type { Configuration, ServiceTarget } from '@sequoiarill/types';
 
@@ -17,6 +20,8 @@
     tried: ReadonlySet<string>,
     nowMs: number,
   ) => ServiceTarget | undefined;
+  /** Whether a target takes no more just because it has all the orders it may have. */
+  readonly hasFull: (candidates: readonly ServiceTarget[]) => boolean;
   readonly addInFlight: (target: string) => void;
   readonly removeInFlight: (target: string) => void;
   /** The target took no connection. */
@@ -67,6 +72,8 @@
         undefined,
       );
     },
+    hasFull: (candidates) =>
+      candidates.some(({ name }) => getInFlight(name) >= options.maxInFlight),
     addInFlight: (target) => inFlight.set(target, getInFlight(target) + 1),
     removeInFlight(target) {
       const count = getInFlight(target) - 1;
