Show in the state dump what each open request waits for

Cause: the dump counted open requests without telling a caller that does not read from an engine that does not write, and answers to what is not HTTP carried no request id.

--- a/packages/sequoiarill-plugin-callers/src/__tests__/front.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/front.test.ts
@@ -52,6 +52,7 @@
     const answer = await sendRaw(router.url, 'HELLO\r\n\r\n');
     expect(answer.startsWith('HTTP/1.1 400 ')).toEqual(true);
     expect(answer.includes('"code":"malformed_request"')).toEqual(true);
+    expect(/x-request-id: req_/.test(answer)).toEqual(true);
   });
 
   it('answers headers that are too large in the usual form', async () => {
@@ -72,7 +73,8 @@
     await stream.readUntil('Secret answer');
     const dump = (await router.kernel.dumpProcess()).plugins.callers;
     const responses = dump?.responses as Readonly<Record<string, number>>;
-    expect([dump?.openConnections, dump?.openRequests, responses.running]).toEqual([1, 1, 1]);
+    expect([dump?.openConnections, responses.running, responses.unread]).toEqual([1, 1, 0]);
+    expect(dump?.requests).toEqual({ waiting: 0, sending: 1, blocked: 0 });
     expect((responses.bytes ?? 0) > 0).toEqual(true);
     const shown = JSON.stringify(dump);
     expect(/Secret|Which size|shop-secret/.test(shown)).toEqual(false);
--- a/packages/sequoiarill-plugin-callers/src/__tests__/slowReader.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/slowReader.test.ts
@@ -44,6 +44,8 @@
       const slow = await Calls.openCall(router.url + path, { body });
       await Calls.waitForQuiet(long.getTaken);
       const held = long.getTaken();
+      const dump = (await router.kernel.dumpProcess()).plugins.callers;
+      expect(dump?.requests).toEqual({ waiting: 0, sending: 0, blocked: 1 });
       router.setScript(Fakes.createScript(['Hello']));
       const quick = await Calls.callOnce(router.url + path, { body });
       expect(quick.text.includes('Hello')).toEqual(true);
--- a/packages/sequoiarill-plugin-callers/src/chat.ts
+++ b/packages/sequoiarill-plugin-callers/src/chat.ts
@@ -85,14 +85,14 @@
     Refusals.refuseFailure(front, exchange, step.value);
     return;
   }
-  EventStreams.startEventStream(response);
+  EventStreams.startEventStream(exchange);
   let pending = chunks.opening;
   while (step.done !== true) {
     const { text, tokenCount } = step.value;
     tokens += tokenCount;
     if (text !== '') pending += chunks.formatDelta(text);
     if (pending !== '' && !response.destroyed && !response.write(pending)) {
-      await EventStreams.waitDrain(response, clock, front.settings.writeTimeoutMs);
+      await EventStreams.waitDrain(exchange, clock, front.settings.writeTimeoutMs);
     }
     pending = '';
     step = response.destroyed ? await run.return(Generating.CANCELLED) : await run.next();
--- a/packages/sequoiarill-plugin-callers/src/dispatch.ts
+++ b/packages/sequoiarill-plugin-callers/src/dispatch.ts
@@ -13,6 +13,8 @@
 import * as Notices from './notices';
 import * as Refusals from './refusals';
 import * as Replies from './replies';
+import * as RequestStates from './requestStates';
+import type { RequestEntry } from './requestStates';
 import * as Routes from './routes';
 import type { Route } from './routes';
 
@@ -23,7 +25,8 @@
 
 export interface Dispatcher {
   readonly handleRequest: (route: Route, request: RoutedRequest, response: ServerResponse) => void;
-  readonly getOpenCount: () => number;
+  /** Open requests by what they wait for. */
+  readonly getStates: RequestStates.RequestStates['getCounts'];
   readonly isDraining: () => boolean;
   /** Refuses new work and resolves when no request is open. */
   readonly drain: () => Promise<void>;
@@ -31,6 +34,7 @@
 
 export function createDispatcher(front: Front): Dispatcher {
   const changed = Notices.createNotice();
+  const states = RequestStates.createRequestStates();
   let open = 0;
   let isDrainingNow = false;
 
@@ -48,6 +52,7 @@
       failExchange(front, exchange, error);
     }
     open -= 1;
+    exchange.state.close();
     changed.sendNotice();
   }
 
@@ -68,13 +73,13 @@
     }
     front.context.metrics.addCount(Metrics.REQUESTS, 1, { route: route.path });
     const handler = findHandler(route, request);
-    const exchange = createExchange(request, response, requestId, owner);
+    const exchange = createExchange(request, response, requestId, owner, states.openEntry());
     if (handler !== undefined) runHandler(handler, exchange).catch(() => undefined);
   }
 
   return {
     handleRequest,
-    getOpenCount: () => open,
+    getStates: states.getCounts,
     isDraining: () => isDrainingNow,
     async drain() {
       isDrainingNow = true;
@@ -97,6 +102,7 @@
   response: ServerResponse,
   requestId: string,
   owner: KeyOwner,
+  state: RequestEntry,
 ): Exchange {
   const target = request.originalUrl ?? request.url ?? '/';
   const queryStart = target.indexOf('?');
@@ -112,6 +118,7 @@
     path,
     search,
     query: new URLSearchParams(search),
+    state,
     closed: closed.signal,
   };
 }
--- a/packages/sequoiarill-plugin-callers/src/eventStream.ts
+++ b/packages/sequoiarill-plugin-callers/src/eventStream.ts
@@ -1,15 +1,15 @@
 /** Server-sent events towards one caller, at the pace the caller reads. */
-import type { ServerResponse } from 'node:http';
-
 import type { Clock } from '@sequoiarill/types';
 
+import type { Exchange } from './exchange';
 import * as Faults from './faults';
 import type { Fault } from './faults';
 
 const HTTP_OK = 200;
 
 /** Sends the headers; nothing can be refused with a status after this. */
-export function startEventStream(response: ServerResponse): void {
+export function startEventStream({ response, state }: Exchange): void {
+  state.setState('sending');
   response.writeHead(HTTP_OK, {
     'content-type': 'text/event-stream; charset=utf-8',
     'cache-control': 'no-cache',
@@ -26,10 +26,11 @@
  * connection ends.
  */
 export async function waitDrain(
-  response: ServerResponse,
+  { response, state }: Exchange,
   clock: Clock,
   limitMs: number,
 ): Promise<void> {
+  state.setState('blocked');
   const settled = new AbortController();
   const onSettled = (): void => settled.abort();
   response.once('drain', onSettled);
@@ -38,6 +39,7 @@
   response.off('drain', onSettled);
   response.off('close', onSettled);
   if (!settled.signal.aborted) response.destroy();
+  state.setState('sending');
 }
 
 /** Ends a stream that cannot go on; the clients of the published APIs raise it as an error. */
--- a/packages/sequoiarill-plugin-callers/src/exchange.ts
+++ b/packages/sequoiarill-plugin-callers/src/exchange.ts
@@ -10,6 +10,7 @@
 } from '@sequoiarill/types';
 
 import type { CursorSigner } from './cursors';
+import type { RequestEntry } from './requestStates';
 import type { ResponseStore } from './responseStore';
 import type { CallersSettings } from './settings';
 
@@ -35,6 +36,8 @@
   /** The query as the caller wrote it, with its `?`; empty without one. */
   readonly search: string;
   readonly query: URLSearchParams;
+  /** What it waits for right now. */
+  readonly state: RequestEntry;
   /** Aborted when the connection of the caller is closed. */
   readonly closed: AbortSignal;
 }
--- a/packages/sequoiarill-plugin-callers/src/front.ts
+++ b/packages/sequoiarill-plugin-callers/src/front.ts
@@ -69,6 +69,7 @@
 export function createHttpFront(settings: CallersSettings, dispatcher: Dispatcher): HttpFront {
   let handleRouted: RequestHandler = (request, response) => {
     request.resume();
+    response.setHeader('x-request-id', Generating.createRequestId('req'));
     Replies.sendFault(response, Faults.STARTING);
   };
   let connectionCount = 0;
@@ -189,6 +190,7 @@
     `HTTP/1.1 ${fault.status} ${Http.STATUS_CODES[fault.status] ?? ''}`,
     'content-type: application/json; charset=utf-8',
     `content-length: ${Buffer.byteLength(body)}`,
+    `x-request-id: ${Generating.createRequestId('req')}`,
     'connection: close',
   ];
   socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
--- a/packages/sequoiarill-plugin-callers/src/plugin.ts
+++ b/packages/sequoiarill-plugin-callers/src/plugin.ts
@@ -43,7 +43,7 @@
     dumpState: () => ({
       address: http.getAddress(),
       openConnections: http.getConnectionCount(),
-      openRequests: dispatcher.getOpenCount(),
+      requests: dispatcher.getStates(),
       isDraining: dispatcher.isDraining(),
       responses: store.getSize(),
     }),
--- a/packages/sequoiarill-plugin-callers/src/responseStore.ts
+++ b/packages/sequoiarill-plugin-callers/src/responseStore.ts
@@ -27,6 +27,8 @@
 
 export interface StoreSize {
   readonly running: number;
+  /** Running without a reader: waiting for their caller to come back. */
+  readonly unread: number;
   readonly ended: number;
   readonly bytes: number;
 }
@@ -50,6 +52,11 @@
     if (ended.delete(live.identity.id)) bytes -= live.log.getBytes();
   }
 
+  function computeUnread(): number {
+    const all = [...running.values()];
+    return all.filter((live) => live.isStreamed && live.log.getReaderCount() === 0).length;
+  }
+
   /** Ended responses go first, oldest first, unless somebody reads them right now. */
   function removeEnded(): void {
     for (const live of ended.values()) {
@@ -105,7 +112,7 @@
         })
         .catch(cancelLater);
     },
-    getSize: () => ({ running: running.size, ended: ended.size, bytes }),
+    getSize: () => ({ running: running.size, unread: computeUnread(), ended: ended.size, bytes }),
     async drain() {
       while (running.size > 0) await [...running.values()][0]?.ended;
     },
--- a/packages/sequoiarill-plugin-callers/src/responses.ts
+++ b/packages/sequoiarill-plugin-callers/src/responses.ts
@@ -52,7 +52,7 @@
   const live = startResponse(front, exchange, request, run, firstStep, controller);
   if (request.stream) {
     closed.removeEventListener('abort', onClosed);
-    EventStreams.startEventStream(exchange.response);
+    EventStreams.startEventStream(exchange);
     await relayResponse(front, exchange, live, live.log.openReader(0));
   } else {
     await sendWhole(front, exchange, live);
@@ -135,7 +135,7 @@
     const events = reader.takeEvents();
     if (events === '') await reader.waitForMore();
     else if (!response.write(events)) {
-      await EventStreams.waitDrain(response, front.context.clock, front.settings.writeTimeoutMs);
+      await EventStreams.waitDrain(exchange, front.context.clock, front.settings.writeTimeoutMs);
     }
   }
   reader.close();
@@ -169,7 +169,7 @@
     organisation: live.organisation,
     fromSequence: start.value,
   });
-  EventStreams.startEventStream(exchange.response);
+  EventStreams.startEventStream(exchange);
   // A caller that is up to date waits for the status, and the next token may take a while.
   exchange.response.flushHeaders();
   await relayResponse(front, exchange, live, live.log.openReader(start.value));
