Enforce the time-outs of requests within a second and bound connections

Cause: Node.js looks at its request time-outs every 30 s, which added up to that to each of them; a headers time-out above that of the request made the process fail without naming the key.

--- a/packages/sequoiarill-plugin-callers/src/__tests__/front.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/front.test.ts
@@ -3,6 +3,7 @@
 
 import { expect } from 'earl';
 
+import { settingsSchema } from '../settings';
 import * as Calls from './calls';
 import * as Fakes from './fakes';
 import type { Router } from './fakes';
@@ -62,6 +63,29 @@
     expect(answer.includes('"code":"headers_too_large"')).toEqual(true);
   });
 
+  it('answers a request that does not arrive, and frees its place', async () => {
+    // A caller's connection dies in the middle of its headers or body. Waited for without a limit,
+    // such connections would use up the places of others.
+    const router = await startRouter({ headersTimeoutMs: 1, requestTimeoutMs: 1 });
+    const key = `authorization: Bearer ${Fakes.SHOP_KEY}\r\n`;
+    const head = `POST /v1/responses HTTP/1.1\r\nhost: x\r\n${key}`;
+    const answers = await Promise.all([
+      sendRaw(router.url, 'GET / HTTP/1.1\r\nhost'),
+      sendRaw(router.url, `${head}content-length: 9\r\n\r\n{`),
+    ]);
+    const codes = answers.map((answer) => answer.includes('"code":"request_timeout"'));
+    expect(codes).toEqual([true, true]);
+  });
+
+  it('refuses a time-out for headers above that for the whole request', () => {
+    const result = settingsSchema.safeParse({ headersTimeoutMs: '2', requestTimeoutMs: '1' });
+    const [issue] = result.error?.issues ?? [];
+    expect([issue?.path, issue?.message]).toEqual([
+      ['headersTimeoutMs'],
+      'use at most requestTimeoutMs',
+    ]);
+  });
+
   it('shows connections, streams and responses in its state, and no secret', async () => {
     const router = await startRouter();
     const steps = Fakes.createStepScript();
--- a/packages/sequoiarill-plugin-callers/src/front.ts
+++ b/packages/sequoiarill-plugin-callers/src/front.ts
@@ -46,6 +46,8 @@
   readonly httpHandler: RequestHandler;
 }
 
+/** How often the time-outs of requests are looked at; Node.js's 30 s would add to each of them. */
+const CHECK_INTERVAL_MS = 1_000;
 const CLIENT_ERROR = 400;
 const SERVER_ERROR = 500;
 
@@ -78,9 +80,11 @@
       requestTimeout: settings.requestTimeoutMs,
       headersTimeout: settings.headersTimeoutMs,
       keepAliveTimeout: settings.keepAliveMs,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
     },
     (request, response) => handleRouted(request, response),
   );
+  server.maxConnections = settings.maxConnections;
   server.on('clientError', handleClientError);
   server.on('connection', (socket: Socket) => {
     connectionCount += 1;
--- a/packages/sequoiarill-plugin-callers/src/settings.ts
+++ b/packages/sequoiarill-plugin-callers/src/settings.ts
@@ -8,7 +8,7 @@
 
 const countSchema = Zod.coerce.number().int('use a whole number').min(1, 'use 1 or more');
 
-export const settingsSchema = Zod.strictObject({
+const fieldsSchema = Zod.strictObject({
   /** IP and port; port 0 takes a free one, shown in the state dump. */
   listen: Kernel.addressSchema.default('127.0.0.1:8080'),
   /** A larger request body is refused with 413. */
@@ -17,6 +17,8 @@
   requestTimeoutMs: countSchema.default(60_000),
   /** Time for its headers, in milliseconds. */
   headersTimeoutMs: countSchema.default(15_000),
+  /** Further connections are closed unanswered, which bounds memory and file handles. */
+  maxConnections: countSchema.default(10_000),
   /** An idle connection is closed after so many milliseconds. */
   keepAliveMs: countSchema.default(65_000),
   /** A caller that takes no byte for so many milliseconds is taken as gone. */
@@ -33,4 +35,10 @@
   cursorKey: Zod.string().regex(CURSOR_KEY_PATTERN, 'use 64 or more hexadecimal digits').optional(),
 });
 
+/** Node.js refuses such a server with an error that names neither section nor key. */
+export const settingsSchema = fieldsSchema.refine(
+  ({ headersTimeoutMs, requestTimeoutMs }) => headersTimeoutMs <= requestTimeoutMs,
+  { path: ['headersTimeoutMs'], message: 'use at most requestTimeoutMs' },
+);
+
 export type CallersSettings = Readonly<Zod.infer<typeof settingsSchema>>;
