Bound a router's claim calls and settle conflicts without a call for each

Cause: a router made as many transactions as its round trips allowed, and a batch with one known key in it fell apart into up to 31 single calls. Calls are now spaced by maxClaimCallsPerSecond, and what is not in conflict goes again together. Ruled out for now: claims gathered for a whole zone, which needs a protocol between routers.

--- a/packages/sequoiarill-plugin-orders/src/__tests__/fakeRouter.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/fakeRouter.ts
@@ -71,6 +71,7 @@
     clock,
     windowMs: 3,
     lazyMs: 50,
+    spacingMs: 30,
     recordCall: () => undefined,
   });
   const leases = ClaimLeases.createLeaseBuckets(store, clock);
--- a/packages/sequoiarill-plugin-orders/src/plugin.ts
+++ b/packages/sequoiarill-plugin-orders/src/plugin.ts
@@ -23,6 +23,8 @@
 import * as TargetChoice from './targetChoice';
 import * as TransactionBatches from './transactionBatches';
 
+const MS_PER_SECOND = 1_000;
+
 type ClaimParts = Readonly<{
   claims: Claims.ClaimBook;
   writer: ClaimWriters.ClaimWriter;
@@ -38,6 +40,7 @@
     clock,
     windowMs: settings.claimWindowMs,
     lazyMs: settings.resultDelayMs,
+    spacingMs: MS_PER_SECOND / settings.maxClaimCallsPerSecond,
     recordCall: () => metrics.addCount(Metrics.CLAIM_CALLS),
   });
   const leases = ClaimLeases.createLeaseBuckets(store, clock);
--- a/packages/sequoiarill-plugin-orders/src/settings.ts
+++ b/packages/sequoiarill-plugin-orders/src/settings.ts
@@ -18,6 +18,8 @@
   retryRatio: Zod.coerce.number().min(0).max(1).default(0.1),
   /** Claims of one router are gathered for so many milliseconds. */
   claimWindowMs: countSchema.default(3),
+  /** Calls of the platform for claims and results, at most so many a second. */
+  maxClaimCallsPerSecond: Zod.coerce.number().positive('use a number above 0').default(30),
   /** Results wait for the next claims to go with, at most so many milliseconds. */
   resultDelayMs: countSchema.default(50),
   /** A claim and its answer are kept for at least so many seconds. */
--- a/packages/sequoiarill-plugin-orders/src/transactionBatches.ts
+++ b/packages/sequoiarill-plugin-orders/src/transactionBatches.ts
@@ -1,4 +1,10 @@
-/** Gathers transactions of one router into few calls of the platform's key-value service. */
+/**
+ * Gathers transactions of one router into few calls of the platform's key-value service.
+ *
+ * Load pattern: many orders at once, or many routers. Sent one by one, claims would use up the few
+ * hundred writes a second that the platform has for everybody. Here a router's calls have a bound
+ * that does not depend on its orders; more orders make batches larger, up to their bound.
+ */
 import type {
   Clock,
   KeyTransaction,
@@ -25,6 +31,8 @@
   readonly windowMs: number;
   /** How long others wait for urgent ones. */
   readonly lazyMs: number;
+  /** Least time between the starts of two batches: the router's share of the platform's budget. */
+  readonly spacingMs: number;
   readonly recordCall: () => void;
 }
 
@@ -43,6 +51,7 @@
   const { store, clock } = options;
   const queue: QueuedItem[] = [];
   let isRunning = false;
+  let lastCallMs = -Infinity;
   let wakeLazy: (() => void) | undefined;
 
   async function writeMerged(items: readonly QueuedItem[]): Promise<TransactionResult> {
@@ -55,22 +64,25 @@
 
   /**
    * A conflict of one item fails the whole transaction. Its answer holds every compared key as it
-   * is, which settles the items in conflict; the others had no effect and go one by one.
+   * is, which settles the items in conflict; the others had no effect and go again together. A
+   * caller that repeats old keys thus costs one call more, not one for each item beside its own.
    */
   async function writeBatch(batch: readonly QueuedItem[]): Promise<void> {
-    const result = await writeMerged(batch);
-    if (result.kind !== 'conflict') {
-      batch.forEach(({ settle }) => settle(result));
-      return;
-    }
-    const isSingle = batch.length === 1;
-    const others: QueuedItem[] = [];
-    for (const queued of batch) {
-      if (isSingle || isConflicting(queued.item, result)) {
-        queued.settle({ ...result, current: selectCurrent(queued.item, result) });
-      } else others.push(queued);
+    let items = batch;
+    while (items.length > 0) {
+      const result = await writeMerged(items);
+      if (result.kind !== 'conflict') {
+        items.forEach(({ settle }) => settle(result));
+        return;
+      }
+      const inConflict = items.filter(({ item }) => isConflicting(item, result));
+      // Every call settles something, so that this ends even if the store names no key.
+      const settled = new Set(inConflict.length > 0 ? inConflict : items);
+      settled.forEach(({ item, settle }) =>
+        settle({ ...result, current: selectCurrent(item, result) }),
+      );
+      items = items.filter((queued) => !settled.has(queued));
     }
-    await Promise.all(others.map(async (queued) => writeBatch([queued])));
   }
 
   async function waitForWindow(): Promise<void> {
@@ -80,7 +92,9 @@
       await clock.waitMs(options.lazyMs, woken.signal);
       wakeLazy = undefined;
     }
-    await clock.waitMs(options.windowMs);
+    const nowMs = clock.getNowMs();
+    await clock.waitMs(Math.max(options.windowMs, lastCallMs + options.spacingMs - nowMs));
+    lastCallMs = clock.getNowMs();
   }
 
   /** One call at a time: while one is under way, the next one gathers, so load makes it larger. */
