Count all that is kept of a response, and keep no prompt

Cause: the bound of kept responses counted events only, so answers in one piece were kept without a bound for a minute, each with its whole prompt.

--- a/packages/sequoiarill-plugin-callers/src/__tests__/resuming.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/resuming.test.ts
@@ -158,6 +158,26 @@
   });
 });
 
+describe('kept responses', () => {
+  it('are dropped, oldest first, when they are over the bound in all', async () => {
+    // Thousands of answers in one piece end within a minute. Each is kept for the caller to read
+    // again, but never so many that the router runs out of memory.
+    const bounded = await Fakes.startRouter({ maxRetainedBytes: 25 });
+    const body = { ...Calls.RESPONSE_BODY, stream: false };
+    const statuses: number[] = [];
+    const urls: string[] = [];
+    for (let count = 0; count < 3; count += 1) {
+      const answer = await Calls.callOnce(`${bounded.url}/v1/responses`, { body });
+      urls.push(`${bounded.url}/v1/responses/${String(answer.headers['x-request-id'])}`);
+    }
+    for (const url of urls) statuses.push((await Calls.callOnce(url)).status);
+    expect(statuses).toEqual([404, 200, 200]);
+    const dump = (await bounded.kernel.dumpProcess()).plugins.callers;
+    expect((dump?.responses as Readonly<Record<string, number>>).bytes).toEqual(22);
+    await bounded.stop();
+  });
+});
+
 describe('a caller that leaves', () => {
   it('has its chat completion cancelled at once', async () => {
     steps.sendText('Size ');
--- a/packages/sequoiarill-plugin-callers/src/liveResponse.ts
+++ b/packages/sequoiarill-plugin-callers/src/liveResponse.ts
@@ -15,6 +15,8 @@
   readonly log: ResponseLog;
   readonly getView: () => ResponseView;
   readonly getTokens: () => number;
+  /** Kept of it: events, text, instructions. */
+  readonly getBytes: () => number;
   /** Stops the generation; the events that say so still follow. */
   readonly cancel: () => void;
   /** Resolves with the outcome, once the last event is in the log. */
@@ -47,16 +49,25 @@
 };
 
 export function createLiveResponse(options: LiveResponseOptions): LiveResponse {
-  const { identity, run, controller, hasRoom, isStreamed } = options;
+  const { identity, controller, hasRoom, isStreamed, organisation } = options;
+  const { recordBytes, recordFault } = options;
   const events = ResponseEvents.createResponseEvents(identity, options.signSequence);
-  const log = ResponseLogs.createResponseLog(options.recordBytes);
+  const log = ResponseLogs.createResponseLog(recordBytes);
   let text = '';
+  let ownBytes = 0;
   let tokens = 0;
   let outcome: GenerationOutcome | undefined;
 
+  function addOwnBytes(kept: string): void {
+    const bytes = Buffer.byteLength(kept);
+    ownBytes += bytes;
+    recordBytes(bytes);
+  }
+
   function addBatch(batch: TokenBatch): void {
     tokens += batch.tokenCount;
     text += batch.text;
+    addOwnBytes(batch.text);
     if (batch.text === '' || !isStreamed) return;
     log.addEvent(events.formatDelta(batch.text));
   }
@@ -70,8 +81,8 @@
     while (!controller.signal.aborted && !hasRoom(log)) await log.waitForReaders();
   }
 
-  async function readSteps(): Promise<GenerationOutcome> {
-    let step = options.firstStep;
+  async function readSteps(run: GenerationRun, first: GenerationStep): Promise<GenerationOutcome> {
+    let step = first;
     while (step.done !== true) {
       addBatch(step.value);
       if (!hasRoom(log)) await waitForRoom();
@@ -81,10 +92,13 @@
     return step.value;
   }
 
-  /** A generation that throws is a fault of the program; without an end its readers would hang. */
-  async function runToEnd(): Promise<GenerationOutcome> {
-    outcome = await readSteps().catch((error: unknown): GenerationOutcome => {
-      options.recordFault(error);
+  /**
+   * A generation that throws is a fault of the program; without an end its readers would hang. The
+   * run is an argument, so that what it holds, the prompt above all, is free once it has ended.
+   */
+  async function runToEnd(run: GenerationRun, first: GenerationStep): Promise<GenerationOutcome> {
+    outcome = await readSteps(run, first).catch((error: unknown): GenerationOutcome => {
+      recordFault(error);
       return BROKEN;
     });
     if (isStreamed) events.formatEnd(text, outcome).forEach(log.addEvent);
@@ -93,15 +107,17 @@
   }
 
   controller.signal.addEventListener('abort', log.wakeWaiting, { once: true });
+  addOwnBytes(identity.request.instructions ?? '');
   if (isStreamed) events.formatOpening().forEach(log.addEvent);
   return {
     identity,
-    organisation: options.organisation,
+    organisation,
     isStreamed,
     log,
     getView: () => (outcome === undefined ? { text } : { text, outcome }),
     getTokens: () => tokens,
     cancel: () => controller.abort(),
-    ended: runToEnd(),
+    getBytes: () => log.getBytes() + ownBytes,
+    ended: runToEnd(options.run, options.firstStep),
   };
 }
--- a/packages/sequoiarill-plugin-callers/src/responseStore.ts
+++ b/packages/sequoiarill-plugin-callers/src/responseStore.ts
@@ -49,7 +49,7 @@
   let bytes = 0;
 
   function removeResponse(live: LiveResponse): void {
-    if (ended.delete(live.identity.id)) bytes -= live.log.getBytes();
+    if (ended.delete(live.identity.id)) bytes -= live.getBytes();
   }
 
   function computeUnread(): number {
--- a/packages/sequoiarill-plugin-callers/src/responses.ts
+++ b/packages/sequoiarill-plugin-callers/src/responses.ts
@@ -83,7 +83,8 @@
     id: requestId,
     itemId: requestId.replace(/^resp/, 'msg'),
     createdAt: Generating.getCreatedSeconds(front),
-    request,
+    // A kept response shows no prompt, and a kept prompt could be as large as a body.
+    request: { ...request, messages: [] },
   };
   const live = LiveResponses.createLiveResponse({
     identity,
