--- a/packages/sequoiarill-plugin-callers/src/__tests__/badInput.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/badInput.test.ts
@@ -110,15 +110,15 @@
     });
   }
 
-  it('is refused once the configuration no longer has the key', async () => {
+  it('is refused once the configuration no longer has the key', async (test) => {
     // A shop's key leaks and is removed from its section. It must not work a moment longer because
     // a router remembers that it was right.
     const router = await Fakes.startRouter();
+    test.after(router.stop);
     const before = await Calls.callOnce(`${router.url}/v1/models`);
     router.setConfiguration({ ...Fakes.createConfiguration(), keysById: new Map() });
     const afterwards = await Calls.callOnce(`${router.url}/v1/models`);
     expect([before.status, afterwards.status]).toEqual([200, 401]);
-    await router.stop();
   });
 
   it('is refused with the methods that there are', async () => {
--- a/packages/sequoiarill-plugin-callers/src/__tests__/resuming.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/resuming.test.ts
@@ -159,10 +159,11 @@
 });
 
 describe('kept responses', () => {
-  it('are dropped, oldest first, when they are over the bound in all', async () => {
+  it('are dropped, oldest first, when they are over the bound in all', async (test) => {
     // Thousands of answers in one piece end within a minute. Each is kept for the caller to read
     // again, but never so many that the router runs out of memory.
     const bounded = await Fakes.startRouter({ maxRetainedBytes: 25 });
+    test.after(bounded.stop);
     const body = { ...Calls.RESPONSE_BODY, stream: false };
     const statuses: number[] = [];
     const urls: string[] = [];
@@ -174,7 +175,6 @@
     expect(statuses).toEqual([404, 200, 200]);
     const dump = (await bounded.kernel.dumpProcess()).plugins.callers;
     expect((dump?.responses as Readonly<Record<string, number>>).bytes).toEqual(22);
-    await bounded.stop();
   });
 });
 
@@ -198,17 +198,17 @@
     await steps.stopped;
   });
 
-  it('has a response cancelled when nobody comes back for it', async () => {
+  it('has a response cancelled when nobody comes back for it', async (test) => {
     // A shopper closes the page. The engine must not write the rest of the answer for nobody, but
     // must not be stopped either while the page might only be reloading.
     const short = await Fakes.startRouter({ resumeGraceMs: 20 });
+    test.after(short.stop);
     short.setScript(steps.script);
     steps.sendText('Size ');
     const answer = await Calls.openCall(`${short.url}/v1/responses`, { body: Calls.RESPONSE_BODY });
     await answer.readUntil('Size ');
     answer.leave();
     await steps.stopped;
-    await short.stop();
   });
 
   it('has its queued request cancelled before the first token', async () => {
--- a/packages/sequoiarill-plugin-callers/src/__tests__/slowReader.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/slowReader.test.ts
@@ -61,10 +61,11 @@
     });
   }
 
-  it('is taken as gone when it reads nothing for long', async () => {
+  it('is taken as gone when it reads nothing for long', async (test) => {
     // A caller's machine loses power; no packet tells the router. The stream must not hold its
     // engine and its place for ever.
     const router = await Fakes.startRouter({ writeTimeoutMs: 20, resumeGraceMs: 1 });
+    test.after(router.stop);
     const long = createLongScript();
     let isStopped = false;
     router.setScript(async function* runWatched(request) {
@@ -78,6 +79,5 @@
     await Calls.waitUntil(() => isStopped);
     expect(long.getTaken() < BATCHES).toEqual(true);
     slow.leave();
-    await router.stop();
   });
 });
