--- a/packages/sequoiarill-plugin-callers/src/__tests__/slowReader.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/slowReader.test.ts
@@ -44,6 +44,8 @@
       const slow = await Calls.openCall(router.url + path, { body });
       await Calls.waitForQuiet(long.getTaken);
       const held = long.getTaken();
+      const dump = (await router.kernel.dumpProcess()).plugins.callers;
+      expect(dump?.requests).toEqual({ waiting: 0, sending: 0, blocked: 1 });
       router.setScript(Fakes.createScript(['Hello']));
       const quick = await Calls.callOnce(router.url + path, { body });
       expect(quick.text.includes('Hello')).toEqual(true);
@@ -59,10 +61,11 @@
     });
   }
 
-  it('is taken as gone when it reads nothing for long', async () => {
+  it('is taken as gone when it reads nothing for long', async (test) => {
     // A caller's machine loses power; no packet tells the router. The stream must not hold its
     // engine and its place for ever.
     const router = await Fakes.startRouter({ writeTimeoutMs: 20, resumeGraceMs: 1 });
+    test.after(router.stop);
     const long = createLongScript();
     let isStopped = false;
     router.setScript(async function* runWatched(request) {
@@ -76,6 +79,5 @@
     await Calls.waitUntil(() => isStopped);
     expect(long.getTaken() < BATCHES).toEqual(true);
     slow.leave();
-    await router.stop();
   });
 });
