Weigh uncertain estimates, smooth the limit and calibrate the wait at the door

Cause: routers filled their own zone to the last slot they believed in while another had room; each cut of the limit stopped all starts for half a second; the wait at the door was estimated too short.

--- a/bench/src/decisions.ts
+++ b/bench/src/decisions.ts
@@ -3,6 +3,7 @@
 import { Command } from 'commander';
 
 import * as Cases from './decisions/cases';
+import * as Means from './decisions/means';
 import * as Reports from './decisions/report';
 import * as Timing from './decisions/timing';
 import * as Slopes from './decisionSlopes';
@@ -18,7 +19,7 @@
 function playAll(only: string | undefined): readonly Play.PlaySummary[] {
   const policies = [Play.OWN_POLICY, ...Play.BASELINES, ...Play.CHOICES];
   return Play.PATTERNS.filter((pattern) => only === undefined || pattern.name === only).flatMap(
-    (pattern) => policies.map((policy) => Play.playPattern(pattern, policy)),
+    (pattern) => policies.map((policy) => Means.playMean(pattern, policy)),
   );
 }
 
--- a/packages/sequoiarill-decisions/src/admission.ts
+++ b/packages/sequoiarill-decisions/src/admission.ts
@@ -124,7 +124,7 @@
         outcomes.push(refuseTicket(queued, 'overloaded: no start within the bound', nowMs));
       }
       while (lane.hasRoom()) {
-        const queued = lane.takeTicket();
+        const queued = lane.takeTicket(nowMs);
         if (queued === undefined) break;
         outcomes.push(startTicket(queued, nowMs));
       }
--- a/packages/sequoiarill-decisions/src/concurrencyLimit.ts
+++ b/packages/sequoiarill-decisions/src/concurrencyLimit.ts
@@ -34,13 +34,23 @@
 
 /** Leaves the rest of a second for the queue before the engines. Milliseconds. */
 export const DEFAULT_TARGET_MS = 30;
-/** A window is judged after this time, milliseconds, and only with enough samples. */
-const WINDOW_MS = 3_000;
-const MIN_SAMPLES = 25;
+/** Judged are the newest samples: three seconds of a small router, less of a busy one. */
+const JUDGED_SAMPLES = 40;
 const JUDGED_SHARE = 0.8;
-/** Largest change in one window, as factors. */
-const MAX_CUT = 0.97;
-const MAX_RISE = 0.03;
+/**
+ * The limit moves by these parts a second, a little with each sample. Moved by three seconds' worth at
+ * once, each cut swallows the slots of the next generations that end, and nothing starts for half a
+ * second.
+ */
+const CUT_PER_SECOND = 0.01;
+const RISE_PER_SECOND = 0.01;
+/** A small limit rises by a third of a generation a second at least. */
+const MIN_RISE_PER_SECOND = 0.33;
+/** Waits this many times over the target cut as much faster, up to the most. */
+const SEVERE_FACTOR = 10;
+const MAX_SEVERITY = 3;
+/** A longer silence counts as this, milliseconds. */
+const MAX_STEP_MS = 1_000;
 /** Below this the targets are not what makes first tokens late. */
 const MIN_BUSY_SHARE = 0.93;
 /** The limit only rises while this share of it is in use: unused room proves nothing. */
@@ -48,24 +58,35 @@
 
 export function createConcurrencyLimit(options: ConcurrencyLimitOptions): ConcurrencyLimit {
   let limit = options.initial;
-  let windowStartMs: number | undefined;
-  let samples: number[] = [];
-  let highestInFlight = 0;
+  let samples: readonly Sample[] = [];
+  let lastMs: number | undefined;
   let capacity: number | undefined;
   let isBusy = true;
 
   function recordFirstToken(ms: number, inFlight: number, nowMs: number): void {
-    windowStartMs ??= nowMs;
-    samples.push(ms);
-    highestInFlight = Math.max(highestInFlight, inFlight);
-    if (nowMs - windowStartMs < WINDOW_MS || samples.length < MIN_SAMPLES) return;
-    const judged = pickRank(samples, JUDGED_SHARE);
-    if (isBusy || judged <= options.targetMs) {
-      limit = computeNextLimit(options, limit, judged, highestInFlight);
-    }
-    windowStartMs = nowMs;
-    samples = [];
-    highestInFlight = 0;
+    samples = [...samples.slice(-(JUDGED_SAMPLES - 1)), { ms, inFlight }];
+    const stepMs = Math.min(MAX_STEP_MS, Math.max(0, nowMs - (lastMs ?? nowMs)));
+    lastMs = nowMs;
+    if (samples.length < JUDGED_SAMPLES) return;
+    const judgedMs = pickRank(samples, JUDGED_SHARE);
+    const highest = samples.reduce((most, sample) => Math.max(most, sample.inFlight), 0);
+    const seconds = stepMs / 1000;
+    if (judgedMs <= options.targetMs) applyRise(judgedMs, highest, seconds);
+    else if (isBusy) applyCut(judgedMs, highest, seconds);
+  }
+
+  function applyCut(judgedMs: number, highest: number, seconds: number): void {
+    const lateness = judgedMs / (options.targetMs * SEVERE_FACTOR);
+    const severity = Math.min(MAX_SEVERITY, Math.max(1, lateness));
+    const used = Math.min(limit, highest + 1);
+    limit = Math.max(options.min, used * (1 - CUT_PER_SECOND * severity * seconds));
+  }
+
+  function applyRise(judgedMs: number, highest: number, seconds: number): void {
+    if (highest < limit * IN_USE_SHARE) return;
+    const room = 1 - judgedMs / options.targetMs;
+    const step = Math.max(MIN_RISE_PER_SECOND, limit * RISE_PER_SECOND) * seconds;
+    limit = Math.min(options.max, limit + step * room);
   }
 
   function setCapacity(slots: number, busyShare = 1): void {
@@ -79,22 +100,12 @@
   return { recordFirstToken, setCapacity, getLimit: () => Math.floor(limit) };
 }
 
-function pickRank(samples: readonly number[], share: number): number {
-  const sorted = [...samples].sort((left, right) => left - right);
-  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+interface Sample {
+  readonly ms: number;
+  readonly inFlight: number;
 }
 
-function computeNextLimit(
-  options: ConcurrencyLimitOptions,
-  limit: number,
-  judgedMs: number,
-  highestInFlight: number,
-): number {
-  if (judgedMs > options.targetMs) {
-    const factor = Math.max(MAX_CUT, Math.sqrt(options.targetMs / judgedMs));
-    return Math.max(options.min, Math.min(limit, highestInFlight) * factor);
-  }
-  if (highestInFlight < limit * IN_USE_SHARE) return limit;
-  const room = 1 - judgedMs / options.targetMs;
-  return Math.min(options.max, limit + Math.max(1, limit * MAX_RISE) * room);
+function pickRank(samples: readonly Sample[], share: number): number {
+  const sorted = samples.map((sample) => sample.ms).sort((left, right) => left - right);
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 }
--- a/packages/sequoiarill-decisions/src/continuationPacer.ts
+++ b/packages/sequoiarill-decisions/src/continuationPacer.ts
@@ -10,7 +10,7 @@
  */
 
 /** Prefill a target can take for continuations besides its new prompts, tokens a second. */
-const DEFAULT_TOKENS_PER_SECOND = 8_000;
+const DEFAULT_TOKENS_PER_SECOND = 32_000;
 /** Leaves half a second of the 3 s for detection at the eager bound or a cached prefill. */
 const DEFAULT_MAX_DELAY_MS = 2_500;
 
--- a/packages/sequoiarill-decisions/src/expectedWait.ts
+++ b/packages/sequoiarill-decisions/src/expectedWait.ts
@@ -28,6 +28,10 @@
 const PROBE_MS = 2_000;
 /** At most so many routers are taken to do what this one does. */
 const MAX_OTHERS_FACTOR = 3;
+/** How far an estimate is usually off, slots. */
+const ESTIMATE_ERROR_SLOTS = 1;
+/** Beyond this the error makes no difference. */
+const MAX_SCALED = 12;
 const MIN_WARM_SHARE = 0.05;
 
 /** Work at the target now, its own and others', in generations. */
@@ -62,6 +66,18 @@
   return Math.min(MAX_OTHERS_FACTOR, Math.max(1, reported / ownBefore));
 }
 
+/**
+ * Expected slots that are missing when the estimate errs by some slots either way: near the brim a
+ * target is worse than its estimate says, and one with room to spare is better. Without it a router
+ * fills its own zone up to the last slot it believes in while another zone has room.
+ */
+function computeExpectedExcess(excess: number): number {
+  const scaled = excess / ESTIMATE_ERROR_SLOTS;
+  if (scaled > MAX_SCALED) return excess;
+  if (scaled < -MAX_SCALED) return 0;
+  return ESTIMATE_ERROR_SLOTS * Math.log1p(Math.exp(scaled));
+}
+
 export interface WaitQuestion {
   readonly purpose: ChoiceRequest['purpose'];
   readonly zone: string;
@@ -73,7 +89,7 @@
 export function computeExpectedWait(view: TargetView, question: WaitQuestion): number {
   const usable = Math.max(1, view.slots * Math.max(view.warmShare, MIN_WARM_SHARE));
   const occupancy = computeOccupancy(view, question.purpose);
-  const missingSlots = Math.max(0, occupancy + 1 - usable);
+  const missingSlots = computeExpectedExcess(occupancy + 1 - usable);
   const prefillMs = question.promptTokens * (1 - question.cachedShare) * PREFILL_MS_PER_TOKEN;
   const zoneMs = view.zone === question.zone ? 0 : OTHER_ZONE_MS;
   const slowMs = view.state === 'slow' ? SLOW_MS : 0;
--- a/packages/sequoiarill-decisions/src/lane.ts
+++ b/packages/sequoiarill-decisions/src/lane.ts
@@ -14,6 +14,9 @@
 const INITIAL_WORK_PER_SECOND = 33;
 /** Seconds of running time that the measured speed looks back over, for each unit of limit. */
 const SPEED_MEMORY = 0.98;
+/** Waits that the error of the estimate looks back over, as a decay, and its bound. */
+const WAIT_MEMORY = 0.98;
+const MAX_ERROR = 3;
 const PRIORITIES = 10;
 
 export interface QueuedTicket extends FairQueue.QueuedWork {
@@ -36,7 +39,7 @@
   readonly queue: FairQueue.FairQueue<QueuedTicket>;
   readonly addTicket: (queued: QueuedTicket) => void;
   readonly removeTicket: (queued: QueuedTicket) => void;
-  readonly takeTicket: () => QueuedTicket | undefined;
+  readonly takeTicket: (nowMs: number) => QueuedTicket | undefined;
   /** Tickets over their deadline, removed. */
   readonly takeExpired: (nowMs: number) => readonly QueuedTicket[];
   readonly getNextDeadlineMs: () => number | undefined;
@@ -58,6 +61,8 @@
   const workByPriority = new Array<number>(PRIORITIES).fill(0);
   let running = 0;
   let ranSeconds = 1;
+  let waitedMs = 1;
+  let expectedMs = 1;
   let ranWork = INITIAL_WORK_PER_SECOND;
 
   function addTicket(queued: QueuedTicket): void {
@@ -78,9 +83,11 @@
     markGone(queued);
   }
 
-  function takeTicket(): QueuedTicket | undefined {
+  function takeTicket(nowMs: number): QueuedTicket | undefined {
     const queued = queue.takeNext();
-    if (queued !== undefined) markGone(queued);
+    if (queued === undefined) return undefined;
+    markGone(queued);
+    recordWait(queued.ticket, nowMs);
     return queued;
   }
 
@@ -98,12 +105,19 @@
     let first = findFirstDeadline();
     while (first !== undefined && first.ticket.deadlineMs <= nowMs) {
       removeTicket(first);
+      recordWait(first.ticket, nowMs);
       expired.push(first);
       first = findFirstDeadline();
     }
     return expired;
   }
 
+  /** Late ones count with the time at which they were dropped. */
+  function recordWait(ticket: Ticket, nowMs: number): void {
+    waitedMs = waitedMs * WAIT_MEMORY + (nowMs - ticket.queuedAtMs);
+    expectedMs = expectedMs * WAIT_MEMORY + ticket.expectedWaitMs;
+  }
+
   function recordEnd(work: number, ranMs: number): void {
     running -= 1;
     const memory = SPEED_MEMORY ** (1 / Math.max(1, limit.getLimit() / PRIORITIES));
@@ -118,7 +132,8 @@
 
   function computeWaitMs(wait: LaneWait): number {
     const workBefore = queue.computeWorkBefore(wait.organisation, wait.weight);
-    return ((workBefore + wait.work) / getWorkPerSecond()) * 1000;
+    const error = Math.min(MAX_ERROR, Math.max(1, waitedMs / expectedMs));
+    return ((workBefore + wait.work) / getWorkPerSecond()) * 1000 * error;
   }
 
   function computeBacklogAboveMs(priority: number): number {
--- a/packages/sequoiarill-decisions/src/play/capacity.ts
+++ b/packages/sequoiarill-decisions/src/play/capacity.ts
@@ -46,6 +46,7 @@
     const request = next.value;
     engine.startStream({
       ...request,
+      isContinuation: false,
       onFirstToken: () => undefined,
       onLost: () => undefined,
       onEnd: () => {
--- a/packages/sequoiarill-decisions/src/play/dispatcher.ts
+++ b/packages/sequoiarill-decisions/src/play/dispatcher.ts
@@ -62,6 +62,7 @@
       promptTokens: request.promptTokens + flight.getEmitted(),
       sharedTokens: request.sharedTokens,
       prefixKey: request.prefixKey,
+      isContinuation: flight.getEmitted() > 0,
       outputTokens: Math.max(1, request.outputTokens - flight.getEmitted()),
       onFirstToken: () => handleFirstToken(flight, engine, sentAtMs),
       onEnd: (meanGapMs) => handleEnd(flight, engine, meanGapMs),
--- a/packages/sequoiarill-decisions/src/play/ledger.ts
+++ b/packages/sequoiarill-decisions/src/play/ledger.ts
@@ -20,7 +20,7 @@
   readonly request: PlayRequest;
   readonly atMs: number;
   readonly waitedMs: number;
-  /** Part of all slots that were free at that moment. */
+  /** Part of the slots of usable engines that were free at that moment. */
   readonly freeShare: number;
 }
 
@@ -41,7 +41,7 @@
   readonly asked: number;
   readonly finished: number;
   readonly refused: number;
-  /** Refused with at least a tenth of all slots free. */
+  /** Refused with at least a tenth of the usable slots free. */
   readonly refusedWrongly: number;
   /** Refused after waiting, not at the door. */
   readonly refusedLate: number;
