--- a/packages/sequoiarill-decisions/src/__tests__/outlierDetector.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/outlierDetector.test.ts
@@ -81,7 +81,7 @@
     };
     failAt(3_000);
     expect(detector.getState('c', 5_000)).toEqual('new');
-    failAt(5_100);
+    detector.recordFailure('c', 5_100);
     expect(detector.getState('c', 9_000)).toEqual('dead');
     expect(detector.getState('c', 9_100)).toEqual('new');
   });
--- a/packages/sequoiarill-decisions/src/outlierDetector.ts
+++ b/packages/sequoiarill-decisions/src/outlierDetector.ts
@@ -10,6 +10,7 @@
  * its caches or is still ill gets little to spoil.
  */
 import type * as Types from './outlierTypes';
+import * as PeerMedians from './peerMedians';
 import * as Records from './targetRecord';
 import type { EjectionCause, TargetRecord } from './targetRecord';
 
@@ -18,11 +19,10 @@
 const FIRST_TOKEN_MARGIN_MS = 300;
 const GAP_FACTOR = 2.5;
 const GAP_MARGIN_MS = 30;
-/** Samples before a target is judged, and peers before there is a median to be judged by. */
-const MIN_FIRST_TOKENS = 5;
-const MIN_GAPS = 20;
-const MIN_PEERS = 3;
-/** Failures in a row, or a share of the last seconds' attempts, that eject. */
+/**
+ * Failures in a row, or a share of the last seconds' attempts, that eject. One is enough while a
+ * target is being let back in: an idle, dead target is the best looking one for every new prompt.
+ */
 const MAX_CONSECUTIVE_FAILURES = 3;
 const MAX_FAILURE_SHARE = 0.4;
 const MIN_ATTEMPTS = 5;
@@ -39,15 +39,6 @@
 const FIRST_WARM_SHARE = 0.1;
 /** Time after a warm-up without an ejection that forgets earlier ones. */
 const FORGIVEN_AFTER_MS = 60_000;
-/** The peers' medians are computed again after this time, so that a sample costs no sorting. */
-const MEDIAN_AGE_MS = 250;
-
-interface Medians {
-  readonly computedAtMs: number;
-  readonly firstTokenMs: number | undefined;
-  readonly gapMs: number | undefined;
-}
-
 /** One for each model of a router. */
 export function createOutlierDetector(
   options: Types.OutlierDetectorOptions = {},
@@ -55,7 +46,7 @@
   const maxSlowShare = options.maxSlowShare ?? DEFAULT_MAX_SLOW_SHARE;
   const maxFailedShare = options.maxFailedShare ?? DEFAULT_MAX_FAILED_SHARE;
   const records = new Map<string, TargetRecord>();
-  let medians: Medians | undefined;
+  const getMedians = PeerMedians.createPeerMedians(records);
 
   function getRecord(target: string, nowMs: number): TargetRecord {
     const known = records.get(target);
@@ -65,24 +56,6 @@
     return created;
   }
 
-  function getMedians(nowMs: number): Medians {
-    if (medians === undefined || nowMs - medians.computedAtMs > MEDIAN_AGE_MS) {
-      const all = [...records.values()];
-      medians = {
-        computedAtMs: nowMs,
-        firstTokenMs: computeMedian(
-          all
-            .filter((record) => record.firstTokenSamples >= MIN_FIRST_TOKENS)
-            .map((record) => record.firstTokenMs),
-        ),
-        gapMs: computeMedian(
-          all.filter((record) => record.gapSamples >= MIN_GAPS).map((record) => record.gapMs),
-        ),
-      };
-    }
-    return medians;
-  }
-
   function hasRoomToEject(cause: EjectionCause, nowMs: number): boolean {
     let counted = 1;
     for (const record of records.values()) {
@@ -116,7 +89,7 @@
     );
     record.firstTokenSamples += 1;
     const median = getMedians(nowMs).firstTokenMs;
-    if (median === undefined || record.firstTokenSamples < MIN_FIRST_TOKENS) return;
+    if (median === undefined || record.firstTokenSamples < PeerMedians.MIN_FIRST_TOKENS) return;
     const boundMs = Math.max(median * FIRST_TOKEN_FACTOR, median + FIRST_TOKEN_MARGIN_MS);
     if (record.firstTokenMs > boundMs) applyEjection(record, 'firstToken', nowMs);
   }
@@ -126,7 +99,7 @@
     record.gapMs = Records.computeSmoothed(record.gapMs, record.gapSamples, ms);
     record.gapSamples += 1;
     const median = getMedians(nowMs).gapMs;
-    if (median === undefined || record.gapSamples < MIN_GAPS) return;
+    if (median === undefined || record.gapSamples < PeerMedians.MIN_GAPS) return;
     const boundMs = Math.max(median * GAP_FACTOR, median + GAP_MARGIN_MS);
     if (record.gapMs > boundMs) applyEjection(record, 'gap', nowMs);
   }
@@ -145,7 +118,9 @@
     record.failures += 1;
     record.consecutiveFailures += 1;
     const attempts = record.failures + record.successes;
+    const isProbed = record.ejections > 0 && getWarmShare(target, nowMs) < 1;
     const isFailing =
+      isProbed ||
       record.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES ||
       (attempts >= MIN_ATTEMPTS && record.failures / attempts >= MAX_FAILURE_SHARE);
     if (isFailing) applyEjection(record, 'failures', nowMs);
@@ -192,9 +167,3 @@
       [...records].filter(([, record]) => record.ejectedUntilMs > nowMs).map(([name]) => name),
   };
 }
-
-function computeMedian(values: readonly number[]): number | undefined {
-  if (values.length < MIN_PEERS) return undefined;
-  const sorted = [...values].sort((left, right) => left - right);
-  return sorted[Math.floor(sorted.length / 2)];
-}
