Keep accepted texts in the history and fall back on them

Cause: a router that started after a section was overwritten past the commands had no text of it at all, and would have turned a team's callers away; the history held only replaced texts, not the last accepted one. A text now enters the history in the transaction that makes it the section's. A router that starts reads for itself without a warning. Conclusion: a bad write past the commands takes no team out, on no router.

--- a/packages/sequoiarill-plugin-platform/src/__tests__/following.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/following.test.ts
@@ -2,6 +2,7 @@
 
 import { expect } from 'earl';
 
+import * as DocumentEditors from '../documentEditor';
 import * as Events from '../events';
 import * as StoredSection from '../storedSection';
 import * as Clocks from './fakeClock';
@@ -90,6 +91,31 @@
     await node.stop();
   });
 
+  it('gives a router that starts late the last good text of a damaged section', async () => {
+    // Story: somebody overwrites a section past the commands and makes a mistake. Running routers keep
+    // the last good text; one that is replaced an hour later sees only the damaged one.
+    const { clock, platform, node } = await startNode();
+    const editor = DocumentEditors.createDocumentEditor({
+      store: platform.createStore(),
+      clock,
+      nextRandom: () => 0,
+      author: 'ann',
+    });
+    const text = Fixtures.formatModelSection('v2');
+    await editor.putSection({ section: 'models', text, file: 'models.json' });
+    platform.write(KEY, '{"modles":{}}');
+    await clock.runFor(1_000);
+    const late = Fixtures.createNode({ platform, clock, name: 'router-2', zone: 'z2' });
+    late.start();
+    await clock.runFor(1_000);
+    expect([node.getVersion(), late.getVersion()]).toEqual(['v2', 'v2']);
+    expect(late.events.includes(Events.SECTION_REFUSED)).toEqual(true);
+    platform.write(KEY, Fixtures.formatModelSection('v3'));
+    await clock.runFor(1_000);
+    expect([node.getVersion(), late.getVersion()]).toEqual(['v3', 'v3']);
+    await Promise.all([node.stop(), late.stop()]);
+  });
+
   it('takes a removed key as an emptied section', async () => {
     const { clock, platform, node } = await startNode();
     platform.remove(KEY);
--- a/packages/sequoiarill-plugin-platform/src/__tests__/readerDuty.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/readerDuty.test.ts
@@ -76,6 +76,17 @@
     await stopAll();
   });
 
+  it('leaves others to read for themselves when they start, without a warning', async () => {
+    const { clock, nodes, runFor, stopAll } = createZone(2);
+    nodes[0]?.start();
+    await runFor(2_000, []);
+    nodes[1]?.start();
+    await clock.runFor(300);
+    expect(nodes[1]?.getVersion()).toEqual('v1');
+    expect(nodes[1]?.events.includes(Events.READER_BYPASSED)).toEqual(false);
+    await stopAll();
+  });
+
   it('is itself when it is alone', async () => {
     const { clock, nodes, stopAll } = createZone(1);
     nodes[0]?.start();
--- a/packages/sequoiarill-plugin-platform/src/configurationState.ts
+++ b/packages/sequoiarill-plugin-platform/src/configurationState.ts
@@ -25,6 +25,8 @@
   readonly applyRecords: (records: readonly ConfigurationSection[]) => void;
   /** The newest record up to a revision; 0 when there is none. */
   readonly findNewestRevision: (upTo: number) => number;
+  /** Sections of which every text seen so far was refused. */
+  readonly listWithoutText: () => readonly string[];
   readonly dumpState: () => StateDump;
 }
 
@@ -85,7 +87,7 @@
     record: ConfigurationSection,
     faults: readonly SectionParser.DocumentFault[],
   ): false {
-    refused.set(record.name, record.revision);
+    refused.set(record.name, Math.max(record.revision, refused.get(record.name) ?? 0));
     const shown = faults.slice(0, MAX_LOGGED_FAULTS).map(SectionParser.formatFault);
     const { name, revision } = record;
     logEvent(Events.SECTION_REFUSED, { section: name, revision, faults: shown });
@@ -112,10 +114,9 @@
     return true;
   }
 
-  function isOlder(record: ConfigurationSection): boolean {
-    const held = records.get(record.name)?.revision ?? 0;
-    const refusedRevision = refused.get(record.name) ?? 0;
-    return record.revision <= Math.max(held, refusedRevision);
+  function isKnown({ name, revision }: ConfigurationSection): boolean {
+    const held = records.get(name)?.revision ?? 0;
+    return revision <= held || revision === refused.get(name);
   }
 
   function removeOldestVm(): void {
@@ -130,11 +131,11 @@
    * one is kept in force and is what peers are given, so that one bad write takes no team out.
    */
   function applyRecord(record: ConfigurationSection): boolean {
-    if (isOlder(record)) return false;
+    if (isKnown(record)) return false;
     const isApplied = DocumentRecords.isVmRecord(record) ? applyVm(record) : applySection(record);
     if (!isApplied) return false;
     records.set(record.name, record);
-    refused.delete(record.name);
+    if (record.revision > (refused.get(record.name) ?? 0)) refused.delete(record.name);
     if (vmStates.size > MAX_VMS) removeOldestVm();
     return true;
   }
@@ -187,6 +188,10 @@
       applyRecords(sections);
       news.mergeNews(peerNews);
     },
+    listWithoutText: () =>
+      [...refused.keys()].filter(
+        (name) => !records.has(name) && !DocumentRecords.isVmRecord({ name }),
+      ),
     dumpState() {
       const configuration = snapshots.getConfiguration();
       const appliedAt = snapshots.getAppliedAt();
--- a/packages/sequoiarill-plugin-platform/src/documentEditor.ts
+++ b/packages/sequoiarill-plugin-platform/src/documentEditor.ts
@@ -112,10 +112,7 @@
     const { edit, writeId } = attempt;
     const envelope = { writeId, at: clock.getWallTime(), author, text: edit.text };
     const key = `${StoredSection.SECTIONS_PREFIX}${edit.section}`;
-    const kept =
-      current.revision === 0
-        ? []
-        : await SectionHistory.buildHistoryWrites(store, edit.section, current);
+    const kept = await SectionHistory.buildHistoryWrites(store, edit.section, envelope, current);
     return [
       { key, value: StoredSection.encodeEnvelope(envelope) },
       { key: StoredSection.LATEST_KEY, value: writeId },
@@ -127,7 +124,7 @@
     const { edit, writeId, mayBeWritten } = attempt;
     if (mayBeWritten) {
       // Failure: the write took effect, its answer was lost, and somebody replaced the text since.
-      // The history tells, as each edit moves the text that it replaces there.
+      // The history tells, as it keeps every text that was accepted.
       const history = await SectionHistory.readHistory(store, edit.section);
       if (history === undefined) return reportExhausted(mayBeWritten);
       const found = history.find((entry) => entry.writeId === writeId);
@@ -193,7 +190,8 @@
     const document = await readDocument();
     if (earlier === undefined || document.kind === 'unavailable') return undefined;
     const current = document.sections.get(section);
-    return current === undefined ? earlier : [...earlier, current];
+    const isKept = earlier.some(({ revision }) => revision === current?.revision);
+    return current === undefined || isKept ? earlier : [...earlier, current];
   }
 
   return {
--- a/packages/sequoiarill-plugin-platform/src/followedConfiguration.ts
+++ b/packages/sequoiarill-plugin-platform/src/followedConfiguration.ts
@@ -11,6 +11,8 @@
 import * as PlatformReaders from './platformReader';
 import * as ReaderDuties from './readerDuty';
 import type { ReaderMode } from './readerDuty';
+import * as SectionHistory from './sectionHistory';
+import * as SectionParser from './sectionParser';
 import * as SourceFollowers from './sourceFollower';
 
 export interface FollowedConfigurationOptions {
@@ -52,6 +54,24 @@
   };
 }
 
+/**
+ * Failure: a section was overwritten past the commands with text that does not parse, and this router
+ * started after that. Others go on with the last good text; this one would turn a team's callers away.
+ * The history keeps what was accepted, with its revision.
+ */
+async function applyLastGood(store: PlatformStore, state: ConfigurationState): Promise<void> {
+  for (const name of state.listWithoutText()) {
+    const history = (await SectionHistory.readHistory(store, name)) ?? [];
+    const newestFirst = [...history].reverse();
+    const good = newestFirst.find(
+      ({ text }) => SectionParser.parseSection(text, 'history', name).kind === 'section',
+    );
+    if (good !== undefined) {
+      state.applyRecords([{ name, revision: good.revision, text: good.text }]);
+    }
+  }
+}
+
 export function createFollowedConfiguration(
   options: FollowedConfigurationOptions,
 ): FollowedConfiguration {
@@ -81,6 +101,7 @@
     handleConfirmed: (revision) =>
       news.confirmNews(keeper.getFence(), state.findNewestRevision(revision)),
     markAway,
+    handleRead: () => applyLastGood(store, state),
   });
   const readInstead = async () => {
     const outcome = await reader.readOnce();
--- a/packages/sequoiarill-plugin-platform/src/platformReader.ts
+++ b/packages/sequoiarill-plugin-platform/src/platformReader.ts
@@ -9,6 +9,8 @@
   /** Told the revision up to which every change is known. */
   readonly handleConfirmed: (revision: number) => void;
   readonly markAway: (isAway: boolean) => void;
+  /** Called after everything was read, before it is told as confirmed. */
+  readonly handleRead: () => Promise<void>;
 }
 
 export interface PlatformReader {
@@ -65,7 +67,11 @@
     }
   }
 
-  const readOnce = () => mergeOutcomes((follower) => follower.readAll());
+  async function readOnce(): Promise<FollowOutcome> {
+    const outcome = await mergeOutcomes((follower) => follower.readAll());
+    if (outcome.kind === 'confirmed') await options.handleRead();
+    return outcome;
+  }
 
   async function readFirst(signal: AbortSignal, isAllowed: () => boolean): Promise<void> {
     let outcome = await readOnce();
--- a/packages/sequoiarill-plugin-platform/src/readerDuty.ts
+++ b/packages/sequoiarill-plugin-platform/src/readerDuty.ts
@@ -44,6 +44,7 @@
 
 export function createReaderDuty(options: ReaderDutyOptions): ReaderDuty {
   const { keeper, reader, news, clock, logEvent, nextRandom, markAway } = options;
+  const startedMs = clock.getNowMs();
   let isReading = false;
   let retryMs = RETRY_MS;
 
@@ -71,7 +72,8 @@
   /** Reads without the duty, so that broken links between routers keep no change away. */
   async function readIfCutOff(): Promise<void> {
     if (news.getAgeMs() < BYPASS_NEWS_MS) return;
-    logEvent(Events.READER_BYPASSED);
+    // Right after a start this is the usual way to the first configuration, and no sign of a fault.
+    if (clock.getNowMs() - startedMs >= BYPASS_NEWS_MS) logEvent(Events.READER_BYPASSED);
     await options.readInstead();
   }
 
--- a/packages/sequoiarill-plugin-platform/src/storedSection.ts
+++ b/packages/sequoiarill-plugin-platform/src/storedSection.ts
@@ -10,9 +10,10 @@
 /** Text of a section that was removed; the key stays so that its revision goes on rising. */
 export const TOMBSTONE_TEXT = '{}';
 
-export function formatHistoryKey(section: string, entry: number): string {
+/** By the revision that the text replaces: known before the write, and rising with each one. */
+export function formatHistoryKey(section: string, replacedRevision: number): string {
   // Padded, so that keys sort by age.
-  return `${HISTORY_PREFIX}${section}/${String(entry).padStart(16, '0')}`;
+  return `${HISTORY_PREFIX}${section}/${String(replacedRevision).padStart(16, '0')}`;
 }
 
 const envelopeSchema = Zod.object({
