Leave damaged history entries out

Cause: a router looks into the history for the last good text; an entry that does not parse would have stopped it. Measured: the editor's tests pass with a new one for damaged entries.

--- a/packages/sequoiarill-plugin-platform/src/__tests__/documentEditor.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/documentEditor.test.ts
@@ -232,6 +232,15 @@
     expect(history?.[0]?.revision).toEqual(revision);
   });
 
+  it('leaves out entries that were damaged', async () => {
+    const { platform, createEditor } = createEditing();
+    const editor = createEditor('ann');
+    await editor.putSection(createEdit('v1'));
+    platform.write(StoredSection.formatHistoryKey('models', 7), '{"packed":"no gzip"}');
+    platform.write(StoredSection.formatHistoryKey('models', 8), 'no JSON');
+    expect((await editor.listHistory('models'))?.length).toEqual(1);
+  });
+
   it('stays bounded', async () => {
     const { createEditor } = createEditing();
     const editor = createEditor('ann');
--- a/packages/sequoiarill-plugin-platform/src/sectionHistory.ts
+++ b/packages/sequoiarill-plugin-platform/src/sectionHistory.ts
@@ -17,6 +17,9 @@
 /** More than one, so that a history that grew too long shrinks again. */
 const MAX_REMOVALS = 5;
 
+/** More than any value may hold. */
+const MAX_TEXT_BYTES = 2_097_152;
+
 /** One accepted text, by the revision at which it came into force. */
 export interface HistoryEntry extends SectionEnvelope {
   readonly revision: number;
@@ -38,11 +41,19 @@
   return JSON.stringify({ writeId, at, author, packed, revision });
 }
 
-/** The entry was written with the section's text, so its own revision is that of the text. */
-function decodeHistory(entry: KeyValueEntry): HistoryEntry {
-  const { packed, revision, ...rest } = packedSchema.parse(JSON.parse(entry.value));
-  const text = gunzipSync(Buffer.from(packed, 'base64')).toString('utf8');
-  return { ...rest, text, revision: revision ?? entry.revision };
+/**
+ * The entry was written with the section's text, so its own revision is that of the text. An entry
+ * that was damaged by other means is left out: a router that looks for the last good text must not
+ * stop over it.
+ */
+function decodeHistory(entry: KeyValueEntry): readonly HistoryEntry[] {
+  try {
+    const { packed, revision, ...rest } = packedSchema.parse(JSON.parse(entry.value));
+    const bytes = gunzipSync(Buffer.from(packed, 'base64'), { maxOutputLength: MAX_TEXT_BYTES });
+    return [{ ...rest, text: bytes.toString('utf8'), revision: revision ?? entry.revision }];
+  } catch {
+    return [];
+  }
 }
 
 function getPrefix(section: string): string {
@@ -56,7 +67,7 @@
 ): Promise<readonly HistoryEntry[] | undefined> {
   const range = await store.readPrefix(getPrefix(section));
   if (range.kind === 'unavailable') return undefined;
-  return range.entries.map(decodeHistory).sort((left, right) => left.revision - right.revision);
+  return range.entries.flatMap(decodeHistory).sort((left, right) => left.revision - right.revision);
 }
 
 /** A text that got there without the commands is in no history yet. */
