Tell a late watch from a silent one by time

Cause: two confirming reads in a row can be 200 ms apart after a change; a watch that lags by half a second in a burst would have been taken for silent, and the whole document read for each change.

--- a/packages/sequoiarill-plugin-platform/src/__tests__/fakePlatform.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/fakePlatform.ts
@@ -52,7 +52,8 @@
   readonly closeWatches: () => void;
   /** Goes back to an older state, as after a backup was restored. */
   readonly restore: (revision: number, entries: readonly KeyValueEntry[]) => void;
-  readonly getCalls: () => Readonly<Record<'read' | 'write' | 'watch', number>>;
+  /** `prefix` counts the reads of everything below a prefix, which are among the reads. */
+  readonly getCalls: () => Readonly<Record<'read' | 'write' | 'watch' | 'prefix', number>>;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -63,7 +64,7 @@
   const faults: Faults = { isAway: false, lostAnswers: 0, isWatchSilent: false, latencyMs: 0 };
   const entries = new Map<string, Stored>();
   const leases = new Map<string, Lease>();
-  const calls = { read: 0, write: 0, watch: 0 };
+  const calls = { read: 0, write: 0, watch: 0, prefix: 0 };
   let log: KeyChange[] = [];
   let watchers: readonly Watcher[] = [];
   let revision = 1;
@@ -214,7 +215,10 @@
   return {
     faults,
     createStore: () => ({
-      readPrefix: (prefix) => readRange(({ key }) => key.startsWith(prefix)),
+      readPrefix(prefix) {
+        calls.prefix += 1;
+        return readRange(({ key }) => key.startsWith(prefix));
+      },
       readKey: (wanted) => readRange(({ key }) => key === wanted),
       readChangedKeys: (prefix, after) =>
         readRange((entry) => entry.key.startsWith(prefix) && entry.revision > after),
--- a/packages/sequoiarill-plugin-platform/src/__tests__/following.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/following.test.ts
@@ -76,6 +76,25 @@
     await node.stop();
   });
 
+  it('does not read everything again because a watch is a little late', async () => {
+    // Story: a burst of changes makes the platform's watches lag by half a second. A reader that took
+    // that for a gap would add a read of the whole document to each change.
+    const { clock, platform, node } = await startNode();
+    const before = platform.getCalls().prefix;
+    for (let count = 0; count < 20; count += 1) {
+      platform.faults.isWatchSilent = true;
+      platform.write(KEY, Fixtures.formatModelSection(`late-${count}`));
+      await clock.runFor(500);
+      platform.faults.isWatchSilent = false;
+      platform.write(KEY, Fixtures.formatModelSection(`v${count + 2}`));
+      await clock.runFor(10);
+    }
+    expect(node.getVersion()).toEqual('v21');
+    expect(platform.getCalls().prefix).toEqual(before);
+    expect(node.state.getNews().readerBeat > 10).toEqual(true);
+    await node.stop();
+  });
+
   it('does not go back when the platform comes back with old data', async () => {
     // Story: the platform loses its disks and is restored from yesterday's backup. Its revisions are
     // lower than what routers have, and its texts are what accepted changes had replaced.
--- a/packages/sequoiarill-plugin-platform/src/sourceFollower.ts
+++ b/packages/sequoiarill-plugin-platform/src/sourceFollower.ts
@@ -29,6 +29,11 @@
 
 /** First wait before a watch is opened again, in milliseconds; doubles up to the bound. */
 const RETRY_MS = 100;
+/**
+ * A watch this late is taken for silent. Reading everything sooner would, in a burst of changes, answer
+ * a platform that is a little late with many times the load.
+ */
+const GAP_MS = 1_500;
 /** Below the 8 s in which a change must be in force, with room for the reading. */
 const MAX_RETRY_MS = 3_000;
 
@@ -38,8 +43,9 @@
   let seenRevision = 0;
   /** Highest revision of a record that was seen, also of a refused one. */
   let newestRecord = 0;
-  /** What the last confirming read missed; missed twice in a row, the watch has a gap. */
+  /** A change that a confirming read knew and the watch had not brought, and since when. */
   let missedRevision = 0;
+  let missedSinceMs = 0;
   let isOlder = false;
 
   function applyRecords(records: readonly ConfigurationSection[]): void {
@@ -99,8 +105,9 @@
 
   /**
    * Failure: a watch that looks open but delivers nothing any more, as after a lost connection that
-   * no side closed. It shows as a key that two confirming reads in a row know and we do not; then
-   * everything is read again, so a silent watch delays a change by seconds and never loses it.
+   * no side closed. It shows as a key that confirming reads know and we do not, for longer than a
+   * working watch is late; then everything is read again, so a silent watch delays a change by seconds
+   * and never loses it.
    */
   async function checkRevision(): Promise<FollowOutcome> {
     const range = await store.readChangedKeys(source.prefix, newestRecord);
@@ -109,12 +116,15 @@
     const newest = Math.max(0, ...range.entries.map((entry) => entry.revision));
     if (newest <= newestRecord) {
       seenRevision = Math.max(seenRevision, range.revision);
-      missedRevision = 0;
       return { kind: 'confirmed', revision: range.revision };
     }
-    const isMissedAgain = missedRevision > newestRecord;
-    missedRevision = newest;
-    return isMissedAgain ? readAll() : { kind: 'confirmed', revision: seenRevision };
+    const isWaitingAlready = missedRevision > newestRecord;
+    if (isWaitingAlready && clock.getNowMs() - missedSinceMs >= GAP_MS) return readAll();
+    if (!isWaitingAlready) {
+      missedRevision = newest;
+      missedSinceMs = clock.getNowMs();
+    }
+    return { kind: 'confirmed', revision: seenRevision };
   }
 
   return { readAll, runWatch, checkRevision };
