Cross every step of a generation with faults of engine, link and platform

Cause: the promises on answers were proved for a few losses only. Found on the way: a link stand-in whose connection was reset after its own end stayed open (Node.js 20 leaves the handle when libuv refuses the reset), so this test file ran into its limit of 180 s after all of its tests had passed; it now ends by itself. A connection also counts as open until both of its sides are closed, so that healing and stopping reach it.

--- a/packages/sequoiarill-standins/src/link/link.ts
+++ b/packages/sequoiarill-standins/src/link/link.ts
@@ -88,13 +88,18 @@
         onDropped: addBytesDropped,
       }),
       reset() {
-        caller.resetAndDestroy();
-        targetSocket.resetAndDestroy();
+        Pipes.closeByReset(caller);
+        Pipes.closeByReset(targetSocket);
       },
     };
+    // While one side is open, a cut or a stall of it can still end, and `stop` must close it.
+    function removeClosed(): void {
+      if (caller.destroyed && targetSocket.destroyed) connections.delete(connection);
+    }
     connectionsOpened += 1;
     connections.add(connection);
-    caller.on('close', () => connections.delete(connection));
+    caller.on('close', removeClosed);
+    targetSocket.on('close', removeClosed);
   }
 
   function setModes(toTarget: Pipes.PipeMode, toCaller: Pipes.PipeMode): void {
--- a/packages/sequoiarill-standins/src/link/pipe.ts
+++ b/packages/sequoiarill-standins/src/link/pipe.ts
@@ -49,7 +49,7 @@
 
   source.on('data', sendPart);
   source.on('end', () => closeSink(() => sink.end()));
-  source.on('error', () => closeSink(() => sink.resetAndDestroy()));
+  source.on('error', () => closeSink(() => closeByReset(sink)));
   source.on('close', () => closeSink(() => sink.destroySoon()));
   sink.on('drain', () => {
     if (mode !== 'stalled') source.resume();
@@ -57,3 +57,12 @@
   setMode(initialMode);
   return { setMode };
 }
+
+/**
+ * Resets a connection. A socket whose own end is on its way cannot be reset any more: libuv refuses,
+ * and Node.js 20 then leaves the handle open for ever, so that the process never ends.
+ */
+export function closeByReset(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
--- /dev/null
+++ b/packages/sequoiarill-testing/src/__tests__/matrixEngines.test.ts
@@ -0,0 +1,57 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as Cells from '../matrix/cells';
+import * as Faults from '../matrix/generationFaults';
+import * as GenerationCells from '../matrix/generationCells';
+import type { CellRun } from '../matrix/generationCells';
+import * as GenerationSteps from '../matrix/generationSteps';
+
+const CELL_IDS = new Set(Cells.CELLS.map(({ id }) => id));
+/** Worlds at once; each has its own stand-ins and ports. */
+const CONCURRENCY = 6;
+/** Steps at which the engine has sent part of the answer, and all of it depends on the fault. */
+const MIDDLE_STEPS: ReadonlySet<string> = new Set(['G4', 'G5', 'G6']);
+
+function checkWhole({ answers, calm }: CellRun): void {
+  for (const answer of answers) {
+    expect(answer.error).toEqual(undefined);
+    expect(answer.text).toEqual(calm.text);
+    expect(answer.completionTokens).toEqual(calm.completionTokens);
+    expect(answer.finishReason).toEqual(calm.finishReason);
+  }
+}
+
+// A shopper reads one answer. At the step that a test names, the fault that it names strikes the
+// engine that has the work, the way to it, or the platform. The shopper sees the text, the count of
+// tokens and the finish reason of an undisturbed answer, and no error. Cause: a continuation that
+// starts at the wrong token, or bytes of a generation that was given up.
+describe('fault matrix of generations', { concurrency: CONCURRENCY }, () => {
+  const faults = [
+    ...Faults.TARGET_FAULTS,
+    ...Faults.LINK_FAULTS,
+    ...Faults.PLATFORM_FAULTS,
+    ...Faults.PAIRS,
+  ];
+  for (const step of GenerationSteps.STEP_RUNNERS) {
+    for (const fault of faults) {
+      const id = `${step.code}-${fault.code}`;
+      if (CELL_IDS.has(id)) {
+        it(Cells.formatTestName(id), async () => {
+          const isLate = fault.code === 'E5';
+          await GenerationCells.runCell(
+            step,
+            fault,
+            (run) => {
+              checkWhole(run);
+              const isMiddle = MIDDLE_STEPS.has(step.code) && fault.dispatches !== undefined;
+              if (isMiddle) expect(run.dispatches).toEqual(fault.dispatches);
+            },
+            isLate ? { checksFencing: false } : {},
+          );
+        });
+      }
+    }
+  }
+});
