--- a/packages/sequoiarill-testing/src/matrix/world.ts
+++ b/packages/sequoiarill-testing/src/matrix/world.ts
@@ -19,6 +19,8 @@
   readonly checksIdempotencyKey?: boolean;
   readonly preference?: ResumePreference;
   readonly slots?: number;
+  /** Time for one order, in milliseconds. */
+  readonly serviceTimeoutMs?: number;
   readonly engineSettings?: Standins.EngineSettingsInput;
   readonly routerSettings?: IniSettings;
 }
@@ -41,6 +43,7 @@
 /** The first engine and the first service are the ones that faults strike, each behind a link. */
 export interface World {
   readonly apiKey: string;
+  readonly platformAddress: string;
   readonly platform: Standins.PlatformStandin;
   readonly engines: readonly Standins.EngineStandin[];
   readonly engineLink: Standins.LinkStandin;
@@ -67,6 +70,15 @@
   prefillTokensPerSecond: PREFILL_TOKENS_PER_SECOND,
 };
 
+/** Short, so that an order whose answer never comes ends its test soon. */
+const SERVICE_TIMEOUT_MS = 1_000;
+
+function setServiceTimeout(text: string, timeoutMs: number): string {
+  const section = JSON.parse(text) as { services: Record<string, Record<string, unknown>> };
+  for (const service of Object.values(section.services)) service.timeoutMs = timeoutMs;
+  return JSON.stringify(section);
+}
+
 function listMembers(kind: string, addresses: readonly string[]): Demo.FleetMember[] {
   return addresses.map((address, index) => ({
     name: `${kind}-${index + 1}`,
@@ -148,7 +160,8 @@
     preference: options.preference ?? 'resumeLatency',
     ...(options.slots !== undefined && { slots: options.slots }),
   });
-  await Fleets.writeDocument(platformAddress, document);
+  const timeoutMs = options.serviceTimeoutMs ?? SERVICE_TIMEOUT_MS;
+  await Fleets.writeDocument(platformAddress, setServiceTimeout(document, timeoutMs));
   const routers: WorldRouter[] = [];
   for (let index = 0; index < (options.routers ?? 1); index += 1) {
     routers.push(await startWorldRouter(index, platformAddress, options.routerSettings ?? {}));
@@ -162,6 +175,7 @@
 
   return {
     apiKey: key.presented,
+    platformAddress,
     platform,
     engines,
     engineLink,
