--- a/packages/sequoiarill-plugin-callers/src/routes.ts
+++ b/packages/sequoiarill-plugin-callers/src/routes.ts
@@ -12,7 +12,10 @@
   readonly methods: Readonly<Record<string, Handler>>;
   /** First part of the request id, which is also the id of what is made. */
   readonly idPrefix: string;
-  /** Answered while draining too: it belongs to a response that is already running here. */
+  /**
+   * Answered while draining too: only this router has the rest of a response that runs here, so
+   * refusing a caller who comes back for it would cut the answer.
+   */
   readonly isOfRunning?: true;
 }
 
