--- a/packages/sequoiarill-kernel/src/settings.ts
+++ b/packages/sequoiarill-kernel/src/settings.ts
@@ -5,13 +5,15 @@
 import * as Ini from 'ini';
 import * as Zod from 'zod';
 
-const processSchema = Zod.strictObject({
+/** Section `[process]`. */
+export const processSchema = Zod.strictObject({
   name: Zod.string().regex(/^[a-z0-9][a-z0-9-]*$/, 'use lower-case letters, digits and dashes'),
   zone: Zod.string().min(1),
   region: Zod.string().min(1),
 });
 
-const telemetrySchema = Zod.strictObject({
+/** Section `[telemetry]`. */
+export const telemetrySchema = Zod.strictObject({
   logLevel: Zod.enum(['debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
   /** `host:port` of a StatsD sink; no metrics are sent without it. */
   metricsSink: Zod.string().optional(),
--- a/packages/sequoiarill-plugin-callers/src/faults.ts
+++ b/packages/sequoiarill-plugin-callers/src/faults.ts
@@ -1,4 +1,5 @@
 /** Errors towards callers, in the published form `{error: {message, type, param, code}}`. */
+import type { FaultCode } from './faultCodes';
 
 export type FaultType =
   | 'invalid_request_error'
@@ -11,7 +12,7 @@
 export interface Fault {
   readonly status: number;
   readonly type: FaultType;
-  readonly code: string;
+  readonly code: FaultCode;
   /** What is wrong and how to mend it. */
   readonly message: string;
   /** Parameter of the request that is wrong. */
@@ -25,7 +26,7 @@
   | { readonly kind: 'value'; readonly value: Value }
   | { readonly kind: 'fault'; readonly fault: Fault };
 
-export function createInvalid(code: string, message: string, param?: string): Fault {
+export function createInvalid(code: FaultCode, message: string, param?: string): Fault {
   const base: Fault = { status: 400, type: 'invalid_request_error', code, message };
   return param === undefined ? base : { ...base, param };
 }
--- a/packages/sequoiarill-plugin-callers/src/index.ts
+++ b/packages/sequoiarill-plugin-callers/src/index.ts
@@ -4,6 +4,7 @@
 import { plugin } from './plugin';
 
 export * from './cursors';
+export { FAULT_CODES, RESPONSE_ERROR_CODES } from './faultCodes';
 export { AddressError } from './front';
 export * from './keys';
 export { METRICS } from './metrics';
--- a/packages/sequoiarill-plugin-callers/src/requestSchema.ts
+++ b/packages/sequoiarill-plugin-callers/src/requestSchema.ts
@@ -81,7 +81,7 @@
   issue: Zod.core.$ZodIssue | undefined,
   neutralNames: ReadonlySet<string>,
 ): Fault {
-  if (issue === undefined) return Faults.createInvalid('invalid_request', 'The body is not valid.');
+  if (issue === undefined) return Faults.createInvalid('invalid_value', 'The body is not valid.');
   if (issue.code === 'unrecognized_keys') {
     return createUnsupported(formatPath([...issue.path, issue.keys[0] ?? '']));
   }
--- a/packages/sequoiarill-plugin-callers/src/responseEvents.ts
+++ b/packages/sequoiarill-plugin-callers/src/responseEvents.ts
@@ -1,6 +1,7 @@
 /** Response objects and stream events in the published form. */
 import type { GenerationOutcome, Usage } from '@sequoiarill/types';
 
+import type { ResponseErrorCode } from './faultCodes';
 import * as Outcomes from './outcomes';
 import type { ResponsesRequest } from './responsesSchema';
 
@@ -75,7 +76,7 @@
     return null;
   }
   const fault = Outcomes.createFailureFault(outcome);
-  const code = outcome.kind === 'rejected' ? 'invalid_prompt' : 'server_error';
+  const code: ResponseErrorCode = outcome.kind === 'rejected' ? 'invalid_prompt' : 'server_error';
   const error = { code, message: fault.message };
   return fault.retryAfterSeconds === undefined
     ? error
--- a/packages/sequoiarill-plugin-callers/src/resuming.ts
+++ b/packages/sequoiarill-plugin-callers/src/resuming.ts
@@ -1,6 +1,7 @@
 /** Where a caller wants to read on in the stream of a response. */
 import type { CursorSigner } from './cursors';
 import type { Exchange } from './exchange';
+import type { FaultCode } from './faultCodes';
 import * as Faults from './faults';
 import type { Checked, Fault } from './faults';
 import type { LiveResponse } from './liveResponse';
@@ -57,7 +58,7 @@
   return { kind: 'value', value: start };
 }
 
-function refuseStart(code: string, message: string): Checked<number> {
+function refuseStart(code: FaultCode, message: string): Checked<number> {
   const fault: Fault = Faults.createInvalid(code, message, 'starting_after');
   return { kind: 'fault', fault };
 }
--- a/packages/sequoiarill-plugin-callers/src/services.ts
+++ b/packages/sequoiarill-plugin-callers/src/services.ts
@@ -5,6 +5,7 @@
 
 import * as Bodies from './bodies';
 import type { Exchange, Front } from './exchange';
+import type { FaultCode } from './faultCodes';
 import * as Faults from './faults';
 import type { Fault } from './faults';
 import * as Refusals from './refusals';
@@ -55,7 +56,7 @@
   inProgress: 'in_progress',
   platformAway: 'platform_away',
   draining: 'draining',
-} as const satisfies Record<OrderNotRun['reason'], string>;
+} as const satisfies Record<OrderNotRun['reason'], FaultCode>;
 
 /** Taken as a key, it would tie unrelated orders together; as none, it would drop the guard. */
 const EMPTY_KEY: Fault = Faults.createInvalid(
