--- a/scripts/write-catalogues.mjs
+++ b/scripts/write-catalogues.mjs
@@ -11,7 +11,6 @@
 const require = createRequire(path.join(root, 'packages', 'sequoiarill', 'package.json'));
 require('sequoiarill');
 const kernel = require('@sequoiarill/kernel');
-const zod = require('zod');
 
 function formatTable(header, rows) {
   const lines = rows.map((row) => `| ${row.join(' | ')} |`);
@@ -90,7 +89,7 @@
 }
 
 function buildSection(name, schema, meanings) {
-  const { properties, required = [] } = zod.toJSONSchema(schema, { io: 'input' });
+  const { properties, required = [] } = schema.toJSONSchema({ io: 'input' });
   const rows = Object.entries(properties).map(([key, field]) => {
     const meaning = meanings.get(`${name}.${key}`);
     if (!meaning) throw new Error(`examples/router.ini: [${name}] ${key}: add it with a comment`);
