Let admission follow the engines' slots, and ask engines for their load by rank

Cause: admission was wired with a fixed first limit and never heard of engines lost or busy; target choice knew only this router's own work. Each engine is asked by two routers of its zone, chosen by rank; membership carries the answer.

Ruled out: every router asking every engine, whose calls grow with routers times engines.

The effect over sockets is not measured.

--- a/packages/sequoiarill-plugin-generations/src/admissionGate.ts
+++ b/packages/sequoiarill-plugin-generations/src/admissionGate.ts
@@ -8,6 +8,7 @@
 import type {
   Admission,
   AdmissionRequest,
+  AdmissionUse,
   Admitted,
   Permit,
   Refused,
@@ -23,7 +24,9 @@
 export interface AdmissionGate {
   readonly waitForPermit: (request: AdmissionRequest, signal: AbortSignal) => Promise<GateOutcome>;
   readonly recordFirstToken: (permit: Permit, ms: number) => void;
-  readonly releasePermit: (permit: Permit, outputTokens: number) => void;
+  readonly releasePermit: (permit: Permit, use: AdmissionUse) => void;
+  /** Tells what the engines of a model can take now; see `ConcurrencyLimit.setCapacity`. */
+  readonly setCapacity: (model: string, slots: number, busyShare: number) => void;
   readonly close: () => void;
   readonly dumpLanes: () => ReturnType<Admission['listLanes']>;
 }
@@ -31,12 +34,15 @@
 export interface AdmissionGateOptions {
   readonly nextRandom: () => number;
   readonly getNowMs: () => number;
-  /** Generations of a model that all its engines together can run. */
-  readonly getSlots: (model: string) => number;
+  /** This router's even part of the generations that all engines of a model can run. */
+  readonly getFairSlots: (model: string) => number;
 }
 
-/** An engine's own part of the 1 s that a first token may take; the queue has the rest. */
-const FIRST_TOKEN_TARGET_MS = 500;
+/**
+ * The decisions' target is the wait for a slot alone, measured in a model without a network; a real
+ * first token also takes a round trip and one decoding step of a full engine.
+ */
+const FIRST_TOKEN_TARGET_MS = Decisions.DEFAULT_TARGET_MS + 60;
 const MIN_RUNNING = 8;
 /** Streams of one router process at most; memory of a stream is in docs/CAPACITY.md. */
 const MAX_RUNNING = 8_192;
@@ -49,7 +55,10 @@
     nextRandom: options.nextRandom,
     createLimit: (model) =>
       Decisions.createConcurrencyLimit({
-        initial: Math.max(MIN_RUNNING, Math.min(MAX_RUNNING, options.getSlots(model))),
+        initial: Math.max(
+          MIN_RUNNING,
+          Math.min(MAX_RUNNING, Math.ceil(options.getFairSlots(model))),
+        ),
         min: MIN_RUNNING,
         max: MAX_RUNNING,
         targetMs: FIRST_TOKEN_TARGET_MS,
@@ -94,8 +103,12 @@
       return answer.kind === 'queued' ? waitForTicket(answer.ticket, signal) : answer;
     },
     recordFirstToken: (permit, ms) => admission.recordFirstToken(permit, ms, getNowMs()),
-    releasePermit(permit, outputTokens) {
-      admission.releasePermit(permit, { outputTokens }, getNowMs());
+    releasePermit(permit, use) {
+      admission.releasePermit(permit, use, getNowMs());
+      if (waiting.size > 0) runTickets();
+    },
+    setCapacity(model, slots, busyShare) {
+      admission.setCapacity(model, slots, busyShare);
       if (waiting.size > 0) runTickets();
     },
     close: () => clearTimeout(timer),
--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/capacityTask.ts
@@ -0,0 +1,67 @@
+/**
+ * Keeps admission and target sets up with engines and routers that come and go.
+ *
+ * After a third of the engines is lost the limit must fall at once: finding it from late first tokens
+ * takes half a minute, in which every continued stream meets a full engine.
+ */
+import type { Clock, ConfigurationReader, EngineTarget, Membership } from '@sequoiarill/types';
+
+import type { AdmissionGate } from './admissionGate';
+import type { LoadPoller } from './loadPoller';
+import * as LoadPollers from './loadPoller';
+import type { ServingTargets } from './servingTargets';
+import type { Targets } from './targets';
+
+export interface CapacityTaskOptions {
+  readonly routerName: string;
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly configuration: ConfigurationReader;
+  readonly membership: Pick<Membership, 'listPeers'>;
+  readonly serving: ServingTargets;
+  readonly targets: Targets;
+  readonly gate: AdmissionGate;
+  readonly poller: LoadPoller;
+}
+
+/** How often admission hears of engines lost and won. */
+const CAPACITY_MS = 250;
+const ROUNDS_A_POLL = LoadPollers.POLL_MS / CAPACITY_MS;
+
+export async function runCapacityTask(
+  options: CapacityTaskOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  for (let round = 0; !signal.aborted; round += 1) {
+    const routers = listRouters(options);
+    options.serving.setRouters(routers);
+    updateCapacity(options, routers.length);
+    if (round % ROUNDS_A_POLL === 0) {
+      await options.poller.runRound(listEngines(options), routers);
+    }
+    await options.clock.waitMs(CAPACITY_MS, signal);
+  }
+}
+
+/** Routers of the own zone that share its engines, this one among them. */
+function listRouters({ membership, zone, routerName }: CapacityTaskOptions): readonly string[] {
+  const others = membership
+    .listPeers()
+    .filter((peer) => peer.zone === zone && peer.state === 'alive' && peer.name !== routerName);
+  return [routerName, ...others.map(({ name }) => name)].sort();
+}
+
+function listEngines({ configuration, zone }: CapacityTaskOptions): readonly EngineTarget[] {
+  return [...configuration.getConfiguration().targets.values()].filter(
+    (target): target is EngineTarget =>
+      target.kind === 'engine' && target.zone === zone && target.vmState === 'live',
+  );
+}
+
+function updateCapacity(options: CapacityTaskOptions, routers: number): void {
+  const { configuration, targets, gate } = options;
+  for (const model of configuration.getConfiguration().models.values()) {
+    const { slots, busyShare } = targets.getCapacity(model);
+    gate.setCapacity(model.name, slots / routers, busyShare);
+  }
+}
--- a/packages/sequoiarill-plugin-generations/src/engineCalls.ts
+++ b/packages/sequoiarill-plugin-generations/src/engineCalls.ts
@@ -53,6 +53,7 @@
       });
     } finally {
       pools.addInFlight(target.name, -1);
+      targets.recordEnd(order);
     }
   }
 
--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/loadPoller.ts
@@ -0,0 +1,70 @@
+/**
+ * Asks engines how loaded they are, and tells the zone's other routers.
+ *
+ * A router's own count misses what others send: 32 routers of a zone that each see an idle engine
+ * bury it together. Each engine is asked by two of the zone's routers only, chosen by rank, and
+ * membership carries the answer to the rest; so the calls grow with engines and not with routers.
+ */
+import * as Decisions from '@sequoiarill/decisions';
+import type { EngineTarget, Membership } from '@sequoiarill/types';
+import * as Zod from 'zod';
+
+import type { EnginePools } from './enginePools';
+
+/** Reports fade within seconds; asking more often would spend control bytes on noise. */
+export const POLL_MS = 1_000;
+/** An answer later than this says nothing of now. */
+const ANSWER_TIMEOUT_MS = 900;
+const HTTP_OK = 200;
+
+const loadSchema = Zod.object({
+  running: Zod.number().int().min(0),
+  waiting: Zod.number().int().min(0),
+  draining: Zod.boolean().default(false),
+});
+
+export interface LoadPollerOptions {
+  readonly routerName: string;
+  readonly pools: Pick<EnginePools, 'getPool'>;
+  readonly reportTarget: Membership['reportTarget'];
+}
+
+export interface LoadPoller {
+  /** Asks this router's part of the engines; ends when all have answered or run out of time. */
+  readonly runRound: (
+    engines: readonly EngineTarget[],
+    routers: readonly string[],
+  ) => Promise<void>;
+}
+
+export function createLoadPoller(options: LoadPollerOptions): LoadPoller {
+  const part = Decisions.createTargetSet({ routerName: options.routerName, size: 1 });
+
+  async function readLoad(engine: EngineTarget): Promise<void> {
+    const { dispatcher, origin } = options.pools.getPool(engine);
+    const signal = AbortSignal.timeout(ANSWER_TIMEOUT_MS);
+    const response = await dispatcher.request({ origin, path: '/load', method: 'GET', signal });
+    if (response.statusCode !== HTTP_OK) {
+      await response.body.dump();
+      return;
+    }
+    const load = loadSchema.safeParse(await response.body.json());
+    if (!load.success) return;
+    const { running, waiting, draining } = load.data;
+    const state = draining ? 'leaving' : 'healthy';
+    options.reportTarget({ target: engine.name, state, running, waiting });
+  }
+
+  return {
+    async runRound(engines, routers) {
+      const names = engines.map(({ name }) => name);
+      const isAlone = routers.length < 2;
+      const asked = new Set(isAlone ? names : part.selectTargets(names, routers));
+      const reads = engines
+        .filter(({ name }) => asked.has(name))
+        // An engine that does not answer is judged by the attempts sent to it, not by this.
+        .map((engine) => readLoad(engine).catch(() => undefined));
+      await Promise.all(reads);
+    },
+  };
+}
--- a/packages/sequoiarill-plugin-generations/src/plugin.ts
+++ b/packages/sequoiarill-plugin-generations/src/plugin.ts
@@ -2,7 +2,6 @@
 import * as Decisions from '@sequoiarill/decisions';
 import type { AdmissionRequest, Permit } from '@sequoiarill/decisions';
 import type {
-  Configuration,
   GenerationOutcome,
   GenerationRequest,
   Model,
@@ -14,11 +13,13 @@
 } from '@sequoiarill/types';
 
 import * as AdmissionGates from './admissionGate';
+import * as CapacityTasks from './capacityTask';
 import * as EngineCalls from './engineCalls';
 import * as EnginePools from './enginePools';
 import * as Events from './events';
 import * as Generations from './generation';
 import type { GenerationParts } from './generation';
+import * as LoadPollers from './loadPoller';
 import * as Observers from './observer';
 import * as Prompts from './prompts';
 import * as ServingTargets from './servingTargets';
@@ -46,24 +47,30 @@
     connectTimeoutMs: settings.connectTimeoutMs,
     maxConnections: settings.maxConnectionsPerEngine,
   });
+  const membership = context.getCapability('membership');
+  const serving = ServingTargets.createServingTargets({
+    routerName: context.process.name,
+    zone: context.process.zone,
+    setSize: settings.targetsPerModel,
+    getConfiguration: configuration.getConfiguration,
+  });
   const targets = Targets.createTargets({
     routerName: context.process.name,
     zone: context.process.zone,
-    serving: ServingTargets.createServingTargets({
-      routerName: context.process.name,
-      zone: context.process.zone,
-      setSize: settings.targetsPerModel,
-      getConfiguration: configuration.getConfiguration,
-    }),
+    serving,
     getInFlight: pools.getInFlight,
-    membership: context.getCapability('membership'),
+    membership,
     nextRandom: context.nextRandom,
     getNowMs,
   });
   const gate = AdmissionGates.createAdmissionGate({
     nextRandom: context.nextRandom,
     getNowMs,
-    getSlots: (model) => computeSlots(configuration.getConfiguration(), model),
+    getFairSlots(name) {
+      const model = configuration.getConfiguration().models.get(name);
+      const routers = membership.listPeers().length + 1;
+      return model === undefined ? 0 : targets.getCapacity(model).slots / routers;
+    },
   });
   const retryBudget = Decisions.createRetryBudget(RETRY_BUDGET);
   const pacer = Decisions.createContinuationPacer();
@@ -109,6 +116,7 @@
   ): AsyncGenerator<TokenBatch, GenerationOutcome, void> {
     const startedMs = getNowMs();
     let outputTokens = 0;
+    let isWhole = false;
     running += 1;
     retryBudget.recordRequest(startedMs);
     observer.recordStart(request, permit);
@@ -116,6 +124,7 @@
     try {
       for (;;) {
         const next = await generation.next();
+        isWhole = next.done === true && next.value.kind === 'completed';
         if (next.done) return observer.recordOutcome(request, next.value);
         if (outputTokens === 0) recordFirstToken(permit, getNowMs() - startedMs);
         outputTokens += next.value.tokenCount;
@@ -124,7 +133,7 @@
     } finally {
       await generation.return({ kind: 'cancelled', usage: NO_USAGE });
       running -= 1;
-      gate.releasePermit(permit, outputTokens);
+      gate.releasePermit(permit, { outputTokens, isWhole });
       metrics.addCount('generations.tokens', outputTokens);
     }
   }
@@ -134,13 +143,28 @@
     metrics.recordTiming('generations.firstToken', ms);
   }
 
+  const tasks = new AbortController();
+  const poller = LoadPollers.createLoadPoller({
+    routerName: context.process.name,
+    pools,
+    reportTarget: membership.reportTarget,
+  });
+  let capacityTask = Promise.resolve();
+
   const unsubscribe = configuration.subscribeConfiguration(({ targets: known }) =>
     pools.removeMissing(new Set(known.keys())),
   );
   return {
     capabilities: { generations: { runGeneration } },
+    async start() {
+      const { name: routerName, zone } = context.process;
+      const shared = { clock, configuration, membership, serving, targets, gate, poller };
+      capacityTask = CapacityTasks.runCapacityTask({ routerName, zone, ...shared }, tasks.signal);
+    },
     async stop() {
       unsubscribe();
+      tasks.abort();
+      await capacityTask;
       gate.close();
       await pools.close();
     },
@@ -150,15 +174,6 @@
 
 const NO_USAGE: Usage = { promptTokens: 0, completionTokens: 0 };
 
-function computeSlots(configuration: Configuration, model: string): number {
-  let slots = 0;
-  for (const target of configuration.targets.values()) {
-    const serves = target.kind === 'engine' && target.models.some((name) => name.startsWith(model));
-    if (serves) slots += target.slots;
-  }
-  return slots;
-}
-
 function createAdmissionRequest(request: GenerationRequest): AdmissionRequest {
   return {
     organisation: request.organisation,
--- a/packages/sequoiarill-plugin-generations/src/sentCounts.ts
+++ b/packages/sequoiarill-plugin-generations/src/recentCounts.ts
@@ -1,8 +1,9 @@
 /**
- * How many attempts this router sent to each target lately.
+ * How many attempts of this router began or ended at each target lately.
  *
- * Load reports lag: without counting what was sent after a report, every choice until the next one
- * would go to the target that looked idle. Counted in short buckets, so that memory is bounded.
+ * Load reports lag: without counting what was sent and what ended after a report, every choice until
+ * the next one would go to the target that looked idle. Counted in short buckets, so that memory is
+ * bounded.
  */
 
 const BUCKET_MS = 250;
@@ -14,15 +15,15 @@
   count: number;
 }
 
-export interface SentCounts {
-  readonly addSent: (target: string, nowMs: number) => void;
+export interface RecentCounts {
+  readonly addOne: (target: string, nowMs: number) => void;
   readonly countSince: (target: string, sinceMs: number) => number;
 }
 
-export function createSentCounts(): SentCounts {
+export function createRecentCounts(): RecentCounts {
   const bucketsByTarget = new Map<string, Bucket[]>();
   return {
-    addSent(target, nowMs) {
+    addOne(target, nowMs) {
       const buckets = bucketsByTarget.get(target) ?? [];
       const startMs = Math.floor(nowMs / BUCKET_MS) * BUCKET_MS;
       const last = buckets.at(-1);
--- a/packages/sequoiarill-plugin-generations/src/servingTargets.ts
+++ b/packages/sequoiarill-plugin-generations/src/servingTargets.ts
@@ -12,6 +12,8 @@
 export interface ServingTargets {
   /** The router's own set. */
   readonly listSet: (model: Model) => readonly EngineTarget[];
+  /** Routers that share the engines of the own zone changed; the sets are worked out anew. */
+  readonly setRouters: (names: readonly string[]) => void;
   /** Every engine of the model, for a last resort. */
   readonly listAll: (model: Model) => readonly EngineTarget[];
 }
@@ -38,12 +40,16 @@
   const otherSize = Math.max(1, Math.ceil(setSize * OTHER_ZONES_SHARE));
   const otherZones = Decisions.createTargetSet({ routerName, size: otherSize });
   let known: Configuration | undefined;
+  let routers: readonly string[] = [];
   const byModel = new Map<string, ModelTargets>();
 
   function selectSet(all: readonly EngineTarget[]): readonly EngineTarget[] {
     const own = all.filter((target) => target.zone === zone).map((target) => target.name);
     const others = all.filter((target) => target.zone !== zone).map((target) => target.name);
-    const names = new Set([...ownZone.selectTargets(own), ...otherZones.selectTargets(others)]);
+    const names = new Set([
+      ...ownZone.selectTargets(own, routers),
+      ...otherZones.selectTargets(others),
+    ]);
     return all.filter((target) => names.has(target.name));
   }
 
@@ -64,6 +70,11 @@
   }
 
   return {
+    setRouters(names) {
+      if (names.join() === routers.join()) return;
+      routers = names;
+      byModel.clear();
+    },
     listSet: (model) => getTargets(model).set,
     listAll: (model) => getTargets(model).all,
   };
