--- a/packages/sequoiarill-plugin-callers/src/responseStore.ts
+++ b/packages/sequoiarill-plugin-callers/src/responseStore.ts
@@ -1,4 +1,6 @@
 /** Responses that can be read, resumed and cancelled: those running and those ended lately. */
+import { setMaxListeners } from 'node:events';
+
 import type { Clock } from '@sequoiarill/types';
 
 import type { LiveResponse } from './liveResponse';
@@ -25,6 +27,8 @@
 
 export interface StoreSize {
   readonly running: number;
+  /** Running without a reader: waiting for their caller to come back. */
+  readonly unread: number;
   readonly ended: number;
   readonly bytes: number;
 }
@@ -39,11 +43,18 @@
   /** Oldest end first. */
   const ended = new Map<string, LiveResponse>();
   const closing = new AbortController();
+  // Every response that is kept waits for it.
+  setMaxListeners(0, closing.signal);
 
   let bytes = 0;
 
   function removeResponse(live: LiveResponse): void {
-    if (ended.delete(live.identity.id)) bytes -= live.log.getBytes();
+    if (ended.delete(live.identity.id)) bytes -= live.getBytes();
+  }
+
+  function computeUnread(): number {
+    const all = [...running.values()];
+    return all.filter((live) => live.isStreamed && live.log.getReaderCount() === 0).length;
   }
 
   /** Ended responses go first, oldest first, unless somebody reads them right now. */
@@ -101,7 +112,7 @@
         })
         .catch(cancelLater);
     },
-    getSize: () => ({ running: running.size, ended: ended.size, bytes }),
+    getSize: () => ({ running: running.size, unread: computeUnread(), ended: ended.size, bytes }),
     async drain() {
       while (running.size > 0) await [...running.values()][0]?.ended;
     },
--- a/packages/sequoiarill-plugin-callers/src/responses.ts
+++ b/packages/sequoiarill-plugin-callers/src/responses.ts
@@ -8,7 +8,6 @@
 import * as LiveResponses from './liveResponse';
 import type { LiveResponse } from './liveResponse';
 import * as Metrics from './metrics';
-import * as Outcomes from './outcomes';
 import * as Refusals from './refusals';
 import * as Replies from './replies';
 import * as ResponseEvents from './responseEvents';
@@ -47,13 +46,13 @@
   closed.addEventListener('abort', onClosed, { once: true });
   const firstStep = await run.next();
   if (firstStep.done === true && firstStep.value.kind !== 'completed') {
-    Refusals.refuseRequest(front, exchange, Outcomes.createFailureFault(firstStep.value));
+    Refusals.refuseFailure(front, exchange, firstStep.value);
     return;
   }
   const live = startResponse(front, exchange, request, run, firstStep, controller);
   if (request.stream) {
     closed.removeEventListener('abort', onClosed);
-    EventStreams.startEventStream(exchange.response);
+    EventStreams.startEventStream(exchange);
     await relayResponse(front, exchange, live, live.log.openReader(0));
   } else {
     await sendWhole(front, exchange, live);
@@ -66,7 +65,7 @@
   if (outcome.kind === 'completed' || outcome.kind === 'cancelled') {
     Replies.sendJson(exchange.response, HTTP_OK, formatResponse(live));
   } else {
-    Refusals.refuseRequest(front, exchange, Outcomes.createFailureFault(outcome));
+    Refusals.refuseFailure(front, exchange, outcome);
   }
 }
 
@@ -84,7 +83,8 @@
     id: requestId,
     itemId: requestId.replace(/^resp/, 'msg'),
     createdAt: Generating.getCreatedSeconds(front),
-    request,
+    // A kept response shows no prompt, and a kept prompt could be as large as a body.
+    request: { ...request, messages: [] },
   };
   const live = LiveResponses.createLiveResponse({
     identity,
@@ -136,7 +136,7 @@
     const events = reader.takeEvents();
     if (events === '') await reader.waitForMore();
     else if (!response.write(events)) {
-      await EventStreams.waitDrain(response, front.context.clock, front.settings.writeTimeoutMs);
+      await EventStreams.waitDrain(exchange, front.context.clock, front.settings.writeTimeoutMs);
     }
   }
   reader.close();
@@ -170,7 +170,7 @@
     organisation: live.organisation,
     fromSequence: start.value,
   });
-  EventStreams.startEventStream(exchange.response);
+  EventStreams.startEventStream(exchange);
   // A caller that is up to date waits for the status, and the next token may take a while.
   exchange.response.flushHeaders();
   await relayResponse(front, exchange, live, live.log.openReader(start.value));
--- a/packages/sequoiarill-plugin-callers/src/routes.ts
+++ b/packages/sequoiarill-plugin-callers/src/routes.ts
@@ -13,10 +13,10 @@
   /** First part of the request id, which is also the id of what is made. */
   readonly idPrefix: string;
   /**
-   * Also answered while the router drains: only this router has the rest of a response that runs
-   * here, so refusing a caller who comes back for it would cut the answer.
+   * Answered while draining too: only this router has the rest of a response that runs here, so
+   * refusing a caller who comes back for it would cut the answer.
    */
-  readonly isServedDraining?: boolean;
+  readonly isOfRunning?: true;
 }
 
 export const ANY_METHOD = '*';
@@ -28,13 +28,13 @@
     path: '/v1/responses/:id',
     methods: { GET: Responses.handleReadResponse },
     idPrefix: 'req',
-    isServedDraining: true,
+    isOfRunning: true,
   },
   {
     path: '/v1/responses/:id/cancel',
     methods: { POST: Responses.handleCancelResponse },
     idPrefix: 'req',
-    isServedDraining: true,
+    isOfRunning: true,
   },
   { path: '/v1/models', methods: { GET: Models.handleListModels }, idPrefix: 'req' },
   { path: '/v1/models/:id', methods: { GET: Models.handleReadModel }, idPrefix: 'req' },
--- a/packages/sequoiarill-plugin-platform/src/configurationState.ts
+++ b/packages/sequoiarill-plugin-platform/src/configurationState.ts
@@ -18,11 +18,15 @@
 import * as DocumentSchema from './documentSchema';
 import * as Events from './events';
 import * as SectionParser from './sectionParser';
+import * as SnapshotKeepers from './snapshotKeeper';
 
 export interface ConfigurationState extends ConfigurationReader, ConfigurationExchange {
   /** Takes in records; ones that are not newer than what is held change nothing. */
   readonly applyRecords: (records: readonly ConfigurationSection[]) => void;
-  readonly listRecords: () => readonly ConfigurationSection[];
+  /** The newest record up to a revision; 0 when there is none. */
+  readonly findNewestRevision: (upTo: number) => number;
+  /** Sections of which every text seen so far was refused. */
+  readonly listWithoutText: () => readonly string[];
   readonly dumpState: () => StateDump;
 }
 
@@ -36,6 +40,12 @@
 /** Faults of one section that are logged; an operator sees the rest with `config check`. */
 const MAX_LOGGED_FAULTS = 10;
 
+/** Beyond it, building anew costs no more than replacing. */
+const MAX_REPLACED_SECTIONS = 50;
+
+/** Three times the VMs of the largest fleet; those replaced stay in the list, 2,500 a day. */
+const MAX_VMS = 20_000;
+
 const EMPTY: Configuration = Builder.buildConfiguration(0, new Map(), new Map());
 
 export function createConfigurationState(options: ConfigurationStateOptions): ConfigurationState {
@@ -45,15 +55,39 @@
   const refused = new Map<string, number>();
   const partsBySection = new Map<string, SectionParts>();
   const vmStates = new Map<string, VmState>();
-  const listeners = new Set<(configuration: Configuration) => void>();
-  let configuration = EMPTY;
-  let appliedAt: string | undefined;
+  let changes = new Map<string, Builder.PartsChange>();
+  let hasVmChange = false;
+  let newestRevision = 0;
+  /** No name is claimed by two sections. */
+  let isClear = true;
+  const snapshots = SnapshotKeepers.createSnapshotKeeper({
+    clock,
+    logEvent,
+    metrics,
+    first: EMPTY,
+    buildNext,
+  });
+
+  /** Sections alone are replaced in the last snapshot; all else is rare and built from the ground. */
+  function buildNext(current: Configuration): Configuration {
+    const taken = [...changes.values()];
+    const isSmall = !hasVmChange && taken.length <= MAX_REPLACED_SECTIONS && isClear;
+    changes = new Map();
+    hasVmChange = false;
+    const updated = isSmall
+      ? Builder.updateConfiguration(current, newestRevision, taken, vmStates)
+      : undefined;
+    if (updated !== undefined) return updated;
+    const built = Builder.buildConfiguration(newestRevision, partsBySection, vmStates);
+    isClear = Builder.isUnambiguous(built, partsBySection);
+    return built;
+  }
 
   function refuseRecord(
     record: ConfigurationSection,
     faults: readonly SectionParser.DocumentFault[],
   ): false {
-    refused.set(record.name, record.revision);
+    refused.set(record.name, Math.max(record.revision, refused.get(record.name) ?? 0));
     const shown = faults.slice(0, MAX_LOGGED_FAULTS).map(SectionParser.formatFault);
     const { name, revision } = record;
     logEvent(Events.SECTION_REFUSED, { section: name, revision, faults: shown });
@@ -63,7 +97,11 @@
   function applySection(record: ConfigurationSection): boolean {
     const result = SectionParser.parseSection(record.text, 'platform', record.name);
     if (result.kind === 'faults') return refuseRecord(record, result.faults);
-    partsBySection.set(record.name, Builder.buildParts(result.content));
+    const before = partsBySection.get(record.name) ?? Builder.EMPTY_PARTS;
+    const after = Builder.buildParts(result.content, before);
+    partsBySection.set(record.name, after);
+    const first = changes.get(record.name)?.before ?? before;
+    changes.set(record.name, { before: first, after });
     return true;
   }
 
@@ -72,13 +110,20 @@
     const result = SectionParser.parseWith(schema, record.text, 'platform', record.name);
     if (result.kind === 'faults') return refuseRecord(record, result.faults);
     vmStates.set(DocumentRecords.getVmName(record), result.content.state);
+    hasVmChange = true;
     return true;
   }
 
-  function isOlder(record: ConfigurationSection): boolean {
-    const held = records.get(record.name)?.revision ?? 0;
-    const refusedRevision = refused.get(record.name) ?? 0;
-    return record.revision <= Math.max(held, refusedRevision);
+  function isKnown({ name, revision }: ConfigurationSection): boolean {
+    const held = records.get(name)?.revision ?? 0;
+    return revision <= held || revision === refused.get(name);
+  }
+
+  function removeOldestVm(): void {
+    const oldest = findOldestVm(records);
+    if (oldest === undefined) return;
+    records.delete(oldest.name);
+    vmStates.delete(DocumentRecords.getVmName(oldest));
   }
 
   /**
@@ -86,62 +131,115 @@
    * one is kept in force and is what peers are given, so that one bad write takes no team out.
    */
   function applyRecord(record: ConfigurationSection): boolean {
-    if (isOlder(record)) return false;
+    if (isKnown(record)) return false;
     const isApplied = DocumentRecords.isVmRecord(record) ? applyVm(record) : applySection(record);
     if (!isApplied) return false;
     records.set(record.name, record);
-    refused.delete(record.name);
+    if (record.revision > (refused.get(record.name) ?? 0)) refused.delete(record.name);
+    if (vmStates.size > MAX_VMS) removeOldestVm();
     return true;
   }
 
-  function updateConfiguration(revision: number): void {
-    const startedMs = clock.getNowMs();
-    configuration = Builder.buildConfiguration(revision, partsBySection, vmStates);
-    appliedAt = clock.getWallTime();
-    metrics.recordTiming('configuration.build_ms', clock.getNowMs() - startedMs);
-    metrics.setGauge('configuration.revision', revision);
-    logEvent(Events.CONFIGURATION_APPLIED, { revision });
-    listeners.forEach((listener) => listener(configuration));
-  }
-
   function applyRecords(incoming: readonly ConfigurationSection[]): void {
     const applied = incoming.filter(applyRecord);
     if (applied.length === 0) return;
-    const revisions = applied.map((record) => record.revision);
-    updateConfiguration(Math.max(configuration.revision, ...revisions));
+    newestRevision = applied.reduce(
+      (newest, { revision }) => Math.max(newest, revision),
+      newestRevision,
+    );
+    snapshots.updateSoon();
+  }
+
+  /**
+   * Refused records count too: they are known. Telling peers this revision and not that of the store,
+   * which rises with every claim of an order, spares them questions that bring nothing.
+   */
+  function findNewestRevision(upTo: number): number {
+    let newest = 0;
+    for (const { revision } of records.values()) {
+      if (revision <= upTo && revision > newest) newest = revision;
+    }
+    for (const revision of refused.values()) {
+      if (revision <= upTo && revision > newest) newest = revision;
+    }
+    return newest;
+  }
+
+  /**
+   * Failure: two watches are not ordered against each other, so a record can arrive before an older
+   * one. A peer that is given the newer one would take itself for complete and never ask for the
+   * older. So records above the confirmed revision wait for the confirmation, a fraction of a second.
+   */
+  function listSectionsAfter(revision: number): readonly ConfigurationSection[] {
+    const confirmed = news.getNews().revision;
+    return [...records.values()].filter(
+      (record) => record.revision > revision && record.revision <= confirmed,
+    );
   }
 
   return {
     applyRecords,
-    listRecords: () => [...records.values()],
-    getConfiguration: () => configuration,
-    subscribeConfiguration(listener) {
-      listeners.add(listener);
-      return () => listeners.delete(listener);
-    },
+    findNewestRevision,
+    getConfiguration: snapshots.getConfiguration,
+    subscribeConfiguration: snapshots.subscribe,
     getNews: news.getNews,
-    listSectionsAfter: (revision) =>
-      [...records.values()].filter((record) => record.revision > revision),
+    listSectionsAfter,
     mergeSections(peerNews, sections) {
       applyRecords(sections);
       news.mergeNews(peerNews);
     },
-    dumpState: () => ({
-      revision: configuration.revision,
-      appliedAt,
-      news: news.getNews(),
-      newsAgeMs: Number.isFinite(news.getAgeMs()) ? Math.round(news.getAgeMs()) : undefined,
-      sections: [...records.values()]
-        .filter((record) => !DocumentRecords.isVmRecord(record))
-        .map(({ name, revision }) => ({ name, revision })),
-      refused: [...refused].map(([name, revision]) => ({ name, revision })),
-      counts: {
-        models: configuration.models.size,
-        organisations: configuration.organisations.size,
-        services: configuration.services.size,
-        targets: configuration.targets.size,
-        leavingVms: [...vmStates.values()].filter((state) => state === 'leaving').length,
-      },
-    }),
+    listWithoutText: () =>
+      [...refused.keys()].filter(
+        (name) => !records.has(name) && !DocumentRecords.isVmRecord({ name }),
+      ),
+    dumpState() {
+      const configuration = snapshots.getConfiguration();
+      const appliedAt = snapshots.getAppliedAt();
+      return dumpKnown({ configuration, appliedAt, news, records, refused, vmStates });
+    },
+  };
+}
+
+/** Whose state changed longest ago: of those that are gone, the first to be forgotten. */
+function findOldestVm(
+  records: ReadonlyMap<string, ConfigurationSection>,
+): ConfigurationSection | undefined {
+  let oldest: ConfigurationSection | undefined;
+  for (const record of records.values()) {
+    const isCandidate = DocumentRecords.isVmRecord(record);
+    if (isCandidate && record.revision < (oldest?.revision ?? Infinity)) oldest = record;
+  }
+  return oldest;
+}
+
+interface Known {
+  readonly configuration: Configuration;
+  readonly appliedAt: string | undefined;
+  readonly news: NewsKeeper;
+  readonly records: ReadonlyMap<string, ConfigurationSection>;
+  readonly refused: ReadonlyMap<string, number>;
+  readonly vmStates: ReadonlyMap<string, VmState>;
+}
+
+/** Names and revisions only: texts hold hashes of keys. */
+function dumpKnown(known: Known): StateDump {
+  const { configuration, news, records, refused, vmStates } = known;
+  const ageMs = news.getAgeMs();
+  return {
+    revision: configuration.revision,
+    appliedAt: known.appliedAt,
+    news: news.getNews(),
+    newsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+    sections: [...records.values()]
+      .filter((record) => !DocumentRecords.isVmRecord(record))
+      .map(({ name, revision }) => ({ name, revision })),
+    refused: [...refused].map(([name, revision]) => ({ name, revision })),
+    counts: {
+      models: configuration.models.size,
+      organisations: configuration.organisations.size,
+      services: configuration.services.size,
+      targets: configuration.targets.size,
+      leavingVms: [...vmStates.values()].filter((state) => state === 'leaving').length,
+    },
   };
 }
--- a/packages/sequoiarill-plugin-platform/src/documentEditor.ts
+++ b/packages/sequoiarill-plugin-platform/src/documentEditor.ts
@@ -68,9 +68,13 @@
   ) => Promise<EditOutcome | { readonly kind: 'noSuchRevision' }>;
 }
 
-/** An edit that loses eight races on other sections meets a storm; the operator tries again. */
-const MAX_ATTEMPTS = 8;
-const RETRY_MS = 50;
+/**
+ * Tens of edits a second on other sections make an attempt fail more often than not; after so many
+ * the operator is told to try again later.
+ */
+const MAX_ATTEMPTS = 40;
+const RETRY_MS = 20;
+const MAX_RETRY_MS = 400;
 
 interface Attempt {
   readonly edit: SectionEdit;
@@ -112,10 +116,7 @@
     const { edit, writeId } = attempt;
     const envelope = { writeId, at: clock.getWallTime(), author, text: edit.text };
     const key = `${StoredSection.SECTIONS_PREFIX}${edit.section}`;
-    const kept =
-      current.revision === 0
-        ? []
-        : await SectionHistory.buildHistoryWrites(store, edit.section, current);
+    const kept = await SectionHistory.buildHistoryWrites(store, edit.section, envelope, current);
     return [
       { key, value: StoredSection.encodeEnvelope(envelope) },
       { key: StoredSection.LATEST_KEY, value: writeId },
@@ -127,7 +128,7 @@
     const { edit, writeId, mayBeWritten } = attempt;
     if (mayBeWritten) {
       // Failure: the write took effect, its answer was lost, and somebody replaced the text since.
-      // The history tells, as each edit moves the text that it replaces there.
+      // The history tells, as it keeps every text that was accepted.
       const history = await SectionHistory.readHistory(store, edit.section);
       if (history === undefined) return reportExhausted(mayBeWritten);
       const found = history.find((entry) => entry.writeId === writeId);
@@ -176,14 +177,15 @@
     const writeId = createWriteId();
     let expected = edit.ifRevision;
     let mayBeWritten = false;
+    let document = await readDocument();
     for (let count = 0; count < MAX_ATTEMPTS; count += 1) {
-      const document = await readDocument();
       if (document.kind === 'unavailable') return reportUnread(mayBeWritten, document);
       expected ??= DocumentReader.getSection(document, edit.section).revision;
       const outcome = await runAttempt({ edit, writeId, expected, document, mayBeWritten });
       if (outcome.kind !== 'again') return outcome;
       mayBeWritten = outcome.mayBeWritten;
-      await clock.waitMs(RETRY_MS * (1 + count) * nextRandom());
+      await clock.waitMs(Math.min(MAX_RETRY_MS, RETRY_MS * (1 + count)) * nextRandom());
+      document = await DocumentReader.updateDocument(store, document);
     }
     return reportExhausted(mayBeWritten);
   }
@@ -193,7 +195,8 @@
     const document = await readDocument();
     if (earlier === undefined || document.kind === 'unavailable') return undefined;
     const current = document.sections.get(section);
-    return current === undefined ? earlier : [...earlier, current];
+    const isKept = earlier.some(({ revision }) => revision === current?.revision);
+    return current === undefined || isKept ? earlier : [...earlier, current];
   }
 
   return {
