Pause a router's process at every step, and follow the new form of its open requests

Cause: pauses of a router were tried in the middle of a stream only; and the callers' state dump now counts open requests by what they wait for, so the steps 'accepted' waited for a field that is gone. Change: one view of the same deployment through a router process, so that every step runs there too; deaths of router and service together. Conclusion: a router that sleeps 5.5 s loses no answer that had begun and blames no engine; a request that was queued is told 'not run' on waking, and no engine was asked for it.

--- a/packages/sequoiarill-testing/src/__tests__/matrixRouters.test.ts
+++ b/packages/sequoiarill-testing/src/__tests__/matrixRouters.test.ts
@@ -14,35 +14,31 @@
 const PAUSE_MS = 5_500;
 const CELL_IDS = new Set(Cells.CELLS.map(({ id }) => id));
 
-async function waitForPause(): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, PAUSE_MS);
-  });
-}
-
 describe('fault matrix: the router is paused or killed', { concurrency: CONCURRENCY }, () => {
-  const steps = [
-    ['G5', GenerationSteps.EARLY_TOKENS],
-    ['G6', GenerationSteps.LATE_TOKENS],
-  ] as const;
-  for (const [code, count] of steps) {
-    it(Cells.formatTestName(`${code}-R2`), async () => {
+  for (const step of GenerationSteps.STEP_RUNNERS) {
+    it(Cells.formatTestName(`${step.code}-R2`), async () => {
       // A router's machine freezes for seconds and wakes. Its engine has gone on meanwhile; the
       // bytes are in the router's sockets. The caller gets the whole answer, and no engine is
       // blamed for the router's own silence. Cause: timers that fire at once on waking.
       const calm = await GenerationCells.readCalmAnswer();
-      await RouterCells.runWithRouter({}, async (run) => {
-        const { daemon } = run.router;
-        const answer = await RouterCells.readStruckAnswer(run, count, async () => {
-          daemon.send('SIGSTOP');
-          waitForPause().then(
-            () => daemon.send('SIGCONT'),
-            () => undefined,
-          );
-        });
-        expect(answer.text).toEqual(calm.text);
-        expect(answer.completionTokens).toEqual(calm.completionTokens);
-        expect(run.world.engines.map((engine) => engine.getCounters().requests)).toEqual([1, 0, 0]);
+      await RouterCells.runPausedRouter(step, PAUSE_MS, async (all, view) => {
+        // What was queued has waited too long on waking, and is told so: no engine was asked for it.
+        const refused = step.code === 'G2' ? all.slice(0, 1) : [];
+        for (const { status, retryAfter, requestId } of refused) {
+          expect(status).toEqual(503);
+          expect(Number(retryAfter) > 0).toEqual(true);
+          expect(requestId).toEqual(undefined);
+        }
+        const requests = view.engines.map((engine) => engine.getCounters().requests);
+        const answers = all.slice(refused.length);
+        expect(requests.reduce((sum, count) => sum + count, 0)).toEqual(answers.length);
+        for (const answer of answers) {
+          expect(answer.error).toEqual(undefined);
+          expect(answer.text).toEqual(calm.text);
+          expect(answer.completionTokens).toEqual(calm.completionTokens);
+        }
+        const { requestId } = answers[0]!;
+        expect(await GenerationCells.countDispatches(view, requestId!)).toEqual(1);
       });
     });
   }
@@ -90,6 +86,23 @@
     });
   }
 
+  for (const [code, hold] of [
+    ['O3', 'sent'],
+    ['O4', 'answered'],
+  ] as const) {
+    it(Cells.formatTestName(`${code}-X3`), async () => {
+      // The router and the service that have a booking lose power together. The booking ran once
+      // or not at all, it is never sent again, and nobody is told "not run" of it as a whole.
+      const { repeat, runs } = await RouterCells.runOrderDeath(
+        hold,
+        'SIGKILL',
+        OrderFaults.ORDER_FAULTS.find((fault) => fault.code === 'E1'),
+      );
+      expect(runs).toEqual(hold === 'sent' ? 0 : 1);
+      expect(['in_progress', 'outcome_unknown']).toInclude(repeat.code!);
+    });
+  }
+
   for (const fault of OrderFaults.ORDER_FAULTS) {
     const id = `O8-${fault.code}`;
     // The first router's death is the step; a second router that drains has no one to repeat at.
--- a/packages/sequoiarill-testing/src/matrix/callerCells.ts
+++ b/packages/sequoiarill-testing/src/matrix/callerCells.ts
@@ -20,8 +20,7 @@
   );
   await Waiting.waitUntil('the router is idle', async () => {
     const { running } = await world.routers[0]!.dumpPlugin('generations');
-    const { openRequests } = await world.routers[0]!.dumpPlugin('callers');
-    return running === 0 && openRequests === 0;
+    return running === 0 && (await Worlds.countOpenRequests(world.routers[0]!)) === 0;
   });
 }
 
--- a/packages/sequoiarill-testing/src/matrix/generationSteps.ts
+++ b/packages/sequoiarill-testing/src/matrix/generationSteps.ts
@@ -5,6 +5,7 @@
 import * as Callers from './callers';
 import type { GenerationStep } from './steps';
 import * as Waiting from './waiting';
+import * as Worlds from './world';
 import type { World, WorldOptions } from './world';
 
 /** Called at the step, once. */
@@ -40,10 +41,10 @@
   });
   const dispatcher = Callers.createHoldingDispatcher(agent, released);
   const answer = Callers.readAnswer(world, { dispatcher });
-  await Waiting.waitUntil('the router has half of the request', async () => {
-    const { openRequests } = await world.routers[0]!.dumpPlugin('callers');
-    return openRequests === 1;
-  });
+  await Waiting.waitUntil(
+    'the router has half of the request',
+    async () => (await Worlds.countOpenRequests(world.routers[0]!)) === 1,
+  );
   await strike();
   release();
   return [await answer];
--- a/packages/sequoiarill-testing/src/matrix/orderCells.ts
+++ b/packages/sequoiarill-testing/src/matrix/orderCells.ts
@@ -47,10 +47,10 @@
       release = resolve;
     }),
   );
-  await Waiting.waitUntil('the router has half of the order', async () => {
-    const { openRequests } = await world.routers[0]!.dumpPlugin('callers');
-    return openRequests === 1;
-  });
+  await Waiting.waitUntil(
+    'the router has half of the order',
+    async () => (await Worlds.countOpenRequests(world.routers[0]!)) === 1,
+  );
   await strike();
   release();
   return answer;
--- a/packages/sequoiarill-testing/src/matrix/routerCells.ts
+++ b/packages/sequoiarill-testing/src/matrix/routerCells.ts
@@ -1,4 +1,6 @@
 /** Cells in which a router's process is killed or stopped: one process beside an in-process world. */
+import { setTimeout as startTimeout } from 'node:timers/promises';
+
 import * as Undici from 'undici';
 
 import type { ReadAnswer } from '../answers';
@@ -7,13 +9,14 @@
 import type { FleetRouter } from '../fleet';
 import * as Callers from './callers';
 import * as GenerationSteps from './generationSteps';
+import type { StepRunner } from './generationSteps';
 import * as OrderCells from './orderCells';
 import * as OrderCallers from './orderCallers';
 import type { OrderAnswer } from './orderCallers';
 import type { OrderFault } from './orderFaults';
 import * as Waiting from './waiting';
 import * as Worlds from './world';
-import type { World } from './world';
+import type { JournalLine, World, WorldRouter } from './world';
 
 /** A second router of the world, in a process of its own. */
 async function startProcess(world: World): Promise<FleetRouter> {
@@ -44,6 +47,52 @@
   }
 }
 
+async function readJson(url: string): Promise<unknown> {
+  const answer = await Undici.request(url);
+  return answer.body.json();
+}
+
+/** The same world, seen through the router's process alone. */
+export function createProcessView({ world, router }: RouterRun): World {
+  const operators = `http://${router.operators}`;
+  const [own] = world.routers;
+  const view: WorldRouter = {
+    ...own!,
+    callers: router.callers,
+    dumpPlugin: async (name) =>
+      (await readJson(`${operators}/state/${name}`)) as Readonly<Record<string, unknown>>,
+    async explainRequest(requestId) {
+      const body = await readJson(`${operators}/explain/${requestId}`);
+      return (body as { readonly entries?: readonly JournalLine[] }).entries ?? [];
+    },
+  };
+  return { ...world, routers: [view] };
+}
+
+/** The router's process sleeps at the step for so long, and its caller waits. */
+export async function runPausedRouter(
+  step: StepRunner,
+  pauseMs: number,
+  check: (answers: readonly ReadAnswer[], view: World) => Promise<void> | void,
+): Promise<void> {
+  const agent = new Undici.Agent();
+  await runWithRouter(step.options, async (run) => {
+    const view = createProcessView(run);
+    const answers = await step.runStep(
+      view,
+      async () => {
+        run.router.daemon.send('SIGSTOP');
+        run.world.engineLink.heal();
+        await run.world.engines[0]!.setFault({ kind: 'heal' });
+        await startTimeout(pauseMs);
+        run.router.daemon.send('SIGCONT');
+      },
+      agent,
+    );
+    await check(answers, view);
+  }).finally(async () => agent.destroy());
+}
+
 /** One answer through the router's process; `strike` runs when the engine has made `count` tokens. */
 export async function readStruckAnswer(
   { world, router }: RouterRun,
--- a/packages/sequoiarill-testing/src/matrix/world.ts
+++ b/packages/sequoiarill-testing/src/matrix/world.ts
@@ -195,3 +195,10 @@
     stop,
   };
 }
+
+/** Requests that a router has open, whatever they wait for. */
+export async function countOpenRequests(router: WorldRouter): Promise<number> {
+  const { requests } = await router.dumpPlugin('callers');
+  const counts = Object.values(requests as Readonly<Record<string, number>>);
+  return counts.reduce((sum, count) => sum + count, 0);
+}
