--- a/packages/sequoiarill-decisions/src/admissionTypes.ts
+++ b/packages/sequoiarill-decisions/src/admissionTypes.ts
@@ -63,6 +63,8 @@
 
 export interface AdmissionUse {
   readonly outputTokens: number;
+  /** False for an answer that was cancelled or lost: its length says nothing of the next one's. */
+  readonly isWhole?: boolean;
 }
 
 export interface AdmissionOptions {
@@ -74,6 +76,8 @@
   readonly getLimitShare?: (organisation: string, nowMs: number) => number;
   /** Longest expected wait that is accepted, milliseconds. */
   readonly maxWaitMs?: number;
+  /** Prefill of one token that is not cached, milliseconds; taken off measured first tokens. */
+  readonly prefillMsPerToken?: number;
   /** Requests that wait at once for one model. */
   readonly maxQueueLength?: number;
 }
@@ -98,5 +102,7 @@
   readonly releasePermit: (permit: Permit, use: AdmissionUse, nowMs: number) => void;
   /** When the next ticket is given up unless it starts; for the caller's one timer. */
   readonly getNextDeadlineMs: () => number | undefined;
+  /** Slots of a model's usable targets, at each change; see `ConcurrencyLimit.setCapacity`. */
+  readonly setCapacity: (model: string, slots: number, busyShare?: number) => void;
   readonly listLanes: () => readonly LaneState[];
 }
--- a/packages/sequoiarill-decisions/src/permits.ts
+++ b/packages/sequoiarill-decisions/src/permits.ts
@@ -28,9 +28,13 @@
   readonly lanes: LaneSet;
   readonly limiter: OrganisationLimiter;
   readonly estimates: OutputEstimates;
+  /** What is judged is waiting at the engine, so the prefill that a prompt needs is taken off. */
+  readonly prefillMsPerToken: number;
 }
 
-export function createPermits({ lanes, limiter, estimates }: PermitsOptions): Permits {
+export function createPermits(options: PermitsOptions): Permits {
+  const { lanes, limiter, estimates, prefillMsPerToken } = options;
+
   /** How many ran beside each permit when it was given. */
   const inFlightByPermit = new WeakMap<Permit, number>();
 
@@ -46,7 +50,9 @@
 
   function recordFirstToken(permit: Permit, ms: number, nowMs: number): void {
     const lane = lanes.getLane(permit.model);
-    lane.limit.recordFirstToken(ms, inFlightByPermit.get(permit) ?? lane.getRunning(), nowMs);
+    const prefillMs = permit.cost.uncachedTokens * prefillMsPerToken;
+    const waitMs = Math.max(0, ms - prefillMs);
+    lane.limit.recordFirstToken(waitMs, inFlightByPermit.get(permit) ?? lane.getRunning(), nowMs);
   }
 
   function releasePermit(permit: Permit, use: AdmissionUse, nowMs: number): void {
@@ -55,6 +61,7 @@
     limiter.releaseUse(organisation, cost.tokens, cost.promptTokens + use.outputTokens);
     const work = cost.work - cost.expectedOutputTokens + use.outputTokens;
     lanes.getLane(model).recordEnd(work, nowMs - permit.grantedAtMs);
+    if (use.isWhole === false) return;
     estimates.recordOutput(organisation, model, use.outputTokens);
   }
 
--- a/packages/sequoiarill-plugin-callers/src/chat.ts
+++ b/packages/sequoiarill-plugin-callers/src/chat.ts
@@ -8,7 +8,6 @@
 import * as Events from './events';
 import * as EventStreams from './eventStream';
 import type { Exchange, Front } from './exchange';
-import * as Faults from './faults';
 import * as Generating from './generating';
 import type { GenerationRun } from './generating';
 import * as Metrics from './metrics';
@@ -59,10 +58,11 @@
     const { finishReason, usage } = outcome;
     const body = ChatEvents.formatCompletion(identity, text, finishReason, usage);
     Replies.sendJson(exchange.response, HTTP_OK, body);
-  } else {
-    Refusals.refuseRequest(front, exchange, Outcomes.createFailureFault(outcome));
+    recordEnd(front, exchange, outcome, tokens);
+    return;
   }
-  recordEnd(front, exchange, outcome, tokens);
+  if (outcome.kind === 'cancelled') front.context.metrics.addCount(Metrics.WASTED_TOKENS, tokens);
+  Refusals.refuseFailure(front, exchange, outcome);
 }
 
 /**
@@ -82,18 +82,17 @@
   let tokens = 0;
   let step = await run.next();
   if (step.done === true && step.value.kind !== 'completed') {
-    Refusals.refuseRequest(front, exchange, Outcomes.createFailureFault(step.value));
-    recordEnd(front, exchange, step.value, tokens);
+    Refusals.refuseFailure(front, exchange, step.value);
     return;
   }
-  EventStreams.startEventStream(response);
+  EventStreams.startEventStream(exchange);
   let pending = chunks.opening;
   while (step.done !== true) {
     const { text, tokenCount } = step.value;
     tokens += tokenCount;
     if (text !== '') pending += chunks.formatDelta(text);
     if (pending !== '' && !response.destroyed && !response.write(pending)) {
-      await EventStreams.waitDrain(response, clock, front.settings.writeTimeoutMs);
+      await EventStreams.waitDrain(exchange, clock, front.settings.writeTimeoutMs);
     }
     pending = '';
     step = response.destroyed ? await run.return(Generating.CANCELLED) : await run.next();
@@ -106,7 +105,7 @@
 function formatEnd(chunks: ChatEvents.ChatChunks, outcome: GenerationOutcome): string {
   if (outcome.kind === 'completed') return chunks.formatEnd(outcome.finishReason, outcome.usage);
   // No `[DONE]`: a caller that looks for it sees that the answer is cut.
-  return `data: ${Faults.formatFault(Outcomes.createFailureFault(outcome))}\n\n`;
+  return EventStreams.formatErrorEvent(Outcomes.createFailureFault(outcome));
 }
 
 function recordEnd(
--- a/packages/sequoiarill-plugin-callers/src/front.ts
+++ b/packages/sequoiarill-plugin-callers/src/front.ts
@@ -46,6 +46,8 @@
   readonly httpHandler: RequestHandler;
 }
 
+/** How often the time-outs of requests are looked at; Node.js's 30 s would add to each of them. */
+const CHECK_INTERVAL_MS = 1_000;
 const CLIENT_ERROR = 400;
 const SERVER_ERROR = 500;
 
@@ -69,6 +71,7 @@
 export function createHttpFront(settings: CallersSettings, dispatcher: Dispatcher): HttpFront {
   let handleRouted: RequestHandler = (request, response) => {
     request.resume();
+    response.setHeader('x-request-id', Generating.createRequestId('req'));
     Replies.sendFault(response, Faults.STARTING);
   };
   let connectionCount = 0;
@@ -77,9 +80,11 @@
       requestTimeout: settings.requestTimeoutMs,
       headersTimeout: settings.headersTimeoutMs,
       keepAliveTimeout: settings.keepAliveMs,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
     },
     (request, response) => handleRouted(request, response),
   );
+  server.maxConnections = settings.maxConnections;
   server.on('clientError', handleClientError);
   server.on('connection', (socket: Socket) => {
     connectionCount += 1;
@@ -189,6 +194,7 @@
     `HTTP/1.1 ${fault.status} ${Http.STATUS_CODES[fault.status] ?? ''}`,
     'content-type: application/json; charset=utf-8',
     `content-length: ${Buffer.byteLength(body)}`,
+    `x-request-id: ${Generating.createRequestId('req')}`,
     'connection: close',
   ];
   socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
--- a/packages/sequoiarill-plugin-orders/src/settings.ts
+++ b/packages/sequoiarill-plugin-orders/src/settings.ts
@@ -18,12 +18,14 @@
   retryRatio: Zod.coerce.number().min(0).max(1).default(0.1),
   /** Claims of one router are gathered for so many milliseconds. */
   claimWindowMs: countSchema.default(3),
+  /** Calls of the platform for claims and results, at most so many a second. */
+  maxClaimCallsPerSecond: Zod.coerce.number().positive('use a number above 0').default(30),
   /** Results wait for the next claims to go with, at most so many milliseconds. */
   resultDelayMs: countSchema.default(50),
   /** A claim and its answer are kept for at least so many seconds. */
   claimSeconds: countSchema.default(86_400),
   /** Keys of claims in the platform's service begin with this. */
-  claimPrefix: Zod.string().min(1).default('/sequoiarill/claims/'),
+  claimPrefix: Zod.string().min(1).default('claims/'),
 });
 
 export type OrdersSettings = Readonly<Zod.infer<typeof settingsSchema>>;
--- a/packages/sequoiarill-plugin-platform/src/__tests__/readerDuty.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/readerDuty.test.ts
@@ -46,11 +46,11 @@
     nodes.forEach((node) => node.start());
     await runFor(3_000);
     expect(listReaders(nodes).length).toEqual(1);
-    const before = platform.getCalls();
     platform.write(KEY, Fixtures.formatModelSection('v2'));
     await runFor(1_000);
     expect(listVersions(nodes)).toEqual(['v2']);
-    await runFor(9_000);
+    const before = platform.getCalls();
+    await runFor(10_000);
     // Ten seconds: two confirming reads a second and a refresh each four thirds of a second.
     const after = platform.getCalls();
     expect(after.read - before.read).toEqual(20);
@@ -76,6 +76,17 @@
     await stopAll();
   });
 
+  it('leaves others to read for themselves when they start, without a warning', async () => {
+    const { clock, nodes, runFor, stopAll } = createZone(2);
+    nodes[0]?.start();
+    await runFor(2_000, []);
+    nodes[1]?.start();
+    await clock.runFor(300);
+    expect(nodes[1]?.getVersion()).toEqual('v1');
+    expect(nodes[1]?.events.includes(Events.READER_BYPASSED)).toEqual(false);
+    await stopAll();
+  });
+
   it('is itself when it is alone', async () => {
     const { clock, nodes, stopAll } = createZone(1);
     nodes[0]?.start();
--- a/packages/sequoiarill-plugin-platform/src/followedConfiguration.ts
+++ b/packages/sequoiarill-plugin-platform/src/followedConfiguration.ts
@@ -11,6 +11,8 @@
 import * as PlatformReaders from './platformReader';
 import * as ReaderDuties from './readerDuty';
 import type { ReaderMode } from './readerDuty';
+import * as SectionHistory from './sectionHistory';
+import * as SectionParser from './sectionParser';
 import * as SourceFollowers from './sourceFollower';
 
 export interface FollowedConfigurationOptions {
@@ -52,6 +54,24 @@
   };
 }
 
+/**
+ * Failure: a section was overwritten past the commands with text that does not parse, and this router
+ * started after that. Others go on with the last good text; this one would turn a team's callers away.
+ * The history keeps what was accepted, with its revision.
+ */
+async function applyLastGood(store: PlatformStore, state: ConfigurationState): Promise<void> {
+  for (const name of state.listWithoutText()) {
+    const history = (await SectionHistory.readHistory(store, name)) ?? [];
+    const newestFirst = [...history].reverse();
+    const good = newestFirst.find(
+      ({ text }) => SectionParser.parseSection(text, 'history', name).kind === 'section',
+    );
+    if (good !== undefined) {
+      state.applyRecords([{ name, revision: good.revision, text: good.text }]);
+    }
+  }
+}
+
 export function createFollowedConfiguration(
   options: FollowedConfigurationOptions,
 ): FollowedConfiguration {
@@ -67,7 +87,10 @@
     holder: process.name,
     ttlSeconds: READER_TTL_SECONDS,
   });
-  const { applyRecords } = state;
+  const applyRecords: ConfigurationState['applyRecords'] = (records) => {
+    state.applyRecords(records);
+    reader.handleChange();
+  };
   const followers = DocumentRecords.SOURCES.map((source) => {
     const parts = { source, store, clock, logEvent, nextRandom, applyRecords };
     return SourceFollowers.createSourceFollower(parts);
@@ -75,10 +98,17 @@
   const reader = PlatformReaders.createPlatformReader({
     followers,
     clock,
-    handleConfirmed: (revision) => news.confirmNews(keeper.getFence(), revision),
+    handleConfirmed: (revision) =>
+      news.confirmNews(keeper.getFence(), state.findNewestRevision(revision)),
     markAway,
+    handleRead: () => applyLastGood(store, state),
   });
-  const parts = { mode, keeper, reader, news, clock, logEvent, nextRandom, markAway };
+  const readInstead = async () => {
+    const outcome = await reader.readOnce();
+    if (outcome.kind !== 'confirmed') return;
+    news.updateRevision(state.findNewestRevision(outcome.revision));
+  };
+  const parts = { mode, readInstead, keeper, reader, news, clock, logEvent, nextRandom, markAway };
   const duty = ReaderDuties.createReaderDuty(parts);
   return { state, isReader: duty.isReader, isAway, run: duty.run };
 }
