--- a/packages/sequoiarill-plugin-callers/src/__tests__/front.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/front.test.ts
@@ -105,6 +105,18 @@
     stream.leave();
   });
 
+  it('does not call a key wrong before it knows the configuration', async () => {
+    // A router is started while the platform is away. A caller with a valid key that hears 401 gives
+    // up for good; it must hear that the router is starting and when to come back.
+    const router = await startRouter();
+    router.setConfiguration({ ...Fakes.createConfiguration(), revision: 0, keysById: new Map() });
+    const refused = await Calls.callOnce(`${router.url}/v1/responses`, {
+      body: Calls.RESPONSE_BODY,
+    });
+    expect(Calls.getError(refused)).toEqual([503, 'starting', null]);
+    expect(refused.headers['retry-after']).toEqual('1');
+  });
+
   it('drains: refuses what is new and ends what is open', async () => {
     // An operator replaces the VM. Streams in progress must end by themselves, also one whose caller
     // loses its connection meanwhile; a new request must be told to go elsewhere, with nothing run.
--- a/packages/sequoiarill-plugin-callers/src/dispatch.ts
+++ b/packages/sequoiarill-plugin-callers/src/dispatch.ts
@@ -44,6 +44,13 @@
     return Keys.verifyKey(front.configuration.getConfiguration(), presented);
   }
 
+  function checkPhase(route: Route): Faults.Fault | undefined {
+    if (isDrainingNow && route.isOfRunning !== true) return Faults.DRAINING;
+    // Before the first configuration every key looks unknown; 401 would send callers away for good.
+    const isUnknown = front.configuration.getConfiguration().revision === 0;
+    return isUnknown ? Faults.STARTING : undefined;
+  }
+
   async function runHandler(handler: Handler, exchange: Exchange): Promise<void> {
     open += 1;
     try {
@@ -61,8 +68,7 @@
     response.setHeader('x-request-id', requestId);
     // A caller that resets its connection shows as `close`; the error says nothing more.
     response.on('error', () => undefined);
-    const isRefused = isDrainingNow && route.isOfRunning !== true;
-    const fault = isRefused ? Faults.DRAINING : checkMethod(route, request);
+    const fault = checkPhase(route) ?? checkMethod(route, request);
     const owner = fault === undefined ? findOwner(request) : undefined;
     if (owner === undefined) {
       const refusal = fault ?? Faults.UNAUTHORISED;
--- a/packages/sequoiarill-plugin-generations/src/__tests__/loadPoller.test.ts
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/loadPoller.test.ts
@@ -28,9 +28,9 @@
   const reports: TargetReport[] = [];
   for (const [index, { address }] of engines.entries()) {
     const intercept = agent.get(`http://${address}`).intercept({ path: '/load', method: 'GET' });
-    if (index % 2 === 0)
-      {intercept.reply(200, { running: index, waiting: 1, draining: index === 4 });}
-    else intercept.replyWithError(new Error('refused'));
+    if (index % 2 === 0) {
+      intercept.reply(200, { running: index, waiting: 1, draining: index === 4 });
+    } else intercept.replyWithError(new Error('refused'));
   }
   const poller = LoadPollers.createLoadPoller({
     routerName,
