--- a/packages/sequoiarill-testing/src/__tests__/matrixEngines.test.ts
+++ b/packages/sequoiarill-testing/src/__tests__/matrixEngines.test.ts
@@ -58,3 +58,29 @@
     }
   }
 });
+
+describe('wrong suspicion of an engine', { concurrency: CONCURRENCY }, () => {
+  for (const checksFencing of [true, false]) {
+    it(`costs one prefill and no token twice, fencing checked: ${checksFencing}`, async () => {
+      // An engine is silent for just longer than it may be, and then goes on sending. The reader
+      // has gone on with another engine, which makes the missing tokens only, and nothing of what
+      // the first one still sends gets into the answer. Cause: a stall limit that is too short.
+      const step = GenerationSteps.STEP_RUNNERS.find(({ code }) => code === 'G5')!;
+      const fault = Faults.TARGET_FAULTS.find(({ code }) => code === 'E5')!;
+      await GenerationCells.runCell(
+        step,
+        fault,
+        (run) => {
+          checkWhole(run);
+          const [first, ...others] = run.world.engines.map((engine) => engine.getCounters());
+          const requests = others.reduce((sum, counters) => sum + counters.requests, 0);
+          const tokens = others.reduce((sum, counters) => sum + counters.tokensGenerated, 0);
+          expect(first!.requests).toEqual(1);
+          expect(requests).toEqual(1);
+          expect(tokens).toEqual(run.calm.completionTokens! - GenerationSteps.EARLY_TOKENS);
+        },
+        { checksFencing },
+      );
+    });
+  }
+});
