Tell a repeat "not-sent" where the order itself may have run

Cause: a repeat of an order that is in progress, or whose claim can't be read while the platform is away, was told "not-run". True of the repeat, but read as true of the order it leads to a second one under a new key.

Ruled out: "unknown", which would tell a caller not to repeat, when the repeat with the same key is the right thing.

--- a/bench/src/slopes.ts
+++ b/bench/src/slopes.ts
@@ -9,6 +9,8 @@
 
 /** Time between two tokens of a stream while their processor time is measured. */
 const STEP_MS = 30;
+/** Routers of a region; a whole fleet takes minutes and exchanges no more with each router. */
+const MEMBERSHIP_SIZES = [8, 16, 32, 96] as const;
 
 interface SlopeRow {
   readonly role: string;
@@ -73,7 +75,7 @@
 }
 
 function listMembershipRows(): readonly SlopeRow[] {
-  const rows = MembershipSlopes.measureMembershipSlopes();
+  const rows = MembershipSlopes.measureMembershipSlopes(MEMBERSHIP_SIZES);
   const pick = (get: (row: (typeof rows)[number]) => number) =>
     rows.map((row) => ({ size: row.size, value: get(row) }));
   return [
--- a/packages/sequoiarill-plugin-callers/src/__tests__/services.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/services.test.ts
@@ -50,10 +50,8 @@
   const NOT_RUN = [
     ['noTarget', 503],
     ['overloaded', 503],
-    ['platformAway', 503],
     ['draining', 503],
     ['organisationLimit', 429],
-    ['inProgress', 409],
     ['keyReused', 422],
     ['unknownService', 404],
   ] as const;
@@ -69,6 +67,25 @@
     });
   }
 
+  const NOT_SENT = [
+    ['platformAway', 503],
+    ['inProgress', 409],
+  ] as const;
+  for (const [reason, status] of NOT_SENT) {
+    it(`are not told "not run" where an earlier sending may have run: ${reason}`, async () => {
+      // A technician books, hears nothing, and books again with the same key while the first booking
+      // runs or its claim can't be read. "Not run" would be read as true of the booking, and a second
+      // one with a new key would send two crews.
+      const router = await started;
+      const retryAfterSeconds = 2;
+      router.setOrders(async () => ({ kind: 'notRun', reason, message: 'm', retryAfterSeconds }));
+      const answer = await Calls.callOnce(`${router.url}/v1/services/stock`, { method: 'POST' });
+      expect(answer.status).toEqual(status);
+      expect(answer.headers['x-sequoiarill-outcome']).toEqual('not-sent');
+      expect(answer.headers['retry-after']).toEqual('2');
+    });
+  }
+
   it('are refused with an empty key', async () => {
     const router = await started;
     const headers = { 'Idempotency-Key': '' };
--- a/packages/sequoiarill-plugin-callers/src/services.ts
+++ b/packages/sequoiarill-plugin-callers/src/services.ts
@@ -130,8 +130,23 @@
   return selected;
 }
 
-function markNotRun(response: ServerResponse): void {
-  if (!response.headersSent) response.setHeader(OUTCOME_HEADER, 'not-run');
+/**
+ * Reasons that are true of this request only. An earlier one with the same key may have run or still
+ * runs, and a caller who reads "not run" as true of the order would send it again under a new key.
+ */
+const NOT_SENT_REASONS: ReadonlySet<OrderNotRun['reason']> = new Set([
+  'inProgress',
+  'platformAway',
+]);
+
+function isNotSent(outcome: OrderNotRun): boolean {
+  return NOT_SENT_REASONS.has(outcome.reason);
+}
+
+type NotRunMark = 'not-run' | 'not-sent';
+
+function markNotRun(response: ServerResponse, mark: NotRunMark = 'not-run'): void {
+  if (!response.headersSent) response.setHeader(OUTCOME_HEADER, mark);
 }
 
 function sendOutcome(front: Front, exchange: Exchange, outcome: OrderOutcome): void {
@@ -143,7 +158,7 @@
     return;
   }
   if (outcome.kind === 'notRun') {
-    markNotRun(exchange.response);
+    markNotRun(exchange.response, isNotSent(outcome) ? 'not-sent' : 'not-run');
     Refusals.refuseRequest(front, exchange, createNotRunFault(outcome));
     return;
   }
@@ -174,7 +189,7 @@
     status,
     type: isCallers ? 'invalid_request_error' : 'server_error',
     code: CODE_BY_REASON[outcome.reason],
-    message: `Not run: ${outcome.message}`,
+    message: `${isNotSent(outcome) ? 'Not sent' : 'Not run'}: ${outcome.message}`,
   };
   const { retryAfterSeconds } = outcome;
   return retryAfterSeconds > 0 ? { ...fault, retryAfterSeconds } : fault;
--- a/packages/sequoiarill-testing/src/matrix/orderCells.ts
+++ b/packages/sequoiarill-testing/src/matrix/orderCells.ts
@@ -124,7 +124,7 @@
 export async function sendUntilSettled(send: () => Promise<OrderAnswer>): Promise<OrderAnswer> {
   let answer = await send();
   await Waiting.waitUntil('a repeated order is answered for good', async () => {
-    if (answer.outcome === 'not-run') answer = await send();
+    if (answer.outcome === 'not-run' || answer.outcome === 'not-sent') answer = await send();
     return answer.outcome === 'done' || answer.outcome === 'unknown';
   });
   return answer;
