--- a/packages/sequoiarill-plugin-generations/src/__tests__/fakeEngines.ts
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/fakeEngines.ts
@@ -9,7 +9,7 @@
 } from '@sequoiarill/types';
 
 import type { EngineEvent } from '../answer';
-import type { AttemptEnd } from '../attempt';
+import type { AttemptEnd } from '../attemptEnds';
 import * as Generations from '../generation';
 import type { AttemptOrder, GenerationParts } from '../generation';
 
--- a/packages/sequoiarill-plugin-generations/src/attempt.ts
+++ b/packages/sequoiarill-plugin-generations/src/attempt.ts
@@ -9,52 +9,13 @@
 import * as Undici from 'undici';
 
 import type { EngineEvent } from './answer';
+import * as AttemptEnds from './attemptEnds';
+import type { AttemptEnd, AttemptLimits } from './attemptEnds';
 import * as EngineEvents from './engineEvents';
 import type { EnginePool } from './enginePools';
 import * as ServerSentEvents from './serverSentEvents';
 import * as StallTimers from './stallTimer';
 
-/** How an engine was lost under an attempt. */
-export type LossCause = 'refused' | 'reset' | 'endedEarly' | 'noFirstToken' | 'stalled' | 'broken';
-
-export interface AttemptFinished {
-  readonly kind: 'finished';
-  readonly finishReason: FinishReason;
-}
-
-export interface AttemptLost {
-  readonly kind: 'lost';
-  readonly cause: LossCause;
-  readonly message: string;
-  /** False only if no byte of the request can have reached the engine. */
-  readonly mayHaveRun: boolean;
-}
-
-/** The engine took nothing on. */
-export interface AttemptBusy {
-  readonly kind: 'busy';
-  readonly retryAfterSeconds: number;
-}
-
-export interface AttemptRejected {
-  readonly kind: 'rejected';
-  readonly message: string;
-  readonly parameter?: string;
-}
-
-export interface AttemptCancelled {
-  readonly kind: 'cancelled';
-}
-
-export type AttemptEnd =
-  AttemptFinished | AttemptLost | AttemptBusy | AttemptRejected | AttemptCancelled;
-
-/** How long the engine may keep the relay waiting, in milliseconds. */
-export interface AttemptLimits {
-  readonly firstTokenMs: number;
-  readonly gapMs: number;
-}
-
 export interface AttemptOptions {
   readonly target: EngineTarget;
   readonly pool: EnginePool;
@@ -75,17 +36,6 @@
 }
 
 const HTTP_OK = 200;
-const HTTP_SERVER_ERROR = 500;
-/**
- * Answers that mean nothing was taken on: no such model any more, an old fencing number, a limit,
- * or no room. Another engine may still take the request.
- */
-const NOT_TAKEN = new Set([404, 409, 429, 503]);
-const MAX_ERROR_BYTES = 65_536;
-const DEFAULT_RETRY_SECONDS = 1;
-/** Errors that come before any byte of the request was written. */
-const UNSENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
 type Response = Undici.Dispatcher.ResponseData;
 
 /** What the relay has seen of one attempt; read when its stream breaks. */
@@ -118,7 +68,7 @@
     timer.start(options.limits.firstTokenMs);
     const response = await sendRequest(options, controller.signal);
     state.isSent = true;
-    if (response.statusCode !== HTTP_OK) return await readRefusal(response);
+    if (response.statusCode !== HTTP_OK) return await AttemptEnds.readRefusal(response);
     return yield* relayBody(response, options, state, timer);
   } catch (error) {
     return decideEnd(error as NodeJS.ErrnoException, options, state);
@@ -142,7 +92,8 @@
   for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
     timer.stop();
     const events = parseEvents(splitter.addBytes(bytes));
-    if (events === undefined) return createLoss('broken', 'an event is malformed', true);
+    if (events === undefined)
+      {return AttemptEnds.createLoss('broken', 'an event is malformed', true);}
     if (state.hasTokens) options.onGap(getNowMs() - waitingSinceMs);
     updateState(state, events, () => options.onFirstToken(getNowMs() - startedMs));
     yield events;
@@ -150,8 +101,8 @@
     waitingSinceMs = getNowMs();
     timer.start(state.hasTokens ? limits.gapMs : limits.firstTokenMs);
   }
-  if (state.finishReason !== undefined) return createFinished(state.finishReason);
-  return createLoss('endedEarly', 'the stream ended before the answer', true);
+  if (state.finishReason !== undefined) return AttemptEnds.createFinished(state.finishReason);
+  return AttemptEnds.createLoss('endedEarly', 'the stream ended before the answer', true);
 }
 
 function parseEvents(datas: readonly string[] | undefined): readonly EngineEvent[] | undefined {
@@ -186,14 +137,10 @@
   state: AttemptState,
 ): AttemptEnd {
   // The event with the finish reason follows the last token: the answer is whole.
-  if (state.finishReason !== undefined) return createFinished(state.finishReason);
+  if (state.finishReason !== undefined) return AttemptEnds.createFinished(state.finishReason);
   if (options.signal.aborted) return { kind: 'cancelled' };
-  if (state.isStalled) return createStall(options.limits, state.hasTokens);
-  return createConnectionLoss(error, state.isSent);
-}
-
-function createFinished(finishReason: FinishReason): AttemptFinished {
-  return { kind: 'finished', finishReason };
+  if (state.isStalled) return AttemptEnds.createStall(options.limits, state.hasTokens);
+  return AttemptEnds.createConnectionLoss(error, state.isSent);
 }
 
 async function sendRequest(options: AttemptOptions, signal: AbortSignal): Promise<Response> {
@@ -210,59 +157,3 @@
     signal,
   });
 }
-
-/** An answer other than 200: the engine did not take the request on. */
-async function readRefusal(response: Response): Promise<AttemptEnd> {
-  const text = await readLimited(response);
-  const { statusCode } = response;
-  if (NOT_TAKEN.has(statusCode)) {
-    const seconds = Number(response.headers['retry-after'] ?? DEFAULT_RETRY_SECONDS);
-    return { kind: 'busy', retryAfterSeconds: seconds > 0 ? seconds : DEFAULT_RETRY_SECONDS };
-  }
-  if (statusCode >= HTTP_SERVER_ERROR) {
-    return createLoss('broken', `the engine answered ${statusCode}`, true);
-  }
-  return { kind: 'rejected', ...parseError(text) };
-}
-
-async function readLimited(response: Response): Promise<string> {
-  const parts: Uint8Array[] = [];
-  let size = 0;
-  for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
-    size += bytes.length;
-    if (size > MAX_ERROR_BYTES) break;
-    parts.push(bytes);
-  }
-  return Buffer.concat(parts).toString('utf8');
-}
-
-function parseError(text: string): { readonly message: string; readonly parameter?: string } {
-  try {
-    const { error } = JSON.parse(text) as { error?: { message?: string; param?: string | null } };
-    const message = error?.message ?? 'the engine refused the request';
-    return error?.param ? { message, parameter: error.param } : { message };
-  } catch {
-    return { message: 'the engine refused the request' };
-  }
-}
-
-function createLoss(cause: LossCause, message: string, mayHaveRun: boolean): AttemptLost {
-  return { kind: 'lost', cause, message, mayHaveRun };
-}
-
-function createStall(limits: AttemptLimits, hasTokens: boolean): AttemptLost {
-  return hasTokens
-    ? createLoss('stalled', `no token for ${Math.round(limits.gapMs)} ms`, true)
-    : createLoss('noFirstToken', `no first token in ${Math.round(limits.firstTokenMs)} ms`, true);
-}
-
-/**
- * Errors of the connect itself come before undici writes a byte, so the engine cannot have the
- * request; after any other error it may have it.
- */
-function createConnectionLoss(error: NodeJS.ErrnoException, isSent: boolean): AttemptLost {
-  const isUnsent = !isSent && error.code !== undefined && UNSENT_CODES.has(error.code);
-  return isUnsent
-    ? createLoss('refused', error.message, false)
-    : createLoss('reset', error.message, true);
-}
--- a/packages/sequoiarill-plugin-generations/src/generation.ts
+++ b/packages/sequoiarill-plugin-generations/src/generation.ts
@@ -14,7 +14,7 @@
 } from '@sequoiarill/types';
 
 import type { AnswerStep, EngineEvent } from './answer';
-import type { AttemptBusy, AttemptEnd, AttemptLost } from './attempt';
+import type { AttemptBusy, AttemptEnd, AttemptLost } from './attemptEnds';
 import * as Progresses from './progress';
 import type { Progress } from './progress';
 
--- a/packages/sequoiarill-plugin-generations/src/progress.ts
+++ b/packages/sequoiarill-plugin-generations/src/progress.ts
@@ -10,7 +10,7 @@
 
 import * as Answers from './answer';
 import type { Answer } from './answer';
-import type { AttemptLost } from './attempt';
+import type { AttemptLost } from './attemptEnds';
 
 const RETRY_SECONDS = 2;
 
--- a/packages/sequoiarill-plugin-generations/src/targets.ts
+++ b/packages/sequoiarill-plugin-generations/src/targets.ts
@@ -2,7 +2,7 @@
 import * as Decisions from '@sequoiarill/decisions';
 import type { Model } from '@sequoiarill/types';
 
-import type { AttemptLimits } from './attempt';
+import type { AttemptLimits } from './attemptEnds';
 import type { AttemptOrder, TargetDecision, TargetQuery } from './generation';
 import * as Prompts from './prompts';
 import type { ServingTargets } from './servingTargets';
