--- a/packages/sequoiarill-plugin-generations/src/loadPoller.ts
+++ b/packages/sequoiarill-plugin-generations/src/loadPoller.ts
@@ -12,7 +12,7 @@
 import type { EnginePools } from './enginePools';
 
 /** Reports fade within seconds; asking more often would spend control bytes on noise. */
-export const POLL_MS = 1_000;
+export const POLL_MS = 2_000;
 /** An answer later than this says nothing of now. */
 const ANSWER_TIMEOUT_MS = 900;
 const HTTP_OK = 200;
--- a/packages/sequoiarill-testing/src/daemons.ts
+++ b/packages/sequoiarill-testing/src/daemons.ts
@@ -33,6 +33,7 @@
 const SYSTEM_TICKS_FIELD = 12;
 const RESIDENT_PAGES_FIELD = 21;
 const MAX_LOG_LINES = 2_000;
+const START_LIMIT_MS = 30_000;
 
 export function formatIni(settings: IniSettings): string {
   const lines = Object.entries(settings).flatMap(([section, keys]) => [
@@ -98,13 +99,23 @@
   createInterface({ input: child.stderr! }).on('line', (line) => log.push(line));
   const lines = createInterface({ input: child.stdout! });
   await new Promise<void>((resolve, reject) => {
-    child.once('exit', () => reject(new Error(`daemon ended at its start:\n${log.join('\n')}`)));
+    // A daemon that logs too little for what is waited for would hang its user without a word.
+    const limit = setTimeout(() => {
+      child.kill('SIGKILL');
+      reject(new Error(`no ${names.join(', ')} in ${START_LIMIT_MS} ms:\n${log.join('\n')}`));
+    }, START_LIMIT_MS);
+    child.once('exit', () => {
+      clearTimeout(limit);
+      reject(new Error(`daemon ended at its start:\n${log.join('\n')}`));
+    });
     lines.on('line', (line) => {
       if (log.length < MAX_LOG_LINES) log.push(line);
       const record = parseLine(line);
       if (record === undefined) return;
       addresses.set(record.name ?? '', record.address ?? '');
-      if (names.every((name) => addresses.has(name))) resolve();
+      if (!names.every((name) => addresses.has(name))) return;
+      clearTimeout(limit);
+      resolve();
     });
   });
   return addresses;
