--- a/packages/sequoiarill-plugin-generations/src/attempt.ts
+++ b/packages/sequoiarill-plugin-generations/src/attempt.ts
@@ -92,8 +92,9 @@
   for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
     timer.stop();
     const events = parseEvents(splitter.addBytes(bytes));
-    if (events === undefined)
-      {return AttemptEnds.createLoss('broken', 'an event is malformed', true);}
+    if (events === undefined) {
+      return AttemptEnds.createLoss('broken', 'an event is malformed', true);
+    }
     if (state.hasTokens) options.onGap(getNowMs() - waitingSinceMs);
     updateState(state, events, () => options.onFirstToken(getNowMs() - startedMs));
     yield events;
