--- a/packages/sequoiarill-plugin-generations/src/attempt.ts
+++ b/packages/sequoiarill-plugin-generations/src/attempt.ts
@@ -29,10 +29,6 @@
   readonly getNowMs: () => number;
   /** When the attempt was dispatched, on that clock. */
   readonly startedMs: number;
-  /** The attempt begins; from here on it is one stream in flight at its engine. */
-  readonly onStart: () => void;
-  /** The attempt has ended, however it did. */
-  readonly onEnd: () => void;
   /** Milliseconds from the dispatch. */
   readonly onFirstToken: (ms: number) => void;
   /** Milliseconds that the relay waited for the next tokens. */
@@ -55,7 +51,6 @@
   options: AttemptOptions,
 ): AsyncGenerator<readonly EngineEvent[], AttemptEnd, void> {
   if (options.signal.aborted) return { kind: 'cancelled' };
-  options.onStart();
   const controller = new AbortController();
   const cancel = () => controller.abort();
   options.signal.addEventListener('abort', cancel, { once: true });
@@ -82,7 +77,6 @@
     options.signal.removeEventListener('abort', cancel);
     // Ends the read of an attempt that was given up; after a whole answer it does nothing.
     controller.abort();
-    options.onEnd();
   }
 }
 
--- a/packages/sequoiarill-plugin-generations/src/engineCalls.ts
+++ b/packages/sequoiarill-plugin-generations/src/engineCalls.ts
@@ -33,30 +33,28 @@
       .catch(() => undefined);
   }
 
-  // Not a generator of its own: each one in the way of a token costs its share of every token.
-  function runAttempt(order: AttemptOrder): ReturnType<GenerationParts['runAttempt']> {
+  async function* runAttempt(order: AttemptOrder): ReturnType<GenerationParts['runAttempt']> {
     const { target, request } = order;
-    return Attempts.runAttempt({
-      target,
-      pool: pools.getPool(target),
-      ...EngineRequests.createEngineRequest(order),
-      requestId: request.requestId,
-      fencingNumber: order.generation,
-      limits: targets.getLimits(order),
-      signal: request.signal,
-      getNowMs: options.getNowMs,
-      startedMs: options.getNowMs(),
-      onStart() {
-        targets.recordDispatch(order);
-        pools.addInFlight(target.name, 1);
-      },
-      onEnd() {
-        pools.addInFlight(target.name, -1);
-        targets.recordEnd(order);
-      },
-      onFirstToken: (ms) => targets.recordFirstToken(order, ms),
-      onGap: (ms) => targets.recordGap(order, ms),
-    });
+    targets.recordDispatch(order);
+    pools.addInFlight(target.name, 1);
+    try {
+      return yield* Attempts.runAttempt({
+        target,
+        pool: pools.getPool(target),
+        ...EngineRequests.createEngineRequest(order),
+        requestId: request.requestId,
+        fencingNumber: order.generation,
+        limits: targets.getLimits(order),
+        signal: request.signal,
+        getNowMs: options.getNowMs,
+        startedMs: options.getNowMs(),
+        onFirstToken: (ms) => targets.recordFirstToken(order, ms),
+        onGap: (ms) => targets.recordGap(order, ms),
+      });
+    } finally {
+      pools.addInFlight(target.name, -1);
+      targets.recordEnd(order);
+    }
   }
 
   return { runAttempt, cancelAttempt };
