--- /dev/null
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/capacityTask.test.ts
@@ -0,0 +1,70 @@
+import { describe, it } from 'node:test';
+
+import type { Configuration, Peer } from '@sequoiarill/types';
+import { expect } from 'earl';
+
+import * as CapacityTasks from '../capacityTask';
+import type { CapacityTaskOptions } from '../capacityTask';
+import * as FakeEngines from './fakeEngines';
+
+const SLOTS = 90;
+
+function createPeer(index: number, zone: string, state: Peer['state'] = 'alive'): Peer {
+  return {
+    name: `router-${index}`,
+    zone,
+    region: 'r1',
+    address: `127.0.0.1:${7000 + index}`,
+    incarnation: 1,
+    state,
+    configurationRevision: 1,
+  };
+}
+
+/** Runs the task for one round and returns what it told admission and the target sets. */
+async function runRound(peers: readonly Peer[]) {
+  const stop = new AbortController();
+  const capacities: number[] = [];
+  const sets: (readonly string[])[] = [];
+  const configuration = {
+    models: new Map([[FakeEngines.model.name, FakeEngines.model]]),
+    targets: new Map(),
+  } as unknown as Configuration;
+  const options = {
+    routerName: 'router-1',
+    zone: 'z1',
+    clock: { getNowMs: () => 0, getWallTime: () => '', waitMs: async () => stop.abort() },
+    configuration: {
+      getConfiguration: () => configuration,
+      subscribeConfiguration: () => () => {},
+    },
+    membership: { listPeers: () => peers },
+    serving: { setRouters: (names: readonly string[]) => sets.push(names) },
+    targets: { getCapacity: () => ({ slots: SLOTS, busyShare: 0.5 }) },
+    gate: { setCapacity: (_model: string, slots: number) => capacities.push(slots) },
+    poller: { runRound: async () => undefined },
+  } as unknown as CapacityTaskOptions;
+  await CapacityTasks.runCapacityTask(options, stop.signal);
+  return { capacities, sets };
+}
+
+describe('capacity task', () => {
+  it("divides the engines of every zone by every zone's routers", async () => {
+    // Three zones with two routers each. Divided by the routers of one zone alone, the six routers
+    // together admit three times what the engines can run, and first tokens are late for all.
+    const peers = [1, 2, 3, 4, 5, 6].map((index) => createPeer(index, `z${Math.ceil(index / 2)}`));
+    const { capacities, sets } = await runRound(peers);
+    expect(capacities).toEqual([SLOTS / 6]);
+    expect(sets).toEqual([['router-1', 'router-2']]);
+  });
+
+  it('counts no router that is dead or leaving', async () => {
+    const peers = [
+      createPeer(1, 'z1'),
+      createPeer(2, 'z1', 'dead'),
+      createPeer(3, 'z2', 'leaving'),
+    ];
+    const { capacities } = await runRound(peers);
+    expect(capacities).toEqual([SLOTS]);
+  });
+});
--- a/packages/sequoiarill-plugin-generations/src/capacityTask.ts
+++ b/packages/sequoiarill-plugin-generations/src/capacityTask.ts
@@ -33,9 +33,9 @@
   signal: AbortSignal,
 ): Promise<void> {
   for (let round = 0; !signal.aborted; round += 1) {
-    const routers = listRouters(options);
+    const routers = listRouters(options, true);
     options.serving.setRouters(routers);
-    updateCapacity(options, routers.length);
+    updateCapacity(options);
     if (round % ROUNDS_A_POLL === 0) {
       await options.poller.runRound(listEngines(options), routers);
     }
@@ -43,11 +43,15 @@
   }
 }
 
-/** Routers of the own zone that share its engines, this one among them. */
-function listRouters({ membership, zone, routerName }: CapacityTaskOptions): readonly string[] {
+/** Routers that serve now, this one among them; of the own zone only, or of all zones. */
+function listRouters(
+  { membership, zone, routerName }: CapacityTaskOptions,
+  isOfZone: boolean,
+): readonly string[] {
   const others = membership
     .listPeers()
-    .filter((peer) => peer.zone === zone && peer.state === 'alive' && peer.name !== routerName);
+    .filter((peer) => peer.state === 'alive' && peer.name !== routerName)
+    .filter((peer) => !isOfZone || peer.zone === zone);
   return [routerName, ...others.map(({ name }) => name)].sort();
 }
 
@@ -58,8 +62,10 @@
   );
 }
 
-function updateCapacity(options: CapacityTaskOptions, routers: number): void {
+/** A router may use engines of every zone, so the routers of every zone share their slots. */
+function updateCapacity(options: CapacityTaskOptions): void {
   const { configuration, targets, gate } = options;
+  const routers = listRouters(options, false).length;
   for (const model of configuration.getConfiguration().models.values()) {
     const { slots, busyShare } = targets.getCapacity(model);
     gate.setCapacity(model.name, slots / routers, busyShare);
--- a/packages/sequoiarill-plugin-generations/src/plugin.ts
+++ b/packages/sequoiarill-plugin-generations/src/plugin.ts
@@ -68,7 +68,7 @@
     getNowMs,
     getFairSlots(name) {
       const model = configuration.getConfiguration().models.get(name);
-      const routers = membership.listPeers().length + 1;
+      const routers = Math.max(1, membership.listPeers().length);
       return model === undefined ? 0 : targets.getCapacity(model).slots / routers;
     },
   });
