Let the test of a saturated service wait for events and not for 50 ms

Cause: its two orders were sent under a real limit of 50 ms, which on a busy machine passed before the target, in the same process, had read them: seen 0, expected 2. Ruled out: the bound itself, since all 98 were refused in that run too.

The test now holds the two orders open until the target has them and all others are refused, and checks as much as before and in addition that the refusals come while the two are open.

--- a/packages/sequoiarill-plugin-orders/src/__tests__/sending.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/sending.test.ts
@@ -224,14 +224,30 @@
   it('are turned away at once when the service is saturated', async () => {
     // A burst of a hundred reservations meets a stock server that takes two at once and hangs. The
     // callers must hear so now; queued, most would be sent when their callers have given up.
-    const quiet = await startTarget('quiet', stayQuiet);
-    const settings = { maxInFlightPerTarget: 2 };
-    const runOrder = await startOrders([quiet.target], { timeoutMs: 50 }, settings);
-    const outcomes = await Promise.all(Array.from({ length: 100 }, async () => runOrder(NO_KEY)));
-    const reasons = outcomes.map((one) => (one.kind === 'notRun' ? one.reason : one.kind));
+    const held: Http.ServerResponse[] = [];
+    let tellHeld: () => void = () => undefined;
+    const bothHeld = new Promise<void>((resolve) => {
+      tellHeld = resolve;
+    });
+    const busy = await startTarget('busy', (_request, response) => {
+      held.push(response);
+      if (held.length === 2) tellHeld();
+    });
+    const runOrder = await startOrders(
+      [busy.target],
+      { timeoutMs: 60_000 },
+      { maxInFlightPerTarget: 2 },
+    );
+    const runs = Array.from({ length: 100 }, async () => runOrder(NO_KEY));
+    // The two that were sent are still open while all others are refused.
+    const refused = await Promise.all(runs.slice(2));
+    await bothHeld;
+    held.forEach((response) => response.destroy());
+    const sent = await Promise.all(runs.slice(0, 2));
+    const reasons = refused.map((one) => (one.kind === 'notRun' ? one.reason : one.kind));
     expect(reasons.filter((reason) => reason === 'overloaded').length).toEqual(98);
-    expect(reasons.filter((reason) => reason === 'unknown').length).toEqual(2);
-    expect(quiet.getSeen().length).toEqual(2);
+    expect(sent.map(({ kind }) => kind)).toEqual(['unknown', 'unknown']);
+    expect(busy.getSeen().length).toEqual(2);
   });
 
   it('add little load to a service that fails every order', async () => {
