Read event streams and wake engines in one place each

Cause: the reader of published events stood twice in the testing package, and the waking of a paused engine three times among the faults of the matrix. One function serves each; no assertion changed.

--- a/packages/sequoiarill-testing/src/answers.ts
+++ b/packages/sequoiarill-testing/src/answers.ts
@@ -2,6 +2,8 @@
 import * as Demo from '@sequoiarill/demo';
 import * as Undici from 'undici';
 
+import * as EventStreams from './eventStream';
+
 export interface ReadOptions {
   readonly url: string;
   readonly apiKey: string;
@@ -75,7 +77,7 @@
     const body = (await response.body.json()) as Chunk;
     return { ...answer, error: body.error?.message };
   }
-  for await (const chunk of readChunks(response.body)) {
+  for await (const chunk of EventStreams.readEventStream<Chunk>(response.body)) {
     const known = answer;
     answer = mergeChunk(known, chunk);
     if (answer.pieces > known.pieces) {
@@ -104,17 +106,3 @@
   const { completion_tokens: completionTokens, prompt_tokens: promptTokens } = chunk.usage;
   return { completionTokens, promptTokens };
 }
-
-async function* readChunks(body: AsyncIterable<Uint8Array>): AsyncGenerator<Chunk, void, void> {
-  const decoder = new TextDecoder();
-  let rest = '';
-  for await (const bytes of body) {
-    rest += decoder.decode(bytes, { stream: true });
-    const parts = rest.split('\n\n');
-    rest = parts.pop() ?? '';
-    for (const part of parts) {
-      const line = part.split('\n').find((candidate) => candidate.startsWith('data: {'));
-      if (line !== undefined) yield JSON.parse(line.slice('data: '.length)) as Chunk;
-    }
-  }
-}
--- a/packages/sequoiarill-testing/src/matrix/callers.ts
+++ b/packages/sequoiarill-testing/src/matrix/callers.ts
@@ -2,6 +2,7 @@
 import * as Demo from '@sequoiarill/demo';
 import * as Undici from 'undici';
 
+import * as EventStreams from '../eventStream';
 import * as Answers from '../answers';
 import type { ReadAnswer } from '../answers';
 import type { World } from './world';
@@ -98,7 +99,7 @@
   };
   let pieces = 0;
   try {
-    for await (const event of readEvents(answer.body)) {
+    for await (const event of EventStreams.readEventStream<ResponseEvent>(answer.body)) {
       part = mergeEvent(part, event);
       if (event.delta !== undefined) pieces += 1;
       if (pieces === options.leaveAfter) break;
@@ -144,19 +145,3 @@
     completionTokens: response?.usage?.output_tokens ?? part.completionTokens,
   };
 }
-
-async function* readEvents(
-  body: AsyncIterable<Uint8Array>,
-): AsyncGenerator<ResponseEvent, void, void> {
-  const decoder = new TextDecoder();
-  let rest = '';
-  for await (const bytes of body) {
-    rest += decoder.decode(bytes, { stream: true });
-    const parts = rest.split('\n\n');
-    rest = parts.pop() ?? '';
-    for (const part of parts) {
-      const line = part.split('\n').find((candidate) => candidate.startsWith('data: {'));
-      if (line !== undefined) yield JSON.parse(line.slice('data: '.length)) as ResponseEvent;
-    }
-  }
-}
--- a/packages/sequoiarill-testing/src/matrix/generationFaults.ts
+++ b/packages/sequoiarill-testing/src/matrix/generationFaults.ts
@@ -27,6 +27,11 @@
 }
 
 /** Another engine has the work, or the answer needed none. */
+async function resumeAfterTakeover(world: World, isDone: () => boolean): Promise<void> {
+  await waitForTakeover(world, isDone);
+  await world.engines[0]!.setFault({ kind: 'unpause' });
+}
+
 async function waitForTakeover(world: World, isDone: () => boolean): Promise<void> {
   const others = world.engines.slice(1);
   await Waiting.waitUntil(
@@ -59,10 +64,7 @@
       world.engineLink.heal();
     },
     releasesEngine: false,
-    async follow(world, isDone) {
-      await waitForTakeover(world, isDone);
-      await world.engines[0]!.setFault({ kind: 'unpause' });
-    },
+    follow: resumeAfterTakeover,
     dispatches: 2,
   },
   {
@@ -92,10 +94,7 @@
       world.engineLink.cutToTarget();
     },
     releasesEngine: false,
-    async follow(world, isDone) {
-      await waitForTakeover(world, isDone);
-      await world.engines[0]!.setFault({ kind: 'unpause' });
-    },
+    follow: resumeAfterTakeover,
     dispatches: 2,
   },
 ];
@@ -170,10 +169,7 @@
       world.engineLink.heal();
     },
     releasesEngine: false,
-    async follow(world, isDone) {
-      await waitForTakeover(world, isDone);
-      await world.engines[0]!.setFault({ kind: 'unpause' });
-    },
+    follow: resumeAfterTakeover,
     dispatches: 2,
   },
   {
