Keep the polls of engines out of the way of admission's capacity

Cause: one task told admission its capacity and asked engines for their load, so that an engine that hangs held the capacity up for as long as its answer may take, 900 ms, just when engines are being lost. Each is a task of its own now. Found by reading; no failure was seen.

--- a/packages/sequoiarill-plugin-generations/src/capacityTask.ts
+++ b/packages/sequoiarill-plugin-generations/src/capacityTask.ts
@@ -26,23 +26,29 @@
 
 /** How often admission hears of engines lost and won. */
 const CAPACITY_MS = 250;
-const ROUNDS_A_POLL = LoadPollers.POLL_MS / CAPACITY_MS;
 
 export async function runCapacityTask(
   options: CapacityTaskOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  for (let round = 0; !signal.aborted; round += 1) {
-    const routers = listRouters(options, true);
-    options.serving.setRouters(routers);
+  while (!signal.aborted) {
+    options.serving.setRouters(listRouters(options, true));
     updateCapacity(options);
-    if (round % ROUNDS_A_POLL === 0) {
-      await options.poller.runRound(listEngines(options), routers);
-    }
     await options.clock.waitMs(CAPACITY_MS, signal);
   }
 }
 
+/** A task of its own: an engine that hangs holds its round up, and admission must not wait for it. */
+export async function runPollTask(
+  options: CapacityTaskOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  while (!signal.aborted) {
+    await options.poller.runRound(listEngines(options), listRouters(options, true));
+    await options.clock.waitMs(LoadPollers.POLL_MS, signal);
+  }
+}
+
 /** Routers that serve now, this one among them; of the own zone only, or of all zones. */
 function listRouters(
   { membership, zone, routerName }: CapacityTaskOptions,
--- a/packages/sequoiarill-plugin-generations/src/plugin.ts
+++ b/packages/sequoiarill-plugin-generations/src/plugin.ts
@@ -149,7 +149,7 @@
     pools,
     reportTarget: membership.reportTarget,
   });
-  let capacityTask = Promise.resolve();
+  let ownTasks: readonly Promise<void>[] = [];
 
   const unsubscribe = configuration.subscribeConfiguration(({ targets: known }) =>
     pools.removeMissing(new Set(known.keys())),
@@ -159,12 +159,16 @@
     async start() {
       const { name: routerName, zone } = context.process;
       const shared = { clock, configuration, membership, serving, targets, gate, poller };
-      capacityTask = CapacityTasks.runCapacityTask({ routerName, zone, ...shared }, tasks.signal);
+      const task = { routerName, zone, ...shared };
+      ownTasks = [
+        CapacityTasks.runCapacityTask(task, tasks.signal),
+        CapacityTasks.runPollTask(task, tasks.signal),
+      ];
     },
     async stop() {
       unsubscribe();
       tasks.abort();
-      await capacityTask;
+      await Promise.all(ownTasks);
       gate.close();
       await pools.close();
     },
