Forward requests of callers on the users' platform

What was missing: the product had no way to forward a request byte for byte by host and path, to follow a store of routes and targets, or to run from the platform's settings.

- platform/ holds names, formats and calls: the store as the capability keyValue, decoding of the configuration, of targets' entries and reports, header names, the daemon.
- plugin-directory follows the store and merges by revision; plugin-forwarding relays whole answers and streams, and continues a stream after the last whole event at the engine that keeps a copy.
- lossSuspicion and the stall preference 'copied' are new decisions.
- The listener code of the callers' front moved to the kernel, for both fronts.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,7 @@
 const SYNTAX_RULE = ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'];
 
 export default [
-  { ignores: ['**/lib/**', 'node_modules/**', '.cache/**', 'docs/**'] },
+  { ignores: ['**/lib/**', 'node_modules/**', '.cache/**', 'docs/**', 'journal/**', 'target/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -101,11 +101,18 @@
       '@typescript-eslint/no-floating-promises': 'off',
     },
   },
+  {
+    // A daemon ends its process itself once it has drained: idle connections would keep it.
+    files: ['platform/src/main.ts'],
+    rules: { 'n/no-process-exit': 'off' },
+  },
   {
     files: ['**/*.mjs', '**/bin/*.js'],
     rules: {
       'no-console': 'off',
       'n/no-process-exit': 'off',
+      // Tools of the build are dependencies of the workspace alone.
+      'import-x/no-extraneous-dependencies': 'off',
       // Scripts load what the build made of each package.
       'import-x/no-dynamic-require': 'off',
     },
--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -9,6 +9,7 @@
 export * from './targetChooser';
 export type * from './targets';
 export * from './fleetShares';
+export * from './lossSuspicion';
 export * from './outlierDetector';
 export type * from './outlierTypes';
 export * from './targetSet';
--- a/packages/sequoiarill-decisions/src/stallPolicy.ts
+++ b/packages/sequoiarill-decisions/src/stallPolicy.ts
@@ -21,7 +21,17 @@
   readonly prefillHeadroom: number;
 }
 
-const BOUNDS: Readonly<Record<ResumePreference, PreferenceBounds>> = {
+/** `copied`: another target holds a copy of the run's memory, so that nothing is prefilled again. */
+export type StallPreference = ResumePreference | 'copied';
+
+const BOUNDS: Readonly<Record<StallPreference, PreferenceBounds>> = {
+  copied: {
+    minGapMs: 300,
+    maxGapMs: 420,
+    headroom: 1.3,
+    firstTokenMs: 900,
+    prefillHeadroom: 1.5,
+  },
   resumeLatency: {
     minGapMs: 300,
     maxGapMs: 900,
@@ -63,7 +73,7 @@
   /** `promptTokens` are those to prefill, with what was generated already. */
   readonly getLimits: (
     target: string,
-    preference: ResumePreference,
+    preference: StallPreference,
     promptTokens?: number,
   ) => StallLimits;
   readonly removeTarget: (target: string) => void;
@@ -116,7 +126,7 @@
     return cachedGapMs;
   }
 
-  function getLimits(target: string, preference: ResumePreference, promptTokens = 0): StallLimits {
+  function getLimits(target: string, preference: StallPreference, promptTokens = 0): StallLimits {
     const bounds = BOUNDS[preference];
     const ownMs = (ownGapByTarget.get(target) ?? 0) * OWN_GAP_HEADROOM;
     const wantedMs = Math.max(computeTypicalGap() * bounds.headroom, ownMs);
--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -4,6 +4,7 @@
 export * from './events';
 export * from './journal';
 export * from './kernel';
+export * from './listeners';
 export * from './metrics';
 export * from './registry';
 export * from './settings';
--- a/packages/sequoiarill-plugin-callers/src/front.ts
+++ b/packages/sequoiarill-plugin-callers/src/front.ts
@@ -1,7 +1,8 @@
 /** The HTTP front: moleculer-web as a local service, over a server of our own. */
 import * as Http from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 
+import * as Kernel from '@sequoiarill/kernel';
 import type { ServiceSchema } from 'moleculer';
 import ApiGateway from 'moleculer-web';
 
@@ -26,19 +27,6 @@
   readonly getConnectionCount: () => number;
 }
 
-/** The address to listen on is in use or not of this machine. */
-export class AddressError extends Error {
-  override readonly name = 'AddressError';
-
-  constructor(
-    readonly address: string,
-    readonly code: string,
-  ) {
-    const reason = code === 'EADDRINUSE' ? 'is in use by another process' : `fails with ${code}`;
-    super(`[callers] listen: ${address} ${reason}; choose another address or port`);
-  }
-}
-
 type RequestHandler = (request: RoutedRequest, response: Http.ServerResponse) => void;
 
 /** The parts of moleculer-web's service instance used here. */
@@ -97,17 +85,10 @@
     handleRouted = handler;
   });
 
-  function getAddress(): string {
-    const bound = server.address() as AddressInfo | null;
-    if (bound === null) return '';
-    const host = bound.family === 'IPv6' ? `[${bound.address}]` : bound.address;
-    return `${host}:${bound.port}`;
-  }
-
   return {
     service,
-    getAddress,
-    start: () => openListener(server, settings.listen),
+    getAddress: () => Kernel.getBoundAddress(server),
+    start: () => Kernel.openListener(server, settings.listen, '[callers] listen'),
     closeIdle: () => server.closeIdleConnections(),
     async stop() {
       if (!server.listening) return;
@@ -170,19 +151,6 @@
   else Replies.sendFault(response, isCallers ? MALFORMED : Faults.INTERNAL);
 }
 
-async function openListener(server: Http.Server, address: string): Promise<void> {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator).replace(/^\[(.*)\]$/, '$1');
-  const port = Number(address.slice(separator + 1));
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', (error: NodeJS.ErrnoException) =>
-      reject(new AddressError(address, error.code ?? error.message)),
-    );
-    server.listen({ host, port }, resolve);
-  });
-  server.removeAllListeners('error');
-}
-
 function handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
   if (!socket.writable || error.code === 'ECONNRESET') {
     socket.destroy();
--- a/packages/sequoiarill-plugin-callers/src/index.ts
+++ b/packages/sequoiarill-plugin-callers/src/index.ts
@@ -5,7 +5,6 @@
 
 export * from './cursors';
 export { FAULT_CODES, RESPONSE_ERROR_CODES } from './faultCodes';
-export { AddressError } from './front';
 export { METRICS } from './metrics';
 export { plugin } from './plugin';
 
--- /dev/null
+++ b/packages/sequoiarill-plugin-directory/src/index.ts
@@ -0,0 +1,10 @@
+/** Follows the store for what is forwarded where and which targets live. */
+import * as Kernel from '@sequoiarill/kernel';
+
+import * as DirectoryPlugin from './plugin';
+
+Kernel.registerPlugin(DirectoryPlugin.plugin);
+
+export * as DirectoryStates from './directoryState';
+export * as StoreFollowers from './storeFollower';
+export { plugin } from './plugin';
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -0,0 +1,83 @@
+/** Events 1900 to 1999: forwarded requests and the targets that run them. */
+import * as Kernel from '@sequoiarill/kernel';
+
+export const LISTENING = Kernel.defineEvent(
+  1900,
+  'info',
+  'forwarding.listening',
+  'Callers and readiness checks are answered at these addresses.',
+);
+export const READY = Kernel.defineEvent(
+  1901,
+  'info',
+  'forwarding.ready',
+  'A configuration is known, and readiness checks are answered with 200.',
+);
+export const DRAINING = Kernel.defineEvent(
+  1902,
+  'info',
+  'forwarding.draining',
+  'Readiness checks fail from now on; requests in progress end, and idle connections are closed.',
+);
+export const DRAINED = Kernel.defineEvent(
+  1903,
+  'info',
+  'forwarding.drained',
+  'No request is in progress any more, or the time for it is up.',
+);
+export const REQUEST_REFUSED = Kernel.defineEvent(
+  1910,
+  'warn',
+  'request.refused',
+  'A request was not run; its caller was told when to come back, or why it is not allowed.',
+);
+export const REQUEST_FAILED = Kernel.defineEvent(
+  1911,
+  'warn',
+  'request.failed',
+  'A request that may have run has no whole answer; its caller was told so.',
+);
+export const REQUEST_REPEATED = Kernel.defineEvent(
+  1912,
+  'info',
+  'request.repeated',
+  'A target gave no whole answer or did not run the request; another target is asked.',
+);
+export const STREAM_CONTINUED = Kernel.defineEvent(
+  1913,
+  'info',
+  'stream.continued',
+  'A target was lost in the middle of a stream; another one goes on after the last whole event.',
+);
+export const STREAM_BROKEN = Kernel.defineEvent(
+  1914,
+  'error',
+  'stream.broken',
+  'A stream ended before its last event; its caller sees a broken connection.',
+);
+export const TARGET_LOST = Kernel.defineEvent(
+  1915,
+  'warn',
+  'target.lost',
+  'A target refused a connection, broke one off, or fell silent; it is left out for a while.',
+);
+export const LINES_LEFT_OUT = Kernel.defineEvent(
+  1916,
+  'info',
+  'log.linesLeftOut',
+  'More events of a kind came than are logged a second; this many were left out.',
+);
+
+export const EVENTS = [
+  LISTENING,
+  READY,
+  DRAINING,
+  DRAINED,
+  REQUEST_REFUSED,
+  REQUEST_FAILED,
+  REQUEST_REPEATED,
+  STREAM_CONTINUED,
+  STREAM_BROKEN,
+  TARGET_LOST,
+  LINES_LEFT_OUT,
+];
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/headers.ts
@@ -0,0 +1,65 @@
+/** Which headers pass from one side to the other. */
+import type { HeaderNames } from '@sequoiarill/types';
+
+/** Name and value as they came, in their order. */
+export type RawHeader = readonly [name: string, value: string];
+
+/** Concern one connection only. `expect` is answered by this process, which reads the whole body. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+  'content-length',
+]);
+
+export function listRawHeaders(rawHeaders: readonly string[]): readonly RawHeader[] {
+  const headers: RawHeader[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    headers.push([rawHeaders[index] as string, rawHeaders[index + 1] as string]);
+  }
+  return headers;
+}
+
+/**
+ * What a caller sent, less what concerns its connection or is not the caller's to say. A caller may
+ * name further headers as its connection's own, but not those that tell what is to be run: a request
+ * would run without them as something else.
+ */
+export function selectForwarded(
+  headers: readonly RawHeader[],
+  names: HeaderNames,
+  reserved: ReadonlySet<string>,
+): readonly RawHeader[] {
+  const kept = new Set([names.requestId, names.lastEventId, names.promptSize, 'host']);
+  const named = headers
+    .filter(([name]) => name.toLowerCase() === 'connection')
+    .flatMap(([, value]) => value.split(','))
+    .map((name) => name.trim().toLowerCase())
+    .filter((name) => !kept.has(name) && CONNECTION_HEADERS.has(name));
+  const left = new Set([...CONNECTION_HEADERS, ...reserved, ...named]);
+  return headers.filter(([name]) => !left.has(name.toLowerCase()));
+}
+
+/** Headers of a target's answer that go on to the caller. */
+export function selectAnswered(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Readonly<Record<string, string | string[]>> {
+  const entries = Object.entries(headers).filter(
+    (entry): entry is [string, string | string[]] =>
+      entry[1] !== undefined && !CONNECTION_HEADERS.has(entry[0]),
+  );
+  return Object.fromEntries(entries);
+}
+
+/** The single value of a header; undefined when it is missing or stands there twice. */
+export function findSingle(headers: readonly RawHeader[], name: string): string | undefined {
+  const values = headers.filter(([header]) => header.toLowerCase() === name);
+  return values.length === 1 ? values[0]?.[1] : undefined;
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -0,0 +1,30 @@
+/** What the tasks that forward requests share. */
+import type { RetryBudget, StallPolicy, TargetChooser } from '@sequoiarill/decisions';
+import type { Clock, Directory, ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
+
+import type { BoundedLog } from './boundedLog';
+import type { ForwardRequest } from './forwardRequest';
+import type { RawHeader } from './headers';
+import type { TargetBook } from './targetBook';
+import type { TargetCall } from './targetCall';
+
+export interface ForwardingParts {
+  readonly zone: string;
+  readonly clock: Pick<Clock, 'getNowMs' | 'waitMs'>;
+  readonly nextRandom: () => number;
+  readonly wire: ForwardingWire;
+  readonly directory: Directory;
+  readonly book: TargetBook;
+  readonly chooser: TargetChooser;
+  readonly log: BoundedLog;
+  readonly getBudget: (service: string) => RetryBudget;
+  readonly getStallPolicy: (service: string) => StallPolicy;
+  /** Sends a request to a target; a call that was opened must be read to its end or cancelled. */
+  readonly openCall: (
+    request: ForwardRequest,
+    target: ForwardingTarget,
+    extraHeaders: readonly RawHeader[],
+  ) => TargetCall;
+  /** Connections to the target are suspect and are made anew. */
+  readonly renewConnections: (target: ForwardingTarget) => void;
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -0,0 +1,159 @@
+/** Plug-in `forwarding`: callers' requests to targets and back. */
+import * as Decisions from '@sequoiarill/decisions';
+import type { RetryBudget, StallPolicy } from '@sequoiarill/decisions';
+import type { ForwardingTarget, Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
+
+import * as BoundedLogs from './boundedLog';
+import * as Drains from './drain';
+import * as Events from './events';
+import * as Exchanges from './exchange';
+import type { ExchangeParts } from './exchange';
+import type { ForwardRequest } from './forwardRequest';
+import * as Fronts from './front';
+import type { RawHeader } from './headers';
+import * as RouteTables from './routeTable';
+import type { RouteTable } from './routeTable';
+import { settingsSchema } from './settings';
+import type { ForwardingSettings } from './settings';
+import * as TargetBooks from './targetBook';
+import * as TargetCalls from './targetCall';
+import * as TargetPools from './targetPools';
+
+/** Gives one object for each name, made when it is first asked for. */
+function createRegister<Value>(createValue: () => Value): (name: string) => Value {
+  const values = new Map<string, Value>();
+  return (name) => {
+    const known = values.get(name);
+    if (known !== undefined) return known;
+    const created = createValue();
+    values.set(name, created);
+    return created;
+  };
+}
+
+/**
+ * All routers together may repeat a share of the requests and a fixed number in a window. No router
+ * knows how many there are, so each takes the share of its own requests, less a margin for windows
+ * that do not match, and a part of the fixed number that a dozen routers do not overdraw.
+ */
+const RATIO_MARGIN = 0.75;
+const EXPECTED_ROUTERS = 14;
+/** Repeats a second that a router without requests earns. */
+const REPEATS_PER_SECOND = 0.1;
+
+function createBudget(settings: ForwardingSettings): RetryBudget {
+  return Decisions.createRetryBudget({
+    ratio: settings.repeatRatio * RATIO_MARGIN,
+    minPerSecond: REPEATS_PER_SECOND,
+    burst: settings.repeatSlack / EXPECTED_ROUTERS,
+  });
+}
+
+function createInstance(context: PluginContext, settings: ForwardingSettings): PluginInstance {
+  const { clock, logEvent, nextRandom } = context;
+  const wire = context.getCapability('wire');
+  const directory = context.getCapability('directory');
+  const log = BoundedLogs.createBoundedLog(logEvent, clock.getNowMs);
+  const book = TargetBooks.createTargetBook(clock.getNowMs);
+  const pools = TargetPools.createTargetPools();
+  let table: RouteTable | undefined;
+  let version: number | undefined;
+
+  function openCall(
+    request: ForwardRequest,
+    target: ForwardingTarget,
+    extraHeaders: readonly RawHeader[],
+  ): TargetCalls.TargetCall {
+    const leftMs = Math.max(1, Math.floor(request.expiresAtMs - clock.getNowMs()));
+    const names = wire.headers;
+    const replaced = new Set(extraHeaders.map(([name]) => name));
+    const organisation: readonly RawHeader[] =
+      request.organisation === undefined ? [] : [[names.organisation, request.organisation]];
+    return TargetCalls.openCall({
+      pool: pools.getPool(target),
+      target,
+      method: request.method,
+      path: request.path,
+      body: request.body,
+      headers: [
+        ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
+        [names.remainingMs, String(leftMs)],
+        [names.expectedTarget, target.id],
+        ...organisation,
+        ...extraHeaders,
+      ],
+    });
+  }
+
+  const front = Fronts.createFront({
+    settings,
+    handleRequest: (request, response) => Exchanges.handleExchange(parts, request, response),
+    isReady: () => table !== undefined && !drain.isDraining(),
+  });
+  const drain = Drains.createDrain({ front, clock, graceMs: settings.graceMs });
+  const parts: ExchangeParts = {
+    zone: context.process.zone,
+    clock,
+    nextRandom,
+    wire,
+    directory,
+    book,
+    chooser: Decisions.createTargetChooser({ nextRandom }),
+    log,
+    getBudget: createRegister(() => createBudget(settings)),
+    getStallPolicy: createRegister<StallPolicy>(Decisions.createStallPolicy),
+    openCall,
+    renewConnections: pools.renewPool,
+    getRouteTable: () => table,
+    isDraining: drain.isDraining,
+  };
+
+  function applyDirectory(): void {
+    const configuration = directory.getConfiguration();
+    if (configuration === undefined) return;
+    if (table === undefined) logEvent(Events.READY, { version: configuration.version });
+    if (version !== configuration.version) {
+      version = configuration.version;
+      table = RouteTables.createRouteTable(configuration);
+      front.applyLimits(configuration.limits);
+    }
+    pools.removeMissing(directory.isCurrent);
+    book.removeMissing(directory.isCurrent);
+  }
+
+  return {
+    services: [front.service],
+    async start() {
+      directory.subscribe(applyDirectory);
+      applyDirectory();
+      await front.start();
+      const { listen, readinessListen } = settings;
+      logEvent(Events.LISTENING, { listen, readinessListen });
+    },
+    async drain() {
+      logEvent(Events.DRAINING, { requests: front.countRequests(), graceMs: settings.graceMs });
+      const waitedMs = await drain.drain();
+      logEvent(Events.DRAINED, { requests: front.countRequests(), waitedMs });
+    },
+    async stop() {
+      await front.stop();
+      await pools.close();
+      log.close();
+    },
+    dumpState: () => ({
+      version,
+      requests: front.countRequests(),
+      connections: front.countConnections(),
+      isDraining: drain.isDraining(),
+    }),
+  };
+}
+
+export const plugin: Plugin<ForwardingSettings> = {
+  name: 'forwarding',
+  settingsSchema,
+  provides: [],
+  needs: ['wire', 'directory'],
+  events: Events.EVENTS,
+  createInstance,
+};
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/sending.ts
@@ -0,0 +1,98 @@
+/** One send of a request whose answer is taken as a whole. */
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import * as Checks from './answerChecks';
+import type { AnswerHead, ForwardRequest, SendOutcome } from './forwardRequest';
+import type { ForwardingParts } from './parts';
+import type { CallEvent, TargetCall } from './targetCall';
+
+/** Longer answers than this are not kept; those of plain services are some kilobytes. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
+/** Undefined: the event means nothing final yet. */
+export function decideFailure(call: TargetCall, event: CallEvent): SendOutcome | undefined {
+  if (event.kind === 'cancelled') return { kind: 'callerLeft' };
+  if (event.kind !== 'broken') return undefined;
+  const { reason } = event;
+  return call.wasSent() ? { kind: 'lost', reason, isSilence: false } : { kind: 'notSent', reason };
+}
+
+/** A head that is no answer of the target to this request, as an outcome; the call is given up. */
+export function decideHead(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  call: TargetCall,
+  head: AnswerHead,
+): SendOutcome | undefined {
+  const verdict = Checks.checkHead(head, request.id, parts.wire.headers);
+  if (verdict.kind === 'own') return undefined;
+  if (verdict.kind === 'notRun') return verdict;
+  call.cancel();
+  return { kind: 'lost', reason: verdict.reason, isSilence: false };
+}
+
+/** Reads on after the head until the answer is whole. */
+export async function readWhole(
+  call: TargetCall,
+  head: AnswerHead,
+  readNext: () => Promise<CallEvent>,
+): Promise<SendOutcome> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for (;;) {
+    const event = await readNext();
+    if (event.kind === 'data') {
+      chunks.push(event.chunk);
+      bytes += event.chunk.length;
+      if (bytes > MAX_ANSWER_BYTES) {
+        call.cancel();
+        return { kind: 'lost', reason: 'over-long answer', isSilence: false };
+      }
+    } else if (event.kind === 'end') {
+      return { kind: 'whole', head, body: Buffer.concat(chunks, bytes) };
+    } else if (event.kind === 'timeout') {
+      call.cancel();
+      return { kind: 'lost', reason: 'silent in the middle of an answer', isSilence: true };
+    } else {
+      const failure = decideFailure(call, event);
+      if (failure !== undefined) return failure;
+    }
+  }
+}
+
+/** Sends and reads until the limit; a silent call is cancelled. */
+export async function sendOnce(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  target: ForwardingTarget,
+  limitMs: number,
+): Promise<SendOutcome> {
+  const call = parts.openCall(request, target, []);
+  // The work of a request that may not be repeated is finished, also when its caller has left.
+  const mayCancel = request.route.repeat !== 'once';
+  if (mayCancel) request.closed.addEventListener('abort', call.cancel, { once: true });
+  const untilMs = parts.clock.getNowMs() + limitMs;
+  const readNext = () => call.readEvent(untilMs - parts.clock.getNowMs());
+  parts.book.recordStart(target);
+  try {
+    const first = await readNext();
+    if (first.kind === 'timeout') {
+      call.cancel();
+      return call.wasSent()
+        ? { kind: 'lost', reason: 'silent', isSilence: true }
+        : { kind: 'notSent', reason: 'no connection in time' };
+    }
+    if (first.kind === 'head') {
+      return (
+        decideHead(parts, request, call, first.head) ??
+        (await readWhole(call, first.head, readNext))
+      );
+    }
+    return (
+      decideFailure(call, first) ?? { kind: 'lost', reason: 'no status line', isSilence: false }
+    );
+  } finally {
+    parts.book.recordEnd(target);
+    if (mayCancel) request.closed.removeEventListener('abort', call.cancel);
+  }
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
@@ -0,0 +1,269 @@
+/**
+ * The whole life of a streamed answer, straight down: choose a target, pass on its events, and after a
+ * loss choose again and go on after the last whole event that was passed on.
+ */
+import type { RetryBudget } from '@sequoiarill/decisions';
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import type { EventBlock } from './eventBlocks';
+import * as Events from './events';
+import type { AnswerHead, ForwardOutcome, ForwardRequest, SendOutcome } from './forwardRequest';
+import type { RawHeader } from './headers';
+import type { ForwardingParts } from './parts';
+import * as Placement from './placement';
+import * as StreamAttempts from './streamAttempt';
+import type { AttemptOutcome } from './streamAttempt';
+
+export type StreamPiece =
+  | { readonly kind: 'head'; readonly head: AnswerHead }
+  | { readonly kind: 'events'; readonly bytes: Buffer };
+
+export type StreamOutcome =
+  | { readonly kind: 'complete'; readonly head: AnswerHead; readonly wasStarted: boolean }
+  /** Events were passed on, and no target can go on. */
+  | { readonly kind: 'broken'; readonly reason: string }
+  | ForwardOutcome;
+
+/** Sends besides those that the route allows, for targets that did not take the request. */
+const MAX_TRIES = 12;
+const RETRY_AFTER_SECONDS = 0.5;
+/** Pause before the next try when a target did not take the request, milliseconds. */
+const BUSY_PAUSE_MS = 40;
+
+/** What is known of the answer so far. */
+interface Progress {
+  /** Of the last event that was passed on, or that the caller named. */
+  lastEventId: string | undefined;
+  hasEvents: boolean;
+  /** Targets that began to run it. */
+  runs: number;
+  tries: number;
+  readonly excluded: Set<string>;
+  /** Who keeps a copy of the memory of the last run. */
+  copy: ForwardingTarget | undefined;
+  lastReason: string;
+}
+
+interface Plan {
+  readonly kind: 'plan';
+  readonly target: ForwardingTarget;
+  readonly backup: ForwardingTarget | undefined;
+  readonly usesCopy: boolean;
+}
+
+export async function* runStreamAnswer(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+): AsyncGenerator<StreamPiece, StreamOutcome, void> {
+  const { clock } = parts;
+  const budget = parts.getBudget(request.service);
+  const progress = createProgress(request);
+  budget.recordRequest(clock.getNowMs());
+  for (;;) {
+    const plan = decidePlan(parts, request, progress, budget);
+    if (plan.kind !== 'plan') return plan;
+    progress.tries += 1;
+    const outcome = yield* relayAttempt(parts, request, plan, progress);
+    const end = decideAfter(parts, request, plan, progress, outcome);
+    if (end !== undefined) return end;
+    if (outcome.kind === 'notRun' && !plan.usesCopy) await clock.waitMs(BUSY_PAUSE_MS);
+  }
+}
+
+/** The next send, or the end where none is possible. */
+function decidePlan(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  progress: Progress,
+  budget: RetryBudget,
+): Plan | StreamOutcome {
+  const nowMs = parts.clock.getNowMs();
+  if (request.closed.aborted) return { kind: 'callerLeft' };
+  if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
+  const plan = createPlan(parts, request, progress);
+  if (plan === undefined) return decideEnd(progress, progress.lastReason, false);
+  if (progress.tries > 0 && !budget.takeRetry(nowMs)) {
+    return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
+  }
+  return plan;
+}
+
+/** Undefined: the stream goes on with another send. */
+function decideAfter(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  plan: Plan,
+  progress: Progress,
+  outcome: AttemptOutcome,
+): StreamOutcome | undefined {
+  if (outcome.kind === 'complete') return { ...outcome, wasStarted: progress.hasEvents };
+  if (outcome.kind === 'callerLeft') return outcome;
+  if (outcome.kind === 'expired') return decideEnd(progress, 'time is up', true);
+  if (outcome.kind === 'whole' && !progress.hasEvents) {
+    return { kind: 'answer', head: outcome.head, body: outcome.body };
+  }
+  updateProgress(parts, plan, progress, outcome);
+  logContinued(parts, request, plan, progress);
+  return isOpenEnded(request, progress)
+    ? undefined
+    : decideEnd(progress, progress.lastReason, false);
+}
+
+function createProgress(request: ForwardRequest): Progress {
+  return {
+    lastEventId: request.lastEventId,
+    hasEvents: false,
+    runs: 0,
+    tries: 0,
+    excluded: new Set(),
+    copy: undefined,
+    lastReason: 'no target is known',
+  };
+}
+
+/** A copy saves the whole prefill; without one the next target is chosen like the first. */
+function createPlan(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  progress: Progress,
+): Plan | undefined {
+  const purpose = progress.tries === 0 ? 'first' : 'continuation';
+  const question = { request, excluded: progress.excluded, purpose } as const;
+  const { copy } = progress;
+  const usesCopy = copy !== undefined && parts.directory.isCurrent(copy);
+  const target = usesCopy ? copy : Placement.chooseTarget(parts, question);
+  if (target === undefined) return undefined;
+  const backup = Placement.chooseBackup(parts, question, target);
+  return { kind: 'plan', target, backup, usesCopy };
+}
+
+function createExtraHeaders(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  plan: Plan,
+  progress: Progress,
+): readonly RawHeader[] {
+  const names = parts.wire.headers;
+  const headers: RawHeader[] = [];
+  if (plan.backup !== undefined) headers.push([names.backupTarget, plan.backup.address]);
+  if (plan.usesCopy) headers.push([names.continueFrom, `${plan.target.address}/${request.id}`]);
+  if (progress.lastEventId !== undefined) headers.push([names.lastEventId, progress.lastEventId]);
+  return headers;
+}
+
+async function* relayAttempt(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  plan: Plan,
+  progress: Progress,
+): AsyncGenerator<StreamPiece, AttemptOutcome, void> {
+  const attempt = StreamAttempts.runStreamAttempt(parts, {
+    request,
+    target: plan.target,
+    extraHeaders: createExtraHeaders(parts, request, plan, progress),
+    hasCopy: plan.backup !== undefined,
+    prefillTokens: plan.usesCopy ? 0 : request.promptTokens,
+  });
+  try {
+    for (;;) {
+      const step = await attempt.next();
+      if (step.done === true) return step.value;
+      const { head, blocks } = step.value;
+      const fresh = selectFresh(blocks, progress.lastEventId);
+      if (fresh === 'gap') return { kind: 'lost', reason: 'events are missing', isSilence: false };
+      const last = fresh.at(-1);
+      if (last !== undefined) {
+        if (!progress.hasEvents) yield { kind: 'head', head };
+        progress.hasEvents = true;
+        progress.lastEventId = last.id ?? progress.lastEventId;
+        yield { kind: 'events', bytes: mergeBlocks(fresh) };
+      }
+    }
+  } finally {
+    await attempt.return({ kind: 'callerLeft' });
+  }
+}
+
+/**
+ * Failure: a target goes on too early or too late, and an event comes twice or is missing. Ids rise by
+ * one, so events that were passed on are left out, and a hole is a loss.
+ */
+export function selectFresh(
+  blocks: readonly EventBlock[],
+  lastEventId: string | undefined,
+): readonly EventBlock[] | 'gap' {
+  let last = lastEventId === undefined ? undefined : Number(lastEventId);
+  const fresh: EventBlock[] = [];
+  for (const block of blocks) {
+    const id = block.id === undefined ? undefined : Number(block.id);
+    const isKnown = id !== undefined && last !== undefined && id <= last;
+    if (!isKnown) {
+      if (id !== undefined && last !== undefined && id > last + 1) return 'gap';
+      fresh.push(block);
+      last = id ?? last;
+    }
+  }
+  return fresh;
+}
+
+function mergeBlocks(blocks: readonly EventBlock[]): Buffer {
+  const [first] = blocks;
+  if (first !== undefined && blocks.length === 1) return first.bytes;
+  return Buffer.concat(blocks.map(({ bytes }) => bytes));
+}
+
+function updateProgress(
+  parts: ForwardingParts,
+  plan: Plan,
+  progress: Progress,
+  outcome: Exclude<AttemptOutcome, { kind: 'complete' | 'callerLeft' | 'expired' }>,
+): void {
+  const { target, backup, usesCopy } = plan;
+  progress.lastReason = formatReason(outcome);
+  progress.excluded.add(target.id);
+  const hasRun = outcome.kind === 'lost' || outcome.kind === 'whole';
+  // A copy can be used once; the run that was lost kept one of its own, if it ran at all.
+  if (hasRun) progress.copy = backup;
+  else if (usesCopy) progress.copy = undefined;
+  if (hasRun) progress.runs += 1;
+  if (outcome.kind === 'notRun' || outcome.kind === 'whole') parts.book.recordFailure(target);
+  else parts.book.recordLoss(target);
+  if (outcome.kind === 'lost' && outcome.isSilence) parts.renewConnections(target);
+}
+
+function logContinued(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  { target, usesCopy }: Plan,
+  progress: Progress,
+): void {
+  parts.log.logEvent(Events.STREAM_CONTINUED, {
+    request: request.id,
+    target: target.id,
+    zone: target.zone,
+    reason: progress.lastReason,
+    lastEventId: progress.lastEventId,
+    hadCopy: usesCopy,
+    copyAt: progress.copy?.id,
+    afterMs: Math.round(parts.clock.getNowMs() - request.arrivedAtMs),
+  });
+}
+
+function formatReason(outcome: Exclude<SendOutcome, { kind: 'callerLeft' | 'expired' }>): string {
+  if (outcome.kind === 'notRun') return `not run, status ${outcome.status}`;
+  if (outcome.kind === 'whole') return `status ${outcome.head.status}`;
+  return outcome.reason;
+}
+
+/** Whether the request may be sent once more. */
+function isOpenEnded(request: ForwardRequest, progress: Progress): boolean {
+  const { repeat, maxTargets } = request.route;
+  if (repeat === 'once') return progress.runs === 0 && progress.tries < MAX_TRIES;
+  return progress.runs < maxTargets && progress.tries < MAX_TRIES;
+}
+
+function decideEnd(progress: Progress, reason: string, isLate: boolean): StreamOutcome {
+  if (progress.hasEvents) return { kind: 'broken', reason };
+  if (progress.runs > 0) return { kind: 'failed', reason, isLate };
+  return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
@@ -0,0 +1,140 @@
+/** What this router knows of the targets: own work there, failures, and who was lost lately. */
+import * as Decisions from '@sequoiarill/decisions';
+import type { OutlierDetector, TargetView } from '@sequoiarill/decisions';
+import type { EngineReport, ForwardingTarget } from '@sequoiarill/types';
+
+export interface TargetBook {
+  readonly getDetector: (service: string) => OutlierDetector;
+  readonly recordStart: (target: ForwardingTarget) => void;
+  readonly recordEnd: (target: ForwardingTarget) => void;
+  /** An event of a stream, or a report: it lives. */
+  readonly recordSign: (target: ForwardingTarget) => void;
+  readonly recordSuccess: (target: ForwardingTarget) => void;
+  /** A failure that says nothing of the targets beside it, such as a full queue. */
+  readonly recordFailure: (target: ForwardingTarget) => void;
+  /** A connection refused or broken, a silence, a damaged answer. */
+  readonly recordLoss: (target: ForwardingTarget) => void;
+  readonly recordReport: (target: ForwardingTarget, report: EngineReport) => void;
+  readonly buildView: (target: ForwardingTarget) => TargetView;
+  readonly isSuspect: (target: ForwardingTarget) => boolean;
+  readonly getInFlight: (target: ForwardingTarget) => number;
+  readonly removeMissing: (isCurrent: (target: ForwardingTarget) => boolean) => void;
+}
+
+interface Entry {
+  readonly target: ForwardingTarget;
+  inFlight: number;
+  report: EngineReport | undefined;
+  reportedAtMs: number;
+  sentSinceReport: number;
+  endedSinceReport: number;
+}
+
+export function createTargetBook(getNowMs: () => number): TargetBook {
+  const entries = new Map<string, Entry>();
+  const detectors = new Map<string, OutlierDetector>();
+  const suspicion = Decisions.createLossSuspicion();
+
+  function getDetector(service: string): OutlierDetector {
+    const known = detectors.get(service);
+    if (known !== undefined) return known;
+    const created = Decisions.createOutlierDetector();
+    detectors.set(service, created);
+    return created;
+  }
+
+  function getEntry(target: ForwardingTarget): Entry {
+    const known = entries.get(target.id);
+    if (known !== undefined && known.target.startedAtUnixMs === target.startedAtUnixMs) {
+      return known;
+    }
+    const created: Entry = {
+      target,
+      inFlight: 0,
+      report: undefined,
+      reportedAtMs: 0,
+      sentSinceReport: 0,
+      endedSinceReport: 0,
+    };
+    entries.set(target.id, created);
+    return created;
+  }
+
+  function isSuspect(target: ForwardingTarget): boolean {
+    return suspicion.isSuspect(target, getNowMs());
+  }
+
+  function decideState(target: ForwardingTarget): TargetView['state'] {
+    if (target.state === 'draining' || getEntry(target).report?.isLeaving === true) {
+      return 'leaving';
+    }
+    if (isSuspect(target)) return 'dead';
+    return getDetector(target.service).getState(target.id, getNowMs());
+  }
+
+  return {
+    getDetector,
+    recordStart(target) {
+      const entry = getEntry(target);
+      entry.inFlight += 1;
+      entry.sentSinceReport += 1;
+    },
+    recordEnd(target) {
+      const entry = getEntry(target);
+      entry.inFlight = Math.max(0, entry.inFlight - 1);
+      entry.endedSinceReport += 1;
+    },
+    recordSuccess(target) {
+      getDetector(target.service).recordSuccess(target.id, getNowMs());
+      suspicion.recordSign(target, getNowMs());
+    },
+    recordSign(target) {
+      suspicion.recordSign(target, getNowMs());
+    },
+    recordFailure(target) {
+      getDetector(target.service).recordFailure(target.id, getNowMs());
+    },
+    recordLoss(target) {
+      getDetector(target.service).recordFailure(target.id, getNowMs());
+      suspicion.recordLoss(target, getNowMs());
+    },
+    recordReport(target, report) {
+      const entry = getEntry(target);
+      entry.report = report;
+      entry.reportedAtMs = getNowMs();
+      entry.sentSinceReport = 0;
+      entry.endedSinceReport = 0;
+    },
+    buildView(target) {
+      const entry = getEntry(target);
+      const { report, sentSinceReport, endedSinceReport } = entry;
+      return {
+        name: target.id,
+        zone: target.zone,
+        slots: target.slots,
+        inFlight: entry.inFlight,
+        sentSinceReport,
+        endedSinceReport,
+        state: decideState(target),
+        warmShare: getDetector(target.service).getWarmShare(target.id, getNowMs()),
+        ...(report === undefined
+          ? {}
+          : {
+              reportedRunning: report.running,
+              reportedWaiting: report.queued,
+              reportAgeMs: getNowMs() - entry.reportedAtMs,
+            }),
+      };
+    },
+    isSuspect,
+    getInFlight: (target) => getEntry(target).inFlight,
+    removeMissing(isCurrent) {
+      for (const [id, { target, inFlight }] of entries) {
+        if (!isCurrent(target) && inFlight === 0) {
+          entries.delete(id);
+          getDetector(target.service).removeTarget(id);
+        }
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
@@ -0,0 +1,150 @@
+/** Gets the whole answer to a request that is no stream, from one target or, where allowed, more. */
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import * as Events from './events';
+import type { ForwardOutcome, ForwardRequest, SendOutcome } from './forwardRequest';
+import type { ForwardingParts } from './parts';
+import * as Placement from './placement';
+import * as Sending from './sending';
+
+/** A repeat is sent after so many times the objective, so that it can still help. */
+const REPEAT_OBJECTIVES = 2.5;
+/** At most this share of the time left is spent on one of several sends. */
+const REPEAT_SHARE = 0.45;
+/** A target that failed this way is tried again in this time, seconds. */
+const RETRY_AFTER_SECONDS = 0.3;
+/** Server errors of a request that may be repeated are worth another target. */
+const SERVER_ERROR = 500;
+
+/** Connections that are refused are cheap, and still not to be tried at every target of a zone. */
+const MAX_TRIES = 8;
+
+interface Progress {
+  readonly excluded: Set<string>;
+  /** Sends of which bytes left, each to another target. */
+  sends: number;
+  mayHaveRun: boolean;
+  lastReason: string;
+  /** A target's own failure, kept in case no other target does better. */
+  lastFailure?: Extract<SendOutcome, { kind: 'whole' }>;
+}
+
+/** Milliseconds for one send: all that is left, unless another target can be asked afterwards. */
+function computeLimit(request: ForwardRequest, progress: Progress, nowMs: number): number {
+  const leftMs = request.expiresAtMs - nowMs;
+  const { repeat, maxTargets, objectiveMs } = request.route;
+  const isLast = repeat === 'once' || progress.sends + 1 >= maxTargets;
+  return isLast ? leftMs : Math.min(objectiveMs * REPEAT_OBJECTIVES, leftMs * REPEAT_SHARE);
+}
+
+function refuse(reason: string): ForwardOutcome {
+  return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS };
+}
+
+/** After the last send: what the caller is told. */
+function decideEnd(request: ForwardRequest, progress: Progress, isLate: boolean): ForwardOutcome {
+  const { lastFailure, lastReason, mayHaveRun } = progress;
+  if (lastFailure !== undefined) {
+    return { kind: 'answer', head: lastFailure.head, body: lastFailure.body };
+  }
+  const isPromiseTrue = request.route.repeat !== 'once' || !mayHaveRun;
+  if (isPromiseTrue && !isLate) return refuse(lastReason);
+  if (!mayHaveRun) return refuse(lastReason);
+  return { kind: 'failed', reason: lastReason, isLate };
+}
+
+export async function runWholeAnswer(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+): Promise<ForwardOutcome> {
+  const { clock, log } = parts;
+  const budget = parts.getBudget(request.service);
+  const progress: Progress = {
+    excluded: new Set(),
+    sends: 0,
+    mayHaveRun: false,
+    lastReason: 'no target is known',
+  };
+  budget.recordRequest(clock.getNowMs());
+  for (;;) {
+    const nowMs = clock.getNowMs();
+    if (nowMs >= request.expiresAtMs) return decideEnd(request, progress, true);
+    if (progress.sends >= request.route.maxTargets) return decideEnd(request, progress, false);
+    const target = Placement.chooseTarget(parts, {
+      request,
+      excluded: progress.excluded,
+      purpose: 'first',
+    });
+    if (target === undefined) return decideEnd(request, progress, false);
+    if (progress.sends > 0 && !budget.takeRetry(nowMs)) return decideEnd(request, progress, false);
+    const limitMs = computeLimit(request, progress, nowMs);
+    const outcome = await Sending.sendOnce(parts, request, target, limitMs);
+    if (outcome.kind === 'callerLeft') return outcome;
+    recordOutcome(parts, target, outcome);
+    const end = decideNext(request, progress, outcome);
+    if (end !== undefined) return end;
+    progress.excluded.add(target.id);
+    if (progress.excluded.size > MAX_TRIES) return decideEnd(request, progress, false);
+    log.logEvent(Events.REQUEST_REPEATED, {
+      request: request.id,
+      target: target.id,
+      reason: progress.lastReason,
+      sends: progress.sends,
+      afterMs: Math.round(clock.getNowMs() - request.arrivedAtMs),
+    });
+  }
+}
+
+/** Undefined: another target may be asked. */
+function decideNext(
+  request: ForwardRequest,
+  progress: Progress,
+  outcome: Exclude<SendOutcome, { kind: 'callerLeft' }>,
+): ForwardOutcome | undefined {
+  const isOnce = request.route.repeat === 'once';
+  if (outcome.kind === 'notSent') {
+    progress.lastReason = outcome.reason;
+    return undefined;
+  }
+  progress.sends += 1;
+  if (outcome.kind === 'notRun') {
+    progress.lastReason = `not run, status ${outcome.status}`;
+    return undefined;
+  }
+  progress.mayHaveRun = true;
+  if (outcome.kind === 'whole') {
+    if (isOnce || outcome.head.status < SERVER_ERROR) {
+      return { kind: 'answer', head: outcome.head, body: outcome.body };
+    }
+    progress.lastFailure = outcome;
+    progress.lastReason = `status ${outcome.head.status}`;
+    return undefined;
+  }
+  progress.lastReason = outcome.kind === 'lost' ? outcome.reason : 'time is up';
+  if (!isOnce) return undefined;
+  const isLate = outcome.kind === 'lost' && outcome.isSilence;
+  return { kind: 'failed', reason: progress.lastReason, isLate };
+}
+
+function recordOutcome(
+  parts: ForwardingParts,
+  target: ForwardingTarget,
+  outcome: SendOutcome,
+): void {
+  const { book, log } = parts;
+  if (outcome.kind === 'whole') {
+    if (outcome.head.status >= SERVER_ERROR) book.recordFailure(target);
+    else book.recordSuccess(target);
+    return;
+  }
+  if (outcome.kind === 'notRun') book.recordFailure(target);
+  if (outcome.kind !== 'notSent' && outcome.kind !== 'lost') return;
+  book.recordLoss(target);
+  if (outcome.kind === 'lost' && outcome.isSilence) parts.renewConnections(target);
+  log.logEvent(Events.TARGET_LOST, {
+    target: target.id,
+    zone: target.zone,
+    address: target.address,
+    reason: outcome.reason,
+  });
+}
--- a/packages/sequoiarill-types/src/index.ts
+++ b/packages/sequoiarill-types/src/index.ts
@@ -1,5 +1,6 @@
 /** Public types of sequoiarill: settings, documents, messages, outcomes. */
 export type * from './configuration';
+export type * from './forwarding';
 export type * from './generations';
 export type * from './journal';
 export type * from './keyValue';
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -3,6 +3,7 @@
 import type { ZodType } from 'zod';
 
 import type { ConfigurationExchange, ConfigurationReader } from './configuration';
+import type { Directory, ForwardingWire } from './forwarding';
 import type { GenerationRunner } from './generations';
 import type { Journal } from './journal';
 import type { KeyValueStore } from './keyValue';
@@ -17,6 +18,8 @@
   readonly generations: GenerationRunner;
   readonly orders: OrderRunner;
   readonly membership: Membership;
+  readonly wire: ForwardingWire;
+  readonly directory: Directory;
 }
 
 export type CapabilityName = keyof Capabilities;
--- a/scripts/matrix.mjs
+++ b/scripts/matrix.mjs
@@ -79,7 +79,7 @@
 
 if (options.has('--write')) {
   // A tool of the workspace, which this script is part of.
-  // eslint-disable-next-line import-x/no-extraneous-dependencies
+
   const prettier = await import('prettier');
   const config = await prettier.resolveConfig(page);
   const text = await prettier.format(formatPage(rows), { ...config, filepath: page });
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -19,7 +19,7 @@
   const packages = readdirSync(path.join(root, 'packages')).map((name) =>
     path.join('packages', name),
   );
-  return [...packages, 'bench'];
+  return [...packages, 'bench', 'platform'];
 }
 
 function listTestFiles(filters) {
