Ask engines before a run is placed, and tell a reset from an end

Changed: two engines of each zone are asked for their load before a run is placed; a silent engine is asked whether it still has the run; the keeper of the copy is in another zone; connections are ours, one a request, so that a reset is seen; repeats are charged by arrivals; a newer life at an address replaces the older one; a draining router refuses streams that it could not end.

--- /dev/null
+++ b/packages/sequoiarill-decisions/src/enginePlacement.ts
@@ -0,0 +1,89 @@
+/**
+ * Chooses the engine of a run, and the one that keeps a copy of its memory.
+ *
+ * Load pattern: prompts of thousands of tokens, each of which occupies an engine for a second, on engines
+ * that crash a zone at a time. Placed by this router's own work alone, prompts of several routers meet
+ * at one engine while its neighbours idle: first events wait for the sum of the prompts before them,
+ * and events of running streams come between their chunks. Placed on a dead engine they wait for
+ * nothing. So some engines are asked for their load just before, those that do not answer are left out,
+ * and the copy goes to another zone, which the next crash is unlikely to take as well.
+ */
+
+/** One engine that was asked, as it answered. */
+export interface EngineView {
+  readonly id: string;
+  readonly zone: string;
+  readonly running: number;
+  readonly queued: number;
+  /** Runs that have not made their first event yet. */
+  readonly prefilling: number;
+  /** What this router sent there since the engine counted. */
+  readonly sentSince: number;
+  readonly usedTokens: number;
+  readonly totalTokens: number;
+}
+
+export interface EnginePlacementQuestion {
+  readonly views: readonly EngineView[];
+  /** Zone of this router. */
+  readonly zone: string;
+  readonly promptTokens: number;
+}
+
+export interface EnginePlacement {
+  readonly target: string;
+  readonly backup?: string;
+}
+
+/** Prefill of one token, milliseconds: engines of the sizes served read 8 to 10 tokens in one. */
+const PREFILL_MS_PER_TOKEN = 0.125;
+/** Prompt of a run that another router sent, tokens; reports do not tell. */
+const USUAL_PROMPT_TOKENS = 8_000;
+/** A prompt's chunks come between the events of each stream that runs there, milliseconds. */
+const DISTURBED_STREAM_MS = 40;
+/** A way to another zone takes a millisecond or two and crosses links that can be cut. */
+const OTHER_ZONE_MS = 60;
+/** An engine without room preempts or refuses: the last resort, milliseconds. */
+const NO_ROOM_MS = 10_000;
+/** Output and other requests' growth that must still fit beside the prompt, tokens. */
+const HEADROOM_TOKENS = 2_000;
+
+/** Expected cost of a run there, milliseconds until the first event and to others. */
+export function computeEngineCost(view: EngineView, question: EnginePlacementQuestion): number {
+  const { promptTokens, zone } = question;
+  const prompts = view.prefilling + view.queued + view.sentSince;
+  const waitMs = prompts * USUAL_PROMPT_TOKENS * PREFILL_MS_PER_TOKEN;
+  const streams = Math.max(0, view.running - view.prefilling);
+  const zoneMs = view.zone === zone ? 0 : OTHER_ZONE_MS;
+  const needed = view.usedTokens + promptTokens + HEADROOM_TOKENS;
+  const roomMs = needed > view.totalTokens ? NO_ROOM_MS : 0;
+  return waitMs + streams * DISTURBED_STREAM_MS + zoneMs + roomMs;
+}
+
+/** Undefined when no engine was there to choose from. */
+export function chooseEngines(question: EnginePlacementQuestion): EnginePlacement | undefined {
+  const target = pickCheapest(question.views, question);
+  if (target === undefined) return undefined;
+  const others = question.views.filter(({ id }) => id !== target.id);
+  const elsewhere = others.filter(({ zone }) => zone !== target.zone);
+  // A copy costs no prefill; the zone of the router is no reason for it.
+  const copies = { ...question, zone: '' };
+  const backup = pickCheapest(elsewhere, copies) ?? pickCheapest(others, copies);
+  return { target: target.id, ...(backup === undefined ? {} : { backup: backup.id }) };
+}
+
+function pickCheapest(
+  views: readonly EngineView[],
+  question: EnginePlacementQuestion,
+): EngineView | undefined {
+  let best: EngineView | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const view of views) {
+    const cost = computeEngineCost(view, question);
+    if (cost < bestCost) {
+      best = view;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
--- a/packages/sequoiarill-decisions/src/lossSuspicion.ts
+++ b/packages/sequoiarill-decisions/src/lossSuspicion.ts
@@ -17,6 +17,8 @@
 
 export interface LossSuspicion {
   readonly recordLoss: (target: TargetPlace, nowMs: number) => void;
+  /** The target is known not to be there any more. */
+  readonly recordGone: (target: TargetPlace, nowMs: number) => void;
   /** The target answered: it lives, and so may its neighbours. */
   readonly recordSign: (target: TargetPlace, nowMs: number) => void;
   readonly isSuspect: (target: TargetPlace, nowMs: number) => boolean;
@@ -24,6 +26,8 @@
 
 /** Time for which a lost target is left out, milliseconds: a restart takes a second or more. */
 const TARGET_MS = 1_200;
+/** The directory drops a target that is gone within this time, milliseconds. */
+const GONE_MS = 6_000;
 /** Losses of different targets of a zone within this time belong together, milliseconds. */
 const TOGETHER_MS = 1_000;
 /** Targets lost together that speak for a fault of the zone; one or two are ordinary crashes. */
@@ -69,6 +73,11 @@
       zone.lossesMs.set(target.id, nowMs);
       if (zone.lossesMs.size >= ZONE_LOSSES) zone.suspectUntilMs = nowMs + ZONE_MS;
     },
+    recordGone(target, nowMs) {
+      removeOld(nowMs);
+      signByTarget.delete(target.id);
+      untilByTarget.set(target.id, nowMs + GONE_MS);
+    },
     recordSign(target, nowMs) {
       untilByTarget.delete(target.id);
       signByTarget.set(target.id, nowMs);
--- a/packages/sequoiarill-decisions/src/stallPolicy.ts
+++ b/packages/sequoiarill-decisions/src/stallPolicy.ts
@@ -26,11 +26,11 @@
 
 const BOUNDS: Readonly<Record<StallPreference, PreferenceBounds>> = {
   copied: {
-    minGapMs: 300,
+    minGapMs: 220,
     maxGapMs: 420,
-    headroom: 1.3,
-    firstTokenMs: 900,
-    prefillHeadroom: 1.5,
+    headroom: 1.1,
+    firstTokenMs: 700,
+    prefillHeadroom: 1.2,
   },
   resumeLatency: {
     minGapMs: 300,
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -8,6 +8,7 @@
 } from '@sequoiarill/types';
 
 import * as Events from './events';
+import * as TargetTables from './targetTable';
 
 /** One key as somebody saw it. Without a value it was removed at that revision. */
 export interface DirectoryRecord {
@@ -45,10 +46,10 @@
 export function createDirectoryState(options: DirectoryStateOptions): DirectoryState {
   const { wire, logEvent, getNowMs } = options;
   const records = new Map<string, DirectoryRecord>();
-  const targets = new Map<string, ForwardingTarget>();
+  const targets = TargetTables.createTargetTable();
   const listeners = new Set<() => void>();
   let configuration: ForwardingConfiguration | undefined;
-  let byService = new Map<string, readonly ForwardingTarget[]>();
+  let byService: ReadonlyMap<string, readonly ForwardingTarget[]> = new Map();
   let revision = 0;
   let removalsHeldUntilMs = 0;
   let heldRemovals = new Set<string>();
@@ -80,9 +81,10 @@
       return;
     }
     const decoded = wire.decodeTarget(key, value);
-    if (decoded.kind === 'target') targets.set(key, decoded.target);
-    else {
-      targets.delete(key);
+    if (decoded.kind === 'target') {
+      targets.set(key, decoded.target);
+    } else {
+      targets.remove(key);
       logEvent(Events.TARGET_REFUSED, { key, revision: changed, reason: decoded.reason });
     }
   }
@@ -93,8 +95,8 @@
    * until its targets have written their entries again.
    */
   function removeTarget(key: string): void {
-    if (getNowMs() < removalsHeldUntilMs && targets.has(key)) heldRemovals.add(key);
-    else targets.delete(key);
+    if (getNowMs() < removalsHeldUntilMs && targets.find(key) !== undefined) heldRemovals.add(key);
+    else targets.remove(key);
   }
 
   function recordOne(record: DirectoryRecord): boolean {
@@ -112,7 +114,7 @@
   }
 
   function removeOldTombstones(): void {
-    let excess = records.size - targets.size - MAX_TOMBSTONES;
+    let excess = records.size - targets.getSize() - MAX_TOMBSTONES;
     for (const [key, record] of records) {
       if (excess <= 0) return;
       if (record.value === undefined) {
@@ -123,13 +125,7 @@
   }
 
   function reportChange(): void {
-    const grouped = new Map<string, ForwardingTarget[]>();
-    for (const target of targets.values()) {
-      const group = grouped.get(target.service);
-      if (group === undefined) grouped.set(target.service, [target]);
-      else group.push(target);
-    }
-    byService = grouped;
+    byService = targets.buildGroups();
     removeOldTombstones();
     listeners.forEach((listener) => listener());
   }
@@ -145,7 +141,7 @@
       revision,
       written: changedTargets.length - removed,
       removed,
-      known: targets.size,
+      known: targets.getSize(),
     });
   }
 
@@ -153,7 +149,7 @@
     getConfiguration: () => configuration,
     listTargets: (service) => byService.get(service) ?? [],
     isCurrent(target) {
-      const known = targets.get(`${wire.targetPrefix}${target.id}`);
+      const known = targets.find(`${wire.targetPrefix}${target.id}`);
       return known !== undefined && known.startedAtUnixMs === target.startedAtUnixMs;
     },
     subscribe(listener) {
@@ -177,7 +173,7 @@
       if (heldRemovals.size === 0 || getNowMs() < removalsHeldUntilMs) return;
       const due = heldRemovals;
       heldRemovals = new Set();
-      due.forEach((key) => targets.delete(key));
+      due.forEach((key) => targets.remove(key));
       reportChange();
     },
     getRevision: () => revision,
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
@@ -0,0 +1,126 @@
+/** Finds the engine for a run, and the keeper of its copy, by asking a few of them. */
+import * as Decisions from '@sequoiarill/decisions';
+import type { EngineView } from '@sequoiarill/decisions';
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import type { ForwardRequest } from './forwardRequest';
+import type { ForwardingParts } from './parts';
+
+export interface EnginePair {
+  readonly target: ForwardingTarget;
+  readonly backup: ForwardingTarget | undefined;
+}
+
+/**
+ * Engines asked in one round, of each zone: enough to find an idle one of some tens and a keeper of the
+ * copy in another zone also while a zone is down, and cheap beside a prefill.
+ */
+const ZONE_SAMPLE = 2;
+/** Answers within a zone take a millisecond, between zones some. */
+const ANSWER_LIMIT_MS = 40;
+/** After a crash of a zone most of the first round may be dead. */
+const MAX_ROUNDS = 3;
+
+export async function chooseEngines(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  excluded: ReadonlySet<string>,
+): Promise<EnginePair | undefined> {
+  const ready = listReady(parts, request.service);
+  const asked = new Set(excluded);
+  for (let round = 0; round < MAX_ROUNDS; round += 1) {
+    const sample = sampleEngines(parts, ready, asked);
+    sample.forEach(({ id }) => asked.add(id));
+    const views = await readViews(parts, sample);
+    const pair = pickPair(parts, request, views, ready);
+    if (pair !== undefined) return pair;
+  }
+  return undefined;
+}
+
+/** For a run that goes on from its copy at once, so that nobody is asked first. */
+export function chooseBackup(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  target: ForwardingTarget,
+): ForwardingTarget | undefined {
+  if (!hasBackups(parts, request)) return undefined;
+  const others = listReady(parts, request.service).filter(
+    (other) => other.id !== target.id && !parts.book.isSuspect(other),
+  );
+  const elsewhere = others.filter((other) => other.zone !== target.zone);
+  const pool = elsewhere.length > 0 ? elsewhere : others;
+  return pool[Math.floor(parts.nextRandom() * pool.length)];
+}
+
+function listReady(parts: ForwardingParts, service: string): readonly ForwardingTarget[] {
+  return parts.directory.listTargets(service).filter((target) => target.state === 'ready');
+}
+
+function hasBackups(parts: ForwardingParts, request: ForwardRequest): boolean {
+  const service = parts.directory.getConfiguration()?.services.get(request.service);
+  return service?.engine?.hasBackups === true && request.route.repeat === 'resumable';
+}
+
+/** Some of each zone; those under suspicion only where nobody else is left. */
+function sampleEngines(
+  parts: ForwardingParts,
+  ready: readonly ForwardingTarget[],
+  asked: ReadonlySet<string>,
+): readonly ForwardingTarget[] {
+  const fresh = ready.filter(({ id }) => !asked.has(id));
+  const trusted = fresh.filter((target) => !parts.book.isSuspect(target));
+  const pool = trusted.length > 0 ? trusted : fresh;
+  const zones = new Set(pool.map(({ zone }) => zone));
+  return [...zones].flatMap((zone) =>
+    sampleSome(
+      pool.filter((target) => target.zone === zone),
+      ZONE_SAMPLE,
+      parts.nextRandom,
+    ),
+  );
+}
+
+function sampleSome(
+  pool: readonly ForwardingTarget[],
+  count: number,
+  nextRandom: () => number,
+): readonly ForwardingTarget[] {
+  const left = [...pool];
+  const drawn: ForwardingTarget[] = [];
+  while (drawn.length < count && left.length > 0) {
+    drawn.push(...left.splice(Math.floor(nextRandom() * left.length), 1));
+  }
+  return drawn;
+}
+
+async function readViews(
+  parts: ForwardingParts,
+  sample: readonly ForwardingTarget[],
+): Promise<readonly EngineView[]> {
+  const answers = await Promise.all(
+    sample.map(async (target): Promise<EngineView | undefined> => {
+      const report = await parts.readReport(target, ANSWER_LIMIT_MS);
+      if (report === undefined || report.isLeaving) return undefined;
+      const { sentSinceReport } = parts.book.buildView(target);
+      return { ...report, id: target.id, zone: target.zone, sentSince: sentSinceReport };
+    }),
+  );
+  return answers.filter((view) => view !== undefined);
+}
+
+function pickPair(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  views: readonly EngineView[],
+  ready: readonly ForwardingTarget[],
+): EnginePair | undefined {
+  const { promptTokens } = request;
+  const placement = Decisions.chooseEngines({ views, zone: parts.zone, promptTokens });
+  const target = ready.find(({ id }) => id === placement?.target);
+  if (placement === undefined || target === undefined) return undefined;
+  const backup = hasBackups(parts, request)
+    ? ready.find(({ id }) => id === placement.backup)
+    : undefined;
+  return { target, backup };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/engineProbes.ts
@@ -0,0 +1,99 @@
+/** Asks engines for their load, which also tells that they live. */
+import type { Clock, EngineReport, ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
+
+import type { TargetBook } from './targetBook';
+import * as TargetCalls from './targetCall';
+import type { TargetConnections } from './targetConnections';
+
+export interface EngineProbes {
+  /** Undefined when the engine does not answer in time. Several askers share one call. */
+  readonly readReport: (
+    target: ForwardingTarget,
+    limitMs: number,
+  ) => Promise<EngineReport | undefined>;
+}
+
+export interface EngineProbesOptions {
+  readonly wire: ForwardingWire;
+  readonly clock: Pick<Clock, 'getNowMs'>;
+  readonly book: TargetBook;
+  readonly connections: TargetConnections;
+}
+
+/** An engine that has not answered by then counts as lost, milliseconds; most answer within five. */
+const PROBE_LIMIT_MS = 250;
+/** A report this young is as good as a new one, milliseconds: engines count every hundred. */
+const FRESH_MS = 40;
+const OK = 200;
+const EMPTY = Buffer.alloc(0);
+
+interface Fresh {
+  readonly report: EngineReport;
+  readonly atMs: number;
+}
+
+export function createEngineProbes(options: EngineProbesOptions): EngineProbes {
+  const { wire, clock, book, connections } = options;
+  const inProgress = new Map<string, Promise<EngineReport | undefined>>();
+  const freshByTarget = new Map<string, Fresh>();
+
+  async function callEngine(target: ForwardingTarget): Promise<EngineReport | undefined> {
+    const call = TargetCalls.openCall({
+      connection: connections.takeConnection(target),
+      target,
+      method: 'GET',
+      path: wire.reportPath,
+      headers: [],
+      body: EMPTY,
+    });
+    const untilMs = clock.getNowMs() + PROBE_LIMIT_MS;
+    const chunks: Buffer[] = [];
+    let status = 0;
+    for (;;) {
+      const event = await call.readEvent(untilMs - clock.getNowMs());
+      if (event.kind === 'head') status = event.head.status;
+      else if (event.kind === 'data') chunks.push(event.chunk);
+      else {
+        call.cancel();
+        if (event.kind !== 'end' || status !== OK) return undefined;
+        return wire.decodeReport(Buffer.concat(chunks).toString('utf8'));
+      }
+    }
+  }
+
+  async function runProbe(target: ForwardingTarget): Promise<EngineReport | undefined> {
+    const report = await callEngine(target);
+    inProgress.delete(target.id);
+    if (report === undefined) {
+      freshByTarget.delete(target.id);
+      book.recordLoss(target);
+      return undefined;
+    }
+    book.recordReport(target, report);
+    book.recordSign(target);
+    freshByTarget.set(target.id, { report, atMs: clock.getNowMs() });
+    return report;
+  }
+
+  function startProbe(target: ForwardingTarget): Promise<EngineReport | undefined> {
+    const known = inProgress.get(target.id);
+    if (known !== undefined) return known;
+    const started = runProbe(target);
+    inProgress.set(target.id, started);
+    return started;
+  }
+
+  return {
+    async readReport(target, limitMs) {
+      const fresh = freshByTarget.get(target.id);
+      if (fresh !== undefined && clock.getNowMs() - fresh.atMs <= FRESH_MS) return fresh.report;
+      let timer: NodeJS.Timeout | undefined;
+      const late = new Promise<undefined>((resolve) => {
+        timer = setTimeout(() => resolve(undefined), limitMs);
+      });
+      const report = await Promise.race([startProbe(target), late]);
+      clearTimeout(timer);
+      return report;
+    },
+  };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/exchange.ts
@@ -17,6 +17,8 @@
   /** Undefined until a configuration is known. */
   readonly getRouteTable: () => RouteTable | undefined;
   readonly isDraining: () => boolean;
+  /** Whether a request that takes so many milliseconds ends before this process does. */
+  readonly hasTimeFor: (lastsMs: number) => boolean;
 }
 
 interface Refusal {
@@ -35,6 +37,11 @@
 /** The first configuration is there within a second or two of the start. */
 const STARTING_RETRY_SECONDS = 0.5;
 
+/** Another router takes it at once. */
+const ELSEWHERE_RETRY_SECONDS = 0.1;
+/** A usual stream, milliseconds; its caller would have to come back for the rest. */
+const STREAM_MS = 6_000;
+
 type Permission =
   | {
       readonly kind: 'allowed';
@@ -75,6 +82,12 @@
     sendRefusal(parts, response, headers, { status: BAD_REQUEST, reason });
     return;
   }
+  if (!parts.hasTimeFor(request.route.isStream ? STREAM_MS : request.expiresAtMs - arrivedAtMs)) {
+    const reason = 'this process is about to end';
+    const retryAfterSeconds = ELSEWHERE_RETRY_SECONDS;
+    sendRefusal(parts, response, headers, { status: UNAVAILABLE, reason, retryAfterSeconds });
+    return;
+  }
   if (request.route.isStream) await relayStream(parts, request, response);
   else sendOutcome(parts, request, response, await WholeAnswers.runWholeAnswer(parts, request));
 }
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -3,6 +3,7 @@
 import type { Clock, Directory, ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
 
 import type { BoundedLog } from './boundedLog';
+import type { EngineProbes } from './engineProbes';
 import type { ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './headers';
 import type { TargetBook } from './targetBook';
@@ -25,6 +26,8 @@
     target: ForwardingTarget,
     extraHeaders: readonly RawHeader[],
   ) => TargetCall;
+  /** The load of an engine; undefined when it does not answer in time. */
+  readonly readReport: EngineProbes['readReport'];
   /** Connections to the target are suspect and are made anew. */
   readonly renewConnections: (target: ForwardingTarget) => void;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/placement.ts
@@ -1,4 +1,4 @@
-/** Asks the decisions for the target of one send, and for the keeper of its copy. */
+/** Asks the decisions for the target of one send. */
 import type { ForwardingTarget } from '@sequoiarill/types';
 
 import type { ForwardRequest } from './forwardRequest';
@@ -21,33 +21,11 @@
   return pickTarget(parts, fresh, question) ?? pickTarget(parts, ready, question);
 }
 
-/** Another engine that is unlikely to be lost together with the target: in another zone. */
-export function chooseBackup(
-  parts: ForwardingParts,
-  question: PlacementQuestion,
-  target: ForwardingTarget,
-): ForwardingTarget | undefined {
-  const { request } = question;
-  const service = parts.directory.getConfiguration()?.services.get(request.service);
-  if (service?.engine?.hasBackups !== true || request.route.repeat !== 'resumable') {
-    return undefined;
-  }
-  const others = parts.directory
-    .listTargets(request.service)
-    .filter((other) => other.id !== target.id && other.state === 'ready');
-  const elsewhere = others.filter((other) => other.zone !== target.zone);
-  return (
-    pickTarget(parts, elsewhere, question, 'healthyOnly') ??
-    pickTarget(parts, others, question, 'healthyOnly')
-  );
-}
-
 /** Where all candidates are under suspicion, one of them is still better than nothing. */
 function pickTarget(
   parts: ForwardingParts,
   candidates: readonly ForwardingTarget[],
   question: PlacementQuestion,
-  rule: 'any' | 'healthyOnly' = 'any',
 ): ForwardingTarget | undefined {
   if (candidates.length === 0) return undefined;
   const { request, purpose } = question;
@@ -62,7 +40,6 @@
   };
   const choice = parts.chooser.chooseTarget({ ...choiceRequest, candidates: views });
   if (choice.kind === 'target') return candidates.find(({ id }) => id === choice.name);
-  if (rule === 'healthyOnly') return undefined;
   const lenient = views
     .filter(({ state }) => state !== 'leaving')
     .map((view) => ({ ...view, state: 'healthy' as const }));
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -5,6 +5,7 @@
 
 import * as BoundedLogs from './boundedLog';
 import * as Drains from './drain';
+import * as EngineProbes from './engineProbes';
 import * as Events from './events';
 import * as Exchanges from './exchange';
 import type { ExchangeParts } from './exchange';
@@ -17,7 +18,7 @@
 import type { ForwardingSettings } from './settings';
 import * as TargetBooks from './targetBook';
 import * as TargetCalls from './targetCall';
-import * as TargetPools from './targetPools';
+import * as TargetConnections from './targetConnections';
 
 /** Gives one object for each name, made when it is first asked for. */
 function createRegister<Value>(createValue: () => Value): (name: string) => Value {
@@ -55,7 +56,8 @@
   const directory = context.getCapability('directory');
   const log = BoundedLogs.createBoundedLog(logEvent, clock.getNowMs);
   const book = TargetBooks.createTargetBook(clock.getNowMs);
-  const pools = TargetPools.createTargetPools();
+  const connections = TargetConnections.createTargetConnections();
+  const probes = EngineProbes.createEngineProbes({ wire, clock, book, connections });
   let table: RouteTable | undefined;
   let version: number | undefined;
 
@@ -70,7 +72,7 @@
     const organisation: readonly RawHeader[] =
       request.organisation === undefined ? [] : [[names.organisation, request.organisation]];
     return TargetCalls.openCall({
-      pool: pools.getPool(target),
+      connection: connections.takeConnection(target),
       target,
       method: request.method,
       path: request.path,
@@ -103,9 +105,11 @@
     getBudget: createRegister(() => createBudget(settings)),
     getStallPolicy: createRegister<StallPolicy>(Decisions.createStallPolicy),
     openCall,
-    renewConnections: pools.renewPool,
+    readReport: probes.readReport,
+    renewConnections: connections.closeIdle,
     getRouteTable: () => table,
     isDraining: drain.isDraining,
+    hasTimeFor: drain.hasTimeFor,
   };
 
   function applyDirectory(): void {
@@ -117,7 +121,7 @@
       table = RouteTables.createRouteTable(configuration);
       front.applyLimits(configuration.limits);
     }
-    pools.removeMissing(directory.isCurrent);
+    connections.removeMissing(directory.isCurrent);
     book.removeMissing(directory.isCurrent);
   }
 
@@ -137,13 +141,14 @@
     },
     async stop() {
       await front.stop();
-      await pools.close();
+      connections.close();
       log.close();
     },
     dumpState: () => ({
       version,
       requests: front.countRequests(),
       connections: front.countConnections(),
+      targetConnections: connections.countOpen(),
       isDraining: drain.isDraining(),
     }),
   };
--- a/packages/sequoiarill-plugin-forwarding/src/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/sending.ts
@@ -17,6 +17,9 @@
   return call.wasSent() ? { kind: 'lost', reason, isSilence: false } : { kind: 'notSent', reason };
 }
 
+/** Another target has the address now. */
+export const MISDIRECTED = 421;
+
 /** A head that is no answer of the target to this request, as an outcome; the call is given up. */
 export function decideHead(
   parts: ForwardingParts,
--- a/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
@@ -5,12 +5,14 @@
 import type { RetryBudget } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
+import * as EnginePlacements from './enginePlacements';
 import type { EventBlock } from './eventBlocks';
 import * as Events from './events';
 import type { AnswerHead, ForwardOutcome, ForwardRequest, SendOutcome } from './forwardRequest';
 import type { RawHeader } from './headers';
 import type { ForwardingParts } from './parts';
 import * as Placement from './placement';
+import * as Sending from './sending';
 import * as StreamAttempts from './streamAttempt';
 import type { AttemptOutcome } from './streamAttempt';
 
@@ -38,6 +40,8 @@
   /** Targets that began to run it. */
   runs: number;
   tries: number;
+  /** Sends that reached a target, also one that did not take the request. */
+  arrivals: number;
   readonly excluded: Set<string>;
   /** Who keeps a copy of the memory of the last run. */
   copy: ForwardingTarget | undefined;
@@ -60,7 +64,7 @@
   const progress = createProgress(request);
   budget.recordRequest(clock.getNowMs());
   for (;;) {
-    const plan = decidePlan(parts, request, progress, budget);
+    const plan = await decidePlan(parts, request, progress, budget);
     if (plan.kind !== 'plan') return plan;
     progress.tries += 1;
     const outcome = yield* relayAttempt(parts, request, plan, progress);
@@ -71,18 +75,18 @@
 }
 
 /** The next send, or the end where none is possible. */
-function decidePlan(
+async function decidePlan(
   parts: ForwardingParts,
   request: ForwardRequest,
   progress: Progress,
   budget: RetryBudget,
-): Plan | StreamOutcome {
+): Promise<Plan | StreamOutcome> {
   const nowMs = parts.clock.getNowMs();
   if (request.closed.aborted) return { kind: 'callerLeft' };
   if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
-  const plan = createPlan(parts, request, progress);
+  const plan = await createPlan(parts, request, progress);
   if (plan === undefined) return decideEnd(progress, progress.lastReason, false);
-  if (progress.tries > 0 && !budget.takeRetry(nowMs)) {
+  if (progress.arrivals > 0 && !budget.takeRetry(nowMs)) {
     return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
   }
   return plan;
@@ -115,6 +119,7 @@
     hasEvents: false,
     runs: 0,
     tries: 0,
+    arrivals: 0,
     excluded: new Set(),
     copy: undefined,
     lastReason: 'no target is known',
@@ -122,19 +127,24 @@
 }
 
 /** A copy saves the whole prefill; without one the next target is chosen like the first. */
-function createPlan(
+async function createPlan(
   parts: ForwardingParts,
   request: ForwardRequest,
   progress: Progress,
-): Plan | undefined {
+): Promise<Plan | undefined> {
+  const { copy, excluded } = progress;
+  if (copy !== undefined && parts.directory.isCurrent(copy)) {
+    const backup = EnginePlacements.chooseBackup(parts, request, copy);
+    return { kind: 'plan', target: copy, backup, usesCopy: true };
+  }
+  if (request.route.hasPrompt) {
+    const pair = await EnginePlacements.chooseEngines(parts, request, excluded);
+    if (pair !== undefined) return { kind: 'plan', ...pair, usesCopy: false };
+  }
   const purpose = progress.tries === 0 ? 'first' : 'continuation';
-  const question = { request, excluded: progress.excluded, purpose } as const;
-  const { copy } = progress;
-  const usesCopy = copy !== undefined && parts.directory.isCurrent(copy);
-  const target = usesCopy ? copy : Placement.chooseTarget(parts, question);
+  const target = Placement.chooseTarget(parts, { request, excluded, purpose });
   if (target === undefined) return undefined;
-  const backup = Placement.chooseBackup(parts, question, target);
-  return { kind: 'plan', target, backup, usesCopy };
+  return { kind: 'plan', target, backup: undefined, usesCopy: false };
 }
 
 function createExtraHeaders(
@@ -226,8 +236,20 @@
   if (hasRun) progress.copy = backup;
   else if (usesCopy) progress.copy = undefined;
   if (hasRun) progress.runs += 1;
-  if (outcome.kind === 'notRun' || outcome.kind === 'whole') parts.book.recordFailure(target);
-  else parts.book.recordLoss(target);
+  if (outcome.kind !== 'notSent') progress.arrivals += 1;
+  recordOutcome(parts, target, outcome);
+}
+
+function recordOutcome(
+  parts: ForwardingParts,
+  target: ForwardingTarget,
+  outcome: Exclude<SendOutcome, { kind: 'callerLeft' | 'expired' }>,
+): void {
+  const { book } = parts;
+  if (outcome.kind === 'notRun' && outcome.status === Sending.MISDIRECTED) {
+    book.recordReplaced(target);
+  } else if (outcome.kind === 'notRun' || outcome.kind === 'whole') book.recordFailure(target);
+  else book.recordLoss(target);
   if (outcome.kind === 'lost' && outcome.isSilence) parts.renewConnections(target);
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
@@ -29,6 +29,14 @@
 }
 
 const SUCCESS = 200;
+/** A stream with a copy elsewhere goes on there after this silence, also of a target that lives. */
+const MAX_GAP_MS = 450;
+/** Without a copy the prompt would be prefilled again: seconds, beside which waiting is cheap. */
+const NO_COPY_MS = 2_500;
+/** A first event may take so many times its limit while the target says that it lives. */
+const FIRST_EVENT_PATIENCE = 3;
+/** A target that lives answers a probe within some milliseconds. */
+const PROBE_WAIT_MS = 35;
 
 /** Yields events as they become whole; ends with what the attempt came to. */
 export async function* runStreamAttempt(
@@ -76,13 +84,13 @@
   const limits = policy.getLimits(target.id, preference, order.prefillTokens);
   const startedMs = clock.getNowMs();
   let lastEventMs = startedMs;
+  let silentUntilMs = startedMs + limits.firstTokenMs;
   let hasEvents = false;
   let head: AnswerHead | undefined;
 
   function readNext(): Promise<CallEvent> {
-    const nowMs = clock.getNowMs();
-    const silenceMs = lastEventMs + (hasEvents ? limits.gapMs : limits.firstTokenMs) - nowMs;
-    return call.readEvent(Math.min(silenceMs, request.expiresAtMs - nowMs));
+    const untilMs = Math.min(silentUntilMs, request.expiresAtMs);
+    return call.readEvent(untilMs - clock.getNowMs());
   }
 
   function recordEvents(): void {
@@ -92,6 +100,7 @@
     parts.book.recordSign(target);
     hasEvents = true;
     lastEventMs = nowMs;
+    silentUntilMs = nowMs + limits.gapMs;
   }
 
   async function handleHead(answered: AnswerHead): Promise<Step> {
@@ -117,21 +126,40 @@
     return { kind: 'complete', head };
   }
 
-  function handleTimeout(): Step {
+  /**
+   * A silent engine that still has the run is busy: it is waited for as long as that can pay. One that
+   * answers without it has started again, and its old connections may stay silent for good.
+   */
+  async function isWorthWaiting(): Promise<boolean> {
+    const patienceMs = hasEvents ? MAX_GAP_MS : limits.firstTokenMs * FIRST_EVENT_PATIENCE;
+    const waitsUntilMs = lastEventMs + (order.hasCopy || !hasEvents ? patienceMs : NO_COPY_MS);
+    if (clock.getNowMs() >= waitsUntilMs) return false;
+    const report = await parts.readReport(target, PROBE_WAIT_MS);
+    silentUntilMs = waitsUntilMs;
+    if (report === undefined) return false;
+    if (hasEvents) return report.runIds.includes(request.id) || report.queued > 0;
+    return report.prefilling + report.queued > 0;
+  }
+
+  async function handleTimeout(): Promise<Step> {
     if (clock.getNowMs() >= request.expiresAtMs) return { kind: 'expired' };
-    return call.wasSent()
-      ? { kind: 'lost', reason: 'silent', isSilence: true }
-      : { kind: 'notSent', reason: 'no connection in time' };
+    if (!call.wasSent()) return { kind: 'notSent', reason: 'no connection in time' };
+    if (await isWorthWaiting()) return undefined;
+    // It may have spoken while it was asked.
+    const event = await call.readEvent(0);
+    if (event.kind !== 'timeout') return handleEvent(event);
+    return { kind: 'lost', reason: 'silent', isSilence: true };
+  }
+
+  async function handleEvent(event: CallEvent): Promise<Step> {
+    if (event.kind === 'head') return handleHead(event.head);
+    if (event.kind === 'data') return handleData(event.chunk);
+    if (event.kind === 'end') return handleEnd();
+    if (event.kind === 'timeout') return handleTimeout();
+    return Sending.decideFailure(call, event);
   }
 
   return {
-    async readStep(): Promise<Step> {
-      const event = await readNext();
-      if (event.kind === 'head') return handleHead(event.head);
-      if (event.kind === 'data') return handleData(event.chunk);
-      if (event.kind === 'end') return handleEnd();
-      if (event.kind === 'timeout') return handleTimeout();
-      return Sending.decideFailure(call, event);
-    },
+    readStep: async (): Promise<Step> => handleEvent(await readNext()),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
@@ -14,6 +14,8 @@
   readonly recordFailure: (target: ForwardingTarget) => void;
   /** A connection refused or broken, a silence, a damaged answer. */
   readonly recordLoss: (target: ForwardingTarget) => void;
+  /** Another life of a target, or another one, has its address now: this one is gone. */
+  readonly recordReplaced: (target: ForwardingTarget) => void;
   readonly recordReport: (target: ForwardingTarget, report: EngineReport) => void;
   readonly buildView: (target: ForwardingTarget) => TargetView;
   readonly isSuspect: (target: ForwardingTarget) => boolean;
@@ -98,6 +100,9 @@
       getDetector(target.service).recordFailure(target.id, getNowMs());
       suspicion.recordLoss(target, getNowMs());
     },
+    recordReplaced(target) {
+      suspicion.recordGone(target, getNowMs());
+    },
     recordReport(target, report) {
       const entry = getEntry(target);
       entry.report = report;
--- a/packages/sequoiarill-plugin-forwarding/src/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targetCall.ts
@@ -4,9 +4,10 @@
 
 import type { AnswerHead } from './forwardRequest';
 import type { RawHeader } from './headers';
+import type { TargetConnection } from './targetConnections';
 
 export interface CallOptions {
-  readonly pool: Undici.Dispatcher;
+  readonly connection: TargetConnection;
   readonly target: ForwardingTarget;
   readonly method: string;
   readonly path: string;
@@ -38,7 +39,7 @@
 const TIMEOUT: CallEvent = { kind: 'timeout' };
 
 export function openCall(options: CallOptions): TargetCall {
-  const { pool, target, method, path, headers, body } = options;
+  const { connection, target, method, path, headers, body } = options;
   const waiting: CallEvent[] = [];
   let waitingBytes = 0;
   let controller: Undici.Dispatcher.DispatchController | undefined;
@@ -62,18 +63,27 @@
     return event;
   }
 
+  /**
+   * Failure: the process was frozen or busy, its timers are due before it has read its sockets, and
+   * every target looks silent. One more turn of the event loop takes in what has arrived.
+   */
+  async function waitForEvent(timeoutMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(
+        () => setImmediate(() => setImmediate(resolve)),
+        Math.max(0, timeoutMs),
+      );
+      wakeReader = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    wakeReader = undefined;
+  }
+
   async function readEvent(timeoutMs: number): Promise<CallEvent> {
     if (isCancelled) return CANCELLED;
-    if (waiting.length === 0) {
-      await new Promise<void>((resolve) => {
-        const timer = setTimeout(resolve, Math.max(0, timeoutMs));
-        wakeReader = () => {
-          clearTimeout(timer);
-          resolve();
-        };
-      });
-      wakeReader = undefined;
-    }
+    if (waiting.length === 0) await waitForEvent(timeoutMs);
     if (isCancelled) return CANCELLED;
     return takeEvent() ?? TIMEOUT;
   }
@@ -82,11 +92,11 @@
     if (isCancelled) return;
     isCancelled = true;
     wakeReader?.();
-    if (!isDone) controller?.abort(new Error('cancelled'));
+    if (!isDone) connection.close();
   }
 
   const flatHeaders = headers.flatMap(([name, value]) => [name, value]);
-  pool.dispatch(
+  connection.dispatch(
     {
       origin: `http://${target.address}`,
       method,
@@ -97,8 +107,7 @@
     {
       onRequestStart(started) {
         controller = started;
-        if (isCancelled) started.abort(new Error('cancelled'));
-        else isSent = true;
+        isSent = true;
       },
       onResponseStart(_started, status, answered, statusMessage) {
         if (status < 200) return;
@@ -114,10 +123,13 @@
       },
       onResponseEnd() {
         isDone = true;
-        addEvent({ kind: 'end' });
+        if (connection.wasReset()) addEvent({ kind: 'broken', reason: 'reset' });
+        else addEvent({ kind: 'end' });
+        connection.release();
       },
       onResponseError(_started, error) {
         isDone = true;
+        connection.close();
         const { code = '', message } = error as NodeJS.ErrnoException;
         addEvent({ kind: 'broken', reason: code === '' ? message : code });
       },
--- a/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
@@ -15,6 +15,8 @@
 const RETRY_AFTER_SECONDS = 0.3;
 /** Server errors of a request that may be repeated are worth another target. */
 const SERVER_ERROR = 500;
+/** The same failure from a second target lies in the request, and is the answer. */
+const MAX_SERVER_ERRORS = 1;
 
 /** Connections that are refused are cheap, and still not to be tried at every target of a zone. */
 const MAX_TRIES = 8;
@@ -25,6 +27,8 @@
   sends: number;
   mayHaveRun: boolean;
   lastReason: string;
+  /** Targets that answered with a failure of their own. */
+  serverErrors: number;
   /** A target's own failure, kept in case no other target does better. */
   lastFailure?: Extract<SendOutcome, { kind: 'whole' }>;
 }
@@ -64,6 +68,7 @@
     sends: 0,
     mayHaveRun: false,
     lastReason: 'no target is known',
+    serverErrors: 0,
   };
   budget.recordRequest(clock.getNowMs());
   for (;;) {
@@ -117,6 +122,8 @@
       return { kind: 'answer', head: outcome.head, body: outcome.body };
     }
     progress.lastFailure = outcome;
+    progress.serverErrors += 1;
+    if (progress.serverErrors > MAX_SERVER_ERRORS) return decideEnd(request, progress, false);
     progress.lastReason = `status ${outcome.head.status}`;
     return undefined;
   }
@@ -137,7 +144,10 @@
     else book.recordSuccess(target);
     return;
   }
-  if (outcome.kind === 'notRun') book.recordFailure(target);
+  if (outcome.kind === 'notRun') {
+    if (outcome.status === Sending.MISDIRECTED) book.recordReplaced(target);
+    else book.recordFailure(target);
+  }
   if (outcome.kind !== 'notSent' && outcome.kind !== 'lost') return;
   book.recordLoss(target);
   if (outcome.kind === 'lost' && outcome.isSilence) parts.renewConnections(target);
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -105,6 +105,10 @@
 export interface EngineReport {
   readonly queued: number;
   readonly running: number;
+  /** Running ones that have not made their first event. */
+  readonly prefilling: number;
+  /** Request ids of those that have. */
+  readonly runIds: readonly string[];
   /** Tokens of memory that cannot yield. */
   readonly usedTokens: number;
   readonly totalTokens: number;
