--- a/packages/sequoiarill-plugin-forwarding/src/answerChecks.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answerChecks.ts
@@ -3,6 +3,8 @@
 
 import type { AnswerHead } from './forwardRequest';
 
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
 const BAD_REQUEST = 400;
 const MISDIRECTED = 421;
 /** Statuses that promise a caller that its request has not run and never will. */
@@ -20,6 +22,16 @@
   return typeof value === 'string' ? value : value?.[0];
 }
 
+/**
+ * Whether the body has neither a length nor chunks and ends with its connection. Its end may be that of
+ * a target that crashed, so it must not be passed on with a length, which would make it look whole.
+ */
+export function isUnframed(head: AnswerHead): boolean {
+  const hasLength = getHeader(head, 'content-length') !== undefined;
+  const isChunked = getHeader(head, 'transfer-encoding') !== undefined;
+  return !hasLength && !isChunked && head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
+}
+
 export function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/exchange.ts
@@ -3,8 +3,9 @@
 
 import type { ForwardingOrganisation, ForwardingRoute, LogEvent } from '@sequoiarill/types';
 
+import * as Checks from './answerChecks';
 import * as Events from './events';
-import type { ForwardOutcome, ForwardRequest } from './forwardRequest';
+import type { AnswerHead, ForwardOutcome, ForwardRequest } from './forwardRequest';
 import * as Headers from './headers';
 import type { RawHeader } from './headers';
 import type { ForwardingParts } from './parts';
@@ -240,6 +241,21 @@
   return parts.isDraining() ? { connection: 'close' } : {};
 }
 
+/** An answer that came without framing goes on without it, and ends with its connection. */
+function sendHead(
+  parts: ExchangeParts,
+  response: ServerResponse,
+  head: AnswerHead,
+  framing: Readonly<Record<string, number>>,
+): void {
+  const isUnframed = Checks.isUnframed(head);
+  if (isUnframed) response.removeHeader('transfer-encoding');
+  response.writeHead(head.status, head.statusMessage, {
+    ...Headers.selectAnswered(head.headers),
+    ...(isUnframed ? { connection: 'close' } : { ...framing, ...createConnectionHeader(parts) }),
+  });
+}
+
 function sendOutcome(
   parts: ExchangeParts,
   request: ForwardRequest,
@@ -249,11 +265,7 @@
   if (outcome.kind === 'callerLeft' || response.destroyed) return;
   if (outcome.kind === 'answer') {
     const { head, body } = outcome;
-    response.writeHead(head.status, head.statusMessage, {
-      ...Headers.selectAnswered(head.headers),
-      ...createConnectionHeader(parts),
-      'content-length': body.length,
-    });
+    sendHead(parts, response, head, { 'content-length': body.length });
     response.end(body);
     return;
   }
@@ -285,10 +297,7 @@
     }
     const piece = step.value;
     if (piece.kind === 'head') {
-      response.writeHead(piece.head.status, piece.head.statusMessage, {
-        ...Headers.selectAnswered(piece.head.headers),
-        ...createConnectionHeader(parts),
-      });
+      sendHead(parts, response, piece.head, {});
     } else if (!response.write(piece.bytes)) await waitForDrain(response, request.closed);
   }
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
@@ -5,6 +5,7 @@
 import type { RetryBudget } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
+import * as Checks from './answerChecks';
 import * as EnginePlacements from './enginePlacements';
 import type { EventBlock } from './eventBlocks';
 import * as Events from './events';
@@ -37,6 +38,8 @@
   /** Of the last event that was passed on, or that the caller named. */
   lastEventId: string | undefined;
   hasEvents: boolean;
+  /** The caller's answer has an end of its own; undefined before its head. */
+  isFramed: boolean | undefined;
   /** Targets that began to run it. */
   runs: number;
   tries: number;
@@ -117,6 +120,7 @@
   return {
     lastEventId: request.lastEventId,
     hasEvents: false,
+    isFramed: undefined,
     runs: 0,
     tries: 0,
     arrivals: 0,
@@ -177,13 +181,14 @@
   try {
     for (;;) {
       const step = await attempt.next();
-      if (step.done === true) return step.value;
+      if (step.done === true) return decideFramedEnd(step.value, progress);
       const { head, blocks } = step.value;
       const fresh = selectFresh(blocks, progress.lastEventId);
       if (fresh === 'gap') return { kind: 'lost', reason: 'events are missing', isSilence: false };
       const last = fresh.at(-1);
       if (last !== undefined) {
         if (!progress.hasEvents) yield { kind: 'head', head };
+        progress.isFramed ??= !Checks.isUnframed(head);
         progress.hasEvents = true;
         progress.lastEventId = last.id ?? progress.lastEventId;
         yield { kind: 'events', bytes: mergeBlocks(fresh) };
@@ -194,6 +199,16 @@
   }
 }
 
+/**
+ * Failure: a part without framing may end because its engine crashed, and the end of the caller's
+ * answer would say that it is whole. So such a part does not end an answer that has framing.
+ */
+function decideFramedEnd(outcome: AttemptOutcome, progress: Progress): AttemptOutcome {
+  const isDoubtful =
+    outcome.kind === 'complete' && progress.isFramed === true && Checks.isUnframed(outcome.head);
+  return isDoubtful ? { kind: 'lost', reason: 'end without framing', isSilence: false } : outcome;
+}
+
 /**
  * Failure: a target goes on too early or too late, and an event comes twice or is missing. Ids rise by
  * one, so events that were passed on are left out, and a hole is a loss.
