Learn from peers, serve metrics, and test the router over stand-ins

- While the store does not answer a router, it asks two others a half second for records above its own revision (tRPC); routers write their addresses into the store under a lease.
- Counters and latency histograms are served as text on [telemetry] metricsListen (prom-client).
- Stand-ins of the platform's store, engines and services, and a router as a process over them: an engine that dies in an event, a second answer on a connection, half an answer without framing, a lost answer of an order, a history that is gone, damaged entries, SIGTERM under an open stream.
- The record log and the target table of the directory stand on their own; one fake clock and one way to close a listener serve all packages.
Headers that callers name as their connection's own are dropped, but for those that tell what is to be run.

--- /dev/null
+++ b/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
@@ -0,0 +1,123 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as EnginePlacement from '../enginePlacement';
+import type { EngineView } from '../enginePlacement';
+import * as Random from '../play/random';
+
+const ZONES = ['a', 'b', 'c'];
+
+function createView(change: Partial<EngineView> & { readonly id: string }): EngineView {
+  return {
+    zone: 'a',
+    running: 0,
+    queued: 0,
+    prefilling: 0,
+    sentSince: 0,
+    usedTokens: 0,
+    totalTokens: 88_000,
+    ...change,
+  };
+}
+
+interface Engine {
+  readonly id: string;
+  readonly zone: string;
+  /** When its last prompt will have been read. */
+  freeAtMs: number;
+  /** Ends of prompts, as a report counts them. */
+  readonly endsMs: number[];
+}
+
+/** Prompts of a second each, from routers that know only what they ask; waits to the first event. */
+function playPrompts(
+  seed: number,
+  pickEngine: (engines: readonly Engine[], nowMs: number, nextRandom: () => number) => Engine,
+): readonly number[] {
+  const nextRandom = Random.createRandom(seed);
+  const engines = Array.from({ length: 24 }, (_one, index): Engine => ({
+    id: `e${index}`,
+    zone: ZONES[index % 3] ?? 'a',
+    freeAtMs: 0,
+    endsMs: [],
+  }));
+  const waits: number[] = [];
+  let nowMs = 0;
+  while (waits.length < 600) {
+    nowMs += Random.pickExponential(nextRandom, 120);
+    const engine = pickEngine(engines, nowMs, nextRandom);
+    engine.freeAtMs = Math.max(nowMs, engine.freeAtMs) + 1_000;
+    engine.endsMs.push(engine.freeAtMs);
+    waits.push(engine.freeAtMs - nowMs);
+  }
+  return waits.sort((left, right) => left - right);
+}
+
+function pickAny(engines: readonly Engine[], nextRandom: () => number): Engine {
+  return engines[Math.floor(nextRandom() * engines.length)] as Engine;
+}
+
+/** As an engine reports it, a tenth of a second late. */
+function createReport(engine: Engine, nowMs: number): EngineView {
+  const countedMs = nowMs - 100;
+  const open = engine.endsMs.filter((end) => end > countedMs && end - 1_000 < nowMs);
+  const prefilling = Math.min(1, open.length);
+  const queued = open.length - prefilling;
+  return createView({ id: engine.id, zone: engine.zone, prefilling, queued });
+}
+
+describe('engine placement', () => {
+  it('keeps prompts apart that one router alone would send to the same engine', () => {
+    // Several routers each send prompts that take a second to read. By chance they meet at an engine,
+    // and shoppers wait for the sum of all prompts before theirs while other engines idle.
+    const alone = playPrompts(1, (engines, _nowMs, nextRandom) => pickAny(engines, nextRandom));
+    const asked = playPrompts(1, (engines, nowMs, nextRandom) => {
+      const sample = ZONES.flatMap((zone) => {
+        const local = engines.filter((engine) => engine.zone === zone);
+        return [pickAny(local, nextRandom), pickAny(local, nextRandom)];
+      });
+      const views = sample.map((engine) => createReport(engine, nowMs));
+      const zone = ZONES[Math.floor(nextRandom() * 3)] ?? 'a';
+      const placed = EnginePlacement.chooseEngines({ views, zone, promptTokens: 8_000 });
+      return engines.find(({ id }) => id === placed?.target) as Engine;
+    });
+    const p95 = Math.floor(alone.length * 0.95);
+    expect(alone[p95] ?? 0).toBeGreaterThan(2_000);
+    expect(asked[p95] ?? 0).toBeLessThan(1_500);
+  });
+
+  it('keeps the copy in another zone, which the next crash is unlikely to take', () => {
+    const views = [
+      createView({ id: 'a1' }),
+      createView({ id: 'a2' }),
+      createView({ id: 'b1', zone: 'b', running: 9 }),
+    ];
+    const placed = EnginePlacement.chooseEngines({ views, zone: 'a', promptTokens: 8_000 });
+    expect(placed).toEqual({ target: 'a1', backup: 'b1' });
+  });
+
+  it('takes a copy in the same zone over none, and no copy where there is one engine', () => {
+    const two = [createView({ id: 'a1' }), createView({ id: 'a2' })];
+    expect(
+      EnginePlacement.chooseEngines({ views: two, zone: 'a', promptTokens: 100 })?.backup,
+    ).toEqual('a2');
+    const one = [createView({ id: 'a1' })];
+    expect(EnginePlacement.chooseEngines({ views: one, zone: 'a', promptTokens: 100 })).toEqual({
+      target: 'a1',
+    });
+    expect(EnginePlacement.chooseEngines({ views: [], zone: 'a', promptTokens: 100 })).toEqual(
+      undefined,
+    );
+  });
+
+  it('leaves an engine without room for the prompt to the last', () => {
+    // An engine whose memory is full preempts a stream in the middle of its output for a new prompt.
+    const views = [
+      createView({ id: 'full', usedTokens: 80_000 }),
+      createView({ id: 'busy', zone: 'b', prefilling: 2, running: 5 }),
+    ];
+    const placed = EnginePlacement.chooseEngines({ views, zone: 'a', promptTokens: 8_000 });
+    expect(placed?.target).toEqual('busy');
+  });
+});
--- a/packages/sequoiarill-kernel/src/kernel.ts
+++ b/packages/sequoiarill-kernel/src/kernel.ts
@@ -17,6 +17,7 @@
 import * as Journals from './journal';
 import * as KernelEvents from './kernelEvents';
 import * as MetricsSenders from './metrics';
+import * as MetricsPages from './metricsPage';
 import * as Registry from './registry';
 import type { Settings } from './settings';
 
@@ -56,10 +57,10 @@
   const clock = Clocks.createSystemClock();
   const logger = Events.createLogger(settings.process.name, settings.telemetry.logLevel);
   const logEvent = options.logEvent ?? logger.logEvent;
-  const metrics = MetricsSenders.createMetrics(settings.telemetry.metricsSink, {
-    process: settings.process.name,
-    zone: settings.process.zone,
-  });
+  const { metricsSink, metricsListen } = settings.telemetry;
+  const tags = { process: settings.process.name, zone: settings.process.zone };
+  const page = metricsListen === undefined ? undefined : MetricsPages.createMetricsPage(tags);
+  const metrics = MetricsSenders.createMetrics(metricsSink, tags, page);
   const journal = Journals.createJournal(clock);
   const startedMs = clock.getNowMs();
   const running: RunningPlugin[] = [];
@@ -130,6 +131,7 @@
   return {
     async start() {
       await broker.start();
+      if (metricsListen !== undefined) await page?.open(metricsListen);
       for (const plugin of Registry.sortPlugins(options.plugins ?? Registry.listPlugins())) {
         await startPlugin(plugin);
       }
@@ -147,6 +149,7 @@
     async stop() {
       for (const { instance } of [...running].reverse()) await instance.stop?.();
       await broker.stop();
+      await page?.close();
       phase = 'stopped';
       logEvent(KernelEvents.PROCESS_STOPPED, {});
       metrics.close();
--- a/packages/sequoiarill-kernel/src/listeners.ts
+++ b/packages/sequoiarill-kernel/src/listeners.ts
@@ -44,3 +44,13 @@
   const host = bound.family === 'IPv6' ? `[${bound.address}]` : bound.address;
   return `${host}:${bound.port}`;
 }
+
+/** Closes the server with all its connections; does nothing when it does not listen. */
+export async function closeListener(server: Server): Promise<void> {
+  if (!server.listening) return;
+  const closed = new Promise((resolve) => {
+    server.close(resolve);
+  });
+  server.closeAllConnections();
+  await closed;
+}
--- a/packages/sequoiarill-kernel/src/metrics.ts
+++ b/packages/sequoiarill-kernel/src/metrics.ts
@@ -1,4 +1,4 @@
-/** Metrics over StatsD; see docs/operators/METRICS.md for names, units and meaning. */
+/** Metrics over StatsD and as text; see docs/operators/METRICS.md for names, units and meaning. */
 import type { Metrics } from '@sequoiarill/types';
 import { StatsD } from 'hot-shots';
 
@@ -12,11 +12,32 @@
   readonly close: () => void;
 }
 
+/** Sends to the sink where there is one, and keeps what a metrics page shows where one is given. */
 export function createMetrics(
   sink: string | undefined,
   tags: Readonly<Record<string, string>>,
+  page?: Metrics,
 ): MetricsSender {
-  if (sink === undefined) return createSilentMetrics();
+  const sender = sink === undefined ? createSilentMetrics() : createStatsDSender(sink, tags);
+  if (page === undefined) return sender;
+  return {
+    addCount(name, value, extra) {
+      sender.addCount(name, value, extra);
+      page.addCount(name, value, extra);
+    },
+    setGauge(name, value, extra) {
+      sender.setGauge(name, value, extra);
+      page.setGauge(name, value, extra);
+    },
+    recordTiming(name, valueMs, extra) {
+      sender.recordTiming(name, valueMs, extra);
+      page.recordTiming(name, valueMs, extra);
+    },
+    close: sender.close,
+  };
+}
+
+function createStatsDSender(sink: string, tags: Readonly<Record<string, string>>): MetricsSender {
   const separator = sink.lastIndexOf(':');
   const client = new StatsD({
     host: sink.slice(0, separator),
--- a/packages/sequoiarill-kernel/src/settings.ts
+++ b/packages/sequoiarill-kernel/src/settings.ts
@@ -5,6 +5,8 @@
 import * as Ini from 'ini';
 import * as Zod from 'zod';
 
+const ADDRESS_HINT = 'use IP:port, such as 127.0.0.1:8080';
+
 /** Section `[process]`. */
 export const processSchema = Zod.strictObject({
   name: Zod.string().regex(/^[a-z0-9][a-z0-9-]*$/, 'use lower-case letters, digits and dashes'),
@@ -17,6 +19,8 @@
   logLevel: Zod.enum(['debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
   /** `host:port` of a StatsD sink; no metrics are sent without it. */
   metricsSink: Zod.string().optional(),
+  /** `IP:port` where metrics are served as text; not served without it. */
+  metricsListen: Zod.string().refine(isAddress, ADDRESS_HINT).optional(),
 });
 
 export type TelemetrySettings = Readonly<Zod.infer<typeof telemetrySchema>>;
@@ -50,7 +54,7 @@
 }
 
 /** Schema of an address setting, for plug-ins. */
-export const addressSchema = Zod.string().refine(isAddress, 'use IP:port, such as 127.0.0.1:8080');
+export const addressSchema = Zod.string().refine(isAddress, ADDRESS_HINT);
 
 /** Schema of a comma-separated list setting, for plug-ins. */
 export const listSchema = Zod.string().transform((text) =>
--- a/packages/sequoiarill-plugin-callers/src/front.ts
+++ b/packages/sequoiarill-plugin-callers/src/front.ts
@@ -90,14 +90,7 @@
     getAddress: () => Kernel.getBoundAddress(server),
     start: () => Kernel.openListener(server, settings.listen, '[callers] listen'),
     closeIdle: () => server.closeIdleConnections(),
-    async stop() {
-      if (!server.listening) return;
-      const closed = new Promise((resolve) => {
-        server.close(resolve);
-      });
-      server.closeAllConnections();
-      await closed;
-    },
+    stop: () => Kernel.closeListener(server),
     getConnectionCount: () => connectionCount,
   };
 }
--- /dev/null
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
@@ -0,0 +1,84 @@
+/** Short forms of what a directory is made of. */
+import type { ForwardingWire, LogEvent } from '@sequoiarill/types';
+
+interface Written {
+  readonly version?: number;
+  readonly target?: { readonly address: string; readonly startedAtUnixMs?: number };
+}
+
+/** Names and formats of these tests alone. */
+export const WIRE: ForwardingWire = {
+  configurationKey: 'configuration',
+  targetPrefix: 'targets/',
+  ownPrefix: 'routers/',
+  decodeConfiguration(text) {
+    const { version } = JSON.parse(text) as Written;
+    if (version === undefined) return { kind: 'malformed', reason: 'no version' };
+    const limits = {
+      maxHeaderBytes: 1_000,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 1_000,
+    };
+    const configuration = { version, routes: [], services: new Map(), limits };
+    return { kind: 'configuration', configuration };
+  },
+  decodeTarget(key, text) {
+    const { target } = JSON.parse(text) as Written;
+    if (target === undefined) return { kind: 'malformed', reason: 'no target' };
+    return {
+      kind: 'target',
+      target: {
+        id: key.slice('targets/'.length),
+        startedAtUnixMs: target.startedAtUnixMs ?? 1,
+        service: 'engines',
+        address: target.address,
+        zone: 'a',
+        slots: 1,
+        state: 'ready',
+        warmupLeftMs: 0,
+      },
+    };
+  },
+  headers: {
+    requestId: 'id',
+    remainingMs: 'remaining',
+    apiKey: 'key',
+    organisation: 'organisation',
+    expectedTarget: 'target',
+    lastEventId: 'last',
+    promptSize: 'size',
+    backupTarget: 'backup',
+    continueFrom: 'from',
+    priority: 'priority',
+    signature: 'signature',
+    notRun: 'not-run',
+  },
+  reservedHeaders: new Set(),
+  essentialHeaders: new Set(),
+  reportPath: '/report',
+  decodeReport: () => undefined,
+};
+
+export function createTargetText(address: string, startedAtUnixMs = 1): string {
+  return JSON.stringify({ target: { address, startedAtUnixMs } });
+}
+
+export function createConfigurationText(version: number): string {
+  return JSON.stringify({ version });
+}
+
+export interface EventLog {
+  readonly logEvent: LogEvent;
+  readonly listNames: () => readonly string[];
+}
+
+export function createEventLog(): EventLog {
+  const names: string[] = [];
+  return {
+    logEvent: ({ name }) => {
+      names.push(name);
+    },
+    listNames: () => names,
+  };
+}
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -8,15 +8,10 @@
 } from '@sequoiarill/types';
 
 import * as Events from './events';
+import * as RecordLogs from './recordLog';
+import type { DirectoryRecord } from './recordLog';
 import * as TargetTables from './targetTable';
 
-/** One key as somebody saw it. Without a value it was removed at that revision. */
-export interface DirectoryRecord {
-  readonly key: string;
-  readonly revision: number;
-  readonly value?: string;
-}
-
 export interface DirectoryState extends Directory {
   /** Takes in what is newer than what is known; older records change nothing. */
   readonly applyRecords: (records: readonly DirectoryRecord[]) => void;
@@ -31,6 +26,8 @@
   readonly removeDue: () => void;
   /** Highest revision of a record that was taken in. */
   readonly getRevision: () => number;
+  /** Addresses that other routers wrote of themselves. */
+  readonly listRouters: () => readonly string[];
   readonly listRecordsAfter: (revision: number) => readonly DirectoryRecord[];
 }
 
@@ -40,22 +37,23 @@
   readonly getNowMs: () => number;
 }
 
-/** Tombstones beyond this are forgotten, oldest first: some hours of restarts at the target size. */
-const MAX_TOMBSTONES = 2_000;
-
 export function createDirectoryState(options: DirectoryStateOptions): DirectoryState {
   const { wire, logEvent, getNowMs } = options;
-  const records = new Map<string, DirectoryRecord>();
+  const log = RecordLogs.createRecordLog();
   const targets = TargetTables.createTargetTable();
   const listeners = new Set<() => void>();
+  const routers = new Map<string, string>();
   let configuration: ForwardingConfiguration | undefined;
   let byService: ReadonlyMap<string, readonly ForwardingTarget[]> = new Map();
-  let revision = 0;
   let removalsHeldUntilMs = 0;
   let heldRemovals = new Set<string>();
 
+  function isRouter(key: string): boolean {
+    return key.startsWith(wire.ownPrefix);
+  }
+
   function isOurs(key: string): boolean {
-    return key === wire.configurationKey || key.startsWith(wire.targetPrefix);
+    return key === wire.configurationKey || key.startsWith(wire.targetPrefix) || isRouter(key);
   }
 
   function applyConfiguration(record: DirectoryRecord): void {
@@ -99,46 +97,33 @@
     else targets.remove(key);
   }
 
-  function recordOne(record: DirectoryRecord): boolean {
-    const known = records.get(record.key);
-    if (!isOurs(record.key) || (known !== undefined && known.revision >= record.revision)) {
-      return false;
-    }
-    // Moves it to the end, so that the oldest tombstones come first.
-    records.delete(record.key);
-    records.set(record.key, record);
-    revision = Math.max(revision, record.revision);
+  function applyRouter({ key, value }: DirectoryRecord): void {
+    if (value === undefined) routers.delete(key);
+    else routers.set(key, value);
+  }
+
+  function applyRecord(record: DirectoryRecord): boolean {
+    if (!isOurs(record.key) || !log.addRecord(record)) return false;
     if (record.key === wire.configurationKey) applyConfiguration(record);
+    else if (isRouter(record.key)) applyRouter(record);
     else applyTarget(record);
     return true;
   }
 
-  function removeOldTombstones(): void {
-    let excess = records.size - targets.getSize() - MAX_TOMBSTONES;
-    for (const [key, record] of records) {
-      if (excess <= 0) return;
-      if (record.value === undefined) {
-        records.delete(key);
-        excess -= 1;
-      }
-    }
-  }
-
   function reportChange(): void {
     byService = targets.buildGroups();
-    removeOldTombstones();
     listeners.forEach((listener) => listener());
   }
 
   function applyRecords(news: readonly DirectoryRecord[]): void {
-    const changed = news.filter(recordOne);
+    const changed = news.filter(applyRecord);
     if (changed.length === 0) return;
     reportChange();
-    const changedTargets = changed.filter(({ key }) => key !== wire.configurationKey);
+    const changedTargets = changed.filter(({ key }) => key.startsWith(wire.targetPrefix));
     if (changedTargets.length === 0) return;
     const removed = changedTargets.filter(({ value }) => value === undefined).length;
     logEvent(Events.TARGETS_CHANGED, {
-      revision,
+      revision: log.getRevision(),
       written: changedTargets.length - removed,
       removed,
       known: targets.getSize(),
@@ -159,11 +144,8 @@
     applyRecords,
     applyAll(all, readRevision) {
       const present = new Set(all.map(({ key }) => key));
-      const missing = [...records.values()].filter(
-        (known) =>
-          known.value !== undefined && known.revision <= readRevision && !present.has(known.key),
-      );
-      const removals = missing.map(({ key }) => ({ key, revision: readRevision }));
+      const missing = log.listMissing(present, readRevision);
+      const removals = missing.map((key) => ({ key, revision: readRevision }));
       applyRecords([...all, ...removals]);
     },
     holdRemovalsUntil(untilMs) {
@@ -176,7 +158,8 @@
       due.forEach((key) => targets.remove(key));
       reportChange();
     },
-    getRevision: () => revision,
-    listRecordsAfter: (after) => [...records.values()].filter((one) => one.revision > after),
+    getRevision: log.getRevision,
+    listRouters: () => [...routers.values()],
+    listRecordsAfter: log.listAfter,
   };
 }
--- a/packages/sequoiarill-plugin-directory/src/events.ts
+++ b/packages/sequoiarill-plugin-directory/src/events.ts
@@ -44,6 +44,13 @@
   'The store no longer has the changes asked for; everything is read again.',
 );
 
+export const LEARNED_FROM_PEER = Kernel.defineEvent(
+  1807,
+  'info',
+  'directory.learnedFromPeer',
+  'Another router knew newer records while the store did not answer this one.',
+);
+
 export const EVENTS = [
   STORE_LOST,
   STORE_REGAINED,
@@ -52,4 +59,5 @@
   TARGET_REFUSED,
   TARGETS_CHANGED,
   HISTORY_GONE,
+  LEARNED_FROM_PEER,
 ];
--- /dev/null
+++ b/packages/sequoiarill-plugin-directory/src/peerNews.ts
@@ -0,0 +1,67 @@
+/**
+ * Learns from other routers what the store does not tell this one.
+ *
+ * Failure: the store turns some routers away, or a router is cut off from it, while operators go on
+ * changing the configuration elsewhere; the router would go on by old routes and keys. Others that
+ * reach the store are asked as long as that lasts.
+ */
+import type { Clock, LogEvent } from '@sequoiarill/types';
+
+import type { DirectoryState } from './directoryState';
+import * as Events from './events';
+import type { PeerClient } from './peerClient';
+
+export interface PeerNewsOptions {
+  readonly state: DirectoryState;
+  readonly client: PeerClient;
+  readonly clock: Clock;
+  readonly logEvent: LogEvent;
+  readonly nextRandom: () => number;
+  /** `IP:port` of other routers, as far as they are known. */
+  readonly listPeers: () => readonly string[];
+  /** Since when the store has not answered; undefined while it does. */
+  readonly getLostSinceMs: () => number | undefined;
+}
+
+/** The store is given this long before peers are asked, milliseconds. */
+const PATIENCE_MS = 400;
+const INTERVAL_MS = 500;
+/** Asked in one round: one of them may be cut off from the store as well. */
+const PEERS_PER_ROUND = 2;
+
+export function createPeerNews(options: PeerNewsOptions) {
+  const { state, client, clock, logEvent } = options;
+
+  function samplePeers(): readonly string[] {
+    const left = [...options.listPeers()];
+    const drawn: string[] = [];
+    while (drawn.length < PEERS_PER_ROUND && left.length > 0) {
+      drawn.push(...left.splice(Math.floor(options.nextRandom() * left.length), 1));
+    }
+    return drawn;
+  }
+
+  async function callPeer(peer: string): Promise<void> {
+    const before = state.getRevision();
+    const answer = await client.readRecords(peer, before);
+    if (answer.kind === 'failed' || answer.records.length === 0) return;
+    state.applyRecords(answer.records);
+    logEvent(Events.LEARNED_FROM_PEER, {
+      peer,
+      records: answer.records.length,
+      before,
+      after: state.getRevision(),
+    });
+  }
+
+  return {
+    async run(signal: AbortSignal): Promise<void> {
+      while (!signal.aborted) {
+        await clock.waitMs(INTERVAL_MS, signal);
+        const lostSinceMs = options.getLostSinceMs();
+        const isLost = lostSinceMs !== undefined && clock.getNowMs() - lostSinceMs >= PATIENCE_MS;
+        if (isLost && !signal.aborted) await Promise.all(samplePeers().map(callPeer));
+      }
+    },
+  };
+}
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -1,17 +1,27 @@
 /** Plug-in `directory`: knows what is forwarded where and which targets live. */
+import * as Kernel from '@sequoiarill/kernel';
 import type { Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
 import * as Zod from 'zod';
 
 import * as DirectoryStates from './directoryState';
 import * as Events from './events';
+import * as PeerClients from './peerClient';
+import * as PeerNews from './peerNews';
+import * as PeerServers from './peerServer';
+import * as Registrations from './registration';
 import * as StoreFollowers from './storeFollower';
 
 /** Section `[directory]`. */
-export const settingsSchema = Zod.strictObject({});
+export const settingsSchema = Zod.strictObject({
+  /** `IP:port` for other routers. */
+  listen: Kernel.addressSchema,
+  /** `IP:port` of some routers, for the time before the store has named any. */
+  seeds: Kernel.listSchema.default([]),
+});
 
 export type DirectorySettings = Readonly<Zod.infer<typeof settingsSchema>>;
 
-function createInstance(context: PluginContext): PluginInstance {
+function createInstance(context: PluginContext, settings: DirectorySettings): PluginInstance {
   const { clock, logEvent, nextRandom } = context;
   const wire = context.getCapability('wire');
   const store = context.getCapability('keyValue');
@@ -27,20 +37,47 @@
     logEvent,
     nextRandom,
   });
+  const server = PeerServers.createPeerServer(state, settings.listen);
+  const client = PeerClients.createPeerClient();
+  const news = PeerNews.createPeerNews({
+    state,
+    client,
+    clock,
+    logEvent,
+    nextRandom,
+    listPeers,
+    getLostSinceMs: follower.getLostSinceMs,
+  });
+  const key = `${wire.ownPrefix}routers/${context.process.name}`;
+  const registration = { store, clock, key, address: settings.listen };
   const stopping = new AbortController();
-  let running: Promise<void> | undefined;
+  let running: Promise<unknown> | undefined;
+
+  function listPeers(): readonly string[] {
+    const peers = new Set([...state.listRouters(), ...settings.seeds]);
+    peers.delete(settings.listen);
+    return [...peers];
+  }
+
   return {
     capabilities: { directory: state },
     async start() {
-      running = follower.run(stopping.signal);
+      await server.start();
+      running = Promise.all([
+        follower.run(stopping.signal),
+        news.run(stopping.signal),
+        Registrations.runRegistration(registration, stopping.signal),
+      ]);
     },
     async stop() {
       stopping.abort();
       await running;
+      await Promise.all([server.stop(), client.close()]);
     },
     dumpState: () => ({
       isConnected: follower.isConnected(),
       revision: state.getRevision(),
+      peers: listPeers().length,
       version: state.getConfiguration()?.version,
       routes: state.getConfiguration()?.routes.length ?? 0,
     }),
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -1,8 +1,9 @@
 /** Follows the store: reads everything once, then watches from there. */
 import type { Clock, KeyValueStore, LogEvent, WatchEvent } from '@sequoiarill/types';
 
-import type { DirectoryRecord, DirectoryState } from './directoryState';
+import type { DirectoryState } from './directoryState';
 import * as Events from './events';
+import type { DirectoryRecord } from './recordLog';
 
 export interface StoreFollowerOptions {
   readonly store: KeyValueStore;
--- a/packages/sequoiarill-plugin-forwarding/src/front.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front.ts
@@ -20,6 +20,8 @@
   /** Local moleculer service that hands over requests. */
   readonly service: ServiceSchema;
   readonly start: () => Promise<void>;
+  /** `IP:port` in use for callers, and for readiness checks. */
+  readonly getAddresses: () => { readonly listen: string; readonly readinessListen: string };
   readonly applyLimits: (limits: CallerLimits) => void;
   readonly countRequests: () => number;
   readonly countConnections: () => number;
@@ -96,6 +98,10 @@
       const key = '[forwarding] readinessListen';
       await Kernel.openListener(readiness, settings.readinessListen, key);
     },
+    getAddresses: () => ({
+      listen: Kernel.getBoundAddress(server),
+      readinessListen: Kernel.getBoundAddress(readiness),
+    }),
     applyLimits({ headerTimeoutMs, idleTimeoutMs }) {
       server.headersTimeout = headerTimeoutMs + IDLE_MARGIN_MS;
       server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
@@ -104,7 +110,7 @@
     countConnections: () => connectionCount,
     closeIdle: () => server.closeIdleConnections(),
     async stop() {
-      await Promise.all([closeServer(server), closeServer(readiness)]);
+      await Promise.all([Kernel.closeListener(server), Kernel.closeListener(readiness)]);
     },
   };
 }
@@ -146,15 +152,6 @@
   response.end();
 }
 
-async function closeServer(server: Http.Server): Promise<void> {
-  if (!server.listening) return;
-  const closed = new Promise((resolve) => {
-    server.close(resolve);
-  });
-  server.closeAllConnections();
-  await closed;
-}
-
 function handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
   if (!socket.writable || error.code === 'ECONNRESET') {
     socket.destroy();
--- a/packages/sequoiarill-plugin-forwarding/src/headers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/headers.ts
@@ -1,9 +1,11 @@
 /** Which headers pass from one side to the other. */
-import type { HeaderNames } from '@sequoiarill/types';
+import type { ForwardingWire } from '@sequoiarill/types';
 
 /** Name and value as they came, in their order. */
 export type RawHeader = readonly [name: string, value: string];
 
+type ForwardingHeaders = Pick<ForwardingWire, 'reservedHeaders' | 'essentialHeaders'>;
+
 /** Concern one connection only. `expect` is answered by this process, which reads the whole body. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
   'connection',
@@ -34,16 +36,14 @@
  */
 export function selectForwarded(
   headers: readonly RawHeader[],
-  names: HeaderNames,
-  reserved: ReadonlySet<string>,
+  { reservedHeaders, essentialHeaders }: ForwardingHeaders,
 ): readonly RawHeader[] {
-  const kept = new Set([names.requestId, names.lastEventId, names.promptSize, 'host']);
   const named = headers
     .filter(([name]) => name.toLowerCase() === 'connection')
     .flatMap(([, value]) => value.split(','))
     .map((name) => name.trim().toLowerCase())
-    .filter((name) => !kept.has(name) && CONNECTION_HEADERS.has(name));
-  const left = new Set([...CONNECTION_HEADERS, ...reserved, ...named]);
+    .filter((name) => !essentialHeaders.has(name));
+  const left = new Set([...CONNECTION_HEADERS, ...reservedHeaders, ...named]);
   return headers.filter(([name]) => !left.has(name.toLowerCase()));
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/index.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/index.ts
@@ -5,4 +5,5 @@
 
 Kernel.registerPlugin(ForwardingPlugin.plugin);
 
+export { METRICS } from './metrics';
 export { plugin } from './plugin';
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -1,6 +1,12 @@
 /** What the tasks that forward requests share. */
 import type { RetryBudget, StallPolicy, TargetChooser } from '@sequoiarill/decisions';
-import type { Clock, Directory, ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
+import type {
+  Clock,
+  Directory,
+  ForwardingTarget,
+  ForwardingWire,
+  Metrics,
+} from '@sequoiarill/types';
 
 import type { BoundedLog } from './boundedLog';
 import type { EngineProbes } from './engineProbes';
@@ -18,6 +24,7 @@
   readonly book: TargetBook;
   readonly chooser: TargetChooser;
   readonly log: BoundedLog;
+  readonly metrics: Metrics;
   readonly getBudget: (service: string) => RetryBudget;
   readonly getStallPolicy: (service: string) => StallPolicy;
   /** Sends a request to a target; a call that was opened must be read to its end or cancelled. */
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -3,12 +3,12 @@
 import type { RetryBudget, StallPolicy } from '@sequoiarill/decisions';
 import type { ForwardingTarget, Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
 
+import type { ExchangeParts } from './answers';
 import * as BoundedLogs from './boundedLog';
 import * as Drains from './drain';
 import * as EngineProbes from './engineProbes';
 import * as Events from './events';
 import * as Exchanges from './exchange';
-import type { ExchangeParts } from './exchange';
 import type { ForwardRequest } from './forwardRequest';
 import * as Fronts from './front';
 import type { RawHeader } from './headers';
@@ -102,6 +102,7 @@
     book,
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
+    metrics: context.metrics,
     getBudget: createRegister(() => createBudget(settings)),
     getStallPolicy: createRegister<StallPolicy>(Decisions.createStallPolicy),
     openCall,
@@ -131,8 +132,7 @@
       directory.subscribe(applyDirectory);
       applyDirectory();
       await front.start();
-      const { listen, readinessListen } = settings;
-      logEvent(Events.LISTENING, { listen, readinessListen });
+      logEvent(Events.LISTENING, front.getAddresses());
     },
     async drain() {
       logEvent(Events.DRAINING, { requests: front.countRequests(), graceMs: settings.graceMs });
--- a/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
@@ -11,6 +11,7 @@
 import * as Events from './events';
 import type { AnswerHead, ForwardOutcome, ForwardRequest, SendOutcome } from './forwardRequest';
 import type { RawHeader } from './headers';
+import * as Metrics from './metrics';
 import type { ForwardingParts } from './parts';
 import * as Placement from './placement';
 import * as Sending from './sending';
@@ -253,6 +254,7 @@
   if (hasRun) progress.runs += 1;
   if (outcome.kind !== 'notSent') progress.arrivals += 1;
   recordOutcome(parts, target, outcome);
+  parts.metrics.addCount(Metrics.CONTINUED, 1, { cause: outcome.kind });
 }
 
 function recordOutcome(
--- a/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
@@ -3,6 +3,7 @@
 
 import * as Events from './events';
 import type { ForwardOutcome, ForwardRequest, SendOutcome } from './forwardRequest';
+import * as Metrics from './metrics';
 import type { ForwardingParts } from './parts';
 import * as Placement from './placement';
 import * as Sending from './sending';
@@ -90,6 +91,7 @@
     if (end !== undefined) return end;
     progress.excluded.add(target.id);
     if (progress.excluded.size > MAX_TRIES) return decideEnd(request, progress, false);
+    parts.metrics.addCount(Metrics.REPEATED);
     log.logEvent(Events.REQUEST_REPEATED, {
       request: request.id,
       target: target.id,
--- a/packages/sequoiarill-plugin-platform/src/__tests__/configurationState.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/configurationState.test.ts
@@ -1,12 +1,12 @@
 import { describe, it } from 'node:test';
 
 import type { EventDefinition } from '@sequoiarill/types';
+import * as Kernel from '@sequoiarill/kernel';
 import { expect } from 'earl';
 
 import * as News from '../configurationNews';
 import * as States from '../configurationState';
 import * as Events from '../events';
-import * as Clocks from './fakeClock';
 import * as Fixtures from './fixtures';
 
 const VM_SECTION = JSON.stringify({
@@ -19,7 +19,7 @@
 });
 
 function createState() {
-  const clock = Clocks.createFakeClock();
+  const clock = Kernel.createFakeClock();
   const events: EventDefinition[] = [];
   const state = States.createConfigurationState({
     clock,
@@ -144,7 +144,7 @@
 
 describe('news of the configuration', () => {
   it('rises with the reader, then its beats, and never falls', () => {
-    const clock = Clocks.createFakeClock();
+    const clock = Kernel.createFakeClock();
     const news = News.createNewsKeeper(clock, 3_000);
     news.confirmNews(7, 20);
     news.confirmNews(7, 21);
@@ -158,7 +158,7 @@
   it('makes a reader with a lower fence heard once the higher one falls silent', () => {
     // Story: two zones have a reader each; the one with the higher fence dies. The other goes on
     // reading, but its news look old to every peer, so new changes would not be passed on.
-    const clock = Clocks.createFakeClock();
+    const clock = Kernel.createFakeClock();
     const news = News.createNewsKeeper(clock, 3_000);
     news.mergeNews({ readerFence: 9, readerBeat: 5, revision: 30 });
     news.confirmNews(7, 31);
--- a/packages/sequoiarill-plugin-platform/src/__tests__/documentEditor.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/documentEditor.test.ts
@@ -1,12 +1,12 @@
 import { describe, it } from 'node:test';
 
 import type { KeyTransaction } from '@sequoiarill/types';
+import * as Kernel from '@sequoiarill/kernel';
 import { expect } from 'earl';
 
 import * as DocumentEditors from '../documentEditor';
 import type { PlatformStore } from '../keyValueStore';
 import * as StoredSection from '../storedSection';
-import * as Clocks from './fakeClock';
 import * as Platforms from './fakePlatform';
 import * as Fixtures from './fixtures';
 
@@ -14,7 +14,7 @@
 
 /** Time passes at once: what is tested is the order of calls. */
 function createEditing() {
-  const clock = { ...Clocks.createFakeClock(), waitMs: () => Promise.resolve() };
+  const clock = { ...Kernel.createFakeClock(), waitMs: () => Promise.resolve() };
   const platform = Platforms.createFakePlatform(clock);
   const createEditor = (author: string, store: PlatformStore = platform.createStore()) =>
     DocumentEditors.createDocumentEditor({
--- a/packages/sequoiarill-plugin-platform/src/__tests__/following.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/following.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 
+import * as Kernel from '@sequoiarill/kernel';
 import { expect } from 'earl';
 
 import * as DocumentEditors from '../documentEditor';
@@ -7,14 +8,13 @@
 import * as Events from '../events';
 import * as SourceFollowers from '../sourceFollower';
 import * as StoredSection from '../storedSection';
-import * as Clocks from './fakeClock';
 import * as Platforms from './fakePlatform';
 import * as Fixtures from './fixtures';
 
 const KEY = `${StoredSection.SECTIONS_PREFIX}models`;
 
 async function startNode() {
-  const clock = Clocks.createFakeClock();
+  const clock = Kernel.createFakeClock();
   const platform = Platforms.createFakePlatform(clock);
   platform.write(KEY, Fixtures.formatModelSection('v1'));
   const node = Fixtures.createNode({ platform, clock, name: 'router-1' });
@@ -82,7 +82,7 @@
     // Story: a burst of changes makes the platform's watches lag by half a second, and each change
     // that does arrive brings a confirming read after 200 ms. A reader that took two of them in a row
     // for a gap would add a read of the whole document to each change.
-    const clock = Clocks.createFakeClock();
+    const clock = Kernel.createFakeClock();
     const platform = Platforms.createFakePlatform(clock);
     const follower = SourceFollowers.createSourceFollower({
       source: DocumentRecords.SECTION_SOURCE,
--- a/packages/sequoiarill-plugin-platform/src/__tests__/leaseKeeper.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/leaseKeeper.test.ts
@@ -1,16 +1,16 @@
 import { describe, it } from 'node:test';
 
+import * as Kernel from '@sequoiarill/kernel';
 import { expect } from 'earl';
 
 import * as LeaseKeepers from '../leaseKeeper';
-import * as Clocks from './fakeClock';
 import * as Platforms from './fakePlatform';
 import * as Fixtures from './fixtures';
 
 const KEY = 'duties/z1/reader';
 
 function createKeepers(names: readonly string[]) {
-  const clock = Clocks.createFakeClock();
+  const clock = Kernel.createFakeClock();
   const platform = Platforms.createFakePlatform(clock);
   const keepers = names.map((holder, index) =>
     LeaseKeepers.createLeaseKeeper({
@@ -134,7 +134,7 @@
           return store.writeTransaction(transaction);
         },
       },
-      clock: Clocks.createFakeClock(),
+      clock: Kernel.createFakeClock(),
       nextRandom: Fixtures.createRandom(9),
       key: KEY,
       holder: 'c',
--- a/packages/sequoiarill-plugin-platform/src/__tests__/model.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/model.test.ts
@@ -5,6 +5,7 @@
 import { describe, it } from 'node:test';
 
 import type { KeyValueStore } from '@sequoiarill/types';
+import * as Kernel from '@sequoiarill/kernel';
 import { expect } from 'earl';
 import * as FastCheck from 'fast-check';
 
@@ -13,8 +14,6 @@
 import type { PlatformStore } from '../keyValueStore';
 import * as LeaseKeepers from '../leaseKeeper';
 import type { LeaseKeeper } from '../leaseKeeper';
-import * as Clocks from './fakeClock';
-import type { FakeClock } from './fakeClock';
 import * as Platforms from './fakePlatform';
 import type { FakePlatform } from './fakePlatform';
 import * as Fixtures from './fixtures';
@@ -71,7 +70,7 @@
 }
 
 /** One process that wants the duty all the time, and can be stopped in the midst of any call. */
-function startActor(platform: FakePlatform, clock: FakeClock, index: number): Actor {
+function startActor(platform: FakePlatform, clock: Kernel.FakeClock, index: number): Actor {
   const store = platform.createStore();
   const stopping = new AbortController();
   let gate = Promise.resolve();
@@ -151,7 +150,7 @@
 async function applyStep(
   step: LeaseStep,
   platform: FakePlatform,
-  clock: FakeClock,
+  clock: Kernel.FakeClock,
   actors: readonly Actor[],
 ): Promise<void> {
   if (step.kind === 'pass') {
@@ -166,7 +165,7 @@
 }
 
 async function checkLeases(steps: readonly LeaseStep[]): Promise<void> {
-  const clock = Clocks.createFakeClock();
+  const clock = Kernel.createFakeClock();
   const platform = Platforms.createFakePlatform(clock);
   const actors = Array.from({ length: KEEPERS }, (unused, index) =>
     startActor(platform, clock, index),
@@ -228,7 +227,7 @@
 ): Promise<readonly EditOutcome[]> {
   const editor = DocumentEditors.createDocumentEditor({
     store: createScheduledStore(platform, scheduler),
-    clock: { ...Clocks.createFakeClock(), waitMs: () => Promise.resolve() },
+    clock: { ...Kernel.createFakeClock(), waitMs: () => Promise.resolve() },
     nextRandom: () => 0,
     author: name,
   });
@@ -246,7 +245,7 @@
   plans: readonly EditPlan[],
   lostAnswers: number,
 ): Promise<void> {
-  const platform = Platforms.createFakePlatform(Clocks.createFakeClock());
+  const platform = Platforms.createFakePlatform(Kernel.createFakeClock());
   platform.faults.lostAnswers = lostAnswers;
   const running = plans.map((plan, index) =>
     runEditor(plan, `editor-${index}`, platform, scheduler),
@@ -255,7 +254,7 @@
   const outcomes = (await Promise.all(running)).flat();
   const reader = DocumentEditors.createDocumentEditor({
     store: platform.createStore(),
-    clock: Clocks.createFakeClock(),
+    clock: Kernel.createFakeClock(),
     nextRandom: () => 0,
     author: 'reader',
   });
--- a/packages/sequoiarill-plugin-platform/src/__tests__/readerDuty.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/readerDuty.test.ts
@@ -1,10 +1,10 @@
 import { describe, it } from 'node:test';
 
+import * as Kernel from '@sequoiarill/kernel';
 import { expect } from 'earl';
 
 import * as Events from '../events';
 import * as StoredSection from '../storedSection';
-import * as Clocks from './fakeClock';
 import * as Platforms from './fakePlatform';
 import * as Fixtures from './fixtures';
 import type { Node } from './fixtures';
@@ -14,7 +14,7 @@
 
 /** Routers of one zone; `groups` are those that hear each other. */
 function createZone(size: number) {
-  const clock = Clocks.createFakeClock();
+  const clock = Kernel.createFakeClock();
   const platform = Platforms.createFakePlatform(clock);
   platform.write(KEY, Fixtures.formatModelSection('v1'));
   const nodes = Array.from({ length: size }, (unused, index) =>
@@ -151,7 +151,7 @@
 
 describe('reader mode always', () => {
   it('reads in every router without a lease', async () => {
-    const clock = Clocks.createFakeClock();
+    const clock = Kernel.createFakeClock();
     const platform = Platforms.createFakePlatform(clock);
     platform.write(KEY, Fixtures.formatModelSection('v1'));
     const nodes = ['router-1', 'router-2'].map((name) =>
--- a/packages/sequoiarill-plugin-platform/src/__tests__/snapshots.test.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/snapshots.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test';
 
 import type { Configuration } from '@sequoiarill/types';
+import * as Kernel from '@sequoiarill/kernel';
 import { expect } from 'earl';
 import * as FastCheck from 'fast-check';
 
@@ -9,7 +10,6 @@
 import * as States from '../configurationState';
 import * as SectionParser from '../sectionParser';
 import * as SnapshotKeepers from '../snapshotKeeper';
-import * as Clocks from './fakeClock';
 import * as Fixtures from './fixtures';
 
 const NAMES = ['a', 'b', 'c', 'd'];
@@ -65,7 +65,7 @@
 describe('snapshots', () => {
   it('are the same whether built from changes or from the ground', () => {
     const property = FastCheck.property(batches, (plan) => {
-      const clock = Clocks.createFakeClock();
+      const clock = Kernel.createFakeClock();
       const state = States.createConfigurationState({
         clock,
         logEvent: () => undefined,
@@ -89,7 +89,7 @@
   it('are built at most once for a burst of changes, and within a second', async () => {
     // Story: a script edits a hundred sections within a second while thousands of streams are open.
     // A build for each of them would keep the process from relaying tokens.
-    const clock = Clocks.createFakeClock();
+    const clock = Kernel.createFakeClock();
     let builds = 0;
     const keeper = SnapshotKeepers.createSnapshotKeeper({
       clock,
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -157,6 +157,8 @@
   readonly headers: HeaderNames;
   /** Headers that only this system may set towards targets; taken off what callers send. */
   readonly reservedHeaders: ReadonlySet<string>;
+  /** Headers that tell what is to be run; a caller cannot have them dropped on the way. */
+  readonly essentialHeaders: ReadonlySet<string>;
   readonly reportPath: string;
   readonly decodeReport: (text: string) => EngineReport | undefined;
 }
--- a/scripts/write-catalogues.mjs
+++ b/scripts/write-catalogues.mjs
@@ -12,6 +12,10 @@
 require('sequoiarill');
 const kernel = require('@sequoiarill/kernel');
 
+const routerPlugins = kernel.listPlugins();
+createRequire(path.join(root, 'platform', 'package.json'))('.');
+const platformPlugins = kernel.listPlugins().filter((plugin) => !routerPlugins.includes(plugin));
+
 function formatTable(header, rows) {
   const lines = rows.map((row) => `| ${row.join(' | ')} |`);
   return [`| ${header.join(' | ')} |`, `| ${header.map(() => '---').join(' | ')} |`, ...lines];
@@ -56,11 +60,11 @@
 }
 
 /** The comment above each key of the example, by section; an example is commented out or not. */
-function readMeanings() {
+function readMeanings(file) {
   const meanings = new Map();
   let section;
   let comment = [];
-  for (const line of readFileSync(path.join(root, 'examples', 'router.ini'), 'utf8').split('\n')) {
+  for (const line of readFileSync(path.join(root, file), 'utf8').split('\n')) {
     const key = /^(?:; )?([A-Za-z]+) =/.exec(line)?.[1];
     section = /^\[(\w+)\]$/.exec(line)?.[1] ?? section;
     if (key !== undefined) meanings.set(`${section}.${key}`, comment.join(' '));
@@ -88,24 +92,29 @@
   return required.includes(key) ? 'required' : 'none';
 }
 
-function buildSection(name, schema, meanings) {
+function buildSection(file, name, schema, meanings) {
   const { properties, required = [] } = schema.toJSONSchema({ io: 'input' });
   const rows = Object.entries(properties).map(([key, field]) => {
     const meaning = meanings.get(`${name}.${key}`);
-    if (!meaning) throw new Error(`examples/router.ini: [${name}] ${key}: add it with a comment`);
+    if (!meaning) throw new Error(`${file}: [${name}] ${key}: add it with a comment`);
     return [`\`${key}\``, formatDefault(key, field, required), formatUnit(key, field), meaning];
   });
   const header = ['key', 'default', 'unit or form', 'meaning'];
   return [`## \`[${name}]\``, '', ...formatTable(header, rows), ''];
 }
 
-function buildSettings() {
-  const meanings = readMeanings();
+/** The sections of one process: those of every process, then one a plug-in. */
+function buildSections(file, plugins) {
+  const meanings = readMeanings(file);
   const sections = [
     ['process', kernel.processSchema],
     ['telemetry', kernel.telemetrySchema],
-    ...kernel.listPlugins().map((plugin) => [plugin.name, plugin.settingsSchema]),
+    ...plugins.map((plugin) => [plugin.name, plugin.settingsSchema]),
   ];
+  return sections.flatMap(([name, schema]) => buildSection(file, name, schema, meanings));
+}
+
+function buildSettings() {
   return [
     '# Settings of a router',
     '',
@@ -114,7 +123,12 @@
     '`node scripts/write-catalogues.mjs` from the schemas and `examples/router.ini`; a test holds it',
     'against both.',
     '',
-    ...sections.flatMap(([name, schema]) => buildSection(name, schema, meanings)),
+    ...buildSections('examples/router.ini', routerPlugins),
+    "# Settings of a router on the users' platform",
+    '',
+    'The platform fills in `deploy/router.ini`, from which the meanings come.',
+    '',
+    ...buildSections('deploy/router.ini', platformPlugins),
   ].join('\n');
 }
 
