Send no run to a copy whose engine is leaving

Cause: a stream that lost its engine went on at the keeper of its copy also when that one had begun to drain: new work for a VM that is leaving, later than the two seconds allowed.

Ruled out: stale routes (targets that drain are left out of every other choice).

--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -133,9 +133,9 @@
   return {
     getConfiguration: () => configuration,
     listTargets: (service) => byService.get(service) ?? [],
-    isCurrent(target) {
+    findCurrent(target) {
       const known = targets.find(`${wire.targetPrefix}${target.id}`);
-      return known !== undefined && known.startedAtUnixMs === target.startedAtUnixMs;
+      return known?.startedAtUnixMs === target.startedAtUnixMs ? known : undefined;
     },
     subscribe(listener) {
       listeners.add(listener);
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -0,0 +1,237 @@
+/** Targets that follow a script, in virtual time, in place of those behind sockets. */
+import * as Decisions from '@sequoiarill/decisions';
+import * as Kernel from '@sequoiarill/kernel';
+import type {
+  EngineReport,
+  ForwardingConfiguration,
+  ForwardingRoute,
+  ForwardingTarget,
+  HeaderNames,
+} from '@sequoiarill/types';
+
+import type { ForwardRequest } from '../forwardRequest';
+import type { RawHeader } from '../headers';
+import type { ForwardingParts } from '../parts';
+import * as TargetBooks from '../targetBook';
+import type { CallEvent, TargetCall } from '../targetCall';
+
+export const NAMES: HeaderNames = {
+  requestId: 'id',
+  remainingMs: 'remaining',
+  apiKey: 'key',
+  organisation: 'organisation',
+  expectedTarget: 'target',
+  lastEventId: 'last',
+  promptSize: 'size',
+  backupTarget: 'backup',
+  continueFrom: 'from',
+  priority: 'priority',
+  signature: 'signature',
+  notRun: 'not-run',
+};
+
+export const IDLE_REPORT: EngineReport = {
+  queued: 0,
+  running: 0,
+  prefilling: 0,
+  runIds: [],
+  usedTokens: 0,
+  totalTokens: 100_000,
+  isLeaving: false,
+};
+
+/** What one call does: events at times after it was sent; silence after the last of them. */
+export type Script = readonly (readonly [afterMs: number, event: CallEvent])[];
+
+export interface SentCall {
+  readonly target: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly atMs: number;
+  isCancelled: boolean;
+}
+
+export interface FakeParts {
+  readonly parts: ForwardingParts;
+  readonly clock: Kernel.FakeClock;
+  readonly sent: readonly SentCall[];
+  readonly setTargets: (targets: readonly ForwardingTarget[]) => void;
+  /** Reports of engines that answer; others are silent. */
+  readonly reports: Map<string, EngineReport>;
+}
+
+export function createTarget(id: string, change: Partial<ForwardingTarget> = {}): ForwardingTarget {
+  return {
+    id,
+    startedAtUnixMs: 1,
+    service: 'engines',
+    address: `10.0.0.1:${id}`,
+    zone: 'a',
+    slots: 8,
+    state: 'ready',
+    warmupLeftMs: 0,
+    ...change,
+  };
+}
+
+export function createRoute(change: Partial<ForwardingRoute> = {}): ForwardingRoute {
+  return {
+    name: 'advice',
+    host: 'shop.example',
+    pathPrefix: '/',
+    repeat: 'resumable',
+    isStream: true,
+    hasPrompt: true,
+    isPublic: false,
+    timeoutMs: 20_000,
+    objectiveMs: 4_000,
+    maxGapMs: 700,
+    priority: 0,
+    maxTargets: 5,
+    shares: [{ service: 'engines', weight: 1 }],
+    ...change,
+  };
+}
+
+export function createRequest(route: ForwardingRoute): ForwardRequest {
+  return {
+    id: 'r1',
+    method: 'POST',
+    path: '/x',
+    headers: [],
+    body: Buffer.alloc(0),
+    route,
+    service: route.shares[0]?.service ?? '',
+    arrivedAtMs: 0,
+    expiresAtMs: route.timeoutMs,
+    promptTokens: 8_000,
+    closed: new AbortController().signal,
+  };
+}
+
+export function createHead(status: number, headers: Readonly<Record<string, string>> = {}) {
+  const signed = { id: 'r1', signature: 's', 'transfer-encoding': 'chunked' };
+  return {
+    kind: 'head',
+    head: { status, statusMessage: '', headers: { ...signed, ...headers } },
+  } as const;
+}
+
+export function createEvents(from: number, to: number, everyMs: number, startMs = 0): Script {
+  const numbers = Array.from({ length: to - from + 1 }, (_one, index) => from + index);
+  return numbers.map((number, index) => [
+    startMs + index * everyMs,
+    { kind: 'data', chunk: Buffer.from(`id: ${number}\ndata: ${number}\n\n`) },
+  ]);
+}
+
+const CONFIGURATION: ForwardingConfiguration = {
+  version: 1,
+  routes: [],
+  services: new Map([
+    [
+      'engines',
+      {
+        name: 'engines',
+        maxConnections: 100,
+        engine: {
+          memoryTokens: 100_000,
+          hasBackups: true,
+          tokensPerEvent: 1,
+          copyLifetimeMs: 4_000,
+        },
+      },
+    ],
+    ['orders', { name: 'orders', maxConnections: 100 }],
+  ]),
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+function createCall(clock: Kernel.FakeClock, record: SentCall, script: Script): TargetCall {
+  const sentAtMs = clock.getNowMs();
+  const waiting = [...script];
+  return {
+    wasSent: () => true,
+    cancel() {
+      record.isCancelled = true;
+    },
+    async readEvent(timeoutMs) {
+      if (record.isCancelled) return { kind: 'cancelled' };
+      const dueMs = (waiting[0]?.[0] ?? Number.POSITIVE_INFINITY) + sentAtMs - clock.getNowMs();
+      if (dueMs > timeoutMs) {
+        await clock.waitMs(Math.max(0, timeoutMs));
+        return { kind: 'timeout' };
+      }
+      if (dueMs > 0) await clock.waitMs(dueMs);
+      return waiting.shift()?.[1] ?? { kind: 'timeout' };
+    },
+  };
+}
+
+/** Each call takes the script that its target has for it, by the number of calls there before. */
+export function createFakeParts(
+  chooseScript: (target: string, headers: Readonly<Record<string, string>>) => Script,
+): FakeParts {
+  const clock = Kernel.createFakeClock();
+  const sent: SentCall[] = [];
+  const reports = new Map<string, EngineReport>();
+  let targets: readonly ForwardingTarget[] = [];
+  let drawn = 0;
+  /** Evenly spread and the same each time. */
+  const nextRandom = () => {
+    drawn = (drawn + 0.382) % 1;
+    return drawn;
+  };
+  const book = TargetBooks.createTargetBook(clock.getNowMs);
+  const policy = Decisions.createStallPolicy();
+  const budget = Decisions.createRetryBudget({ ratio: 1, minPerSecond: 1, burst: 20 });
+  const parts: ForwardingParts = {
+    zone: 'a',
+    clock,
+    nextRandom,
+    wire: {
+      configurationKey: '',
+      targetPrefix: '',
+      ownPrefix: '',
+      decodeConfiguration: () => ({ kind: 'malformed', reason: '' }),
+      decodeTarget: () => ({ kind: 'malformed', reason: '' }),
+      headers: NAMES,
+      reservedHeaders: new Set(),
+      essentialHeaders: new Set(),
+      reportPath: '/report',
+      decodeReport: () => undefined,
+    },
+    directory: {
+      getConfiguration: () => CONFIGURATION,
+      listTargets: (service) => targets.filter((target) => target.service === service),
+      findCurrent: (target) => targets.find(({ id }) => id === target.id),
+      subscribe: () => () => undefined,
+    },
+    book,
+    chooser: Decisions.createTargetChooser({ nextRandom }),
+    log: { logEvent: () => undefined, close: () => undefined },
+    metrics: Kernel.createMetrics(undefined, {}),
+    getBudget: () => budget,
+    getStallPolicy: () => policy,
+    openCall(_request, target, extraHeaders: readonly RawHeader[]) {
+      const headers = Object.fromEntries(extraHeaders);
+      const record = { target: target.id, headers, atMs: clock.getNowMs(), isCancelled: false };
+      sent.push(record);
+      return createCall(clock, record, chooseScript(target.id, headers));
+    },
+    async readReport(target, limitMs) {
+      const report = reports.get(target.id);
+      if (report === undefined) await clock.waitMs(limitMs);
+      return report;
+    },
+    renewConnections: () => undefined,
+  };
+  return {
+    parts,
+    clock,
+    sent,
+    reports,
+    setTargets(next) {
+      targets = next;
+    },
+  };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
@@ -0,0 +1,165 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as StreamAnswers from '../streamAnswer';
+import type { StreamOutcome } from '../streamAnswer';
+import * as Fakes from './fakeParts';
+import type { FakeParts, Script } from './fakeParts';
+
+const END: Script[number][1] = { kind: 'end' };
+
+interface Played {
+  readonly outcome: StreamOutcome | undefined;
+  readonly text: string;
+  /** Longest time between two events, milliseconds. */
+  readonly maxGapMs: number;
+}
+
+/** Runs one request to its end in virtual time. */
+async function playStream(fake: FakeParts, limitMs = 30_000): Promise<Played> {
+  const request = Fakes.createRequest(Fakes.createRoute());
+  const answer = StreamAnswers.runStreamAnswer(fake.parts, request);
+  const pieces: string[] = [];
+  let outcome: StreamOutcome | undefined;
+  let lastMs: number | undefined;
+  let maxGapMs = 0;
+  const reading = (async () => {
+    for (;;) {
+      const step = await answer.next();
+      if (step.done === true) {
+        outcome = step.value;
+        return;
+      }
+      if (step.value.kind === 'events') {
+        const nowMs = fake.clock.getNowMs();
+        maxGapMs = Math.max(maxGapMs, nowMs - (lastMs ?? nowMs));
+        lastMs = nowMs;
+        pieces.push(step.value.bytes.toString());
+      }
+    }
+  })();
+  await fake.clock.runFor(limitMs);
+  if (outcome !== undefined) await reading;
+  return { outcome, text: pieces.join(''), maxGapMs };
+}
+
+function formatAll(count: number): string {
+  return Array.from({ length: count }, (_one, index) => index + 1)
+    .map((number) => `id: ${number}\ndata: ${number}\n\n`)
+    .join('');
+}
+
+/** Events of a whole run from one number on. */
+function createRun(from: number, to: number): Script {
+  const events = Fakes.createEvents(from, to, 30, 60);
+  return [[50, Fakes.createHead(200)], ...events, [60 + (to - from) * 30 + 1, END]];
+}
+
+function createFromHeader(headers: Readonly<Record<string, string>>): number {
+  return Number(headers.last ?? 0) + 1;
+}
+
+describe('a streamed answer', () => {
+  it('goes on from the copy within the pause that is on time, when an engine goes dark', async () => {
+    // An engine falls silent after its fifth event, without closing anything, and answers no probe.
+    // The caller sees one pause of less than 700 ms, and every event once.
+    const fake = Fakes.createFakeParts((target, headers) => {
+      const run = createRun(createFromHeader(headers), 12);
+      return target === 'a1' ? run.slice(0, 6) : run;
+    });
+    fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
+    fake.reports.set('a1', Fakes.IDLE_REPORT);
+    fake.reports.set('b1', { ...Fakes.IDLE_REPORT, running: 3 });
+    const playing = playStream(fake);
+    await fake.clock.runFor(0);
+    fake.reports.delete('a1');
+    const played = await playing;
+    expect(played.text).toEqual(formatAll(12));
+    expect(played.outcome?.kind).toEqual('complete');
+    expect(played.maxGapMs).toBeLessThan(700);
+    expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b1']);
+    expect(fake.sent[0]?.headers.backup).toEqual('10.0.0.1:b1');
+    expect(fake.sent[1]?.headers.from).toEqual('10.0.0.1:b1/r1');
+    expect(fake.sent[1]?.headers.last).toEqual('5');
+    expect(fake.sent[0]?.isCancelled).toEqual(true);
+  });
+
+  it('does not go on at a copy whose engine is leaving', async () => {
+    // The engine that keeps the copy begins to drain, and then the one that runs is lost. Sent to the
+    // leaving one, the run would be cut again, and a VM that is leaving must get no new work.
+    const fake = Fakes.createFakeParts((target, headers) => {
+      const run = createRun(createFromHeader(headers), 12);
+      const broken: Script[number] = [200, { kind: 'broken', reason: 'ECONNRESET' }];
+      return target === 'a1' ? [...run.slice(0, 4), broken] : run;
+    });
+    const running = Fakes.createTarget('a1');
+    const copy = Fakes.createTarget('b1', { zone: 'b' });
+    const other = Fakes.createTarget('b2', { zone: 'b' });
+    fake.setTargets([running, copy]);
+    for (const id of ['a1', 'b1', 'b2']) fake.reports.set(id, Fakes.IDLE_REPORT);
+    const playing = playStream(fake);
+    await fake.clock.runFor(0);
+    fake.setTargets([running, { ...copy, state: 'draining' }, other]);
+    const played = await playing;
+    expect(played.text).toEqual(formatAll(12));
+    expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b2']);
+    expect(fake.sent[1]?.headers.from).toEqual(undefined);
+  });
+
+  it('waits for a prompt that is being read, and leaves an engine that has started again', async () => {
+    // Two engines are silent for seconds before their first event. One answers that it reads a prompt;
+    // sent elsewhere, the prompt would be read twice. The other went dark, started again, and answers
+    // that it has nothing to do; its old connection stays silent for good.
+    const late = createRun(1, 3).map(([afterMs, event]) => [afterMs + 3_500, event] as const);
+    const busy = Fakes.createFakeParts(() => late);
+    busy.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
+    busy.reports.set('a1', { ...Fakes.IDLE_REPORT, prefilling: 1, running: 1 });
+    busy.reports.set('b1', { ...Fakes.IDLE_REPORT, prefilling: 4, running: 4 });
+    expect((await playStream(busy)).text).toEqual(formatAll(3));
+    expect(busy.sent.length).toEqual(1);
+
+    const restarted = Fakes.createFakeParts((target) => (target === 'a1' ? [] : createRun(1, 3)));
+    restarted.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
+    restarted.reports.set('a1', Fakes.IDLE_REPORT);
+    restarted.reports.set('b1', { ...Fakes.IDLE_REPORT, running: 2 });
+    const played = await playStream(restarted);
+    expect(played.text).toEqual(formatAll(3));
+    expect(restarted.sent.map(({ target }) => target)).toEqual(['a1', 'b1']);
+  });
+
+  it('tells a caller at once when nothing can go on', async () => {
+    const fake = Fakes.createFakeParts(() => [[5, { kind: 'broken', reason: 'ECONNRESET' }]]);
+    fake.setTargets([]);
+    const none = await playStream(fake, 1_000);
+    expect(none.outcome?.kind).toEqual('refused');
+    fake.setTargets([Fakes.createTarget('a1')]);
+    const lost = await playStream(fake, 10_000);
+    expect(lost.outcome?.kind).toEqual('failed');
+    expect(fake.sent.length).toEqual(5);
+  });
+
+  it('takes no end without framing for the end of an answer that has framing', async () => {
+    // A stream goes on at an engine whose part has no length and ends with its connection, in the
+    // middle. Ended there, the caller's stream would look complete.
+    const fake = Fakes.createFakeParts((target, headers) => {
+      const run = createRun(createFromHeader(headers), 12);
+      const broken: Script[number] = [200, { kind: 'broken', reason: 'ECONNRESET' }];
+      if (target === 'a1') return [...run.slice(0, 4), broken];
+      if (target === 'c1') return run;
+      const head = { status: 200, statusMessage: '', headers: { id: 'r1', signature: 's' } };
+      return [[50, { kind: 'head', head }], ...run.slice(1, 4), [250, END]];
+    });
+    fake.setTargets([
+      Fakes.createTarget('a1'),
+      Fakes.createTarget('b1', { zone: 'b' }),
+      Fakes.createTarget('c1', { zone: 'c' }),
+    ]);
+    fake.reports.set('a1', Fakes.IDLE_REPORT);
+    fake.reports.set('b1', Fakes.IDLE_REPORT);
+    fake.reports.set('c1', { ...Fakes.IDLE_REPORT, running: 5 });
+    const played = await playStream(fake);
+    expect(played.text).toEqual(formatAll(12));
+    expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b1', 'c1']);
+  });
+});
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -113,6 +113,10 @@
     hasTimeFor: drain.hasTimeFor,
   };
 
+  function isCurrent(target: ForwardingTarget): boolean {
+    return directory.findCurrent(target) !== undefined;
+  }
+
   function applyDirectory(): void {
     const configuration = directory.getConfiguration();
     if (configuration === undefined) return;
@@ -122,8 +126,8 @@
       table = RouteTables.createRouteTable(configuration);
       front.applyLimits(configuration.limits);
     }
-    connections.removeMissing(directory.isCurrent);
-    book.removeMissing(directory.isCurrent);
+    connections.removeMissing(isCurrent);
+    book.removeMissing(isCurrent);
   }
 
   return {
--- a/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
@@ -131,16 +131,26 @@
   };
 }
 
+/**
+ * Failure: the engine that keeps the copy has begun to drain, and the run would be new work for a VM
+ * that is leaving, and be cut again. The prompt is read anew elsewhere instead.
+ */
+function findHolder(parts: ForwardingParts, { copy }: Progress): ForwardingTarget | undefined {
+  const holder = copy === undefined ? undefined : parts.directory.findCurrent(copy);
+  return holder?.state === 'ready' ? holder : undefined;
+}
+
 /** A copy saves the whole prefill; without one the next target is chosen like the first. */
 async function createPlan(
   parts: ForwardingParts,
   request: ForwardRequest,
   progress: Progress,
 ): Promise<Plan | undefined> {
-  const { copy, excluded } = progress;
-  if (copy !== undefined && parts.directory.isCurrent(copy)) {
-    const backup = EnginePlacements.chooseBackup(parts, request, copy);
-    return { kind: 'plan', target: copy, backup, usesCopy: true };
+  const { excluded } = progress;
+  const holder = findHolder(parts, progress);
+  if (holder !== undefined) {
+    const backup = EnginePlacements.chooseBackup(parts, request, holder);
+    return { kind: 'plan', target: holder, backup, usesCopy: true };
   }
   if (request.route.hasPrompt) {
     const pair = await EnginePlacements.chooseEngines(parts, request, excluded);
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -168,6 +168,7 @@
   /** Undefined until the first one is known. */
   readonly getConfiguration: () => ForwardingConfiguration | undefined;
   readonly listTargets: (service: string) => readonly ForwardingTarget[];
-  readonly isCurrent: (target: ForwardingTarget) => boolean;
+  /** The same life of a target as it is known now; undefined when it is gone or was replaced. */
+  readonly findCurrent: (target: ForwardingTarget) => ForwardingTarget | undefined;
   readonly subscribe: (listener: () => void) => () => void;
 }
