Keep repeats for streams, and refuse at once what nobody can run

Changed: after a loss an engine proves its identity by its health check before it gets work; repeats are shared by the routers that are known, begin low after a start, and the last three are kept for streams in the middle; where all targets were lost lately one request at a time tries each, the others are refused at once; a failure counts against its target only where another one did better.

Tests that failed before: refusal at once, failures that are the request's own.

--- a/packages/sequoiarill-decisions/src/lossSuspicion.ts
+++ b/packages/sequoiarill-decisions/src/lossSuspicion.ts
@@ -21,7 +21,15 @@
   readonly recordGone: (target: TargetPlace, nowMs: number) => void;
   /** The target answered: it lives, and so may its neighbours. */
   readonly recordSign: (target: TargetPlace, nowMs: number) => void;
+  /**
+   * Whether another life may have taken the target's address since it last proved who it is: it was
+   * lost, or several of its zone were.
+   */
+  readonly isUnproved: (target: TargetPlace) => boolean;
+  /** The target proved that it still is the life that is known. */
+  readonly recordProof: (target: TargetPlace, nowMs: number) => void;
   readonly isSuspect: (target: TargetPlace, nowMs: number) => boolean;
+  readonly removeTarget: (id: string) => void;
 }
 
 /** Time for which a lost target is left out, milliseconds: a restart takes a second or more. */
@@ -32,6 +40,8 @@
 const TOGETHER_MS = 1_000;
 /** Targets lost together that speak for a fault of the zone; one or two are ordinary crashes. */
 const ZONE_LOSSES = 3;
+/** So many make the identity of the zone's other targets doubtful; asking them is cheap. */
+const UNPROVED_LOSSES = 2;
 /** Time for which the rest of such a zone is left out after the last loss, milliseconds. */
 const ZONE_MS = 1_000;
 /** A target that gave a sign of life this lately is not down with its zone, milliseconds. */
@@ -40,18 +50,22 @@
 interface ZoneRecord {
   readonly lossesMs: Map<string, number>;
   suspectUntilMs: number;
+  /** When several targets were lost together, last; 0 for never. */
+  lostMs: number;
 }
 
 export function createLossSuspicion(): LossSuspicion {
   const untilByTarget = new Map<string, number>();
   const signByTarget = new Map<string, number>();
+  const proofByTarget = new Map<string, number>();
+  const lossByTarget = new Map<string, number>();
   const zones = new Map<string, ZoneRecord>();
 
   function getZone(target: TargetPlace): ZoneRecord {
     const key = `${target.service} ${target.zone}`;
     const known = zones.get(key);
     if (known !== undefined) return known;
-    const created: ZoneRecord = { lossesMs: new Map(), suspectUntilMs: 0 };
+    const created: ZoneRecord = { lossesMs: new Map(), suspectUntilMs: 0, lostMs: 0 };
     zones.set(key, created);
     return created;
   }
@@ -71,7 +85,9 @@
         if (nowMs - atMs > TOGETHER_MS) zone.lossesMs.delete(id);
       }
       zone.lossesMs.set(target.id, nowMs);
+      lossByTarget.set(target.id, nowMs);
       if (zone.lossesMs.size >= ZONE_LOSSES) zone.suspectUntilMs = nowMs + ZONE_MS;
+      if (zone.lossesMs.size >= UNPROVED_LOSSES) zone.lostMs = nowMs;
     },
     recordGone(target, nowMs) {
       removeOld(nowMs);
@@ -82,6 +98,19 @@
       untilByTarget.delete(target.id);
       signByTarget.set(target.id, nowMs);
     },
+    isUnproved(target) {
+      const lostMs = Math.max(lossByTarget.get(target.id) ?? 0, getZone(target).lostMs);
+      return lostMs > (proofByTarget.get(target.id) ?? -1) && lostMs > 0;
+    },
+    recordProof(target, nowMs) {
+      proofByTarget.set(target.id, nowMs);
+      lossByTarget.delete(target.id);
+    },
+    removeTarget(id) {
+      [untilByTarget, signByTarget, proofByTarget, lossByTarget].forEach((known) =>
+        known.delete(id),
+      );
+    },
     isSuspect(target, nowMs) {
       if ((untilByTarget.get(target.id) ?? 0) > nowMs) return true;
       if (getZone(target).suspectUntilMs <= nowMs) return false;
--- a/packages/sequoiarill-decisions/src/retryBudget.ts
+++ b/packages/sequoiarill-decisions/src/retryBudget.ts
@@ -14,6 +14,8 @@
   readonly minPerSecond: number;
   /** Retries that may be saved up. */
   readonly burst: number;
+  /** Saved up at the start; all of `burst` when absent. */
+  readonly initial?: number;
 }
 
 export interface RetryBudget {
@@ -24,7 +26,7 @@
 }
 
 export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
-  let balance = options.burst;
+  let balance = options.initial ?? options.burst;
   let updatedAtMs: number | undefined;
 
   function addEarned(nowMs: number, earned: number): void {
--- a/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
@@ -53,6 +53,7 @@
     priority: 'priority',
     signature: 'signature',
     notRun: 'not-run',
+    targetId: 'target-id',
   },
   reservedHeaders: new Set(),
   essentialHeaders: new Set(),
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -137,6 +137,7 @@
       const known = targets.find(`${wire.targetPrefix}${target.id}`);
       return known?.startedAtUnixMs === target.startedAtUnixMs ? known : undefined;
     },
+    countRouters: () => Math.max(1, routers.size),
     subscribe(listener) {
       listeners.add(listener);
       return () => listeners.delete(listener);
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -28,6 +28,7 @@
   priority: 'priority',
   signature: 'signature',
   notRun: 'not-run',
+  targetId: 'target-id',
 };
 
 export const IDLE_REPORT: EngineReport = {
@@ -133,6 +134,7 @@
       {
         name: 'engines',
         maxConnections: 100,
+        healthPath: '/healthz',
         engine: {
           memoryTokens: 100_000,
           hasBackups: true,
@@ -141,7 +143,7 @@
         },
       },
     ],
-    ['orders', { name: 'orders', maxConnections: 100 }],
+    ['orders', { name: 'orders', maxConnections: 100, healthPath: '/healthz' }],
   ]),
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
@@ -204,6 +206,7 @@
       getConfiguration: () => CONFIGURATION,
       listTargets: (service) => targets.filter((target) => target.service === service),
       findCurrent: (target) => targets.find(({ id }) => id === target.id),
+      countRouters: () => 1,
       subscribe: () => () => undefined,
     },
     book,
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/pure.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/pure.test.ts
@@ -22,6 +22,7 @@
   priority: 'priority',
   signature: 'signature',
   notRun: 'not-run',
+  targetId: 'target-id',
 };
 
 function createRoute(name: string, host: string, pathPrefix: string): ForwardingRoute {
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/wholeAnswer.test.ts
@@ -0,0 +1,123 @@
+import { describe, it } from 'node:test';
+
+import type { ForwardingRoute } from '@sequoiarill/types';
+import { expect } from 'earl';
+
+import type { ForwardOutcome } from '../forwardRequest';
+import * as WholeAnswers from '../wholeAnswer';
+import * as Fakes from './fakeParts';
+import type { FakeParts, Script } from './fakeParts';
+
+const OK: Script = [
+  [20, Fakes.createHead(200, { 'content-length': '0' })],
+  [20, { kind: 'end' }],
+];
+const FAILING: Script = [
+  [20, Fakes.createHead(500, { 'content-length': '0' })],
+  [20, { kind: 'end' }],
+];
+
+function createRoute(change: Partial<ForwardingRoute>): ForwardingRoute {
+  return Fakes.createRoute({
+    isStream: false,
+    hasPrompt: false,
+    repeat: 'idempotent',
+    timeoutMs: 600,
+    objectiveMs: 100,
+    maxTargets: 3,
+    shares: [{ service: 'orders', weight: 1 }],
+    ...change,
+  });
+}
+
+function createServices(count: number) {
+  return Array.from({ length: count }, (_one, index) =>
+    Fakes.createTarget(`s${index}`, { service: 'orders' }),
+  );
+}
+
+async function playRequest(
+  fake: FakeParts,
+  change: Partial<ForwardingRoute> = {},
+): Promise<{ readonly outcome: ForwardOutcome; readonly tookMs: number }> {
+  const startedMs = fake.clock.getNowMs();
+  const request = Fakes.createRequest(createRoute(change));
+  const shifted = {
+    ...request,
+    arrivedAtMs: startedMs,
+    expiresAtMs: startedMs + request.route.timeoutMs,
+  };
+  let endedMs = startedMs;
+  const running = WholeAnswers.runWholeAnswer(fake.parts, shifted).then((outcome) => {
+    endedMs = fake.clock.getNowMs();
+    return outcome;
+  });
+  await fake.clock.runFor(2_000);
+  return { outcome: await running, tookMs: endedMs - startedMs };
+}
+
+describe('a whole answer', () => {
+  it('comes from another target in time when one hangs, where the request may be repeated', async () => {
+    const fake = Fakes.createFakeParts((target) => (target === 's0' ? [] : OK));
+    fake.setTargets(createServices(2));
+    const first = await playRequest(fake);
+    const second = await playRequest(fake);
+    expect([first.outcome.kind, second.outcome.kind]).toEqual(['answer', 'answer']);
+    expect(Math.max(first.tookMs, second.tookMs)).toBeLessThan(400);
+  });
+
+  it('is waited for to the end, and sent once, where the request may not be repeated', async () => {
+    const fake = Fakes.createFakeParts(() => []);
+    fake.setTargets(createServices(3));
+    const { outcome } = await playRequest(fake, { repeat: 'once' });
+    expect(outcome.kind).toEqual('failed');
+    expect(fake.sent.length).toEqual(1);
+  });
+
+  it('is refused at once when all targets were lost lately and one request tries them', async () => {
+    // Two of three services are gone and the third is cut off. Every order waits for connections until
+    // its time is up, and its caller learns too late that it can come back.
+    const fake = Fakes.createFakeParts(() => []);
+    fake.setTargets(createServices(2));
+    fake.setTargets(createServices(2));
+    createServices(2).forEach((target) => {
+      fake.parts.book.recordLoss(target);
+      fake.parts.book.recordStart(target);
+    });
+    const { outcome, tookMs } = await playRequest(fake, { repeat: 'once' });
+    expect(outcome.kind).toEqual('refused');
+    expect(tookMs).toEqual(0);
+    expect(fake.sent.length).toEqual(0);
+  });
+
+  it('does not take a target for ill because of requests that fail everywhere', async () => {
+    // Some requests fail on every target. A target that got a few of them in a row was left out, with
+    // two of three down it was the only one, and all orders went to the dead.
+    const fake = Fakes.createFakeParts(() => FAILING);
+    const [only] = createServices(1);
+    if (only === undefined) throw new Error('no target');
+    fake.setTargets([only]);
+    for (let round = 0; round < 6; round += 1) {
+      const { outcome } = await playRequest(fake);
+      expect(outcome.kind).toEqual('answer');
+    }
+    expect(fake.parts.book.buildView(only).state).toEqual('healthy');
+  });
+
+  it('leaves out a target whose failures another one shows to be its own', async () => {
+    const fake = Fakes.createFakeParts((target) => (target === 's0' ? FAILING : OK));
+    const targets = createServices(2);
+    fake.setTargets(targets);
+    for (let round = 0; round < 20; round += 1) await playRequest(fake);
+    const toIll = fake.sent.filter(({ target }) => target === 's0').length;
+    expect(toIll).toBeLessThan(10);
+  });
+
+  it('asks no third target after two that failed alike', async () => {
+    const fake = Fakes.createFakeParts(() => FAILING);
+    fake.setTargets(createServices(3));
+    const { outcome } = await playRequest(fake);
+    expect(outcome.kind).toEqual('answer');
+    expect(fake.sent.length).toEqual(2);
+  });
+});
--- a/packages/sequoiarill-plugin-forwarding/src/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/placement.ts
@@ -1,4 +1,5 @@
 /** Asks the decisions for the target of one send. */
+import type { TargetView } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
 import type { ForwardRequest } from './forwardRequest';
@@ -6,43 +7,57 @@
 
 export interface PlacementQuestion {
   readonly request: ForwardRequest;
-  /** Identities of targets that must not be chosen while others are there. */
+  /** Identities of targets that were tried already. */
   readonly excluded: ReadonlySet<string>;
   readonly purpose: 'first' | 'continuation';
 }
 
+/**
+ * Undefined when nobody can be asked now.
+ *
+ * Load pattern: all targets of a service are down, or cut off. Each request would try them all and wait
+ * for each connection in turn; its caller learns only at its time limit that nothing runs. So of the
+ * requests that find all targets lost lately, one at a time tries each target, and the others are
+ * refused at once.
+ */
 export function chooseTarget(
   parts: ForwardingParts,
   question: PlacementQuestion,
 ): ForwardingTarget | undefined {
+  const { book } = parts;
   const all = parts.directory.listTargets(question.request.service);
   const ready = all.filter((target) => target.state === 'ready');
   const fresh = ready.filter((target) => !question.excluded.has(target.id));
-  return pickTarget(parts, fresh, question) ?? pickTarget(parts, ready, question);
+  const views = fresh.map(book.buildView);
+  const trusted = pickTarget(parts, fresh, views, question);
+  if (trusted !== undefined) return trusted;
+  // Those left out for failures that they answered with are better than those that do not answer.
+  const answering = fresh.filter((target) => !book.isSuspect(target));
+  const pool = answering.length > 0 ? answering : fresh.filter(isIdle);
+  const lenient = pool.map((target) => ({ ...book.buildView(target), state: 'healthy' as const }));
+  return pickTarget(parts, pool, lenient, question);
+
+  function isIdle(target: ForwardingTarget): boolean {
+    return book.getInFlight(target) === 0;
+  }
 }
 
-/** Where all candidates are under suspicion, one of them is still better than nothing. */
 function pickTarget(
   parts: ForwardingParts,
   candidates: readonly ForwardingTarget[],
-  question: PlacementQuestion,
+  views: readonly TargetView[],
+  { request, purpose }: PlacementQuestion,
 ): ForwardingTarget | undefined {
   if (candidates.length === 0) return undefined;
-  const { request, purpose } = question;
-  const views = candidates.map(parts.book.buildView);
-  const choiceRequest = {
+  const choice = parts.chooser.chooseTarget({
+    candidates: views,
     zone: parts.zone,
     prefixKeys: [],
     nowMs: parts.clock.getNowMs(),
     excluded: new Set<string>(),
     purpose,
     promptTokens: request.promptTokens,
-  };
-  const choice = parts.chooser.chooseTarget({ ...choiceRequest, candidates: views });
-  if (choice.kind === 'target') return candidates.find(({ id }) => id === choice.name);
-  const lenient = views
-    .filter(({ state }) => state !== 'leaving')
-    .map((view) => ({ ...view, state: 'healthy' as const }));
-  const second = parts.chooser.chooseTarget({ ...choiceRequest, candidates: lenient });
-  return second.kind === 'target' ? candidates.find(({ id }) => id === second.name) : undefined;
+  });
+  if (choice.kind !== 'target') return undefined;
+  return candidates.find(({ id }) => id === choice.name);
 }
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -33,20 +33,26 @@
 }
 
 /**
- * All routers together may repeat a share of the requests and a fixed number in a window. No router
- * knows how many there are, so each takes the share of its own requests, less a margin for windows
- * that do not match, and a part of the fixed number that a dozen routers do not overdraw.
+ * All routers together may repeat a share of the requests and a fixed number in a window. Each router
+ * takes the share of its own requests, less a margin for windows that do not match, and its part of the
+ * fixed number, less a margin for routers that have just come.
  */
 const RATIO_MARGIN = 0.75;
-const EXPECTED_ROUTERS = 14;
+const SLACK_MARGIN = 0.85;
+/** A fleet of fewer routers than this may be one of which the others are not known yet. */
+const MIN_ROUTERS = 6;
+/** Part of the fixed number that a router begins with: another life of it may have spent some. */
+const INITIAL_SHARE = 0.4;
 /** Repeats a second that a router without requests earns. */
 const REPEATS_PER_SECOND = 0.1;
 
-function createBudget(settings: ForwardingSettings): RetryBudget {
+function createBudget(settings: ForwardingSettings, routers: number): RetryBudget {
+  const burst = (settings.repeatSlack * SLACK_MARGIN) / Math.max(MIN_ROUTERS, routers);
   return Decisions.createRetryBudget({
     ratio: settings.repeatRatio * RATIO_MARGIN,
     minPerSecond: REPEATS_PER_SECOND,
-    burst: settings.repeatSlack / EXPECTED_ROUTERS,
+    burst,
+    initial: burst * INITIAL_SHARE,
   });
 }
 
@@ -57,7 +63,14 @@
   const log = BoundedLogs.createBoundedLog(logEvent, clock.getNowMs);
   const book = TargetBooks.createTargetBook(clock.getNowMs);
   const connections = TargetConnections.createTargetConnections();
-  const probes = EngineProbes.createEngineProbes({ wire, clock, book, connections });
+  const probes = EngineProbes.createEngineProbes({
+    wire,
+    clock,
+    book,
+    connections,
+    getHealthPath: (service) =>
+      directory.getConfiguration()?.services.get(service)?.healthPath ?? '/',
+  });
   let table: RouteTable | undefined;
   let version: number | undefined;
 
@@ -103,7 +116,7 @@
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
     metrics: context.metrics,
-    getBudget: createRegister(() => createBudget(settings)),
+    getBudget: createRegister(() => createBudget(settings, directory.countRouters())),
     getStallPolicy: createRegister<StallPolicy>(Decisions.createStallPolicy),
     openCall,
     readReport: probes.readReport,
--- a/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
@@ -31,6 +31,8 @@
 /** Sends besides those that the route allows, for targets that did not take the request. */
 const MAX_TRIES = 12;
 const RETRY_AFTER_SECONDS = 0.5;
+/** Repeats that are kept for streams in the middle: those that one crash of a zone may need. */
+const REPEATS_FOR_STREAMS = 3;
 /** Pause before the next try when a target did not take the request, milliseconds. */
 const BUSY_PAUSE_MS = 40;
 
@@ -90,12 +92,18 @@
   if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
   const plan = await createPlan(parts, request, progress);
   if (plan === undefined) return decideEnd(progress, progress.lastReason, false);
-  if (progress.arrivals > 0 && !budget.takeRetry(nowMs)) {
+  if (progress.arrivals > 0 && !takeRepeat(progress, budget, nowMs)) {
     return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
   }
   return plan;
 }
 
+/** A stream that its caller has begun to read goes before one that can still be refused. */
+function takeRepeat(progress: Progress, budget: RetryBudget, nowMs: number): boolean {
+  if (!progress.hasEvents && budget.getBalance(nowMs) < REPEATS_FOR_STREAMS) return false;
+  return budget.takeRetry(nowMs);
+}
+
 /** Undefined: the stream goes on with another send. */
 function decideAfter(
   parts: ForwardingParts,
@@ -157,7 +165,9 @@
     if (pair !== undefined) return { kind: 'plan', ...pair, usesCopy: false };
   }
   const purpose = progress.tries === 0 ? 'first' : 'continuation';
-  const target = Placement.chooseTarget(parts, { request, excluded, purpose });
+  const target =
+    Placement.chooseTarget(parts, { request, excluded, purpose }) ??
+    Placement.chooseTarget(parts, { request, excluded: new Set(), purpose });
   if (target === undefined) return undefined;
   return { kind: 'plan', target, backup: undefined, usesCopy: false };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
@@ -16,6 +16,9 @@
   readonly recordLoss: (target: ForwardingTarget) => void;
   /** Another life of a target, or another one, has its address now: this one is gone. */
   readonly recordReplaced: (target: ForwardingTarget) => void;
+  /** The target's identity is not sure any more; see `recordProof`. */
+  readonly isUnproved: (target: ForwardingTarget) => boolean;
+  readonly recordProof: (target: ForwardingTarget) => void;
   readonly recordReport: (target: ForwardingTarget, report: EngineReport) => void;
   readonly buildView: (target: ForwardingTarget) => TargetView;
   readonly isSuspect: (target: ForwardingTarget) => boolean;
@@ -89,6 +92,7 @@
     recordSuccess(target) {
       getDetector(target.service).recordSuccess(target.id, getNowMs());
       suspicion.recordSign(target, getNowMs());
+      suspicion.recordProof(target, getNowMs());
     },
     recordSign(target) {
       suspicion.recordSign(target, getNowMs());
@@ -103,6 +107,10 @@
     recordReplaced(target) {
       suspicion.recordGone(target, getNowMs());
     },
+    isUnproved: suspicion.isUnproved,
+    recordProof(target) {
+      suspicion.recordProof(target, getNowMs());
+    },
     recordReport(target, report) {
       const entry = getEntry(target);
       entry.report = report;
@@ -138,6 +146,7 @@
         if (!isCurrent(target) && inFlight === 0) {
           entries.delete(id);
           getDetector(target.service).removeTarget(id);
+          suspicion.removeTarget(id);
         }
       }
     },
--- a/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
@@ -24,6 +24,8 @@
 
 interface Progress {
   readonly excluded: Set<string>;
+  /** Who answered with a failure of its own, first. */
+  failedTarget: ForwardingTarget | undefined;
   /** Sends of which bytes left, each to another target. */
   sends: number;
   mayHaveRun: boolean;
@@ -66,6 +68,7 @@
   const budget = parts.getBudget(request.service);
   const progress: Progress = {
     excluded: new Set(),
+    failedTarget: undefined,
     sends: 0,
     mayHaveRun: false,
     lastReason: 'no target is known',
@@ -86,7 +89,7 @@
     const limitMs = computeLimit(request, progress, nowMs);
     const outcome = await Sending.sendOnce(parts, request, target, limitMs);
     if (outcome.kind === 'callerLeft') return outcome;
-    recordOutcome(parts, target, outcome);
+    recordOutcome(parts, target, outcome, progress);
     const end = decideNext(request, progress, outcome);
     if (end !== undefined) return end;
     progress.excluded.add(target.id);
@@ -135,15 +138,33 @@
   return { kind: 'failed', reason: progress.lastReason, isLate };
 }
 
+/**
+ * Failure: some requests fail on every target, and a target that got a few of them in a row would be
+ * left out for nothing. A failure counts against its target only where another one did better.
+ */
+function recordWhole(
+  { book }: ForwardingParts,
+  target: ForwardingTarget,
+  status: number,
+  progress: Progress,
+): void {
+  if (status >= SERVER_ERROR) {
+    progress.failedTarget ??= target;
+    return;
+  }
+  book.recordSuccess(target);
+  if (progress.failedTarget !== undefined) book.recordFailure(progress.failedTarget);
+}
+
 function recordOutcome(
   parts: ForwardingParts,
   target: ForwardingTarget,
   outcome: SendOutcome,
+  progress: Progress,
 ): void {
   const { book, log } = parts;
   if (outcome.kind === 'whole') {
-    if (outcome.head.status >= SERVER_ERROR) book.recordFailure(target);
-    else book.recordSuccess(target);
+    recordWhole(parts, target, outcome.head.status, progress);
     return;
   }
   if (outcome.kind === 'notRun') {
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -57,6 +57,8 @@
   readonly name: string;
   /** Connections one of its targets accepts from all routers together. */
   readonly maxConnections: number;
+  /** Path of the health check, whose answer names the target. */
+  readonly healthPath: string;
   readonly engine?: EngineTraits;
 }
 
@@ -141,6 +143,8 @@
   readonly signature: string;
   /** The target says that it did not run the request. */
   readonly notRun: string;
+  /** Identity of the target that answers. */
+  readonly targetId: string;
 }
 
 /**
@@ -170,5 +174,7 @@
   readonly listTargets: (service: string) => readonly ForwardingTarget[];
   /** The same life of a target as it is known now; undefined when it is gone or was replaced. */
   readonly findCurrent: (target: ForwardingTarget) => ForwardingTarget | undefined;
+  /** Routers that are known to live, this one too; at least 1. */
+  readonly countRouters: () => number;
   readonly subscribe: (listener: () => void) => () => void;
 }
