Never wait for whoever reads the log, and keep copies on the router's side of a cut

- Log lines go out asynchronously, with at most 1 MB waiting; later ones are dropped.
Before, a reader that stopped reading blocked the process with the next write; the test hung then.
- A run in another zone keeps its copy in the router's own, where a cut between them leaves it usable.
- SIGHUP reads the settings again and says what it found; a fault without a section is printed as such.

--- a/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
@@ -97,6 +97,18 @@
     expect(placed).toEqual({ target: 'a1', backup: 'b1' });
   });
 
+  it('keeps the copy near the router when the run is in another zone', () => {
+    // The engines of the router's zone come back from a crash while runs go on in another zone. Then
+    // the link between the zones is cut, and only a copy on this side can be reached.
+    const views = [
+      createView({ id: 'a1', running: 1 }),
+      createView({ id: 'b1', zone: 'b' }),
+      createView({ id: 'c1', zone: 'c', running: 4 }),
+    ];
+    const placed = EnginePlacement.chooseEngines({ views, zone: 'c', promptTokens: 8_000 });
+    expect(placed).toEqual({ target: 'b1', backup: 'c1' });
+  });
+
   it('takes a copy in the same zone over none, and no copy where there is one engine', () => {
     const two = [createView({ id: 'a1' }), createView({ id: 'a2' })];
     expect(
--- a/packages/sequoiarill-decisions/src/enginePlacement.ts
+++ b/packages/sequoiarill-decisions/src/enginePlacement.ts
@@ -66,9 +66,11 @@
   if (target === undefined) return undefined;
   const others = question.views.filter(({ id }) => id !== target.id);
   const elsewhere = others.filter(({ zone }) => zone !== target.zone);
-  // A copy costs no prefill; the zone of the router is no reason for it.
+  // Beside a run in another zone a copy in the router's own is left when the link between them is cut.
+  const near = elsewhere.filter(({ zone }) => zone === question.zone);
   const copies = { ...question, zone: '' };
-  const backup = pickCheapest(elsewhere, copies) ?? pickCheapest(others, copies);
+  const backup =
+    pickCheapest(near, copies) ?? pickCheapest(elsewhere, copies) ?? pickCheapest(others, copies);
   return { target: target.id, ...(backup === undefined ? {} : { backup: backup.id }) };
 }
 
--- a/packages/sequoiarill-kernel/src/events.ts
+++ b/packages/sequoiarill-kernel/src/events.ts
@@ -31,6 +31,26 @@
   readonly close: () => void;
 }
 
+/** Bytes of lines that wait for a slow reader; later ones are dropped. Some seconds of a storm. */
+const MAX_WAITING_BYTES = 1_048_576;
+const STANDARD_OUTPUT = 1;
+
+/**
+ * Failure: whoever reads the log stops reading, the pipe is full, and a write that waits for it stops
+ * every request. So lines wait in memory, up to a bound, and are then dropped.
+ */
+function createOutput() {
+  return Pino.destination({ dest: STANDARD_OUTPUT, sync: false, maxLength: MAX_WAITING_BYTES });
+}
+
+function writeWaiting(output: ReturnType<typeof createOutput>): void {
+  try {
+    output.flushSync();
+  } catch {
+    // The reader is gone, or nothing was written yet: no line is left that could still be read.
+  }
+}
+
 /** Logs to standard output, one JSON object a line, unless another destination is given. */
 export function createLogger(
   processName: string,
@@ -38,14 +58,15 @@
   destination?: Pino.DestinationStream,
 ): Logger {
   const options: Pino.LoggerOptions = { level, base: { process: processName } };
-  const pino = destination === undefined ? Pino(options) : Pino(options, destination);
+  const output = destination === undefined ? createOutput() : undefined;
+  const pino = Pino(options, destination ?? output);
   return {
     logEvent(definition, fields = {}) {
       const record = { ...fields, event: definition.number, name: definition.name };
       pino[definition.level](record, definition.message);
     },
     close() {
-      pino.flush();
+      if (output !== undefined) writeWaiting(output);
     },
   };
 }
--- a/packages/sequoiarill-kernel/src/kernel.ts
+++ b/packages/sequoiarill-kernel/src/kernel.ts
@@ -1,4 +1,6 @@
 /** Life cycle of one process: start in order of need, drain and stop in reverse. */
+import { isDeepStrictEqual } from 'node:util';
+
 import type {
   Capabilities,
   CapabilityName,
@@ -19,7 +21,8 @@
 import * as MetricsSenders from './metrics';
 import * as MetricsPages from './metricsPage';
 import * as Registry from './registry';
-import type { Settings } from './settings';
+import * as Settings from './settings';
+import type { SettingsResult } from './settings';
 
 const BYTES_PER_MB = 1_048_576;
 const MS_PER_SECOND = 1_000;
@@ -28,7 +31,7 @@
 const START_POLL_MS = 10;
 
 export interface KernelOptions {
-  readonly settings: Settings;
+  readonly settings: Settings.Settings;
   /** Those registered by import, unless a test gives its own. */
   readonly plugins?: readonly Plugin[];
   readonly logEvent?: LogEvent;
@@ -42,6 +45,8 @@
   /** Takes no new work and waits for the work in progress, for at most so long. */
   readonly drain: (limitMs: number) => Promise<void>;
   readonly stop: () => Promise<void>;
+  /** Tells what a new reading of the settings file gave; nothing in use changes. */
+  readonly recordSettings: (result: SettingsResult) => void;
   readonly dumpProcess: () => Promise<ProcessDump>;
   readonly getPhase: () => LifecyclePhase;
   readonly getCapability: PluginContext['getCapability'];
@@ -128,6 +133,16 @@
     }
   }
 
+  function recordSettings(result: SettingsResult): void {
+    if (result.kind === 'faults') {
+      const faults = result.faults.map(Settings.formatFault);
+      logEvent(KernelEvents.SETTINGS_FAULTY, { faults });
+      return;
+    }
+    const isSame = isDeepStrictEqual(result.settings, settings);
+    logEvent(KernelEvents.SETTINGS_READ, { isSame });
+  }
+
   return {
     async start() {
       await broker.start();
@@ -155,6 +170,7 @@
       metrics.close();
       logger.close();
     },
+    recordSettings,
     dumpProcess,
     getPhase: () => phase,
     getCapability,
--- a/packages/sequoiarill-kernel/src/kernelEvents.ts
+++ b/packages/sequoiarill-kernel/src/kernelEvents.ts
@@ -19,3 +19,15 @@
   'process.stopped',
   'Every plug-in has stopped; the process ends.',
 );
+export const SETTINGS_READ = Events.defineEvent(
+  1003,
+  'info',
+  'process.settingsRead',
+  'The settings file was read again on a signal; what differs takes effect at the next start.',
+);
+export const SETTINGS_FAULTY = Events.defineEvent(
+  1004,
+  'error',
+  'process.settingsFaulty',
+  'The settings file was read again on a signal and has faults; the settings in use stay.',
+);
--- a/packages/sequoiarill-kernel/src/settings.ts
+++ b/packages/sequoiarill-kernel/src/settings.ts
@@ -108,6 +108,7 @@
 }
 
 export function formatFault(fault: SettingsFault): string {
+  if (fault.section === '') return `${fault.file}: ${fault.reason}`;
   const place = fault.key === '' ? `[${fault.section}]` : `[${fault.section}] ${fault.key}`;
   return `${fault.file}: ${place}: ${fault.reason}`;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
@@ -49,7 +49,8 @@
     (other) => other.id !== target.id && !parts.book.isSuspect(other),
   );
   const elsewhere = others.filter((other) => other.zone !== target.zone);
-  const pool = elsewhere.length > 0 ? elsewhere : others;
+  const near = elsewhere.filter((other) => other.zone === parts.zone);
+  const pool = [near, elsewhere, others].find((some) => some.length > 0) ?? [];
   return pool[Math.floor(parts.nextRandom() * pool.length)];
 }
 
