Take no target for down because of one lost answer

Changed: only a connection that could not be made counts as a sign that the target is down; lost and silent answers count as failures, of which several in a row leave it out.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/wholeAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/wholeAnswer.test.ts
@@ -90,6 +90,33 @@
     expect(fake.sent.length).toEqual(0);
   });
 
+  it('goes on asking targets that lose an answer now and then', async () => {
+    // Each of three services loses one answer at about the same time. Taken for down after it, all are
+    // left out, and orders are refused that any of them would run.
+    let calls = 0;
+    const fake = Fakes.createFakeParts(() => {
+      calls += 1;
+      return calls <= 3 ? [[10, { kind: 'broken', reason: 'ECONNRESET' }]] : OK;
+    });
+    fake.setTargets(createServices(3));
+    const startRequests = (count: number) =>
+      Array.from({ length: count }, () =>
+        WholeAnswers.runWholeAnswer(
+          fake.parts,
+          Fakes.createRequest(createRoute({ repeat: 'once' })),
+        ),
+      );
+    const lost = startRequests(3);
+    await fake.clock.runFor(12);
+    const later = startRequests(9);
+    await fake.clock.runFor(100);
+    const outcomes = await Promise.all([...lost, ...later]);
+    expect(outcomes.map(({ kind }) => kind)).toEqual([
+      ...lost.map(() => 'failed' as const),
+      ...later.map(() => 'answer' as const),
+    ]);
+  });
+
   it('does not take a target for ill because of requests that fail everywhere', async () => {
     // Some requests fail on every target. A target that got a few of them in a row was left out, with
     // two of three down it was the only one, and all orders went to the dead.
--- a/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
@@ -172,7 +172,9 @@
     else book.recordFailure(target);
   }
   if (outcome.kind !== 'notSent' && outcome.kind !== 'lost') return;
-  book.recordLoss(target);
+  // One answer that is lost says little of a target that takes connections; several in a row do.
+  if (outcome.kind === 'notSent') book.recordLoss(target);
+  else book.recordFailure(target);
   if (outcome.kind === 'lost' && outcome.isSilence) parts.renewConnections(target);
   log.logEvent(Events.TARGET_LOST, {
     target: target.id,
