Name route, service, version and the last target in the lines about a request's end

Cause: a line that told that a request was refused or had failed named neither the target that was asked last nor the configuration in force, so nothing led from its id to the target's own lines.

--- a/packages/sequoiarill-plugin-forwarding/src/answers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers.ts
@@ -1,8 +1,6 @@
 /** What goes out to the caller: answers, streams, refusals. */
 import type { ServerResponse } from 'node:http';
 
-import type { LogEvent } from '@sequoiarill/types';
-
 import * as Checks from './answerChecks';
 import * as Events from './events';
 import type { AnswerHead, ForwardOutcome, ForwardRequest } from './forwardRequest';
@@ -32,12 +30,15 @@
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
 
-function logRefused(
-  logEvent: LogEvent,
-  requestId: string | undefined,
-  { status, reason }: Refusal,
-): void {
-  logEvent(Events.REQUEST_REFUSED, { request: requestId, status, reason });
+/** What every line about the end of a request says beside its reason. */
+function createLineFields(parts: ExchangeParts, request: ForwardRequest) {
+  return {
+    request: request.id,
+    route: request.route.name,
+    service: request.service,
+    version: parts.directory.getConfiguration()?.version,
+    waitedMs: Math.round(parts.clock.getNowMs() - request.arrivedAtMs),
+  };
 }
 
 export function sendRefusal(
@@ -47,7 +48,9 @@
   refusal: Refusal,
 ): void {
   const id = Headers.findSingle(headers, parts.wire.headers.requestId);
-  logRefused(parts.log.logEvent, id, refusal);
+  const { status, reason } = refusal;
+  const version = parts.directory.getConfiguration()?.version;
+  parts.log.logEvent(Events.REQUEST_REFUSED, { request: id, status, reason, version });
   sendEmpty(parts, response, id, refusal);
 }
 
@@ -115,16 +118,15 @@
     return;
   }
   const { id } = request;
+  const { reason, lastTarget } = outcome;
+  const fields = { ...createLineFields(parts, request), reason, lastTarget };
   if (outcome.kind === 'refused') {
-    const refusal = { status: UNAVAILABLE, ...outcome };
-    logRefused(parts.log.logEvent, id, refusal);
-    sendEmpty(parts, response, id, refusal);
+    parts.log.logEvent(Events.REQUEST_REFUSED, { ...fields, status: UNAVAILABLE });
+    sendEmpty(parts, response, id, { status: UNAVAILABLE, ...outcome });
     return;
   }
   const status = outcome.isLate ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-  const waitedMs = Math.round(parts.clock.getNowMs() - request.arrivedAtMs);
-  const { reason } = outcome;
-  parts.log.logEvent(Events.REQUEST_FAILED, { request: id, status, reason, waitedMs });
+  parts.log.logEvent(Events.REQUEST_FAILED, { ...fields, status });
   sendEmpty(parts, response, id, { status, reason });
 }
 
@@ -183,9 +185,9 @@
     return;
   }
   recordEnd(parts, request, outcome.kind);
-  const { reason } = outcome;
-  const waitedMs = Math.round(parts.clock.getNowMs() - request.arrivedAtMs);
-  parts.log.logEvent(Events.STREAM_BROKEN, { request: request.id, reason, waitedMs });
+  const { reason, lastTarget } = outcome;
+  const fields = { ...createLineFields(parts, request), reason, lastTarget };
+  parts.log.logEvent(Events.STREAM_BROKEN, fields);
   // Without the end of the body, so that it does not look complete.
   response.destroy();
 }
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -50,9 +50,20 @@
 export type ForwardOutcome =
   | { readonly kind: 'answer'; readonly head: AnswerHead; readonly body: Buffer }
   /** Not run, and never will be. */
-  | { readonly kind: 'refused'; readonly reason: string; readonly retryAfterSeconds: number }
+  | {
+      readonly kind: 'refused';
+      readonly reason: string;
+      readonly retryAfterSeconds: number;
+      /** Identity of the target that was asked last. */
+      readonly lastTarget?: string;
+    }
   /** May have run. */
-  | { readonly kind: 'failed'; readonly reason: string; readonly isLate: boolean }
+  | {
+      readonly kind: 'failed';
+      readonly reason: string;
+      readonly isLate: boolean;
+      readonly lastTarget?: string;
+    }
   | { readonly kind: 'callerLeft' };
 
 export interface SentTo {
--- a/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
@@ -25,7 +25,7 @@
 export type StreamOutcome =
   | { readonly kind: 'complete'; readonly head: AnswerHead; readonly wasStarted: boolean }
   /** Events were passed on, and no target can go on. */
-  | { readonly kind: 'broken'; readonly reason: string }
+  | { readonly kind: 'broken'; readonly reason: string; readonly lastTarget?: string }
   | ForwardOutcome;
 
 /** Sends besides those that the route allows, for targets that did not take the request. */
@@ -52,6 +52,7 @@
   /** Who keeps a copy of the memory of the last run. */
   copy: ForwardingTarget | undefined;
   lastReason: string;
+  lastTarget: string | undefined;
 }
 
 interface Plan {
@@ -136,6 +137,7 @@
     excluded: new Set(),
     copy: undefined,
     lastReason: 'no target is known',
+    lastTarget: undefined,
   };
 }
 
@@ -266,6 +268,7 @@
 ): void {
   const { target, backup, usesCopy } = plan;
   progress.lastReason = formatReason(outcome);
+  progress.lastTarget = target.id;
   progress.excluded.add(target.id);
   const hasRun = outcome.kind === 'lost' || outcome.kind === 'whole';
   // A copy can be used once; the run that was lost kept one of its own, if it ran at all.
@@ -322,7 +325,9 @@
 }
 
 function decideEnd(progress: Progress, reason: string, isLate: boolean): StreamOutcome {
-  if (progress.hasEvents) return { kind: 'broken', reason };
-  if (progress.runs > 0) return { kind: 'failed', reason, isLate };
-  return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS };
+  const { hasEvents, runs, lastTarget } = progress;
+  const end = lastTarget === undefined ? { reason } : { reason, lastTarget };
+  if (hasEvents) return { kind: 'broken', ...end };
+  if (runs > 0) return { kind: 'failed', isLate, ...end };
+  return { kind: 'refused', retryAfterSeconds: RETRY_AFTER_SECONDS, ...end };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
@@ -30,6 +30,7 @@
   sends: number;
   mayHaveRun: boolean;
   lastReason: string;
+  lastTarget: string | undefined;
   /** Targets that answered with a failure of their own. */
   serverErrors: number;
   /** A target's own failure, kept in case no other target does better. */
@@ -44,8 +45,14 @@
   return isLast ? leftMs : Math.min(objectiveMs * REPEAT_OBJECTIVES, leftMs * REPEAT_SHARE);
 }
 
-function refuse(reason: string): ForwardOutcome {
-  return { kind: 'refused', reason, retryAfterSeconds: RETRY_AFTER_SECONDS };
+function refuse(progress: Progress): ForwardOutcome {
+  const { lastReason: reason } = progress;
+  const retryAfterSeconds = RETRY_AFTER_SECONDS;
+  return { kind: 'refused', reason, retryAfterSeconds, ...getLastTarget(progress) };
+}
+
+function getLastTarget({ lastTarget }: Progress): { readonly lastTarget?: string } {
+  return lastTarget === undefined ? {} : { lastTarget };
 }
 
 /** After the last send: what the caller is told. */
@@ -55,9 +62,9 @@
     return { kind: 'answer', head: lastFailure.head, body: lastFailure.body };
   }
   const isPromiseTrue = request.route.repeat !== 'once' || !mayHaveRun;
-  if (isPromiseTrue && !isLate) return refuse(lastReason);
-  if (!mayHaveRun) return refuse(lastReason);
-  return { kind: 'failed', reason: lastReason, isLate };
+  if (isPromiseTrue && !isLate) return refuse(progress);
+  if (!mayHaveRun) return refuse(progress);
+  return { kind: 'failed', reason: lastReason, isLate, ...getLastTarget(progress) };
 }
 
 export async function runWholeAnswer(
@@ -72,6 +79,7 @@
     sends: 0,
     mayHaveRun: false,
     lastReason: 'no target is known',
+    lastTarget: undefined,
     serverErrors: 0,
   };
   budget.recordRequest(clock.getNowMs());
@@ -87,9 +95,10 @@
     if (target === undefined) return decideEnd(request, progress, false);
     if (progress.sends > 0 && !budget.takeRetry(nowMs)) return decideEnd(request, progress, false);
     const limitMs = computeLimit(request, progress, nowMs);
+    progress.lastTarget = target.id;
     const outcome = await Sending.sendOnce(parts, request, target, limitMs);
     if (outcome.kind === 'callerLeft') return outcome;
-    recordOutcome(parts, target, outcome, progress);
+    recordOutcome(parts, request, target, outcome, progress);
     const end = decideNext(request, progress, outcome);
     if (end !== undefined) return end;
     progress.excluded.add(target.id);
@@ -135,7 +144,7 @@
   progress.lastReason = outcome.kind === 'lost' ? outcome.reason : 'time is up';
   if (!isOnce) return undefined;
   const isLate = outcome.kind === 'lost' && outcome.isSilence;
-  return { kind: 'failed', reason: progress.lastReason, isLate };
+  return { kind: 'failed', reason: progress.lastReason, isLate, ...getLastTarget(progress) };
 }
 
 /**
@@ -158,6 +167,7 @@
 
 function recordOutcome(
   parts: ForwardingParts,
+  request: ForwardRequest,
   target: ForwardingTarget,
   outcome: SendOutcome,
   progress: Progress,
@@ -177,6 +187,7 @@
   else book.recordFailure(target);
   if (outcome.kind === 'lost' && outcome.isSilence) parts.renewConnections(target);
   log.logEvent(Events.TARGET_LOST, {
+    request: request.id,
     target: target.id,
     zone: target.zone,
     address: target.address,
