Charge no repeat for a send that reached nobody, and pause before further tries

Cause: a stream whose engine was lost spent a repeat for each refused connection after it; with all engines refusing, ten were spent within 20 ms and the stream broke off with 'no repeat left' while the engines came back.

Changed: a repeat that reached nobody is given back; after three refused connections 40 ms pass before the next try. The test broke off before the change.

--- a/packages/sequoiarill-decisions/src/retryBudget.ts
+++ b/packages/sequoiarill-decisions/src/retryBudget.ts
@@ -22,6 +22,8 @@
   readonly recordRequest: (nowMs: number) => void;
   /** Spends one retry; false when none is left and the attempt must end. */
   readonly takeRetry: (nowMs: number) => boolean;
+  /** Gives one back that was spent on an attempt which reached nobody, and so added no load. */
+  readonly releaseRetry: () => void;
   readonly getBalance: (nowMs: number) => number;
 }
 
@@ -47,10 +49,14 @@
     return true;
   }
 
+  function releaseRetry(): void {
+    balance = Math.min(options.burst, balance + 1);
+  }
+
   function getBalance(nowMs: number): number {
     addEarned(nowMs, 0);
     return balance;
   }
 
-  return { recordRequest, takeRetry, getBalance };
+  return { recordRequest, takeRetry, releaseRetry, getBalance };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -148,11 +148,14 @@
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
 
+/** A call whose script begins with a refused connection was never sent. */
 function createCall(clock: Kernel.FakeClock, record: SentCall, script: Script): TargetCall {
   const sentAtMs = clock.getNowMs();
   const waiting = [...script];
+  const first = script[0]?.[1];
+  const isRefused = first?.kind === 'broken' && first.reason === 'ECONNREFUSED';
   return {
-    wasSent: () => true,
+    wasSent: () => !isRefused,
     cancel() {
       record.isCancelled = true;
     },
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
@@ -8,6 +8,7 @@
 import type { FakeParts, Script } from './fakeParts';
 
 const END: Script[number][1] = { kind: 'end' };
+const BROKEN: Script[number][1] = { kind: 'broken', reason: 'ECONNRESET' };
 
 interface Played {
   readonly outcome: StreamOutcome | undefined;
@@ -139,6 +140,23 @@
     expect(fake.sent.length).toEqual(5);
   });
 
+  it('spends no repeats on engines that refuse connections, and lets them come back', async () => {
+    // All engines crash together and refuse connections for a fifth of a second. Streams that spent a
+    // repeat on each refusal used up what the router has within milliseconds, and all broke off.
+    const fake = Fakes.createFakeParts((target, headers) => {
+      const run = createRun(createFromHeader(headers), 12);
+      if (fake.clock.getNowMs() < 100) return [...run.slice(0, 3), [150, BROKEN]];
+      if (fake.clock.getNowMs() < 350) return [[2, { kind: 'broken', reason: 'ECONNREFUSED' }]];
+      return run;
+    });
+    fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
+    const before = fake.parts.getBudget('engines').getBalance(0);
+    const played = await playStream(fake);
+    expect(played.text).toEqual(formatAll(12));
+    const spent = before + 1 - fake.parts.getBudget('engines').getBalance(0);
+    expect(spent).toBeLessThan(3);
+  });
+
   it('takes no end without framing for the end of an answer that has framing', async () => {
     // A stream goes on at an engine whose part has no length and ends with its connection, in the
     // middle. Ended there, the caller's stream would look complete.
--- a/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
@@ -33,8 +33,10 @@
 const RETRY_AFTER_SECONDS = 0.5;
 /** Repeats that are kept for streams in the middle: those that one crash of a zone may need. */
 const REPEATS_FOR_STREAMS = 3;
-/** Pause before the next try when a target did not take the request, milliseconds. */
+/** Pause before the next try when targets do not take the request, milliseconds. */
 const BUSY_PAUSE_MS = 40;
+/** Tries after which a refused connection is followed by a pause. */
+const FAST_TRIES = 3;
 
 /** What is known of the answer so far. */
 interface Progress {
@@ -60,6 +62,8 @@
   readonly target: ForwardingTarget;
   readonly backup: ForwardingTarget | undefined;
   readonly usesCopy: boolean;
+  /** Counts against the budget of repeats, unless it reaches nobody. */
+  readonly isRepeat: boolean;
 }
 
 export async function* runStreamAnswer(
@@ -75,9 +79,10 @@
     if (plan.kind !== 'plan') return plan;
     progress.tries += 1;
     const outcome = yield* relayAttempt(parts, request, plan, progress);
+    if (outcome.kind === 'notSent' && plan.isRepeat) budget.releaseRetry();
     const end = decideAfter(parts, request, plan, progress, outcome);
     if (end !== undefined) return end;
-    if (outcome.kind === 'notRun' && !plan.usesCopy) await clock.waitMs(BUSY_PAUSE_MS);
+    if (isPauseDue(plan, progress, outcome)) await clock.waitMs(BUSY_PAUSE_MS);
   }
 }
 
@@ -93,10 +98,20 @@
   if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
   const plan = await createPlan(parts, request, progress);
   if (plan === undefined) return decideEnd(progress, progress.lastReason, false);
-  if (progress.arrivals > 0 && !takeRepeat(progress, budget, nowMs)) {
+  const isRepeat = progress.arrivals > 0;
+  if (isRepeat && !takeRepeat(progress, budget, nowMs)) {
     return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
   }
-  return plan;
+  return { ...plan, isRepeat };
+}
+
+/**
+ * Failure: all engines refuse connections for a moment, and a stream spends all its tries within some
+ * milliseconds. The first few are worth being fast, since the next engine may be up; then time is.
+ */
+function isPauseDue(plan: Plan, progress: Progress, outcome: AttemptOutcome): boolean {
+  if (outcome.kind === 'notRun') return !plan.usesCopy;
+  return outcome.kind === 'notSent' && progress.tries > FAST_TRIES;
 }
 
 /** A stream that its caller has begun to read goes before one that can still be refused. */
@@ -155,7 +170,7 @@
   parts: ForwardingParts,
   request: ForwardRequest,
   progress: Progress,
-): Promise<Plan | undefined> {
+): Promise<Omit<Plan, 'isRepeat'> | undefined> {
   const { excluded } = progress;
   const holder = findHolder(parts, progress);
   if (holder !== undefined) {
