--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/pure.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/pure.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 
-import type { ForwardingRoute, HeaderNames } from '@sequoiarill/types';
+import type { ForwardingRoute } from '@sequoiarill/types';
 import { expect } from 'earl';
 
 import * as Checks from '../answerChecks';
@@ -8,22 +8,7 @@
 import * as Headers from '../headers';
 import * as RouteTables from '../routeTable';
 import * as StreamAnswers from '../streamAnswer';
-
-const NAMES: HeaderNames = {
-  requestId: 'id',
-  remainingMs: 'remaining',
-  apiKey: 'key',
-  organisation: 'organisation',
-  expectedTarget: 'target',
-  lastEventId: 'last',
-  promptSize: 'size',
-  backupTarget: 'backup',
-  continueFrom: 'from',
-  priority: 'priority',
-  signature: 'signature',
-  notRun: 'not-run',
-  targetId: 'target-id',
-};
+import { NAMES } from './fakeParts';
 
 function createRoute(name: string, host: string, pathPrefix: string): ForwardingRoute {
   return {
