List hop-by-hop headers in one place, and drop what nothing uses

The list stood in the callers' services and in forwarding; both take it from the kernel now. Removed: a type and a field of an outcome that nothing read, and a getter nobody called. One comment described an earlier return value.

--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -3,6 +3,7 @@
 export * from './clock';
 export * from './events';
 export * from './fakeClock';
+export * from './hopByHopHeaders';
 export * from './journal';
 export * from './kernel';
 export * from './listeners';
--- a/packages/sequoiarill-plugin-callers/src/services.ts
+++ b/packages/sequoiarill-plugin-callers/src/services.ts
@@ -1,6 +1,7 @@
 /** `/v1/services/{service}/...`: requests to plain services. */
 import type { ServerResponse } from 'node:http';
 
+import * as Kernel from '@sequoiarill/kernel';
 import type { OrderDone, OrderNotRun, OrderOutcome, OrderRequest } from '@sequoiarill/types';
 
 import * as Bodies from './bodies';
@@ -14,18 +15,6 @@
 const OUTCOME_HEADER = 'x-sequoiarill-outcome';
 const PATH_PATTERN = /^\/v1\/services\/([^/]+)(\/.*)?$/;
 
-/** Headers of one connection (RFC 9110, section 7.6.1), never passed on. */
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
 /** Set anew for the next connection, or meant for this router alone. */
 const OWN_REQUEST_HEADERS: ReadonlySet<string> = new Set([
   'authorization',
@@ -124,7 +113,7 @@
   const named = new Set(connection.split(',').map((name) => name.trim()));
   const selected: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
-    const isOwn = HOP_BY_HOP.has(name) || named.has(name) || own.has(name);
+    const isOwn = Kernel.HOP_BY_HOP_HEADERS.has(name) || named.has(name) || own.has(name);
     if (value !== undefined && !isOwn) selected[name] = String(value);
   }
   return selected;
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -84,7 +84,7 @@
     seenRevision = Math.max(seenRevision, event.revision);
   }
 
-  /** True while the watch can go on from where it ended; false when everything must be read. */
+  /** After `ended` another watch goes on from there; after `historyGone` everything must be read. */
   async function runWatch(signal: AbortSignal): Promise<'ended' | 'historyGone'> {
     for await (const event of store.watchPrefix(WATCHED_PREFIX, seenRevision + 1, signal)) {
       markAnswered();
--- a/packages/sequoiarill-plugin-forwarding/src/answerChecks.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answerChecks.ts
@@ -9,11 +9,10 @@
 const MISDIRECTED = 421;
 /** Statuses that promise a caller that its request has not run and never will. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-const MS_PER_SECOND = 1_000;
 
 export type HeadVerdict =
   | { readonly kind: 'own' }
-  | { readonly kind: 'notRun'; readonly status: number; readonly retryAfterMs?: number }
+  | { readonly kind: 'notRun'; readonly status: number }
   /** Not this request's answer, or damaged; the request itself may have run. */
   | { readonly kind: 'spoiled'; readonly reason: string };
 
@@ -48,7 +47,7 @@
   }
   if (status === MISDIRECTED) return { kind: 'notRun', status };
   if (getHeader(head, names.notRun) !== undefined && status !== BAD_REQUEST) {
-    return { kind: 'notRun', status, ...findRetryAfter(head) };
+    return { kind: 'notRun', status };
   }
   if (getHeader(head, 'content-encoding') !== undefined) {
     return { kind: 'spoiled', reason: 'encoded body, which was not asked for' };
@@ -61,8 +60,3 @@
   if (PROMISES.has(status)) return { kind: 'spoiled', reason: `status ${status} after a run` };
   return { kind: 'own' };
 }
-
-function findRetryAfter(head: AnswerHead): { readonly retryAfterMs?: number } {
-  const seconds = Number(getHeader(head, 'retry-after'));
-  return Number.isFinite(seconds) && seconds > 0 ? { retryAfterMs: seconds * MS_PER_SECOND } : {};
-}
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -1,5 +1,5 @@
 /** One request as it is forwarded, and how it can end. */
-import type { ForwardingRoute, ForwardingTarget } from '@sequoiarill/types';
+import type { ForwardingRoute } from '@sequoiarill/types';
 
 import type { RawHeader } from './headers';
 
@@ -38,7 +38,7 @@
 export type SendOutcome =
   | { readonly kind: 'whole'; readonly head: AnswerHead; readonly body: Buffer }
   /** The target said that it did not run the request. */
-  | { readonly kind: 'notRun'; readonly status: number; readonly retryAfterMs?: number }
+  | { readonly kind: 'notRun'; readonly status: number }
   /** No connection was made, so nothing was sent. */
   | { readonly kind: 'notSent'; readonly reason: string }
   /** Sent, and there is no whole answer: it may have run. */
@@ -65,8 +65,3 @@
       readonly lastTarget?: string;
     }
   | { readonly kind: 'callerLeft' };
-
-export interface SentTo {
-  readonly target: ForwardingTarget;
-  readonly atMs: number;
-}
--- a/packages/sequoiarill-plugin-forwarding/src/headers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/headers.ts
@@ -1,4 +1,5 @@
 /** Which headers pass from one side to the other. */
+import * as Kernel from '@sequoiarill/kernel';
 import type { ForwardingWire } from '@sequoiarill/types';
 
 /** Name and value as they came, in their order. */
@@ -6,17 +7,9 @@
 
 type ForwardingHeaders = Pick<ForwardingWire, 'reservedHeaders' | 'essentialHeaders'>;
 
-/** Concern one connection only. `expect` is answered by this process, which reads the whole body. */
+/** Set anew for the next connection: this process reads the whole body first. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
+  ...Kernel.HOP_BY_HOP_HEADERS,
   'expect',
   'content-length',
 ]);
--- a/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
@@ -4,7 +4,6 @@
 import type { EngineReport, ForwardingTarget } from '@sequoiarill/types';
 
 export interface TargetBook {
-  readonly getDetector: (service: string) => OutlierDetector;
   readonly recordStart: (target: ForwardingTarget) => void;
   readonly recordEnd: (target: ForwardingTarget) => void;
   /** An event of a stream, or a report: it lives. */
@@ -78,7 +77,6 @@
   }
 
   return {
-    getDetector,
     recordStart(target) {
       const entry = getEntry(target);
       entry.inFlight += 1;
