Ask engines that owe a first event whether they live, and keep own sends through the reports' lag

(1) An engine that goes dark while it reads a prompt was noticed only when its first event was overdue, 2 to 3.5 s after the request; the prompt was then read anew elsewhere and the first event came 4.6 to 5.9 s after the request.

Ruled out: missing copies as the cause of the late first events (an engine that has made no event has nothing to copy; going there costs 1 to 3 ms); the zone bias of the choice.

Change: an engine that owes a first event is asked every 400 ms, two missed answers of 120 ms leave it; own sends count for 300 ms beside a report. New log lines stream.late, stream.resumed and stream.placed and the histogram forwarding.longestPause made both visible, and stay for the operators.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
@@ -62,6 +62,36 @@
 }
 
 describe('a streamed answer', () => {
+  it('goes to another engine at once when the one that reads the prompt goes dark', async () => {
+    // An engine takes a prompt and goes dark without closing anything. Nothing is due from it for
+    // 2.6 s, so the caller used to wait for that, and then for the whole prompt at the next engine:
+    // its first event was late. Asked whether it lives, the engine is left within a second.
+    const fake: FakeParts = Fakes.createFakeParts((target) => {
+      if (target !== 'a1') return createRun(1, 6);
+      fake.reports.delete('a1');
+      return [];
+    });
+    fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
+    fake.reports.set('a1', Fakes.IDLE_REPORT);
+    fake.reports.set('b1', { ...Fakes.IDLE_REPORT, running: 3 });
+    const played = await playStream(fake);
+    expect(played.text).toEqual(formatAll(6));
+    expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b1']);
+    expect(fake.sent[1]?.atMs ?? Infinity).toBeLessThan(1_000);
+  });
+
+  it('leaves a prompt with an engine that lives and reads slowly', async () => {
+    // Two prompts are read before this one. The engine says that it lives, and is not left before
+    // its first event, which would cost a third prompt.
+    const slow: Script = [[50, Fakes.createHead(200)], ...Fakes.createEvents(1, 3, 30, 2_500)];
+    const fake = Fakes.createFakeParts(() => [...slow, [2_600, END]]);
+    fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
+    fake.reports.set('a1', { ...Fakes.IDLE_REPORT, running: 3, prefilling: 3 });
+    const played = await playStream(fake);
+    expect(played.text).toEqual(formatAll(3));
+    expect(fake.sent.length).toEqual(1);
+  });
+
   it('goes on from the copy within the pause that is on time, when an engine goes dark', async () => {
     // An engine falls silent after its fifth event, without closing anything, and answers no probe.
     // The caller sees one pause of less than 700 ms, and every event once.
--- a/packages/sequoiarill-plugin-forwarding/src/answers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers.ts
@@ -11,6 +11,8 @@
 import type { RouteTable } from './routeTable';
 import * as StreamAnswers from './streamAnswer';
 import type { StreamOutcome } from './streamAnswer';
+import * as StreamTimings from './streamTiming';
+import type { StreamTiming } from './streamTiming';
 
 export interface ExchangeParts extends ForwardingParts {
   /** Undefined until a configuration is known. */
@@ -136,9 +138,12 @@
   response: ServerResponse,
 ): Promise<void> {
   const answer = StreamAnswers.runStreamAnswer(parts, request);
+  const timing = StreamTimings.createStreamTiming(request.arrivedAtMs);
+  logResumed(parts, request);
   for (;;) {
     const step = await answer.next();
     if (step.done === true) {
+      recordTiming(parts, request, timing);
       sendStreamEnd(parts, request, response, step.value);
       return;
     }
@@ -147,10 +152,28 @@
       const waitedMs = parts.clock.getNowMs() - request.arrivedAtMs;
       parts.metrics.recordTiming(Metrics.FIRST_EVENT, waitedMs, { route: request.route.name });
       sendHead(parts, response, piece.head, {});
-    } else if (!response.write(piece.bytes)) await waitForDrain(response, request.closed);
+    } else {
+      timing.recordPiece(parts.clock.getNowMs());
+      if (!response.write(piece.bytes)) await waitForDrain(response, request.closed);
+    }
   }
 }
 
+function logResumed(parts: ExchangeParts, request: ForwardRequest): void {
+  const { lastEventId } = request;
+  if (lastEventId === undefined) return;
+  parts.log.logEvent(Events.STREAM_RESUMED, { ...createLineFields(parts, request), lastEventId });
+}
+
+function recordTiming(parts: ExchangeParts, request: ForwardRequest, timing: StreamTiming): void {
+  const summary = timing.read();
+  if (summary.firstEventMs === undefined) return;
+  const { route } = request;
+  parts.metrics.recordTiming(Metrics.PAUSE, summary.longestPauseMs, { route: route.name });
+  if (!StreamTimings.isLate(summary, route)) return;
+  parts.log.logEvent(Events.STREAM_LATE, { ...createLineFields(parts, request), ...summary });
+}
+
 /** A caller that reads slowly holds back its own stream only. */
 async function waitForDrain(response: ServerResponse, closed: AbortSignal): Promise<void> {
   if (closed.aborted || response.destroyed) return;
--- a/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
@@ -3,6 +3,7 @@
 import type { EngineView } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
+import * as Events from './events';
 import type { ForwardRequest } from './forwardRequest';
 import type { ForwardingParts } from './parts';
 
@@ -33,11 +34,42 @@
     sample.forEach(({ id }) => asked.add(id));
     const views = await readViews(parts, sample);
     const pair = pickPair(parts, request, views, ready);
-    if (pair !== undefined) return pair;
+    if (pair !== undefined) {
+      logPlaced(parts, request, { pair, views, asked: sample.length, known: ready.length, round });
+      return pair;
+    }
   }
   return undefined;
 }
 
+interface PlacedLine {
+  readonly pair: EnginePair;
+  readonly views: readonly EngineView[];
+  readonly asked: number;
+  readonly known: number;
+  readonly round: number;
+}
+
+function logPlaced(parts: ForwardingParts, request: ForwardRequest, line: PlacedLine): void {
+  const { pair, views, asked, known, round } = line;
+  const view = views.find(({ id }) => id === pair.target.id);
+  parts.log.logEvent(Events.STREAM_PLACED, {
+    request: request.id,
+    target: pair.target.id,
+    zone: pair.target.zone,
+    backup: pair.backup?.id,
+    queued: view?.queued,
+    prefilling: view?.prefilling,
+    running: view?.running,
+    sentSince: view?.sentSince,
+    usedTokens: view?.usedTokens,
+    asked,
+    answered: views.length,
+    known,
+    round,
+  });
+}
+
 /** For a run that goes on from its copy at once, so that nobody is asked first. */
 export function chooseBackup(
   parts: ForwardingParts,
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -68,6 +68,26 @@
   'More events of a kind came than are logged a second; this many were left out.',
 );
 
+export const STREAM_LATE = Kernel.defineEvent(
+  1917,
+  'warn',
+  'stream.late',
+  "A stream's first event, or one after a pause, came later than its route's objective.",
+);
+export const STREAM_RESUMED = Kernel.defineEvent(
+  1918,
+  'info',
+  'stream.resumed',
+  'A caller came back for the rest of a stream that had broken off.',
+);
+
+export const STREAM_PLACED = Kernel.defineEvent(
+  1919,
+  'info',
+  'stream.placed',
+  'An engine was chosen for a stream, by the load that the engines asked just before reported.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -80,4 +100,7 @@
   STREAM_BROKEN,
   TARGET_LOST,
   LINES_LEFT_OUT,
+  STREAM_LATE,
+  STREAM_RESUMED,
+  STREAM_PLACED,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -3,6 +3,7 @@
 export const REQUESTS = 'forwarding.requests';
 export const ANSWER = 'forwarding.answer';
 export const FIRST_EVENT = 'forwarding.firstEvent';
+export const PAUSE = 'forwarding.longestPause';
 export const CONTINUED = 'forwarding.continued';
 export const REPEATED = 'forwarding.repeated';
 
@@ -14,6 +15,11 @@
     unit: 'ms',
     meaning: 'Arrival until the first event of a stream, by route.',
   },
+  {
+    name: PAUSE,
+    unit: 'ms',
+    meaning: 'Longest pause between two events of a stream, by route.',
+  },
   { name: CONTINUED, unit: 'count', meaning: 'Streams that went to another target, by cause.' },
   { name: REPEATED, unit: 'count', meaning: 'Requests sent to a further target.' },
 ] as const;
--- a/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
@@ -37,6 +37,16 @@
 const FIRST_EVENT_PATIENCE = 3;
 /** A target that lives answers a probe within some milliseconds. */
 const PROBE_WAIT_MS = 35;
+/**
+ * Failure: an engine goes dark while it reads a prompt. Nothing is due from it for seconds, so its
+ * caller waits them out and then for the whole prompt once more; the first event came 4.6 to 5.9 s
+ * after the request instead of 2 to 3. So an engine that owes a first event is asked this often
+ * whether it lives, milliseconds; a stream then costs about three probes.
+ */
+const CHECK_MS = 400;
+/** An answer to such a check may take this long, milliseconds, twice in a row. */
+const CHECK_WAIT_MS = 120;
+const MAX_MISSED_CHECKS = 2;
 
 /** Yields events as they become whole; ends with what the attempt came to. */
 export async function* runStreamAttempt(
@@ -83,8 +93,10 @@
   const preference = order.hasCopy ? 'copied' : 'resumeLatency';
   const limits = policy.getLimits(target.id, preference, order.prefillTokens);
   const startedMs = clock.getNowMs();
+  const firstEventDueMs = startedMs + limits.firstTokenMs;
   let lastEventMs = startedMs;
-  let silentUntilMs = startedMs + limits.firstTokenMs;
+  let silentUntilMs = Math.min(firstEventDueMs, startedMs + CHECK_MS);
+  let missedChecks = 0;
   let hasEvents = false;
   let head: AnswerHead | undefined;
 
@@ -141,10 +153,20 @@
     return report.prefilling + report.queued > 0;
   }
 
+  /** Whether the engine that owes a first event answers, or may have missed one question by chance. */
+  async function checkLife(): Promise<boolean> {
+    const report = await parts.readReport(target, CHECK_WAIT_MS);
+    missedChecks = report === undefined ? missedChecks + 1 : 0;
+    silentUntilMs = Math.min(firstEventDueMs, clock.getNowMs() + (missedChecks > 0 ? 0 : CHECK_MS));
+    return missedChecks < MAX_MISSED_CHECKS;
+  }
+
   async function handleTimeout(): Promise<Step> {
-    if (clock.getNowMs() >= request.expiresAtMs) return { kind: 'expired' };
+    const nowMs = clock.getNowMs();
+    if (nowMs >= request.expiresAtMs) return { kind: 'expired' };
     if (!call.wasSent()) return { kind: 'notSent', reason: 'no connection in time' };
-    if (await isWorthWaiting()) return undefined;
+    const isCheck = !hasEvents && nowMs < firstEventDueMs;
+    if (await (isCheck ? checkLife() : isWorthWaiting())) return undefined;
     // It may have spoken while it was asked.
     const event = await call.readEvent(0);
     if (event.kind !== 'timeout') return handleEvent(event);
--- a/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
@@ -30,10 +30,19 @@
   inFlight: number;
   report: EngineReport | undefined;
   reportedAtMs: number;
-  sentSinceReport: number;
+  /** Moments of the sends that the last report may not count, oldest first. */
+  unseenSendsMs: number[];
   endedSinceReport: number;
 }
 
+/**
+ * An engine's report counts what it ran some hundred milliseconds ago. Failure: the runs that this
+ * router sent just before are forgotten with each report, and the next prompt goes to the same engine,
+ * whose neighbours idle; its first event comes a second later for each prompt before it. Reports
+ * that were read 240 ms after a send did not count it yet.
+ */
+const REPORT_LAG_MS = 300;
+
 export function createTargetBook(getNowMs: () => number): TargetBook {
   const entries = new Map<string, Entry>();
   const detectors = new Map<string, OutlierDetector>();
@@ -57,7 +66,7 @@
       inFlight: 0,
       report: undefined,
       reportedAtMs: 0,
-      sentSinceReport: 0,
+      unseenSendsMs: [],
       endedSinceReport: 0,
     };
     entries.set(target.id, created);
@@ -80,7 +89,7 @@
     recordStart(target) {
       const entry = getEntry(target);
       entry.inFlight += 1;
-      entry.sentSinceReport += 1;
+      entry.unseenSendsMs.push(getNowMs());
     },
     recordEnd(target) {
       const entry = getEntry(target);
@@ -113,18 +122,19 @@
       const entry = getEntry(target);
       entry.report = report;
       entry.reportedAtMs = getNowMs();
-      entry.sentSinceReport = 0;
+      const seenUntilMs = entry.reportedAtMs - REPORT_LAG_MS;
+      entry.unseenSendsMs = entry.unseenSendsMs.filter((atMs) => atMs > seenUntilMs);
       entry.endedSinceReport = 0;
     },
     buildView(target) {
       const entry = getEntry(target);
-      const { report, sentSinceReport, endedSinceReport } = entry;
+      const { report, unseenSendsMs, endedSinceReport } = entry;
       return {
         name: target.id,
         zone: target.zone,
         slots: target.slots,
         inFlight: entry.inFlight,
-        sentSinceReport,
+        sentSinceReport: unseenSendsMs.length,
         endedSinceReport,
         state: decideState(target),
         warmShare: getDetector(target.service).getWarmShare(target.id, getNowMs()),
