Learn the next lives of engines while the store is away, and ask who answers before sending

Cause: engines that crash and start again in an outage of the store are unknown under their new ids.

Ruled out: waiting for the store (the outage lasts 8 s); taking the identity from the refusal (it has none that says which service answers).

Change: without news from the store, an engine's identity is asked for once a second before it is used. Another life at a known address counts as the same service only if it reports like an engine and one service alone has engines; it is used until the store, at its return, does not confirm it. A router that started in the outage gives entries the same time to come back as the others.

--- a/packages/sequoiarill-decisions/src/lossSuspicion.ts
+++ b/packages/sequoiarill-decisions/src/lossSuspicion.ts
@@ -28,6 +28,8 @@
   readonly isUnproved: (target: TargetPlace) => boolean;
   /** The target proved that it still is the life that is known. */
   readonly recordProof: (target: TargetPlace, nowMs: number) => void;
+  /** When it last did so, monotonic milliseconds; undefined for never. */
+  readonly getProvedAtMs: (target: TargetPlace) => number | undefined;
   readonly isSuspect: (target: TargetPlace, nowMs: number) => boolean;
   readonly removeTarget: (id: string) => void;
 }
@@ -106,6 +108,7 @@
       proofByTarget.set(target.id, nowMs);
       lossByTarget.delete(target.id);
     },
+    getProvedAtMs: (target) => proofByTarget.get(target.id),
     removeTarget(id) {
       [untilByTarget, signByTarget, proofByTarget, lossByTarget].forEach((known) =>
         known.delete(id),
--- a/packages/sequoiarill-plugin-directory/src/__tests__/directoryState.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/directoryState.test.ts
@@ -56,6 +56,35 @@
     expect(listIds()).toEqual(['one']);
   });
 
+  it('uses a life that was met while the store was away, until the store does not confirm it', () => {
+    // Two engines crash and start again under other ids while nobody can read their entries. At its
+    // return the store confirms one of them; the other one has left meanwhile, and must be forgotten.
+    const { state, listIds, delay } = createState();
+    const first = Fixtures.createTargetText('10.0.0.1:1', 100);
+    const second = Fixtures.createTargetText('10.0.0.2:1', 100);
+    state.applyRecords([
+      { key: 'targets/one', revision: 2, value: first },
+      { key: 'targets/two', revision: 3, value: second },
+    ]);
+    const [one, two] = state.listTargets('engines');
+    if (one === undefined || two === undefined) throw new Error('no targets');
+    state.recordReplacement(one, 'one-again');
+    state.recordReplacement(two, 'two-again');
+    expect(listIds()).toEqual(['one-again', 'two-again']);
+    state.removeDue();
+    expect(listIds()).toEqual(['one-again', 'two-again']);
+    state.holdRemovalsUntil(2_300);
+    const value = Fixtures.createTargetText('10.0.0.1:1', 5_000);
+    state.applyAll([{ key: 'targets/one-again', revision: 9, value }], 9);
+    expect(listIds().includes('two-again')).toEqual(true);
+    delay(2_400);
+    state.removeDue();
+    expect(listIds()).toEqual(['one-again']);
+    // What a peer still knows of the life before does not bring it back.
+    state.applyRecords([{ key: 'targets/one', revision: 2, value: first }]);
+    expect(listIds()).toEqual(['one-again']);
+  });
+
   it('removes at once what leaves while the store is well', () => {
     const { state, listIds } = createState();
     const value = Fixtures.createTargetText('10.0.0.1:1');
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -12,7 +12,7 @@
 import type { DirectoryRecord } from './recordLog';
 import * as TargetTables from './targetTable';
 
-export interface DirectoryState extends Directory {
+export interface DirectoryState extends Omit<Directory, 'hasNews'> {
   /** Takes in what is newer than what is known; older records change nothing. */
   readonly applyRecords: (records: readonly DirectoryRecord[]) => void;
   /**
@@ -20,7 +20,10 @@
    * removed; until `keepUntilMs` such targets stay in use.
    */
   readonly applyAll: (records: readonly DirectoryRecord[], revision: number) => void;
-  /** Removals of targets before this moment wait for it. Monotonic milliseconds. */
+  /**
+   * The store is back: removals of targets before this moment wait for it, and so do those of targets
+   * that were learned meanwhile and that it does not confirm. Monotonic milliseconds.
+   */
   readonly holdRemovalsUntil: (untilMs: number) => void;
   /** Carries out removals that waited long enough. */
   readonly removeDue: () => void;
@@ -47,6 +50,8 @@
   let byService: ReadonlyMap<string, readonly ForwardingTarget[]> = new Map();
   let removalsHeldUntilMs = 0;
   let heldRemovals = new Set<string>();
+  /** Keys of targets that were learned and that no record has confirmed. */
+  const learnedKeys = new Set<string>();
 
   function isRouter(key: string): boolean {
     return key.startsWith(wire.ownPrefix);
@@ -74,6 +79,7 @@
 
   function applyTarget({ key, revision: changed, value }: DirectoryRecord): void {
     heldRemovals.delete(key);
+    learnedKeys.delete(key);
     if (value === undefined) {
       removeTarget(key);
       return;
@@ -97,6 +103,23 @@
     else targets.remove(key);
   }
 
+  /**
+   * Failure: engines crash and start again while the store is away. Their new lives are unknown, so the
+   * directory shrinks with each crash, and what is left drowns in prompts: with 25 engines and an
+   * outage of 8 s, 13 of 25 were in use at its end and first events took 5 to 9 s. A life met at a
+   * known address takes the place of the one before, until the store tells or does not confirm it.
+   */
+  function recordReplacement(replaced: ForwardingTarget, id: string): void {
+    const key = `${wire.targetPrefix}${id}`;
+    if (targets.find(key) !== undefined) return;
+    const startedAtUnixMs = replaced.startedAtUnixMs + 1;
+    targets.set(key, { ...replaced, id, startedAtUnixMs, state: 'ready' });
+    if (targets.find(key) === undefined) return;
+    learnedKeys.add(key);
+    logEvent(Events.TARGET_LEARNED, { target: id, replaced: replaced.id, zone: replaced.zone });
+    reportChange();
+  }
+
   function applyRouter({ key, value }: DirectoryRecord): void {
     if (value === undefined) routers.delete(key);
     else routers.set(key, value);
@@ -137,6 +160,7 @@
       const known = targets.find(`${wire.targetPrefix}${target.id}`);
       return known?.startedAtUnixMs === target.startedAtUnixMs ? known : undefined;
     },
+    recordReplacement,
     countRouters: () => Math.max(1, routers.size),
     subscribe(listener) {
       listeners.add(listener);
@@ -151,12 +175,16 @@
     },
     holdRemovalsUntil(untilMs) {
       removalsHeldUntilMs = Math.max(removalsHeldUntilMs, untilMs);
+      learnedKeys.forEach((key) => heldRemovals.add(key));
     },
     removeDue() {
       if (heldRemovals.size === 0 || getNowMs() < removalsHeldUntilMs) return;
       const due = heldRemovals;
       heldRemovals = new Set();
-      due.forEach((key) => targets.remove(key));
+      due.forEach((key) => {
+        targets.remove(key);
+        learnedKeys.delete(key);
+      });
       reportChange();
     },
     getRevision: log.getRevision,
--- a/packages/sequoiarill-plugin-directory/src/events.ts
+++ b/packages/sequoiarill-plugin-directory/src/events.ts
@@ -51,6 +51,13 @@
   'Another router knew newer records while the store did not answer this one.',
 );
 
+export const TARGET_LEARNED = Kernel.defineEvent(
+  1808,
+  'info',
+  'directory.targetLearned',
+  'Another life of a target was met at its address while the store did not answer; it is used.',
+);
+
 export const EVENTS = [
   STORE_LOST,
   STORE_REGAINED,
@@ -60,4 +67,5 @@
   TARGETS_CHANGED,
   HISTORY_GONE,
   LEARNED_FROM_PEER,
+  TARGET_LEARNED,
 ];
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -19,6 +19,9 @@
   seeds: Kernel.listSchema.default([]),
 });
 
+/** A shorter silence of the store is no outage; a restart takes longer as well. Milliseconds. */
+const NEWS_MS = 1_000;
+
 export type DirectorySettings = Readonly<Zod.infer<typeof settingsSchema>>;
 
 function createInstance(context: PluginContext, settings: DirectorySettings): PluginInstance {
@@ -53,6 +56,11 @@
   const stopping = new AbortController();
   let running: Promise<unknown> | undefined;
 
+  function hasNews(): boolean {
+    const lostSinceMs = follower.getLostSinceMs();
+    return lostSinceMs === undefined || clock.getNowMs() - lostSinceMs < NEWS_MS;
+  }
+
   function listPeers(): readonly string[] {
     const peers = new Set([...state.listRouters(), ...settings.seeds]);
     peers.delete(settings.listen);
@@ -60,7 +68,7 @@
   }
 
   return {
-    capabilities: { directory: state },
+    capabilities: { directory: { ...state, hasNews } },
     async start() {
       await server.start();
       running = Promise.all([
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -58,7 +58,9 @@
     const nowMs = clock.getNowMs();
     const lastedMs = nowMs - lostSinceMs;
     lostSinceMs = undefined;
-    if (hasReadAll && lastedMs > OUTAGE_MS) state.holdRemovalsUntil(nowMs + REAPPEAR_MS);
+    // A router that started in an outage knows its targets from peers.
+    const hasTargets = hasReadAll || state.getRevision() > 0;
+    if (hasTargets && lastedMs > OUTAGE_MS) state.holdRemovalsUntil(nowMs + REAPPEAR_MS);
     logEvent(Events.STORE_REGAINED, { lastedMs: Math.round(lastedMs), reason: lastReason });
   }
 
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -209,6 +209,8 @@
       getConfiguration: () => CONFIGURATION,
       listTargets: (service) => targets.filter((target) => target.service === service),
       findCurrent: (target) => targets.find(({ id }) => id === target.id),
+      hasNews: () => true,
+      recordReplacement: () => undefined,
       countRouters: () => 1,
       subscribe: () => () => undefined,
     },
--- a/packages/sequoiarill-plugin-forwarding/src/engineProbes.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/engineProbes.ts
@@ -1,5 +1,11 @@
 /** Asks engines for their load, which also tells that they live. */
-import type { Clock, EngineReport, ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
+import type {
+  Clock,
+  Directory,
+  EngineReport,
+  ForwardingTarget,
+  ForwardingWire,
+} from '@sequoiarill/types';
 
 import * as Checks from './answerChecks';
 import type { AnswerHead } from './forwardRequest';
@@ -13,6 +19,7 @@
     target: ForwardingTarget,
     limitMs: number,
   ) => Promise<EngineReport | undefined>;
+  readonly removeMissing: (isCurrent: (target: ForwardingTarget) => boolean) => void;
 }
 
 export interface EngineProbesOptions {
@@ -20,14 +27,15 @@
   readonly clock: Pick<Clock, 'getNowMs'>;
   readonly book: TargetBook;
   readonly connections: TargetConnections;
-  /** Path of the health check of a service. */
-  readonly getHealthPath: (service: string) => string;
+  readonly directory: Pick<Directory, 'getConfiguration' | 'hasNews' | 'recordReplacement'>;
 }
 
 /** An engine that has not answered by then counts as lost, milliseconds; most answer within five. */
 const PROBE_LIMIT_MS = 250;
 /** A report this young is as good as a new one, milliseconds: engines count every hundred. */
 const FRESH_MS = 40;
+/** While the store is away an identity is asked for anew after this, milliseconds: a restart takes longer. */
+const PROOF_LIFE_MS = 1_000;
 const OK = 200;
 const EMPTY = Buffer.alloc(0);
 
@@ -37,12 +45,13 @@
 }
 
 interface Fresh {
+  readonly target: ForwardingTarget;
   readonly report: EngineReport;
   readonly atMs: number;
 }
 
 export function createEngineProbes(options: EngineProbesOptions): EngineProbes {
-  const { wire, clock, book, connections } = options;
+  const { wire, clock, book, connections, directory } = options;
   const inProgress = new Map<string, Promise<EngineReport | undefined>>();
   const freshByTarget = new Map<string, Fresh>();
 
@@ -70,29 +79,54 @@
     }
   }
 
+  function isDoubtful(target: ForwardingTarget): boolean {
+    if (book.isUnproved(target)) return true;
+    if (directory.hasNews()) return false;
+    const provedAtMs = book.getProvedAtMs(target);
+    return provedAtMs === undefined || clock.getNowMs() - provedAtMs > PROOF_LIFE_MS;
+  }
+
+  async function readIdentity(target: ForwardingTarget): Promise<string | undefined> {
+    const service = directory.getConfiguration()?.services.get(target.service);
+    const answer = await callEngine(target, service?.healthPath ?? '/');
+    if (answer === undefined) return undefined;
+    return Checks.getHeader(answer.head, wire.headers.targetId);
+  }
+
   /**
    * Failure: an engine crashes and starts again as another life, and the directory does not know yet.
    * It answers reports like the one before, and refuses what is meant for that one: each such request
    * is a repeat, and after the crash of a zone they use up what repeats there are.
    */
   async function isSameLife(target: ForwardingTarget): Promise<boolean> {
-    if (!book.isUnproved(target)) return true;
-    const answer = await callEngine(target, options.getHealthPath(target.service));
-    const id =
-      answer === undefined ? undefined : Checks.getHeader(answer.head, wire.headers.targetId);
+    if (!isDoubtful(target)) return true;
+    const id = await readIdentity(target);
     if (id === target.id) book.recordProof(target);
     else if (id !== undefined) book.recordReplaced(target);
     return id === target.id;
   }
 
+  /**
+   * An address can be given to another service, so a life that is met there counts as the same service
+   * only if it reports like an engine and one service alone has engines.
+   */
+  async function reportReplacement(target: ForwardingTarget): Promise<void> {
+    if (directory.hasNews()) return;
+    const services = [...(directory.getConfiguration()?.services.values() ?? [])];
+    if (services.filter(({ engine }) => engine !== undefined).length !== 1) return;
+    const id = await readIdentity(target);
+    if (id !== undefined && id !== target.id) directory.recordReplacement(target, id);
+  }
+
   async function readOnce(target: ForwardingTarget): Promise<EngineReport | undefined> {
     const [answer, isKnown] = await Promise.all([
       callEngine(target, wire.reportPath),
       isSameLife(target),
     ]);
     if (answer === undefined) book.recordLoss(target);
-    if (answer?.head.status !== OK || !isKnown) return undefined;
-    return wire.decodeReport(answer.text);
+    const report = answer?.head.status === OK ? wire.decodeReport(answer.text) : undefined;
+    if (report !== undefined && !isKnown && !report.isLeaving) await reportReplacement(target);
+    return isKnown ? report : undefined;
   }
 
   async function runProbe(target: ForwardingTarget): Promise<EngineReport | undefined> {
@@ -104,7 +138,7 @@
     }
     book.recordReport(target, report);
     book.recordSign(target);
-    freshByTarget.set(target.id, { report, atMs: clock.getNowMs() });
+    freshByTarget.set(target.id, { target, report, atMs: clock.getNowMs() });
     return report;
   }
 
@@ -128,5 +162,10 @@
       clearTimeout(timer);
       return report;
     },
+    removeMissing(isCurrent) {
+      for (const [id, { target }] of freshByTarget) {
+        if (!isCurrent(target)) freshByTarget.delete(id);
+      }
+    },
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -68,8 +68,7 @@
     clock,
     book,
     connections,
-    getHealthPath: (service) =>
-      directory.getConfiguration()?.services.get(service)?.healthPath ?? '/',
+    directory,
   });
   let table: RouteTable | undefined;
   let version: number | undefined;
@@ -141,6 +140,7 @@
     }
     connections.removeMissing(isCurrent);
     book.removeMissing(isCurrent);
+    probes.removeMissing(isCurrent);
   }
 
   return {
--- a/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
@@ -18,6 +18,8 @@
   /** The target's identity is not sure any more; see `recordProof`. */
   readonly isUnproved: (target: ForwardingTarget) => boolean;
   readonly recordProof: (target: ForwardingTarget) => void;
+  /** Monotonic milliseconds; undefined when it never proved its identity. */
+  readonly getProvedAtMs: (target: ForwardingTarget) => number | undefined;
   readonly recordReport: (target: ForwardingTarget, report: EngineReport) => void;
   readonly buildView: (target: ForwardingTarget) => TargetView;
   readonly isSuspect: (target: ForwardingTarget) => boolean;
@@ -115,6 +117,7 @@
       suspicion.recordGone(target, getNowMs());
     },
     isUnproved: suspicion.isUnproved,
+    getProvedAtMs: suspicion.getProvedAtMs,
     recordProof(target) {
       suspicion.recordProof(target, getNowMs());
     },
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -174,6 +174,13 @@
   readonly listTargets: (service: string) => readonly ForwardingTarget[];
   /** The same life of a target as it is known now; undefined when it is gone or was replaced. */
   readonly findCurrent: (target: ForwardingTarget) => ForwardingTarget | undefined;
+  /**
+   * Whether the store tells what lives. While it does not, targets may have ended or begun another
+   * life unseen.
+   */
+  readonly hasNews: () => boolean;
+  /** Another life was met at a target's address while the store could not tell of it. */
+  readonly recordReplacement: (replaced: ForwardingTarget, id: string) => void;
   /** Routers that are known to live, this one too; at least 1. */
   readonly countRouters: () => number;
   readonly subscribe: (listener: () => void) => () => void;
