Send callers that come back for the rest of a stream to the engine that keeps their prompt

Ruled out: going on from the dead router's copy (a copy belongs to a request id, and the caller's next attempt has another one); telling peers who runs what (the list would have to outlive the router).

Change: the engines that are asked for a prompt follow from its last part (the same two of each zone on every router), copies go to them too, and for a caller that comes back they are also asked which parts they keep; a kept part counts twice its prefill, since it also saves those who would wait behind it. A send that has ended no longer counts as one that the report may not know.

--- a/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
@@ -17,6 +17,7 @@
     sentSince: 0,
     usedTokens: 0,
     totalTokens: 88_000,
+    keptTokens: 0,
     ...change,
   };
 }
@@ -87,6 +88,58 @@
     expect(asked[p95] ?? 0).toBeLessThan(1_500);
   });
 
+  it('finds the engine that keeps the prompt of a caller that comes back', () => {
+    // A router dies with the streams it relays. Their callers come back to other routers, which asked
+    // engines at random and had most prompts read once more, while engines were short after the crash.
+    const nextRandom = Random.createRandom(7);
+    const engines = Array.from({ length: 24 }, (_one, index) =>
+      createView({ id: `e${index}`, zone: ZONES[index % 3] ?? 'a' }),
+    );
+    const addLoad = (view: EngineView) => ({ ...view, prefilling: nextRandom() < 0.4 ? 1 : 0 });
+    const prompts = Array.from({ length: 200 }, (_one, index) => `prompt ${index}`);
+    const choose = (sample: readonly EngineView[], zone: string, keeper?: string) => {
+      const views = sample.map((view) => ({
+        ...addLoad(view),
+        keptTokens: view.id === keeper ? 8_000 : 0,
+      }));
+      return EnginePlacement.chooseEngines({ views, zone, promptTokens: 8_000 })?.target;
+    };
+    const found = prompts.filter((prompt) => {
+      const sample = EnginePlacement.selectCandidates(engines, prompt, 2);
+      expect(sample.length).toEqual(6);
+      const first = choose(sample, 'a');
+      return choose(EnginePlacement.selectCandidates(engines, prompt, 2), 'b', first) === first;
+    });
+    expect(found.length).toBeGreaterThan(180);
+    const counts = new Map<string, number>();
+    for (const prompt of prompts) {
+      for (const { id } of EnginePlacement.selectCandidates(engines, prompt, 2)) {
+        counts.set(id, (counts.get(id) ?? 0) + 1);
+      }
+    }
+    // 1,200 places on 24 engines: no engine is asked for far more prompts than another.
+    expect(Math.max(...counts.values())).toBeLessThan(80);
+    expect(Math.min(...counts.values())).toBeGreaterThan(25);
+  });
+
+  it('counts kept parts of a prompt only behind all parts before them', () => {
+    const parts = [
+      { id: 'shared', tokens: 200 },
+      { id: 'own', tokens: 8_000 },
+    ];
+    const count = (kept: readonly (readonly [string, number])[]) =>
+      EnginePlacement.computeKeptTokens(parts, new Map(kept));
+    expect(count([])).toEqual(0);
+    expect(count([['own', 8_000]])).toEqual(0);
+    expect(count([['shared', 200]])).toEqual(200);
+    expect(
+      count([
+        ['shared', 200],
+        ['own', 5_000],
+      ]),
+    ).toEqual(5_200);
+  });
+
   it('keeps the copy in another zone, which the next crash is unlikely to take', () => {
     const views = [
       createView({ id: 'a1' }),
--- a/packages/sequoiarill-decisions/src/enginePlacement.ts
+++ b/packages/sequoiarill-decisions/src/enginePlacement.ts
@@ -9,6 +9,8 @@
  * and the copy goes to another zone, which the next crash is unlikely to take as well.
  */
 
+import * as Names from './names';
+
 /** One engine that was asked, as it answered. */
 export interface EngineView {
   readonly id: string;
@@ -21,6 +23,8 @@
   readonly sentSince: number;
   readonly usedTokens: number;
   readonly totalTokens: number;
+  /** Tokens of this prompt that it keeps and need not prefill; 0 where it was not asked. */
+  readonly keptTokens: number;
 }
 
 export interface EnginePlacementQuestion {
@@ -48,16 +52,63 @@
 /** Output and other requests' growth that must still fit beside the prompt, tokens. */
 const HEADROOM_TOKENS = 2_000;
 
+/**
+ * A kept prompt saves its prefill to this run and to those that would wait behind it elsewhere; so a
+ * keeper that reads one other prompt is still the better place.
+ */
+const KEPT_FACTOR = 2;
+
 /** Expected cost of a run there, milliseconds until the first event and to others. */
 export function computeEngineCost(view: EngineView, question: EnginePlacementQuestion): number {
   const { promptTokens, zone } = question;
   const prompts = view.prefilling + view.queued + view.sentSince;
   const waitMs = prompts * USUAL_PROMPT_TOKENS * PREFILL_MS_PER_TOKEN;
+  const ownMs = (promptTokens - view.keptTokens * KEPT_FACTOR) * PREFILL_MS_PER_TOKEN;
   const streams = Math.max(0, view.running - view.prefilling);
   const zoneMs = view.zone === zone ? 0 : OTHER_ZONE_MS;
   const needed = view.usedTokens + promptTokens + HEADROOM_TOKENS;
   const roomMs = needed > view.totalTokens ? NO_ROOM_MS : 0;
-  return waitMs + streams * DISTURBED_STREAM_MS + zoneMs + roomMs;
+  return ownMs + waitMs + streams * DISTURBED_STREAM_MS + zoneMs + roomMs;
+}
+
+/**
+ * The engines that are asked for one prompt: of each zone the same few on every router.
+ *
+ * Load pattern: a router dies or is stopped, and the callers of its streams come back to other
+ * routers for the rest. Asked at random, the engine that still keeps the prompt is found by luck, and
+ * some tens of prompts are prefilled once more while engines are short.
+ */
+export function selectCandidates<Engine extends { readonly id: string; readonly zone: string }>(
+  engines: readonly Engine[],
+  prompt: string,
+  countPerZone: number,
+): readonly Engine[] {
+  const digest = Names.hashName(prompt);
+  const ranked = engines
+    .map((engine) => ({ engine, rank: Names.hashPair(Names.hashName(engine.id), digest) }))
+    .sort((left, right) => right.rank - left.rank);
+  const taken = new Map<string, number>();
+  return ranked
+    .filter(({ engine }) => {
+      const count = (taken.get(engine.zone) ?? 0) + 1;
+      taken.set(engine.zone, count);
+      return count <= countPerZone;
+    })
+    .map(({ engine }) => engine);
+}
+
+/** Tokens of a prompt that need no prefill: a part is of use only behind all parts before it. */
+export function computeKeptTokens(
+  parts: readonly { readonly id: string; readonly tokens: number }[],
+  kept: ReadonlyMap<string, number>,
+): number {
+  let tokens = 0;
+  for (const part of parts) {
+    const found = Math.min(part.tokens, kept.get(part.id) ?? 0);
+    tokens += found;
+    if (found < part.tokens) return tokens;
+  }
+  return tokens;
 }
 
 /** Undefined when no engine was there to choose from. */
--- a/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
@@ -48,6 +48,7 @@
     expectedTarget: 'target',
     lastEventId: 'last',
     promptSize: 'size',
+    promptParts: 'parts',
     backupTarget: 'backup',
     continueFrom: 'from',
     priority: 'priority',
@@ -59,6 +60,9 @@
   essentialHeaders: new Set(),
   reportPath: '/report',
   decodeReport: () => undefined,
+  decodePromptParts: () => [],
+  keptPath: '/kept',
+  decodeKept: () => undefined,
 };
 
 export function createTargetText(address: string, startedAtUnixMs = 1): string {
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -7,6 +7,7 @@
   ForwardingRoute,
   ForwardingTarget,
   HeaderNames,
+  KeptParts,
 } from '@sequoiarill/types';
 
 import type { ForwardRequest } from '../forwardRequest';
@@ -23,6 +24,7 @@
   expectedTarget: 'target',
   lastEventId: 'last',
   promptSize: 'size',
+  promptParts: 'parts',
   backupTarget: 'backup',
   continueFrom: 'from',
   priority: 'priority',
@@ -58,6 +60,8 @@
   readonly setTargets: (targets: readonly ForwardingTarget[]) => void;
   /** Reports of engines that answer; others are silent. */
   readonly reports: Map<string, EngineReport>;
+  /** Parts of prompts that engines keep. */
+  readonly kept: Map<string, KeptParts>;
 }
 
 export function createTarget(id: string, change: Partial<ForwardingTarget> = {}): ForwardingTarget {
@@ -105,6 +109,7 @@
     arrivedAtMs: 0,
     expiresAtMs: route.timeoutMs,
     promptTokens: 8_000,
+    promptParts: [],
     closed: new AbortController().signal,
   };
 }
@@ -179,6 +184,7 @@
   const clock = Kernel.createFakeClock();
   const sent: SentCall[] = [];
   const reports = new Map<string, EngineReport>();
+  const kept = new Map<string, KeptParts>();
   let targets: readonly ForwardingTarget[] = [];
   let drawn = 0;
   /** Evenly spread and the same each time. */
@@ -204,6 +210,9 @@
       essentialHeaders: new Set(),
       reportPath: '/report',
       decodeReport: () => undefined,
+      decodePromptParts: () => [],
+      keptPath: '/kept',
+      decodeKept: () => undefined,
     },
     directory: {
       getConfiguration: () => CONFIGURATION,
@@ -231,6 +240,7 @@
       if (report === undefined) await clock.waitMs(limitMs);
       return report;
     },
+    readKept: async (target) => kept.get(target.id),
     renewConnections: () => undefined,
   };
   return {
@@ -238,6 +248,7 @@
     clock,
     sent,
     reports,
+    kept,
     setTargets(next) {
       targets = next;
     },
--- a/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
@@ -17,6 +17,8 @@
  * copy in another zone also while a zone is down, and cheap beside a prefill.
  */
 const ZONE_SAMPLE = 2;
+/** Keepers of a copy among which one is drawn unasked, so that not all copies of a crash meet. */
+const BACKUP_SAMPLE = 2;
 /** Answers within a zone take a millisecond, between zones some. */
 const ANSWER_LIMIT_MS = 40;
 /** After a crash of a zone most of the first round may be dead. */
@@ -30,9 +32,9 @@
   const ready = listReady(parts, request.service);
   const asked = new Set(excluded);
   for (let round = 0; round < MAX_ROUNDS; round += 1) {
-    const sample = sampleEngines(parts, ready, asked);
+    const sample = sampleEngines(parts, request, ready, asked);
     sample.forEach(({ id }) => asked.add(id));
-    const views = await readViews(parts, sample);
+    const views = await readViews(parts, request, sample);
     const pair = pickPair(parts, request, views, ready);
     if (pair !== undefined) {
       logPlaced(parts, request, { pair, views, asked: sample.length, known: ready.length, round });
@@ -63,6 +65,7 @@
     running: view?.running,
     sentSince: view?.sentSince,
     usedTokens: view?.usedTokens,
+    keptTokens: view?.keptTokens,
     asked,
     answered: views.length,
     known,
@@ -83,7 +86,9 @@
   const elsewhere = others.filter((other) => other.zone !== target.zone);
   const near = elsewhere.filter((other) => other.zone === parts.zone);
   const pool = [near, elsewhere, others].find((some) => some.length > 0) ?? [];
-  return pool[Math.floor(parts.nextRandom() * pool.length)];
+  // One of those that are asked for the prompt, so that a caller that comes back finds the copy's run.
+  const [first, second] = Decisions.selectCandidates(pool, getPromptKey(request), BACKUP_SAMPLE);
+  return parts.nextRandom() < 0.5 ? (second ?? first) : first;
 }
 
 function listReady(parts: ForwardingParts, service: string): readonly ForwardingTarget[] {
@@ -98,50 +103,51 @@
 /** Some of each zone; those under suspicion only where nobody else is left. */
 function sampleEngines(
   parts: ForwardingParts,
+  request: ForwardRequest,
   ready: readonly ForwardingTarget[],
   asked: ReadonlySet<string>,
 ): readonly ForwardingTarget[] {
   const fresh = ready.filter(({ id }) => !asked.has(id));
   const trusted = fresh.filter((target) => !parts.book.isSuspect(target));
   const pool = trusted.length > 0 ? trusted : fresh;
-  const zones = new Set(pool.map(({ zone }) => zone));
-  return [...zones].flatMap((zone) =>
-    sampleSome(
-      pool.filter((target) => target.zone === zone),
-      ZONE_SAMPLE,
-      parts.nextRandom,
-    ),
-  );
+  return Decisions.selectCandidates(pool, getPromptKey(request), ZONE_SAMPLE);
 }
 
-function sampleSome(
-  pool: readonly ForwardingTarget[],
-  count: number,
-  nextRandom: () => number,
-): readonly ForwardingTarget[] {
-  const left = [...pool];
-  const drawn: ForwardingTarget[] = [];
-  while (drawn.length < count && left.length > 0) {
-    drawn.push(...left.splice(Math.floor(nextRandom() * left.length), 1));
-  }
-  return drawn;
+/** The last part is the caller's own, and the same when it comes back under another request id. */
+function getPromptKey({ id, promptParts }: ForwardRequest): string {
+  return promptParts.at(-1)?.id ?? id;
 }
 
 async function readViews(
   parts: ForwardingParts,
+  request: ForwardRequest,
   sample: readonly ForwardingTarget[],
 ): Promise<readonly EngineView[]> {
   const answers = await Promise.all(
     sample.map(async (target): Promise<EngineView | undefined> => {
-      const report = await parts.readReport(target, ANSWER_LIMIT_MS);
+      const [report, keptTokens] = await Promise.all([
+        parts.readReport(target, ANSWER_LIMIT_MS),
+        readKeptTokens(parts, request, target),
+      ]);
       if (report === undefined || report.isLeaving) return undefined;
-      const { sentSinceReport } = parts.book.buildView(target);
-      return { ...report, id: target.id, zone: target.zone, sentSince: sentSinceReport };
+      const { sentSinceReport: sentSince } = parts.book.buildView(target);
+      return { ...report, id: target.id, zone: target.zone, sentSince, keptTokens };
     }),
   );
   return answers.filter((view) => view !== undefined);
 }
 
+/** Only a caller that comes back for the rest of a stream can have a prompt kept anywhere. */
+async function readKeptTokens(
+  parts: ForwardingParts,
+  { lastEventId, promptParts }: ForwardRequest,
+  target: ForwardingTarget,
+): Promise<number> {
+  if (lastEventId === undefined || promptParts.length === 0) return 0;
+  const kept = await parts.readKept(target, ANSWER_LIMIT_MS);
+  return kept === undefined ? 0 : Decisions.computeKeptTokens(promptParts, kept);
+}
+
 function pickPair(
   parts: ForwardingParts,
   request: ForwardRequest,
--- a/packages/sequoiarill-plugin-forwarding/src/engineProbes.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/engineProbes.ts
@@ -5,6 +5,7 @@
   EngineReport,
   ForwardingTarget,
   ForwardingWire,
+  KeptParts,
 } from '@sequoiarill/types';
 
 import * as Checks from './answerChecks';
@@ -19,6 +20,8 @@
     target: ForwardingTarget,
     limitMs: number,
   ) => Promise<EngineReport | undefined>;
+  /** Parts of prompts that the engine keeps; undefined when it does not tell in time. */
+  readonly readKept: (target: ForwardingTarget, limitMs: number) => Promise<KeptParts | undefined>;
   readonly removeMissing: (isCurrent: (target: ForwardingTarget) => boolean) => void;
 }
 
@@ -55,7 +58,11 @@
   const inProgress = new Map<string, Promise<EngineReport | undefined>>();
   const freshByTarget = new Map<string, Fresh>();
 
-  async function callEngine(target: ForwardingTarget, path: string): Promise<Answer | undefined> {
+  async function callEngine(
+    target: ForwardingTarget,
+    path: string,
+    limitMs = PROBE_LIMIT_MS,
+  ): Promise<Answer | undefined> {
     const call = TargetCalls.openCall({
       connection: connections.takeConnection(target),
       target,
@@ -64,7 +71,7 @@
       headers: [],
       body: EMPTY,
     });
-    const untilMs = clock.getNowMs() + PROBE_LIMIT_MS;
+    const untilMs = clock.getNowMs() + limitMs;
     const chunks: Buffer[] = [];
     let head: AnswerHead | undefined;
     for (;;) {
@@ -162,6 +169,10 @@
       clearTimeout(timer);
       return report;
     },
+    async readKept(target, limitMs) {
+      const answer = await callEngine(target, wire.keptPath, limitMs);
+      return answer?.head.status === OK ? wire.decodeKept(answer.text) : undefined;
+    },
     removeMissing(isCurrent) {
       for (const [id, { target }] of freshByTarget) {
         if (!isCurrent(target)) freshByTarget.delete(id);
--- a/packages/sequoiarill-plugin-forwarding/src/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/exchange.ts
@@ -177,6 +177,7 @@
     expiresAtMs: arrivedAtMs + waitMs,
     ...(lastEventId === undefined ? {} : { lastEventId }),
     promptTokens: Number.isFinite(promptTokens) ? promptTokens : 0,
+    promptParts: parts.wire.decodePromptParts(Headers.findSingle(headers, names.promptParts) ?? ''),
     closed: received.closed,
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -1,5 +1,5 @@
 /** One request as it is forwarded, and how it can end. */
-import type { ForwardingRoute } from '@sequoiarill/types';
+import type { ForwardingRoute, PromptPart } from '@sequoiarill/types';
 
 import type { RawHeader } from './headers';
 
@@ -23,6 +23,8 @@
   readonly lastEventId?: string;
   /** Tokens; 0 where the request names none. */
   readonly promptTokens: number;
+  /** None where the request names none. */
+  readonly promptParts: readonly PromptPart[];
   /** Aborted when the caller has left. */
   readonly closed: AbortSignal;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -35,6 +35,7 @@
   ) => TargetCall;
   /** The load of an engine; undefined when it does not answer in time. */
   readonly readReport: EngineProbes['readReport'];
+  readonly readKept: EngineProbes['readKept'];
   /** Connections to the target are suspect and are made anew. */
   readonly renewConnections: (target: ForwardingTarget) => void;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -119,6 +119,7 @@
     getStallPolicy: createRegister<StallPolicy>(Decisions.createStallPolicy),
     openCall,
     readReport: probes.readReport,
+    readKept: probes.readKept,
     renewConnections: connections.closeIdle,
     getRouteTable: () => table,
     isDraining: drain.isDraining,
--- a/packages/sequoiarill-plugin-forwarding/src/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/sending.ts
@@ -76,7 +76,7 @@
   if (mayCancel) request.closed.addEventListener('abort', call.cancel, { once: true });
   const untilMs = parts.clock.getNowMs() + limitMs;
   const readNext = () => call.readEvent(untilMs - parts.clock.getNowMs());
-  parts.book.recordStart(target);
+  const recordEnd = parts.book.recordStart(target);
   try {
     const first = await readNext();
     if (first.kind === 'timeout') {
@@ -95,7 +95,7 @@
       decideFailure(call, first) ?? { kind: 'lost', reason: 'no status line', isSilence: false }
     );
   } finally {
-    parts.book.recordEnd(target);
+    recordEnd();
     if (mayCancel) request.closed.removeEventListener('abort', call.cancel);
   }
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
@@ -56,13 +56,13 @@
   const { request, target } = order;
   const call = parts.openCall(request, target, order.extraHeaders);
   request.closed.addEventListener('abort', call.cancel, { once: true });
-  parts.book.recordStart(target);
+  const recordEnd = parts.book.recordStart(target);
   try {
     return yield* readStream(parts, order, call);
   } finally {
     // Also when the reader of the generator has gone.
     call.cancel();
-    parts.book.recordEnd(target);
+    recordEnd();
     request.closed.removeEventListener('abort', call.cancel);
   }
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
@@ -4,8 +4,8 @@
 import type { EngineReport, ForwardingTarget } from '@sequoiarill/types';
 
 export interface TargetBook {
-  readonly recordStart: (target: ForwardingTarget) => void;
-  readonly recordEnd: (target: ForwardingTarget) => void;
+  /** Gives what is to be called, once, when the request has ended there. */
+  readonly recordStart: (target: ForwardingTarget) => () => void;
   /** An event of a stream, or a report: it lives. */
   readonly recordSign: (target: ForwardingTarget) => void;
   readonly recordSuccess: (target: ForwardingTarget) => void;
@@ -32,8 +32,8 @@
   inFlight: number;
   report: EngineReport | undefined;
   reportedAtMs: number;
-  /** Moments of the sends that the last report may not count, oldest first. */
-  unseenSendsMs: number[];
+  /** Requests in progress that the last report may not count, by the moments of their sends. */
+  unseenSends: { readonly atMs: number }[];
   endedSinceReport: number;
 }
 
@@ -68,7 +68,7 @@
       inFlight: 0,
       report: undefined,
       reportedAtMs: 0,
-      unseenSendsMs: [],
+      unseenSends: [],
       endedSinceReport: 0,
     };
     entries.set(target.id, created);
@@ -91,12 +91,13 @@
     recordStart(target) {
       const entry = getEntry(target);
       entry.inFlight += 1;
-      entry.unseenSendsMs.push(getNowMs());
-    },
-    recordEnd(target) {
-      const entry = getEntry(target);
-      entry.inFlight = Math.max(0, entry.inFlight - 1);
-      entry.endedSinceReport += 1;
+      const send = { atMs: getNowMs() };
+      entry.unseenSends.push(send);
+      return () => {
+        entry.inFlight = Math.max(0, entry.inFlight - 1);
+        if (!entry.unseenSends.includes(send)) entry.endedSinceReport += 1;
+        entry.unseenSends = entry.unseenSends.filter((other) => other !== send);
+      };
     },
     recordSuccess(target) {
       getDetector(target.service).recordSuccess(target.id, getNowMs());
@@ -126,18 +127,18 @@
       entry.report = report;
       entry.reportedAtMs = getNowMs();
       const seenUntilMs = entry.reportedAtMs - REPORT_LAG_MS;
-      entry.unseenSendsMs = entry.unseenSendsMs.filter((atMs) => atMs > seenUntilMs);
+      entry.unseenSends = entry.unseenSends.filter(({ atMs }) => atMs > seenUntilMs);
       entry.endedSinceReport = 0;
     },
     buildView(target) {
       const entry = getEntry(target);
-      const { report, unseenSendsMs, endedSinceReport } = entry;
+      const { report, unseenSends, endedSinceReport } = entry;
       return {
         name: target.id,
         zone: target.zone,
         slots: target.slots,
         inFlight: entry.inFlight,
-        sentSinceReport: unseenSendsMs.length,
+        sentSinceReport: unseenSends.length,
         endedSinceReport,
         state: decideState(target),
         warmShare: getDetector(target.service).getWarmShare(target.id, getNowMs()),
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -117,6 +117,15 @@
   readonly isLeaving: boolean;
 }
 
+/** One part of a prompt; parts before it are the same wherever it is. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** Tokens that an engine keeps in memory of each part of a prompt, by the part's id. */
+export type KeptParts = ReadonlyMap<string, number>;
+
 export type DecodedConfiguration =
   | { readonly kind: 'configuration'; readonly configuration: ForwardingConfiguration }
   | { readonly kind: 'malformed'; readonly reason: string };
@@ -134,6 +143,7 @@
   readonly expectedTarget: string;
   readonly lastEventId: string;
   readonly promptSize: string;
+  readonly promptParts: string;
   /** `IP:port` of the engine that keeps a copy of the run's memory as it grows. */
   readonly backupTarget: string;
   /** Where the copy of a run's memory lies: `IP:port/run`. */
@@ -165,6 +175,11 @@
   readonly essentialHeaders: ReadonlySet<string>;
   readonly reportPath: string;
   readonly decodeReport: (text: string) => EngineReport | undefined;
+  /** Parts in the order in which they are prefilled; none where the text cannot be read. */
+  readonly decodePromptParts: (text: string) => readonly PromptPart[];
+  /** Path at an engine that lists the parts of prompts that it keeps. */
+  readonly keptPath: string;
+  readonly decodeKept: (text: string) => KeptParts | undefined;
 }
 
 /** Capability `directory`: the newest accepted configuration and the targets that live. */
