Order another copy when its keeper is lost, and hold repeats against a sliding window

Cause: the copy of a run's memory was made once, with the request. Ruled out: a later false alarm (the reports show the keepers gone). Change: while events pass, the keeper is looked after every 200 ms, and another copy is ordered at the engine, which goes on meanwhile; it is freed when the run ends whole. streamAnswer.ts is split into planning (streamPlan) and relaying (streamRelay).

Change: each router keeps the rule in the form in which it holds for all, repeats of a window against requests of the same window; the reserve is at most a fifth of that. The share follows the routers that are known now, not those known when the service was first used. The grace time and the window are settings in seconds, since a fraction with "000" behind it was no millisecond count.

--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -9,6 +9,7 @@
 export * from './stallPolicy';
 export * from './targetChooser';
 export type * from './targets';
+export * from './fleetRepeats';
 export * from './fleetShares';
 export * from './lossSuspicion';
 export * from './outlierDetector';
--- a/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
@@ -63,6 +63,10 @@
   decodePromptParts: () => [],
   keptPath: '/kept',
   decodeKept: () => undefined,
+  copyPath: '/copies',
+  encodeCopyOrder: () => '',
+  decodeCopyHandle: () => undefined,
+  formatCopyPath: () => '',
 };
 
 export function createTargetText(address: string, startedAtUnixMs = 1): string {
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/engineProbes.test.ts
@@ -4,6 +4,7 @@
 import * as Kernel from '@sequoiarill/kernel';
 import { expect } from 'earl';
 
+import * as EngineCalls from '../engineCalls';
 import * as EngineProbes from '../engineProbes';
 import * as TargetBooks from '../targetBook';
 import type { TargetConnection, TargetConnections } from '../targetConnections';
@@ -52,7 +53,10 @@
     wire: { ...parts.wire, decodeReport: () => ({ ...Fakes.IDLE_REPORT, ...report }) },
     clock,
     book: TargetBooks.createTargetBook(clock.getNowMs),
-    connections: createConnections(new Map([[target.address, id]]), asked),
+    callEngine: EngineCalls.createEngineCaller(
+      clock,
+      createConnections(new Map([[target.address, id]]), asked),
+    ),
     directory: {
       getConfiguration: () => ({ ...configuration, services: new Map(services) }),
       hasNews: () => hasNews,
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -43,6 +43,9 @@
   isLeaving: false,
 };
 
+/** Time that a copy takes here, milliseconds. */
+const COPY_MS = 100;
+
 /** What one call does: events at times after it was sent; silence after the last of them. */
 export type Script = readonly (readonly [afterMs: number, event: CallEvent])[];
 
@@ -62,6 +65,8 @@
   readonly reports: Map<string, EngineReport>;
   /** Parts of prompts that engines keep. */
   readonly kept: Map<string, KeptParts>;
+  /** Copies that were ordered and freed. */
+  readonly orders: readonly string[];
 }
 
 export function createTarget(id: string, change: Partial<ForwardingTarget> = {}): ForwardingTarget {
@@ -185,6 +190,7 @@
   const sent: SentCall[] = [];
   const reports = new Map<string, EngineReport>();
   const kept = new Map<string, KeptParts>();
+  const orders: string[] = [];
   let targets: readonly ForwardingTarget[] = [];
   let drawn = 0;
   /** Evenly spread and the same each time. */
@@ -194,7 +200,13 @@
   };
   const book = TargetBooks.createTargetBook(clock.getNowMs);
   const policy = Decisions.createStallPolicy();
-  const budget = Decisions.createRetryBudget({ ratio: 1, minPerSecond: 1, burst: 20 });
+  const budget = Decisions.createFleetRepeats({
+    ratio: 1,
+    slack: 150,
+    windowMs: 10_000,
+    countRouters: () => 1,
+    startedMs: 0,
+  });
   const parts: ForwardingParts = {
     zone: 'a',
     clock,
@@ -213,6 +225,10 @@
       decodePromptParts: () => [],
       keptPath: '/kept',
       decodeKept: () => undefined,
+      copyPath: '/copies',
+      encodeCopyOrder: () => '',
+      decodeCopyHandle: () => undefined,
+      formatCopyPath: () => '',
     },
     directory: {
       getConfiguration: () => CONFIGURATION,
@@ -241,6 +257,14 @@
       return report;
     },
     readKept: async (target) => kept.get(target.id),
+    async createCopy(engine, _runId, keeper) {
+      orders.push(`${engine.id} to ${keeper.id}`);
+      await clock.waitMs(COPY_MS);
+      return 'h1';
+    },
+    async releaseCopy(engine, handle) {
+      orders.push(`${engine.id} frees ${handle}`);
+    },
     renewConnections: () => undefined,
   };
   return {
@@ -249,6 +273,7 @@
     sent,
     reports,
     kept,
+    orders,
     setTargets(next) {
       targets = next;
     },
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/pure.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/pure.test.ts
@@ -7,7 +7,7 @@
 import * as EventBlocks from '../eventBlocks';
 import * as Headers from '../headers';
 import * as RouteTables from '../routeTable';
-import * as StreamAnswers from '../streamAnswer';
+import * as StreamRelays from '../streamRelay';
 import { NAMES } from './fakeParts';
 
 function createRoute(name: string, host: string, pathPrefix: string): ForwardingRoute {
@@ -167,10 +167,10 @@
 
   it('leaves out what the caller has, and sees a hole', () => {
     const blocks = ['4', '5', '6'].map(createBlock);
-    const fresh = StreamAnswers.selectFresh(blocks, '5');
+    const fresh = StreamRelays.selectFresh(blocks, '5');
     expect(fresh === 'gap' ? fresh : fresh.map(({ id }) => id)).toEqual(['6']);
-    expect(StreamAnswers.selectFresh(blocks, '2')).toEqual('gap');
-    expect(StreamAnswers.selectFresh([createBlock('1'), createBlock('3')], undefined)).toEqual(
+    expect(StreamRelays.selectFresh(blocks, '2')).toEqual('gap');
+    expect(StreamRelays.selectFresh([createBlock('1'), createBlock('3')], undefined)).toEqual(
       'gap',
     );
   });
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 
 import * as StreamAnswers from '../streamAnswer';
-import type { StreamOutcome } from '../streamAnswer';
+import type { StreamOutcome } from '../streamPlan';
 import * as Fakes from './fakeParts';
 import type { FakeParts, Script } from './fakeParts';
 
@@ -80,6 +80,34 @@
     expect(fake.sent[1]?.atMs ?? Infinity).toBeLessThan(1_000);
   });
 
+  it('has another copy made when the engine that keeps it is lost', async () => {
+    // The keeper of the copy crashes and comes back as another life; two seconds later the engine of
+    // the run crashes too. Without a second copy the prompt is read anew and the pause is seconds.
+    const fake: FakeParts = Fakes.createFakeParts((target, headers) => {
+      const from = createFromHeader(headers);
+      if (target !== 'a1') {
+        const isFromCopy = headers.from === '10.0.0.1:a1/h1';
+        const startMs = isFromCopy ? 60 : 1_500;
+        const events = Fakes.createEvents(from, 60, 30, startMs);
+        return [[50, Fakes.createHead(200)], ...events, [startMs + 30 * (61 - from), END]];
+      }
+      return [[50, Fakes.createHead(200)], ...Fakes.createEvents(1, 40, 30, 60), [1_300, BROKEN]];
+    });
+    const [a1, b1] = [Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })];
+    const c1 = Fakes.createTarget('c1', { zone: 'b' });
+    fake.setTargets([a1, b1, c1]);
+    [a1, b1, c1].forEach(({ id }, running) =>
+      fake.reports.set(id, { ...Fakes.IDLE_REPORT, running }),
+    );
+    const playing = playStream(fake);
+    fake.setTargets([a1, c1]);
+    const played = await playing;
+    expect(played.text).toEqual(formatAll(60));
+    expect(played.maxGapMs).toBeLessThan(700);
+    expect(fake.orders).toEqual(['a1 to c1']);
+    expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'c1']);
+  });
+
   it('leaves a prompt with an engine that lives and reads slowly', async () => {
     // Two prompts are read before this one. The engine says that it lives, and is not left before
     // its first event, which would cost a third prompt.
--- a/packages/sequoiarill-plugin-forwarding/src/answers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers.ts
@@ -10,7 +10,7 @@
 import type { ForwardingParts } from './parts';
 import type { RouteTable } from './routeTable';
 import * as StreamAnswers from './streamAnswer';
-import type { StreamOutcome } from './streamAnswer';
+import type { StreamOutcome } from './streamPlan';
 import * as StreamTimings from './streamTiming';
 import type { StreamTiming } from './streamTiming';
 
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/engineCalls.ts
@@ -0,0 +1,53 @@
+/** Calls of engines that are no caller's request: reports, lists, orders. */
+import type { Clock, ForwardingTarget } from '@sequoiarill/types';
+
+import type { AnswerHead } from './forwardRequest';
+import * as TargetCalls from './targetCall';
+import type { TargetConnections } from './targetConnections';
+
+export interface EngineOrder {
+  readonly method: 'GET' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly body?: string;
+  readonly limitMs: number;
+}
+
+export interface EngineAnswer {
+  readonly head: AnswerHead;
+  readonly text: string;
+}
+
+/** Undefined when there is no whole answer in time. */
+export type EngineCaller = (
+  target: ForwardingTarget,
+  order: EngineOrder,
+) => Promise<EngineAnswer | undefined>;
+
+export function createEngineCaller(
+  clock: Pick<Clock, 'getNowMs'>,
+  connections: Pick<TargetConnections, 'takeConnection'>,
+): EngineCaller {
+  return async (target, { method, path, body, limitMs }) => {
+    const call = TargetCalls.openCall({
+      connection: connections.takeConnection(target),
+      target,
+      method,
+      path,
+      headers: body === undefined ? [] : [['content-type', 'application/json']],
+      body: Buffer.from(body ?? ''),
+    });
+    const untilMs = clock.getNowMs() + limitMs;
+    const chunks: Buffer[] = [];
+    let head: AnswerHead | undefined;
+    for (;;) {
+      const event = await call.readEvent(untilMs - clock.getNowMs());
+      if (event.kind === 'head') head = event.head;
+      else if (event.kind === 'data') chunks.push(event.chunk);
+      else {
+        call.cancel();
+        if (event.kind !== 'end' || head === undefined) return undefined;
+        return { head, text: Buffer.concat(chunks).toString('utf8') };
+      }
+    }
+  };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
@@ -73,19 +73,24 @@
   });
 }
 
-/** For a run that goes on from its copy at once, so that nobody is asked first. */
+/**
+ * Who is to keep the copy of a run that goes on at once, so that nobody is asked first; `lost` is the
+ * keeper that is gone.
+ */
 export function chooseBackup(
   parts: ForwardingParts,
   request: ForwardRequest,
   target: ForwardingTarget,
+  lost?: ForwardingTarget,
 ): ForwardingTarget | undefined {
   if (!hasBackups(parts, request)) return undefined;
   const others = listReady(parts, request.service).filter(
-    (other) => other.id !== target.id && !parts.book.isSuspect(other),
+    ({ id }) => id !== target.id && id !== lost?.id,
   );
-  const elsewhere = others.filter((other) => other.zone !== target.zone);
+  const trusted = others.filter((other) => !parts.book.isSuspect(other));
+  const elsewhere = trusted.filter((other) => other.zone !== target.zone);
   const near = elsewhere.filter((other) => other.zone === parts.zone);
-  const pool = [near, elsewhere, others].find((some) => some.length > 0) ?? [];
+  const pool = [near, elsewhere, trusted].find((some) => some.length > 0) ?? [];
   // One of those that are asked for the prompt, so that a caller that comes back finds the copy's run.
   const [first, second] = Decisions.selectCandidates(pool, getPromptKey(request), BACKUP_SAMPLE);
   return parts.nextRandom() < 0.5 ? (second ?? first) : first;
--- a/packages/sequoiarill-plugin-forwarding/src/engineProbes.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/engineProbes.ts
@@ -9,10 +9,8 @@
 } from '@sequoiarill/types';
 
 import * as Checks from './answerChecks';
-import type { AnswerHead } from './forwardRequest';
+import type { EngineCaller } from './engineCalls';
 import type { TargetBook } from './targetBook';
-import * as TargetCalls from './targetCall';
-import type { TargetConnections } from './targetConnections';
 
 export interface EngineProbes {
   /** Undefined when the engine does not answer in time. Several askers share one call. */
@@ -29,7 +27,7 @@
   readonly wire: ForwardingWire;
   readonly clock: Pick<Clock, 'getNowMs'>;
   readonly book: TargetBook;
-  readonly connections: TargetConnections;
+  readonly callEngine: EngineCaller;
   readonly directory: Pick<Directory, 'getConfiguration' | 'hasNews' | 'recordReplacement'>;
 }
 
@@ -40,12 +38,6 @@
 /** While the store is away an identity is asked for anew after this, milliseconds: a restart takes longer. */
 const PROOF_LIFE_MS = 1_000;
 const OK = 200;
-const EMPTY = Buffer.alloc(0);
-
-interface Answer {
-  readonly head: AnswerHead;
-  readonly text: string;
-}
 
 interface Fresh {
   readonly target: ForwardingTarget;
@@ -54,36 +46,12 @@
 }
 
 export function createEngineProbes(options: EngineProbesOptions): EngineProbes {
-  const { wire, clock, book, connections, directory } = options;
+  const { wire, clock, book, callEngine, directory } = options;
   const inProgress = new Map<string, Promise<EngineReport | undefined>>();
   const freshByTarget = new Map<string, Fresh>();
 
-  async function callEngine(
-    target: ForwardingTarget,
-    path: string,
-    limitMs = PROBE_LIMIT_MS,
-  ): Promise<Answer | undefined> {
-    const call = TargetCalls.openCall({
-      connection: connections.takeConnection(target),
-      target,
-      method: 'GET',
-      path,
-      headers: [],
-      body: EMPTY,
-    });
-    const untilMs = clock.getNowMs() + limitMs;
-    const chunks: Buffer[] = [];
-    let head: AnswerHead | undefined;
-    for (;;) {
-      const event = await call.readEvent(untilMs - clock.getNowMs());
-      if (event.kind === 'head') head = event.head;
-      else if (event.kind === 'data') chunks.push(event.chunk);
-      else {
-        call.cancel();
-        if (event.kind !== 'end' || head === undefined) return undefined;
-        return { head, text: Buffer.concat(chunks).toString('utf8') };
-      }
-    }
+  function readPath(target: ForwardingTarget, path: string, limitMs = PROBE_LIMIT_MS) {
+    return callEngine(target, { method: 'GET', path, limitMs });
   }
 
   function isDoubtful(target: ForwardingTarget): boolean {
@@ -95,7 +63,7 @@
 
   async function readIdentity(target: ForwardingTarget): Promise<string | undefined> {
     const service = directory.getConfiguration()?.services.get(target.service);
-    const answer = await callEngine(target, service?.healthPath ?? '/');
+    const answer = await readPath(target, service?.healthPath ?? '/');
     if (answer === undefined) return undefined;
     return Checks.getHeader(answer.head, wire.headers.targetId);
   }
@@ -127,7 +95,7 @@
 
   async function readOnce(target: ForwardingTarget): Promise<EngineReport | undefined> {
     const [answer, isKnown] = await Promise.all([
-      callEngine(target, wire.reportPath),
+      readPath(target, wire.reportPath),
       isSameLife(target),
     ]);
     if (answer === undefined) book.recordLoss(target);
@@ -170,7 +138,7 @@
       return report;
     },
     async readKept(target, limitMs) {
-      const answer = await callEngine(target, wire.keptPath, limitMs);
+      const answer = await readPath(target, wire.keptPath, limitMs);
       return answer?.head.status === OK ? wire.decodeKept(answer.text) : undefined;
     },
     removeMissing(isCurrent) {
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -88,6 +88,19 @@
   'An engine was chosen for a stream, by the load that the engines asked just before reported.',
 );
 
+export const STREAM_COPIED = Kernel.defineEvent(
+  1920,
+  'info',
+  'stream.copied',
+  "The engine that kept the copy of a run's memory was lost; another copy was ordered.",
+);
+export const ORDER_FAILED = Kernel.defineEvent(
+  1921,
+  'error',
+  'engine.orderFailed',
+  'An order to an engine ended with an error of this program; the stream goes on without it.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -103,4 +116,6 @@
   STREAM_LATE,
   STREAM_RESUMED,
   STREAM_PLACED,
+  STREAM_COPIED,
+  ORDER_FAILED,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -5,6 +5,7 @@
 export const FIRST_EVENT = 'forwarding.firstEvent';
 export const PAUSE = 'forwarding.longestPause';
 export const CONTINUED = 'forwarding.continued';
+export const COPIES = 'forwarding.copies';
 export const REPEATED = 'forwarding.repeated';
 
 export const METRICS = [
@@ -21,5 +22,10 @@
     meaning: 'Longest pause between two events of a stream, by route.',
   },
   { name: CONTINUED, unit: 'count', meaning: 'Streams that went to another target, by cause.' },
+  {
+    name: COPIES,
+    unit: 'count',
+    meaning: "Copies of a run's memory that were ordered after their keeper was lost, by outcome.",
+  },
   { name: REPEATED, unit: 'count', meaning: 'Requests sent to a further target.' },
 ] as const;
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -1,5 +1,5 @@
 /** What the tasks that forward requests share. */
-import type { RetryBudget, StallPolicy, TargetChooser } from '@sequoiarill/decisions';
+import type { FleetRepeats, StallPolicy, TargetChooser } from '@sequoiarill/decisions';
 import type {
   Clock,
   Directory,
@@ -12,6 +12,7 @@
 import type { EngineProbes } from './engineProbes';
 import type { ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './headers';
+import type { CopyOrders } from './runCopies';
 import type { TargetBook } from './targetBook';
 import type { TargetCall } from './targetCall';
 
@@ -25,7 +26,7 @@
   readonly chooser: TargetChooser;
   readonly log: BoundedLog;
   readonly metrics: Metrics;
-  readonly getBudget: (service: string) => RetryBudget;
+  readonly getBudget: (service: string) => FleetRepeats;
   readonly getStallPolicy: (service: string) => StallPolicy;
   /** Sends a request to a target; a call that was opened must be read to its end or cancelled. */
   readonly openCall: (
@@ -36,6 +37,8 @@
   /** The load of an engine; undefined when it does not answer in time. */
   readonly readReport: EngineProbes['readReport'];
   readonly readKept: EngineProbes['readKept'];
+  readonly createCopy: CopyOrders['createCopy'];
+  readonly releaseCopy: CopyOrders['releaseCopy'];
   /** Connections to the target are suspect and are made anew. */
   readonly renewConnections: (target: ForwardingTarget) => void;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -1,17 +1,19 @@
 /** Plug-in `forwarding`: callers' requests to targets and back. */
 import * as Decisions from '@sequoiarill/decisions';
-import type { RetryBudget, StallPolicy } from '@sequoiarill/decisions';
+import type { StallPolicy } from '@sequoiarill/decisions';
 import type { ForwardingTarget, Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
 
 import type { ExchangeParts } from './answers';
 import * as BoundedLogs from './boundedLog';
 import * as Drains from './drain';
+import * as EngineCalls from './engineCalls';
 import * as EngineProbes from './engineProbes';
 import * as Events from './events';
 import * as Exchanges from './exchange';
 import type { ForwardRequest } from './forwardRequest';
 import * as Fronts from './front';
 import type { RawHeader } from './headers';
+import * as RunCopies from './runCopies';
 import * as RouteTables from './routeTable';
 import type { RouteTable } from './routeTable';
 import { settingsSchema } from './settings';
@@ -20,6 +22,8 @@
 import * as TargetCalls from './targetCall';
 import * as TargetConnections from './targetConnections';
 
+const MS_PER_SECOND = 1_000;
+
 /** Gives one object for each name, made when it is first asked for. */
 function createRegister<Value>(createValue: () => Value): (name: string) => Value {
   const values = new Map<string, Value>();
@@ -32,42 +36,21 @@
   };
 }
 
-/**
- * All routers together may repeat a share of the requests and a fixed number in a window. Each router
- * takes the share of its own requests, less a margin for windows that do not match, and its part of the
- * fixed number, less a margin for routers that have just come.
- */
-const RATIO_MARGIN = 0.75;
-const SLACK_MARGIN = 0.85;
-/** A fleet of fewer routers than this may be one of which the others are not known yet. */
-const MIN_ROUTERS = 6;
-/** Part of the fixed number that a router begins with: another life of it may have spent some. */
-const INITIAL_SHARE = 0.4;
-/** Repeats a second that a router without requests earns. */
-const REPEATS_PER_SECOND = 0.1;
-
-function createBudget(settings: ForwardingSettings, routers: number): RetryBudget {
-  const burst = (settings.repeatSlack * SLACK_MARGIN) / Math.max(MIN_ROUTERS, routers);
-  return Decisions.createRetryBudget({
-    ratio: settings.repeatRatio * RATIO_MARGIN,
-    minPerSecond: REPEATS_PER_SECOND,
-    burst,
-    initial: burst * INITIAL_SHARE,
-  });
-}
-
 function createInstance(context: PluginContext, settings: ForwardingSettings): PluginInstance {
   const { clock, logEvent, nextRandom } = context;
   const wire = context.getCapability('wire');
   const directory = context.getCapability('directory');
+  const startedMs = clock.getNowMs();
   const log = BoundedLogs.createBoundedLog(logEvent, clock.getNowMs);
   const book = TargetBooks.createTargetBook(clock.getNowMs);
   const connections = TargetConnections.createTargetConnections();
+  const callEngine = EngineCalls.createEngineCaller(clock, connections);
+  const copyOrders = RunCopies.createCopyOrders(wire, callEngine);
   const probes = EngineProbes.createEngineProbes({
     wire,
     clock,
     book,
-    connections,
+    callEngine,
     directory,
   });
   let table: RouteTable | undefined;
@@ -104,7 +87,11 @@
     handleRequest: (request, response) => Exchanges.handleExchange(parts, request, response),
     isReady: () => table !== undefined && !drain.isDraining(),
   });
-  const drain = Drains.createDrain({ front, clock, graceMs: settings.graceMs });
+  const drain = Drains.createDrain({
+    front,
+    clock,
+    graceMs: settings.graceSeconds * MS_PER_SECOND,
+  });
   const parts: ExchangeParts = {
     zone: context.process.zone,
     clock,
@@ -115,11 +102,20 @@
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
     metrics: context.metrics,
-    getBudget: createRegister(() => createBudget(settings, directory.countRouters())),
+    getBudget: createRegister(() =>
+      Decisions.createFleetRepeats({
+        ratio: settings.repeatRatio,
+        slack: settings.repeatSlack,
+        windowMs: settings.repeatWindowSeconds * MS_PER_SECOND,
+        countRouters: directory.countRouters,
+        startedMs,
+      }),
+    ),
     getStallPolicy: createRegister<StallPolicy>(Decisions.createStallPolicy),
     openCall,
     readReport: probes.readReport,
     readKept: probes.readKept,
+    ...copyOrders,
     renewConnections: connections.closeIdle,
     getRouteTable: () => table,
     isDraining: drain.isDraining,
@@ -153,7 +149,10 @@
       logEvent(Events.LISTENING, front.getAddresses());
     },
     async drain() {
-      logEvent(Events.DRAINING, { requests: front.countRequests(), graceMs: settings.graceMs });
+      logEvent(Events.DRAINING, {
+        requests: front.countRequests(),
+        graceMs: settings.graceSeconds * MS_PER_SECOND,
+      });
       const waitedMs = await drain.drain();
       logEvent(Events.DRAINED, { requests: front.countRequests(), waitedMs });
     },
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/runCopies.ts
@@ -0,0 +1,134 @@
+/**
+ * Keeps a copy of a run's memory at a second engine for as long as the run lasts.
+ *
+ * Failure: the engine that keeps the copy crashes, and some seconds later the one of the run does. The
+ * stream then waits for its whole prompt to be read again: 1.2 to 3 s, where 0.7 are allowed, for half
+ * of the late streams of a day on which zones crash in turn. So another copy is ordered as soon as the
+ * keeper is known to be gone; the run goes on meanwhile.
+ */
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import type { EngineCaller } from './engineCalls';
+import * as EnginePlacements from './enginePlacements';
+import * as Events from './events';
+import type { ForwardRequest } from './forwardRequest';
+import * as Metrics from './metrics';
+import type { ForwardingParts } from './parts';
+
+export interface RunCopy {
+  readonly keeper: ForwardingTarget;
+  /** Where the copy lies, as it is told to the keeper: `IP:port/name`. */
+  readonly place: string;
+}
+
+export interface CopyWatch {
+  /** The copy that the next engine can go on from; undefined while there is none. */
+  readonly getCopy: () => RunCopy | undefined;
+  /** To be called now and then while the run lasts: orders another copy where the last one is gone. */
+  readonly update: () => void;
+  /** The run has ended whole, and needs no copy any more. */
+  readonly release: () => void;
+}
+
+/** How engines are told to make copies and to free them. */
+export interface CopyOrders {
+  /** Handle of the copy; undefined when it was not made. */
+  readonly createCopy: (
+    engine: ForwardingTarget,
+    runId: string,
+    keeper: ForwardingTarget,
+  ) => Promise<string | undefined>;
+  readonly releaseCopy: (engine: ForwardingTarget, handle: string) => Promise<void>;
+}
+
+/** How often the keeper is looked after, milliseconds: well within the time between two crashes. */
+const UPDATE_MS = 200;
+/** Copies ordered for one run; each moves the whole memory of the run. */
+const MAX_ORDERS = 3;
+/** A copy of some thousand tokens takes some hundred milliseconds, queued behind others more. */
+const ORDER_LIMIT_MS = 2_000;
+const RELEASE_LIMIT_MS = 500;
+const OK = 200;
+
+export function createCopyOrders(
+  wire: Pick<ForwardingParts['wire'], 'copyPath' | 'encodeCopyOrder' | 'decodeCopyHandle'> &
+    Pick<ForwardingParts['wire'], 'formatCopyPath'>,
+  callEngine: EngineCaller,
+): CopyOrders {
+  return {
+    async createCopy(engine, runId, keeper) {
+      const body = wire.encodeCopyOrder({ runId, keeper: keeper.address });
+      const order = { method: 'POST', path: wire.copyPath, body, limitMs: ORDER_LIMIT_MS } as const;
+      const answer = await callEngine(engine, order);
+      return answer?.head.status === OK ? wire.decodeCopyHandle(answer.text) : undefined;
+    },
+    async releaseCopy(engine, handle) {
+      const path = wire.formatCopyPath(handle);
+      await callEngine(engine, { method: 'DELETE', path, limitMs: RELEASE_LIMIT_MS });
+    },
+  };
+}
+
+/** `keeper` is told with the request itself, and gets the memory as it grows. */
+export function createCopyWatch(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  engine: ForwardingTarget,
+  keeper: ForwardingTarget | undefined,
+): CopyWatch {
+  let copy: RunCopy | undefined =
+    keeper === undefined ? undefined : { keeper, place: `${keeper.address}/${request.id}` };
+  let updatedMs = parts.clock.getNowMs();
+  let orders = 0;
+  let isOrdering = false;
+  let isEnded = false;
+  let handle: string | undefined;
+
+  function isSafe(): boolean {
+    if (copy === undefined) return false;
+    const current = parts.directory.findCurrent(copy.keeper);
+    return current?.state === 'ready' && !parts.book.isSuspect(current);
+  }
+
+  async function createNextCopy(): Promise<void> {
+    const next = EnginePlacements.chooseBackup(parts, request, engine, copy?.keeper);
+    if (next === undefined) return;
+    orders += 1;
+    const made = await parts.createCopy(engine, request.id, next);
+    parts.metrics.addCount(Metrics.COPIES, 1, { outcome: made === undefined ? 'failed' : 'made' });
+    parts.log.logEvent(Events.STREAM_COPIED, {
+      request: request.id,
+      target: engine.id,
+      lostKeeper: copy?.keeper.id,
+      keeper: next.id,
+      isMade: made !== undefined,
+    });
+    if (made === undefined) return;
+    handle = made;
+    copy = { keeper: next, place: `${engine.address}/${made}` };
+    if (isEnded) await parts.releaseCopy(engine, made);
+  }
+
+  return {
+    getCopy: () => copy,
+    update() {
+      const nowMs = parts.clock.getNowMs();
+      if (isOrdering || orders >= MAX_ORDERS || nowMs - updatedMs < UPDATE_MS) return;
+      updatedMs = nowMs;
+      if (keeper === undefined || isSafe()) return;
+      isOrdering = true;
+      createNextCopy()
+        .catch((error: unknown) => parts.log.logEvent(Events.ORDER_FAILED, { error }))
+        .finally(() => {
+          isOrdering = false;
+        });
+    },
+    release() {
+      isEnded = true;
+      if (handle === undefined) return;
+      parts.releaseCopy(engine, handle).catch((error: unknown) => {
+        parts.log.logEvent(Events.ORDER_FAILED, { error });
+      });
+    },
+  };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
@@ -23,7 +23,7 @@
   readonly target: ForwardingTarget;
   readonly extraHeaders: readonly RawHeader[];
   /** A copy of the run's memory is kept elsewhere, so that a false alarm costs little. */
-  readonly hasCopy: boolean;
+  readonly hasCopy: () => boolean;
   /** Tokens that the target has to prefill before its first event. */
   readonly prefillTokens: number;
 }
@@ -90,7 +90,7 @@
   const { clock } = parts;
   const policy = parts.getStallPolicy(request.service);
   const splitter = EventBlocks.createEventBlockSplitter();
-  const preference = order.hasCopy ? 'copied' : 'resumeLatency';
+  const preference = order.hasCopy() ? 'copied' : 'resumeLatency';
   const limits = policy.getLimits(target.id, preference, order.prefillTokens);
   const startedMs = clock.getNowMs();
   const firstEventDueMs = startedMs + limits.firstTokenMs;
@@ -144,7 +144,7 @@
    */
   async function isWorthWaiting(): Promise<boolean> {
     const patienceMs = hasEvents ? MAX_GAP_MS : limits.firstTokenMs * FIRST_EVENT_PATIENCE;
-    const waitsUntilMs = lastEventMs + (order.hasCopy || !hasEvents ? patienceMs : NO_COPY_MS);
+    const waitsUntilMs = lastEventMs + (order.hasCopy() || !hasEvents ? patienceMs : NO_COPY_MS);
     if (clock.getNowMs() >= waitsUntilMs) return false;
     const report = await parts.readReport(target, PROBE_WAIT_MS);
     silentUntilMs = waitsUntilMs;
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/streamPlan.ts
@@ -0,0 +1,142 @@
+/** What is known of a streamed answer so far, and where it goes on. */
+import type { FleetRepeats } from '@sequoiarill/decisions';
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import * as EnginePlacements from './enginePlacements';
+import type { AnswerHead, ForwardOutcome, ForwardRequest } from './forwardRequest';
+import type { ForwardingParts } from './parts';
+import * as Placement from './placement';
+import type { RunCopy } from './runCopies';
+
+export type StreamOutcome =
+  | { readonly kind: 'complete'; readonly head: AnswerHead; readonly wasStarted: boolean }
+  /** Events were passed on, and no target can go on. */
+  | { readonly kind: 'broken'; readonly reason: string; readonly lastTarget?: string }
+  | ForwardOutcome;
+
+/** Sends besides those that the route allows, for targets that did not take the request. */
+const MAX_TRIES = 12;
+const RETRY_AFTER_SECONDS = 0.5;
+/** Repeats that are kept for streams in the middle: those that one crash of a zone may need. */
+const REPEATS_FOR_STREAMS = 2;
+/** The same as a share of what a router of a large fleet may repeat, which is little. */
+const RESERVE_SHARE = 0.2;
+
+/** What is known of the answer so far. */
+export interface Progress {
+  /** Of the last event that was passed on, or that the caller named. */
+  lastEventId: string | undefined;
+  hasEvents: boolean;
+  /** The caller's answer has an end of its own; undefined before its head. */
+  isFramed: boolean | undefined;
+  /** Targets that began to run it. */
+  runs: number;
+  tries: number;
+  /** Sends that reached a target, also one that did not take the request. */
+  arrivals: number;
+  readonly excluded: Set<string>;
+  /** Of the memory of the last run. */
+  copy: RunCopy | undefined;
+  lastReason: string;
+  lastTarget: string | undefined;
+}
+
+export interface Plan {
+  readonly kind: 'plan';
+  readonly target: ForwardingTarget;
+  /** Who is to keep a copy of this run's memory. */
+  readonly backup: ForwardingTarget | undefined;
+  /** The copy that the run goes on from. */
+  readonly copy: RunCopy | undefined;
+  /** Counts against the budget of repeats, unless it reaches nobody. */
+  readonly isRepeat: boolean;
+}
+
+export function createProgress(request: ForwardRequest): Progress {
+  return {
+    lastEventId: request.lastEventId,
+    hasEvents: false,
+    isFramed: undefined,
+    runs: 0,
+    tries: 0,
+    arrivals: 0,
+    excluded: new Set(),
+    copy: undefined,
+    lastReason: 'no target is known',
+    lastTarget: undefined,
+  };
+}
+
+/** The next send, or the end where none is possible. */
+export async function decidePlan(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  progress: Progress,
+  budget: FleetRepeats,
+): Promise<Plan | StreamOutcome> {
+  const nowMs = parts.clock.getNowMs();
+  if (request.closed.aborted) return { kind: 'callerLeft' };
+  if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
+  const plan = await createPlan(parts, request, progress);
+  if (plan === undefined) return decideEnd(progress, progress.lastReason, false);
+  const isRepeat = progress.arrivals > 0;
+  if (isRepeat && !takeRepeat(progress, budget, nowMs)) {
+    return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
+  }
+  return { ...plan, isRepeat };
+}
+
+/** A stream that its caller has begun to read goes before one that can still be refused. */
+function takeRepeat(progress: Progress, budget: FleetRepeats, nowMs: number): boolean {
+  const reserve = Math.min(REPEATS_FOR_STREAMS, budget.getCapacity(nowMs) * RESERVE_SHARE);
+  if (!progress.hasEvents && budget.getBalance(nowMs) < reserve + 1) return false;
+  return budget.takeRetry(nowMs);
+}
+
+/**
+ * Failure: the engine that keeps the copy has begun to drain, and the run would be new work for a VM
+ * that is leaving, and be cut again. The prompt is read anew elsewhere instead.
+ */
+function findKeeper(parts: ForwardingParts, { copy }: Progress): ForwardingTarget | undefined {
+  const keeper = copy === undefined ? undefined : parts.directory.findCurrent(copy.keeper);
+  return keeper?.state === 'ready' ? keeper : undefined;
+}
+
+/** A copy saves the whole prefill; without one the next target is chosen like the first. */
+async function createPlan(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  progress: Progress,
+): Promise<Omit<Plan, 'isRepeat'> | undefined> {
+  const { excluded } = progress;
+  const keeper = findKeeper(parts, progress);
+  if (keeper !== undefined) {
+    const backup = EnginePlacements.chooseBackup(parts, request, keeper);
+    return { kind: 'plan', target: keeper, backup, copy: progress.copy };
+  }
+  if (request.route.hasPrompt) {
+    const pair = await EnginePlacements.chooseEngines(parts, request, excluded);
+    if (pair !== undefined) return { kind: 'plan', ...pair, copy: undefined };
+  }
+  const purpose = progress.tries === 0 ? 'first' : 'continuation';
+  const target =
+    Placement.chooseTarget(parts, { request, excluded, purpose }) ??
+    Placement.chooseTarget(parts, { request, excluded: new Set(), purpose });
+  if (target === undefined) return undefined;
+  return { kind: 'plan', target, backup: undefined, copy: undefined };
+}
+
+/** Whether the request may be sent once more. */
+export function isOpenEnded(request: ForwardRequest, progress: Progress): boolean {
+  const { repeat, maxTargets } = request.route;
+  if (repeat === 'once') return progress.runs === 0 && progress.tries < MAX_TRIES;
+  return progress.runs < maxTargets && progress.tries < MAX_TRIES;
+}
+
+export function decideEnd(progress: Progress, reason: string, isLate: boolean): StreamOutcome {
+  const { hasEvents, runs, lastTarget } = progress;
+  const end = lastTarget === undefined ? { reason } : { reason, lastTarget };
+  if (hasEvents) return { kind: 'broken', ...end };
+  if (runs > 0) return { kind: 'failed', isLate, ...end };
+  return { kind: 'refused', retryAfterSeconds: RETRY_AFTER_SECONDS, ...end };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/streamRelay.ts
@@ -0,0 +1,113 @@
+/** Passes on the events of one send, each event once, and looks after the copy of the run meanwhile. */
+import * as Checks from './answerChecks';
+import type { EventBlock } from './eventBlocks';
+import type { AnswerHead, ForwardRequest } from './forwardRequest';
+import type { RawHeader } from './headers';
+import type { ForwardingParts } from './parts';
+import * as RunCopies from './runCopies';
+import * as StreamAttempts from './streamAttempt';
+import type { AttemptOutcome } from './streamAttempt';
+import type { Plan, Progress } from './streamPlan';
+
+export type StreamPiece =
+  | { readonly kind: 'head'; readonly head: AnswerHead }
+  | { readonly kind: 'events'; readonly bytes: Buffer };
+
+/** Whether the target may have begun to run the request. */
+export function hasRun(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'lost' || outcome.kind === 'whole';
+}
+
+function createExtraHeaders(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  plan: Plan,
+  progress: Progress,
+): readonly RawHeader[] {
+  const names = parts.wire.headers;
+  const headers: RawHeader[] = [];
+  if (plan.backup !== undefined) headers.push([names.backupTarget, plan.backup.address]);
+  if (plan.copy !== undefined) headers.push([names.continueFrom, plan.copy.place]);
+  if (progress.lastEventId !== undefined) headers.push([names.lastEventId, progress.lastEventId]);
+  return headers;
+}
+
+export async function* relayAttempt(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  plan: Plan,
+  progress: Progress,
+): AsyncGenerator<StreamPiece, AttemptOutcome, void> {
+  const watch = RunCopies.createCopyWatch(parts, request, plan.target, plan.backup);
+  const attempt = StreamAttempts.runStreamAttempt(parts, {
+    request,
+    target: plan.target,
+    extraHeaders: createExtraHeaders(parts, request, plan, progress),
+    hasCopy: () => watch.getCopy() !== undefined,
+    prefillTokens: plan.copy === undefined ? request.promptTokens : 0,
+  });
+  try {
+    for (;;) {
+      const step = await attempt.next();
+      if (step.done === true) {
+        const outcome = decideFramedEnd(step.value, progress);
+        if (outcome.kind === 'complete') watch.release();
+        // A copy can be used once; a run that was lost kept one of its own, if it ran at all.
+        if (hasRun(outcome)) progress.copy = watch.getCopy();
+        return outcome;
+      }
+      const { head, blocks } = step.value;
+      const fresh = selectFresh(blocks, progress.lastEventId);
+      if (fresh === 'gap') return { kind: 'lost', reason: 'events are missing', isSilence: false };
+      watch.update();
+      const last = fresh.at(-1);
+      if (last !== undefined) {
+        if (!progress.hasEvents) yield { kind: 'head', head };
+        progress.isFramed ??= !Checks.isUnframed(head);
+        progress.hasEvents = true;
+        progress.lastEventId = last.id ?? progress.lastEventId;
+        yield { kind: 'events', bytes: mergeBlocks(fresh) };
+      }
+    }
+  } finally {
+    await attempt.return({ kind: 'callerLeft' });
+  }
+}
+
+/**
+ * Failure: a part without framing may end because its engine crashed, and the end of the caller's
+ * answer would say that it is whole. So such a part does not end an answer that has framing.
+ */
+function decideFramedEnd(outcome: AttemptOutcome, progress: Progress): AttemptOutcome {
+  const isDoubtful =
+    outcome.kind === 'complete' && progress.isFramed === true && Checks.isUnframed(outcome.head);
+  return isDoubtful ? { kind: 'lost', reason: 'end without framing', isSilence: false } : outcome;
+}
+
+/**
+ * Failure: a target goes on too early or too late, and an event comes twice or is missing. Ids rise by
+ * one, so events that were passed on are left out, and a hole is a loss.
+ */
+export function selectFresh(
+  blocks: readonly EventBlock[],
+  lastEventId: string | undefined,
+): readonly EventBlock[] | 'gap' {
+  let last = lastEventId === undefined ? undefined : Number(lastEventId);
+  const fresh: EventBlock[] = [];
+  for (const block of blocks) {
+    const id = block.id === undefined ? undefined : Number(block.id);
+    const isKnown = id !== undefined && last !== undefined && id <= last;
+    if (!isKnown) {
+      if (id !== undefined && last !== undefined && id > last + 1) return 'gap';
+      fresh.push(block);
+      last = id ?? last;
+    }
+  }
+  return fresh;
+}
+
+function mergeBlocks(blocks: readonly EventBlock[]): Buffer {
+  const [first] = blocks;
+  if (first !== undefined && blocks.length === 1) return first.bytes;
+  return Buffer.concat(blocks.map(({ bytes }) => bytes));
+}
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -126,6 +126,14 @@
 /** Tokens that an engine keeps in memory of each part of a prompt, by the part's id. */
 export type KeptParts = ReadonlyMap<string, number>;
 
+/** A run goes on meanwhile; the copy has what it held when the copy was made. */
+export interface CopyOrder {
+  /** Request id of the run. */
+  readonly runId: string;
+  /** `IP:port` of the engine that is to keep the copy. */
+  readonly keeper: string;
+}
+
 export type DecodedConfiguration =
   | { readonly kind: 'configuration'; readonly configuration: ForwardingConfiguration }
   | { readonly kind: 'malformed'; readonly reason: string };
@@ -180,6 +188,13 @@
   /** Path at an engine that lists the parts of prompts that it keeps. */
   readonly keptPath: string;
   readonly decodeKept: (text: string) => KeptParts | undefined;
+  /** Path at the engine of a run, where a copy of the run's memory at another engine is ordered. */
+  readonly copyPath: string;
+  readonly encodeCopyOrder: (order: CopyOrder) => string;
+  /** Handle under which the copy is known at the engine of the run. */
+  readonly decodeCopyHandle: (text: string) => string | undefined;
+  /** Path at the engine of the run; deleting it frees the copy at both engines. */
+  readonly formatCopyPath: (handle: string) => string;
 }
 
 /** Capability `directory`: the newest accepted configuration and the targets that live. */
