Let a few routers of a large zone read the store, and keep targets that peers tell as gone

Ruled out: a lease for the reader (a change of reader costs the time of the lease). Change: in zones of more than eight routers a few, which follow from the entries of the directory alone, watch; the others ask them over tRPC with a wait of 600 ms, see by the age of the answer whether the reader still hears the store, and otherwise ask the store at once.

Change: what peers tell as gone is kept for the 2.3 s in which entries come back, as is done for the store's own return.

--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -12,6 +12,7 @@
 export * from './fleetRepeats';
 export * from './fleetShares';
 export * from './lossSuspicion';
+export { sortByRank } from './names';
 export * from './outlierDetector';
 export type * from './outlierTypes';
 export * from './targetSet';
--- a/packages/sequoiarill-decisions/src/names.ts
+++ b/packages/sequoiarill-decisions/src/names.ts
@@ -28,6 +28,15 @@
   return digest;
 }
 
+/** Names by their rank for a key, the same on every router; those for another key are in another order. */
+export function sortByRank(names: readonly string[], key: string): readonly string[] {
+  const digest = hashName(key);
+  return names
+    .map((name) => ({ name, rank: hashPair(hashName(name), digest) }))
+    .sort((left, right) => right.rank - left.rank || left.name.localeCompare(right.name))
+    .map(({ name }) => name);
+}
+
 /** Rank of a pair of digests for rendezvous hashing: the highest wins. Unsigned 32 bits. */
 export function hashPair(left: number, right: number): number {
   let mixed = Math.imul(left ^ Math.imul(right ^ (right >>> 15), MIX_1), MIX_2);
--- a/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'earl';
 
 import * as DirectoryStates from '../directoryState';
+import type { PeerAnswer } from '../peerClient';
 import * as PeerNews from '../peerNews';
 import * as StoreFollowers from '../storeFollower';
 import * as Fixtures from './fixtures';
@@ -55,6 +56,41 @@
   return { key: 'configuration', value, revision, createRevision: 1 };
 }
 
+interface ReaderState {
+  isUsed: boolean;
+  answers: boolean;
+  ageMs: number;
+  records: readonly KeyValueEntry[];
+}
+
+/** Another router of the zone, in the test's hands. */
+function createReader(clock: Kernel.FakeClock) {
+  const state: ReaderState = { isUsed: false, answers: true, ageMs: 0, records: [] };
+  let calls = 0;
+  return {
+    state,
+    countCalls: () => calls,
+    parts: {
+      chooseReader: () => (state.isUsed ? '10.0.0.9:1' : undefined),
+      recordUnfit: () => {
+        state.isUsed = false;
+      },
+      getWatchWaitMs: () => undefined,
+      readPeer: async (_address: string, after: number, waitMs: number): Promise<PeerAnswer> => {
+        calls += 1;
+        const listNews = () => state.records.filter(({ revision }) => revision > after);
+        if (!state.answers) {
+          await clock.waitMs(waitMs + 600);
+          return { kind: 'failed', reason: 'no answer' };
+        }
+        if (listNews().length === 0) await clock.waitMs(waitMs);
+        const seenRevision = Math.max(10, ...state.records.map(({ revision }) => revision));
+        return { kind: 'records', records: listNews(), seenRevision, ageMs: state.ageMs };
+      },
+    },
+  };
+}
+
 function createFollowed() {
   const clock = Kernel.createFakeClock();
   const log = Fixtures.createEventLog();
@@ -66,8 +102,10 @@
   });
   const { logEvent } = log;
   const nextRandom = () => 0.5;
-  const parts = { store: fake.store, state, clock, logEvent, nextRandom };
-  return { clock, log, fake, state, follower: StoreFollowers.createStoreFollower(parts) };
+  const reader = createReader(clock);
+  const parts = { store: fake.store, state, clock, logEvent, nextRandom, ...reader.parts };
+  const follower = StoreFollowers.createStoreFollower(parts);
+  return { clock, log, fake, state, follower, reader };
 }
 
 describe('following the store', () => {
@@ -111,6 +149,86 @@
     await running;
   });
 
+  it('keeps the targets of its zone when peers say that their entries lapsed in a cut', async () => {
+    // A zone is cut off; the entries of its targets lapse. When the cut ends its routers hear so from
+    // peers, before the store answers them and before the targets have written again. Dropped at once,
+    // the targets beside them cannot be used, and callers are refused with "no target is known".
+    const { clock, fake, log, state, follower } = createFollowed();
+    const stop = new AbortController();
+    const value = Fixtures.createTargetText('10.0.0.1:1');
+    fake.setEntries([{ key: 'targets/one', value, revision: 5, createRevision: 1 }]);
+    const news = PeerNews.createPeerNews({
+      state,
+      client: {
+        readRecords: async (_address, after) => ({
+          kind: 'records',
+          seenRevision: 9,
+          ageMs: 0,
+          records: after < 9 ? [{ key: 'targets/one', revision: 9 }] : [],
+        }),
+        close: async () => undefined,
+      },
+      clock,
+      logEvent: log.logEvent,
+      nextRandom: () => 0.5,
+      listPeers: () => ['10.0.0.2:1'],
+      getLostSinceMs: follower.getLostSinceMs,
+    });
+    const running = Promise.all([follower.run(stop.signal), news.run(stop.signal)]);
+    await clock.runFor(1_900);
+    fake.setAnswer('unavailable');
+    await clock.runFor(2_000);
+    expect(log.listNames().includes('directory.learnedFromPeer')).toEqual(true);
+    expect(state.listTargets('engines').length).toEqual(1);
+    await clock.runFor(5_000);
+    expect(state.listTargets('engines').length).toEqual(0);
+    stop.abort();
+    await clock.runFor(5_000);
+    await running;
+  });
+
+  it('learns from the reader of its zone, and makes no call of the store meanwhile', async () => {
+    const { clock, fake, state, follower, reader } = createFollowed();
+    const stop = new AbortController();
+    fake.setEntries([createConfiguration(1, 5)]);
+    reader.state.isUsed = true;
+    const running = follower.run(stop.signal);
+    await clock.runFor(1_000);
+    const before = fake.countCalls();
+    reader.state.records = [createConfiguration(2, 12)];
+    await clock.runFor(10_000);
+    expect(state.getConfiguration()?.version).toEqual(2);
+    expect(follower.getSeenRevision()).toEqual(12);
+    expect(fake.countCalls()).toEqual(before);
+    expect(follower.isConnected()).toEqual(true);
+    stop.abort();
+    await clock.runFor(5_000);
+    await running;
+  });
+
+  it('asks the store itself within two seconds when its reader freezes or is cut off', async () => {
+    // The reader of the zone falls silent, or is alone cut off from the store, just as an operator
+    // takes a key away. The routers that ask it are well, and must have the change in force in time.
+    for (const fault of ['silent', 'cutOff'] as const) {
+      const { clock, fake, state, follower, reader, log } = createFollowed();
+      const stop = new AbortController();
+      fake.setEntries([createConfiguration(1, 5)]);
+      reader.state.isUsed = true;
+      const running = follower.run(stop.signal);
+      await clock.runFor(2_900);
+      if (fault === 'silent') reader.state.answers = false;
+      else reader.state.ageMs = StoreFollowers.MAX_AGE_MS;
+      const change = { ...createConfiguration(2, 12), entry: createConfiguration(2, 12) };
+      fake.addEvent({ kind: 'changes', revision: 12, changes: [change] });
+      await clock.runFor(1_900);
+      expect(state.getConfiguration()?.version).toEqual(2);
+      expect(log.listNames().includes('directory.readerLeft')).toEqual(true);
+      stop.abort();
+      await clock.runFor(5_000);
+      await running;
+    }
+  });
+
   it('learns from a peer what the store does not tell it', async () => {
     // The store serves the others and turns this router away, while an operator takes a key away.
     const { clock, fake, log, state, follower } = createFollowed();
@@ -121,6 +239,8 @@
       client: {
         readRecords: async (_address, after) => ({
           kind: 'records',
+          seenRevision: 9,
+          ageMs: 0,
           records: [createConfiguration(2, 9)].filter(({ revision }) => revision > after),
         }),
         close: async () => undefined,
--- /dev/null
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/readerChoice.test.ts
@@ -0,0 +1,46 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as ReaderChoices from '../readerChoice';
+
+const NOBODY: ReadonlySet<string> = new Set();
+
+function createRouters(count: number, zone: string) {
+  return Array.from({ length: count }, (_one, index) => ({
+    address: `10.0.${zone === 'a' ? 1 : 2}.${index}:7000`,
+    zone,
+  }));
+}
+
+function listChoices(count: number, unfit = NOBODY): readonly (string | undefined)[] {
+  const routers = [...createRouters(count, 'a'), ...createRouters(3, 'b')];
+  return createRouters(count, 'a').map(({ address: self }) =>
+    ReaderChoices.chooseReader({ self, zone: 'a', routers, unfit }),
+  );
+}
+
+describe('the readers of a zone', () => {
+  it('are all routers of a small zone', () => {
+    expect(listChoices(8).every((choice) => choice === undefined)).toEqual(true);
+  });
+
+  it('are a few of a large one, asked by about as many each', () => {
+    // 30 routers of a zone that each watch the store cost 30 calls for each change.
+    const choices = listChoices(30);
+    const readers = new Set(choices.filter((choice) => choice !== undefined));
+    expect(choices.filter((choice) => choice === undefined).length).toEqual(4);
+    expect(readers.size).toEqual(4);
+    const counts = [...readers].map((one) => choices.filter((choice) => choice === one).length);
+    expect(Math.max(...counts)).toBeLessThan(14);
+  });
+
+  it('are left out while they are unfit, all of them if need be', () => {
+    const [first, second] = [...new Set(listChoices(12).filter((one) => one !== undefined))];
+    const others = listChoices(12, new Set([first ?? '']));
+    expect(others.includes(first)).toEqual(false);
+    expect(others.includes(second)).toEqual(true);
+    const none = listChoices(12, new Set([first ?? '', second ?? '']));
+    expect(none.every((choice) => choice === undefined)).toEqual(true);
+  });
+});
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -10,6 +10,8 @@
 import * as Events from './events';
 import * as RecordLogs from './recordLog';
 import type { DirectoryRecord } from './recordLog';
+import * as RouterEntries from './routerEntry';
+import type { RouterEntry } from './routerEntry';
 import * as TargetTables from './targetTable';
 
 export interface DirectoryState extends Omit<Directory, 'hasNews'> {
@@ -29,8 +31,8 @@
   readonly removeDue: () => void;
   /** Highest revision of a record that was taken in. */
   readonly getRevision: () => number;
-  /** Addresses that other routers wrote of themselves. */
-  readonly listRouters: () => readonly string[];
+  /** What routers wrote of themselves. */
+  readonly listRouters: () => readonly RouterEntry[];
   readonly listRecordsAfter: (revision: number) => readonly DirectoryRecord[];
 }
 
@@ -45,7 +47,7 @@
   const log = RecordLogs.createRecordLog();
   const targets = TargetTables.createTargetTable();
   const listeners = new Set<() => void>();
-  const routers = new Map<string, string>();
+  const routers = new Map<string, RouterEntry>();
   let configuration: ForwardingConfiguration | undefined;
   let byService: ReadonlyMap<string, readonly ForwardingTarget[]> = new Map();
   let removalsHeldUntilMs = 0;
@@ -121,8 +123,9 @@
   }
 
   function applyRouter({ key, value }: DirectoryRecord): void {
-    if (value === undefined) routers.delete(key);
-    else routers.set(key, value);
+    const entry = value === undefined ? undefined : RouterEntries.decodeRouter(value);
+    if (entry === undefined) routers.delete(key);
+    else routers.set(key, entry);
   }
 
   function applyRecord(record: DirectoryRecord): boolean {
--- a/packages/sequoiarill-plugin-directory/src/events.ts
+++ b/packages/sequoiarill-plugin-directory/src/events.ts
@@ -58,6 +58,13 @@
   'Another life of a target was met at its address while the store did not answer; it is used.',
 );
 
+export const READER_LEFT = Kernel.defineEvent(
+  1809,
+  'info',
+  'directory.readerLeft',
+  'The router that is asked in place of the store does not answer, or is not up to date itself; the store is asked.',
+);
+
 export const EVENTS = [
   STORE_LOST,
   STORE_REGAINED,
@@ -68,4 +75,5 @@
   HISTORY_GONE,
   LEARNED_FROM_PEER,
   TARGET_LEARNED,
+  READER_LEFT,
 ];
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -7,28 +7,43 @@
 import type { DirectoryRecord } from './recordLog';
 
 export type PeerAnswer =
-  | { readonly kind: 'records'; readonly records: readonly DirectoryRecord[] }
+  | {
+      readonly kind: 'records';
+      readonly records: readonly DirectoryRecord[];
+      readonly seenRevision: number;
+      readonly ageMs: number;
+    }
   | { readonly kind: 'failed'; readonly reason: string };
 
 export interface PeerClient {
-  readonly readRecords: (address: string, afterRevision: number) => Promise<PeerAnswer>;
+  /** `waitMs`: how long the peer may wait for news. */
+  readonly readRecords: (
+    address: string,
+    afterRevision: number,
+    waitMs?: number,
+  ) => Promise<PeerAnswer>;
   readonly close: () => Promise<void>;
 }
 
 /** A peer that lives answers within some milliseconds; one that is cut off must not hold others up. */
 const CALL_TIMEOUT_MS = 600;
 const CONNECT_TIMEOUT_MS = 400;
+/** To one peer: a question that waits for news must not hold up another one. */
+const CONNECTIONS = 2;
 
 export function createPeerClient(): PeerClient {
-  const dispatcher = new Undici.Agent({ connections: 1, connect: { timeout: CONNECT_TIMEOUT_MS } });
+  const dispatcher = new Undici.Agent({
+    connections: CONNECTIONS,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  });
 
-  async function sendCall(url: string, body: string) {
+  async function sendCall(url: string, body: string, timeoutMs: number) {
     const response = await Undici.request(url, {
       method: 'POST',
       body,
       headers: { 'content-type': 'application/json' },
       dispatcher,
-      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+      signal: AbortSignal.timeout(timeoutMs),
     });
     const text = await response.body.text();
     return {
@@ -39,17 +54,20 @@
   }
 
   return {
-    async readRecords(address, afterRevision) {
+    async readRecords(address, afterRevision, waitMs = 0) {
       const link = TrpcClient.httpLink<PeerRouter>({
         url: `http://${address}`,
-        fetch: (input, init) => sendCall(String(input), String(init?.body ?? '')),
+        fetch: (input, init) =>
+          sendCall(String(input), String(init?.body ?? ''), CALL_TIMEOUT_MS + waitMs),
       });
       const client = TrpcClient.createTRPCClient<PeerRouter>({ links: [link] });
       try {
-        const answer = await client.readRecords.mutate({ afterRevision });
-        const { records } = Messages.recordsAnswerSchema.parse(answer);
+        const answer = await client.readRecords.mutate({ afterRevision, waitMs });
+        const { records, seenRevision, ageMs } = Messages.recordsAnswerSchema.parse(answer);
         return {
           kind: 'records',
+          seenRevision,
+          ageMs,
           records: records.map(({ key, revision, value }) =>
             value === undefined ? { key, revision } : { key, revision, value },
           ),
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -4,6 +4,8 @@
 export const recordsQuestionSchema = Zod.object({
   /** Records above this revision are asked for. */
   afterRevision: Zod.number().int().min(0),
+  /** The answer may wait this long for news, milliseconds. */
+  waitMs: Zod.number().int().min(0).max(5_000).default(0),
 });
 
 const recordSchema = Zod.object({
@@ -15,6 +17,10 @@
 
 export const recordsAnswerSchema = Zod.object({
   records: Zod.array(recordSchema),
+  /** Everything up to it was seen by the router that answers. */
+  seenRevision: Zod.number().int().min(0),
+  /** Time since the store last told that router so, milliseconds. */
+  ageMs: Zod.number().min(0),
 });
 
 export type RecordsQuestion = Zod.infer<typeof recordsQuestionSchema>;
--- a/packages/sequoiarill-plugin-directory/src/peerNews.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerNews.ts
@@ -10,6 +10,8 @@
 import type { DirectoryState } from './directoryState';
 import * as Events from './events';
 import type { PeerClient } from './peerClient';
+import type { DirectoryRecord } from './recordLog';
+import * as StoreFollowers from './storeFollower';
 
 export interface PeerNewsOptions {
   readonly state: DirectoryState;
@@ -41,11 +43,21 @@
     return drawn;
   }
 
+  /**
+   * Failure: a zone is cut off, the entries of its targets lapse, and at the end of the cut its routers
+   * hear of that from others before the targets have written their entries again: for a second they
+   * refuse everything, beside targets that live. So what peers tell as gone is kept for that time.
+   */
+  function applyNews(records: readonly DirectoryRecord[]): void {
+    state.holdRemovalsUntil(clock.getNowMs() + StoreFollowers.REAPPEAR_MS);
+    state.applyRecords(records);
+  }
+
   async function callPeer(peer: string): Promise<void> {
     const before = state.getRevision();
     const answer = await client.readRecords(peer, before);
     if (answer.kind === 'failed' || answer.records.length === 0) return;
-    state.applyRecords(answer.records);
+    applyNews(answer.records);
     logEvent(Events.LEARNED_FROM_PEER, {
       peer,
       records: answer.records.length,
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -2,36 +2,58 @@
 import * as Http from 'node:http';
 
 import * as Kernel from '@sequoiarill/kernel';
+import type { Clock } from '@sequoiarill/types';
 import * as Trpc from '@trpc/server';
 import * as Standalone from '@trpc/server/adapters/standalone';
 
 import type { DirectoryState } from './directoryState';
 import * as Messages from './peerMessages';
+import * as StoreFollowers from './storeFollower';
+import type { StoreFollower } from './storeFollower';
 
 export interface PeerServer {
   readonly start: () => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
+export interface PeerServerOptions {
+  readonly state: Pick<DirectoryState, 'listRecordsAfter' | 'subscribe'>;
+  readonly follower: Pick<StoreFollower, 'getSeenRevision' | 'getAgeMs'>;
+  readonly clock: Pick<Clock, 'waitMs'>;
+}
+
+/** Ends with news, after the time, or when what is known here gets too old to wait on it. */
+async function waitForNews(options: PeerServerOptions, after: number, waitMs: number) {
+  const { state, follower, clock } = options;
+  if (follower.getSeenRevision() > after) return;
+  const leftMs = Math.min(waitMs, Math.max(0, StoreFollowers.MAX_AGE_MS - follower.getAgeMs()));
+  const news = new AbortController();
+  const unsubscribe = state.subscribe(() => news.abort());
+  await clock.waitMs(leftMs, news.signal);
+  unsubscribe();
+}
+
 /** A mutation: its input is then in the body, which has no limit of length like a path. */
-export function createPeerRouter(state: Pick<DirectoryState, 'listRecordsAfter'>) {
+export function createPeerRouter(options: PeerServerOptions) {
   const { router, procedure } = Trpc.initTRPC.create();
   return router({
     readRecords: procedure
       .input(Messages.recordsQuestionSchema)
-      .mutation(({ input }): Messages.RecordsAnswer => ({
-        records: [...state.listRecordsAfter(input.afterRevision)],
-      })),
+      .mutation(async ({ input }): Promise<Messages.RecordsAnswer> => {
+        await waitForNews(options, input.afterRevision, input.waitMs);
+        return {
+          records: [...options.state.listRecordsAfter(input.afterRevision)],
+          seenRevision: options.follower.getSeenRevision(),
+          ageMs: Math.round(options.follower.getAgeMs()),
+        };
+      }),
   });
 }
 
 export type PeerRouter = ReturnType<typeof createPeerRouter>;
 
-export function createPeerServer(
-  state: Pick<DirectoryState, 'listRecordsAfter'>,
-  listen: string,
-): PeerServer {
-  const handler = Standalone.createHTTPHandler({ router: createPeerRouter(state) });
+export function createPeerServer(options: PeerServerOptions, listen: string): PeerServer {
+  const handler = Standalone.createHTTPHandler({ router: createPeerRouter(options) });
   const server = Http.createServer(handler);
   return {
     start: () => Kernel.openListener(server, listen, '[directory] listen'),
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -10,6 +10,7 @@
 import * as PeerServers from './peerServer';
 import * as Registrations from './registration';
 import * as StoreFollowers from './storeFollower';
+import * as ZoneReaders from './zoneReaders';
 
 /** Section `[directory]`. */
 export const settingsSchema = Zod.strictObject({
@@ -33,15 +34,23 @@
     logEvent,
     getNowMs: clock.getNowMs,
   });
+  const client = PeerClients.createPeerClient();
+  const readers = ZoneReaders.createZoneReaders({
+    self: settings.listen,
+    zone: context.process.zone,
+    listRouters: state.listRouters,
+    getNowMs: clock.getNowMs,
+  });
   const follower = StoreFollowers.createStoreFollower({
     store,
     state,
     clock,
     logEvent,
     nextRandom,
+    ...readers,
+    readPeer: client.readRecords,
   });
-  const server = PeerServers.createPeerServer(state, settings.listen);
-  const client = PeerClients.createPeerClient();
+  const server = PeerServers.createPeerServer({ state, follower, clock }, settings.listen);
   const news = PeerNews.createPeerNews({
     state,
     client,
@@ -52,7 +61,8 @@
     getLostSinceMs: follower.getLostSinceMs,
   });
   const key = `${wire.ownPrefix}routers/${context.process.name}`;
-  const registration = { store, clock, key, address: settings.listen };
+  const entry = { address: settings.listen, zone: context.process.zone };
+  const registration = { store, clock, key, entry };
   const stopping = new AbortController();
   let running: Promise<unknown> | undefined;
 
@@ -62,7 +72,10 @@
   }
 
   function listPeers(): readonly string[] {
-    const peers = new Set([...state.listRouters(), ...settings.seeds]);
+    const peers = new Set([
+      ...state.listRouters().map(({ address }) => address),
+      ...settings.seeds,
+    ]);
     peers.delete(settings.listen);
     return [...peers];
   }
@@ -86,6 +99,8 @@
       isConnected: follower.isConnected(),
       revision: state.getRevision(),
       peers: listPeers().length,
+      reader: readers.chooseReader(),
+      ageMs: Math.round(follower.getAgeMs()),
       version: state.getConfiguration()?.version,
       routes: state.getConfiguration()?.routes.length ?? 0,
     }),
--- a/packages/sequoiarill-plugin-directory/src/registration.ts
+++ b/packages/sequoiarill-plugin-directory/src/registration.ts
@@ -1,11 +1,14 @@
 /** Writes this router's address into the store, so that others find it, for as long as it lives. */
 import type { Clock, KeyValueStore } from '@sequoiarill/types';
 
+import * as RouterEntries from './routerEntry';
+import type { RouterEntry } from './routerEntry';
+
 export interface RegistrationOptions {
   readonly store: KeyValueStore;
   readonly clock: Clock;
   readonly key: string;
-  readonly address: string;
+  readonly entry: RouterEntry;
 }
 
 /** Long against an outage of seconds; an address that lingers costs others one failed call. */
@@ -18,13 +21,13 @@
   options: RegistrationOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { store, clock, key, address } = options;
+  const { store, clock, key, entry } = options;
   let leaseId: string | undefined;
 
   async function writeEntry(): Promise<boolean> {
     const lease = await store.grantLease(LEASE_SECONDS);
     if (lease.kind !== 'granted') return false;
-    const writes = [{ key, value: address, leaseId: lease.leaseId }];
+    const writes = [{ key, value: RouterEntries.encodeRouter(entry), leaseId: lease.leaseId }];
     const written = await store.writeTransaction({ comparisons: [], writes });
     if (written.kind !== 'written') return false;
     leaseId = lease.leaseId;
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -1,8 +1,12 @@
-/** Follows the store: reads everything once, then watches from there. */
+/**
+ * Follows the store: reads everything once, then watches from there, or asks a router of the zone that
+ * does so.
+ */
 import type { Clock, KeyValueStore, LogEvent, WatchEvent } from '@sequoiarill/types';
 
 import type { DirectoryState } from './directoryState';
 import * as Events from './events';
+import type { PeerAnswer } from './peerClient';
 import type { DirectoryRecord } from './recordLog';
 
 export interface StoreFollowerOptions {
@@ -11,11 +15,22 @@
   readonly clock: Clock;
   readonly logEvent: LogEvent;
   readonly nextRandom: () => number;
+  /** The router that is asked in place of the store; undefined while the store itself is watched. */
+  readonly chooseReader: () => string | undefined;
+  /** The router asked did not answer, or what it knows is old: it is not chosen for a while. */
+  readonly recordUnfit: (reader: string) => void;
+  readonly readPeer: (reader: string, afterRevision: number, waitMs: number) => Promise<PeerAnswer>;
+  /** Longest wait of a watch that others hang on, milliseconds; undefined where nobody does. */
+  readonly getWatchWaitMs: () => number | undefined;
 }
 
 export interface StoreFollower {
   /** Follows until the signal is aborted. */
   readonly run: (signal: AbortSignal) => Promise<void>;
+  /** Everything up to it was seen. */
+  readonly getSeenRevision: () => number;
+  /** Time since the store last told so, to this router or to the one that it asks, milliseconds. */
+  readonly getAgeMs: () => number;
   /** The last call was answered. */
   readonly isConnected: () => boolean;
   /** Since when the store has not answered; undefined while it does. Monotonic milliseconds. */
@@ -30,11 +45,21 @@
  * seconds in which a change must be in force.
  */
 const BATCH_PAUSE_MS = 350;
+/** Wait of a watch that other routers hang on, milliseconds: they see by its age whether it lives. */
+export const READER_WAIT_MS = 700;
+/**
+ * What is older than this is not waited on, milliseconds: more than a reader's wait, its pause after
+ * changes and the answer take together, and so little that a router which then asks the store itself
+ * has a change in force within two seconds.
+ */
+export const MAX_AGE_MS = 1_300;
+/** Time that a reader may wait for news before it answers, milliseconds. */
+const PEER_WAIT_MS = 600;
 /** First and longest wait after a failed call, milliseconds; doubles in between, half of it random. */
 const RETRY_MS = 150;
 const MAX_RETRY_MS = 1_200;
 /** Targets that live are back in the store about this long after the store is, milliseconds. */
-const REAPPEAR_MS = 2_300;
+export const REAPPEAR_MS = 2_300;
 /** A call that fails within this time of the last good one is no outage yet, milliseconds. */
 const OUTAGE_MS = 1_000;
 
@@ -45,6 +70,10 @@
   /** Everything up to it was seen. */
   let seenRevision = 0;
   let hasReadAll = false;
+  /** Everything must be read before a watch can go on. */
+  let mustRead = true;
+  /** As of when `seenRevision` was the newest. */
+  let freshAtMs = Number.NEGATIVE_INFINITY;
 
   function markLost(reason: string): void {
     lastReason = reason;
@@ -53,7 +82,8 @@
     logEvent(Events.STORE_LOST, { revision: seenRevision, reason });
   }
 
-  function markAnswered(): void {
+  function markAnswered(ageMs = 0): void {
+    freshAtMs = Math.max(freshAtMs, clock.getNowMs() - ageMs);
     if (lostSinceMs === undefined) return;
     const nowMs = clock.getNowMs();
     const lastedMs = nowMs - lostSinceMs;
@@ -87,8 +117,9 @@
   }
 
   /** After `ended` another watch goes on from there; after `historyGone` everything must be read. */
-  async function runWatch(signal: AbortSignal): Promise<'ended' | 'historyGone'> {
-    for await (const event of store.watchPrefix(WATCHED_PREFIX, seenRevision + 1, signal)) {
+  async function runWatch(signal: AbortSignal): Promise<'ended' | 'historyGone' | 'readerFound'> {
+    const waitMs = options.getWatchWaitMs();
+    for await (const event of store.watchPrefix(WATCHED_PREFIX, seenRevision + 1, signal, waitMs)) {
       markAnswered();
       if (event.kind === 'compacted') {
         logEvent(Events.HISTORY_GONE, { revision: seenRevision });
@@ -97,36 +128,68 @@
       applyChanges(event);
       state.removeDue();
       if (event.changes.length > 0) await clock.waitMs(BATCH_PAUSE_MS, signal);
+      if (options.chooseReader() !== undefined) return 'readerFound';
     }
     return 'ended';
   }
 
+  /** Ends when the reader is unfit, or another one is to be asked. */
+  async function runPeerWatch(reader: string, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && options.chooseReader() === reader) {
+      const answer = await options.readPeer(reader, seenRevision, PEER_WAIT_MS);
+      if (answer.kind === 'failed' || answer.ageMs >= MAX_AGE_MS) {
+        const reason = answer.kind === 'failed' ? answer.reason : 'what it knows is old';
+        logEvent(Events.READER_LEFT, { reader, revision: seenRevision, reason });
+        options.recordUnfit(reader);
+        return;
+      }
+      markAnswered(answer.ageMs);
+      state.applyRecords(answer.records);
+      seenRevision = Math.max(seenRevision, answer.seenRevision);
+      state.removeDue();
+      if (answer.records.length > 0) await clock.waitMs(BATCH_PAUSE_MS, signal);
+    }
+  }
+
   async function waitToRetry(failures: number, signal: AbortSignal): Promise<void> {
     const waitMs = Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** failures);
     await clock.waitMs(waitMs * (0.5 + options.nextRandom() / 2), signal);
     state.removeDue();
   }
 
+  /** One reading or watch; `next` says whether another one is due at once. */
+  async function runOnce(signal: AbortSignal): Promise<'next' | 'retry'> {
+    if (mustRead) {
+      mustRead = !(await readAll());
+      return mustRead ? 'retry' : 'next';
+    }
+    const reader = options.chooseReader();
+    if (reader !== undefined) {
+      await runPeerWatch(reader, signal);
+      return 'next';
+    }
+    const end = await runWatch(signal);
+    mustRead = end === 'historyGone';
+    if (end === 'ended' && !signal.aborted) markLost('a watch was not answered');
+    return end === 'ended' ? 'retry' : 'next';
+  }
+
   async function run(signal: AbortSignal): Promise<void> {
     let failures = 0;
-    let mustRead = true;
     while (!signal.aborted) {
       const seenBefore = seenRevision;
       const startedMs = clock.getNowMs();
-      if (mustRead) mustRead = !(await readAll());
-      if (!mustRead && !signal.aborted) {
-        const end = await runWatch(signal);
-        mustRead = end === 'historyGone';
-        if (end === 'ended' && !signal.aborted) markLost('a watch was not answered');
-      }
+      const next = await runOnce(signal);
       const isProgress = seenRevision > seenBefore || clock.getNowMs() - startedMs > MAX_RETRY_MS;
       failures = isProgress ? 0 : failures + 1;
-      if (!signal.aborted && !(mustRead && isProgress)) await waitToRetry(failures, signal);
+      if (next === 'retry' && !signal.aborted) await waitToRetry(failures, signal);
     }
   }
 
   return {
     run,
+    getSeenRevision: () => seenRevision,
+    getAgeMs: () => clock.getNowMs() - freshAtMs,
     isConnected: () => lostSinceMs === undefined,
     getLostSinceMs: () => lostSinceMs,
   };
--- a/packages/sequoiarill-types/src/keyValue.ts
+++ b/packages/sequoiarill-types/src/keyValue.ts
@@ -109,5 +109,7 @@
     prefix: string,
     fromRevision: number,
     signal: AbortSignal,
+    /** Longest time until an event tells at least that nothing has changed, milliseconds. */
+    waitMs?: number,
   ) => AsyncGenerator<WatchEvent, void, void>;
 }
