Move the stand-ins of the users' platform to the stand-ins' package

They stood beside the adapter's tests, where no other program could start them, and opened their listeners in a way of their own.

--- a/packages/sequoiarill-standins/src/index.ts
+++ b/packages/sequoiarill-standins/src/index.ts
@@ -3,3 +3,4 @@
 export * from './platform';
 export * from './service';
 export * from './link';
+export * from './userPlatform';
--- /dev/null
+++ b/packages/sequoiarill-standins/src/userPlatform/index.ts
@@ -0,0 +1,3 @@
+/** The users' platform: its store, and its targets with their failures. */
+export * from './storeStandin';
+export * from './targetStandin';
--- a/platform/src/__tests__/storeStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/storeStandin.ts
@@ -1,8 +1,7 @@
 /** A stand-in of the platform's store: one process, in memory, with the faults that tests ask for. */
-import * as Http from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import * as Kernel from '@sequoiarill/kernel';
+import * as Servers from '../shared/server';
 
 interface Item {
   readonly key: string;
@@ -179,16 +178,11 @@
     await (handlers[url.pathname] ?? handleOther)(url.searchParams, response, body);
   }
 
-  const server = Http.createServer((request, response) => {
-    handleCall(request, response).catch(() => response.destroy());
-  });
+  const server = Servers.createStandinServer('127.0.0.1:0', handleCall);
 
   return {
-    async start() {
-      await Kernel.openListener(server, '127.0.0.1:0', 'store stand-in');
-      return Kernel.getBoundAddress(server);
-    },
-    stop: () => Kernel.closeListener(server),
+    start: async () => (await server.start()).address,
+    stop: server.stop,
     setFault(next) {
       fault = next;
     },
--- a/platform/src/__tests__/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -1,8 +1,7 @@
 /** A stand-in of the platform's targets: model engines and plain services, with their failures. */
-import * as Http from 'node:http';
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 
-import * as Kernel from '@sequoiarill/kernel';
+import * as Servers from '../shared/server';
 
 export type TargetFault =
   | 'none'
@@ -26,7 +25,7 @@
   readonly setFault: (fault: TargetFault) => void;
   /** Request ids in the order in which they were run. */
   readonly listRuns: () => readonly string[];
-  readonly listHeaders: () => readonly Http.IncomingHttpHeaders[];
+  readonly listHeaders: () => readonly IncomingHttpHeaders[];
 }
 
 export const EVENT_COUNT = 12;
@@ -50,7 +49,7 @@
   let fault: TargetFault = 'none';
   let isSilent = false;
   const runs: string[] = [];
-  const seenHeaders: Http.IncomingHttpHeaders[] = [];
+  const seenHeaders: IncomingHttpHeaders[] = [];
   let running = 0;
   /** Parts of the prompts that it has read. */
   const kept = new Map<string, number>();
@@ -161,17 +160,12 @@
     running -= 1;
   }
 
-  const server = Http.createServer((request, response) => {
-    handleRequest(request, response).catch(() => response.destroy());
-  });
+  const server = Servers.createStandinServer('127.0.0.1:0', handleRequest);
 
   return {
     id,
-    async start() {
-      await Kernel.openListener(server, '127.0.0.1:0', 'target stand-in');
-      return Kernel.getBoundAddress(server);
-    },
-    stop: () => Kernel.closeListener(server),
+    start: async () => (await server.start()).address,
+    stop: server.stop,
     setFault(next) {
       fault = next;
     },
