Let stand-ins of targets name their lives, runs and times, and start routers from the testing package

For programs other than the adapter's tests: a target answers its health check with its identity, can come back at its address as another life, and says when each request was begun and how many are open.

--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -18,14 +18,32 @@
   /** Runs, and closes the connection without an answer. */
   | 'loseAnswer';
 
+/** One request that a target began to run. */
+export interface TargetRun {
+  readonly requestId: string;
+  readonly headers: IncomingHttpHeaders;
+  /** `performance.now()`, milliseconds. */
+  readonly startedAtMs: number;
+}
+
+export interface TargetOptions {
+  /** `IP:port`; port 0 lets the operating system choose one. */
+  readonly listen?: string;
+  /** Events of each stream. */
+  readonly eventCount?: number;
+}
+
 export interface TargetStandin {
   readonly id: string;
   readonly start: () => Promise<string>;
   readonly stop: () => Promise<void>;
   readonly setFault: (fault: TargetFault) => void;
-  /** Request ids in the order in which they were run. */
-  readonly listRuns: () => readonly string[];
+  /** In the order in which they were begun. */
+  readonly listRuns: () => readonly TargetRun[];
+  /** Headers of all requests, also of those that were not run. */
   readonly listHeaders: () => readonly IncomingHttpHeaders[];
+  /** Requests that it works on now. */
+  readonly countOpen: () => number;
 }
 
 export const EVENT_COUNT = 12;
@@ -37,18 +55,19 @@
   return `id: ${number}\ndata: ${requestId} token ${number}\n\n`;
 }
 
-export function formatEvents(requestId: string, from = 1): string {
-  const numbers = Array.from({ length: EVENT_COUNT }, (_one, index) => index + 1);
+export function formatEvents(requestId: string, from = 1, count = EVENT_COUNT): string {
+  const numbers = Array.from({ length: count }, (_one, index) => index + 1);
   return numbers
     .filter((number) => number >= from)
     .map((number) => formatEvent(requestId, number))
     .join('');
 }
 
-export function createTargetStandin(id: string): TargetStandin {
+export function createTargetStandin(id: string, options: TargetOptions = {}): TargetStandin {
+  const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT } = options;
   let fault: TargetFault = 'none';
   let isSilent = false;
-  const runs: string[] = [];
+  const runs: TargetRun[] = [];
   const seenHeaders: IncomingHttpHeaders[] = [];
   let running = 0;
   /** Parts of the prompts that it has read. */
@@ -66,7 +85,7 @@
       'request-id': requestId,
       'server-signature': `signed by ${id}`,
     });
-    for (let number = from; number <= EVENT_COUNT; number += 1) {
+    for (let number = from; number <= eventCount; number += 1) {
       await waitMs(EVENT_MS);
       if (response.destroyed) return;
       if (isSilent) return;
@@ -123,14 +142,19 @@
     }
   }
 
+  /** Paths that are no caller's request. */
+  const ownAnswers: Readonly<Record<string, (response: ServerResponse) => void>> = {
+    '/report': handleReport,
+    '/kv-list': handleKept,
+    '/kv-move': (response) => response.writeHead(404).end(),
+    '/healthz': (response) => response.writeHead(200, { 'instance-id': id }).end(),
+  };
+
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (isSilent) return;
-    if (request.url === '/report') {
-      handleReport(response);
-      return;
-    }
-    if (request.url === '/kv-list') {
-      handleKept(response);
+    const answerOwn = ownAnswers[request.url ?? ''];
+    if (answerOwn !== undefined) {
+      answerOwn(response);
       return;
     }
     const chunks: Buffer[] = [];
@@ -146,7 +170,7 @@
       response.writeHead(503, { 'not-executed': '1', 'request-id': requestId }).end();
       return;
     }
-    runs.push(requestId);
+    runs.push({ requestId, headers: request.headers, startedAtMs: performance.now() });
     if (fault === 'loseAnswer') {
       response.destroy();
       return;
@@ -160,7 +184,7 @@
     running -= 1;
   }
 
-  const server = Servers.createStandinServer('127.0.0.1:0', handleRequest);
+  const server = Servers.createStandinServer(listen, handleRequest);
 
   return {
     id,
@@ -171,5 +195,6 @@
     },
     listRuns: () => runs,
     listHeaders: () => seenHeaders,
+    countOpen: () => running,
   };
 }
--- a/packages/sequoiarill-testing/src/index.ts
+++ b/packages/sequoiarill-testing/src/index.ts
@@ -3,3 +3,4 @@
 export * from './daemons';
 export * from './fleet';
 export * from './journals';
+export * from './userRouter';
