--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -19,7 +19,7 @@
   const packages = readdirSync(path.join(root, 'packages')).map((name) =>
     path.join('packages', name),
   );
-  return [...packages, 'bench', 'platform'];
+  return [...packages, 'bench', 'platform', 'soak'];
 }
 
 function listTestFiles(filters) {
--- /dev/null
+++ b/soak/src/__tests__/run.test.ts
@@ -0,0 +1,18 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as Runs from '../run';
+
+const SEED = 20_261_203;
+
+describe('a short soak', () => {
+  it('keeps every promise under a few seconds of faults', async () => {
+    // Routers are paused, stopped and killed, targets crash and leave, links are cut, the store turns
+    // callers away, and configurations change meanwhile; callers and targets compare notes at the end.
+    const result = await Runs.runSoak({ seed: SEED, seconds: 6, routers: 2, callers: 4 });
+    expect(result.violations).toEqual([]);
+    expect(result.answered).toBeGreaterThan(0);
+    expect(result.probes).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/soak/src/routers.ts
@@ -0,0 +1,115 @@
+/** Routers as processes, each with a link of its own to the store. */
+import * as Net from 'node:net';
+
+import * as Standins from '@sequoiarill/standins';
+import type { LinkStandin } from '@sequoiarill/standins';
+import * as Testing from '@sequoiarill/testing';
+import type { LogLine, StartedRouter } from '@sequoiarill/testing';
+
+export interface RouterPlace {
+  readonly storeLink: LinkStandin;
+  readonly getAddress: () => string;
+  /** Counts the lives of the process, from 1. */
+  readonly getLife: () => number;
+  readonly pause: (forMs: number) => Promise<void>;
+  readonly reload: () => void;
+  /** Ends the process by the signal, waits for its end and starts it again. */
+  readonly restart: (signal: 'SIGTERM' | 'SIGKILL') => Promise<void>;
+  readonly listLines: () => readonly LogLine[];
+  /** Exit codes of processes that were not killed. */
+  readonly listExits: () => readonly (number | null)[];
+  readonly stop: () => Promise<void>;
+}
+
+export interface RouterPlaceOptions {
+  readonly name: string;
+  readonly zone: string;
+  readonly storeAddress: string;
+  readonly peerAddress: string;
+  readonly seeds: readonly string[];
+}
+
+const DAEMON = require.resolve('@sequoiarill/platform-adapter/lib/main.js');
+const GRACE_SECONDS = 4;
+
+async function waitMs(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** `IP:port` that the operating system gave, free again. */
+export async function reserveAddress(): Promise<string> {
+  const server = Net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as Net.AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return `127.0.0.1:${port}`;
+}
+
+export async function startRouter(options: RouterPlaceOptions): Promise<RouterPlace> {
+  const { name, zone, storeAddress, peerAddress, seeds } = options;
+  const storeLink = Standins.createLinkStandin({ target: storeAddress });
+  const { address: store } = await storeLink.start();
+  const settings = [
+    `[process]\nname = ${name}\nzone = ${zone}\nregion = here`,
+    `[adapter]\nstore = ${store}\ncallTimeoutMs = 400\nwatchWaitMs = 700`,
+    `[directory]\nlisten = ${peerAddress}\nseeds = ${seeds.join(',')}`,
+    `[forwarding]\nlisten = 127.0.0.1:0\nreadinessListen = 127.0.0.1:0\ngraceSeconds = ${GRACE_SECONDS}`,
+  ].join('\n\n');
+  const lives: StartedRouter[] = [];
+  const exits: (number | null)[] = [];
+  let isStopped = false;
+
+  function getCurrent(): StartedRouter {
+    const current = lives.at(-1);
+    if (current === undefined) throw new Error('the router has no process yet');
+    return current;
+  }
+
+  /** A start that fails shows in the lines and in the exit code. */
+  async function startLife(): Promise<void> {
+    const started = Testing.startUserRouter(DAEMON, settings);
+    lives.push(started);
+    await started.start.catch(() => undefined);
+  }
+
+  async function stopLife(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    const current = getCurrent();
+    current.process.kill('SIGCONT');
+    current.process.kill(signal);
+    const code = await current.exited;
+    if (signal === 'SIGTERM') exits.push(code);
+  }
+
+  await startLife();
+  return {
+    storeLink,
+    getAddress: () => getCurrent().address,
+    getLife: () => lives.length,
+    async pause(forMs) {
+      const current = getCurrent();
+      current.process.kill('SIGSTOP');
+      await waitMs(forMs);
+      current.process.kill('SIGCONT');
+    },
+    reload: () => {
+      getCurrent().process.kill('SIGHUP');
+    },
+    async restart(signal) {
+      await stopLife(signal);
+      if (!isStopped) await startLife();
+    },
+    listLines: () => lives.flatMap(({ lines }) => lines),
+    listExits: () => exits,
+    async stop() {
+      isStopped = true;
+      await stopLife('SIGTERM');
+      await storeLink.stop();
+    },
+  };
+}
