Start routers of the soak again until they run, and hold bounds from the last disturbance on

The rule on changes in force holds from the end of the last disturbance, so that a change which is never applied is found too.

--- a/soak/src/checks.ts
+++ b/soak/src/checks.ts
@@ -116,8 +116,8 @@
       if (version <= served) {
         yield { rule: 'reverts', text: `${name}: refused after it was served` };
       }
-      const isDue = atMs - writtenAtMs > IN_FORCE_MS;
-      if (isDue && Ledgers.isCalm(ledger, writtenAtMs, atMs, router)) {
+      const calmSinceMs = Ledgers.computeCalmSince(ledger, atMs, router);
+      if (atMs > Math.max(writtenAtMs, calmSinceMs) + IN_FORCE_MS) {
         yield {
           rule: 'inForce',
           text: `${name}: not in force ${Math.round(atMs - writtenAtMs)} ms`,
@@ -132,7 +132,8 @@
     const runs = lives.find((life) => life.target === target)?.runs ?? [];
     for (const { requestId, startedAtMs } of runs) {
       const afterMs = startedAtMs - writtenAtMs;
-      if (afterMs > LEAVING_MS && Ledgers.isCalm(ledger, writtenAtMs, startedAtMs)) {
+      const calmSinceMs = Ledgers.computeCalmSince(ledger, startedAtMs);
+      if (startedAtMs > Math.max(writtenAtMs, calmSinceMs) + LEAVING_MS) {
         yield {
           rule: 'leaving',
           text: `${requestId}: ran at ${target} ${Math.round(afterMs)} ms on`,
--- a/soak/src/ledger.ts
+++ b/soak/src/ledger.ts
@@ -72,17 +72,10 @@
 /** After the end of a disturbance a router is given this long before bounds hold for it. */
 const SETTLE_MS = 4_000;
 
-/** Whether nothing disturbed the router, or any of them, from a settling time before until the end. */
-export function isCalm(
-  { disturbances }: Ledger,
-  fromMs: number,
-  untilMs: number,
-  router?: number,
-): boolean {
-  return disturbances.every(
-    (one) =>
-      (router !== undefined && one.router !== router) ||
-      one.fromMs > untilMs ||
-      one.untilMs + SETTLE_MS < fromMs,
-  );
+/** Since when bounds hold, at a moment, for the router or for all of them; infinite while they do not. */
+export function computeCalmSince({ disturbances }: Ledger, atMs: number, router?: number): number {
+  const ends = disturbances
+    .filter((one) => one.fromMs <= atMs && (router === undefined || one.router === router))
+    .map((one) => one.untilMs + SETTLE_MS);
+  return Math.max(Number.NEGATIVE_INFINITY, ...ends);
 }
--- a/soak/src/routers.ts
+++ b/soak/src/routers.ts
@@ -31,6 +31,9 @@
 
 const DAEMON = require.resolve('@sequoiarill/platform-adapter/lib/main.js');
 const GRACE_SECONDS = 4;
+const MAX_STARTS = 20;
+/** Time after which the platform starts a process again, milliseconds. */
+const RESTART_MS = 300;
 
 async function waitMs(ms: number): Promise<void> {
   await new Promise((resolve) => {
@@ -71,11 +74,26 @@
     return current;
   }
 
-  /** A start that fails shows in the lines and in the exit code. */
-  async function startLife(): Promise<void> {
+  /** False when the process ended before it took requests. */
+  async function startOnce(): Promise<boolean> {
     const started = Testing.startUserRouter(DAEMON, settings);
     lives.push(started);
-    await started.start.catch(() => undefined);
+    return started.start.then(
+      () => true,
+      () => false,
+    );
+  }
+
+  /**
+   * A process that ends is started again, as the platform does. Failure without it: between two lives
+   * some connection of this machine takes the port for peers, the next life ends with one line that
+   * says so, and the router counts as one that does not recover.
+   */
+  async function startLife(): Promise<void> {
+    for (let start = 0; start < MAX_STARTS && !isStopped; start += 1) {
+      if (await startOnce()) return;
+      await waitMs(RESTART_MS);
+    }
   }
 
   async function stopLife(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
