Never run a request after it was told 408

Cause: a router that was paused for longer than the time limit of headers looks at its timers before it reads its sockets. A connection that was opened just before counts as one that sent nothing; its caller was told 408, which promises that nothing ran, and the order that lay in the socket's buffer was read next and ran. The caller may send it again, and it runs twice.

Ruled out: kept connections (their time starts with the first byte of the next request) and the soak's own counting (the router has no line for the request, and the target one run).

Change: one guard in the kernel for the fronts of both interfaces, which had the fault alike. What has arrived is read before a connection is refused; what is whole by then is served; nothing that comes over a refused connection is passed on. The test stops its own process for longer than the limit and failed with the handler of before in three of three runs: a 408, and the request ran.

--- /dev/null
+++ b/packages/sequoiarill-kernel/src/__tests__/requestGuard.test.ts
@@ -0,0 +1,92 @@
+import * as Http from 'node:http';
+import * as Net from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as Listeners from '../listeners';
+import * as RequestGuards from '../requestGuard';
+
+const HEADERS_TIMEOUT_MS = 200;
+/** Longer than the time limit of headers and the time between two looks at it. */
+const STANDSTILL_MS = 700;
+
+/** Nothing of this process runs meanwhile, as when its VM is paused. */
+function delayProcess(ms: number): void {
+  const untilMs = performance.now() + ms;
+  while (performance.now() < untilMs);
+}
+
+async function waitMs(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+describe('the guard of requests', () => {
+  let server: Http.Server;
+
+  afterEach(() => Listeners.closeListener(server));
+
+  async function startServer(run: () => void): Promise<string> {
+    const guard = RequestGuards.createRequestGuard(
+      (code) => `HTTP/1.1 ${code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400} Refused\r\n\r\n`,
+    );
+    server = Http.createServer(
+      { headersTimeout: HEADERS_TIMEOUT_MS, connectionsCheckingInterval: 50 },
+      (request, response) => {
+        if (!guard.admitRequest(request, response)) return;
+        run();
+        response.end('done');
+      },
+    );
+    server.on('clientError', guard.handleClientError);
+    await Listeners.openListener(server, '127.0.0.1:0', 'test');
+    return Listeners.getBoundAddress(server);
+  }
+
+  async function openSocket(address: string) {
+    const [host = '', port] = address.split(':');
+    const socket = Net.connect({ host, port: Number(port) });
+    const received: Buffer[] = [];
+    socket.on('data', (chunk: Buffer) => received.push(chunk));
+    socket.on('error', () => undefined);
+    await new Promise((resolve) => {
+      socket.once('connect', resolve);
+    });
+    await waitMs(20);
+    return { socket, read: () => Buffer.concat(received).toString('utf8') };
+  }
+
+  it('never runs what it refused, when the process stood still', async () => {
+    // A VM is paused with a caller's order in the buffer of its socket. When it goes on, the order was
+    // refused as one that never came, and ran all the same: the caller sent it again, and it ran twice.
+    let runs = 0;
+    const address = await startServer(() => {
+      runs += 1;
+    });
+    const { socket, read } = await openSocket(address);
+    socket.write('POST /order HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi');
+    delayProcess(STANDSTILL_MS);
+    await waitMs(300);
+    const isRefused = read().includes(' 408 ');
+    expect(isRefused && runs > 0).toEqual(false);
+    expect(runs).toEqual(1);
+    expect(read().includes(' 200 ')).toEqual(true);
+    socket.destroy();
+  });
+
+  it('refuses headers that do not come, and what comes after', async () => {
+    let runs = 0;
+    const address = await startServer(() => {
+      runs += 1;
+    });
+    const { socket, read } = await openSocket(address);
+    socket.write('POST /order HTTP/1.1\r\nhost');
+    await waitMs(600);
+    expect(read().includes(' 408 ')).toEqual(true);
+    socket.write(': a\r\ncontent-length: 0\r\n\r\n');
+    await waitMs(50);
+    expect(runs).toEqual(0);
+  });
+});
--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -10,4 +10,5 @@
 export * from './metrics';
 export * from './metricsPage';
 export * from './registry';
+export * from './requestGuard';
 export * from './settings';
--- a/packages/sequoiarill-plugin-callers/src/front.ts
+++ b/packages/sequoiarill-plugin-callers/src/front.ts
@@ -63,6 +63,7 @@
     Replies.sendFault(response, Faults.STARTING);
   };
   let connectionCount = 0;
+  const guard = Kernel.createRequestGuard(formatRefusal);
   const server = Http.createServer(
     {
       requestTimeout: settings.requestTimeoutMs,
@@ -70,10 +71,12 @@
       keepAliveTimeout: settings.keepAliveMs,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
     },
-    (request, response) => handleRouted(request, response),
+    (request, response) => {
+      if (guard.admitRequest(request, response)) handleRouted(request, response);
+    },
   );
   server.maxConnections = settings.maxConnections;
-  server.on('clientError', handleClientError);
+  server.on('clientError', guard.handleClientError);
   server.on('connection', (socket: Socket) => {
     connectionCount += 1;
     socket.on('close', () => {
@@ -144,12 +147,8 @@
   else Replies.sendFault(response, isCallers ? MALFORMED : Faults.INTERNAL);
 }
 
-function handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const fault = FAULT_BY_PARSER_CODE[error.code ?? ''] ?? MALFORMED;
+function formatRefusal(code: string): string {
+  const fault = FAULT_BY_PARSER_CODE[code] ?? MALFORMED;
   const body = Faults.formatFault(fault);
   const head = [
     `HTTP/1.1 ${fault.status} ${Http.STATUS_CODES[fault.status] ?? ''}`,
@@ -158,5 +157,5 @@
     `x-request-id: ${Generating.createRequestId('req')}`,
     'connection: close',
   ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/front.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front.ts
@@ -61,6 +61,7 @@
   let connectionCount = 0;
   let passOn: RequestHandler = (_request, response) => sendStatus(response, UNAVAILABLE);
 
+  const guard = Kernel.createRequestGuard(formatRefusal);
   const server = Http.createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -69,6 +70,7 @@
       noDelay: true,
     },
     (request, response) => {
+      if (!guard.admitRequest(request, response)) return;
       requestCount += 1;
       response.once('close', () => {
         requestCount -= 1;
@@ -76,7 +78,7 @@
       passOn(request, response);
     },
   );
-  server.on('clientError', handleClientError);
+  server.on('clientError', guard.handleClientError);
   server.on('connection', (socket: Socket) => {
     connectionCount += 1;
     socket.once('close', () => {
@@ -152,12 +154,8 @@
   response.end();
 }
 
-function handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const status = STATUS_BY_PARSER_CODE[error.code ?? ''] ?? BAD_REQUEST;
+function formatRefusal(code: string): string {
+  const status = STATUS_BY_PARSER_CODE[code] ?? BAD_REQUEST;
   const reason = Http.STATUS_CODES[status] ?? '';
-  socket.end(`HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+  return `HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
 }
