Give orders whose answer is due time for it in the matrix, and keep soaks apart by their ports

Cause: the worlds' services have a time limit of one second of real time, and the answer, due after 150 ms, took longer; the cell ended after 1.7 s.

Supposed cause, not shown by a run: a port for peers, given by the operating system, went to a target of another soak while its router was down, and that router's peers called it. Ports for peers lie outside what the system gives out now, and a run names the path that was asked, so that the next one can be told.

--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -21,6 +21,7 @@
 /** One request that a target began to run. */
 export interface TargetRun {
   readonly requestId: string;
+  readonly path: string;
   readonly headers: IncomingHttpHeaders;
   /** `performance.now()`, milliseconds. */
   readonly startedAtMs: number;
@@ -170,7 +171,12 @@
       response.writeHead(503, { 'not-executed': '1', 'request-id': requestId }).end();
       return;
     }
-    runs.push({ requestId, headers: request.headers, startedAtMs: performance.now() });
+    runs.push({
+      requestId,
+      path: request.url ?? '',
+      headers: request.headers,
+      startedAtMs: performance.now(),
+    });
     if (fault === 'loseAnswer') {
       response.destroy();
       return;
--- a/packages/sequoiarill-testing/src/matrix/orderCells.ts
+++ b/packages/sequoiarill-testing/src/matrix/orderCells.ts
@@ -137,8 +137,10 @@
 export async function runOrderCell(
   step: OrderStepRunner,
   fault: OrderFault,
+  serviceTimeoutMs?: number,
 ): Promise<OrderCellRun> {
-  const world = await Worlds.startWorld({ routers: step.routers, engines: 1 });
+  const limits = serviceTimeoutMs === undefined ? {} : { serviceTimeoutMs };
+  const world = await Worlds.startWorld({ routers: step.routers, engines: 1, ...limits });
   const agents = [new Undici.Agent(), new Undici.Agent()] as const;
   const idempotencyKey = OrderCallers.createIdempotencyKey();
   let isDone = false;
--- a/soak/src/checks.ts
+++ b/soak/src/checks.ts
@@ -83,10 +83,10 @@
 }
 
 function* checkRuns({ ledger, lives, organisation }: Evidence): Generator<Violation> {
-  for (const { requestId, headers } of lives.flatMap(({ runs }) => runs)) {
+  for (const { requestId, path, headers } of lives.flatMap(({ runs }) => runs)) {
     const isProbe = requestId.startsWith('probe-');
     if (!isProbe && !ledger.requests.has(requestId)) {
-      yield { rule: 'unasked', text: `${requestId}: nobody sent it` };
+      yield { rule: 'unasked', text: `${requestId}: nobody sent it (${path})` };
     }
     if (headers.credential !== undefined) {
       yield { rule: 'unasked', text: `${requestId}: the API key was passed on` };
--- a/soak/src/routers.ts
+++ b/soak/src/routers.ts
@@ -41,17 +41,36 @@
   });
 }
 
-/** `IP:port` that the operating system gave, free again. */
-export async function reserveAddress(): Promise<string> {
+/** Below the ports that the operating system gives out by itself. */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+const PORTS_PER_SOAK = 64;
+
+async function isFree(port: number): Promise<boolean> {
   const server = Net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
+  const isBound = await new Promise<boolean>((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => resolve(true));
   });
-  const { port } = server.address() as Net.AddressInfo;
   await new Promise((resolve) => {
     server.close(resolve);
   });
-  return `127.0.0.1:${port}`;
+  return isBound;
+}
+
+/**
+ * Addresses for the routers' peers, which must stay theirs while a router is down: a port that the
+ * operating system gives out goes to whoever asks next, and that may be a target of another soak, which
+ * then gets the peers' calls.
+ */
+export async function reserveAddresses(count: number): Promise<readonly string[]> {
+  const first = (process.pid * PORTS_PER_SOAK) % PORTS;
+  const addresses: string[] = [];
+  for (let offset = 0; addresses.length < count; offset += 1) {
+    const port = FIRST_PORT + ((first + offset) % PORTS);
+    if (await isFree(port)) addresses.push(`127.0.0.1:${port}`);
+  }
+  return addresses;
 }
 
 export async function startRouter(options: RouterPlaceOptions): Promise<RouterPlace> {
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -82,7 +82,7 @@
     }),
   );
   const names = Array.from({ length: options.routers }, (_one, index) => `router-${index}`);
-  const peers = await Promise.all(names.map(() => Routers.reserveAddress()));
+  const peers = await Routers.reserveAddresses(names.length);
   const routers = names.map((name, index) => ({
     name,
     zone: ZONES[index % ZONES.length] ?? ZONES[0],
