--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -102,8 +102,9 @@
     },
   },
   {
-    // A daemon ends its process itself once it has drained: idle connections would keep it.
-    files: ['platform/src/main.ts'],
+    // A daemon ends its process itself once it has drained: idle connections would keep it. A soak that
+    // is stopped ends at once, and its routers with it.
+    files: ['platform/src/main.ts', 'soak/src/main.ts'],
     rules: { 'n/no-process-exit': 'off' },
   },
   {
--- a/packages/sequoiarill-testing/src/userRouter.ts
+++ b/packages/sequoiarill-testing/src/userRouter.ts
@@ -34,6 +34,9 @@
     env: { ...process.env, SEQUOIARILL_CONFIG: file },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
+  // A program that ends leaves no router behind.
+  const killChild = () => child.kill('SIGKILL');
+  process.once('exit', killChild);
   const lines: LogLine[] = [];
   const waiters = new Set<(line: LogLine) => void>();
   const addresses = { address: '', readinessAddress: '' };
@@ -45,6 +48,7 @@
 
   const exited = new Promise<number | null>((resolve) => {
     child.once('close', (code) => {
+      process.off('exit', killChild);
       rmSync(folder, { recursive: true });
       resolve(code);
     });
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -50,6 +50,9 @@
   }
 }
 
+process.once('SIGINT', () => process.exit(1));
+process.once('SIGTERM', () => process.exit(1));
+
 const program = new Command('soak')
   .description('Plays faults against routers that run as processes, and checks the promises.')
   .option('--seed <number>', 'first seed', '1')
