--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -22,7 +22,10 @@
 export interface TargetRun {
   readonly requestId: string;
   readonly path: string;
-  readonly headers: IncomingHttpHeaders;
+  /** Whose request it is, as it was told. */
+  readonly organisation: string;
+  /** The caller's key was passed on. */
+  readonly hasApiKey: boolean;
   /** `performance.now()`, milliseconds. */
   readonly startedAtMs: number;
 }
@@ -174,7 +177,8 @@
     runs.push({
       requestId,
       path: request.url ?? '',
-      headers: request.headers,
+      organisation: String(request.headers.tenant),
+      hasApiKey: request.headers.credential !== undefined,
       startedAtMs: performance.now(),
     });
     if (fault === 'loseAnswer') {
--- a/soak/src/__tests__/checks.test.ts
+++ b/soak/src/__tests__/checks.test.ts
@@ -12,7 +12,8 @@
 const EVENTS = 12;
 
 function createRun(requestId: string, change: Partial<TargetRun> = {}): TargetRun {
-  return { requestId, path: '/x', headers: { tenant: 'shop' }, startedAtMs: 0, ...change };
+  const run = { requestId, path: '/x', organisation: 'shop', hasApiKey: false, startedAtMs: 0 };
+  return { ...run, ...change };
 }
 
 function addRequest(
@@ -67,8 +68,8 @@
 
   it('find runs that nobody asked for, or in another organisation’s name', () => {
     const ledger = Ledgers.createLedger();
-    const headers = { tenant: 'other', credential: 'k' };
-    expect(listRules(ledger, [createRun('x1'), createRun('probe-1', { headers })])).toEqual([
+    const change = { organisation: 'other', hasApiKey: true };
+    expect(listRules(ledger, [createRun('x1'), createRun('probe-1', change)])).toEqual([
       'unasked',
       'unasked',
       'unasked',
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -1,4 +1,5 @@
 /** Callers: streams, orders and reads over kept connections, and questions about the configuration. */
+import * as Standins from '@sequoiarill/standins';
 import * as Undici from 'undici';
 
 import * as Configurations from './configuration';
@@ -34,15 +35,6 @@
   });
 }
 
-function createHeaders(key: string, id: string, limitMs: number): Record<string, string> {
-  return {
-    host: Configurations.HOST,
-    'request-id': id,
-    credential: key,
-    'deadline-ms': String(limitMs),
-  };
-}
-
 /** Reads until the end, a break or the abort; what arrived counts. */
 async function readAnswer(answer: Undici.Dispatcher.ResponseData): Promise<CallerView> {
   const chunks: Buffer[] = [];
@@ -60,7 +52,7 @@
     status: answer.statusCode,
     text: Buffer.concat(chunks).toString('utf8'),
     isWhole: isWhole && isFramed,
-    isSigned: answer.headers['server-signature'] !== undefined,
+    isSigned: Standins.hasSignature(answer.headers),
   };
 }
 
@@ -78,13 +70,10 @@
   async function sendRequest(request: SentRequest, leaveMs: number): Promise<CallerView> {
     const { id, kind, body, fromEvent } = request;
     const path = { stream: '/advice/x', order: '/orders/x', read: '/reads/x' }[kind];
-    const stream = {
-      accept: 'text/event-stream',
-      'token-usage': '100,50',
-      'prompt-prefix': `aa:20,${id.split('.')[0] ?? ''}:80`,
-      model: 'm',
-    };
-    const resume = fromEvent > 1 ? { 'last-event-id': String(fromEvent - 1) } : {};
+    // A rest has the prompt of its stream.
+    const [prompt = id] = id.split('.');
+    const resumeAfter = fromEvent > 1 ? fromEvent - 1 : undefined;
+    const stream = kind === 'stream' ? Standins.createStreamHeaders(prompt, resumeAfter) : {};
     ledger.requests.set(id, request);
     try {
       const answer = await Undici.request(
@@ -95,8 +84,12 @@
           body,
           signal: AbortSignal.timeout(leaveMs),
           headers: {
-            ...createHeaders(Configurations.CALLERS_KEY, id, LIMIT_MS),
-            ...(kind === 'stream' ? { ...stream, ...resume } : {}),
+            ...Standins.createCallerHeaders({
+              requestId: id,
+              apiKey: Configurations.CALLERS_KEY,
+              limitMs: LIMIT_MS,
+            }),
+            ...stream,
           },
         },
       );
@@ -147,11 +140,11 @@
           method: 'GET',
           dispatcher: agent,
           signal: AbortSignal.timeout(PROBE_LIMIT_MS),
-          headers: createHeaders(
-            Configurations.formatVersionKey(version),
-            `probe-${count}`,
-            PROBE_LIMIT_MS,
-          ),
+          headers: Standins.createCallerHeaders({
+            requestId: `probe-${count}`,
+            apiKey: Configurations.formatVersionKey(version),
+            limitMs: PROBE_LIMIT_MS,
+          }),
         },
       );
       await answer.body.dump();
--- a/soak/src/checks.ts
+++ b/soak/src/checks.ts
@@ -83,16 +83,18 @@
 }
 
 function* checkRuns({ ledger, lives, organisation }: Evidence): Generator<Violation> {
-  for (const { requestId, path, headers } of lives.flatMap(({ runs }) => runs)) {
+  for (const { requestId, path, organisation: owner, hasApiKey } of lives.flatMap(
+    ({ runs }) => runs,
+  )) {
     const isProbe = requestId.startsWith('probe-');
     if (!isProbe && !ledger.requests.has(requestId)) {
       yield { rule: 'unasked', text: `${requestId}: nobody sent it (${path})` };
     }
-    if (headers.credential !== undefined) {
+    if (hasApiKey) {
       yield { rule: 'unasked', text: `${requestId}: the API key was passed on` };
     }
-    if (headers.tenant !== organisation) {
-      yield { rule: 'unasked', text: `${requestId}: ran for ${String(headers.tenant)}` };
+    if (owner !== organisation) {
+      yield { rule: 'unasked', text: `${requestId}: ran for ${owner}` };
     }
   }
 }
--- a/soak/src/configuration.ts
+++ b/soak/src/configuration.ts
@@ -1,7 +1,6 @@
 /** Operators' configurations: each version has a route and an API key that no other version has. */
+import * as Standins from '@sequoiarill/standins';
 
-export const HOST = 'shop.example';
-export const ORGANISATION = 'shop';
 /** Valid in every version. */
 export const CALLERS_KEY = 'key-of-callers';
 
@@ -14,47 +13,11 @@
 }
 
 export function formatConfiguration(version: number): string {
-  const shared = {
-    hostname: HOST,
+  const document = Standins.createConfiguration(version, {
     timeoutMs: 8_000,
-    targetLatencyMs: 400,
     maxAttempts: 4,
-    public: false,
-  };
-  const plain = { ...shared, service: 'orders' };
-  return JSON.stringify({
-    version,
-    routes: [
-      {
-        ...shared,
-        name: 'advice',
-        prefix: '/advice/',
-        routeType: 'streaming',
-        service: 'engines',
-        sessionAffinity: true,
-        streamResume: true,
-        gapTargetMs: 700,
-      },
-      { ...plain, name: 'orders', prefix: '/orders/', routeType: 'unsafe' },
-      { ...plain, name: 'reads', prefix: '/reads/', routeType: 'safe' },
-      { ...plain, name: 'version', prefix: formatVersionPath(version), routeType: 'safe' },
-    ],
-    services: [
-      {
-        name: 'engines',
-        maxConnections: 200,
-        engine: { kvCapacity: 100_000, backups: true, stride: 1, cacheHandleS: 4 },
-      },
-      { name: 'orders', maxConnections: 200 },
-    ],
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 100_000,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 5_000,
-    },
-    tenants: [
-      { name: ORGANISATION, apiKeys: [CALLERS_KEY, formatVersionKey(version)], priority: 1 },
-    ],
+    apiKeys: [CALLERS_KEY, formatVersionKey(version)],
+    furtherPrefix: formatVersionPath(version),
   });
+  return JSON.stringify(document);
 }
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -64,7 +64,7 @@
 
 function writeNextVersion({ store, versions }: World): void {
   const version = (versions[0]?.version ?? 0) + 1;
-  store.writeValue('op/config', Configurations.formatConfiguration(version));
+  store.writeValue(Standins.CONFIGURATION_KEY, Configurations.formatConfiguration(version));
   versions.unshift({ version, writtenAtMs: performance.now() });
 }
 
@@ -250,7 +250,7 @@
   await callers.close();
   await Promise.all(routers.map((router) => router.stop()));
   const lives = targets.flatMap((target) => target.listLives());
-  const organisation = Configurations.ORGANISATION;
+  const organisation = Standins.ORGANISATION;
   const evidence = { ledger, lives, eventCount: EVENT_COUNT, organisation };
   await Promise.all(targets.map((target) => target.stop()));
   await world.store.stop();
--- a/soak/src/targets.ts
+++ b/soak/src/targets.ts
@@ -1,11 +1,11 @@
 /** Targets behind links, each a series of lives at one address. */
 import * as Standins from '@sequoiarill/standins';
-import type { LinkStandin, StoreStandin, TargetStandin } from '@sequoiarill/standins';
+import type { LinkStandin, ServiceName, StoreStandin, TargetStandin } from '@sequoiarill/standins';
 
 import type { LifeRuns } from './checks';
 
 export interface TargetPlace {
-  readonly service: 'engines' | 'orders';
+  readonly service: ServiceName;
   readonly link: LinkStandin;
   readonly getLife: () => TargetStandin;
   readonly listLives: () => readonly LifeRuns[];
@@ -18,7 +18,7 @@
 
 export interface TargetPlaceOptions {
   readonly index: number;
-  readonly service: 'engines' | 'orders';
+  readonly service: ServiceName;
   readonly zone: string;
   readonly store: StoreStandin;
   readonly eventCount: number;
@@ -46,9 +46,9 @@
   }
 
   function writeEntry(state: 'ready' | 'draining'): void {
-    const entry = { service, address, zone, slots: SLOTS, state, warmupLeftMs: 0 };
-    const value = JSON.stringify({ ...entry, born: lives.length });
-    store.writeValue(`servers/${getLife().id}`, value);
+    const startedAtUnixMs = lives.length;
+    const entry = { service, address, zone, slots: SLOTS, state, startedAtUnixMs };
+    store.writeValue(Standins.formatTargetKey(getLife().id), Standins.formatTargetEntry(entry));
   }
 
   listen = await createLife().start();
@@ -70,7 +70,7 @@
       if (isStopped) return;
       const next = createLife();
       await next.start();
-      store.removeKey(`servers/${ended.id}`);
+      store.removeKey(Standins.formatTargetKey(ended.id));
       writeEntry('ready');
     },
     leave() {
