Use targets whose entries went after a cut only where a lapse is likely

Cause: removals seen within 2.3 s of the store's return are held, so that entries which lapsed while the store was away do not take their targets with them. A router that was itself cut off holds the removals of targets that left for good as well: it counts as in touch three seconds after the cut, learns of the store up to two seconds after its end, and sent to a server that had gone until 2.3 s later.

Ruled out: a shorter hold (entries take two seconds to come back, and a whole service is refused meanwhile); holding only what the first answer tells (it tells real departures too); asking each target (one that never reports draining may still call itself healthy).

Change: such targets stay known as unconfirmed. New work goes there where they outnumber the confirmed ones of their service or no confirmed one is free of suspicion. The holding of removals is a module of its own.

--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -13,6 +13,7 @@
 export * from './fleetShares';
 export * from './lossSuspicion';
 export { sortByRank } from './names';
+export * from './openTargets';
 export * from './outlierDetector';
 export type * from './outlierTypes';
 export * from './targetSet';
--- /dev/null
+++ b/packages/sequoiarill-decisions/src/openTargets.ts
@@ -0,0 +1,26 @@
+/**
+ * Which targets of a service new work may go to, when the directory is unsure of some.
+ *
+ * Load pattern: entries of live targets lapse while the store is away, and are back within two seconds
+ * of its return; without these targets a whole service is refused for that time. But a router that was
+ * cut off sees the same when a target has left for good, and work that it sends there after its
+ * own return is work for a VM that is leaving. So unconfirmed targets are used where a lapse is the
+ * likely cause: more of them than of the confirmed ones, or no confirmed one that answers. Single
+ * targets that went are left alone: with the delay alone, order servers replaced around the end of a
+ * zone's cut got requests up to 2,300 ms after the store had let them go, 2,000 ms being allowed.
+ */
+import type { TargetPlace } from './lossSuspicion';
+
+export interface OpenCandidate extends TargetPlace {
+  readonly state: 'ready' | 'draining' | 'unconfirmed';
+}
+
+export function selectOpen<Candidate extends OpenCandidate>(
+  targets: readonly Candidate[],
+  isSuspect: (target: Candidate) => boolean,
+): readonly Candidate[] {
+  const ready = targets.filter(({ state }) => state === 'ready');
+  const unconfirmed = targets.filter(({ state }) => state === 'unconfirmed');
+  const isLapse = unconfirmed.length > ready.length || ready.every(isSuspect);
+  return isLapse ? [...ready, ...unconfirmed] : ready;
+}
--- a/packages/sequoiarill-plugin-directory/src/__tests__/directoryState.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/directoryState.test.ts
@@ -14,10 +14,12 @@
     getNowMs: () => nowMs,
   });
   const listIds = () => state.listTargets('engines').map(({ id }) => id);
+  const listStates = () => state.listTargets('engines').map(({ state: known }) => known);
   return {
     state,
     log,
     listIds,
+    listStates,
     delay(ms: number) {
       nowMs += ms;
     },
@@ -40,7 +42,7 @@
   it('keeps targets whose entries lapsed in an outage until they had time to come back', () => {
     // The store was away for seconds and says at its return that all engines are gone. They live, and
     // write their entries again within two seconds. Dropped at once, a whole service would be refused.
-    const { state, listIds, delay } = createState();
+    const { state, listIds, listStates, delay } = createState();
     const value = Fixtures.createTargetText('10.0.0.1:1');
     const other = Fixtures.createTargetText('10.0.0.2:1');
     state.applyRecords([
@@ -50,7 +52,9 @@
     state.holdRemovalsUntil(2_300);
     state.applyAll([], 8);
     expect(listIds()).toEqual(['one', 'two']);
+    expect(listStates()).toEqual(['unconfirmed', 'unconfirmed']);
     state.applyRecords([{ key: 'targets/one', revision: 9, value }]);
+    expect(new Set(listStates())).toEqual(new Set(['ready', 'unconfirmed']));
     delay(2_400);
     state.removeDue();
     expect(listIds()).toEqual(['one']);
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -8,6 +8,7 @@
 } from '@sequoiarill/types';
 
 import * as Events from './events';
+import * as HeldRemovals from './heldRemovals';
 import * as RecordLogs from './recordLog';
 import type { DirectoryRecord } from './recordLog';
 import * as RouterEntries from './routerEntry';
@@ -19,7 +20,7 @@
   readonly applyRecords: (records: readonly DirectoryRecord[]) => void;
   /**
    * Takes in everything that the store held at a revision. What is known and missing there was
-   * removed; until `keepUntilMs` such targets stay in use.
+   * removed; while removals are held, such targets stay known as unconfirmed.
    */
   readonly applyAll: (records: readonly DirectoryRecord[], revision: number) => void;
   /**
@@ -50,8 +51,7 @@
   const routers = new Map<string, RouterEntry>();
   let configuration: ForwardingConfiguration | undefined;
   let byService: ReadonlyMap<string, readonly ForwardingTarget[]> = new Map();
-  let removalsHeldUntilMs = 0;
-  let heldRemovals = new Set<string>();
+  const removals = HeldRemovals.createHeldRemovals(targets, getNowMs);
   /** Keys of targets that were learned and that no record has confirmed. */
   const learnedKeys = new Set<string>();
 
@@ -80,10 +80,10 @@
   }
 
   function applyTarget({ key, revision: changed, value }: DirectoryRecord): void {
-    heldRemovals.delete(key);
+    removals.releaseTarget(key);
     learnedKeys.delete(key);
     if (value === undefined) {
-      removeTarget(key);
+      removals.removeTarget(key);
       return;
     }
     const decoded = wire.decodeTarget(key, value);
@@ -95,16 +95,6 @@
     }
   }
 
-  /**
-   * Failure: entries lapse while the store is away, although their targets live, and the store says
-   * so when it is back. Without the delay a whole service would seem gone for about two seconds,
-   * until its targets have written their entries again.
-   */
-  function removeTarget(key: string): void {
-    if (getNowMs() < removalsHeldUntilMs && targets.find(key) !== undefined) heldRemovals.add(key);
-    else targets.remove(key);
-  }
-
   /**
    * Failure: engines crash and start again while the store is away. Their new lives are unknown, so the
    * directory shrinks with each crash, and a stream meets one refusal after another: nine in a row were
@@ -174,21 +164,14 @@
     applyAll(all, readRevision) {
       const present = new Set(all.map(({ key }) => key));
       const missing = log.listMissing(present, readRevision);
-      const removals = missing.map((key) => ({ key, revision: readRevision }));
-      applyRecords([...all, ...removals]);
-    },
-    holdRemovalsUntil(untilMs) {
-      removalsHeldUntilMs = Math.max(removalsHeldUntilMs, untilMs);
-      learnedKeys.forEach((key) => heldRemovals.add(key));
+      const gone = missing.map((key) => ({ key, revision: readRevision }));
+      applyRecords([...all, ...gone]);
     },
+    holdRemovalsUntil: (untilMs) => removals.holdUntil(untilMs, learnedKeys),
     removeDue() {
-      if (heldRemovals.size === 0 || getNowMs() < removalsHeldUntilMs) return;
-      const due = heldRemovals;
-      heldRemovals = new Set();
-      due.forEach((key) => {
-        targets.remove(key);
-        learnedKeys.delete(key);
-      });
+      const due = removals.takeDue();
+      if (due.length === 0) return;
+      due.forEach((key) => learnedKeys.delete(key));
       reportChange();
     },
     getRevision: log.getRevision,
--- a/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
@@ -95,7 +95,7 @@
 }
 
 function listReady(parts: ForwardingParts, service: string): readonly ForwardingTarget[] {
-  return parts.directory.listTargets(service).filter((target) => target.state === 'ready');
+  return Decisions.selectOpen(parts.directory.listTargets(service), parts.book.isSuspect);
 }
 
 function hasBackups(parts: ForwardingParts, request: ForwardRequest): boolean {
--- a/packages/sequoiarill-plugin-forwarding/src/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/placement.ts
@@ -1,4 +1,5 @@
 /** Asks the decisions for the target of one send. */
+import * as Decisions from '@sequoiarill/decisions';
 import type { TargetView } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
@@ -26,7 +27,7 @@
 ): ForwardingTarget | undefined {
   const { book } = parts;
   const all = parts.directory.listTargets(question.request.service);
-  const ready = all.filter((target) => target.state === 'ready');
+  const ready = Decisions.selectOpen(all, book.isSuspect);
   const fresh = ready.filter((target) => !question.excluded.has(target.id));
   const views = fresh.map(book.buildView);
   const trusted = pickTarget(parts, fresh, views, question);
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -98,7 +98,11 @@
   readonly zone: string;
   /** Requests it runs at once. */
   readonly slots: number;
-  readonly state: 'ready' | 'draining';
+  /**
+   * `unconfirmed`: its entry went during an outage of the store or a cut from it. It may have left, or
+   * lives and is about to write its entry again.
+   */
+  readonly state: 'ready' | 'draining' | 'unconfirmed';
   /** How much longer it stays slow after its start, milliseconds. */
   readonly warmupLeftMs: number;
 }
