--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -3,6 +3,7 @@
 export type * from './admissionTypes';
 export * from './concurrencyLimit';
 export * from './continuationPacer';
+export * from './copyPlacement';
 export * from './enginePlacement';
 export * from './cost';
 export * from './retryBudget';
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
@@ -108,6 +108,42 @@
     expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'c1']);
   });
 
+  it('goes on within a zone that is cut off just after a crash of its engines', async () => {
+    // The router's zone a crashed: the run is in b and its first copy in c. Zone a is up again, and two
+    // seconds later it is cut off: b falls silent and c cannot be reached. Only a copy that came
+    // back to a in time saves the caller from waiting for its prompt once more.
+    const lastMs = 60 + 79 * 30;
+    const fake: FakeParts = Fakes.createFakeParts((target, headers) => {
+      const from = createFromHeader(headers);
+      if (target === 'b1') {
+        return [[50, Fakes.createHead(200)], ...Fakes.createEvents(1, 80, 30, 60)];
+      }
+      if (target !== 'a1') return [];
+      const startMs = headers.from === '10.0.0.1:b1/h1' ? 60 : 1_500;
+      const events = Fakes.createEvents(from, 120, 30, startMs);
+      return [[50, Fakes.createHead(200)], ...events, [startMs + 30 * (121 - from), END]];
+    });
+    const [b1, c1] = [
+      Fakes.createTarget('b1', { zone: 'b' }),
+      Fakes.createTarget('c1', { zone: 'c' }),
+    ];
+    fake.setTargets([b1, c1]);
+    fake.reports.set('b1', Fakes.IDLE_REPORT);
+    fake.reports.set('c1', { ...Fakes.IDLE_REPORT, running: 3 });
+    const zoneBack = fake.clock.waitMs(1_000).then(() => {
+      fake.setTargets([Fakes.createTarget('a1'), b1, c1]);
+      fake.reports.set('a1', Fakes.IDLE_REPORT);
+    });
+    const zoneCut = fake.clock.waitMs(lastMs).then(() => {
+      fake.reports.delete('b1');
+      fake.reports.delete('c1');
+    });
+    const [played] = await Promise.all([playStream(fake), zoneBack, zoneCut]);
+    expect(played.text).toEqual(formatAll(120));
+    expect(played.maxGapMs).toBeLessThan(700);
+    expect(fake.sent.map(({ target }) => target)).toEqual(['b1', 'a1']);
+  });
+
   it('leaves a prompt with an engine that lives and reads slowly', async () => {
     // Two prompts are read before this one. The engine says that it lives, and is not left before
     // its first event, which would cost a third prompt.
--- a/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
@@ -94,6 +94,13 @@
   return parts.nextRandom() < 0.5 ? (second ?? first) : first;
 }
 
+/** Whether some engine of this router's zone could keep a copy now. */
+export function isHomeOpen(parts: ForwardingParts, request: ForwardRequest): boolean {
+  return listReady(parts, request.service).some(
+    (engine) => engine.zone === parts.zone && !parts.book.isSuspect(engine),
+  );
+}
+
 function listReady(parts: ForwardingParts, service: string): readonly ForwardingTarget[] {
   return Decisions.selectOpen(parts.directory.listTargets(service), parts.book.isSuspect);
 }
--- a/packages/sequoiarill-plugin-forwarding/src/runCopies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/runCopies.ts
@@ -4,8 +4,9 @@
  * Failure: the engine that keeps the copy crashes, and some seconds later the one of the run does. The
  * stream then waits for its whole prompt to be read again: 1.2 to 3 s, where 0.7 are allowed, for half
  * of the late streams of a day on which zones crash in turn. So another copy is ordered as soon as the
- * keeper is known to be gone; the run goes on meanwhile.
+ * keeper is known to be gone, and whenever a better place for it opens; the run goes on meanwhile.
  */
+import * as Decisions from '@sequoiarill/decisions';
 import type { ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
 
 import type { EngineCaller } from './engineCalls';
@@ -43,8 +44,10 @@
 
 /** How often the keeper is looked after, milliseconds: well within the time between two crashes. */
 const UPDATE_MS = 200;
-/** Copies ordered for one run; each moves the whole memory of the run. */
-const MAX_ORDERS = 3;
+/** Pause after an order that failed, milliseconds: a crashed engine is back after about twice that. */
+const FAILED_PAUSE_MS = 600;
+/** Copies moved to another keeper for one run; each takes the whole memory of the run. */
+const MAX_MOVES = 4;
 /** A copy of some thousand tokens takes some hundred milliseconds, queued behind others more. */
 const ORDER_LIMIT_MS = 2_000;
 const RELEASE_LIMIT_MS = 500;
@@ -65,6 +68,11 @@
   };
 }
 
+interface KnownCopy extends RunCopy {
+  /** Undefined for the copy that grows with its run. */
+  readonly orderedAtMs: number | undefined;
+}
+
 /** `keeper` is told with the request itself, and gets the memory as it grows. */
 export function createCopyWatch(
   parts: ForwardingParts,
@@ -72,48 +80,72 @@
   engine: ForwardingTarget,
   keeper: ForwardingTarget | undefined,
 ): CopyWatch {
-  let copy: RunCopy | undefined =
-    keeper === undefined ? undefined : { keeper, place: `${keeper.address}/${request.id}` };
-  let updatedMs = parts.clock.getNowMs();
-  let orders = 0;
+  const { clock, directory } = parts;
+  let copy: KnownCopy | undefined =
+    keeper === undefined
+      ? undefined
+      : { keeper, place: `${keeper.address}/${request.id}`, orderedAtMs: undefined };
+  let updatedMs = clock.getNowMs();
+  let moves = 0;
   let isOrdering = false;
   let isEnded = false;
   let handle: string | undefined;
 
-  function isSafe(): boolean {
-    if (copy === undefined) return false;
-    const current = parts.directory.findCurrent(copy.keeper);
+  function isSafe(known: KnownCopy): boolean {
+    const current = directory.findCurrent(known.keeper);
     return current?.state === 'ready' && !parts.book.isSuspect(current);
   }
 
-  async function createNextCopy(): Promise<void> {
-    const next = EnginePlacements.chooseBackup(parts, request, engine, copy?.keeper);
+  function decideAction(known: KnownCopy): Decisions.CopyAction {
+    const service = directory.getConfiguration()?.services.get(request.service);
+    return Decisions.decideCopyAction({
+      runZone: engine.zone,
+      routerZone: parts.zone,
+      keeperZone: known.keeper.zone,
+      isKeeperSafe: isSafe(known),
+      isHomeOpen: EnginePlacements.isHomeOpen(parts, request),
+      ageMs: known.orderedAtMs === undefined ? undefined : clock.getNowMs() - known.orderedAtMs,
+      lifetimeMs: service?.engine?.copyLifetimeMs ?? Number.POSITIVE_INFINITY,
+    });
+  }
+
+  async function createNextCopy(known: KnownCopy, action: 'move' | 'renew'): Promise<void> {
+    const next =
+      action === 'renew'
+        ? known.keeper
+        : EnginePlacements.chooseBackup(parts, request, engine, known.keeper);
     if (next === undefined) return;
-    orders += 1;
+    if (action === 'move') moves += 1;
+    const orderedAtMs = clock.getNowMs();
     const made = await parts.createCopy(engine, request.id, next);
     parts.metrics.addCount(Metrics.COPIES, 1, { outcome: made === undefined ? 'failed' : 'made' });
     parts.log.logEvent(Events.STREAM_COPIED, {
       request: request.id,
       target: engine.id,
-      lostKeeper: copy?.keeper.id,
+      action,
+      lastKeeper: known.keeper.id,
       keeper: next.id,
       isMade: made !== undefined,
     });
-    if (made === undefined) return;
+    if (made === undefined) {
+      updatedMs = clock.getNowMs() + FAILED_PAUSE_MS - UPDATE_MS;
+      return;
+    }
     handle = made;
-    copy = { keeper: next, place: `${engine.address}/${made}` };
+    copy = { keeper: next, place: `${engine.address}/${made}`, orderedAtMs };
     if (isEnded) await parts.releaseCopy(engine, made);
   }
 
   return {
     getCopy: () => copy,
     update() {
-      const nowMs = parts.clock.getNowMs();
-      if (isOrdering || orders >= MAX_ORDERS || nowMs - updatedMs < UPDATE_MS) return;
+      const nowMs = clock.getNowMs();
+      if (copy === undefined || isOrdering || nowMs - updatedMs < UPDATE_MS) return;
       updatedMs = nowMs;
-      if (keeper === undefined || isSafe()) return;
+      const action = decideAction(copy);
+      if (action === 'keep' || (action === 'move' && moves >= MAX_MOVES)) return;
       isOrdering = true;
-      createNextCopy()
+      createNextCopy(copy, action)
         .catch((error: unknown) => parts.log.logEvent(Events.ORDER_FAILED, { error }))
         .finally(() => {
           isOrdering = false;
