--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -98,6 +98,7 @@
     service: route.shares[0]?.service ?? '',
     arrivedAtMs: 0,
     expiresAtMs: route.timeoutMs,
+    isReturning: false,
     promptTokens: 8_000,
     promptParts: [],
     closed: new AbortController().signal,
@@ -192,6 +193,7 @@
     countRouters: () => 1,
     startedMs: 0,
   });
+  const door = Decisions.createLatencyDoor({ nextRandom });
   const parts: ForwardingParts = {
     zone: 'a',
     clock,
@@ -210,6 +212,7 @@
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log: { logEvent: () => undefined, close: () => undefined },
     metrics: Kernel.createMetrics(undefined, {}),
+    getDoor: () => door,
     getBudget: () => budget,
     getStallPolicy: () => policy,
     openCall(_request, target, extraHeaders: readonly RawHeader[]) {
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/wholeAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/wholeAnswer.test.ts
@@ -147,4 +147,23 @@
     expect(outcome.kind).toEqual('answer');
     expect(fake.sent.length).toEqual(2);
   });
+
+  it('is refused at once while the service has more than it can answer on time', async () => {
+    // Of three order servers one is left, and its queue stands full: every answer comes after half a
+    // second, on time for nobody. A request that is not sent now leaves the next one on time.
+    const fake = Fakes.createFakeParts(() => OK);
+    fake.setTargets(createServices(1));
+    const door = fake.parts.getDoor('orders');
+    for (let index = 0; index < 200; index += 1) {
+      door.recordStart();
+      door.decide({ slots: 1, routers: 1, isReturning: false });
+      door.recordEnd(index * 50, { latencyMs: 500, objectiveMs: 100 });
+      door.recordStart();
+    }
+    const outcomes = [];
+    for (let index = 0; index < 20; index += 1) outcomes.push((await playRequest(fake)).outcome);
+    const refused = outcomes.filter(({ kind }) => kind === 'refused');
+    expect(refused.length).toBeGreaterThan(10);
+    expect(fake.sent.length).toEqual(outcomes.length - refused.length);
+  });
 });
--- a/packages/sequoiarill-plugin-forwarding/src/answers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers.ts
@@ -1,7 +1,7 @@
 /** What goes out to the caller: answers, streams, refusals. */
 import type { ServerResponse } from 'node:http';
 
-import type { AnswerDurations } from '@sequoiarill/decisions';
+import type { AnswerDurations, ReturnDetector } from '@sequoiarill/decisions';
 
 import * as Checks from './answerChecks';
 import * as Events from './events';
@@ -20,6 +20,8 @@
   /** Undefined until a configuration is known. */
   readonly getRouteTable: () => RouteTable | undefined;
   readonly isDraining: () => boolean;
+  /** Whether the caller of a request with so much time left has waited before. */
+  readonly returns: ReturnDetector;
   /** Of whole answers, by route. */
   readonly durations: AnswerDurations;
   /** Whether a request that takes so many milliseconds ends before this process does. */
--- a/packages/sequoiarill-plugin-forwarding/src/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/exchange.ts
@@ -165,6 +165,9 @@
   const service = chooseService(route, parts.nextRandom);
   if (id === undefined || service === undefined) return undefined;
   const givenMs = Number(Headers.findSingle(headers, names.remainingMs));
+  const { name, objectiveMs } = route;
+  const isReturning =
+    givenMs > 0 && parts.returns.checkReturn({ kind: name, givenMs, objectiveMs });
   const waitMs = givenMs > 0 ? Math.min(givenMs, route.timeoutMs) : route.timeoutMs;
   const lastEventId = Headers.findSingle(headers, names.lastEventId);
   const promptTokens = Number.parseInt(Headers.findSingle(headers, names.promptSize) ?? '', 10);
@@ -179,6 +182,7 @@
     ...(organisation === undefined ? {} : { organisation: organisation.name }),
     arrivedAtMs,
     expiresAtMs: arrivedAtMs + waitMs,
+    isReturning,
     ...(lastEventId === undefined ? {} : { lastEventId }),
     promptTokens: Number.isFinite(promptTokens) ? promptTokens : 0,
     promptParts: parts.wire.decodePromptParts(Headers.findSingle(headers, names.promptParts) ?? ''),
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -1,5 +1,5 @@
 /** What the tasks that forward requests share. */
-import type { FleetRepeats, StallPolicy, TargetChooser } from '@sequoiarill/decisions';
+import type { FleetRepeats, LatencyDoor, StallPolicy, TargetChooser } from '@sequoiarill/decisions';
 import type {
   Clock,
   Directory,
@@ -26,6 +26,8 @@
   readonly chooser: TargetChooser;
   readonly log: BoundedLog;
   readonly metrics: Metrics;
+  /** For services whose answers are taken as a whole. */
+  readonly getDoor: (service: string) => LatencyDoor;
   readonly getBudget: (service: string) => FleetRepeats;
   readonly getStallPolicy: (service: string) => StallPolicy;
   /** Sends a request to a target; a call that was opened must be read to its end or cancelled. */
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -25,11 +25,32 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** What is decided for each service by itself. */
+function createServiceDecisions(
+  { clock, nextRandom }: PluginContext,
+  settings: ForwardingSettings,
+  countRouters: () => number,
+): Pick<ExchangeParts, 'getBudget' | 'getDoor' | 'getStallPolicy'> {
+  const startedMs = clock.getNowMs();
+  return {
+    getBudget: Registers.createRegister(() =>
+      Decisions.createFleetRepeats({
+        ratio: settings.repeatRatio,
+        slack: settings.repeatSlack,
+        windowMs: settings.repeatWindowSeconds * MS_PER_SECOND,
+        countRouters,
+        startedMs,
+      }),
+    ),
+    getDoor: Registers.createRegister(() => Decisions.createLatencyDoor({ nextRandom })),
+    getStallPolicy: Registers.createRegister<StallPolicy>(Decisions.createStallPolicy),
+  };
+}
+
 function createInstance(context: PluginContext, settings: ForwardingSettings): PluginInstance {
   const { clock, logEvent, nextRandom } = context;
   const wire = context.getCapability('wire');
   const directory = context.getCapability('directory');
-  const startedMs = clock.getNowMs();
   const log = BoundedLogs.createBoundedLog(logEvent, clock.getNowMs);
   const book = TargetBooks.createTargetBook(clock.getNowMs);
   const connections = TargetConnections.createTargetConnections();
@@ -91,16 +112,7 @@
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
     metrics: context.metrics,
-    getBudget: Registers.createRegister(() =>
-      Decisions.createFleetRepeats({
-        ratio: settings.repeatRatio,
-        slack: settings.repeatSlack,
-        windowMs: settings.repeatWindowSeconds * MS_PER_SECOND,
-        countRouters: directory.countRouters,
-        startedMs,
-      }),
-    ),
-    getStallPolicy: Registers.createRegister<StallPolicy>(Decisions.createStallPolicy),
+    ...createServiceDecisions(context, settings, directory.countRouters),
     openCall,
     readReport: probes.readReport,
     readKept: probes.readKept,
@@ -110,6 +122,7 @@
     isDraining: drain.isDraining,
     hasTimeFor: drain.hasTimeFor,
     durations: Decisions.createAnswerDurations(),
+    returns: Decisions.createReturnDetector(),
   };
 
   function isCurrent(target: ForwardingTarget): boolean {
--- a/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
@@ -7,6 +7,7 @@
 import type { ForwardingParts } from './parts';
 import * as Placement from './placement';
 import * as Sending from './sending';
+import * as ServiceDoors from './serviceDoor';
 
 /** A repeat is sent after so many times the objective, so that it can still help. */
 const REPEAT_OBJECTIVES = 2.5;
@@ -45,9 +46,8 @@
   return isLast ? leftMs : Math.min(objectiveMs * REPEAT_OBJECTIVES, leftMs * REPEAT_SHARE);
 }
 
-function refuse(progress: Progress): ForwardOutcome {
+function refuse(progress: Progress, retryAfterSeconds = RETRY_AFTER_SECONDS): ForwardOutcome {
   const { lastReason: reason } = progress;
-  const retryAfterSeconds = RETRY_AFTER_SECONDS;
   return { kind: 'refused', reason, retryAfterSeconds, ...getLastTarget(progress) };
 }
 
@@ -67,6 +67,20 @@
   return { kind: 'failed', reason: lastReason, isLate, ...getLastTarget(progress) };
 }
 
+async function sendThroughDoor(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  target: ForwardingTarget,
+  limitMs: number,
+): Promise<SendOutcome> {
+  const door = parts.getDoor(request.service);
+  const sentAtMs = parts.clock.getNowMs();
+  door.recordStart();
+  const outcome = await Sending.sendOnce(parts, request, target, limitMs);
+  ServiceDoors.recordSend(door, request, outcome, sentAtMs, parts.clock.getNowMs());
+  return outcome;
+}
+
 export async function runWholeAnswer(
   parts: ForwardingParts,
   request: ForwardRequest,
@@ -83,6 +97,11 @@
     serverErrors: 0,
   };
   budget.recordRequest(clock.getNowMs());
+  const decision = ServiceDoors.decideDoor(parts, request);
+  if (decision.kind === 'refuse') {
+    progress.lastReason = 'more requests are in progress than end on time';
+    return refuse(progress, decision.retryAfterSeconds);
+  }
   for (;;) {
     const nowMs = clock.getNowMs();
     if (nowMs >= request.expiresAtMs) return decideEnd(request, progress, true);
@@ -96,7 +115,7 @@
     if (progress.sends > 0 && !budget.takeRetry(nowMs)) return decideEnd(request, progress, false);
     const limitMs = computeLimit(request, progress, nowMs);
     progress.lastTarget = target.id;
-    const outcome = await Sending.sendOnce(parts, request, target, limitMs);
+    const outcome = await sendThroughDoor(parts, request, target, limitMs);
     if (outcome.kind === 'callerLeft') return outcome;
     recordOutcome(parts, request, target, outcome, progress);
     const end = decideNext(request, progress, outcome);
