--- a/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
@@ -40,10 +40,12 @@
 /**
  * Failure: an engine goes dark while it reads a prompt. Nothing is due from it for seconds, so its
  * caller waits them out and then for the whole prompt once more; first events came 4.6 to 5.9 s after
- * the request. So an engine that owes a first event is asked this often
- * whether it lives, milliseconds; a stream then costs about three probes.
+ * the request. So an engine that owes a first event is asked whether it lives, so often in the time
+ * that the first event may take: the loss is known early enough for another prompt, and most
+ * prompts are read within one or two checks. Asked every 400 ms in place of 750 to 900, callers had
+ * 0.011 less of their worth, mean of 15 days, nearly all of it the price of checks and what they delay.
  */
-const CHECK_MS = 400;
+const CHECKS_PER_OBJECTIVE = 6;
 /** An answer to such a check may take this long, milliseconds, twice in a row. */
 const CHECK_WAIT_MS = 120;
 const MAX_MISSED_CHECKS = 2;
@@ -93,9 +95,10 @@
   const preference = order.hasCopy() ? 'copied' : 'resumeLatency';
   const limits = policy.getLimits(target.id, preference, order.prefillTokens);
   const startedMs = clock.getNowMs();
+  const checkMs = request.route.objectiveMs / CHECKS_PER_OBJECTIVE;
   const firstEventDueMs = startedMs + limits.firstTokenMs;
   let lastEventMs = startedMs;
-  let silentUntilMs = Math.min(firstEventDueMs, startedMs + CHECK_MS);
+  let silentUntilMs = Math.min(firstEventDueMs, startedMs + checkMs);
   let missedChecks = 0;
   let hasEvents = false;
   let head: AnswerHead | undefined;
@@ -157,7 +160,7 @@
   async function checkLife(): Promise<boolean> {
     const report = await parts.readReport(target, CHECK_WAIT_MS);
     missedChecks = report === undefined ? missedChecks + 1 : 0;
-    silentUntilMs = Math.min(firstEventDueMs, clock.getNowMs() + (missedChecks > 0 ? 0 : CHECK_MS));
+    silentUntilMs = Math.min(firstEventDueMs, clock.getNowMs() + (missedChecks > 0 ? 0 : checkMs));
     return missedChecks < MAX_MISSED_CHECKS;
   }
 
