Give the forwarding plug-in folders by job, and untie two circles of modules

`front` takes requests and sends replies, `answers` gets whole answers, `streams` carries streams on, `targets` knows and calls targets; tests stand beside what they test. Orders about copies are a module of their own, so that the shared parts no longer depend on what depends on them; what a peer answered is told with the other messages between routers. No behaviour changed; tests moved with their assertions as they were.

--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -3,17 +3,8 @@
 import * as Undici from 'undici';
 
 import * as Messages from './peerMessages';
+import type { PeerAnswer } from './peerMessages';
 import type { PeerRouter } from './peerServer';
-import type { DirectoryRecord } from './recordLog';
-
-export type PeerAnswer =
-  | {
-      readonly kind: 'records';
-      readonly records: readonly DirectoryRecord[];
-      readonly seenRevision: number;
-      readonly ageMs: number;
-    }
-  | { readonly kind: 'failed'; readonly reason: string };
 
 export interface PeerClient {
   /** `waitMs`: how long the peer may wait for news. */
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -1,6 +1,8 @@
 /** Messages between routers about the directory; both sides check them. */
 import * as Zod from 'zod';
 
+import type { DirectoryRecord } from './recordLog';
+
 export const recordsQuestionSchema = Zod.object({
   /** Records above this revision are asked for. */
   afterRevision: Zod.number().int().min(0),
@@ -25,3 +27,13 @@
 
 export type RecordsQuestion = Zod.infer<typeof recordsQuestionSchema>;
 export type RecordsAnswer = Zod.infer<typeof recordsAnswerSchema>;
+
+/** What a question to a peer came to. */
+export type PeerAnswer =
+  | {
+      readonly kind: 'records';
+      readonly records: readonly DirectoryRecord[];
+      readonly seenRevision: number;
+      readonly ageMs: number;
+    }
+  | { readonly kind: 'failed'; readonly reason: string };
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -6,7 +6,7 @@
 
 import type { DirectoryState } from './directoryState';
 import * as Events from './events';
-import type { PeerAnswer } from './peerClient';
+import type { PeerAnswer } from './peerMessages';
 import type { DirectoryRecord } from './recordLog';
 
 export interface StoreFollowerOptions {
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -10,10 +10,10 @@
 } from '@sequoiarill/types';
 
 import type { ForwardRequest } from '../forwardRequest';
-import type { RawHeader } from '../headers';
+import type { RawHeader } from '../front/headers';
 import type { ForwardingParts } from '../parts';
-import * as TargetBooks from '../targetBook';
-import type { CallEvent, TargetCall } from '../targetCall';
+import * as TargetBooks from '../targets/targetBook';
+import type { CallEvent, TargetCall } from '../targets/targetCall';
 
 const WIRE = Kernel.createFakeWire();
 export const NAMES = WIRE.headers;
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/pure.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/pure.test.ts
@@ -3,11 +3,11 @@
 import type { ForwardingRoute } from '@sequoiarill/types';
 import { expect } from 'earl';
 
-import * as Checks from '../answerChecks';
-import * as EventBlocks from '../eventBlocks';
-import * as Headers from '../headers';
-import * as RouteTables from '../routeTable';
-import * as StreamRelays from '../streamRelay';
+import * as Checks from '../answers/answerChecks';
+import * as EventBlocks from '../streams/eventBlocks';
+import * as Headers from '../front/headers';
+import * as RouteTables from '../front/routeTable';
+import * as StreamRelays from '../streams/streamRelay';
 import { NAMES } from './fakeParts';
 
 function createRoute(name: string, host: string, pathPrefix: string): ForwardingRoute {
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/wholeAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/wholeAnswer.test.ts
@@ -3,10 +3,10 @@
 import type { ForwardingRoute } from '@sequoiarill/types';
 import { expect } from 'earl';
 
-import type { ForwardOutcome } from '../forwardRequest';
+import type { ForwardOutcome } from '../../forwardRequest';
 import * as WholeAnswers from '../wholeAnswer';
-import * as Fakes from './fakeParts';
-import type { FakeParts, Script } from './fakeParts';
+import * as Fakes from '../../__tests__/fakeParts';
+import type { FakeParts, Script } from '../../__tests__/fakeParts';
 
 const OK: Script = [
   [20, Fakes.createHead(200, { 'content-length': '0' })],
--- a/packages/sequoiarill-plugin-forwarding/src/answerChecks.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/answerChecks.ts
@@ -1,7 +1,7 @@
 /** Whether what came from a target is its own whole answer to this very request. */
 import type { HeaderNames } from '@sequoiarill/types';
 
-import type { AnswerHead } from './forwardRequest';
+import type { AnswerHead } from '../forwardRequest';
 
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
--- a/packages/sequoiarill-plugin-forwarding/src/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -3,8 +3,8 @@
 import type { TargetView } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
-import type { ForwardRequest } from './forwardRequest';
-import type { ForwardingParts } from './parts';
+import type { ForwardRequest } from '../forwardRequest';
+import type { ForwardingParts } from '../parts';
 
 export interface PlacementQuestion {
   readonly request: ForwardRequest;
--- a/packages/sequoiarill-plugin-forwarding/src/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -2,9 +2,9 @@
 import type { ForwardingTarget } from '@sequoiarill/types';
 
 import * as Checks from './answerChecks';
-import type { AnswerHead, ForwardRequest, SendOutcome } from './forwardRequest';
-import type { ForwardingParts } from './parts';
-import type { CallEvent, TargetCall } from './targetCall';
+import type { AnswerHead, ForwardRequest, SendOutcome } from '../forwardRequest';
+import type { ForwardingParts } from '../parts';
+import type { CallEvent, TargetCall } from '../targets/targetCall';
 
 /** Longer answers than this are not kept; those of plain services are some kilobytes. */
 const MAX_ANSWER_BYTES = 16_777_216;
--- a/packages/sequoiarill-plugin-forwarding/src/serviceDoor.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/serviceDoor.ts
@@ -2,8 +2,8 @@
 import * as Decisions from '@sequoiarill/decisions';
 import type { DoorDecision, LatencyDoor } from '@sequoiarill/decisions';
 
-import type { ForwardRequest, SendOutcome } from './forwardRequest';
-import type { ForwardingParts } from './parts';
+import type { ForwardRequest, SendOutcome } from '../forwardRequest';
+import type { ForwardingParts } from '../parts';
 
 export function decideDoor(parts: ForwardingParts, request: ForwardRequest): DoorDecision {
   const { book, directory } = parts;
--- a/packages/sequoiarill-plugin-forwarding/src/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
@@ -1,10 +1,10 @@
 /** Gets the whole answer to a request that is no stream, from one target or, where allowed, more. */
 import type { ForwardingTarget } from '@sequoiarill/types';
 
-import * as Events from './events';
-import type { ForwardOutcome, ForwardRequest, SendOutcome } from './forwardRequest';
-import * as Metrics from './metrics';
-import type { ForwardingParts } from './parts';
+import * as Events from '../events';
+import type { ForwardOutcome, ForwardRequest, SendOutcome } from '../forwardRequest';
+import * as Metrics from '../metrics';
+import type { ForwardingParts } from '../parts';
 import * as Placement from './placement';
 import * as Sending from './sending';
 import * as ServiceDoors from './serviceDoor';
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -1,7 +1,7 @@
 /** One request as it is forwarded, and how it can end. */
 import type { ForwardingRoute, PromptPart } from '@sequoiarill/types';
 
-import type { RawHeader } from './headers';
+import type { RawHeader } from './front/headers';
 
 export interface ForwardRequest {
   /** Chosen by the caller; each of its attempts has its own. */
--- a/packages/sequoiarill-plugin-forwarding/src/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -3,12 +3,12 @@
 
 import type { ForwardingOrganisation, ForwardingRoute } from '@sequoiarill/types';
 
-import * as Answers from './answers';
-import type { ExchangeParts, Refusal } from './answers';
-import type { ForwardRequest } from './forwardRequest';
+import * as Replies from './replies';
+import type { ExchangeParts, Refusal } from './replies';
+import type { ForwardRequest } from '../forwardRequest';
 import * as Headers from './headers';
 import type { RawHeader } from './headers';
-import * as WholeAnswers from './wholeAnswer';
+import * as WholeAnswers from '../answers/wholeAnswer';
 
 const BAD_REQUEST = 400;
 const UNAUTHORISED = 401;
@@ -41,7 +41,7 @@
   if (body === 'callerLeft') return;
   if (body === 'tooLarge') {
     response.setHeader('connection', 'close');
-    Answers.sendRefusal(parts, response, headers, {
+    Replies.sendRefusal(parts, response, headers, {
       status: TOO_LARGE,
       reason: 'the body is too long',
     });
@@ -49,7 +49,7 @@
   }
   const permission = checkPermission(parts, incoming, headers);
   if (permission.kind === 'refused') {
-    Answers.sendRefusal(parts, response, headers, permission.refusal);
+    Replies.sendRefusal(parts, response, headers, permission.refusal);
     return;
   }
   const request = createRequest(parts, permission, {
@@ -61,22 +61,22 @@
   });
   if (request === undefined) {
     const reason = 'the request has no id, or no service runs it';
-    Answers.sendRefusal(parts, response, headers, { status: BAD_REQUEST, reason });
+    Replies.sendRefusal(parts, response, headers, { status: BAD_REQUEST, reason });
     return;
   }
   if (!parts.hasTimeFor(computeLongest(parts, request))) {
     const reason = 'this process is about to end';
     const retryAfterSeconds = ELSEWHERE_RETRY_SECONDS;
-    Answers.sendRefusal(parts, response, headers, {
+    Replies.sendRefusal(parts, response, headers, {
       status: UNAVAILABLE,
       reason,
       retryAfterSeconds,
     });
     return;
   }
-  if (request.route.isStream) await Answers.relayStream(parts, request, response);
+  if (request.route.isStream) await Replies.relayStream(parts, request, response);
   else {
-    Answers.sendOutcome(
+    Replies.sendOutcome(
       parts,
       request,
       response,
--- a/packages/sequoiarill-plugin-forwarding/src/front.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/front.ts
@@ -8,7 +8,7 @@
 import type { ServiceSchema } from 'moleculer';
 import ApiGateway from 'moleculer-web';
 
-import type { ForwardingSettings } from './settings';
+import type { ForwardingSettings } from '../settings';
 
 export interface FrontOptions {
   readonly settings: ForwardingSettings;
--- a/packages/sequoiarill-plugin-forwarding/src/answers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -3,18 +3,18 @@
 
 import type { AnswerDurations, ReturnDetector } from '@sequoiarill/decisions';
 
-import * as Checks from './answerChecks';
-import * as Events from './events';
-import type { AnswerHead, ForwardOutcome, ForwardRequest } from './forwardRequest';
+import * as Checks from '../answers/answerChecks';
+import * as Events from '../events';
+import type { AnswerHead, ForwardOutcome, ForwardRequest } from '../forwardRequest';
 import * as Headers from './headers';
 import type { RawHeader } from './headers';
-import * as Metrics from './metrics';
-import type { ForwardingParts } from './parts';
+import * as Metrics from '../metrics';
+import type { ForwardingParts } from '../parts';
 import type { RouteTable } from './routeTable';
-import * as StreamAnswers from './streamAnswer';
-import type { StreamOutcome } from './streamPlan';
-import * as StreamTimings from './streamTiming';
-import type { StreamTiming } from './streamTiming';
+import * as StreamAnswers from '../streams/streamAnswer';
+import type { StreamOutcome } from '../streams/streamPlan';
+import * as StreamTimings from '../streams/streamTiming';
+import type { StreamTiming } from '../streams/streamTiming';
 
 export interface ExchangeParts extends ForwardingParts {
   /** Undefined until a configuration is known. */
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -9,12 +9,12 @@
 } from '@sequoiarill/types';
 
 import type { BoundedLog } from './boundedLog';
-import type { EngineProbes } from './engineProbes';
+import type { EngineProbes } from './targets/engineProbes';
 import type { ForwardRequest } from './forwardRequest';
-import type { RawHeader } from './headers';
-import type { CopyOrders } from './runCopies';
-import type { TargetBook } from './targetBook';
-import type { TargetCall } from './targetCall';
+import type { RawHeader } from './front/headers';
+import type { CopyOrders } from './streams/copyOrders';
+import type { TargetBook } from './targets/targetBook';
+import type { TargetCall } from './targets/targetCall';
 
 export interface ForwardingParts {
   readonly zone: string;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -3,25 +3,25 @@
 import type { StallPolicy } from '@sequoiarill/decisions';
 import type { ForwardingTarget, Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
 
-import type { ExchangeParts } from './answers';
+import type { ExchangeParts } from './front/replies';
 import * as BoundedLogs from './boundedLog';
-import * as Drains from './drain';
-import * as EngineCalls from './engineCalls';
-import * as EngineProbes from './engineProbes';
+import * as CopyOrders from './streams/copyOrders';
+import * as Drains from './front/drain';
+import * as EngineCalls from './targets/engineCalls';
+import * as EngineProbes from './targets/engineProbes';
 import * as Events from './events';
-import * as Exchanges from './exchange';
+import * as Exchanges from './front/exchange';
 import type { ForwardRequest } from './forwardRequest';
-import * as Fronts from './front';
-import type { RawHeader } from './headers';
-import * as RunCopies from './runCopies';
+import * as Fronts from './front/front';
+import type { RawHeader } from './front/headers';
 import * as Registers from './register';
-import * as RouteTables from './routeTable';
-import type { RouteTable } from './routeTable';
+import * as RouteTables from './front/routeTable';
+import type { RouteTable } from './front/routeTable';
 import { settingsSchema } from './settings';
 import type { ForwardingSettings } from './settings';
-import * as TargetBooks from './targetBook';
-import * as TargetCalls from './targetCall';
-import * as TargetConnections from './targetConnections';
+import * as TargetBooks from './targets/targetBook';
+import * as TargetCalls from './targets/targetCall';
+import * as TargetConnections from './targets/targetConnections';
 
 const MS_PER_SECOND = 1_000;
 
@@ -55,7 +55,7 @@
   const book = TargetBooks.createTargetBook(clock.getNowMs);
   const connections = TargetConnections.createTargetConnections();
   const callEngine = EngineCalls.createEngineCaller(clock, connections);
-  const copyOrders = RunCopies.createCopyOrders(wire, callEngine);
+  const copyOrders = CopyOrders.createCopyOrders(wire, callEngine);
   const probes = EngineProbes.createEngineProbes({
     wire,
     clock,
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
@@ -4,8 +4,8 @@
 
 import * as StreamAnswers from '../streamAnswer';
 import type { StreamOutcome } from '../streamPlan';
-import * as Fakes from './fakeParts';
-import type { FakeParts, Script } from './fakeParts';
+import * as Fakes from '../../__tests__/fakeParts';
+import type { FakeParts, Script } from '../../__tests__/fakeParts';
 
 const END: Script[number][1] = { kind: 'end' };
 const BROKEN: Script[number][1] = { kind: 'broken', reason: 'ECONNRESET' };
--- a/packages/sequoiarill-plugin-forwarding/src/runCopies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/runCopies.ts
@@ -7,14 +7,13 @@
  * keeper is known to be gone, and whenever a better place for it opens; the run goes on meanwhile.
  */
 import * as Decisions from '@sequoiarill/decisions';
-import type { ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
+import type { ForwardingTarget } from '@sequoiarill/types';
 
-import type { EngineCaller } from './engineCalls';
-import * as EnginePlacements from './enginePlacements';
-import * as Events from './events';
-import type { ForwardRequest } from './forwardRequest';
-import * as Metrics from './metrics';
-import type { ForwardingParts } from './parts';
+import * as EnginePlacements from '../targets/enginePlacements';
+import * as Events from '../events';
+import type { ForwardRequest } from '../forwardRequest';
+import * as Metrics from '../metrics';
+import type { ForwardingParts } from '../parts';
 
 export interface RunCopy {
   readonly keeper: ForwardingTarget;
@@ -31,43 +30,12 @@
   readonly release: () => void;
 }
 
-/** How engines are told to make copies and to free them. */
-export interface CopyOrders {
-  /** Handle of the copy; undefined when it was not made. */
-  readonly createCopy: (
-    engine: ForwardingTarget,
-    runId: string,
-    keeper: ForwardingTarget,
-  ) => Promise<string | undefined>;
-  readonly releaseCopy: (engine: ForwardingTarget, handle: string) => Promise<void>;
-}
-
 /** How often the keeper is looked after, milliseconds: well within the time between two crashes. */
 const UPDATE_MS = 200;
 /** Pause after an order that failed, milliseconds: a crashed engine is back after about twice that. */
 const FAILED_PAUSE_MS = 600;
 /** Copies moved to another keeper for one run; each takes the whole memory of the run. */
 const MAX_MOVES = 4;
-/** A copy of some thousand tokens takes some hundred milliseconds, queued behind others more. */
-const ORDER_LIMIT_MS = 2_000;
-const RELEASE_LIMIT_MS = 500;
-const OK = 200;
-
-export function createCopyOrders(wire: ForwardingWire, callEngine: EngineCaller): CopyOrders {
-  return {
-    async createCopy(engine, runId, keeper) {
-      const body = wire.encodeCopyOrder({ runId, keeper: keeper.address });
-      const order = { method: 'POST', path: wire.copyPath, body, limitMs: ORDER_LIMIT_MS } as const;
-      const answer = await callEngine(engine, order);
-      return answer?.head.status === OK ? wire.decodeCopyHandle(answer.text) : undefined;
-    },
-    async releaseCopy(engine, handle) {
-      const path = wire.formatCopyPath(handle);
-      await callEngine(engine, { method: 'DELETE', path, limitMs: RELEASE_LIMIT_MS });
-    },
-  };
-}
-
 interface KnownCopy extends RunCopy {
   /** Undefined for the copy that grows with its run. */
   readonly orderedAtMs: number | undefined;
--- a/packages/sequoiarill-plugin-forwarding/src/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -4,11 +4,11 @@
  */
 import type { ForwardingTarget } from '@sequoiarill/types';
 
-import * as Events from './events';
-import type { ForwardRequest, SendOutcome } from './forwardRequest';
-import * as Metrics from './metrics';
-import type { ForwardingParts } from './parts';
-import * as Sending from './sending';
+import * as Events from '../events';
+import type { ForwardRequest, SendOutcome } from '../forwardRequest';
+import * as Metrics from '../metrics';
+import type { ForwardingParts } from '../parts';
+import * as Sending from '../answers/sending';
 import type { AttemptOutcome } from './streamAttempt';
 import * as StreamPlans from './streamPlan';
 import type { Plan, Progress, StreamOutcome } from './streamPlan';
--- a/packages/sequoiarill-plugin-forwarding/src/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -3,11 +3,11 @@
 
 import type { EventBlock } from './eventBlocks';
 import * as EventBlocks from './eventBlocks';
-import type { AnswerHead, ForwardRequest, SendOutcome } from './forwardRequest';
-import type { RawHeader } from './headers';
-import type { ForwardingParts } from './parts';
-import * as Sending from './sending';
-import type { CallEvent, TargetCall } from './targetCall';
+import type { AnswerHead, ForwardRequest, SendOutcome } from '../forwardRequest';
+import type { RawHeader } from '../front/headers';
+import type { ForwardingParts } from '../parts';
+import * as Sending from '../answers/sending';
+import type { CallEvent, TargetCall } from '../targets/targetCall';
 
 /** What one attempt gives while it runs. */
 export interface StreamPart {
--- a/packages/sequoiarill-plugin-forwarding/src/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -2,10 +2,10 @@
 import type { FleetRepeats } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
-import * as EnginePlacements from './enginePlacements';
-import type { AnswerHead, ForwardOutcome, ForwardRequest } from './forwardRequest';
-import type { ForwardingParts } from './parts';
-import * as Placement from './placement';
+import * as EnginePlacements from '../targets/enginePlacements';
+import type { AnswerHead, ForwardOutcome, ForwardRequest } from '../forwardRequest';
+import type { ForwardingParts } from '../parts';
+import * as Placement from '../answers/placement';
 import type { RunCopy } from './runCopies';
 
 export type StreamOutcome =
--- a/packages/sequoiarill-plugin-forwarding/src/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -1,9 +1,9 @@
 /** Passes on the events of one send, each event once, and looks after the copy of the run meanwhile. */
-import * as Checks from './answerChecks';
+import * as Checks from '../answers/answerChecks';
 import type { EventBlock } from './eventBlocks';
-import type { AnswerHead, ForwardRequest } from './forwardRequest';
-import type { RawHeader } from './headers';
-import type { ForwardingParts } from './parts';
+import type { AnswerHead, ForwardRequest } from '../forwardRequest';
+import type { RawHeader } from '../front/headers';
+import type { ForwardingParts } from '../parts';
 import * as RunCopies from './runCopies';
 import * as StreamAttempts from './streamAttempt';
 import type { AttemptOutcome } from './streamAttempt';
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
@@ -8,7 +8,7 @@
 import * as EngineProbes from '../engineProbes';
 import * as TargetBooks from '../targetBook';
 import type { TargetConnection, TargetConnections } from '../targetConnections';
-import * as Fakes from './fakeParts';
+import * as Fakes from '../../__tests__/fakeParts';
 
 const LIMIT_MS = 100;
 
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/targetBook.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/targetBook.test.ts
@@ -4,7 +4,7 @@
 import { expect } from 'earl';
 
 import * as TargetBooks from '../targetBook';
-import * as Fakes from './fakeParts';
+import * as Fakes from '../../__tests__/fakeParts';
 
 describe('the book of targets', () => {
   it('keeps what it sent until a report can have counted it', async () => {
--- a/packages/sequoiarill-plugin-forwarding/src/engineCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
@@ -1,7 +1,7 @@
 /** Calls of engines that are no caller's request: reports, lists, orders. */
 import type { Clock, ForwardingTarget } from '@sequoiarill/types';
 
-import type { AnswerHead } from './forwardRequest';
+import type { AnswerHead } from '../forwardRequest';
 import * as TargetCalls from './targetCall';
 import type { TargetConnections } from './targetConnections';
 
--- a/packages/sequoiarill-plugin-forwarding/src/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -3,9 +3,9 @@
 import type { EngineView } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
-import * as Events from './events';
-import type { ForwardRequest } from './forwardRequest';
-import type { ForwardingParts } from './parts';
+import * as Events from '../events';
+import type { ForwardRequest } from '../forwardRequest';
+import type { ForwardingParts } from '../parts';
 
 export interface EnginePair {
   readonly target: ForwardingTarget;
--- a/packages/sequoiarill-plugin-forwarding/src/engineProbes.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
@@ -8,7 +8,7 @@
   KeptParts,
 } from '@sequoiarill/types';
 
-import * as Checks from './answerChecks';
+import * as Checks from '../answers/answerChecks';
 import type { EngineCaller } from './engineCalls';
 import type { TargetBook } from './targetBook';
 
--- a/packages/sequoiarill-plugin-forwarding/src/targetBook.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetBook.ts
@@ -3,7 +3,7 @@
 import type { TargetView } from '@sequoiarill/decisions';
 import type { EngineReport, ForwardingTarget } from '@sequoiarill/types';
 
-import * as Registers from './register';
+import * as Registers from '../register';
 
 export interface TargetBook {
   /** Gives what is to be called, once, when the request has ended there. */
--- a/packages/sequoiarill-plugin-forwarding/src/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -2,8 +2,8 @@
 import type { ForwardingTarget } from '@sequoiarill/types';
 import type * as Undici from 'undici';
 
-import type { AnswerHead } from './forwardRequest';
-import type { RawHeader } from './headers';
+import type { AnswerHead } from '../forwardRequest';
+import type { RawHeader } from '../front/headers';
 import type { TargetConnection } from './targetConnections';
 
 export interface CallOptions {
