--- a/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
@@ -5,7 +5,8 @@
 import { expect } from 'earl';
 
 import * as DirectoryStates from '../directoryState';
-import type { PeerAnswer, PeerClient } from '../peerClient';
+import type { PeerClient } from '../peerClient';
+import type { PeerAnswer } from '../peerMessages';
 import * as PeerNews from '../peerNews';
 import * as StoreFollowers from '../storeFollower';
 import * as Fixtures from './fixtures';
