Learn how long prompts are, so that the door before engines refuses no short ones

Reports count prompts, and each was taken for 8,000 tokens, a second of work. On a service of short prompts with an objective below a second every stream that met another was refused for as long as callers came: 3,900 requests in place of 1,000, as they came back.

Change: the usual size of prompts is learned from the requests of a service, beside the speed of their prefill.

--- a/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
@@ -84,6 +84,7 @@
         views,
         zone,
         promptTokens: 8_000,
+        usualPromptTokens: 8_000,
         prefillMsPerToken: 0.125,
       });
       return engines.find(({ id }) => id === placed?.target) as Engine;
@@ -111,6 +112,7 @@
         views,
         zone,
         promptTokens: 8_000,
+        usualPromptTokens: 8_000,
         prefillMsPerToken: 0.125,
       })?.target;
     };
@@ -160,6 +162,7 @@
       views,
       zone: 'a',
       promptTokens: 8_000,
+      usualPromptTokens: 8_000,
       prefillMsPerToken: 0.125,
     });
     const expected = { target: 'a1', backup: 'b1', promptsAhead: 0, firstEventMs: 1_000 };
@@ -178,6 +181,7 @@
       views,
       zone: 'c',
       promptTokens: 8_000,
+      usualPromptTokens: 8_000,
       prefillMsPerToken: 0.125,
     });
     const expected = { target: 'b1', backup: 'c1', promptsAhead: 0, firstEventMs: 1_000 };
@@ -191,6 +195,7 @@
         views: two,
         zone: 'a',
         promptTokens: 100,
+        usualPromptTokens: 8_000,
         prefillMsPerToken: 0.125,
       })?.backup,
     ).toEqual('a2');
@@ -200,6 +205,7 @@
         views: one,
         zone: 'a',
         promptTokens: 100,
+        usualPromptTokens: 8_000,
         prefillMsPerToken: 0.125,
       }),
     ).toEqual({
@@ -212,6 +218,7 @@
         views: [],
         zone: 'a',
         promptTokens: 100,
+        usualPromptTokens: 8_000,
         prefillMsPerToken: 0.125,
       }),
     ).toEqual(undefined);
@@ -227,6 +234,7 @@
       views,
       zone: 'a',
       promptTokens: 8_000,
+      usualPromptTokens: 8_000,
       prefillMsPerToken: 0.125,
     });
     expect(placed?.target).toEqual('busy');
--- a/packages/sequoiarill-decisions/src/enginePlacement.ts
+++ b/packages/sequoiarill-decisions/src/enginePlacement.ts
@@ -32,7 +32,8 @@
   /** Zone of this router. */
   readonly zone: string;
   readonly promptTokens: number;
-  /** Measured; see `createPrefillSpeed`. */
+  /** Of a run that another router sent, since reports do not tell; see `createPromptEstimates`. */
+  readonly usualPromptTokens: number;
   readonly prefillMsPerToken: number;
 }
 
@@ -45,8 +46,6 @@
   readonly backup?: string;
 }
 
-/** Prompt of a run that another router sent, tokens; reports do not tell. */
-const USUAL_PROMPT_TOKENS = 8_000;
 /** A prompt's chunks come between the events of each stream that runs there, milliseconds. */
 const DISTURBED_STREAM_MS = 40;
 /** A way to another zone takes a millisecond or two and crosses links that can be cut. */
@@ -68,8 +67,8 @@
 
 /** Expected cost of a run there, milliseconds until the first event and to others. */
 export function computeEngineCost(view: EngineView, question: EnginePlacementQuestion): number {
-  const { promptTokens, zone, prefillMsPerToken } = question;
-  const waitMs = countPromptsAhead(view) * USUAL_PROMPT_TOKENS * prefillMsPerToken;
+  const { promptTokens, zone, usualPromptTokens, prefillMsPerToken } = question;
+  const waitMs = countPromptsAhead(view) * usualPromptTokens * prefillMsPerToken;
   const ownMs = (promptTokens - view.keptTokens * KEPT_FACTOR) * prefillMsPerToken;
   const streams = Math.max(0, view.running - view.prefilling);
   const zoneMs = view.zone === zone ? 0 : OTHER_ZONE_MS;
@@ -142,7 +141,7 @@
   const backup = pickCheapest(keepers, { ...question, zone: '' });
   const promptsAhead = countPromptsAhead(target);
   const ownTokens = Math.max(0, question.promptTokens - target.keptTokens);
-  const tokensAhead = promptsAhead * USUAL_PROMPT_TOKENS;
+  const tokensAhead = promptsAhead * question.usualPromptTokens;
   const firstEventMs = (tokensAhead + ownTokens) * question.prefillMsPerToken;
   return {
     target: target.id,
--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -9,7 +9,7 @@
 export * from './cost';
 export * from './retryBudget';
 export * from './returnDetector';
-export * from './prefillSpeed';
+export * from './promptEstimates';
 export * from './stallPolicy';
 export * from './streamDoor';
 export * from './targetChooser';
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -193,7 +193,7 @@
     countRouters: () => 1,
     startedMs: 0,
   });
-  const prefillSpeed = Decisions.createPrefillSpeed();
+  const promptEstimates = Decisions.createPromptEstimates();
   const door = Decisions.createLatencyDoor({ nextRandom });
   const parts: ForwardingParts = {
     zone: 'a',
@@ -214,7 +214,7 @@
     log: { logEvent: () => undefined, close: () => undefined },
     metrics: Kernel.createMetrics(undefined, {}),
     getDoor: () => door,
-    getPrefillSpeed: () => prefillSpeed,
+    getPromptEstimates: () => promptEstimates,
     getBudget: () => budget,
     getStallPolicy: () => policy,
     openCall(_request, target, extraHeaders: readonly RawHeader[]) {
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -2,7 +2,7 @@
 import type {
   FleetRepeats,
   LatencyDoor,
-  PrefillSpeed,
+  PromptEstimates,
   StallPolicy,
   TargetChooser,
 } from '@sequoiarill/decisions';
@@ -35,7 +35,7 @@
   /** For services whose answers are taken as a whole. */
   readonly getDoor: (service: string) => LatencyDoor;
   readonly getBudget: (service: string) => FleetRepeats;
-  readonly getPrefillSpeed: (service: string) => PrefillSpeed;
+  readonly getPromptEstimates: (service: string) => PromptEstimates;
   readonly getStallPolicy: (service: string) => StallPolicy;
   /** Sends a request to a target; a call that was opened must be read to its end or cancelled. */
   readonly openCall: (
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -30,7 +30,7 @@
   { clock, nextRandom }: PluginContext,
   settings: ForwardingSettings,
   countRouters: () => number,
-): Pick<ExchangeParts, 'getBudget' | 'getDoor' | 'getPrefillSpeed' | 'getStallPolicy'> {
+): Pick<ExchangeParts, 'getBudget' | 'getDoor' | 'getPromptEstimates' | 'getStallPolicy'> {
   const startedMs = clock.getNowMs();
   return {
     getBudget: Registers.createRegister(() =>
@@ -43,7 +43,7 @@
       }),
     ),
     getDoor: Registers.createRegister(() => Decisions.createLatencyDoor({ nextRandom })),
-    getPrefillSpeed: Registers.createRegister(Decisions.createPrefillSpeed),
+    getPromptEstimates: Registers.createRegister(Decisions.createPromptEstimates),
     getStallPolicy: Registers.createRegister<StallPolicy>(Decisions.createStallPolicy),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -113,7 +113,7 @@
   function recordFirstEvent(ms: number): void {
     policy.recordFirstToken(target.id, ms, order.prefillTokens);
     if (order.promptsAhead !== 0) return;
-    parts.getPrefillSpeed(request.service).recordPrompt(order.prefillTokens, ms);
+    parts.getPromptEstimates(request.service).recordPrompt(order.prefillTokens, ms);
   }
 
   function recordEvents(): void {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -37,6 +37,7 @@
   request: ForwardRequest,
   excluded: ReadonlySet<string>,
 ): Promise<EnginePair | undefined> {
+  parts.getPromptEstimates(request.service).recordRequest(request.promptTokens);
   const ready = listReady(parts, request.service);
   const asked = new Set(excluded);
   for (let round = 0; round < MAX_ROUNDS; round += 1) {
@@ -173,9 +174,14 @@
   ready: readonly ForwardingTarget[],
 ): EnginePair | undefined {
   const { promptTokens } = request;
-  const prefillMsPerToken = parts.getPrefillSpeed(request.service).getMsPerToken();
-  const question = { views, zone: parts.zone, promptTokens, prefillMsPerToken };
-  const placement = Decisions.chooseEngines(question);
+  const estimates = parts.getPromptEstimates(request.service);
+  const placement = Decisions.chooseEngines({
+    views,
+    zone: parts.zone,
+    promptTokens,
+    usualPromptTokens: estimates.getUsualTokens(),
+    prefillMsPerToken: estimates.getMsPerToken(),
+  });
   const target = ready.find(({ id }) => id === placement?.target);
   if (placement === undefined || target === undefined) return undefined;
   const backup = hasBackups(parts, request)
