--- a/packages/sequoiarill-decisions/src/streamDoor.ts
+++ b/packages/sequoiarill-decisions/src/streamDoor.ts
@@ -9,6 +9,8 @@
  * engines that a load needs, callers had 0.42 of their worth in place of 0.31, mean of three days.
  */
 
+import type { DoorDecision } from './latencyDoor';
+
 export interface StreamDoorQuestion {
   /** Prompts that are read before at the best engine that was asked. */
   readonly promptsAhead: number;
@@ -18,9 +20,6 @@
   readonly objectiveMs: number;
 }
 
-export type StreamDoorDecision =
-  { readonly kind: 'admit' } | { readonly kind: 'refuse'; readonly retryAfterSeconds: number };
-
 /**
  * The rest is for prompts that the report did not tell yet, and for those that come beside the stream
  * later. With 0.8 callers had 0.35 of their worth where engines were short, with 0.6 they had 0.42.
@@ -28,7 +27,7 @@
 const EXPECTED_PART = 0.6;
 const MS_PER_SECOND = 1_000;
 
-export function decideStreamDoor(question: StreamDoorQuestion): StreamDoorDecision {
+export function decideStreamDoor(question: StreamDoorQuestion): DoorDecision {
   const { promptsAhead, firstEventMs, objectiveMs } = question;
   if (promptsAhead === 0) return { kind: 'admit' };
   const excessMs = firstEventMs - objectiveMs * EXPECTED_PART;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -1,6 +1,6 @@
 /** Finds the engine for a run, and the keeper of its copy, by asking a few of them. */
 import * as Decisions from '@sequoiarill/decisions';
-import type { EngineView, StreamDoorDecision } from '@sequoiarill/decisions';
+import type { DoorDecision, EngineView } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
 import * as Events from '../events';
@@ -11,7 +11,7 @@
   /** Prompts that the target reads first. */
   readonly promptsAhead: number;
   /** Whether a new stream is worth sending there. */
-  readonly door: StreamDoorDecision;
+  readonly door: DoorDecision;
   readonly target: ForwardingTarget;
   readonly backup: ForwardingTarget | undefined;
 }
