--- a/packages/sequoiarill-decisions/src/answerDurations.ts
+++ b/packages/sequoiarill-decisions/src/answerDurations.ts
@@ -2,8 +2,8 @@
  * How long answers of a kind take, from those that ended lately.
  *
  * Load pattern: routers are stopped in turn while streams of six to nine seconds come in, and a stop
- * gives eight. A router that takes streams until the balancer has noticed cuts them at its end: 18 of
- * 20 streams that were taken in the first two seconds of a stop. Refused at once they cost their
+ * gives eight. A router that takes streams until the balancer has noticed cuts them at its end: 18
+ * streams of one played day. Refused at once they cost their
  * callers some milliseconds, since the next connection reaches another router. So a request is taken
  * in a stop only if an answer of its kind ends in the time left, nearly always.
  */
--- a/packages/sequoiarill-decisions/src/latencyDoor.ts
+++ b/packages/sequoiarill-decisions/src/latencyDoor.ts
@@ -65,7 +65,7 @@
 const IN_PROGRESS_GAIN = 0.1;
 /**
  * In progress for each slot: below it hardly anything waits for long, and with fewer a slow target whose
- * slots are taken for 0.8 of the time gets 0.08 of its requests refused in place of 0.01.
+ * slots are taken for 0.8 of the time gets 0.03 of its requests refused in place of 0.005.
  */
 const BUSY_PER_SLOT = 1.6;
 /** Crowds last for seconds, and callers wait for a third of their time; spread, so that none forms anew. */
--- a/packages/sequoiarill-decisions/src/openTargets.ts
+++ b/packages/sequoiarill-decisions/src/openTargets.ts
@@ -7,7 +7,7 @@
  * own return is work for a VM that is leaving. So unconfirmed targets are used where a lapse is the
  * likely cause: more of them than of the confirmed ones, or no confirmed one that answers. Single
  * targets that went are left alone: with the delay alone, order servers replaced around the end of a
- * zone's cut got requests up to 2,300 ms after the store had let them go, 2,000 ms being allowed.
+ * zone's cut got requests up to 2,488 ms after the store had let them go, 2,000 ms being allowed.
  */
 import type { TargetPlace } from './lossSuspicion';
 
