Let routers that are short of repeats borrow what others have left

Cause: all routers share what a service may get in repeats, each a part by its own requests. On the small twin of the large deployment (18 routers, 10 engines, the bounds made smaller with them) a router has one or two in ten seconds. The same share holds at 195 routers, where the fixed part is 0.65 of a repeat each.

Ruled out: a larger share for each router (the sum would not keep the rule), a count kept in the store (calls are the largest price at this size), handing out whole repeats in advance (as coarse as the shares).

Change: a router that is short asks up to six others, its zone's first, for the missing part of a repeat; who lends counts it as spent, so that the sum keeps the rule without anybody counting it. An answer that is lost loses a repeat and adds none. The question goes over the peers' channel.

--- a/packages/sequoiarill-decisions/src/__tests__/fleetRepeats.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetRepeats.test.ts
@@ -24,6 +24,8 @@
   );
 }
 
+type TakeFrom = (router: number, nowMs: number) => boolean;
+
 interface Crash {
   readonly atMs: number;
   /** Streams that each router has to repeat. */
@@ -82,6 +84,46 @@
     expect(computeExcess(played.requestsMs, played.repeatsMs)).toBeLessThan(0);
   });
 
+  it('lets routers that are short borrow what their neighbours have left', () => {
+    // 195 routers and 33 streams a second: each router may repeat one or two in a window. A zone of five
+    // crashes every three seconds, and by chance some routers have several streams to repeat. One
+    // stream in seven was lost for that, while most of what all may repeat together was never used.
+    const routers = 195;
+    const playFleet = (takeRetry: (fleet: readonly FleetRepeats.FleetRepeats[]) => TakeFrom) => {
+      const fleet = createFleet(routers);
+      const take = takeRetry(fleet);
+      const nextRandom = Random.createRandom(11);
+      const pickRouter = () => Math.floor(nextRandom() * routers);
+      const requestsMs: number[] = [];
+      const repeatsMs: number[] = [];
+      let refused = 0;
+      for (let nowMs = 0; nowMs < 40_000; nowMs += 30) {
+        fleet[pickRouter()]?.recordRequest(nowMs);
+        requestsMs.push(nowMs);
+        const isCrash = nowMs >= 12_000 && nowMs % 3_000 === 0;
+        for (let stream = 0; isCrash && stream < 45; stream += 1) {
+          if (take(pickRouter(), nowMs)) repeatsMs.push(nowMs);
+          else refused += 1;
+        }
+      }
+      return { refused, repeats: repeatsMs.length, excess: computeExcess(requestsMs, repeatsMs) };
+    };
+    const alone = playFleet((fleet) => (router, nowMs) => fleet[router]?.takeRetry(nowMs) === true);
+    expect(alone.refused).toBeGreaterThan(alone.repeats * 0.15);
+    const nextLender = Random.createRandom(12);
+    const lending = playFleet((fleet) => (router, nowMs) => {
+      const budget = fleet[router];
+      const getMissing = () => 1 - (budget?.getBalance(nowMs) ?? 1);
+      for (let asked = 0; asked < 6 && getMissing() > 0; asked += 1) {
+        const lender = fleet[Math.floor(nextLender() * routers)];
+        budget?.recordBorrowed(nowMs, lender?.lendRepeats(nowMs, getMissing() + 0.01) ?? 0);
+      }
+      return budget?.takeRetry(nowMs) === true;
+    });
+    expect(lending.refused).toBeLessThan(lending.repeats * 0.02);
+    expect(lending.excess).toBeLessThan(0);
+  });
+
   it('keeps the rule for all when every router repeats as much as it may', () => {
     // Everything fails for seconds, and each router repeats all it can at the same moments.
     for (const routers of [7, 9, 88]) {
--- a/packages/sequoiarill-decisions/src/fleetRepeats.ts
+++ b/packages/sequoiarill-decisions/src/fleetRepeats.ts
@@ -9,6 +9,12 @@
  * in the form in which it holds for all: repeats of a window against requests of the same window. What
  * it earned in the seconds before the crash is there when it comes, and the sum over all routers
  * keeps the rule without anybody counting it.
+ *
+ * Load pattern: the same crash in a fleet of so many routers that each has one or two streams and a part
+ * below two repeats. Whoever has two streams in one crash, or one stream in two, is short, while most
+ * of the parts of its neighbours lie idle; one stream in ten fails for that alone. So a router that is
+ * short borrows the missing part of a repeat. The lender counts it as spent, and the sum still keeps
+ * the rule.
  */
 import type { RetryBudget } from './retryBudget';
 
@@ -29,6 +35,10 @@
   readonly releaseRetry: () => void;
   /** Repeats that the window allows, spent ones too. */
   readonly getCapacity: (nowMs: number) => number;
+  /** Gives as much of `wanted` as is left, parts of a repeat too; it counts as spent here. */
+  readonly lendRepeats: (nowMs: number, wanted: number) => number;
+  /** Another router has lent so much for the window that begins now. */
+  readonly recordBorrowed: (nowMs: number, repeats: number) => void;
 }
 
 /** For windows that do not match: requests and repeats of two routers fall into different ones. */
@@ -79,13 +89,15 @@
   const { ratio, slack, windowMs, countRouters, startedMs } = options;
   const requests = createSlidingCount(windowMs);
   const repeats = createSlidingCount(windowMs);
+  const borrowed = createSlidingCount(windowMs);
   let lastMs = startedMs;
 
   function getCapacity(nowMs: number): number {
     lastMs = Math.max(lastMs, nowMs);
     const share = (slack * SLACK_MARGIN) / Math.max(MIN_ROUTERS, countRouters());
     const part = nowMs - startedMs < windowMs ? FIRST_SHARE : 1;
-    return requests.read(lastMs, 'without') * ratio * RATIO_MARGIN + share * part;
+    const earned = requests.read(lastMs, 'without') * ratio * RATIO_MARGIN;
+    return earned + share * part + borrowed.read(lastMs, 'without');
   }
 
   function getBalance(nowMs: number): number {
@@ -107,5 +119,14 @@
     releaseRetry() {
       repeats.add(lastMs, -1);
     },
+    lendRepeats(nowMs, wanted) {
+      const lent = Math.max(0, Math.min(wanted, getBalance(nowMs)));
+      repeats.add(lastMs, lent);
+      return lent;
+    },
+    recordBorrowed(nowMs, lent) {
+      lastMs = Math.max(lastMs, nowMs);
+      borrowed.add(lastMs, lent);
+    },
   };
 }
--- a/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
@@ -64,7 +64,7 @@
 ) {
   return PeerNews.createPeerNews({
     state,
-    client: { readRecords, close: async () => undefined },
+    client: { readRecords },
     clock,
     logEvent: log.logEvent,
     nextRandom: () => 0.5,
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -1,4 +1,5 @@
-/** Reads the directory of other routers, over tRPC. */
+/** Reads the directory of other routers and borrows repeats of them, over tRPC. */
+import type { LoanOutcome, RepeatsLoan } from '@sequoiarill/types';
 import * as TrpcClient from '@trpc/client';
 import * as Undici from 'undici';
 
@@ -13,12 +14,15 @@
     afterRevision: number,
     waitMs?: number,
   ) => Promise<PeerAnswer>;
+  readonly borrowRepeats: (address: string, loan: RepeatsLoan) => Promise<LoanOutcome>;
   readonly close: () => Promise<void>;
 }
 
 /** A peer that lives answers within some milliseconds; one that is cut off must not hold others up. */
 const CALL_TIMEOUT_MS = 600;
 const CONNECT_TIMEOUT_MS = 400;
+/** A caller's stream stands still meanwhile, milliseconds; another peer can be asked. */
+const LOAN_TIMEOUT_MS = 80;
 /** To one peer: a question that waits for news must not hold up another one. */
 const CONNECTIONS = 2;
 
@@ -44,14 +48,27 @@
     };
   }
 
+  function createCaller(address: string, timeoutMs: number) {
+    const link = TrpcClient.httpLink<PeerRouter>({
+      url: `http://${address}`,
+      fetch: (input, init) => sendCall(String(input), String(init?.body ?? ''), timeoutMs),
+    });
+    return TrpcClient.createTRPCClient<PeerRouter>({ links: [link] });
+  }
+
   return {
+    async borrowRepeats(address, loan) {
+      const repeats = Math.min(loan.repeats, Messages.MAX_LOAN);
+      const caller = createCaller(address, LOAN_TIMEOUT_MS);
+      try {
+        const answer = await caller.lendRepeats.mutate({ ...loan, repeats });
+        return { kind: 'lent', repeats: Messages.loanAnswerSchema.parse(answer).repeats };
+      } catch (error) {
+        return { kind: 'failed', reason: (error as Error).message };
+      }
+    },
     async readRecords(address, afterRevision, waitMs = 0) {
-      const link = TrpcClient.httpLink<PeerRouter>({
-        url: `http://${address}`,
-        fetch: (input, init) =>
-          sendCall(String(input), String(init?.body ?? ''), CALL_TIMEOUT_MS + waitMs),
-      });
-      const client = TrpcClient.createTRPCClient<PeerRouter>({ links: [link] });
+      const client = createCaller(address, CALL_TIMEOUT_MS + waitMs);
       try {
         const answer = await client.readRecords.mutate({ afterRevision, waitMs });
         const { records, seenRevision, ageMs } = Messages.recordsAnswerSchema.parse(answer);
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -1,4 +1,4 @@
-/** Messages between routers about the directory; both sides check them. */
+/** Messages between routers; both sides check them. */
 import * as Zod from 'zod';
 
 import type { DirectoryRecord } from './recordLog';
@@ -28,6 +28,20 @@
 export type RecordsQuestion = Zod.infer<typeof recordsQuestionSchema>;
 export type RecordsAnswer = Zod.infer<typeof recordsAnswerSchema>;
 
+/** Most that is lent for one question: a repeat, and what a router keeps for its running streams. */
+export const MAX_LOAN = 3;
+
+export const loanQuestionSchema = Zod.object({
+  service: Zod.string().min(1),
+  repeats: Zod.number().min(0).max(MAX_LOAN),
+});
+
+export const loanAnswerSchema = Zod.object({
+  repeats: Zod.number().min(0).max(MAX_LOAN),
+});
+
+export type LoanAnswer = Zod.infer<typeof loanAnswerSchema>;
+
 /** What a question to a peer came to. */
 export type PeerAnswer =
   | {
--- a/packages/sequoiarill-plugin-directory/src/peerNews.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerNews.ts
@@ -15,7 +15,7 @@
 
 export interface PeerNewsOptions {
   readonly state: DirectoryState;
-  readonly client: PeerClient;
+  readonly client: Pick<PeerClient, 'readRecords'>;
   readonly clock: Clock;
   readonly logEvent: LogEvent;
   readonly nextRandom: () => number;
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -1,8 +1,8 @@
-/** Lets other routers read the directory of this one, over tRPC. */
+/** Lets other routers read the directory of this one and borrow repeats of it, over tRPC. */
 import * as Http from 'node:http';
 
 import * as Kernel from '@sequoiarill/kernel';
-import type { Clock } from '@sequoiarill/types';
+import type { Clock, RepeatsLoan } from '@sequoiarill/types';
 import * as Trpc from '@trpc/server';
 import * as Standalone from '@trpc/server/adapters/standalone';
 
@@ -20,6 +20,7 @@
   readonly state: Pick<DirectoryState, 'listRecordsAfter' | 'subscribe'>;
   readonly follower: Pick<StoreFollower, 'getSeenRevision' | 'getAgeMs'>;
   readonly clock: Pick<Clock, 'waitMs'>;
+  readonly lendRepeats: (loan: RepeatsLoan) => number;
 }
 
 /** Ends with news, after the time, or when what is known here gets too old to wait on it. */
@@ -47,6 +48,9 @@
           ageMs: Math.round(options.follower.getAgeMs()),
         };
       }),
+    lendRepeats: procedure
+      .input(Messages.loanQuestionSchema)
+      .mutation(({ input }): Messages.LoanAnswer => ({ repeats: options.lendRepeats(input) })),
   });
 }
 
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -1,6 +1,6 @@
 /** Plug-in `directory`: knows what is forwarded where and which targets live. */
 import * as Kernel from '@sequoiarill/kernel';
-import type { Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
+import type { Plugin, PluginContext, PluginInstance, RouterPeers } from '@sequoiarill/types';
 import * as Zod from 'zod';
 
 import * as DirectoryStates from './directoryState';
@@ -50,7 +50,11 @@
     ...readers,
     readPeer: client.readRecords,
   });
-  const server = PeerServers.createPeerServer({ state, follower, clock }, settings.listen);
+  let lender: Parameters<RouterPeers['setLender']>[0] | undefined;
+  const server = PeerServers.createPeerServer(
+    { state, follower, clock, lendRepeats: (loan) => lender?.(loan) ?? 0 },
+    settings.listen,
+  );
   const news = PeerNews.createPeerNews({
     state,
     client,
@@ -80,8 +84,27 @@
     return [...peers];
   }
 
+  /** Routers of this zone first: they answer soonest, and are there when the zone is cut off. */
+  function listNearest(): readonly string[] {
+    const { zone } = context.process;
+    const others = state.listRouters().filter(({ address }) => address !== settings.listen);
+    const places = others.map((router) => ({ router, place: nextRandom() }));
+    return places
+      .map(({ router, place }) => ({ router, place: router.zone === zone ? place : 1 + place }))
+      .sort((left, right) => left.place - right.place)
+      .map(({ router }) => router.address);
+  }
+
+  const peers: RouterPeers = {
+    listNearest,
+    borrowRepeats: client.borrowRepeats,
+    setLender(lendRepeats) {
+      lender = lendRepeats;
+    },
+  };
+
   return {
-    capabilities: { directory: { ...state, hasNews } },
+    capabilities: { directory: { ...state, hasNews }, peers },
     async start() {
       await server.start();
       running = Promise.all([
@@ -110,7 +133,7 @@
 export const plugin: Plugin<DirectorySettings> = {
   name: 'directory',
   settingsSchema,
-  provides: ['directory'],
+  provides: ['directory', 'peers'],
   needs: ['wire', 'keyValue'],
   events: Events.EVENTS,
   createInstance,
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -50,6 +50,8 @@
   readonly reports: Map<string, EngineReport>;
   /** Parts of prompts that engines keep. */
   readonly kept: Map<string, KeptParts>;
+  /** What other routers have left of the repeats. */
+  readonly lenders: Map<string, number>;
   /** Copies that were ordered and freed. */
   readonly orders: readonly string[];
 }
@@ -176,6 +178,7 @@
   const sent: SentCall[] = [];
   const reports = new Map<string, EngineReport>();
   const kept = new Map<string, KeptParts>();
+  const lenders = new Map<string, number>();
   const orders: string[] = [];
   let targets: readonly ForwardingTarget[] = [];
   let drawn = 0;
@@ -209,6 +212,14 @@
       countRouters: () => 1,
       subscribe: () => () => undefined,
     },
+    peers: {
+      listNearest: () => [...lenders.keys()],
+      async borrowRepeats(peer, { repeats }) {
+        const lent = Math.min(repeats, lenders.get(peer) ?? 0);
+        lenders.set(peer, (lenders.get(peer) ?? 0) - lent);
+        return { kind: 'lent', repeats: lent };
+      },
+    },
     book,
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log: { logEvent: () => undefined, close: () => undefined },
@@ -245,6 +256,7 @@
     sent,
     reports,
     kept,
+    lenders,
     orders,
     setTargets(next) {
       targets = next;
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -101,6 +101,13 @@
   'An order to an engine ended with an error of this program; the stream goes on without it.',
 );
 
+export const REPEATS_BORROWED = Kernel.defineEvent(
+  1922,
+  'info',
+  'repeats.borrowed',
+  "This router's part of the repeats was spent, and other routers were asked for what they had left.",
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -118,4 +125,5 @@
   STREAM_PLACED,
   STREAM_COPIED,
   ORDER_FAILED,
+  REPEATS_BORROWED,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -12,6 +12,7 @@
   ForwardingTarget,
   ForwardingWire,
   Metrics,
+  RouterPeers,
 } from '@sequoiarill/types';
 
 import type { BoundedLog } from './boundedLog';
@@ -28,6 +29,7 @@
   readonly nextRandom: () => number;
   readonly wire: ForwardingWire;
   readonly directory: Directory;
+  readonly peers: Pick<RouterPeers, 'listNearest' | 'borrowRepeats'>;
   readonly book: TargetBook;
   readonly chooser: TargetChooser;
   readonly log: BoundedLog;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -15,6 +15,7 @@
 import * as Fronts from './front/front';
 import type { RawHeader } from './front/headers';
 import * as Registers from './register';
+import * as RepeatLoans from './repeatLoans';
 import * as RouteTables from './front/routeTable';
 import type { RouteTable } from './front/routeTable';
 import { settingsSchema } from './settings';
@@ -52,6 +53,7 @@
   const { clock, logEvent, nextRandom } = context;
   const wire = context.getCapability('wire');
   const directory = context.getCapability('directory');
+  const peers = context.getCapability('peers');
   const log = BoundedLogs.createBoundedLog(logEvent, clock.getNowMs);
   const book = TargetBooks.createTargetBook(clock.getNowMs);
   const connections = TargetConnections.createTargetConnections();
@@ -109,6 +111,7 @@
     nextRandom,
     wire,
     directory,
+    peers,
     book,
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
@@ -126,6 +129,8 @@
     returns: Decisions.createReturnDetector(),
   };
 
+  peers.setLender((loan) => RepeatLoans.lendRepeats(parts, loan));
+
   function isCurrent(target: ForwardingTarget): boolean {
     return directory.findCurrent(target) !== undefined;
   }
@@ -179,7 +184,7 @@
   name: 'forwarding',
   settingsSchema,
   provides: [],
-  needs: ['wire', 'directory'],
+  needs: ['wire', 'directory', 'peers'],
   events: Events.EVENTS,
   createInstance,
 };
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
@@ -183,6 +183,32 @@
     expect(fake.sent[0]?.isCancelled).toEqual(true);
   });
 
+  it('goes on with a repeat that other routers had left', async () => {
+    // 195 routers share the repeats of a service, one or two each. A router whose part went into the
+    // crash before has another stream cut: its caller saw a broken answer, although the copy stood
+    // ready and most of the other routers' parts were never used.
+    const playCut = async (lenders: readonly (readonly [string, number])[]) => {
+      const fake: FakeParts = Fakes.createFakeParts((target) =>
+        target === 'a1' ? [...createRun(1, 3).slice(0, -1), [200, BROKEN]] : createRun(4, 6),
+      );
+      fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
+      fake.reports.set('a1', Fakes.IDLE_REPORT);
+      fake.reports.set('b1', { ...Fakes.IDLE_REPORT, running: 3 });
+      lenders.forEach(([router, repeats]) => fake.lenders.set(router, repeats));
+      fake.parts.getBudget('engines').lendRepeats(0, Number.POSITIVE_INFINITY);
+      return { played: await playStream(fake), lenders: fake.lenders };
+    };
+    const alone = await playCut([]);
+    expect(alone.played.outcome?.kind).toEqual('broken');
+    const lent = await playCut([
+      ['10.0.0.2:1', 0.1],
+      ['10.0.0.3:1', 0.8],
+      ['10.0.0.4:1', 0.9],
+    ]);
+    expect(lent.played.text).toEqual(formatAll(6));
+    expect(lent.lenders.get('10.0.0.4:1')).toEqual(0.9);
+  });
+
   it('does not go on at a copy whose engine is leaving', async () => {
     // The engine that keeps the copy begins to drain, and then the one that runs is lost. Sent to the
     // leaving one, the run would be cut again, and a VM that is leaving must get no new work.
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -7,6 +7,7 @@
 import type { AnswerHead, ForwardOutcome, ForwardRequest } from '../forwardRequest';
 import type { ForwardingParts } from '../parts';
 import * as Placement from '../answers/placement';
+import * as RepeatLoans from '../repeatLoans';
 import type { RunCopy } from './runCopies';
 
 export type StreamOutcome =
@@ -84,17 +85,28 @@
   if (plan?.kind === 'refused') return plan;
   if (plan === undefined) return decideEnd(progress, progress.lastReason, false);
   const isRepeat = progress.arrivals > 0;
-  if (isRepeat && !takeRepeat(progress, budget, nowMs)) {
+  if (isRepeat && !(await takeRepeat(parts, request, progress, budget))) {
     return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
   }
   return { ...plan, isRepeat };
 }
 
 /** A stream that its caller has begun to read goes before one that can still be refused. */
-function takeRepeat(progress: Progress, budget: FleetRepeats, nowMs: number): boolean {
-  const reserve = Math.min(REPEATS_FOR_STREAMS, budget.getCapacity(nowMs) * RESERVE_SHARE);
-  if (!progress.hasEvents && budget.getBalance(nowMs) < reserve + 1) return false;
-  return budget.takeRetry(nowMs);
+async function takeRepeat(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  { hasEvents }: Progress,
+  budget: FleetRepeats,
+): Promise<boolean> {
+  const { clock } = parts;
+  const reserve = Math.min(
+    REPEATS_FOR_STREAMS,
+    budget.getCapacity(clock.getNowMs()) * RESERVE_SHARE,
+  );
+  const needed = hasEvents ? 1 : 1 + reserve;
+  const hasEnough = (): boolean => budget.getBalance(clock.getNowMs()) >= needed;
+  if (!hasEnough()) await RepeatLoans.borrowRepeats(parts, request, budget, needed);
+  return hasEnough() && budget.takeRetry(clock.getNowMs());
 }
 
 /**
--- a/packages/sequoiarill-types/src/index.ts
+++ b/packages/sequoiarill-types/src/index.ts
@@ -6,4 +6,5 @@
 export type * from './keyValue';
 export type * from './membership';
 export type * from './orders';
+export type * from './peers';
 export type * from './plugins';
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -9,6 +9,7 @@
 import type { KeyValueStore } from './keyValue';
 import type { Membership } from './membership';
 import type { OrderRunner } from './orders';
+import type { RouterPeers } from './peers';
 
 /** Capabilities that plug-ins provide to each other; looked up once, at start. */
 export interface Capabilities {
@@ -20,6 +21,7 @@
   readonly membership: Membership;
   readonly wire: ForwardingWire;
   readonly directory: Directory;
+  readonly peers: RouterPeers;
 }
 
 export type CapabilityName = keyof Capabilities;
