Leave parts of libraries that no request reaches out of the platform's router

Cause: a router's start was 0.42 s of processor time and 94 MB, of which bare node takes 0.08 s and 40 MB. By a profile most of the rest is loading 6 MB of code: exporters of traces, a command line, undici's browser interfaces and test doubles, files of histograms and their WebAssembly twin. On a VM with 0.324 cores that is more than a second in which its callers wait after a restart, and 195 routers pay the memory.

Ruled out: V8's compile cache (0.38 to 0.40 s at 6 MB, and 10 MB more memory).

Change: the bundle puts empty classes in place of the named parts, and leaves white space out; function names stay for stack traces, licences go into a file beside it.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -27,6 +27,37 @@
   readFileSync(path.join(root, 'node_modules/moleculer/package.json'), 'utf8'),
 );
 
+/**
+ * Parts of libraries that this path never reaches. Most of a start is loading code: without these it takes
+ * half the time and memory, which counts where a small VM starts again and its callers wait.
+ */
+const unusedParts = [
+  // Exporters of traces, the runner's command line, and hot reloading.
+  { library: 'moleculer', parts: /^(node-fetch|args|glob)$/ },
+  // Forms with files.
+  { library: 'moleculer-web', parts: /^@fastify\/busboy$/ },
+  // Browser interfaces, test doubles, and caches of answers.
+  { library: 'undici', parts: /^\.\/lib\/(web|mock|cache)\// },
+  // Files of histograms, and their WebAssembly twin.
+  { library: 'hdr-histogram-js', parts: /^\.\/(HistogramLogReader|HistogramLogWriter|wasm)$/ },
+];
+
+/** Stands in for a part: classes without members, so that a use of one fails where it happens. */
+const EMPTY_PART = 'module.exports = new Proxy(class {}, { get: () => class {} });';
+
+const emptyParts = {
+  name: 'empty-parts',
+  setup(build) {
+    for (const { library, parts } of unusedParts) {
+      const folder = path.join(root, 'node_modules', library) + path.sep;
+      build.onResolve({ filter: parts }, ({ path: name, importer }) =>
+        importer.startsWith(folder) ? { path: name, namespace: 'empty-part' } : undefined,
+      );
+    }
+    build.onLoad({ filter: /.*/, namespace: 'empty-part' }, () => ({ contents: EMPTY_PART }));
+  },
+};
+
 await Esbuild.build({
   entryPoints: [path.join(root, 'platform/src/main.ts')],
   outfile: path.join(root, 'target/router.js'),
@@ -34,6 +65,10 @@
   platform: 'node',
   target: 'node20',
   external: Object.keys(peerDependencies).filter((name) => name !== 'pino'),
-  plugins: [workspaceSources],
+  plugins: [workspaceSources, emptyParts],
+  // Names stay as they are: stack traces are read by people.
+  minifyWhitespace: true,
+  minifySyntax: true,
+  legalComments: 'external',
   logLevel: 'warning',
 });
