End a watch whose wait no longer fits the routers that hang on it

A reader starts before it knows another router, so its first watch waits for up to 30 s; the wait was asked for once and kept for all later watches. In each calm second it then had nothing to tell, its followers took it for cut off, and all of them watched the store for four seconds.

Change: a watch ends when its wait is not the due one any more, and the next one has the right wait.

The test fails without the change.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
@@ -11,6 +11,9 @@
 import * as StoreFollowers from '../storeFollower';
 import * as Fixtures from './fixtures';
 
+/** Of a watch that names no wait of its own, milliseconds. */
+const LONGEST_WAIT_MS = 2_000;
+
 type Answer = 'answers' | 'unavailable';
 
 /** A store in the test's hands: its watches end when it becomes unavailable. */
@@ -26,13 +29,13 @@
       if (answer === 'unavailable') return { kind: 'unavailable', message: 'turned away' };
       return { kind: 'range', revision: 10, entries };
     },
-    async *watchPrefix(_prefix, _from, signal) {
+    async *watchPrefix(_prefix, _from, signal, waitMs = LONGEST_WAIT_MS) {
       while (!signal.aborted) {
         watchCalls += 1;
         if (answer === 'unavailable') return;
         const [event, ...later] = events;
         events = later;
-        if (event === undefined) await clock.waitMs(2_000, signal);
+        if (event === undefined) await clock.waitMs(waitMs, signal);
         yield event ?? { kind: 'changes', revision: 10, changes: [] };
       }
     },
@@ -78,11 +81,19 @@
   answers: boolean;
   ageMs: number;
   records: readonly KeyValueEntry[];
+  /** Of this router's own watches, while others hang on it. */
+  watchWaitMs: number | undefined;
 }
 
 /** Another router of the zone, in the test's hands. */
 function createReader(clock: Kernel.FakeClock) {
-  const state: ReaderState = { isUsed: false, answers: true, ageMs: 0, records: [] };
+  const state: ReaderState = {
+    isUsed: false,
+    answers: true,
+    ageMs: 0,
+    records: [],
+    watchWaitMs: undefined,
+  };
   let calls = 0;
   return {
     state,
@@ -92,7 +103,7 @@
       recordUnfit: () => {
         state.isUsed = false;
       },
-      getWatchWaitMs: () => undefined,
+      getWatchWaitMs: () => state.watchWaitMs,
       readPeer: async (_address: string, after: number, waitMs: number): Promise<PeerAnswer> => {
         calls += 1;
         const listNews = () => state.records.filter(({ revision }) => revision > after);
@@ -194,6 +205,29 @@
     await running;
   });
 
+  it('tells often enough that nothing changed, also when others came to hang on it later', async () => {
+    // All routers start at once. The one that is to read for its zone knows of nobody yet, and its first
+    // watch waits as long as it may. The others hang on it, find what it knows old in the first calm
+    // second, and each watches the store itself for seconds, again and again.
+    const { clock, fake, follower, reader } = createFollowed();
+    const stop = new AbortController();
+    fake.setEntries([createConfiguration(1, 5)]);
+    const running = follower.run(stop.signal);
+    await clock.runFor(100);
+    reader.state.watchWaitMs = StoreFollowers.READER_WAIT_MS;
+    fake.addEvent({ kind: 'changes', revision: 11, changes: [] });
+    await clock.runFor(LONGEST_WAIT_MS);
+    const ages: number[] = [];
+    for (let passedMs = 0; passedMs < 10_000; passedMs += 50) {
+      await clock.runFor(50);
+      ages.push(follower.getAgeMs());
+    }
+    expect(Math.max(...ages)).toBeLessThan(StoreFollowers.MAX_AGE_MS);
+    stop.abort();
+    await clock.runFor(5_000);
+    await running;
+  });
+
   it('learns from the reader of its zone, and makes no call of the store meanwhile', async () => {
     const { clock, fake, state, follower, reader } = createFollowed();
     const stop = new AbortController();
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -116,8 +116,15 @@
     seenRevision = Math.max(seenRevision, event.revision);
   }
 
-  /** After `ended` another watch goes on from there; after `historyGone` everything must be read. */
-  async function runWatch(signal: AbortSignal): Promise<'ended' | 'historyGone' | 'readerFound'> {
+  /**
+   * After `ended` and `changed` another watch goes on from there, after `historyGone` everything must be
+   * read.
+   *
+   * Failure: a router starts before it knows any other, and its watch waits as long as it may. Others
+   * come to hang on it, find what it knows old whenever nothing changes for a second, and all watch the
+   * store themselves. So a watch ends when its wait is not the one that is due any more.
+   */
+  async function runWatch(signal: AbortSignal): Promise<'ended' | 'historyGone' | 'changed'> {
     const waitMs = options.getWatchWaitMs();
     for await (const event of store.watchPrefix(WATCHED_PREFIX, seenRevision + 1, signal, waitMs)) {
       markAnswered();
@@ -128,7 +135,9 @@
       applyChanges(event);
       state.removeDue();
       if (event.changes.length > 0) await clock.waitMs(BATCH_PAUSE_MS, signal);
-      if (options.chooseReader() !== undefined) return 'readerFound';
+      if (options.chooseReader() !== undefined || options.getWatchWaitMs() !== waitMs) {
+        return 'changed';
+      }
     }
     return 'ended';
   }
