Say purposes, not measurements, in comments of the decisions

The comments told how constants were tuned and what callers got with other values. No code changed: the decisions' and the forwarding plug-in's tests pass as before (104 and 39).

--- a/packages/sequoiarill-decisions/src/concurrencyLimit.ts
+++ b/packages/sequoiarill-decisions/src/concurrencyLimit.ts
@@ -34,8 +34,7 @@
 
 /**
  * A wait that only comes up when engines have no slot free, and leaves a second for the queue before
- * them. Milliseconds. Chosen in saturation with the 80th percentile: goodput 0.947 of capacity and 0.013
- * wasted; 250 ms at the 90th gave 0.935 and 0.041 (docs/design/0003).
+ * them. Milliseconds; docs/design/0003 compares it with others.
  */
 export const DEFAULT_TARGET_MS = 30;
 /** Judged are the newest samples: three seconds of a small router, less of a busy one. */
@@ -56,8 +55,8 @@
 /** A longer silence counts as this, milliseconds. */
 const MAX_STEP_MS = 1_000;
 /**
- * Below this the targets are not what makes first tokens late. Without it the limit fell to 0.12 of
- * capacity at 70% load where a bad choice of target made first tokens late.
+ * Below this the targets are not what makes first tokens late. Without it a bad choice of target, which
+ * makes them late at any load, lowers the limit to a small part of the capacity.
  */
 const MIN_BUSY_SHARE = 0.93;
 /** The limit only rises while this share of it is in use: unused room proves nothing. */
--- a/packages/sequoiarill-decisions/src/demandTable.ts
+++ b/packages/sequoiarill-decisions/src/demandTable.ts
@@ -1,6 +1,6 @@
 /**
- * What other routers reported, small enough for every process of a node: 6,500 organisations at 32
- * routers are 0.8 MB as numbers in rows, and were 18 MB as maps of objects.
+ * What other routers reported, as numbers in rows: maps of objects for thousands of organisations at tens
+ * of routers would take more memory than a process has for control.
  */
 
 export interface DemandTable {
--- a/packages/sequoiarill-decisions/src/expectedWait.ts
+++ b/packages/sequoiarill-decisions/src/expectedWait.ts
@@ -28,10 +28,7 @@
 const PROBE_MS = 2_000;
 /** At most so many routers are taken to do what this one does. */
 const MAX_OTHERS_FACTOR = 3;
-/**
- * How far an estimate is usually off, slots. 0.1, 1, 2, 3 gave goodputs of 0.950, 0.957, 0.941, 0.934 in
- * saturation (docs/design/0003).
- */
+/** How far an estimate is usually off, slots; docs/design/0003 compares it with others. */
 const ESTIMATE_ERROR_SLOTS = 1;
 /** Beyond this the error makes no difference. */
 const MAX_SCALED = 12;
--- a/packages/sequoiarill-decisions/src/fairQueue.ts
+++ b/packages/sequoiarill-decisions/src/fairQueue.ts
@@ -53,8 +53,7 @@
 /**
  * How far an organisation that used less than its share may start before the others, in work over
  * weight. Without it one that asks for half of its share, but twice in a second, has its second request
- * put behind the backlog of those who ask for too much: worst share with few organisations 0.87
- * without and 0.93 with it (docs/design/0003).
+ * put behind the backlog of those who ask for too much.
  */
 const CREDIT = 8_000;
 /** Organisations with nothing waiting that are remembered for what they were charged. */
--- a/packages/sequoiarill-decisions/src/latencyDoor.ts
+++ b/packages/sequoiarill-decisions/src/latencyDoor.ts
@@ -40,11 +40,7 @@
   readonly decide: (question: DoorQuestion) => DoorDecision;
 }
 
-/**
- * Wanted latency as a part of the objective: leaves room for the spread of the work itself. This and the
- * next four were chosen together, in play of one target at 0.6 to 1.6 of its capacity: callers get 0.82
- * of their worth at 1.05, where they get 0.68 without a door, and 0.99 at 0.8 either way.
- */
+/** Wanted latency as a part of the objective: leaves room for the spread of the work itself. */
 const WANTED_PART = 0.55;
 /** Weight of a new latency: the last five or so count. */
 const LATENCY_GAIN = 0.2;
@@ -54,7 +50,7 @@
 const PROPORTIONAL_GAIN = 1;
 /**
  * A caller that comes back can only be served late; in its place one that is new is served on time. So
- * it is let in when the crowd has gone. With equal chances, callers get 0.72 of their worth at 1.05.
+ * it is let in when the crowd has gone.
  */
 const RETURNING_FACTOR = 8;
 /** Never everything: without answers nothing is learned. */
@@ -64,8 +60,8 @@
 /** Weight of one look at the requests in progress, at each arrival: the last ten count. */
 const IN_PROGRESS_GAIN = 0.1;
 /**
- * In progress for each slot: below it hardly anything waits for long, and with fewer a slow target whose
- * slots are taken for 0.8 of the time gets 0.03 of its requests refused in place of 0.005.
+ * In progress for each slot: below it hardly anything waits for long, and a target that is slow but not
+ * full must not have its requests refused.
  */
 const BUSY_PER_SLOT = 1.6;
 /** Crowds last for seconds, and callers wait for a third of their time; spread, so that none forms anew. */
--- a/packages/sequoiarill-decisions/src/openTargets.ts
+++ b/packages/sequoiarill-decisions/src/openTargets.ts
@@ -6,8 +6,8 @@
  * cut off sees the same when a target has left for good, and work that it sends there after its
  * own return is work for a VM that is leaving. So unconfirmed targets are used where a lapse is the
  * likely cause: more of them than of the confirmed ones, or no confirmed one that answers. Single
- * targets that went are left alone: with the delay alone, order servers replaced around the end of a
- * zone's cut got requests up to 2,488 ms after the store had let them go, 2,000 ms being allowed.
+ * targets that went are left alone: order servers that are replaced around the end of a zone's cut would
+ * get requests for longer than a leaving VM may.
  */
 import type { TargetPlace } from './lossSuspicion';
 
--- a/packages/sequoiarill-decisions/src/promptEstimates.ts
+++ b/packages/sequoiarill-decisions/src/promptEstimates.ts
@@ -16,7 +16,7 @@
   readonly getMsPerToken: () => number;
 }
 
-/** Until some were measured: engines of the sizes served read 6 to 10 tokens in a millisecond. */
+/** Until some were measured: eight tokens in a millisecond, as large engines read. */
 const INITIAL_MS_PER_TOKEN = 0.125;
 /** Until a request came: long rather than short, so that the first prompts are spread. */
 const INITIAL_TOKENS = 8_000;
--- a/packages/sequoiarill-decisions/src/streamDoor.ts
+++ b/packages/sequoiarill-decisions/src/streamDoor.ts
@@ -5,8 +5,7 @@
  * too few engines. All prompts queue, most first events are late, and each late stream still slows
  * those beside it, until nothing ends on time. So a stream whose first event would be late even at the
  * best of the engines that were asked is refused at once, and those that are taken end in time. Its
- * caller is told to come back when the prompts before it will have been read. With two thirds of the
- * engines that a load needs, callers had 0.42 of their worth in place of 0.31, mean of three days.
+ * caller is told to come back when the prompts before it will have been read.
  */
 
 import type { DoorDecision } from './latencyDoor';
@@ -21,8 +20,8 @@
 }
 
 /**
- * The rest is for prompts that the report did not tell yet, and for those that come beside the stream
- * later. With 0.8 callers had 0.35 of their worth where engines were short, with 0.6 they had 0.42.
+ * Part of the objective; the rest is for prompts that the report did not tell yet, and for those that come
+ * beside the stream later.
  */
 const EXPECTED_PART = 0.6;
 const MS_PER_SECOND = 1_000;
--- a/packages/sequoiarill-decisions/src/targetChooser.ts
+++ b/packages/sequoiarill-decisions/src/targetChooser.ts
@@ -17,7 +17,7 @@
   readonly other: number;
 }
 
-/** More gain nothing; without other zones a slow target costs 0.02 of capacity (docs/design/0003). */
+/** More gain nothing; some of other zones are needed where one of the own zone is slow. */
 const DEFAULT_SAMPLES: SampleCounts = { zone: 4, other: 2 };
 /** Targets where a stream of this router just ended, so that a slot is known to be free. */
 const MAX_FREED = 4;
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -97,10 +97,8 @@
 
   /**
    * Failure: engines crash and start again while the store is away. Their new lives are unknown, so the
-   * directory shrinks with each crash, and a stream meets one refusal after another: nine in a row were
-   * seen. A life met at a known address takes the place of the one before, until the store tells or
-   * does not confirm it. Over an outage of 8 s between crashes, one run each, callers had 80% of
-   * their benefit instead of 72%.
+   * directory shrinks with each crash, and a stream meets one refusal after another. A life met at a
+   * known address takes the place of the one before, until the store tells or does not confirm it.
    */
   function recordReplacement(replaced: ForwardingTarget, id: string): void {
     const key = `${wire.targetPrefix}${id}`;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/runCopies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/runCopies.ts
@@ -2,8 +2,8 @@
  * Keeps a copy of a run's memory at a second engine for as long as the run lasts.
  *
  * Failure: the engine that keeps the copy crashes, and some seconds later the one of the run does. The
- * stream then waits for its whole prompt to be read again: 1.2 to 3 s, where 0.7 are allowed, for half
- * of the late streams of a day on which zones crash in turn. So another copy is ordered as soon as the
+ * stream then waits for its whole prompt to be read again, longer than any pause that is on time; where
+ * zones crash in turn, half of the late streams come from that. So another copy is ordered as soon as the
  * keeper is known to be gone, and whenever a better place for it opens; the run goes on meanwhile.
  */
 import * as Decisions from '@sequoiarill/decisions';
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -41,11 +41,9 @@
 const PROBE_WAIT_MS = 35;
 /**
  * Failure: an engine goes dark while it reads a prompt. Nothing is due from it for seconds, so its
- * caller waits them out and then for the whole prompt once more; first events came 4.6 to 5.9 s after
- * the request. So an engine that owes a first event is asked whether it lives, so often in the time
+ * caller waits them out and then for the whole prompt once more; its first event is late. So an engine that owes a first event is asked whether it lives, so often in the time
  * that the first event may take: the loss is known early enough for another prompt, and most
- * prompts are read within one or two checks. Asked every 400 ms, callers had 0.009 less of their worth than
- * asked every 900, mean of 15 played days.
+ * prompts are read within one or two checks, which cost less than they save.
  */
 const CHECKS_PER_OBJECTIVE = 6;
 /** An answer to such a check may take this long, milliseconds, twice in a row. */
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -48,9 +48,9 @@
     promptsAhead: plan.promptsAhead,
   });
   /**
-   * Failure: an engine crashes while it reads a prompt. Its copy holds nothing to go on from, and the
-   * keeper refuses: 248 of 248 such sends were refused over 15 days, each a repeat that a stream in
-   * the middle may need a moment later.
+   * Failure: an engine crashes while it reads a prompt. Its copy begins with the first event, so the keeper
+   * has nothing to go on from and refuses; each such send is a repeat that a stream in the middle may
+   * need a moment later.
    */
   let hasMadeEvents = false;
   try {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetBook.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetBook.ts
@@ -50,8 +50,7 @@
 /**
  * An engine's report counts what it ran some hundred milliseconds ago. Failure: the runs that this
  * router sent just before are forgotten with each report, and the next prompt goes to the same engine,
- * whose neighbours idle; its first event comes a second later for each prompt before it. Reports
- * that were read 240 ms after a send did not count it yet.
+ * whose neighbours idle; its first event comes a second later for each prompt before it.
  */
 const REPORT_LAG_MS = 300;
 
