Ask about as many engines for a prompt in five zones as in three

Ruled out: keeping connections longer (the same router and engine meet about once a minute).

Change: two engines of the router's own zone and four of all others together, at least one of each. Three zones ask six as before, four zones five, five zones six in place of ten.

--- a/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
@@ -117,15 +117,21 @@
       })?.target;
     };
     const found = prompts.filter((prompt) => {
-      const sample = EnginePlacement.selectCandidates(engines, prompt, 2);
+      const sample = EnginePlacement.selectCandidates(engines, prompt, () => 2);
       expect(sample.length).toEqual(6);
       const first = choose(sample, 'a');
-      return choose(EnginePlacement.selectCandidates(engines, prompt, 2), 'b', first) === first;
+      return (
+        choose(
+          EnginePlacement.selectCandidates(engines, prompt, () => 2),
+          'b',
+          first,
+        ) === first
+      );
     });
     expect(found.length).toBeGreaterThan(180);
     const counts = new Map<string, number>();
     for (const prompt of prompts) {
-      for (const { id } of EnginePlacement.selectCandidates(engines, prompt, 2)) {
+      for (const { id } of EnginePlacement.selectCandidates(engines, prompt, () => 2)) {
         counts.set(id, (counts.get(id) ?? 0) + 1);
       }
     }
@@ -134,6 +140,26 @@
     expect(Math.min(...counts.values())).toBeGreaterThan(25);
   });
 
+  it('asks about as many engines in five zones as in three, and one of each zone', () => {
+    // Each question is a check at an engine and mostly a new connection. With two engines of each zone, a
+    // fleet of five zones asked ten engines for every prompt, and paid more for that than for copies.
+    const countAsked = (zones: readonly string[]) => {
+      const engines = Array.from({ length: 100 }, (_one, index) =>
+        createView({ id: `e${index}`, zone: zones[index % zones.length] ?? 'a' }),
+      );
+      const sample = EnginePlacement.selectCandidates(engines, 'prompt', (zone) =>
+        EnginePlacement.computeZoneSample(zone === 'a', zones.length),
+      );
+      const count = (zone: string) => sample.filter((engine) => engine.zone === zone).length;
+      return zones.map(count);
+    };
+    expect(countAsked(['a'])).toEqual([2]);
+    expect(countAsked(['a', 'b'])).toEqual([2, 2]);
+    expect(countAsked(['a', 'b', 'c'])).toEqual([2, 2, 2]);
+    expect(countAsked(['a', 'b', 'c', 'd'])).toEqual([2, 1, 1, 1]);
+    expect(countAsked(['a', 'b', 'c', 'd', 'e'])).toEqual([2, 1, 1, 1, 1]);
+  });
+
   it('counts kept parts of a prompt only behind all parts before them', () => {
     const parts = [
       { id: 'shared', tokens: 200 },
--- a/packages/sequoiarill-decisions/src/enginePlacement.ts
+++ b/packages/sequoiarill-decisions/src/enginePlacement.ts
@@ -77,8 +77,26 @@
   return ownMs + waitMs + streams * DISTURBED_STREAM_MS + zoneMs + roomMs;
 }
 
+/** Engines of the router's own zone that are asked for one prompt, and most of any zone. */
+const OWN_ZONE_SAMPLE = 2;
+/** Engines of all other zones together that are asked. */
+const OTHER_ZONES_SAMPLE = 4;
+
+/**
+ * How many engines of a zone are asked for one prompt.
+ *
+ * Load pattern: many zones. A question costs a check and mostly a connection, and two engines of each
+ * zone are as many as six in three zones but ten in five, which find no better place. So the number of
+ * zones hardly counts; one engine of each is asked, since whole zones go at once.
+ */
+export function computeZoneSample(isOwn: boolean, zones: number): number {
+  if (isOwn) return OWN_ZONE_SAMPLE;
+  const share = Math.floor(OTHER_ZONES_SAMPLE / Math.max(1, zones - 1));
+  return Math.min(OWN_ZONE_SAMPLE, Math.max(1, share));
+}
+
 /**
- * The engines that are asked for one prompt: of each zone the same few on every router.
+ * The engines that are asked for one prompt: of each zone the same first ones on every router.
  *
  * Load pattern: a router dies or is stopped, and the callers of its streams come back to other
  * routers for the rest. Asked at random, the engine that still keeps the prompt is found by luck, and
@@ -87,7 +105,7 @@
 export function selectCandidates<Engine extends { readonly id: string; readonly zone: string }>(
   engines: readonly Engine[],
   prompt: string,
-  countPerZone: number,
+  countIn: (zone: string) => number,
 ): readonly Engine[] {
   const digest = Names.hashName(prompt);
   const ranked = engines
@@ -98,7 +116,7 @@
     .filter(({ engine }) => {
       const count = (taken.get(engine.zone) ?? 0) + 1;
       taken.set(engine.zone, count);
-      return count <= countPerZone;
+      return count <= countIn(engine.zone);
     })
     .map(({ engine }) => engine);
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -16,19 +16,14 @@
   readonly backup: ForwardingTarget | undefined;
 }
 
-/**
- * Engines asked in one round, of each zone: enough to find an idle one of some tens and a keeper of the
- * copy in another zone also while a zone is down, and cheap beside a prefill.
- */
-const ZONE_SAMPLE = 2;
 /** Keepers of a copy among which one is drawn unasked, so that not all copies of a crash meet. */
 const BACKUP_SAMPLE = 2;
 /** Answers within a zone take a millisecond, between zones some. */
 const ANSWER_LIMIT_MS = 40;
 /**
- * After a crash of a zone most of the first round may be dead. Going on to others also where the best
- * one that answered was busy cost 0.012 of callers' worth, mean of 10 days: callers that come back
- * from a router that was lost look for their prompt among the first few.
+ * After a crash of a zone most of the first round may be dead. Where the best one that answered is busy,
+ * no others are asked: callers that come back from a router that was lost look for their prompt among
+ * the first few.
  */
 const MAX_ROUNDS = 3;
 
@@ -101,7 +96,11 @@
   const trusted = others.filter((other) => !parts.book.isSuspect(other));
   const pool = Decisions.selectKeepers(trusted, target.zone, parts.zone);
   // One of those that are asked for the prompt, so that a caller that comes back finds the copy's run.
-  const [first, second] = Decisions.selectCandidates(pool, getPromptKey(request), BACKUP_SAMPLE);
+  const [first, second] = Decisions.selectCandidates(
+    pool,
+    getPromptKey(request),
+    () => BACKUP_SAMPLE,
+  );
   return parts.nextRandom() < 0.5 ? (second ?? first) : first;
 }
 
@@ -131,7 +130,10 @@
   const fresh = ready.filter(({ id }) => !asked.has(id));
   const trusted = fresh.filter((target) => !parts.book.isSuspect(target));
   const pool = trusted.length > 0 ? trusted : fresh;
-  return Decisions.selectCandidates(pool, getPromptKey(request), ZONE_SAMPLE);
+  const zones = new Set(pool.map(({ zone }) => zone)).size;
+  return Decisions.selectCandidates(pool, getPromptKey(request), (zone) =>
+    Decisions.computeZoneSample(zone === parts.zone, zones),
+  );
 }
 
 /** The last part is the caller's own, and the same when it comes back under another request id. */
