Untie two circles of modules, of responses and of claims

A run of a generation and its cancelled end have a module of their own, so that live responses do not import the checks of requests, which need the front that holds the responses; where an order is claimed stands with the records that are written there.

--- a/packages/sequoiarill-plugin-callers/src/chat.ts
+++ b/packages/sequoiarill-plugin-callers/src/chat.ts
@@ -9,7 +9,8 @@
 import * as EventStreams from './eventStream';
 import type { Exchange, Front } from './exchange';
 import * as Generating from './generating';
-import type { GenerationRun } from './generating';
+import * as GenerationRuns from './generationRun';
+import type { GenerationRun } from './generationRun';
 import * as Metrics from './metrics';
 import * as Outcomes from './outcomes';
 import * as Refusals from './refusals';
@@ -95,7 +96,7 @@
       await EventStreams.waitDrain(exchange, clock, front.settings.writeTimeoutMs);
     }
     pending = '';
-    step = response.destroyed ? await run.return(Generating.CANCELLED) : await run.next();
+    step = response.destroyed ? await run.return(GenerationRuns.CANCELLED) : await run.next();
   }
   const outcome = step.value;
   if (!response.destroyed) response.end(pending + formatEnd(chunks, outcome));
--- a/packages/sequoiarill-plugin-callers/src/generating.ts
+++ b/packages/sequoiarill-plugin-callers/src/generating.ts
@@ -1,14 +1,7 @@
 /** From a checked request to the generation that answers it. */
 import * as Crypto from 'node:crypto';
 
-import type {
-  Configuration,
-  GenerationOutcome,
-  GenerationRequest,
-  Model,
-  Organisation,
-  TokenBatch,
-} from '@sequoiarill/types';
+import type { Configuration, GenerationRequest, Model, Organisation } from '@sequoiarill/types';
 
 import * as Bodies from './bodies';
 import type { Exchange, Front } from './exchange';
@@ -20,9 +13,6 @@
 const ID_BYTES = 24;
 const MS_PER_SECOND = 1_000;
 
-export type GenerationRun = AsyncGenerator<TokenBatch, GenerationOutcome, void>;
-export type GenerationStep = IteratorResult<TokenBatch, GenerationOutcome>;
-
 export function createRequestId(prefix: string): string {
   return `${prefix}_${Crypto.randomBytes(ID_BYTES).toString('hex')}`;
 }
@@ -88,9 +78,3 @@
 export function getCreatedSeconds(front: Front): number {
   return Math.floor(Date.parse(front.context.clock.getWallTime()) / MS_PER_SECOND);
 }
-
-/** The caller left or cancelled before the run told its own end. */
-export const CANCELLED: GenerationOutcome = {
-  kind: 'cancelled',
-  usage: { promptTokens: 0, completionTokens: 0 },
-};
--- a/packages/sequoiarill-plugin-callers/src/liveResponse.ts
+++ b/packages/sequoiarill-plugin-callers/src/liveResponse.ts
@@ -1,8 +1,8 @@
 /** One response from its first token to its end, independent of the connections that read it. */
 import type { GenerationOutcome, TokenBatch } from '@sequoiarill/types';
 
-import * as Generating from './generating';
-import type { GenerationRun, GenerationStep } from './generating';
+import * as GenerationRuns from './generationRun';
+import type { GenerationRun, GenerationStep } from './generationRun';
 import * as ResponseEvents from './responseEvents';
 import type { ResponseIdentity, ResponseView } from './responseEvents';
 import * as ResponseLogs from './responseLog';
@@ -87,7 +87,7 @@
       addBatch(step.value);
       if (!hasRoom(log)) await waitForRoom();
       const isCancelled = controller.signal.aborted;
-      step = isCancelled ? await run.return(Generating.CANCELLED) : await run.next();
+      step = isCancelled ? await run.return(GenerationRuns.CANCELLED) : await run.next();
     }
     return step.value;
   }
--- a/packages/sequoiarill-plugin-callers/src/responses.ts
+++ b/packages/sequoiarill-plugin-callers/src/responses.ts
@@ -4,7 +4,7 @@
 import type { Exchange, Front } from './exchange';
 import * as Faults from './faults';
 import * as Generating from './generating';
-import type { GenerationRun, GenerationStep } from './generating';
+import type { GenerationRun, GenerationStep } from './generationRun';
 import * as LiveResponses from './liveResponse';
 import type { LiveResponse } from './liveResponse';
 import * as Metrics from './metrics';
--- a/packages/sequoiarill-plugin-orders/src/claimRecords.ts
+++ b/packages/sequoiarill-plugin-orders/src/claimRecords.ts
@@ -4,6 +4,12 @@
 import type { OrderDone, OrderRequest } from '@sequoiarill/types';
 import * as Zod from 'zod';
 
+/** Where one order is claimed. */
+export interface ClaimPlace {
+  readonly claimKey: string;
+  readonly openKey: string;
+}
+
 /** What makes two orders the same one, or a wrong repeat of it. */
 export interface ClaimIdentity {
   readonly organisation: string;
--- a/packages/sequoiarill-plugin-orders/src/claimWriter.ts
+++ b/packages/sequoiarill-plugin-orders/src/claimWriter.ts
@@ -5,8 +5,7 @@
 
 import type { LeaseBuckets } from './claimLeases';
 import * as Records from './claimRecords';
-import type { ClaimRecord } from './claimRecords';
-import type { ClaimPlace } from './claims';
+import type { ClaimPlace, ClaimRecord } from './claimRecords';
 import type { TransactionBatcher } from './transactionBatches';
 
 export interface ClaimWriter {
--- a/packages/sequoiarill-plugin-orders/src/claims.ts
+++ b/packages/sequoiarill-plugin-orders/src/claims.ts
@@ -14,7 +14,7 @@
 
 import type { LeaseBuckets } from './claimLeases';
 import * as Records from './claimRecords';
-import type { ClaimIdentity, ClaimRecord } from './claimRecords';
+import type { ClaimIdentity, ClaimPlace, ClaimRecord } from './claimRecords';
 import type { ClaimWriter } from './claimWriter';
 import type { TransactionBatcher } from './transactionBatches';
 
@@ -63,12 +63,6 @@
   readonly createClaimId?: () => string;
 }
 
-/** Where one order is claimed. */
-export interface ClaimPlace {
-  readonly claimKey: string;
-  readonly openKey: string;
-}
-
 /** A claim as it was written. */
 interface WrittenClaim {
   readonly record: ClaimRecord;
