--- a/packages/sequoiarill-decisions/src/fleetRepeats.ts
+++ b/packages/sequoiarill-decisions/src/fleetRepeats.ts
@@ -4,10 +4,10 @@
  * Load pattern: a crash takes a third of the engines, and each router of a large fleet has two or three
  * streams to repeat in the same second. All routers together may repeat a share of the requests of a
  * window and a fixed number besides. A bucket that earns its share request by request lets a router
- * save up its part of the fixed number only, one or two repeats, and nearly half of the
- * streams of such a crash fail. So each router keeps the rule for itself, in the form in which it holds for all: repeats of a window against requests of the same window. What
- * it earned in the seconds before the crash is there when it comes, and the sum over all routers
- * keeps the rule without anybody counting it.
+ * save up its part of the fixed number only, one or two repeats, and nearly half of the streams of such a
+ * crash fail. So each router keeps the rule for itself, in the form in which it holds for all: repeats of
+ * a window against requests of the same window. What it earned in the seconds before the crash is there
+ * when it comes, and the sum over all routers keeps the rule without anybody counting it.
  *
  * Load pattern: the same crash in a fleet of so many routers that each has one or two streams and a part
  * below two repeats. Whoever has two streams in one crash, or one stream in two, is short, while most
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -41,9 +41,10 @@
 const PROBE_WAIT_MS = 35;
 /**
  * Failure: an engine goes dark while it reads a prompt. Nothing is due from it for seconds, so its
- * caller waits them out and then for the whole prompt once more; its first event is late. So an engine that owes a first event is asked whether it lives, so often in the time
- * that the first event may take: the loss is known early enough for another prompt, and most
- * prompts are read within one or two checks, which cost less than they save.
+ * caller waits them out and then for the whole prompt once more; its first event is late. So an engine
+ * that owes a first event is asked whether it lives, so often in the time that the first event may take:
+ * the loss is known early enough for another prompt, and most prompts are read within one or two checks,
+ * which cost less than they save.
  */
 const CHECKS_PER_OBJECTIVE = 6;
 /** An answer to such a check may take this long, milliseconds, twice in a row. */
