--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,7 @@
-/** Bundles the platform's router into one file: it starts faster and takes less memory. */
+/**
+ * Bundles the platform's router into one file: it starts faster and takes less memory.
+ * Argument: the file, instead of `target/router.js`.
+ */
 import { readFileSync } from 'node:fs';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -60,7 +63,7 @@
 
 await Esbuild.build({
   entryPoints: [path.join(root, 'platform/src/main.ts')],
-  outfile: path.join(root, 'target/router.js'),
+  outfile: process.argv[2] ?? path.join(root, 'target/router.js'),
   bundle: true,
   platform: 'node',
   target: 'node20',
