--- a/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
@@ -55,6 +55,17 @@
   return waits.sort((left, right) => left - right);
 }
 
+/** Beside other prompts of 8,000 tokens, at engines that read eight in a millisecond. */
+function chooseForPrompt(
+  question: Pick<EnginePlacement.EnginePlacementQuestion, 'views' | 'zone' | 'promptTokens'>,
+) {
+  return EnginePlacement.chooseEngines({
+    ...question,
+    usualPromptTokens: 8_000,
+    prefillMsPerToken: 0.125,
+  });
+}
+
 function pickAny(engines: readonly Engine[], nextRandom: () => number): Engine {
   return engines[Math.floor(nextRandom() * engines.length)] as Engine;
 }
@@ -80,13 +91,7 @@
       });
       const views = sample.map((engine) => createReport(engine, nowMs));
       const zone = ZONES[Math.floor(nextRandom() * 3)] ?? 'a';
-      const placed = EnginePlacement.chooseEngines({
-        views,
-        zone,
-        promptTokens: 8_000,
-        usualPromptTokens: 8_000,
-        prefillMsPerToken: 0.125,
-      });
+      const placed = chooseForPrompt({ views, zone, promptTokens: 8_000 });
       return engines.find(({ id }) => id === placed?.target) as Engine;
     });
     const p95 = Math.floor(alone.length * 0.95);
@@ -108,13 +113,7 @@
         ...addLoad(view),
         keptTokens: view.id === keeper ? 8_000 : 0,
       }));
-      return EnginePlacement.chooseEngines({
-        views,
-        zone,
-        promptTokens: 8_000,
-        usualPromptTokens: 8_000,
-        prefillMsPerToken: 0.125,
-      })?.target;
+      return chooseForPrompt({ views, zone, promptTokens: 8_000 })?.target;
     };
     const found = prompts.filter((prompt) => {
       const sample = EnginePlacement.selectCandidates(engines, prompt, () => 2);
@@ -184,13 +183,7 @@
       createView({ id: 'a2' }),
       createView({ id: 'b1', zone: 'b', running: 9 }),
     ];
-    const placed = EnginePlacement.chooseEngines({
-      views,
-      zone: 'a',
-      promptTokens: 8_000,
-      usualPromptTokens: 8_000,
-      prefillMsPerToken: 0.125,
-    });
+    const placed = chooseForPrompt({ views, zone: 'a', promptTokens: 8_000 });
     const expected = { target: 'a1', backup: 'b1', promptsAhead: 0, firstEventMs: 1_000 };
     expect(placed).toEqual(expected);
   });
@@ -203,38 +196,16 @@
       createView({ id: 'b1', zone: 'b' }),
       createView({ id: 'c1', zone: 'c', running: 4 }),
     ];
-    const placed = EnginePlacement.chooseEngines({
-      views,
-      zone: 'c',
-      promptTokens: 8_000,
-      usualPromptTokens: 8_000,
-      prefillMsPerToken: 0.125,
-    });
+    const placed = chooseForPrompt({ views, zone: 'c', promptTokens: 8_000 });
     const expected = { target: 'b1', backup: 'c1', promptsAhead: 0, firstEventMs: 1_000 };
     expect(placed).toEqual(expected);
   });
 
   it('takes a copy in the same zone over none, and no copy where there is one engine', () => {
     const two = [createView({ id: 'a1' }), createView({ id: 'a2' })];
-    expect(
-      EnginePlacement.chooseEngines({
-        views: two,
-        zone: 'a',
-        promptTokens: 100,
-        usualPromptTokens: 8_000,
-        prefillMsPerToken: 0.125,
-      })?.backup,
-    ).toEqual('a2');
+    expect(chooseForPrompt({ views: two, zone: 'a', promptTokens: 100 })?.backup).toEqual('a2');
     const one = [createView({ id: 'a1' })];
-    expect(
-      EnginePlacement.chooseEngines({
-        views: one,
-        zone: 'a',
-        promptTokens: 100,
-        usualPromptTokens: 8_000,
-        prefillMsPerToken: 0.125,
-      }),
-    ).toEqual({
+    expect(chooseForPrompt({ views: one, zone: 'a', promptTokens: 100 })).toEqual({
       target: 'a1',
       promptsAhead: 0,
       firstEventMs: 12.5,
@@ -256,13 +227,7 @@
       createView({ id: 'full', usedTokens: 80_000 }),
       createView({ id: 'busy', zone: 'b', prefilling: 2, running: 5 }),
     ];
-    const placed = EnginePlacement.chooseEngines({
-      views,
-      zone: 'a',
-      promptTokens: 8_000,
-      usualPromptTokens: 8_000,
-      prefillMsPerToken: 0.125,
-    });
+    const placed = chooseForPrompt({ views, zone: 'a', promptTokens: 8_000 });
     expect(placed?.target).toEqual('busy');
   });
 });
