--- a/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
@@ -30,6 +30,8 @@
         id: key.slice('targets/'.length),
         startedAtUnixMs: target.startedAtUnixMs ?? 1,
         service: 'engines',
+        version: 'v1',
+        models: 'm 1',
         address: target.address,
         zone: 'a',
         slots: 1,
--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -15,6 +15,7 @@
     follower: { getSeenRevision: () => 7, getAgeMs: () => 20 },
     clock: { waitMs: async () => undefined },
     lendRepeats,
+    handleReport: () => ({ isHalted: false, avoided: [] }),
   });
 }
 
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -56,11 +56,17 @@
   const learnedKeys = new Set<string>();
 
   function isRouter(key: string): boolean {
-    return key.startsWith(wire.ownPrefix);
+    return key.startsWith(`${wire.ownPrefix}routers/`);
+  }
+
+  function isTarget(key: string): boolean {
+    return key.startsWith(wire.targetPrefix);
   }
 
   function isOurs(key: string): boolean {
-    return key === wire.configurationKey || key.startsWith(wire.targetPrefix) || isRouter(key);
+    const isRollout = key.startsWith(wire.rolloutPrefix);
+    const isOwn = key.startsWith(wire.ownPrefix);
+    return key === wire.configurationKey || isTarget(key) || isRollout || isOwn;
   }
 
   function applyConfiguration(record: DirectoryRecord): void {
@@ -121,7 +127,7 @@
     if (!isOurs(record.key) || !log.addRecord(record)) return false;
     if (record.key === wire.configurationKey) applyConfiguration(record);
     else if (isRouter(record.key)) applyRouter(record);
-    else applyTarget(record);
+    else if (isTarget(record.key)) applyTarget(record);
     return true;
   }
 
@@ -134,7 +140,7 @@
     const changed = news.filter(applyRecord);
     if (changed.length === 0) return;
     reportChange();
-    const changedTargets = changed.filter(({ key }) => key.startsWith(wire.targetPrefix));
+    const changedTargets = changed.filter(({ key }) => isTarget(key));
     if (changedTargets.length === 0) return;
     const removed = changedTargets.filter(({ value }) => value === undefined).length;
     logEvent(Events.TARGETS_CHANGED, {
@@ -158,6 +164,8 @@
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
+    listEntries: (prefix) => log.listValues(prefix),
+    recordEntry: (entry) => applyRecords([entry]),
     applyRecords,
     applyAll(all, readRevision) {
       const present = new Set(all.map(({ key }) => key));
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -1,5 +1,5 @@
 /** Reads the directory of other routers and borrows repeats of them, over tRPC. */
-import type { LoanOutcome, RepeatsLoan } from '@sequoiarill/types';
+import type { GuidanceOutcome, LoanOutcome, RepeatsLoan, RolloutReport } from '@sequoiarill/types';
 import * as TrpcClient from '@trpc/client';
 import * as Undici from 'undici';
 
@@ -15,6 +15,7 @@
     waitMs?: number,
   ) => Promise<PeerAnswer>;
   readonly borrowRepeats: (address: string, loan: RepeatsLoan) => Promise<LoanOutcome>;
+  readonly sendReport: (address: string, report: RolloutReport) => Promise<GuidanceOutcome>;
   readonly close: () => Promise<void>;
 }
 
@@ -67,6 +68,15 @@
         return { kind: 'failed', reason: (error as Error).message };
       }
     },
+    async sendReport(address, report) {
+      const caller = createCaller(address, CALL_TIMEOUT_MS);
+      try {
+        const answer = await caller.reportRollout.mutate(Messages.encodeReport(report));
+        return { kind: 'guided', guidance: Messages.decodeGuidance(answer) };
+      } catch (error) {
+        return { kind: 'failed', reason: (error as Error).message };
+      }
+    },
     async readRecords(address, afterRevision, waitMs = 0) {
       const client = createCaller(address, CALL_TIMEOUT_MS + waitMs);
       try {
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -1,4 +1,5 @@
 /** Messages between routers; both sides check them. */
+import type { RolloutGuidance, RolloutReport } from '@sequoiarill/types';
 import * as Zod from 'zod';
 
 import type { DirectoryRecord } from './recordLog';
@@ -40,6 +41,33 @@
   repeats: Zod.number().min(0).max(MAX_LOAN),
 });
 
+/** Most rows of one report: a router sees few targets of a version on probation. */
+export const MAX_TALLIES = 200;
+const MAX_CLASSES = 32;
+
+const tallySchema = Zod.object({
+  route: Zod.string(),
+  target: Zod.string().optional(),
+  failures: Zod.number().int().min(0),
+  byLatency: Zod.array(Zod.number().int().min(0)).max(MAX_CLASSES),
+  waiting: Zod.array(Zod.number().int().min(0)).max(MAX_CLASSES),
+});
+
+export const reportQuestionSchema = Zod.object({
+  service: Zod.string().min(1),
+  orderRevision: Zod.number().int().min(0),
+  router: Zod.string().min(1),
+  elapsedMs: Zod.number().min(0),
+  leaving: Zod.number().int().min(0),
+  tallies: Zod.array(tallySchema).max(MAX_TALLIES),
+});
+
+export const guidanceSchema = Zod.object({
+  isHalted: Zod.boolean(),
+  avoided: Zod.array(Zod.string()),
+  state: Zod.object({ revision: Zod.number().int(), value: Zod.string() }).optional(),
+});
+
 export type LoanAnswer = Zod.infer<typeof loanAnswerSchema>;
 
 /** What a question to a peer came to. */
@@ -51,3 +79,33 @@
       readonly ageMs: number;
     }
   | { readonly kind: 'failed'; readonly reason: string };
+
+export function encodeReport(report: RolloutReport): Zod.infer<typeof reportQuestionSchema> {
+  const tallies = report.tallies.slice(0, MAX_TALLIES);
+  return {
+    ...report,
+    tallies: tallies.map((tally) => ({
+      ...tally,
+      byLatency: [...tally.byLatency],
+      waiting: [...tally.waiting],
+    })),
+  };
+}
+
+export function decodeReport({
+  tallies,
+  ...report
+}: Zod.infer<typeof reportQuestionSchema>): RolloutReport {
+  return {
+    ...report,
+    tallies: tallies.map(({ target, ...tally }) =>
+      target === undefined ? tally : { ...tally, target },
+    ),
+  };
+}
+
+/** Throws on what is no guidance. */
+export function decodeGuidance(answer: unknown): RolloutGuidance {
+  const { state, ...guidance } = guidanceSchema.parse(answer);
+  return state === undefined ? guidance : { ...guidance, state };
+}
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -2,7 +2,7 @@
 import * as Http from 'node:http';
 
 import * as Kernel from '@sequoiarill/kernel';
-import type { Clock, RepeatsLoan } from '@sequoiarill/types';
+import type { Clock, RepeatsLoan, RolloutGuidance, RolloutReport } from '@sequoiarill/types';
 import * as Trpc from '@trpc/server';
 import * as Standalone from '@trpc/server/adapters/standalone';
 
@@ -21,6 +21,7 @@
   readonly follower: Pick<StoreFollower, 'getSeenRevision' | 'getAgeMs'>;
   readonly clock: Pick<Clock, 'waitMs'>;
   readonly lendRepeats: (loan: RepeatsLoan) => number;
+  readonly handleReport: (report: RolloutReport) => RolloutGuidance;
 }
 
 /** Ends with news, after the time, or when what is known here gets too old to wait on it. */
@@ -51,6 +52,9 @@
     lendRepeats: procedure
       .input(Messages.loanQuestionSchema)
       .mutation(({ input }): Messages.LoanAnswer => ({ repeats: options.lendRepeats(input) })),
+    reportRollout: procedure
+      .input(Messages.reportQuestionSchema)
+      .mutation(({ input }): RolloutGuidance => options.handleReport(Messages.decodeReport(input))),
   });
 }
 
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -1,6 +1,12 @@
 /** Plug-in `directory`: knows what is forwarded where and which targets live. */
 import * as Kernel from '@sequoiarill/kernel';
-import type { Plugin, PluginContext, PluginInstance, RouterPeers } from '@sequoiarill/types';
+import type {
+  Plugin,
+  PluginContext,
+  PluginInstance,
+  RolloutGuidance,
+  RouterPeers,
+} from '@sequoiarill/types';
 import * as Zod from 'zod';
 
 import * as DirectoryStates from './directoryState';
@@ -20,6 +26,7 @@
   seeds: Kernel.listSchema.default([]),
 });
 
+const NO_GUIDANCE: RolloutGuidance = { isHalted: false, avoided: [] };
 /** A shorter silence of the store is no outage; a restart takes longer as well. Milliseconds. */
 const NEWS_MS = 1_000;
 
@@ -51,8 +58,15 @@
     readPeer: client.readRecords,
   });
   let lender: Parameters<RouterPeers['setLender']>[0] | undefined;
+  let reportHandler: Parameters<RouterPeers['setReportHandler']>[0] = () => NO_GUIDANCE;
   const server = PeerServers.createPeerServer(
-    { state, follower, clock, lendRepeats: (loan) => lender?.(loan) ?? 0 },
+    {
+      state,
+      follower,
+      clock,
+      lendRepeats: (loan) => lender?.(loan) ?? 0,
+      handleReport: (report) => reportHandler(report),
+    },
     settings.listen,
   );
   const news = PeerNews.createPeerNews({
@@ -101,6 +115,12 @@
     setLender(lendRepeats) {
       lender = lendRepeats;
     },
+    self: settings.listen,
+    listRouters: () => state.listRouters().map(({ address }) => address),
+    sendReport: client.sendReport,
+    setReportHandler(handleReport) {
+      reportHandler = handleReport;
+    },
   };
 
   return {
--- a/packages/sequoiarill-plugin-directory/src/recordLog.ts
+++ b/packages/sequoiarill-plugin-directory/src/recordLog.ts
@@ -1,5 +1,7 @@
 /** Records by key, newest revision first come; removed keys are remembered for a while. */
 
+import type { StoredEntry } from '@sequoiarill/types';
+
 /** One key as somebody saw it. Without a value it was removed at that revision. */
 export interface DirectoryRecord {
   readonly key: string;
@@ -12,6 +14,8 @@
   readonly addRecord: (record: DirectoryRecord) => boolean;
   /** Highest revision of a record that was added. */
   readonly getRevision: () => number;
+  /** Keys under a prefix that have a value. */
+  readonly listValues: (prefix: string) => readonly StoredEntry[];
   readonly listAfter: (revision: number) => readonly DirectoryRecord[];
   /** Keys that have a value here at or below a revision and are not among those given. */
   readonly listMissing: (present: ReadonlySet<string>, revision: number) => readonly string[];
@@ -50,6 +54,10 @@
       return true;
     },
     getRevision: () => revision,
+    listValues: (prefix) =>
+      [...records.values()].flatMap(({ key, revision: changed, value }) =>
+        value !== undefined && key.startsWith(prefix) ? [{ key, revision: changed, value }] : [],
+      ),
     listAfter: (after) => [...records.values()].filter((one) => one.revision > after),
     listMissing: (present, upTo) =>
       [...records.values()]
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -61,6 +61,8 @@
     id,
     startedAtUnixMs: 1,
     service: 'engines',
+    version: 'v1',
+    models: 'm 1',
     address: `10.0.0.1:${id}`,
     zone: 'a',
     slots: 8,
@@ -103,6 +105,7 @@
     isReturning: false,
     promptTokens: 8_000,
     promptParts: [],
+    versionDraw: 0.5,
     closed: new AbortController().signal,
   };
 }
@@ -211,6 +214,8 @@
       recordReplacement: () => undefined,
       countRouters: () => 1,
       subscribe: () => () => undefined,
+      listEntries: () => [],
+      recordEntry: () => undefined,
     },
     peers: {
       listNearest: () => [...lenders.keys()],
@@ -220,6 +225,11 @@
         return { kind: 'lent', repeats: lent };
       },
     },
+    rollouts: {
+      selectTargets: (all) => all,
+      isLeaving: () => false,
+      recordSend: () => () => undefined,
+    },
     book,
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log: { logEvent: () => undefined, close: () => undefined },
--- a/packages/sequoiarill-plugin-forwarding/src/answers/answerChecks.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/answerChecks.ts
@@ -31,6 +31,11 @@
   return !hasLength && !isChunked && head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
 }
 
+/** The target failed; 4xx answers lie in the request. */
+export function isServerError(status: number): boolean {
+  return status >= 500;
+}
+
 export function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -6,6 +6,15 @@
 import type { ForwardRequest } from '../forwardRequest';
 import type { ForwardingParts } from '../parts';
 
+/** Targets that new work of the request may go to. */
+export function listOpen(
+  { book, directory, rollouts }: Pick<ForwardingParts, 'book' | 'directory' | 'rollouts'>,
+  { service, versionDraw }: Pick<ForwardRequest, 'service' | 'versionDraw'>,
+): readonly ForwardingTarget[] {
+  const allowed = rollouts.selectTargets(directory.listTargets(service), versionDraw);
+  return Decisions.selectOpen(allowed, book.isSuspect);
+}
+
 export interface PlacementQuestion {
   readonly request: ForwardRequest;
   /** Identities of targets that were tried already. */
@@ -26,8 +35,7 @@
   question: PlacementQuestion,
 ): ForwardingTarget | undefined {
   const { book } = parts;
-  const all = parts.directory.listTargets(question.request.service);
-  const ready = Decisions.selectOpen(all, book.isSuspect);
+  const ready = listOpen(parts, question.request);
   const fresh = ready.filter((target) => !question.excluded.has(target.id));
   const views = fresh.map(book.buildView);
   const trusted = pickTarget(parts, fresh, views, question);
--- a/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -1,5 +1,5 @@
 /** One send of a request whose answer is taken as a whole. */
-import type { ForwardingTarget } from '@sequoiarill/types';
+import type { ForwardingTarget, VersionEnd } from '@sequoiarill/types';
 
 import * as Checks from './answerChecks';
 import type { AnswerHead, ForwardRequest, SendOutcome } from '../forwardRequest';
@@ -27,6 +27,12 @@
   return outcome.kind === 'expired' ? 'time is up' : outcome.reason;
 }
 
+/** What a send says of the version of its target. */
+export function decideVersionEnd(outcome: SendOutcome): VersionEnd {
+  if (outcome.kind !== 'whole') return 'unknown';
+  return Checks.isServerError(outcome.head.status) ? 'failed' : 'answered';
+}
+
 /** The target did not take the request: it is full, or another life has its address. */
 export function recordNotRun(
   { book }: ForwardingParts,
--- a/packages/sequoiarill-plugin-forwarding/src/answers/serviceDoor.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/serviceDoor.ts
@@ -1,13 +1,13 @@
 /** The door before each plain service: what it is asked, and what it learns from each send. */
-import * as Decisions from '@sequoiarill/decisions';
 import type { DoorDecision, LatencyDoor } from '@sequoiarill/decisions';
 
 import type { ForwardRequest, SendOutcome } from '../forwardRequest';
 import type { ForwardingParts } from '../parts';
+import * as Placement from './placement';
 
 export function decideDoor(parts: ForwardingParts, request: ForwardRequest): DoorDecision {
   const { book, directory } = parts;
-  const open = Decisions.selectOpen(directory.listTargets(request.service), book.isSuspect);
+  const open = Placement.listOpen(parts, request);
   const usable = open.filter((target) => !book.isSuspect(target));
   return parts.getDoor(request.service).decide({
     slots: usable.reduce((sum, { slots }) => sum + slots, 0),
--- a/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
@@ -1,6 +1,7 @@
 /** Gets the whole answer to a request that is no stream, from one target or, where allowed, more. */
 import type { ForwardingTarget } from '@sequoiarill/types';
 
+import * as Checks from './answerChecks';
 import * as Events from '../events';
 import type { ForwardOutcome, ForwardRequest, SendOutcome } from '../forwardRequest';
 import * as Metrics from '../metrics';
@@ -15,8 +16,6 @@
 const REPEAT_SHARE = 0.45;
 /** A target that failed this way is tried again in this time, seconds. */
 const RETRY_AFTER_SECONDS = 0.3;
-/** Server errors of a request that may be repeated are worth another target. */
-const SERVER_ERROR = 500;
 /** The same failure from a second target lies in the request, and is the answer. */
 const MAX_SERVER_ERRORS = 1;
 
@@ -75,9 +74,12 @@
 ): Promise<SendOutcome> {
   const door = parts.getDoor(request.service);
   const sentAtMs = parts.clock.getNowMs();
+  const { name: route, objectiveMs } = request.route;
+  const recordEnd = parts.rollouts.recordSend({ target, route, objectiveMs });
   door.recordStart();
   const outcome = await Sending.sendOnce(parts, request, target, limitMs);
   ServiceDoors.recordSend(door, request, outcome, sentAtMs, parts.clock.getNowMs());
+  recordEnd(Sending.decideVersionEnd(outcome));
   return outcome;
 }
 
@@ -146,7 +148,7 @@
   if (outcome.kind === 'notRun') return undefined;
   progress.mayHaveRun = true;
   if (outcome.kind === 'whole') {
-    if (isOnce || outcome.head.status < SERVER_ERROR) {
+    if (isOnce || !Checks.isServerError(outcome.head.status)) {
       return { kind: 'answer', head: outcome.head, body: outcome.body };
     }
     progress.lastFailure = outcome;
@@ -169,7 +171,7 @@
   status: number,
   progress: Progress,
 ): void {
-  if (status >= SERVER_ERROR) {
+  if (Checks.isServerError(status)) {
     progress.failedTarget ??= target;
     return;
   }
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -27,6 +27,8 @@
   readonly promptTokens: number;
   /** None where the request names none. */
   readonly promptParts: readonly PromptPart[];
+  /** Uniform in [0, 1): decides which version of its service runs it while one is rolled out. */
+  readonly versionDraw: number;
   /** Aborted when the caller has left. */
   readonly closed: AbortSignal;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -186,6 +186,7 @@
     ...(lastEventId === undefined ? {} : { lastEventId }),
     promptTokens: Number.isFinite(promptTokens) ? promptTokens : 0,
     promptParts: parts.wire.decodePromptParts(Headers.findSingle(headers, names.promptParts) ?? ''),
+    versionDraw: parts.nextRandom(),
     closed: received.closed,
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -12,6 +12,7 @@
   ForwardingTarget,
   ForwardingWire,
   Metrics,
+  Rollouts,
   RouterPeers,
 } from '@sequoiarill/types';
 
@@ -30,6 +31,7 @@
   readonly wire: ForwardingWire;
   readonly directory: Directory;
   readonly peers: Pick<RouterPeers, 'listNearest' | 'borrowRepeats'>;
+  readonly rollouts: Pick<Rollouts, 'selectTargets' | 'isLeaving' | 'recordSend'>;
   readonly book: TargetBook;
   readonly chooser: TargetChooser;
   readonly log: BoundedLog;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -54,6 +54,7 @@
   const wire = context.getCapability('wire');
   const directory = context.getCapability('directory');
   const peers = context.getCapability('peers');
+  const rollouts = context.getCapability('rollouts');
   const log = BoundedLogs.createBoundedLog(logEvent, clock.getNowMs);
   const book = TargetBooks.createTargetBook(clock.getNowMs);
   const connections = TargetConnections.createTargetConnections();
@@ -112,6 +113,7 @@
     wire,
     directory,
     peers,
+    rollouts,
     book,
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
@@ -129,6 +131,7 @@
     returns: Decisions.createReturnDetector(),
   };
 
+  rollouts.setInFlightReader(book.getInFlight);
   peers.setLender((loan) => RepeatLoans.lendRepeats(parts, loan));
 
   function isCurrent(target: ForwardingTarget): boolean {
@@ -184,7 +187,7 @@
   name: 'forwarding',
   settingsSchema,
   provides: [],
-  needs: ['wire', 'directory', 'peers'],
+  needs: ['wire', 'directory', 'peers', 'rollouts'],
   events: Events.EVENTS,
   createInstance,
 };
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/playStream.ts
@@ -0,0 +1,58 @@
+/** Plays streamed answers in virtual time. */
+import * as StreamAnswers from '../streamAnswer';
+import type { StreamOutcome } from '../streamPlan';
+import * as Fakes from '../../__tests__/fakeParts';
+import type { FakeParts, Script } from '../../__tests__/fakeParts';
+
+export const END: Script[number][1] = { kind: 'end' };
+
+export interface Played {
+  readonly outcome: StreamOutcome | undefined;
+  readonly text: string;
+  /** Longest time between two events, milliseconds. */
+  readonly maxGapMs: number;
+}
+
+/** Runs one request to its end in virtual time. */
+export async function playStream(fake: FakeParts, limitMs = 30_000): Promise<Played> {
+  const request = Fakes.createRequest(Fakes.createRoute());
+  const answer = StreamAnswers.runStreamAnswer(fake.parts, request);
+  const pieces: string[] = [];
+  let outcome: StreamOutcome | undefined;
+  let lastMs: number | undefined;
+  let maxGapMs = 0;
+  const reading = (async () => {
+    for (;;) {
+      const step = await answer.next();
+      if (step.done === true) {
+        outcome = step.value;
+        return;
+      }
+      if (step.value.kind === 'events') {
+        const nowMs = fake.clock.getNowMs();
+        maxGapMs = Math.max(maxGapMs, nowMs - (lastMs ?? nowMs));
+        lastMs = nowMs;
+        pieces.push(step.value.bytes.toString());
+      }
+    }
+  })();
+  await fake.clock.runFor(limitMs);
+  if (outcome !== undefined) await reading;
+  return { outcome, text: pieces.join(''), maxGapMs };
+}
+
+export function formatAll(count: number): string {
+  return Array.from({ length: count }, (_one, index) => index + 1)
+    .map((number) => `id: ${number}\ndata: ${number}\n\n`)
+    .join('');
+}
+
+/** Events of a whole run from one number on. */
+export function createRun(from: number, to: number): Script {
+  const events = Fakes.createEvents(from, to, 30, 60);
+  return [[50, Fakes.createHead(200)], ...events, [60 + (to - from) * 30 + 1, END]];
+}
+
+export function createFromHeader(headers: Readonly<Record<string, string>>): number {
+  return Number(headers.last ?? 0) + 1;
+}
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
@@ -2,80 +2,27 @@
 
 import { expect } from 'earl';
 
-import * as StreamAnswers from '../streamAnswer';
-import type { StreamOutcome } from '../streamPlan';
+import * as Played from './playStream';
 import * as Fakes from '../../__tests__/fakeParts';
 import type { FakeParts, Script } from '../../__tests__/fakeParts';
 
-const END: Script[number][1] = { kind: 'end' };
 const BROKEN: Script[number][1] = { kind: 'broken', reason: 'ECONNRESET' };
 
-interface Played {
-  readonly outcome: StreamOutcome | undefined;
-  readonly text: string;
-  /** Longest time between two events, milliseconds. */
-  readonly maxGapMs: number;
-}
-
-/** Runs one request to its end in virtual time. */
-async function playStream(fake: FakeParts, limitMs = 30_000): Promise<Played> {
-  const request = Fakes.createRequest(Fakes.createRoute());
-  const answer = StreamAnswers.runStreamAnswer(fake.parts, request);
-  const pieces: string[] = [];
-  let outcome: StreamOutcome | undefined;
-  let lastMs: number | undefined;
-  let maxGapMs = 0;
-  const reading = (async () => {
-    for (;;) {
-      const step = await answer.next();
-      if (step.done === true) {
-        outcome = step.value;
-        return;
-      }
-      if (step.value.kind === 'events') {
-        const nowMs = fake.clock.getNowMs();
-        maxGapMs = Math.max(maxGapMs, nowMs - (lastMs ?? nowMs));
-        lastMs = nowMs;
-        pieces.push(step.value.bytes.toString());
-      }
-    }
-  })();
-  await fake.clock.runFor(limitMs);
-  if (outcome !== undefined) await reading;
-  return { outcome, text: pieces.join(''), maxGapMs };
-}
-
-function formatAll(count: number): string {
-  return Array.from({ length: count }, (_one, index) => index + 1)
-    .map((number) => `id: ${number}\ndata: ${number}\n\n`)
-    .join('');
-}
-
-/** Events of a whole run from one number on. */
-function createRun(from: number, to: number): Script {
-  const events = Fakes.createEvents(from, to, 30, 60);
-  return [[50, Fakes.createHead(200)], ...events, [60 + (to - from) * 30 + 1, END]];
-}
-
-function createFromHeader(headers: Readonly<Record<string, string>>): number {
-  return Number(headers.last ?? 0) + 1;
-}
-
 describe('a streamed answer', () => {
   it('goes to another engine at once when the one that reads the prompt goes dark', async () => {
     // An engine takes a prompt and goes dark without closing anything. Nothing is due from it for
     // 2.6 s, so the caller used to wait for that, and then for the whole prompt at the next engine:
     // its first event was late. Asked whether it lives, the engine is left within a second.
     const fake: FakeParts = Fakes.createFakeParts((target) => {
-      if (target !== 'a1') return createRun(1, 6);
+      if (target !== 'a1') return Played.createRun(1, 6);
       fake.reports.delete('a1');
       return [];
     });
     fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
     fake.reports.set('a1', Fakes.IDLE_REPORT);
     fake.reports.set('b1', { ...Fakes.IDLE_REPORT, running: 3 });
-    const played = await playStream(fake);
-    expect(played.text).toEqual(formatAll(6));
+    const played = await Played.playStream(fake);
+    expect(played.text).toEqual(Played.formatAll(6));
     expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b1']);
     expect(fake.sent[1]?.atMs ?? Infinity).toBeLessThan(1_000);
   });
@@ -84,12 +31,12 @@
     // The keeper of the copy crashes and comes back as another life; two seconds later the engine of
     // the run crashes too. Without a second copy the prompt is read anew and the pause is seconds.
     const fake: FakeParts = Fakes.createFakeParts((target, headers) => {
-      const from = createFromHeader(headers);
+      const from = Played.createFromHeader(headers);
       if (target !== 'a1') {
         const isFromCopy = headers.from === '10.0.0.1:a1/h1';
         const startMs = isFromCopy ? 60 : 1_500;
         const events = Fakes.createEvents(from, 60, 30, startMs);
-        return [[50, Fakes.createHead(200)], ...events, [startMs + 30 * (61 - from), END]];
+        return [[50, Fakes.createHead(200)], ...events, [startMs + 30 * (61 - from), Played.END]];
       }
       return [[50, Fakes.createHead(200)], ...Fakes.createEvents(1, 40, 30, 60), [1_300, BROKEN]];
     });
@@ -99,10 +46,10 @@
     [a1, b1, c1].forEach(({ id }, running) =>
       fake.reports.set(id, { ...Fakes.IDLE_REPORT, running }),
     );
-    const playing = playStream(fake);
+    const playing = Played.playStream(fake);
     fake.setTargets([a1, c1]);
     const played = await playing;
-    expect(played.text).toEqual(formatAll(60));
+    expect(played.text).toEqual(Played.formatAll(60));
     expect(played.maxGapMs).toBeLessThan(700);
     expect(fake.orders).toEqual(['a1 to c1']);
     expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'c1']);
@@ -114,14 +61,14 @@
     // back to a in time saves the caller from waiting for its prompt once more.
     const lastMs = 60 + 79 * 30;
     const fake: FakeParts = Fakes.createFakeParts((target, headers) => {
-      const from = createFromHeader(headers);
+      const from = Played.createFromHeader(headers);
       if (target === 'b1') {
         return [[50, Fakes.createHead(200)], ...Fakes.createEvents(1, 80, 30, 60)];
       }
       if (target !== 'a1') return [];
       const startMs = headers.from === '10.0.0.1:b1/h1' ? 60 : 1_500;
       const events = Fakes.createEvents(from, 120, 30, startMs);
-      return [[50, Fakes.createHead(200)], ...events, [startMs + 30 * (121 - from), END]];
+      return [[50, Fakes.createHead(200)], ...events, [startMs + 30 * (121 - from), Played.END]];
     });
     const [b1, c1] = [
       Fakes.createTarget('b1', { zone: 'b' }),
@@ -138,8 +85,8 @@
       fake.reports.delete('b1');
       fake.reports.delete('c1');
     });
-    const [played] = await Promise.all([playStream(fake), zoneBack, zoneCut]);
-    expect(played.text).toEqual(formatAll(120));
+    const [played] = await Promise.all([Played.playStream(fake), zoneBack, zoneCut]);
+    expect(played.text).toEqual(Played.formatAll(120));
     expect(played.maxGapMs).toBeLessThan(700);
     expect(fake.sent.map(({ target }) => target)).toEqual(['b1', 'a1']);
   });
@@ -150,12 +97,12 @@
     const slow: Script = [[50, Fakes.createHead(200)], ...Fakes.createEvents(1, 3, 30, 2_500)];
     const fake: FakeParts = Fakes.createFakeParts(() => {
       fake.reports.set('a1', { ...Fakes.IDLE_REPORT, running: 3, prefilling: 3 });
-      return [...slow, [2_600, END]];
+      return [...slow, [2_600, Played.END]];
     });
     fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
     fake.reports.set('a1', { ...Fakes.IDLE_REPORT, running: 1, prefilling: 1 });
-    const played = await playStream(fake);
-    expect(played.text).toEqual(formatAll(3));
+    const played = await Played.playStream(fake);
+    expect(played.text).toEqual(Played.formatAll(3));
     expect(fake.sent.length).toEqual(1);
   });
 
@@ -163,17 +110,17 @@
     // An engine falls silent after its fifth event, without closing anything, and answers no probe.
     // The caller sees one pause of less than 700 ms, and every event once.
     const fake = Fakes.createFakeParts((target, headers) => {
-      const run = createRun(createFromHeader(headers), 12);
+      const run = Played.createRun(Played.createFromHeader(headers), 12);
       return target === 'a1' ? run.slice(0, 6) : run;
     });
     fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
     fake.reports.set('a1', Fakes.IDLE_REPORT);
     fake.reports.set('b1', { ...Fakes.IDLE_REPORT, running: 3 });
-    const playing = playStream(fake);
+    const playing = Played.playStream(fake);
     await fake.clock.runFor(0);
     fake.reports.delete('a1');
     const played = await playing;
-    expect(played.text).toEqual(formatAll(12));
+    expect(played.text).toEqual(Played.formatAll(12));
     expect(played.outcome?.kind).toEqual('complete');
     expect(played.maxGapMs).toBeLessThan(700);
     expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b1']);
@@ -189,14 +136,16 @@
     // ready and most of the other routers' parts were never used.
     const playCut = async (lenders: readonly (readonly [string, number])[]) => {
       const fake: FakeParts = Fakes.createFakeParts((target) =>
-        target === 'a1' ? [...createRun(1, 3).slice(0, -1), [200, BROKEN]] : createRun(4, 6),
+        target === 'a1'
+          ? [...Played.createRun(1, 3).slice(0, -1), [200, BROKEN]]
+          : Played.createRun(4, 6),
       );
       fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
       fake.reports.set('a1', Fakes.IDLE_REPORT);
       fake.reports.set('b1', { ...Fakes.IDLE_REPORT, running: 3 });
       lenders.forEach(([router, repeats]) => fake.lenders.set(router, repeats));
       fake.parts.getBudget('engines').lendRepeats(0, Number.POSITIVE_INFINITY);
-      return { played: await playStream(fake), lenders: fake.lenders };
+      return { played: await Played.playStream(fake), lenders: fake.lenders };
     };
     const alone = await playCut([]);
     expect(alone.played.outcome?.kind).toEqual('broken');
@@ -205,7 +154,7 @@
       ['10.0.0.3:1', 0.8],
       ['10.0.0.4:1', 0.9],
     ]);
-    expect(lent.played.text).toEqual(formatAll(6));
+    expect(lent.played.text).toEqual(Played.formatAll(6));
     expect(lent.lenders.get('10.0.0.4:1')).toEqual(0.9);
   });
 
@@ -213,7 +162,7 @@
     // The engine that keeps the copy begins to drain, and then the one that runs is lost. Sent to the
     // leaving one, the run would be cut again, and a VM that is leaving must get no new work.
     const fake = Fakes.createFakeParts((target, headers) => {
-      const run = createRun(createFromHeader(headers), 12);
+      const run = Played.createRun(Played.createFromHeader(headers), 12);
       const broken: Script[number] = [200, { kind: 'broken', reason: 'ECONNRESET' }];
       return target === 'a1' ? [...run.slice(0, 4), broken] : run;
     });
@@ -222,11 +171,11 @@
     const other = Fakes.createTarget('b2', { zone: 'b' });
     fake.setTargets([running, copy]);
     for (const id of ['a1', 'b1', 'b2']) fake.reports.set(id, Fakes.IDLE_REPORT);
-    const playing = playStream(fake);
+    const playing = Played.playStream(fake);
     await fake.clock.runFor(0);
     fake.setTargets([running, { ...copy, state: 'draining' }, other]);
     const played = await playing;
-    expect(played.text).toEqual(formatAll(12));
+    expect(played.text).toEqual(Played.formatAll(12));
     expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b2']);
     expect(fake.sent[1]?.headers.from).toEqual(undefined);
   });
@@ -235,32 +184,36 @@
     // Two engines are silent for seconds before their first event. One answers that it reads a prompt;
     // sent elsewhere, the prompt would be read twice. The other went dark, started again, and answers
     // that it has nothing to do; its old connection stays silent for good.
-    const late = createRun(1, 3).map(([afterMs, event]) => [afterMs + 3_500, event] as const);
+    const late = Played.createRun(1, 3).map(
+      ([afterMs, event]) => [afterMs + 3_500, event] as const,
+    );
     const busy = Fakes.createFakeParts(() => late);
     busy.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
     busy.reports.set('a1', { ...Fakes.IDLE_REPORT, prefilling: 1, running: 1 });
     busy.reports.set('b1', { ...Fakes.IDLE_REPORT, prefilling: 4, running: 4 });
-    expect((await playStream(busy)).text).toEqual(formatAll(3));
+    expect((await Played.playStream(busy)).text).toEqual(Played.formatAll(3));
     expect(busy.sent.length).toEqual(1);
 
-    const restarted = Fakes.createFakeParts((target) => (target === 'a1' ? [] : createRun(1, 3)));
+    const restarted = Fakes.createFakeParts((target) =>
+      target === 'a1' ? [] : Played.createRun(1, 3),
+    );
     restarted.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
     restarted.reports.set('a1', Fakes.IDLE_REPORT);
     restarted.reports.set('b1', { ...Fakes.IDLE_REPORT, running: 2 });
-    const played = await playStream(restarted);
-    expect(played.text).toEqual(formatAll(3));
+    const played = await Played.playStream(restarted);
+    expect(played.text).toEqual(Played.formatAll(3));
     expect(restarted.sent.map(({ target }) => target)).toEqual(['a1', 'b1']);
   });
 
   it('is refused at once when its first event would be late at all engines that were asked', async () => {
     // Engines are short, and each has four prompts to read. A fifth one would begin after its caller's
     // patience and slow the streams beside it; nothing is sent, and its caller is told when to come back.
-    const fake = Fakes.createFakeParts(() => createRun(1, 3));
+    const fake = Fakes.createFakeParts(() => Played.createRun(1, 3));
     fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
     const busy = { ...Fakes.IDLE_REPORT, running: 6, prefilling: 1, queued: 3 };
     fake.reports.set('a1', busy);
     fake.reports.set('b1', busy);
-    const { outcome } = await playStream(fake);
+    const { outcome } = await Played.playStream(fake);
     expect(outcome?.kind).toEqual('refused');
     expect(fake.sent.length).toEqual(0);
   });
@@ -268,10 +221,10 @@
   it('tells a caller at once when nothing can go on', async () => {
     const fake = Fakes.createFakeParts(() => [[5, { kind: 'broken', reason: 'ECONNRESET' }]]);
     fake.setTargets([]);
-    const none = await playStream(fake, 1_000);
+    const none = await Played.playStream(fake, 1_000);
     expect(none.outcome?.kind).toEqual('refused');
     fake.setTargets([Fakes.createTarget('a1')]);
-    const lost = await playStream(fake, 10_000);
+    const lost = await Played.playStream(fake, 10_000);
     expect(lost.outcome?.kind).toEqual('failed');
     expect(fake.sent.length).toEqual(5);
   });
@@ -280,15 +233,15 @@
     // All engines crash together and refuse connections for a fifth of a second. Streams that spent a
     // repeat on each refusal used up what the router has within milliseconds, and all broke off.
     const fake = Fakes.createFakeParts((target, headers) => {
-      const run = createRun(createFromHeader(headers), 12);
+      const run = Played.createRun(Played.createFromHeader(headers), 12);
       if (fake.clock.getNowMs() < 100) return [...run.slice(0, 3), [150, BROKEN]];
       if (fake.clock.getNowMs() < 350) return [[2, { kind: 'broken', reason: 'ECONNREFUSED' }]];
       return run;
     });
     fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
     const before = fake.parts.getBudget('engines').getBalance(0);
-    const played = await playStream(fake);
-    expect(played.text).toEqual(formatAll(12));
+    const played = await Played.playStream(fake);
+    expect(played.text).toEqual(Played.formatAll(12));
     const spent = before + 1 - fake.parts.getBudget('engines').getBalance(0);
     expect(spent).toBeLessThan(3);
   });
@@ -297,12 +250,12 @@
     // A stream goes on at an engine whose part has no length and ends with its connection, in the
     // middle. Ended there, the caller's stream would look complete.
     const fake = Fakes.createFakeParts((target, headers) => {
-      const run = createRun(createFromHeader(headers), 12);
+      const run = Played.createRun(Played.createFromHeader(headers), 12);
       const broken: Script[number] = [200, { kind: 'broken', reason: 'ECONNRESET' }];
       if (target === 'a1') return [...run.slice(0, 4), broken];
       if (target === 'c1') return run;
       const head = { status: 200, statusMessage: '', headers: { id: 'r1', signature: 's' } };
-      return [[50, { kind: 'head', head }], ...run.slice(1, 4), [250, END]];
+      return [[50, { kind: 'head', head }], ...run.slice(1, 4), [250, Played.END]];
     });
     fake.setTargets([
       Fakes.createTarget('a1'),
@@ -312,8 +265,8 @@
     fake.reports.set('a1', Fakes.IDLE_REPORT);
     fake.reports.set('b1', Fakes.IDLE_REPORT);
     fake.reports.set('c1', { ...Fakes.IDLE_REPORT, running: 5 });
-    const played = await playStream(fake);
-    expect(played.text).toEqual(formatAll(12));
+    const played = await Played.playStream(fake);
+    expect(played.text).toEqual(Played.formatAll(12));
     expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b1', 'c1']);
   });
 });
--- a/packages/sequoiarill-plugin-forwarding/src/streams/runCopies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/runCopies.ts
@@ -61,7 +61,8 @@
 
   function isSafe(known: KnownCopy): boolean {
     const current = directory.findCurrent(known.keeper);
-    return current?.state === 'ready' && !parts.book.isSuspect(current);
+    if (current?.state !== 'ready' || parts.rollouts.isLeaving(current)) return false;
+    return !parts.book.isSuspect(current);
   }
 
   function decideAction(known: KnownCopy): Decisions.CopyAction {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -77,13 +77,14 @@
   outcome: Exclude<AttemptOutcome, { kind: 'complete' | 'callerLeft' | 'expired' }>,
 ): void {
   const { target, copy } = plan;
-  progress.lastReason = Sending.formatReason(outcome);
+  progress.lastReason =
+    outcome.kind === 'handedOver' ? 'its target is to stop' : Sending.formatReason(outcome);
   progress.lastTarget = target.id;
   progress.excluded.add(target.id);
   if (StreamRelays.hasRun(outcome)) progress.runs += 1;
   else if (copy !== undefined) progress.copy = undefined;
   if (outcome.kind !== 'notSent') progress.arrivals += 1;
-  recordOutcome(parts, target, outcome);
+  if (outcome.kind !== 'handedOver') recordOutcome(parts, target, outcome);
   parts.metrics.addCount(Metrics.CONTINUED, 1, { cause: outcome.kind });
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -6,6 +6,7 @@
 import type { AnswerHead, ForwardRequest, SendOutcome } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
 import type { ForwardingParts } from '../parts';
+import * as Checks from '../answers/answerChecks';
 import * as Sending from '../answers/sending';
 import type { CallEvent, TargetCall } from '../targets/targetCall';
 
@@ -16,7 +17,11 @@
   readonly blocks: readonly EventBlock[];
 }
 
-export type AttemptOutcome = SendOutcome | { readonly kind: 'complete'; readonly head: AnswerHead };
+export type AttemptOutcome =
+  | SendOutcome
+  | { readonly kind: 'complete'; readonly head: AnswerHead }
+  /** Its target is to stop, and a copy of the run is where it can go on. */
+  | { readonly kind: 'handedOver' };
 
 export interface AttemptOrder {
   readonly request: ForwardRequest;
@@ -79,12 +84,16 @@
   call: TargetCall,
 ): AsyncGenerator<StreamPart, AttemptOutcome, void> {
   const reader = createStreamReader(parts, order, call);
-  for (;;) {
-    const step = await reader.readStep();
-    if (step !== undefined) {
-      if ('kind' in step) return step;
-      yield step;
+  try {
+    for (;;) {
+      const step = await reader.readStep();
+      if (step !== undefined) {
+        if ('kind' in step) return step;
+        yield step;
+      }
     }
+  } finally {
+    reader.close();
   }
 }
 
@@ -103,6 +112,8 @@
   let missedChecks = 0;
   let hasEvents = false;
   let head: AnswerHead | undefined;
+  const { name: route, objectiveMs } = request.route;
+  const recordVersion = parts.rollouts.recordSend({ target, route, objectiveMs });
 
   function readNext(): Promise<CallEvent> {
     const untilMs = Math.min(silentUntilMs, request.expiresAtMs);
@@ -110,6 +121,7 @@
   }
 
   function recordFirstEvent(ms: number): void {
+    recordVersion('answered');
     policy.recordFirstToken(target.id, ms, order.prefillTokens);
     if (order.promptsAhead !== 0) return;
     parts.getPromptEstimates(request.service).recordPrompt(order.prefillTokens, ms);
@@ -128,7 +140,10 @@
   async function handleHead(answered: AnswerHead): Promise<Step> {
     const failure = Sending.decideHead(parts, request, call, answered);
     if (failure !== undefined) return failure;
-    if (answered.status !== SUCCESS) return Sending.readWhole(call, answered, readNext);
+    if (answered.status !== SUCCESS) {
+      recordVersion(Checks.isServerError(answered.status) ? 'failed' : 'unknown');
+      return Sending.readWhole(call, answered, readNext);
+    }
     head = answered;
     return undefined;
   }
@@ -193,5 +208,6 @@
 
   return {
     readStep: async (): Promise<Step> => handleEvent(await readNext()),
+    close: () => recordVersion('unknown'),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -29,6 +29,8 @@
   /** Of the last event that was passed on, or that the caller named. */
   lastEventId: string | undefined;
   hasEvents: boolean;
+  /** Models of the target that made the first event; undefined before it. */
+  models: string | undefined;
   /** The caller's answer has an end of its own; undefined before its head. */
   isFramed: boolean | undefined;
   /** Targets that began to run it. */
@@ -60,6 +62,7 @@
   return {
     lastEventId: request.lastEventId,
     hasEvents: false,
+    models: undefined,
     isFramed: undefined,
     runs: 0,
     tries: 0,
@@ -115,7 +118,8 @@
  */
 function findKeeper(parts: ForwardingParts, { copy }: Progress): ForwardingTarget | undefined {
   const keeper = copy === undefined ? undefined : parts.directory.findCurrent(copy.keeper);
-  return keeper?.state === 'ready' ? keeper : undefined;
+  if (keeper?.state !== 'ready' || parts.rollouts.isLeaving(keeper)) return undefined;
+  return keeper;
 }
 
 /** A stream that has run, or that its caller has begun to read, is never refused for lack of time. */
@@ -132,13 +136,25 @@
   return { kind: 'plan', target, backup, copy: undefined, promptsAhead };
 }
 
+/** Targets that would go on with other tokens than the caller has. */
+function listForeign(
+  { directory }: ForwardingParts,
+  { service }: ForwardRequest,
+  { models }: Progress,
+): ReadonlySet<string> {
+  if (models === undefined) return new Set();
+  const others = directory.listTargets(service).filter((target) => target.models !== models);
+  return new Set(others.map(({ id }) => id));
+}
+
 /** A copy saves the whole prefill; without one the next target is chosen like the first. */
 async function createPlan(
   parts: ForwardingParts,
   request: ForwardRequest,
   progress: Progress,
 ): Promise<Omit<Plan, 'isRepeat'> | Extract<StreamOutcome, { kind: 'refused' }> | undefined> {
-  const { excluded } = progress;
+  const foreign = listForeign(parts, request, progress);
+  const excluded = new Set([...progress.excluded, ...foreign]);
   const keeper = findKeeper(parts, progress);
   if (keeper !== undefined) {
     const backup = EnginePlacements.chooseBackup(parts, request, keeper);
@@ -151,7 +167,7 @@
   const purpose = progress.tries === 0 ? 'first' : 'continuation';
   const target =
     Placement.chooseTarget(parts, { request, excluded, purpose }) ??
-    Placement.chooseTarget(parts, { request, excluded: new Set(), purpose });
+    Placement.chooseTarget(parts, { request, excluded: foreign, purpose });
   if (target === undefined) return undefined;
   return { kind: 'plan', target, backup: undefined, copy: undefined };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -15,7 +15,7 @@
 
 /** Whether the target may have begun to run the request. */
 export function hasRun(outcome: AttemptOutcome): boolean {
-  return outcome.kind === 'lost' || outcome.kind === 'whole';
+  return ['lost', 'whole', 'handedOver'].includes(outcome.kind);
 }
 
 function createExtraHeaders(
@@ -68,20 +68,52 @@
       const fresh = selectFresh(blocks, progress.lastEventId);
       if (fresh === 'gap') return { kind: 'lost', reason: 'events are missing', isSilence: false };
       watch.update();
-      const last = fresh.at(-1);
-      if (last !== undefined) {
+      if (fresh.length > 0) {
         if (!progress.hasEvents) yield { kind: 'head', head };
-        progress.isFramed ??= !Checks.isUnframed(head);
-        progress.hasEvents = true;
-        progress.lastEventId = last.id ?? progress.lastEventId;
+        recordEvents(progress, plan, head, fresh);
         yield { kind: 'events', bytes: mergeBlocks(fresh) };
       }
+      if (isHandoverDue(parts, request, plan, progress, watch)) {
+        progress.copy = watch.getCopy();
+        return { kind: 'handedOver' };
+      }
     }
   } finally {
     await attempt.return({ kind: 'callerLeft' });
   }
 }
 
+function recordEvents(
+  progress: Progress,
+  { target }: Plan,
+  head: AnswerHead,
+  fresh: readonly EventBlock[],
+): void {
+  progress.isFramed ??= !Checks.isUnframed(head);
+  progress.hasEvents = true;
+  progress.models ??= target.models;
+  progress.lastEventId = fresh.at(-1)?.id ?? progress.lastEventId;
+}
+
+/**
+ * Failure: a service has moved to another version, the targets of the one before stop at once, and streams
+ * there break off. So a stream leaves as soon as a copy of it is where it may stay, unless its next send
+ * is one that the route or the retry budget no longer allows.
+ */
+function isHandoverDue(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  { target }: Plan,
+  { runs }: Progress,
+  watch: RunCopies.CopyWatch,
+): boolean {
+  if (!parts.rollouts.isLeaving(target) || runs + 1 >= request.route.maxTargets) return false;
+  const copy = watch.getCopy();
+  const keeper = copy === undefined ? undefined : parts.directory.findCurrent(copy.keeper);
+  if (keeper?.state !== 'ready' || parts.rollouts.isLeaving(keeper)) return false;
+  return parts.getBudget(request.service).getBalance(parts.clock.getNowMs()) >= 1;
+}
+
 /**
  * Failure: a part without framing may end because its engine crashed, and the end of the caller's
  * answer would say that it is whole. So such a part does not end an answer that has framing.
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -4,6 +4,7 @@
 import type { EngineReport, ForwardingTarget } from '@sequoiarill/types';
 
 import * as Events from '../events';
+import * as Placement from '../answers/placement';
 import type { ForwardRequest } from '../forwardRequest';
 import type { ForwardingParts } from '../parts';
 
@@ -33,7 +34,7 @@
   excluded: ReadonlySet<string>,
 ): Promise<EnginePair | undefined> {
   parts.getPromptEstimates(request.service).recordRequest(request.promptTokens);
-  const ready = listReady(parts, request.service);
+  const ready = Placement.listOpen(parts, request);
   const asked = new Set(excluded);
   for (let round = 0; round < MAX_ROUNDS; round += 1) {
     const sample = sampleEngines(parts, request, ready, asked);
@@ -90,7 +91,7 @@
   lost?: ForwardingTarget,
 ): ForwardingTarget | undefined {
   if (!hasBackups(parts, request)) return undefined;
-  const others = listReady(parts, request.service).filter(
+  const others = listKeepers(parts, request, target).filter(
     ({ id }) => id !== target.id && id !== lost?.id,
   );
   const trusted = others.filter((other) => !parts.book.isSuspect(other));
@@ -106,13 +107,24 @@
 
 /** Whether some engine of this router's zone could keep a copy now. */
 export function isHomeOpen(parts: ForwardingParts, request: ForwardRequest): boolean {
-  return listReady(parts, request.service).some(
+  return Placement.listOpen(parts, request).some(
     (engine) => engine.zone === parts.zone && !parts.book.isSuspect(engine),
   );
 }
 
-function listReady(parts: ForwardingParts, service: string): readonly ForwardingTarget[] {
-  return Decisions.selectOpen(parts.directory.listTargets(service), parts.book.isSuspect);
+/** A run goes on only where the same models are loaded: other ones would go on with other tokens. */
+function listKeepers(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  { models }: ForwardingTarget,
+): readonly ForwardingTarget[] {
+  const open = Placement.listOpen(parts, request).filter((other) => other.models === models);
+  if (open.length > 1) return open;
+  // A version on probation may have one target for new work; the others can keep copies.
+  const all = parts.directory.listTargets(request.service);
+  return Decisions.selectOpen(all, parts.book.isSuspect).filter(
+    (other) => other.models === models && !parts.rollouts.isLeaving(other),
+  );
 }
 
 function hasBackups(parts: ForwardingParts, request: ForwardRequest): boolean {
--- /dev/null
+++ b/packages/sequoiarill-plugin-rollouts/src/play/playedFleet.ts
@@ -0,0 +1,69 @@
+/** Routers of a played roll-out, each with the plug-in's own parts over the world. */
+import type { DecideRolloutStep } from '@sequoiarill/decisions';
+import type { Capabilities, CapabilityName, ForwardingTarget, Rollouts } from '@sequoiarill/types';
+
+import * as RolloutsPlugin from '../plugin';
+import type { RouterNode, World } from './world';
+import * as Worlds from './world';
+
+export interface PlayedRouter {
+  readonly node: RouterNode;
+  readonly rollouts: Rollouts;
+  readonly addInFlight: (target: ForwardingTarget, change: number) => void;
+}
+
+export interface PlayedFleet {
+  readonly routers: readonly PlayedRouter[];
+  /** Name of the router that tried to write last. */
+  readonly getLastWriter: () => string | undefined;
+}
+
+const LIMITS = { canaryShare: 0.1, canarySlack: 50 };
+
+export function createPlayedFleet(
+  { clock, nodes }: World,
+  decideStep: DecideRolloutStep,
+  stopped: AbortSignal,
+): PlayedFleet {
+  let lastWriter: string | undefined;
+
+  function createRouter(node: RouterNode): PlayedRouter {
+    const inFlight = new Map<string, number>();
+    const keyValue = {
+      writeTransaction(transaction: Parameters<typeof node.store.writeTransaction>[0]) {
+        lastWriter = node.name;
+        return node.store.writeTransaction(transaction);
+      },
+    } as Capabilities['keyValue'];
+    const capabilities: Partial<Capabilities> = {
+      wire: Worlds.WIRE,
+      directory: node.directory,
+      peers: node.peers,
+      keyValue,
+    };
+    const { rollouts, runner, applyDirectory } = RolloutsPlugin.createRollouts(
+      {
+        clock,
+        logEvent: () => undefined,
+        getCapability: <Name extends CapabilityName>(name: Name) =>
+          capabilities[name] as Capabilities[Name],
+      },
+      LIMITS,
+      decideStep,
+    );
+    rollouts.setInFlightReader(({ id }) => inFlight.get(id) ?? 0);
+    node.peers.setReportHandler(runner.handleReport);
+    node.directory.subscribe(applyDirectory);
+    applyDirectory();
+    runner.run(AbortSignal.any([stopped, node.died])).catch(() => undefined);
+    return {
+      node,
+      rollouts,
+      addInFlight({ id }, change) {
+        inFlight.set(id, (inFlight.get(id) ?? 0) + change);
+      },
+    };
+  }
+
+  return { routers: nodes.map(createRouter), getLastWriter: () => lastWriter };
+}
--- /dev/null
+++ b/packages/sequoiarill-plugin-rollouts/src/rolloutRecord.ts
@@ -0,0 +1,39 @@
+/** The state of a roll-out as routers keep it in the store, so that any of them can go on with it. */
+import * as Zod from 'zod';
+
+const recordSchema = Zod.object({
+  /** Revision of the order that it answers. */
+  orderRevision: Zod.number().int(),
+  fromVersion: Zod.string(),
+  toVersion: Zod.string(),
+  phase: Zod.enum(['canary', 'trial', 'moving', 'completed', 'rolledBack']),
+  share: Zod.number().min(0).max(1),
+  /** From the order to this record, milliseconds. */
+  elapsedMs: Zod.number().min(0),
+  reason: Zod.string(),
+});
+
+export type RolloutRecord = Readonly<Zod.infer<typeof recordSchema>>;
+
+export function encodeRecord(record: RolloutRecord): string {
+  return JSON.stringify(record);
+}
+
+export function isSameState(
+  left: RolloutRecord | undefined,
+  right: RolloutRecord | undefined,
+): boolean {
+  if (left === undefined || right === undefined) return left === right;
+  const { orderRevision, phase, share } = left;
+  return orderRevision === right.orderRevision && phase === right.phase && share === right.share;
+}
+
+/** Undefined for what no router wrote. */
+export function decodeRecord(text: string): RolloutRecord | undefined {
+  try {
+    const parsed = recordSchema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/sequoiarill-standins/src/userPlatform/documents.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/documents.ts
@@ -75,6 +75,8 @@
   readonly zone: string;
   readonly slots: number;
   readonly state: 'ready' | 'draining';
+  /** Of its software. */
+  readonly version?: string;
   /** Tells lives apart. */
   readonly startedAtUnixMs: number;
 }
@@ -87,6 +89,15 @@
   return JSON.stringify({ ...entry, warmupLeftMs: 0, born: startedAtUnixMs });
 }
 
+/** An operator's order to move a service to a version. */
+export function formatRolloutOrder(service: ServiceName, to: string, durationS: number): string {
+  return JSON.stringify({ service, to, durationS });
+}
+
+export function formatRolloutKeys(service: ServiceName) {
+  return { order: `op/rollout/${service}`, status: `status/rollout/${service}` };
+}
+
 export interface CallerIdentity {
   readonly requestId: string;
   readonly apiKey: string;
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -15,6 +15,8 @@
   | 'extraAnswer'
   /** The request is not run: the queue is full. */
   | 'shed'
+  /** Runs, and answers that it failed. */
+  | 'serverError'
   /** Runs, and closes the connection without an answer. */
   | 'loseAnswer';
 
@@ -106,6 +108,10 @@
 
   function sendWhole(requestId: string, body: string, response: ServerResponse): void {
     const headers = { 'request-id': requestId, 'server-signature': `signed by ${id}` };
+    if (fault === 'serverError') {
+      response.writeHead(500, { ...headers, 'content-length': 0 }).end();
+      return;
+    }
     if (fault === 'unframedHalf') {
       response.removeHeader('transfer-encoding');
       response.writeHead(200, { ...headers, connection: 'close' });
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -1,4 +1,5 @@
 /** What is forwarded where: routes, their services and the targets that run them. */
+import type { DecodedRolloutOrder, RolloutStatus } from './rollouts';
 
 /** What may be sent a second time after a failure. */
 export type RepeatRule =
@@ -93,6 +94,10 @@
   /** Start of that life, Unix milliseconds; tells two lives under one id apart. */
   readonly startedAtUnixMs: number;
   readonly service: string;
+  /** Of its software; empty where the target does not tell. */
+  readonly version: string;
+  /** Names and versions of the models it has loaded; the same text, the same output. */
+  readonly models: string;
   /** `IP:port`. */
   readonly address: string;
   readonly zone: string;
@@ -180,6 +185,11 @@
   readonly ownPrefix: string;
   readonly decodeConfiguration: (text: string) => DecodedConfiguration;
   readonly decodeTarget: (key: string, text: string) => DecodedTarget;
+  /** An order's key is this and the service. */
+  readonly rolloutPrefix: string;
+  readonly decodeRolloutOrder: (text: string) => DecodedRolloutOrder;
+  readonly formatRolloutStatusKey: (service: string) => string;
+  readonly encodeRolloutStatus: (status: RolloutStatus) => string;
   readonly headers: HeaderNames;
   /** Headers that only this system may set towards targets; taken off what callers send. */
   readonly reservedHeaders: ReadonlySet<string>;
@@ -201,6 +211,13 @@
   readonly formatCopyPath: (handle: string) => string;
 }
 
+/** One key of the store as it is known. */
+export interface StoredEntry {
+  readonly key: string;
+  readonly revision: number;
+  readonly value: string;
+}
+
 /** Capability `directory`: the newest accepted configuration and the targets that live. */
 export interface Directory {
   /** Undefined until the first one is known. */
@@ -218,4 +235,8 @@
   /** Routers that are known to live, this one too; at least 1. */
   readonly countRouters: () => number;
   readonly subscribe: (listener: () => void) => () => void;
+  /** Entries under a prefix, as far as the directory follows it. */
+  readonly listEntries: (prefix: string) => readonly StoredEntry[];
+  /** An entry that this router or a peer has written; older ones than known change nothing. */
+  readonly recordEntry: (entry: StoredEntry) => void;
 }
--- a/packages/sequoiarill-types/src/index.ts
+++ b/packages/sequoiarill-types/src/index.ts
@@ -8,3 +8,4 @@
 export type * from './orders';
 export type * from './peers';
 export type * from './plugins';
+export type * from './rollouts';
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -12,6 +12,46 @@
   /** The peer did not answer in time. */
   | { readonly kind: 'failed'; readonly reason: string };
 
+/** Answers of one route that targets of one version gave to one router, since the order. */
+export interface VersionTally {
+  readonly route: string;
+  /** Absent: all targets of the version that is to be replaced. */
+  readonly target?: string;
+  readonly failures: number;
+  /** Other answers, by latency class. */
+  readonly byLatency: readonly number[];
+  /** Requests without an answer so far, by the class of the time that they have waited. */
+  readonly waiting: readonly number[];
+}
+
+/** What one router has seen of a roll-out. */
+export interface RolloutReport {
+  readonly service: string;
+  /** Revision of the order; another one is another roll-out. */
+  readonly orderRevision: number;
+  /** `IP:port` of the router, as its peers know it. */
+  readonly router: string;
+  /** Since the order, as far as this router knows, milliseconds. */
+  readonly elapsedMs: number;
+  /** Requests in progress here at targets that get no new work. */
+  readonly leaving: number;
+  readonly tallies: readonly VersionTally[];
+}
+
+/** What the router that decides a roll-out tells the one that reports. */
+export interface RolloutGuidance {
+  /** The version is bad: it gets nothing more, also before the store knows. */
+  readonly isHalted: boolean;
+  /** Targets of the version that are judged bad by themselves. */
+  readonly avoided: readonly string[];
+  /** The roll-out's state, if the router that answers knows one. */
+  readonly state?: { readonly revision: number; readonly value: string };
+}
+
+export type GuidanceOutcome =
+  | { readonly kind: 'guided'; readonly guidance: RolloutGuidance }
+  | { readonly kind: 'failed'; readonly reason: string };
+
 /** Capability `peers`: the other routers, as the directory knows them. */
 export interface RouterPeers {
   /** `IP:port` of other routers, those of this router's zone first and otherwise in random order. */
@@ -19,4 +59,11 @@
   readonly borrowRepeats: (peer: string, loan: RepeatsLoan) => Promise<LoanOutcome>;
   /** Who decides what this router lends to others; until it is told, nothing is lent. */
   readonly setLender: (lendRepeats: (loan: RepeatsLoan) => number) => void;
+  /** `IP:port` of this router. */
+  readonly self: string;
+  /** `IP:port` of all routers that are known, this one too. */
+  readonly listRouters: () => readonly string[];
+  readonly sendReport: (peer: string, report: RolloutReport) => Promise<GuidanceOutcome>;
+  /** Who takes in reports of other routers. */
+  readonly setReportHandler: (handleReport: (report: RolloutReport) => RolloutGuidance) => void;
 }
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -10,6 +10,7 @@
 import type { Membership } from './membership';
 import type { OrderRunner } from './orders';
 import type { RouterPeers } from './peers';
+import type { Rollouts } from './rollouts';
 
 /** Capabilities that plug-ins provide to each other; looked up once, at start. */
 export interface Capabilities {
@@ -22,6 +23,7 @@
   readonly wire: ForwardingWire;
   readonly directory: Directory;
   readonly peers: RouterPeers;
+  readonly rollouts: Rollouts;
 }
 
 export type CapabilityName = keyof Capabilities;
