Read the store page by page at a start, and answer peers in parts

Change: each page is used as it comes and asked for again alone; peers answer with at most 200 records, oldest changes first. The age of a router that was never told anything is a number now, so its answer can be read.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/following.test.ts
@@ -23,11 +23,11 @@
   let events: readonly WatchEvent[] = [];
   let rangeCalls = 0;
   let watchCalls = 0;
-  const store: Pick<KeyValueStore, 'readPrefix' | 'watchPrefix'> = {
-    async readPrefix() {
+  const store: Pick<KeyValueStore, 'readPage' | 'watchPrefix'> = {
+    async readPage() {
       rangeCalls += 1;
       if (answer === 'unavailable') return { kind: 'unavailable', message: 'turned away' };
-      return { kind: 'range', revision: 10, entries };
+      return { kind: 'page', revision: 10, entries, hasMore: false };
     },
     async *watchPrefix(_prefix, _from, signal, waitMs = LONGEST_WAIT_MS) {
       while (!signal.aborted) {
@@ -72,6 +72,7 @@
     logEvent: log.logEvent,
     nextRandom: () => 0.5,
     listPeers: () => ['10.0.0.2:1'],
+    getSeenRevision: follower.getSeenRevision,
     getLostSinceMs: follower.getLostSinceMs,
   });
 }
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -11,6 +11,11 @@
   waitMs: Zod.number().int().min(0).max(5_000).default(0),
 });
 
+/** Records of one answer, about 60 KB. */
+export const MAX_RECORDS = 200;
+/** Age of what was never told, milliseconds. */
+export const MAX_AGE_MS = 3_600_000;
+
 const recordSchema = Zod.object({
   key: Zod.string(),
   revision: Zod.number().int(),
--- a/packages/sequoiarill-plugin-directory/src/peerNews.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerNews.ts
@@ -21,6 +21,8 @@
   readonly nextRandom: () => number;
   /** `IP:port` of other routers, as far as they are known. */
   readonly listPeers: () => readonly string[];
+  /** Everything up to it was seen. */
+  readonly getSeenRevision: () => number;
   /** Since when the store has not answered; undefined while it does. */
   readonly getLostSinceMs: () => number | undefined;
 }
@@ -33,6 +35,8 @@
 
 export function createPeerNews(options: PeerNewsOptions) {
   const { state, client, clock, logEvent } = options;
+  /** Peers have told everything up to it. */
+  let toldRevision = 0;
 
   function samplePeers(): readonly string[] {
     const left = [...options.listPeers()];
@@ -55,9 +59,12 @@
 
   async function callPeer(peer: string): Promise<void> {
     const before = state.getRevision();
-    const answer = await client.readRecords(peer, before);
+    // Some pages of a first reading name new revisions, while most keys are still unknown.
+    const after = options.getSeenRevision() > 0 ? before : toldRevision;
+    const answer = await client.readRecords(peer, after);
     if (answer.kind === 'failed' || answer.records.length === 0) return;
     applyNews(answer.records);
+    toldRevision = Math.max(toldRevision, answer.seenRevision);
     logEvent(Events.LEARNED_FROM_PEER, {
       peer,
       records: answer.records.length,
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -35,6 +35,26 @@
   unsubscribe();
 }
 
+/**
+ * Load pattern: routers that know nothing ask others while the store is slow, each for everything. Whole
+ * answers fill the links of those that know, and nobody gets one in time. So the oldest changes come
+ * first, as many as a small link carries at once, and the next question goes on from there.
+ */
+function buildAnswer(
+  { state, follower }: Pick<PeerServerOptions, 'state' | 'follower'>,
+  after: number,
+): Messages.RecordsAnswer {
+  const ageMs = Math.min(Messages.MAX_AGE_MS, Math.round(follower.getAgeMs()));
+  const news = [...state.listRecordsAfter(after)].sort(
+    (left, right) => left.revision - right.revision,
+  );
+  const last = news[Messages.MAX_RECORDS - 1]?.revision;
+  if (last === undefined) return { records: news, seenRevision: follower.getSeenRevision(), ageMs };
+  // Keys that were written together stay together; a router that has not read all knows of no end.
+  const records = news.filter(({ revision }) => revision <= last);
+  return { records, seenRevision: Math.min(last, follower.getSeenRevision()), ageMs };
+}
+
 /** A mutation: its input is then in the body, which has no limit of length like a path. */
 export function createPeerRouter(options: PeerServerOptions) {
   const { router, procedure } = Trpc.initTRPC.create();
@@ -43,11 +63,7 @@
       .input(Messages.recordsQuestionSchema)
       .mutation(async ({ input }): Promise<Messages.RecordsAnswer> => {
         await waitForNews(options, input.afterRevision, input.waitMs);
-        return {
-          records: [...options.state.listRecordsAfter(input.afterRevision)],
-          seenRevision: options.follower.getSeenRevision(),
-          ageMs: Math.round(options.follower.getAgeMs()),
-        };
+        return buildAnswer(options, input.afterRevision);
       }),
     lendRepeats: procedure
       .input(Messages.loanQuestionSchema)
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -76,6 +76,7 @@
     logEvent,
     nextRandom,
     listPeers,
+    getSeenRevision: follower.getSeenRevision,
     getLostSinceMs: follower.getLostSinceMs,
   });
   const key = `${wire.ownPrefix}routers/${context.process.name}`;
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -8,6 +8,7 @@
 import * as Events from './events';
 import type { PeerAnswer } from './peerMessages';
 import type { DirectoryRecord } from './recordLog';
+import * as WholeReadings from './wholeReading';
 
 export interface StoreFollowerOptions {
   readonly store: KeyValueStore;
@@ -65,6 +66,7 @@
 
 export function createStoreFollower(options: StoreFollowerOptions): StoreFollower {
   const { store, state, clock, logEvent } = options;
+  const reading = WholeReadings.createWholeReading(store, state, WATCHED_PREFIX);
   let lostSinceMs: number | undefined = clock.getNowMs();
   let lastReason = 'starting';
   /** Everything up to it was seen. */
@@ -82,8 +84,11 @@
     logEvent(Events.STORE_LOST, { revision: seenRevision, reason });
   }
 
-  function markAnswered(ageMs = 0): void {
+  function markFresh(ageMs = 0): void {
     freshAtMs = Math.max(freshAtMs, clock.getNowMs() - ageMs);
+  }
+
+  function markAnswered(): void {
     if (lostSinceMs === undefined) return;
     const nowMs = clock.getNowMs();
     const lastedMs = nowMs - lostSinceMs;
@@ -94,18 +99,18 @@
     logEvent(Events.STORE_REGAINED, { lastedMs: Math.round(lastedMs), reason: lastReason });
   }
 
-  async function readAll(): Promise<boolean> {
-    const range = await store.readPrefix(WATCHED_PREFIX);
-    if (range.kind === 'unavailable') {
-      markLost(range.message);
-      return false;
+  async function readNextPage(): Promise<'whole' | 'more' | 'failed'> {
+    const end = await reading.readNextPage();
+    if (end.kind === 'failed') {
+      markLost(end.reason);
+      return 'failed';
     }
     markAnswered();
-    const records = range.entries.map(({ key, revision, value }) => ({ key, revision, value }));
-    state.applyAll(records, range.revision);
-    seenRevision = Math.max(seenRevision, range.revision);
+    if (end.kind === 'more') return 'more';
+    seenRevision = Math.max(seenRevision, end.revision);
     hasReadAll = true;
-    return true;
+    markFresh();
+    return 'whole';
   }
 
   function applyChanges(event: Extract<WatchEvent, { kind: 'changes' }>): void {
@@ -128,6 +133,7 @@
     const waitMs = options.getWatchWaitMs();
     for await (const event of store.watchPrefix(WATCHED_PREFIX, seenRevision + 1, signal, waitMs)) {
       markAnswered();
+      markFresh();
       if (event.kind === 'compacted') {
         logEvent(Events.HISTORY_GONE, { revision: seenRevision });
         return 'historyGone';
@@ -152,7 +158,8 @@
         options.recordUnfit(reader);
         return;
       }
-      markAnswered(answer.ageMs);
+      markAnswered();
+      markFresh(answer.ageMs);
       state.applyRecords(answer.records);
       seenRevision = Math.max(seenRevision, answer.seenRevision);
       state.removeDue();
@@ -169,8 +176,9 @@
   /** One reading or watch; `next` says whether another one is due at once. */
   async function runOnce(signal: AbortSignal): Promise<'next' | 'retry'> {
     if (mustRead) {
-      mustRead = !(await readAll());
-      return mustRead ? 'retry' : 'next';
+      const end = await readNextPage();
+      mustRead = end !== 'whole';
+      return end === 'failed' ? 'retry' : 'next';
     }
     const reader = options.chooseReader();
     if (reader !== undefined) {
@@ -187,9 +195,13 @@
     let failures = 0;
     while (!signal.aborted) {
       const seenBefore = seenRevision;
+      const pagesBefore = reading.countPages();
       const startedMs = clock.getNowMs();
       const next = await runOnce(signal);
-      const isProgress = seenRevision > seenBefore || clock.getNowMs() - startedMs > MAX_RETRY_MS;
+      const isProgress =
+        seenRevision > seenBefore ||
+        reading.countPages() > pagesBefore ||
+        clock.getNowMs() - startedMs > MAX_RETRY_MS;
       failures = isProgress ? 0 : failures + 1;
       if (next === 'retry' && !signal.aborted) await waitToRetry(failures, signal);
     }
--- a/packages/sequoiarill-plugin-platform/src/__tests__/fakePlatform.ts
+++ b/packages/sequoiarill-plugin-platform/src/__tests__/fakePlatform.ts
@@ -215,6 +215,10 @@
   return {
     faults,
     createStore: () => ({
+      async readPage(prefix, afterKey) {
+        const range = await readRange(({ key }) => key.startsWith(prefix) && key > afterKey);
+        return range.kind === 'range' ? { ...range, kind: 'page', hasMore: false } : range;
+      },
       readPrefix(prefix) {
         calls.prefix += 1;
         return readRange(({ key }) => key.startsWith(prefix));
--- a/packages/sequoiarill-plugin-platform/src/keyValueStore.ts
+++ b/packages/sequoiarill-plugin-platform/src/keyValueStore.ts
@@ -168,6 +168,12 @@
   }
 
   return {
+    async readPage(prefix, afterKey) {
+      const range = await readPages(encodePrefix(prefix));
+      if (range.kind === 'unavailable') return range;
+      const entries = range.entries.filter(({ key }) => key > afterKey);
+      return { kind: 'page', revision: range.revision, entries, hasMore: false };
+    },
     readPrefix: (prefix) => readPages(encodePrefix(prefix)),
     readKey: (key) => readPages({ key: encodeKey(key) }),
     readChangedKeys(prefix, afterRevision) {
--- a/packages/sequoiarill-types/src/keyValue.ts
+++ b/packages/sequoiarill-types/src/keyValue.ts
@@ -90,8 +90,20 @@
 
 export type WatchEvent = WatchChanges | WatchCompacted;
 
+/** Some of the entries under a prefix, in the order of their keys. Pages are no snapshot. */
+export interface KeyValuePage extends Omit<KeyValueRange, 'kind'> {
+  readonly kind: 'page';
+  /** More follow after the last entry. */
+  readonly hasMore: boolean;
+}
+
 /** Capability `keyValue`. Each call counts against the platform's budget. */
 export interface KeyValueStore {
+  /** Entries after a key; the empty one stands for the beginning. */
+  readonly readPage: (
+    prefix: string,
+    afterKey: string,
+  ) => Promise<KeyValuePage | KeyValueUnavailable>;
   readonly readPrefix: (prefix: string) => Promise<KeyValueRange | KeyValueUnavailable>;
   readonly readKey: (key: string) => Promise<KeyValueRange | KeyValueUnavailable>;
   readonly writeTransaction: (
