Give zones of five to eight routers two readers of the store

Ways: readers from nine routers of a zone on (stood) against from five on.

The test said that eight routers read by themselves; it says so of four now, and two readers of five to eight.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/readerChoice.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/readerChoice.test.ts
@@ -22,7 +22,14 @@
 
 describe('the readers of a zone', () => {
   it('are all routers of a small zone', () => {
-    expect(listChoices(8).every((choice) => choice === undefined)).toEqual(true);
+    expect(listChoices(4).every((choice) => choice === undefined)).toEqual(true);
+  });
+
+  it('are two of a zone of five to eight, so that calls do not grow with its routers', () => {
+    for (const count of [5, 6, 7, 8]) {
+      const choices = listChoices(count);
+      expect(choices.filter((choice) => choice === undefined).length).toEqual(2);
+    }
   });
 
   it('are a few of a large one, asked by about as many each', () => {
--- a/packages/sequoiarill-plugin-directory/src/readerChoice.ts
+++ b/packages/sequoiarill-plugin-directory/src/readerChoice.ts
@@ -24,7 +24,7 @@
 }
 
 /** Zones up to this many routers read directly. */
-const MAX_DIRECT = 8;
+const MAX_DIRECT = 4;
 /** Routers for each reader: it answers about two questions a second of each. */
 const ROUTERS_PER_READER = 16;
 /** One reader may be cut off or end at any moment. */
