Let the test of a loan wait longer than a caller's stream does

Cause: beside seven busy processes the peer of the test did not answer within the 80 ms that a loan may take, and the test of what is lent failed by that.

--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -27,7 +27,7 @@
 /** To one peer: a question that waits for news must not hold up another one. */
 const CONNECTIONS = 2;
 
-export function createPeerClient(): PeerClient {
+export function createPeerClient(loanTimeoutMs = LOAN_TIMEOUT_MS): PeerClient {
   const dispatcher = new Undici.Agent({
     connections: CONNECTIONS,
     connect: { timeout: CONNECT_TIMEOUT_MS },
@@ -60,7 +60,7 @@
   return {
     async borrowRepeats(address, loan) {
       const repeats = Math.min(loan.repeats, Messages.MAX_LOAN);
-      const caller = createCaller(address, LOAN_TIMEOUT_MS);
+      const caller = createCaller(address, loanTimeoutMs);
       try {
         const answer = await caller.lendRepeats.mutate({ ...loan, repeats });
         return { kind: 'lent', repeats: Messages.loanAnswerSchema.parse(answer).repeats };
