Name the content of a request in the lines about it

Each attempt of a caller has an id of its own, so the lines could not tell whether the streams that were lost at engine after engine were the same request. They now carry a digest of method, host, path, organisation and body.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -98,6 +98,7 @@
     path: '/x',
     headers: [],
     body: Buffer.alloc(0),
+    contentKey: 'c1',
     route,
     service: route.shares[0]?.service ?? '',
     arrivedAtMs: 0,
--- a/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
@@ -127,6 +127,7 @@
     parts.metrics.addCount(Metrics.REPEATED);
     log.logEvent(Events.REQUEST_REPEATED, {
       request: request.id,
+      content: request.contentKey,
       target: target.id,
       reason: progress.lastReason,
       sends: progress.sends,
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -12,6 +12,8 @@
   /** Those that pass on as they came. */
   readonly headers: readonly RawHeader[];
   readonly body: Buffer;
+  /** Equal for requests that ask the same for the same organisation, whatever their ids. */
+  readonly contentKey: string;
   readonly route: ForwardingRoute;
   readonly service: string;
   readonly organisation?: string;
--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -6,6 +6,7 @@
 import * as Replies from './replies';
 import type { ExchangeParts, Refusal } from './replies';
 import type { ForwardRequest } from '../forwardRequest';
+import * as ContentKeys from './contentKey';
 import * as Headers from './headers';
 import type { RawHeader } from './headers';
 import * as WholeAnswers from '../answers/wholeAnswer';
@@ -171,15 +172,19 @@
   const waitMs = givenMs > 0 ? Math.min(givenMs, route.timeoutMs) : route.timeoutMs;
   const lastEventId = Headers.findSingle(headers, names.lastEventId);
   const promptTokens = Number.parseInt(Headers.findSingle(headers, names.promptSize) ?? '', 10);
-  return {
-    id,
+  const content = {
     method: incoming.method ?? 'GET',
     path: incoming.url ?? '/',
-    headers: Headers.selectForwarded(headers, parts.wire),
     body: received.body,
+    ...(organisation === undefined ? {} : { organisation: organisation.name }),
+  };
+  return {
+    id,
+    ...content,
+    contentKey: ContentKeys.computeContentKey({ ...content, host: route.host }),
+    headers: Headers.selectForwarded(headers, parts.wire),
     route,
     service,
-    ...(organisation === undefined ? {} : { organisation: organisation.name }),
     arrivedAtMs,
     expiresAtMs: arrivedAtMs + waitMs,
     isReturning,
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -42,6 +42,7 @@
 function createLineFields(parts: ExchangeParts, request: ForwardRequest) {
   return {
     request: request.id,
+    content: request.contentKey,
     route: request.route.name,
     service: request.service,
     version: parts.directory.getConfiguration()?.version,
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -107,6 +107,7 @@
 ): void {
   parts.log.logEvent(Events.STREAM_CONTINUED, {
     request: request.id,
+    content: request.contentKey,
     target: target.id,
     zone: target.zone,
     reason: progress.lastReason,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -64,6 +64,7 @@
   const view = views.find(({ id }) => id === pair.target.id);
   parts.log.logEvent(Events.STREAM_PLACED, {
     request: request.id,
+    content: request.contentKey,
     target: pair.target.id,
     zone: pair.target.zone,
     backup: pair.backup?.id,
