--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -37,6 +37,8 @@
   readonly listen?: string;
   /** Events of each stream. */
   readonly eventCount?: number;
+  /** The process ends as soon as it begins to run a request of this path. */
+  readonly crashPath?: string;
 }
 
 export interface TargetStandin {
@@ -70,7 +72,7 @@
 }
 
 export function createTargetStandin(id: string, options: TargetOptions = {}): TargetStandin {
-  const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT } = options;
+  const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, crashPath } = options;
   let fault: TargetFault = 'none';
   let isSilent = false;
   const runs: TargetRun[] = [];
@@ -160,6 +162,17 @@
     '/healthz': (response) => response.writeHead(200, { 'instance-id': id }).end(),
   };
 
+  /** A run that ends without an answer; false where it goes on. */
+  function failRun(request: IncomingMessage, response: ServerResponse): boolean {
+    if (crashPath !== undefined && request.url === crashPath) {
+      server.refuseConnections();
+      return true;
+    }
+    if (fault !== 'loseAnswer') return false;
+    response.destroy();
+    return true;
+  }
+
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (isSilent) return;
     const answerOwn = ownAnswers[request.url ?? ''];
@@ -187,10 +200,7 @@
       hasApiKey: request.headers.credential !== undefined,
       startedAtMs: performance.now(),
     });
-    if (fault === 'loseAnswer') {
-      response.destroy();
-      return;
-    }
+    if (failRun(request, response)) return;
     running += 1;
     addPrompt(request.headers['prompt-prefix']);
     const isStream = request.headers.accept === 'text/event-stream';
