Block a content under which several targets ended, on all routers

Cause: what a request did to its targets was kept for the life of one request id at one router. The class: knowledge of a failure that no longer applies when the failed thing comes back under another name.

Evidence: in the recorded lines the requests are lost at engine after engine before their first event, one engine at a time, over all zones, at all routers; crashes of a zone, and silence checks that end living runs, are ruled out by the same lines.

Change: a break before a first event (or within 300 ms after it) counts as a crash when the target then refuses connections. Crashes are counted by content, by the life of the target, at the two routers that rank first for the content. Three crashes block the content: the routers that count tell eight peers at once and the store, from which all others and routers that start later have it; while the store is away, each router asks two peers each 500 ms. A blocked content is refused at once with 503 and the time that is left. It is free after ten minutes, and blocked again by the next crash within half an hour. A content answered since is not blocked. All tables are bounded.

Two ways of spreading were weighed: every crash to every router, and crashes to two routers with only blocks to all. At 300 routers 1,000 requests lost at once cost at most 2,000 calls in the second way, by a test; the first way would cost 299,000 by count. The second was taken.

--- /dev/null
+++ b/packages/sequoiarill-decisions/src/__tests__/crashLedger.test.ts
@@ -0,0 +1,82 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as CrashLedgers from '../crashLedger';
+
+const MINUTE_MS = 60_000;
+
+function createLedger() {
+  const ledger = CrashLedgers.createCrashLedger();
+  return {
+    ...ledger,
+    recordCrashes(content: string, targets: readonly string[], nowMs: number): void {
+      targets.forEach((target) => ledger.recordCrash({ content, target, ageMs: 0 }, nowMs));
+    },
+    isBlocked: (content: string, nowMs: number) => ledger.getBlockedMs(content, nowMs) > 0,
+  };
+}
+
+describe('the ledger of crashes', () => {
+  it('blocks a content once three targets ended under it', () => {
+    // Guards against a request that ends target after target.
+    const ledger = createLedger();
+    ledger.recordCrashes('a', ['t1', 't2'], 0);
+    expect(ledger.isBlocked('a', 0)).toEqual(false);
+    ledger.recordCrashes('a', ['t3'], 10);
+    expect(ledger.isBlocked('a', 10)).toEqual(true);
+    expect(ledger.isBlocked('b', 10)).toEqual(false);
+  });
+
+  it('counts the crash of one life of a target once', () => {
+    // Guards against several routers that report the same crash of a sound request.
+    const ledger = createLedger();
+    ledger.recordCrashes('a', ['t1', 't1', 't1', 't1'], 0);
+    expect(ledger.isBlocked('a', 0)).toEqual(false);
+  });
+
+  it('does not block a content that is answered between crashes', () => {
+    // Guards against the refusal of a sound content that is asked for often, beside crashes of any cause.
+    const ledger = createLedger();
+    for (let round = 0; round < 20; round += 1) {
+      const nowMs = round * MINUTE_MS;
+      ledger.recordCrashes('a', [`t${round}`, `u${round}`], nowMs);
+      expect(ledger.isBlocked('a', nowMs)).toEqual(false);
+      ledger.recordAnswer('a', nowMs + 1);
+    }
+  });
+
+  it('blocks a content that crashes targets after it was answered', () => {
+    // Guards against an answer from before a new version that the content crashes.
+    const ledger = createLedger();
+    ledger.recordCrashes('a', ['t1'], 0);
+    ledger.recordAnswer('a', 1);
+    ledger.recordCrashes('a', ['t2', 't3', 't4'], 2);
+    expect(ledger.isBlocked('a', 2)).toEqual(true);
+  });
+
+  it('frees a content after a time, and blocks it at once when it crashes one more', () => {
+    // Guards against a block that never ends, and against three more crashes after each end.
+    const ledger = createLedger();
+    ledger.recordCrashes('a', ['t1', 't2', 't3'], 0);
+    expect(ledger.isBlocked('a', 9 * MINUTE_MS)).toEqual(true);
+    expect(ledger.isBlocked('a', 10 * MINUTE_MS)).toEqual(false);
+    ledger.recordCrashes('a', ['t4'], 11 * MINUTE_MS);
+    expect(ledger.isBlocked('a', 11 * MINUTE_MS)).toEqual(true);
+  });
+
+  it('forgets crashes in the end', () => {
+    const ledger = createLedger();
+    ledger.recordCrashes('a', ['t1', 't2', 't3'], 0);
+    expect(ledger.isBlocked('a', 31 * MINUTE_MS)).toEqual(false);
+    ledger.recordCrashes('a', ['t4'], 31 * MINUTE_MS);
+    expect(ledger.isBlocked('a', 31 * MINUTE_MS)).toEqual(false);
+  });
+
+  it('keeps a bounded number of contents', () => {
+    // Guards against memory that grows with the crashes of a lost zone.
+    const ledger = createLedger();
+    for (let index = 0; index < 5_000; index += 1) ledger.recordCrashes(`c${index}`, ['t'], 0);
+    expect(ledger.countSuspects()).toEqual(1_000);
+  });
+});
--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -5,6 +5,7 @@
 export * from './concurrencyLimit';
 export * from './continuationPacer';
 export * from './copyPlacement';
+export * from './crashLedger';
 export * from './enginePlacement';
 export * from './cost';
 export * from './retryBudget';
--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -19,6 +19,8 @@
     clock: { waitMs: async () => undefined },
     lendRepeats,
     handleReport: () => ({ isHalted: false, avoided: [] }),
+    handleCrashes: () => undefined,
+    handleBlocks: () => [],
   });
 }
 
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -1,5 +1,14 @@
 /** Reads the directory of other routers and borrows repeats of them, over tRPC. */
-import type { GuidanceOutcome, LoanOutcome, RepeatsLoan, RolloutReport } from '@sequoiarill/types';
+import type {
+  BlocksOutcome,
+  ContentBlock,
+  Crash,
+  CrashesOutcome,
+  GuidanceOutcome,
+  LoanOutcome,
+  RepeatsLoan,
+  RolloutReport,
+} from '@sequoiarill/types';
 import * as TrpcClient from '@trpc/client';
 import * as Undici from 'undici';
 
@@ -16,6 +25,11 @@
   ) => Promise<PeerAnswer>;
   readonly borrowRepeats: (address: string, loan: RepeatsLoan) => Promise<LoanOutcome>;
   readonly sendReport: (address: string, report: RolloutReport) => Promise<GuidanceOutcome>;
+  readonly reportCrashes: (address: string, crashes: readonly Crash[]) => Promise<CrashesOutcome>;
+  readonly exchangeBlocks: (
+    address: string,
+    blocks: readonly ContentBlock[],
+  ) => Promise<BlocksOutcome>;
   readonly close: () => Promise<void>;
 }
 
@@ -77,6 +91,24 @@
         return { kind: 'failed', reason: (error as Error).message };
       }
     },
+    async reportCrashes(address, crashes) {
+      const caller = createCaller(address, CALL_TIMEOUT_MS);
+      try {
+        await caller.reportCrashes.mutate({ crashes: crashes.slice(-Messages.MAX_CRASHES) });
+        return { kind: 'counted' };
+      } catch (error) {
+        return { kind: 'failed', reason: (error as Error).message };
+      }
+    },
+    async exchangeBlocks(address, blocks) {
+      const caller = createCaller(address, CALL_TIMEOUT_MS);
+      try {
+        const answer = await caller.exchangeBlocks.mutate(Messages.encodeBlocks(blocks));
+        return { kind: 'blocks', blocks: Messages.blocksSchema.parse(answer).blocks };
+      } catch (error) {
+        return { kind: 'failed', reason: (error as Error).message };
+      }
+    },
     async readRecords(address, afterRevision, waitMs = 0) {
       const client = createCaller(address, CALL_TIMEOUT_MS + waitMs);
       try {
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -1,5 +1,5 @@
 /** Messages between routers; both sides check them. */
-import type { RolloutGuidance, RolloutReport } from '@sequoiarill/types';
+import type { ContentBlock, RolloutGuidance, RolloutReport } from '@sequoiarill/types';
 import * as Zod from 'zod';
 
 import type { DirectoryRecord } from './recordLog';
@@ -73,6 +73,38 @@
   state: Zod.object({ revision: Zod.number().int(), value: Zod.string() }).optional(),
 });
 
+/** Most crashes of one report, and most blocks of one exchange. */
+export const MAX_CRASHES = 100;
+export const MAX_BLOCKS = 200;
+const MAX_NAME_LENGTH = 200;
+
+const contentSchema = Zod.string().regex(/^[0-9a-f]{16}$/);
+
+export const crashesQuestionSchema = Zod.object({
+  crashes: Zod.array(
+    Zod.object({
+      content: contentSchema,
+      target: Zod.string().max(MAX_NAME_LENGTH),
+      ageMs: Zod.number().min(0),
+    }),
+  ).max(MAX_CRASHES),
+});
+
+export const blocksSchema = Zod.object({
+  blocks: Zod.array(
+    Zod.object({
+      content: contentSchema,
+      firstAgeMs: Zod.number().min(0),
+      lastAgeMs: Zod.number().min(0),
+    }),
+  ).max(MAX_BLOCKS),
+});
+
+/** The newest are learned last, and matter most. */
+export function encodeBlocks(blocks: readonly ContentBlock[]): Zod.infer<typeof blocksSchema> {
+  return { blocks: blocks.slice(-MAX_BLOCKS) };
+}
+
 export type LoanAnswer = Zod.infer<typeof loanAnswerSchema>;
 
 /** What a question to a peer came to. */
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -2,7 +2,13 @@
 import * as Http from 'node:http';
 
 import * as Kernel from '@sequoiarill/kernel';
-import type { Clock, RepeatsLoan, RolloutGuidance, RolloutReport } from '@sequoiarill/types';
+import type {
+  Clock,
+  CrashHandlers,
+  RepeatsLoan,
+  RolloutGuidance,
+  RolloutReport,
+} from '@sequoiarill/types';
 import * as Trpc from '@trpc/server';
 import * as Standalone from '@trpc/server/adapters/standalone';
 
@@ -16,7 +22,7 @@
   readonly stop: () => Promise<void>;
 }
 
-export interface PeerServerOptions {
+export interface PeerServerOptions extends CrashHandlers {
   readonly state: Pick<DirectoryState, 'listRecordsAfter' | 'subscribe'>;
   readonly follower: Pick<StoreFollower, 'getSeenRevision' | 'getAgeMs'>;
   readonly clock: Pick<Clock, 'waitMs'>;
@@ -68,6 +74,12 @@
     lendRepeats: procedure
       .input(Messages.loanQuestionSchema)
       .mutation(({ input }): Messages.LoanAnswer => ({ repeats: options.lendRepeats(input) })),
+    reportCrashes: procedure.input(Messages.crashesQuestionSchema).mutation(({ input }) => {
+      options.handleCrashes(input.crashes);
+    }),
+    exchangeBlocks: procedure
+      .input(Messages.blocksSchema)
+      .mutation(({ input }) => Messages.encodeBlocks(options.handleBlocks(input.blocks))),
     reportRollout: procedure
       .input(Messages.reportQuestionSchema)
       .mutation(({ input }): RolloutGuidance => options.handleReport(Messages.decodeReport(input))),
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -1,6 +1,7 @@
 /** Plug-in `directory`: knows what is forwarded where and which targets live. */
 import * as Kernel from '@sequoiarill/kernel';
 import type {
+  CrashHandlers,
   Plugin,
   PluginContext,
   PluginInstance,
@@ -26,6 +27,10 @@
   seeds: Kernel.listSchema.default([]),
 });
 
+const NO_CRASH_HANDLERS: CrashHandlers = {
+  handleCrashes: () => undefined,
+  handleBlocks: () => [],
+};
 const NO_GUIDANCE: RolloutGuidance = { isHalted: false, avoided: [] };
 /** A shorter silence of the store is no outage; a restart takes longer as well. Milliseconds. */
 const NEWS_MS = 1_000;
@@ -59,6 +64,7 @@
   });
   let lender: Parameters<RouterPeers['setLender']>[0] | undefined;
   let reportHandler: Parameters<RouterPeers['setReportHandler']>[0] = () => NO_GUIDANCE;
+  let crashHandlers = NO_CRASH_HANDLERS;
   const server = PeerServers.createPeerServer(
     {
       state,
@@ -66,6 +72,8 @@
       clock,
       lendRepeats: (loan) => lender?.(loan) ?? 0,
       handleReport: (report) => reportHandler(report),
+      handleCrashes: (crashes) => crashHandlers.handleCrashes(crashes),
+      handleBlocks: (blocks) => crashHandlers.handleBlocks(blocks),
     },
     settings.listen,
   );
@@ -119,6 +127,11 @@
     self: settings.listen,
     listRouters: () => state.listRouters().map(({ address }) => address),
     sendReport: client.sendReport,
+    reportCrashes: client.reportCrashes,
+    exchangeBlocks: client.exchangeBlocks,
+    setCrashHandlers(handlers) {
+      crashHandlers = handlers;
+    },
     setReportHandler(handleReport) {
       reportHandler = handleReport;
     },
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -232,6 +232,11 @@
       recordSend: () => () => undefined,
     },
     book,
+    crashes: {
+      getBlockedMs: () => 0,
+      recordAnswer: () => undefined,
+      recordBreak: async () => undefined,
+    },
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log: { logEvent: () => undefined, close: () => undefined },
     metrics: Kernel.createMetrics(undefined, {}),
--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -6,6 +6,9 @@
 import type { ForwardRequest } from '../forwardRequest';
 import type { ForwardingParts } from '../parts';
 
+/** What callers and lines are told of a request whose content is blocked. */
+export const BLOCKED_REASON = 'targets ended as they began to run it';
+
 /** Targets that new work of the request may go to. */
 export function listOpen(
   { book, directory, rollouts }: Pick<ForwardingParts, 'book' | 'directory' | 'rollouts'>,
--- a/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
@@ -16,6 +16,7 @@
 const REPEAT_SHARE = 0.45;
 /** A target that failed this way is tried again in this time, seconds. */
 const RETRY_AFTER_SECONDS = 0.3;
+const MS_PER_SECOND = 1_000;
 /** The same failure from a second target lies in the request, and is the answer. */
 const MAX_SERVER_ERRORS = 1;
 
@@ -66,6 +67,17 @@
   return { kind: 'failed', reason: lastReason, isLate, ...getLastTarget(progress) };
 }
 
+function decideBlocked(
+  request: ForwardRequest,
+  progress: Progress,
+  blockedMs: number,
+): ForwardOutcome {
+  progress.lastReason = Placement.BLOCKED_REASON;
+  const end = decideEnd(request, progress, false);
+  if (end.kind !== 'refused') return end;
+  return { ...end, retryAfterSeconds: Math.ceil(blockedMs / MS_PER_SECOND) };
+}
+
 async function sendThroughDoor(
   parts: ForwardingParts,
   request: ForwardRequest,
@@ -80,6 +92,9 @@
   const outcome = await Sending.sendOnce(parts, request, target, limitMs);
   ServiceDoors.recordSend(door, request, outcome, sentAtMs, parts.clock.getNowMs());
   recordEnd(Sending.decideVersionEnd(outcome));
+  if (outcome.kind === 'lost' && !outcome.isSilence) {
+    await parts.crashes.recordBreak(request, target);
+  }
   return outcome;
 }
 
@@ -108,6 +123,8 @@
     const nowMs = clock.getNowMs();
     if (nowMs >= request.expiresAtMs) return decideEnd(request, progress, true);
     if (progress.sends >= request.route.maxTargets) return decideEnd(request, progress, false);
+    const blockedMs = parts.crashes.getBlockedMs(request.contentKey);
+    if (blockedMs > 0) return decideBlocked(request, progress, blockedMs);
     const target = Placement.chooseTarget(parts, {
       request,
       excluded: progress.excluded,
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/crashReports.test.ts
@@ -0,0 +1,87 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as Routers from './routers';
+import type { PlayedRouter, PlayedRouters } from './routers';
+
+/** Every router in touch is to know within this of the third crash, milliseconds. */
+const KNOWN_MS = 3_000;
+const CONTENT = '00000000000000c1';
+
+/** Each crash is seen by another router, as a balancer spreads a caller's repeats. */
+async function playCrashes(
+  played: PlayedRouters,
+  among: readonly PlayedRouter[] = played.routers,
+): Promise<void> {
+  for (let index = 0; index < 3; index += 1) {
+    const router = among[(index * 5) % among.length];
+    if (router !== undefined) await played.crash(router, CONTENT, `t${index}`);
+  }
+  await played.clock.runFor(KNOWN_MS);
+}
+
+function countBlocking(routers: readonly PlayedRouter[]): number {
+  return routers.filter(({ reports }) => reports.getBlockedMs(CONTENT) > 0).length;
+}
+
+describe('crashes that several routers see', () => {
+  for (const count of [7, 80, 300]) {
+    it(`are known to all of ${count} routers`, async () => {
+      // Guards against a caller whose repeats reach other routers than the one that saw the crashes.
+      const played = Routers.playRouters(count);
+      await playCrashes(played);
+      expect(countBlocking(played.routers)).toEqual(count);
+      played.stop();
+    });
+
+    it(`are known to all of ${count} routers while the store is away`, async () => {
+      // Guards against knowledge that only the store passes on.
+      const played = Routers.playRouters(count);
+      played.setStoreAway(true);
+      await playCrashes(played);
+      expect(countBlocking(played.routers)).toEqual(count);
+      played.stop();
+    });
+
+    it(`are known on both sides of a cut of ${count} routers, each for its own`, async () => {
+      // Guards against counting routers that all lie behind the cut.
+      const played = Routers.playRouters(count);
+      played.cutZone(0);
+      const inside = played.routers.filter(({ zone }) => zone === 0);
+      await playCrashes(played, inside);
+      expect(countBlocking(inside)).toEqual(inside.length);
+      played.cutZone(undefined);
+      await played.clock.runFor(KNOWN_MS);
+      expect(countBlocking(played.routers)).toEqual(count);
+      played.stop();
+    });
+  }
+
+  it('are known to a router that starts later', async () => {
+    // Guards against restarted routers that crash as many targets again.
+    for (const isAway of [false, true]) {
+      const played = Routers.playRouters(7);
+      played.setStoreAway(isAway);
+      await playCrashes(played);
+      const started = played.addRouter();
+      await played.clock.runFor(KNOWN_MS);
+      expect(started.reports.getBlockedMs(CONTENT)).toBeGreaterThan(0);
+      played.stop();
+    }
+  });
+
+  it('cost a few messages for each request that was lost, however many routers there are', async () => {
+    // Guards against a lost zone whose streams are each told to the whole fleet.
+    const played = Routers.playRouters(300);
+    for (let index = 0; index < 1_000; index += 1) {
+      const content = index.toString(16).padStart(16, '0');
+      const router = played.routers[index % 300];
+      if (router !== undefined) await played.crash(router, content, `t${index % 40}`);
+    }
+    await played.clock.runFor(KNOWN_MS);
+    expect(played.countCalls()).toBeLessThan(2_001);
+    expect(played.routers.every(({ reports }) => reports.dumpState().blocked === 0)).toEqual(true);
+    played.stop();
+  });
+});
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -108,6 +108,25 @@
   "This router's part of the repeats was spent, and other routers were asked for what they had left.",
 );
 
+export const TARGET_ENDED = Kernel.defineEvent(
+  1923,
+  'warn',
+  'target.ended',
+  'A target ended as it began to run a request; the crash is counted against the content of the request.',
+);
+export const CONTENT_BLOCKED = Kernel.defineEvent(
+  1924,
+  'warn',
+  'content.blocked',
+  'Several targets ended under requests with this content; it is sent to none for a while. `source` tells who found it.',
+);
+export const PEER_NOT_TOLD = Kernel.defineEvent(
+  1925,
+  'info',
+  'crashes.peerNotTold',
+  'Another router could not be told of a crash or of a blocked content; others were.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -126,4 +145,7 @@
   STREAM_COPIED,
   ORDER_FAILED,
   REPEATS_BORROWED,
+  TARGET_ENDED,
+  CONTENT_BLOCKED,
+  PEER_NOT_TOLD,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -88,12 +88,13 @@
 }
 
 function recordEnd(
-  { metrics, clock, durations }: ExchangeParts,
-  { route, arrivedAtMs, lastEventId }: ForwardRequest,
+  { metrics, clock, crashes, durations }: ExchangeParts,
+  { contentKey, route, arrivedAtMs, lastEventId }: ForwardRequest,
   outcome: StreamOutcome['kind'],
 ): void {
   metrics.addCount(Metrics.REQUESTS, 1, { route: route.name, outcome });
   if (outcome !== 'answer' && outcome !== 'complete') return;
+  crashes.recordAnswer(contentKey);
   const tookMs = clock.getNowMs() - arrivedAtMs;
   metrics.recordTiming(Metrics.ANSWER, tookMs, { route: route.name });
   // The rest of a stream is short, and says nothing of whole ones.
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -17,6 +17,7 @@
 } from '@sequoiarill/types';
 
 import type { BoundedLog } from './boundedLog';
+import type { CrashReports } from './crashes/crashReports';
 import type { EngineProbes } from './targets/engineProbes';
 import type { ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './front/headers';
@@ -33,6 +34,7 @@
   readonly peers: Pick<RouterPeers, 'listNearest' | 'borrowRepeats'>;
   readonly rollouts: Pick<Rollouts, 'selectTargets' | 'isLeaving' | 'recordSend'>;
   readonly book: TargetBook;
+  readonly crashes: Pick<CrashReports, 'getBlockedMs' | 'recordAnswer' | 'recordBreak'>;
   readonly chooser: TargetChooser;
   readonly log: BoundedLog;
   readonly metrics: Metrics;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -5,13 +5,16 @@
 
 import type { ExchangeParts } from './front/replies';
 import * as BoundedLogs from './boundedLog';
+import type { BoundedLog } from './boundedLog';
+import * as CrashReports from './crashes/crashReports';
+import type { CrashReports as CrashReportsState } from './crashes/crashReports';
+import * as EndedChecks from './crashes/endedCheck';
 import * as CopyOrders from './streams/copyOrders';
 import * as Drains from './front/drain';
 import * as EngineCalls from './targets/engineCalls';
 import * as EngineProbes from './targets/engineProbes';
 import * as Events from './events';
 import * as Exchanges from './front/exchange';
-import type { ForwardRequest } from './forwardRequest';
 import * as Fronts from './front/front';
 import type { RawHeader } from './front/headers';
 import * as Registers from './register';
@@ -49,34 +52,28 @@
   };
 }
 
-function createInstance(context: PluginContext, settings: ForwardingSettings): PluginInstance {
-  const { clock, logEvent, nextRandom } = context;
-  const wire = context.getCapability('wire');
-  const directory = context.getCapability('directory');
-  const peers = context.getCapability('peers');
-  const rollouts = context.getCapability('rollouts');
-  const log = BoundedLogs.createBoundedLog(logEvent, clock.getNowMs);
-  const book = TargetBooks.createTargetBook(clock.getNowMs);
-  const connections = TargetConnections.createTargetConnections();
-  const callEngine = EngineCalls.createEngineCaller(clock, connections);
-  const copyOrders = CopyOrders.createCopyOrders(wire, callEngine);
-  const probes = EngineProbes.createEngineProbes({
-    wire,
+function createCrashes(context: PluginContext, log: BoundedLog): CrashReportsState {
+  const { clock, nextRandom } = context;
+  return CrashReports.createCrashReports({
     clock,
-    book,
-    callEngine,
-    directory,
+    nextRandom,
+    wire: context.getCapability('wire'),
+    directory: context.getCapability('directory'),
+    peers: context.getCapability('peers'),
+    store: context.getCapability('keyValue'),
+    log,
+    checkEnded: EndedChecks.checkEnded,
   });
-  let table: RouteTable | undefined;
-  let version: number | undefined;
+}
 
-  function openCall(
-    request: ForwardRequest,
-    target: ForwardingTarget,
-    extraHeaders: readonly RawHeader[],
-  ): TargetCalls.TargetCall {
+/** Requests go out as the caller's, with what only this system may say of them. */
+function createCallOpener(
+  { clock, getCapability }: PluginContext,
+  connections: TargetConnections.TargetConnections,
+): ExchangeParts['openCall'] {
+  const { headers: names } = getCapability('wire');
+  return (request, target, extraHeaders) => {
     const leftMs = Math.max(1, Math.floor(request.expiresAtMs - clock.getNowMs()));
-    const names = wire.headers;
     const replaced = new Set(extraHeaders.map(([name]) => name));
     const organisation: readonly RawHeader[] =
       request.organisation === undefined ? [] : [[names.organisation, request.organisation]];
@@ -94,7 +91,32 @@
         ...extraHeaders,
       ],
     });
-  }
+  };
+}
+
+function createInstance(context: PluginContext, settings: ForwardingSettings): PluginInstance {
+  const { clock, logEvent, nextRandom } = context;
+  const wire = context.getCapability('wire');
+  const directory = context.getCapability('directory');
+  const peers = context.getCapability('peers');
+  const rollouts = context.getCapability('rollouts');
+  const log = BoundedLogs.createBoundedLog(logEvent, clock.getNowMs);
+  const book = TargetBooks.createTargetBook(clock.getNowMs);
+  const connections = TargetConnections.createTargetConnections();
+  const callEngine = EngineCalls.createEngineCaller(clock, connections);
+  const copyOrders = CopyOrders.createCopyOrders(wire, callEngine);
+  const probes = EngineProbes.createEngineProbes({
+    wire,
+    clock,
+    book,
+    callEngine,
+    directory,
+  });
+  const crashes = createCrashes(context, log);
+  const stopping = new AbortController();
+  let running: Promise<void> | undefined;
+  let table: RouteTable | undefined;
+  let version: number | undefined;
 
   const front = Fronts.createFront({
     settings,
@@ -115,11 +137,12 @@
     peers,
     rollouts,
     book,
+    crashes,
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
     metrics: context.metrics,
     ...createServiceDecisions(context, settings, directory.countRouters),
-    openCall,
+    openCall: createCallOpener(context, connections),
     readReport: probes.readReport,
     readKept: probes.readKept,
     ...copyOrders,
@@ -132,6 +155,7 @@
   };
 
   rollouts.setInFlightReader(book.getInFlight);
+  peers.setCrashHandlers(crashes.handlers);
   peers.setLender((loan) => RepeatLoans.lendRepeats(parts, loan));
 
   function isCurrent(target: ForwardingTarget): boolean {
@@ -139,6 +163,7 @@
   }
 
   function applyDirectory(): void {
+    crashes.applyDirectory();
     const configuration = directory.getConfiguration();
     if (configuration === undefined) return;
     if (table === undefined) logEvent(Events.READY, { version: configuration.version });
@@ -157,6 +182,7 @@
     async start() {
       directory.subscribe(applyDirectory);
       applyDirectory();
+      running = crashes.run(stopping.signal);
       await front.start();
       logEvent(Events.LISTENING, front.getAddresses());
     },
@@ -169,6 +195,8 @@
       logEvent(Events.DRAINED, { requests: front.countRequests(), waitedMs });
     },
     async stop() {
+      stopping.abort();
+      await running;
       await front.stop();
       connections.close();
       log.close();
@@ -179,6 +207,7 @@
       connections: front.countConnections(),
       targetConnections: connections.countOpen(),
       isDraining: drain.isDraining(),
+      crashes: crashes.dumpState(),
     }),
   };
 }
@@ -187,7 +216,7 @@
   name: 'forwarding',
   settingsSchema,
   provides: [],
-  needs: ['wire', 'directory', 'peers', 'rollouts'],
+  needs: ['wire', 'directory', 'peers', 'rollouts', 'keyValue'],
   events: Events.EVENTS,
   createInstance,
 };
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -55,6 +55,8 @@
 /** An answer to such a check may take this long, milliseconds, twice in a row. */
 const CHECK_WAIT_MS = 120;
 const MAX_MISSED_CHECKS = 2;
+/** A request that crashes its target does so before its first event or this soon after it, milliseconds. */
+const SETTLED_MS = 300;
 
 /** Yields events as they become whole; ends with what the attempt came to. */
 export async function* runStreamAttempt(
@@ -88,7 +90,10 @@
     for (;;) {
       const step = await reader.readStep();
       if (step !== undefined) {
-        if ('kind' in step) return step;
+        if ('kind' in step) {
+          await recordBreak(parts, order, step, reader.hasSettled());
+          return step;
+        }
         yield step;
       }
     }
@@ -97,6 +102,17 @@
   }
 }
 
+/** A run that has made events for a while is not what a crash came from. */
+async function recordBreak(
+  { crashes }: ForwardingParts,
+  { request, target }: AttemptOrder,
+  outcome: AttemptOutcome,
+  hasSettled: boolean,
+): Promise<void> {
+  if (outcome.kind !== 'lost' || outcome.isSilence || hasSettled) return;
+  await crashes.recordBreak(request, target);
+}
+
 function createStreamReader(parts: ForwardingParts, order: AttemptOrder, call: TargetCall) {
   const { request, target } = order;
   const { clock } = parts;
@@ -111,6 +127,7 @@
   let silentUntilMs = Math.min(firstEventDueMs, startedMs + checkMs);
   let missedChecks = 0;
   let hasEvents = false;
+  let firstEventMs = Number.POSITIVE_INFINITY;
   let head: AnswerHead | undefined;
   const { name: route, objectiveMs } = request.route;
   const recordVersion = parts.rollouts.recordSend({ target, route, objectiveMs });
@@ -130,7 +147,10 @@
   function recordEvents(): void {
     const nowMs = clock.getNowMs();
     if (hasEvents) policy.recordGap(target.id, nowMs - lastEventMs);
-    else recordFirstEvent(nowMs - startedMs);
+    else {
+      firstEventMs = nowMs;
+      recordFirstEvent(nowMs - startedMs);
+    }
     parts.book.recordSign(target);
     hasEvents = true;
     lastEventMs = nowMs;
@@ -208,6 +228,7 @@
 
   return {
     readStep: async (): Promise<Step> => handleEvent(await readNext()),
+    hasSettled: () => clock.getNowMs() - firstEventMs > SETTLED_MS,
     close: () => recordVersion('unknown'),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -19,6 +19,7 @@
 /** Sends besides those that the route allows, for targets that did not take the request. */
 const MAX_TRIES = 12;
 const RETRY_AFTER_SECONDS = 0.5;
+const MS_PER_SECOND = 1_000;
 /** Repeats that are kept for streams in the middle: those that one crash of a zone may need. */
 const REPEATS_FOR_STREAMS = 2;
 /** The same as a share of what a router of a large fleet may repeat, which is little. */
@@ -84,6 +85,8 @@
   const nowMs = parts.clock.getNowMs();
   if (request.closed.aborted) return { kind: 'callerLeft' };
   if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
+  const blockedMs = parts.crashes.getBlockedMs(request.contentKey);
+  if (blockedMs > 0) return decideBlocked(progress, blockedMs);
   const plan = await createPlan(parts, request, progress);
   if (plan?.kind === 'refused') return plan;
   if (plan === undefined) return decideEnd(progress, progress.lastReason, false);
@@ -179,6 +182,12 @@
   return progress.runs < maxTargets && progress.tries < MAX_TRIES;
 }
 
+function decideBlocked(progress: Progress, blockedMs: number): StreamOutcome {
+  const end = decideEnd(progress, Placement.BLOCKED_REASON, false);
+  if (end.kind !== 'refused') return end;
+  return { ...end, retryAfterSeconds: Math.ceil(blockedMs / MS_PER_SECOND) };
+}
+
 export function decideEnd(progress: Progress, reason: string, isLate: boolean): StreamOutcome {
   const { hasEvents, runs, lastTarget } = progress;
   const end = lastTarget === undefined ? { reason } : { reason, lastTarget };
--- a/packages/sequoiarill-plugin-rollouts/src/play/world.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/play/world.ts
@@ -102,6 +102,17 @@
   };
 }
 
+/** What routers ask of each other apart from roll-outs. */
+const UNUSED_CALLS: Omit<RouterPeers, 'self' | 'listRouters' | 'sendReport' | 'setReportHandler'> =
+  {
+    listNearest: () => [],
+    borrowRepeats: async () => ({ kind: 'lent', repeats: 0 }),
+    setLender: () => undefined,
+    reportCrashes: async () => ({ kind: 'counted' }),
+    exchangeBlocks: async () => ({ kind: 'blocks', blocks: [] }),
+    setCrashHandlers: () => undefined,
+  };
+
 export function createWorld({ routers, canHandOver }: WorldOptions): World {
   const clock = Kernel.createFakeClock();
   const items = new Map<string, StoredEntry>();
@@ -204,9 +215,7 @@
       }),
       peers: {
         self: name,
-        listNearest: () => [],
-        borrowRepeats: async () => ({ kind: 'lent', repeats: 0 }),
-        setLender: () => undefined,
+        ...UNUSED_CALLS,
         listRouters: () => nodes.map((other) => other.name),
         sendReport: (peer, report) => callPeer(node, peer, report),
         setReportHandler: (handler) => handlers.set(name, handler),
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -52,6 +52,36 @@
   | { readonly kind: 'guided'; readonly guidance: RolloutGuidance }
   | { readonly kind: 'failed'; readonly reason: string };
 
+/** A target ended while it began to run a request with this content. */
+export interface Crash {
+  readonly content: string;
+  /** One life of a target: crashes of the same one count once. */
+  readonly target: string;
+  readonly ageMs: number;
+}
+
+/** A content under which so many targets ended that no router sends it to another one. */
+export interface ContentBlock {
+  readonly content: string;
+  /** Of the first and of the last crash, milliseconds. */
+  readonly firstAgeMs: number;
+  readonly lastAgeMs: number;
+}
+
+export type CrashesOutcome =
+  { readonly kind: 'counted' } | { readonly kind: 'failed'; readonly reason: string };
+
+export type BlocksOutcome =
+  | { readonly kind: 'blocks'; readonly blocks: readonly ContentBlock[] }
+  | { readonly kind: 'failed'; readonly reason: string };
+
+/** What a router makes of crashes and blocks that its peers tell. */
+export interface CrashHandlers {
+  readonly handleCrashes: (crashes: readonly Crash[]) => void;
+  /** Returns the blocks that are known here. */
+  readonly handleBlocks: (blocks: readonly ContentBlock[]) => readonly ContentBlock[];
+}
+
 /** Capability `peers`: the other routers, as the directory knows them. */
 export interface RouterPeers {
   /** `IP:port` of other routers, those of this router's zone first and otherwise in random order. */
@@ -64,6 +94,14 @@
   /** `IP:port` of all routers that are known, this one too. */
   readonly listRouters: () => readonly string[];
   readonly sendReport: (peer: string, report: RolloutReport) => Promise<GuidanceOutcome>;
+  /** To a router that counts crashes of their contents over all routers. */
+  readonly reportCrashes: (peer: string, crashes: readonly Crash[]) => Promise<CrashesOutcome>;
+  /** Tells a router the blocks that are known here, and learns those known there. */
+  readonly exchangeBlocks: (
+    peer: string,
+    blocks: readonly ContentBlock[],
+  ) => Promise<BlocksOutcome>;
+  readonly setCrashHandlers: (handlers: CrashHandlers) => void;
   /** Who takes in reports of other routers. */
   readonly setReportHandler: (handleReport: (report: RolloutReport) => RolloutGuidance) => void;
 }
