Log when a target names another limit than before

The lines could not tell when a router was told of a limit. The adapter now names the header, and each change of what a target names is a line. Nothing is decided by it yet.

--- a/packages/sequoiarill-kernel/src/fakeWire.ts
+++ b/packages/sequoiarill-kernel/src/fakeWire.ts
@@ -15,6 +15,7 @@
   priority: 'priority',
   signature: 'signature',
   notRun: 'not-run',
+  rateLimit: 'limit',
   targetId: 'target-id',
 };
 
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -237,6 +237,7 @@
       recordAnswer: () => undefined,
       recordBreak: async () => undefined,
     },
+    limits: { recordHead: () => undefined },
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log: { logEvent: () => undefined, close: () => undefined },
     metrics: Kernel.createMetrics(undefined, {}),
--- a/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -47,10 +47,13 @@
 export function decideHead(
   parts: ForwardingParts,
   request: ForwardRequest,
+  target: ForwardingTarget,
   call: TargetCall,
   head: AnswerHead,
 ): SendOutcome | undefined {
   const verdict = Checks.checkHead(head, request.id, parts.wire.headers);
+  const isOther = verdict.kind === 'notRun' && verdict.status === MISDIRECTED;
+  if (verdict.kind !== 'spoiled' && !isOther) parts.limits.recordHead(target, head);
   if (verdict.kind === 'own') return undefined;
   if (verdict.kind === 'notRun') return verdict;
   call.cancel();
@@ -110,7 +113,7 @@
     }
     if (first.kind === 'head') {
       return (
-        decideHead(parts, request, call, first.head) ??
+        decideHead(parts, request, target, call, first.head) ??
         (await readWhole(call, first.head, readNext))
       );
     }
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -127,6 +127,13 @@
   'Another router could not be told of a crash or of a blocked content; others were.',
 );
 
+export const LIMIT_NAMED = Kernel.defineEvent(
+  1926,
+  'info',
+  'target.limitNamed',
+  'A target names another limit of requests a second over all routers than before; null where it names none any more.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -148,4 +155,5 @@
   TARGET_ENDED,
   CONTENT_BLOCKED,
   PEER_NOT_TOLD,
+  LIMIT_NAMED,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -17,6 +17,7 @@
 import * as Exchanges from './front/exchange';
 import * as Fronts from './front/front';
 import type { RawHeader } from './front/headers';
+import * as NamedLimits from './limits/namedLimits';
 import * as Registers from './register';
 import * as RepeatLoans from './repeatLoans';
 import * as RouteTables from './front/routeTable';
@@ -113,6 +114,7 @@
     directory,
   });
   const crashes = createCrashes(context, log);
+  const limits = NamedLimits.createNamedLimits({ headers: wire.headers, log });
   const stopping = new AbortController();
   let running: Promise<void> | undefined;
   let table: RouteTable | undefined;
@@ -138,6 +140,7 @@
     rollouts,
     book,
     crashes,
+    limits,
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
     metrics: context.metrics,
@@ -175,6 +178,7 @@
     connections.removeMissing(isCurrent);
     book.removeMissing(isCurrent);
     probes.removeMissing(isCurrent);
+    limits.removeMissing(isCurrent);
   }
 
   return {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -158,7 +158,7 @@
   }
 
   async function handleHead(answered: AnswerHead): Promise<Step> {
-    const failure = Sending.decideHead(parts, request, call, answered);
+    const failure = Sending.decideHead(parts, request, target, call, answered);
     if (failure !== undefined) return failure;
     if (answered.status !== SUCCESS) {
       recordVersion(Checks.isServerError(answered.status) ? 'failed' : 'unknown');
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -170,6 +170,8 @@
   readonly signature: string;
   /** The target says that it did not run the request. */
   readonly notRun: string;
+  /** Requests a second that the target takes from all routers together, while it says so. */
+  readonly rateLimit: string;
   /** Identity of the target that answers. */
   readonly targetId: string;
 }
