--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -46,6 +46,8 @@
   readonly start: () => Promise<string>;
   readonly stop: () => Promise<void>;
   readonly setFault: (fault: TargetFault) => void;
+  /** Requests a second that it names in its answers; undefined: none. */
+  readonly setNamedLimit: (perSecond: number | undefined) => void;
   /** In the order in which they were begun. */
   readonly listRuns: () => readonly TargetRun[];
   /** Headers of all requests, also of those that were not run. */
@@ -75,6 +77,7 @@
   const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, crashPath } = options;
   let fault: TargetFault = 'none';
   let isSilent = false;
+  let namedLimit: number | undefined;
   const runs: TargetRun[] = [];
   const seenHeaders: IncomingHttpHeaders[] = [];
   let running = 0;
@@ -109,7 +112,8 @@
   }
 
   function sendWhole(requestId: string, body: string, response: ServerResponse): void {
-    const headers = { 'request-id': requestId, 'server-signature': `signed by ${id}` };
+    const limit = namedLimit === undefined ? {} : { 'server-limit': String(namedLimit) };
+    const headers = { 'request-id': requestId, 'server-signature': `signed by ${id}`, ...limit };
     if (fault === 'serverError') {
       response.writeHead(500, { ...headers, 'content-length': 0 }).end();
       return;
@@ -219,6 +223,9 @@
     setFault(next) {
       fault = next;
     },
+    setNamedLimit(perSecond) {
+      namedLimit = perSecond;
+    },
     listRuns: () => runs,
     listHeaders: () => seenHeaders,
     countOpen: () => running,
