Keep to the rate that a target names, over all routers together

Cause: the header was passed on like any other and nothing read it. The class: a limit that holds for the fleet, and that each router would have to keep with parts it cannot see. Ruled out: routers that each keep the limit for themselves (the two got as much as before, not a multiple of what they named), and repeats (first sends alone were four times the limit).

Change: each router takes the rate from a target's answers. Only so many routers send to such a target that each has two requests a second or more, those of its zone first; all routers rank each other alike, so nobody hands out parts. A router that finds no other target asks them for one request. The first router that is told passes it on in a tree of eight; so is a limit that is named no more, and routers that do not send there ask those that do, while they have requests. A limit that is not heard again is forgotten. Targets without a send left are not asked, copies of runs included; where nothing is left a request is refused at once, with the time until the next send.

Before: namedLimit.test.ts failed, 120 requests where 6 were allowed. After: passes; targetLimits.test.ts plays 7, 80 and 300 routers, a cut zone, uneven callers, a limit of 0 and one that ends.

--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -8,6 +8,8 @@
   LoanOutcome,
   RepeatsLoan,
   RolloutReport,
+  SendsOutcome,
+  SendsQuestion,
 } from '@sequoiarill/types';
 import * as TrpcClient from '@trpc/client';
 import * as Undici from 'undici';
@@ -30,6 +32,7 @@
     address: string,
     blocks: readonly ContentBlock[],
   ) => Promise<BlocksOutcome>;
+  readonly borrowSends: (address: string, question: SendsQuestion) => Promise<SendsOutcome>;
   readonly close: () => Promise<void>;
 }
 
@@ -91,6 +94,15 @@
         return { kind: 'failed', reason: (error as Error).message };
       }
     },
+    async borrowSends(address, question) {
+      const caller = createCaller(address, loanTimeoutMs);
+      try {
+        const answer = await caller.lendSends.mutate(question);
+        return { kind: 'lent', lent: Messages.decodeLentSends(answer) };
+      } catch (error) {
+        return { kind: 'failed', reason: (error as Error).message };
+      }
+    },
     async reportCrashes(address, crashes) {
       const caller = createCaller(address, CALL_TIMEOUT_MS);
       try {
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -1,5 +1,12 @@
 /** Messages between routers; both sides check them. */
-import type { ContentBlock, RolloutGuidance, RolloutReport } from '@sequoiarill/types';
+import type {
+  ContentBlock,
+  KnownLimit,
+  LentSends,
+  SendsQuestion,
+  RolloutGuidance,
+  RolloutReport,
+} from '@sequoiarill/types';
 import * as Zod from 'zod';
 
 import type { DirectoryRecord } from './recordLog';
@@ -100,6 +107,40 @@
   ).max(MAX_BLOCKS),
 });
 
+const knownLimitSchema = Zod.object({
+  perSecond: Zod.number().min(0).optional(),
+  ageMs: Zod.number().min(0),
+});
+
+export const sendsQuestionSchema = Zod.object({
+  life: Zod.string().max(MAX_NAME_LENGTH),
+  zone: Zod.string().max(MAX_NAME_LENGTH),
+  wanted: Zod.number().int().min(0).max(1),
+  known: knownLimitSchema,
+});
+
+export const lentSendsSchema = Zod.object({
+  sends: Zod.number().int().min(0).max(1),
+  known: knownLimitSchema.optional(),
+});
+
+function decodeKnown({ ageMs, perSecond }: Zod.infer<typeof knownLimitSchema>): KnownLimit {
+  return perSecond === undefined ? { ageMs } : { ageMs, perSecond };
+}
+
+export function decodeSendsQuestion({
+  known,
+  ...question
+}: Zod.infer<typeof sendsQuestionSchema>): SendsQuestion {
+  return { ...question, known: decodeKnown(known) };
+}
+
+/** Throws on what is no answer. */
+export function decodeLentSends(answer: unknown): LentSends {
+  const { sends, known } = lentSendsSchema.parse(answer);
+  return known === undefined ? { sends } : { sends, known: decodeKnown(known) };
+}
+
 /** The newest are learned last, and matter most. */
 export function encodeBlocks(blocks: readonly ContentBlock[]): Zod.infer<typeof blocksSchema> {
   return { blocks: blocks.slice(-MAX_BLOCKS) };
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -8,6 +8,8 @@
   RepeatsLoan,
   RolloutGuidance,
   RolloutReport,
+  LentSends,
+  SendsQuestion,
 } from '@sequoiarill/types';
 import * as Trpc from '@trpc/server';
 import * as Standalone from '@trpc/server/adapters/standalone';
@@ -27,6 +29,7 @@
   readonly follower: Pick<StoreFollower, 'getSeenRevision' | 'getAgeMs'>;
   readonly clock: Pick<Clock, 'waitMs'>;
   readonly lendRepeats: (loan: RepeatsLoan) => number;
+  readonly lendSends: (question: SendsQuestion) => LentSends;
   readonly handleReport: (report: RolloutReport) => RolloutGuidance;
 }
 
@@ -80,6 +83,9 @@
     exchangeBlocks: procedure
       .input(Messages.blocksSchema)
       .mutation(({ input }) => Messages.encodeBlocks(options.handleBlocks(input.blocks))),
+    lendSends: procedure
+      .input(Messages.sendsQuestionSchema)
+      .mutation(({ input }): LentSends => options.lendSends(Messages.decodeSendsQuestion(input))),
     reportRollout: procedure
       .input(Messages.reportQuestionSchema)
       .mutation(({ input }): RolloutGuidance => options.handleReport(Messages.decodeReport(input))),
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -64,6 +64,7 @@
   });
   let lender: Parameters<RouterPeers['setLender']>[0] | undefined;
   let reportHandler: Parameters<RouterPeers['setReportHandler']>[0] = () => NO_GUIDANCE;
+  let sendsLender: Parameters<RouterPeers['setSendsLender']>[0] = () => ({ sends: 0 });
   let crashHandlers = NO_CRASH_HANDLERS;
   const server = PeerServers.createPeerServer(
     {
@@ -72,6 +73,7 @@
       clock,
       lendRepeats: (loan) => lender?.(loan) ?? 0,
       handleReport: (report) => reportHandler(report),
+      lendSends: (question) => sendsLender(question),
       handleCrashes: (crashes) => crashHandlers.handleCrashes(crashes),
       handleBlocks: (blocks) => crashHandlers.handleBlocks(blocks),
     },
@@ -125,7 +127,11 @@
       lender = lendRepeats;
     },
     self: settings.listen,
-    listRouters: () => state.listRouters().map(({ address }) => address),
+    listRouters: state.listRouters,
+    borrowSends: client.borrowSends,
+    setSendsLender(lend) {
+      sendsLender = lend;
+    },
     sendReport: client.sendReport,
     reportCrashes: client.reportCrashes,
     exchangeBlocks: client.exchangeBlocks,
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -237,7 +237,12 @@
       recordAnswer: () => undefined,
       recordBreak: async () => undefined,
     },
-    limits: { recordHead: () => undefined },
+    limits: {
+      recordHead: () => undefined,
+      isOpen: () => true,
+      borrowSend: async () => false,
+      getRetrySeconds: () => 1,
+    },
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log: { logEvent: () => undefined, close: () => undefined },
     metrics: Kernel.createMetrics(undefined, {}),
--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -9,15 +9,37 @@
 /** What callers and lines are told of a request whose content is blocked. */
 export const BLOCKED_REASON = 'targets ended as they began to run it';
 
-/** Targets that new work of the request may go to. */
-export function listOpen(
-  { book, directory, rollouts }: Pick<ForwardingParts, 'book' | 'directory' | 'rollouts'>,
-  { service, versionDraw }: Pick<ForwardRequest, 'service' | 'versionDraw'>,
+type ListParts = Pick<ForwardingParts, 'book' | 'directory' | 'rollouts' | 'limits'>;
+type Asker = Pick<ForwardRequest, 'service' | 'versionDraw'>;
+
+function listKnown(
+  { book, directory, rollouts }: ListParts,
+  { service, versionDraw }: Asker,
 ): readonly ForwardingTarget[] {
   const allowed = rollouts.selectTargets(directory.listTargets(service), versionDraw);
   return Decisions.selectOpen(allowed, book.isSuspect);
 }
 
+/** Targets that new work of the request may go to. */
+export function listOpen(parts: ListParts, request: Asker): readonly ForwardingTarget[] {
+  return listKnown(parts, request).filter(parts.limits.isOpen);
+}
+
+/** Those that only the limits they name keep from it. */
+export function listLimited(
+  parts: ListParts,
+  request: Asker,
+  excluded: ReadonlySet<string>,
+): readonly ForwardingTarget[] {
+  const { book, limits } = parts;
+  return listKnown(parts, request).filter(
+    (target) => !limits.isOpen(target) && !excluded.has(target.id) && !book.isSuspect(target),
+  );
+}
+
+/** What callers and lines are told where no target takes more. */
+export const LIMITED_REASON = 'its targets take no more requests for now';
+
 export interface PlacementQuestion {
   readonly request: ForwardRequest;
   /** Identities of targets that were tried already. */
--- a/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
@@ -67,6 +67,35 @@
   return { kind: 'failed', reason: lastReason, isLate, ...getLastTarget(progress) };
 }
 
+/** Undefined when nobody can be asked now, also after other routers were asked for a request to send. */
+async function findTarget(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  { excluded }: Progress,
+): Promise<ForwardingTarget | undefined> {
+  const question = { request, excluded, purpose: 'first' } as const;
+  const target = Placement.chooseTarget(parts, question);
+  if (target !== undefined) return target;
+  const limited = Placement.listLimited(parts, request, excluded);
+  return (await parts.limits.borrowSend(limited))
+    ? Placement.chooseTarget(parts, question)
+    : undefined;
+}
+
+/** No target can be asked, some of them only since they take no more for now. */
+function decideUnplaced(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  progress: Progress,
+): ForwardOutcome {
+  const limited = Placement.listLimited(parts, request, progress.excluded);
+  if (limited.length === 0) return decideEnd(request, progress, false);
+  progress.lastReason = Placement.LIMITED_REASON;
+  const end = decideEnd(request, progress, false);
+  if (end.kind !== 'refused') return end;
+  return { ...end, retryAfterSeconds: parts.limits.getRetrySeconds(limited) };
+}
+
 function decideBlocked(
   request: ForwardRequest,
   progress: Progress,
@@ -125,12 +154,8 @@
     if (progress.sends >= request.route.maxTargets) return decideEnd(request, progress, false);
     const blockedMs = parts.crashes.getBlockedMs(request.contentKey);
     if (blockedMs > 0) return decideBlocked(request, progress, blockedMs);
-    const target = Placement.chooseTarget(parts, {
-      request,
-      excluded: progress.excluded,
-      purpose: 'first',
-    });
-    if (target === undefined) return decideEnd(request, progress, false);
+    const target = await findTarget(parts, request, progress);
+    if (target === undefined) return decideUnplaced(parts, request, progress);
     if (progress.sends > 0 && !budget.takeRetry(nowMs)) return decideEnd(request, progress, false);
     const limitMs = computeLimit(request, progress, nowMs);
     progress.lastTarget = target.id;
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routers.ts
@@ -84,7 +84,8 @@
       },
       peers: {
         self: name,
-        listRouters: () => routers.map((router) => router.name),
+        listRouters: () =>
+          routers.map((router) => ({ address: router.name, zone: String(router.zone) })),
         listNearest: () => listOthers(name),
         async reportCrashes(peer, crashes) {
           const peerHandlers = await callPeer(name, peer);
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
@@ -23,6 +23,7 @@
 import type { BoundedLog } from '../boundedLog';
 import type { ForwardRequest } from '../forwardRequest';
 import * as Events from '../events';
+import * as TargetLives from '../targets/targetLife';
 import * as BlockEntries from './blockEntry';
 
 export interface CrashReports {
@@ -111,7 +112,8 @@
 
   /** Those that rank first for the content; a router that nobody answers counts for itself. */
   async function reportCrash(crash: Crash, block: ContentBlock | undefined): Promise<void> {
-    const ranked = Decisions.sortByRank(peers.listRouters(), crash.content).slice(0, MAX_TRIES);
+    const addresses = peers.listRouters().map(({ address }) => address);
+    const ranked = Decisions.sortByRank(addresses, crash.content).slice(0, MAX_TRIES);
     let counters = 0;
     for (const router of ranked) {
       if (counters === COUNTERS) return;
@@ -132,9 +134,8 @@
     recordAnswer: (content) => ledger.recordAnswer(content, clock.getNowMs()),
     async recordBreak({ id, contentKey: content }, target) {
       if (!(await options.checkEnded(target))) return;
-      const life = `${target.id}@${target.startedAtUnixMs}`;
       log.logEvent(Events.TARGET_ENDED, { request: id, content, target: target.id });
-      const crash = { content, target: life, ageMs: 0 };
+      const crash = { content, target: TargetLives.formatLife(target), ageMs: 0 };
       reportCrash(crash, countCrash(crash)).catch((error: unknown) =>
         logFailure('all', String(error)),
       );
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -134,6 +134,13 @@
   'A target names another limit of requests a second over all routers than before; null where it names none any more.',
 );
 
+export const LENDER_SILENT = Kernel.defineEvent(
+  1927,
+  'info',
+  'limits.lenderSilent',
+  'A router that sends to a target with a limit did not answer another one that asked it for a request.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -156,4 +163,5 @@
   CONTENT_BLOCKED,
   PEER_NOT_TOLD,
   LIMIT_NAMED,
+  LENDER_SILENT,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -22,7 +22,7 @@
 import type { ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './front/headers';
 import type { CopyOrders } from './streams/copyOrders';
-import type { NamedLimits } from './limits/namedLimits';
+import type { TargetLimits } from './limits/targetLimits';
 import type { TargetBook } from './targets/targetBook';
 import type { TargetCall } from './targets/targetCall';
 
@@ -36,7 +36,7 @@
   readonly rollouts: Pick<Rollouts, 'selectTargets' | 'isLeaving' | 'recordSend'>;
   readonly book: TargetBook;
   readonly crashes: Pick<CrashReports, 'getBlockedMs' | 'recordAnswer' | 'recordBreak'>;
-  readonly limits: Pick<NamedLimits, 'recordHead'>;
+  readonly limits: Pick<TargetLimits, 'recordHead' | 'isOpen' | 'borrowSend' | 'getRetrySeconds'>;
   readonly chooser: TargetChooser;
   readonly log: BoundedLog;
   readonly metrics: Metrics;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -17,7 +17,7 @@
 import * as Exchanges from './front/exchange';
 import * as Fronts from './front/front';
 import type { RawHeader } from './front/headers';
-import * as NamedLimits from './limits/namedLimits';
+import * as TargetLimits from './limits/targetLimits';
 import * as Registers from './register';
 import * as RepeatLoans from './repeatLoans';
 import * as RouteTables from './front/routeTable';
@@ -71,6 +71,7 @@
 function createCallOpener(
   { clock, getCapability }: PluginContext,
   connections: TargetConnections.TargetConnections,
+  recordSend: TargetLimits.TargetLimits['recordSend'],
 ): ExchangeParts['openCall'] {
   const { headers: names } = getCapability('wire');
   return (request, target, extraHeaders) => {
@@ -78,6 +79,7 @@
     const replaced = new Set(extraHeaders.map(([name]) => name));
     const organisation: readonly RawHeader[] =
       request.organisation === undefined ? [] : [[names.organisation, request.organisation]];
+    recordSend(target);
     return TargetCalls.openCall({
       connection: connections.takeConnection(target),
       target,
@@ -114,7 +116,13 @@
     directory,
   });
   const crashes = createCrashes(context, log);
-  const limits = NamedLimits.createNamedLimits({ headers: wire.headers, log });
+  const limits = TargetLimits.createTargetLimits({
+    clock,
+    nextRandom,
+    headers: wire.headers,
+    log,
+    peers,
+  });
   const stopping = new AbortController();
   let running: Promise<void> | undefined;
   let table: RouteTable | undefined;
@@ -145,7 +153,7 @@
     log,
     metrics: context.metrics,
     ...createServiceDecisions(context, settings, directory.countRouters),
-    openCall: createCallOpener(context, connections),
+    openCall: createCallOpener(context, connections, limits.recordSend),
     readReport: probes.readReport,
     readKept: probes.readKept,
     ...copyOrders,
@@ -159,6 +167,7 @@
 
   rollouts.setInFlightReader(book.getInFlight);
   peers.setCrashHandlers(crashes.handlers);
+  peers.setSendsLender(limits.lendSends);
   peers.setLender((loan) => RepeatLoans.lendRepeats(parts, loan));
 
   function isCurrent(target: ForwardingTarget): boolean {
@@ -178,7 +187,7 @@
     connections.removeMissing(isCurrent);
     book.removeMissing(isCurrent);
     probes.removeMissing(isCurrent);
-    limits.removeMissing(isCurrent);
+    limits.removeOld();
   }
 
   return {
@@ -212,6 +221,7 @@
       targetConnections: connections.countOpen(),
       isDraining: drain.isDraining(),
       crashes: crashes.dumpState(),
+      limitedTargets: limits.dumpState(),
     }),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -87,9 +87,14 @@
   if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
   const blockedMs = parts.crashes.getBlockedMs(request.contentKey);
   if (blockedMs > 0) return decideBlocked(progress, blockedMs);
-  const plan = await createPlan(parts, request, progress);
+  const limited = Placement.listLimited(parts, request, progress.excluded);
+  const plan =
+    (await createPlan(parts, request, progress)) ??
+    ((await parts.limits.borrowSend(limited))
+      ? await createPlan(parts, request, progress)
+      : undefined);
   if (plan?.kind === 'refused') return plan;
-  if (plan === undefined) return decideEnd(progress, progress.lastReason, false);
+  if (plan === undefined) return decideUnplaced(parts, progress, limited);
   const isRepeat = progress.arrivals > 0;
   if (isRepeat && !(await takeRepeat(parts, request, progress, budget))) {
     return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
@@ -122,6 +127,7 @@
 function findKeeper(parts: ForwardingParts, { copy }: Progress): ForwardingTarget | undefined {
   const keeper = copy === undefined ? undefined : parts.directory.findCurrent(copy.keeper);
   if (keeper?.state !== 'ready' || parts.rollouts.isLeaving(keeper)) return undefined;
+  if (!parts.limits.isOpen(keeper)) return undefined;
   return keeper;
 }
 
@@ -182,6 +188,19 @@
   return progress.runs < maxTargets && progress.tries < MAX_TRIES;
 }
 
+/** No target can be asked, some of them only since they take no more for now. */
+function decideUnplaced(
+  { limits }: ForwardingParts,
+  progress: Progress,
+  limited: readonly ForwardingTarget[],
+): StreamOutcome {
+  if (limited.length === 0) return decideEnd(progress, progress.lastReason, false);
+  const end = decideEnd(progress, Placement.LIMITED_REASON, false);
+  return end.kind === 'refused'
+    ? { ...end, retryAfterSeconds: limits.getRetrySeconds(limited) }
+    : end;
+}
+
 function decideBlocked(progress: Progress, blockedMs: number): StreamOutcome {
   const end = decideEnd(progress, Placement.BLOCKED_REASON, false);
   if (end.kind !== 'refused') return end;
--- a/packages/sequoiarill-plugin-rollouts/src/play/world.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/play/world.ts
@@ -110,6 +110,8 @@
     setLender: () => undefined,
     reportCrashes: async () => ({ kind: 'counted' }),
     exchangeBlocks: async () => ({ kind: 'blocks', blocks: [] }),
+    borrowSends: async () => ({ kind: 'lent', lent: { sends: 0 } }),
+    setSendsLender: () => undefined,
     setCrashHandlers: () => undefined,
   };
 
@@ -216,7 +218,8 @@
       peers: {
         self: name,
         ...UNUSED_CALLS,
-        listRouters: () => nodes.map((other) => other.name),
+        listRouters: () =>
+          nodes.map((other) => ({ address: other.name, zone: String(other.zone) })),
         sendReport: (peer, report) => callPeer(node, peer, report),
         setReportHandler: (handler) => handlers.set(name, handler),
       },
--- a/packages/sequoiarill-plugin-rollouts/src/rolloutRunner.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/rolloutRunner.ts
@@ -44,7 +44,7 @@
 
   function chooseJudge(service: string): string {
     const nowMs = clock.getNowMs();
-    const known = new Set([...peers.listRouters(), peers.self]);
+    const known = new Set([...peers.listRouters().map(({ address }) => address), peers.self]);
     const fit = [...known].filter(
       (router) => router === peers.self || (unfitUntilMs.get(router) ?? nowMs) <= nowMs,
     );
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -82,6 +82,42 @@
   readonly handleBlocks: (blocks: readonly ContentBlock[]) => readonly ContentBlock[];
 }
 
+export interface RouterPlace {
+  /** `IP:port`, as its peers know it. */
+  readonly address: string;
+  readonly zone: string;
+}
+
+export interface LimitedTarget {
+  /** One life of a target. */
+  readonly life: string;
+  readonly zone: string;
+}
+
+/** What a target was last heard to name. */
+export interface KnownLimit {
+  /** Requests a second over all routers; absent where it names none any more. */
+  readonly perSecond?: number;
+  readonly ageMs: number;
+}
+
+/** A router that does not send to a target by itself asks one that does. */
+export interface SendsQuestion extends LimitedTarget {
+  /** Requests that it wants to send now; 0 where it only asks for the limit. */
+  readonly wanted: number;
+  readonly known: KnownLimit;
+}
+
+export interface LentSends {
+  readonly sends: number;
+  /** Absent where the router that answers knows nothing of the target. */
+  readonly known?: KnownLimit;
+}
+
+export type SendsOutcome =
+  | { readonly kind: 'lent'; readonly lent: LentSends }
+  | { readonly kind: 'failed'; readonly reason: string };
+
 /** Capability `peers`: the other routers, as the directory knows them. */
 export interface RouterPeers {
   /** `IP:port` of other routers, those of this router's zone first and otherwise in random order. */
@@ -91,8 +127,8 @@
   readonly setLender: (lendRepeats: (loan: RepeatsLoan) => number) => void;
   /** `IP:port` of this router. */
   readonly self: string;
-  /** `IP:port` of all routers that are known, this one too. */
-  readonly listRouters: () => readonly string[];
+  /** All routers that are known, this one too. */
+  readonly listRouters: () => readonly RouterPlace[];
   readonly sendReport: (peer: string, report: RolloutReport) => Promise<GuidanceOutcome>;
   /** To a router that counts crashes of their contents over all routers. */
   readonly reportCrashes: (peer: string, crashes: readonly Crash[]) => Promise<CrashesOutcome>;
@@ -102,6 +138,8 @@
     blocks: readonly ContentBlock[],
   ) => Promise<BlocksOutcome>;
   readonly setCrashHandlers: (handlers: CrashHandlers) => void;
+  readonly borrowSends: (peer: string, question: SendsQuestion) => Promise<SendsOutcome>;
+  readonly setSendsLender: (lendSends: (question: SendsQuestion) => LentSends) => void;
   /** Who takes in reports of other routers. */
   readonly setReportHandler: (handleReport: (report: RolloutReport) => RolloutGuidance) => void;
 }
