Take back a block that an answer refutes, and check once more for a target that ends

Sound requests: a content that many callers ask for is at a target at nearly every crash. Routers that have answered it since did not block it, but one that had not, such as one just started, refused it for ten minutes. An answer now refutes the crashes before it, at the routers that count; they take the block back at some peers and over its entry in the store.

The other way: a process that ends may take a connection while it closes the others, and its crash was not counted. It is checked once more after 150 ms.

A block whose crashes go on more than 3 s later is told again, since a router was not told.

--- a/packages/sequoiarill-decisions/src/__tests__/crashLedger.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/crashLedger.test.ts
@@ -42,7 +42,7 @@
       const nowMs = round * MINUTE_MS;
       ledger.recordCrashes('a', [`t${round}`, `u${round}`], nowMs);
       expect(ledger.isBlocked('a', nowMs)).toEqual(false);
-      ledger.recordAnswer('a', nowMs + 1);
+      ledger.recordAnswer('a', nowMs + 1, nowMs + 1);
     }
   });
 
@@ -50,7 +50,7 @@
     // Guards against an answer from before a new version that the content crashes.
     const ledger = createLedger();
     ledger.recordCrashes('a', ['t1'], 0);
-    ledger.recordAnswer('a', 1);
+    ledger.recordAnswer('a', 1, 1);
     ledger.recordCrashes('a', ['t2', 't3', 't4'], 2);
     expect(ledger.isBlocked('a', 2)).toEqual(true);
   });
@@ -65,6 +65,17 @@
     expect(ledger.isBlocked('a', 11 * MINUTE_MS)).toEqual(true);
   });
 
+  it('takes back a block that an answer refutes, and knows one that it has refuted', () => {
+    // Guards against a sound content that stays refused where nobody has answered it yet.
+    const ledger = createLedger();
+    ledger.recordCrashes('a', ['t1', 't2', 't3'], 10);
+    expect(ledger.recordAnswer('a', 20, 25)).toEqual('block');
+    expect(ledger.isBlocked('a', 25)).toEqual(false);
+    const told = { content: 'a', firstAgeMs: 20, lastAgeMs: 15 };
+    expect(ledger.recordBlock(told, 30)).toEqual('refuted');
+    expect(ledger.recordBlock({ ...told, firstAgeMs: 5, lastAgeMs: 0 }, 30)).toEqual('news');
+  });
+
   it('forgets crashes in the end', () => {
     const ledger = createLedger();
     ledger.recordCrashes('a', ['t1', 't2', 't3'], 0);
--- a/packages/sequoiarill-decisions/src/crashLedger.ts
+++ b/packages/sequoiarill-decisions/src/crashLedger.ts
@@ -7,18 +7,24 @@
  * and a content under which several targets ended is blocked for a while.
  *
  * A sound request that is at a target when it crashes is counted with the others. It is served at the
- * next target, and one whose content has been answered since its first crash is not blocked.
+ * next target, and an answer refutes the crashes of its content before it.
  */
 
 import type { ContentBlock, Crash } from '@sequoiarill/types';
 
+/** `refuted`: the content has been answered since the first of the crashes. */
+export type BlockVerdict = 'news' | 'known' | 'refuted';
+/** `crashes`: some were counted that came before the answer; `block`: the content was blocked by them. */
+export type AnswerVerdict = 'nothing' | 'crashes' | 'block';
+
 export interface CrashLedger {
   /** The block that follows, also where it was known before; undefined for fewer crashes. */
   readonly recordCrash: (crash: Crash, nowMs: number) => ContentBlock | undefined;
-  /** Another router knows the content to be blocked. True when that is news. */
-  readonly recordBlock: (block: ContentBlock, nowMs: number) => boolean;
-  /** The content was answered in whole. */
-  readonly recordAnswer: (content: string, nowMs: number) => void;
+  /** Another router knows the content to be blocked. */
+  readonly recordBlock: (block: ContentBlock, nowMs: number) => BlockVerdict;
+  /** The content was answered in whole; says what that refutes. */
+  readonly recordAnswer: (content: string, atMs: number, nowMs: number) => AnswerVerdict;
+  readonly findBlock: (content: string, nowMs: number) => ContentBlock | undefined;
   /** How much longer the content is sent to no target, milliseconds; 0 where it is not blocked. */
   readonly getBlockedMs: (content: string, nowMs: number) => number;
   /** In the order in which they were learned, the last ones last. */
@@ -47,6 +53,11 @@
   blockedLastMs: number;
 }
 
+function removeBlock(suspect: Suspect): void {
+  suspect.blockedFirstMs = Number.POSITIVE_INFINITY;
+  suspect.blockedLastMs = Number.NEGATIVE_INFINITY;
+}
+
 export function createCrashLedger(): CrashLedger {
   const suspects = new Map<string, Suspect>();
   const answeredMs = new Map<string, number>();
@@ -62,8 +73,10 @@
     for (const [target, atMs] of suspect.crashesMs) {
       if (nowMs - atMs >= MEMORY_MS) suspect.crashesMs.delete(target);
     }
-    const isForgotten = nowMs - suspect.blockedLastMs >= MEMORY_MS;
-    if (suspect.crashesMs.size === 0 && isForgotten) suspects.delete(content);
+    if (nowMs - suspect.blockedLastMs >= MEMORY_MS) removeBlock(suspect);
+    if (suspect.crashesMs.size === 0 && !Number.isFinite(suspect.blockedLastMs)) {
+      suspects.delete(content);
+    }
   }
 
   function openSuspect(content: string): Suspect {
@@ -81,33 +94,56 @@
     const suspect = suspects.get(content);
     if (suspect === undefined) return undefined;
     removeOld(content, suspect, nowMs);
-    const answered = answeredMs.get(content) ?? Number.NEGATIVE_INFINITY;
-    const crashesMs = [...suspect.crashesMs.values()].filter((atMs) => atMs > answered);
-    const isTold = suspect.blockedFirstMs > answered && Number.isFinite(suspect.blockedLastMs);
+    const crashesMs = [...suspect.crashesMs.values()];
+    const isTold = Number.isFinite(suspect.blockedLastMs);
     if (crashesMs.length < CRASHES && !isTold) return undefined;
-    const firstMs = Math.min(isTold ? suspect.blockedFirstMs : nowMs, ...crashesMs);
+    const firstMs = Math.min(suspect.blockedFirstMs, ...crashesMs);
     const lastMs = Math.max(suspect.blockedLastMs, ...crashesMs);
     if (nowMs - lastMs >= BLOCK_MS) return undefined;
     return { content, firstAgeMs: nowMs - firstMs, lastAgeMs: nowMs - lastMs };
   }
 
+  function getAnsweredMs(content: string): number {
+    return answeredMs.get(content) ?? Number.NEGATIVE_INFINITY;
+  }
+
+  /** Whether something was counted or told that began before the answer; it is forgotten. */
+  function removeRefuted(content: string, atMs: number): boolean {
+    const suspect = suspects.get(content);
+    if (suspect === undefined) return false;
+    const refuted = [...suspect.crashesMs].filter(([, crashedMs]) => crashedMs <= atMs);
+    refuted.forEach(([target]) => suspect.crashesMs.delete(target));
+    const isBlockRefuted = suspect.blockedFirstMs <= atMs;
+    if (isBlockRefuted) removeBlock(suspect);
+    if (suspect.crashesMs.size === 0 && suspect.blockedFirstMs === Number.POSITIVE_INFINITY) {
+      suspects.delete(content);
+    }
+    return refuted.length > 0 || isBlockRefuted;
+  }
+
   return {
     recordCrash({ content, target, ageMs }, nowMs) {
+      if (nowMs - ageMs <= getAnsweredMs(content)) return findBlock(content, nowMs);
       const { crashesMs } = openSuspect(content);
       // More than it takes to know say nothing more, and the latest decides how long it is blocked.
       setNewest(crashesMs, target, nowMs - ageMs, CRASHES);
       return findBlock(content, nowMs);
     },
     recordBlock({ content, firstAgeMs, lastAgeMs }, nowMs) {
+      if (nowMs - firstAgeMs <= getAnsweredMs(content)) return 'refuted';
       const wasBlocked = findBlock(content, nowMs) !== undefined;
       const suspect = openSuspect(content);
       suspect.blockedFirstMs = Math.min(suspect.blockedFirstMs, nowMs - firstAgeMs);
       suspect.blockedLastMs = Math.max(suspect.blockedLastMs, nowMs - lastAgeMs);
-      return !wasBlocked && findBlock(content, nowMs) !== undefined;
+      return !wasBlocked && findBlock(content, nowMs) !== undefined ? 'news' : 'known';
     },
-    recordAnswer(content, nowMs) {
-      setNewest(answeredMs, content, nowMs, MAX_ANSWERED);
+    recordAnswer(content, atMs, nowMs) {
+      setNewest(answeredMs, content, Math.max(atMs, getAnsweredMs(content)), MAX_ANSWERED);
+      const wasBlocked = findBlock(content, nowMs) !== undefined;
+      if (!removeRefuted(content, atMs)) return 'nothing';
+      return wasBlocked ? 'block' : 'crashes';
     },
+    findBlock,
     getBlockedMs(content, nowMs) {
       const block = findBlock(content, nowMs);
       return block === undefined ? 0 : BLOCK_MS - block.lastAgeMs;
--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -21,6 +21,7 @@
     handleReport: () => ({ isHalted: false, avoided: [] }),
     lendSends: () => ({ sends: 0 }),
     handleCrashes: () => undefined,
+    handleAnswers: () => undefined,
     handleBlocks: () => [],
   });
 }
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -1,6 +1,7 @@
 /** Reads the directory of other routers and borrows repeats of them, over tRPC. */
 import type {
   BlocksOutcome,
+  ContentAnswer,
   ContentBlock,
   Crash,
   CrashesOutcome,
@@ -28,6 +29,10 @@
   readonly borrowRepeats: (address: string, loan: RepeatsLoan) => Promise<LoanOutcome>;
   readonly sendReport: (address: string, report: RolloutReport) => Promise<GuidanceOutcome>;
   readonly reportCrashes: (address: string, crashes: readonly Crash[]) => Promise<CrashesOutcome>;
+  readonly reportAnswers: (
+    address: string,
+    answers: readonly ContentAnswer[],
+  ) => Promise<CrashesOutcome>;
   readonly exchangeBlocks: (
     address: string,
     blocks: readonly ContentBlock[],
@@ -112,6 +117,15 @@
         return { kind: 'failed', reason: (error as Error).message };
       }
     },
+    async reportAnswers(address, answers) {
+      const caller = createCaller(address, CALL_TIMEOUT_MS);
+      try {
+        await caller.reportAnswers.mutate({ answers: answers.slice(-Messages.MAX_CRASHES) });
+        return { kind: 'counted' };
+      } catch (error) {
+        return { kind: 'failed', reason: (error as Error).message };
+      }
+    },
     async exchangeBlocks(address, blocks) {
       const caller = createCaller(address, CALL_TIMEOUT_MS);
       try {
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -97,6 +97,12 @@
   ).max(MAX_CRASHES),
 });
 
+export const answersQuestionSchema = Zod.object({
+  answers: Zod.array(Zod.object({ content: contentSchema, ageMs: Zod.number().min(0) })).max(
+    MAX_CRASHES,
+  ),
+});
+
 export const blocksSchema = Zod.object({
   blocks: Zod.array(
     Zod.object({
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -81,6 +81,9 @@
     reportCrashes: procedure.input(Messages.crashesQuestionSchema).mutation(({ input }) => {
       options.handleCrashes(input.crashes);
     }),
+    reportAnswers: procedure.input(Messages.answersQuestionSchema).mutation(({ input }) => {
+      options.handleAnswers(input.answers);
+    }),
     exchangeBlocks: procedure
       .input(Messages.blocksSchema)
       .mutation(({ input }) => Messages.encodeBlocks(options.handleBlocks(input.blocks))),
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -29,6 +29,7 @@
 
 const NO_CRASH_HANDLERS: CrashHandlers = {
   handleCrashes: () => undefined,
+  handleAnswers: () => undefined,
   handleBlocks: () => [],
 };
 const NO_GUIDANCE: RolloutGuidance = { isHalted: false, avoided: [] };
@@ -77,6 +78,7 @@
       handleReport: (report) => reportHandler(report),
       lendSends: (question) => sendsLender(question),
       handleCrashes: (crashes) => crashHandlers.handleCrashes(crashes),
+      handleAnswers: (answers) => crashHandlers.handleAnswers(answers),
       handleBlocks: (blocks) => crashHandlers.handleBlocks(blocks),
     },
     settings.listen,
@@ -136,6 +138,7 @@
     },
     sendReport: client.sendReport,
     reportCrashes: client.reportCrashes,
+    reportAnswers: client.reportAnswers,
     exchangeBlocks: client.exchangeBlocks,
     setCrashHandlers(handlers) {
       crashHandlers = handlers;
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/crashReports.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/crashReports.test.ts
@@ -71,6 +71,20 @@
     }
   });
 
+  it('block no content that was answered meanwhile, also at routers that have not answered it', async () => {
+    // Guards against a sound content, asked for often, that is refused after crashes of any cause.
+    const played = Routers.playRouters(80);
+    await playCrashes(played);
+    expect(countBlocking(played.routers)).toEqual(80);
+    played.routers[17]?.reports.recordAnswer(CONTENT);
+    await played.clock.runFor(KNOWN_MS);
+    expect(countBlocking(played.routers)).toEqual(0);
+    const started = played.addRouter();
+    await played.clock.runFor(KNOWN_MS);
+    expect(started.reports.getBlockedMs(CONTENT)).toEqual(0);
+    played.stop();
+  });
+
   it('cost a few messages for each request that was lost, however many routers there are', async () => {
     // Guards against a lost zone whose streams are each told to the whole fleet.
     const played = Routers.playRouters(300);
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routers.ts
@@ -38,6 +38,7 @@
   const entries = new Map<string, StoredEntry>();
   let isStoreAway = false;
   let cutOff: number | undefined;
+  let revision = 0;
   let calls = 0;
   let drawn = 0;
   const nextRandom = () => {
@@ -93,6 +94,12 @@
           peerHandlers.handleCrashes(crashes);
           return { kind: 'counted' };
         },
+        async reportAnswers(peer, answers) {
+          const peerHandlers = await callPeer(name, peer);
+          if (peerHandlers === undefined) return { kind: 'failed', reason: 'cut off' };
+          peerHandlers.handleAnswers(answers);
+          return { kind: 'counted' };
+        },
         async exchangeBlocks(peer, blocks) {
           const peerHandlers = await callPeer(name, peer);
           if (peerHandlers === undefined) return { kind: 'failed', reason: 'cut off' };
@@ -106,7 +113,7 @@
             : { kind: 'unavailable', message: 'away' },
         async writeTransaction({ writes }) {
           if (!hasStore(name)) return { kind: 'unavailable', message: 'away' };
-          const revision = entries.size + 1;
+          revision += 1;
           writes.forEach(({ key, value = '' }) => entries.set(key, { key, value, revision }));
           applyStore().catch(() => undefined);
           return { kind: 'written', revision };
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/blockEntry.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/blockEntry.ts
@@ -1,10 +1,21 @@
-/** Blocked contents as entries of the store, so that routers which start later know them. */
-import type { ContentBlock, ForwardingWire, KeyValueStore } from '@sequoiarill/types';
+/** What is known of contents as entries of the store, so that routers which start later know it. */
+import type {
+  ContentAnswer,
+  ContentBlock,
+  Directory,
+  ForwardingWire,
+  KeyValueStore,
+} from '@sequoiarill/types';
 import * as Zod from 'zod';
 
+/** What one entry says of its content: it is blocked, or was answered since. */
+export type BlockEntry =
+  | { readonly kind: 'block'; readonly block: ContentBlock }
+  | { readonly kind: 'answer'; readonly answer: ContentAnswer };
+
 export interface BlockEntries {
-  /** Is to be written; at most so many wait, the newest. */
-  readonly addBlock: (block: ContentBlock) => void;
+  /** Is to be written; at most so many contents wait, the newest. */
+  readonly addEntry: (entry: BlockEntry) => void;
   /** Writes what waits, until a call fails. */
   readonly writeNext: () => Promise<void>;
 }
@@ -18,42 +29,71 @@
 const LEASE_SECONDS = 600;
 const MAX_WAITING = 100;
 
-const valueSchema = Zod.object({ firstAgeMs: Zod.number().min(0) });
+const valueSchema = Zod.discriminatedUnion('kind', [
+  Zod.object({ kind: Zod.literal('block'), firstAgeMs: Zod.number().min(0) }),
+  Zod.object({ kind: Zod.literal('answer'), ageMs: Zod.number().min(0) }),
+]);
 
-export function formatPrefix({ ownPrefix }: Pick<ForwardingWire, 'ownPrefix'>): string {
+function formatPrefix({ ownPrefix }: Pick<ForwardingWire, 'ownPrefix'>): string {
   return `${ownPrefix}blocks/`;
 }
 
-/** Its last crash is taken for as new as the entry. Undefined for what no router wrote. */
-export function decodeBlock(content: string, value: string): ContentBlock | undefined {
+function encodeEntry(entry: BlockEntry): string {
+  const { kind } = entry;
+  return kind === 'block'
+    ? JSON.stringify({ kind, firstAgeMs: Math.round(entry.block.firstAgeMs) })
+    : JSON.stringify({ kind, ageMs: Math.round(entry.answer.ageMs) });
+}
+
+/** Ages are taken as of now. Undefined for what no router wrote. */
+function decodeEntry(content: string, value: string): BlockEntry | undefined {
   try {
     const parsed = valueSchema.safeParse(JSON.parse(value));
-    return parsed.success ? { content, ...parsed.data, lastAgeMs: 0 } : undefined;
+    if (!parsed.success) return undefined;
+    const { kind, ...ages } = parsed.data;
+    return 'firstAgeMs' in ages
+      ? { kind: 'block', block: { content, ...ages, lastAgeMs: 0 } }
+      : { kind: 'answer', answer: { content, ...ages } };
   } catch {
     return undefined;
   }
 }
 
+/** Gives the entries that are new since the call before. */
+export function createEntryReader(
+  wire: Pick<ForwardingWire, 'ownPrefix'>,
+  directory: Pick<Directory, 'listEntries'>,
+): () => readonly BlockEntry[] {
+  const prefix = formatPrefix(wire);
+  let seenRevisions: ReadonlyMap<string, number> = new Map();
+  return () => {
+    const stored = directory.listEntries(prefix);
+    const fresh = stored.filter(({ key, revision }) => seenRevisions.get(key) !== revision);
+    seenRevisions = new Map(stored.map(({ key, revision }) => [key, revision]));
+    return fresh.flatMap(({ key, value }) => decodeEntry(key.slice(prefix.length), value) ?? []);
+  };
+}
+
 export function createBlockEntries({ wire, store }: BlockEntriesOptions): BlockEntries {
-  const waiting = new Map<string, ContentBlock>();
+  const waiting = new Map<string, BlockEntry>();
   let isWriting = false;
 
-  async function writeBlock({ content, firstAgeMs }: ContentBlock): Promise<boolean> {
+  async function writeEntry(content: string, entry: BlockEntry): Promise<boolean> {
     const lease = await store.grantLease(LEASE_SECONDS);
     if (lease.kind !== 'granted') return false;
     const key = `${formatPrefix(wire)}${content}`;
-    const value = JSON.stringify({ firstAgeMs: Math.round(firstAgeMs) });
     const written = await store.writeTransaction({
-      // Another router that counts may have written it.
-      comparisons: [{ key, revision: 0 }],
-      writes: [{ key, value, leaseId: lease.leaseId }],
+      // Another router that counts may have written the block; an answer goes over it.
+      comparisons: entry.kind === 'block' ? [{ key, revision: 0 }] : [],
+      writes: [{ key, value: encodeEntry(entry), leaseId: lease.leaseId }],
     });
     return written.kind === 'written' || written.kind === 'conflict';
   }
 
   return {
-    addBlock(block) {
-      waiting.set(block.content, block);
+    addEntry(entry) {
+      const { content } = entry.kind === 'block' ? entry.block : entry.answer;
+      waiting.set(content, entry);
       const oldest = waiting.keys().next();
       if (waiting.size > MAX_WAITING && oldest.done !== true) waiting.delete(oldest.value);
     },
@@ -61,9 +101,9 @@
       if (isWriting) return;
       isWriting = true;
       try {
-        for (const [content, block] of waiting) {
-          if (!(await writeBlock(block))) return;
-          waiting.delete(content);
+        for (const [content, entry] of waiting) {
+          if (!(await writeEntry(content, entry))) return;
+          if (waiting.get(content) === entry) waiting.delete(content);
         }
       } finally {
         isWriting = false;
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
@@ -10,6 +10,7 @@
 import * as Decisions from '@sequoiarill/decisions';
 import type {
   Clock,
+  ContentAnswer,
   ContentBlock,
   Crash,
   CrashHandlers,
@@ -25,6 +26,7 @@
 import * as Events from '../events';
 import * as TargetLives from '../targets/targetLife';
 import * as BlockEntries from './blockEntry';
+import * as CrashCounters from './crashCounters';
 
 export interface CrashReports {
   /** How much longer no router sends the content to a target, milliseconds; 0 where it may. */
@@ -48,28 +50,27 @@
   readonly directory: Pick<Directory, 'hasNews' | 'listEntries'>;
   readonly peers: Pick<
     RouterPeers,
-    'self' | 'listRouters' | 'listNearest' | 'reportCrashes' | 'exchangeBlocks'
+    'self' | 'listRouters' | 'listNearest' | 'reportCrashes' | 'reportAnswers' | 'exchangeBlocks'
   >;
   readonly store: Pick<KeyValueStore, 'grantLease' | 'writeTransaction'>;
   readonly log: Pick<BoundedLog, 'logEvent'>;
   readonly checkEnded: (target: ForwardingTarget) => Promise<boolean>;
 }
 
-/** Routers that count for a content; one of them may be cut off or end at any moment. */
-const COUNTERS = 2;
-/** Routers that are tried as such, one after the other. */
-const MAX_TRIES = 6;
 /** Peers that are told of a block at once: all in a small fleet, enough to pass it on in a large one. */
 const TOLD_AT_ONCE = 8;
+/** A crash that comes so long after the one before shows that a router was not told, milliseconds. */
+const RETOLD_MS = 3_000;
+/** Pause before a target that still took a connection is checked once more, milliseconds. */
+const CHECK_AGAIN_MS = 150;
 const INTERVAL_MS = 500;
 
 export function createCrashReports(options: CrashReportsOptions): CrashReports {
   const { clock, directory, peers, log, nextRandom } = options;
   const ledger = Decisions.createCrashLedger();
   const entries = BlockEntries.createBlockEntries(options);
-  const prefix = BlockEntries.formatPrefix(options.wire);
-  /** Revisions of the store's entries that were taken in, by key. */
-  const seenRevisions = new Map<string, number>();
+  const counters = CrashCounters.createCrashCounters({ peers, logFailure });
+  const readNewEntries = BlockEntries.createEntryReader(options.wire, directory);
 
   function logBlock({ content, firstAgeMs }: ContentBlock, source: string): void {
     const sinceMs = Math.round(firstAgeMs);
@@ -80,19 +81,21 @@
     log.logEvent(Events.PEER_NOT_TOLD, { peer, reason });
   }
 
-  /** The block that this crash brings about; undefined where there is none, or was one before. */
+  /** The block that others are to be told after this crash; undefined where there is none. */
   function countCrash(crash: Crash): ContentBlock | undefined {
     const nowMs = clock.getNowMs();
-    const wasBlocked = ledger.getBlockedMs(crash.content, nowMs) > 0;
+    const before = ledger.findBlock(crash.content, nowMs);
     const block = ledger.recordCrash(crash, nowMs);
-    if (wasBlocked || block === undefined) return undefined;
+    if (block === undefined || (before?.lastAgeMs ?? RETOLD_MS) < RETOLD_MS) return undefined;
     logBlock(block, 'counted');
     return block;
   }
 
   function recordBlocks(blocks: readonly ContentBlock[], source: string): void {
     for (const block of blocks) {
-      if (ledger.recordBlock(block, clock.getNowMs())) logBlock(block, source);
+      const verdict = ledger.recordBlock(block, clock.getNowMs());
+      if (verdict === 'news') logBlock(block, source);
+      if (verdict === 'refuted') startAnswerReport(block.content);
     }
   }
 
@@ -102,43 +105,70 @@
     else recordBlocks(outcome.blocks, peer);
   }
 
+  function startAll(calls: readonly Promise<unknown>[]): void {
+    Promise.all(calls).catch((error: unknown) => logFailure('all', String(error)));
+  }
+
   function reportBlock(block: ContentBlock): void {
-    entries.addBlock(block);
+    entries.addEntry({ kind: 'block', block });
     const told = peers.listNearest().slice(0, TOLD_AT_ONCE);
-    Promise.all([...told.map((peer) => sendBlocks(peer, [block])), entries.writeNext()]).catch(
-      (error: unknown) => logFailure('all', String(error)),
+    startAll([...told.map((peer) => sendBlocks(peer, [block])), entries.writeNext()]);
+  }
+
+  async function reportCrash(crash: Crash): Promise<void> {
+    const block = countCrash(crash);
+    const isCounter = await counters.sendReport(crash.content, (router) =>
+      peers.reportCrashes(router, [crash]),
     );
+    if (isCounter && block !== undefined) reportBlock(block);
   }
 
-  /** Those that rank first for the content; a router that nobody answers counts for itself. */
-  async function reportCrash(crash: Crash, block: ContentBlock | undefined): Promise<void> {
-    const addresses = peers.listRouters().map(({ address }) => address);
-    const ranked = Decisions.sortByRank(addresses, crash.content).slice(0, MAX_TRIES);
-    let counters = 0;
-    for (const router of ranked) {
-      if (counters === COUNTERS) return;
-      if (router === peers.self) {
-        counters += 1;
-        if (block !== undefined) reportBlock(block);
-      } else {
-        const outcome = await peers.reportCrashes(router, [crash]);
-        if (outcome.kind === 'counted') counters += 1;
-        else logFailure(router, outcome.reason);
-      }
-    }
-    if (counters === 0 && block !== undefined) reportBlock(block);
+  function recordCrash(
+    { id, contentKey: content }: ForwardRequest,
+    target: ForwardingTarget,
+  ): void {
+    log.logEvent(Events.TARGET_ENDED, { request: id, content, target: target.id });
+    startAll([reportCrash({ content, target: TargetLives.formatLife(target), ageMs: 0 })]);
+  }
+
+  /** A process that ends may still take a connection while it closes the others. */
+  async function checkAgain(request: ForwardRequest, target: ForwardingTarget): Promise<void> {
+    await clock.waitMs(CHECK_AGAIN_MS);
+    if (await options.checkEnded(target)) recordCrash(request, target);
+  }
+
+  function startAnswerReport(content: string): void {
+    const answers = [{ content, ageMs: 0 }];
+    startAll([counters.sendReport(content, (router) => peers.reportAnswers(router, answers))]);
+  }
+
+  /** Those that count for the content take the block back everywhere. */
+  function recordAnswer(answer: ContentAnswer): 'nothing' | 'crashes' | 'block' {
+    const { content, ageMs } = answer;
+    const nowMs = clock.getNowMs();
+    const verdict = ledger.recordAnswer(content, nowMs - ageMs, nowMs);
+    if (verdict !== 'block' || !counters.isCounter(content)) return verdict;
+    log.logEvent(Events.CONTENT_RELEASED, { content });
+    entries.addEntry({ kind: 'answer', answer });
+    const told = peers.listNearest().slice(0, TOLD_AT_ONCE);
+    const calls = told.map((peer) => peers.reportAnswers(peer, [answer]));
+    startAll([...calls, entries.writeNext()]);
+    return verdict;
+  }
+
+  function applyEntry(entry: BlockEntries.BlockEntry): void {
+    if (entry.kind === 'block') recordBlocks([entry.block], 'store');
+    else recordAnswer(entry.answer);
   }
 
   return {
     getBlockedMs: (content) => ledger.getBlockedMs(content, clock.getNowMs()),
-    recordAnswer: (content) => ledger.recordAnswer(content, clock.getNowMs()),
-    async recordBreak({ id, contentKey: content }, target) {
-      if (!(await options.checkEnded(target))) return;
-      log.logEvent(Events.TARGET_ENDED, { request: id, content, target: target.id });
-      const crash = { content, target: TargetLives.formatLife(target), ageMs: 0 };
-      reportCrash(crash, countCrash(crash)).catch((error: unknown) =>
-        logFailure('all', String(error)),
-      );
+    recordAnswer(content) {
+      if (recordAnswer({ content, ageMs: 0 }) !== 'nothing') startAnswerReport(content);
+    },
+    async recordBreak(request, target) {
+      if (await options.checkEnded(target)) recordCrash(request, target);
+      else startAll([checkAgain(request, target)]);
     },
     handlers: {
       handleCrashes(crashes) {
@@ -147,22 +177,13 @@
           if (block !== undefined) reportBlock(block);
         }
       },
+      handleAnswers: (answers) => answers.forEach(recordAnswer),
       handleBlocks(blocks) {
         recordBlocks(blocks, 'peer');
         return ledger.listBlocks(clock.getNowMs());
       },
     },
-    applyDirectory() {
-      const stored = directory.listEntries(prefix);
-      if (stored.length === 0) seenRevisions.clear();
-      for (const { key, revision, value } of stored) {
-        if (seenRevisions.get(key) !== revision) {
-          seenRevisions.set(key, revision);
-          const block = BlockEntries.decodeBlock(key.slice(prefix.length), value);
-          if (block !== undefined) recordBlocks([block], 'store');
-        }
-      }
-    },
+    applyDirectory: () => readNewEntries().forEach(applyEntry),
     async run(signal) {
       while (!signal.aborted) {
         await clock.waitMs(INTERVAL_MS, signal);
@@ -174,10 +195,10 @@
         }
       }
     },
-    dumpState: () => ({
-      blocked: ledger.listBlocks(clock.getNowMs()).length,
-      suspects: ledger.countSuspects(),
-    }),
+    dumpState() {
+      const blocked = ledger.listBlocks(clock.getNowMs()).length;
+      return { blocked, suspects: ledger.countSuspects() };
+    },
   };
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -141,6 +141,13 @@
   'A router that sends to a target with a limit did not answer another one that asked it for a request.',
 );
 
+export const CONTENT_RELEASED = Kernel.defineEvent(
+  1928,
+  'info',
+  'content.released',
+  'A content that was blocked has been answered since, so it was not to blame; no router refuses it any more.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -164,4 +171,5 @@
   PEER_NOT_TOLD,
   LIMIT_NAMED,
   LENDER_SILENT,
+  CONTENT_RELEASED,
 ];
--- a/packages/sequoiarill-plugin-rollouts/src/play/world.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/play/world.ts
@@ -109,6 +109,7 @@
     borrowRepeats: async () => ({ kind: 'lent', repeats: 0 }),
     setLender: () => undefined,
     reportCrashes: async () => ({ kind: 'counted' }),
+    reportAnswers: async () => ({ kind: 'counted' }),
     exchangeBlocks: async () => ({ kind: 'blocks', blocks: [] }),
     borrowSends: async () => ({ kind: 'lent', lent: { sends: 0 } }),
     setSendsLender: () => undefined,
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -68,6 +68,12 @@
   readonly lastAgeMs: number;
 }
 
+/** A content was answered in whole: crashes before that were not its fault. */
+export interface ContentAnswer {
+  readonly content: string;
+  readonly ageMs: number;
+}
+
 export type CrashesOutcome =
   { readonly kind: 'counted' } | { readonly kind: 'failed'; readonly reason: string };
 
@@ -78,6 +84,7 @@
 /** What a router makes of crashes and blocks that its peers tell. */
 export interface CrashHandlers {
   readonly handleCrashes: (crashes: readonly Crash[]) => void;
+  readonly handleAnswers: (answers: readonly ContentAnswer[]) => void;
   /** Returns the blocks that are known here. */
   readonly handleBlocks: (blocks: readonly ContentBlock[]) => readonly ContentBlock[];
 }
@@ -132,6 +139,10 @@
   readonly sendReport: (peer: string, report: RolloutReport) => Promise<GuidanceOutcome>;
   /** To a router that counts crashes of their contents over all routers. */
   readonly reportCrashes: (peer: string, crashes: readonly Crash[]) => Promise<CrashesOutcome>;
+  readonly reportAnswers: (
+    peer: string,
+    answers: readonly ContentAnswer[],
+  ) => Promise<CrashesOutcome>;
   /** Tells a router the blocks that are known here, and learns those known there. */
   readonly exchangeBlocks: (
     peer: string,
