--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -15,7 +15,7 @@
 export * from './returnDetector';
 export * from './promptEstimates';
 export * from './stallPolicy';
-export * from './sendLimits';
+export * from './rateLimitShares';
 export * from './streamDoor';
 export * from './targetChooser';
 export type * from './targets';
--- a/packages/sequoiarill-decisions/src/sendLimits.ts
+++ b/packages/sequoiarill-decisions/src/rateLimitShares.ts
@@ -11,7 +11,7 @@
 
 import * as Names from './names';
 
-export interface SendLimits {
+export interface RateLimitShares {
   /** Limits other than this one replace it where they were heard later. */
   readonly recordLimit: (target: LimitedTarget, limit: KnownLimit, nowMs: number) => void;
   /** A limit that was heard lately, or that there is none any more; undefined where nothing is known. */
@@ -21,8 +21,8 @@
   /** Also where it may not, for a run that goes on: the next ones wait longer. */
   readonly recordSend: (life: string, nowMs: number) => void;
   /** Whole requests that this router gives another one, at most `wanted`; they count as sent here. */
-  readonly lendSends: (life: string, wanted: number, nowMs: number) => number;
-  readonly recordBorrowed: (life: string, sends: number, nowMs: number) => void;
+  readonly lendPermits: (life: string, wanted: number, nowMs: number) => number;
+  readonly recordBorrowed: (life: string, permits: number, nowMs: number) => void;
   /** Routers that send to the target, this one too where it is among them. */
   readonly listSenders: (life: string, nowMs: number) => readonly string[];
   /** All routers, in the order in which they come to send to the target. */
@@ -34,7 +34,7 @@
   readonly removeOld: (nowMs: number) => void;
 }
 
-export interface SendLimitsOptions {
+export interface RateLimitSharesOptions {
   /** Address of this router. */
   readonly getSelf: () => string;
   readonly listRouters: () => readonly RouterPlace[];
@@ -50,7 +50,7 @@
 const MIN_PER_SECOND = 0.5;
 /** A part of so many requests a second is used by the callers of one router, uneven as they come. */
 const SENDER_PER_SECOND = 2;
-/** Unused sends are kept for this long: callers do not come evenly. Seconds. */
+/** Unused permits are kept for this long: callers do not come evenly. Seconds. */
 const KEPT_SECONDS = 1;
 /** One request can be sent after any pause. */
 const MIN_KEPT = 1;
@@ -64,7 +64,7 @@
   /** Undefined: the target names none any more. */
   perSecond: number | undefined;
   heardAtMs: number;
-  sends: number;
+  permits: number;
   updatedMs: number;
   ranked: readonly string[];
   rankedAtMs: number;
@@ -74,7 +74,7 @@
   return Math.max(1, Math.min(routers, Math.floor(perSecond / SENDER_PER_SECOND)));
 }
 
-export function createSendLimits(options: SendLimitsOptions): SendLimits {
+export function createRateLimitShares(options: RateLimitSharesOptions): RateLimitShares {
   const { getSelf, listRouters, getMemoryMs } = options;
   const chooseCount = options.countSenders ?? countSenders;
   const entries = new Map<string, Entry>();
@@ -118,7 +118,7 @@
     const rate = computeRate(entry, nowMs);
     const passed = Math.max(0, nowMs - entry.updatedMs) / MS_PER_SECOND;
     const most = Math.max(MIN_KEPT, rate * KEPT_SECONDS);
-    entry.sends = Math.min(most, entry.sends + passed * rate);
+    entry.permits = Math.min(most, entry.permits + passed * rate);
     entry.updatedMs = nowMs;
   }
 
@@ -132,7 +132,7 @@
       ...target,
       perSecond,
       heardAtMs,
-      sends: 0,
+      permits: 0,
       updatedMs: nowMs,
       ranked: [],
       rankedAtMs: Number.NEGATIVE_INFINITY,
@@ -164,27 +164,27 @@
       const entry = findEntry(life, nowMs);
       if (entry?.perSecond === undefined) return true;
       updateSends(entry, nowMs);
-      return entry.sends >= 1;
+      return entry.permits >= 1;
     },
     recordSend(life, nowMs) {
       const entry = findEntry(life, nowMs);
       if (entry?.perSecond === undefined) return;
       updateSends(entry, nowMs);
-      entry.sends = Math.max(-MAX_OWED, entry.sends - 1);
+      entry.permits = Math.max(-MAX_OWED, entry.permits - 1);
     },
-    lendSends(life, wanted, nowMs) {
+    lendPermits(life, wanted, nowMs) {
       const entry = findEntry(life, nowMs);
       if (entry?.perSecond === undefined) return 0;
       updateSends(entry, nowMs);
-      const lent = Math.max(0, Math.min(wanted, Math.floor(entry.sends)));
-      entry.sends -= lent;
+      const lent = Math.max(0, Math.min(wanted, Math.floor(entry.permits)));
+      entry.permits -= lent;
       return lent;
     },
-    recordBorrowed(life, sends, nowMs) {
+    recordBorrowed(life, permits, nowMs) {
       const entry = findEntry(life, nowMs);
       if (entry === undefined) return;
       updateSends(entry, nowMs);
-      entry.sends += sends;
+      entry.permits += permits;
     },
     listSenders(life, nowMs) {
       const entry = findEntry(life, nowMs);
@@ -199,7 +199,7 @@
       if (entry?.perSecond === undefined) return 0;
       updateSends(entry, nowMs);
       const rate = computeRate(entry, nowMs);
-      return rate === 0 ? undefined : (Math.max(0, 1 - entry.sends) / rate) * MS_PER_SECOND;
+      return rate === 0 ? undefined : (Math.max(0, 1 - entry.permits) / rate) * MS_PER_SECOND;
     },
     list: () => [...entries.values()],
     countTargets: () => entries.size,
--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -19,7 +19,7 @@
     clock: { waitMs: async () => undefined },
     lendRepeats,
     handleReport: () => ({ isHalted: false, avoided: [] }),
-    lendSends: () => ({ sends: 0 }),
+    lendPermits: () => ({ permits: 0 }),
     handleCrashes: () => undefined,
     handleAnswers: () => undefined,
     handleBlocks: () => [],
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -9,8 +9,8 @@
   LoanOutcome,
   RepeatsLoan,
   RolloutReport,
-  SendsOutcome,
-  SendsQuestion,
+  PermitsOutcome,
+  PermitsQuestion,
 } from '@sequoiarill/types';
 import * as TrpcClient from '@trpc/client';
 import * as Undici from 'undici';
@@ -37,7 +37,7 @@
     address: string,
     blocks: readonly ContentBlock[],
   ) => Promise<BlocksOutcome>;
-  readonly borrowSends: (address: string, question: SendsQuestion) => Promise<SendsOutcome>;
+  readonly borrowPermits: (address: string, question: PermitsQuestion) => Promise<PermitsOutcome>;
   readonly close: () => Promise<void>;
 }
 
@@ -99,11 +99,11 @@
         return { kind: 'failed', reason: (error as Error).message };
       }
     },
-    async borrowSends(address, question) {
+    async borrowPermits(address, question) {
       const caller = createCaller(address, loanTimeoutMs);
       try {
-        const answer = await caller.lendSends.mutate(question);
-        return { kind: 'lent', lent: Messages.decodeLentSends(answer) };
+        const answer = await caller.lendPermits.mutate(question);
+        return { kind: 'lent', lent: Messages.decodeLentPermits(answer) };
       } catch (error) {
         return { kind: 'failed', reason: (error as Error).message };
       }
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -2,8 +2,8 @@
 import type {
   ContentBlock,
   KnownLimit,
-  LentSends,
-  SendsQuestion,
+  LentPermits,
+  PermitsQuestion,
   RolloutGuidance,
   RolloutReport,
 } from '@sequoiarill/types';
@@ -118,15 +118,15 @@
   ageMs: Zod.number().min(0),
 });
 
-export const sendsQuestionSchema = Zod.object({
+export const permitsQuestionSchema = Zod.object({
   life: Zod.string().max(MAX_NAME_LENGTH),
   zone: Zod.string().max(MAX_NAME_LENGTH),
   wanted: Zod.number().int().min(0).max(1),
   known: knownLimitSchema,
 });
 
-export const lentSendsSchema = Zod.object({
-  sends: Zod.number().int().min(0).max(1),
+export const lentPermitsSchema = Zod.object({
+  permits: Zod.number().int().min(0).max(1),
   known: knownLimitSchema.optional(),
 });
 
@@ -134,17 +134,17 @@
   return perSecond === undefined ? { ageMs } : { ageMs, perSecond };
 }
 
-export function decodeSendsQuestion({
+export function decodePermitsQuestion({
   known,
   ...question
-}: Zod.infer<typeof sendsQuestionSchema>): SendsQuestion {
+}: Zod.infer<typeof permitsQuestionSchema>): PermitsQuestion {
   return { ...question, known: decodeKnown(known) };
 }
 
 /** Throws on what is no answer. */
-export function decodeLentSends(answer: unknown): LentSends {
-  const { sends, known } = lentSendsSchema.parse(answer);
-  return known === undefined ? { sends } : { sends, known: decodeKnown(known) };
+export function decodeLentPermits(answer: unknown): LentPermits {
+  const { permits, known } = lentPermitsSchema.parse(answer);
+  return known === undefined ? { permits } : { permits, known: decodeKnown(known) };
 }
 
 /** The newest are learned last, and matter most. */
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -8,8 +8,8 @@
   RepeatsLoan,
   RolloutGuidance,
   RolloutReport,
-  LentSends,
-  SendsQuestion,
+  LentPermits,
+  PermitsQuestion,
 } from '@sequoiarill/types';
 import * as Trpc from '@trpc/server';
 import * as Standalone from '@trpc/server/adapters/standalone';
@@ -30,7 +30,7 @@
   readonly follower: Pick<StoreFollower, 'getSeenRevision' | 'getAgeMs'>;
   readonly clock: Pick<Clock, 'waitMs'>;
   readonly lendRepeats: (loan: RepeatsLoan) => number;
-  readonly lendSends: (question: SendsQuestion) => LentSends;
+  readonly lendPermits: (question: PermitsQuestion) => LentPermits;
   readonly handleReport: (report: RolloutReport) => RolloutGuidance;
 }
 
@@ -87,9 +87,11 @@
     exchangeBlocks: procedure
       .input(Messages.blocksSchema)
       .mutation(({ input }) => Messages.encodeBlocks(options.handleBlocks(input.blocks))),
-    lendSends: procedure
-      .input(Messages.sendsQuestionSchema)
-      .mutation(({ input }): LentSends => options.lendSends(Messages.decodeSendsQuestion(input))),
+    lendPermits: procedure
+      .input(Messages.permitsQuestionSchema)
+      .mutation(({ input }): LentPermits =>
+        options.lendPermits(Messages.decodePermitsQuestion(input)),
+      ),
     reportRollout: procedure
       .input(Messages.reportQuestionSchema)
       .mutation(({ input }): RolloutGuidance => options.handleReport(Messages.decodeReport(input))),
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -67,7 +67,7 @@
   });
   let lender: Parameters<RouterPeers['setLender']>[0] | undefined;
   let reportHandler: Parameters<RouterPeers['setReportHandler']>[0] = () => NO_GUIDANCE;
-  let sendsLender: Parameters<RouterPeers['setSendsLender']>[0] = () => ({ sends: 0 });
+  let permitsLender: Parameters<RouterPeers['setPermitsLender']>[0] = () => ({ permits: 0 });
   let crashHandlers = NO_CRASH_HANDLERS;
   const server = PeerServers.createPeerServer(
     {
@@ -76,7 +76,7 @@
       clock,
       lendRepeats: (loan) => lender?.(loan) ?? 0,
       handleReport: (report) => reportHandler(report),
-      lendSends: (question) => sendsLender(question),
+      lendPermits: (question) => permitsLender(question),
       handleCrashes: (crashes) => crashHandlers.handleCrashes(crashes),
       handleAnswers: (answers) => crashHandlers.handleAnswers(answers),
       handleBlocks: (blocks) => crashHandlers.handleBlocks(blocks),
@@ -132,9 +132,9 @@
       return self;
     },
     listRouters: state.listRouters,
-    borrowSends: client.borrowSends,
-    setSendsLender(lend) {
-      sendsLender = lend;
+    borrowPermits: client.borrowPermits,
+    setPermitsLender(lend) {
+      permitsLender = lend;
     },
     sendReport: client.sendReport,
     reportCrashes: client.reportCrashes,
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -240,7 +240,7 @@
     limits: {
       recordHead: () => undefined,
       isOpen: () => true,
-      borrowSend: async () => false,
+      borrowPermit: async () => false,
       getRetrySeconds: () => 1,
     },
     chooser: Decisions.createTargetChooser({ nextRandom }),
--- a/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
@@ -77,7 +77,7 @@
   const target = Placement.chooseTarget(parts, question);
   if (target !== undefined) return target;
   const limited = Placement.listLimited(parts, request, excluded);
-  return (await parts.limits.borrowSend(limited))
+  return (await parts.limits.borrowPermit(limited))
     ? Placement.chooseTarget(parts, question)
     : undefined;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashCounters.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashAggregators.ts
@@ -2,9 +2,9 @@
 import * as Decisions from '@sequoiarill/decisions';
 import type { CrashesOutcome, RouterPeers } from '@sequoiarill/types';
 
-export interface CrashCounters {
+export interface CrashAggregators {
   /** Whether this router ranks among those that count for the content. */
-  readonly isCounter: (content: string) => boolean;
+  readonly isAggregator: (content: string) => boolean;
   /**
    * Tells those that rank first, until enough of them have it. Returns whether this router counts for the
    * content, which it also does where no other one answers.
@@ -15,39 +15,42 @@
   ) => Promise<boolean>;
 }
 
-export interface CrashCountersOptions {
+export interface CrashAggregatorsOptions {
   readonly peers: Pick<RouterPeers, 'self' | 'listRouters'>;
   readonly logFailure: (router: string, reason: string) => void;
 }
 
 /** Routers that count for a content; one of them may be cut off or end at any moment. */
-const COUNTERS = 2;
+const AGGREGATORS = 2;
 /** Routers that are tried as such, one after the other. */
 const MAX_TRIES = 6;
 
-export function createCrashCounters({ peers, logFailure }: CrashCountersOptions): CrashCounters {
+export function createCrashAggregators({
+  peers,
+  logFailure,
+}: CrashAggregatorsOptions): CrashAggregators {
   function listRanked(content: string): readonly string[] {
     const addresses = peers.listRouters().map(({ address }) => address);
     return Decisions.sortByRank(addresses, content);
   }
 
   return {
-    isCounter: (content) => listRanked(content).slice(0, COUNTERS).includes(peers.self),
+    isAggregator: (content) => listRanked(content).slice(0, AGGREGATORS).includes(peers.self),
     async sendReport(content, send) {
       let told = 0;
-      let isCounter = false;
+      let isAggregator = false;
       for (const router of listRanked(content).slice(0, MAX_TRIES)) {
-        if (told === COUNTERS) return isCounter;
+        if (told === AGGREGATORS) return isAggregator;
         if (router === peers.self) {
           told += 1;
-          isCounter = true;
+          isAggregator = true;
         } else {
           const outcome = await send(router);
           if (outcome.kind === 'counted') told += 1;
           else logFailure(router, outcome.reason);
         }
       }
-      return isCounter || told === 0;
+      return isAggregator || told === 0;
     },
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
@@ -26,7 +26,7 @@
 import * as Events from '../events';
 import * as TargetLives from '../targets/targetLife';
 import * as BlockEntries from './blockEntry';
-import * as CrashCounters from './crashCounters';
+import * as CrashAggregators from './crashAggregators';
 
 export interface CrashReports {
   /** How much longer no router sends the content to a target, milliseconds; 0 where it may. */
@@ -69,7 +69,7 @@
   const { clock, directory, peers, log, nextRandom } = options;
   const ledger = Decisions.createCrashLedger();
   const entries = BlockEntries.createBlockEntries(options);
-  const counters = CrashCounters.createCrashCounters({ peers, logFailure });
+  const aggregators = CrashAggregators.createCrashAggregators({ peers, logFailure });
   const readNewEntries = BlockEntries.createEntryReader(options.wire, directory);
 
   function logBlock({ content, firstAgeMs }: ContentBlock, source: string): void {
@@ -117,10 +117,10 @@
 
   async function reportCrash(crash: Crash): Promise<void> {
     const block = countCrash(crash);
-    const isCounter = await counters.sendReport(crash.content, (router) =>
+    const isAggregator = await aggregators.sendReport(crash.content, (router) =>
       peers.reportCrashes(router, [crash]),
     );
-    if (isCounter && block !== undefined) reportBlock(block);
+    if (isAggregator && block !== undefined) reportBlock(block);
   }
 
   function recordCrash(
@@ -139,7 +139,7 @@
 
   function startAnswerReport(content: string): void {
     const answers = [{ content, ageMs: 0 }];
-    startAll([counters.sendReport(content, (router) => peers.reportAnswers(router, answers))]);
+    startAll([aggregators.sendReport(content, (router) => peers.reportAnswers(router, answers))]);
   }
 
   /** Those that count for the content take the block back everywhere. */
@@ -147,7 +147,7 @@
     const { content, ageMs } = answer;
     const nowMs = clock.getNowMs();
     const verdict = ledger.recordAnswer(content, nowMs - ageMs, nowMs);
-    if (verdict !== 'block' || !counters.isCounter(content)) return verdict;
+    if (verdict !== 'block' || !aggregators.isAggregator(content)) return verdict;
     log.logEvent(Events.CONTENT_RELEASED, { content });
     entries.addEntry({ kind: 'answer', answer });
     const told = peers.listNearest().slice(0, TOLD_AT_ONCE);
--- a/packages/sequoiarill-plugin-forwarding/src/limits/__tests__/limitPlay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/limits/__tests__/limitPlay.ts
@@ -1,7 +1,7 @@
 /** Routers in virtual time that send to one target with a limit, over links that can be cut. */
 import type { CountSenders } from '@sequoiarill/decisions';
 import * as Kernel from '@sequoiarill/kernel';
-import type { LentSends, RouterPlace, SendsQuestion } from '@sequoiarill/types';
+import type { LentPermits, RouterPlace, PermitsQuestion } from '@sequoiarill/types';
 
 import * as Fakes from '../../__tests__/fakeParts';
 import * as TargetLimits from '../targetLimits';
@@ -50,7 +50,7 @@
   const clock = Kernel.createFakeClock();
   const target = Fakes.createTarget('t1', { zone: '1' });
   const routers: PlayedRouter[] = [];
-  const lenders = new Map<string, (question: SendsQuestion) => LentSends>();
+  const lenders = new Map<string, (question: PermitsQuestion) => LentPermits>();
   const arrivalsMs: number[] = [];
   let limit: number | undefined;
   let cutOff: string | undefined;
@@ -78,7 +78,7 @@
       peers: {
         self: address,
         listRouters: () => routers,
-        async borrowSends(peer, question) {
+        async borrowPermits(peer, question) {
           await clock.waitMs(CALL_MS);
           const lend = lenders.get(peer);
           if (!hasLoans || lend === undefined || isCut(address, peer)) {
@@ -89,12 +89,12 @@
       },
       ...(options.countSenders === undefined ? {} : { countSenders: options.countSenders }),
     });
-    lenders.set(address, limits.lendSends);
+    lenders.set(address, limits.lendPermits);
     routers.push({ address, zone: findZone(address), limits });
   }
 
   async function sendRequest({ limits }: PlayedRouter): Promise<void> {
-    if (!limits.isOpen(target) && !(await limits.borrowSend([target]))) return;
+    if (!limits.isOpen(target) && !(await limits.borrowPermit([target]))) return;
     limits.recordSend(target);
     arrivalsMs.push(clock.getNowMs());
     await clock.waitMs(ANSWER_MS);
--- a/packages/sequoiarill-plugin-forwarding/src/limits/targetLimits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/limits/targetLimits.ts
@@ -6,10 +6,10 @@
   ForwardingTarget,
   HeaderNames,
   KnownLimit,
-  LentSends,
+  LentPermits,
   LimitedTarget,
   RouterPeers,
-  SendsQuestion,
+  PermitsQuestion,
 } from '@sequoiarill/types';
 
 import * as Checks from '../answers/answerChecks';
@@ -26,11 +26,11 @@
   readonly isOpen: (target: ForwardingTarget) => boolean;
   readonly recordSend: (target: ForwardingTarget) => void;
   /** Asks other routers for one request to one of the targets; true when `isOpen` holds for one now. */
-  readonly borrowSend: (targets: readonly ForwardingTarget[]) => Promise<boolean>;
+  readonly borrowPermit: (targets: readonly ForwardingTarget[]) => Promise<boolean>;
   /** Time until this router may send to one of the targets, seconds. */
   readonly getRetrySeconds: (targets: readonly ForwardingTarget[]) => number;
   /** Answers another router that asks. */
-  readonly lendSends: (question: SendsQuestion) => LentSends;
+  readonly lendPermits: (question: PermitsQuestion) => LentPermits;
   /** Forgets limits that were not heard of for long. */
   readonly removeOld: () => void;
   readonly dumpState: () => readonly string[];
@@ -41,7 +41,7 @@
   readonly nextRandom: () => number;
   readonly headers: Pick<HeaderNames, 'rateLimit'>;
   readonly log: Pick<BoundedLog, 'logEvent'>;
-  readonly peers: Pick<RouterPeers, 'self' | 'listRouters' | 'borrowSends'>;
+  readonly peers: Pick<RouterPeers, 'self' | 'listRouters' | 'borrowPermits'>;
   readonly countSenders?: CountSenders;
 }
 
@@ -75,7 +75,7 @@
 
 export function createTargetLimits(options: TargetLimitsOptions): TargetLimits {
   const { clock, headers, log, nextRandom, peers } = options;
-  const limits = Decisions.createSendLimits({
+  const limits = Decisions.createRateLimitShares({
     getSelf: () => peers.self,
     listRouters: peers.listRouters,
     getMemoryMs: () => Math.max(MIN_MEMORY_MS, getIntervalMs() * MEMORY_INTERVALS),
@@ -109,15 +109,15 @@
     const known = limits.findLimit(target.life, clock.getNowMs());
     if (known === undefined) return true;
     const { life, zone } = target;
-    const outcome = await peers.borrowSends(sender, { life, zone, wanted, known });
+    const outcome = await peers.borrowPermits(sender, { life, zone, wanted, known });
     if (outcome.kind === 'failed') {
       log.logEvent(Events.LENDER_SILENT, { peer: sender, target: life, reason: outcome.reason });
       return false;
     }
     const { lent } = outcome;
     if (lent.known !== undefined) recordLimit(target, lent.known);
-    limits.recordBorrowed(life, lent.sends, clock.getNowMs());
-    return lent.sends > 0;
+    limits.recordBorrowed(life, lent.permits, clock.getNowMs());
+    return lent.permits > 0;
   }
 
   /**
@@ -191,7 +191,7 @@
       return isOpen;
     },
     recordSend: (target) => limits.recordSend(TargetLives.formatLife(target), clock.getNowMs()),
-    async borrowSend(targets) {
+    async borrowPermit(targets) {
       for (const target of targets) if (await borrowOne(target)) return true;
       return false;
     },
@@ -203,12 +203,12 @@
       const seconds = waitsMs.length === 0 ? unknown : Math.min(...waitsMs) / MS_PER_SECOND;
       return Math.min(most, Math.max(least, seconds));
     },
-    lendSends({ life, zone, wanted, known }) {
+    lendPermits({ life, zone, wanted, known }) {
       recordLimit({ life, zone }, known);
       const nowMs = clock.getNowMs();
-      const sends = limits.lendSends(life, wanted, nowMs);
+      const permits = limits.lendPermits(life, wanted, nowMs);
       const found = limits.findLimit(life, nowMs);
-      return found === undefined ? { sends } : { sends, known: found };
+      return found === undefined ? { permits } : { permits, known: found };
     },
     removeOld() {
       const nowMs = clock.getNowMs();
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -36,7 +36,7 @@
   readonly rollouts: Pick<Rollouts, 'selectTargets' | 'isLeaving' | 'recordSend'>;
   readonly book: TargetBook;
   readonly crashes: Pick<CrashReports, 'getBlockedMs' | 'recordAnswer' | 'recordBreak'>;
-  readonly limits: Pick<TargetLimits, 'recordHead' | 'isOpen' | 'borrowSend' | 'getRetrySeconds'>;
+  readonly limits: Pick<TargetLimits, 'recordHead' | 'isOpen' | 'borrowPermit' | 'getRetrySeconds'>;
   readonly chooser: TargetChooser;
   readonly log: BoundedLog;
   readonly metrics: Metrics;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -167,7 +167,7 @@
 
   rollouts.setInFlightReader(book.getInFlight);
   peers.setCrashHandlers(crashes.handlers);
-  peers.setSendsLender(limits.lendSends);
+  peers.setPermitsLender(limits.lendPermits);
   peers.setLender((loan) => RepeatLoans.lendRepeats(parts, loan));
 
   function isCurrent(target: ForwardingTarget): boolean {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -90,7 +90,7 @@
   const limited = Placement.listLimited(parts, request, progress.excluded);
   const plan =
     (await createPlan(parts, request, progress)) ??
-    ((await parts.limits.borrowSend(limited))
+    ((await parts.limits.borrowPermit(limited))
       ? await createPlan(parts, request, progress)
       : undefined);
   if (plan?.kind === 'refused') return plan;
--- a/packages/sequoiarill-plugin-rollouts/src/play/world.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/play/world.ts
@@ -111,8 +111,8 @@
     reportCrashes: async () => ({ kind: 'counted' }),
     reportAnswers: async () => ({ kind: 'counted' }),
     exchangeBlocks: async () => ({ kind: 'blocks', blocks: [] }),
-    borrowSends: async () => ({ kind: 'lent', lent: { sends: 0 } }),
-    setSendsLender: () => undefined,
+    borrowPermits: async () => ({ kind: 'lent', lent: { permits: 0 } }),
+    setPermitsLender: () => undefined,
     setCrashHandlers: () => undefined,
   };
 
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -109,20 +109,20 @@
 }
 
 /** A router that does not send to a target by itself asks one that does. */
-export interface SendsQuestion extends LimitedTarget {
+export interface PermitsQuestion extends LimitedTarget {
   /** Requests that it wants to send now; 0 where it only asks for the limit. */
   readonly wanted: number;
   readonly known: KnownLimit;
 }
 
-export interface LentSends {
-  readonly sends: number;
+export interface LentPermits {
+  readonly permits: number;
   /** Absent where the router that answers knows nothing of the target. */
   readonly known?: KnownLimit;
 }
 
-export type SendsOutcome =
-  | { readonly kind: 'lent'; readonly lent: LentSends }
+export type PermitsOutcome =
+  | { readonly kind: 'lent'; readonly lent: LentPermits }
   | { readonly kind: 'failed'; readonly reason: string };
 
 /** Capability `peers`: the other routers, as the directory knows them. */
@@ -149,8 +149,8 @@
     blocks: readonly ContentBlock[],
   ) => Promise<BlocksOutcome>;
   readonly setCrashHandlers: (handlers: CrashHandlers) => void;
-  readonly borrowSends: (peer: string, question: SendsQuestion) => Promise<SendsOutcome>;
-  readonly setSendsLender: (lendSends: (question: SendsQuestion) => LentSends) => void;
+  readonly borrowPermits: (peer: string, question: PermitsQuestion) => Promise<PermitsOutcome>;
+  readonly setPermitsLender: (lendPermits: (question: PermitsQuestion) => LentPermits) => void;
   /** Who takes in reports of other routers. */
   readonly setReportHandler: (handleReport: (report: RolloutReport) => RolloutGuidance) => void;
 }
