Tell aggregators again that were not known or not reached, and let blocks go over answers in the store

The newest entry now goes over the one before.

Besides, calls of a peer turn errors into outcomes in one place, and both kinds of answer set another time to come back in one.

--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -80,64 +80,45 @@
   }
 
   return {
-    async borrowRepeats(address, loan) {
-      const repeats = Math.min(loan.repeats, Messages.MAX_LOAN);
-      const caller = createCaller(address, loanTimeoutMs);
-      try {
+    borrowRepeats: (address, loan) =>
+      runCall(async () => {
+        const repeats = Math.min(loan.repeats, Messages.MAX_LOAN);
+        const caller = createCaller(address, loanTimeoutMs);
         const answer = await caller.lendRepeats.mutate({ ...loan, repeats });
         return { kind: 'lent', repeats: Messages.loanAnswerSchema.parse(answer).repeats };
-      } catch (error) {
-        return { kind: 'failed', reason: (error as Error).message };
-      }
-    },
-    async sendReport(address, report) {
-      const caller = createCaller(address, CALL_TIMEOUT_MS);
-      try {
+      }),
+    sendReport: (address, report) =>
+      runCall(async () => {
+        const caller = createCaller(address, CALL_TIMEOUT_MS);
         const answer = await caller.reportRollout.mutate(Messages.encodeReport(report));
         return { kind: 'guided', guidance: Messages.decodeGuidance(answer) };
-      } catch (error) {
-        return { kind: 'failed', reason: (error as Error).message };
-      }
-    },
-    async borrowPermits(address, question) {
-      const caller = createCaller(address, loanTimeoutMs);
-      try {
-        const answer = await caller.lendPermits.mutate(question);
+      }),
+    borrowPermits: (address, question) =>
+      runCall(async () => {
+        const answer = await createCaller(address, loanTimeoutMs).lendPermits.mutate(question);
         return { kind: 'lent', lent: Messages.decodeLentPermits(answer) };
-      } catch (error) {
-        return { kind: 'failed', reason: (error as Error).message };
-      }
-    },
-    async reportCrashes(address, crashes) {
-      const caller = createCaller(address, CALL_TIMEOUT_MS);
-      try {
+      }),
+    reportCrashes: (address, crashes) =>
+      runCall(async () => {
+        const caller = createCaller(address, CALL_TIMEOUT_MS);
         await caller.reportCrashes.mutate({ crashes: crashes.slice(-Messages.MAX_CRASHES) });
         return { kind: 'counted' };
-      } catch (error) {
-        return { kind: 'failed', reason: (error as Error).message };
-      }
-    },
-    async reportAnswers(address, answers) {
-      const caller = createCaller(address, CALL_TIMEOUT_MS);
-      try {
+      }),
+    reportAnswers: (address, answers) =>
+      runCall(async () => {
+        const caller = createCaller(address, CALL_TIMEOUT_MS);
         await caller.reportAnswers.mutate({ answers: answers.slice(-Messages.MAX_CRASHES) });
         return { kind: 'counted' };
-      } catch (error) {
-        return { kind: 'failed', reason: (error as Error).message };
-      }
-    },
-    async exchangeBlocks(address, blocks) {
-      const caller = createCaller(address, CALL_TIMEOUT_MS);
-      try {
+      }),
+    exchangeBlocks: (address, blocks) =>
+      runCall(async () => {
+        const caller = createCaller(address, CALL_TIMEOUT_MS);
         const answer = await caller.exchangeBlocks.mutate(Messages.encodeBlocks(blocks));
         return { kind: 'blocks', blocks: Messages.blocksSchema.parse(answer).blocks };
-      } catch (error) {
-        return { kind: 'failed', reason: (error as Error).message };
-      }
-    },
-    async readRecords(address, afterRevision, waitMs = 0) {
-      const client = createCaller(address, CALL_TIMEOUT_MS + waitMs);
-      try {
+      }),
+    readRecords: (address, afterRevision, waitMs = 0) =>
+      runCall(async () => {
+        const client = createCaller(address, CALL_TIMEOUT_MS + waitMs);
         const answer = await client.readRecords.mutate({ afterRevision, waitMs });
         const { records, seenRevision, ageMs } = Messages.recordsAnswerSchema.parse(answer);
         return {
@@ -148,10 +129,21 @@
             value === undefined ? { key, revision } : { key, revision, value },
           ),
         };
-      } catch (error) {
-        return { kind: 'failed', reason: (error as Error).message };
-      }
-    },
+      }),
     close: () => dispatcher.destroy(),
   };
 }
+
+interface FailedCall {
+  readonly kind: 'failed';
+  readonly reason: string;
+}
+
+/** A peer that does not answer, or not as agreed, is an outcome like others. */
+async function runCall<Outcome>(call: () => Promise<Outcome>): Promise<Outcome | FailedCall> {
+  try {
+    return await call();
+  } catch (error) {
+    return { kind: 'failed', reason: (error as Error).message };
+  }
+}
--- a/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/wholeAnswer.ts
@@ -3,6 +3,7 @@
 
 import * as Checks from './answerChecks';
 import * as Events from '../events';
+import * as ForwardRequests from '../forwardRequest';
 import type { ForwardOutcome, ForwardRequest, SendOutcome } from '../forwardRequest';
 import * as Metrics from '../metrics';
 import type { ForwardingParts } from '../parts';
@@ -91,9 +92,8 @@
   const limited = Placement.listLimited(parts, request, progress.excluded);
   if (limited.length === 0) return decideEnd(request, progress, false);
   progress.lastReason = Placement.LIMITED_REASON;
-  const end = decideEnd(request, progress, false);
-  if (end.kind !== 'refused') return end;
-  return { ...end, retryAfterSeconds: parts.limits.getRetrySeconds(limited) };
+  const retryAfterSeconds = parts.limits.getRetrySeconds(limited);
+  return ForwardRequests.setRetryAfter(decideEnd(request, progress, false), retryAfterSeconds);
 }
 
 function decideBlocked(
@@ -102,9 +102,8 @@
   blockedMs: number,
 ): ForwardOutcome {
   progress.lastReason = Placement.BLOCKED_REASON;
-  const end = decideEnd(request, progress, false);
-  if (end.kind !== 'refused') return end;
-  return { ...end, retryAfterSeconds: Math.ceil(blockedMs / MS_PER_SECOND) };
+  const retryAfterSeconds = Math.ceil(blockedMs / MS_PER_SECOND);
+  return ForwardRequests.setRetryAfter(decideEnd(request, progress, false), retryAfterSeconds);
 }
 
 async function sendThroughDoor(
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/crashReports.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/crashReports.test.ts
@@ -12,9 +12,10 @@
 /** Each crash is seen by another router, as a balancer spreads a caller's repeats. */
 async function playCrashes(
   played: PlayedRouters,
+  firstTarget = 0,
   among: readonly PlayedRouter[] = played.routers,
 ): Promise<void> {
-  for (let index = 0; index < 3; index += 1) {
+  for (let index = firstTarget; index < firstTarget + 3; index += 1) {
     const router = among[(index * 5) % among.length];
     if (router !== undefined) await played.crash(router, CONTENT, `t${index}`);
   }
@@ -49,7 +50,7 @@
       const played = Routers.playRouters(count);
       played.cutZone(0);
       const inside = played.routers.filter(({ zone }) => zone === 0);
-      await playCrashes(played, inside);
+      await playCrashes(played, 0, inside);
       expect(countBlocking(inside)).toEqual(inside.length);
       played.cutZone(undefined);
       await played.clock.runFor(KNOWN_MS);
@@ -58,6 +59,25 @@
     });
   }
 
+  it('are counted together once the routers that count are known or reached again', async () => {
+    // Guards against crashes that are seen while a router knows few others, or is cut off.
+    const played = Routers.playRouters(9);
+    const inside = played.routers.filter(({ zone }) => zone === 0);
+    const outside = played.routers.filter(({ zone }) => zone !== 0);
+    played.cutZone(0);
+    const [first, second] = [inside[0], outside[0]];
+    if (first === undefined || second === undefined) throw new Error('too few routers');
+    await played.crash(first, CONTENT, 't0');
+    await played.crash(first, CONTENT, 't1');
+    await played.crash(second, CONTENT, 't2');
+    await played.clock.runFor(1_000);
+    expect(countBlocking(played.routers)).toEqual(0);
+    played.cutZone(undefined);
+    await played.clock.runFor(KNOWN_MS);
+    expect(countBlocking(played.routers)).toEqual(9);
+    played.stop();
+  });
+
   it('are known to a router that starts later', async () => {
     // Guards against restarted routers that crash as many targets again.
     for (const isAway of [false, true]) {
@@ -71,7 +91,7 @@
     }
   });
 
-  it('block no content that was answered meanwhile, also at routers that have not answered it', async () => {
+  it('block no content that was answered meanwhile, unless it crashes targets again', async () => {
     // Guards against a sound content, asked for often, that is refused after crashes of any cause.
     const played = Routers.playRouters(80);
     await playCrashes(played);
@@ -82,6 +102,8 @@
     const started = played.addRouter();
     await played.clock.runFor(KNOWN_MS);
     expect(started.reports.getBlockedMs(CONTENT)).toEqual(0);
+    await playCrashes(played, 3);
+    expect(countBlocking(played.routers)).toEqual(81);
     played.stop();
   });
 
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routers.ts
@@ -1,6 +1,6 @@
 /** Many routers in virtual time that count crashes, over links that can be cut and one store. */
 import * as Kernel from '@sequoiarill/kernel';
-import type { CrashHandlers, StoredEntry } from '@sequoiarill/types';
+import type { CrashHandlers, KeyComparison, StoredEntry } from '@sequoiarill/types';
 
 import * as Fakes from '../../__tests__/fakeParts';
 import * as CrashReports from '../crashReports';
@@ -111,8 +111,11 @@
           hasStore(name)
             ? { kind: 'granted', leaseId: '1', ttlSeconds: 600 }
             : { kind: 'unavailable', message: 'away' },
-        async writeTransaction({ writes }) {
+        async writeTransaction({ comparisons, writes }) {
           if (!hasStore(name)) return { kind: 'unavailable', message: 'away' };
+          const isOther = ({ key, revision: asked }: KeyComparison) =>
+            (entries.get(key)?.revision ?? 0) !== asked;
+          if (comparisons.some(isOther)) return { kind: 'conflict', revision, current: [] };
           revision += 1;
           writes.forEach(({ key, value = '' }) => entries.set(key, { key, value, revision }));
           applyStore().catch(() => undefined);
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/blockEntry.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/blockEntry.ts
@@ -82,12 +82,12 @@
     const lease = await store.grantLease(LEASE_SECONDS);
     if (lease.kind !== 'granted') return false;
     const key = `${formatPrefix(wire)}${content}`;
+    // The newest goes over what was known before.
     const written = await store.writeTransaction({
-      // Another router that counts may have written the block; an answer goes over it.
-      comparisons: entry.kind === 'block' ? [{ key, revision: 0 }] : [],
+      comparisons: [],
       writes: [{ key, value: encodeEntry(entry), leaseId: lease.leaseId }],
     });
-    return written.kind === 'written' || written.kind === 'conflict';
+    return written.kind === 'written';
   }
 
   return {
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
@@ -69,7 +69,7 @@
   const { clock, directory, peers, log, nextRandom } = options;
   const ledger = Decisions.createCrashLedger();
   const entries = BlockEntries.createBlockEntries(options);
-  const aggregators = CrashAggregators.createCrashAggregators({ peers, logFailure });
+  const aggregators = CrashAggregators.createCrashAggregators({ clock, peers, logFailure });
   const readNewEntries = BlockEntries.createEntryReader(options.wire, directory);
 
   function logBlock({ content, firstAgeMs }: ContentBlock, source: string): void {
@@ -117,8 +117,8 @@
 
   async function reportCrash(crash: Crash): Promise<void> {
     const block = countCrash(crash);
-    const isAggregator = await aggregators.sendReport(crash.content, (router) =>
-      peers.reportCrashes(router, [crash]),
+    const isAggregator = await aggregators.sendReport(crash.content, (router, ageMs) =>
+      peers.reportCrashes(router, [{ ...crash, ageMs }]),
     );
     if (isAggregator && block !== undefined) reportBlock(block);
   }
@@ -138,8 +138,10 @@
   }
 
   function startAnswerReport(content: string): void {
-    const answers = [{ content, ageMs: 0 }];
-    startAll([aggregators.sendReport(content, (router) => peers.reportAnswers(router, answers))]);
+    const report = aggregators.sendReport(content, (router, ageMs) =>
+      peers.reportAnswers(router, [{ content, ageMs }]),
+    );
+    startAll([report]);
   }
 
   /** Those that count for the content take the block back everywhere. */
@@ -187,7 +189,7 @@
     async run(signal) {
       while (!signal.aborted) {
         await clock.waitMs(INTERVAL_MS, signal);
-        await entries.writeNext();
+        await Promise.all([entries.writeNext(), aggregators.sendAgain()]);
         if (!directory.hasNews() && !signal.aborted) {
           const asked = samplePeers(peers.listNearest(), nextRandom);
           const blocks = ledger.listBlocks(clock.getNowMs());
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -73,3 +73,11 @@
       readonly lastTarget?: string;
     }
   | { readonly kind: 'callerLeft' };
+
+/** A refusal with another time to come back; other ends stay as they are. */
+export function setRetryAfter<End extends { readonly kind: string }>(
+  end: End,
+  retryAfterSeconds: number,
+): End {
+  return end.kind === 'refused' ? { ...end, retryAfterSeconds } : end;
+}
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -4,6 +4,7 @@
 
 import * as EnginePlacements from '../targets/enginePlacements';
 import type { EnginePair } from '../targets/enginePlacements';
+import * as ForwardRequests from '../forwardRequest';
 import type { AnswerHead, ForwardOutcome, ForwardRequest } from '../forwardRequest';
 import type { ForwardingParts } from '../parts';
 import * as Placement from '../answers/placement';
@@ -87,14 +88,11 @@
   if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
   const blockedMs = parts.crashes.getBlockedMs(request.contentKey);
   if (blockedMs > 0) return decideBlocked(progress, blockedMs);
-  const limited = Placement.listLimited(parts, request, progress.excluded);
   const plan =
     (await createPlan(parts, request, progress)) ??
-    ((await parts.limits.borrowPermit(limited))
-      ? await createPlan(parts, request, progress)
-      : undefined);
+    (await createPlanByLoan(parts, request, progress));
   if (plan?.kind === 'refused') return plan;
-  if (plan === undefined) return decideUnplaced(parts, progress, limited);
+  if (plan === undefined) return decideUnplaced(parts, request, progress);
   const isRepeat = progress.arrivals > 0;
   if (isRepeat && !(await takeRepeat(parts, request, progress, budget))) {
     return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
@@ -181,6 +179,17 @@
   return { kind: 'plan', target, backup: undefined, copy: undefined };
 }
 
+/** Another router may have a permit left for a target that this one must not ask. */
+async function createPlanByLoan(
+  parts: ForwardingParts,
+  request: ForwardRequest,
+  progress: Progress,
+): ReturnType<typeof createPlan> {
+  const limited = Placement.listLimited(parts, request, progress.excluded);
+  const isLent = await parts.limits.borrowPermit(limited);
+  return isLent ? createPlan(parts, request, progress) : undefined;
+}
+
 /** Whether the request may be sent once more. */
 export function isOpenEnded(request: ForwardRequest, progress: Progress): boolean {
   const { repeat, maxTargets } = request.route;
@@ -190,21 +199,21 @@
 
 /** No target can be asked, some of them only since they take no more for now. */
 function decideUnplaced(
-  { limits }: ForwardingParts,
+  parts: ForwardingParts,
+  request: ForwardRequest,
   progress: Progress,
-  limited: readonly ForwardingTarget[],
 ): StreamOutcome {
+  const limited = Placement.listLimited(parts, request, progress.excluded);
   if (limited.length === 0) return decideEnd(progress, progress.lastReason, false);
+  const retryAfterSeconds = parts.limits.getRetrySeconds(limited);
   const end = decideEnd(progress, Placement.LIMITED_REASON, false);
-  return end.kind === 'refused'
-    ? { ...end, retryAfterSeconds: limits.getRetrySeconds(limited) }
-    : end;
+  return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
 }
 
 function decideBlocked(progress: Progress, blockedMs: number): StreamOutcome {
+  const retryAfterSeconds = Math.ceil(blockedMs / MS_PER_SECOND);
   const end = decideEnd(progress, Placement.BLOCKED_REASON, false);
-  if (end.kind !== 'refused') return end;
-  return { ...end, retryAfterSeconds: Math.ceil(blockedMs / MS_PER_SECOND) };
+  return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
 }
 
 export function decideEnd(progress: Progress, reason: string, isLate: boolean): StreamOutcome {
