--- a/packages/sequoiarill-decisions/src/rateLimitShares.ts
+++ b/packages/sequoiarill-decisions/src/rateLimitShares.ts
@@ -3,7 +3,7 @@
  *
  * Load pattern: a target in need names a rate in its answers. Each router by itself would send that much,
  * and hundreds would bury it; split evenly among hundreds, a part is one request in a minute, and lies idle
- * wherever no caller asks. So only some routers send to such a target, each at a few requests a second
+ * wherever no caller asks. So only some routers send to such a target, each at two requests a second
  * or more: those of its zone first, which are there when the zone is cut off. All routers rank
  * each other alike, so nobody hands out parts. The others ask these routers for what they have left.
  */
@@ -54,7 +54,7 @@
 const KEPT_SECONDS = 1;
 /** One request can be sent after any pause. */
 const MIN_KEPT = 1;
-/** Sends beyond the limit are paid back, at most so many. */
+/** Requests that were sent without a permit are paid back, at most so many. */
 const MAX_OWED = 2;
 /** Routers come and go within seconds; ranking hundreds of them for each request is dear. Milliseconds. */
 const RANKED_MS = 500;
@@ -114,7 +114,7 @@
     return Math.max(MIN_PER_SECOND, entry.perSecond ?? 0) / senders.length;
   }
 
-  function updateSends(entry: Entry, nowMs: number): void {
+  function updatePermits(entry: Entry, nowMs: number): void {
     const rate = computeRate(entry, nowMs);
     const passed = Math.max(0, nowMs - entry.updatedMs) / MS_PER_SECOND;
     const most = Math.max(MIN_KEPT, rate * KEPT_SECONDS);
@@ -150,7 +150,7 @@
       }
       const isKnownFree = perSecond === undefined && known.perSecond === undefined;
       if (heardAtMs < known.heardAtMs || isKnownFree) return;
-      updateSends(known, nowMs);
+      updatePermits(known, nowMs);
       known.perSecond = perSecond;
       known.heardAtMs = heardAtMs;
     },
@@ -163,19 +163,19 @@
     isOpen(life, nowMs) {
       const entry = findEntry(life, nowMs);
       if (entry?.perSecond === undefined) return true;
-      updateSends(entry, nowMs);
+      updatePermits(entry, nowMs);
       return entry.permits >= 1;
     },
     recordSend(life, nowMs) {
       const entry = findEntry(life, nowMs);
       if (entry?.perSecond === undefined) return;
-      updateSends(entry, nowMs);
+      updatePermits(entry, nowMs);
       entry.permits = Math.max(-MAX_OWED, entry.permits - 1);
     },
     lendPermits(life, wanted, nowMs) {
       const entry = findEntry(life, nowMs);
       if (entry?.perSecond === undefined) return 0;
-      updateSends(entry, nowMs);
+      updatePermits(entry, nowMs);
       const lent = Math.max(0, Math.min(wanted, Math.floor(entry.permits)));
       entry.permits -= lent;
       return lent;
@@ -183,7 +183,7 @@
     recordBorrowed(life, permits, nowMs) {
       const entry = findEntry(life, nowMs);
       if (entry === undefined) return;
-      updateSends(entry, nowMs);
+      updatePermits(entry, nowMs);
       entry.permits += permits;
     },
     listSenders(life, nowMs) {
@@ -197,7 +197,7 @@
     getWaitMs(life, nowMs) {
       const entry = findEntry(life, nowMs);
       if (entry?.perSecond === undefined) return 0;
-      updateSends(entry, nowMs);
+      updatePermits(entry, nowMs);
       const rate = computeRate(entry, nowMs);
       return rate === 0 ? undefined : (Math.max(0, 1 - entry.permits) / rate) * MS_PER_SECOND;
     },
--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -10,25 +10,25 @@
 export const BLOCKED_REASON = 'targets ended as they began to run it';
 
 type ListParts = Pick<ForwardingParts, 'book' | 'directory' | 'rollouts' | 'limits'>;
-type Asker = Pick<ForwardRequest, 'service' | 'versionDraw'>;
+type ServiceRequest = Pick<ForwardRequest, 'service' | 'versionDraw'>;
 
 function listKnown(
   { book, directory, rollouts }: ListParts,
-  { service, versionDraw }: Asker,
+  { service, versionDraw }: ServiceRequest,
 ): readonly ForwardingTarget[] {
   const allowed = rollouts.selectTargets(directory.listTargets(service), versionDraw);
   return Decisions.selectOpen(allowed, book.isSuspect);
 }
 
 /** Targets that new work of the request may go to. */
-export function listOpen(parts: ListParts, request: Asker): readonly ForwardingTarget[] {
+export function listOpen(parts: ListParts, request: ServiceRequest): readonly ForwardingTarget[] {
   return listKnown(parts, request).filter(parts.limits.isOpen);
 }
 
 /** Those that only the limits they name keep from it. */
 export function listLimited(
   parts: ListParts,
-  request: Asker,
+  request: ServiceRequest,
   excluded: ReadonlySet<string>,
 ): readonly ForwardingTarget[] {
   const { book, limits } = parts;
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
@@ -1,11 +1,10 @@
 /**
  * Counts crashes of targets by the content of the requests that they ran, over all routers.
  *
- * Each crash goes to the routers that count for its content: all routers rank each other alike, so nobody
- * is elected, and a crash of many targets costs a few messages for each request that was lost there, however many
- * routers there are. What they find to blame is rare, and is told to all: at once to some peers, and
- * through the store to everybody, also to routers that start later. While the store is away, routers ask
- * each other.
+ * Each crash is reported to two aggregators of its content. All routers rank each other alike, so nobody is
+ * elected, and the crash of a zone costs two messages for each request that was lost there, in a fleet of any
+ * size. Blocked contents are rare and are told to all: at once to some peers, and through the store to
+ * everybody, also to routers that start later. While the store is away, routers ask each other.
  */
 import * as Decisions from '@sequoiarill/decisions';
 import type {
--- a/packages/sequoiarill-plugin-forwarding/src/limits/targetLimits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/limits/targetLimits.ts
@@ -8,16 +8,16 @@
   KnownLimit,
   LentPermits,
   LimitedTarget,
-  RouterPeers,
   PermitsQuestion,
+  RouterPeers,
 } from '@sequoiarill/types';
 
 import * as Checks from '../answers/answerChecks';
 import type { BoundedLog } from '../boundedLog';
 import * as Events from '../events';
 import type { AnswerHead } from '../forwardRequest';
-import * as LimitNews from './limitNews';
 import * as TargetLives from '../targets/targetLife';
+import * as LimitNews from './limitNews';
 
 export interface TargetLimits {
   /** The head of an answer that is the target's own. */
@@ -47,7 +47,7 @@
 
 /** Pause between two questions to the routers that send to a target, milliseconds. */
 const MIN_INTERVAL_MS = 1_000;
-/** Longer where these few routers are asked by many. */
+/** The pause grows with the fleet, since the same few routers are asked by all others. */
 const INTERVAL_PER_ROUTER_MS = 20;
 /** Intervals in which a limit must be heard again. */
 const MEMORY_INTERVALS = 3;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -55,7 +55,10 @@
 /** An answer to such a check may take this long, milliseconds, twice in a row. */
 const CHECK_WAIT_MS = 120;
 const MAX_MISSED_CHECKS = 2;
-/** A request that crashes its target does so before its first event or this soon after it, milliseconds. */
+/**
+ * A request that crashes its target does so before its first event, or within this after it,
+ * milliseconds.
+ */
 const SETTLED_MS = 300;
 
 /** Yields events as they become whole; ends with what the attempt came to. */
