Test that copies and whole answers keep to a limit, and open fleets of suites in one place

Both tests replace or stand beside ones that hold as before: a stream does not go on at a copy whose engine takes no more, and a request whose only target takes no more is refused at once, without being sent.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -52,6 +52,8 @@
   readonly kept: Map<string, KeptParts>;
   /** What other routers have left of the repeats. */
   readonly lenders: Map<string, number>;
+  /** Targets that take no more for now. */
+  readonly limited: Set<string>;
   /** Copies that were ordered and freed. */
   readonly orders: readonly string[];
 }
@@ -184,6 +186,7 @@
   const kept = new Map<string, KeptParts>();
   const lenders = new Map<string, number>();
   const orders: string[] = [];
+  const limited = new Set<string>();
   let targets: readonly ForwardingTarget[] = [];
   let drawn = 0;
   /** Evenly spread and the same each time. */
@@ -239,7 +242,7 @@
     },
     limits: {
       recordHead: () => undefined,
-      isOpen: () => true,
+      isOpen: ({ id }) => !limited.has(id),
       borrowPermit: async () => false,
       getRetrySeconds: () => 1,
     },
@@ -280,6 +283,7 @@
     kept,
     lenders,
     orders,
+    limited,
     setTargets(next) {
       targets = next;
     },
--- a/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/wholeAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/wholeAnswer.test.ts
@@ -166,4 +166,20 @@
     expect(refused.length).toBeGreaterThan(10);
     expect(fake.sent.length).toEqual(outcomes.length - refused.length);
   });
+
+  it('is refused at once where its only target takes no more, and sent when it does', async () => {
+    // Guards against a request that waits for a permit until its caller has gone.
+    const fake = Fakes.createFakeParts(() => OK);
+    fake.setTargets(createServices(1));
+    fake.limited.add('s0');
+    const { outcome, tookMs } = await playRequest(fake);
+    expect(outcome).toEqual({
+      kind: 'refused',
+      reason: 'its targets take no more requests for now',
+      retryAfterSeconds: 1,
+    });
+    expect([fake.sent.length, tookMs]).toEqual([0, 0]);
+    fake.limited.clear();
+    expect((await playRequest(fake)).outcome.kind).toEqual('answer');
+  });
 });
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
@@ -158,27 +158,30 @@
     expect(lent.lenders.get('10.0.0.4:1')).toEqual(0.9);
   });
 
-  it('does not go on at a copy whose engine is leaving', async () => {
-    // The engine that keeps the copy begins to drain, and then the one that runs is lost. Sent to the
-    // leaving one, the run would be cut again, and a VM that is leaving must get no new work.
-    const fake = Fakes.createFakeParts((target, headers) => {
-      const run = Played.createRun(Played.createFromHeader(headers), 12);
-      const broken: Script[number] = [200, { kind: 'broken', reason: 'ECONNRESET' }];
-      return target === 'a1' ? [...run.slice(0, 4), broken] : run;
+  for (const reason of ['is leaving', 'takes no more requests']) {
+    it(`does not go on at a copy whose engine ${reason}`, async () => {
+      // Guards against new work for a VM that is leaving, and against more than a target in need takes.
+      const fake = Fakes.createFakeParts((target, headers) => {
+        const run = Played.createRun(Played.createFromHeader(headers), 12);
+        const broken: Script[number] = [200, { kind: 'broken', reason: 'ECONNRESET' }];
+        return target === 'a1' ? [...run.slice(0, 4), broken] : run;
+      });
+      const running = Fakes.createTarget('a1');
+      const copy = Fakes.createTarget('b1', { zone: 'b' });
+      const other = Fakes.createTarget('b2', { zone: 'b' });
+      fake.setTargets([running, copy]);
+      for (const id of ['a1', 'b1', 'b2']) fake.reports.set(id, Fakes.IDLE_REPORT);
+      const playing = Played.playStream(fake);
+      await fake.clock.runFor(0);
+      const isLeaving = reason === 'is leaving';
+      if (!isLeaving) fake.limited.add(copy.id);
+      fake.setTargets([running, { ...copy, state: isLeaving ? 'draining' : 'ready' }, other]);
+      const played = await playing;
+      expect(played.text).toEqual(Played.formatAll(12));
+      expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b2']);
+      expect(fake.sent[1]?.headers.from).toEqual(undefined);
     });
-    const running = Fakes.createTarget('a1');
-    const copy = Fakes.createTarget('b1', { zone: 'b' });
-    const other = Fakes.createTarget('b2', { zone: 'b' });
-    fake.setTargets([running, copy]);
-    for (const id of ['a1', 'b1', 'b2']) fake.reports.set(id, Fakes.IDLE_REPORT);
-    const playing = Played.playStream(fake);
-    await fake.clock.runFor(0);
-    fake.setTargets([running, { ...copy, state: 'draining' }, other]);
-    const played = await playing;
-    expect(played.text).toEqual(Played.formatAll(12));
-    expect(fake.sent.map(({ target }) => target)).toEqual(['a1', 'b2']);
-    expect(fake.sent[1]?.headers.from).toEqual(undefined);
-  });
+  }
 
   it('waits for a prompt that is being read, and leaves an engine that has started again', async () => {
     // Two engines are silent for seconds before their first event. One answers that it reads a prompt;
