Measure the silence of engines in the time in which the router could hear them

What callers saw: nothing wrong in their answers; but a router whose VM was paused and woken asked a second engine for streams that the first one still ran, up to all of its streams at once, so the work was done twice when engines are shortest. Requests that must not run twice were not concerned: a booking that was sent is never sent again, whatever silence follows (`isFinal` of the orders' attempts).

Cause: the stall timer measured the silence by the clock. A timer due during the pause was granted 250 ms whatever the stream's limit was, so bytes later than that after waking counted as a loss; one that was due soon after waking counted the whole pause.

Ways weighed: (a) start each wait anew on waking: a router that is held up again and again would never leave an engine that ended without a word; (b) a fixed grace, as before, but for all timers: still depends on when bytes come; (c) a clock that leaves pauses out, kept. It advances by 100 ms at most over a gap, and stands still for as long as the gap was, 250 ms at most, since what waits in sockets has to be read and engines of the same zone may have been paused as well. So a pause of any length, and a router that is starved by its own load, are one case.

Gaps and first tokens are recorded on the same clock: a pause used to go into the percentiles that the limits are made of.

--- a/bench/src/control/fleet.ts
+++ b/bench/src/control/fleet.ts
@@ -190,6 +190,7 @@
     store: connection.store,
     clock: {
       getNowMs: () => performance.now(),
+      getRunningMs: () => performance.now(),
       getWallTime: () => new Date().toISOString(),
       waitMs,
     },
--- a/packages/sequoiarill-kernel/src/clock.ts
+++ b/packages/sequoiarill-kernel/src/clock.ts
@@ -3,9 +3,18 @@
 
 import type { Clock } from '@sequoiarill/types';
 
+import * as RunningTimes from './runningTime';
+
+function getNowMs(): number {
+  return performance.now();
+}
+
 export function createSystemClock(): Clock {
+  const getRunningMs = RunningTimes.createRunningTime(getNowMs);
+  setInterval(getRunningMs, RunningTimes.RUNNING_TICK_MS).unref();
   return {
-    getNowMs: () => performance.now(),
+    getNowMs,
+    getRunningMs,
     getWallTime: () => new Date().toISOString(),
     async waitMs(ms, signal) {
       if (signal === undefined) await startTimeout(ms);
--- a/packages/sequoiarill-kernel/src/fakeClock.ts
+++ b/packages/sequoiarill-kernel/src/fakeClock.ts
@@ -22,6 +22,7 @@
 
 export function createFakeClock(): FakeClock {
   let nowMs = 0;
+  let pausedMs = 0;
   let waiters: readonly Waiter[] = [];
 
   function takeDue(limitMs: number): Waiter | undefined {
@@ -33,6 +34,7 @@
 
   return {
     getNowMs: () => nowMs,
+    getRunningMs: () => nowMs - pausedMs,
     getWallTime: () => new Date(nowMs).toISOString(),
     waitMs: (ms, signal) =>
       new Promise((resolve) => {
@@ -63,6 +65,7 @@
     },
     delay(ms) {
       nowMs += ms;
+      pausedMs += ms;
     },
   };
 }
--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -12,4 +12,5 @@
 export * from './metricsPage';
 export * from './registry';
 export * from './requestGuard';
+export * from './runningTime';
 export * from './settings';
--- a/packages/sequoiarill-plugin-generations/src/__tests__/capacityTask.test.ts
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/capacityTask.test.ts
@@ -33,7 +33,12 @@
   const options = {
     routerName: 'router-1',
     zone: 'z1',
-    clock: { getNowMs: () => 0, getWallTime: () => '', waitMs: async () => stop.abort() },
+    clock: {
+      getNowMs: () => 0,
+      getRunningMs: () => 0,
+      getWallTime: () => '',
+      waitMs: async () => stop.abort(),
+    },
     configuration: {
       getConfiguration: () => configuration,
       subscribeConfiguration: () => () => {},
--- a/packages/sequoiarill-plugin-generations/src/attempt.ts
+++ b/packages/sequoiarill-plugin-generations/src/attempt.ts
@@ -5,7 +5,7 @@
  * connection destroyed and nobody reads it any more, so what a slow or woken engine still sends
  * goes nowhere, whatever time it arrives.
  */
-import type { EngineTarget, FinishReason } from '@sequoiarill/types';
+import type { Clock, EngineTarget, FinishReason } from '@sequoiarill/types';
 import * as Undici from 'undici';
 
 import type { EngineEvent } from './answer';
@@ -26,8 +26,8 @@
   readonly fencingNumber: number;
   readonly limits: AttemptLimits;
   readonly signal: AbortSignal;
-  readonly getNowMs: () => number;
-  /** When the attempt was dispatched, on that clock. */
+  readonly getRunningMs: Clock['getRunningMs'];
+  /** When the attempt was dispatched, in running time. */
   readonly startedMs: number;
   /** Milliseconds from the dispatch. */
   readonly onFirstToken: (ms: number) => void;
@@ -60,7 +60,7 @@
     hasTokens: false,
     finishReason: undefined,
   };
-  const timer = StallTimers.createStallTimer(options.getNowMs, () => {
+  const timer = StallTimers.createStallTimer(options.getRunningMs, () => {
     state.isStalled = true;
     controller.abort();
   });
@@ -86,20 +86,20 @@
   state: AttemptState,
   timer: StallTimers.StallTimer,
 ): AsyncGenerator<readonly EngineEvent[], AttemptEnd, void> {
-  const { limits, getNowMs, startedMs } = options;
+  const { limits, getRunningMs, startedMs } = options;
   const splitter = ServerSentEvents.createEventSplitter();
-  let waitingSinceMs = getNowMs();
+  let waitingSinceMs = getRunningMs();
   for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
     timer.stop();
     const events = parseEvents(splitter.addBytes(bytes));
     if (events === undefined) {
       return AttemptEnds.createLoss('broken', 'an event is malformed', true);
     }
-    if (state.hasTokens) options.onGap(getNowMs() - waitingSinceMs);
-    updateState(state, events, () => options.onFirstToken(getNowMs() - startedMs));
+    if (state.hasTokens) options.onGap(getRunningMs() - waitingSinceMs);
+    updateState(state, events, () => options.onFirstToken(getRunningMs() - startedMs));
     yield events;
     // Reading goes on to the end of the body, so that its connection serves the next request.
-    waitingSinceMs = getNowMs();
+    waitingSinceMs = getRunningMs();
     timer.start(state.hasTokens ? limits.gapMs : limits.firstTokenMs);
   }
   if (state.finishReason !== undefined) return AttemptEnds.createFinished(state.finishReason);
--- a/packages/sequoiarill-plugin-generations/src/engineCalls.ts
+++ b/packages/sequoiarill-plugin-generations/src/engineCalls.ts
@@ -1,4 +1,6 @@
 /** Attempts and cancels as calls to engines. */
+import type { Clock } from '@sequoiarill/types';
+
 import * as Attempts from './attempt';
 import type { EnginePools } from './enginePools';
 import * as EngineRequests from './engineRequests';
@@ -8,7 +10,7 @@
 export interface EngineCallsOptions {
   readonly pools: EnginePools;
   readonly targets: Targets;
-  readonly getNowMs: () => number;
+  readonly clock: Pick<Clock, 'getRunningMs'>;
 }
 
 export type EngineCalls = Pick<GenerationParts, 'runAttempt' | 'cancelAttempt'>;
@@ -17,7 +19,7 @@
 const CANCEL_TIMEOUT_MS = 2_000;
 
 export function createEngineCalls(options: EngineCallsOptions): EngineCalls {
-  const { pools, targets } = options;
+  const { pools, targets, clock } = options;
 
   function cancelAttempt(order: AttemptOrder): void {
     const { dispatcher, origin } = pools.getPool(order.target);
@@ -46,8 +48,8 @@
         fencingNumber: order.generation,
         limits: targets.getLimits(order),
         signal: request.signal,
-        getNowMs: options.getNowMs,
-        startedMs: options.getNowMs(),
+        getRunningMs: clock.getRunningMs,
+        startedMs: clock.getRunningMs(),
         onFirstToken: (ms) => targets.recordFirstToken(order, ms),
         onGap: (ms) => targets.recordGap(order, ms),
       });
--- a/packages/sequoiarill-plugin-generations/src/plugin.ts
+++ b/packages/sequoiarill-plugin-generations/src/plugin.ts
@@ -75,7 +75,7 @@
   });
   const retryBudget = Decisions.createRetryBudget(RETRY_BUDGET);
   const pacer = Decisions.createContinuationPacer();
-  const engines = EngineCalls.createEngineCalls({ pools, targets, getNowMs });
+  const engines = EngineCalls.createEngineCalls({ pools, targets, clock });
   const observer = Observers.createObserver(context, targets, engines.cancelAttempt);
   let running = 0;
 
--- a/packages/sequoiarill-plugin-generations/src/stallTimer.ts
+++ b/packages/sequoiarill-plugin-generations/src/stallTimer.ts
@@ -2,12 +2,14 @@
  * Tells when an engine has kept a stream waiting too long.
  *
  * The limit counts only while the relay waits for the engine: a caller who reads slowly holds the
- * relay up, and its engine must not be blamed for it. One timer a stream is re-armed lazily, since
+ * relay up, and its engine must not be blamed for it. It counts in running time, since a router that was
+ * paused would blame every engine at once for its own silence. One timer a stream is re-armed lazily:
  * clearing and setting one for each token would cost more than relaying it.
  */
+import * as Kernel from '@sequoiarill/kernel';
 
-/** A timer this late means the router itself was held up, by a pause or by its own load. */
-const LATE_MS = 250;
+/** Time can stand still after a pause; a timer is not set anew for less than this, milliseconds. */
+const MIN_TIMER_MS = 10;
 
 export interface StallTimer {
   /** The relay starts to wait for the engine, for at most so long. */
@@ -17,32 +19,33 @@
   readonly close: () => void;
 }
 
-export function createStallTimer(getNowMs: () => number, onStall: () => void): StallTimer {
+export function createStallTimer(getRunningMs: () => number, onStall: () => void): StallTimer {
   let waitingUntilMs: number | undefined;
   let timer: NodeJS.Timeout | undefined;
   let armedUntilMs = 0;
 
   function setTimer(untilMs: number): void {
     armedUntilMs = untilMs;
-    timer = setTimeout(handleTimer, Math.max(1, untilMs - getNowMs()));
+    timer = setTimeout(handleTimer, Math.max(MIN_TIMER_MS, untilMs - getRunningMs()));
   }
 
   function handleTimer(): void {
     timer = undefined;
     if (waitingUntilMs === undefined) return;
-    const nowMs = getNowMs();
-    // A router that was paused and woken would blame every engine at once for its own silence;
-    // the bytes are in its sockets. It waits once more, so that they can be read first.
-    if (nowMs - armedUntilMs > LATE_MS) {
-      waitingUntilMs = nowMs + LATE_MS;
-      setTimer(waitingUntilMs);
-    } else if (nowMs < waitingUntilMs) setTimer(waitingUntilMs);
-    else onStall();
+    if (getRunningMs() < waitingUntilMs) setTimer(waitingUntilMs);
+    else Kernel.delayPastReads(handleDue);
+  }
+
+  /** Unless the engine's bytes were read meanwhile. */
+  function handleDue(): void {
+    if (waitingUntilMs === undefined) return;
+    if (getRunningMs() >= waitingUntilMs) onStall();
+    else if (timer === undefined) setTimer(waitingUntilMs);
   }
 
   return {
     start(limitMs) {
-      waitingUntilMs = getNowMs() + limitMs;
+      waitingUntilMs = getRunningMs() + limitMs;
       if (timer === undefined) setTimer(waitingUntilMs);
       else if (waitingUntilMs < armedUntilMs) {
         clearTimeout(timer);
--- a/packages/sequoiarill-plugin-orders/src/__tests__/claimInterleavings.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/claimInterleavings.test.ts
@@ -68,6 +68,7 @@
   }
   const clock: Clock = {
     getNowMs: () => waits,
+    getRunningMs: () => waits,
     getWallTime: () => '',
     waitMs: delayStep,
   };
--- a/packages/sequoiarill-plugin-orders/src/__tests__/fakeStore.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/fakeStore.ts
@@ -94,6 +94,7 @@
   let nowMs = 0;
   return {
     getNowMs: () => nowMs,
+    getRunningMs: () => nowMs,
     getWallTime: () => '2026-01-01T00:00:00.000Z',
     waitMs: async () => undefined,
     advance(ms) {
--- a/packages/sequoiarill-plugin-orders/src/__tests__/transactionBatches.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/transactionBatches.test.ts
@@ -15,6 +15,7 @@
   let nowMs = 0;
   return {
     getNowMs: () => nowMs,
+    getRunningMs: () => nowMs,
     getWallTime: () => '',
     async waitMs(ms) {
       nowMs += ms;
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -59,6 +59,11 @@
 export interface Clock {
   /** Monotonic, milliseconds; for deadlines on this process only. */
   readonly getNowMs: () => number;
+  /**
+   * Milliseconds without the pauses of this process: how long another process was silent is what this one
+   * could have heard. Never for a time that somebody else measures too, such as a lease or a deadline.
+   */
+  readonly getRunningMs: () => number;
   /** ISO 8601; for people only. */
   readonly getWallTime: () => string;
   /** Ends early, without an error, when the signal is aborted. */
