Measure the silence of targets of the users' platform in running time as well

What callers saw: a router that was frozen and woken looked at its streams before it had heard anything, counted the freeze as the engines' silence, and went on at the copies; reads that may be repeated were sent to a second target. Both spend repeats of the service, which a crash a moment later may need. Orders that must not run twice end with the failure of the first send, as before.

Cause, from the code and two plays that fail on it (`streamAnswer.test.ts`, "stays with its engine when the router is paused and woken": two engines; `wholeAnswer.test.ts`, "is not asked of a second target because the router was paused": two sends): times of silence were points on the clock that went on during the pause.

Change: what a target owes is waited for in running time (silence of streams, first events, checks whether an engine lives, limits of one of several sends, probes, reports, lists of kept prompts). The caller's deadline stays on the clock, since the caller measures it too. Gaps and first tokens are recorded in running time.

Timers of those waits are followed by two turns of the event loop, which read what has arrived, in one place (`delayPastReads`); the race for a report did not have them.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/wholeAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/wholeAnswer.test.ts
@@ -57,6 +57,20 @@
 }
 
 describe('a whole answer', () => {
+  it('is not asked of a second target because the router was paused', async () => {
+    // Guards against reads that are all sent once more when a router wakes.
+    const slow: Script = [
+      [220, Fakes.createHead(200, { 'content-length': '0' })],
+      [220, { kind: 'end' }],
+    ];
+    const fake = Fakes.createFakeParts(() => slow);
+    fake.setTargets(createServices(2));
+    const paused = fake.clock.waitMs(10).then(() => fake.clock.delay(200));
+    const [{ outcome }] = await Promise.all([playRequest(fake, { timeoutMs: 400 }), paused]);
+    expect(outcome.kind).toEqual('answer');
+    expect(fake.sent.length).toEqual(1);
+  });
+
   it('comes from another target in time when one hangs, where the request may be repeated', async () => {
     const fake = Fakes.createFakeParts((target) => (target === 's0' ? [] : OK));
     fake.setTargets(createServices(2));
--- a/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -4,6 +4,7 @@
 import * as Checks from './answerChecks';
 import type { AnswerHead, ForwardRequest, SendOutcome } from '../forwardRequest';
 import type { ForwardingParts } from '../parts';
+import * as TargetCalls from '../targets/targetCall';
 import type { CallEvent, TargetCall } from '../targets/targetCall';
 
 /** Longer answers than this are not kept; those of plain services are some kilobytes. */
@@ -100,8 +101,10 @@
   // The work of a request that may not be repeated is finished, also when its caller has left.
   const mayCancel = request.route.repeat !== 'once';
   if (mayCancel) request.closed.addEventListener('abort', call.cancel, { once: true });
-  const untilMs = parts.clock.getNowMs() + limitMs;
-  const readNext = () => call.readEvent(untilMs - parts.clock.getNowMs());
+  const { clock } = parts;
+  const silentUntilMs = clock.getRunningMs() + limitMs;
+  const limits = { silentUntilMs, expiresAtMs: request.expiresAtMs };
+  const readNext = () => TargetCalls.readPatiently(clock, call, limits);
   const recordEnd = parts.book.recordStart(target);
   try {
     const first = await readNext();
--- a/packages/sequoiarill-plugin-forwarding/src/parts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/parts.ts
@@ -28,7 +28,7 @@
 
 export interface ForwardingParts {
   readonly zone: string;
-  readonly clock: Pick<Clock, 'getNowMs' | 'waitMs'>;
+  readonly clock: Pick<Clock, 'getNowMs' | 'getRunningMs' | 'waitMs'>;
   readonly nextRandom: () => number;
   readonly wire: ForwardingWire;
   readonly directory: Directory;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
@@ -91,6 +91,23 @@
     expect(fake.sent.map(({ target }) => target)).toEqual(['b1', 'a1']);
   });
 
+  it('stays with its engine when the router is paused and woken', async () => {
+    // Guards against a second engine for each stream of a router that takes its own pause for a silence.
+    const pauseMs = 2_000;
+    const fake = Fakes.createFakeParts(() => {
+      const before = Fakes.createEvents(1, 5, 30, 60);
+      const after = Fakes.createEvents(6, 12, 30, 180 + pauseMs + 150);
+      return [[50, Fakes.createHead(200)], ...before, ...after, [2_600, Played.END]];
+    });
+    fake.setTargets([Fakes.createTarget('a1'), Fakes.createTarget('b1', { zone: 'b' })]);
+    fake.reports.set('a1', Fakes.IDLE_REPORT);
+    fake.reports.set('b1', { ...Fakes.IDLE_REPORT, running: 3 });
+    const paused = fake.clock.waitMs(190).then(() => fake.clock.delay(pauseMs));
+    const [played] = await Promise.all([Played.playStream(fake), paused]);
+    expect(played.text).toEqual(Played.formatAll(12));
+    expect(fake.sent.map(({ target }) => target)).toEqual(['a1']);
+  });
+
   it('leaves a prompt with an engine that lives and reads slowly', async () => {
     // Two prompts are read before this one, of which the engine's report told one. The engine says that
     // it lives, and is not left before its first event, which would cost a third prompt.
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -8,6 +8,7 @@
 import type { ForwardingParts } from '../parts';
 import * as Checks from '../answers/answerChecks';
 import * as Sending from '../answers/sending';
+import * as TargetCalls from '../targets/targetCall';
 import type { CallEvent, TargetCall } from '../targets/targetCall';
 
 /** What one attempt gives while it runs. */
@@ -123,7 +124,8 @@
   const splitter = EventBlocks.createEventBlockSplitter();
   const preference = order.hasCopy() ? 'copied' : 'resumeLatency';
   const limits = policy.getLimits(target.id, preference, order.prefillTokens);
-  const startedMs = clock.getNowMs();
+  // What the engine owes is measured in running time; the caller's deadline is not.
+  const startedMs = clock.getRunningMs();
   const checkMs = request.route.objectiveMs / CHECKS_PER_OBJECTIVE;
   const firstEventDueMs = startedMs + limits.firstTokenMs;
   let lastEventMs = startedMs;
@@ -136,8 +138,8 @@
   const recordVersion = parts.rollouts.recordSend({ target, route, objectiveMs });
 
   function readNext(): Promise<CallEvent> {
-    const untilMs = Math.min(silentUntilMs, request.expiresAtMs);
-    return call.readEvent(untilMs - clock.getNowMs());
+    const { expiresAtMs } = request;
+    return TargetCalls.readPatiently(clock, call, { silentUntilMs, expiresAtMs });
   }
 
   function recordFirstEvent(ms: number): void {
@@ -148,7 +150,7 @@
   }
 
   function recordEvents(): void {
-    const nowMs = clock.getNowMs();
+    const nowMs = clock.getRunningMs();
     if (hasEvents) policy.recordGap(target.id, nowMs - lastEventMs);
     else {
       firstEventMs = nowMs;
@@ -193,7 +195,7 @@
   async function isWorthWaiting(): Promise<boolean> {
     const patienceMs = hasEvents ? MAX_GAP_MS : limits.firstTokenMs * FIRST_EVENT_PATIENCE;
     const waitsUntilMs = lastEventMs + (order.hasCopy() || !hasEvents ? patienceMs : NO_COPY_MS);
-    if (clock.getNowMs() >= waitsUntilMs) return false;
+    if (clock.getRunningMs() >= waitsUntilMs) return false;
     const report = await parts.readReport(target, PROBE_WAIT_MS);
     silentUntilMs = waitsUntilMs;
     if (report === undefined) return false;
@@ -205,13 +207,14 @@
   async function checkLife(): Promise<boolean> {
     const report = await parts.readReport(target, CHECK_WAIT_MS);
     missedChecks = report === undefined ? missedChecks + 1 : 0;
-    silentUntilMs = Math.min(firstEventDueMs, clock.getNowMs() + (missedChecks > 0 ? 0 : checkMs));
+    const nextCheckMs = clock.getRunningMs() + (missedChecks > 0 ? 0 : checkMs);
+    silentUntilMs = Math.min(firstEventDueMs, nextCheckMs);
     return missedChecks < MAX_MISSED_CHECKS;
   }
 
   async function handleTimeout(): Promise<Step> {
-    const nowMs = clock.getNowMs();
-    if (nowMs >= request.expiresAtMs) return { kind: 'expired' };
+    if (clock.getNowMs() >= request.expiresAtMs) return { kind: 'expired' };
+    const nowMs = clock.getRunningMs();
     if (!call.wasSent()) return { kind: 'notSent', reason: 'no connection in time' };
     const isCheck = !hasEvents && nowMs < firstEventDueMs;
     if (await (isCheck ? checkLife() : isWorthWaiting())) return undefined;
@@ -231,7 +234,7 @@
 
   return {
     readStep: async (): Promise<Step> => handleEvent(await readNext()),
-    hasSettled: () => clock.getNowMs() - firstEventMs > SETTLED_MS,
+    hasSettled: () => clock.getRunningMs() - firstEventMs > SETTLED_MS,
     close: () => recordVersion('unknown'),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
@@ -24,7 +24,7 @@
 ) => Promise<EngineAnswer | undefined>;
 
 export function createEngineCaller(
-  clock: Pick<Clock, 'getNowMs'>,
+  clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>,
   connections: Pick<TargetConnections, 'takeConnection'>,
 ): EngineCaller {
   return async (target, { method, path, body, limitMs }) => {
@@ -36,11 +36,12 @@
       headers: body === undefined ? [] : [['content-type', 'application/json']],
       body: Buffer.from(body ?? ''),
     });
-    const untilMs = clock.getNowMs() + limitMs;
+    const silentUntilMs = clock.getRunningMs() + limitMs;
+    const limits = { silentUntilMs, expiresAtMs: Number.POSITIVE_INFINITY };
     const chunks: Buffer[] = [];
     let head: AnswerHead | undefined;
     for (;;) {
-      const event = await call.readEvent(untilMs - clock.getNowMs());
+      const event = await TargetCalls.readPatiently(clock, call, limits);
       if (event.kind === 'head') head = event.head;
       else if (event.kind === 'data') chunks.push(event.chunk);
       else {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
@@ -1,4 +1,5 @@
 /** Asks engines for their load, which also tells that they live. */
+import * as Kernel from '@sequoiarill/kernel';
 import type {
   Clock,
   Directory,
@@ -25,7 +26,7 @@
 
 export interface EngineProbesOptions {
   readonly wire: ForwardingWire;
-  readonly clock: Pick<Clock, 'getNowMs'>;
+  readonly clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>;
   readonly book: TargetBook;
   readonly callEngine: EngineCaller;
   readonly directory: Pick<Directory, 'getConfiguration' | 'hasNews' | 'recordReplacement'>;
@@ -129,12 +130,13 @@
     async readReport(target, limitMs) {
       const fresh = freshByTarget.get(target.id);
       if (fresh !== undefined && clock.getNowMs() - fresh.atMs <= FRESH_MS) return fresh.report;
-      let timer: NodeJS.Timeout | undefined;
+      let stopTimer: (() => void) | undefined;
       const late = new Promise<undefined>((resolve) => {
-        timer = setTimeout(() => resolve(undefined), limitMs);
+        const giveUp = () => resolve(undefined);
+        stopTimer = Kernel.startRunningTimer(clock.getRunningMs, limitMs, giveUp);
       });
       const report = await Promise.race([startProbe(target), late]);
-      clearTimeout(timer);
+      stopTimer?.();
       return report;
     },
     async readKept(target, limitMs) {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -1,5 +1,6 @@
 /** One HTTP exchange with one target as a queue of events that one task reads. */
-import type { ForwardingTarget } from '@sequoiarill/types';
+import * as Kernel from '@sequoiarill/kernel';
+import type { Clock, ForwardingTarget } from '@sequoiarill/types';
 import type * as Undici from 'undici';
 
 import type { AnswerHead } from '../forwardRequest';
@@ -35,6 +36,33 @@
 /** Bytes of an answer kept for a slow reader before its connection is paused. */
 const MAX_WAITING_BYTES = 262_144;
 
+/** Shortest wait after a pause of this process, milliseconds: running time may stand still for a moment. */
+const MIN_REST_MS = 10;
+
+/** Until when an event is waited for. */
+export interface ReadLimits {
+  /** In running time: a target is not silent while this process is paused. */
+  readonly silentUntilMs: number;
+  /** The caller's deadline, monotonic milliseconds; it goes on during a pause. */
+  readonly expiresAtMs: number;
+}
+
+/** The next event, or `timeout` when one of the limits is over. */
+export async function readPatiently(
+  clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>,
+  call: Pick<TargetCall, 'readEvent'>,
+  { silentUntilMs, expiresAtMs }: ReadLimits,
+): Promise<CallEvent> {
+  let silenceMs = silentUntilMs - clock.getRunningMs();
+  for (;;) {
+    const event = await call.readEvent(Math.min(silenceMs, expiresAtMs - clock.getNowMs()));
+    if (event.kind !== 'timeout' || clock.getNowMs() >= expiresAtMs) return event;
+    silenceMs = silentUntilMs - clock.getRunningMs();
+    if (silenceMs <= 0) return event;
+    silenceMs = Math.max(MIN_REST_MS, silenceMs);
+  }
+}
+
 const CANCELLED: CallEvent = { kind: 'cancelled' };
 const TIMEOUT: CallEvent = { kind: 'timeout' };
 
@@ -63,16 +91,10 @@
     return event;
   }
 
-  /**
-   * Failure: the process was frozen or busy, its timers are due before it has read its sockets, and
-   * every target looks silent. One more turn of the event loop takes in what has arrived.
-   */
+  /** Failure: the process was held up, its timers are due first, and every target looks silent. */
   async function waitForEvent(timeoutMs: number): Promise<void> {
     await new Promise<void>((resolve) => {
-      const timer = setTimeout(
-        () => setImmediate(() => setImmediate(resolve)),
-        Math.max(0, timeoutMs),
-      );
+      const timer = setTimeout(() => Kernel.delayPastReads(resolve), Math.max(0, timeoutMs));
       wakeReader = () => {
         clearTimeout(timer);
         resolve();
