Tell in the line of a placed stream who was asked, what each engine answered and when

The line could not tell late answers from engines that were not asked, that kept nothing, or that were passed over for their load; and where no engine answered, an engine was chosen without any line, so that whoever waited for it waited for good.

The line now has one entry for each engine asked: its load, the tokens of the prompt that it keeps, and the milliseconds that each of the two answers took or was waited for. It is written as well where no engine answered. No decision changes.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -176,6 +176,7 @@
     Placement.chooseTarget(parts, { request, excluded, purpose }) ??
     Placement.chooseTarget(parts, { request, excluded: foreign, purpose });
   if (target === undefined) return undefined;
+  if (request.route.hasPrompt) EnginePlacements.logUnasked(parts, request, target);
   return { kind: 'plan', target, backup: undefined, copy: undefined };
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -40,11 +40,11 @@
     const sample = sampleEngines(parts, request, ready, asked);
     sample.forEach(({ id }) => asked.add(id));
     const answers = await readAnswers(parts, request, sample);
-    const views = answers.map((answer) => addOwnSends(parts, answer));
+    const views = answers.flatMap((answer) => addOwnSends(parts, answer));
     const pair = pickPair(parts, request, views, ready);
     if (pair !== undefined) {
       if (pair.door.kind === 'admit') parts.book.recordPlacement(pair.target);
-      logPlaced(parts, request, { pair, views, asked: sample.length, known: ready.length, round });
+      logPlaced(parts, request, { pair, views, answers, known: ready.length, round });
       return pair;
     }
   }
@@ -54,13 +54,13 @@
 interface PlacedLine {
   readonly pair: EnginePair;
   readonly views: readonly EngineView[];
-  readonly asked: number;
+  readonly answers: readonly EngineAnswer[];
   readonly known: number;
   readonly round: number;
 }
 
 function logPlaced(parts: ForwardingParts, request: ForwardRequest, line: PlacedLine): void {
-  const { pair, views, asked, known, round } = line;
+  const { pair, views, answers, known, round } = line;
   const view = views.find(({ id }) => id === pair.target.id);
   parts.log.logEvent(Events.STREAM_PLACED, {
     request: request.id,
@@ -74,13 +74,40 @@
     sentSince: view?.sentSince,
     usedTokens: view?.usedTokens,
     keptTokens: view?.keptTokens,
-    asked,
+    asked: answers.length,
     answered: views.length,
+    candidates: answers.map(formatCandidate),
     known,
     round,
   });
 }
 
+/** Of the engines that were asked: what each said, and after how many milliseconds. */
+function formatCandidate({ target, report, keptTokens, reportMs, keptMs }: EngineAnswer) {
+  return {
+    target: target.id,
+    running: report?.running,
+    keptTokens,
+    reportMs: Math.round(reportMs),
+    ...(keptMs === undefined ? {} : { keptMs: Math.round(keptMs) }),
+  };
+}
+
+/** The same line where no engine that was asked has answered, and one was chosen all the same. */
+export function logUnasked(
+  { log }: ForwardingParts,
+  { id, contentKey }: ForwardRequest,
+  target: ForwardingTarget,
+): void {
+  log.logEvent(Events.STREAM_PLACED, {
+    request: id,
+    content: contentKey,
+    target: target.id,
+    zone: target.zone,
+    answered: 0,
+  });
+}
+
 /**
  * Who is to keep the copy of a run that goes on at once, so that nobody is asked first; `lost` is the
  * keeper that is gone.
@@ -157,8 +184,13 @@
 /** What one engine said when it was asked. */
 interface EngineAnswer {
   readonly target: ForwardingTarget;
-  readonly report: EngineReport;
-  readonly keptTokens: number;
+  /** Undefined where it did not answer in time. */
+  readonly report: EngineReport | undefined;
+  /** Undefined where it was not asked, or did not tell in time. */
+  readonly keptTokens: number | undefined;
+  /** Milliseconds that each answer took, or was waited for. */
+  readonly reportMs: number;
+  readonly keptMs: number | undefined;
 }
 
 async function readAnswers(
@@ -166,37 +198,50 @@
   request: ForwardRequest,
   sample: readonly ForwardingTarget[],
 ): Promise<readonly EngineAnswer[]> {
-  const answers = await Promise.all(
-    sample.map(async (target): Promise<EngineAnswer | undefined> => {
-      const [report, keptTokens] = await Promise.all([
-        parts.readReport(target, ANSWER_LIMIT_MS),
-        readKeptTokens(parts, request, target),
+  const { clock } = parts;
+  const startedMs = clock.getNowMs();
+  const computeTookMs = () => clock.getNowMs() - startedMs;
+  const isKeptAsked = isAskedForRest(request);
+  return Promise.all(
+    sample.map(async (target): Promise<EngineAnswer> => {
+      const [[report, reportMs], [keptTokens, keptMs]] = await Promise.all([
+        parts
+          .readReport(target, ANSWER_LIMIT_MS)
+          .then((answer) => [answer, computeTookMs()] as const),
+        isKeptAsked
+          ? readKeptTokens(parts, request, target).then((tokens) => [tokens, computeTookMs()])
+          : [undefined, undefined],
       ]);
-      if (report === undefined || report.isLeaving) return undefined;
-      return { target, report, keptTokens };
+      return { target, report, reportMs, keptTokens, keptMs };
     }),
   );
-  return answers.filter((answer) => answer !== undefined);
 }
 
-/** To be called when all have answered: this router may have sent there while it waited for others. */
+/**
+ * None where it did not answer, or is leaving. To be called when all have answered: this router may have sent
+ * there while it waited for others.
+ */
 function addOwnSends(
   { book }: ForwardingParts,
-  { target, report, keptTokens }: EngineAnswer,
-): EngineView {
+  { target, report, keptTokens = 0 }: EngineAnswer,
+): readonly EngineView[] {
+  if (report === undefined || report.isLeaving) return [];
   const { sentSinceReport: sentSince } = book.buildView(target);
-  return { ...report, id: target.id, zone: target.zone, sentSince, keptTokens };
+  return [{ ...report, id: target.id, zone: target.zone, sentSince, keptTokens }];
 }
 
 /** Only a caller that comes back for the rest of a stream can have a prompt kept anywhere. */
+function isAskedForRest({ lastEventId, promptParts }: ForwardRequest): boolean {
+  return lastEventId !== undefined && promptParts.length > 0;
+}
+
 async function readKeptTokens(
   parts: ForwardingParts,
-  { lastEventId, promptParts }: ForwardRequest,
+  { promptParts }: ForwardRequest,
   target: ForwardingTarget,
-): Promise<number> {
-  if (lastEventId === undefined || promptParts.length === 0) return 0;
+): Promise<number | undefined> {
   const kept = await parts.readKept(target, ANSWER_LIMIT_MS);
-  return kept === undefined ? 0 : Decisions.computeKeptTokens(promptParts, kept);
+  return kept === undefined ? undefined : Decisions.computeKeptTokens(promptParts, kept);
 }
 
 function pickPair(
