Count the crash of a target also where the router was held up while it checked

Callers of a request that crashes its targets: a crash that is not counted lets the request end one target more.

Cause, shown in isolation: the check waits 40 ms by the clock for a refused connection. In a process that is held up for longer, the timer comes before the socket in the next turn, and a refusal that is there is never read. The second check, 150 ms later, meets the same load.

That this was its cause is likely, not shown.

Change: the limit is running time, and what has arrived is read before it is over. A break that is not counted after the second check is logged with what the check found (1929), so that a next failure can be told from other causes.

--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routers.ts
@@ -123,7 +123,7 @@
         },
       },
       log: { logEvent: () => undefined },
-      checkEnded: async () => true,
+      checkEnded: async () => 'ended',
     });
     handlers.set(name, reports.handlers);
     const zone = findZone(name);
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
@@ -26,6 +26,7 @@
 import * as TargetLives from '../targets/targetLife';
 import * as BlockEntries from './blockEntry';
 import * as CrashAggregators from './crashAggregators';
+import type { EndedCheck } from './endedCheck';
 
 export interface CrashReports {
   /** How much longer no router sends the content to a target, milliseconds; 0 where it may. */
@@ -53,7 +54,7 @@
   >;
   readonly store: Pick<KeyValueStore, 'grantLease' | 'writeTransaction'>;
   readonly log: Pick<BoundedLog, 'logEvent'>;
-  readonly checkEnded: (target: ForwardingTarget) => Promise<boolean>;
+  readonly checkEnded: EndedCheck;
 }
 
 /** Peers that are told of a block at once: all in a small fleet, enough to pass it on in a large one. */
@@ -130,10 +131,20 @@
     startAll([reportCrash({ content, target: TargetLives.formatLife(target), ageMs: 0 })]);
   }
 
+  function logNotCounted(
+    { id, contentKey: content }: ForwardRequest,
+    target: ForwardingTarget,
+    verdict: 'alive' | 'silent',
+  ): void {
+    log.logEvent(Events.BREAK_NOT_COUNTED, { request: id, content, target: target.id, verdict });
+  }
+
   /** A process that ends may still take a connection while it closes the others. */
   async function checkAgain(request: ForwardRequest, target: ForwardingTarget): Promise<void> {
     await clock.waitMs(CHECK_AGAIN_MS);
-    if (await options.checkEnded(target)) recordCrash(request, target);
+    const verdict = await options.checkEnded(target);
+    if (verdict === 'ended') recordCrash(request, target);
+    else logNotCounted(request, target, verdict);
   }
 
   function startAnswerReport(content: string): void {
@@ -168,7 +179,7 @@
       if (recordAnswer({ content, ageMs: 0 }) !== 'nothing') startAnswerReport(content);
     },
     async recordBreak(request, target) {
-      if (await options.checkEnded(target)) recordCrash(request, target);
+      if ((await options.checkEnded(target)) === 'ended') recordCrash(request, target);
       else startAll([checkAgain(request, target)]);
     },
     handlers: {
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -148,6 +148,13 @@
   'A content that was blocked has been answered since, so it was not to blame; no router refuses it any more.',
 );
 
+export const BREAK_NOT_COUNTED = Kernel.defineEvent(
+  1929,
+  'info',
+  'target.breakNotCounted',
+  'A target broke off as it began to run a request, and is not known to have ended: it takes connections, or nothing answers there.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -172,4 +179,5 @@
   LIMIT_NAMED,
   LENDER_SILENT,
   CONTENT_RELEASED,
+  BREAK_NOT_COUNTED,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -63,7 +63,7 @@
     peers: context.getCapability('peers'),
     store: context.getCapability('keyValue'),
     log,
-    checkEnded: EndedChecks.checkEnded,
+    checkEnded: EndedChecks.createEndedCheck(clock),
   });
 }
 
