Let a target that has a router's old address refuse the calls of other routers

Reproduced by its mechanism (trial, on the sources before): a peer client that is given the address of a target. Outside soaks the same happens where the address of a VM that is gone is given to a target while peers still know it, by seeds or for the time of its lease.

Change: calls between routers name their address as the target that is expected. Targets refuse requests that expect another identity, without a run. Routers do not look at it.

Looked for elsewhere: requests, probes of identity and orders for copies name the target or are checked by it; calls of the store go to one configured address.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -39,7 +39,7 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
-  const client = PeerClients.createPeerClient(LOAN_TIMEOUT_MS);
+  const client = PeerClients.createPeerClient({ expectedTarget: 'target' }, LOAN_TIMEOUT_MS);
   const outcome = await client.borrowRepeats(`127.0.0.1:${port}`, loan);
   await client.close();
   server.close();
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -6,6 +6,7 @@
   Crash,
   CrashesOutcome,
   GuidanceOutcome,
+  HeaderNames,
   LoanOutcome,
   RepeatsLoan,
   RolloutReport,
@@ -49,17 +50,24 @@
 /** To one peer: a question that waits for news must not hold up another one. */
 const CONNECTIONS = 2;
 
-export function createPeerClient(loanTimeoutMs = LOAN_TIMEOUT_MS): PeerClient {
+export function createPeerClient(
+  names: Pick<HeaderNames, 'expectedTarget'>,
+  loanTimeoutMs = LOAN_TIMEOUT_MS,
+): PeerClient {
   const dispatcher = new Undici.Agent({
     connections: CONNECTIONS,
     connect: { timeout: CONNECT_TIMEOUT_MS },
   });
 
+  /**
+   * Failure: a router is gone, a target has its address now, and runs calls that no caller has sent. No target
+   * is called like a router's address, so that all refuse them.
+   */
   async function sendCall(url: string, body: string, timeoutMs: number) {
     const response = await Undici.request(url, {
       method: 'POST',
       body,
-      headers: { 'content-type': 'application/json' },
+      headers: { 'content-type': 'application/json', [names.expectedTarget]: new URL(url).host },
       dispatcher,
       signal: AbortSignal.timeout(timeoutMs),
     });
