Name the engine that an order about a copy is meant for

Where another target has that address and the directory does not know yet, it would take the order for a request that no caller has sent. Reports, lists and probes are status checks, and a probe has to reach whoever is there.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/copyOrders.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/copyOrders.ts
@@ -1,6 +1,7 @@
 /** Orders to engines about copies of a run's memory. */
 import type { ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
 
+import type { RawHeader } from '../front/headers';
 import type { EngineCaller } from '../targets/engineCalls';
 
 /** How engines are told to make copies and to free them. */
@@ -20,16 +21,27 @@
 const OK = 200;
 
 export function createCopyOrders(wire: ForwardingWire, callEngine: EngineCaller): CopyOrders {
+  /** Another target may have the engine's address by now, and must not take the order for work. */
+  const createHeaders = ({ id }: ForwardingTarget): readonly RawHeader[] => [
+    [wire.headers.expectedTarget, id],
+  ];
+
   return {
     async createCopy(engine, runId, keeper) {
       const body = wire.encodeCopyOrder({ runId, keeper: keeper.address });
-      const order = { method: 'POST', path: wire.copyPath, body, limitMs: ORDER_LIMIT_MS } as const;
-      const answer = await callEngine(engine, order);
+      const answer = await callEngine(engine, {
+        method: 'POST',
+        path: wire.copyPath,
+        body,
+        headers: createHeaders(engine),
+        limitMs: ORDER_LIMIT_MS,
+      });
       return answer?.head.status === OK ? wire.decodeCopyHandle(answer.text) : undefined;
     },
     async releaseCopy(engine, handle) {
       const path = wire.formatCopyPath(handle);
-      await callEngine(engine, { method: 'DELETE', path, limitMs: RELEASE_LIMIT_MS });
+      const headers = createHeaders(engine);
+      await callEngine(engine, { method: 'DELETE', path, headers, limitMs: RELEASE_LIMIT_MS });
     },
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
@@ -2,6 +2,7 @@
 import type { Clock, ForwardingTarget } from '@sequoiarill/types';
 
 import type { AnswerHead } from '../forwardRequest';
+import type { RawHeader } from '../front/headers';
 import * as TargetCalls from './targetCall';
 import type { TargetConnections } from './targetConnections';
 
@@ -9,6 +10,7 @@
   readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly body?: string;
+  readonly headers?: readonly RawHeader[];
   readonly limitMs: number;
 }
 
@@ -27,13 +29,13 @@
   clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>,
   connections: Pick<TargetConnections, 'takeConnection'>,
 ): EngineCaller {
-  return async (target, { method, path, body, limitMs }) => {
+  return async (target, { method, path, body, headers = [], limitMs }) => {
     const call = TargetCalls.openCall({
       connection: connections.takeConnection(target),
       target,
       method,
       path,
-      headers: body === undefined ? [] : [['content-type', 'application/json']],
+      headers: body === undefined ? headers : [['content-type', 'application/json'], ...headers],
       body: Buffer.from(body ?? ''),
     });
     const silentUntilMs = clock.getRunningMs() + limitMs;
