Wait longer for the engines' answers where a caller comes back for the rest of its stream

What callers saw: a caller whose router was lost came back, its prompt was read again at another engine, a second or more for 8,000 tokens, while the engine that kept it stood ready.

Ways: (a) 40 ms, as it stands; (b) 250 ms, as long as a probe may take at all, but no longer than the usual 40 ms once an engine has said that it keeps the whole prompt; new callers as before.

`enginePlacements.test.ts` fails with a limit of 40 ms (engines that answer after 60, 120 and 240 ms), and holds that silent engines cost no more than before once the prompt is found, and that new callers wait no longer.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeParts.ts
@@ -50,6 +50,8 @@
   readonly reports: Map<string, EngineReport>;
   /** Parts of prompts that engines keep. */
   readonly kept: Map<string, KeptParts>;
+  /** Milliseconds that an engine takes to answer a question; none unless set. */
+  readonly answerMs: Map<string, number>;
   /** What other routers have left of the repeats. */
   readonly lenders: Map<string, number>;
   /** Targets that take no more for now. */
@@ -184,6 +186,7 @@
   const sent: SentCall[] = [];
   const reports = new Map<string, EngineReport>();
   const kept = new Map<string, KeptParts>();
+  const answerMs = new Map<string, number>();
   const lenders = new Map<string, number>();
   const orders: string[] = [];
   const limited = new Set<string>();
@@ -194,6 +197,16 @@
     drawn = (drawn + 0.382) % 1;
     return drawn;
   };
+  async function readAnswer<Answer>(
+    { id }: ForwardingTarget,
+    answer: Answer | undefined,
+    limitMs: number,
+  ): Promise<Answer | undefined> {
+    const tookMs = answer === undefined ? limitMs : (answerMs.get(id) ?? 0);
+    if (tookMs > 0) await clock.waitMs(Math.min(tookMs, limitMs));
+    return tookMs > limitMs ? undefined : answer;
+  }
+
   const book = TargetBooks.createTargetBook(clock.getNowMs);
   const policy = Decisions.createStallPolicy();
   const budget = Decisions.createFleetRepeats({
@@ -259,12 +272,8 @@
       sent.push(record);
       return createCall(clock, record, chooseScript(target.id, headers));
     },
-    async readReport(target, limitMs) {
-      const report = reports.get(target.id);
-      if (report === undefined) await clock.waitMs(limitMs);
-      return report;
-    },
-    readKept: async (target) => kept.get(target.id),
+    readReport: (target, limitMs) => readAnswer(target, reports.get(target.id), limitMs),
+    readKept: (target, limitMs) => readAnswer(target, kept.get(target.id), limitMs),
     async createCopy(engine, _runId, keeper) {
       orders.push(`${engine.id} to ${keeper.id}`);
       await clock.waitMs(COPY_MS);
@@ -281,6 +290,7 @@
     sent,
     reports,
     kept,
+    answerMs,
     lenders,
     orders,
     limited,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/enginePlacements.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/enginePlacements.test.ts
@@ -4,8 +4,78 @@
 
 import * as EnginePlacements from '../enginePlacements';
 import * as Fakes from '../../__tests__/fakeParts';
+import type { FakeParts } from '../../__tests__/fakeParts';
+
+const PARTS = [
+  { id: 'shared', tokens: 200 },
+  { id: 'own', tokens: 7_800 },
+];
+
+/** Four engines in two zones of which one keeps the prompt; all answer after so long. */
+function createKeptPrompt(answerMs: number): FakeParts {
+  const fake = Fakes.createFakeParts(() => []);
+  const engines = ['a1', 'a2', 'b1', 'b2'].map((id) =>
+    Fakes.createTarget(id, { zone: id.slice(0, 1) }),
+  );
+  fake.setTargets(engines);
+  engines.forEach(({ id }) => {
+    fake.reports.set(id, Fakes.IDLE_REPORT);
+    fake.kept.set(id, new Map());
+    fake.answerMs.set(id, answerMs);
+  });
+  fake.kept.set('b2', new Map(PARTS.map(({ id, tokens }) => [id, tokens])));
+  return fake;
+}
+
+/** Where a caller that comes back is sent, and when. */
+async function playReturn(fake: FakeParts) {
+  const request = {
+    ...Fakes.createRequest(Fakes.createRoute()),
+    promptParts: PARTS,
+    lastEventId: '7',
+  };
+  let placedMs = Number.POSITIVE_INFINITY;
+  const placing = EnginePlacements.chooseEngines(fake.parts, request, new Set()).then((pair) => {
+    placedMs = fake.clock.getNowMs();
+    return pair?.target.id;
+  });
+  await fake.clock.runFor(2_000);
+  return { target: await placing, placedMs };
+}
 
 describe('the placement of streams', () => {
+  it('finds the prompt of a caller that comes back at engines that answer late', async () => {
+    // Guards against a prompt that is read again elsewhere since its keeper took long to answer.
+    for (const answerMs of [0, 60, 120, 240]) {
+      const { target } = await playReturn(createKeptPrompt(answerMs));
+      expect(target).toEqual('b2');
+    }
+  });
+
+  it('does not wait for silent engines once the prompt is found', async () => {
+    // Guards against callers that come back after a crash and wait for engines that are gone.
+    const fake = createKeptPrompt(1);
+    fake.reports.delete('a1');
+    fake.kept.delete('a1');
+    const { target, placedMs } = await playReturn(fake);
+    expect(target).toEqual('b2');
+    expect(placedMs).toBeLessThanOrEqual(40);
+  });
+
+  it('asks no longer than before where a caller is new', async () => {
+    // Guards against first events that wait for engines which are gone.
+    const fake = createKeptPrompt(1);
+    fake.reports.delete('a1');
+    const request = { ...Fakes.createRequest(Fakes.createRoute()), promptParts: PARTS };
+    let placedMs = Number.POSITIVE_INFINITY;
+    const placing = EnginePlacements.chooseEngines(fake.parts, request, new Set()).then(() => {
+      placedMs = fake.clock.getNowMs();
+    });
+    await fake.clock.runFor(2_000);
+    await placing;
+    expect(placedMs).toBeLessThanOrEqual(40);
+  });
+
   it('keeps two prompts apart that come to one router at the same moment', async () => {
     // Two shoppers ask at once. The router reads the reports for both, finds the same engine idle, and
     // places both there before either is sent: the second waits for the first one's whole prompt,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -1,12 +1,14 @@
 /** Finds the engine for a run, and the keeper of its copy, by asking a few of them. */
 import * as Decisions from '@sequoiarill/decisions';
 import type { DoorDecision, EngineView } from '@sequoiarill/decisions';
-import type { EngineReport, ForwardingTarget } from '@sequoiarill/types';
+import type { ForwardingTarget } from '@sequoiarill/types';
 
 import * as Events from '../events';
 import * as Placement from '../answers/placement';
 import type { ForwardRequest } from '../forwardRequest';
 import type { ForwardingParts } from '../parts';
+import * as EngineAnswers from './engineAnswers';
+import type { EngineAnswer } from './engineAnswers';
 
 export interface EnginePair {
   /** Prompts that the target reads first. */
@@ -19,8 +21,6 @@
 
 /** Keepers of a copy among which one is drawn unasked, so that not all copies of a crash meet. */
 const BACKUP_SAMPLE = 2;
-/** Answers within a zone take a millisecond, between zones some. */
-const ANSWER_LIMIT_MS = 40;
 /**
  * After a crash of a zone most of the first round may be dead. Where the best one that answered is busy,
  * no others are asked: callers that come back from a router that was lost look for their prompt among
@@ -39,7 +39,7 @@
   for (let round = 0; round < MAX_ROUNDS; round += 1) {
     const sample = sampleEngines(parts, request, ready, asked);
     sample.forEach(({ id }) => asked.add(id));
-    const answers = await readAnswers(parts, request, sample);
+    const answers = await EngineAnswers.readAnswers(parts, request, sample);
     const views = answers.flatMap((answer) => addOwnSends(parts, answer));
     const pair = pickPair(parts, request, views, ready);
     if (pair !== undefined) {
@@ -82,14 +82,18 @@
   });
 }
 
-/** Of the engines that were asked: what each said, and after how many milliseconds. */
+function computeWholeMs(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
+
+/** What an engine said, and after how many milliseconds. */
 function formatCandidate({ target, report, keptTokens, reportMs, keptMs }: EngineAnswer) {
   return {
     target: target.id,
     running: report?.running,
     keptTokens,
-    reportMs: Math.round(reportMs),
-    ...(keptMs === undefined ? {} : { keptMs: Math.round(keptMs) }),
+    reportMs: computeWholeMs(reportMs),
+    keptMs: computeWholeMs(keptMs),
   };
 }
 
@@ -181,42 +185,6 @@
   return promptParts.at(-1)?.id ?? id;
 }
 
-/** What one engine said when it was asked. */
-interface EngineAnswer {
-  readonly target: ForwardingTarget;
-  /** Undefined where it did not answer in time. */
-  readonly report: EngineReport | undefined;
-  /** Undefined where it was not asked, or did not tell in time. */
-  readonly keptTokens: number | undefined;
-  /** Milliseconds that each answer took, or was waited for. */
-  readonly reportMs: number;
-  readonly keptMs: number | undefined;
-}
-
-async function readAnswers(
-  parts: ForwardingParts,
-  request: ForwardRequest,
-  sample: readonly ForwardingTarget[],
-): Promise<readonly EngineAnswer[]> {
-  const { clock } = parts;
-  const startedMs = clock.getNowMs();
-  const computeTookMs = () => clock.getNowMs() - startedMs;
-  const isKeptAsked = isAskedForRest(request);
-  return Promise.all(
-    sample.map(async (target): Promise<EngineAnswer> => {
-      const [[report, reportMs], [keptTokens, keptMs]] = await Promise.all([
-        parts
-          .readReport(target, ANSWER_LIMIT_MS)
-          .then((answer) => [answer, computeTookMs()] as const),
-        isKeptAsked
-          ? readKeptTokens(parts, request, target).then((tokens) => [tokens, computeTookMs()])
-          : [undefined, undefined],
-      ]);
-      return { target, report, reportMs, keptTokens, keptMs };
-    }),
-  );
-}
-
 /**
  * None where it did not answer, or is leaving. To be called when all have answered: this router may have sent
  * there while it waited for others.
@@ -230,20 +198,6 @@
   return [{ ...report, id: target.id, zone: target.zone, sentSince, keptTokens }];
 }
 
-/** Only a caller that comes back for the rest of a stream can have a prompt kept anywhere. */
-function isAskedForRest({ lastEventId, promptParts }: ForwardRequest): boolean {
-  return lastEventId !== undefined && promptParts.length > 0;
-}
-
-async function readKeptTokens(
-  parts: ForwardingParts,
-  { promptParts }: ForwardRequest,
-  target: ForwardingTarget,
-): Promise<number | undefined> {
-  const kept = await parts.readKept(target, ANSWER_LIMIT_MS);
-  return kept === undefined ? undefined : Decisions.computeKeptTokens(promptParts, kept);
-}
-
 function pickPair(
   parts: ForwardingParts,
   request: ForwardRequest,
