--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
 
+import * as Kernel from '@sequoiarill/kernel';
 import type { RepeatsLoan } from '@sequoiarill/types';
 import * as Standalone from '@trpc/server/adapters/standalone';
 import { expect } from 'earl';
@@ -39,7 +40,11 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
-  const client = PeerClients.createPeerClient({ expectedTarget: 'target' }, LOAN_TIMEOUT_MS);
+  const client = PeerClients.createPeerClient(
+    { expectedTarget: 'target' },
+    Kernel.createSystemClock(),
+    LOAN_TIMEOUT_MS,
+  );
   const outcome = await client.borrowRepeats(`127.0.0.1:${port}`, loan);
   await client.close();
   server.close();
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -1,6 +1,8 @@
 /** Reads the directory of other routers and borrows repeats of them, over tRPC. */
+import * as Kernel from '@sequoiarill/kernel';
 import type {
   BlocksOutcome,
+  Clock,
   ContentAnswer,
   ContentBlock,
   Crash,
@@ -52,6 +54,7 @@
 
 export function createPeerClient(
   names: Pick<HeaderNames, 'expectedTarget'>,
+  { getRunningMs }: Pick<Clock, 'getRunningMs'>,
   loanTimeoutMs = LOAN_TIMEOUT_MS,
 ): PeerClient {
   const dispatcher = new Undici.Agent({
@@ -64,12 +67,24 @@
    * is called like a router's address, so that all refuse them.
    */
   async function sendCall(url: string, body: string, timeoutMs: number) {
+    const limit = new AbortController();
+    const stopTimer = Kernel.startRunningTimer(getRunningMs, timeoutMs, () =>
+      limit.abort(new Error(`no answer within ${timeoutMs} ms`)),
+    );
+    try {
+      return await sendWithin(url, body, limit.signal);
+    } finally {
+      stopTimer();
+    }
+  }
+
+  async function sendWithin(url: string, body: string, signal: AbortSignal) {
     const response = await Undici.request(url, {
       method: 'POST',
       body,
       headers: { 'content-type': 'application/json', [names.expectedTarget]: new URL(url).host },
       dispatcher,
-      signal: AbortSignal.timeout(timeoutMs),
+      signal,
     });
     const text = await response.body.text();
     return {
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -49,7 +49,7 @@
   });
   /** Bound when the server has started: the port may be left to the system. */
   let self = settings.listen;
-  const client = PeerClients.createPeerClient(wire.headers);
+  const client = PeerClients.createPeerClient(wire.headers, clock);
   const readers = ZoneReaders.createZoneReaders({
     getSelf: () => self,
     zone: context.process.zone,
