--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -85,7 +85,7 @@
   1919,
   'info',
   'stream.placed',
-  'An engine was chosen for a stream, by the load that the engines asked just before reported.',
+  'An engine was chosen for a stream, by the load that the engines asked just before reported; unasked where none has answered.',
 );
 
 export const STREAM_COPIED = Kernel.defineEvent(
