Log what targets say about themselves in the heads of their answers

The heads of all answers, of callers' requests and of the router's own calls, now go to one place, also when the call was cancelled, and two events tell them: target.leaving, target.resting. No decision uses them yet. A 421 and an answer that names another id aren't the target's own.

The stand-in of a target can say that it leaves and can ask for rest.

--- a/packages/sequoiarill-kernel/src/fakeWire.ts
+++ b/packages/sequoiarill-kernel/src/fakeWire.ts
@@ -17,6 +17,8 @@
   notRun: 'not-run',
   rateLimit: 'limit',
   targetId: 'target-id',
+  leaving: 'leaving',
+  retryAfter: 'retry-after',
 };
 
 /**
--- a/packages/sequoiarill-plugin-forwarding/src/answers/answerChecks.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/answerChecks.ts
@@ -1,5 +1,5 @@
 /** Checks whether a response of a target is a complete answer of its own to the given request. */
-import type { HeaderNames } from '@sequoiarill/types';
+import type { ForwardingTarget, HeaderNames } from '@sequoiarill/types';
 
 import type { AnswerHead } from '../forwardRequest';
 
@@ -41,6 +41,17 @@
   return status >= 200 && status < 300;
 }
 
+/** Whether the answer is the target's own, and not of another one that has its address now. */
+export function isFromTarget(
+  head: AnswerHead,
+  { id }: Pick<ForwardingTarget, 'id'>,
+  names: Pick<HeaderNames, 'targetId'>,
+): boolean {
+  if (head.status === MISDIRECTED) return false;
+  const answeredBy = getHeader(head, names.targetId);
+  return answeredBy === undefined || answeredBy === id;
+}
+
 /**
  * Failure: a target sends a second answer to a request in place of the answer to the next request on that
  * connection, and a caller would receive the answer to another caller's request. The echoed request id
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -155,6 +155,19 @@
   'A target closed the connection when it started to run a request but has not verifiably terminated: it still accepts connections, or its address does not respond.',
 );
 
+export const TARGET_LEAVING = Kernel.defineEvent(
+  1930,
+  'info',
+  'target.leaving',
+  'An answer of a target says that the target is about to stop.',
+);
+export const TARGET_RESTING = Kernel.defineEvent(
+  1931,
+  'info',
+  'target.resting',
+  'A target refused a request with 503 and wants no requests from this router for the given time.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -180,4 +193,6 @@
   LENDER_SILENT,
   CONTENT_RELEASED,
   BREAK_NOT_COUNTED,
+  TARGET_LEAVING,
+  TARGET_RESTING,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -27,6 +27,7 @@
 import * as TargetRegistries from './targets/targetRegistry';
 import * as TargetCalls from './targets/targetCall';
 import * as TargetConnections from './targets/targetConnections';
+import * as TargetNotices from './targets/targetNotices';
 
 const MS_PER_SECOND = 1_000;
 
@@ -77,6 +78,7 @@
   { clock, getCapability }: PluginContext,
   connections: TargetConnections.TargetConnections,
   recordSend: TargetLimits.TargetLimits['recordSend'],
+  notices: TargetNotices.TargetNotices,
 ): ExchangeDependencies['openCall'] {
   const { headers: headerNames } = getCapability('wire');
   return (request, target, extraHeaders) => {
@@ -91,6 +93,7 @@
       method: request.method,
       path: request.path,
       body: request.body,
+      recordHead: (head) => notices.recordHead(target, head),
       headers: [
         ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
         [headerNames.remainingMs, String(leftMs)],
@@ -111,7 +114,8 @@
   const log = RateLimitedLogs.createRateLimitedLog(logEvent, clock.getNowMs);
   const registry = TargetRegistries.createTargetRegistry(clock.getNowMs);
   const connections = TargetConnections.createTargetConnections();
-  const callEngine = EngineCalls.createEngineCaller(clock, connections);
+  const notices = TargetNotices.createTargetNotices({ headers: wire.headers, log });
+  const callEngine = EngineCalls.createEngineCaller(clock, connections, notices);
   const copyCommands = CopyCommands.createCopyCommands(wire, callEngine);
   const probes = EngineProbes.createEngineProbes({
     wire,
@@ -158,7 +162,7 @@
     log,
     metrics: context.metrics,
     ...createServiceDecisions(context, settings, directory.countRouters),
-    openCall: createCallOpener(context, connections, limits.recordSend),
+    openCall: createCallOpener(context, connections, limits.recordSend, notices),
     readReport: probes.readReport,
     readCachedParts: probes.readCachedParts,
     ...copyCommands,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
@@ -64,6 +64,7 @@
     callEngine: EngineCalls.createEngineCaller(
       clock,
       createConnections(new Map([[target.address, id]]), requests),
+      { recordHead: () => undefined },
     ),
     directory: {
       getConfiguration: () => ({ ...configuration, services: new Map(services) }),
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
@@ -5,6 +5,7 @@
 import type { RawHeader } from '../front/headers';
 import * as TargetCalls from './targetCall';
 import type { TargetConnections } from './targetConnections';
+import type { TargetNotices } from './targetNotices';
 
 export interface EngineCommand {
   readonly method: 'GET' | 'POST' | 'DELETE';
@@ -28,6 +29,7 @@
 export function createEngineCaller(
   clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>,
   connections: Pick<TargetConnections, 'takeConnection'>,
+  notices: Pick<TargetNotices, 'recordHead'>,
 ): EngineCaller {
   return async (target, { method, path, body, headers = [], limitMs }) => {
     const call = TargetCalls.openCall({
@@ -37,6 +39,7 @@
       path,
       headers: body === undefined ? headers : [['content-type', 'application/json'], ...headers],
       body: Buffer.from(body ?? ''),
+      recordHead: (answerHead) => notices.recordHead(target, answerHead),
     });
     const silenceDeadlineMs = clock.getRunningMs() + limitMs;
     const limits = { silenceDeadlineMs, expiresAtMs: Number.POSITIVE_INFINITY };
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -14,6 +14,8 @@
   readonly path: string;
   readonly headers: readonly RawHeader[];
   readonly body: Buffer;
+  /** Called with the head of each answer, even if the call was cancelled before. */
+  readonly recordHead: (head: AnswerHead) => void;
 }
 
 export type CallEvent =
@@ -70,7 +72,7 @@
 const TIMEOUT: CallEvent = { kind: 'timeout' };
 
 export function openCall(options: CallOptions): TargetCall {
-  const { connection, target, method, path, headers, body } = options;
+  const { connection, target, method, path, headers, body, recordHead } = options;
   const bufferedEvents: CallEvent[] = [];
   let bufferedBytes = 0;
   let controller: Undici.Dispatcher.DispatchController | undefined;
@@ -139,10 +141,9 @@
       },
       onResponseStart(_controller, status, responseHeaders, statusMessage) {
         if (status < 200) return;
-        addEvent({
-          kind: 'head',
-          head: { status, statusMessage: statusMessage ?? '', headers: responseHeaders },
-        });
+        const head = { status, statusMessage: statusMessage ?? '', headers: responseHeaders };
+        recordHead(head);
+        addEvent({ kind: 'head', head });
       },
       onResponseData(requestController, chunk) {
         bufferedBytes += chunk.length;
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -55,6 +55,13 @@
    * Sets the limit, in requests per second, that its answers announce; undefined announces none.
    */
   readonly setAnnouncedLimit: (perSecond: number | undefined) => void;
+  /** Sets whether all its answers say that it is about to stop. It continues to serve. */
+  readonly setLeaving: (isLeaving: boolean) => void;
+  /**
+   * Sets the time, in seconds, for which its refusals with 503 ask for no requests; undefined asks
+   * for none.
+   */
+  readonly setRequestedRest: (seconds: number | undefined) => void;
   /** Lists the runs in the order in which they started. */
   readonly listRuns: () => readonly TargetRun[];
   /** Lists the headers of all requests, including those that were not run. */
@@ -85,6 +92,8 @@
   let fault: TargetFault = 'none';
   let isSilent = false;
   let announcedLimitPerSecond: number | undefined;
+  let isLeaving = false;
+  let restSeconds: number | undefined;
   const runs: TargetRun[] = [];
   const receivedHeaders: IncomingHttpHeaders[] = [];
   let inFlight = 0;
@@ -189,6 +198,7 @@
 
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (isSilent) return;
+    if (isLeaving) response.setHeader('server-leaving', '1');
     const handleManagement = managementHandlers[request.url ?? ''];
     if (handleManagement !== undefined) {
       handleManagement(response);
@@ -204,7 +214,8 @@
       return;
     }
     if (fault === 'shed') {
-      response.writeHead(503, { 'not-executed': '1', 'request-id': requestId }).end();
+      const rest = restSeconds === undefined ? {} : { 'retry-after': String(restSeconds) };
+      response.writeHead(503, { 'not-executed': '1', 'request-id': requestId, ...rest }).end();
       return;
     }
     runs.push({
@@ -236,6 +247,12 @@
     setAnnouncedLimit(perSecond) {
       announcedLimitPerSecond = perSecond;
     },
+    setLeaving(next) {
+      isLeaving = next;
+    },
+    setRequestedRest(seconds) {
+      restSeconds = seconds;
+    },
     listRuns: () => runs,
     listHeaders: () => receivedHeaders,
     countInFlight: () => inFlight,
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -177,6 +177,10 @@
   readonly rateLimit: string;
   /** Id of the target that answers. */
   readonly targetId: string;
+  /** `1` in all answers of a target that is about to stop. */
+  readonly leaving: string;
+  /** Seconds, set by a target that answers 503 and wants no requests from this router meanwhile. */
+  readonly retryAfter: string;
 }
 
 /**
