Believe a target that says that it leaves, until its incarnation ends

Callers' requests reached a target up to 2.4 s after one of its answers had said that it leaves, and were then at risk of being cut off with it. Cause: routers learned of a leaving target from its entry in the store alone, and the store was away. Ruled out: that the word is read on one way and lost on another, or overwritten; before this change nothing read it (log lines of target.leaving in the two tests that were red).

Every answer's head counts now: callers' requests of any status, status checks, load reports, commands, also when the caller has left. It goes to the directory, which keeps the target as draining until that incarnation ends, whatever is read later: an entry that still says ready, a full read, an entry that lapsed in an outage and came back. The same holds for what an entry or a report said; an unconfirmed target was usable again before although it had said that it leaves. An engine is chosen from what is available after the engines have answered, since these very answers may say that they leave.

A test of the copy of a run lost its holder before the run had begun, which the choice now sees; it loses it 10 ms later instead, with the same bounds.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/fixtures.ts
@@ -1,10 +1,14 @@
 /** Test documents and wire format of a directory. */
 import * as Kernel from '@sequoiarill/kernel';
-import type { ForwardingWire, LogEvent } from '@sequoiarill/types';
+import type { ForwardingTarget, ForwardingWire, LogEvent } from '@sequoiarill/types';
 
 interface FakeDocument {
   readonly version?: number;
-  readonly target?: { readonly address: string; readonly startedAtUnixMs?: number };
+  readonly target?: {
+    readonly address: string;
+    readonly startedAtUnixMs?: number;
+    readonly state?: ForwardingTarget['state'];
+  };
 }
 
 /** Names and formats used only in these tests. */
@@ -35,15 +39,19 @@
         address: target.address,
         zone: 'a',
         slots: 1,
-        state: 'ready',
+        state: target.state ?? 'ready',
         warmupLeftMs: 0,
       },
     };
   },
 });
 
-export function createTargetText(address: string, startedAtUnixMs = 1): string {
-  return JSON.stringify({ target: { address, startedAtUnixMs } });
+export function createTargetText(
+  address: string,
+  startedAtUnixMs = 1,
+  state: ForwardingTarget['state'] = 'ready',
+): string {
+  return JSON.stringify({ target: { address, startedAtUnixMs, state } });
 }
 
 export function createConfigurationText(version: number): string {
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -8,6 +8,7 @@
 } from '@sequoiarill/types';
 
 import * as DelayedRemovals from './delayedRemovals';
+import * as DirectoryKeys from './directoryKeys';
 import * as Events from './events';
 import * as RecordCaches from './recordCache';
 import type { DirectoryRecord } from './recordCache';
@@ -56,20 +57,6 @@
   /** Keys of replacement targets that no record has confirmed. */
   const replacementKeys = new Set<string>();
 
-  function isRouterKey(key: string): boolean {
-    return key.startsWith(`${wire.ownPrefix}routers/`);
-  }
-
-  function isTargetKey(key: string): boolean {
-    return key.startsWith(wire.targetPrefix);
-  }
-
-  function isDirectoryKey(key: string): boolean {
-    const isRolloutKey = key.startsWith(wire.rolloutPrefix);
-    const isOwnKey = key.startsWith(wire.ownPrefix);
-    return key === wire.configurationKey || isTargetKey(key) || isRolloutKey || isOwnKey;
-  }
-
   function applyConfiguration(record: DirectoryRecord): void {
     if (record.value === undefined) return;
     const decoded = wire.decodeConfiguration(record.value);
@@ -88,7 +75,8 @@
 
   function applyTarget({ key, revision, value }: DirectoryRecord): void {
     removals.cancelRemoval(key);
-    replacementKeys.delete(key);
+    const isReplacement = replacementKeys.delete(key);
+    const known = targets.find(key);
     if (value === undefined) {
       removals.removeTarget(key);
       return;
@@ -96,6 +84,8 @@
     const decoded = wire.decodeTarget(key, value);
     if (decoded.kind === 'target') {
       targets.set(key, decoded.target);
+      // The entry gives the start time of the same incarnation, which was not known before.
+      if (isReplacement && known?.state === 'draining') targets.markLeaving(key, decoded.target);
     } else {
       targets.remove(key);
       logEvent(Events.TARGET_REFUSED, { key, revision, reason: decoded.reason });
@@ -119,6 +109,17 @@
     reportChange();
   }
 
+  function recordLeaving(target: ForwardingTarget): void {
+    if (findCurrent(target)?.state === 'draining') return;
+    targets.markLeaving(`${wire.targetPrefix}${target.id}`, target);
+    reportChange();
+  }
+
+  function findCurrent(target: ForwardingTarget): ForwardingTarget | undefined {
+    const current = targets.find(`${wire.targetPrefix}${target.id}`);
+    return current?.startedAtUnixMs === target.startedAtUnixMs ? current : undefined;
+  }
+
   function applyRouter({ key, value }: DirectoryRecord): void {
     const entry = value === undefined ? undefined : RouterEntries.decodeRouter(value);
     if (entry === undefined) routers.delete(key);
@@ -126,10 +127,11 @@
   }
 
   function applyRecord(record: DirectoryRecord): boolean {
-    if (!isDirectoryKey(record.key) || !recordCache.addRecord(record)) return false;
-    if (record.key === wire.configurationKey) applyConfiguration(record);
-    else if (isRouterKey(record.key)) applyRouter(record);
-    else if (isTargetKey(record.key)) applyTarget(record);
+    const kind = DirectoryKeys.decideKeyKind(wire, record.key);
+    if (kind === 'other' || !recordCache.addRecord(record)) return false;
+    if (kind === 'configuration') applyConfiguration(record);
+    else if (kind === 'router') applyRouter(record);
+    else if (kind === 'target') applyTarget(record);
     return true;
   }
 
@@ -142,7 +144,7 @@
     const changed = records.filter(applyRecord);
     if (changed.length === 0) return;
     reportChange();
-    const changedTargets = changed.filter(({ key }) => isTargetKey(key));
+    const changedTargets = changed.filter(({ key }) => key.startsWith(wire.targetPrefix));
     if (changedTargets.length === 0) return;
     const removed = changedTargets.filter(({ value }) => value === undefined).length;
     logEvent(Events.TARGETS_CHANGED, {
@@ -156,11 +158,9 @@
   return {
     getConfiguration: () => configuration,
     listTargets: (service) => targetsByService.get(service) ?? [],
-    findCurrent(target) {
-      const current = targets.find(`${wire.targetPrefix}${target.id}`);
-      return current?.startedAtUnixMs === target.startedAtUnixMs ? current : undefined;
-    },
+    findCurrent,
     recordReplacement,
+    recordLeaving,
     countRouters: () => Math.max(1, routers.size),
     subscribe(listener) {
       listeners.add(listener);
--- a/packages/sequoiarill-plugin-directory/src/targetRegistry.ts
+++ b/packages/sequoiarill-plugin-directory/src/targetRegistry.ts
@@ -1,9 +1,14 @@
 /** Running targets by key, by address and by service. */
 import type { ForwardingTarget } from '@sequoiarill/types';
 
+import * as LeavingTargets from './leavingTargets';
+import type { Incarnation } from './leavingTargets';
+
 export interface TargetRegistry {
   readonly set: (key: string, target: ForwardingTarget) => void;
   readonly remove: (key: string) => void;
+  /** The incarnation stays `draining` until its end, whatever is set later. */
+  readonly markLeaving: (key: string, incarnation: Incarnation) => void;
   readonly find: (key: string) => ForwardingTarget | undefined;
   readonly getSize: () => number;
   readonly buildGroupsByService: () => ReadonlyMap<string, readonly ForwardingTarget[]>;
@@ -12,6 +17,7 @@
 export function createTargetRegistry(): TargetRegistry {
   const targets = new Map<string, ForwardingTarget>();
   const keyByAddress = new Map<string, string>();
+  const leaving = LeavingTargets.createLeavingTargets();
 
   function remove(key: string): void {
     const target = targets.get(key);
@@ -32,10 +38,17 @@
       if (previous.startedAtUnixMs > target.startedAtUnixMs) return;
       targets.delete(previousKey);
     }
-    targets.set(key, target);
+    if (target.state === 'draining') leaving.record(target);
+    targets.set(key, leaving.isLeaving(target) ? { ...target, state: 'draining' } : target);
     keyByAddress.set(target.address, key);
   }
 
+  function markLeaving(key: string, incarnation: Incarnation): void {
+    leaving.record(incarnation);
+    const target = targets.get(key);
+    if (target !== undefined) set(key, target);
+  }
+
   function buildGroupsByService(): ReadonlyMap<string, readonly ForwardingTarget[]> {
     const groups = new Map<string, ForwardingTarget[]>();
     for (const target of targets.values()) {
@@ -49,6 +62,7 @@
   return {
     set,
     remove,
+    markLeaving,
     find: (key) => targets.get(key),
     getSize: () => targets.size,
     buildGroupsByService,
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -230,6 +230,7 @@
       findCurrent: (target) => targets.find(({ id }) => id === target.id),
       isUpToDate: () => true,
       recordReplacement: () => undefined,
+      recordLeaving: () => undefined,
       countRouters: () => 1,
       subscribe: () => () => undefined,
       listEntries: () => [],
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -114,7 +114,7 @@
   const log = RateLimitedLogs.createRateLimitedLog(logEvent, clock.getNowMs);
   const registry = TargetRegistries.createTargetRegistry(clock.getNowMs);
   const connections = TargetConnections.createTargetConnections();
-  const notices = TargetNotices.createTargetNotices({ headers: wire.headers, log });
+  const notices = TargetNotices.createTargetNotices({ headers: wire.headers, directory, log });
   const callEngine = EngineCalls.createEngineCaller(clock, connections, notices);
   const copyCommands = CopyCommands.createCopyCommands(wire, callEngine);
   const probes = EngineProbes.createEngineProbes({
@@ -123,6 +123,7 @@
     registry,
     callEngine,
     directory,
+    notices,
   });
   const crashes = createCrashReports(context, log);
   const limits = TargetLimits.createTargetLimits({
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
@@ -52,9 +52,8 @@
     [a1, b1, c1].forEach(({ id }, running) =>
       fake.reports.set(id, { ...Fakes.IDLE_REPORT, running }),
     );
-    const pending = Simulation.simulateStream(fake);
-    fake.setTargets([a1, c1]);
-    const result = await pending;
+    const holderLost = fake.clock.waitMs(10).then(() => fake.setTargets([a1, c1]));
+    const [result] = await Promise.all([Simulation.simulateStream(fake), holderLost]);
     expect(result.text).toEqual(Simulation.formatAll(60));
     expect(result.maxGapMs).toBeLessThan(700);
     expect(fake.commands).toEqual(['a1 to c1']);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
@@ -71,6 +71,7 @@
       isUpToDate: () => isDirectoryUpToDate,
       recordReplacement: (known, found) => replacements.push(`${known.id} ${found}`),
     },
+    notices: { recordLeaving: () => undefined },
   });
   const answer = await probes.readReport(target, LIMIT_MS);
   return { answer, requests, replacements };
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -46,8 +46,13 @@
     const sample = sampleEngines(dependencies, request, available, queried);
     sample.forEach(({ id }) => queried.add(id));
     const statuses = await EngineStatuses.readStatuses(dependencies, request, sample);
-    const views = statuses.flatMap((status) => buildEngineViews(dependencies, status));
-    const pair = pickPair(dependencies, request, views, available);
+    // Some may have become unavailable meanwhile, by what they said in these very responses.
+    const stillAvailable = Placement.listAvailable(dependencies, request);
+    const availableIds = new Set(stillAvailable.map(({ id }) => id));
+    const views = statuses
+      .filter(({ target }) => availableIds.has(target.id))
+      .flatMap((status) => buildEngineViews(dependencies, status));
+    const pair = pickPair(dependencies, request, views, stillAvailable);
     if (pair !== undefined) {
       if (pair.admission.kind === 'admit') dependencies.registry.recordPlacement(pair.target);
       logPlacement(dependencies, request, {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
@@ -11,6 +11,7 @@
 
 import * as Checks from '../answers/answerChecks';
 import type { EngineCaller } from './engineCalls';
+import type { TargetNotices } from './targetNotices';
 import type { TargetRegistry } from './targetRegistry';
 
 export interface EngineProbes {
@@ -33,6 +34,7 @@
   readonly registry: TargetRegistry;
   readonly callEngine: EngineCaller;
   readonly directory: Pick<Directory, 'getConfiguration' | 'isUpToDate' | 'recordReplacement'>;
+  readonly notices: Pick<TargetNotices, 'recordLeaving'>;
 }
 
 /** An engine without a response by then counts as lost; most respond within 5 ms. */
@@ -52,7 +54,7 @@
 }
 
 export function createEngineProbes(options: EngineProbesOptions): EngineProbes {
-  const { wire, clock, registry, callEngine, directory } = options;
+  const { wire, clock, registry, callEngine, directory, notices } = options;
   const inProgress = new Map<string, Promise<EngineReport | undefined>>();
   const recentReports = new Map<string, RecentReport>();
 
@@ -122,6 +124,7 @@
       return undefined;
     }
     registry.recordReport(target, report);
+    if (report.isLeaving) notices.recordLeaving(target, 'report');
     registry.recordAlive(target);
     recentReports.set(target.id, { target, report, atMs: clock.getNowMs() });
     return report;
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -93,6 +93,7 @@
     findCurrent: (target) => listTargets().find(({ id }) => id === target.id),
     isUpToDate: options.isUpToDate,
     recordReplacement: () => undefined,
+    recordLeaving: () => undefined,
     countRouters: () => routers,
     subscribe(listener) {
       listeners.add(listener);
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -196,9 +196,13 @@
     return true;
   }
 
+  function refuseAsFull(requestId: string, response: ServerResponse): void {
+    const rest = restSeconds === undefined ? {} : { 'retry-after': String(restSeconds) };
+    response.writeHead(503, { 'not-executed': '1', 'request-id': requestId, ...rest }).end();
+  }
+
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (isSilent) return;
-    if (isLeaving) response.setHeader('server-leaving', '1');
     const handleManagement = managementHandlers[request.url ?? ''];
     if (handleManagement !== undefined) {
       handleManagement(response);
@@ -214,8 +218,7 @@
       return;
     }
     if (fault === 'shed') {
-      const rest = restSeconds === undefined ? {} : { 'retry-after': String(restSeconds) };
-      response.writeHead(503, { 'not-executed': '1', 'request-id': requestId, ...rest }).end();
+      refuseAsFull(requestId, response);
       return;
     }
     runs.push({
@@ -235,7 +238,10 @@
     inFlight -= 1;
   }
 
-  const server = Servers.createStandinServer(listen, handleRequest);
+  const server = Servers.createStandinServer(listen, (request, response) => {
+    if (isLeaving) response.setHeader('server-leaving', '1');
+    return handleRequest(request, response);
+  });
 
   return {
     id,
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -244,6 +244,11 @@
   readonly isUpToDate: () => boolean;
   /** Records that another incarnation answered at a target's address during a store outage. */
   readonly recordReplacement: (replaced: ForwardingTarget, id: string) => void;
+  /**
+   * Records that the target itself said that it is about to stop. It is `draining` from then on, until
+   * its incarnation ends, whatever older entries of it say.
+   */
+  readonly recordLeaving: (target: ForwardingTarget) => void;
   /** Number of known routers, including this one; at least 1. */
   readonly countRouters: () => number;
   readonly subscribe: (listener: () => void) => () => void;
