--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -177,6 +177,10 @@
   readonly rateLimit: string;
   /** Id of the target that answers. */
   readonly targetId: string;
+  /** `1` in all answers of a target that is about to stop. */
+  readonly leaving: string;
+  /** Seconds, set by a target that answers 503 and wants no requests from this router meanwhile. */
+  readonly retryAfter: string;
 }
 
 /**
@@ -240,6 +244,11 @@
   readonly isUpToDate: () => boolean;
   /** Records that another incarnation answered at a target's address during a store outage. */
   readonly recordReplacement: (replaced: ForwardingTarget, id: string) => void;
+  /**
+   * Records that the target itself said that it is about to stop. It is `draining` from then on, until
+   * its incarnation ends, whatever older entries of it say.
+   */
+  readonly recordLeaving: (target: ForwardingTarget) => void;
   /** Number of known routers, including this one; at least 1. */
   readonly countRouters: () => number;
   readonly subscribe: (listener: () => void) => () => void;
