Give targets the rest that they ask for

A target that had answered 503 with Retry-After: 3 got 3, 4 and 11 requests from the same router within these seconds; callers got 503 for each, or lost the time of the send. Cause: Retry-After of a target was read nowhere; only the third failure in a row kept requests away, as an outlier, for two seconds at first and up to a minute. Ruled out: that it is read and ignored by sends that pass no choice, or forgotten (log lines of target.resting in the test that was red).

A target that refuses with 503 and Retry-After gets nothing from this router until then: no request, probe, command or continuation; streams that it runs go on, judged by their silence alone. A router adds a random tenth, so that not all return at once. Fractions count, a later shorter time ends no rest, what is no positive number is logged and ignored, and the next incarnation starts without. Other targets get the requests. Such a refusal is no failure for the outlier detection any more: the target has said for how long it is full.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -56,6 +56,8 @@
   readonly peerRetryQuota: Map<string, number>;
   /** Ids of targets whose rate limit allows no requests now. */
   readonly rateLimited: Set<string>;
+  /** End of the rest that a target has asked for, by id; monotonic milliseconds. */
+  readonly restsUntilMs: Map<string, number>;
   /** Commands to create and release copies. */
   readonly commands: readonly string[];
 }
@@ -191,6 +193,7 @@
   const peerRetryQuota = new Map<string, number>();
   const commands: string[] = [];
   const rateLimited = new Set<string>();
+  const restsUntilMs = new Map<string, number>();
   let targets: readonly ForwardingTarget[] = [];
   let lastRandom = 0;
   /** Evenly distributed and the same in each run. */
@@ -261,6 +264,10 @@
       acquirePermit: async () => false,
       getRetrySeconds: () => 1,
     },
+    notices: {
+      isResting: ({ id }) => (restsUntilMs.get(id) ?? 0) > clock.getNowMs(),
+      getRestMs: ({ id }) => Math.max(0, (restsUntilMs.get(id) ?? 0) - clock.getNowMs()),
+    },
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log: { logEvent: () => undefined, close: () => undefined },
     metrics: Kernel.createMetrics(undefined, {}),
@@ -297,6 +304,7 @@
     peerRetryQuota,
     commands,
     rateLimited,
+    restsUntilMs,
     setTargets(next) {
       targets = next;
     },
--- a/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/fullAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/fullAnswer.test.ts
@@ -196,4 +196,64 @@
     fake.rateLimited.clear();
     expect((await runRequest(fake)).outcome.kind).toEqual('answer');
   });
+
+  it('goes to another target while one rests', async () => {
+    const fake = Fakes.createFakeDependencies(() => OK);
+    fake.setTargets(createServices(2));
+    fake.restsUntilMs.set('s0', 60_000);
+    for (let index = 0; index < 4; index += 1) {
+      expect((await runRequest(fake)).outcome.kind).toEqual('answer');
+    }
+    expect(new Set(fake.sentCalls.map(({ target }) => target))).toEqual(new Set(['s1']));
+  });
+
+  it('is refused at once when all targets rest for longer than it may wait', async () => {
+    // Guards against requests that wait in vain while their callers could go elsewhere.
+    const fake = Fakes.createFakeDependencies(() => OK);
+    fake.setTargets(createServices(2));
+    ['s0', 's1'].forEach((id) => fake.restsUntilMs.set(id, 60_000));
+    const { outcome, tookMs } = await runRequest(fake);
+    expect(outcome.kind).toEqual('refused');
+    expect(tookMs).toEqual(0);
+    expect(fake.sentCalls.length).toEqual(0);
+  });
+
+  it('waits out a rest that ends early enough for an answer on time', async () => {
+    const fake = Fakes.createFakeDependencies(() => OK);
+    fake.setTargets(createServices(2));
+    ['s0', 's1'].forEach((id) => fake.restsUntilMs.set(id, 300));
+    const { outcome } = await runRequest(fake, { objectiveMs: 1_000, timeoutMs: 1_500 });
+    expect(outcome.kind).toEqual('answer');
+    expect(fake.sentCalls.map(({ atMs }) => atMs >= 300)).toEqual([true]);
+  });
+
+  it('is not sent after its caller has left while the targets rest', async () => {
+    // Guards against a run that nobody waits for, and that a retry of the caller would double.
+    const fake = Fakes.createFakeDependencies(() => OK);
+    fake.setTargets(createServices(1));
+    fake.restsUntilMs.set('s0', 300);
+    const disconnect = new AbortController();
+    const route = createRoute({ objectiveMs: 1_000, timeoutMs: 1_500, retryPolicy: 'once' });
+    const request = { ...Fakes.createRequest(route), closed: disconnect.signal };
+    const running = FullAnswers.runFullAnswer(fake.dependencies, request);
+    const leaving = fake.clock.waitMs(100).then(() => disconnect.abort());
+    await fake.clock.runFor(2_000);
+    await leaving;
+    expect((await running).kind).toEqual('callerLeft');
+    expect(fake.sentCalls.length).toEqual(0);
+  });
+
+  it('does not make an outlier of a target that has said for how long it is full', async () => {
+    // Guards against a target that stays excluded for a minute because it asked for seconds of rest.
+    const fake = Fakes.createFakeDependencies((target) => {
+      if (target !== 's0') return OK;
+      fake.restsUntilMs.set('s0', fake.clock.getNowMs() + 1_000);
+      return [[5, Fakes.createHead(503, { 'not-run': '1' })]];
+    });
+    const [first] = createServices(1);
+    if (first === undefined) throw new Error('no target');
+    fake.setTargets([first]);
+    for (let index = 0; index < 4; index += 1) await runRequest(fake);
+    expect(fake.dependencies.registry.buildView(first).state).toEqual('healthy');
+  });
 });
--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -74,8 +74,8 @@
   return { kind: 'failed', reason: lastReason, isLate, ...getLastTarget(progress) };
 }
 
-/** Undefined when no target can take the request, even after requesting a permit from other routers. */
-async function findTarget(
+/** Undefined when no target can take the request, even with a permit from other routers. */
+async function findAvailable(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   { excluded }: Progress,
@@ -89,12 +89,31 @@
     : undefined;
 }
 
-/** The outcome when no target can take the request; rate limits may be the reason. */
+/** Waits out a short rest where all targets have asked for one. */
+async function findTarget(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
+): Promise<ForwardingTarget | undefined> {
+  for (;;) {
+    const target = await findAvailable(dependencies, request, progress);
+    if (target !== undefined) return target;
+    const hasWaited = await Placement.waitForRest(dependencies, request, request.arrivedAtMs);
+    if (!hasWaited || request.closed.aborted) return undefined;
+    progress.excluded.clear();
+  }
+}
+
+/** The outcome when no target can take the request; rests and rate limits may be the reason. */
 function decideUnplaced(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
 ): ForwardOutcome {
+  if (request.closed.aborted && progress.sends === 0) return { kind: 'callerLeft' };
+  if (Placement.computeRestMs(dependencies, request) !== undefined) {
+    progress.lastReason = Placement.RESTING_REASON;
+  }
   const rateLimited = Placement.listRateLimited(dependencies, request, progress.excluded);
   if (rateLimited.length === 0) return decideEnd(request, progress, false);
   progress.lastReason = Placement.RATE_LIMITED_REASON;
--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -8,10 +8,12 @@
 
 /** Reason, for log lines and callers, of refusing a request whose content is blocked. */
 export const BLOCKED_REASON = 'targets ended as they began to run it';
+/** Reason of refusing a request while no target takes requests, by the targets' own word. */
+export const RESTING_REASON = 'all targets have asked for rest';
 
 type ListingDependencies = Pick<
   ForwardingDependencies,
-  'registry' | 'directory' | 'rollouts' | 'limits'
+  'registry' | 'directory' | 'rollouts' | 'limits' | 'notices'
 >;
 type ServiceRequest = Pick<ForwardRequest, 'service' | 'versionDraw'>;
 
@@ -28,7 +30,57 @@
   dependencies: ListingDependencies,
   request: ServiceRequest,
 ): readonly ForwardingTarget[] {
-  return listCandidates(dependencies, request).filter(dependencies.limits.isAvailable);
+  return listCandidates(dependencies, request).filter((target) =>
+    isAvailable(dependencies, target),
+  );
+}
+
+/** Whether the target takes a request of this router now, by its own word. */
+export function isAvailable(
+  { limits, notices }: Pick<ListingDependencies, 'limits' | 'notices'>,
+  target: ForwardingTarget,
+): boolean {
+  return !notices.isResting(target) && limits.isAvailable(target);
+}
+
+/**
+ * Time until the first target takes requests again, milliseconds; undefined unless all that could run the
+ * request have asked for rest.
+ */
+export function computeRestMs(
+  dependencies: ListingDependencies,
+  request: ServiceRequest,
+): number | undefined {
+  const { registry, notices } = dependencies;
+  const candidates = listCandidates(dependencies, request).filter(
+    (target) => !registry.isSuspect(target),
+  );
+  const restMs = Math.min(...candidates.map(notices.getRestMs));
+  return candidates.length > 0 && restMs > 0 ? restMs : undefined;
+}
+
+/**
+ * Waits until a resting target takes requests again, if the request may wait so long; false if it may not.
+ * `waitingSinceMs`: start of the wait for the answer or the next event, monotonic milliseconds.
+ */
+export async function waitForRest(
+  dependencies: ListingDependencies & Pick<ForwardingDependencies, 'clock'>,
+  request: ForwardRequest,
+  waitingSinceMs: number,
+): Promise<boolean> {
+  const restMs = computeRestMs(dependencies, request);
+  if (restMs === undefined) return false;
+  const { clock } = dependencies;
+  const nowMs = clock.getNowMs();
+  const decision = Decisions.decideRestWait({
+    restMs,
+    waitedMs: nowMs - waitingSinceMs,
+    objectiveMs: request.route.objectiveMs,
+    leftMs: request.expiresAtMs - nowMs,
+  });
+  if (decision.kind === 'refuse') return false;
+  await clock.waitMs(decision.waitMs, request.closed);
+  return true;
 }
 
 /** Targets that are unavailable to the request only because of the rate limits that they announce. */
@@ -37,10 +89,13 @@
   request: ServiceRequest,
   excluded: ReadonlySet<string>,
 ): readonly ForwardingTarget[] {
-  const { registry, limits } = dependencies;
+  const { registry, limits, notices } = dependencies;
   return listCandidates(dependencies, request).filter(
     (target) =>
-      !limits.isAvailable(target) && !excluded.has(target.id) && !registry.isSuspect(target),
+      !limits.isAvailable(target) &&
+      !excluded.has(target.id) &&
+      !registry.isSuspect(target) &&
+      !notices.isResting(target),
   );
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -34,14 +34,17 @@
   return Checks.isServerError(outcome.head.status) ? 'failed' : 'answered';
 }
 
-/** The target did not accept the request: it is full, or another incarnation has its address. */
+/**
+ * The target did not accept the request: it is full, or another incarnation has its address. One that has
+ * said for how long it is full is no outlier.
+ */
 export function recordNotRun(
-  { registry }: ForwardingDependencies,
+  { registry, notices }: ForwardingDependencies,
   target: ForwardingTarget,
   status: number,
 ): void {
   if (status === MISDIRECTED) registry.recordReplacement(target);
-  else registry.recordFailure(target);
+  else if (!notices.isResting(target)) registry.recordFailure(target);
 }
 
 /** Cancels the call and returns an outcome when the head is not a valid answer to this request. */
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -23,6 +23,7 @@
 import type { RawHeader } from './front/headers';
 import type { CopyCommands } from './streams/copyCommands';
 import type { TargetLimits } from './limits/targetLimits';
+import type { TargetNotices } from './targets/targetNotices';
 import type { TargetRegistry } from './targets/targetRegistry';
 import type { TargetCall } from './targets/targetCall';
 
@@ -40,6 +41,7 @@
     TargetLimits,
     'recordHead' | 'isAvailable' | 'acquirePermit' | 'getRetrySeconds'
   >;
+  readonly notices: Pick<TargetNotices, 'isResting' | 'getRestMs'>;
   readonly chooser: TargetChooser;
   readonly log: RateLimitedLog;
   readonly metrics: Metrics;
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -4,6 +4,7 @@
 import type { AnswerDurations, ClientRetryDetector } from '@sequoiarill/decisions';
 
 import * as Checks from '../answers/answerChecks';
+import * as Placement from '../answers/placement';
 import * as Events from '../events';
 import type { AnswerHead, ForwardOutcome, ForwardRequest } from '../forwardRequest';
 import * as Headers from './headers';
@@ -37,6 +38,9 @@
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
+const MS_PER_SECOND = 1_000;
+/** Callers are not asked to wait longer: other targets may start meanwhile. */
+const MAX_REST_SECONDS = 10;
 
 /** Fields of every log line about the end of a request, apart from its reason. */
 function createLogFields(dependencies: ExchangeDependencies, request: ForwardRequest) {
@@ -140,7 +144,16 @@
   const fields = { ...createLogFields(dependencies, request), reason, lastTarget };
   if (outcome.kind === 'refused') {
     dependencies.log.logEvent(Events.REQUEST_REFUSED, { ...fields, status: UNAVAILABLE });
-    sendEmptyResponse(dependencies, response, id, { status: UNAVAILABLE, ...outcome });
+    const restSeconds = (Placement.computeRestMs(dependencies, request) ?? 0) / MS_PER_SECOND;
+    const retryAfterSeconds = Math.max(
+      outcome.retryAfterSeconds,
+      Math.min(MAX_REST_SECONDS, restSeconds),
+    );
+    sendEmptyResponse(dependencies, response, id, {
+      status: UNAVAILABLE,
+      reason,
+      retryAfterSeconds,
+    });
     return;
   }
   const status = outcome.isLate ? GATEWAY_TIMEOUT : BAD_GATEWAY;
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -7,6 +7,8 @@
 export const CONTINUED = 'forwarding.continued';
 export const COPIES = 'forwarding.copies';
 export const REPEATED = 'forwarding.repeated';
+export const LEAVING = 'forwarding.targetsLeaving';
+export const RESTS = 'forwarding.rests';
 
 export const METRICS = [
   { name: REQUESTS, unit: 'count', meaning: 'Requests ended, by route and outcome.' },
@@ -33,4 +35,15 @@
       'Copies of a KV cache that were commanded to replace an earlier copy during a run, by outcome.',
   },
   { name: REPEATED, unit: 'count', meaning: 'Retries of requests on another target.' },
+  {
+    name: LEAVING,
+    unit: 'count',
+    meaning:
+      'Targets that said in an answer or a load report that they leave, before their entry did.',
+  },
+  {
+    name: RESTS,
+    unit: 'count',
+    meaning: 'Answers of targets that asked this router for rest.',
+  },
 ] as const;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -73,6 +73,22 @@
   });
 }
 
+function createNotices(
+  { clock, nextRandom, metrics, getCapability }: PluginContext,
+  log: RateLimitedLog,
+): TargetNotices.TargetNotices {
+  const { headers } = getCapability('wire');
+  const directory = getCapability('directory');
+  return TargetNotices.createTargetNotices({
+    headers,
+    directory,
+    clock,
+    nextRandom,
+    log,
+    metrics,
+  });
+}
+
 /** Sends a caller's request together with the headers that only the router may set. */
 function createCallOpener(
   { clock, getCapability }: PluginContext,
@@ -114,7 +130,7 @@
   const log = RateLimitedLogs.createRateLimitedLog(logEvent, clock.getNowMs);
   const registry = TargetRegistries.createTargetRegistry(clock.getNowMs);
   const connections = TargetConnections.createTargetConnections();
-  const notices = TargetNotices.createTargetNotices({ headers: wire.headers, directory, log });
+  const notices = createNotices(context, log);
   const callEngine = EngineCalls.createEngineCaller(clock, connections, notices);
   const copyCommands = CopyCommands.createCopyCommands(wire, callEngine);
   const probes = EngineProbes.createEngineProbes({
@@ -159,6 +175,7 @@
     registry,
     crashes,
     limits,
+    notices,
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
     metrics: context.metrics,
@@ -198,6 +215,7 @@
     registry.removeMissing(isCurrent);
     probes.removeMissing(isCurrent);
     limits.removeOld();
+    notices.removeOld();
   }
 
   return {
@@ -232,6 +250,7 @@
       isDraining: drain.isDraining(),
       crashes: crashes.dumpState(),
       limitedTargets: limits.dumpState(),
+      restingTargets: notices.dumpState(),
     }),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/streamAnswer.test.ts
@@ -305,4 +305,45 @@
     expect(result.text).toEqual(Simulation.formatAll(12));
     expect(fake.sentCalls.map(({ target }) => target)).toEqual(['a1', 'b1', 'c1']);
   });
+
+  it('goes on, unprobed, at an engine that has asked for rest meanwhile', async () => {
+    // Guards against probes that an engine has asked not to get, and against the loss of its streams.
+    const fake = Fakes.createFakeDependencies(() => [
+      [50, Fakes.createHead(200)],
+      ...Fakes.createEvents(1, 12, 30, 2_300),
+      [2_700, Simulation.END],
+    ]);
+    fake.setTargets([Fakes.createTarget('a1')]);
+    fake.reports.set('a1', Fakes.IDLE_REPORT);
+    const resting = fake.clock.waitMs(100).then(() => {
+      fake.restsUntilMs.set('a1', 30_000);
+      fake.reports.delete('a1');
+    });
+    const [result] = await Promise.all([Simulation.simulateStream(fake), resting]);
+    expect(result.text).toEqual(Simulation.formatAll(12));
+    expect(fake.sentCalls.length).toEqual(1);
+  });
+
+  it('starts on an engine that takes requests while others rest', async () => {
+    const fake = Fakes.createFakeDependencies(() => Simulation.createRun(1, 6));
+    const engines = ['a1', 'b1', 'c1'].map((id) => Fakes.createTarget(id));
+    fake.setTargets(engines);
+    engines.forEach(({ id }) => fake.reports.set(id, Fakes.IDLE_REPORT));
+    ['a1', 'b1'].forEach((id) => fake.restsUntilMs.set(id, 30_000));
+    const result = await Simulation.simulateStream(fake);
+    expect(result.text).toEqual(Simulation.formatAll(6));
+    expect(fake.sentCalls.map(({ target }) => target)).toEqual(['c1']);
+  });
+
+  it('waits for an engine whose rest is short and is refused at once otherwise', async () => {
+    const fake = Fakes.createFakeDependencies(() => Simulation.createRun(1, 6));
+    fake.setTargets([Fakes.createTarget('a1')]);
+    fake.reports.set('a1', Fakes.IDLE_REPORT);
+    fake.restsUntilMs.set('a1', 30_000);
+    const refused = await Simulation.simulateStream(fake, 1);
+    expect(refused.outcome?.kind).toEqual('refused');
+    fake.restsUntilMs.set('a1', fake.clock.getNowMs() + 900);
+    const result = await Simulation.simulateStream(fake);
+    expect(result.text).toEqual(Simulation.formatAll(6));
+  });
 });
--- a/packages/sequoiarill-plugin-forwarding/src/streams/copyMonitor.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/copyMonitor.ts
@@ -123,6 +123,7 @@
       const nowMs = clock.getNowMs();
       if (copy === undefined || isPending || nowMs - updatedAtMs < UPDATE_INTERVAL_MS) return;
       updatedAtMs = nowMs;
+      if (dependencies.notices.isResting(engine)) return;
       const action = decideAction(copy);
       if (action === 'keep' || (action === 'move' && moves >= MAX_MOVES)) return;
       isPending = true;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -196,6 +196,11 @@
     return { kind: 'complete', head };
   }
 
+  /** An engine that has asked for rest gets no probes; only the limits of its silence apply. */
+  function isResting(): boolean {
+    return dependencies.notices.isResting(target);
+  }
+
   /**
    * A silent engine that still reports the run is busy, and waiting for it is worthwhile up to a
    * limit. One that no longer reports it has restarted, and its old connections may stay silent
@@ -209,6 +214,10 @@
       lastEventAtMs +
       (options.hasCopy() || !hasEvents ? maxSilenceMs : MAX_SILENCE_WITHOUT_COPY_MS);
     if (clock.getRunningMs() >= deadlineMs) return false;
+    if (isResting()) {
+      silenceDeadlineMs = deadlineMs;
+      return true;
+    }
     const report = await dependencies.readReport(target, PROBE_TIMEOUT_MS);
     silenceDeadlineMs = deadlineMs;
     if (report === undefined) return false;
@@ -221,7 +230,9 @@
    * lost.
    */
   async function checkLiveness(): Promise<boolean> {
-    const report = await dependencies.readReport(target, CHECK_TIMEOUT_MS);
+    const report = isResting()
+      ? 'unprobed'
+      : await dependencies.readReport(target, CHECK_TIMEOUT_MS);
     missedChecks = report === undefined ? missedChecks + 1 : 0;
     const nextCheckMs = clock.getRunningMs() + (missedChecks > 0 ? 0 : checkIntervalMs);
     silenceDeadlineMs = Math.min(firstEventDeadlineMs, nextCheckMs);
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -94,7 +94,14 @@
     (await createPlan(dependencies, request, progress)) ??
     (await createPlanWithBorrowedPermit(dependencies, request, progress));
   if (plan?.kind === 'refused') return plan;
-  if (plan === undefined) return decideUnplaced(dependencies, request, progress);
+  if (plan === undefined) {
+    const waitingSinceMs = progress.hasEvents ? nowMs : request.arrivedAtMs;
+    if (!(await Placement.waitForRest(dependencies, request, waitingSinceMs))) {
+      return decideUnplaced(dependencies, request, progress);
+    }
+    progress.excluded.clear();
+    return decidePlan(dependencies, request, progress, budget);
+  }
   const isRetry = progress.deliveries > 0;
   if (isRetry && !(await takeRetry(dependencies, request, progress, budget))) {
     return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
@@ -127,7 +134,7 @@
 ): ForwardingTarget | undefined {
   const holder = copy === undefined ? undefined : dependencies.directory.findCurrent(copy.holder);
   if (holder?.state !== 'ready' || dependencies.rollouts.isLeaving(holder)) return undefined;
-  if (!dependencies.limits.isAvailable(holder)) return undefined;
+  if (!Placement.isAvailable(dependencies, holder)) return undefined;
   return holder;
 }
 
@@ -211,6 +218,9 @@
   request: ForwardRequest,
   progress: Progress,
 ): StreamOutcome {
+  if (Placement.computeRestMs(dependencies, request) !== undefined) {
+    return decideEnd(progress, Placement.RESTING_REASON, false);
+  }
   const limited = Placement.listRateLimited(dependencies, request, progress.excluded);
   if (limited.length === 0) return decideEnd(progress, progress.lastReason, false);
   const retryAfterSeconds = dependencies.limits.getRetrySeconds(limited);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
@@ -64,14 +64,14 @@
     callEngine: EngineCalls.createEngineCaller(
       clock,
       createConnections(new Map([[target.address, id]]), requests),
-      { recordHead: () => undefined },
+      { recordHead: () => undefined, isResting: () => false },
     ),
     directory: {
       getConfiguration: () => ({ ...configuration, services: new Map(services) }),
       isUpToDate: () => isDirectoryUpToDate,
       recordReplacement: (known, found) => replacements.push(`${known.id} ${found}`),
     },
-    notices: { recordLeaving: () => undefined },
+    notices: { recordLeaving: () => undefined, isResting: () => false },
   });
   const answer = await probes.readReport(target, LIMIT_MS);
   return { answer, requests, replacements };
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
@@ -20,7 +20,7 @@
   readonly text: string;
 }
 
-/** Undefined when there is no complete response in time. */
+/** Undefined when there is no complete response in time, or the engine has asked for rest. */
 export type EngineCaller = (
   target: ForwardingTarget,
   command: EngineCommand,
@@ -29,9 +29,10 @@
 export function createEngineCaller(
   clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>,
   connections: Pick<TargetConnections, 'takeConnection'>,
-  notices: Pick<TargetNotices, 'recordHead'>,
+  notices: Pick<TargetNotices, 'recordHead' | 'isResting'>,
 ): EngineCaller {
   return async (target, { method, path, body, headers = [], limitMs }) => {
+    if (notices.isResting(target)) return undefined;
     const call = TargetCalls.openCall({
       connection: connections.takeConnection(target),
       target,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
@@ -15,7 +15,10 @@
 import type { TargetRegistry } from './targetRegistry';
 
 export interface EngineProbes {
-  /** Undefined when there is no response in time. Concurrent reads of one engine share a call. */
+  /**
+   * Undefined when there is no response in time, or the engine has asked for rest. Concurrent reads of one
+   * engine share a call.
+   */
   readonly readReport: (
     target: ForwardingTarget,
     limitMs: number,
@@ -34,7 +37,7 @@
   readonly registry: TargetRegistry;
   readonly callEngine: EngineCaller;
   readonly directory: Pick<Directory, 'getConfiguration' | 'isUpToDate' | 'recordReplacement'>;
-  readonly notices: Pick<TargetNotices, 'recordLeaving'>;
+  readonly notices: Pick<TargetNotices, 'recordLeaving' | 'isResting'>;
 }
 
 /** An engine without a response by then counts as lost; most respond within 5 ms. */
@@ -108,7 +111,7 @@
       readPath(target, wire.reportPath),
       findCurrentId(target),
     ]);
-    if (response === undefined) registry.recordLoss(target);
+    if (response === undefined && !notices.isResting(target)) registry.recordLoss(target);
     const report = response?.head.status === OK ? wire.decodeReport(response.text) : undefined;
     if (id === target.id) return report;
     const isUsable = report !== undefined && !report.isLeaving;
@@ -140,6 +143,7 @@
 
   return {
     async readReport(target, limitMs) {
+      if (notices.isResting(target)) return undefined;
       const last = recentReports.get(target.id);
       if (last !== undefined && clock.getNowMs() - last.atMs <= REPORT_TTL_MS) return last.report;
       let stopTimer: (() => void) | undefined;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
@@ -1,34 +1,88 @@
 /** What targets say about themselves in the heads of their answers and in their load reports. */
-import type { Directory, ForwardingTarget, HeaderNames } from '@sequoiarill/types';
+import type { Clock, Directory, ForwardingTarget, HeaderNames, Metrics } from '@sequoiarill/types';
 
 import * as Checks from '../answers/answerChecks';
 import * as Events from '../events';
 import type { AnswerHead } from '../forwardRequest';
+import * as MetricNames from '../metrics';
 import type { RateLimitedLog } from '../rateLimitedLog';
+import * as Incarnations from './targetIncarnation';
 
 export interface TargetNotices {
   /** Records the head of an answer that came from the target's address. */
   readonly recordHead: (target: ForwardingTarget, head: AnswerHead) => void;
   /** Records that the target said that it is about to stop; `source` names where, for the log. */
   readonly recordLeaving: (target: ForwardingTarget, source: 'answer' | 'report') => void;
+  /** Whether the target has asked this router for rest that is not over. */
+  readonly isResting: (target: ForwardingTarget) => boolean;
+  /** Time until the end of that rest, milliseconds; 0 for a target that is not resting. */
+  readonly getRestMs: (target: ForwardingTarget) => number;
+  /** Removes rests that are over. */
+  readonly removeOld: () => void;
+  /** Incarnations of the resting targets. */
+  readonly dumpState: () => readonly string[];
 }
 
 export interface TargetNoticesOptions {
   readonly headers: Pick<HeaderNames, 'leaving' | 'retryAfter' | 'targetId'>;
   readonly directory: Pick<Directory, 'findCurrent' | 'recordLeaving'>;
+  readonly clock: Pick<Clock, 'getNowMs'>;
+  readonly nextRandom: () => number;
   readonly log: Pick<RateLimitedLog, 'logEvent'>;
+  readonly metrics: Pick<Metrics, 'addCount'>;
 }
 
 const UNAVAILABLE = 503;
 const LEAVING = '1';
+const MS_PER_SECOND = 1_000;
+/**
+ * Each router prolongs a rest by a random part of this share, so that not all of them return to the target
+ * at the same moment.
+ */
+const MAX_PROLONGATION = 0.1;
+
+/** Undefined for a text that is not a positive number of seconds. */
+function parseSeconds(text: string): number | undefined {
+  const seconds = text.trim() === '' ? Number.NaN : Number(text);
+  return Number.isFinite(seconds) && seconds > 0 ? seconds : undefined;
+}
 
 export function createTargetNotices(options: TargetNoticesOptions): TargetNotices {
-  const { headers, directory, log } = options;
+  const { headers, directory, clock, log, metrics } = options;
+  /** End of each rest by incarnation, monotonic milliseconds. */
+  const restsUntilMs = new Map<string, number>();
+
+  function getRestMs(target: ForwardingTarget): number {
+    if (restsUntilMs.size === 0) return 0;
+    const untilMs = restsUntilMs.get(Incarnations.formatIncarnation(target));
+    return untilMs === undefined ? 0 : Math.max(0, untilMs - clock.getNowMs());
+  }
+
+  function removeOld(): void {
+    const nowMs = clock.getNowMs();
+    for (const [key, untilMs] of restsUntilMs) if (untilMs <= nowMs) restsUntilMs.delete(key);
+  }
+
+  /** A later answer that names a shorter time does not end a rest that was asked for before. */
+  function recordRest(target: ForwardingTarget, text: string): void {
+    const seconds = parseSeconds(text);
+    const fields = { target: target.id, zone: target.zone, retryAfter: text, seconds };
+    log.logEvent(Events.TARGET_RESTING, { ...fields, seconds: seconds ?? null });
+    if (seconds === undefined) return;
+    removeOld();
+    const restMs = Math.max(
+      getRestMs(target),
+      seconds * MS_PER_SECOND * (1 + options.nextRandom() * MAX_PROLONGATION),
+    );
+    restsUntilMs.set(Incarnations.formatIncarnation(target), clock.getNowMs() + restMs);
+    metrics.addCount(MetricNames.RESTS);
+  }
 
   function recordLeaving(target: ForwardingTarget, source: 'answer' | 'report'): void {
     if (directory.findCurrent(target)?.state === 'draining') return;
     log.logEvent(Events.TARGET_LEAVING, { target: target.id, zone: target.zone, source });
     directory.recordLeaving(target);
+    metrics.addCount(MetricNames.LEAVING);
   }
 
   return {
@@ -40,8 +94,15 @@
       }
       const retryAfter = Checks.getHeader(head, headers.retryAfter);
       if (head.status === UNAVAILABLE && retryAfter !== undefined) {
-        log.logEvent(Events.TARGET_RESTING, { target: target.id, zone: target.zone, retryAfter });
+        recordRest(target, retryAfter);
       }
     },
+    isResting: (target) => getRestMs(target) > 0,
+    getRestMs,
+    removeOld,
+    dumpState() {
+      removeOld();
+      return [...restsUntilMs.keys()];
+    },
   };
 }
