Reproduce a store that is restored from an older copy

The stand-in of the store can go back to a copy of itself: later writes and leases are lost, their revisions are given out again, watches are cut, and each answer's Store-Era rises by one.

--- a/packages/sequoiarill-standins/src/userPlatform/storeStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/storeStandin.ts
@@ -36,11 +36,27 @@
   readonly writeValue: (key: string, value: string) => void;
   readonly removeKey: (key: string) => void;
   readonly getValue: (key: string) => string | undefined;
+  readonly listKeys: () => readonly string[];
   /** Discards the history and answers every waiting watch. */
   readonly compact: () => void;
+  /** What the store holds now, for `restoreCopy`. */
+  readonly takeCopy: () => StoreCopy;
+  /**
+   * Goes back to the copy: later writes and leases are lost, and their revisions are given out again.
+   * Waiting watches are cut.
+   */
+  readonly restoreCopy: (copy: StoreCopy) => void;
   readonly getCalls: () => readonly string[];
 }
 
+/** Content of the store at one moment. */
+export interface StoreCopy {
+  readonly items: readonly StoredItem[];
+  readonly history: readonly Change[];
+  readonly revision: number;
+  readonly leases: readonly number[];
+}
+
 type CallHandler = (
   query: URLSearchParams,
   response: ServerResponse,
@@ -48,6 +64,8 @@
 ) => void | Promise<void>;
 
 const ITEMS_PER_PAGE = 3;
+const FIRST_ERA = 1;
+const KEEP_PREFIX = '/kv-keep/';
 
 export function createStoreStandin(): StoreStandin {
   const items = new Map<string, StoredItem>();
@@ -55,12 +73,16 @@
   let compactedRevision = 0;
   let revision = 1;
   let nextLease = 100;
+  /** Number of times that the store was restored from a copy. */
+  let era = FIRST_ERA;
+  const leases = new Set<number>();
   let fault: StoreFault = 'none';
   const calls: string[] = [];
   const watchers = new Set<() => void>();
+  const watchingResponses = new Set<ServerResponse>();
 
   function sendJson(response: ServerResponse, status: number, body: unknown): void {
-    response.writeHead(status, { 'content-type': 'application/json' });
+    response.writeHead(status, { 'content-type': 'application/json', 'store-era': era });
     response.end(JSON.stringify(body));
   }
 
@@ -81,6 +103,11 @@
     watchers.forEach((resumeWatch) => resumeWatch());
   }
 
+  function closeWatches(): void {
+    watchingResponses.forEach((response) => response.destroy());
+    resumeWatches();
+  }
+
   function runTransaction(transaction: Transaction): { status: number; body: unknown } {
     const { expectedRevision = [], puts = [], remove = [] } = transaction;
     const isMet = expectedRevision.every(
@@ -111,7 +138,9 @@
     const prefix = query.get('prefix') ?? '';
     const listUpdates = () =>
       history.filter((change) => change.revision > after && change.key.startsWith(prefix));
-    if (after >= compactedRevision && listUpdates().length === 0) {
+    const isAvailable = () => after >= compactedRevision && after <= revision;
+    if (isAvailable() && listUpdates().length === 0) {
+      watchingResponses.add(response);
       await new Promise<void>((resolve) => {
         const timer = setTimeout(resolve, Number(query.get('waitMs')));
         const resumeWatch = () => {
@@ -123,7 +152,9 @@
         response.once('close', resumeWatch);
       });
     }
-    if (after < compactedRevision) {
+    watchingResponses.delete(response);
+    if (response.destroyed) return;
+    if (!isAvailable()) {
       sendJson(response, 410, {});
       return;
     }
@@ -147,12 +178,19 @@
     if (fault !== 'loseWrites') sendJson(response, status, answer);
   }
 
-  /** Handles every other path as the grant of a lease; leases never expire in this stand-in. */
+  /** Leases never expire in this stand-in; they are lost when it is restored from an older copy. */
   function grantLease(_query: URLSearchParams, response: ServerResponse): void {
     nextLease += 1;
+    leases.add(nextLease);
     sendJson(response, 200, { lease: nextLease, ttlMs: 20_000 });
   }
 
+  function renewLease(path: string, response: ServerResponse): void {
+    const lease = Number(path.slice(path.lastIndexOf('/') + 1));
+    if (leases.has(lease)) sendJson(response, 200, { lease, ttlMs: 20_000 });
+    else sendJson(response, 404, {});
+  }
+
   const handlers: Readonly<Record<string, CallHandler>> = {
     '/kv-range': (query, response) => sendJson(response, 200, listRange(query)),
     '/kv-key': handleKey,
@@ -175,7 +213,8 @@
       sendJson(response, fault === 'busy' ? 503 : 429, {});
       return;
     }
-    await (handlers[url.pathname] ?? grantLease)(url.searchParams, response, body);
+    if (url.pathname.startsWith(KEEP_PREFIX)) renewLease(url.pathname, response);
+    else await (handlers[url.pathname] ?? grantLease)(url.searchParams, response, body);
   }
 
   const server = Servers.createStandinServer('127.0.0.1:0', handleCall);
@@ -201,6 +240,23 @@
       compactedRevision = revision;
       resumeWatches();
     },
+    takeCopy: () => ({
+      items: [...items.values()],
+      history: [...history],
+      revision,
+      leases: [...leases],
+    }),
+    restoreCopy(copy) {
+      items.clear();
+      copy.items.forEach((item) => items.set(item.key, item));
+      history = [...copy.history];
+      revision = copy.revision;
+      leases.clear();
+      copy.leases.forEach((lease) => leases.add(lease));
+      era += 1;
+      closeWatches();
+    },
+    listKeys: () => [...items.keys()],
     getCalls: () => calls,
   };
 }
