Order the revisions of a store that is restored from an older copy

Cause: a revision was taken for an order over the whole life of the store. After a restore the numbers are given out again, so what was written then counted as older than what was known, until the numbers had passed the highest one seen. Ruled out: slow hops (a change 90 ms later arrived in 80 ms), and that the store lost the changes (the numbers leave room for each).

The store says in each answer how often it was restored. The adapter puts that count above the number, so that every change of a later era is newer than all of earlier ones, in all that compares revisions: the cache of records, full reads, watches, zone readers, routers that ask each other, transactions. A watch whose number exists again is told that its history is gone. A transaction that compares a revision from before is not sent, and not confirmed where its answer is the first word of the restore. Between routers era and number travel as fields of their own, so that those of an earlier build go on to work beside.

What the copy lacks is kept until targets, routers and operators had time to write it again, as after an outage: targets unconfirmed, routers and roll-outs as they were. A target that the copy brings back after it had left is not used unless it writes its entry again or is still there after that time. A configuration of another era replaces the one in force only with a later version. A router writes its own entry again, with a lease of the new era.

--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -11,6 +11,7 @@
 export * from './metrics';
 export * from './metricsPage';
 export * from './registry';
+export * as Revisions from './revisions';
 export * from './requestGuard';
 export * from './runningTime';
 export * from './settings';
--- a/packages/sequoiarill-plugin-directory/src/__tests__/storeFollower.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/storeFollower.test.ts
@@ -118,7 +118,13 @@
         }
         if (listUpdates().length === 0) await clock.waitMs(waitMs);
         const seenRevision = Math.max(10, ...state.records.map(({ revision }) => revision));
-        return { kind: 'records', records: listUpdates(), seenRevision, ageMs: state.ageMs };
+        return {
+          kind: 'records',
+          isTruncated: false,
+          records: listUpdates(),
+          seenRevision,
+          ageMs: state.ageMs,
+        };
       },
     },
   };
@@ -201,6 +207,7 @@
     fakeStore.setEntries([{ key: 'targets/one', value, revision: 5, createRevision: 1 }]);
     const peerUpdates = createUpdates(fixture, async (_address, after) => ({
       kind: 'records',
+      isTruncated: false,
       seenRevision: 9,
       ageMs: 0,
       records: after < 9 ? [{ key: 'targets/one', revision: 9 }] : [],
@@ -292,6 +299,7 @@
     fakeStore.setEntries([createConfiguration(1, 5)]);
     const peerUpdates = createUpdates(fixture, async (_address, after) => ({
       kind: 'records',
+      isTruncated: false,
       seenRevision: 9,
       ageMs: 0,
       records: [createConfiguration(2, 9)].filter(({ revision }) => revision > after),
--- a/packages/sequoiarill-plugin-directory/src/delayedRemovals.ts
+++ b/packages/sequoiarill-plugin-directory/src/delayedRemovals.ts
@@ -4,6 +4,11 @@
  */
 import type { TargetRegistry } from './targetRegistry';
 
+/**
+ * About this long after the store responds again, running targets have written their entries again.
+ */
+export const REREGISTRATION_MS = 2_300;
+
 export interface DelayedRemovals {
   /** Removes a target, immediately or after the delay. */
   readonly removeTarget: (key: string) => void;
@@ -11,6 +16,8 @@
   readonly cancelRemoval: (key: string) => void;
   /** Delays removals until this time, in monotonic milliseconds, and adds removals of `keys`. */
   readonly delayUntil: (untilMs: number, keys: Iterable<string>) => void;
+  /** Whether removals are delayed now. */
+  readonly isDelaying: () => boolean;
   /** Carries out removals whose delay has passed and returns the keys of the removed targets. */
   readonly takeDue: () => readonly string[];
 }
@@ -46,6 +53,7 @@
       delayedUntilMs = Math.max(delayedUntilMs, untilMs);
       [...keys].forEach(delayRemoval);
     },
+    isDelaying: () => getNowMs() < delayedUntilMs,
     takeDue() {
       if (delayedKeys.size === 0 || getNowMs() < delayedUntilMs) return [];
       const dueKeys = [...delayedKeys];
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -1,20 +1,19 @@
 /** State of routes, targets and routers, merged by revision from the store and from peers. */
-import type {
-  Directory,
-  ForwardingConfiguration,
-  ForwardingTarget,
-  ForwardingWire,
-  LogEvent,
-} from '@sequoiarill/types';
+import * as Kernel from '@sequoiarill/kernel';
+import type { Directory, ForwardingTarget, ForwardingWire, LogEvent } from '@sequoiarill/types';
 
+import * as ConfigurationStates from './configurationState';
+import * as DeferredRecords from './deferredRecords';
 import * as DelayedRemovals from './delayedRemovals';
 import * as DirectoryKeys from './directoryKeys';
+import * as DirectoryTargets from './directoryTargets';
 import * as Events from './events';
 import * as RecordCaches from './recordCache';
 import type { DirectoryRecord } from './recordCache';
 import * as RouterEntries from './routerEntry';
 import type { RouterEntry } from './routerEntry';
-import * as TargetRegistries from './targetRegistry';
+
+const { getEra, splitRevision } = Kernel.Revisions;
 
 export interface DirectoryState extends Omit<Directory, 'isUpToDate'> {
   /** Applies records that are newer than the known ones. Older records have no effect. */
@@ -48,77 +47,16 @@
 export function createDirectoryState(options: DirectoryStateOptions): DirectoryState {
   const { wire, logEvent, getNowMs } = options;
   const recordCache = RecordCaches.createRecordCache();
-  const targets = TargetRegistries.createTargetRegistry();
+  const targets = DirectoryTargets.createDirectoryTargets({ wire, logEvent, getNowMs });
+  const configurations = ConfigurationStates.createConfigurationState({
+    wire,
+    logEvent,
+    recordCache,
+  });
   const listeners = new Set<() => void>();
   const routers = new Map<string, RouterEntry>();
-  let configuration: ForwardingConfiguration | undefined;
   let targetsByService: ReadonlyMap<string, readonly ForwardingTarget[]> = new Map();
-  const removals = DelayedRemovals.createDelayedRemovals(targets, getNowMs);
-  /** Keys of replacement targets that no record has confirmed. */
-  const replacementKeys = new Set<string>();
-
-  function applyConfiguration(record: DirectoryRecord): void {
-    if (record.value === undefined) return;
-    const decoded = wire.decodeConfiguration(record.value);
-    if (decoded.kind === 'malformed') {
-      logEvent(Events.CONFIGURATION_REFUSED, { revision: record.revision, reason: decoded.reason });
-      return;
-    }
-    configuration = decoded.configuration;
-    const { version, routes } = configuration;
-    logEvent(Events.CONFIGURATION_APPLIED, {
-      version,
-      revision: record.revision,
-      routes: routes.length,
-    });
-  }
-
-  function applyTarget({ key, revision, value }: DirectoryRecord): void {
-    removals.cancelRemoval(key);
-    const isReplacement = replacementKeys.delete(key);
-    const known = targets.find(key);
-    if (value === undefined) {
-      removals.removeTarget(key);
-      return;
-    }
-    const decoded = wire.decodeTarget(key, value);
-    if (decoded.kind === 'target') {
-      targets.set(key, decoded.target);
-      // The entry gives the start time of the same incarnation, which was not known before.
-      if (isReplacement && known?.state === 'draining') targets.markLeaving(key, decoded.target);
-    } else {
-      targets.remove(key);
-      logEvent(Events.TARGET_REFUSED, { key, revision, reason: decoded.reason });
-    }
-  }
-
-  /**
-   * Failure: engines crash and restart during a store outage. Their new incarnations are unknown,
-   * so each crash leaves fewer targets, and a stream is refused by one target after another. An
-   * incarnation found at a known address therefore replaces the previous one, until the store
-   * reports it or does not confirm it.
-   */
-  function recordReplacement(replaced: ForwardingTarget, id: string): void {
-    const key = `${wire.targetPrefix}${id}`;
-    if (targets.find(key) !== undefined) return;
-    const startedAtUnixMs = replaced.startedAtUnixMs + 1;
-    targets.set(key, { ...replaced, id, startedAtUnixMs, state: 'ready' });
-    if (targets.find(key) === undefined) return;
-    replacementKeys.add(key);
-    logEvent(Events.TARGET_LEARNED, { target: id, replaced: replaced.id, zone: replaced.zone });
-    reportChange();
-  }
-
-  function recordLeaving(target: ForwardingTarget): void {
-    if (findCurrent(target)?.state === 'draining') return;
-    targets.markLeaving(`${wire.targetPrefix}${target.id}`, target);
-    reportChange();
-  }
-
-  function findCurrent(target: ForwardingTarget): ForwardingTarget | undefined {
-    const current = targets.find(`${wire.targetPrefix}${target.id}`);
-    return current?.startedAtUnixMs === target.startedAtUnixMs ? current : undefined;
-  }
+  const deferred = DeferredRecords.createDeferredRecords();
 
   function applyRouter({ key, value }: DirectoryRecord): void {
     const entry = value === undefined ? undefined : RouterEntries.decodeRouter(value);
@@ -128,19 +66,50 @@
 
   function applyRecord(record: DirectoryRecord): boolean {
     const kind = DirectoryKeys.decideKeyKind(wire, record.key);
-    if (kind === 'other' || !recordCache.addRecord(record)) return false;
-    if (kind === 'configuration') applyConfiguration(record);
-    else if (kind === 'router') applyRouter(record);
-    else if (kind === 'target') applyTarget(record);
+    if (kind === 'other') return false;
+    if (kind === 'configuration') return configurations.applyRecord(record);
+    if (isReturned(record)) {
+      deferred.add(record);
+      return false;
+    }
+    if (!deferred.replace(record) || !recordCache.addRecord(record)) return false;
+    if (kind === 'router') applyRouter(record);
+    else if (kind === 'target') targets.applyRecord(record);
     return true;
   }
 
+  /**
+   * Whether the record is of a target that had been removed before the store was restored. It has left, unless
+   * it writes its entry again.
+   */
+  function isReturned({ key, revision, value }: DirectoryRecord): boolean {
+    if (value === undefined || !targets.isDelaying() || !key.startsWith(wire.targetPrefix)) {
+      return false;
+    }
+    const existing = recordCache.findRecord(key);
+    const isOlder = existing !== undefined && getEra(existing.revision) < getEra(revision);
+    return isOlder && existing.value === undefined && !deferred.isHolding(key);
+  }
+
   function reportChange(): void {
     targetsByService = targets.buildGroupsByService();
     listeners.forEach((listener) => listener());
   }
 
+  /**
+   * Failure: a store is restored from an older copy, and entries that the copy lacks would be removed although
+   * their targets run. They write them again, as after an outage.
+   */
+  function checkEra(records: readonly DirectoryRecord[]): void {
+    const knownRevision = recordCache.getRevision();
+    const revision = Math.max(0, ...records.map((record) => record.revision));
+    if (knownRevision === 0 || getEra(revision) <= getEra(knownRevision)) return;
+    logEvent(Events.STORE_RESTORED, { era: getEra(revision), before: getEra(knownRevision) });
+    targets.delayRemovalsUntil(getNowMs() + DelayedRemovals.REREGISTRATION_MS);
+  }
+
   function applyRecords(records: readonly DirectoryRecord[]): void {
+    checkEra(records);
     const changed = records.filter(applyRecord);
     if (changed.length === 0) return;
     reportChange();
@@ -148,7 +117,7 @@
     if (changedTargets.length === 0) return;
     const removed = changedTargets.filter(({ value }) => value === undefined).length;
     logEvent(Events.TARGETS_CHANGED, {
-      revision: recordCache.getRevision(),
+      ...splitRevision(recordCache.getRevision()),
       written: changedTargets.length - removed,
       removed,
       known: targets.getSize(),
@@ -156,11 +125,15 @@
   }
 
   return {
-    getConfiguration: () => configuration,
+    getConfiguration: configurations.get,
     listTargets: (service) => targetsByService.get(service) ?? [],
-    findCurrent,
-    recordReplacement,
-    recordLeaving,
+    findCurrent: targets.findCurrent,
+    recordReplacement(replaced, id) {
+      if (targets.recordReplacement(replaced, id)) reportChange();
+    },
+    recordLeaving(target) {
+      if (targets.recordLeaving(target)) reportChange();
+    },
     countRouters: () => Math.max(1, routers.size),
     subscribe(listener) {
       listeners.add(listener);
@@ -173,14 +146,16 @@
       const presentKeys = new Set(records.map(({ key }) => key));
       const missingKeys = recordCache.listMissingKeys(presentKeys, snapshotRevision);
       const removedRecords = missingKeys.map((key) => ({ key, revision: snapshotRevision }));
-      applyRecords([...records, ...removedRecords]);
+      checkEra([...records, ...removedRecords]);
+      const isDeferred = ({ key }: DirectoryRecord) =>
+        targets.isDelaying() && !key.startsWith(wire.targetPrefix);
+      removedRecords.filter(isDeferred).forEach(deferred.add);
+      applyRecords([...records, ...removedRecords.filter((record) => !isDeferred(record))]);
     },
-    delayRemovalsUntil: (untilMs) => removals.delayUntil(untilMs, replacementKeys),
+    delayRemovalsUntil: targets.delayRemovalsUntil,
     removeDueTargets() {
-      const dueKeys = removals.takeDue();
-      if (dueKeys.length === 0) return;
-      dueKeys.forEach((key) => replacementKeys.delete(key));
-      reportChange();
+      if (!targets.isDelaying()) applyRecords(deferred.takeAll());
+      if (targets.removeDue()) reportChange();
     },
     getRevision: recordCache.getRevision,
     listRouters: () => [...routers.values()],
--- a/packages/sequoiarill-plugin-directory/src/events.ts
+++ b/packages/sequoiarill-plugin-directory/src/events.ts
@@ -65,6 +65,19 @@
   'The zone reader does not respond or is not up to date; the store is queried directly.',
 );
 
+export const STORE_RESTORED = Kernel.defineEvent(
+  1810,
+  'warn',
+  'directory.storeRestored',
+  'The store was restored from an older copy; entries that the copy lacks are kept until they had time to be written again.',
+);
+export const CONFIGURATION_OUTDATED = Kernel.defineEvent(
+  1811,
+  'info',
+  'directory.configurationOutdated',
+  'The restored store reports an older configuration than the one in force, which stays in force.',
+);
+
 export const EVENTS = [
   STORE_LOST,
   STORE_REGAINED,
@@ -76,4 +89,6 @@
   LEARNED_FROM_PEER,
   TARGET_LEARNED,
   READER_LEFT,
+  STORE_RESTORED,
+  CONFIGURATION_OUTDATED,
 ];
--- a/packages/sequoiarill-plugin-directory/src/fullRead.ts
+++ b/packages/sequoiarill-plugin-directory/src/fullRead.ts
@@ -1,9 +1,12 @@
 /** Reads the complete content of the store, page by page. */
+import * as Kernel from '@sequoiarill/kernel';
 import type { KeyValueStore } from '@sequoiarill/types';
 
 import type { DirectoryState } from './directoryState';
 import type { DirectoryRecord } from './recordCache';
 
+const { getEra } = Kernel.Revisions;
+
 export type PageResult =
   /** Last page: everything up to `revision` is known now. */
   | { readonly kind: 'complete'; readonly revision: number }
@@ -33,6 +36,11 @@
   let revision: number | undefined;
   let pageCount = 0;
 
+  function removePages(): void {
+    records = [];
+    revision = undefined;
+  }
+
   return {
     async readNextPage() {
       const page = await store.readPage(prefix, records.at(-1)?.key ?? '');
@@ -43,6 +51,11 @@
         value,
       }));
       pageCount += 1;
+      if (revision !== undefined && getEra(page.revision) !== getEra(revision)) {
+        // The store was restored between two pages: the ones before are of another state.
+        removePages();
+        return { kind: 'more' };
+      }
       revision ??= page.revision;
       records = [...records, ...pageRecords];
       if (page.hasMore) {
@@ -52,8 +65,7 @@
       // A key that is missing from all pages was removed at the revision of the first page or
       // before.
       const snapshot = { records, revision };
-      records = [];
-      revision = undefined;
+      removePages();
       state.applySnapshot(snapshot.records, snapshot.revision);
       return { kind: 'complete', revision: snapshot.revision };
     },
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -162,16 +162,8 @@
     readRecords: (address, afterRevision, waitMs = 0) =>
       runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS + waitMs);
-        const response = await caller.readRecords.mutate({ afterRevision, waitMs });
-        const { records, seenRevision, ageMs } = Messages.recordsResponseSchema.parse(response);
-        return {
-          kind: 'records',
-          seenRevision,
-          ageMs,
-          records: records.map(({ key, revision, value }) =>
-            value === undefined ? { key, revision } : { key, revision, value },
-          ),
-        };
+        const request = Messages.encodeRecordsRequest(afterRevision, waitMs);
+        return Messages.decodeRecords(await caller.readRecords.mutate(request));
       }),
     close: () => dispatcher.destroy(),
   };
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -1,4 +1,5 @@
 /** Messages between routers, validated on both sides. */
+import * as Kernel from '@sequoiarill/kernel';
 import type {
   ContentBlock,
   ObservedLimit,
@@ -12,8 +13,10 @@
 import type { DirectoryRecord } from './recordCache';
 
 export const recordsRequestSchema = Zod.object({
-  /** Records above this revision are requested. */
+  /** Records above this revision number are requested. */
   afterRevision: Zod.number().int().min(0),
+  /** Era of that number; routers of earlier builds know of no eras and send none. */
+  afterEra: Zod.number().int().min(0).optional(),
   /** How long the response may wait for updates, in milliseconds. */
   waitMs: Zod.number().int().min(0).max(5_000).default(0),
 });
@@ -25,15 +28,20 @@
 
 const recordSchema = Zod.object({
   key: Zod.string(),
+  /** Number of the revision within its era. */
   revision: Zod.number().int(),
+  era: Zod.number().int().min(0).default(0),
   /** Absent if the key was removed at that revision. */
   value: Zod.string().optional(),
 });
 
 export const recordsResponseSchema = Zod.object({
   records: Zod.array(recordSchema),
-  /** The responding router has seen all changes up to this revision. */
+  /** The responding router has seen all changes up to this revision number of this era. */
   seenRevision: Zod.number().int().min(0),
+  seenEra: Zod.number().int().min(0).default(0),
+  /** Whether more records follow. */
+  isTruncated: Zod.boolean().default(false),
   /** Time since the store last confirmed this to the responding router, in milliseconds. */
   ageMs: Zod.number().min(0),
 });
@@ -41,6 +49,47 @@
 export type RecordsRequest = Zod.infer<typeof recordsRequestSchema>;
 export type RecordsResponse = Zod.infer<typeof recordsResponseSchema>;
 
+const { buildRevision, getEra, getNumber } = Kernel.Revisions;
+
+export function encodeRecordsRequest(afterRevision: number, waitMs: number): RecordsRequest {
+  return { afterRevision: getNumber(afterRevision), afterEra: getEra(afterRevision), waitMs };
+}
+
+/** `seenRevision`: of this router, in whose era a request without one is meant. */
+export function decodeAfterRevision(request: RecordsRequest, seenRevision: number): number {
+  return buildRevision(request.afterEra ?? getEra(seenRevision), request.afterRevision);
+}
+
+export function encodeRecords(
+  records: Omit<Extract<RecordsOutcome, { kind: 'records' }>, 'kind'>,
+): RecordsResponse {
+  const { seenRevision, ...rest } = records;
+  return {
+    ...rest,
+    records: records.records.map(({ revision, ...record }) => ({
+      ...record,
+      revision: getNumber(revision),
+      era: getEra(revision),
+    })),
+    seenRevision: getNumber(seenRevision),
+    seenEra: getEra(seenRevision),
+  };
+}
+
+/** Throws if the response is invalid. */
+export function decodeRecords(response: unknown): RecordsOutcome {
+  const { records, seenRevision, seenEra, ...rest } = recordsResponseSchema.parse(response);
+  return {
+    ...rest,
+    kind: 'records',
+    seenRevision: buildRevision(seenEra, seenRevision),
+    records: records.map(({ key, revision: number, era, value }) => {
+      const revision = buildRevision(era, number);
+      return value === undefined ? { key, revision } : { key, revision, value };
+    }),
+  };
+}
+
 /**
  * Limit of retry quota granted per request: one retry, plus the reserve of a router for its running
  * streams.
@@ -167,6 +216,8 @@
       readonly records: readonly DirectoryRecord[];
       readonly seenRevision: number;
       readonly ageMs: number;
+      /** Whether the peer has more records for the same request. */
+      readonly isTruncated: boolean;
     }
   | { readonly kind: 'failed'; readonly reason: string };
 
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -69,11 +69,19 @@
     (left, right) => left.revision - right.revision,
   );
   const last = all[Messages.MAX_RECORDS - 1]?.revision;
-  if (last === undefined) return { records: all, seenRevision: follower.getSeenRevision(), ageMs };
+  const seenRevision = follower.getSeenRevision();
+  if (last === undefined) {
+    return Messages.encodeRecords({ records: all, seenRevision, ageMs, isTruncated: false });
+  }
   // Keys that were written together stay together. While the first read is unfinished, this router
   // has seen no revision completely and reports 0.
   const records = all.filter(({ revision }) => revision <= last);
-  return { records, seenRevision: Math.min(last, follower.getSeenRevision()), ageMs };
+  return Messages.encodeRecords({
+    records,
+    seenRevision: Math.min(last, seenRevision),
+    ageMs,
+    isTruncated: records.length < all.length,
+  });
 }
 
 /**
@@ -86,8 +94,9 @@
     readRecords: procedure
       .input(Messages.recordsRequestSchema)
       .mutation(async ({ input }): Promise<Messages.RecordsResponse> => {
-        await waitForUpdates(options, input.afterRevision, input.waitMs);
-        return buildResponse(options, input.afterRevision);
+        const after = Messages.decodeAfterRevision(input, options.follower.getSeenRevision());
+        await waitForUpdates(options, after, input.waitMs);
+        return buildResponse(options, after);
       }),
     lendRepeats: procedure
       .input(Messages.retryQuotaRequestSchema)
--- a/packages/sequoiarill-plugin-directory/src/peerUpdates.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerUpdates.ts
@@ -5,13 +5,14 @@
  * to change the configuration elsewhere; the router would keep using outdated routes and keys.
  * During that time it queries other routers, which may reach the store.
  */
+import * as Kernel from '@sequoiarill/kernel';
 import type { Clock, LogEvent } from '@sequoiarill/types';
 
+import * as DelayedRemovals from './delayedRemovals';
 import type { DirectoryState } from './directoryState';
 import * as Events from './events';
 import type { PeerClient } from './peerClient';
 import type { DirectoryRecord } from './recordCache';
-import * as StoreFollowers from './storeFollower';
 
 export interface PeerUpdatesOptions {
   readonly state: DirectoryState;
@@ -27,6 +28,7 @@
   readonly getLostSinceMs: () => number | undefined;
 }
 
+const { getEra, getNumber } = Kernel.Revisions;
 /** Time without a response of the store before peers are queried. */
 const PEER_QUERY_DELAY_MS = 400;
 const QUERY_INTERVAL_MS = 500;
@@ -54,14 +56,16 @@
    * are delayed for that time.
    */
   function applyUpdates(records: readonly DirectoryRecord[]): void {
-    state.delayRemovalsUntil(clock.getNowMs() + StoreFollowers.REREGISTRATION_MS);
+    state.delayRemovalsUntil(clock.getNowMs() + DelayedRemovals.REREGISTRATION_MS);
     state.applyRecords(records);
   }
 
   async function callPeer(peer: string): Promise<void> {
     const before = state.getRevision();
-    // Pages of an unfinished first read contain recent revisions while most keys are still unknown.
-    const after = options.getSeenRevision() > 0 ? before : reportedRevision;
+    const seen = options.getSeenRevision();
+    // Pages of an unfinished read of an era contain recent revisions while others are still unknown.
+    const isReadComplete = seen > 0 && getEra(before) === getEra(seen);
+    const after = isReadComplete ? before : Math.max(seen, reportedRevision);
     const outcome = await client.readRecords(peer, after);
     if (outcome.kind === 'failed' || outcome.records.length === 0) return;
     applyUpdates(outcome.records);
@@ -69,8 +73,9 @@
     logEvent(Events.LEARNED_FROM_PEER, {
       peer,
       records: outcome.records.length,
-      before,
-      after: state.getRevision(),
+      before: getNumber(before),
+      after: getNumber(state.getRevision()),
+      era: getEra(state.getRevision()),
     });
   }
 
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -16,6 +16,7 @@
 import * as PeerServers from './peerServer';
 import * as PeerUpdates from './peerUpdates';
 import * as Registrations from './registration';
+import type { RouterEntry } from './routerEntry';
 import * as StoreFollowers from './storeFollower';
 import * as ZoneReaders from './zoneReaders';
 
@@ -39,8 +40,25 @@
  */
 const MIN_OUTAGE_MS = 1_000;
 
+const { getEra, getNumber } = Kernel.Revisions;
+
 export type DirectorySettings = Readonly<Zod.infer<typeof settingsSchema>>;
 
+/**
+ * Routers of the local zone come first: they respond fastest and remain reachable when the zone is cut off.
+ */
+function sortByDistance(
+  routers: readonly RouterEntry[],
+  zone: string,
+  nextRandom: () => number,
+): readonly string[] {
+  return routers
+    .map((router) => ({ router, rank: nextRandom() }))
+    .map(({ router, rank }) => ({ router, rank: router.zone === zone ? rank : 1 + rank }))
+    .sort((left, right) => left.rank - right.rank)
+    .map(({ router }) => router.address);
+}
+
 function createInstance(context: PluginContext, settings: DirectorySettings): PluginInstance {
   const { clock, logEvent, nextRandom } = context;
   const wire = context.getCapability('wire');
@@ -114,22 +132,11 @@
     return [...peers];
   }
 
-  /**
-   * Routers of the local zone come first: they respond fastest and remain reachable when the zone
-   * is cut off.
-   */
-  function listNearest(): readonly string[] {
-    const { zone } = context.process;
-    const others = state.listRouters().filter(({ address }) => address !== ownAddress);
-    const ranked = others.map((router) => ({ router, rank: nextRandom() }));
-    return ranked
-      .map(({ router, rank }) => ({ router, rank: router.zone === zone ? rank : 1 + rank }))
-      .sort((left, right) => left.rank - right.rank)
-      .map(({ router }) => router.address);
-  }
-
   const peers: RouterPeers = {
-    listNearest,
+    listNearest: () => {
+      const others = state.listRouters().filter(({ address }) => address !== ownAddress);
+      return sortByDistance(others, context.process.zone, nextRandom);
+    },
     borrowRetryQuota: client.acquireRetryQuota,
     setRetryQuotaLender(grantQuota) {
       grantRetryQuota = grantQuota;
@@ -162,7 +169,10 @@
       running = Promise.all([
         follower.run(stopping.signal),
         peerUpdates.run(stopping.signal),
-        Registrations.runRegistration({ store, clock, key: ownKey, entry }, stopping.signal),
+        Registrations.runRegistration(
+          { store, clock, key: ownKey, entry, getEra: () => getEra(state.getRevision()) },
+          stopping.signal,
+        ),
       ]);
     },
     async stop() {
@@ -172,7 +182,8 @@
     },
     dumpState: () => ({
       isConnected: follower.isConnected(),
-      revision: state.getRevision(),
+      era: getEra(state.getRevision()),
+      revision: getNumber(state.getRevision()),
       peers: listPeers().length,
       reader: zoneReaders.chooseReader(),
       ageMs: Math.round(follower.getAgeMs()),
--- a/packages/sequoiarill-plugin-directory/src/recordCache.ts
+++ b/packages/sequoiarill-plugin-directory/src/recordCache.ts
@@ -12,6 +12,9 @@
 export interface RecordCache {
   /** Returns false if the record is not newer than the cached one of its key. */
   readonly addRecord: (record: DirectoryRecord) => boolean;
+  /** Caches the record in place of any other of its key. */
+  readonly setRecord: (record: DirectoryRecord) => void;
+  readonly findRecord: (key: string) => DirectoryRecord | undefined;
   /** Highest revision among the added records. */
   readonly getRevision: () => number;
   /** Keys under a prefix that have a value. */
@@ -42,19 +45,26 @@
     }
   }
 
+  function setRecord(record: DirectoryRecord): void {
+    const existing = records.get(record.key);
+    if (existing !== undefined && existing.value === undefined) tombstoneCount -= 1;
+    if (record.value === undefined) tombstoneCount += 1;
+    // Moves the key to the end, so that the oldest tombstones come first.
+    records.delete(record.key);
+    records.set(record.key, record);
+    revision = Math.max(revision, record.revision);
+    removeOldTombstones();
+  }
+
   return {
     addRecord(record) {
       const existing = records.get(record.key);
       if (existing !== undefined && existing.revision >= record.revision) return false;
-      if (existing !== undefined && existing.value === undefined) tombstoneCount -= 1;
-      if (record.value === undefined) tombstoneCount += 1;
-      // Moves the key to the end, so that the oldest tombstones come first.
-      records.delete(record.key);
-      records.set(record.key, record);
-      revision = Math.max(revision, record.revision);
-      removeOldTombstones();
+      setRecord(record);
       return true;
     },
+    setRecord,
+    findRecord: (key) => records.get(key),
     getRevision: () => revision,
     listEntries: (prefix) =>
       [...records.values()].flatMap(({ key, revision: recordRevision, value }) =>
--- a/packages/sequoiarill-plugin-directory/src/registration.ts
+++ b/packages/sequoiarill-plugin-directory/src/registration.ts
@@ -9,6 +9,8 @@
   readonly clock: Clock;
   readonly key: string;
   readonly entry: RouterEntry;
+  /** Era of the store that is known now. */
+  readonly getEra: () => number;
 }
 
 /**
@@ -18,14 +20,29 @@
 /** Two renewals may fail before the lease expires. */
 const REFRESH_MS = 6_000;
 const RETRY_MS = 2_000;
+/** How often a wait checks whether the store was restored. */
+const ERA_CHECK_MS = 400;
 
 export async function runRegistration(
   options: RegistrationOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { store, clock, key, entry } = options;
+  const { store, clock, key, entry, getEra } = options;
   let leaseId: string | undefined;
 
+  /**
+   * Failure: the store is restored from a copy that lacks the entry of this router or its lease, and gives
+   * the id of the lease to another one. So the entry is written again, with a lease of the new era.
+   */
+  async function waitUntilDue(ms: number): Promise<void> {
+    const era = getEra();
+    const untilMs = clock.getNowMs() + ms;
+    while (!signal.aborted && getEra() === era && clock.getNowMs() < untilMs) {
+      await clock.waitMs(Math.min(ERA_CHECK_MS, untilMs - clock.getNowMs()), signal);
+    }
+    if (getEra() !== era) leaseId = undefined;
+  }
+
   async function writeEntry(): Promise<boolean> {
     const lease = await store.grantLease(LEASE_SECONDS);
     if (lease.kind !== 'granted') return false;
@@ -44,7 +61,7 @@
 
   while (!signal.aborted) {
     const hasSucceeded = leaseId === undefined ? await writeEntry() : await renewLease(leaseId);
-    await clock.waitMs(hasSucceeded ? REFRESH_MS : RETRY_MS, signal);
+    await waitUntilDue(hasSucceeded ? REFRESH_MS : RETRY_MS);
   }
   if (leaseId !== undefined) await store.revokeLease(leaseId);
 }
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -2,14 +2,20 @@
  * Follows the store: reads everything once, then watches from there, or queries a reader of the
  * zone that does so.
  */
+import * as Kernel from '@sequoiarill/kernel';
 import type { Clock, KeyValueStore, LogEvent, WatchEvent } from '@sequoiarill/types';
 
+import * as DelayedRemovals from './delayedRemovals';
 import type { DirectoryState } from './directoryState';
+import * as EraSweeps from './eraSweep';
 import * as Events from './events';
 import * as FullReads from './fullRead';
 import type { RecordsOutcome } from './peerMessages';
 import type { DirectoryRecord } from './recordCache';
 
+const { getEra, splitRevision } = Kernel.Revisions;
+const { REREGISTRATION_MS } = DelayedRemovals;
+
 export interface StoreFollowerOptions {
   readonly store: KeyValueStore;
   readonly state: DirectoryState;
@@ -72,13 +78,21 @@
 /** First and longest wait after a failed call. It doubles in between, and half of it is random. */
 const MIN_RETRY_MS = 150;
 const MAX_RETRY_MS = 1_200;
-/**
- * About this long after the store responds again, running targets have written their entries again.
- */
-export const REREGISTRATION_MS = 2_300;
 /** Shorter interruptions do not count as an outage. */
 const MIN_OUTAGE_MS = 1_000;
 
+function computeRetryWaitMs(failures: number, random: number): number {
+  return Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** failures) * (0.5 + random / 2);
+}
+
+/** Why a reader must not be queried any more; undefined for a usable response. */
+function decideReaderFailure(outcome: RecordsOutcome, seenRevision: number): string | undefined {
+  if (outcome.kind === 'failed') return outcome.reason;
+  if (outcome.ageMs >= MAX_READER_AGE_MS) return 'its state is out of date';
+  const isBehind = getEra(outcome.seenRevision) < getEra(seenRevision);
+  return isBehind ? 'it does not know yet that the store was restored' : undefined;
+}
+
 export function createStoreFollower(options: StoreFollowerOptions): StoreFollower {
   const { store, state, clock, logEvent } = options;
   const fullRead = FullReads.createFullRead(store, state, WATCHED_PREFIX);
@@ -87,6 +101,7 @@
   /** All changes up to this revision were seen. */
   let seenRevision = 0;
   let hasCompletedRead = false;
+  const eraSweep = EraSweeps.createEraSweep(state);
   /** Whether everything must be read before a watch can continue. */
   let isFullReadDue = true;
   /** Time as of which `seenRevision` was the newest revision. */
@@ -96,7 +111,7 @@
     lastFailureReason = reason;
     if (lostSinceMs !== undefined) return;
     lostSinceMs = clock.getNowMs();
-    logEvent(Events.STORE_LOST, { revision: seenRevision, reason });
+    logEvent(Events.STORE_LOST, { ...splitRevision(seenRevision), reason });
   }
 
   function markFresh(ageMs = 0): void {
@@ -123,6 +138,7 @@
     markConnected();
     if (result.kind === 'more') return 'more';
     seenRevision = Math.max(seenRevision, result.revision);
+    eraSweep.markRead(seenRevision);
     hasCompletedRead = true;
     markFresh();
     return 'complete';
@@ -150,7 +166,7 @@
       markConnected();
       markFresh();
       if (event.kind === 'compacted') {
-        logEvent(Events.HISTORY_GONE, { revision: seenRevision });
+        logEvent(Events.HISTORY_GONE, splitRevision(seenRevision));
         return 'compacted';
       }
       applyChanges(event);
@@ -167,15 +183,15 @@
   async function runReaderPolling(reader: string, signal: AbortSignal): Promise<void> {
     while (!signal.aborted && options.chooseReader() === reader) {
       const outcome = await options.readPeer(reader, seenRevision, READER_QUERY_WAIT_MS);
-      if (outcome.kind === 'failed' || outcome.ageMs >= MAX_READER_AGE_MS) {
-        const reason = outcome.kind === 'failed' ? outcome.reason : 'its state is out of date';
-        logEvent(Events.READER_LEFT, { reader, revision: seenRevision, reason });
+      const reason = decideReaderFailure(outcome, seenRevision);
+      if (outcome.kind === 'failed' || reason !== undefined) {
+        logEvent(Events.READER_LEFT, { reader, ...splitRevision(seenRevision), reason });
         options.recordReaderFailure(reader);
         return;
       }
       markConnected();
       markFresh(outcome.ageMs);
-      state.applyRecords(outcome.records);
+      eraSweep.applyOutcome(outcome);
       seenRevision = Math.max(seenRevision, outcome.seenRevision);
       state.removeDueTargets();
       if (outcome.records.length > 0) await clock.waitMs(BATCH_PAUSE_MS, signal);
@@ -183,8 +199,7 @@
   }
 
   async function waitToRetry(failures: number, signal: AbortSignal): Promise<void> {
-    const waitMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** failures);
-    await clock.waitMs(waitMs * (0.5 + options.nextRandom() / 2), signal);
+    await clock.waitMs(computeRetryWaitMs(failures, options.nextRandom()), signal);
     state.removeDueTargets();
   }
 
--- a/packages/sequoiarill-types/src/keyValue.ts
+++ b/packages/sequoiarill-types/src/keyValue.ts
@@ -1,4 +1,7 @@
-/** Interface to the platform's key-value store. */
+/**
+ * Interface to the platform's key-value store. Revisions order all changes, also where the store was restored
+ * from an older copy of itself.
+ */
 
 export interface KeyValueEntry {
   readonly key: string;
