Keep roll-outs that a restored store has lost or numbers anew

An order of before the copy gets a revision of the new era: it looked new, and a completed roll-out would have begun again. A state that the copy lacks was compared with the revision it had had, so that no further step would have been written. An order counts as the same where its number is, and a lost state is written as a new key. An order that the operator writes again gets a number of its own and is carried out from its first phase; that is a known limit.

--- a/packages/sequoiarill-plugin-rollouts/src/localRolloutState.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/localRolloutState.ts
@@ -1,10 +1,13 @@
 /** In-memory state of one roll-out order on one router: its answer counts, reports and guidance received. */
+import * as Kernel from '@sequoiarill/kernel';
 import type { RolloutGuidance } from '@sequoiarill/types';
 
 import * as AnswerTallies from './answerTallies';
 import * as ReportRegistries from './reportRegistry';
 import type { RolloutView } from './rolloutViews';
 
+const { isSameChange } = Kernel.Revisions;
+
 export interface LocalRolloutState {
   readonly orderRevision: number;
   readonly tallies: AnswerTallies.AnswerTallies;
@@ -37,7 +40,9 @@
     get({ service, order }: Pick<RolloutView, 'service' | 'order'>): LocalRolloutState | undefined {
       if (order === undefined) return undefined;
       const existing = states.get(service);
-      if (existing?.orderRevision === order.revision) return existing;
+      const isOfOrder =
+        existing !== undefined && isSameChange(existing.orderRevision, order.revision);
+      if (isOfOrder) return existing;
       const state = createState(order.revision, order.readAtMs);
       states.set(service, state);
       return state;
--- a/packages/sequoiarill-plugin-rollouts/src/plugin.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/plugin.ts
@@ -1,5 +1,6 @@
 /** Plug-in `rollouts`: decides which versions of a service get requests. */
 import * as Decisions from '@sequoiarill/decisions';
+import * as Kernel from '@sequoiarill/kernel';
 import type { DecideRolloutStep, RolloutSplit } from '@sequoiarill/decisions';
 import type {
   ForwardingTarget,
@@ -138,7 +139,9 @@
       const { phase, share, fromVersion, toVersion } = split;
       if (record !== undefined) {
         const localState = localStates.get(view);
-        const isOfOrder = record.orderRevision === order?.revision;
+        const isOfOrder =
+          order !== undefined &&
+          Kernel.Revisions.isSameChange(record.orderRevision, order.revision);
         const sinceMs = clock.getNowMs() - record.readAtMs;
         if (localState !== undefined && isOfOrder) {
           LocalRolloutStates.recordElapsed(
--- a/packages/sequoiarill-plugin-rollouts/src/rolloutRecord.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/rolloutRecord.ts
@@ -1,4 +1,5 @@
 /** State of a roll-out in the store, from which any router can continue it. */
+import * as Kernel from '@sequoiarill/kernel';
 import * as Zod from 'zod';
 
 const recordSchema = Zod.object({
@@ -25,7 +26,8 @@
 ): boolean {
   if (left === undefined || right === undefined) return left === right;
   const { orderRevision, phase, share } = left;
-  return orderRevision === right.orderRevision && phase === right.phase && share === right.share;
+  const isOfOrder = Kernel.Revisions.isSameChange(orderRevision, right.orderRevision);
+  return isOfOrder && phase === right.phase && share === right.share;
 }
 
 /** Returns undefined for a text that is not a valid record. */
--- a/packages/sequoiarill-plugin-rollouts/src/rolloutRunner.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/rolloutRunner.ts
@@ -1,5 +1,6 @@
 /** Reports this router's counts of each roll-out, and evaluates the roll-outs for which it ranks first. */
 import * as Decisions from '@sequoiarill/decisions';
+import * as Kernel from '@sequoiarill/kernel';
 import type {
   Clock,
   Directory,
@@ -36,6 +37,7 @@
 const EVALUATOR_EXCLUSION_MS = 3_000;
 /** Pause between two evaluations on one router, and before a failed report goes to another router. */
 const EVALUATION_INTERVAL_MS = 200;
+const { isSameChange } = Kernel.Revisions;
 const NO_GUIDANCE: RolloutGuidance = { isHalted: false, avoided: [] };
 
 export function createRolloutRunner(options: RolloutRunnerOptions) {
@@ -129,7 +131,9 @@
     handleReport(report: RolloutReport): RolloutGuidance {
       const view = views.get(report.service);
       const local = view === undefined ? undefined : options.getLocalState(view);
-      if (local === undefined || local.orderRevision !== report.orderRevision) return NO_GUIDANCE;
+      if (local === undefined || !isSameChange(local.orderRevision, report.orderRevision)) {
+        return NO_GUIDANCE;
+      }
       addReport(local, report);
       const key = `${options.recordPrefix}${report.service}`;
       const state = directory.listEntries(key).find((entry) => entry.key === key);
--- a/packages/sequoiarill-plugin-rollouts/src/rolloutViews.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/rolloutViews.ts
@@ -1,5 +1,6 @@
 /** View of each service's roll-out from the directory: its order, its state and the resulting split. */
 import * as Decisions from '@sequoiarill/decisions';
+import * as Kernel from '@sequoiarill/kernel';
 import type { RolloutSplit } from '@sequoiarill/decisions';
 import type {
   Directory,
@@ -15,6 +16,8 @@
 import * as RolloutRecords from './rolloutRecord';
 import type { RolloutRecord } from './rolloutRecord';
 
+const { isSameChange } = Kernel.Revisions;
+
 export interface ObservedOrder extends RolloutOrder {
   readonly key: string;
   readonly revision: number;
@@ -68,12 +71,19 @@
   return record.phase === 'completed' ? record.toVersion : record.fromVersion;
 }
 
+/** Whether the record is of this order or of a later one. */
+function isHandled(order: ObservedOrder, record: ObservedRecord | undefined): boolean {
+  if (record === undefined) return false;
+  const { orderRevision } = record;
+  return orderRevision >= order.revision || isSameChange(orderRevision, order.revision);
+}
+
 function buildSplit(
   order: ObservedOrder | undefined,
   record: ObservedRecord | undefined,
   targets: readonly ForwardingTarget[],
 ): RolloutSplit | undefined {
-  const isOrderHandled = order === undefined || (record?.orderRevision ?? -1) >= order.revision;
+  const isOrderHandled = order === undefined || isHandled(order, record);
   if (record !== undefined && isOrderHandled) {
     const { fromVersion, toVersion, share } = record;
     // The order was withdrawn before its end: the new version gets no more requests.
@@ -112,6 +122,17 @@
     if (record !== undefined) records.set(service, { ...record, revision, readAtMs: getNowMs() });
   }
 
+  /**
+   * Failure: the store is restored from a copy that lacks a state, and no step is written any more, since each
+   * would compare the revision that the state had. The state itself stays in force.
+   */
+  function markLostRecords(presentKeys: ReadonlySet<string>): void {
+    for (const [service, record] of records) {
+      const isLost = !presentKeys.has(`${recordPrefix}${service}`);
+      if (isLost && record.revision !== 0) records.set(service, { ...record, revision: 0 });
+    }
+  }
+
   function buildView(service: string): readonly [string, RolloutView] | undefined {
     const order = orders.get(service);
     const record = records.get(service);
@@ -125,7 +146,9 @@
     update() {
       const stored = directory.listEntries(wire.rolloutPrefix);
       stored.forEach(applyOrder);
-      directory.listEntries(recordPrefix).forEach(applyRecord);
+      const storedRecords = directory.listEntries(recordPrefix);
+      storedRecords.forEach(applyRecord);
+      markLostRecords(new Set(storedRecords.map(({ key }) => key)));
       const presentKeys = new Set(stored.map(({ key }) => key));
       for (const [service, { key }] of orders) if (!presentKeys.has(key)) orders.delete(service);
       const services = new Set([...orders.keys(), ...records.keys()]);
