Pause between full reads of a store without history

A watch that finds no history within half a second of a full read is now followed by the wait of a failed call.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/restoredStore.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/restoredStore.test.ts
@@ -1,13 +1,14 @@
 import { describe, it } from 'node:test';
 
 import * as Kernel from '@sequoiarill/kernel';
-import type { KeyValuePage } from '@sequoiarill/types';
+import type { KeyValuePage, KeyValueStore } from '@sequoiarill/types';
 import { expect } from 'earl';
 
 import * as DirectoryStates from '../directoryState';
 import * as EraSweeps from '../eraSweep';
 import * as FullReads from '../fullRead';
 import * as PeerMessages from '../peerMessages';
+import * as StoreFollowers from '../storeFollower';
 import * as Fixtures from './fixtures';
 
 const { buildRevision } = Kernel.Revisions;
@@ -149,6 +150,41 @@
     const last = await fullRead.readNextPage();
     expect(last).toEqual({ kind: 'complete', revision: buildRevision(2, 46) });
   });
+
+  it('is not repeated without a pause when no history follows it', async () => {
+    // Guards against dozens of full reads a second at each router of a store without history.
+    const { state, clock, log } = createState();
+    let reads = 0;
+    const store: Pick<KeyValueStore, 'readPage' | 'watchPrefix'> = {
+      async readPage() {
+        reads += 1;
+        await clock.waitMs(5);
+        return { kind: 'page', revision: 9, entries: [], hasMore: false };
+      },
+      async *watchPrefix() {
+        await clock.waitMs(5);
+        yield { kind: 'compacted', oldestRevision: 10 };
+      },
+    };
+    const follower = StoreFollowers.createStoreFollower({
+      store: store as KeyValueStore,
+      state,
+      clock,
+      logEvent: log.logEvent,
+      nextRandom: () => 0.5,
+      chooseReader: () => undefined,
+      recordReaderFailure: () => undefined,
+      readPeer: async () => ({ kind: 'failed', reason: 'no peer' }),
+      getWatchWaitMs: () => undefined,
+    });
+    const stop = new AbortController();
+    const running = follower.run(stop.signal);
+    await clock.runFor(10_000);
+    expect(reads).toBeLessThan(110);
+    stop.abort();
+    await clock.runFor(1_000);
+    await running;
+  });
 });
 
 describe('messages between routers', () => {
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -78,6 +78,11 @@
 /** First and longest wait after a failed call. It doubles in between, and half of it is random. */
 const MIN_RETRY_MS = 150;
 const MAX_RETRY_MS = 1_200;
+/**
+ * A watch that finds no history sooner after a full read is followed by a wait: full reads in a loop would use
+ * up the links and the calls of all routers.
+ */
+const MIN_FULL_READ_INTERVAL_MS = 500;
 /** Shorter interruptions do not count as an outage. */
 const MIN_OUTAGE_MS = 1_000;
 
@@ -101,6 +106,7 @@
   /** All changes up to this revision were seen. */
   let seenRevision = 0;
   let hasCompletedRead = false;
+  let fullReadAtMs = Number.NEGATIVE_INFINITY;
   const eraSweep = EraSweeps.createEraSweep(state);
   /** Whether everything must be read before a watch can continue. */
   let isFullReadDue = true;
@@ -138,6 +144,7 @@
     markConnected();
     if (result.kind === 'more') return 'more';
     seenRevision = Math.max(seenRevision, result.revision);
+    fullReadAtMs = clock.getNowMs();
     eraSweep.markRead(seenRevision);
     hasCompletedRead = true;
     markFresh();
@@ -218,7 +225,8 @@
     const result = await runWatch(signal);
     isFullReadDue = result === 'compacted';
     if (result === 'ended' && !signal.aborted) markLost('a watch got no response');
-    return result === 'ended' ? 'retry' : 'next';
+    const isTooSoon = clock.getNowMs() - fullReadAtMs < MIN_FULL_READ_INTERVAL_MS;
+    return result === 'ended' || (isFullReadDue && isTooSoon) ? 'retry' : 'next';
   }
 
   async function run(signal: AbortSignal): Promise<void> {
