Hand no stream over to an engine that rests

A stream of a version that stops is handed over once another engine holds its copy. That engine may have asked for rest, would not be sent the run, and the prompt would be read again elsewhere. Found by looking where else the choice of a target is passed by; the stream now stays until the holder takes requests.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -2,6 +2,7 @@
  * Relays the events of one attempt, each exactly once, and monitors the copy of the run meanwhile.
  */
 import * as Checks from '../answers/answerChecks';
+import * as Placement from '../answers/placement';
 import type { EventBlock } from './eventBlocks';
 import type { AnswerHead, ForwardRequest } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
@@ -118,6 +119,7 @@
   const copy = monitor.getCopy();
   const holder = copy === undefined ? undefined : dependencies.directory.findCurrent(copy.holder);
   if (holder?.state !== 'ready' || dependencies.rollouts.isLeaving(holder)) return false;
+  if (!Placement.isAvailable(dependencies, holder)) return false;
   return dependencies.getBudget(request.service).getBalance(dependencies.clock.getNowMs()) >= 1;
 }
 
