Know the era of a store whose copy is empty

The era was taken from the records of the store. A copy without any record left it unknown: routers did not write their own entries again, and each full read counted as one more restore.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/restoredStore.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/restoredStore.test.ts
@@ -113,6 +113,17 @@
     expect(listIds(state)).toEqual(['one']);
   });
 
+  it('is known as restored once, also if the copy is empty', () => {
+    // Guards against a router that does not write its own entry again into an empty store.
+    const { state, log } = createState();
+    state.applyRecords([createRouter('10.0.1.1:1', 1, 52)]);
+    state.applySnapshot([], buildRevision(2, 1));
+    state.applySnapshot([], buildRevision(2, 2));
+    expect(state.getEra()).toEqual(2);
+    const restored = log.listNames().filter((name) => name === 'directory.storeRestored');
+    expect(restored.length).toEqual(1);
+  });
+
   it('removes what neither the store nor the reader knows, after the reader has read all', async () => {
     // Guards against targets that a router keeps for ever because its reader never knew them.
     const { state, clock } = createState();
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -33,6 +33,8 @@
   readonly removeDueTargets: () => void;
   /** Highest revision among the applied records. */
   readonly getRevision: () => number;
+  /** Latest era of the store that a record or a snapshot has shown. */
+  readonly getEra: () => number;
   /** Entries that routers wrote about themselves. */
   readonly listRouters: () => readonly RouterEntry[];
   readonly listRecordsAfter: (revision: number) => readonly DirectoryRecord[];
@@ -56,6 +58,7 @@
   const listeners = new Set<() => void>();
   const routers = new Map<string, RouterEntry>();
   let targetsByService: ReadonlyMap<string, readonly ForwardingTarget[]> = new Map();
+  let knownEra = 0;
   const deferred = DeferredRecords.createDeferredRecords();
 
   function applyRouter({ key, value }: DirectoryRecord): void {
@@ -101,10 +104,11 @@
    * their targets run. They write them again, as after an outage.
    */
   function checkEra(records: readonly DirectoryRecord[]): void {
-    const knownRevision = recordCache.getRevision();
-    const revision = Math.max(0, ...records.map((record) => record.revision));
-    if (knownRevision === 0 || getEra(revision) <= getEra(knownRevision)) return;
-    logEvent(Events.STORE_RESTORED, { era: getEra(revision), before: getEra(knownRevision) });
+    const era = Math.max(knownEra, ...records.map(({ revision }) => getEra(revision)));
+    const before = knownEra;
+    knownEra = era;
+    if (recordCache.getRevision() === 0 || era === before) return;
+    logEvent(Events.STORE_RESTORED, { era, before });
     targets.delayRemovalsUntil(getNowMs() + DelayedRemovals.REREGISTRATION_MS);
   }
 
@@ -158,6 +162,7 @@
       if (targets.removeDue()) reportChange();
     },
     getRevision: recordCache.getRevision,
+    getEra: () => knownEra,
     listRouters: () => [...routers.values()],
     listRecordsAfter: recordCache.listRecordsAfter,
   };
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -40,7 +40,7 @@
  */
 const MIN_OUTAGE_MS = 1_000;
 
-const { getEra, getNumber } = Kernel.Revisions;
+const { getNumber } = Kernel.Revisions;
 
 export type DirectorySettings = Readonly<Zod.infer<typeof settingsSchema>>;
 
@@ -170,7 +170,7 @@
         follower.run(stopping.signal),
         peerUpdates.run(stopping.signal),
         Registrations.runRegistration(
-          { store, clock, key: ownKey, entry, getEra: () => getEra(state.getRevision()) },
+          { store, clock, key: ownKey, entry, getEra: state.getEra },
           stopping.signal,
         ),
       ]);
@@ -182,7 +182,7 @@
     },
     dumpState: () => ({
       isConnected: follower.isConnected(),
-      era: getEra(state.getRevision()),
+      era: state.getEra(),
       revision: getNumber(state.getRevision()),
       peers: listPeers().length,
       reader: zoneReaders.chooseReader(),
