--- a/packages/sequoiarill-standins/src/userPlatform/documents.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/documents.ts
@@ -133,6 +133,19 @@
   };
 }
 
+const SIGNATURE_PREFIX = 'signed by ';
+
+export function formatSignature(target: string): string {
+  return `${SIGNATURE_PREFIX}${target}`;
+}
+
+/** The target that signed the answer and says in it that it leaves. */
+export function findLeavingTarget(headers: IncomingHttpHeaders): string | undefined {
+  const signature = headers['server-signature'];
+  if (headers['server-leaving'] !== '1' || typeof signature !== 'string') return undefined;
+  return signature.slice(SIGNATURE_PREFIX.length);
+}
+
 /** Whether an answer carries a target's signature. */
 export function hasSignature(headers: IncomingHttpHeaders): boolean {
   return headers['server-signature'] !== undefined;
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -4,6 +4,7 @@
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 
 import * as Servers from '../shared/server';
+import * as Documents from './documents';
 
 export type TargetFault =
   | 'none'
@@ -110,7 +111,7 @@
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'request-id': requestId,
-      'server-signature': `signed by ${id}`,
+      'server-signature': Documents.formatSignature(id),
     });
     for (let number = from; number <= eventCount; number += 1) {
       await waitMs(EVENT_MS);
@@ -132,7 +133,11 @@
       announcedLimitPerSecond === undefined
         ? {}
         : { 'server-limit': String(announcedLimitPerSecond) };
-    const headers = { 'request-id': requestId, 'server-signature': `signed by ${id}`, ...limit };
+    const headers = {
+      'request-id': requestId,
+      'server-signature': Documents.formatSignature(id),
+      ...limit,
+    };
     if (fault === 'serverError') {
       response.writeHead(500, { ...headers, 'content-length': 0 }).end();
       return;
--- a/soak/src/__tests__/checks.test.ts
+++ b/soak/src/__tests__/checks.test.ts
@@ -21,7 +21,8 @@
   overrides: Partial<SentRequest> & { readonly id: string },
   result: Partial<Extract<CallerResult, { kind: 'answer' }>>,
 ): void {
-  const request = { kind: 'order' as const, router: 0, body: 'b', fromEvent: 1, ...overrides };
+  const sending = { router: 0, incarnation: 1, sentAtMs: 0 };
+  const request = { ...sending, kind: 'order' as const, body: 'b', fromEvent: 1, ...overrides };
   requestLog.requests.set(request.id, request);
   const answer = {
     kind: 'answer' as const,
@@ -98,7 +99,12 @@
     requestLog.probes.push(
       createProbe({ version: 3, status: 404, atMs: 9_000, writtenAtMs: 6_000 }),
     );
-    requestLog.disturbances.push({ router: 0, fromMs: 1_000, untilMs: 3_500 });
+    requestLog.disturbances.push({
+      router: 0,
+      fromMs: 1_000,
+      untilMs: 3_500,
+      isOfProcess: false,
+    });
     expect(listRules(requestLog)).toEqual([]);
   });
 
@@ -119,4 +125,23 @@
     expect(schedule.length).toBeGreaterThan(20);
     expect(schedule.every(({ atMs }) => atMs < 20_000)).toEqual(true);
   });
+
+  it('report a request to a target that had said that it leaves, unless its router was restarted', () => {
+    const requestLog = RequestLogs.createRequestLog();
+    requestLog.leavingAnswers.push({ target: 't1', router: 0, incarnation: 1, atMs: 1_000 });
+    const sentAtMs = 3_001;
+    addRequest(requestLog, { id: 'o1', sentAtMs }, { text: 'o1 got b' });
+    addRequest(requestLog, { id: 'o2', sentAtMs, incarnation: 2 }, { text: 'o2 got b' });
+    addRequest(requestLog, { id: 'o3', sentAtMs, router: 1 }, { text: 'o3 got b' });
+    expect(
+      listRules(
+        requestLog,
+        ['o2', 'o3'].map((id) => createRun(id)),
+      ),
+    ).toEqual([]);
+    expect(listRules(requestLog, [createRun('o1')])).toEqual(['leavingAnswer']);
+    const fault = { router: 0, fromMs: 2_000, untilMs: 2_500, isOfProcess: true };
+    requestLog.disturbances.push(fault);
+    expect(listRules(requestLog, [createRun('o1')])).toEqual([]);
+  });
 });
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -59,6 +59,20 @@
   };
 }
 
+/** The rest of a broken stream after the last event that arrived completely; undefined if none is due. */
+function findRest(
+  sent: SentRequest,
+  result: CallerResult,
+  eventCount: number,
+): Pick<SentRequest, 'id' | 'fromEvent'> | undefined {
+  if (sent.kind !== 'stream' || result.kind !== 'answer' || result.isComplete) return undefined;
+  if (sent.id.includes('.')) return undefined;
+  const received = [...result.text.matchAll(/^id: (\d+)\ndata: .*\n\n/gm)].length;
+  const fromEvent = sent.fromEvent + received;
+  if (fromEvent > eventCount || received === 0) return undefined;
+  return { id: `${sent.id}.rest`, fromEvent };
+}
+
 export function createCallers(options: CallersOptions) {
   const { routers, requestLog, random, eventCount } = options;
   const agent = new Undici.Agent({ connections: 16, pipelining: 1 });
@@ -70,6 +84,11 @@
     return router;
   }
 
+  function createSending(router: number) {
+    const incarnation = getRouter(router).getIncarnation();
+    return { router, incarnation, sentAtMs: performance.now() };
+  }
+
   async function sendRequest(request: SentRequest, timeoutMs: number): Promise<CallerResult> {
     const { id, kind, body, fromEvent } = request;
     const path = { stream: '/advice/x', order: '/orders/x', read: '/reads/x' }[kind];
@@ -96,6 +115,7 @@
           },
         },
       );
+      recordLeaving(request, answer);
       return await readAnswer(answer);
     } catch {
       // The connection was refused or reset, or the request timed out before the headers arrived.
@@ -103,15 +123,13 @@
     }
   }
 
-  /** Resumes a broken stream once, at another router, after the last event that arrived completely. */
-  function createContinuation(sent: SentRequest, result: CallerResult): SentRequest | undefined {
-    if (sent.kind !== 'stream' || result.kind !== 'answer' || result.isComplete) return undefined;
-    if (sent.id.includes('.')) return undefined;
-    const received = [...result.text.matchAll(/^id: (\d+)\ndata: .*\n\n/gm)].length;
-    const fromEvent = sent.fromEvent + received;
-    if (fromEvent > eventCount || received === 0) return undefined;
-    const router = (sent.router + 1) % routers.length;
-    return { ...sent, id: `${sent.id}.rest`, router, fromEvent };
+  function recordLeaving(
+    { router, incarnation }: SentRequest,
+    { headers }: Undici.Dispatcher.ResponseData,
+  ): void {
+    const target = Standins.findLeavingTarget(headers);
+    if (target === undefined || getRouter(router).getIncarnation() !== incarnation) return;
+    requestLog.leavingAnswers.push({ target, router, incarnation, atMs: performance.now() });
   }
 
   async function runNextRequest(): Promise<void> {
@@ -119,15 +137,19 @@
     const kind = random.pickOne(['stream', 'stream', 'order', 'order', 'read'] as const);
     const router = random.pickBetween(0, routers.length - 1);
     const id = `r${requestCount}`;
-    const request = { id, kind, router, body: `body of ${id}`, fromEvent: 1 };
+    const sending = createSending(router);
+    const request = { ...sending, id, kind, body: `body of ${id}`, fromEvent: 1 };
     const isAbandoned = random.next() < ABANDON_SHARE;
     const result = await sendRequest(
       request,
       isAbandoned ? random.pickBetween(...ABANDON_AFTER_MS) : TIMEOUT_MS,
     );
     requestLog.results.set(id, result);
-    const next = isAbandoned ? undefined : createContinuation(request, result);
-    if (next !== undefined) requestLog.results.set(next.id, await sendRequest(next, TIMEOUT_MS));
+    const rest = isAbandoned ? undefined : findRest(request, result, eventCount);
+    if (rest === undefined) return;
+    // Another router, as a balancer would choose for a new connection.
+    const next = { ...request, ...createSending((router + 1) % routers.length), ...rest };
+    requestLog.results.set(next.id, await sendRequest(next, TIMEOUT_MS));
   }
 
   async function sendProbe(
--- a/soak/src/checks.ts
+++ b/soak/src/checks.ts
@@ -28,6 +28,8 @@
 const IN_FORCE_LIMIT_MS = 2_000;
 /** Time for which new requests may still reach a target after it announced that it leaves. */
 const LEAVING_LIMIT_MS = 3_000;
+/** The same after an answer of the target has said so. */
+const LEAVING_ANSWER_LIMIT_MS = 2_000;
 const OK = 200;
 const NOT_FOUND = 404;
 const UNAUTHORISED = 401;
@@ -159,8 +161,27 @@
   }
 }
 
+/**
+ * Checks that a target gets no request from a router later than the permitted time after that router passed on
+ * an answer saying that the target leaves. Only a fault of the router's process excuses it.
+ */
+function* checkLeavingAnswers({ requestLog, incarnations }: Evidence): Generator<Violation> {
+  for (const { target, router, incarnation, atMs } of requestLog.leavingAnswers) {
+    const runs = incarnations.find((one) => one.target === target)?.runs ?? [];
+    for (const { requestId } of runs) {
+      const request = requestLog.requests.get(requestId);
+      const isSameProcess = request?.router === router && request.incarnation === incarnation;
+      const afterMs = (request?.sentAtMs ?? 0) - atMs;
+      const wasPaused = RequestLogs.hasProcessFault(requestLog, router, atMs, atMs + afterMs);
+      if (isSameProcess && afterMs > LEAVING_ANSWER_LIMIT_MS && !wasPaused) {
+        const text = `${requestId}: sent to router ${router} ${Math.round(afterMs)} ms after it passed on that ${target} leaves, and ran there`;
+        yield { rule: 'leavingAnswer', text };
+      }
+    }
+  }
+}
+
 export function checkEvidence(evidence: Evidence): readonly Violation[] {
-  return [checkRequests, checkRuns, checkConfiguration, checkLeaving].flatMap((check) => [
-    ...check(evidence),
-  ]);
+  const checks = [checkRequests, checkRuns, checkConfiguration, checkLeaving, checkLeavingAnswers];
+  return checks.flatMap((check) => [...check(evidence)]);
 }
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -12,6 +12,9 @@
   readonly body: string;
   /** First event requested: 1, or a later one where the caller resumes a broken stream. */
   readonly fromEvent: number;
+  /** Incarnation of the router's process and time when the request was sent. */
+  readonly incarnation: number;
+  readonly sentAtMs: number;
 }
 
 export type CallerResult =
@@ -42,6 +45,14 @@
   readonly status: number;
 }
 
+/** An answer that said to a caller that its target leaves. */
+export interface LeavingAnswer {
+  readonly target: string;
+  readonly router: number;
+  readonly incarnation: number;
+  readonly atMs: number;
+}
+
 export interface Leaving {
   readonly target: string;
   readonly writtenAtMs: number;
@@ -52,6 +63,8 @@
   readonly router: number;
   readonly fromMs: number;
   untilMs: number;
+  /** Whether the process of the router itself was paused or ended. */
+  readonly isOfProcess: boolean;
 }
 
 export interface RequestLog {
@@ -59,6 +72,7 @@
   readonly results: Map<string, CallerResult>;
   readonly probes: Probe[];
   readonly leavings: Leaving[];
+  readonly leavingAnswers: LeavingAnswer[];
   readonly disturbances: Disturbance[];
 }
 
@@ -68,6 +82,7 @@
     results: new Map(),
     probes: [],
     leavings: [],
+    leavingAnswers: [],
     disturbances: [],
   };
 }
@@ -75,6 +90,19 @@
 /** Time that a router has to recover after a fault before the time limits apply to it again. */
 const RECOVERY_MS = 4_000;
 
+/** Whether a fault of the router's process lasted within the given time. */
+export function hasProcessFault(
+  { disturbances }: RequestLog,
+  router: number,
+  fromMs: number,
+  untilMs: number,
+): boolean {
+  return disturbances.some(
+    (one) =>
+      one.isOfProcess && one.router === router && one.fromMs <= untilMs && one.untilMs >= fromMs,
+  );
+}
+
 /**
  * Computes since when the time limits apply at the given time, to one router or to all of them. Infinite
  * while a fault lasts.
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -53,6 +53,12 @@
 const DOWNTIME_MS = 700;
 /** Time between a target's announcement that it leaves and its exit. */
 const LEAVE_DURATION_MS = 4_500;
+/** Time for which a store that is being restored does not answer. */
+const RESTORE_MS = 300;
+/** Time after which operators and targets have written again what a restored store lost. */
+const REWRITE_MS = 400;
+/** Rest that a target asks for. */
+const REST_SECONDS = 1.5;
 /** Time after the last fault within which every router must serve requests again. */
 const RECOVERY_MS = 5_000;
 /** Requests for each router on which the recovery check is based. */
@@ -115,12 +121,14 @@
   { requestLog }: Environment,
   routers: readonly number[],
   applyFault: () => Promise<void>,
+  isOfProcess = false,
 ): Promise<void> {
   const fromMs = performance.now();
   const disturbances = routers.map((router) => ({
     router,
     fromMs,
     untilMs: Number.POSITIVE_INFINITY,
+    isOfProcess,
   }));
   requestLog.disturbances.push(...disturbances);
   await applyFault();
@@ -146,17 +154,49 @@
   await target.restart(DOWNTIME_MS);
 }
 
+/** The store is away for a moment; operators and targets then write again what it lost. */
+async function simulateRestore(environment: Environment, ageMs: number): Promise<void> {
+  const { store, targets, versions } = environment;
+  const copy = store.takeCopy();
+  await waitMs(ageMs);
+  store.setFault('silent');
+  await waitMs(RESTORE_MS);
+  store.restoreCopy(copy);
+  store.setFault('none');
+  await waitMs(REWRITE_MS);
+  const version = versions[0]?.version ?? 0;
+  store.writeValue(Standins.CONFIGURATION_KEY, Configurations.formatConfiguration(version));
+  targets.forEach((target) => target.writeAgain());
+}
+
+async function simulateRest(target: ManagedTarget, forMs: number): Promise<void> {
+  const incarnation = target.getCurrent();
+  incarnation.setRequestedRest(REST_SECONDS);
+  incarnation.setFault('shed');
+  await waitMs(forMs);
+  incarnation.setFault('none');
+  incarnation.setRequestedRest(undefined);
+}
+
+async function simulateAnnouncement(target: ManagedTarget): Promise<void> {
+  target.getCurrent().setLeaving(true);
+  await waitMs(LEAVE_DURATION_MS);
+  await target.restart(DOWNTIME_MS);
+}
+
 async function applyTargetAction(
   environment: Environment,
   action: Action,
   forMs: number,
 ): Promise<void> {
-  if (action.kind !== 'target' && action.kind !== 'restart' && action.kind !== 'leave') return;
+  if (!('target' in action)) return;
   const target = environment.targets[action.target];
   if (target === undefined) return;
   if (action.kind === 'restart') await target.restart(DOWNTIME_MS);
   else if (action.kind === 'leave') await simulateLeaving(environment, target);
-  else {
+  else if (action.kind === 'announceLeaving') await simulateAnnouncement(target);
+  else if (action.kind === 'rest') await simulateRest(target, forMs);
+  else if (action.kind === 'target') {
     const incarnation = target.getCurrent();
     incarnation.setFault(action.fault);
     await waitMs(forMs);
@@ -168,7 +208,9 @@
   const allRouters = environment.routers.map((_router, index) => index);
   if (action.kind === 'configure') writeNextVersion(environment);
   else if (action.kind === 'compact') environment.store.compact();
-  else if (action.kind === 'store') {
+  else if (action.kind === 'restoreStore') {
+    await runDisturbed(environment, allRouters, () => simulateRestore(environment, forMs));
+  } else if (action.kind === 'store') {
     await runDisturbed(environment, allRouters, async () => {
       environment.store.setFault(action.fault);
       await waitMs(forMs);
@@ -177,10 +219,14 @@
   } else if (action.kind === 'router' || action.kind === 'storeLink') {
     const router = environment.routers[action.router];
     if (router === undefined) return;
-    await runDisturbed(environment, [action.router], () =>
-      action.kind === 'router'
-        ? applyRouterFault(router, action.fault, forMs)
-        : applyLinkFault(router.storeLink, action.fault, forMs),
+    await runDisturbed(
+      environment,
+      [action.router],
+      () =>
+        action.kind === 'router'
+          ? applyRouterFault(router, action.fault, forMs)
+          : applyLinkFault(router.storeLink, action.fault, forMs),
+      action.kind === 'router',
     );
   } else if (action.kind === 'targetLink') {
     const target = environment.targets[action.target];
@@ -192,7 +238,8 @@
 function getComponent(action: Action): string {
   if ('router' in action) return `router ${action.router}`;
   if ('target' in action && action.kind !== 'targetLink') return `target ${action.target}`;
-  return 'target' in action ? `link ${action.target}` : action.kind;
+  if ('target' in action) return `link ${action.target}`;
+  return action.kind === 'restoreStore' ? 'store' : action.kind;
 }
 
 async function runSchedule(environment: Environment, schedule: readonly Step[]): Promise<void> {
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -17,6 +17,12 @@
   | { readonly kind: 'restart'; readonly target: number }
   /** The target announces that it leaves, exits, and starts again as a new incarnation. */
   | { readonly kind: 'leave'; readonly target: number }
+  /** The target says in its answers that it leaves, exits, and starts again; its entry still says ready. */
+  | { readonly kind: 'announceLeaving'; readonly target: number }
+  /** The target refuses requests and asks for rest. */
+  | { readonly kind: 'rest'; readonly target: number }
+  /** The store goes back to a copy of itself that is as old as the fault lasts. */
+  | { readonly kind: 'restoreStore' }
   | { readonly kind: 'router'; readonly router: number; readonly fault: RouterFault }
   | { readonly kind: 'configure' };
 
@@ -88,19 +94,54 @@
   () => ({ kind: 'configure' }),
 ];
 
+/** Drawn apart from the others, so that those stay as they were for every seed. */
+const LATER_ACTION_PICKERS: readonly PickAction[] = [
+  (random, { targets }) => ({
+    kind: 'announceLeaving',
+    target: random.pickBetween(0, targets - 1),
+  }),
+  (random, { targets }) => ({ kind: 'rest', target: random.pickBetween(0, targets - 1) }),
+  () => ({ kind: 'restoreStore' }),
+];
+const LATER_STEP_PAUSE_MS = [400, 2_500] as const;
+/** Makes the second series of a seed differ from the first. */
+const LATER_SEED_OFFSET = 500_000;
+
 export function createSchedule(
   seed: number,
   durationMs: number,
   size: SystemSize,
 ): readonly Step[] {
-  const random = Randoms.createRandom(seed);
+  const steps = [
+    ...createSteps(Randoms.createRandom(seed), ACTION_PICKERS, STEP_PAUSE_MS, { durationMs, size }),
+    ...createSteps(
+      Randoms.createRandom(seed + LATER_SEED_OFFSET),
+      LATER_ACTION_PICKERS,
+      LATER_STEP_PAUSE_MS,
+      { durationMs, size },
+    ),
+  ];
+  return steps.sort((left, right) => left.atMs - right.atMs);
+}
+
+interface DrawLimits {
+  readonly durationMs: number;
+  readonly size: SystemSize;
+}
+
+function createSteps(
+  random: Random,
+  pickers: readonly PickAction[],
+  pauseMs: readonly [number, number],
+  { durationMs, size }: DrawLimits,
+): readonly Step[] {
   const steps: Step[] = [];
   let atMs = 0;
   while (atMs < durationMs) {
-    const action = random.pickOne(ACTION_PICKERS)(random, size);
+    const action = random.pickOne(pickers)(random, size);
     const count = random.next() < SERIES_SHARE ? random.pickBetween(2, MAX_SERIES) : 1;
     for (let index = 0; index < count && atMs < durationMs; index += 1) {
-      atMs += random.pickBetween(...STEP_PAUSE_MS);
+      atMs += random.pickBetween(...pauseMs);
       steps.push({ atMs, forMs: random.pickBetween(...FAULT_DURATION_MS), action });
     }
   }
--- a/soak/src/targets.ts
+++ b/soak/src/targets.ts
@@ -11,6 +11,8 @@
   readonly listIncarnations: () => readonly IncarnationRuns[];
   /** Stops the current incarnation without notice and starts the next one after the given time. */
   readonly restart: (downMs: number) => Promise<void>;
+  /** Writes the entry again that the store may have lost, and removes those of ended incarnations. */
+  readonly writeAgain: () => void;
   /** Writes to the store that the target leaves, and returns the id of the current incarnation. */
   readonly leave: () => string;
   readonly stop: () => Promise<void>;
@@ -31,6 +33,7 @@
   const incarnations: TargetStandin[] = [];
   let listen = '127.0.0.1:0';
   let isStopped = false;
+  let writtenState: 'ready' | 'draining' = 'ready';
 
   function createIncarnation(): TargetStandin {
     const id = `${service}-${index}-life-${incarnations.length + 1}`;
@@ -46,6 +49,7 @@
   }
 
   function writeEntry(state: 'ready' | 'draining'): void {
+    writtenState = state;
     const startedAtUnixMs = incarnations.length;
     const entry = { service, address, zone, slots: SLOTS, state, startedAtUnixMs };
     store.writeValue(Standins.formatTargetKey(getCurrent().id), Standins.formatTargetEntry(entry));
@@ -74,6 +78,10 @@
       store.removeKey(Standins.formatTargetKey(ended.id));
       writeEntry('ready');
     },
+    writeAgain() {
+      incarnations.slice(0, -1).forEach(({ id }) => store.removeKey(Standins.formatTargetKey(id)));
+      writeEntry(writtenState);
+    },
     leave() {
       writeEntry('draining');
       return getCurrent().id;
