--- a/packages/sequoiarill-plugin-directory/src/directoryTargets.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryTargets.ts
@@ -1,4 +1,4 @@
-/** The known targets, their delayed removals, and what was learned about them without the store. */
+/** Keeps the known targets, delays their removals, and adds what was learned without the store. */
 import * as Kernel from '@sequoiarill/kernel';
 import type { ForwardingTarget, ForwardingWire, LogEvent } from '@sequoiarill/types';
 
@@ -12,9 +12,11 @@
   readonly applyRecord: (record: DirectoryRecord) => void;
   /** Current state of the same incarnation. */
   readonly findCurrent: (target: ForwardingTarget) => ForwardingTarget | undefined;
-  /** Returns false if nothing has changed; so do the two below. */
+  /** Returns false if nothing has changed. */
   readonly recordReplacement: (replaced: ForwardingTarget, id: string) => boolean;
+  /** Returns false if nothing has changed. */
   readonly recordLeaving: (target: ForwardingTarget) => boolean;
+  /** Removes targets whose delay has passed; returns false if there is none. */
   readonly removeDue: () => boolean;
   readonly delayRemovalsUntil: (untilMs: number) => void;
   readonly isDelaying: () => boolean;
--- a/packages/sequoiarill-plugin-directory/src/leavingTargets.ts
+++ b/packages/sequoiarill-plugin-directory/src/leavingTargets.ts
@@ -12,9 +12,9 @@
 const MAX_LEAVING = 4_000;
 
 /**
- * Failure: a target says that it leaves, and an older entry that still says ready is applied after
- * that: a full read of a store that was rolled back, a record from a router that was cut off. So the
- * announcement holds for the incarnation, and does not end with its entry.
+ * Failure: a target says that it leaves, and an older entry that still says ready is applied after that, from a
+ * store that was restored from a copy or from a router that was cut off. So the announcement holds for the
+ * incarnation, and does not end with its entry.
  */
 export function createLeavingTargets(): LeavingTargets {
   const startTimes = new Map<string, number>();
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -159,13 +159,13 @@
   1930,
   'info',
   'target.leaving',
-  'An answer of a target says that the target is about to stop.',
+  'An answer or a load report of a target says that it is about to stop; it gets no new requests until its incarnation ends.',
 );
 export const TARGET_RESTING = Kernel.defineEvent(
   1931,
   'info',
   'target.resting',
-  'A target refused a request with 503 and wants no requests from this router for the given time.',
+  'A target refused a request with 503 and wants no requests from this router for so many seconds; null where the time cannot be read, and is ignored.',
 );
 
 export const EVENTS = [
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
@@ -66,8 +66,12 @@
   /** A later answer that names a shorter time does not end a rest that was asked for before. */
   function recordRest(target: ForwardingTarget, text: string): void {
     const seconds = parseSeconds(text);
-    const fields = { target: target.id, zone: target.zone, retryAfter: text, seconds };
-    log.logEvent(Events.TARGET_RESTING, { ...fields, seconds: seconds ?? null });
+    log.logEvent(Events.TARGET_RESTING, {
+      target: target.id,
+      zone: target.zone,
+      retryAfter: text,
+      seconds: seconds ?? null,
+    });
     if (seconds === undefined) return;
     removeOld();
     const restMs = Math.max(
