Log the versions of the targets of a stream and the attempt that a caller resumes

Lines about streams named targets by id only, so they could not tell whether a stream was continued within an answer by another software version, taken up by one, or continued at an address that another version had taken. stream.placed and stream.continued have targetVersion, stream.resumed has resumes. No logic changes.

--- a/packages/sequoiarill-kernel/src/fakeWire.ts
+++ b/packages/sequoiarill-kernel/src/fakeWire.ts
@@ -8,6 +8,7 @@
   organisation: 'organisation',
   expectedTarget: 'target',
   lastEventId: 'last',
+  resumedRequestId: 'resumes',
   promptSize: 'size',
   promptParts: 'parts',
   backupTarget: 'backup',
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -78,7 +78,7 @@
   1918,
   'info',
   'stream.resumed',
-  'A caller resumed an interrupted stream.',
+  'A caller resumed an interrupted stream. `resumes` is the attempt that brought its first event, as the caller names it.',
 );
 
 export const STREAM_PLACED = Kernel.defineEvent(
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -30,6 +30,8 @@
   readonly isClientRetry: boolean;
   /** Last event that the caller received, when it resumes a stream. */
   readonly lastEventId?: string;
+  /** The caller's attempt that brought the first event of the stream, as the caller names it. */
+  readonly resumedRequestId?: string;
   /** 0 when the request does not state the number. */
   readonly promptTokens: number;
   /** Empty when the request does not list any. */
--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -281,7 +281,7 @@
 
 type HeaderFields = Pick<
   ForwardRequest,
-  'headers' | 'promptTokens' | 'promptParts' | 'lastEventId' | 'apiKey'
+  'headers' | 'promptTokens' | 'promptParts' | 'lastEventId' | 'resumedRequestId' | 'apiKey'
 >;
 
 function readHeaderFields(
@@ -290,6 +290,7 @@
 ): HeaderFields & { readonly requestId: string | undefined } {
   const names = wire.headers;
   const lastEventId = Headers.findSingleValue(headers, names.lastEventId);
+  const resumedRequestId = Headers.findSingleValue(headers, names.resumedRequestId);
   const apiKey = Headers.findSingleValue(headers, names.apiKey);
   const promptTokens = Number.parseInt(
     Headers.findSingleValue(headers, names.promptSize) ?? '',
@@ -305,6 +306,7 @@
     promptParts: wire.decodePromptParts(promptParts),
     ...(apiKey === undefined ? {} : { apiKey }),
     ...(lastEventId === undefined ? {} : { lastEventId }),
+    ...(resumedRequestId === undefined ? {} : { resumedRequestId }),
   };
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -219,11 +219,12 @@
 }
 
 function logResumed(dependencies: ExchangeDependencies, request: ForwardRequest): void {
-  const { lastEventId } = request;
+  const { lastEventId, resumedRequestId } = request;
   if (lastEventId === undefined) return;
   dependencies.log.logEvent(Events.STREAM_RESUMED, {
     ...createLogFields(dependencies, request),
     lastEventId,
+    resumes: resumedRequestId,
   });
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -140,6 +140,7 @@
     request: request.id,
     content: request.contentKey,
     target: target.id,
+    targetVersion: target.version,
     zone: target.zone,
     reason: progress.lastReason,
     ...dependencies.paths.getSummary(request.service),
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -88,6 +88,7 @@
     request: request.id,
     content: request.contentKey,
     target: pair.target.id,
+    targetVersion: pair.target.version,
     zone: pair.target.zone,
     backup: pair.backup?.id,
     queued: view?.queued,
@@ -131,6 +132,7 @@
     request: id,
     content: contentKey,
     target: target.id,
+    targetVersion: target.version,
     zone: target.zone,
     answered: 0,
   });
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -162,6 +162,8 @@
   readonly organisation: string;
   readonly expectedTarget: string;
   readonly lastEventId: string;
+  /** Request id of the attempt that brought the first event of the stream that a caller resumes. */
+  readonly resumedRequestId: string;
   readonly promptSize: string;
   readonly promptParts: string;
   /** `IP:port` of the engine that backs up the run's KV cache as it grows. */
