Reproduce streams that hold events of two software versions

Stand-ins of targets name their version in their events where a test asks for it, and callers' headers name the attempt that they resume.

--- a/packages/sequoiarill-standins/src/userPlatform/documents.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/documents.ts
@@ -118,11 +118,12 @@
 
 /**
  * `prompt` identifies the part of the prompt after the shared prefix; `resumeAfter` is the last
- * event received.
+ * event received, and `resumes` the id of the attempt that brought the first one.
  */
 export function createStreamHeaders(
   prompt: string,
   resumeAfter?: number,
+  resumes?: string,
 ): Readonly<Record<string, string>> {
   return {
     accept: 'text/event-stream',
@@ -130,6 +131,7 @@
     'prompt-prefix': `aa:20,${prompt}:80`,
     model: 'm',
     ...(resumeAfter === undefined ? {} : { 'last-event-id': String(resumeAfter) }),
+    ...(resumes === undefined ? {} : { resumes }),
   };
 }
 
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -43,6 +43,8 @@
   readonly listen?: string;
   /** Number of events in each stream. */
   readonly eventCount?: number;
+  /** Version of its software, which it names in each event; undefined: its events name none. */
+  readonly version?: string;
   /** Simulates a crash of the process as soon as it starts to run a request with this path. */
   readonly crashPath?: string;
 }
@@ -88,9 +90,26 @@
 const EVENTS_BEFORE_FAULT = 5;
 const EVENT_MS = 15;
 
-/** The events of a request are identical on every engine. */
-export function formatEvent(requestId: string, number: number): string {
-  return `id: ${number}\ndata: ${requestId} token ${number}\n\n`;
+/** The events of a request are identical on every engine of a version. */
+export function formatEvent(requestId: string, number: number, version?: string): string {
+  const writer = version === undefined ? '' : ` of ${version}`;
+  return `id: ${number}\ndata: ${requestId} token ${number}${writer}\n\n`;
+}
+
+/** One event of a target that names its version. */
+export interface VersionedEvent {
+  readonly number: number;
+  readonly version: string;
+}
+
+const VERSIONED_EVENT = /^id: (\d+)\ndata: \S+ token \d+ of (\S+)\n\n/gm;
+
+/** Lists the complete events of a stream, in the order received. */
+export function listVersionedEvents(text: string): readonly VersionedEvent[] {
+  return [...text.matchAll(VERSIONED_EVENT)].map(([, number, version = '']) => ({
+    number: Number(number),
+    version,
+  }));
 }
 
 export function formatEvents(requestId: string, from = 1, count = EVENT_COUNT): string {
@@ -102,7 +121,7 @@
 }
 
 export function createTargetStandin(id: string, options: TargetOptions = {}): TargetStandin {
-  const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, crashPath } = options;
+  const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, version, crashPath } = options;
   let fault: TargetFault = 'none';
   let isSilent = false;
   let announcedLimitPerSecond: number | undefined;
@@ -133,7 +152,7 @@
       await waitMs(EVENT_MS);
       if (response.destroyed) return;
       if (isSilent) return;
-      response.write(formatEvent(requestId, number));
+      response.write(formatEvent(requestId, number, version));
       if (number === EVENTS_BEFORE_FAULT && fault === 'dieInStream') {
         // Breaks off within an event, as a crash does.
         response.write('id: 6\ndata: ha', () => response.socket?.resetAndDestroy());
