Continue a stream within its answer at the software version that began it

Callers saw answers with events of two software versions after an engine had died in the middle.

Cause: what may continue a stream was judged by the names and versions of the weights alone (Progress.models, candidates, copies and their holders, the hop between routers). The software's version, which every entry has, is part of what a target writes.

Change: a target's build is its software version and its models. A stream that has begun is placed, copied and relayed at its build only, whatever a roll-out has decided since. Copies are made at engines of the same build. The hop names the version, and events of another one are not passed on.

--- a/packages/sequoiarill-decisions/src/enginePlacement.ts
+++ b/packages/sequoiarill-decisions/src/enginePlacement.ts
@@ -30,6 +30,8 @@
 
 export interface EnginePlacementQuery {
   readonly views: readonly EngineView[];
+  /** Whether the run of one engine can continue at the other, by their ids. */
+  readonly isSameBuild: (left: string, right: string) => boolean;
   /** Zone of this router. */
   readonly zone: string;
   readonly promptTokens: number;
@@ -169,7 +171,9 @@
 export function chooseEngines(query: EnginePlacementQuery): EnginePlacement | undefined {
   const target = pickCheapest(query.views, query);
   if (target === undefined) return undefined;
-  const others = query.views.filter(({ id }) => id !== target.id);
+  const others = query.views.filter(
+    ({ id }) => id !== target.id && query.isSameBuild(id, target.id),
+  );
   const holders = selectCopyHolders(others, target.zone, query.zone);
   const backup = pickCheapest(holders, { ...query, zone: '' });
   const promptsAhead = countPromptsAhead(target);
--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -17,6 +17,7 @@
 export * from './stallPolicy';
 export * from './rateLimitShares';
 export * from './streamAdmission';
+export * from './streamBuilds';
 export * from './targetChooser';
 export type * from './targetChoiceTypes';
 export * from './fleetRetryBudget';
--- /dev/null
+++ b/packages/sequoiarill-decisions/src/streamBuilds.ts
@@ -0,0 +1,10 @@
+/** Decides which targets may continue a stream that another target began. */
+import type { TargetBuild } from '@sequoiarill/types';
+
+/**
+ * Whether a target of one build may continue a stream of the other. A target whose version is not known
+ * continues none.
+ */
+export function isSameBuild(left: TargetBuild, right: TargetBuild): boolean {
+  return left.version !== '' && left.version === right.version && left.models === right.models;
+}
--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -15,13 +15,18 @@
   ForwardingDependencies,
   'registry' | 'directory' | 'rollouts' | 'limits' | 'notices'
 >;
-type ServiceRequest = Pick<ForwardRequest, 'service' | 'versionDraw'>;
+type ServiceRequest = Pick<ForwardRequest, 'service' | 'versionDraw' | 'build'>;
 
+/** A stream that has begun stays at its build, whatever a roll-out has decided since. */
 function listCandidates(
   { registry, directory, rollouts }: ListingDependencies,
-  { service, versionDraw }: ServiceRequest,
+  { service, versionDraw, build }: ServiceRequest,
 ): readonly ForwardingTarget[] {
-  const allowed = rollouts.selectTargets(directory.listTargets(service), versionDraw);
+  const all = directory.listTargets(service);
+  const allowed =
+    build === undefined
+      ? rollouts.selectTargets(all, versionDraw)
+      : all.filter((target) => Decisions.isSameBuild(target, build));
   return Decisions.selectAvailable(allowed, registry.isSuspect);
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -1,5 +1,5 @@
 /** A request to forward and its possible outcomes. */
-import type { ForwardingRoute, PromptPart } from '@sequoiarill/types';
+import type { ForwardingRoute, PromptPart, TargetBuild } from '@sequoiarill/types';
 
 import type { RawHeader } from './front/headers';
 import type { RelayTerms } from './relay/relayHeaders';
@@ -38,6 +38,8 @@
   readonly promptParts: readonly PromptPart[];
   /** Uniform in [0, 1): selects the version of the service during a rollout. */
   readonly versionDraw: number;
+  /** Set where a stream has begun: only targets of this build may run the request. */
+  readonly build?: TargetBuild;
   /** Aborted when the caller disconnects. */
   readonly closed: AbortSignal;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 
 import type { AnswerDurations, ClientRetryDetector } from '@sequoiarill/decisions';
+import type { TargetBuild } from '@sequoiarill/types';
 
 import * as Checks from '../answers/answerChecks';
 import * as Placement from '../answers/placement';
@@ -102,9 +103,9 @@
   return dependencies.isDraining() ? { connection: 'close' } : {};
 }
 
-/** Tells another router how the target's answer is framed, and which models produce it. */
-function addRelayHeaders(response: ServerResponse, head: AnswerHead, models?: string): void {
-  RelayHeaders.encodeFraming(head, models).forEach(([name, value]) =>
+/** Tells another router how the target's answer is framed, and which build produces it. */
+function addRelayHeaders(response: ServerResponse, head: AnswerHead, build?: TargetBuild): void {
+  RelayHeaders.encodeFraming(head, build).forEach(([name, value]) =>
     response.setHeader(name, value),
   );
 }
@@ -209,7 +210,7 @@
       dependencies.metrics.recordTiming(Metrics.FIRST_EVENT, waitedMs, {
         route: request.route.name,
       });
-      if (request.relayTerms !== undefined) addRelayHeaders(response, part.head, part.models);
+      if (request.relayTerms !== undefined) addRelayHeaders(response, part.head, part.build);
       sendHead(dependencies, response, part.head, {});
     } else {
       timing.recordEvents(dependencies.clock.getNowMs());
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
@@ -1,4 +1,6 @@
 /** What comes of one request that is sent through another router. */
+import type { TargetBuild } from '@sequoiarill/types';
+
 import * as Sending from '../answers/sending';
 import type { ForwardingDependencies } from '../dependencies';
 import * as Events from '../events';
@@ -19,7 +21,7 @@
 export type RelayOutcome = Exclude<SendOutcome, { kind: 'notRun' }> | RelayRefusal;
 
 export type HeadResult =
-  | Readonly<{ kind: 'answer'; head: AnswerHead; models?: string }>
+  | Readonly<{ kind: 'answer'; head: AnswerHead; build?: TargetBuild }>
   | Exclude<RelayOutcome, { kind: 'whole' }>;
 
 /** Routers asked one after another for one request; after these its caller is told to come back. */
@@ -37,7 +39,7 @@
   return outcome.kind === 'refused' && outcome.cause !== 'refused';
 }
 
-/** Reads up to the head of the answer; `models` are those of the target that began to answer. */
+/** Reads up to the head of the answer; `build` is that of the target that began to answer. */
 export async function readHead(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
@@ -1,4 +1,6 @@
 /** Headers between two routers when one sends a request through the other; never sent to callers or targets. */
+import type { TargetBuild } from '@sequoiarill/types';
+
 import type { AnswerHead } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
 import * as Headers from '../front/headers';
@@ -26,6 +28,8 @@
   target: 'sequoiarill-relay-target',
   /** Models of the target, percent-encoded: in an answer those that produced it, in a request those required. */
   models: 'sequoiarill-relay-models',
+  /** The same for the software version of the target. */
+  targetVersion: 'sequoiarill-relay-target-version',
   /** Answer: a `RelayRefusalCause`. */
   refused: 'sequoiarill-relay-refused',
   /** Answer: `close` where the target's answer ended with its connection. */
@@ -43,8 +47,8 @@
 export interface RelayTerms {
   readonly version: number;
   readonly targetsLeft: number;
-  /** Models that must go on with a stream; undefined where none has begun. */
-  readonly models?: string;
+  /** Build that must go on with a stream; undefined where none has begun, or none is known. */
+  readonly build?: TargetBuild;
   /** The only target that the request may be sent to; undefined for any. */
   readonly target?: string;
 }
@@ -53,11 +57,29 @@
   return [
     [RELAY_HEADERS.version, String(terms.version)],
     [RELAY_HEADERS.targetsLeft, String(terms.targetsLeft)],
-    ...encodeText(RELAY_HEADERS.models, terms.models),
+    ...encodeBuild(terms.build),
     ...encodeText(RELAY_HEADERS.target, terms.target),
   ];
 }
 
+function encodeBuild(build: TargetBuild | undefined): readonly RawHeader[] {
+  if (build === undefined) return [];
+  return [
+    ...encodeText(RELAY_HEADERS.models, build.models),
+    ...encodeText(RELAY_HEADERS.targetVersion, build.version),
+  ];
+}
+
+/** Undefined where one of them is missing: routers of earlier builds name the models only. */
+function decodeBuild(
+  models: string | undefined,
+  version: string | undefined,
+): TargetBuild | undefined {
+  const build = { models: decodeText(models), version: decodeText(version) };
+  if (build.models === undefined || build.version === undefined) return undefined;
+  return { models: build.models, version: build.version };
+}
+
 function encodeText(name: string, text: string | undefined): readonly RawHeader[] {
   return text === undefined ? [] : [[name, encodeURIComponent(text)]];
 }
@@ -66,13 +88,16 @@
 export function decodeTerms(headers: readonly RawHeader[]): RelayTerms | undefined {
   const version = parseCount(Headers.findSingleValue(headers, RELAY_HEADERS.version));
   const targetsLeft = parseCount(Headers.findSingleValue(headers, RELAY_HEADERS.targetsLeft));
-  const models = decodeText(Headers.findSingleValue(headers, RELAY_HEADERS.models));
+  const build = decodeBuild(
+    Headers.findSingleValue(headers, RELAY_HEADERS.models),
+    Headers.findSingleValue(headers, RELAY_HEADERS.targetVersion),
+  );
   const target = decodeText(Headers.findSingleValue(headers, RELAY_HEADERS.target));
   if (version === undefined || targetsLeft === undefined) return undefined;
   return {
     version,
     targetsLeft,
-    ...(models === undefined ? {} : { models }),
+    ...(build === undefined ? {} : { build }),
     ...(target === undefined ? {} : { target }),
   };
 }
@@ -91,10 +116,13 @@
 }
 
 /** Headers that another router adds to the answer. */
-export function encodeFraming(head: AnswerHead, models: string | undefined): readonly RawHeader[] {
+export function encodeFraming(
+  head: AnswerHead,
+  build: TargetBuild | undefined,
+): readonly RawHeader[] {
   return [
     ...(Checks.isCloseDelimited(head) ? [[RELAY_HEADERS.framing, CLOSE_FRAMING] as const] : []),
-    ...encodeText(RELAY_HEADERS.models, models),
+    ...encodeBuild(build),
   ];
 }
 
@@ -104,7 +132,7 @@
       readonly kind: 'answer';
       readonly head: AnswerHead;
       readonly version: number;
-      readonly models?: string;
+      readonly build?: TargetBuild;
     }
   | {
       readonly kind: 'refused';
@@ -137,9 +165,12 @@
     const reason = `status ${head.status} of a router`;
     return { kind: 'invalid', reason, isTimeout: head.status === GATEWAY_TIMEOUT };
   }
-  const models = decodeText(Checks.getHeader(head, RELAY_HEADERS.models));
+  const build = decodeBuild(
+    Checks.getHeader(head, RELAY_HEADERS.models),
+    Checks.getHeader(head, RELAY_HEADERS.targetVersion),
+  );
   const answer = { kind: 'answer', head: buildTargetHead(head), version } as const;
-  return models === undefined ? answer : { ...answer, models };
+  return build === undefined ? answer : { ...answer, build };
 }
 
 /** The head without the headers between routers, and framed like the target's answer. */
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -5,6 +5,7 @@
   ForwardingWire,
   RouterLocation,
   RouterPeers,
+  TargetBuild,
 } from '@sequoiarill/types';
 
 import type { ExitCheck } from '../crashes/exitCheck';
@@ -31,8 +32,8 @@
   readonly targetsLeft: number;
   /** Last event that the caller received of a stream. */
   readonly lastEventId?: string | undefined;
-  /** Models that must go on with the stream. */
-  readonly models?: string | undefined;
+  /** Build that must go on with the stream. */
+  readonly build?: TargetBuild | undefined;
   /** The only target that it may be sent to. */
   readonly target?: string | undefined;
 }
@@ -122,14 +123,14 @@
   function createHeaders(
     request: ForwardRequest,
     { address }: RelayRouter,
-    { targetsLeft, lastEventId = request.lastEventId, models, target }: RelayCallOptions,
+    { targetsLeft, lastEventId = request.lastEventId, build, target }: RelayCallOptions,
   ): readonly RawHeader[] {
     const names = wire.headers;
     const leftMs = request.expiresAtMs - clock.getNowMs() - HOP_MARGIN_MS;
     const terms = {
       version: getVersion(),
       targetsLeft,
-      ...(models === undefined ? {} : { models }),
+      ...(build === undefined ? {} : { build }),
       ...(target === undefined ? {} : { target }),
     };
     return [
--- a/packages/sequoiarill-plugin-forwarding/src/streams/copyMonitor.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/copyMonitor.ts
@@ -68,7 +68,7 @@
 
   function isHolderAvailable(monitored: MonitoredCopy): boolean {
     const current = directory.findCurrent(monitored.holder);
-    if (current?.state !== 'ready' || dependencies.rollouts.isLeaving(current)) return false;
+    if (current?.state !== 'ready') return false;
     return !dependencies.registry.isSuspect(current);
   }
 
@@ -79,7 +79,7 @@
       routerZone: dependencies.zone,
       holderZone: monitored.holder.zone,
       isHolderAvailable: isHolderAvailable(monitored),
-      isLocalZoneAvailable: EnginePlacements.isLocalEngineAvailable(dependencies, request),
+      isLocalZoneAvailable: EnginePlacements.isLocalEngineAvailable(dependencies, request, engine),
       ageMs:
         monitored.requestedAtMs === undefined
           ? undefined
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -1,4 +1,7 @@
 /** Relays a stream that another router runs. */
+import * as Decisions from '@sequoiarill/decisions';
+import type { TargetBuild } from '@sequoiarill/types';
+
 import type { ForwardingDependencies } from '../dependencies';
 import * as ForwardRequests from '../forwardRequest';
 import type { AnswerHead, ForwardRequest } from '../forwardRequest';
@@ -49,9 +52,9 @@
   router: RelayRouter,
   progress: Progress,
 ): AsyncGenerator<StreamPiece, Exclude<RelayedStreamOutcome, { kind: 'untaken' }>, void> {
-  const { lastEventId, models, runs } = progress;
+  const { lastEventId, build, runs } = progress;
   const targetsLeft = Math.max(1, request.route.maxTargets - runs);
-  const call = dependencies.relays.openCall(request, router, { targetsLeft, lastEventId, models });
+  const call = dependencies.relays.openCall(request, router, { targetsLeft, lastEventId, build });
   request.closed.addEventListener('abort', call.cancel, { once: true });
   try {
     const result = await RelayAttempts.readHead(dependencies, request, router, call);
@@ -59,7 +62,12 @@
     if (result.head.status !== STATUS_OK) {
       return await Sending.readFullAnswer(call, result.head, call.readNext);
     }
-    return yield* relayEvents(dependencies, request, call, result, progress);
+    const answered = { version: '', models: '', ...result.build };
+    if (build !== undefined && !Decisions.isSameBuild(answered, build)) {
+      return { kind: 'lost', reason: 'another build answered', isTimeout: false };
+    }
+    const { head } = result;
+    return yield* relayEvents(dependencies, request, call, { head, build: answered }, progress);
   } finally {
     // Also runs when the consumer returns the generator early.
     call.cancel();
@@ -71,7 +79,7 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   call: RelayCall,
-  { head, models }: Readonly<{ head: AnswerHead; models?: string }>,
+  { head, build }: Readonly<{ head: AnswerHead; build: TargetBuild }>,
   progress: Progress,
 ): AsyncGenerator<StreamPiece, Exclude<RelayedStreamOutcome, { kind: 'untaken' }>, void> {
   const splitter = EventBlocks.createEventBlockSplitter();
@@ -88,8 +96,8 @@
     const newBlocks = selectBlocks(splitter.addBytes(event.chunk), progress);
     if (typeof newBlocks === 'string') return { kind: 'lost', reason: newBlocks, isTimeout: false };
     if (newBlocks.length > 0) {
-      if (!progress.hasEvents) yield { kind: 'head', head, models };
-      StreamRelays.recordEvents(progress, models, head, newBlocks);
+      if (!progress.hasEvents) yield { kind: 'head', head, build };
+      StreamRelays.recordEvents(progress, build, head, newBlocks);
       yield { kind: 'events', bytes: StreamRelays.mergeBlocks(newBlocks) };
     }
   }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -108,14 +108,13 @@
   outcome: Exclude<AttemptOutcome, { kind: 'complete' | 'callerLeft' | 'expired' }>,
 ): void {
   const { target, copy } = plan;
-  progress.lastReason =
-    outcome.kind === 'handedOver' ? 'its target is about to stop' : Sending.formatReason(outcome);
+  progress.lastReason = Sending.formatReason(outcome);
   progress.lastTarget = target.id;
   progress.excluded.add(target.id);
   if (StreamRelays.hasRun(outcome)) progress.runs += 1;
   else if (copy !== undefined) progress.copy = undefined;
   if (outcome.kind !== 'notSent') progress.deliveries += 1;
-  if (outcome.kind !== 'handedOver') recordOutcome(dependencies, target, outcome);
+  recordOutcome(dependencies, target, outcome);
   dependencies.metrics.addCount(Metrics.CONTINUED, 1, { cause: outcome.kind });
 }
 
@@ -141,6 +140,7 @@
     content: request.contentKey,
     target: target.id,
     targetVersion: target.version,
+    begunVersion: progress.build?.version,
     zone: target.zone,
     reason: progress.lastReason,
     ...dependencies.paths.getSummary(request.service),
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -18,11 +18,7 @@
   readonly blocks: readonly EventBlock[];
 }
 
-export type AttemptOutcome =
-  | SendOutcome
-  | { readonly kind: 'complete'; readonly head: AnswerHead }
-  /** The target is about to stop, and the run can continue from a copy elsewhere. */
-  | { readonly kind: 'handedOver' };
+export type AttemptOutcome = SendOutcome | { readonly kind: 'complete'; readonly head: AnswerHead };
 
 export interface AttemptOptions {
   readonly request: ForwardRequest;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -1,6 +1,7 @@
 /** Progress of a streamed answer, and the plan of its next send. */
+import * as Decisions from '@sequoiarill/decisions';
 import type { FleetRetryBudget } from '@sequoiarill/decisions';
-import type { ForwardingTarget } from '@sequoiarill/types';
+import type { ForwardingTarget, TargetBuild } from '@sequoiarill/types';
 
 import * as EnginePlacements from '../targets/enginePlacements';
 import type { EnginePair } from '../targets/enginePlacements';
@@ -22,6 +23,7 @@
 const MAX_TRIES = 12;
 const RETRY_AFTER_SECONDS = 0.5;
 const MS_PER_SECOND = 1_000;
+const NONE: ReadonlySet<string> = new Set();
 /** Retries reserved for streams that have begun: as many as the crash of one zone may require. */
 const RESERVED_RETRIES = 2;
 /**
@@ -34,8 +36,8 @@
   /** Id of the last event that was relayed, or that the caller sent with its request. */
   lastEventId: string | undefined;
   hasEvents: boolean;
-  /** Models of the target that produced the first event; undefined before it. */
-  models: string | undefined;
+  /** Build of the target that produced the first event; undefined before it. */
+  build: TargetBuild | undefined;
   /** Whether the caller's answer has framing (a length or chunks); undefined before its head. */
   isFramed: boolean | undefined;
   /** Attempts in which a target may have begun to run the request. */
@@ -73,7 +75,7 @@
   return {
     lastEventId: request.lastEventId,
     hasEvents: false,
-    models: request.relayTerms?.models,
+    build: request.relayTerms?.build,
     isFramed: undefined,
     runs: 0,
     tries: 0,
@@ -88,10 +90,12 @@
 /** The next send, or the final outcome where none is possible. */
 export async function decidePlan(
   dependencies: ForwardingDependencies,
-  request: ForwardRequest,
+  received: ForwardRequest,
   progress: Progress,
   budget: FleetRetryBudget,
 ): Promise<Plan | RelayPlan | StreamOutcome> {
+  const { build } = progress;
+  const request = build === undefined ? received : { ...received, build };
   const nowMs = dependencies.clock.getNowMs();
   if (request.closed.aborted) return { kind: 'callerLeft' };
   if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
@@ -164,10 +168,11 @@
  */
 function findCopyHolder(
   dependencies: ForwardingDependencies,
-  { copy }: Progress,
+  { copy, build }: Progress,
 ): ForwardingTarget | undefined {
   const holder = copy === undefined ? undefined : dependencies.directory.findCurrent(copy.holder);
-  if (holder?.state !== 'ready' || dependencies.rollouts.isLeaving(holder)) return undefined;
+  if (holder?.state !== 'ready') return undefined;
+  if (build !== undefined && !Decisions.isSameBuild(holder, build)) return undefined;
   if (!Placement.isAvailable(dependencies, holder)) return undefined;
   return holder;
 }
@@ -186,17 +191,6 @@
   return { kind: 'plan', target, backup, copy: undefined, promptsAhead };
 }
 
-/** Ids of targets with other models, which would not continue the tokens that the caller has. */
-function listIncompatible(
-  { directory }: ForwardingDependencies,
-  { service }: ForwardRequest,
-  { models }: Progress,
-): ReadonlySet<string> {
-  if (models === undefined) return new Set();
-  const others = directory.listTargets(service).filter((target) => target.models !== models);
-  return new Set(others.map(({ id }) => id));
-}
-
 /**
  * Continuing from a copy saves the whole prefill; without one the next target is chosen like the
  * first.
@@ -206,8 +200,7 @@
   request: ForwardRequest,
   progress: Progress,
 ): Promise<Omit<Plan, 'isRetry'> | Extract<StreamOutcome, { kind: 'refused' }> | undefined> {
-  const incompatible = listIncompatible(dependencies, request, progress);
-  const excluded = new Set([...progress.excluded, ...incompatible]);
+  const { excluded } = progress;
   const holder = findCopyHolder(dependencies, progress);
   if (holder !== undefined) {
     const backup = EnginePlacements.chooseBackup(dependencies, request, holder);
@@ -227,7 +220,7 @@
   const purpose = progress.tries === 0 ? 'first' : 'continuation';
   const target =
     Placement.chooseTarget(dependencies, { request, excluded, purpose }) ??
-    Placement.chooseTarget(dependencies, { request, excluded: incompatible, purpose });
+    Placement.chooseTarget(dependencies, { request, excluded: NONE, purpose });
   if (target === undefined) return undefined;
   if (request.route.hasPrompt) EnginePlacements.logUnreportedTarget(dependencies, request, target);
   return { kind: 'plan', target, backup: undefined, copy: undefined };
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -1,8 +1,9 @@
 /**
  * Relays the events of one attempt, each exactly once, and monitors the copy of the run meanwhile.
  */
+import type { TargetBuild } from '@sequoiarill/types';
+
 import * as Checks from '../answers/answerChecks';
-import * as Placement from '../answers/placement';
 import type { EventBlock } from './eventBlocks';
 import type { AnswerHead, ForwardRequest } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
@@ -13,13 +14,13 @@
 import type { Plan, Progress } from './streamPlan';
 
 export type StreamPiece =
-  /** `models`: those of the target that began the stream. */
-  | { readonly kind: 'head'; readonly head: AnswerHead; readonly models: string | undefined }
+  /** `build`: that of the target whose events follow. */
+  | { readonly kind: 'head'; readonly head: AnswerHead; readonly build: TargetBuild }
   | { readonly kind: 'events'; readonly bytes: Buffer };
 
 /** Whether the target may have begun to run the request. */
 export function hasRun(outcome: AttemptOutcome): boolean {
-  return ['lost', 'whole', 'handedOver'].includes(outcome.kind);
+  return outcome.kind === 'lost' || outcome.kind === 'whole';
 }
 
 function createExtraHeaders(
@@ -76,14 +77,11 @@
       }
       monitor.update();
       if (newBlocks.length > 0) {
-        if (!progress.hasEvents) yield { kind: 'head', head, models: plan.target.models };
-        recordEvents(progress, plan.target.models, head, newBlocks);
+        const build = { version: plan.target.version, models: plan.target.models };
+        if (!progress.hasEvents) yield { kind: 'head', head, build };
+        recordEvents(progress, build, head, newBlocks);
         yield { kind: 'events', bytes: mergeBlocks(newBlocks) };
       }
-      if (isHandoverDue(dependencies, request, plan, progress, monitor)) {
-        progress.copy = monitor.getCopy();
-        return { kind: 'handedOver' };
-      }
     }
   } finally {
     await attempt.return({ kind: 'callerLeft' });
@@ -92,38 +90,16 @@
 
 export function recordEvents(
   progress: Progress,
-  models: string | undefined,
+  build: TargetBuild,
   head: AnswerHead,
   newBlocks: readonly EventBlock[],
 ): void {
   progress.isFramed ??= !Checks.isCloseDelimited(head);
   progress.hasEvents = true;
-  progress.models ??= models;
+  progress.build ??= build;
   progress.lastEventId = newBlocks.at(-1)?.id ?? progress.lastEventId;
 }
 
-/**
- * Failure: a service has moved to another version, the targets of the previous one stop at once,
- * and their streams are interrupted. So a stream is handed over as soon as a target that stays
- * holds a copy of it, unless the route or the retry budget allows no further send.
- */
-function isHandoverDue(
-  dependencies: ForwardingDependencies,
-  request: ForwardRequest,
-  { target }: Plan,
-  { runs }: Progress,
-  monitor: CopyMonitors.CopyMonitor,
-): boolean {
-  if (!dependencies.rollouts.isLeaving(target) || runs + 1 >= request.route.maxTargets) {
-    return false;
-  }
-  const copy = monitor.getCopy();
-  const holder = copy === undefined ? undefined : dependencies.directory.findCurrent(copy.holder);
-  if (holder?.state !== 'ready' || dependencies.rollouts.isLeaving(holder)) return false;
-  if (!Placement.isAvailable(dependencies, holder)) return false;
-  return dependencies.getBudget(request.service).getBalance(dependencies.clock.getNowMs()) >= 1;
-}
-
 /**
  * Failure: a response without framing may end because its engine crashed, and ending the caller's
  * answer would mark it as complete. So such a response does not end an answer that has framing.
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -4,7 +4,7 @@
  */
 import * as Decisions from '@sequoiarill/decisions';
 import type { LatencyAdmissionDecision, EngineView } from '@sequoiarill/decisions';
-import type { ForwardingTarget } from '@sequoiarill/types';
+import type { ForwardingTarget, TargetBuild } from '@sequoiarill/types';
 
 import * as Events from '../events';
 import * as Placement from '../answers/placement';
@@ -149,7 +149,7 @@
   lostHolder?: ForwardingTarget,
 ): ForwardingTarget | undefined {
   if (!hasBackups(dependencies, request)) return undefined;
-  const others = listBackupCandidates(dependencies, request, target).filter(
+  const others = Placement.listAvailable(dependencies, { ...request, build: target }).filter(
     ({ id }) => id !== target.id && id !== lostHolder?.id,
   );
   const unsuspected = others.filter((other) => !dependencies.registry.isSuspect(other));
@@ -164,33 +164,17 @@
   return dependencies.nextRandom() < 0.5 ? (second ?? first) : first;
 }
 
-/** Whether some engine of the local zone could hold a copy now. */
+/** Whether some engine of the local zone could hold a copy of a run of the engine now. */
 export function isLocalEngineAvailable(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
+  build: TargetBuild,
 ): boolean {
-  return Placement.listAvailable(dependencies, request).some(
+  return Placement.listAvailable(dependencies, { ...request, build }).some(
     (engine) => engine.zone === dependencies.zone && !dependencies.registry.isSuspect(engine),
   );
 }
 
-/** A run can continue only where the same models are loaded: others would generate other tokens. */
-function listBackupCandidates(
-  dependencies: ForwardingDependencies,
-  request: ForwardRequest,
-  { models }: ForwardingTarget,
-): readonly ForwardingTarget[] {
-  const available = Placement.listAvailable(dependencies, request).filter(
-    (other) => other.models === models,
-  );
-  if (available.length > 1) return available;
-  // During a rollout a version may have a single target for new work; its others can hold copies.
-  const all = dependencies.directory.listTargets(request.service);
-  return Decisions.selectAvailable(all, dependencies.registry.isSuspect).filter(
-    (other) => other.models === models && !dependencies.rollouts.isLeaving(other),
-  );
-}
-
 function hasBackups(dependencies: ForwardingDependencies, request: ForwardRequest): boolean {
   const service = dependencies.directory.getConfiguration()?.services.get(request.service);
   return service?.engine?.hasBackups === true && request.route.retryPolicy === 'resumable';
@@ -236,6 +220,13 @@
   return [{ ...report, id: target.id, zone: target.zone, sentSince, keptTokens: cachedTokens }];
 }
 
+function hasSameBuild(
+  left: ForwardingTarget | undefined,
+  right: ForwardingTarget | undefined,
+): boolean {
+  return left !== undefined && right !== undefined && Decisions.isSameBuild(left, right);
+}
+
 function pickPair(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
@@ -244,18 +235,18 @@
 ): EnginePair | undefined {
   const { promptTokens } = request;
   const estimates = dependencies.getPromptEstimates(request.service);
+  const byId = new Map(available.map((target) => [target.id, target]));
   const placement = Decisions.chooseEngines({
     views,
+    isSameBuild: (left, right) => hasSameBuild(byId.get(left), byId.get(right)),
     zone: dependencies.zone,
     promptTokens,
     usualPromptTokens: estimates.getMeanTokens(),
     prefillMsPerToken: estimates.getMsPerToken(),
   });
-  const target = available.find(({ id }) => id === placement?.target);
+  const target = byId.get(placement?.target ?? '');
   if (placement === undefined || target === undefined) return undefined;
-  const backup = hasBackups(dependencies, request)
-    ? available.find(({ id }) => id === placement.backup)
-    : undefined;
+  const backup = hasBackups(dependencies, request) ? byId.get(placement.backup ?? '') : undefined;
   const { promptsAhead, firstEventMs } = placement;
   const { objectiveMs } = request.route;
   const admission = Decisions.decideStreamAdmission({ promptsAhead, firstEventMs, objectiveMs });
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -88,16 +88,20 @@
   readonly organisations?: readonly ForwardingOrganisation[];
 }
 
-export interface ForwardingTarget {
+/** What the output of a target depends on. Only targets of equal builds continue each other's streams. */
+export interface TargetBuild {
+  /** Version of its software, an opaque text; empty where it is not known. */
+  readonly version: string;
+  /** Names and versions of the loaded models. */
+  readonly models: string;
+}
+
+export interface ForwardingTarget extends TargetBuild {
   /** Identity of the target process, sent with each request so that another process rejects it. */
   readonly id: string;
   /** Process start, Unix milliseconds. Distinguishes two incarnations with the same id. */
   readonly startedAtUnixMs: number;
   readonly service: string;
-  /** Software version, empty if the target does not announce one. */
-  readonly version: string;
-  /** Names and versions of the loaded models. Targets with equal text produce equal output. */
-  readonly models: string;
   /** `IP:port`. */
   readonly address: string;
   readonly zone: string;
