Take up a stream at the software version that began it, or refuse it

Cause: nothing was known of a stream outside the process of its router. Resumes was not read, and a stream that was taken up was placed where its prompt is cached, or like a new one. Ruled out: addresses taken by another version (targets refuse requests for another id).

Change: the build that began a stream is known for certain, or the stream is refused at once as not run. - A router remembers the streams that it began, by organisation and attempt, for the time limit of the route and 5 s. - While a single build can have begun streams of a service, it is that one, and nothing is sent. Which builds can have is counted from the targets and from an entry in the store, so that a router that starts knows of versions that are gone. A router without recent news of the store does not conclude so. - While several can, or the store is not heard, three routers in different zones are told of each stream within 10 ms of its first event; open streams are told when the second build appears. A router that takes up a stream asks six by the same rank. Those that come are told what they are to remember, and a router that is stopped passes on what it remembers. - No first event waits for any of this: a stream that nobody was told of is refused, not mixed. - A stream that has begun goes on at ready targets of its build also after a roll-out has left it. - No Retry-After where coming back cannot help: nobody knows, or no target of the version serves.

--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -25,6 +25,7 @@
 export * from './latencyAdmission';
 export * from './suspectTracker';
 export * from './targetContacts';
+export * from './originHolders';
 export * from './pathTracker';
 export * from './brittleServices';
 export * from './slotGate';
--- a/packages/sequoiarill-decisions/src/streamBuilds.ts
+++ b/packages/sequoiarill-decisions/src/streamBuilds.ts
@@ -8,3 +8,8 @@
 export function isSameBuild(left: TargetBuild, right: TargetBuild): boolean {
   return left.version !== '' && left.version === right.version && left.models === right.models;
 }
+
+/** The build of a target. The version of one that was found at the address of another is not known. */
+export function getBuild({ version, models }: TargetBuild): TargetBuild {
+  return { version, models };
+}
--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -25,6 +25,8 @@
     handleAnswers: () => undefined,
     handleBlocks: () => [],
     handleBrittle: () => undefined,
+    handleOrigins: () => undefined,
+    handleOriginQuery: () => ({ kind: 'unknown' }),
   });
 }
 
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -61,10 +61,10 @@
   let knownEra = 0;
   const deferred = DeferredRecords.createDeferredRecords();
 
-  function applyRouter({ key, value }: DirectoryRecord): void {
+  function applyRouter({ key, value, revision }: DirectoryRecord): void {
     const entry = value === undefined ? undefined : RouterEntries.decodeRouter(value);
     if (entry === undefined) routers.delete(key);
-    else routers.set(key, entry);
+    else routers.set(key, { ...entry, registration: revision });
   }
 
   function applyRecord(record: DirectoryRecord): boolean {
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -13,6 +13,9 @@
   CrashReportOutcome,
   GuidanceOutcome,
   HeaderNames,
+  OriginOutcome,
+  OriginQuery,
+  OriginRecord,
   RetryQuotaOutcome,
   RetryQuotaRequest,
   RolloutReport,
@@ -47,6 +50,11 @@
     blocks: readonly ContentBlock[],
   ) => Promise<BlockExchangeOutcome>;
   readonly acquirePermits: (address: string, request: PermitsRequest) => Promise<PermitsOutcome>;
+  readonly reportOrigins: (
+    address: string,
+    records: readonly OriginRecord[],
+  ) => Promise<CrashReportOutcome>;
+  readonly findOrigin: (address: string, query: OriginQuery) => Promise<OriginOutcome>;
   readonly close: () => Promise<void>;
 }
 
@@ -57,6 +65,8 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Short, because a caller's stream is stalled meanwhile; another peer can be queried. */
 const QUOTA_TIMEOUT_MS = 80;
+/** A caller waits meanwhile, and is refused without the reply; a busy router needs longer than an idle one. */
+const ORIGIN_TIMEOUT_MS = 250;
 /** A request that waits for updates must not delay another one. */
 const CONNECTIONS_PER_PEER = 2;
 
@@ -161,6 +171,18 @@
         const response = await caller.exchangeBlocks.mutate(Messages.encodeBlocks(blocks));
         return { kind: 'blocks', blocks: Messages.blocksSchema.parse(response).blocks };
       }),
+    reportOrigins: (address, records) =>
+      runCall(async () => {
+        const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
+        await caller.reportOrigins.mutate({ records: records.slice(0, Messages.MAX_ORIGINS) });
+        return { kind: 'counted' };
+      }),
+    findOrigin: (address, { services, ...key }) =>
+      runCall(async () => {
+        const caller = createPeerCaller(address, ORIGIN_TIMEOUT_MS);
+        const query = { ...key, services: [...services] };
+        return Messages.decodeOriginReply(await caller.findOrigin.mutate(query));
+      }),
     readRecords: (address, query) =>
       runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS + (query.waitMs ?? 0));
--- a/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
@@ -1,5 +1,10 @@
 /** Handlers of other routers' calls, which other plug-ins set after the server was created. */
-import type { CrashHandlers, RolloutGuidance, RouterPeers } from '@sequoiarill/types';
+import type {
+  CrashHandlers,
+  OriginHandlers,
+  RolloutGuidance,
+  RouterPeers,
+} from '@sequoiarill/types';
 
 import type { PeerServerOptions } from './peerServer';
 
@@ -8,11 +13,20 @@
   handleAnswers: () => undefined,
   handleBlocks: () => [],
 };
+const NO_ORIGIN_HANDLERS: OriginHandlers = {
+  handleOrigins: () => undefined,
+  handleOriginQuery: () => ({ kind: 'unknown' }),
+};
 const NO_GUIDANCE: RolloutGuidance = { isHalted: false, avoided: [] };
 
 export type PeerHandlers = Pick<
   PeerServerOptions,
-  'grantRetryQuota' | 'grantPermits' | 'handleReport' | 'handleBrittle' | keyof CrashHandlers
+  | 'grantRetryQuota'
+  | 'grantPermits'
+  | 'handleReport'
+  | 'handleBrittle'
+  | keyof CrashHandlers
+  | keyof OriginHandlers
 >;
 
 export type HandlerSetters = Pick<
@@ -22,6 +36,7 @@
   | 'setReportHandler'
   | 'setBrittleHandler'
   | 'setCrashHandlers'
+  | 'setOriginHandlers'
 >;
 
 /** Without a handler, nothing is granted and reports have no effect. */
@@ -34,6 +49,7 @@
   let handleReport: Parameters<RouterPeers['setReportHandler']>[0] = () => NO_GUIDANCE;
   let handleBrittle: Parameters<RouterPeers['setBrittleHandler']>[0] = () => undefined;
   let crashHandlers = NO_CRASH_HANDLERS;
+  let originHandlers = NO_ORIGIN_HANDLERS;
   return {
     handlers: {
       grantRetryQuota: (request) => grantQuota(request),
@@ -43,6 +59,8 @@
       handleCrashes: (crashes) => crashHandlers.handleCrashes(crashes),
       handleAnswers: (answers) => crashHandlers.handleAnswers(answers),
       handleBlocks: (blocks) => crashHandlers.handleBlocks(blocks),
+      handleOrigins: (records) => originHandlers.handleOrigins(records),
+      handleOriginQuery: (query) => originHandlers.handleOriginQuery(query),
     },
     setters: {
       setRetryQuotaLender(grant) {
@@ -60,6 +78,9 @@
       setCrashHandlers(newHandlers) {
         crashHandlers = newHandlers;
       },
+      setOriginHandlers(newHandlers) {
+        originHandlers = newHandlers;
+      },
     },
   };
 }
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -3,6 +3,7 @@
 import type {
   ContentBlock,
   ObservedLimit,
+  OriginReply,
   GrantedPermits,
   PermitsRequest,
   RolloutGuidance,
@@ -194,6 +195,54 @@
   ageMs: Zod.number().min(0),
 });
 
+/** Limit of records in one report, about 40 KB. */
+export const MAX_ORIGINS = 200;
+const MAX_SERVICES = 50;
+const MAX_MODELS_LENGTH = 2_000;
+
+const originSchema = Zod.object({
+  service: Zod.string().min(1).max(MAX_NAME_LENGTH),
+  version: Zod.string().max(MAX_NAME_LENGTH),
+  models: Zod.string().max(MAX_MODELS_LENGTH),
+});
+
+const streamKeySchema = Zod.object({
+  organisation: Zod.string().max(MAX_NAME_LENGTH),
+  requestId: Zod.string().max(MAX_NAME_LENGTH),
+});
+
+export const originsRequestSchema = Zod.object({
+  records: Zod.array(
+    streamKeySchema.extend({
+      origin: originSchema,
+      ageMs: Zod.number().min(0),
+      leftMs: Zod.number().min(0),
+    }),
+  ).max(MAX_ORIGINS),
+});
+
+export const originQuerySchema = streamKeySchema.extend({
+  services: Zod.array(Zod.string().max(MAX_NAME_LENGTH)).max(MAX_SERVICES),
+});
+
+export const originReplySchema = Zod.discriminatedUnion('kind', [
+  Zod.object({ kind: Zod.literal('unknown') }),
+  Zod.object({
+    kind: Zod.literal('found'),
+    origin: originSchema,
+    source: Zod.enum(['memory', 'onlyBuild']),
+    ageMs: Zod.number().min(0).optional(),
+  }),
+]);
+
+/** Throws if the response is invalid. */
+export function decodeOriginReply(response: unknown): OriginReply {
+  const reply = originReplySchema.parse(response);
+  if (reply.kind === 'unknown') return reply;
+  const { ageMs, ...found } = reply;
+  return ageMs === undefined ? found : { ...found, ageMs };
+}
+
 const observedLimitSchema = Zod.object({
   perSecond: Zod.number().min(0).optional(),
   ageMs: Zod.number().min(0),
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -1,6 +1,6 @@
 /**
  * tRPC server for other routers: they read this router's directory, acquire retry quota and
- * permits, and report rollouts and crashes.
+ * permits, and report rollouts, crashes and origins of streams.
  */
 import * as Http from 'node:http';
 
@@ -9,6 +9,8 @@
   BrittleReport,
   Clock,
   CrashHandlers,
+  OriginHandlers,
+  OriginReply,
   RetryQuotaRequest,
   RolloutGuidance,
   RolloutReport,
@@ -38,7 +40,7 @@
 /** Covers the way of a response, so that the same confirmation is not reported twice. */
 const MIN_AGE_GAIN_MS = 50;
 
-export interface PeerServerOptions extends CrashHandlers, RecordsSource {
+export interface PeerServerOptions extends CrashHandlers, OriginHandlers, RecordsSource {
   readonly grantRetryQuota: (request: RetryQuotaRequest) => number;
   readonly grantPermits: (request: PermitsRequest) => GrantedPermits;
   readonly handleBrittle: (report: BrittleReport) => void;
@@ -143,6 +145,12 @@
     reportBrittle: procedure.input(Messages.brittleReportSchema).mutation(({ input }) => {
       options.handleBrittle(input);
     }),
+    reportOrigins: procedure.input(Messages.originsRequestSchema).mutation(({ input }) => {
+      options.handleOrigins(input.records);
+    }),
+    findOrigin: procedure
+      .input(Messages.originQuerySchema)
+      .mutation(({ input }): OriginReply => options.handleOriginQuery(input)),
     lendPermits: procedure
       .input(Messages.permitsRequestSchema)
       .mutation(({ input }): GrantedPermits =>
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -90,6 +90,8 @@
     reportAnswers: client.reportAnswers,
     exchangeBlocks: client.exchangeBlocks,
     reportBrittle: client.reportBrittle,
+    reportOrigins: client.reportOrigins,
+    findOrigin: client.findOrigin,
   };
 
   async function runRegistration(): Promise<void> {
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -256,6 +256,13 @@
       recordDisconnect: async () => undefined,
     },
     brittle,
+    origins: {
+      recordBegun: () => undefined,
+      find: async ({ service }) => {
+        const [{ version = '', models = '' } = {}] = directory.listTargets(service);
+        return { kind: 'found', source: 'onlyBuild', origin: { service, version, models } };
+      },
+    },
     limits: {
       recordHead: () => undefined,
       isAvailable: ({ id }) => !rateLimited.has(id),
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -16,6 +16,7 @@
   RouterPeers,
 } from '@sequoiarill/types';
 
+import type { StreamOrigins } from './origins/streamOrigins';
 import type { Relays } from './relay/relays';
 import type { RateLimitedLog } from './rateLimitedLog';
 import type { CrashReports } from './crashes/crashReports';
@@ -46,6 +47,7 @@
   readonly relays: Omit<Relays, 'removeMissing'>;
   readonly crashes: Pick<CrashReports, 'getBlockedMs' | 'recordAnswer' | 'recordDisconnect'>;
   readonly brittle: Pick<BrittleTargets, 'recordHead' | 'isBrittle' | 'choose' | 'acquireSlot'>;
+  readonly origins: Pick<StreamOrigins, 'recordBegun' | 'find'>;
   readonly limits: Pick<
     TargetLimits,
     'recordHead' | 'isAvailable' | 'acquirePermit' | 'getRetrySeconds'
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -212,6 +212,25 @@
   'Another router could not be told that a service has brittle targets; it learns so from an answer.',
 );
 
+export const ORIGIN_UNKNOWN = Kernel.defineEvent(
+  1939,
+  'warn',
+  'stream.originUnknown',
+  'Nobody knows which software version began the stream that a caller resumes, and several may have: it is refused, since the wrong one would mix two versions.',
+);
+export const ORIGIN_NOT_REPORTED = Kernel.defineEvent(
+  1940,
+  'info',
+  'origins.routerNotTold',
+  'Another router could not be told which software version began streams; the next one in rank is told.',
+);
+export const ORIGINS_FAILED = Kernel.defineEvent(
+  1941,
+  'error',
+  'origins.updateFailed',
+  'The builds of a service could not be brought in line with the store by an internal error of the router; the next round tries again.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -246,4 +265,7 @@
   SURVEY_FAILED,
   SERVICE_BRITTLE,
   BRITTLE_NOT_TOLD,
+  ORIGIN_UNKNOWN,
+  ORIGIN_NOT_REPORTED,
+  ORIGINS_FAILED,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -70,7 +70,8 @@
   | {
       readonly kind: 'refused';
       readonly reason: string;
-      readonly retryAfterSeconds: number;
+      /** Undefined where coming back cannot help. */
+      readonly retryAfterSeconds: number | undefined;
       /** Id of the target of the last attempt. */
       readonly lastTarget?: string;
     }
@@ -86,7 +87,7 @@
 /** Replaces the retry delay of a refusal; returns other outcomes unchanged. */
 export function setRetryAfter<Outcome extends { readonly kind: string }>(
   outcome: Outcome,
-  retryAfterSeconds: number,
+  retryAfterSeconds: number | undefined,
 ): Outcome {
   return outcome.kind === 'refused' ? { ...outcome, retryAfterSeconds } : outcome;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -35,7 +35,7 @@
 export interface Refusal {
   readonly status: number;
   readonly reason: string;
-  readonly retryAfterSeconds?: number;
+  readonly retryAfterSeconds?: number | undefined;
 }
 
 const BAD_GATEWAY = 502;
@@ -173,10 +173,10 @@
       status: UNAVAILABLE,
     });
     const restSeconds = (Placement.computeRestMs(dependencies, request) ?? 0) / MS_PER_SECOND;
-    const retryAfterSeconds = Math.max(
-      outcome.retryAfterSeconds,
-      Math.min(MAX_REST_SECONDS, restSeconds),
-    );
+    const retryAfterSeconds =
+      outcome.retryAfterSeconds === undefined
+        ? undefined
+        : Math.max(outcome.retryAfterSeconds, Math.min(MAX_REST_SECONDS, restSeconds));
     sendEmptyResponse(dependencies, response, id, {
       status: UNAVAILABLE,
       reason,
@@ -196,7 +196,6 @@
 ): Promise<void> {
   const answer = StreamAnswers.runStreamAnswer(dependencies, request);
   const timing = StreamTimings.createStreamTiming(request.arrivedAtMs);
-  logResumed(dependencies, request);
   for (;;) {
     const step = await answer.next();
     if (step.done === true) {
@@ -219,16 +218,6 @@
   }
 }
 
-function logResumed(dependencies: ExchangeDependencies, request: ForwardRequest): void {
-  const { lastEventId, resumedRequestId } = request;
-  if (lastEventId === undefined) return;
-  dependencies.log.logEvent(Events.STREAM_RESUMED, {
-    ...createLogFields(dependencies, request),
-    lastEventId,
-    resumes: resumedRequestId,
-  });
-}
-
 function recordTiming(
   dependencies: ExchangeDependencies,
   request: ForwardRequest,
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -11,6 +11,7 @@
 export const RESTS = 'forwarding.rests';
 export const RELAYED = 'forwarding.relayed';
 export const RELAYED_HERE = 'forwarding.relayedHere';
+export const ORIGINS = 'forwarding.origins';
 
 export const METRICS = [
   { name: REQUESTS, unit: 'count', meaning: 'Requests ended, by route and outcome.' },
@@ -58,4 +59,9 @@
     unit: 'count',
     meaning: "Requests of other routers' callers that this router was sent.",
   },
+  {
+    name: ORIGINS,
+    unit: 'count',
+    meaning: 'Streams that callers resumed, by who knew which software version began them.',
+  },
 ] as const;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -26,8 +26,9 @@
   const log = RateLimitedLogs.createRateLimitedLog(logEvent, clock.getNowMs);
   const parts = Parts.createTargetParts(context, log);
   const { connections, paths, registry, relays, notices, probes, crashes, limits, brittle } = parts;
+  const origins = Parts.createOrigins(context, log);
   const stopController = new AbortController();
-  let reportLoop: Promise<void> | undefined;
+  let loops: Promise<unknown> | undefined;
   let routeTable: RouteTable | undefined;
   let configurationVersion: number | undefined;
 
@@ -56,6 +57,7 @@
     relays,
     brittle,
     crashes,
+    origins,
     limits,
     notices,
     chooser: Decisions.createTargetChooser({ nextRandom }),
@@ -76,6 +78,7 @@
 
   rollouts.setInFlightCounter(registry.getInFlight);
   peers.setCrashHandlers(crashes.handlers);
+  peers.setOriginHandlers(origins.handlers);
   peers.setPermitsLender(limits.grantPermits);
   peers.setBrittleHandler(brittle.handleReport);
   peers.setRetryQuotaLender((query) => RetryQuotas.grantRetryQuota(dependencies, query));
@@ -108,7 +111,8 @@
     async start() {
       directory.subscribe(applyDirectory);
       applyDirectory();
-      reportLoop = crashes.run(stopController.signal);
+      const { signal } = stopController;
+      loops = Promise.all([crashes.run(signal), origins.run(signal)]);
       await frontEnd.start();
       peers.registerSelf(frontEnd.getAddresses().relayListen);
       logEvent(Events.LISTENING, frontEnd.getAddresses());
@@ -118,13 +122,15 @@
         requests: frontEnd.countRequests(),
         graceMs: settings.graceSeconds * MS_PER_SECOND,
       });
-      const waitedMs = await drain.drain();
+      const [waitedMs] = await Promise.all([drain.drain(), origins.handOver()]);
+      // Streams that this process breaks off now are resumed elsewhere.
+      await origins.handOver();
       logEvent(Events.DRAINED, { requests: frontEnd.countRequests(), waitedMs });
     },
     async stop() {
       stopController.abort();
       paths.stop();
-      await reportLoop;
+      await loops;
       await frontEnd.stop();
       connections.close();
       parts.routerConnections.close();
@@ -141,6 +147,7 @@
       restingTargets: notices.dumpState(),
       lostPaths: paths.dumpState(),
       brittleTargets: brittle.dumpState(),
+      origins: origins.dumpState(),
     }),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -9,10 +9,17 @@
 import * as ExitChecks from './crashes/exitCheck';
 import type { RawHeader } from './front/headers';
 import type { ExchangeDependencies } from './front/replies';
+import * as Events from './events';
 import * as LazyGetters from './lazyGetter';
 import * as BrittleTargets from './limits/brittleTargets';
 import * as TargetLimits from './limits/targetLimits';
 import type { RateLimitedLog } from './rateLimitedLog';
+import * as BuildEntries from './origins/buildEntries';
+import * as OriginMemories from './origins/originMemory';
+import * as OriginReports from './origins/originReports';
+import * as ServiceBuilds from './origins/serviceBuilds';
+import * as StreamOrigins from './origins/streamOrigins';
+import type { StreamOrigins as StreamOriginsState } from './origins/streamOrigins';
 import * as Relays from './relay/relays';
 import type { Relays as RelaysState } from './relay/relays';
 import type { ForwardingSettings } from './settings';
@@ -154,6 +161,29 @@
   });
 }
 
+export function createOrigins(context: PluginContext, log: RateLimitedLog): StreamOriginsState {
+  const { clock, getCapability } = context;
+  const [directory, peers] = [getCapability('directory'), getCapability('peers')];
+  const entries = BuildEntries.createBuildEntries({
+    directory,
+    wire: getCapability('wire'),
+    store: getCapability('keyValue'),
+  });
+  return StreamOrigins.createStreamOrigins({
+    clock,
+    directory,
+    peers,
+    log,
+    memory: OriginMemories.createOriginMemory(clock),
+    reports: OriginReports.createOriginReports({
+      clock,
+      peers,
+      logFailure: (peer, reason) => log.logEvent(Events.ORIGIN_NOT_REPORTED, { peer, reason }),
+    }),
+    builds: ServiceBuilds.createServiceBuilds({ clock, directory, peers, entries }),
+  });
+}
+
 /** Sends a caller's request together with the headers that only the router may set. */
 export function createCallOpener(
   { clock, getCapability }: PluginContext,
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -97,7 +97,7 @@
     if (typeof newBlocks === 'string') return { kind: 'lost', reason: newBlocks, isTimeout: false };
     if (newBlocks.length > 0) {
       if (!progress.hasEvents) yield { kind: 'head', head, build };
-      StreamRelays.recordEvents(progress, build, head, newBlocks);
+      StreamRelays.recordEvents(dependencies, request, progress, { build, head }, newBlocks);
       yield { kind: 'events', bytes: StreamRelays.mergeBlocks(newBlocks) };
     }
   }
@@ -142,7 +142,5 @@
 ): StreamOutcome | undefined {
   if (progress.hasEvents && StreamPlans.hasTriesLeft(request, progress)) return undefined;
   const end = StreamPlans.decideEnd(progress, 'another router refuses it', false);
-  return retryAfterSeconds === undefined
-    ? end
-    : ForwardRequests.setRetryAfter(end, retryAfterSeconds);
+  return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -11,6 +11,7 @@
 import * as Sending from '../answers/sending';
 import type { AttemptOutcome } from './streamAttempt';
 import * as RelayedStreams from './relayedStream';
+import * as ResumedStreams from './resumedStream';
 import * as StreamPlans from './streamPlan';
 import type { Plan, Progress, StreamOutcome } from './streamPlan';
 import * as StreamRelays from './streamRelay';
@@ -23,9 +24,12 @@
 
 export async function* runStreamAnswer(
   dependencies: ForwardingDependencies,
-  request: ForwardRequest,
+  received: ForwardRequest,
 ): AsyncGenerator<StreamPiece, StreamOutcome, void> {
   const { clock } = dependencies;
+  const resumed = await ResumedStreams.findOrigin(dependencies, received);
+  if (resumed.kind !== 'begun') return resumed;
+  const { request } = resumed;
   const budget = dependencies.getBudget(request.service);
   const progress = StreamPlans.createProgress(request);
   // Another router counts the requests that it is sent.
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -75,7 +75,7 @@
   return {
     lastEventId: request.lastEventId,
     hasEvents: false,
-    build: request.relayTerms?.build,
+    build: request.build,
     isFramed: undefined,
     runs: 0,
     tries: 0,
@@ -252,6 +252,10 @@
   request: ForwardRequest,
   progress: Progress,
 ): StreamOutcome {
+  if (progress.build !== undefined && !hasServingTarget(dependencies, request, progress.build)) {
+    const end = decideEnd(progress, 'no target of its software version serves', false);
+    return ForwardRequests.setRetryAfter(end, undefined);
+  }
   if (Placement.computeRestMs(dependencies, request) !== undefined) {
     return decideEnd(progress, Placement.RESTING_REASON, false);
   }
@@ -262,6 +266,20 @@
   return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
 }
 
+/** Whether a target of the build stays, although it may not take the request now. */
+function hasServingTarget(
+  { directory }: ForwardingDependencies,
+  { service }: ForwardRequest,
+  build: TargetBuild,
+): boolean {
+  return directory
+    .listTargets(service)
+    .some(
+      (target) =>
+        target.state !== 'draining' && Decisions.isSameBuild(Decisions.getBuild(target), build),
+    );
+}
+
 function decideBlocked(progress: Progress, blockedMs: number): StreamOutcome {
   const retryAfterSeconds = Math.ceil(blockedMs / MS_PER_SECOND);
   const end = decideEnd(progress, Placement.BLOCKED_REASON, false);
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -79,7 +79,7 @@
       if (newBlocks.length > 0) {
         const build = { version: plan.target.version, models: plan.target.models };
         if (!progress.hasEvents) yield { kind: 'head', head, build };
-        recordEvents(progress, build, head, newBlocks);
+        recordEvents(dependencies, request, progress, { build, head }, newBlocks);
         yield { kind: 'events', bytes: mergeBlocks(newBlocks) };
       }
     }
@@ -89,11 +89,13 @@
 }
 
 export function recordEvents(
+  { origins }: Pick<ForwardingDependencies, 'origins'>,
+  request: ForwardRequest,
   progress: Progress,
-  build: TargetBuild,
-  head: AnswerHead,
+  { build, head }: Readonly<{ build: TargetBuild; head: AnswerHead }>,
   newBlocks: readonly EventBlock[],
 ): void {
+  if (!progress.hasEvents) origins.recordBegun(request, build);
   progress.isFramed ??= !Checks.isCloseDelimited(head);
   progress.hasEvents = true;
   progress.build ??= build;
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -120,6 +120,9 @@
     registerSelf: () => undefined,
     reportBrittle: async () => ({ kind: 'counted' }),
     setBrittleHandler: () => undefined,
+    reportOrigins: async () => ({ kind: 'counted' }),
+    findOrigin: async () => ({ kind: 'unknown' }),
+    setOriginHandlers: () => undefined,
   };
 
 export function createEnvironment({ routers, canHandOver }: EnvironmentOptions): Environment {
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -1,4 +1,5 @@
 /** Messages between routers other than directory records. */
+import type { TargetBuild } from './forwarding';
 
 /** One router's request for part of another router's retry quota for a service. */
 export interface RetryQuotaRequest {
@@ -105,6 +106,8 @@
   readonly zone: string;
   /** `IP:port` on which it takes requests of other routers' callers; absent if it takes none. */
   readonly relayAddress?: string;
+  /** Differs after the router has registered anew, as a new process does. */
+  readonly registration?: number;
 }
 
 export interface RateLimitedTarget {
@@ -140,6 +143,57 @@
   | { readonly kind: 'granted'; readonly granted: GrantedPermits }
   | { readonly kind: 'failed'; readonly reason: string };
 
+/** Identifies a stream by the attempt that brought its first event. */
+export interface StreamKey {
+  /** Empty where callers need no API key. Equal ids of two organisations are of different streams. */
+  readonly organisation: string;
+  readonly requestId: string;
+}
+
+/** What began a stream, and has to go on with it. */
+export interface StreamOrigin extends TargetBuild {
+  readonly service: string;
+}
+
+/** One stream whose origin a router remembers. */
+export interface OriginRecord extends StreamKey {
+  readonly origin: StreamOrigin;
+  /** Time since its first event. */
+  readonly ageMs: number;
+  /** Time for which the stream may still be resumed. */
+  readonly leftMs: number;
+}
+
+/** Asks for the origin of a stream. */
+export interface OriginQuery extends StreamKey {
+  /** Services that the stream's route has. */
+  readonly services: readonly string[];
+}
+
+/**
+ * How the origin of a stream is known: a router remembers the stream, or a single build has served for as long
+ * as streams last.
+ */
+export type OriginSource = 'memory' | 'onlyBuild';
+
+export type OriginReply =
+  | {
+      readonly kind: 'found';
+      readonly origin: StreamOrigin;
+      readonly source: OriginSource;
+      /** Time since the first event of the stream; undefined where it is not remembered. */
+      readonly ageMs?: number;
+    }
+  | { readonly kind: 'unknown' };
+
+export type OriginOutcome = OriginReply | { readonly kind: 'failed'; readonly reason: string };
+
+/** Handlers for origins of streams that peers report or ask for. */
+export interface OriginHandlers {
+  readonly handleOrigins: (records: readonly OriginRecord[]) => void;
+  readonly handleOriginQuery: (query: OriginQuery) => OriginReply;
+}
+
 /** Capability `peers`: calls to the other routers that the directory lists. */
 export interface RouterPeers {
   /** `IP:port` of the other routers, the local zone first, each group in random order. */
@@ -177,6 +231,12 @@
   readonly registerSelf: (relayAddress: string | undefined) => void;
   readonly reportBrittle: (peer: string, report: BrittleReport) => Promise<CrashReportOutcome>;
   readonly setBrittleHandler: (handleBrittle: (report: BrittleReport) => void) => void;
+  readonly reportOrigins: (
+    peer: string,
+    records: readonly OriginRecord[],
+  ) => Promise<CrashReportOutcome>;
+  readonly findOrigin: (peer: string, query: OriginQuery) => Promise<OriginOutcome>;
+  readonly setOriginHandlers: (handlers: OriginHandlers) => void;
   /** Sets the handler for rollout reports of other routers. */
   readonly setReportHandler: (handleReport: (report: RolloutReport) => RolloutGuidance) => void;
 }
