Do not presume the software version of a target found at another one's address

Callers could get events of two versions after an engine had restarted with other software before its entry was known here: at its address during an outage of the store, or under its own id.

Cause: the version of a target that was found at the address of another was taken from that one's entry. And a target that starts again under its id takes requests for that id at once. The class is the same: what began a stream was looked up instead of known.

Change: such a target begins streams, but goes on with none and holds no copy, until the store names its version. A load report that names another start than the entry is not of this incarnation, and no stream is placed by it.

What remains: a target that restarted under its id and is chosen without a report, because no engine asked answered in time.

--- a/packages/sequoiarill-decisions/src/streamBuilds.ts
+++ b/packages/sequoiarill-decisions/src/streamBuilds.ts
@@ -1,5 +1,5 @@
 /** Decides which targets may continue a stream that another target began. */
-import type { TargetBuild } from '@sequoiarill/types';
+import type { ForwardingTarget, TargetBuild } from '@sequoiarill/types';
 
 /**
  * Whether a target of one build may continue a stream of the other. A target whose version is not known
@@ -10,6 +10,10 @@
 }
 
 /** The build of a target. The version of one that was found at the address of another is not known. */
-export function getBuild({ version, models }: TargetBuild): TargetBuild {
-  return { version, models };
+export function getBuild({
+  version,
+  models,
+  isVersionPresumed = false,
+}: Pick<ForwardingTarget, 'version' | 'models' | 'isVersionPresumed'>): TargetBuild {
+  return { version: isVersionPresumed ? '' : version, models };
 }
--- a/packages/sequoiarill-plugin-directory/src/__tests__/directoryState.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/directoryState.test.ts
@@ -78,6 +78,10 @@
     state.recordReplacement(firstTarget, 'one-again');
     state.recordReplacement(secondTarget, 'two-again');
     expect(listIds()).toEqual(['one-again', 'two-again']);
+    // Until the store names it, its version may be another than that of the incarnation before.
+    const isPresumed = () =>
+      state.listTargets('engines').map(({ isVersionPresumed }) => isVersionPresumed === true);
+    expect(isPresumed()).toEqual([true, true]);
     state.removeDueTargets();
     expect(listIds()).toEqual(['one-again', 'two-again']);
     state.delayRemovalsUntil(2_300);
@@ -87,6 +91,7 @@
     delay(2_400);
     state.removeDueTargets();
     expect(listIds()).toEqual(['one-again']);
+    expect(isPresumed()).toEqual([false]);
     // An outdated record of the previous incarnation from a peer does not restore it.
     state.applyRecords([{ key: 'targets/one', revision: 2, value: firstValue }]);
     expect(listIds()).toEqual(['one-again']);
--- a/packages/sequoiarill-plugin-directory/src/directoryTargets.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryTargets.ts
@@ -67,7 +67,8 @@
     const key = `${wire.targetPrefix}${id}`;
     if (targets.find(key) !== undefined) return false;
     const startedAtUnixMs = replaced.startedAtUnixMs + 1;
-    targets.set(key, { ...replaced, id, startedAtUnixMs, state: 'ready' });
+    const found = { ...replaced, id, startedAtUnixMs, isVersionPresumed: true };
+    targets.set(key, { ...found, state: 'ready' });
     if (targets.find(key) === undefined) return false;
     replacementKeys.add(key);
     logEvent(Events.TARGET_LEARNED, { target: id, replaced: replaced.id, zone: replaced.zone });
--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -26,7 +26,7 @@
   const allowed =
     build === undefined
       ? rollouts.selectTargets(all, versionDraw)
-      : all.filter((target) => Decisions.isSameBuild(target, build));
+      : all.filter((target) => Decisions.isSameBuild(Decisions.getBuild(target), build));
   return Decisions.selectAvailable(allowed, registry.isSuspect);
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/movedVersion.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/movedVersion.test.ts
@@ -11,8 +11,14 @@
 /** Time at which the service has moved to the other version. */
 const MOVED_MS = 500;
 
-/** Engines of two versions with the same models; the service moves from the first to the second. */
-function createFleet(failsAfter: Readonly<Record<string, number>> = {}): FakeDependencies {
+/**
+ * Engines of two versions with the same models; the service moves from the first to the second. The first
+ * ones break off after so many events; `change` applies to the engine a2.
+ */
+function createFleet(
+  failsAfter: Readonly<Record<string, number>> = {},
+  change: Partial<ForwardingTarget> = {},
+): FakeDependencies {
   const fake = Fakes.createFakeDependencies((target, headers) => {
     const run = Simulation.createRun(Simulation.createFromHeader(headers), EVENTS);
     const last = failsAfter[target];
@@ -20,7 +26,7 @@
       ? run
       : [...run.slice(0, 1 + last), [60 + last * 30, { kind: 'broken', reason: 'ECONNRESET' }]];
   });
-  const previous = ['a1', 'a2'].map((id) => Fakes.createTarget(id));
+  const previous = [Fakes.createTarget('a1'), Fakes.createTarget('a2', change)];
   const updated = ['b1', 'b2'].map((id) => Fakes.createTarget(id, { version: 'v2' }));
   fake.setTargets([...previous, ...updated]);
   [...previous, ...updated].forEach(({ id }) => fake.reports.set(id, Fakes.IDLE_REPORT));
@@ -59,6 +65,15 @@
     expect(fake.sentCalls[1]?.headers.from).not.toEqual(undefined);
   });
 
+  it('does not go on at a target whose version nobody knows', async () => {
+    // Guards against a target found at a known address that runs another software version.
+    const fake = createFleet({ a1: 5 }, { isVersionPresumed: true });
+    const { text, outcome } = await Simulation.simulateStream(fake);
+    expect(outcome?.kind).toEqual('broken');
+    expect(Simulation.formatAll(EVENTS).startsWith(text)).toEqual(true);
+    expect([...new Set(listUsed(fake))]).toEqual(['a1']);
+  });
+
   it('breaks off when no target of its version can go on', async () => {
     // Guards against events of two software versions in one answer.
     const fake = createFleet({ a1: 5, a2: 5 });
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -172,7 +172,9 @@
 ): ForwardingTarget | undefined {
   const holder = copy === undefined ? undefined : dependencies.directory.findCurrent(copy.holder);
   if (holder?.state !== 'ready') return undefined;
-  if (build !== undefined && !Decisions.isSameBuild(holder, build)) return undefined;
+  if (build !== undefined && !Decisions.isSameBuild(Decisions.getBuild(holder), build)) {
+    return undefined;
+  }
   if (!Placement.isAvailable(dependencies, holder)) return undefined;
   return holder;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -1,6 +1,7 @@
 /**
  * Relays the events of one attempt, each exactly once, and monitors the copy of the run meanwhile.
  */
+import * as Decisions from '@sequoiarill/decisions';
 import type { TargetBuild } from '@sequoiarill/types';
 
 import * as Checks from '../answers/answerChecks';
@@ -77,7 +78,7 @@
       }
       monitor.update();
       if (newBlocks.length > 0) {
-        const build = { version: plan.target.version, models: plan.target.models };
+        const build = Decisions.getBuild(plan.target);
         if (!progress.hasEvents) yield { kind: 'head', head, build };
         recordEvents(dependencies, request, progress, { build, head }, newBlocks);
         yield { kind: 'events', bytes: mergeBlocks(newBlocks) };
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
@@ -97,6 +97,16 @@
     expect(unverified.replacements).toEqual([]);
   });
 
+  it('ignore the report of another incarnation under the same id', async () => {
+    // Guards against streams continued by an engine that restarted with other software.
+    const other = { startedAtUnixMs: 2 };
+    const result = await simulateProbe({ isDirectoryUpToDate: true, id: 'known', report: other });
+    expect(result.answer).toEqual(undefined);
+    const same = { startedAtUnixMs: 1 };
+    const known = await simulateProbe({ isDirectoryUpToDate: true, id: 'known', report: same });
+    expect(known.answer?.running).toEqual(0);
+  });
+
   it('ignore another incarnation if its service is uncertain or it is leaving', async () => {
     // Addresses are reassigned to other services. With two services of engines, the incarnation
     // that responds may belong to the other one, and a request would run on a service it is not
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -4,7 +4,7 @@
  */
 import * as Decisions from '@sequoiarill/decisions';
 import type { LatencyAdmissionDecision, EngineView } from '@sequoiarill/decisions';
-import type { ForwardingTarget, TargetBuild } from '@sequoiarill/types';
+import type { ForwardingTarget } from '@sequoiarill/types';
 
 import * as Events from '../events';
 import * as Placement from '../answers/placement';
@@ -149,9 +149,10 @@
   lostHolder?: ForwardingTarget,
 ): ForwardingTarget | undefined {
   if (!hasBackups(dependencies, request)) return undefined;
-  const others = Placement.listAvailable(dependencies, { ...request, build: target }).filter(
-    ({ id }) => id !== target.id && id !== lostHolder?.id,
-  );
+  const others = Placement.listAvailable(dependencies, {
+    ...request,
+    build: Decisions.getBuild(target),
+  }).filter(({ id }) => id !== target.id && id !== lostHolder?.id);
   const unsuspected = others.filter((other) => !dependencies.registry.isSuspect(other));
   const pool = Decisions.selectCopyHolders(unsuspected, target.zone, dependencies.zone);
   // One of the engines that are queried for this prompt, so that a caller that resumes the stream
@@ -168,8 +169,9 @@
 export function isLocalEngineAvailable(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
-  build: TargetBuild,
+  run: ForwardingTarget,
 ): boolean {
+  const build = Decisions.getBuild(run);
   return Placement.listAvailable(dependencies, { ...request, build }).some(
     (engine) => engine.zone === dependencies.zone && !dependencies.registry.isSuspect(engine),
   );
@@ -224,7 +226,8 @@
   left: ForwardingTarget | undefined,
   right: ForwardingTarget | undefined,
 ): boolean {
-  return left !== undefined && right !== undefined && Decisions.isSameBuild(left, right);
+  if (left === undefined || right === undefined) return false;
+  return Decisions.isSameBuild(Decisions.getBuild(left), Decisions.getBuild(right));
 }
 
 function pickPair(
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
@@ -106,6 +106,19 @@
     directory.recordReplacement(target, id);
   }
 
+  /**
+   * Failure: an engine restarts under its id with another version of its software, which the directory has not
+   * recorded yet. It takes requests for that id, and would continue streams of the other version.
+   */
+  function isOfIncarnation(
+    { startedAtUnixMs, isVersionPresumed }: ForwardingTarget,
+    report: EngineReport | undefined,
+  ): boolean {
+    const reportedAtUnixMs = report?.startedAtUnixMs;
+    if (reportedAtUnixMs === undefined || startedAtUnixMs === 0) return true;
+    return isVersionPresumed === true || reportedAtUnixMs === startedAtUnixMs;
+  }
+
   async function readVerifiedReport(target: ForwardingTarget): Promise<EngineReport | undefined> {
     const [response, id] = await Promise.all([
       readPath(target, wire.reportPath),
@@ -113,7 +126,7 @@
     ]);
     if (response === undefined && !notices.isResting(target)) registry.recordLoss(target);
     const report = response?.head.status === OK ? wire.decodeReport(response.text) : undefined;
-    if (id === target.id) return report;
+    if (id === target.id) return isOfIncarnation(target, report) ? report : undefined;
     const isUsable = report !== undefined && !report.isLeaving;
     if (isUsable && id !== undefined) reportReplacement(target, id);
     return undefined;
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -112,12 +112,19 @@
    * target may have been removed, or it still runs and has yet to write its entry again.
    */
   readonly state: 'ready' | 'draining' | 'unconfirmed';
+  /**
+   * Set where the target was found at the address of another one, whose version is given: its own may be
+   * another.
+   */
+  readonly isVersionPresumed?: boolean;
   /** Remaining warm-up time after a start, during which the target is slow, milliseconds. */
   readonly warmupLeftMs: number;
 }
 
 /** Load report of an engine. */
 export interface EngineReport {
+  /** Start of the process that reports, Unix milliseconds; undefined if it does not say. */
+  readonly startedAtUnixMs?: number;
   readonly queued: number;
   readonly running: number;
   /** Running requests that have not produced their first event yet. */
