Soak targets of two software versions, and callers that take streams up at other routers

Targets run two versions side by side and change theirs with every second life, at the same address. Callers come back for broken streams up to three times, each time at another router, and name the first attempt; half of those that leave come back too. Routers are killed together, some or all. The check versions holds the events of a stream against each other over all attempts of its caller; checks.test.ts breaks it on purpose.

--- a/packages/sequoiarill-standins/src/userPlatform/documents.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/documents.ts
@@ -79,7 +79,7 @@
   readonly slots: number;
   readonly state: 'ready' | 'draining';
   /** Version of the software that the target runs. */
-  readonly version?: string;
+  readonly version: string;
   /** Distinguishes incarnations of the target. */
   readonly startedAtUnixMs: number;
 }
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -112,11 +112,16 @@
   }));
 }
 
-export function formatEvents(requestId: string, from = 1, count = EVENT_COUNT): string {
+export function formatEvents(
+  requestId: string,
+  from = 1,
+  count = EVENT_COUNT,
+  version?: string,
+): string {
   const numbers = Array.from({ length: count }, (_one, index) => index + 1);
   return numbers
     .filter((number) => number >= from)
-    .map((number) => formatEvent(requestId, number))
+    .map((number) => formatEvent(requestId, number, version))
     .join('');
 }
 
--- a/soak/src/__tests__/checks.test.ts
+++ b/soak/src/__tests__/checks.test.ts
@@ -11,6 +11,10 @@
 
 const EVENTS = 12;
 
+function formatEvents(id: string, version: string): string {
+  return Standins.formatEvents(id, 1, EVENTS, version);
+}
+
 function createRun(requestId: string, overrides: Partial<TargetRun> = {}): TargetRun {
   const run = { requestId, path: '/x', organisation: 'shop', hasApiKey: false, startedAtMs: 0 };
   return { ...run, ...overrides };
@@ -49,7 +53,7 @@
   it('report nothing where every guarantee holds', () => {
     const requestLog = RequestLogs.createRequestLog();
     addRequest(requestLog, { id: 'o1' }, { text: 'o1 got b' });
-    addRequest(requestLog, { id: 's1', kind: 'stream' }, { text: Standins.formatEvents('s1') });
+    addRequest(requestLog, { id: 's1', kind: 'stream' }, { text: formatEvents('s1', 'v1') });
     addRequest(requestLog, { id: 's2', kind: 'stream' }, { text: 'id: 1\nda', isComplete: false });
     requestLog.probes.push(createProbe({}), createProbe({ version: 2, atMs: 5 }));
     expect(listRules(requestLog, [createRun('o1'), createRun('s1'), createRun('s1')])).toEqual([]);
@@ -65,14 +69,30 @@
 
   it('report a missing or duplicate event, and the answer of another request', () => {
     const requestLog = RequestLogs.createRequestLog();
-    const [first, second] = [1, 2].map((number) => Standins.formatEvent('s1', number));
-    const rest = Standins.formatEvents('s1', 2);
+    const [first, second] = [1, 2].map((number) => Standins.formatEvent('s1', number, 'v1'));
+    const rest = Standins.formatEvents('s1', 2, EVENTS, 'v1');
     addRequest(requestLog, { id: 's1', kind: 'stream' }, { text: `${first}${second}${rest}` });
     addRequest(requestLog, { id: 's2', kind: 'stream' }, { text: 'id: 2\n', isComplete: false });
     addRequest(requestLog, { id: 'o1' }, { text: 'o9 got b' });
     expect(listRules(requestLog, [createRun('o1')])).toEqual(['events', 'events', 'whole']);
   });
 
+  it('report events of two versions, in one answer or over the attempts of a caller', () => {
+    const requestLog = RequestLogs.createRequestLog();
+    const [begun, mixed] = ['v1', 'v2'].map((version) => Standins.formatEvent('s1', 1, version));
+    const stream = { kind: 'stream' } as const;
+    const rest = { ...stream, id: 's1.rest1', fromEvent: 2, resumes: 's1' };
+    addRequest(requestLog, { ...stream, id: 's1' }, { text: begun ?? '', isComplete: false });
+    const text = Standins.formatEvents(rest.id, 2, EVENTS, 'v1');
+    addRequest(requestLog, rest, { text });
+    expect(listRules(requestLog)).toEqual([]);
+    addRequest(requestLog, rest, { text: text.replaceAll('v1', 'v2') });
+    expect(listRules(requestLog)).toEqual(['versions']);
+    const answer = `${begun}${mixed?.replaceAll(' 1', ' 2')}`;
+    addRequest(requestLog, { ...stream, id: 's1' }, { text: answer, isComplete: false });
+    expect(listRules(requestLog)).toEqual(['events', 'versions']);
+  });
+
   it('report runs that no caller requested, or on behalf of another organisation', () => {
     const requestLog = RequestLogs.createRequestLog();
     const overrides = { organisation: 'other', hasApiKey: true };
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -6,6 +6,7 @@
 import * as Undici from 'undici';
 
 import * as Configurations from './configuration';
+import * as RequestLogs from './requestLog';
 import type { CallerResult, RequestLog, SentRequest } from './requestLog';
 import type { Random } from './random';
 import type { ManagedRouter } from './routers';
@@ -25,6 +26,9 @@
 }
 
 const TIMEOUT_MS = 8_000;
+const OK = 200;
+/** Attempts of a caller to go on with a stream. */
+const MAX_RESUMES = 3;
 const PROBE_TIMEOUT_MS = 1_000;
 const PROBE_INTERVAL_MS = 120;
 const REQUEST_PAUSE_MS = [5, 120] as const;
@@ -64,13 +68,31 @@
   sent: SentRequest,
   result: CallerResult,
   eventCount: number,
-): Pick<SentRequest, 'id' | 'fromEvent'> | undefined {
-  if (sent.kind !== 'stream' || result.kind !== 'answer' || result.isComplete) return undefined;
-  if (sent.id.includes('.')) return undefined;
-  const received = [...result.text.matchAll(/^id: (\d+)\ndata: .*\n\n/gm)].length;
+): Pick<SentRequest, 'id' | 'fromEvent' | 'resumes'> | undefined {
+  if (sent.kind !== 'stream') return undefined;
+  const received = result.kind === 'answer' ? RequestLogs.listEvents(result.text).length : 0;
   const fromEvent = sent.fromEvent + received;
-  if (fromEvent > eventCount || received === 0) return undefined;
-  return { id: `${sent.id}.rest`, fromEvent };
+  if (fromEvent > eventCount || fromEvent === 1) return undefined;
+  if (result.kind === 'answer' && result.isComplete && result.status === OK) return undefined;
+  const [first = sent.id, attempts = '0'] = sent.id.split('.rest');
+  const attempt = Number(attempts) + 1;
+  if (attempt > MAX_RESUMES) return undefined;
+  return { id: `${first}.rest${attempt}`, fromEvent, resumes: first };
+}
+
+function createHeaders({
+  id,
+  kind,
+  fromEvent,
+  resumes,
+}: SentRequest): Readonly<Record<string, string>> {
+  const apiKey = Configurations.CALLERS_KEY;
+  const headers = Standins.createCallerHeaders({ requestId: id, apiKey, limitMs: TIMEOUT_MS });
+  if (kind !== 'stream') return headers;
+  // A continuation has the id `ID.restN` and the prompt of the original stream.
+  const [prompt = id] = id.split('.');
+  const resumeAfter = fromEvent > 1 ? fromEvent - 1 : undefined;
+  return { ...headers, ...Standins.createStreamHeaders(prompt, resumeAfter, resumes) };
 }
 
 export function createCallers(options: CallersOptions) {
@@ -90,12 +112,8 @@
   }
 
   async function sendRequest(request: SentRequest, timeoutMs: number): Promise<CallerResult> {
-    const { id, kind, body, fromEvent } = request;
+    const { id, kind, body } = request;
     const path = { stream: '/advice/x', order: '/orders/x', read: '/reads/x' }[kind];
-    // A continuation has the id `ID.rest` and the prompt of the original stream.
-    const [prompt = id] = id.split('.');
-    const resumeAfter = fromEvent > 1 ? fromEvent - 1 : undefined;
-    const stream = kind === 'stream' ? Standins.createStreamHeaders(prompt, resumeAfter) : {};
     requestLog.requests.set(id, request);
     try {
       const answer = await Undici.request(
@@ -105,14 +123,7 @@
           dispatcher: agent,
           body,
           signal: AbortSignal.timeout(timeoutMs),
-          headers: {
-            ...Standins.createCallerHeaders({
-              requestId: id,
-              apiKey: Configurations.CALLERS_KEY,
-              limitMs: TIMEOUT_MS,
-            }),
-            ...stream,
-          },
+          headers: createHeaders(request),
         },
       );
       recordLeaving(request, answer);
@@ -145,11 +156,21 @@
       isAbandoned ? random.pickBetween(...ABANDON_AFTER_MS) : TIMEOUT_MS,
     );
     requestLog.results.set(id, result);
-    const rest = isAbandoned ? undefined : findRest(request, result, eventCount);
-    if (rest === undefined) return;
-    // Another router, as a balancer would choose for a new connection.
-    const next = { ...request, ...createSending((router + 1) % routers.length), ...rest };
-    requestLog.results.set(next.id, await sendRequest(next, TIMEOUT_MS));
+    // Half of the callers that leave come back for the rest.
+    if (!isAbandoned || requestCount % 2 === 0) await resumeStream(request, result);
+  }
+
+  /** Goes on with a broken stream at other routers, as a balancer would choose for new connections. */
+  async function resumeStream(first: SentRequest, firstResult: CallerResult): Promise<void> {
+    let [request, result] = [first, firstResult];
+    for (;;) {
+      const rest = findRest(request, result, eventCount);
+      if (rest === undefined) return;
+      const router = (request.router + 1) % routers.length;
+      request = { ...request, ...createSending(router), ...rest };
+      result = await sendRequest(request, TIMEOUT_MS);
+      requestLog.results.set(request.id, result);
+    }
   }
 
   async function sendProbe(
--- a/soak/src/checks.ts
+++ b/soak/src/checks.ts
@@ -4,6 +4,7 @@
 
 import * as RequestLogs from './requestLog';
 import type { CallerResult, RequestLog, Probe, SentRequest } from './requestLog';
+import { VERSIONS } from './targets';
 
 export interface IncarnationRuns {
   /** Id of one incarnation of a target. */
@@ -36,12 +37,13 @@
 /** Statuses that guarantee that the request was not run and never will be. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-export function formatExpectedAnswer(
+/** The whole answers that are right; a stream may be of any version. */
+function listExpectedAnswers(
   { id, kind, body, fromEvent }: SentRequest,
   count: number,
-): string {
-  if (kind === 'stream') return Standins.formatEvents(id, fromEvent, count);
-  return `${id} got ${body}`;
+): readonly string[] {
+  if (kind !== 'stream') return [`${id} got ${body}`];
+  return VERSIONS.map((version) => Standins.formatEvents(id, fromEvent, count, version));
 }
 
 function* checkAnswer(
@@ -50,10 +52,13 @@
   count: number,
 ): Generator<Violation> {
   const { id, kind } = request;
-  const expected = formatExpectedAnswer(request, count);
+  const expected = listExpectedAnswers(request, count);
   if (result.status !== OK) return;
   if (!result.isSigned) yield { rule: 'whole', text: `${id}: an answer without a signature` };
-  const isExact = result.isComplete ? result.text === expected : expected.startsWith(result.text);
+  const { isComplete, text: received } = result;
+  const isExact = expected.some((whole) =>
+    isComplete ? received === whole : whole.startsWith(received),
+  );
   if (isExact) return;
   // A broken stream may end within an event, so any prefix of the expected text is right.
   const rule = kind === 'stream' ? 'events' : 'whole';
@@ -64,6 +69,22 @@
   };
 }
 
+/** Checks that the events of each stream are of one version, over all attempts of its caller. */
+function* checkVersions({ requestLog }: Evidence): Generator<Violation> {
+  const versionsByStream = new Map<string, Set<string>>();
+  for (const [id, { kind, resumes = id }] of requestLog.requests) {
+    const result = requestLog.results.get(id);
+    if (kind === 'stream' && result?.kind === 'answer' && result.status === OK) {
+      const versions = versionsByStream.get(resumes) ?? new Set();
+      RequestLogs.listEvents(result.text).forEach(({ version }) => versions.add(version));
+      versionsByStream.set(resumes, versions);
+    }
+  }
+  for (const [id, versions] of versionsByStream) {
+    if (versions.size > 1) yield { rule: 'versions', text: `${id}: ${[...versions].join(', ')}` };
+  }
+}
+
 /** Counts how often each request was started, over all incarnations of all targets. */
 function countRuns(incarnations: readonly IncarnationRuns[]): ReadonlyMap<string, number> {
   const runsById = new Map<string, number>();
@@ -182,6 +203,13 @@
 }
 
 export function checkEvidence(evidence: Evidence): readonly Violation[] {
-  const checks = [checkRequests, checkRuns, checkConfiguration, checkLeaving, checkLeavingAnswers];
+  const checks = [
+    checkRequests,
+    checkVersions,
+    checkRuns,
+    checkConfiguration,
+    checkLeaving,
+    checkLeavingAnswers,
+  ];
   return checks.flatMap((check) => [...check(evidence)]);
 }
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -40,8 +40,9 @@
   for (let seed = first; seed < first + Number(args.runs); seed += 1) {
     const callers = routers * CALLERS_PER_PROCESS;
     const result = await Runs.runSoak({ seed, seconds, routers, callers });
-    const { violations, schedule, requests, answered, probes } = result;
-    const line = { seed, steps: schedule.length, requests, answered, probes };
+    const { violations, schedule, requests, answered, probes, resumed, resumedServed } = result;
+    const counts = { requests, answered, probes, resumed, resumedServed };
+    const line = { seed, steps: schedule.length, ...counts };
     process.stdout.write(`${JSON.stringify({ ...line, violations: violations.length })}\n`);
     if (violations.length > 0) {
       violations.slice(0, 10).forEach(({ rule, text }) => {
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -3,6 +3,8 @@
  * the same clock, in milliseconds.
  */
 
+import * as Standins from '@sequoiarill/standins';
+
 export type RequestKind = 'stream' | 'order' | 'read';
 
 export interface SentRequest {
@@ -12,6 +14,8 @@
   readonly body: string;
   /** First event requested: 1, or a later one where the caller resumes a broken stream. */
   readonly fromEvent: number;
+  /** Id of the attempt that brought the first event, where the caller resumes a stream. */
+  readonly resumes?: string;
   /** Incarnation of the router's process and time when the request was sent. */
   readonly incarnation: number;
   readonly sentAtMs: number;
@@ -76,6 +80,11 @@
   readonly disturbances: Disturbance[];
 }
 
+/** Lists the complete events in what arrived of a stream, and the version that wrote each. */
+export function listEvents(text: string): readonly Standins.VersionedEvent[] {
+  return Standins.listVersionedEvents(text);
+}
+
 export function createRequestLog(): RequestLog {
   return {
     requests: new Map(),
@@ -117,3 +126,13 @@
     .map((one) => one.untilMs + RECOVERY_MS);
   return Math.max(Number.NEGATIVE_INFINITY, ...ends);
 }
+
+/** Counts attempts to go on with a stream, and those of them that brought an event. */
+export function countResumed({ requests, results }: RequestLog) {
+  const resumed = [...requests.values()].filter(({ resumes }) => resumes !== undefined);
+  const served = resumed.filter(({ id }) => {
+    const result = results.get(id);
+    return result?.kind === 'answer' && listEvents(result.text).length > 0;
+  });
+  return { resumed: resumed.length, resumedServed: served.length };
+}
--- a/soak/src/routers.ts
+++ b/soak/src/routers.ts
@@ -86,6 +86,8 @@
   const incarnations: StartedRouter[] = [];
   const exitCodes: (number | null)[] = [];
   let isStopped = false;
+  /** Restarts follow each other, since several faults may want one at the same time. */
+  let restarting = Promise.resolve();
 
   function getCurrent(): StartedRouter {
     const current = incarnations.at(-1);
@@ -138,8 +140,11 @@
       getCurrent().process.kill('SIGHUP');
     },
     async restart(signal) {
-      await stopIncarnation(signal);
-      if (!isStopped) await startIncarnation();
+      restarting = restarting.then(async () => {
+        await stopIncarnation(signal);
+        if (!isStopped) await startIncarnation();
+      });
+      await restarting;
     },
     listLogLines: () => incarnations.flatMap(({ lines }) => lines),
     listExitCodes: () => exitCodes,
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -13,6 +13,7 @@
 import { EVENT_COUNT, TARGET_COUNT, startEnvironment, writeNextVersion } from './environment';
 import type { Environment, SoakOptions } from './environment';
 import * as Randoms from './random';
+import * as RequestLogs from './requestLog';
 import type { ManagedRouter } from './routers';
 import * as Schedules from './schedule';
 import type { Action, PartitionFault, Step } from './schedule';
@@ -26,6 +27,9 @@
   readonly requests: number;
   readonly answered: number;
   readonly probes: number;
+  /** Attempts to go on with a stream, and those of them that brought an event. */
+  readonly resumed: number;
+  readonly resumedServed: number;
   readonly lines: readonly LogLine[];
 }
 
@@ -158,6 +162,19 @@
   silenced.forEach((index) => routers[index]?.storeLink.silence());
 }
 
+/** Each router is started again when the faults that it has now have ended. */
+async function simulateKills(environment: Environment, routers: readonly number[]): Promise<void> {
+  const killed = routers.flatMap((index) => environment.routers[index] ?? []);
+  await runDisturbed(
+    environment,
+    routers,
+    async () => {
+      await Promise.all(killed.map((router) => router.restart('SIGKILL')));
+    },
+    true,
+  );
+}
+
 /** No disturbance is recorded: the other routers serve the callers of these. */
 async function simulatePartition(
   { routerLinks }: Environment,
@@ -169,6 +186,28 @@
   await Promise.all(links.map((link) => applyLinkFault(link, fault, forMs)));
 }
 
+async function applyRouterAction(
+  environment: Environment,
+  action: Extract<Action, { kind: 'router' | 'storeLink' | 'killRouters' }>,
+  forMs: number,
+): Promise<void> {
+  if (action.kind === 'killRouters') {
+    await simulateKills(environment, action.routers);
+    return;
+  }
+  const router = environment.routers[action.router];
+  if (router === undefined) return;
+  await runDisturbed(
+    environment,
+    [action.router],
+    () =>
+      action.kind === 'router'
+        ? applyRouterFault(router, action.fault, forMs)
+        : applyLinkFault(router.storeLink, action.fault, forMs),
+    action.kind === 'router',
+  );
+}
+
 async function applyAction(environment: Environment, { action, forMs }: Step): Promise<void> {
   const allRouters = environment.routers.map((_router, index) => index);
   if (action.kind === 'configure') writeNextVersion(environment);
@@ -184,18 +223,8 @@
       await waitMs(forMs);
       environment.store.setFault('none');
     });
-  } else if (action.kind === 'router' || action.kind === 'storeLink') {
-    const router = environment.routers[action.router];
-    if (router === undefined) return;
-    await runDisturbed(
-      environment,
-      [action.router],
-      () =>
-        action.kind === 'router'
-          ? applyRouterFault(router, action.fault, forMs)
-          : applyLinkFault(router.storeLink, action.fault, forMs),
-      action.kind === 'router',
-    );
+  } else if ('router' in action || 'routers' in action) {
+    await applyRouterAction(environment, action, forMs);
   } else if (action.kind === 'targetLink') {
     const target = environment.targets[action.target];
     if (target !== undefined) await applyLinkFault(target.link, action.fault, forMs);
@@ -291,6 +320,7 @@
     requests: requestLog.requests.size,
     answered: [...requestLog.results.values()].filter((result) => result.kind === 'answer').length,
     probes: requestLog.probes.length,
+    ...RequestLogs.countResumed(requestLog),
     lines: routers.flatMap((router) => router.listLogLines()),
   };
 }
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -34,6 +34,8 @@
       readonly fault: PartitionFault;
     }
   | { readonly kind: 'router'; readonly router: number; readonly fault: RouterFault }
+  /** The processes of these routers are killed at the same moment. */
+  | { readonly kind: 'killRouters'; readonly routers: readonly number[] }
   | { readonly kind: 'configure' };
 
 export interface Step {
@@ -146,6 +148,16 @@
 const PARTITION_STEP_PAUSE_MS = [2_000, 6_000] as const;
 const PARTITION_SEED_OFFSET = 1_500_000;
 
+/** Routers killed together: some of them or all. */
+const KILL_PICKERS: readonly PickAction[] = [
+  (random, { routers }) => ({
+    kind: 'killRouters',
+    routers: listNumbers(random.pickBetween(1, routers)),
+  }),
+];
+const KILL_STEP_PAUSE_MS = [3_000, 9_000] as const;
+const KILL_SEED_OFFSET = 2_000_000;
+
 export function createSchedule(
   seed: number,
   durationMs: number,
@@ -171,6 +183,12 @@
       PARTITION_STEP_PAUSE_MS,
       { durationMs, size },
     ),
+    ...createSteps(
+      Randoms.createRandom(seed + KILL_SEED_OFFSET),
+      KILL_PICKERS,
+      KILL_STEP_PAUSE_MS,
+      { durationMs, size },
+    ),
   ];
   return steps.sort((left, right) => left.atMs - right.atMs);
 }
--- a/soak/src/targets.ts
+++ b/soak/src/targets.ts
@@ -30,6 +30,16 @@
 
 const SLOTS = 32;
 
+/** Software versions that serve side by side. */
+export const VERSIONS = ['v1', 'v2'] as const;
+/** Incarnations of a target that run the same version, one after the other. */
+const INCARNATIONS_PER_VERSION = 2;
+
+function getVersion(index: number, incarnation: number): string {
+  const changes = Math.floor(incarnation / INCARNATIONS_PER_VERSION);
+  return VERSIONS[(index + changes) % VERSIONS.length] ?? VERSIONS[0];
+}
+
 export async function startTarget(options: TargetOptions): Promise<ManagedTarget> {
   const { index, service, zone, store, eventCount } = options;
   const incarnations: TargetStandin[] = [];
@@ -39,7 +49,8 @@
 
   function createIncarnation(): TargetStandin {
     const id = `${service}-${index}-life-${incarnations.length + 1}`;
-    const incarnation = Standins.createTargetStandin(id, { listen, eventCount });
+    const version = getVersion(index, incarnations.length);
+    const incarnation = Standins.createTargetStandin(id, { listen, eventCount, version });
     incarnations.push(incarnation);
     return incarnation;
   }
@@ -53,7 +64,8 @@
   function writeEntry(state: 'ready' | 'draining'): void {
     writtenState = state;
     const startedAtUnixMs = incarnations.length;
-    const entry = { service, address, zone, slots: SLOTS, state, startedAtUnixMs };
+    const version = getVersion(index, incarnations.length - 1);
+    const entry = { service, address, zone, version, slots: SLOTS, state, startedAtUnixMs };
     store.writeValue(Standins.formatTargetKey(getCurrent().id), Standins.formatTargetEntry(entry));
   }
 
