Keep the last engines of a software version free for streams that it has begun

A version that is being replaced got new streams to its last engine like any other. They could go on nowhere once it left, and streams that came back for this version found its engines full.

A new stream goes to an engine of a build with three or more of them, unless two more prompts wait there. Streams that have begun have no choice and are not affected; with a single build nothing changes. Shown by enginePlacement.test.ts.

--- a/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/enginePlacement.test.ts
@@ -18,6 +18,7 @@
     usedTokens: 0,
     totalTokens: 88_000,
     keptTokens: 0,
+    isScarce: false,
     ...change,
   };
 }
@@ -240,6 +241,24 @@
     expect(chooseForPrompt({ ...alone, isSameBuild })?.backup).toEqual(undefined);
   });
 
+  it('leaves the last engines of a build to streams that can go on only there', () => {
+    // Guards against new streams that take the room of those that come back, and end with the build.
+    const views = [
+      createView({ id: 'scarce', isScarce: true }),
+      createView({ id: 'busy', zone: 'b', prefilling: 1, running: 5 }),
+    ];
+    const query = { views, zone: 'a', promptTokens: 8_000 };
+    expect(chooseForPrompt(query)?.target).toEqual('busy');
+    const full = [views[0], createView({ id: 'busy', prefilling: 3, running: 9 })];
+    const crowded = { ...query, views: full.flatMap((view) => view ?? []) };
+    expect(chooseForPrompt(crowded)?.target).toEqual('scarce');
+    expect([2, 3].map((engines) => EnginePlacement.isScarceBuild(engines, 10))).toEqual([
+      true,
+      false,
+    ]);
+    expect(EnginePlacement.isScarceBuild(2, 2)).toEqual(false);
+  });
+
   it('chooses an engine without space for the prompt last', () => {
     // An engine whose KV cache is full preempts a running stream for a new prompt.
     const views = [
--- a/packages/sequoiarill-decisions/src/enginePlacement.ts
+++ b/packages/sequoiarill-decisions/src/enginePlacement.ts
@@ -26,6 +26,8 @@
   readonly totalTokens: number;
   /** Tokens of this prompt that are cached there and need no prefill; 0 if that was not queried. */
   readonly keptTokens: number;
+  /** Whether few engines of its build are left; only for streams that could begin at any build. */
+  readonly isScarce: boolean;
 }
 
 export interface EnginePlacementQuery {
@@ -61,6 +63,20 @@
 /** Space that must remain beside the prompt for its output and the growth of other runs, tokens. */
 const HEADROOM_TOKENS = 2_000;
 
+/**
+ * Load pattern: a build is being replaced, and its last engines would get new streams like all others. These
+ * streams could go on nowhere once the engines leave, and streams that the build has begun, which can go on only there,
+ * would find them full. So an engine of another build is preferred unless two prompts wait there.
+ */
+const SCARCE_BUILD_COST_MS = 2_000;
+/** Engines of a build below which it is scarce: two that serve must have room for what comes back. */
+const MIN_ENGINES_PER_BUILD = 3;
+
+/** Whether too few engines of a build are left for new streams, while another build has enough. */
+export function isScarceBuild(engines: number, mostEngines: number): boolean {
+  return engines < MIN_ENGINES_PER_BUILD && mostEngines >= MIN_ENGINES_PER_BUILD;
+}
+
 /**
  * A cached prompt saves the prefill for this run and for those that would wait behind it at another
  * engine, so an engine that holds the prompt is preferred even if it prefills one other prompt
@@ -84,7 +100,8 @@
   const zoneMs = view.zone === zone ? 0 : REMOTE_ZONE_COST_MS;
   const needed = view.usedTokens + promptTokens + HEADROOM_TOKENS;
   const capacityMs = needed > view.totalTokens ? NO_CAPACITY_COST_MS : 0;
-  return prefillMs + waitMs + streams * DISTURBED_STREAM_COST_MS + zoneMs + capacityMs;
+  const scarceMs = view.isScarce ? SCARCE_BUILD_COST_MS : 0;
+  return prefillMs + waitMs + streams * DISTURBED_STREAM_COST_MS + zoneMs + capacityMs + scarceMs;
 }
 
 /** Engines of the local zone that are queried for one prompt; also the maximum for any zone. */
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -49,9 +49,10 @@
     // Some may have become unavailable meanwhile, by what they said in these very responses.
     const stillAvailable = Placement.listAvailable(dependencies, request);
     const availableIds = new Set(stillAvailable.map(({ id }) => id));
+    const isScarce = createScarcityCheck(request, stillAvailable);
     const views = statuses
       .filter(({ target }) => availableIds.has(target.id))
-      .flatMap((status) => buildEngineViews(dependencies, status));
+      .flatMap((status) => buildEngineViews(dependencies, status, isScarce));
     const pair = pickPair(dependencies, request, views, stillAvailable);
     if (pair !== undefined) {
       if (pair.admission.kind === 'admit') dependencies.registry.recordPlacement(pair.target);
@@ -213,13 +214,35 @@
 function buildEngineViews(
   { registry, brittle }: ForwardingDependencies,
   { target, report, cachedTokens = 0 }: EngineStatus,
+  isScarce: (target: ForwardingTarget) => boolean,
 ): readonly EngineView[] {
   if (report === undefined || report.isLeaving) return [];
   const { sentSinceReport: sentSince } = registry.buildView(target);
   const taken = report.running + report.queued + sentSince;
   // A brittle engine must not have to reject the request.
   if (brittle.isBrittle(target.service) && taken >= target.slots) return [];
-  return [{ ...report, id: target.id, zone: target.zone, sentSince, keptTokens: cachedTokens }];
+  const { id, zone } = target;
+  const view = { ...report, id, zone, sentSince, keptTokens: cachedTokens };
+  return [{ ...view, isScarce: isScarce(target) }];
+}
+
+/** A stream that has begun has no choice between builds. */
+function createScarcityCheck(
+  { build }: ForwardRequest,
+  available: readonly ForwardingTarget[],
+): (target: ForwardingTarget) => boolean {
+  const [first] = available;
+  const isOfFirst = (target: ForwardingTarget): boolean =>
+    target.version === first?.version && target.models === first.models;
+  if (build !== undefined || available.every(isOfFirst)) return () => false;
+  const counts = new Map<string, number>();
+  const formatKey = ({ version, models }: ForwardingTarget) => `${version}\n${models}`;
+  for (const target of available) {
+    const key = formatKey(target);
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  const most = Math.max(...counts.values());
+  return (target) => Decisions.isScarceBuild(counts.get(formatKey(target)) ?? 0, most);
 }
 
 function hasSameBuild(
