Wait for streams of the version that a service leaves before a roll-out completes

A roll-out of a service with engines completed at its deadline although streams were open at the version that it left: they were to be handed over to the new version. That handover is gone, since no stream may go on at another version, so these streams would have been cut when the targets of the old version stopped.

Completion waits for all requests in progress, as it did for orders. Services with streams still begin to move earlier. Simulated streams end at their own targets, and those that are cut by the end of the old version count as lost. The test asked for completion with an open stream at the deadline; it asks for the opposite now, since a planned stop cuts nothing.

--- a/packages/sequoiarill-decisions/src/__tests__/rollouts.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/rollouts.test.ts
@@ -159,7 +159,7 @@
   targetCount: 7,
   requests: 600,
   leaving: 0,
-  canHandOver: false,
+  hasStreams: false,
   hasQuorum: true,
   intervalMs: 400,
 };
@@ -185,11 +185,12 @@
     expect(decidePhase({ assessment: bad, hasQuorum: false })).toEqual('rolledBack');
   });
 
-  it('does not complete while an order is in progress at a target that would stop at once', () => {
+  it('does not complete while a request is in progress at a target that would stop at once', () => {
     const moving = { phase: 'moving', phaseMs: 3_000, elapsedMs: 11_500 } as const;
     expect(decidePhase({ ...moving, leaving: 1 })).toEqual(undefined);
     expect(decidePhase(moving)).toEqual('completed');
-    expect(decidePhase({ ...moving, leaving: 1, canHandOver: true })).toEqual('completed');
+    expect(decidePhase({ ...moving, leaving: 1, hasStreams: true })).toEqual(undefined);
+    expect(decidePhase({ ...moving, elapsedMs: 30_000, leaving: 1 })).toEqual(undefined);
   });
 
   it('rolls back a doubtful or unseen version at the deadline, and continues a sound one', () => {
--- a/packages/sequoiarill-decisions/src/rolloutPlan.ts
+++ b/packages/sequoiarill-decisions/src/rolloutPlan.ts
@@ -27,8 +27,8 @@
   readonly requests: number;
   /** Requests in progress at targets that are being replaced, over all routers. */
   readonly leaving: number;
-  /** Work in progress can continue at another target without being repeated. */
-  readonly canHandOver: boolean;
+  /** Requests in progress may be streams, which take longer to end. */
+  readonly hasStreams: boolean;
   /** A majority of the routers has reported recently. */
   readonly hasQuorum: boolean;
   /** Interval between two reports of a router, milliseconds. */
@@ -73,7 +73,7 @@
 const MOVE_FRACTION = 0.2;
 const MIN_MOVE_MS = 1_500;
 const MAX_DRAIN_MOVE_MS = 2_000;
-const MAX_HANDOVER_MOVE_MS = 8_000;
+const MAX_STREAM_MOVE_MS = 8_000;
 /** Covers the delay until the order is known and the time to write the completion before the deadline. */
 const DEADLINE_MARGIN_MS = 1_200;
 /** Report intervals until the last two steps have reached all routers and been reported by them. */
@@ -101,8 +101,8 @@
   return computeClamped(durationMs * TRIAL_FRACTION, MIN_TRIAL_MS, MAX_TRIAL_MS);
 }
 
-function computeMoveMs({ durationMs, canHandOver }: RolloutSituation): number {
-  const longest = canHandOver ? MAX_HANDOVER_MOVE_MS : MAX_DRAIN_MOVE_MS;
+function computeMoveMs({ durationMs, hasStreams }: RolloutSituation): number {
+  const longest = hasStreams ? MAX_STREAM_MOVE_MS : MAX_DRAIN_MOVE_MS;
   return computeClamped(durationMs * MOVE_FRACTION, MIN_MOVE_MS, longest);
 }
 
@@ -133,21 +133,14 @@
 }
 
 /**
- * Targets of the old version may stop as soon as the roll-out is completed, which would cut orders in
- * progress, so completion waits for them. Streams that can be handed over are not waited for beyond the
- * deadline.
+ * Targets of the old version may stop as soon as the roll-out is completed, which would cut requests in
+ * progress. They can go on at no other version, so completion waits for them, also beyond the deadline.
  */
-function decideMoving(situation: RolloutSituation): RolloutStep | undefined {
-  const { leaving, elapsedMs, durationMs, canHandOver, phaseMs } = situation;
-  const isDue = canHandOver && elapsedMs >= durationMs - DEADLINE_MARGIN_MS;
+function decideMoving({ leaving, phaseMs }: RolloutSituation): RolloutStep | undefined {
   // All routers learn of the phase within this time; until then some still send to the old version.
   const isPropagated = phaseMs >= MIN_MOVE_MS;
-  if (!isPropagated || (leaving > 0 && !isDue)) return undefined;
-  return {
-    phase: 'completed',
-    share: 1,
-    reason: leaving > 0 ? 'time is up' : 'everything has moved',
-  };
+  if (!isPropagated || leaving > 0) return undefined;
+  return { phase: 'completed', share: 1, reason: 'everything has moved' };
 }
 
 function decideInService(situation: RolloutSituation): RolloutStep | undefined {
--- a/packages/sequoiarill-plugin-rollouts/src/rolloutEvaluator.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/rolloutEvaluator.ts
@@ -112,7 +112,7 @@
       targetCount,
       requests: localState.reports.countAnswers(),
       leaving: recentReports.reduce((sum, { leaving }) => sum + leaving, 0),
-      canHandOver: engine?.hasBackups === true,
+      hasStreams: engine !== undefined,
       intervalMs: options.getReportIntervalMs(),
       hasQuorum: recentReports.length > options.countRouters() * QUORUM_SHARE,
     };
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/cases.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/cases.ts
@@ -7,7 +7,7 @@
   requestsPerSecond: 190,
   routes: ['writes', 'reads'],
   meanRequestMs: 60,
-  canHandOver: false,
+  hasStreams: false,
   oldTargets: 7,
   newTargets: 7,
   durationMs: 12_000,
@@ -22,7 +22,7 @@
   requestsPerSecond: 28,
   routes: ['first', 'second', 'third'],
   meanRequestMs: 1_500,
-  canHandOver: true,
+  hasStreams: true,
   oldTargets: 126,
   newTargets: 126,
 };
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/rolloutCase.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/rolloutCase.ts
@@ -39,7 +39,7 @@
   readonly routes: readonly string[];
   /** Mean duration of one request at a target, milliseconds. */
   readonly meanRequestMs: number;
-  readonly canHandOver: boolean;
+  readonly hasStreams: boolean;
   readonly oldTargets: number;
   readonly newTargets: number;
   readonly durationMs: number;
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -63,16 +63,16 @@
 
 export interface EnvironmentOptions {
   readonly routers: number;
-  readonly canHandOver: boolean;
+  readonly hasStreams: boolean;
 }
 
-function createConfiguration(canHandOver: boolean): ForwardingConfiguration {
+function createConfiguration(hasStreams: boolean): ForwardingConfiguration {
   const engine = { kvCacheTokens: 1, hasBackups: true, tokensPerEvent: 1, copyLifetimeMs: 4_000 };
   const service = { name: SERVICE, maxConnections: 1, healthPath: '/' };
   return {
     version: 1,
     routes: [],
-    services: new Map([[SERVICE, canHandOver ? { ...service, engine } : service]]),
+    services: new Map([[SERVICE, hasStreams ? { ...service, engine } : service]]),
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   };
 }
@@ -125,10 +125,10 @@
     setOriginHandlers: () => undefined,
   };
 
-export function createEnvironment({ routers, canHandOver }: EnvironmentOptions): Environment {
+export function createEnvironment({ routers, hasStreams }: EnvironmentOptions): Environment {
   const clock = Kernel.createFakeClock();
   const stored = new Map<string, StoredEntry>();
-  const configuration = createConfiguration(canHandOver);
+  const configuration = createConfiguration(hasStreams);
   let revision = 1;
   let targets: readonly ForwardingTarget[] = [];
   let unavailableUntilMs = 0;
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedTraffic.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedTraffic.ts
@@ -21,8 +21,6 @@
 /** Share of the usual load from which a target counts as loaded. */
 const LOADED_SHARE = 0.7;
 const LOAD_WINDOW_MS = 1_000;
-/** Age from which a stream is handed over to another target when its version is leaving. */
-const HANDOVER_MS = 400;
 
 interface RunningRequest {
   readonly target: ForwardingTarget;
@@ -107,12 +105,6 @@
     running = [...running, { target, router, startMs: nowMs, endMs, isFailure, recordEnd }];
   }
 
-  function hasEnded({ endMs, target, router, startMs }: RunningRequest, nowMs: number): boolean {
-    if (endMs <= nowMs) return true;
-    const isLeaving = rolloutCase.canHandOver && router.rollouts.isLeaving(target);
-    return isLeaving && nowMs - startMs > HANDOVER_MS;
-  }
-
   return {
     startRequest(nowMs) {
       const sinceMs = nowMs - LOAD_BEFORE_ORDER_MS;
@@ -129,7 +121,7 @@
       sendRequest(router, target, nowMs);
     },
     closeEndedRequests(nowMs) {
-      const ended = running.filter((one) => hasEnded(one, nowMs));
+      const ended = running.filter(({ endMs }) => endMs <= nowMs);
       for (const { router, target, endMs, isFailure, recordEnd } of ended) {
         router.addInFlight(target, -1);
         const end = isFailure ? 'failed' : 'answered';
@@ -142,7 +134,7 @@
       const stopped = running.filter(({ target }) => target.version === OLD);
       running = running.filter(({ target }) => target.version !== OLD);
       environment.setTargets(environment.listTargets().filter(({ version }) => version !== OLD));
-      return rolloutCase.canHandOver ? 0 : stopped.length;
+      return stopped.length;
     },
     setFailing: ({ id }, untilMs) => failingUntilMs.set(id, untilMs),
     getCounts: () => ({ requests, exposed, afterRollbackMs: Math.round(afterRollbackMs) }),
--- a/packages/sequoiarill-types/src/rollouts.ts
+++ b/packages/sequoiarill-types/src/rollouts.ts
@@ -30,7 +30,7 @@
   | 'canary'
   /** The version receives a larger share, on as many targets as give each the usual load. */
   | 'trial'
-  /** All new requests go to the version. In-flight requests elsewhere finish or are handed over. */
+  /** All new requests go to the version. In-flight requests elsewhere finish there. */
   | 'moving'
   | 'completed'
   | 'rolledBack';
