Let no stream of its own replace what is known of the stream that its caller names

A caller that begins a new stream and names an earlier one, whose events it holds, replaced what was known of that one: the next attempt to go on with it could have been sent to the other version. Found by reading the change; the test fails without the condition.

What is known of the named attempt is kept up only by a request that is bound to its build.

--- a/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/streamOrigins.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/streamOrigins.test.ts
@@ -170,6 +170,21 @@
     expect(getVersion(await findOrigin(simulation, first, strange))).toEqual('unknown');
   });
 
+  it('stays what it was when another stream names it without going on with it', async () => {
+    // Guards against a stream of its own that replaces what is known of the one that it names.
+    const simulation = Simulation.createSimulation();
+    simulation.setTargets([...OLD, ...NEW]);
+    const [first, second] = await startRouters(simulation, 1);
+    first.origins.recordBegun(Simulation.createAttempt('s1'), V1);
+    const fresh = { ...Simulation.createAttempt('s2'), resumedRequestId: 's1' };
+    second.origins.recordBegun(fresh, V2);
+    await simulation.clock.runFor(SETTLE_MS);
+    for (const router of [first, second]) {
+      const found = await findOrigin(simulation, router, Simulation.createAttempt('s3', 's1'));
+      expect(getVersion(found)).toEqual('v1');
+    }
+  });
+
   it('is known by each attempt of its caller, and for as long as the last one may be resumed', async () => {
     // Guards against callers that name their last attempt, and against long streams.
     const simulation = Simulation.createSimulation();
@@ -177,7 +192,7 @@
     const [first, second] = await startRouters(simulation, 1);
     first.origins.recordBegun(Simulation.createAttempt('s1'), V1);
     await simulation.clock.runFor(RESUMABLE_MS - SETTLE_MS);
-    second.origins.recordBegun(Simulation.createAttempt('s2', 's1'), V1);
+    second.origins.recordBegun(Simulation.createAttempt('s2', 's1', { build: V1 }), V1);
     await simulation.clock.runFor(RESUMABLE_MS / 2);
     for (const resumes of ['s1', 's2']) {
       const attempt = Simulation.createAttempt('s3', resumes);
--- a/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
@@ -160,9 +160,12 @@
       const origin = { service: request.service, version, models };
       builds.recordBegun(origin);
       recordStream(request.id, request, origin);
-      const { resumedRequestId } = request;
-      // Keeps the first attempt known for as long as this one may be resumed.
-      if (resumedRequestId !== undefined) recordStream(resumedRequestId, request, origin);
+      // Keeps the first attempt known for as long as this one may be resumed. An attempt that is not bound to a
+      // build has begun a stream of its own, whatever other one it names.
+      const { resumedRequestId, build } = request;
+      if (resumedRequestId !== undefined && build !== undefined) {
+        recordStream(resumedRequestId, request, origin);
+      }
     },
     async find(request) {
       const { organisation = '', resumedRequestId: requestId = '' } = request;
