Log the parts of prompts and the progress of runs that targets break off

Requests that share a part of their prompts crash engines one after the other, and no line about a crash names the parts, so it cannot be shown that they share one. A run that breaks off more than 300 ms after its first event left no line at all, so crashes that are not counted could not be told from crashes that did not happen.

target.ended and target.breakNotCounted name the parts, whether the head of an answer had arrived, and the time since the first event; the verdict `late` is new. The window moves to the check of a disconnect, where the other verdicts are decided.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -166,7 +166,12 @@
   );
   recordEnd(Sending.decideVersionResult(outcome));
   if (outcome.kind === 'lost' && !outcome.isTimeout) {
-    await dependencies.crashes.recordDisconnect(request, target);
+    await dependencies.crashes.recordDisconnect({
+      request,
+      target,
+      hasHead: false,
+      ranMs: undefined,
+    });
   }
   return outcome;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/disconnectCheck.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/disconnectCheck.test.ts
@@ -25,7 +25,9 @@
     },
     runAsync: () => undefined,
   });
-  await checkDisconnect(Fakes.createRequest(Fakes.createRoute()), Fakes.createTarget('a1'));
+  const request = Fakes.createRequest(Fakes.createRoute());
+  const target = Fakes.createTarget('a1');
+  await checkDisconnect({ request, target, hasHead: true, ranMs: undefined });
   await clock.runFor(1_000);
   return crashes;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
@@ -157,7 +157,12 @@
     addRouter,
     simulateCrash(router, content, target) {
       const request = { ...Fakes.createRequest(Fakes.createRoute()), contentKey: content };
-      return router.reports.recordDisconnect(request, Fakes.createTarget(target));
+      return router.reports.recordDisconnect({
+        request,
+        target: Fakes.createTarget(target),
+        hasHead: true,
+        ranMs: undefined,
+      });
     },
     countCalls: () => calls,
     stop: () => routers.forEach((router) => router.stop()),
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
@@ -14,20 +14,18 @@
   Crash,
   CrashHandlers,
   Directory,
-  ForwardingTarget,
   ForwardingWire,
   KeyValueStore,
   RouterPeers,
 } from '@sequoiarill/types';
 
 import type { RateLimitedLog } from '../rateLimitedLog';
-import type { ForwardRequest } from '../forwardRequest';
 import * as Events from '../events';
 import * as Incarnations from '../targets/targetIncarnation';
 import * as BlockEntries from './blockEntry';
 import * as CrashAggregators from './crashAggregators';
 import * as DisconnectChecks from './disconnectCheck';
-import type { DisconnectCheckOptions } from './disconnectCheck';
+import type { BrokenRun, DisconnectCheckOptions } from './disconnectCheck';
 
 export interface CrashReports {
   /** Remaining time for which the content is sent to no target, milliseconds; 0 when it is not blocked. */
@@ -35,7 +33,7 @@
   /** Records a complete answer to a request with the content. */
   readonly recordAnswer: (content: string) => void;
   /** Records that the target disconnected when it started to run the request; a crash if it has terminated. */
-  readonly recordDisconnect: (request: ForwardRequest, target: ForwardingTarget) => Promise<void>;
+  readonly recordDisconnect: (run: BrokenRun) => Promise<void>;
   readonly handlers: CrashHandlers;
   /** Applies changed entries of the store. */
   readonly applyDirectory: () => void;
@@ -124,12 +122,10 @@
     if (isAggregator && block !== undefined) reportBlock(block);
   }
 
-  function recordCrash(
-    { id, contentKey: content }: ForwardRequest,
-    target: ForwardingTarget,
-  ): void {
-    log.logEvent(Events.TARGET_ENDED, { request: id, content, target: target.id });
-    runAsync([reportCrash({ content, target: Incarnations.formatIncarnation(target), ageMs: 0 })]);
+  function recordCrash(run: BrokenRun): void {
+    log.logEvent(Events.TARGET_ENDED, DisconnectChecks.formatRun(run));
+    const target = Incarnations.formatIncarnation(run.target);
+    runAsync([reportCrash({ content: run.request.contentKey, target, ageMs: 0 })]);
   }
 
   const checkDisconnect = DisconnectChecks.createDisconnectCheck({
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/disconnectCheck.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/disconnectCheck.ts
@@ -7,6 +7,16 @@
 import type { PathMonitor } from '../targets/pathMonitor';
 import type { ExitCheck, ExitCheckResult } from './exitCheck';
 
+/** A run whose target closed the connection. */
+export interface BrokenRun {
+  readonly request: ForwardRequest;
+  readonly target: ForwardingTarget;
+  /** Whether the head of an answer had arrived. */
+  readonly hasHead: boolean;
+  /** Time since its first event, milliseconds; undefined without events. */
+  readonly ranMs: number | undefined;
+}
+
 export interface DisconnectCheckOptions {
   readonly clock: Pick<Clock, 'getNowMs' | 'waitMs'>;
   readonly log: Pick<RateLimitedLog, 'logEvent'>;
@@ -15,59 +25,64 @@
   readonly checkOthers: PathMonitor['checkOthers'];
   /** Whether targets of the service fall over for want of room, whatever they run. */
   readonly isBrittle: (service: string) => boolean;
-  readonly recordCrash: (request: ForwardRequest, target: ForwardingTarget) => void;
+  readonly recordCrash: (run: BrokenRun) => void;
   /** Runs the second check, for which the request does not wait. */
   readonly runAsync: (calls: readonly Promise<unknown>[]) => void;
 }
 
 /** Delay before a target that still accepted a connection is checked again. */
 const RECHECK_DELAY_MS = 150;
+/** A request that crashes its target does so before its first event or within this time after it. */
+const CRASH_WINDOW_MS = 300;
+const MAX_LOGGED_PARTS = 8;
+
+/** Fields of log lines about a broken run. */
+export function formatRun({ request, target, hasHead, ranMs }: BrokenRun) {
+  return {
+    request: request.id,
+    content: request.contentKey,
+    parts: request.promptParts.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id),
+    target: target.id,
+    hasHead,
+    ranMs: ranMs === undefined ? undefined : Math.round(ranMs),
+  };
+}
 
 export function createDisconnectCheck(options: DisconnectCheckOptions) {
   const { clock, log } = options;
 
   function logUncounted(
-    { id, contentKey: content }: ForwardRequest,
-    target: ForwardingTarget,
-    verdict: Exclude<ExitCheckResult, 'ended'> | 'unreachable' | 'brittle',
+    run: BrokenRun,
+    verdict: Exclude<ExitCheckResult, 'ended'> | 'unreachable' | 'brittle' | 'late',
   ): void {
-    log.logEvent(Events.BREAK_NOT_COUNTED, { request: id, content, target: target.id, verdict });
+    log.logEvent(Events.BREAK_NOT_COUNTED, { ...formatRun(run), verdict });
   }
 
   /**
    * Failure: a router that is partitioned from all targets finds every connection refused, and would count a
    * crash of each target against the request that was just sent there.
    */
-  async function recordExit(
-    request: ForwardRequest,
-    target: ForwardingTarget,
-    disconnectedAtMs: number,
-  ): Promise<void> {
-    if (options.isBrittle(target.service)) logUncounted(request, target, 'brittle');
-    else if (await options.checkOthers(target, disconnectedAtMs)) {
-      options.recordCrash(request, target);
-    } else logUncounted(request, target, 'unreachable');
+  async function recordExit(run: BrokenRun, disconnectedAtMs: number): Promise<void> {
+    const { target } = run;
+    if (options.isBrittle(target.service)) logUncounted(run, 'brittle');
+    else if (await options.checkOthers(target, disconnectedAtMs)) options.recordCrash(run);
+    else logUncounted(run, 'unreachable');
   }
 
   /** A terminating process may still accept a connection while it closes the others. */
-  async function checkExitAgain(
-    request: ForwardRequest,
-    target: ForwardingTarget,
-    disconnectedAtMs: number,
-  ): Promise<void> {
+  async function checkExitAgain(run: BrokenRun, disconnectedAtMs: number): Promise<void> {
     await clock.waitMs(RECHECK_DELAY_MS);
-    const result = await options.checkExit(target);
-    if (result === 'ended') await recordExit(request, target, disconnectedAtMs);
-    else logUncounted(request, target, result);
+    const result = await options.checkExit(run.target);
+    if (result === 'ended') await recordExit(run, disconnectedAtMs);
+    else logUncounted(run, result);
   }
 
-  return async function checkDisconnect(
-    request: ForwardRequest,
-    target: ForwardingTarget,
-  ): Promise<void> {
+  return async function checkDisconnect(run: BrokenRun): Promise<void> {
     const disconnectedAtMs = clock.getNowMs();
-    if ((await options.checkExit(target)) === 'ended') {
-      await recordExit(request, target, disconnectedAtMs);
-    } else options.runAsync([checkExitAgain(request, target, disconnectedAtMs)]);
+    // A run that has produced events for a while is not the cause of a crash.
+    if (run.ranMs !== undefined && run.ranMs > CRASH_WINDOW_MS) logUncounted(run, 'late');
+    else if ((await options.checkExit(run.target)) === 'ended') {
+      await recordExit(run, disconnectedAtMs);
+    } else options.runAsync([checkExitAgain(run, disconnectedAtMs)]);
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -112,7 +112,7 @@
   1923,
   'warn',
   'target.ended',
-  'A target terminated when it started to run a request; the crash is counted against the content of the request.',
+  'A target terminated when it started to run a request; the crash is counted against the content of the request. `parts` names the parts of its prompt.',
 );
 export const CONTENT_BLOCKED = Kernel.defineEvent(
   1924,
@@ -152,7 +152,7 @@
   1929,
   'info',
   'target.breakNotCounted',
-  'A target closed the connection when it started to run a request but has not verifiably terminated: it still accepts connections, or its address does not respond.',
+  'A target closed the connection of a run and no crash is counted: it still accepts connections (`alive`), its address does not respond (`silent`), no other target answers (`unreachable`), it falls over for want of room (`brittle`), or the run had produced events for a while (`late`).',
 );
 
 export const TARGET_LEAVING = Kernel.defineEvent(
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -6,6 +6,7 @@
 import type { AnswerHead, ForwardRequest, SendOutcome } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
 import type { ForwardingDependencies } from '../dependencies';
+import type { BrokenRun } from '../crashes/disconnectCheck';
 import * as Checks from '../answers/answerChecks';
 import * as Sending from '../answers/sending';
 import * as TargetCalls from '../targets/targetCall';
@@ -55,10 +56,6 @@
 /** Timeout of such a check; the target counts as lost after `MAX_MISSED_CHECKS` in a row. */
 const CHECK_TIMEOUT_MS = 120;
 const MAX_MISSED_CHECKS = 2;
-/**
- * A request that crashes its target does so before its first event or within this time after it.
- */
-const CRASH_WINDOW_MS = 300;
 
 /** Yields events as they are complete; returns the outcome of the attempt. */
 export async function* runStreamAttempt(
@@ -95,7 +92,7 @@
       const step = await reader.readStep();
       if (step !== undefined) {
         if ('kind' in step) {
-          await recordBreak(dependencies, options, step, reader.isPastCrashWindow());
+          await recordBreak(dependencies, options, step, reader.getProgress());
           return step;
         }
         yield step;
@@ -106,15 +103,14 @@
   }
 }
 
-/** A run that has produced events for a while is not the cause of a crash. */
 async function recordBreak(
   { crashes }: ForwardingDependencies,
   { request, target }: AttemptOptions,
   outcome: AttemptOutcome,
-  isPastCrashWindow: boolean,
+  progress: Pick<BrokenRun, 'hasHead' | 'ranMs'>,
 ): Promise<void> {
-  if (outcome.kind !== 'lost' || outcome.isTimeout || isPastCrashWindow) return;
-  await crashes.recordDisconnect(request, target);
+  if (outcome.kind !== 'lost' || outcome.isTimeout) return;
+  await crashes.recordDisconnect({ request, target, ...progress });
 }
 
 function createStreamReader(
@@ -257,7 +253,10 @@
 
   return {
     readStep: async (): Promise<StepResult> => handleEvent(await readNext()),
-    isPastCrashWindow: () => clock.getRunningMs() - firstEventAtMs > CRASH_WINDOW_MS,
+    getProgress: () => ({
+      hasHead: head !== undefined,
+      ranMs: hasEvents ? clock.getRunningMs() - firstEventAtMs : undefined,
+    }),
     close: () => recordResult('unknown'),
   };
 }
