Reproduce a part of prompts that crashes engine after engine

Over stand-ins, 3 or 5 routers as processes and 14 engines that come back under a new id: requests that share one part in the middle of their prompts, no two alike, reach engines as long as they come.

--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -47,6 +47,18 @@
   readonly version?: string;
   /** Simulates a crash of the process as soon as it starts to run a request with this path. */
   readonly crashPath?: string;
+  /** Simulates a crash of the process some time after it has begun to answer certain prompts. */
+  readonly promptCrash?: PromptCrash;
+  /** Time for which it holds a stream before it runs it. */
+  readonly holdMs?: number;
+}
+
+export interface PromptCrash {
+  /** Ids of the parts of a prompt of which each makes it crash. */
+  readonly parts: readonly string[];
+  /** Time from the head of the answer to the crash; events are sent meanwhile. */
+  readonly afterMs: number;
+  readonly onCrash: () => void;
 }
 
 export interface TargetRoom {
@@ -127,6 +139,7 @@
 
 export function createTargetStandin(id: string, options: TargetOptions = {}): TargetStandin {
   const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, version, crashPath } = options;
+  const { promptCrash, holdMs = 0 } = options;
   let fault: TargetFault = 'none';
   let isSilent = false;
   let announcedLimitPerSecond: number | undefined;
@@ -135,9 +148,11 @@
   let brittleness: number | undefined;
   let room: TargetRoom | undefined;
   let rejectedCount = 0;
+  let hasCrashed = false;
   const runs: TargetRun[] = [];
   const receivedHeaders: IncomingHttpHeaders[] = [];
   let inFlight = 0;
+  let held = 0;
   /** Tokens of each cached part of a prompt, by the id of the part. */
   const cachedTokensByPart = new Map<string, number>();
 
@@ -147,6 +162,21 @@
     });
   }
 
+  async function holdRequest(): Promise<void> {
+    held += 1;
+    await waitMs(holdMs);
+    held -= 1;
+  }
+
+  function startCrash({ afterMs, onCrash }: PromptCrash): void {
+    setTimeout(() => {
+      if (hasCrashed) return;
+      hasCrashed = true;
+      server.refuseConnections();
+      onCrash();
+    }, afterMs);
+  }
+
   async function sendStream(requestId: string, from: number, response: ServerResponse) {
     response.writeHead(200, {
       'content-type': 'text/event-stream',
@@ -198,7 +228,7 @@
 
   function handleReport(response: ServerResponse): void {
     const report = {
-      queued: 0,
+      queued: held,
       active: inFlight,
       kvUsed: inFlight * 1_000,
       kvTotal: 100_000,
@@ -214,12 +244,14 @@
     response.end(JSON.stringify({ epoch: 1, next: 1, held }));
   }
 
-  function addCachedParts(promptPrefix: unknown): void {
-    if (typeof promptPrefix !== 'string') return;
-    for (const part of promptPrefix.split(',')) {
+  /** Returns the ids of the parts. */
+  function addCachedParts(promptPrefix: unknown): readonly string[] {
+    if (typeof promptPrefix !== 'string') return [];
+    return promptPrefix.split(',').map((part) => {
       const [partId = '', tokens = '0'] = part.split(':');
       cachedTokensByPart.set(partId, Number(tokens));
-    }
+      return partId;
+    });
   }
 
   /** Handlers of the paths for management calls, which are not requests of callers. */
@@ -258,6 +290,8 @@
     body: string,
   ): Promise<void> {
     const requestId = String(request.headers['request-id']);
+    if (holdMs > 0 && request.headers.accept === 'text/event-stream') await holdRequest();
+    if (hasCrashed || response.destroyed) return;
     runs.push({
       requestId,
       path: request.url ?? '',
@@ -268,7 +302,8 @@
     if (stopRunByFault(request, response)) return;
     inFlight += 1;
     if (room !== undefined) await waitMs(room.runMs);
-    addCachedParts(request.headers['prompt-prefix']);
+    const partIds = addCachedParts(request.headers['prompt-prefix']);
+    if (promptCrash?.parts.some((part) => partIds.includes(part)) === true) startCrash(promptCrash);
     const isStream = request.headers.accept === 'text/event-stream';
     const from = Number(request.headers['last-event-id'] ?? 0) + 1;
     if (isStream) await sendStream(requestId, from, response);
