--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -58,7 +58,7 @@
   readonly parts: readonly string[];
   /** Time from the head of the answer to the crash; events are sent meanwhile. */
   readonly afterMs: number;
-  readonly onCrash: () => void;
+  readonly onCrash: () => unknown;
 }
 
 export interface TargetRoom {
@@ -152,7 +152,7 @@
   const runs: TargetRun[] = [];
   const receivedHeaders: IncomingHttpHeaders[] = [];
   let inFlight = 0;
-  let held = 0;
+  let heldCount = 0;
   /** Tokens of each cached part of a prompt, by the id of the part. */
   const cachedTokensByPart = new Map<string, number>();
 
@@ -162,10 +162,10 @@
     });
   }
 
-  async function holdRequest(): Promise<void> {
-    held += 1;
+  async function delayRun(): Promise<void> {
+    heldCount += 1;
     await waitMs(holdMs);
-    held -= 1;
+    heldCount -= 1;
   }
 
   function startCrash({ afterMs, onCrash }: PromptCrash): void {
@@ -228,7 +228,7 @@
 
   function handleReport(response: ServerResponse): void {
     const report = {
-      queued: held,
+      queued: heldCount,
       active: inFlight,
       kvUsed: inFlight * 1_000,
       kvTotal: 100_000,
@@ -290,7 +290,7 @@
     body: string,
   ): Promise<void> {
     const requestId = String(request.headers['request-id']);
-    if (holdMs > 0 && request.headers.accept === 'text/event-stream') await holdRequest();
+    if (holdMs > 0 && request.headers.accept === 'text/event-stream') await delayRun();
     if (hasCrashed || response.destroyed) return;
     runs.push({
       requestId,
