--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -34,5 +34,7 @@
 export * from './restWait';
 export * from './availableTargets';
 export * from './outlierDetector';
+export * from './partBlocks';
+export * from './partEvidence';
 export type * from './outlierTypes';
 export * from './targetSet';
--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -27,6 +27,10 @@
     handleBrittle: () => undefined,
     handleOrigins: () => undefined,
     handleOriginQuery: () => ({ kind: 'unknown' }),
+    handlePartCrashes: () => undefined,
+    handlePartAnswers: () => undefined,
+    handlePartQuery: async () => ({ answers: [], explainedTargets: [] }),
+    handlePartBlocks: () => [],
   });
 }
 
--- /dev/null
+++ b/packages/sequoiarill-plugin-directory/src/partMessages.ts
@@ -0,0 +1,90 @@
+/** Messages between routers about parts of prompts, validated on both sides. */
+import type { PartAnswer, PartBlock, PartFindings } from '@sequoiarill/types';
+import * as Zod from 'zod';
+
+/** Limits of one message. */
+const MAX_ITEMS = 200;
+const MAX_OTHERS = 64;
+const MAX_NAME_LENGTH = 200;
+
+const partSchema = Zod.string().min(1).max(MAX_NAME_LENGTH);
+const othersSchema = Zod.array(partSchema).max(MAX_OTHERS);
+const targetsSchema = Zod.array(Zod.string().max(MAX_NAME_LENGTH)).max(MAX_OTHERS);
+const organisationSchema = Zod.string().max(MAX_NAME_LENGTH);
+const ageSchema = Zod.number().min(0);
+
+export const partCrashesSchema = Zod.object({
+  crashes: Zod.array(
+    Zod.object({
+      part: partSchema,
+      others: othersSchema,
+      organisation: organisationSchema,
+      target: Zod.string().max(MAX_NAME_LENGTH),
+      stage: Zod.enum(['waiting', 'begun', 'running']),
+      ageMs: ageSchema,
+    }),
+  ).max(MAX_ITEMS),
+});
+
+export const partAnswersSchema = Zod.object({
+  answers: Zod.array(Zod.object({ part: partSchema, ageMs: ageSchema })).max(MAX_ITEMS),
+});
+
+export const partQuerySchema = Zod.object({
+  part: partSchema,
+  others: othersSchema,
+  targets: targetsSchema,
+  awaitedRuns: Zod.enum(['none', 'begun', 'all']),
+  sinceAgeMs: ageSchema,
+});
+
+export const partFindingsSchema = Zod.object({
+  ...partAnswersSchema.shape,
+  explainedTargets: targetsSchema,
+});
+
+export const partBlocksSchema = Zod.object({
+  blocks: Zod.array(
+    Zod.object({
+      part: partSchema,
+      others: othersSchema,
+      organisation: organisationSchema.optional(),
+      targets: targetsSchema,
+      firstAgeMs: ageSchema,
+      lastAgeMs: ageSchema,
+      failedTrials: Zod.number().int().min(0),
+    }),
+  ).max(MAX_ITEMS),
+});
+
+type PartBlocksMessage = Zod.infer<typeof partBlocksSchema>;
+
+/** The last blocks are the ones that changed most recently. */
+export function encodePartBlocks(blocks: readonly PartBlock[]): PartBlocksMessage {
+  return {
+    blocks: blocks.slice(-MAX_ITEMS).map((block) => ({
+      ...block,
+      others: [...block.others],
+      targets: [...block.targets],
+    })),
+  };
+}
+
+export function decodePartBlocks({ blocks }: PartBlocksMessage): readonly PartBlock[] {
+  return blocks.map(({ organisation, ...block }) =>
+    organisation === undefined ? block : { ...block, organisation },
+  );
+}
+
+export function encodePartFindings({
+  answers,
+  explainedTargets,
+}: PartFindings): Zod.infer<typeof partFindingsSchema> {
+  return { ...encodePartAnswers(answers), explainedTargets: [...explainedTargets] };
+}
+
+export function encodePartAnswers(
+  answers: readonly PartAnswer[],
+): Zod.infer<typeof partAnswersSchema> {
+  return { answers: answers.slice(-MAX_ITEMS) };
+}
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -16,6 +16,7 @@
   OriginOutcome,
   OriginQuery,
   OriginRecord,
+  PartCalls,
   RetryQuotaOutcome,
   RetryQuotaRequest,
   RolloutReport,
@@ -25,11 +26,13 @@
 import * as TrpcClient from '@trpc/client';
 import * as Undici from 'undici';
 
+import * as PartClients from './partClient';
+import * as PeerCalls from './peerCall';
 import * as Messages from './peerMessages';
 import type { RecordsOutcome, RecordsQuery } from './peerMessages';
 import type { PeerRouter } from './peerServer';
 
-export interface PeerClient {
+export interface PeerClient extends PartCalls {
   readonly readRecords: (address: string, query: RecordsQuery) => Promise<RecordsOutcome>;
   readonly acquireRetryQuota: (
     address: string,
@@ -126,7 +129,7 @@
 
   return {
     acquireRetryQuota: (address, request) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         const repeats = Math.min(request.repeats, Messages.MAX_RETRY_QUOTA);
         const caller = createPeerCaller(address, quotaTimeoutMs);
         const response = await caller.lendRepeats.mutate({ ...request, repeats });
@@ -136,55 +139,56 @@
         };
       }),
     sendReport: (address, report) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
         const response = await caller.reportRollout.mutate(Messages.encodeReport(report));
         return { kind: 'guided', guidance: Messages.decodeGuidance(response) };
       }),
     acquirePermits: (address, request) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         const response = await createPeerCaller(address, quotaTimeoutMs).lendPermits.mutate(
           request,
         );
         return { kind: 'granted', granted: Messages.decodeGrantedPermits(response) };
       }),
     reportCrashes: (address, crashes) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
         await caller.reportCrashes.mutate({ crashes: crashes.slice(-Messages.MAX_CRASHES) });
         return { kind: 'counted' };
       }),
     reportAnswers: (address, answers) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
         await caller.reportAnswers.mutate({ answers: answers.slice(-Messages.MAX_CRASHES) });
         return { kind: 'counted' };
       }),
     reportBrittle: (address, report) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         await createPeerCaller(address, CALL_TIMEOUT_MS).reportBrittle.mutate(report);
         return { kind: 'counted' };
       }),
     exchangeBlocks: (address, blocks) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
         const response = await caller.exchangeBlocks.mutate(Messages.encodeBlocks(blocks));
         return { kind: 'blocks', blocks: Messages.blocksSchema.parse(response).blocks };
       }),
+    ...PartClients.createPartCalls(createPeerCaller, CALL_TIMEOUT_MS),
     reportOrigins: (address, records) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
         await caller.reportOrigins.mutate({ records: records.slice(0, Messages.MAX_ORIGINS) });
         return { kind: 'counted' };
       }),
     findOrigin: (address, { services, ...key }) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, ORIGIN_TIMEOUT_MS);
         const query = { ...key, services: [...services] };
         return Messages.decodeOriginReply(await caller.findOrigin.mutate(query));
       }),
     readRecords: (address, query) =>
-      runCall(async () => {
+      PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS + (query.waitMs ?? 0));
         const request = Messages.encodeRecordsRequest(query);
         return Messages.decodeRecords(await caller.readRecords.mutate(request));
@@ -192,17 +196,3 @@
     close: () => dispatcher.destroy(),
   };
 }
-
-interface FailedCall {
-  readonly kind: 'failed';
-  readonly reason: string;
-}
-
-/** Turns the failure of a call, or an invalid response, into an outcome. */
-async function runCall<Outcome>(call: () => Promise<Outcome>): Promise<Outcome | FailedCall> {
-  try {
-    return await call();
-  } catch (error) {
-    return { kind: 'failed', reason: (error as Error).message };
-  }
-}
--- a/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
@@ -2,6 +2,7 @@
 import type {
   CrashHandlers,
   OriginHandlers,
+  PartHandlers,
   RolloutGuidance,
   RouterPeers,
 } from '@sequoiarill/types';
@@ -17,6 +18,12 @@
   handleOrigins: () => undefined,
   handleOriginQuery: () => ({ kind: 'unknown' }),
 };
+const NO_PART_HANDLERS: PartHandlers = {
+  handlePartCrashes: () => undefined,
+  handlePartAnswers: () => undefined,
+  handlePartQuery: async () => ({ answers: [], explainedTargets: [] }),
+  handlePartBlocks: () => [],
+};
 const NO_GUIDANCE: RolloutGuidance = { isHalted: false, avoided: [] };
 
 export type PeerHandlers = Pick<
@@ -27,6 +34,7 @@
   | 'handleBrittle'
   | keyof CrashHandlers
   | keyof OriginHandlers
+  | keyof PartHandlers
 >;
 
 export type HandlerSetters = Pick<
@@ -37,6 +45,7 @@
   | 'setBrittleHandler'
   | 'setCrashHandlers'
   | 'setOriginHandlers'
+  | 'setPartHandlers'
 >;
 
 /** Without a handler, nothing is granted and reports have no effect. */
@@ -50,6 +59,7 @@
   let handleBrittle: Parameters<RouterPeers['setBrittleHandler']>[0] = () => undefined;
   let crashHandlers = NO_CRASH_HANDLERS;
   let originHandlers = NO_ORIGIN_HANDLERS;
+  let partHandlers = NO_PART_HANDLERS;
   return {
     handlers: {
       grantRetryQuota: (request) => grantQuota(request),
@@ -61,6 +71,10 @@
       handleBlocks: (blocks) => crashHandlers.handleBlocks(blocks),
       handleOrigins: (records) => originHandlers.handleOrigins(records),
       handleOriginQuery: (query) => originHandlers.handleOriginQuery(query),
+      handlePartCrashes: (crashes) => partHandlers.handlePartCrashes(crashes),
+      handlePartAnswers: (answers) => partHandlers.handlePartAnswers(answers),
+      handlePartQuery: (query) => partHandlers.handlePartQuery(query),
+      handlePartBlocks: (blocks) => partHandlers.handlePartBlocks(blocks),
     },
     setters: {
       setRetryQuotaLender(grant) {
@@ -81,6 +95,9 @@
       setOriginHandlers(newHandlers) {
         originHandlers = newHandlers;
       },
+      setPartHandlers(newHandlers) {
+        partHandlers = newHandlers;
+      },
     },
   };
 }
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -15,12 +15,14 @@
   RolloutGuidance,
   RolloutReport,
   GrantedPermits,
+  PartHandlers,
   PermitsRequest,
 } from '@sequoiarill/types';
 import * as Trpc from '@trpc/server';
 import * as Standalone from '@trpc/server/adapters/standalone';
 
 import type { DirectoryState } from './directoryState';
+import * as PartMessages from './partMessages';
 import * as Messages from './peerMessages';
 import type { StoreFollower } from './storeFollower';
 
@@ -40,7 +42,8 @@
 /** Covers the way of a response, so that the same confirmation is not reported twice. */
 const MIN_AGE_GAIN_MS = 50;
 
-export interface PeerServerOptions extends CrashHandlers, OriginHandlers, RecordsSource {
+export interface PeerServerOptions
+  extends CrashHandlers, OriginHandlers, PartHandlers, RecordsSource {
   readonly grantRetryQuota: (request: RetryQuotaRequest) => number;
   readonly grantPermits: (request: PermitsRequest) => GrantedPermits;
   readonly handleBrittle: (report: BrittleReport) => void;
@@ -142,6 +145,21 @@
     exchangeBlocks: procedure
       .input(Messages.blocksSchema)
       .mutation(({ input }) => Messages.encodeBlocks(options.handleBlocks(input.blocks))),
+    reportPartCrashes: procedure.input(PartMessages.partCrashesSchema).mutation(({ input }) => {
+      options.handlePartCrashes(input.crashes);
+    }),
+    reportPartAnswers: procedure.input(PartMessages.partAnswersSchema).mutation(({ input }) => {
+      options.handlePartAnswers(input.answers);
+    }),
+    queryPart: procedure
+      .input(PartMessages.partQuerySchema)
+      .mutation(async ({ input }) =>
+        PartMessages.encodePartFindings(await options.handlePartQuery(input)),
+      ),
+    exchangePartBlocks: procedure.input(PartMessages.partBlocksSchema).mutation(({ input }) => {
+      const known = options.handlePartBlocks(PartMessages.decodePartBlocks(input));
+      return PartMessages.encodePartBlocks(known);
+    }),
     reportBrittle: procedure.input(Messages.brittleReportSchema).mutation(({ input }) => {
       options.handleBrittle(input);
     }),
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -92,6 +92,10 @@
     reportBrittle: client.reportBrittle,
     reportOrigins: client.reportOrigins,
     findOrigin: client.findOrigin,
+    reportPartCrashes: client.reportPartCrashes,
+    reportPartAnswers: client.reportPartAnswers,
+    queryPart: client.queryPart,
+    exchangePartBlocks: client.exchangePartBlocks,
   };
 
   async function runRegistration(): Promise<void> {
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -251,7 +251,12 @@
     paths,
     relays,
     crashes: {
-      getBlockedMs: () => 0,
+      findBlock: () => undefined,
+      startRun: () => ({
+        recordEvent: () => undefined,
+        recordAnswer: () => undefined,
+        end: () => undefined,
+      }),
       recordAnswer: () => undefined,
       recordDisconnect: async () => undefined,
     },
--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -7,6 +7,7 @@
 import * as ForwardRequests from '../forwardRequest';
 import type { ForwardOutcome, ForwardRequest, SendOutcome } from '../forwardRequest';
 import * as Metrics from '../metrics';
+import type { BlockedRequest } from '../crashes/crashGuard';
 import type { ForwardingDependencies } from '../dependencies';
 import * as Placement from './placement';
 import * as GatedTargets from './gatedTarget';
@@ -21,7 +22,6 @@
 const ATTEMPT_TIMEOUT_SHARE = 0.45;
 /** Default retry delay of a refusal; targets that failed are tried again after it. */
 const RETRY_AFTER_SECONDS = 0.3;
-const MS_PER_SECOND = 1_000;
 /** A server error from a second target is caused by the request and is returned as the answer. */
 const MAX_SERVER_ERRORS = 1;
 
@@ -130,10 +130,9 @@
 function decideBlocked(
   request: ForwardRequest,
   progress: Progress,
-  blockedMs: number,
+  { reason, retryAfterSeconds }: BlockedRequest,
 ): ForwardOutcome {
-  progress.lastReason = Placement.BLOCKED_REASON;
-  const retryAfterSeconds = Math.ceil(blockedMs / MS_PER_SECOND);
+  progress.lastReason = reason;
   return ForwardRequests.setRetryAfter(decideEnd(request, progress, false), retryAfterSeconds);
 }
 
@@ -156,7 +155,10 @@
   const { name: route, objectiveMs } = request.route;
   const recordEnd = dependencies.rollouts.recordAttempt({ target, route, objectiveMs });
   admission.recordStart();
+  const run = dependencies.crashes.startRun(request);
   const outcome = await Sending.sendOnce(dependencies, request, target, attemptTimeoutMs);
+  if (outcome.kind === 'whole' && Checks.isSuccess(outcome.head.status)) run.recordAnswer();
+  run.end();
   ServiceAdmissions.recordSend(
     admission,
     request,
@@ -254,6 +256,22 @@
   return lastResort ?? decideUnplaced(dependencies, request, progress);
 }
 
+/** A request may also be blocked while it waits for a target. */
+async function findUnblockedTarget(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
+): Promise<ForwardingTarget | ForwardOutcome> {
+  const block = dependencies.crashes.findBlock(request);
+  if (block !== undefined) return decideBlocked(request, progress, block);
+  const target = await findTargetOrEnd(dependencies, request, progress);
+  if ('kind' in target) return target;
+  const newBlock = dependencies.crashes.findBlock(request);
+  if (newBlock === undefined) return target;
+  releaseSlot(progress, { kind: 'expired' }, 0);
+  return decideBlocked(request, progress, newBlock);
+}
+
 export async function runFullAnswer(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
@@ -276,9 +294,7 @@
     const nowMs = clock.getNowMs();
     if (nowMs >= request.expiresAtMs) return decideEnd(request, progress, true);
     if (progress.sends >= request.route.maxTargets) return decideEnd(request, progress, false);
-    const blockedMs = dependencies.crashes.getBlockedMs(request.contentKey);
-    if (blockedMs > 0) return decideBlocked(request, progress, blockedMs);
-    const target = await findTargetOrEnd(dependencies, request, progress);
+    const target = await findUnblockedTarget(dependencies, request, progress);
     if ('kind' in target) return target;
     if (progress.sends > 0 && !budget.takeRetry(nowMs)) return decideEnd(request, progress, false);
     const attemptTimeoutMs = computeAttemptTimeoutMs(request, progress, nowMs);
--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -6,8 +6,6 @@
 import type { ForwardRequest } from '../forwardRequest';
 import type { ForwardingDependencies } from '../dependencies';
 
-/** Reason, for log lines and callers, of refusing a request whose content is blocked. */
-export const BLOCKED_REASON = 'targets ended as they began to run it';
 /** Reason of refusing a request while no target takes requests, by the targets' own word. */
 export const RESTING_REASON = 'all targets have asked for rest';
 
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/disconnectCheck.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/disconnectCheck.test.ts
@@ -20,8 +20,8 @@
     checkExit: async () => exit,
     checkOthers: async () => reachesOthers,
     isBrittle: () => isBrittle,
-    recordCrash: () => {
-      crashes += 1;
+    recordCrash: (_run, isOfContent) => {
+      if (isOfContent) crashes += 1;
     },
     runAsync: () => undefined,
   });
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/partReports.test.ts
@@ -0,0 +1,209 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as EngineSimulations from './engineSimulation';
+import type { EngineSimulationOptions, SimulationResult } from './engineSimulation';
+import * as RouterSimulations from './routerSimulation';
+import type { RouterSimulation } from './routerSimulation';
+
+const BAD = 'bad0';
+const MIDDLE_PARTS = ['mid1', 'mid2', 'mid3', 'mid4', 'mid5'];
+const SEEDS = [1, 2];
+const ROUTERS = 7;
+const DURATION_MS = 14_000;
+/** Requests with the part that may reach an engine later than 3 s after the fifth crash. */
+const MAX_LATE_SENDS = 3;
+
+function pickMiddle(draw: () => number): string {
+  return MIDDLE_PARTS[Math.floor(draw() * MIDDLE_PARTS.length)] ?? '';
+}
+
+const OPTIONS: Omit<EngineSimulationOptions, 'seed'> = {
+  engines: 14,
+  badParts: [BAD],
+  badPerSecond: 3,
+  badFromMs: 2_000,
+  answerMs: 3_000,
+  soundPerSecond: 20,
+  holdMs: 100,
+  crashAfterMs: 60,
+  chancePerSecond: 0,
+  listParts: (bad, draw) => ['first', ...(bad === undefined ? [] : [bad]), pickMiddle(draw)],
+};
+
+async function runSeeds(
+  change: Partial<EngineSimulationOptions>,
+  prepare: (simulation: RouterSimulation) => void = () => undefined,
+): Promise<readonly SimulationResult[]> {
+  const results: SimulationResult[] = [];
+  for (const seed of SEEDS) {
+    const simulation = RouterSimulations.simulateRouters(ROUTERS);
+    prepare(simulation);
+    const options = { ...OPTIONS, ...change, seed };
+    results.push(await EngineSimulations.runEngineSimulation(simulation, options, DURATION_MS));
+    simulation.stop();
+  }
+  return results;
+}
+
+function checkFound(results: readonly SimulationResult[]): void {
+  expect(Math.max(...results.map(({ lateSends }) => lateSends))).toBeLessThan(MAX_LATE_SENDS + 1);
+  expect(results.flatMap(({ wrongBlocks }) => wrongBlocks)).toEqual([]);
+  expect(results.map(({ soundRefused }) => soundRefused)).toEqual(results.map(() => 0));
+}
+
+describe('a part of prompts that crashes engines', () => {
+  const cases: readonly (readonly [string, Partial<EngineSimulationOptions>])[] = [
+    ['in the middle of prompts', {}],
+    [
+      'at the beginning of prompts',
+      {
+        listParts: (bad, draw) => [bad ?? 'first', pickMiddle(draw)],
+      },
+    ],
+    ['beside another such part', { badParts: [BAD, 'bad1'] }],
+    ['where it comes twelve times a second', { badPerSecond: 12 }],
+    ['where it comes once in 1.5 seconds', { badPerSecond: 0.67 }],
+    ['by engines that hold requests for 1.4 s', { holdMs: 1_400 }],
+    ['from the first request on', { holdMs: 1_400, badFromMs: 0 }],
+    [
+      'always beside the same sound part',
+      {
+        listParts: (bad, draw) =>
+          bad === undefined ? ['first', pickMiddle(draw)] : ['first', bad, 'mid1'],
+      },
+    ],
+    [
+      'in requests of two organisations',
+      { organisation: (draw) => (draw() < 0.5 ? 'shop' : 'bakery') },
+    ],
+    ['beside few sound requests', { soundPerSecond: 3, engines: 25 }],
+  ];
+  for (const [name, change] of cases) {
+    it(`is found ${name}, and sound requests are served`, async () => {
+      // Guards against evidence that never adds up, and against blaming parts that crashed runs held as well.
+      checkFound(await runSeeds(change));
+    });
+  }
+
+  it('is found while the store is unavailable', async () => {
+    // Guards against blocks that only the store distributes.
+    checkFound(await runSeeds({}, (simulation) => simulation.setStoreUnavailable(true)));
+  });
+});
+
+describe('engines that crash by themselves', () => {
+  const chance = { badParts: [], badPerSecond: 0, chancePerSecond: 4, holdMs: 1_400 };
+
+  it('have no part blocked that is new and not answered yet', async () => {
+    // Guards against blaming a new part for crashes that happened by chance.
+    const listParts: EngineSimulationOptions['listParts'] = (_bad, _draw, nowMs) => [
+      'first',
+      `new${Math.floor(nowMs / 1_000)}`,
+    ];
+    checkFound(await runSeeds({ ...chance, listParts }));
+  });
+
+  it('have no part blocked that is rarely sent', async () => {
+    // Guards against crashes by chance that add up because answers are rare.
+    const listParts: EngineSimulationOptions['listParts'] = (_bad, draw) => [
+      'first',
+      `rare${Math.floor(draw() * 40)}`,
+    ];
+    checkFound(await runSeeds({ ...chance, listParts }));
+  });
+});
+
+/** Crashes engines until the part is blocked at all routers. */
+async function simulateBlock(simulation: RouterSimulation, seed = 1) {
+  const engines = EngineSimulations.createEngineSimulation(simulation, { ...OPTIONS, seed });
+  engines.start();
+  await simulation.clock.runFor(8_000);
+  engines.stop();
+  await simulation.clock.runFor(5_000);
+  return engines;
+}
+
+function countBlocking({ routers }: RouterSimulation): number {
+  return routers.filter(({ parts }) => parts.dumpState().blocked.includes(BAD)).length;
+}
+
+describe('a blocked part', () => {
+  it('is known to a router that starts later, also while the store is unavailable', async () => {
+    // Guards against a restarted router that crashes as many engines again.
+    for (const isUnavailable of [false, true]) {
+      const simulation = RouterSimulations.simulateRouters(ROUTERS);
+      simulation.setStoreUnavailable(isUnavailable);
+      await simulateBlock(simulation);
+      expect(countBlocking(simulation)).toEqual(ROUTERS);
+      const started = simulation.addRouter();
+      await simulation.clock.runFor(3_000);
+      expect(started.parts.dumpState().blocked).toEqual([BAD]);
+      simulation.stop();
+    }
+  });
+
+  it('is found inside an isolated zone, and known everywhere afterwards', async () => {
+    // Guards against aggregators that are all on the other side of a partition.
+    const simulation = RouterSimulations.simulateRouters(9);
+    simulation.isolateZone(0);
+    const inside = simulation.routers.filter(({ zone }) => zone === 0);
+    const engines = EngineSimulations.createEngineSimulation(simulation, { ...OPTIONS, seed: 1 });
+    engines.setRouters(() => inside);
+    engines.start();
+    await simulation.clock.runFor(11_000);
+    engines.stop();
+    expect(engines.getResult().lateSends).toBeLessThan(MAX_LATE_SENDS + 1);
+    expect(countBlocking(simulation)).toEqual(inside.length);
+    simulation.isolateZone(undefined);
+    await simulation.clock.runFor(3_000);
+    expect(countBlocking(simulation)).toEqual(9);
+    simulation.stop();
+  });
+
+  it('is tried by one request of the whole fleet after its time', async () => {
+    // Guards against one crash for each router when a block ends.
+    const simulation = RouterSimulations.simulateRouters(3);
+    const engines = await simulateBlock(simulation);
+    const { crashes } = engines.getResult();
+    for (let minute = 0; minute < 5; minute += 1) {
+      for (const router of simulation.routers) {
+        await Promise.all([engines.sendBad(BAD, router), simulation.clock.runFor(20_000)]);
+      }
+    }
+    expect(engines.getResult().crashes - crashes).toEqual(1);
+    expect(countBlocking(simulation)).toEqual(3);
+    simulation.stop();
+  });
+
+  it('is lifted everywhere when a request with it is answered', async () => {
+    // Guards against sound requests that stay refused after engines were mended.
+    const simulation = RouterSimulations.simulateRouters(ROUTERS);
+    await simulateBlock(simulation);
+    const mended = EngineSimulations.createEngineSimulation(simulation, {
+      ...OPTIONS,
+      badParts: [],
+      seed: 2,
+    });
+    for (let minute = 0; minute < 4; minute += 1) {
+      for (const router of simulation.routers) {
+        await Promise.all([mended.sendBad(BAD, router), simulation.clock.runFor(10_000)]);
+      }
+    }
+    expect(countBlocking(simulation)).toEqual(0);
+    simulation.stop();
+  });
+
+  it('of one organisation refuses no other one until it crashes an engine there as well', async () => {
+    // Guards against an organisation that has a part of another one blocked.
+    const simulation = RouterSimulations.simulateRouters(ROUTERS);
+    await simulateBlock(simulation);
+    const [router] = simulation.routers;
+    if (router === undefined) throw new Error('no router');
+    const holder = { id: 'r', parts: ['first', BAD, 'last'] };
+    expect(router.parts.findBlock({ ...holder, organisation: 'shop' })?.part).toEqual(BAD);
+    expect(router.parts.findBlock({ ...holder, organisation: 'bakery' })).toEqual(undefined);
+    simulation.stop();
+  });
+});
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
@@ -1,10 +1,11 @@
 /** Simulates, in virtual time, many routers that count crashes, with a partitionable network and one store. */
 import * as Kernel from '@sequoiarill/kernel';
-import type { CrashHandlers, KeyComparison, StoredEntry } from '@sequoiarill/types';
+import type { CrashHandlers, KeyComparison, PartHandlers, StoredEntry } from '@sequoiarill/types';
 
 import * as Fakes from '../../__tests__/fakeDependencies';
-import * as CrashReports from '../crashReports';
+import * as CrashGuards from '../crashGuard';
 import type { CrashReports as Reports } from '../crashReports';
+import type { PartReports } from '../partReports';
 
 /** Duration of a call between routers, and delay until all routers know a change of the store. */
 const CALL_MS = 2;
@@ -15,6 +16,8 @@
   readonly name: string;
   readonly zone: number;
   readonly reports: Reports;
+  readonly parts: PartReports;
+  readonly guard: CrashGuards.CrashGuard;
   readonly stop: () => void;
 }
 
@@ -38,7 +41,7 @@
 export function simulateRouters(count: number): RouterSimulation {
   const clock = Kernel.createFakeClock();
   const routers: SimulatedRouter[] = [];
-  const handlers = new Map<string, CrashHandlers>();
+  const handlers = new Map<string, CrashHandlers & PartHandlers>();
   const entries = new Map<string, StoredEntry>();
   let isStoreUnavailable = false;
   let isolatedZone: number | undefined;
@@ -56,7 +59,10 @@
 
   const canReachStore = (name: string) => !isStoreUnavailable && findZone(name) !== isolatedZone;
 
-  async function callPeer(from: string, to: string): Promise<CrashHandlers | undefined> {
+  async function callPeer(
+    from: string,
+    to: string,
+  ): Promise<(CrashHandlers & PartHandlers) | undefined> {
     calls += 1;
     await clock.waitMs(CALL_MS);
     const isDisconnected = (findZone(from) === isolatedZone) !== (findZone(to) === isolatedZone);
@@ -67,7 +73,7 @@
     await clock.waitMs(STORE_DELAY_MS);
     routers
       .filter(({ name }) => canReachStore(name))
-      .forEach(({ reports }) => reports.applyDirectory());
+      .forEach(({ guard }) => guard.applyDirectory());
   }
 
   function listOthers(name: string): readonly string[] {
@@ -81,7 +87,7 @@
   function addRouter(): SimulatedRouter {
     const name = `10.0.0.1:${routers.length}`;
     const stopController = new AbortController();
-    const reports = CrashReports.createCrashReports({
+    const guard = CrashGuards.createCrashGuard({
       clock,
       nextRandom,
       wire: { ownPrefix: 'routers/' },
@@ -113,6 +119,28 @@
           if (peerHandlers === undefined) return { kind: 'failed', reason: 'unreachable' };
           return { kind: 'blocks', blocks: peerHandlers.handleBlocks(blocks) };
         },
+        async reportPartCrashes(peer, crashes) {
+          const peerHandlers = await callPeer(name, peer);
+          if (peerHandlers === undefined) return { kind: 'failed', reason: 'unreachable' };
+          peerHandlers.handlePartCrashes(crashes);
+          return { kind: 'counted' };
+        },
+        async reportPartAnswers(peer, answers) {
+          const peerHandlers = await callPeer(name, peer);
+          if (peerHandlers === undefined) return { kind: 'failed', reason: 'unreachable' };
+          peerHandlers.handlePartAnswers(answers);
+          return { kind: 'counted' };
+        },
+        async queryPart(peer, query) {
+          const peerHandlers = await callPeer(name, peer);
+          if (peerHandlers === undefined) return { kind: 'failed', reason: 'unreachable' };
+          return { kind: 'findings', ...(await peerHandlers.handlePartQuery(query)) };
+        },
+        async exchangePartBlocks(peer, blocks) {
+          const peerHandlers = await callPeer(name, peer);
+          if (peerHandlers === undefined) return { kind: 'failed', reason: 'unreachable' };
+          return { kind: 'blocks', blocks: peerHandlers.handlePartBlocks(blocks) };
+        },
       },
       store: {
         grantLease: async () =>
@@ -131,14 +159,16 @@
         },
       },
       log: { logEvent: () => undefined },
+      metrics: { addCount: () => undefined },
       checkExit: async () => 'ended',
     });
-    handlers.set(name, reports.handlers);
+    const { contents: reports, parts } = guard;
+    handlers.set(name, { ...reports.handlers, ...parts.handlers });
     const zone = findZone(name);
-    const router = { name, zone, reports, stop: () => stopController.abort() };
+    const router = { name, zone, reports, parts, guard, stop: () => stopController.abort() };
     routers.push(router);
-    if (canReachStore(name)) reports.applyDirectory();
-    reports.run(stopController.signal).catch(() => undefined);
+    if (canReachStore(name)) guard.applyDirectory();
+    guard.run(stopController.signal).catch(() => undefined);
     return router;
   }
 
@@ -157,7 +187,7 @@
     addRouter,
     simulateCrash(router, content, target) {
       const request = { ...Fakes.createRequest(Fakes.createRoute()), contentKey: content };
-      return router.reports.recordDisconnect({
+      return router.guard.recordDisconnect({
         request,
         target: Fakes.createTarget(target),
         hasHead: true,
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/blockEntry.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/blockEntry.ts
@@ -1,11 +1,5 @@
-/** Stores which contents are blocked or were answered, so that routers that start later learn of them. */
-import type {
-  ContentAnswer,
-  ContentBlock,
-  Directory,
-  ForwardingWire,
-  KeyValueStore,
-} from '@sequoiarill/types';
+/** Formats of the store's entries about blocked contents and parts. */
+import type { ContentAnswer, ContentBlock, PartAnswer, PartBlock } from '@sequoiarill/types';
 import * as Zod from 'zod';
 
 /** State of a content in the store: blocked, or answered since the crashes. */
@@ -13,32 +7,40 @@
   | { readonly kind: 'block'; readonly block: ContentBlock }
   | { readonly kind: 'answer'; readonly answer: ContentAnswer };
 
-export interface BlockEntries {
-  /** Queues an entry for writing; drops the oldest one when too many contents are pending. */
-  readonly addEntry: (entry: BlockEntry) => void;
-  /** Writes the pending entries until a call fails. */
-  readonly writePending: () => Promise<void>;
-}
-
-export interface BlockEntriesOptions {
-  readonly wire: Pick<ForwardingWire, 'ownPrefix'>;
-  readonly store: Pick<KeyValueStore, 'grantLease' | 'writeTransaction'>;
-}
+/** State of a part of prompts in the store. */
+export type PartEntry =
+  | { readonly kind: 'block'; readonly block: PartBlock }
+  | { readonly kind: 'answer'; readonly answer: PartAnswer };
 
-/** The store expires entries after the duration of a block. */
-const LEASE_SECONDS = 600;
-const MAX_PENDING_ENTRIES = 100;
+const answerSchema = Zod.object({ kind: Zod.literal('answer'), ageMs: Zod.number().min(0) });
 
 const valueSchema = Zod.discriminatedUnion('kind', [
   Zod.object({ kind: Zod.literal('block'), firstAgeMs: Zod.number().min(0) }),
-  Zod.object({ kind: Zod.literal('answer'), ageMs: Zod.number().min(0) }),
+  answerSchema,
+]);
+
+const partValueSchema = Zod.discriminatedUnion('kind', [
+  Zod.object({
+    kind: Zod.literal('block'),
+    others: Zod.array(Zod.string()),
+    organisation: Zod.string().optional(),
+    targets: Zod.array(Zod.string()),
+    firstAgeMs: Zod.number().min(0),
+    lastAgeMs: Zod.number().min(0),
+    failedTrials: Zod.number().int().min(0),
+  }),
+  answerSchema,
 ]);
 
-function formatPrefix({ ownPrefix }: Pick<ForwardingWire, 'ownPrefix'>): string {
-  return `${ownPrefix}blocks/`;
+function parseValue<Value>(schema: Zod.ZodType<Value>, text: string): Value | undefined {
+  try {
+    return schema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
 }
 
-function encodeEntry(entry: BlockEntry): string {
+export function encodeEntry(entry: BlockEntry): string {
   const { kind } = entry;
   return kind === 'block'
     ? JSON.stringify({ kind, firstAgeMs: Math.round(entry.block.firstAgeMs) })
@@ -46,68 +48,29 @@
 }
 
 /** Counts ages from now. Undefined for a value that no router wrote. */
-function decodeEntry(content: string, value: string): BlockEntry | undefined {
-  try {
-    const parsed = valueSchema.safeParse(JSON.parse(value));
-    if (!parsed.success) return undefined;
-    const { kind, ...ages } = parsed.data;
-    return 'firstAgeMs' in ages
-      ? { kind: 'block', block: { content, ...ages, lastAgeMs: 0 } }
-      : { kind: 'answer', answer: { content, ...ages } };
-  } catch {
-    return undefined;
-  }
+export function decodeEntry(content: string, value: string): BlockEntry | undefined {
+  const parsed = parseValue(valueSchema, value);
+  if (parsed === undefined) return undefined;
+  const { kind, ...ages } = parsed;
+  return 'firstAgeMs' in ages
+    ? { kind: 'block', block: { content, ...ages, lastAgeMs: 0 } }
+    : { kind: 'answer', answer: { content, ...ages } };
 }
 
-/** Returns a function that lists the entries that changed since its previous call. */
-export function createEntryReader(
-  wire: Pick<ForwardingWire, 'ownPrefix'>,
-  directory: Pick<Directory, 'listEntries'>,
-): () => readonly BlockEntry[] {
-  const prefix = formatPrefix(wire);
-  let seenRevisions: ReadonlyMap<string, number> = new Map();
-  return () => {
-    const stored = directory.listEntries(prefix);
-    const changed = stored.filter(({ key, revision }) => seenRevisions.get(key) !== revision);
-    seenRevisions = new Map(stored.map(({ key, revision }) => [key, revision]));
-    return changed.flatMap(({ key, value }) => decodeEntry(key.slice(prefix.length), value) ?? []);
-  };
+export function encodePartEntry(entry: PartEntry): string {
+  const { kind } = entry;
+  if (kind === 'answer') return JSON.stringify({ kind, ageMs: Math.round(entry.answer.ageMs) });
+  const { part, firstAgeMs, lastAgeMs, ...block } = entry.block;
+  const ages = { firstAgeMs: Math.round(firstAgeMs), lastAgeMs: Math.round(lastAgeMs) };
+  return JSON.stringify({ kind, ...block, ...ages });
 }
 
-export function createBlockEntries({ wire, store }: BlockEntriesOptions): BlockEntries {
-  const pending = new Map<string, BlockEntry>();
-  let isWriting = false;
-
-  async function writeEntry(content: string, entry: BlockEntry): Promise<boolean> {
-    const lease = await store.grantLease(LEASE_SECONDS);
-    if (lease.kind !== 'granted') return false;
-    const key = `${formatPrefix(wire)}${content}`;
-    // The newest entry overwrites the previous state.
-    const written = await store.writeTransaction({
-      comparisons: [],
-      writes: [{ key, value: encodeEntry(entry), leaseId: lease.leaseId }],
-    });
-    return written.kind === 'written';
-  }
-
-  return {
-    addEntry(entry) {
-      const { content } = entry.kind === 'block' ? entry.block : entry.answer;
-      pending.set(content, entry);
-      const oldest = pending.keys().next();
-      if (pending.size > MAX_PENDING_ENTRIES && oldest.done !== true) pending.delete(oldest.value);
-    },
-    async writePending() {
-      if (isWriting) return;
-      isWriting = true;
-      try {
-        for (const [content, entry] of pending) {
-          if (!(await writeEntry(content, entry))) return;
-          if (pending.get(content) === entry) pending.delete(content);
-        }
-      } finally {
-        isWriting = false;
-      }
-    },
-  };
+/** The same for a part of prompts. */
+export function decodePartEntry(part: string, value: string): PartEntry | undefined {
+  const parsed = parseValue(partValueSchema, value);
+  if (parsed === undefined) return undefined;
+  if (parsed.kind === 'answer') return { kind: 'answer', answer: { part, ageMs: parsed.ageMs } };
+  const { kind, organisation, ...block } = parsed;
+  const scope = organisation === undefined ? {} : { organisation };
+  return { kind, block: { part, ...block, ...scope } };
 }
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashGuard.ts
@@ -0,0 +1,144 @@
+/** Keeps requests that crash targets away from them: by their content, and by the parts of their prompts. */
+import * as Crypto from 'node:crypto';
+
+import type {
+  Clock,
+  Directory,
+  ForwardingWire,
+  KeyValueStore,
+  Metrics as MetricsWriter,
+  PartCalls,
+  RouterPeers,
+} from '@sequoiarill/types';
+
+import * as Events from '../events';
+import type { ForwardRequest } from '../forwardRequest';
+import * as Metrics from '../metrics';
+import type { RateLimitedLog } from '../rateLimitedLog';
+import * as Incarnations from '../targets/targetIncarnation';
+import * as CrashReports from './crashReports';
+import * as DisconnectChecks from './disconnectCheck';
+import type { BrokenRun, DisconnectCheckOptions } from './disconnectCheck';
+import * as PartReports from './partReports';
+import type { PartRequest } from './partBlockReports';
+import type { PartRun } from './partRuns';
+
+/** Why a request is sent to no target. */
+export interface BlockedRequest {
+  readonly reason: string;
+  readonly retryAfterSeconds: number;
+}
+
+export interface CrashGuard {
+  /** Undefined where the request may be sent now. */
+  readonly findBlock: (request: ForwardRequest) => BlockedRequest | undefined;
+  /** Records an attempt that is being sent. */
+  readonly startRun: (request: ForwardRequest) => PartRun;
+  /** Records a complete answer to the content. */
+  readonly recordAnswer: (content: string) => void;
+  /** Records that the target disconnected during a run; a crash if it has terminated. */
+  readonly recordDisconnect: (run: BrokenRun) => Promise<void>;
+  readonly contents: CrashReports.CrashReports;
+  readonly parts: PartReports.PartReports;
+  /** Applies changed entries of the store. */
+  readonly applyDirectory: () => void;
+  /** Retries pending writes and reports until the signal is aborted. */
+  readonly run: (signal: AbortSignal) => Promise<void>;
+}
+
+export interface CrashGuardOptions extends Pick<
+  DisconnectCheckOptions,
+  'checkExit' | 'checkOthers' | 'isBrittle'
+> {
+  readonly clock: Clock;
+  readonly nextRandom: () => number;
+  readonly wire: Pick<ForwardingWire, 'ownPrefix'>;
+  readonly directory: Pick<Directory, 'isUpToDate' | 'listEntries'>;
+  readonly peers: Pick<
+    RouterPeers,
+    'self' | 'listRouters' | 'listNearest' | 'reportCrashes' | 'reportAnswers' | 'exchangeBlocks'
+  > &
+    PartCalls;
+  readonly store: Pick<KeyValueStore, 'grantLease' | 'writeTransaction'>;
+  readonly log: Pick<RateLimitedLog, 'logEvent'>;
+  readonly metrics: Pick<MetricsWriter, 'addCount'>;
+}
+
+/** Reason, for log lines and callers, of refusing a request whose content is blocked. */
+export const BLOCKED_REASON = 'targets ended as they began to run it';
+/** The same where a part of its prompt is blocked. */
+export const PART_BLOCKED_REASON = 'targets ended as they began to answer a part of its prompt';
+
+const RETRY_INTERVAL_MS = 500;
+const MS_PER_SECOND = 1_000;
+/** Nothing is gained by coming back earlier, and a block that was lifted is noticed soon. */
+const PART_RETRY_SECONDS = 30;
+
+/** Ids that are keys of the store and fields of messages as they are. */
+const PLAIN_ID = /^[\w-]{1,64}$/;
+const DIGEST_LENGTH = 32;
+
+function formatPartId(id: string): string {
+  if (PLAIN_ID.test(id)) return id;
+  return Crypto.createHash('sha256').update(id).digest('hex').slice(0, DIGEST_LENGTH);
+}
+
+function buildPartRequest({ id, promptParts, organisation = '' }: ForwardRequest): PartRequest {
+  return { id, organisation, parts: promptParts.map((part) => formatPartId(part.id)) };
+}
+
+export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
+  const { clock, log } = options;
+  const contents = CrashReports.createCrashReports({ ...options, logFailure, runAsync });
+  const parts = PartReports.createPartReports({ ...options, logFailure, runAsync });
+
+  function logFailure(peer: string, reason: string): void {
+    log.logEvent(Events.PEER_NOT_TOLD, { peer, reason });
+  }
+
+  function runAsync(calls: readonly Promise<unknown>[]): void {
+    Promise.all(calls).catch((error: unknown) => logFailure('all', String(error)));
+  }
+
+  const recordDisconnect = DisconnectChecks.createDisconnectCheck({
+    ...options,
+    runAsync,
+    recordCrash(run, isOfContent) {
+      log.logEvent(Events.TARGET_ENDED, { ...DisconnectChecks.formatRun(run), isOfContent });
+      const target = Incarnations.formatIncarnation(run.target);
+      if (isOfContent) contents.recordCrash(run.request.contentKey, target);
+      parts.recordCrash(buildPartRequest(run.request), target, run);
+    },
+  });
+
+  return {
+    findBlock(request) {
+      const blockedMs = contents.getBlockedMs(request.contentKey);
+      if (blockedMs > 0) {
+        const retryAfterSeconds = Math.ceil(blockedMs / MS_PER_SECOND);
+        return { reason: BLOCKED_REASON, retryAfterSeconds };
+      }
+      const block = parts.findBlock(buildPartRequest(request));
+      if (block === undefined) return undefined;
+      options.metrics.addCount(Metrics.PART_REFUSED, 1, { part: block.part });
+      const reason = `${PART_BLOCKED_REASON}: ${block.part}`;
+      return { reason, retryAfterSeconds: PART_RETRY_SECONDS };
+    },
+    startRun: (request) => parts.startRun(buildPartRequest(request)),
+    recordAnswer: contents.recordAnswer,
+    recordDisconnect,
+    contents,
+    parts,
+    applyDirectory() {
+      contents.applyDirectory();
+      parts.applyDirectory();
+    },
+    async run(signal) {
+      while (!signal.aborted) {
+        await clock.waitMs(RETRY_INTERVAL_MS, signal);
+        if (signal.aborted) return;
+        await Promise.all([contents.sendPending(), parts.sendPending()]);
+      }
+    },
+  };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashReports.ts
@@ -21,31 +21,28 @@
 
 import type { RateLimitedLog } from '../rateLimitedLog';
 import * as Events from '../events';
-import * as Incarnations from '../targets/targetIncarnation';
 import * as BlockEntries from './blockEntry';
+import type { BlockEntry } from './blockEntry';
 import * as CrashAggregators from './crashAggregators';
-import * as DisconnectChecks from './disconnectCheck';
-import type { BrokenRun, DisconnectCheckOptions } from './disconnectCheck';
+import * as PeerSamples from './peerSample';
+import * as StoredEntries from './storedEntries';
 
 export interface CrashReports {
   /** Remaining time for which the content is sent to no target, milliseconds; 0 when it is not blocked. */
   readonly getBlockedMs: (content: string) => number;
   /** Records a complete answer to a request with the content. */
   readonly recordAnswer: (content: string) => void;
-  /** Records that the target disconnected when it started to run the request; a crash if it has terminated. */
-  readonly recordDisconnect: (run: BrokenRun) => Promise<void>;
+  /** Records that the target has terminated as it began to run a request with the content. */
+  readonly recordCrash: (content: string, target: string) => void;
   readonly handlers: CrashHandlers;
   /** Applies changed entries of the store. */
   readonly applyDirectory: () => void;
-  /** Retries pending writes and reports until the signal is aborted. */
-  readonly run: (signal: AbortSignal) => Promise<void>;
+  /** Retries pending writes and reports; called again and again. */
+  readonly sendPending: () => Promise<void>;
   readonly dumpState: () => { readonly blocked: number; readonly suspects: number };
 }
 
-export interface CrashReportsOptions extends Pick<
-  DisconnectCheckOptions,
-  'checkExit' | 'checkOthers' | 'isBrittle'
-> {
+export interface CrashReportsOptions {
   readonly clock: Clock;
   readonly nextRandom: () => number;
   readonly wire: Pick<ForwardingWire, 'ownPrefix'>;
@@ -56,30 +53,34 @@
   >;
   readonly store: Pick<KeyValueStore, 'grantLease' | 'writeTransaction'>;
   readonly log: Pick<RateLimitedLog, 'logEvent'>;
+  readonly logFailure: (router: string, reason: string) => void;
+  /** Runs calls whose results nothing waits for. */
+  readonly runAsync: (calls: readonly Promise<unknown>[]) => void;
 }
 
 /** Peers notified of a block at once: all in a small fleet, enough to spread it in a large one. */
 const PEERS_NOTIFIED_AT_ONCE = 8;
 /** A crash this long after the previous one shows that a router was not notified of the block. */
 const RENOTIFY_MS = 3_000;
-const RETRY_INTERVAL_MS = 500;
 
 export function createCrashReports(options: CrashReportsOptions): CrashReports {
-  const { clock, directory, peers, log, nextRandom } = options;
+  const { clock, directory, peers, log, nextRandom, logFailure, runAsync } = options;
   const tracker = Decisions.createCrashTracker();
-  const entries = BlockEntries.createBlockEntries(options);
+  const entries = StoredEntries.createStoredEntries<BlockEntry>({
+    prefix: `${options.wire.ownPrefix}blocks/`,
+    store: options.store,
+    directory,
+    getKey: (entry) => (entry.kind === 'block' ? entry.block : entry.answer).content,
+    encode: BlockEntries.encodeEntry,
+    decode: BlockEntries.decodeEntry,
+  });
   const aggregators = CrashAggregators.createCrashAggregators({ clock, peers, logFailure });
-  const readNewBlockEntries = BlockEntries.createEntryReader(options.wire, directory);
 
   function logBlock({ content, firstAgeMs }: ContentBlock, source: string): void {
     const sinceMs = Math.round(firstAgeMs);
     log.logEvent(Events.CONTENT_BLOCKED, { content, source, firstCrashAgeMs: sinceMs });
   }
 
-  function logFailure(peer: string, reason: string): void {
-    log.logEvent(Events.PEER_NOT_TOLD, { peer, reason });
-  }
-
   /** The block to announce to other routers after this crash; undefined when there is none. */
   function countCrash(crash: Crash): ContentBlock | undefined {
     const nowMs = clock.getNowMs();
@@ -104,10 +105,6 @@
     else recordBlocks(outcome.blocks, peer);
   }
 
-  function runAsync(calls: readonly Promise<unknown>[]): void {
-    Promise.all(calls).catch((error: unknown) => logFailure('all', String(error)));
-  }
-
   function reportBlock(block: ContentBlock): void {
     entries.addEntry({ kind: 'block', block });
     const notified = peers.listNearest().slice(0, PEERS_NOTIFIED_AT_ONCE);
@@ -122,18 +119,6 @@
     if (isAggregator && block !== undefined) reportBlock(block);
   }
 
-  function recordCrash(run: BrokenRun): void {
-    log.logEvent(Events.TARGET_ENDED, DisconnectChecks.formatRun(run));
-    const target = Incarnations.formatIncarnation(run.target);
-    runAsync([reportCrash({ content: run.request.contentKey, target, ageMs: 0 })]);
-  }
-
-  const checkDisconnect = DisconnectChecks.createDisconnectCheck({
-    ...options,
-    recordCrash,
-    runAsync,
-  });
-
   function startAnswerReport(content: string): void {
     const report = aggregators.sendReport(content, (router, ageMs) =>
       peers.reportAnswers(router, [{ content, ageMs }]),
@@ -155,7 +140,7 @@
     return result;
   }
 
-  function applyEntry(entry: BlockEntries.BlockEntry): void {
+  function applyEntry(entry: BlockEntry): void {
     if (entry.kind === 'block') recordBlocks([entry.block], 'store');
     else recordAnswer(entry.answer);
   }
@@ -165,7 +150,7 @@
     recordAnswer(content) {
       if (recordAnswer({ content, ageMs: 0 }) !== 'nothing') startAnswerReport(content);
     },
-    recordDisconnect: checkDisconnect,
+    recordCrash: (content, target) => runAsync([reportCrash({ content, target, ageMs: 0 })]),
     handlers: {
       handleCrashes(crashes) {
         for (const crash of crashes) {
@@ -179,17 +164,13 @@
         return tracker.listBlocks(clock.getNowMs());
       },
     },
-    applyDirectory: () => readNewBlockEntries().forEach(applyEntry),
-    async run(signal) {
-      while (!signal.aborted) {
-        await clock.waitMs(RETRY_INTERVAL_MS, signal);
-        await Promise.all([entries.writePending(), aggregators.sendPending()]);
-        if (!directory.isUpToDate() && !signal.aborted) {
-          const sample = samplePeers(peers.listNearest(), nextRandom);
-          const blocks = tracker.listBlocks(clock.getNowMs());
-          await Promise.all(sample.map((peer) => sendBlocks(peer, blocks)));
-        }
-      }
+    applyDirectory: () => entries.listChanged().forEach(applyEntry),
+    async sendPending() {
+      await Promise.all([entries.writePending(), aggregators.sendPending()]);
+      if (directory.isUpToDate()) return;
+      const sample = PeerSamples.samplePeers(peers.listNearest(), nextRandom);
+      const blocks = tracker.listBlocks(clock.getNowMs());
+      await Promise.all(sample.map((peer) => sendBlocks(peer, blocks)));
     },
     dumpState() {
       const blocked = tracker.listBlocks(clock.getNowMs()).length;
@@ -197,15 +178,3 @@
     },
   };
 }
-
-/**
- * The nearest peer, which is in the local zone and so stays reachable when the zone is partitioned, and a
- * random other one, so that updates from other zones arrive.
- */
-function samplePeers(
-  [nearest, ...others]: readonly string[],
-  nextRandom: () => number,
-): readonly string[] {
-  const other = others[Math.floor(nextRandom() * others.length)];
-  return [nearest, other].filter((peer) => peer !== undefined);
-}
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/disconnectCheck.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/disconnectCheck.ts
@@ -1,4 +1,5 @@
 /** Decides whether a target that disconnected has terminated, which counts against the request it began to run. */
+import type { RunProgress } from '@sequoiarill/decisions';
 import type { Clock, ForwardingTarget } from '@sequoiarill/types';
 
 import * as Events from '../events';
@@ -6,15 +7,12 @@
 import type { RateLimitedLog } from '../rateLimitedLog';
 import type { PathMonitor } from '../targets/pathMonitor';
 import type { ExitCheck, ExitCheckResult } from './exitCheck';
+import { PART_CRASH_WINDOW_MS } from './partRuns';
 
 /** A run whose target closed the connection. */
-export interface BrokenRun {
+export interface BrokenRun extends RunProgress {
   readonly request: ForwardRequest;
   readonly target: ForwardingTarget;
-  /** Whether the head of an answer had arrived. */
-  readonly hasHead: boolean;
-  /** Time since its first event, milliseconds; undefined without events. */
-  readonly ranMs: number | undefined;
 }
 
 export interface DisconnectCheckOptions {
@@ -25,7 +23,8 @@
   readonly checkOthers: PathMonitor['checkOthers'];
   /** Whether targets of the service fall over for want of room, whatever they run. */
   readonly isBrittle: (service: string) => boolean;
-  readonly recordCrash: (run: BrokenRun) => void;
+  /** `isOfContent`: whether it counts against the content, and not against parts of the prompt alone. */
+  readonly recordCrash: (run: BrokenRun, isOfContent: boolean) => void;
   /** Runs the second check, for which the request does not wait. */
   readonly runAsync: (calls: readonly Promise<unknown>[]) => void;
 }
@@ -33,7 +32,7 @@
 /** Delay before a target that still accepted a connection is checked again. */
 const RECHECK_DELAY_MS = 150;
 /** A request that crashes its target does so before its first event or within this time after it. */
-const CRASH_WINDOW_MS = 300;
+const CONTENT_CRASH_WINDOW_MS = 300;
 const MAX_LOGGED_PARTS = 8;
 
 /** Fields of log lines about a broken run. */
@@ -64,9 +63,13 @@
    */
   async function recordExit(run: BrokenRun, disconnectedAtMs: number): Promise<void> {
     const { target } = run;
-    if (options.isBrittle(target.service)) logUncounted(run, 'brittle');
-    else if (await options.checkOthers(target, disconnectedAtMs)) options.recordCrash(run);
-    else logUncounted(run, 'unreachable');
+    if (!(await options.checkOthers(target, disconnectedAtMs))) {
+      logUncounted(run, 'unreachable');
+      return;
+    }
+    const isBrittle = options.isBrittle(target.service);
+    if (isBrittle) logUncounted(run, 'brittle');
+    options.recordCrash(run, !isBrittle && !isPast(run, CONTENT_CRASH_WINDOW_MS));
   }
 
   /** A terminating process may still accept a connection while it closes the others. */
@@ -77,12 +80,21 @@
     else logUncounted(run, result);
   }
 
-  return async function checkDisconnect(run: BrokenRun): Promise<void> {
+  async function checkExit(run: BrokenRun): Promise<void> {
     const disconnectedAtMs = clock.getNowMs();
-    // A run that has produced events for a while is not the cause of a crash.
-    if (run.ranMs !== undefined && run.ranMs > CRASH_WINDOW_MS) logUncounted(run, 'late');
-    else if ((await options.checkExit(run.target)) === 'ended') {
-      await recordExit(run, disconnectedAtMs);
-    } else options.runAsync([checkExitAgain(run, disconnectedAtMs)]);
+    if ((await options.checkExit(run.target)) === 'ended') await recordExit(run, disconnectedAtMs);
+    else options.runAsync([checkExitAgain(run, disconnectedAtMs)]);
+  }
+
+  /** A run that has produced events for a while is not the cause of a crash. */
+  return async function checkDisconnect(run: BrokenRun): Promise<void> {
+    const hasParts = run.request.promptParts.length > 0;
+    if (!isPast(run, CONTENT_CRASH_WINDOW_MS)) await checkExit(run);
+    else if (hasParts && !isPast(run, PART_CRASH_WINDOW_MS)) options.runAsync([checkExit(run)]);
+    else logUncounted(run, 'late');
   };
 }
+
+function isPast({ ranMs }: BrokenRun, windowMs: number): boolean {
+  return ranMs !== undefined && ranMs > windowMs;
+}
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -19,7 +19,7 @@
 import type { StreamOrigins } from './origins/streamOrigins';
 import type { Relays } from './relay/relays';
 import type { RateLimitedLog } from './rateLimitedLog';
-import type { CrashReports } from './crashes/crashReports';
+import type { CrashGuard } from './crashes/crashGuard';
 import type { EngineProbes } from './targets/engineProbes';
 import type { PathMonitor } from './targets/pathMonitor';
 import type { ForwardRequest } from './forwardRequest';
@@ -45,7 +45,10 @@
     'recordLoss' | 'getState' | 'isUnreachable' | 'checkSilence' | 'getSummary'
   >;
   readonly relays: Omit<Relays, 'removeMissing'>;
-  readonly crashes: Pick<CrashReports, 'getBlockedMs' | 'recordAnswer' | 'recordDisconnect'>;
+  readonly crashes: Pick<
+    CrashGuard,
+    'findBlock' | 'startRun' | 'recordAnswer' | 'recordDisconnect'
+  >;
   readonly brittle: Pick<BrittleTargets, 'recordHead' | 'isBrittle' | 'choose' | 'acquireSlot'>;
   readonly origins: Pick<StreamOrigins, 'recordBegun' | 'find'>;
   readonly limits: Pick<
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -112,7 +112,7 @@
   1923,
   'warn',
   'target.ended',
-  'A target terminated when it started to run a request; the crash is counted against the content of the request. `parts` names the parts of its prompt.',
+  'A target terminated when it started to run a request; the crash is counted against the parts of its prompt, which `parts` names, and where `isOfContent` is set against its content.',
 );
 export const CONTENT_BLOCKED = Kernel.defineEvent(
   1924,
@@ -231,6 +231,25 @@
   'The builds of a service could not be brought in line with the store by an internal error of the router; the next round tries again.',
 );
 
+export const PART_BLOCKED = Kernel.defineEvent(
+  1942,
+  'warn',
+  'part.blocked',
+  'Several targets terminated as they began to answer requests whose prompts hold this part, and nothing with the part was answered since: requests that hold it, and all of `others`, are refused. `source` names the origin of the block; `organisation` is absent where several sent such requests.',
+);
+export const PART_RELEASED = Kernel.defineEvent(
+  1943,
+  'info',
+  'part.released',
+  'A request with a blocked part of a prompt has been answered since the crashes, so the part did not cause them; no router refuses it any more.',
+);
+export const PART_CLEARED = Kernel.defineEvent(
+  1944,
+  'info',
+  'part.cleared',
+  'Several targets terminated as they began to answer requests with this part of a prompt, but another router has seen it answered since; it is not blocked.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -268,4 +287,7 @@
   ORIGIN_UNKNOWN,
   ORIGIN_NOT_REPORTED,
   ORIGINS_FAILED,
+  PART_BLOCKED,
+  PART_RELEASED,
+  PART_CLEARED,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -12,6 +12,7 @@
 export const RELAYED = 'forwarding.relayed';
 export const RELAYED_HERE = 'forwarding.relayedHere';
 export const ORIGINS = 'forwarding.origins';
+export const PART_REFUSED = 'forwarding.partRefused';
 
 export const METRICS = [
   { name: REQUESTS, unit: 'count', meaning: 'Requests ended, by route and outcome.' },
@@ -59,6 +60,11 @@
     unit: 'count',
     meaning: "Requests of other routers' callers that this router was sent.",
   },
+  {
+    name: PART_REFUSED,
+    unit: 'count',
+    meaning: 'Requests refused because of a blocked part of their prompts, by part.',
+  },
   {
     name: ORIGINS,
     unit: 'count',
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -77,7 +77,8 @@
   };
 
   rollouts.setInFlightCounter(registry.getInFlight);
-  peers.setCrashHandlers(crashes.handlers);
+  peers.setCrashHandlers(crashes.contents.handlers);
+  peers.setPartHandlers(crashes.parts.handlers);
   peers.setOriginHandlers(origins.handlers);
   peers.setPermitsLender(limits.grantPermits);
   peers.setBrittleHandler(brittle.handleReport);
@@ -140,7 +141,8 @@
       connections: frontEnd.countConnections(),
       targetConnections: connections.countOpen(),
       isDraining: drain.isDraining(),
-      crashes: crashes.dumpState(),
+      crashes: crashes.contents.dumpState(),
+      crashingParts: crashes.parts.dumpState(),
       limitedTargets: limits.dumpState(),
       restingTargets: notices.dumpState(),
       lostPaths: paths.dumpState(),
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -3,8 +3,8 @@
 import type { StallPolicy } from '@sequoiarill/decisions';
 import type { PluginContext } from '@sequoiarill/types';
 
-import * as CrashReports from './crashes/crashReports';
-import type { CrashReports as CrashReportsState } from './crashes/crashReports';
+import * as CrashGuards from './crashes/crashGuard';
+import type { CrashGuard } from './crashes/crashGuard';
 import type { DisconnectCheckOptions } from './crashes/disconnectCheck';
 import * as ExitChecks from './crashes/exitCheck';
 import type { RawHeader } from './front/headers';
@@ -64,13 +64,13 @@
   };
 }
 
-function createCrashReports(
+function createCrashGuard(
   context: PluginContext,
   log: RateLimitedLog,
   evidence: Pick<DisconnectCheckOptions, 'checkOthers' | 'isBrittle'>,
-): CrashReportsState {
+): CrashGuard {
   const { clock, nextRandom } = context;
-  return CrashReports.createCrashReports({
+  return CrashGuards.createCrashGuard({
     clock,
     nextRandom,
     wire: context.getCapability('wire'),
@@ -78,6 +78,7 @@
     peers: context.getCapability('peers'),
     store: context.getCapability('keyValue'),
     log,
+    metrics: context.metrics,
     checkExit: ExitChecks.createExitCheck(clock),
     ...evidence,
   });
@@ -262,7 +263,7 @@
     relays,
     brittle,
     copyCommands: CopyCommands.createCopyCommands(wire, callEngine),
-    crashes: createCrashReports(context, log, {
+    crashes: createCrashGuard(context, log, {
       checkOthers: paths.checkOthers,
       isBrittle: brittle.isBrittle,
     }),
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -1,4 +1,5 @@
 /** One attempt of a request whose answer is a stream of events. */
+import type { RunProgress } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
 import type { EventBlock } from './eventBlocks';
@@ -6,7 +7,7 @@
 import type { AnswerHead, ForwardRequest, SendOutcome } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
 import type { ForwardingDependencies } from '../dependencies';
-import type { BrokenRun } from '../crashes/disconnectCheck';
+import type { PartRun } from '../crashes/partRuns';
 import * as Checks from '../answers/answerChecks';
 import * as Sending from '../answers/sending';
 import * as TargetCalls from '../targets/targetCall';
@@ -25,6 +26,8 @@
   readonly request: ForwardRequest;
   readonly target: ForwardingTarget;
   readonly extraHeaders: readonly RawHeader[];
+  /** Whether the answer goes on after events of an earlier attempt. */
+  readonly isContinued: boolean;
   /** Whether another engine holds a copy of the KV cache, so that a false alarm costs little. */
   readonly hasCopy: () => boolean;
   /** Tokens that the target has to prefill before its first event. */
@@ -63,13 +66,15 @@
   options: AttemptOptions,
 ): AsyncGenerator<EventBatch, AttemptOutcome, void> {
   const { request, target } = options;
+  const run = dependencies.crashes.startRun(request);
   const call = dependencies.openCall(request, target, options.extraHeaders);
   request.closed.addEventListener('abort', call.cancel, { once: true });
   const recordEnd = dependencies.registry.recordStart(target);
   try {
-    return yield* readStream(dependencies, options, call);
+    return yield* readStream(dependencies, options, call, run);
   } finally {
     // Also runs when the consumer returns the generator early.
+    run.end();
     call.cancel();
     recordEnd();
     request.closed.removeEventListener('abort', call.cancel);
@@ -85,6 +90,7 @@
   dependencies: ForwardingDependencies,
   options: AttemptOptions,
   call: TargetCall,
+  run: PartRun,
 ): AsyncGenerator<EventBatch, AttemptOutcome, void> {
   const reader = createStreamReader(dependencies, options, call);
   try {
@@ -92,9 +98,12 @@
       const step = await reader.readStep();
       if (step !== undefined) {
         if ('kind' in step) {
+          // The rest of an answer may be shorter than the time in which a part crashes targets.
+          if (step.kind === 'complete' && !options.isContinued) run.recordAnswer();
           await recordBreak(dependencies, options, step, reader.getProgress());
           return step;
         }
+        run.recordEvent();
         yield step;
       }
     }
@@ -107,7 +116,7 @@
   { crashes }: ForwardingDependencies,
   { request, target }: AttemptOptions,
   outcome: AttemptOutcome,
-  progress: Pick<BrokenRun, 'hasHead' | 'ranMs'>,
+  progress: RunProgress,
 ): Promise<void> {
   if (outcome.kind !== 'lost' || outcome.isTimeout) return;
   await crashes.recordDisconnect({ request, target, ...progress });
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -7,6 +7,7 @@
 import type { EnginePair } from '../targets/enginePlacements';
 import * as ForwardRequests from '../forwardRequest';
 import type { AnswerHead, ForwardOutcome, ForwardRequest } from '../forwardRequest';
+import type { BlockedRequest } from '../crashes/crashGuard';
 import type { ForwardingDependencies } from '../dependencies';
 import { NO_ROOM_REASON } from '../answers/gatedTarget';
 import * as Placement from '../answers/placement';
@@ -22,7 +23,6 @@
 /** Bounds all sends of a stream, including those that targets did not accept. */
 const MAX_TRIES = 12;
 const RETRY_AFTER_SECONDS = 0.5;
-const MS_PER_SECOND = 1_000;
 const NONE: ReadonlySet<string> = new Set();
 /** Retries reserved for streams that have begun: as many as the crash of one zone may require. */
 const RESERVED_RETRIES = 2;
@@ -96,11 +96,8 @@
 ): Promise<Plan | RelayPlan | StreamOutcome> {
   const { build } = progress;
   const request = build === undefined ? received : { ...received, build };
-  const nowMs = dependencies.clock.getNowMs();
-  if (request.closed.aborted) return { kind: 'callerLeft' };
-  if (nowMs >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
-  const blockedMs = dependencies.crashes.getBlockedMs(request.contentKey);
-  if (blockedMs > 0) return decideBlocked(progress, blockedMs);
+  const end = findEnd(dependencies, request, progress);
+  if (end !== undefined) return end;
   if (dependencies.relays.isDue(request)) {
     return createRelayPlan(dependencies, request, progress, budget);
   }
@@ -113,7 +110,23 @@
   if (isRetry && !(await takeRetry(dependencies, request, progress, budget))) {
     return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
   }
-  return { ...plan, isRetry };
+  // It may have been blocked while engines and other routers were asked.
+  const block = dependencies.crashes.findBlock(request);
+  if (block === undefined) return { ...plan, isRetry };
+  if (isRetry) budget.releaseRetry();
+  return decideBlocked(progress, block);
+}
+
+/** The outcome where nothing more may be sent. */
+function findEnd(
+  { clock, crashes }: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
+): StreamOutcome | undefined {
+  if (request.closed.aborted) return { kind: 'callerLeft' };
+  if (clock.getNowMs() >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
+  const block = crashes.findBlock(request);
+  return block === undefined ? undefined : decideBlocked(progress, block);
 }
 
 /** Waits for a target that rests, or asks another router, which may reach targets that this one has lost. */
@@ -282,9 +295,11 @@
     );
 }
 
-function decideBlocked(progress: Progress, blockedMs: number): StreamOutcome {
-  const retryAfterSeconds = Math.ceil(blockedMs / MS_PER_SECOND);
-  const end = decideEnd(progress, Placement.BLOCKED_REASON, false);
+function decideBlocked(
+  progress: Progress,
+  { reason, retryAfterSeconds }: BlockedRequest,
+): StreamOutcome {
+  const end = decideEnd(progress, reason, false);
   return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -49,6 +49,7 @@
     request,
     target: plan.target,
     extraHeaders: createExtraHeaders(dependencies, request, plan, progress),
+    isContinued: progress.lastEventId !== undefined,
     hasCopy: () => monitor.getCopy() !== undefined,
     prefillTokens: plan.copy === undefined ? request.promptTokens : 0,
     promptsAhead: plan.promptsAhead,
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -123,6 +123,15 @@
     reportOrigins: async () => ({ kind: 'counted' }),
     findOrigin: async () => ({ kind: 'unknown' }),
     setOriginHandlers: () => undefined,
+    setPartHandlers: () => undefined,
+    reportPartCrashes: async () => ({ kind: 'counted' }),
+    reportPartAnswers: async () => ({ kind: 'counted' }),
+    queryPart: async () => ({
+      kind: 'findings',
+      answers: [],
+      explainedTargets: [],
+    }),
+    exchangePartBlocks: async () => ({ kind: 'blocks', blocks: [] }),
   };
 
 export function createEnvironment({ routers, hasStreams }: EnvironmentOptions): Environment {
--- a/packages/sequoiarill-types/src/index.ts
+++ b/packages/sequoiarill-types/src/index.ts
@@ -8,4 +8,5 @@
 export type * from './orders';
 export type * from './peers';
 export type * from './plugins';
+export type * from './promptParts';
 export type * from './rollouts';
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -1,5 +1,6 @@
 /** Messages between routers other than directory records. */
 import type { TargetBuild } from './forwarding';
+import type { PartCalls, PartHandlers } from './promptParts';
 
 /** One router's request for part of another router's retry quota for a service. */
 export interface RetryQuotaRequest {
@@ -195,7 +196,7 @@
 }
 
 /** Capability `peers`: calls to the other routers that the directory lists. */
-export interface RouterPeers {
+export interface RouterPeers extends PartCalls {
   /** `IP:port` of the other routers, the local zone first, each group in random order. */
   readonly listNearest: () => readonly string[];
   readonly borrowRetryQuota: (
@@ -237,6 +238,7 @@
   ) => Promise<CrashReportOutcome>;
   readonly findOrigin: (peer: string, query: OriginQuery) => Promise<OriginOutcome>;
   readonly setOriginHandlers: (handlers: OriginHandlers) => void;
+  readonly setPartHandlers: (handlers: PartHandlers) => void;
   /** Sets the handler for rollout reports of other routers. */
   readonly setReportHandler: (handleReport: (report: RolloutReport) => RolloutGuidance) => void;
 }
