Send streams in chunks, so that a broken one does not look complete

What callers saw: a target may answer a stream with neither a length nor chunks.

Cause: the answer was forwarded without framing as well, so only the end of the connection ends it. When the tries run out, the router closed the connection in an orderly way, which is that end. A reset would not do for all: clients such as undici take a reset for the end of a body without framing, too. And a target that is killed between two events closes its connections in an orderly way, which looked like the end of the stream.

Change: streams are sent in chunks to callers whose HTTP version has them, whatever the target does; to others a broken one is reset. Where a response without framing ends after a whole event, the router checks that the target still accepts connections; one that has exited is lost, and the stream goes on elsewhere. Whole answers keep their target's framing, as nothing can tell half of one.

Tests: all engines break unframed streams off, read by an HTTP/1.1 client and an HTTP/1.0 one; two of six engines exit between two events. Before: [200, not broken] instead of broken, and the first 5 of 12 events as a whole stream. Not done: a target that exits and is back within milliseconds, and one that ends its response too early and lives on, are believed.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -259,6 +259,7 @@
       }),
       recordAnswer: () => undefined,
       recordDisconnect: async () => undefined,
+      hasExited: async () => false,
     },
     brittle,
     origins: {
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashGuard.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashGuard.ts
@@ -4,6 +4,7 @@
 import type {
   Clock,
   Directory,
+  ForwardingTarget,
   ForwardingWire,
   KeyValueStore,
   Metrics as MetricsWriter,
@@ -38,6 +39,8 @@
   readonly recordAnswer: (content: string) => void;
   /** Records that the target disconnected during a run; a crash if it has terminated. */
   readonly recordDisconnect: (run: BrokenRun) => Promise<void>;
+  /** Whether the target refuses connections now. */
+  readonly hasExited: (target: ForwardingTarget) => Promise<boolean>;
   readonly contents: CrashReports.CrashReports;
   readonly parts: PartReports.PartReports;
   /** Applies changed entries of the store. */
@@ -127,6 +130,7 @@
     startRun: (request) => parts.startRun(buildPartRequest(request)),
     recordAnswer: contents.recordAnswer,
     recordDisconnect,
+    hasExited: async (target) => (await options.checkExit(target)) === 'ended',
     contents,
     parts,
     applyDirectory() {
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -47,7 +47,7 @@
   readonly relays: Omit<Relays, 'removeMissing'>;
   readonly crashes: Pick<
     CrashGuard,
-    'findBlock' | 'startRun' | 'recordAnswer' | 'recordDisconnect'
+    'findBlock' | 'startRun' | 'recordAnswer' | 'recordDisconnect' | 'hasExited'
   >;
   readonly brittle: Pick<BrittleTargets, 'recordHead' | 'isBrittle' | 'choose' | 'acquireSlot'>;
   readonly origins: Pick<StreamOrigins, 'recordBegun' | 'find'>;
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -124,12 +124,12 @@
   if (lastEventId === undefined) durations.recordAnswer(route.name, tookMs);
 }
 
-/** An answer that is delimited by the close of its connection is forwarded in the same way. */
+/** A whole answer that is delimited by the close of its connection is forwarded in the same way. */
 function sendHead(
   dependencies: ExchangeDependencies,
   response: ServerResponse,
   head: AnswerHead,
-  framing: Readonly<Record<string, number>>,
+  bodyLength: number,
 ): void {
   // Towards another router, an answer always has framing of its own, and a header for the target's.
   const isCloseDelimited =
@@ -139,7 +139,22 @@
     ...Headers.selectResponseHeaders(head.headers),
     ...(isCloseDelimited
       ? { connection: 'close' }
-      : { ...framing, ...createConnectionHeader(dependencies) }),
+      : { 'content-length': bodyLength, ...createConnectionHeader(dependencies) }),
+  });
+}
+
+/**
+ * A stream is sent in chunks, also where its target's response has no framing: the stream may go on at another
+ * target, and many clients take any end of a connection for the end of a body without framing.
+ */
+function sendStreamHead(
+  dependencies: ExchangeDependencies,
+  response: ServerResponse,
+  head: AnswerHead,
+): void {
+  response.writeHead(head.status, head.statusMessage, {
+    ...Headers.selectResponseHeaders(head.headers),
+    ...createConnectionHeader(dependencies),
   });
 }
 
@@ -154,7 +169,7 @@
   if (outcome.kind === 'answer') {
     const { head, body } = outcome;
     if (request.relayTerms !== undefined) addRelayHeaders(response, head);
-    sendHead(dependencies, response, head, { 'content-length': body.length });
+    sendHead(dependencies, response, head, body.length);
     response.end(body);
     return;
   }
@@ -210,7 +225,7 @@
         route: request.route.name,
       });
       if (request.relayTerms !== undefined) addRelayHeaders(response, part.head, part.build);
-      sendHead(dependencies, response, part.head, {});
+      sendStreamHead(dependencies, response, part.head);
     } else {
       timing.recordEvents(dependencies.clock.getNowMs());
       if (!response.write(part.bytes)) await waitForDrain(response, request.closed);
@@ -275,8 +290,15 @@
   const { reason, lastTarget } = outcome;
   const fields = { ...createLogFields(dependencies, request), reason, lastTarget };
   dependencies.log.logEvent(Events.STREAM_BROKEN, fields);
-  // Closed without the end of the body, so that the answer does not look complete.
-  response.destroy();
+  closeBroken(response);
+}
+
+/** Closes the connection without the end of the body, so that the answer does not look complete. */
+function closeBroken(response: ServerResponse): void {
+  // Callers without chunks take an orderly end of the connection for the end of the body.
+  if (response.req.httpVersion === HTTP_WITHOUT_CHUNKS) response.socket?.resetAndDestroy();
+  else response.destroy();
 }
 
+const HTTP_WITHOUT_CHUNKS = '1.0';
 const EMPTY = Buffer.alloc(0);
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -190,10 +190,17 @@
     return { head, blocks };
   }
 
-  function handleEnd(): StepResult {
+  /**
+   * Failure: an engine whose response has no framing is killed between two events. Its connections end as they would
+   * after the last event, and the answer would look complete.
+   */
+  async function handleEnd(): Promise<StepResult> {
     if (head === undefined || splitter.hasPartialEvent()) {
       return { kind: 'lost', reason: 'ended within an event', isTimeout: false };
     }
+    if (Checks.isCloseDelimited(head) && (await dependencies.crashes.hasExited(target))) {
+      return { kind: 'lost', reason: 'target exited without framing', isTimeout: false };
+    }
     return { kind: 'complete', head };
   }
 
--- a/packages/sequoiarill-standins/src/shared/server.ts
+++ b/packages/sequoiarill-standins/src/shared/server.ts
@@ -15,6 +15,8 @@
   readonly stop: () => Promise<void>;
   /** Closes every connection; new ones are still accepted. */
   readonly closeConnections: () => void;
+  /** Refuses new connections until `start`; open ones live on. */
+  readonly stopListening: () => void;
   /** Closes every connection and refuses new ones until `start`. */
   readonly refuseConnections: () => void;
 }
@@ -68,9 +70,13 @@
     for (const socket of sockets) socket.destroy();
   }
 
-  function refuseConnections(): void {
+  function stopListening(): void {
     server?.close();
     server = undefined;
+  }
+
+  function refuseConnections(): void {
+    stopListening();
     closeConnections();
   }
 
@@ -85,7 +91,7 @@
     await closed;
   }
 
-  return { start, stop, closeConnections, refuseConnections };
+  return { start, stop, closeConnections, stopListening, refuseConnections };
 }
 
 function startListening(
--- a/packages/sequoiarill-standins/src/userPlatform/index.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/index.ts
@@ -2,3 +2,4 @@
 export * from './documents';
 export * from './storeStandin';
 export * from './targetStandin';
+export * from './streamEvents';
--- /dev/null
+++ b/packages/sequoiarill-standins/src/userPlatform/streamEvents.ts
@@ -0,0 +1,38 @@
+/** Events of the streams that the target stand-in sends. */
+
+export const EVENT_COUNT = 12;
+
+/** The events of a request are identical on every engine of a version. */
+export function formatEvent(requestId: string, number: number, version?: string): string {
+  const writer = version === undefined ? '' : ` of ${version}`;
+  return `id: ${number}\ndata: ${requestId} token ${number}${writer}\n\n`;
+}
+
+/** One event of a target that names its version. */
+export interface VersionedEvent {
+  readonly number: number;
+  readonly version: string;
+}
+
+const VERSIONED_EVENT = /^id: (\d+)\ndata: \S+ token \d+ of (\S+)\n\n/gm;
+
+/** Lists the complete events of a stream, in the order received. */
+export function listVersionedEvents(text: string): readonly VersionedEvent[] {
+  return [...text.matchAll(VERSIONED_EVENT)].map(([, number, version = '']) => ({
+    number: Number(number),
+    version,
+  }));
+}
+
+export function formatEvents(
+  requestId: string,
+  from = 1,
+  count = EVENT_COUNT,
+  version?: string,
+): string {
+  const numbers = Array.from({ length: count }, (_one, index) => index + 1);
+  return numbers
+    .filter((number) => number >= from)
+    .map((number) => formatEvent(requestId, number, version))
+    .join('');
+}
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -5,11 +5,16 @@
 
 import * as Servers from '../shared/server';
 import * as Documents from './documents';
+import { EVENT_COUNT, formatEvent } from './streamEvents';
 
 export type TargetFault =
   | 'none'
   /** Resets the connection once a stream has sent `EVENTS_BEFORE_FAULT` events. */
   | 'dieInStream'
+  /** Sends streams without framing, and ends the connection within an event after the same number of events. */
+  | 'unframedBreak'
+  /** Sends a stream without framing, and exits after the same number of events. */
+  | 'unframedExit'
   /**
    * After the same number of events, the target sends and answers nothing more, but closes no
    * connection.
@@ -98,45 +103,9 @@
   readonly countInFlight: () => number;
 }
 
-export const EVENT_COUNT = 12;
 const EVENTS_BEFORE_FAULT = 5;
 const EVENT_MS = 15;
 
-/** The events of a request are identical on every engine of a version. */
-export function formatEvent(requestId: string, number: number, version?: string): string {
-  const writer = version === undefined ? '' : ` of ${version}`;
-  return `id: ${number}\ndata: ${requestId} token ${number}${writer}\n\n`;
-}
-
-/** One event of a target that names its version. */
-export interface VersionedEvent {
-  readonly number: number;
-  readonly version: string;
-}
-
-const VERSIONED_EVENT = /^id: (\d+)\ndata: \S+ token \d+ of (\S+)\n\n/gm;
-
-/** Lists the complete events of a stream, in the order received. */
-export function listVersionedEvents(text: string): readonly VersionedEvent[] {
-  return [...text.matchAll(VERSIONED_EVENT)].map(([, number, version = '']) => ({
-    number: Number(number),
-    version,
-  }));
-}
-
-export function formatEvents(
-  requestId: string,
-  from = 1,
-  count = EVENT_COUNT,
-  version?: string,
-): string {
-  const numbers = Array.from({ length: count }, (_one, index) => index + 1);
-  return numbers
-    .filter((number) => number >= from)
-    .map((number) => formatEvent(requestId, number, version))
-    .join('');
-}
-
 export function createTargetStandin(id: string, options: TargetOptions = {}): TargetStandin {
   const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, version, crashPath } = options;
   const { promptCrash, holdMs = 0 } = options;
@@ -177,22 +146,40 @@
     }, afterMs);
   }
 
-  async function sendStream(requestId: string, from: number, response: ServerResponse) {
+  /** Ends the connection in an orderly way, as the kernel does for a process that is killed. */
+  function closeUnframed(response: ServerResponse): void {
+    if (fault === 'unframedBreak') response.write('id: 6\ndata: ha');
+    else server.stopListening();
+    response.end();
+  }
+
+  function writeStreamHead(requestId: string, response: ServerResponse, isUnframed: boolean): void {
+    if (isUnframed) response.removeHeader('transfer-encoding');
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'request-id': requestId,
       'server-signature': Documents.formatSignature(id),
+      ...(isUnframed ? { connection: 'close' } : {}),
     });
+  }
+
+  async function sendStream(requestId: string, from: number, response: ServerResponse) {
+    const isUnframed = fault === 'unframedBreak' || fault === 'unframedExit';
+    writeStreamHead(requestId, response, isUnframed);
+    const lastUnframed = isUnframed ? Math.max(EVENTS_BEFORE_FAULT, from + 1) : undefined;
     for (let number = from; number <= eventCount; number += 1) {
       await waitMs(EVENT_MS);
-      if (response.destroyed) return;
-      if (isSilent) return;
+      if (response.destroyed || isSilent) return;
       response.write(formatEvent(requestId, number, version));
       if (number === EVENTS_BEFORE_FAULT && fault === 'dieInStream') {
         // Breaks off within an event, as a crash does.
         response.write('id: 6\ndata: ha', () => response.socket?.resetAndDestroy());
         return;
       }
+      if (number === lastUnframed) {
+        closeUnframed(response);
+        return;
+      }
       if (number === EVENTS_BEFORE_FAULT && fault === 'fallSilentInStream') isSilent = true;
     }
     response.end();
