Test what routers keep of crashing parts, and killed aggregators

Over the simulated fleet: both aggregators killed after the second crash (no late send), and 1,000 runs lost with a zone at 300 routers (at most 2,000 calls, nothing blocked).

--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/partReports.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/partReports.test.ts
@@ -1,7 +1,9 @@
 import { describe, it } from 'node:test';
 
+import * as Decisions from '@sequoiarill/decisions';
 import { expect } from 'earl';
 
+import * as Fakes from '../../__tests__/fakeDependencies';
 import * as EngineSimulations from './engineSimulation';
 import type { EngineSimulationOptions, SimulationResult } from './engineSimulation';
 import * as RouterSimulations from './routerSimulation';
@@ -93,6 +95,47 @@
   });
 });
 
+describe('routers that count the crashes of a part', () => {
+  it('may be killed in the middle', async () => {
+    // Guards against evidence that ends with the two routers that hold it.
+    const simulation = RouterSimulations.simulateRouters(ROUTERS);
+    const names = simulation.routers.map(({ name }) => name);
+    const holders = Decisions.sortByRank(names, BAD).slice(0, 2);
+    const others = simulation.routers.filter(({ name }) => !holders.includes(name));
+    const engines = EngineSimulations.createEngineSimulation(simulation, { ...OPTIONS, seed: 1 });
+    engines.setRouters(() => others);
+    engines.start();
+    while (engines.getResult().crashes < 2) await simulation.clock.runFor(50);
+    simulation.routers.filter((router) => !others.includes(router)).forEach(simulation.killRouter);
+    await simulation.clock.runFor(DURATION_MS);
+    engines.stop();
+    checkFound([engines.getResult()]);
+    simulation.stop();
+  });
+
+  it('get a few messages for each run that a lost zone breaks off, and block nothing', async () => {
+    // Guards against a lost zone whose runs are each reported to the whole fleet.
+    const simulation = RouterSimulations.simulateRouters(300);
+    for (let index = 0; index < 1_000; index += 1) {
+      const router = simulation.routers[index % 300];
+      const parts = [`rare${index}`, `last${index}`].map((id) => ({ id, tokens: 100 }));
+      const request = { ...Fakes.createRequest(Fakes.createRoute()), promptParts: parts };
+      const target = Fakes.createTarget(`t${index % 40}`);
+      const contentKey = index.toString(16).padStart(16, '0');
+      await router?.guard.recordDisconnect({
+        request: { ...request, contentKey },
+        target,
+        hasHead: true,
+        ranMs: 900,
+      });
+    }
+    await simulation.clock.runFor(3_000);
+    expect(simulation.countCalls()).toBeLessThan(2_001);
+    expect(simulation.routers.flatMap(({ parts }) => parts.dumpState().blocked)).toEqual([]);
+    simulation.stop();
+  });
+});
+
 describe('engines that crash by themselves', () => {
   const chance = { badParts: [], badPerSecond: 0, chancePerSecond: 4, holdMs: 1_400 };
 
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
@@ -29,6 +29,8 @@
   /** Isolates a zone from the other zones and from the store; undefined: none. */
   readonly isolateZone: (zone: number | undefined) => void;
   readonly addRouter: () => SimulatedRouter;
+  /** Ends a router without notice; the others still list it. */
+  readonly killRouter: (router: SimulatedRouter) => void;
   readonly simulateCrash: (
     router: SimulatedRouter,
     content: string,
@@ -185,6 +187,10 @@
       if (zone === undefined) applyStore().catch(() => undefined);
     },
     addRouter,
+    killRouter({ name, stop }) {
+      handlers.delete(name);
+      stop();
+    },
     simulateCrash(router, content, target) {
       const request = { ...Fakes.createRequest(Fakes.createRoute()), contentKey: content };
       return router.guard.recordDisconnect({
