Count crashes of targets behind a proxy against parts of prompts

All crashes had the verdict `alive` or `silent`: links stand before the soak's targets and accept connections for them while they are down, as a proxy or a sidecar does.

Where the second check of a broken run does not say that the target has ended, and the prompt has parts, the router now asks the target over a new connection. One that closes it without an answer counts as a crash against the parts, not against the content, which has no routers that ask before it is blocked. At most one such probe of a target runs at a time; where connections are refused, nothing changes.

--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
@@ -163,6 +163,7 @@
       log: { logEvent: () => undefined },
       metrics: { addCount: () => undefined },
       checkExit: async () => 'ended',
+      checkAnswer: async () => 'closed',
     });
     const { contents: reports, parts } = guard;
     handlers.set(name, { ...reports.handlers, ...parts.handlers });
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashGuard.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashGuard.ts
@@ -51,7 +51,7 @@
 
 export interface CrashGuardOptions extends Pick<
   DisconnectCheckOptions,
-  'checkExit' | 'checkOthers' | 'isBrittle'
+  'checkExit' | 'checkAnswer' | 'checkOthers' | 'isBrittle'
 > {
   readonly clock: Clock;
   readonly nextRandom: () => number;
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/disconnectCheck.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/disconnectCheck.ts
@@ -6,6 +6,7 @@
 import type { ForwardRequest } from '../forwardRequest';
 import type { RateLimitedLog } from '../rateLimitedLog';
 import type { PathMonitor } from '../targets/pathMonitor';
+import type { TargetProbe, TargetProbeResult } from '../targets/targetProbe';
 import type { ExitCheck, ExitCheckResult } from './exitCheck';
 import { PART_CRASH_WINDOW_MS } from './partRuns';
 
@@ -19,6 +20,8 @@
   readonly clock: Pick<Clock, 'getNowMs' | 'waitMs'>;
   readonly log: Pick<RateLimitedLog, 'logEvent'>;
   readonly checkExit: ExitCheck;
+  /** Whether the target answers a call over a new connection. */
+  readonly checkAnswer: TargetProbe;
   /** Whether this router still reaches other targets; without them, the exit is no evidence. */
   readonly checkOthers: PathMonitor['checkOthers'];
   /** Whether targets of the service fall over for want of room, whatever they run. */
@@ -49,6 +52,7 @@
 
 export function createDisconnectCheck(options: DisconnectCheckOptions) {
   const { clock, log } = options;
+  const probes = new Map<string, Promise<TargetProbeResult>>();
 
   function logUncounted(
     run: BrokenRun,
@@ -61,7 +65,11 @@
    * Failure: a router that is partitioned from all targets finds every connection refused, and would count a
    * crash of each target against the request that was just sent there.
    */
-  async function recordExit(run: BrokenRun, disconnectedAtMs: number): Promise<void> {
+  async function recordExit(
+    run: BrokenRun,
+    disconnectedAtMs: number,
+    isRefused: boolean,
+  ): Promise<void> {
     const { target } = run;
     if (!(await options.checkOthers(target, disconnectedAtMs))) {
       logUncounted(run, 'unreachable');
@@ -69,32 +77,51 @@
     }
     const isBrittle = options.isBrittle(target.service);
     if (isBrittle) logUncounted(run, 'brittle');
-    options.recordCrash(run, !isBrittle && !isPast(run, CONTENT_CRASH_WINDOW_MS));
+    options.recordCrash(run, isRefused && !isBrittle && !isPast(run, CONTENT_CRASH_WINDOW_MS));
   }
 
   /** A terminating process may still accept a connection while it closes the others. */
   async function checkExitAgain(run: BrokenRun, disconnectedAtMs: number): Promise<void> {
     await clock.waitMs(RECHECK_DELAY_MS);
     const result = await options.checkExit(run.target);
-    if (result === 'ended') await recordExit(run, disconnectedAtMs);
-    else logUncounted(run, result);
+    if (result === 'ended') await recordExit(run, disconnectedAtMs, true);
+    else if (hasParts(run) && (await checkAnswer(run.target)) === 'closed') {
+      await recordExit(run, disconnectedAtMs, false);
+    } else logUncounted(run, result);
+  }
+
+  /**
+   * Failure: a proxy before the target accepts connections for it while it is down. At most one probe of a target at
+   * a time.
+   */
+  async function checkAnswer(target: ForwardingTarget): Promise<TargetProbeResult> {
+    const running = probes.get(target.id);
+    if (running !== undefined) return running;
+    const probe = options.checkAnswer(target).finally(() => probes.delete(target.id));
+    probes.set(target.id, probe);
+    return probe;
   }
 
   async function checkExit(run: BrokenRun): Promise<void> {
     const disconnectedAtMs = clock.getNowMs();
-    if ((await options.checkExit(run.target)) === 'ended') await recordExit(run, disconnectedAtMs);
+    const result = await options.checkExit(run.target);
+    if (result === 'ended') await recordExit(run, disconnectedAtMs, true);
     else options.runAsync([checkExitAgain(run, disconnectedAtMs)]);
   }
 
   /** A run that has produced events for a while is not the cause of a crash. */
   return async function checkDisconnect(run: BrokenRun): Promise<void> {
-    const hasParts = run.request.promptParts.length > 0;
     if (!isPast(run, CONTENT_CRASH_WINDOW_MS)) await checkExit(run);
-    else if (hasParts && !isPast(run, PART_CRASH_WINDOW_MS)) options.runAsync([checkExit(run)]);
-    else logUncounted(run, 'late');
+    else if (hasParts(run) && !isPast(run, PART_CRASH_WINDOW_MS)) {
+      options.runAsync([checkExit(run)]);
+    } else logUncounted(run, 'late');
   };
 }
 
+function hasParts({ request }: BrokenRun): boolean {
+  return request.promptParts.length > 0;
+}
+
 function isPast({ ranMs }: BrokenRun, windowMs: number): boolean {
   return ranMs !== undefined && ranMs > windowMs;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -67,7 +67,7 @@
 function createCrashGuard(
   context: PluginContext,
   log: RateLimitedLog,
-  evidence: Pick<DisconnectCheckOptions, 'checkOthers' | 'isBrittle'>,
+  evidence: Pick<DisconnectCheckOptions, 'checkAnswer' | 'checkOthers' | 'isBrittle'>,
 ): CrashGuard {
   const { clock, nextRandom } = context;
   return CrashGuards.createCrashGuard({
@@ -103,30 +103,22 @@
 }
 
 interface PathOptions {
-  readonly connections: TargetConnections.TargetConnections;
+  readonly checkAnswer: TargetProbes.TargetProbe;
   readonly log: RateLimitedLog;
-  readonly recordHead: TargetNotices.TargetNotices['recordHead'];
   readonly onRegained: (service: string) => void;
 }
 
 function createPaths(
   { clock, nextRandom, getCapability }: PluginContext,
-  { connections, log, recordHead, onRegained }: PathOptions,
+  { checkAnswer, log, onRegained }: PathOptions,
 ): PathMonitor {
-  const wire = getCapability('wire');
   const directory = getCapability('directory');
   return PathMonitors.createPathMonitor({
     clock,
     nextRandom,
     directory,
     log,
-    checkTarget: TargetProbes.createTargetProbe({
-      clock,
-      wire,
-      directory,
-      connections,
-      recordHead,
-    }),
+    checkTarget: async (target) => (await checkAnswer(target)) === 'answered',
     onRegained,
   });
 }
@@ -224,12 +216,14 @@
   const directory = getCapability('directory');
   const connections = TargetConnections.createTargetConnections();
   const routerConnections = TargetConnections.createTargetConnections();
-  const paths = createPaths(context, {
+  const checkAnswer = TargetProbes.createTargetProbe({
+    clock,
+    wire,
+    directory,
     connections,
-    log,
     recordHead: (target, head) => notices.recordHead(target, head),
-    onRegained: removeOldLosses,
   });
+  const paths = createPaths(context, { checkAnswer, log, onRegained: removeOldLosses });
   const registry = TargetRegistries.createTargetRegistry(clock.getNowMs, paths);
   const notices = createNotices(context, log, {
     paths,
@@ -264,6 +258,7 @@
     brittle,
     copyCommands: CopyCommands.createCopyCommands(wire, callEngine),
     crashes: createCrashGuard(context, log, {
+      checkAnswer,
       checkOthers: paths.checkOthers,
       isBrittle: brittle.isBrittle,
     }),
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
@@ -18,13 +18,15 @@
 /** An overloaded target accepts the connection, and answers once a slot is free. */
 const ANSWER_TIMEOUT_MS = 1_000;
 
-/** Whether the target answers in time, with whatever status. */
-export type TargetProbe = (target: ForwardingTarget) => Promise<boolean>;
+/** `answered`: in time, with whatever status; `closed`: the connection was refused, or ended without an answer. */
+export type TargetProbeResult = 'answered' | 'closed' | 'silent';
+
+export type TargetProbe = (target: ForwardingTarget) => Promise<TargetProbeResult>;
 
 export function createTargetProbe(options: TargetProbeOptions): TargetProbe {
   const { clock, wire, directory, connections } = options;
 
-  return async function checkTarget(target) {
+  return async function checkAnswer(target) {
     const service = directory.getConfiguration()?.services.get(target.service);
     // The load report of an engine waits for no slot.
     const path = service?.engine === undefined ? (service?.healthPath ?? '/') : wire.reportPath;
@@ -48,6 +50,7 @@
       event = await readUntil(startedMs + ANSWER_TIMEOUT_MS);
     }
     call.cancel();
-    return event.kind === 'head';
+    if (event.kind === 'head') return 'answered';
+    return event.kind === 'timeout' ? 'silent' : 'closed';
   };
 }
--- a/soak/src/__tests__/run.test.ts
+++ b/soak/src/__tests__/run.test.ts
@@ -10,7 +10,8 @@
   it('violates no guarantee during a few seconds of faults', async () => {
     // Routers are paused, stopped and killed, targets crash and leave, links are cut, the store refuses
     // calls, and configurations change. The records of callers and targets are compared at the end.
-    const result = await Runs.runSoak({ seed: SEED, seconds: 6, routers: 2, callers: 4 });
+    const size = { seconds: 6, routers: 2, callers: 4 };
+    const result = await Runs.runSoak({ seed: SEED, ...size, hasCrashingPart: false });
     expect(result.violations).toEqual([]);
     expect(result.answered).toBeGreaterThan(0);
     expect(result.probes).toBeGreaterThan(0);
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -10,6 +10,7 @@
 import type { CallerResult, RequestLog, SentRequest } from './requestLog';
 import type { Random } from './random';
 import type { ManagedRouter } from './routers';
+import { CRASHING_PART } from './targets';
 
 export interface CallersOptions {
   readonly routers: readonly ManagedRouter[];
@@ -32,6 +33,9 @@
 const PROBE_TIMEOUT_MS = 1_000;
 const PROBE_INTERVAL_MS = 120;
 const REQUEST_PAUSE_MS = [5, 120] as const;
+/** Pause between two requests with the part that crashes engines. */
+const CRASHING_PAUSE_MS = 400;
+const CRASHING_ID = 'crashing-';
 /** Share of the requests whose caller disconnects before the end of the answer. */
 const ABANDON_SHARE = 0.05;
 const ABANDON_AFTER_MS = [20, 400] as const;
@@ -80,6 +84,11 @@
   return { id: `${first}.rest${attempt}`, fromEvent, resumes: first };
 }
 
+/** Whether the request holds the part that crashes engines. */
+export function isCrashing(requestId: string): boolean {
+  return requestId.startsWith(CRASHING_ID);
+}
+
 function createHeaders({
   id,
   kind,
@@ -92,7 +101,9 @@
   // A continuation has the id `ID.restN` and the prompt of the original stream.
   const [prompt = id] = id.split('.');
   const resumeAfter = fromEvent > 1 ? fromEvent - 1 : undefined;
-  return { ...headers, ...Standins.createStreamHeaders(prompt, resumeAfter, resumes) };
+  const streamHeaders = Standins.createStreamHeaders(prompt, resumeAfter, resumes);
+  if (!isCrashing(id)) return { ...headers, ...streamHeaders };
+  return { ...headers, ...streamHeaders, 'prompt-prefix': `aa:20,${CRASHING_PART}:20,${id}:60` };
 }
 
 export function createCallers(options: CallersOptions) {
@@ -223,6 +234,9 @@
         await waitMs(random.pickBetween(...REQUEST_PAUSE_MS));
       }
     },
+    /** Sends streams with the part that crashes engines, no two alike, until the signal is aborted. */
+    runCrashingCaller: (signal: AbortSignal) =>
+      runCrashingCaller(options, createSending, sendRequest, signal),
     /** Probes the two newest configuration versions at a router until the signal is aborted. */
     async runProber(router: number, signal: AbortSignal): Promise<void> {
       while (!signal.aborted) {
@@ -235,3 +249,17 @@
     close: () => agent.destroy(),
   };
 }
+
+async function runCrashingCaller(
+  { routers, requestLog }: CallersOptions,
+  createSending: (router: number) => Pick<SentRequest, 'router' | 'incarnation' | 'sentAtMs'>,
+  sendRequest: (request: SentRequest, timeoutMs: number) => Promise<CallerResult>,
+  signal: AbortSignal,
+): Promise<void> {
+  for (let count = 0; !signal.aborted; count += 1) {
+    const id = `${CRASHING_ID}${count}`;
+    const request = { ...createSending(count % routers.length), id, body: id, fromEvent: 1 };
+    requestLog.results.set(id, await sendRequest({ ...request, kind: 'stream' }, TIMEOUT_MS));
+    await waitMs(CRASHING_PAUSE_MS);
+  }
+}
--- a/soak/src/checks.ts
+++ b/soak/src/checks.ts
@@ -2,6 +2,7 @@
 import * as Standins from '@sequoiarill/standins';
 import type { TargetRun } from '@sequoiarill/standins';
 
+import { isCrashing } from './callers';
 import * as RequestLogs from './requestLog';
 import type { CallerResult, RequestLog, Probe, SentRequest } from './requestLog';
 import { VERSIONS } from './targets';
@@ -31,6 +32,10 @@
 const LEAVING_LIMIT_MS = 3_000;
 /** The same after an answer of the target has said so. */
 const LEAVING_ANSWER_LIMIT_MS = 2_000;
+/** Crashes after which a part must be found, the time that this may take, and the runs allowed after it. */
+const CRASHES_BEFORE_BLOCK = 5;
+const CRASHING_LIMIT_MS = 3_000;
+const MAX_CRASHING_RUNS = 3;
 const OK = 200;
 const NOT_FOUND = 404;
 const UNAUTHORISED = 401;
@@ -202,6 +207,26 @@
   }
 }
 
+/**
+ * Checks that a part that crashes engines hardly reaches any later than the permitted time after the fifth crash,
+ * from routers without a recent fault.
+ */
+function* checkCrashingPart({ requestLog, incarnations }: Evidence): Generator<Violation> {
+  const fifthMs = requestLog.crashesMs[CRASHES_BEFORE_BLOCK - 1];
+  if (fifthMs === undefined) return;
+  const late = incarnations
+    .flatMap(({ runs }) => runs)
+    .flatMap(({ requestId }) => requestLog.requests.get(requestId) ?? [])
+    .filter(({ id, router, sentAtMs }) => {
+      const undisturbedSinceMs = RequestLogs.computeUndisturbedSince(requestLog, sentAtMs, router);
+      return isCrashing(id) && sentAtMs > Math.max(fifthMs, undisturbedSinceMs) + CRASHING_LIMIT_MS;
+    });
+  if (late.length > MAX_CRASHING_RUNS) {
+    const text = `${late.length} runs of requests with the part that crashes engines, the first of ${late[0]?.id ?? ''}`;
+    yield { rule: 'crashingPart', text };
+  }
+}
+
 export function checkEvidence(evidence: Evidence): readonly Violation[] {
   const checks = [
     checkRequests,
@@ -210,6 +235,7 @@
     checkConfiguration,
     checkLeaving,
     checkLeavingAnswers,
+    checkCrashingPart,
   ];
   return checks.flatMap((check) => [...check(evidence)]);
 }
--- a/soak/src/environment.ts
+++ b/soak/src/environment.ts
@@ -18,6 +18,8 @@
   readonly seconds: number;
   readonly routers: number;
   readonly callers: number;
+  /** Whether some requests hold a part that crashes engines. */
+  readonly hasCrashingPart: boolean;
 }
 
 export interface Environment {
@@ -45,6 +47,7 @@
 export async function startEnvironment(options: SoakOptions): Promise<Environment> {
   const store = Standins.createStoreStandin();
   await store.start();
+  const requestLog = RequestLogs.createRequestLog();
   const kinds = [
     ...Array.from({ length: ENGINES }, () => 'engines' as const),
     ...Array.from({ length: SERVICES }, () => 'orders' as const),
@@ -52,7 +55,14 @@
   const targets = await Promise.all(
     kinds.map((service, index) => {
       const zone = ZONES[index % ZONES.length] ?? ZONES[0];
-      return Targets.startTarget({ index, service, zone, store, eventCount: EVENT_COUNT });
+      return Targets.startTarget({
+        index,
+        service,
+        zone,
+        store,
+        eventCount: EVENT_COUNT,
+        onCrash: () => requestLog.crashesMs.push(performance.now()),
+      });
     }),
   );
   const names = Array.from({ length: options.routers }, (_one, index) => `router-${index}`);
@@ -68,7 +78,6 @@
     peerAddress: peers[index] ?? '',
     seeds: peers.slice(0, 2),
   }));
-  const requestLog = RequestLogs.createRequestLog();
   const versions: WrittenVersion[] = [];
   const environment: Environment = {
     store,
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -13,6 +13,7 @@
   readonly minutes: string;
   readonly processes: string;
   readonly folder: string;
+  readonly crashingPart?: boolean;
 }
 
 const SECONDS_PER_MINUTE = 60;
@@ -39,9 +40,11 @@
   const first = Number(args.seed);
   for (let seed = first; seed < first + Number(args.runs); seed += 1) {
     const callers = routers * CALLERS_PER_PROCESS;
-    const result = await Runs.runSoak({ seed, seconds, routers, callers });
+    const hasCrashingPart = args.crashingPart === true;
+    const result = await Runs.runSoak({ seed, seconds, routers, callers, hasCrashingPart });
     const { violations, schedule, requests, answered, probes, resumed, resumedServed } = result;
-    const counts = { requests, answered, probes, resumed, resumedServed };
+    const { crashes } = result;
+    const counts = { requests, answered, probes, resumed, resumedServed, crashes };
     const line = { seed, steps: schedule.length, ...counts };
     process.stdout.write(`${JSON.stringify({ ...line, violations: violations.length })}\n`);
     if (violations.length > 0) {
@@ -65,6 +68,7 @@
   .option('--runs <number>', 'number of seeds to run, one after the other', '1')
   .option('--minutes <number>', 'minutes with faults for each seed', '0.5')
   .option('--processes <number>', 'number of router processes', '3')
+  .option('--crashing-part', 'send requests with a part of prompts that crashes engines')
   .option('--folder <path>', 'folder for the records of failed runs', 'soak-failures')
   .action(runSeeds);
 
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -78,6 +78,8 @@
   readonly leavings: Leaving[];
   readonly leavingAnswers: LeavingAnswer[];
   readonly disturbances: Disturbance[];
+  /** Times at which engines crashed under the part that crashes them. */
+  readonly crashesMs: number[];
 }
 
 /** Lists the complete events in what arrived of a stream, and the version that wrote each. */
@@ -93,6 +95,7 @@
     leavings: [],
     leavingAnswers: [],
     disturbances: [],
+    crashesMs: [],
   };
 }
 
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -30,6 +30,8 @@
   /** Attempts to go on with a stream, and those of them that brought an event. */
   readonly resumed: number;
   readonly resumedServed: number;
+  /** Crashes of engines under the part that crashes them. */
+  readonly crashes: number;
   readonly lines: readonly LogLine[];
 }
 
@@ -297,6 +299,7 @@
   const running = [
     ...Array.from({ length: options.callers }, () => callers.runCaller(stopping.signal)),
     ...routers.map((_router, index) => callers.runProber(index, stopping.signal)),
+    ...(options.hasCrashingPart ? [callers.runCrashingCaller(stopping.signal)] : []),
   ];
   await runSchedule(environment, schedule);
   await waitMs(RECOVERY_MS);
@@ -321,6 +324,7 @@
     answered: [...requestLog.results.values()].filter((result) => result.kind === 'answer').length,
     probes: requestLog.probes.length,
     ...RequestLogs.countResumed(requestLog),
+    crashes: requestLog.crashesMs.length,
     lines: routers.flatMap((router) => router.listLogLines()),
   };
 }
--- a/soak/src/targets.ts
+++ b/soak/src/targets.ts
@@ -26,9 +26,16 @@
   readonly zone: string;
   readonly store: StoreStandin;
   readonly eventCount: number;
+  /** The target has crashed under the part that crashes engines. */
+  readonly onCrash: () => void;
 }
 
 const SLOTS = 32;
+/** Part of prompts that crashes engines. */
+export const CRASHING_PART = 'crashing';
+const CRASH_AFTER_MS = 60;
+/** Time between a crash and the start of the next incarnation. */
+const CRASH_DOWNTIME_MS = 700;
 
 /** Software versions that serve side by side. */
 export const VERSIONS = ['v1', 'v2'] as const;
@@ -41,7 +48,7 @@
 }
 
 export async function startTarget(options: TargetOptions): Promise<ManagedTarget> {
-  const { index, service, zone, store, eventCount } = options;
+  const { index, service, zone, store, eventCount, onCrash } = options;
   const incarnations: TargetStandin[] = [];
   let listen = '127.0.0.1:0';
   let isStopped = false;
@@ -50,7 +57,12 @@
   function createIncarnation(): TargetStandin {
     const id = `${service}-${index}-life-${incarnations.length + 1}`;
     const version = getVersion(index, incarnations.length);
-    const incarnation = Standins.createTargetStandin(id, { listen, eventCount, version });
+    const incarnation = Standins.createTargetStandin(id, {
+      listen,
+      eventCount,
+      version,
+      promptCrash: { parts: [CRASHING_PART], afterMs: CRASH_AFTER_MS, onCrash: startAgain },
+    });
     incarnations.push(incarnation);
     return incarnation;
   }
@@ -69,6 +81,25 @@
     store.writeValue(Standins.formatTargetKey(getCurrent().id), Standins.formatTargetEntry(entry));
   }
 
+  async function startNext(downMs: number): Promise<void> {
+    const ended = getCurrent();
+    await ended.stop();
+    await new Promise((resolve) => {
+      setTimeout(resolve, downMs);
+    });
+    // It may have crashed and been restarted meanwhile.
+    if (isStopped || getCurrent() !== ended) return;
+    const next = createIncarnation();
+    await next.start();
+    store.removeKey(Standins.formatTargetKey(ended.id));
+    writeEntry('ready');
+  }
+
+  async function startAgain(): Promise<void> {
+    onCrash();
+    await startNext(CRASH_DOWNTIME_MS);
+  }
+
   listen = await createIncarnation().start();
   const link = Standins.createLinkStandin({ target: listen });
   const { address } = await link.start();
@@ -81,18 +112,7 @@
     getCurrent,
     listIncarnations: () =>
       incarnations.map((incarnation) => ({ target: incarnation.id, runs: incarnation.listRuns() })),
-    async restart(downMs) {
-      const ended = getCurrent();
-      await ended.stop();
-      await new Promise((resolve) => {
-        setTimeout(resolve, downMs);
-      });
-      if (isStopped) return;
-      const next = createIncarnation();
-      await next.start();
-      store.removeKey(Standins.formatTargetKey(ended.id));
-      writeEntry('ready');
-    },
+    restart: startNext,
     writeAgain() {
       incarnations.slice(0, -1).forEach(({ id }) => store.removeKey(Standins.formatTargetKey(id)));
       writeEntry(writtenState);
