Block no sound part because it was beside the one that crashes engines

Change: a crash alone widens no block; the evidence with it goes through the same questions to the other routers. A block is explained by another one that has three quarters of its targets, if its own part was in all requests of that one, or that one has more targets; never by one whose part was in all its own requests. Blocks that gain a target are told to the peers, so that others can be dropped. A router that starts asks two peers for their blocks once, whatever the store says.

--- a/packages/sequoiarill-decisions/src/partBlocks.ts
+++ b/packages/sequoiarill-decisions/src/partBlocks.ts
@@ -24,7 +24,7 @@
   /** Blocks that refuse the request. */
   readonly listMatching: (holder: PartHolder, nowMs: number) => readonly PartBlock[];
   readonly recordBlock: (block: PartBlock, nowMs: number) => RecordedPartBlock;
-  /** Returns the block if the crash changes it: a request that it did not refuse, or a failed trial. */
+  /** Returns the block with a target that it did not have. What it refuses does not change by a crash alone. */
   readonly recordCrash: (
     crash: PartCrash,
     nowMs: number,
@@ -35,6 +35,8 @@
   readonly hasBlock: (part: string) => boolean;
   /** Whether a block of another part explains the crashes of this one. */
   readonly isExplained: (block: PartBlock) => boolean;
+  /** Whether the part is not blocked, or the block refuses requests that the known one does not. */
+  readonly isNews: (block: PartBlock) => boolean;
   readonly list: (nowMs: number) => readonly PartBlock[];
 }
 
@@ -49,6 +51,8 @@
 interface KeptBlock {
   readonly others: ReadonlySet<string>;
   readonly organisation: string | undefined;
+  /** The same with those that were answered since. */
+  readonly heldParts: ReadonlySet<string>;
   readonly targets: ReadonlySet<string>;
   readonly firstMs: number;
   readonly lastMs: number;
@@ -59,6 +63,7 @@
   return {
     others: new Set([...left.others].filter((part) => right.others.has(part))),
     organisation: left.organisation === right.organisation ? left.organisation : undefined,
+    heldParts: new Set([...left.heldParts].filter((part) => right.heldParts.has(part))),
     targets: new Set([...left.targets, ...right.targets].slice(-MAX_TARGETS)),
     firstMs: Math.min(left.firstMs, right.firstMs),
     lastMs: Math.max(left.lastMs, right.lastMs),
@@ -74,9 +79,21 @@
   );
 }
 
-function isMostOf(block: KeptBlock, targets: ReadonlySet<string>): boolean {
-  const shared = [...targets].filter((target) => block.targets.has(target)).length;
-  return block.targets.size > targets.size && shared >= targets.size * EXPLAINED_SHARE;
+type Explainable = Pick<KeptBlock, 'heldParts' | 'targets'>;
+
+/**
+ * Whether a block of the part explains a block of the other part: it has most of its targets, not all of whose requests
+ * held the part, and either its own requests all held the other part, so that it refuses fewer, or it has more
+ * targets.
+ */
+function hasMostOf(
+  [part, block]: readonly [string, KeptBlock],
+  [otherPart, other]: readonly [string, Explainable],
+): boolean {
+  if (part === otherPart || other.heldParts.has(part)) return false;
+  const shared = [...other.targets].filter((target) => block.targets.has(target)).length;
+  if (shared < other.targets.size * EXPLAINED_SHARE) return false;
+  return block.heldParts.has(otherPart) || block.targets.size > other.targets.size;
 }
 
 function removeOldest(map: Map<string, unknown>, maxSize: number): void {
@@ -114,14 +131,12 @@
   }
 
   /** Whether a block of another part explains this one, which has come about by runs beside its own. */
-  function isExplained(part: string, { targets }: Pick<KeptBlock, 'targets'>): boolean {
-    return [...blocks].some(([other, block]) => other !== part && isMostOf(block, targets));
+  function isExplained(part: string, block: Explainable): boolean {
+    return [...blocks].some((known) => hasMostOf(known, [part, block]));
   }
 
   function removeExplained(part: string, block: KeptBlock): void {
-    for (const [other, { targets }] of blocks) {
-      if (other !== part && isMostOf(block, targets)) blocks.delete(other);
-    }
+    for (const known of blocks) if (hasMostOf([part, block], known)) blocks.delete(known[0]);
   }
 
   function isMatching({ others, organisation }: KeptBlock, holder: PartHolder): boolean {
@@ -147,6 +162,7 @@
       const block = {
         others: new Set(others),
         organisation,
+        heldParts: new Set(others),
         targets: new Set(targets),
         firstMs,
         lastMs: nowMs - lastAgeMs,
@@ -165,16 +181,14 @@
       if (before === undefined) return undefined;
       const isFailedTrial = isTrialDue(format(crash.part, before, nowMs));
       const after = mergeBlocks(before, {
-        others: new Set(crash.others),
-        organisation: crash.organisation,
+        ...before,
         targets: new Set([crash.target]),
-        firstMs: before.firstMs,
         lastMs: nowMs - crash.ageMs,
         failedTrials: before.failedTrials + (isFailedTrial ? 1 : 0),
       });
       setBlock(crash.part, after);
       removeExplained(crash.part, after);
-      return isWider(after, before) ? format(crash.part, after, nowMs) : undefined;
+      return before.targets.has(crash.target) ? undefined : format(crash.part, after, nowMs);
     },
     recordAnswer(part, atMs) {
       for (const [blocked, block] of blocks) {
@@ -192,7 +206,14 @@
       return true;
     },
     hasBlock: (part) => blocks.has(part),
-    isExplained: ({ part, targets }) => isExplained(part, { targets: new Set(targets) }),
+    isExplained: ({ part, others, targets }) =>
+      isExplained(part, { heldParts: new Set(others), targets: new Set(targets) }),
+    isNews({ part, others, organisation }) {
+      const known = blocks.get(part);
+      if (known === undefined) return true;
+      const isNarrower = [...known.others].some((other) => !others.includes(other));
+      return isNarrower || (known.organisation !== undefined && organisation === undefined);
+    },
     list(nowMs) {
       removeExpired(nowMs);
       return [...blocks].map(([part, block]) => format(part, block, nowMs));
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/engineSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/engineSimulation.ts
@@ -42,7 +42,7 @@
   /** Share of the sound requests after that time whose first attempt began; 1 without any. */
   readonly soundBegun: number;
   readonly soundRefused: number;
-  /** Blocked parts of which none crashes engines. */
+  /** Blocked parts of which requests without a part that crashes engines are refused. */
   readonly wrongBlocks: readonly string[];
 }
 
@@ -256,13 +256,16 @@
       listRouters = list;
     },
     getResult(): SimulationResult {
-      const blocked = listRouters().flatMap(({ parts }) => parts.dumpState().blocked);
+      const blocks = listRouters().flatMap(({ parts }) => parts.handlers.handlePartBlocks([]));
+      const wrong = blocks.filter(
+        ({ part, others }) => ![part, ...others].some((one) => badParts.has(one)),
+      );
       return {
         crashes,
         lateSends,
         soundBegun: sound === 0 ? 1 : soundBegun / sound,
         soundRefused,
-        wrongBlocks: [...new Set(blocked)].filter((part) => !badParts.has(part)),
+        wrongBlocks: [...new Set(wrong.map(({ part }) => part))],
       };
     },
   };
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
@@ -28,6 +28,8 @@
   readonly setStoreUnavailable: (isUnavailable: boolean) => void;
   /** Isolates a zone from the other zones and from the store; undefined: none. */
   readonly isolateZone: (zone: number | undefined) => void;
+  /** Removes all entries of the store. */
+  readonly clearStore: () => void;
   readonly addRouter: () => SimulatedRouter;
   /** Ends a router without notice; the others still list it. */
   readonly killRouter: (router: SimulatedRouter) => void;
@@ -187,6 +189,7 @@
       isolatedZone = zone;
       if (zone === undefined) applyStore().catch(() => undefined);
     },
+    clearStore: () => entries.clear(),
     addRouter,
     killRouter({ name, stop }) {
       handlers.delete(name);
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/partBlockReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/partBlockReports.ts
@@ -40,6 +40,8 @@
   readonly hasBlock: (part: string) => boolean;
   /** Whether a block of another part explains the crashes of this one. */
   readonly isExplained: (block: PartBlock) => boolean;
+  /** Whether the part is not blocked, or the block refuses requests that the known one does not. */
+  readonly isNews: (block: PartBlock) => boolean;
   /** Adds a block that was decided here and reports it. */
   readonly addBlock: (block: PartBlock) => void;
   /** Records blocks that other routers know. */
@@ -79,6 +81,7 @@
   const blocks = Decisions.createPartBlocks();
   const trials = PartTrials.createPartTrials(clock);
   const renewedAtMs = new Map<string, number>();
+  let hasExchanged = false;
   const entries = StoredEntries.createStoredEntries<PartEntry>({
     prefix: `${options.wire.ownPrefix}partBlocks/`,
     store: options.store,
@@ -107,8 +110,12 @@
 
   async function sendBlocks(peer: string, sent: readonly PartBlock[]): Promise<void> {
     const outcome = await peers.exchangePartBlocks(peer, sent);
-    if (outcome.kind === 'failed') logFailure(peer, outcome.reason);
-    else recordBlocks(outcome.blocks, peer);
+    if (outcome.kind === 'failed') {
+      logFailure(peer, outcome.reason);
+      return;
+    }
+    hasExchanged = true;
+    recordBlocks(outcome.blocks, peer);
   }
 
   function addEntry(block: PartBlock): void {
@@ -164,6 +171,7 @@
     listMatching: (holder) => blocks.listMatching(holder, clock.getNowMs()),
     hasBlock: blocks.hasBlock,
     isExplained: blocks.isExplained,
+    isNews: blocks.isNews,
     addBlock(block) {
       blocks.recordBlock(block, clock.getNowMs());
       reportBlock(block);
@@ -171,9 +179,10 @@
     recordBlocks,
     recordAnswer,
     recordCrash(crash) {
-      const changed = blocks.recordCrash(crash, clock.getNowMs(), trials.isDue);
+      const block = blocks.recordCrash(crash, clock.getNowMs(), trials.isDue);
       trials.end(crash.part);
-      if (changed !== undefined) reportBlock(changed);
+      // Other routers drop blocks that the targets of this one explain.
+      if (block !== undefined) reportBlock(block);
     },
     listBlocks: () => blocks.list(clock.getNowMs()),
     applyDirectory() {
@@ -185,7 +194,8 @@
     async sendPending() {
       renewEntries();
       await entries.writePending();
-      if (directory.isUpToDate()) return;
+      // The store may have lost entries, so that a router which has just started asks its peers once as well.
+      if (directory.isUpToDate() && hasExchanged) return;
       const sample = PeerSamples.samplePeers(peers.listNearest(), options.nextRandom);
       const known = blocks.list(clock.getNowMs());
       await Promise.all(sample.map((peer) => sendBlocks(peer, known)));
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/partReports.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/partReports.ts
@@ -111,12 +111,12 @@
       block = await findRemainingBlock(part, 'none');
     }
     if (block === undefined) log.logEvent(Events.PART_CLEARED, { part });
-    else if (!blocks.hasBlock(part)) blocks.addBlock(block);
+    else if (blocks.isNews(block)) blocks.addBlock(block);
   }
 
   function startInquiry(part: string): void {
-    if (asked.has(part) || blocks.hasBlock(part)) return;
-    if (evidence.findBlock(part, clock.getNowMs()) === undefined) return;
+    const block = evidence.findBlock(part, clock.getNowMs());
+    if (block === undefined || asked.has(part) || !blocks.isNews(block)) return;
     asked.add(part);
     runAsync([runInquiry(part).finally(() => asked.delete(part))]);
   }
