Describe who gets room at engines, and give it a package and messages

Cause: routes and organisations have priorities that nothing uses, a stream is admitted by one look or refused, and no router knows what an organisation uses at the others.

--- a/packages/sequoiarill-kernel/src/fakeWire.ts
+++ b/packages/sequoiarill-kernel/src/fakeWire.ts
@@ -14,6 +14,7 @@
   backupTarget: 'backup',
   continueFrom: 'from',
   priority: 'priority',
+  outputHint: 'hint',
   signature: 'signature',
   notRun: 'not-run',
   rateLimit: 'limit',
@@ -49,6 +50,7 @@
     encodeCopyCommand: () => '',
     decodeCopyHandle: () => undefined,
     formatCopyPath: () => '',
+    expectsContention: false,
     ...overrides,
   };
 }
--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -31,6 +31,7 @@
     handlePartAnswers: () => undefined,
     handlePartQuery: async () => ({ answers: [], explainedTargets: [] }),
     handlePartBlocks: () => [],
+    handleRoom: () => [],
   });
 }
 
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -20,6 +20,8 @@
   RetryQuotaOutcome,
   RetryQuotaRequest,
   RolloutReport,
+  RoomMessage,
+  RoomOutcome,
   PermitsOutcome,
   PermitsRequest,
 } from '@sequoiarill/types';
@@ -31,6 +33,7 @@
 import * as Messages from './peerMessages';
 import type { RecordsOutcome, RecordsQuery } from './peerMessages';
 import type { PeerRouter } from './peerServer';
+import * as RoomMessages from './roomMessages';
 
 export interface PeerClient extends PartCalls {
   readonly readRecords: (address: string, query: RecordsQuery) => Promise<RecordsOutcome>;
@@ -58,6 +61,7 @@
     records: readonly OriginRecord[],
   ) => Promise<CrashReportOutcome>;
   readonly findOrigin: (address: string, query: OriginQuery) => Promise<OriginOutcome>;
+  readonly exchangeRoom: (address: string, message: RoomMessage) => Promise<RoomOutcome>;
   readonly close: () => Promise<void>;
 }
 
@@ -187,6 +191,12 @@
         const query = { ...key, services: [...services] };
         return Messages.decodeOriginReply(await caller.findOrigin.mutate(query));
       }),
+    exchangeRoom: (address, message) =>
+      PeerCalls.runCall(async () => {
+        const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
+        const response = await caller.exchangeRoom.mutate(RoomMessages.encodeMessage(message));
+        return { kind: 'facts', facts: RoomMessages.factsSchema.parse(response).facts };
+      }),
     readRecords: (address, query) =>
       PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS + (query.waitMs ?? 0));
--- a/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
@@ -32,6 +32,7 @@
   | 'grantPermits'
   | 'handleReport'
   | 'handleBrittle'
+  | 'handleRoom'
   | keyof CrashHandlers
   | keyof OriginHandlers
   | keyof PartHandlers
@@ -43,6 +44,7 @@
   | 'setPermitsLender'
   | 'setReportHandler'
   | 'setBrittleHandler'
+  | 'setRoomHandler'
   | 'setCrashHandlers'
   | 'setOriginHandlers'
   | 'setPartHandlers'
@@ -57,6 +59,7 @@
   let grantPermits: Parameters<RouterPeers['setPermitsLender']>[0] = () => ({ permits: 0 });
   let handleReport: Parameters<RouterPeers['setReportHandler']>[0] = () => NO_GUIDANCE;
   let handleBrittle: Parameters<RouterPeers['setBrittleHandler']>[0] = () => undefined;
+  let handleRoom: Parameters<RouterPeers['setRoomHandler']>[0] = () => [];
   let crashHandlers = NO_CRASH_HANDLERS;
   let originHandlers = NO_ORIGIN_HANDLERS;
   let partHandlers = NO_PART_HANDLERS;
@@ -66,6 +69,7 @@
       grantPermits: (request) => grantPermits(request),
       handleReport: (report) => handleReport(report),
       handleBrittle: (report) => handleBrittle(report),
+      handleRoom: (message) => handleRoom(message),
       handleCrashes: (crashes) => crashHandlers.handleCrashes(crashes),
       handleAnswers: (answers) => crashHandlers.handleAnswers(answers),
       handleBlocks: (blocks) => crashHandlers.handleBlocks(blocks),
@@ -89,6 +93,9 @@
       setBrittleHandler(handle) {
         handleBrittle = handle;
       },
+      setRoomHandler(handle) {
+        handleRoom = handle;
+      },
       setCrashHandlers(newHandlers) {
         crashHandlers = newHandlers;
       },
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -14,6 +14,8 @@
   RetryQuotaRequest,
   RolloutGuidance,
   RolloutReport,
+  RoomFacts,
+  RoomMessage,
   GrantedPermits,
   PartHandlers,
   PermitsRequest,
@@ -24,6 +26,7 @@
 import type { DirectoryState } from './directoryState';
 import * as PartMessages from './partMessages';
 import * as Messages from './peerMessages';
+import * as RoomMessages from './roomMessages';
 import type { StoreFollower } from './storeFollower';
 
 export interface PeerServer {
@@ -48,6 +51,9 @@
   readonly grantPermits: (request: PermitsRequest) => GrantedPermits;
   readonly handleBrittle: (report: BrittleReport) => void;
   readonly handleReport: (report: RolloutReport) => RolloutGuidance;
+  readonly handleRoom: (
+    message: RoomMessage,
+  ) => readonly RoomFacts[] | Promise<readonly RoomFacts[]>;
 }
 
 /** Whether there is something to report that the requesting router does not know. */
@@ -174,6 +180,9 @@
       .mutation(({ input }): GrantedPermits =>
         options.grantPermits(Messages.decodePermitsRequest(input)),
       ),
+    exchangeRoom: procedure
+      .input(RoomMessages.roomMessageSchema)
+      .mutation(async ({ input }) => RoomMessages.encodeFacts(await options.handleRoom(input))),
     reportRollout: procedure
       .input(Messages.reportRequestSchema)
       .mutation(({ input }): RolloutGuidance => options.handleReport(Messages.decodeReport(input))),
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -132,6 +132,8 @@
       explainedTargets: [],
     }),
     exchangePartBlocks: async () => ({ kind: 'blocks', blocks: [] }),
+    exchangeRoom: async () => ({ kind: 'facts', facts: [] }),
+    setRoomHandler: () => undefined,
   };
 
 export function createEnvironment({ routers, hasStreams }: EnvironmentOptions): Environment {
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -131,6 +131,10 @@
   readonly prefilling: number;
   /** Ids of the running requests that have produced an event. */
   readonly runIds: readonly string[];
+  /** Ranks of these requests, in the same order; absent if the engine does not tell them. */
+  readonly runRanks?: readonly number[];
+  /** Prompt tokens of the first waiting request; absent if none waits or the engine does not tell. */
+  readonly nextTokens?: number;
   /** KV cache tokens that cannot be evicted. */
   readonly usedTokens: number;
   readonly totalTokens: number;
@@ -184,6 +188,8 @@
   readonly priority: string;
   /** Marks an answer as produced by a target, not by something in between. */
   readonly signature: string;
+  /** The caller's estimate of the number of output tokens. */
+  readonly outputHint: string;
   /** Set by a target that did not run the request. */
   readonly notRun: string;
   /** Requests per second that the target accepts from all routers together, while it sends this. */
@@ -238,6 +244,8 @@
   readonly decodeCopyHandle: (text: string) => string | undefined;
   /** Path of a copy at the engine of the run. A DELETE frees the copy at both engines. */
   readonly formatCopyPath: (handle: string) => string;
+  /** Whether the environment says that callers of this deployment compete for too little room. */
+  readonly expectsContention: boolean;
 }
 
 /** One key of the store at its last known revision. */
--- a/packages/sequoiarill-types/src/index.ts
+++ b/packages/sequoiarill-types/src/index.ts
@@ -10,3 +10,4 @@
 export type * from './plugins';
 export type * from './promptParts';
 export type * from './rollouts';
+export type * from './room';
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -1,6 +1,7 @@
 /** Messages between routers other than directory records. */
 import type { TargetBuild } from './forwarding';
 import type { PartCalls, PartHandlers } from './promptParts';
+import type { RoomFacts, RoomMessage, RoomOutcome } from './room';
 
 /** One router's request for part of another router's retry quota for a service. */
 export interface RetryQuotaRequest {
@@ -239,6 +240,12 @@
   readonly findOrigin: (peer: string, query: OriginQuery) => Promise<OriginOutcome>;
   readonly setOriginHandlers: (handlers: OriginHandlers) => void;
   readonly setPartHandlers: (handlers: PartHandlers) => void;
+  /** Tells a peer what this router knows of its services, and learns what the peer knows of them. */
+  readonly exchangeRoom: (peer: string, message: RoomMessage) => Promise<RoomOutcome>;
+  /** Sets the handler for messages about room; it returns what this router knows. */
+  readonly setRoomHandler: (
+    handleRoom: (message: RoomMessage) => readonly RoomFacts[] | Promise<readonly RoomFacts[]>,
+  ) => void;
   /** Sets the handler for rollout reports of other routers. */
   readonly setReportHandler: (handleReport: (report: RolloutReport) => RolloutGuidance) => void;
 }
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -11,6 +11,7 @@
 import type { OrderRunner } from './orders';
 import type { RouterPeers } from './peers';
 import type { Rollouts } from './rollouts';
+import type { Room } from './room';
 
 /** Capabilities that plug-ins provide to each other. They are resolved once, at start. */
 export interface Capabilities {
@@ -24,6 +25,7 @@
   readonly directory: Directory;
   readonly peers: RouterPeers;
   readonly rollouts: Rollouts;
+  readonly room: Room;
 }
 
 export type CapabilityName = keyof Capabilities;
