Scale each router's retries by the fleet's totals, and lose no time on peers that are out of reach

In a zone that is cut off, routers asked one unreachable peer after the other: a call to a peer had no time limit before its connection was established, up to 400 ms each and 3 s for a stream. Margins left a fifth of the rule unused, and 20 retries went to holders of copies that had restarted while the store was away. Ruled out: grants of the unused rest to whoever needs it, which exceed the rule where all routers spend at once with totals that are seconds old. Change: calls are raced with their time limit; the next peer is asked after 20 ms; the own share is multiplied by a factor from the fleet's totals (none are known yet); a holder is asked for its report while the store is away.

--- a/packages/sequoiarill-decisions/src/__tests__/fleetRetryBudget.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetRetryBudget.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 
+import type { FleetRepeats } from '@sequoiarill/types';
 import { expect } from 'earl';
 
 import * as FleetRetryBudgets from '../fleetRetryBudget';
@@ -69,6 +70,103 @@
   return Math.max(...excesses);
 }
 
+const REPORT_MS = 2_000;
+
+interface RestartPlay {
+  readonly isTold: boolean;
+  /** Streams that each router has to retry at each crash. */
+  readonly streams: number;
+  readonly routers?: number;
+}
+
+interface SimulatedRouter {
+  budget: FleetRetryBudgets.FleetRetryBudget;
+  /** What its earlier process reported last. */
+  ended: { readonly requests: number; readonly retries: number; readonly atMs: number };
+}
+
+/**
+ * 30 requests a second over all routers, a restart of one router after the other, and a crash each second in the
+ * second half. The totals are between two and four seconds old.
+ */
+function simulateRestarts({ isTold, streams, routers = 18 }: RestartPlay) {
+  const nextRandom = Random.createRandom(17);
+  let totals: FleetRepeats | undefined;
+  let nextTotals: FleetRepeats | undefined;
+  const createBudget = (startedMs: number) =>
+    FleetRetryBudgets.createFleetRetryBudget({
+      ratio: RATIO,
+      slack: SLACK,
+      windowMs: WINDOW_MS,
+      countRouters: () => routers,
+      startedMs,
+      getFleetTotals: () => (isTold ? totals : undefined),
+    });
+  const fleet = Array.from({ length: routers }, (): SimulatedRouter => {
+    const ended = { requests: 0, retries: 0, atMs: STARTED_MS };
+    return { budget: createBudget(STARTED_MS), ended };
+  });
+
+  function computeTotals(nowMs: number): FleetRepeats {
+    const own = fleet.map(({ budget }) => budget.getTotals(nowMs));
+    const sum = (values: readonly number[]) => values.reduce((total, value) => total + value, 0);
+    // The totals are used for seconds, so requests of ended processes must have left them in time.
+    const getLeft = (atMs: number, aheadMs: number) =>
+      Math.max(0, 1 - (nowMs + aheadMs - atMs) / WINDOW_MS);
+    return {
+      requests: sum(own.map((one) => one.requests)),
+      retries: sum(own.map((one) => one.retries)),
+      capacity: sum(own.map((one) => one.capacity)),
+      endedRequests: sum(
+        fleet.map(({ ended }) => ended.requests * getLeft(ended.atMs, 2 * REPORT_MS)),
+      ),
+      endedRetries: sum(fleet.map(({ ended }) => (getLeft(ended.atMs, 0) > 0 ? ended.retries : 0))),
+      routers,
+    };
+  }
+
+  function startAgain(router: SimulatedRouter | undefined, nowMs: number): void {
+    if (router === undefined) return;
+    router.ended = { ...router.budget.getTotals(nowMs), atMs: nowMs };
+    router.budget = createBudget(nowMs);
+  }
+
+  function borrowQuota(budget: FleetRetryBudgets.FleetRetryBudget, nowMs: number): void {
+    for (let attempt = 0; attempt < 6 && budget.getBalance(nowMs) < 1; attempt += 1) {
+      const lender = fleet[Math.floor(nextRandom() * routers)]?.budget;
+      const missing = 1 - budget.getBalance(nowMs) + 0.01;
+      budget.recordBorrowed(nowMs, lender?.grantQuota(nowMs, missing) ?? 0);
+    }
+  }
+
+  const requestsMs: number[] = [];
+  const retriesMs: number[] = [];
+  let refused = 0;
+  function runRetries(nowMs: number): void {
+    for (let stream = 0; stream < streams * routers; stream += 1) {
+      const { budget } = fleet[Math.floor(nextRandom() * routers)] as SimulatedRouter;
+      borrowQuota(budget, nowMs);
+      if (budget.takeRetry(nowMs)) retriesMs.push(nowMs);
+      else refused += 1;
+    }
+  }
+
+  for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
+    if (nowMs % REPORT_MS === 0) {
+      totals = nextTotals;
+      nextTotals = computeTotals(nowMs);
+    }
+    if (nowMs >= 10_000 && nowMs % 1_000 === 0) startAgain(fleet[nowMs / 1_000 - 10], nowMs);
+    if (nextRandom() < 0.3) {
+      fleet[Math.floor(nextRandom() * routers)]?.budget.recordRequest(nowMs);
+      requestsMs.push(nowMs);
+    }
+    const isCrash = nowMs >= 20_000 && nowMs % 2_000 === 500;
+    if (isCrash) runRetries(nowMs);
+  }
+  return { refused, retries: retriesMs.length, excess: computeExcess(requestsMs, retriesMs) };
+}
+
 describe('fleet retry budget', () => {
   it('lets the routers of a large fleet retry the streams that a crash interrupts', () => {
     // 88 routers, 37 streams a second, and crashes that interrupt two streams of each router. With
@@ -157,6 +255,24 @@
     expect(create(0).getCapacity(100)).toBeLessThan(create(STARTED_MS).getCapacity(100) / 2);
   });
 
+  it('uses what the rule allows where the totals of the fleet are known, at restarts and crashes', () => {
+    // Routers are restarted one after the other while engines crash, and streams end for want of a retry that the
+    // rule allows: margins, and retries that ended processes have earned, stay unused.
+    const play = (isTold: boolean) => simulateRestarts({ isTold, streams: 3 });
+    const [alone, told] = [play(false), play(true)];
+    expect(told.refused).toBeLessThan(alone.refused * 0.5);
+    expect(told.excess).toBeLessThan(0);
+  });
+
+  it('stays within the rule when restarted routers with old totals retry as much as they may', () => {
+    // Totals are seconds old while every router retries all it can.
+    for (const routers of [7, 18, 60]) {
+      const { retries, excess } = simulateRestarts({ isTold: true, streams: 40, routers });
+      expect(retries).toBeGreaterThan(200);
+      expect(excess).toBeLessThan(0);
+    }
+  });
+
   it('returns retries that reached no target, and drops those older than a window', () => {
     const [budget] = createFleet(9);
     if (budget === undefined) throw new Error('no budget');
--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -15,7 +15,16 @@
  * share, while most of the other routers' shares are unused; one stream in ten fails for that
  * alone. So such a router borrows the missing fraction of a retry. The lender counts it as spent,
  * and the sum stays within the rule.
+ *
+ * Without knowledge of the others, a router needs margins: requests and retries fall into different
+ * windows of two routers, some routers are unknown, and a process that starts cannot know what an
+ * earlier one has spent. When engines crash zone after zone, or all routers are restarted, these
+ * margins are a fifth and more of what the rule allows, and streams end for want of just these
+ * retries. Where the totals of the fleet are known, each router scales its share so that the sum of
+ * all shares is what the rule allows, apart from one small margin.
  */
+import type { FleetRepeats, RepeatTotals } from '@sequoiarill/types';
+
 import type { RetryBudget } from './retryBudget';
 
 export interface FleetRetryBudgetOptions {
@@ -28,6 +37,8 @@
   readonly countRouters: () => number;
   /** Start of this incarnation; an earlier one may have spent quota of the same window. */
   readonly startedMs: number;
+  /** Sums over the routers of the fleet; undefined where no recent ones are known. */
+  readonly getFleetTotals?: () => FleetRepeats | undefined;
 }
 
 export interface FleetRetryBudget extends RetryBudget {
@@ -42,6 +53,10 @@
   readonly grantQuota: (nowMs: number, wanted: number) => number;
   /** Adds quota that another router granted for the window that begins now. */
   readonly recordBorrowed: (nowMs: number, retries: number) => void;
+  /** Own figures of the window, for the totals of the fleet. */
+  readonly getTotals: (nowMs: number) => RepeatTotals;
+  /** Factor on the own share of the fleet's retries. */
+  readonly getFactor: () => number;
 }
 
 /**
@@ -58,6 +73,12 @@
  * spent some of it.
  */
 const FIRST_WINDOW_SHARE = 0.4;
+/** Share of the fleet's rule that all routers together use where its totals are known. */
+const FLEET_SHARE = 0.95;
+/** Bounds the effect of totals that are wrong, such as those of a fleet that has just started. */
+const MAX_FACTOR = 2.5;
+/** A fleet whose ended processes have spent most of the window must still retry some streams. */
+const MIN_FACTOR = 0.5;
 /** Slots of a window in which events are counted; the age of an event is accurate to one slot. */
 const WINDOW_SLOTS = 20;
 
@@ -100,18 +121,35 @@
 }
 
 export function createFleetRetryBudget(options: FleetRetryBudgetOptions): FleetRetryBudget {
-  const { ratio, slack, windowMs, countRouters, startedMs } = options;
+  const { ratio, slack, windowMs, countRouters, startedMs, getFleetTotals } = options;
   const requests = createSlidingWindowCounter(windowMs);
   const retries = createSlidingWindowCounter(windowMs);
   const borrowed = createSlidingWindowCounter(windowMs);
   let latestMs = startedMs;
 
-  function getCapacity(nowMs: number): number {
+  /** Own share, from which the shares of a fleet with known totals are scaled. */
+  function getShare(nowMs: number, windowFactor: number): number {
     latestMs = Math.max(latestMs, nowMs);
     const slackShare = (slack * SLACK_MARGIN) / Math.max(MIN_ROUTERS, countRouters());
-    const windowFactor = nowMs - startedMs < windowMs ? FIRST_WINDOW_SHARE : 1;
     const earned = requests.read(latestMs, 'without') * ratio * RATIO_MARGIN;
-    return earned + slackShare * windowFactor + borrowed.read(latestMs, 'without');
+    return earned + slackShare * windowFactor;
+  }
+
+  /** Routers that are not in the totals are assumed to allow themselves as much as the others do. */
+  function getFactor(): number {
+    const fleet = getFleetTotals?.();
+    if (fleet === undefined || fleet.capacity <= 0) return 1;
+    const missing = Math.max(0, countRouters() - fleet.routers) / Math.max(1, fleet.routers);
+    const earned = ratio * (fleet.requests + fleet.endedRequests);
+    const allowed = FLEET_SHARE * (earned + slack) - fleet.endedRetries;
+    return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, allowed / (fleet.capacity * (1 + missing))));
+  }
+
+  /** Totals are seconds old, so an earlier incarnation may have spent quota that they do not count. */
+  function getCapacity(nowMs: number): number {
+    const windowFactor = nowMs - startedMs < windowMs ? FIRST_WINDOW_SHARE : 1;
+    const share = getShare(nowMs, windowFactor) * getFactor();
+    return share + borrowed.read(latestMs, 'without');
   }
 
   function getBalance(nowMs: number): number {
@@ -121,6 +159,15 @@
   return {
     getCapacity,
     getBalance,
+    getFactor,
+    getTotals(nowMs) {
+      const capacity = getShare(nowMs, 1);
+      return {
+        requests: requests.read(latestMs, 'without'),
+        retries: Math.max(0, retries.read(latestMs, 'with')),
+        capacity,
+      };
+    },
     recordRequest(nowMs) {
       latestMs = Math.max(latestMs, nowMs);
       requests.add(latestMs, 1);
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -94,13 +94,19 @@
    */
   async function sendCall(url: string, body: string, timeoutMs: number) {
     const timeout = new AbortController();
-    const stopTimer = Kernel.startRunningTimer(getRunningMs, timeoutMs, () =>
-      timeout.abort(new Error(`no response within ${timeoutMs} ms`)),
-    );
+    let stopTimer: (() => void) | undefined;
+    // undici rejects an aborted request only once it has a connection or fails to get one.
+    const timedOut = new Promise<never>((_resolve, reject) => {
+      stopTimer = Kernel.startRunningTimer(getRunningMs, timeoutMs, () => {
+        const error = new Error(`no response within ${timeoutMs} ms`);
+        timeout.abort(error);
+        reject(error);
+      });
+    });
     try {
-      return await sendRequest(url, body, timeout.signal);
+      return await Promise.race([sendRequest(url, body, timeout.signal), timedOut]);
     } finally {
-      stopTimer();
+      stopTimer?.();
     }
   }
 
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -16,6 +16,7 @@
 import * as PathMonitors from '../targets/pathMonitor';
 import * as BrittleTargets from '../limits/brittleTargets';
 import * as Relays from '../relay/relays';
+import * as RetryQuotas from '../retryQuota';
 import * as TargetRegistries from '../targets/targetRegistry';
 import type { TargetCall } from '../targets/targetCall';
 import * as FakeCalls from './fakeCalls';
@@ -228,20 +229,22 @@
   });
   const promptEstimates = Decisions.createPromptEstimates();
   const admission = Decisions.createLatencyAdmission({ nextRandom });
+  const peers: ForwardingDependencies['peers'] = {
+    listNearest: () => [...peerRetryQuota.keys()],
+    async borrowRetryQuota(peer, { repeats }) {
+      const granted = Math.min(repeats, peerRetryQuota.get(peer) ?? 0);
+      peerRetryQuota.set(peer, (peerRetryQuota.get(peer) ?? 0) - granted);
+      return { kind: 'granted', repeats: granted };
+    },
+  };
   const dependencies: ForwardingDependencies = {
     zone: 'a',
     clock,
     nextRandom,
     wire: WIRE,
     directory,
-    peers: {
-      listNearest: () => [...peerRetryQuota.keys()],
-      async borrowRetryQuota(peer, { repeats }) {
-        const granted = Math.min(repeats, peerRetryQuota.get(peer) ?? 0);
-        peerRetryQuota.set(peer, (peerRetryQuota.get(peer) ?? 0) - granted);
-        return { kind: 'granted', repeats: granted };
-      },
-    },
+    peers,
+    quota: RetryQuotas.createQuotaBorrower({ clock, log, peers }),
     rollouts: {
       selectTargets: (all) => all,
       isLeaving: () => false,
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -19,6 +19,7 @@
 import type { StreamOrigins } from './origins/streamOrigins';
 import type { Relays } from './relay/relays';
 import type { RateLimitedLog } from './rateLimitedLog';
+import type { QuotaBorrower } from './retryQuota';
 import type { CrashGuard } from './crashes/crashGuard';
 import type { EngineProbes } from './targets/engineProbes';
 import type { PathMonitor } from './targets/pathMonitor';
@@ -38,6 +39,7 @@
   readonly wire: ForwardingWire;
   readonly directory: Directory;
   readonly peers: Pick<RouterPeers, 'listNearest' | 'borrowRetryQuota'>;
+  readonly quota: QuotaBorrower;
   readonly rollouts: Pick<Rollouts, 'selectTargets' | 'isLeaving' | 'recordAttempt'>;
   readonly registry: TargetRegistry;
   readonly paths: Pick<
--- a/packages/sequoiarill-plugin-forwarding/src/lazyGetter.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/lazyGetter.ts
@@ -1,10 +1,12 @@
 /** Returns a getter that creates one value per name, on the first call with that name. */
-export function createLazyGetter<Value>(createValue: () => Value): (name: string) => Value {
+export function createLazyGetter<Value>(
+  createValue: (name: string) => Value,
+): (name: string) => Value {
   const values = new Map<string, Value>();
   return (name) => {
     const existing = values.get(name);
     if (existing !== undefined) return existing;
-    const value = createValue();
+    const value = createValue(name);
     values.set(name, value);
     return value;
   };
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -51,6 +51,7 @@
     wire,
     directory,
     peers,
+    quota: RetryQuotas.createQuotaBorrower({ clock, log, peers }),
     rollouts,
     registry,
     paths,
@@ -156,7 +157,7 @@
   name: 'forwarding',
   settingsSchema,
   provides: [],
-  needs: ['wire', 'directory', 'peers', 'rollouts', 'keyValue'],
+  needs: ['wire', 'directory', 'peers', 'rollouts', 'room', 'keyValue'],
   events: Events.EVENTS,
   createInstance,
 };
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -38,7 +38,7 @@
 
 /** Creates the decision state that each service has separately. */
 export function createServiceDecisions(
-  { clock, nextRandom }: PluginContext,
+  { clock, nextRandom, getCapability }: PluginContext,
   settings: ForwardingSettings,
   countRouters: () => number,
 ): Pick<
@@ -46,16 +46,20 @@
   'getBudget' | 'getAdmission' | 'getPromptEstimates' | 'getStallPolicy'
 > {
   const startedMs = clock.getNowMs();
+  const room = getCapability('room');
+  const getBudget = LazyGetters.createLazyGetter((service) =>
+    Decisions.createFleetRetryBudget({
+      ratio: settings.repeatRatio,
+      slack: settings.repeatSlack,
+      windowMs: settings.repeatWindowSeconds * MS_PER_SECOND,
+      countRouters,
+      startedMs,
+      getFleetTotals: () => room.getFleetRepeats(service),
+    }),
+  );
+  room.setRepeatSource((service) => getBudget(service).getTotals(clock.getNowMs()));
   return {
-    getBudget: LazyGetters.createLazyGetter(() =>
-      Decisions.createFleetRetryBudget({
-        ratio: settings.repeatRatio,
-        slack: settings.repeatSlack,
-        windowMs: settings.repeatWindowSeconds * MS_PER_SECOND,
-        countRouters,
-        startedMs,
-      }),
-    ),
+    getBudget,
     getAdmission: LazyGetters.createLazyGetter(() =>
       Decisions.createLatencyAdmission({ nextRandom }),
     ),
--- a/packages/sequoiarill-plugin-forwarding/src/retryQuota.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/retryQuota.ts
@@ -6,8 +6,14 @@
 import type { ForwardRequest } from './forwardRequest';
 import type { ForwardingDependencies } from './dependencies';
 
-/** Peers asked for one retry, in sequence: usually the first one has enough quota left. */
+/** Peers asked for one retry: usually the first one has enough quota left. */
 const MAX_PEERS_ASKED = 6;
+/** The next peer is asked after this time without a response; a running peer responds within a few milliseconds. */
+const NEXT_PEER_MS = 20;
+/** A caller's stream is stalled meanwhile. */
+const TIMEOUT_MS = 160;
+/** A peer that did not respond is asked after all others for this time. */
+const UNREACHABLE_MS = 2_000;
 /** Requested in addition to the missing quota, because sums of fractions are inexact. */
 const ROUNDING_MARGIN = 0.01;
 
@@ -24,38 +30,92 @@
   return isKnown ? getBudget(service).grantQuota(clock.getNowMs(), repeats) : 0;
 }
 
-/** Requests quota from peers until the balance reaches `needed` or no peer is left to ask. */
-export async function acquireRetryQuota(
-  dependencies: ForwardingDependencies,
-  request: ForwardRequest,
-  budget: FleetRetryBudget,
-  needed: number,
-): Promise<void> {
-  const { clock, log, peers } = dependencies;
-  const startedMs = clock.getNowMs();
-  const { service } = request;
-  const computeMissing = (): number => needed - budget.getBalance(clock.getNowMs());
-  const missing = computeMissing();
-  let peersAsked = 0;
-  let failure: string | undefined;
-  for (const peer of peers.listNearest().slice(0, MAX_PEERS_ASKED)) {
-    const missingNow = computeMissing();
-    if (missingNow <= 0 || request.closed.aborted) break;
-    const outcome = await peers.borrowRetryQuota(peer, {
-      service,
-      repeats: missingNow + ROUNDING_MARGIN,
-    });
-    peersAsked += 1;
-    if (outcome.kind === 'failed') failure = outcome.reason;
-    else budget.recordBorrowed(clock.getNowMs(), outcome.repeats);
+export interface QuotaBorrower {
+  /** Requests quota from peers until the balance reaches `needed` or no peer is left to ask. */
+  readonly acquire: (
+    request: ForwardRequest,
+    budget: FleetRetryBudget,
+    needed: number,
+  ) => Promise<void>;
+}
+
+/**
+ * Load pattern: a zone is cut off, and all streams of its routers beyond the cut need a retry at once.
+ * Peers that are asked one after the other, unreachable ones among them, stall each stream for seconds.
+ */
+export function createQuotaBorrower({
+  clock,
+  log,
+  peers,
+}: Pick<ForwardingDependencies, 'clock' | 'log' | 'peers'>): QuotaBorrower {
+  const unreachableSinceMs = new Map<string, number>();
+
+  function isUnreachable(peer: string): boolean {
+    const sinceMs = unreachableSinceMs.get(peer);
+    if (sinceMs === undefined) return false;
+    if (clock.getNowMs() - sinceMs < UNREACHABLE_MS) return true;
+    unreachableSinceMs.delete(peer);
+    return false;
+  }
+
+  function listPeers(): readonly string[] {
+    const nearest = peers.listNearest();
+    return [...nearest.filter((peer) => !isUnreachable(peer)), ...nearest.filter(isUnreachable)];
   }
-  log.logEvent(Events.REPEATS_BORROWED, {
-    request: request.id,
-    service,
-    missing,
-    asked: peersAsked,
-    failure,
-    stillMissing: Math.max(0, computeMissing()),
-    tookMs: Math.round(clock.getNowMs() - startedMs),
-  });
+
+  return {
+    async acquire(request, budget, needed) {
+      const startedMs = clock.getNowMs();
+      const { service } = request;
+      const computeMissing = (): number => needed - budget.getBalance(clock.getNowMs());
+      const missing = computeMissing();
+      const deadlineMs = startedMs + TIMEOUT_MS;
+      const pending = new Set<Promise<void>>();
+      let peersAsked = 0;
+      let failure: string | undefined;
+
+      async function borrowFrom(peer: string): Promise<void> {
+        const repeats = computeMissing() + ROUNDING_MARGIN;
+        const outcome = await peers.borrowRetryQuota(peer, { service, repeats });
+        if (outcome.kind === 'granted') {
+          unreachableSinceMs.delete(peer);
+          budget.recordBorrowed(clock.getNowMs(), outcome.repeats);
+          return;
+        }
+        failure = outcome.reason;
+        unreachableSinceMs.set(peer, clock.getNowMs());
+      }
+
+      /** Waits for the next response of any peer. */
+      async function waitForResponse(ms: number): Promise<void> {
+        const timeout = new AbortController();
+        await Promise.race([...pending, clock.waitMs(ms, timeout.signal)]);
+        timeout.abort();
+      }
+
+      for (const peer of listPeers().slice(0, MAX_PEERS_ASKED)) {
+        if (computeMissing() <= 0 || request.closed.aborted) break;
+        const reply = borrowFrom(peer);
+        pending.add(reply);
+        reply.then(
+          () => pending.delete(reply),
+          () => pending.delete(reply),
+        );
+        peersAsked += 1;
+        await waitForResponse(NEXT_PEER_MS);
+      }
+      while (computeMissing() > 0 && pending.size > 0 && clock.getNowMs() < deadlineMs) {
+        await waitForResponse(deadlineMs - clock.getNowMs());
+      }
+      log.logEvent(Events.REPEATS_BORROWED, {
+        request: request.id,
+        service,
+        missing,
+        asked: peersAsked,
+        failure,
+        stillMissing: Math.max(0, computeMissing()),
+        tookMs: Math.round(clock.getNowMs() - startedMs),
+      });
+    },
+  };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -11,7 +11,6 @@
 import type { ForwardingDependencies } from '../dependencies';
 import { NO_ROOM_REASON } from '../answers/gatedTarget';
 import * as Placement from '../answers/placement';
-import * as RetryQuotas from '../retryQuota';
 import type { RunCopy } from './copyMonitor';
 
 export type StreamOutcome =
@@ -23,6 +22,8 @@
 /** Bounds all sends of a stream, including those that targets did not accept. */
 const MAX_TRIES = 12;
 const RETRY_AFTER_SECONDS = 0.5;
+/** Prefilling the prompt again takes a second, so a busy holder may take longer than an idle one. */
+const HOLDER_TIMEOUT_MS = 120;
 const NONE: ReadonlySet<string> = new Set();
 /** Retries reserved for streams that have begun: as many as the crash of one zone may require. */
 const RESERVED_RETRIES = 2;
@@ -171,7 +172,7 @@
   const reserve = Math.min(RESERVED_RETRIES, budget.getCapacity(clock.getNowMs()) * RESERVE_SHARE);
   const needed = hasEvents ? 1 : 1 + reserve;
   const hasEnough = (): boolean => budget.getBalance(clock.getNowMs()) >= needed;
-  if (!hasEnough()) await RetryQuotas.acquireRetryQuota(dependencies, request, budget, needed);
+  if (!hasEnough()) await dependencies.quota.acquire(request, budget, needed);
   return hasEnough() && budget.takeRetry(clock.getNowMs());
 }
 
@@ -192,6 +193,20 @@
   return holder;
 }
 
+/**
+ * Failure: engines crash while the store is unreachable, and holders of copies restart unnoticed. Their
+ * next incarnations reject the streams, and each rejection uses a retry that the stream may need.
+ */
+async function findVerifiedHolder(
+  dependencies: ForwardingDependencies,
+  progress: Progress,
+): Promise<ForwardingTarget | undefined> {
+  const holder = findCopyHolder(dependencies, progress);
+  if (holder === undefined || dependencies.directory.isUpToDate()) return holder;
+  const report = await dependencies.readReport(holder, HOLDER_TIMEOUT_MS);
+  return report === undefined ? undefined : holder;
+}
+
 /** A stream that has run, or whose caller has received events, is never refused for lateness. */
 function decideAdmission(
   { lastEventId }: ForwardRequest,
@@ -216,7 +231,7 @@
   progress: Progress,
 ): Promise<Omit<Plan, 'isRetry'> | Extract<StreamOutcome, { kind: 'refused' }> | undefined> {
   const { excluded } = progress;
-  const holder = findCopyHolder(dependencies, progress);
+  const holder = await findVerifiedHolder(dependencies, progress);
   if (holder !== undefined) {
     const backup = EnginePlacements.chooseBackup(dependencies, request, holder);
     return { kind: 'plan', target: holder, backup, copy: progress.copy };
