--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/copyHolder.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/copyHolder.test.ts
@@ -12,11 +12,12 @@
 async function simulateBreak(hasRestarted: boolean) {
   const fake = Fakes.createFakeDependencies((target, headers) => {
     if (target === 'a1') return [...Simulation.createRun(1, 3).slice(0, -1), [200, BROKEN]];
-    if (target === 'b1' && hasRestarted)
-      {return [
+    if (target === 'b1' && hasRestarted) {
+      return [
         [2, Fakes.createHead(421)],
         [3, Simulation.END],
-      ];}
+      ];
+    }
     return Simulation.createRun(Simulation.createFromHeader(headers), 6);
   });
   const zones = { a1: 'a', b1: 'b', a2: 'a' };
