--- /dev/null
+++ b/packages/sequoiarill-decisions/src/room/engineRoom.ts
@@ -0,0 +1,86 @@
+/** Decides whether an engine has room for a stream, from its last report and what was sent there since. */
+import { decideStreamAdmission } from '../streamAdmission';
+import { MAX_RANK_WITHIN_SHARE } from './urgency';
+
+export interface EngineRoomQuery {
+  /** Undefined where the engine reports none. */
+  readonly slots: number | undefined;
+  readonly running: number;
+  readonly queued: number;
+  /** Streams that this router has sent there since the report. */
+  readonly sentSince: number;
+  /** Undefined or 0 where the engine reports none. */
+  readonly totalTokens: number | undefined;
+  readonly usedTokens: number;
+  /** Prompts and expected output of `sentSince`. */
+  readonly sentTokens: number;
+  /** Copies of runs that this router has ordered there since the report. */
+  readonly copyTokens: number;
+  readonly usualPromptTokens: number;
+  readonly usualOutputTokens: number;
+}
+
+export interface EngineRoom {
+  /** Infinite where the engine does not report its slots. */
+  readonly freeSlots: number;
+  /** Infinite where the engine does not report its cache. */
+  readonly freeTokens: number;
+}
+
+/** Part of the usual output by which a running run still grows on average. */
+const REMAINING_OUTPUT_SHARE = 0.5;
+
+export function computeEngineRoom(query: EngineRoomQuery): EngineRoom {
+  const { running, queued, usualPromptTokens, usualOutputTokens } = query;
+  const slots = query.slots ?? Number.POSITIVE_INFINITY;
+  const freeSlots = slots - running - queued - query.sentSince;
+  const totalTokens =
+    query.totalTokens === undefined || query.totalTokens <= 0
+      ? Number.POSITIVE_INFINITY
+      : query.totalTokens;
+  const growth = running * usualOutputTokens * REMAINING_OUTPUT_SHARE;
+  // Requests that are queued although slots are free wait for cache and take what becomes free.
+  const waitingForCache = Math.max(0, Math.min(queued, slots - running));
+  const claimed = waitingForCache * (usualPromptTokens + usualOutputTokens);
+  const freeTokens =
+    totalTokens - query.usedTokens - query.sentTokens - query.copyTokens - growth - claimed;
+  return { freeSlots, freeTokens };
+}
+
+export interface EntryQuery {
+  readonly room: EngineRoom;
+  /** Prompt and expected output. */
+  readonly neededTokens: number;
+  /** See `computeRank`. */
+  readonly rank: number;
+  readonly level: number;
+  /** Time since the stream arrived at the router. */
+  readonly waitedMs: number;
+  readonly objectiveMs: number;
+  readonly promptsAhead: number;
+  /** Expected time from now to the first event at the engine. */
+  readonly firstEventMs: number;
+}
+
+export type EntryDecision =
+  | { readonly kind: 'enter' }
+  | { readonly kind: 'queue' }
+  | { readonly kind: 'preempt' }
+  | { readonly kind: 'wait' };
+
+/**
+ * Share of its objective that a stream of the most urgent level waits before it may go to an engine without cache
+ * for it, which preempts a run whose prompt is then read again.
+ */
+const PREEMPTION_OBJECTIVE_SHARE = 0.3;
+
+export function decideEntry(query: EntryQuery): EntryDecision {
+  const { room, neededTokens, rank, level, waitedMs, objectiveMs } = query;
+  if (neededTokens > room.freeTokens) {
+    const mayPreempt = level === 0 && waitedMs >= objectiveMs * PREEMPTION_OBJECTIVE_SHARE;
+    return { kind: mayPreempt ? 'preempt' : 'wait' };
+  }
+  if (decideStreamAdmission(query).kind === 'refuse') return { kind: 'wait' };
+  if (room.freeSlots > 0) return { kind: 'enter' };
+  return { kind: rank <= MAX_RANK_WITHIN_SHARE ? 'queue' : 'wait' };
+}
