--- a/bench/src/decisionSlopes.ts
+++ b/bench/src/decisionSlopes.ts
@@ -41,9 +41,6 @@
     rows.push(
       measureRow('admission/organisations', size, admission.simulateRequest, admissionBytes),
     );
-    const sharesBytes = Timing.measureBytes(() => Cases.createSharesCase(size));
-    const shares = Cases.createSharesCase(size);
-    rows.push(measureRow('fleetShares/organisations', size, shares.simulateRequest, sharesBytes));
   }
   return rows;
 }
--- a/bench/src/decisions.ts
+++ b/bench/src/decisions.ts
@@ -30,9 +30,7 @@
 function measureDecision(): number {
   const choose = Cases.createChoiceCase(TARGETS);
   const admission = Cases.createAdmissionCase(ORGANISATIONS);
-  const shares = Cases.createSharesCase(ORGANISATIONS);
   return Timing.measureMicros((index) => {
-    shares.simulateRequest(index);
     admission.simulateRequest(index);
     choose(index);
   });
--- a/bench/src/decisions/cases.ts
+++ b/bench/src/decisions/cases.ts
@@ -8,7 +8,6 @@
 const LIMITS = { tokensPerSecond: 1e9, concurrentRequests: 1e6 };
 /** Running requests of a router that gets 67 requests a second with streams of 30 s. */
 const RUNNING = 2_000;
-const ROUTERS = 32;
 
 function buildView(index: number, nextRandom: () => number): Decisions.TargetView {
   return {
@@ -97,42 +96,6 @@
   return { admission, simulateRequest: (index) => simulateRequest(index + organisations * 2) };
 }
 
-interface SharesCase {
-  readonly shares: Decisions.FleetShares;
-  readonly simulateRequest: (index: number) => void;
-}
-
-/** Creates shares with the demand of all organisations, as reported by every router of a zone. */
-export function createSharesCase(organisations: number): SharesCase {
-  const nextRandom = Simulation.createRandom(SEED);
-  const shares = Decisions.createFleetShares({
-    routerName: 'router-0',
-    incarnation: 1,
-    getRouterCount: () => ROUTERS,
-    getLimit: () => 10_000,
-  });
-  for (let router = 1; router < ROUTERS; router += 1) {
-    for (let from = 0; from < organisations; from += 64) {
-      const entries = Array.from({ length: Math.min(64, organisations - from) }, (_value, at) => ({
-        organisation: `organisation-${from + at}`,
-        demand: 100 + nextRandom() * 100,
-      }));
-      shares.applyReport({
-        router: `router-${router}`,
-        incarnation: 1,
-        sequence: from + 1,
-        entries,
-      });
-    }
-  }
-  const simulateRequest = (index: number) => {
-    const organisation = `organisation-${Math.floor(nextRandom() * organisations)}`;
-    shares.recordDemand(organisation, 1_400, index * 15);
-    shares.getShare(organisation, index * 15);
-  };
-  return { shares, simulateRequest };
-}
-
 /** Each call records one gap in a stall policy and an outlier detector with this number of targets. */
 export function createGapCase(targets: number): (index: number) => void {
   const nextRandom = Simulation.createRandom(SEED);
--- a/bench/src/decisions/report.ts
+++ b/bench/src/decisions/report.ts
@@ -17,7 +17,7 @@
 export interface DecisionsReport {
   readonly patterns: readonly Simulation.SimulationSummary[];
   readonly slopes: readonly SlopeRow[];
-  /** Processor time of one request at 372 targets and 6,500 organisations: admission, shares and choice. */
+  /** Processor time of one request at 372 targets and 6,500 organisations: admission and choice. */
   readonly microsPerDecision: number;
   readonly goals: readonly Goal[];
 }
--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -21,7 +21,6 @@
 export * from './targetChooser';
 export type * from './targetChoiceTypes';
 export * from './fleetRetryBudget';
-export * from './fleetShares';
 export * from './latencyAdmission';
 export * from './suspectTracker';
 export * from './targetContacts';
