Exchange demand, speeds and retries between routers, and decide shares by them

The plug-in room was a stub. Routers report to a collector in their zone every 2 s and get the sums of the fleet; collectors exchange the sums of their zones. The capability uses the sums for shares of organisations, speeds of engines and totals of the retry budget, and own figures where no collector answers. Malformed messages are recorded with the name of their sender.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -32,6 +32,7 @@
     handlePartQuery: async () => ({ answers: [], explainedTargets: [] }),
     handlePartBlocks: () => [],
     handleRoom: () => [],
+    recordRoomRefusal: () => undefined,
   });
 }
 
--- a/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
@@ -33,6 +33,7 @@
   | 'handleReport'
   | 'handleBrittle'
   | 'handleRoom'
+  | 'recordRoomRefusal'
   | keyof CrashHandlers
   | keyof OriginHandlers
   | keyof PartHandlers
@@ -60,6 +61,7 @@
   let handleReport: Parameters<RouterPeers['setReportHandler']>[0] = () => NO_GUIDANCE;
   let handleBrittle: Parameters<RouterPeers['setBrittleHandler']>[0] = () => undefined;
   let handleRoom: Parameters<RouterPeers['setRoomHandler']>[0] = () => [];
+  let recordRoomRefusal: Parameters<RouterPeers['setRoomHandler']>[1];
   let crashHandlers = NO_CRASH_HANDLERS;
   let originHandlers = NO_ORIGIN_HANDLERS;
   let partHandlers = NO_PART_HANDLERS;
@@ -70,6 +72,7 @@
       handleReport: (report) => handleReport(report),
       handleBrittle: (report) => handleBrittle(report),
       handleRoom: (message) => handleRoom(message),
+      recordRoomRefusal: (sender, reason) => recordRoomRefusal?.(sender, reason),
       handleCrashes: (crashes) => crashHandlers.handleCrashes(crashes),
       handleAnswers: (answers) => crashHandlers.handleAnswers(answers),
       handleBlocks: (blocks) => crashHandlers.handleBlocks(blocks),
@@ -93,8 +96,9 @@
       setBrittleHandler(handle) {
         handleBrittle = handle;
       },
-      setRoomHandler(handle) {
+      setRoomHandler(handle, recordRefusal) {
         handleRoom = handle;
+        recordRoomRefusal = recordRefusal;
       },
       setCrashHandlers(newHandlers) {
         crashHandlers = newHandlers;
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -54,6 +54,7 @@
   readonly handleRoom: (
     message: RoomMessage,
   ) => readonly RoomFacts[] | Promise<readonly RoomFacts[]>;
+  readonly recordRoomRefusal: (sender: string, reason: string) => void;
 }
 
 /** Whether there is something to report that the requesting router does not know. */
@@ -181,7 +182,7 @@
         options.grantPermits(Messages.decodePermitsRequest(input)),
       ),
     exchangeRoom: procedure
-      .input(RoomMessages.roomMessageSchema)
+      .input((value) => RoomMessages.decodeMessage(value, options.recordRoomRefusal))
       .mutation(async ({ input }) => RoomMessages.encodeFacts(await options.handleRoom(input))),
     reportRollout: procedure
       .input(Messages.reportRequestSchema)
--- a/packages/sequoiarill-plugin-directory/src/roomMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/roomMessages.ts
@@ -57,6 +57,22 @@
   };
 }
 
+const senderSchema = Zod.object({ router: nameSchema });
+
+/** Throws where the message is malformed, after the sender and the first fault were recorded. */
+export function decodeMessage(
+  value: unknown,
+  recordRefusal: (sender: string, reason: string) => void,
+): RoomMessage {
+  const result = roomMessageSchema.safeParse(value);
+  if (result.success) return result.data;
+  const [issue] = result.error.issues;
+  const sender = senderSchema.safeParse(value).data?.router ?? 'unknown';
+  const reason = `${issue?.path.join('.')}: ${issue?.message}`;
+  recordRefusal(sender, reason);
+  throw new Error(reason);
+}
+
 export function encodeMessage(message: RoomMessage): Zod.infer<typeof roomMessageSchema> {
   return { ...message, ...encodeFacts(message.facts) };
 }
--- /dev/null
+++ b/packages/sequoiarill-plugin-room/src/__tests__/exchange.test.ts
@@ -0,0 +1,256 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as Collectors from '../collectors';
+import {
+  SERVICE,
+  createConfiguration,
+  createFleet,
+  createRoute,
+  createTarget,
+  listEvents,
+} from './virtualFleet';
+import type { VirtualRouter } from './virtualFleet';
+
+type Fleet = ReturnType<typeof createFleet>;
+
+/** Three routers in each zone, each with demand of two organisations. */
+function createLoadedFleet(zones: readonly string[] = ['a', 'b'], perZone = 3): Fleet {
+  const fleet = createFleet({ zones, perZone });
+  for (const router of fleet.routers) {
+    fleet.loads.push({ router, organisation: 'small', level: 0, demand: 10, served: 10 });
+    fleet.loads.push({ router, organisation: 'large', level: 1, demand: 190, served: 90 });
+  }
+  return fleet;
+}
+
+function findCollector({ routers }: Fleet, zone: string): VirtualRouter {
+  const locations = routers.map((router) => ({ address: router.address, zone: router.zone }));
+  const peers = { self: '', listRouters: () => locations };
+  const [address] = Collectors.listCollectors(peers, zone, '', SERVICE);
+  return routers.find((router) => router.address === address) as VirtualRouter;
+}
+
+function listCovered(routers: readonly VirtualRouter[]) {
+  return routers.map(({ room }) => room.getFleetRepeats(SERVICE)?.routers);
+}
+
+function countMarked(router: VirtualRouter, organisation: string, level: number): number {
+  const streams = Array.from({ length: 100 }, () =>
+    router.room.markStream({ service: SERVICE, organisation, level }),
+  );
+  return streams.filter(({ isWithinShare }) => isWithinShare).length;
+}
+
+describe('exchange', () => {
+  it('tells every router the sums of the fleet, each router counted once', async () => {
+    const fleet = createLoadedFleet();
+    await fleet.runFor(6_000);
+    const sums = { requests: 600, retries: 60, capacity: 120 };
+    for (const { room } of fleet.routers) {
+      const repeats = { ...sums, endedRequests: 0, endedRetries: 0, routers: 6 };
+      expect(room.getFleetRepeats(SERVICE)).toEqual(repeats);
+    }
+    // Own figures are those of now.
+    const [first] = fleet.routers as [VirtualRouter];
+    first.repeats = { requests: 300, retries: 100, capacity: 20 };
+    expect(first.room.getFleetRepeats(SERVICE)?.requests).toEqual(800);
+  });
+
+  it('marks streams by the shares in the whole fleet', async () => {
+    // Failure: the callers of an organisation are all in one zone, whose routers alone see its demand.
+    const fleet = createFleet({ zones: ['a', 'b'], perZone: 2 });
+    const [inA, , inB] = fleet.routers as [VirtualRouter, VirtualRouter, VirtualRouter];
+    fleet.loads.push({ router: inA, organisation: 'large', level: 1, demand: 900, served: 400 });
+    fleet.loads.push({ router: inB, organisation: 'small', level: 1, demand: 100, served: 100 });
+    await fleet.runFor(15_000);
+    for (const router of [inA, inB]) {
+      expect(countMarked(router, 'small', 1)).toEqual(100);
+      expect(countMarked(router, 'large', 1)).toBeGreaterThan(40);
+      expect(countMarked(router, 'large', 1)).toBeLessThan(50);
+    }
+    fleet.loads[0] = { ...(fleet.loads[0] as Fleet['loads'][0]), demand: 410 };
+    await fleet.runFor(15_000);
+    expect(countMarked(inB, 'large', 1)).toEqual(100);
+  });
+
+  it('sends its first report within 1 s and nothing while no service is active', async () => {
+    const fleet = createFleet({ zones: ['a', 'b'], perZone: 3 });
+    await fleet.runFor(1_000);
+    expect(new Set(fleet.calls.map(({ from }) => from)).size).toEqual(6);
+    const idle = createFleet({ zones: ['a', 'b'], perZone: 3, mode: 'off' });
+    await idle.runFor(20_000);
+    expect(idle.calls).toEqual([]);
+    expect(idle.routers[0]?.room.isActive(SERVICE)).toEqual(false);
+  });
+
+  it('becomes silent when a service has no streams', async () => {
+    const fleet = createLoadedFleet();
+    await fleet.runFor(12_000);
+    fleet.loads.length = 0;
+    await fleet.runFor(30_000);
+    fleet.calls.length = 0;
+    await fleet.runFor(10_000);
+    expect(fleet.calls.length).toEqual(0);
+  });
+
+  for (const failure of ['isDown', 'isPaused'] as const) {
+    it(`goes on with the next collector (${failure})`, async () => {
+      const fleet = createLoadedFleet();
+      await fleet.runFor(11_000);
+      const collector = findCollector(fleet, 'a');
+      const others = fleet.routers.filter((router) => router !== collector);
+      if (failure === 'isDown') fleet.killRouter(collector);
+      else collector.isPaused = true;
+      for (let round = 0; round < 10; round += 1) {
+        await fleet.runFor(1_000);
+        for (const covered of listCovered(others)) {
+          expect(covered ?? 0).toBeGreaterThanOrEqual(5);
+        }
+      }
+      expect(listCovered(others)).toEqual([5, 5, 5, 5, 5]);
+      collector.isPaused = false;
+      if (failure === 'isDown') fleet.startProcess(collector);
+      await fleet.runFor(8_000);
+      expect(listCovered(fleet.routers)).toEqual([6, 6, 6, 6, 6, 6]);
+      expect(others.flatMap(listEvents)).not.toInclude('room.digestLost');
+    });
+  }
+
+  it('goes on with the zones it reaches while a zone is cut off', async () => {
+    const fleet = createLoadedFleet(['a', 'b', 'c']);
+    await fleet.runFor(11_000);
+    fleet.setLinks((from, to) => (from.zone === 'c') === (to.zone === 'c'));
+    await fleet.runFor(16_000);
+    expect(listCovered(fleet.routers)).toEqual([6, 6, 6, 6, 6, 6, 3, 3, 3]);
+    fleet.setLinks(() => true);
+    await fleet.runFor(6_000);
+    expect(listCovered(fleet.routers)).toEqual(fleet.routers.map(() => 9));
+  });
+
+  it('uses its own figures where no peer knows the call', async () => {
+    const fleet = createLoadedFleet(['a'], 4);
+    fleet.setLinks(() => false);
+    await fleet.runFor(20_000);
+    const collectors = listCovered(fleet.routers).filter((covered) => covered === 1);
+    // The first two in rank collect for themselves.
+    expect(collectors.length).toEqual(2);
+    const cut = fleet.routers.filter(({ room }) => room.getFleetRepeats(SERVICE) === undefined);
+    expect(cut.length).toEqual(2);
+    fleet.setLinks(() => true);
+    await fleet.runFor(6_000);
+    for (const router of cut) {
+      const events = listEvents(router).filter((name) => name.startsWith('room.digest'));
+      expect(events).toEqual(['room.digestLost', 'room.digestRegained']);
+      expect(countMarked(router, 'small', 0)).toEqual(100);
+    }
+  });
+
+  for (const role of ['collector', 'other'] as const) {
+    it(`keeps the retries of a router that is restarted (${role})`, async () => {
+      const fleet = createLoadedFleet();
+      await fleet.runFor(11_000);
+      const collector = findCollector(fleet, 'a');
+      const restarted = fleet.routers.find((router) =>
+        role === 'collector' ? router === collector : router.zone === 'a' && router !== collector,
+      ) as VirtualRouter;
+      const observer = fleet.routers.find(({ zone }) => zone === 'b') as VirtualRouter;
+      fleet.killRouter(restarted);
+      restarted.repeats = { requests: 0, retries: 0, capacity: 8 };
+      fleet.startProcess(restarted);
+      await fleet.runFor(4_500);
+      const ended = observer.room.getFleetRepeats(SERVICE);
+      expect(ended?.endedRetries ?? 0).toBeGreaterThan(3);
+      expect(ended?.endedRetries ?? 0).toBeLessThan(10);
+      expect(ended?.retries).toEqual(50);
+      await fleet.runFor(14_000);
+      expect(observer.room.getFleetRepeats(SERVICE)?.endedRetries).toEqual(0);
+    });
+  }
+
+  it('sends a last report when it stops', async () => {
+    const fleet = createLoadedFleet(['a', 'b'], 1);
+    await fleet.runFor(11_000);
+    const [stopped, left] = fleet.routers as [VirtualRouter, VirtualRouter];
+    stopped.repeats = { requests: 100, retries: 40, capacity: 20 };
+    stopped.instance.stop?.();
+    await fleet.runFor(200);
+    stopped.isDown = true;
+    const repeats = left.room.getFleetRepeats(SERVICE);
+    expect(repeats?.endedRetries ?? 0).toBeGreaterThan(35);
+    const last = fleet.calls.filter(({ message }) => message.isEnding);
+    expect(last.map(({ to }) => to)).toEqual([left.address]);
+  });
+
+  it('tells the others which engines are slow', async () => {
+    const fleet = createLoadedFleet(['a', 'b'], 2);
+    const [observer, ...others] = fleet.routers as [VirtualRouter, ...VirtualRouter[]];
+    const targets = ['e1', 'e2', 'e3', 'slow'].map(createTarget);
+    const gaps = Array.from({ length: 40 }, (_, index) => (index % 4 === 0 ? 300 : 20));
+    for (const target of targets) {
+      const scale = target.id === 'slow' ? 2 : 1;
+      gaps.forEach((gap) => observer.room.recordGap(target, 'run', gap * scale));
+      observer.room.recordRunEnd(target, 'run');
+    }
+    const runs = targets.slice(0, 3);
+    for (const { room } of others) {
+      runs.forEach((target) => room.recordPrefill(target, { tokens: 8_000, ms: 800 }));
+    }
+    await fleet.runFor(8_000);
+    for (const { room } of fleet.routers) {
+      expect(room.getSpeedFactor(createTarget('slow'))).toBeGreaterThan(1.5);
+      expect(room.getSpeedFactor(createTarget('e1'))).toBeCloseTo(1, 0.1);
+    }
+  });
+
+  it('follows changes of priorities and organisations', async () => {
+    const fleet = createLoadedFleet();
+    const [{ room }] = fleet.routers as [VirtualRouter];
+    const batch = createRoute('batch', 2);
+    await fleet.runFor(5_000);
+    expect(room.getLevel({ service: SERVICE, route: batch, organisation: 'small' })).toEqual(1);
+    const organisations = [{ name: 'small', apiKeys: [], priority: 0 }];
+    const routes = [createRoute('chat', 0), createRoute('batch', 0)];
+    fleet.state.configuration = createConfiguration({ version: 2, organisations, routes });
+    expect(room.isActive(SERVICE)).toEqual(false);
+    expect(room.getLevel({ service: SERVICE, route: batch, organisation: 'small' })).toEqual(
+      undefined,
+    );
+    expect(room.markStream({ service: SERVICE, organisation: 'small', level: 2 })).toEqual({
+      level: 2,
+      isWithinShare: true,
+    });
+    await fleet.runFor(3_000);
+    fleet.calls.length = 0;
+    await fleet.runFor(5_000);
+    expect(fleet.calls).toEqual([]);
+    fleet.state.configuration = createConfiguration({ version: 3 });
+    await fleet.runFor(5_000);
+    expect(listCovered(fleet.routers)).toEqual([6, 6, 6, 6, 6, 6]);
+  });
+
+  it('shows streams of the last minute in the state dump', async () => {
+    const fleet = createLoadedFleet();
+    const [{ room, instance }] = fleet.routers as [VirtualRouter];
+    for (let index = 0; index < 80; index += 1) {
+      room.getLevel({
+        service: SERVICE,
+        route: createRoute('chat', 0),
+        organisation: index === 0 ? 'small' : `organisation${index}`,
+      });
+    }
+    room.setLineSource(() => ({ waiting: 3 }));
+    await fleet.runFor(10_000);
+    const dump = instance.dumpState() as {
+      readonly streams: readonly { readonly organisation: string; readonly demand: number }[];
+      readonly lines: unknown;
+    };
+    expect(dump.streams.length).toEqual(50);
+    expect(dump.streams[0]?.organisation).toEqual('small');
+    expect(dump.streams[0]?.demand ?? 0).toBeCloseTo(60, 6);
+    expect(dump.lines).toEqual({ waiting: 3 });
+    await fleet.runFor(61_000);
+    expect(instance.dumpState()).toEqual(expect.subset({ streams: [] }));
+  });
+});
--- /dev/null
+++ b/packages/sequoiarill-plugin-room/src/reportStore.ts
@@ -0,0 +1,105 @@
+/** Reports of the routers of a zone about one service, and what those that have ended leave behind. */
+import type { RoomFacts, RoomMessage } from '@sequoiarill/types';
+
+import * as Completeness from './completeness';
+import * as FactSums from './factSums';
+
+export type ReportHeader = Pick<RoomMessage, 'router' | 'incarnation' | 'sequence' | 'isEnding'>;
+
+export interface ReportStore {
+  /** Returns whether the report is newer than all that were received from the router before. */
+  readonly recordReport: (header: ReportHeader, facts: RoomFacts, nowMs: number) => boolean;
+  /** `except`: a router whose report is left out. */
+  readonly listLive: (nowMs: number, except?: string) => readonly RoomFacts[];
+  /**
+   * Requests and retries of ended processes that are still in the window of the retry budget. Processes whose
+   * reports ceased are included only in the collector: elsewhere they report to another router.
+   */
+  readonly computeEnded: (nowMs: number, isCollector: boolean) => RoomFacts['endedRepeats'];
+  readonly removeOld: (nowMs: number) => void;
+}
+
+/** Length of the retry budget's window, the default of `repeatWindowSeconds`. */
+const WINDOW_MS = 10_000;
+/** Bounds the memory if routers restart again and again within a window. */
+const MAX_ENDED = 1_000;
+
+interface Report extends Completeness.DatedFacts {
+  readonly header: ReportHeader;
+}
+
+interface Ended {
+  readonly repeats: RoomFacts['endedRepeats'];
+  /** Arrival of the last report. */
+  readonly arrivedMs: number;
+}
+
+export function isNewer(
+  { incarnation, sequence }: Pick<ReportHeader, 'incarnation' | 'sequence'>,
+  known: Pick<ReportHeader, 'incarnation' | 'sequence'>,
+): boolean {
+  if (incarnation !== known.incarnation) return incarnation > known.incarnation;
+  return sequence > known.sequence;
+}
+
+function createEnded({ facts, arrivedMs }: Completeness.DatedFacts): Ended {
+  return { repeats: FactSums.mergeEnded(facts.repeats, facts.endedRepeats), arrivedMs };
+}
+
+export function createReportStore(): ReportStore {
+  /** Ended routers are kept until the window has passed, so that their late reports are recognised. */
+  const reports = new Map<string, Report>();
+  let ended: readonly Ended[] = [];
+
+  function isInWindow({ arrivedMs }: Pick<Ended, 'arrivedMs'>, nowMs: number): boolean {
+    return nowMs - arrivedMs < WINDOW_MS;
+  }
+
+  function addEnded(report: Completeness.DatedFacts): void {
+    ended = [...ended, createEnded(report)].slice(-MAX_ENDED);
+  }
+
+  return {
+    recordReport(header, facts, nowMs) {
+      const previous = reports.get(header.router);
+      if (previous !== undefined && isInWindow(previous, nowMs)) {
+        if (!isNewer(header, previous.header)) return false;
+        const isRestarted = header.incarnation !== previous.header.incarnation;
+        if (isRestarted && !previous.header.isEnding) addEnded(previous);
+      }
+      const report = { header, facts, arrivedMs: nowMs };
+      reports.set(header.router, report);
+      if (header.isEnding) addEnded(report);
+      return true;
+    },
+    listLive: (nowMs, except) =>
+      [...reports.values()]
+        .filter((report) => !report.header.isEnding && Completeness.isFresh(report, nowMs))
+        .filter(({ header }) => header.router !== except)
+        .map(({ facts }) => facts),
+    computeEnded(nowMs, isCollector) {
+      const ceased = [...reports.values()].filter(
+        (report) => !report.header.isEnding && !Completeness.isFresh(report, nowMs),
+      );
+      return [...ended, ...(isCollector ? ceased.map(createEnded) : [])]
+        .filter((item) => isInWindow(item, nowMs))
+        .reduce(
+          (sum, { repeats, arrivedMs }) => {
+            // The window moves on: of events spread evenly over it, this part is still inside.
+            const weight = 1 - (nowMs - arrivedMs) / WINDOW_MS;
+            return {
+              requests: sum.requests + repeats.requests * weight,
+              retries: sum.retries + repeats.retries * weight,
+            };
+          },
+          { requests: 0, retries: 0 },
+        );
+    },
+    removeOld(nowMs) {
+      ended = ended.filter((item) => isInWindow(item, nowMs));
+      for (const [router, report] of reports) {
+        if (!isInWindow(report, nowMs)) reports.delete(router);
+      }
+    },
+  };
+}
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -242,9 +242,13 @@
   readonly setPartHandlers: (handlers: PartHandlers) => void;
   /** Tells a peer what this router knows of its services, and learns what the peer knows of them. */
   readonly exchangeRoom: (peer: string, message: RoomMessage) => Promise<RoomOutcome>;
-  /** Sets the handler for messages about room; it returns what this router knows. */
+  /**
+   * Sets the handler for messages about room; it returns what this router knows. `recordRefusal` is called for
+   * messages that are malformed, with the name that the sender gave.
+   */
   readonly setRoomHandler: (
     handleRoom: (message: RoomMessage) => readonly RoomFacts[] | Promise<readonly RoomFacts[]>,
+    recordRefusal?: (sender: string, reason: string) => void,
   ) => void;
   /** Sets the handler for rollout reports of other routers. */
   readonly setReportHandler: (handleReport: (report: RolloutReport) => RolloutGuidance) => void;
