Count no router as ended after a pause, and send nothing after the last report

A collector that was paused for more than 6 s took all routers that report to it for ended. A process that stopped in the middle of a round sent further messages after its last report, which counted it as live again for 6 s. Both are tested; each test fails without its change. Routers no longer hear their own speeds of engines from others, which kept them beyond 60 s.

--- a/packages/sequoiarill-plugin-room/src/__tests__/exchange.test.ts
+++ b/packages/sequoiarill-plugin-room/src/__tests__/exchange.test.ts
@@ -183,6 +183,34 @@
     expect(last.map(({ to }) => to)).toEqual([left.address]);
   });
 
+  it('sends nothing after the last report, even in the middle of a round', async () => {
+    const fleet = createLoadedFleet(['a', 'b'], 2);
+    await fleet.runFor(9_000);
+    fleet.setLinks(() => false);
+    await fleet.runFor(3_400);
+    const [stopped] = fleet.routers as [VirtualRouter];
+    fleet.loads.length = 0;
+    const stop = stopped.instance.stop?.();
+    await fleet.runFor(3_000);
+    await stop;
+    const sent = fleet.calls.filter(({ from }) => from === stopped.address);
+    const index = sent.findIndex(({ message }) => message.isEnding);
+    expect(sent.slice(index).map(({ message }) => message.isEnding)).toEqual([true, true]);
+  });
+
+  it('does not take routers for ended after it was paused itself', async () => {
+    const fleet = createLoadedFleet();
+    await fleet.runFor(11_000);
+    const collector = findCollector(fleet, 'a');
+    collector.isPaused = true;
+    await fleet.runFor(7_500);
+    collector.isPaused = false;
+    for (let step = 0; step < 10; step += 1) {
+      await fleet.runFor(100);
+      expect(collector.room.getFleetRepeats(SERVICE)?.endedRequests ?? 0).toEqual(0);
+    }
+  });
+
   it('tells the others which engines are slow', async () => {
     const fleet = createLoadedFleet(['a', 'b'], 2);
     const [observer, ...others] = fleet.routers as [VirtualRouter, ...VirtualRouter[]];
--- a/packages/sequoiarill-plugin-room/src/exchange.ts
+++ b/packages/sequoiarill-plugin-room/src/exchange.ts
@@ -8,7 +8,7 @@
 export interface Exchange {
   /** One round for the active services; sends nothing for those without traffic. */
   readonly runRound: (services: ReadonlyMap<string, ServiceState>) => Promise<void>;
-  /** Sends the last report of this process. */
+  /** Sends the last report of this process. Nothing is sent after it. */
   readonly sendLastReport: (services: ReadonlyMap<string, ServiceState>) => Promise<void>;
 }
 
@@ -57,6 +57,7 @@
   const startedAtUnixMs = Date.parse(clock.getWallTime());
   const incarnation = Number.isFinite(startedAtUnixMs) ? Math.max(0, startedAtUnixMs) : 0;
   let sequence = 0;
+  let isStopping = false;
 
   type Header = Pick<RoomMessage, 'scope' | 'isEnding'>;
 
@@ -67,6 +68,8 @@
     router: string,
     handleAnswer: HandleAnswer,
   ): Promise<readonly Errand[]> {
+    // A newer message after the last report would count this process as live again.
+    if (isStopping && !header.isEnding) return group;
     sequence += 1;
     const outcome = await peers.exchangeRoom(router, {
       ...header,
@@ -170,6 +173,7 @@
       for (const { state } of collected) state.updateDigest();
     },
     async sendLastReport(services) {
+      isStopping = true;
       const used = new Map([...services].filter(([, state]) => state.hasNews()));
       const errands = buildReports(used).map((errand) => {
         const elsewhere = Collectors.listOtherZones(peers, zone).flatMap((other) =>
--- a/packages/sequoiarill-plugin-room/src/factSums.ts
+++ b/packages/sequoiarill-plugin-room/src/factSums.ts
@@ -86,11 +86,25 @@
   };
 }
 
+function addValues(sum: number[], values: readonly number[]): void {
+  values.forEach((value, index) => {
+    sum[index] = (sum[index] ?? 0) + value;
+  });
+}
+
+/** Adds in place: a collector merges some fifty lists for each report that it answers. */
 function mergeOrganisations(facts: readonly RoomFacts[]): readonly OrganisationWork[] {
-  const sums = new Map<string, OrganisationWork>();
-  for (const work of facts.flatMap(({ organisations }) => organisations)) {
-    const known = sums.get(work.organisation);
-    sums.set(work.organisation, known === undefined ? work : mergeWork(known, work, computeSum));
+  const sums = new Map<string, { organisation: string; demand: number[]; served: number[] }>();
+  for (const { organisations } of facts) {
+    for (const { organisation, demand, served } of organisations) {
+      let sum = sums.get(organisation);
+      if (sum === undefined) {
+        sum = { organisation, demand: [], served: [] };
+        sums.set(organisation, sum);
+      }
+      addValues(sum.demand, demand);
+      addValues(sum.served, served);
+    }
   }
   return [...sums.values()];
 }
@@ -98,8 +112,12 @@
 /** The median: one router with faulty measurements does not move it. */
 function mergeSpeeds(facts: readonly RoomFacts[]): readonly EngineSpeed[] {
   const factors = new Map<string, number[]>();
-  for (const { engine, factor } of facts.flatMap(({ speeds }) => speeds)) {
-    factors.set(engine, [...(factors.get(engine) ?? []), factor]);
+  for (const { speeds } of facts) {
+    for (const { engine, factor } of speeds) {
+      const known = factors.get(engine);
+      if (known === undefined) factors.set(engine, [factor]);
+      else known.push(factor);
+    }
   }
   return [...factors].map(([engine, values]) => {
     const sorted = values.sort((left, right) => left - right);
@@ -121,11 +139,16 @@
   };
 }
 
-/** What is left of a sum without one of its parts. Speeds remain as they are. */
+/**
+ * What is left of a sum without one of its parts. Engines that the part measured itself are left out: a router would
+ * otherwise hear its own measurements from others and keep them beyond their time.
+ */
 export function removeFacts(sum: RoomFacts, part: RoomFacts): RoomFacts {
   const parts = new Map(part.organisations.map((work) => [work.organisation, work]));
+  const measured = new Set(part.speeds.map(({ engine }) => engine));
   return {
     ...sum,
+    speeds: sum.speeds.filter(({ engine }) => !measured.has(engine)),
     organisations: sum.organisations.map((work) => {
       const own = parts.get(work.organisation);
       return own === undefined ? work : mergeWork(work, own, computeRest);
--- a/packages/sequoiarill-plugin-room/src/plugin.ts
+++ b/packages/sequoiarill-plugin-room/src/plugin.ts
@@ -1,6 +1,7 @@
 /** Plug-in `room`: decides who gets room at the engines of a service. */
 import type { Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
 
+import * as Completeness from './completeness';
 import * as Dumps from './dump';
 import * as Events from './events';
 import * as Exchanges from './exchange';
@@ -45,6 +46,7 @@
   };
   const stopping = new AbortController();
   let running: Promise<void> | undefined;
+  let lastRoundMs = getNowMs();
 
   peers.setRoomHandler(
     MessageHandlers.createMessageHandler({
@@ -67,6 +69,9 @@
 
   async function runRound(): Promise<void> {
     const states = services.listStates();
+    const wasPaused = getNowMs() - lastRoundMs >= Completeness.LIFETIME_MS;
+    lastRoundMs = getNowMs();
+    if (wasPaused) for (const state of states.values()) state.removeCeased();
     await exchange.runRound(states);
     for (const state of states.values()) state.removeOld();
     logDigestChanges();
@@ -100,8 +105,7 @@
     },
     async stop() {
       stopping.abort();
-      await running;
-      await exchange.sendLastReport(services.listStates());
+      await Promise.all([exchange.sendLastReport(services.listStates()), running]);
     },
     dumpState: () => ({
       mode,
--- a/packages/sequoiarill-plugin-room/src/reportStore.ts
+++ b/packages/sequoiarill-plugin-room/src/reportStore.ts
@@ -16,6 +16,8 @@
    * reports ceased are included only in the collector: elsewhere they report to another router.
    */
   readonly computeEnded: (nowMs: number, isCollector: boolean) => RoomFacts['endedRepeats'];
+  /** Drops reports that have ceased, where that says nothing of their senders: this process was paused itself. */
+  readonly removeCeased: (nowMs: number) => void;
   readonly removeOld: (nowMs: number) => void;
 }
 
@@ -95,6 +97,12 @@
           { requests: 0, retries: 0 },
         );
     },
+    removeCeased(nowMs) {
+      for (const [router, report] of reports) {
+        const hasCeased = !report.header.isEnding && !Completeness.isFresh(report, nowMs);
+        if (hasCeased) reports.delete(router);
+      }
+    },
     removeOld(nowMs) {
       ended = ended.filter((item) => isInWindow(item, nowMs));
       for (const [router, report] of reports) {
--- a/packages/sequoiarill-plugin-room/src/serviceState.ts
+++ b/packages/sequoiarill-plugin-room/src/serviceState.ts
@@ -35,6 +35,8 @@
   readonly buildFleet: () => RoomFacts;
   /** Totals of `buildFleet` for the retry budget; undefined without a digest of the last seconds. */
   readonly computeRepeats: () => FleetRepeats | undefined;
+  /** Called after a pause of this process, in which it received nothing. */
+  readonly removeCeased: () => void;
   readonly removeOld: () => void;
 }
 
@@ -130,6 +132,7 @@
         routers: others.routers + 1,
       };
     },
+    removeCeased: () => reports.removeCeased(getNowMs()),
     removeOld() {
       reports.removeOld(getNowMs());
       zones.removeOld(getNowMs());
