--- a/packages/sequoiarill-plugin-room/src/__tests__/virtualFleet.ts
+++ b/packages/sequoiarill-plugin-room/src/__tests__/virtualFleet.ts
@@ -97,6 +97,8 @@
   const calls: SentCall[] = [];
   const loads: Load[] = [];
   const state = { configuration: createConfiguration() };
+  /** One delay for each time that a message is delivered; none where it is lost. */
+  let delaysMs = (): readonly number[] => [LATENCY_MS];
   let isLinked: (from: VirtualRouter, to: VirtualRouter) => boolean = () => true;
   const routers: VirtualRouter[] = [];
   const listed = new Set<VirtualRouter>();
@@ -109,13 +111,18 @@
       await clock.waitMs(CALL_TIMEOUT_MS);
       return { kind: 'failed' as const, reason: 'timed out' };
     }
-    await clock.waitMs(LATENCY_MS);
-    try {
-      const facts = await router.handle(JSON.parse(JSON.stringify(message)) as RoomMessage);
-      return { kind: 'facts' as const, facts };
-    } catch (error) {
-      return { kind: 'failed' as const, reason: (error as Error).message };
-    }
+    const delivered = delaysMs().map(async (delayMs) => {
+      await clock.waitMs(delayMs);
+      try {
+        const facts = await router.handle(JSON.parse(JSON.stringify(message)) as RoomMessage);
+        return { kind: 'facts' as const, facts };
+      } catch (error) {
+        return { kind: 'failed' as const, reason: (error as Error).message };
+      }
+    });
+    const timeout = clock.waitMs(CALL_TIMEOUT_MS);
+    const timedOut = { kind: 'failed' as const, reason: 'timed out' };
+    return Promise.race([...delivered, timeout.then(() => timedOut)]);
   }
 
   async function waitWhilePaused(router: VirtualRouter, ms: number, signal?: AbortSignal) {
@@ -193,6 +200,9 @@
     setLinks(value: typeof isLinked) {
       isLinked = value;
     },
+    setDelays(value: typeof delaysMs) {
+      delaysMs = value;
+    },
     /** Ends the process without a last report. */
     killRouter(router: VirtualRouter) {
       router.isDown = true;
--- a/packages/sequoiarill-plugin-room/src/reportStore.ts
+++ b/packages/sequoiarill-plugin-room/src/reportStore.ts
@@ -13,7 +13,8 @@
   readonly listLive: (nowMs: number, except?: string) => readonly RoomFacts[];
   /**
    * Requests and retries of ended processes that are still in the window of the retry budget. Processes whose
-   * reports ceased are included only in the collector: elsewhere they report to another router.
+   * reports ceased are included only in the collector: elsewhere they report to another router. They may still run
+   * and be counted elsewhere, so their requests earn no retries here.
    */
   readonly computeEnded: (nowMs: number, isCollector: boolean) => RoomFacts['endedRepeats'];
   /** Drops reports that have ceased, where that says nothing of their senders: this process was paused itself. */
@@ -48,6 +49,10 @@
   return { repeats: FactSums.mergeEnded(facts.repeats, facts.endedRepeats), arrivedMs };
 }
 
+function hasCeased(report: Report, nowMs: number): boolean {
+  return !report.header.isEnding && !Completeness.isFresh(report, nowMs);
+}
+
 export function createReportStore(): ReportStore {
   /** Ended routers are kept until the window has passed, so that their late reports are recognised. */
   const reports = new Map<string, Report>();
@@ -80,10 +85,11 @@
         .filter(({ header }) => header.router !== except)
         .map(({ facts }) => facts),
     computeEnded(nowMs, isCollector) {
-      const ceased = [...reports.values()].filter(
-        (report) => !report.header.isEnding && !Completeness.isFresh(report, nowMs),
-      );
-      return [...ended, ...(isCollector ? ceased.map(createEnded) : [])]
+      const ceased = [...reports.values()]
+        .filter((report) => hasCeased(report, nowMs))
+        .map(createEnded)
+        .map((item) => ({ ...item, repeats: { ...item.repeats, requests: 0 } }));
+      return [...ended, ...(isCollector ? ceased : [])]
         .filter((item) => isInWindow(item, nowMs))
         .reduce(
           (sum, { repeats, arrivedMs }) => {
@@ -99,8 +105,7 @@
     },
     removeCeased(nowMs) {
       for (const [router, report] of reports) {
-        const hasCeased = !report.header.isEnding && !Completeness.isFresh(report, nowMs);
-        if (hasCeased) reports.delete(router);
+        if (hasCeased(report, nowMs)) reports.delete(router);
       }
     },
     removeOld(nowMs) {
