Count requests of ended processes as long as they are in the window, and their retries in full

Change: requests of ended processes decline as if they had ended 4 s earlier, retries count until the window has passed.

--- a/packages/sequoiarill-plugin-room/src/reportStore.ts
+++ b/packages/sequoiarill-plugin-room/src/reportStore.ts
@@ -12,9 +12,10 @@
   /** `except`: a router whose report is left out. */
   readonly listLive: (nowMs: number, except?: string) => readonly RoomFacts[];
   /**
-   * Requests and retries of ended processes that are still in the window of the retry budget. Processes whose
-   * reports ceased are included only in the collector: elsewhere they report to another router. They may still run
-   * and be counted elsewhere, so their requests earn no retries here.
+   * Requests and retries of ended processes that are still in the window of the retry budget: not more of the
+   * requests, and not fewer of the retries, than are in it while the sum is used. Processes whose reports ceased
+   * are included only in the collector: elsewhere they report to another router. They may still run and be counted
+   * elsewhere, so their requests earn no retries here.
    */
   readonly computeEnded: (nowMs: number, isCollector: boolean) => RoomFacts['endedRepeats'];
   /** Drops reports that have ceased, where that says nothing of their senders: this process was paused itself. */
@@ -24,6 +25,8 @@
 
 /** Length of the retry budget's window, the default of `repeatWindowSeconds`. */
 const WINDOW_MS = 10_000;
+/** Routers use sums for as long as this after the collector has read them. */
+const USE_DELAY_MS = 4_000;
 /** Bounds the memory if routers restart again and again within a window. */
 const MAX_ENDED = 1_000;
 
@@ -93,11 +96,12 @@
         .filter((item) => isInWindow(item, nowMs))
         .reduce(
           (sum, { repeats, arrivedMs }) => {
-            // The window moves on: of events spread evenly over it, this part is still inside.
-            const weight = 1 - (nowMs - arrivedMs) / WINDOW_MS;
+            // The window moves on: of requests spread evenly over it, this part is still inside when the sum is used.
+            const ageMs = nowMs - arrivedMs + USE_DELAY_MS;
+            const weight = Math.max(0, 1 - ageMs / WINDOW_MS);
             return {
               requests: sum.requests + repeats.requests * weight,
-              retries: sum.retries + repeats.retries * weight,
+              retries: sum.retries + repeats.retries,
             };
           },
           { requests: 0, retries: 0 },
