--- a/packages/sequoiarill-decisions/src/enginePlacement.ts
+++ b/packages/sequoiarill-decisions/src/enginePlacement.ts
@@ -11,6 +11,7 @@
  */
 
 import * as RendezvousHashing from './rendezvousHashing';
+import type { EngineRoom } from './room/engineRoom';
 
 /** State of one engine as it reported it in response to the query. */
 export interface EngineView {
@@ -28,6 +29,12 @@
   readonly keptTokens: number;
   /** Whether few engines of its build are left; only for streams that could begin at any build. */
   readonly isScarce: boolean;
+  /** Duration of work there relative to the median engine; 1 unless it is known. */
+  readonly speedFactor?: number;
+  /** Only where it is decided who gets room. */
+  readonly room?: EngineRoom;
+  /** Expected time until a slot is free, milliseconds; 0 unless it is known. */
+  readonly slotWaitMs?: number;
 }
 
 export interface EnginePlacementQuery {
@@ -37,6 +44,8 @@
   /** Zone of this router. */
   readonly zone: string;
   readonly promptTokens: number;
+  /** Expected output, which counts where the room of engines is known. */
+  readonly outputTokens?: number;
   /**
    * Assumed for runs of other routers, since load reports lack their size; see
    * `createPromptEstimates`.
@@ -51,6 +60,8 @@
   readonly promptsAhead: number;
   /** Expected wait for the first event there, milliseconds. */
   readonly firstEventMs: number;
+  /** Part of it until a slot is free; absent where one is, or nothing is known of slots. */
+  readonly slotWaitMs?: number;
   readonly backup?: string;
 }
 
@@ -93,17 +104,26 @@
  * others.
  */
 export function computeEngineCost(view: EngineView, query: EnginePlacementQuery): number {
-  const { promptTokens, zone, usualPromptTokens, prefillMsPerToken } = query;
-  const waitMs = countPromptsAhead(view) * usualPromptTokens * prefillMsPerToken;
+  const { promptTokens, zone, usualPromptTokens } = query;
+  const { speedFactor = 1, slotWaitMs = 0 } = view;
+  const prefillMsPerToken = query.prefillMsPerToken * speedFactor;
+  const waitMs = countPromptsAhead(view) * usualPromptTokens * prefillMsPerToken + slotWaitMs;
   const prefillMs = (promptTokens - view.keptTokens * CACHED_TOKEN_WEIGHT) * prefillMsPerToken;
   const streams = Math.max(0, view.running - view.prefilling);
   const zoneMs = view.zone === zone ? 0 : REMOTE_ZONE_COST_MS;
-  const needed = view.usedTokens + promptTokens + HEADROOM_TOKENS;
-  const capacityMs = needed > view.totalTokens ? NO_CAPACITY_COST_MS : 0;
+  const capacityMs = hasTokens(view, query) ? 0 : NO_CAPACITY_COST_MS;
   const scarceMs = view.isScarce ? SCARCE_BUILD_COST_MS : 0;
   return prefillMs + waitMs + streams * DISTURBED_STREAM_COST_MS + zoneMs + capacityMs + scarceMs;
 }
 
+function hasTokens(
+  { room, usedTokens, totalTokens }: EngineView,
+  { promptTokens, outputTokens = 0 }: EnginePlacementQuery,
+): boolean {
+  if (room !== undefined) return promptTokens + outputTokens <= room.freeTokens;
+  return usedTokens + promptTokens + HEADROOM_TOKENS <= totalTokens;
+}
+
 /** Engines of the local zone that are queried for one prompt; also the maximum for any zone. */
 const LOCAL_ZONE_SAMPLE = 2;
 /** Engines of all other zones together that are queried for one prompt. */
@@ -196,11 +216,14 @@
   const promptsAhead = countPromptsAhead(target);
   const uncachedTokens = Math.max(0, query.promptTokens - target.keptTokens);
   const tokensAhead = promptsAhead * query.usualPromptTokens;
-  const firstEventMs = (tokensAhead + uncachedTokens) * query.prefillMsPerToken;
+  const { speedFactor = 1, slotWaitMs = 0 } = target;
+  const prefillMsPerToken = query.prefillMsPerToken * speedFactor;
+  const firstEventMs = (tokensAhead + uncachedTokens) * prefillMsPerToken + slotWaitMs;
   return {
     target: target.id,
     promptsAhead,
     firstEventMs,
+    ...(slotWaitMs === 0 ? {} : { slotWaitMs }),
     ...(backup === undefined ? {} : { backup: backup.id }),
   };
 }
--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -14,6 +14,7 @@
 export * from './rolloutAssessment';
 export * from './clientRetryDetector';
 export * from './promptEstimates';
+export * from './runEstimates';
 export * from './stallPolicy';
 export * from './rateLimitShares';
 export * from './streamAdmission';
--- a/packages/sequoiarill-decisions/src/streamAdmission.ts
+++ b/packages/sequoiarill-decisions/src/streamAdmission.ts
@@ -23,7 +23,7 @@
  * Share of the objective up to which streams are admitted; the rest is for prompts missing from the last
  * report and for those that arrive at the engine later.
  */
-const MAX_OBJECTIVE_SHARE = 0.6;
+export const MAX_OBJECTIVE_SHARE = 0.6;
 const MS_PER_SECOND = 1_000;
 
 export function decideStreamAdmission(query: StreamAdmissionQuery): LatencyAdmissionDecision {
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -4,13 +4,12 @@
 import type {
   Directory,
   EngineReport,
-  ForwardingRoute,
+  ForwardingConfiguration,
   ForwardingTarget,
   CachedPromptParts,
   RouterLocation,
 } from '@sequoiarill/types';
 
-import type { ForwardRequest } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
 import type { ForwardingDependencies } from '../dependencies';
 import * as PathMonitors from '../targets/pathMonitor';
@@ -18,11 +17,15 @@
 import * as Relays from '../relay/relays';
 import * as TargetRegistries from '../targets/targetRegistry';
 import type { TargetCall } from '../targets/targetCall';
+import * as WaitingStreams from '../streams/waitingStreams';
 import * as FakeCalls from './fakeCalls';
+import * as FakeRooms from './fakeRoom';
+import type { FakeRoom } from './fakeRoom';
 import { CONFIGURATION } from './fakeConfiguration';
 import type { Script, SentCall } from './fakeCalls';
 
 export { createEvents, createHead } from './fakeCalls';
+export { createRequest, createRoute, createTarget } from './fakeRequests';
 export type { Script, SentCall } from './fakeCalls';
 
 const WIRE = Kernel.createFakeWire();
@@ -47,6 +50,9 @@
 
 export interface FakeDependencies {
   readonly dependencies: ForwardingDependencies;
+  readonly room: FakeRoom;
+  readonly waits: WaitingStreams.WaitingStreams;
+  readonly setConfiguration: (configuration: ForwardingConfiguration) => void;
   readonly clock: Kernel.FakeClock;
   readonly sentCalls: readonly SentCall[];
   readonly setTargets: (targets: readonly ForwardingTarget[]) => void;
@@ -72,66 +78,14 @@
   readonly commands: readonly string[];
 }
 
-export function createTarget(id: string, change: Partial<ForwardingTarget> = {}): ForwardingTarget {
-  return {
-    id,
-    startedAtUnixMs: 1,
-    service: 'engines',
-    version: 'v1',
-    models: 'm 1',
-    address: `10.0.0.1:${id}`,
-    zone: 'a',
-    slots: 8,
-    state: 'ready',
-    warmupLeftMs: 0,
-    ...change,
-  };
-}
-
-export function createRoute(change: Partial<ForwardingRoute> = {}): ForwardingRoute {
-  return {
-    name: 'advice',
-    host: 'shop.example',
-    pathPrefix: '/',
-    retryPolicy: 'resumable',
-    isStream: true,
-    hasPrompt: true,
-    isPublic: false,
-    timeoutMs: 20_000,
-    objectiveMs: 4_000,
-    maxGapMs: 700,
-    priority: 0,
-    maxTargets: 5,
-    shares: [{ service: 'engines', weight: 1 }],
-    ...change,
-  };
-}
-
-export function createRequest(route: ForwardingRoute): ForwardRequest {
-  return {
-    id: 'r1',
-    method: 'POST',
-    path: '/x',
-    headers: [],
-    body: Buffer.alloc(0),
-    contentKey: 'c1',
-    route,
-    service: route.shares[0]?.service ?? '',
-    arrivedAtMs: 0,
-    expiresAtMs: route.timeoutMs,
-    isClientRetry: false,
-    promptTokens: 8_000,
-    promptParts: [],
-    versionDraw: 0.5,
-    closed: new AbortController().signal,
-  };
-}
-
 /** `chooseScript` returns the script for a call to a target with the given extra headers. */
 export function createFakeDependencies(
   chooseScript: (target: string, headers: Readonly<Record<string, string>>) => Script,
+  clock = Kernel.createFakeClock(),
 ): FakeDependencies {
-  const clock = Kernel.createFakeClock();
+  const room = FakeRooms.createFakeRoom();
+  const waits = WaitingStreams.createWaitingStreams({ clock, hasTimeFor: () => room.hasTime });
+  let configuration = CONFIGURATION;
   const sentCalls: SentCall[] = [];
   const reports = new Map<string, EngineReport>();
   const cachedParts = new Map<string, CachedPromptParts>();
@@ -162,7 +116,7 @@
 
   const log = { logEvent: () => undefined, close: () => undefined };
   const directory: Directory = {
-    getConfiguration: () => CONFIGURATION,
+    getConfiguration: () => configuration,
     listTargets: (service) => targets.filter((target) => target.service === service),
     findCurrent: (target) => targets.find(({ id }) => id === target.id),
     isUpToDate: () => true,
@@ -227,6 +181,7 @@
     startedMs: 0,
   });
   const promptEstimates = Decisions.createPromptEstimates();
+  const runEstimates = Decisions.createRunEstimates();
   const admission = Decisions.createLatencyAdmission({ nextRandom });
   const dependencies: ForwardingDependencies = {
     zone: 'a',
@@ -247,6 +202,8 @@
       isLeaving: () => false,
       recordAttempt: () => () => undefined,
     },
+    room: room.capability,
+    waits,
     registry,
     paths,
     relays,
@@ -284,6 +241,7 @@
     metrics: Kernel.createMetrics(undefined, {}),
     getAdmission: () => admission,
     getPromptEstimates: () => promptEstimates,
+    getRunEstimates: () => runEstimates,
     getBudget: () => budget,
     getStallPolicy: () => policy,
     openCall: (_request, target, extraHeaders) => recordCall(target.id, extraHeaders),
@@ -302,6 +260,11 @@
   };
   return {
     dependencies,
+    room,
+    waits,
+    setConfiguration(next) {
+      configuration = next;
+    },
     clock,
     sentCalls,
     reports,
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -3,6 +3,7 @@
   FleetRetryBudget,
   LatencyAdmission,
   PromptEstimates,
+  RunEstimates,
   StallPolicy,
   TargetChooser,
 } from '@sequoiarill/decisions';
@@ -13,6 +14,7 @@
   ForwardingWire,
   Metrics,
   Rollouts,
+  Room,
   RouterPeers,
 } from '@sequoiarill/types';
 
@@ -24,6 +26,7 @@
 import type { PathMonitor } from './targets/pathMonitor';
 import type { ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './front/headers';
+import type { WaitingStreams } from './streams/waitingStreams';
 import type { CopyCommands } from './streams/copyCommands';
 import type { BrittleTargets } from './limits/brittleTargets';
 import type { TargetLimits } from './limits/targetLimits';
@@ -39,6 +42,7 @@
   readonly directory: Directory;
   readonly peers: Pick<RouterPeers, 'listNearest' | 'borrowRetryQuota'>;
   readonly rollouts: Pick<Rollouts, 'selectTargets' | 'isLeaving' | 'recordAttempt'>;
+  readonly room: Omit<Room, 'setRepeatSource' | 'getFleetRepeats' | 'setLineSource'>;
   readonly registry: TargetRegistry;
   readonly paths: Pick<
     PathMonitor,
@@ -63,6 +67,7 @@
   readonly getAdmission: (service: string) => LatencyAdmission;
   readonly getBudget: (service: string) => FleetRetryBudget;
   readonly getPromptEstimates: (service: string) => PromptEstimates;
+  readonly getRunEstimates: (service: string) => RunEstimates;
   readonly getStallPolicy: (service: string) => StallPolicy;
   /** Sends a request to a target; the caller must read the call to its end or cancel it. */
   readonly openCall: (
@@ -77,4 +82,6 @@
   readonly releaseCopy: CopyCommands['releaseCopy'];
   /** Replaces the connections to the target, which may be broken. */
   readonly renewConnections: (target: ForwardingTarget) => void;
+  /** Streams that wait for room at engines. */
+  readonly waits: Omit<WaitingStreams, 'wakeAll' | 'dumpState'>;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -250,6 +250,19 @@
   'Several targets terminated as they began to answer requests with this part of a prompt, but another router has seen it answered since; it is not blocked.',
 );
 
+export const STREAM_WAITING = Kernel.defineEvent(
+  1945,
+  'info',
+  'stream.waiting',
+  'No engine has room for a new stream now: it waits in the router. `ahead` counts those before it.',
+);
+export const STREAM_WAITED = Kernel.defineEvent(
+  1946,
+  'info',
+  'stream.waited',
+  'The wait of a stream for room at an engine has ended; nothing was sent for it before.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -290,4 +303,6 @@
   PART_BLOCKED,
   PART_RELEASED,
   PART_CLEARED,
+  STREAM_WAITING,
+  STREAM_WAITED,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -34,6 +34,8 @@
   readonly resumedRequestId?: string;
   /** 0 when the request does not state the number. */
   readonly promptTokens: number;
+  /** Output tokens that the caller expects, or its maximum; 0 when the request states neither. */
+  readonly outputTokens?: number;
   /** Empty when the request does not list any. */
   readonly promptParts: readonly PromptPart[];
   /** Uniform in [0, 1): selects the version of the service during a rollout. */
--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -9,6 +9,7 @@
 import type { ForwardRequest } from '../forwardRequest';
 import * as ContentKeys from './contentKey';
 import * as Headers from './headers';
+import * as PromptSizes from './promptSize';
 import type { RawHeader } from './headers';
 import * as FullAnswers from '../answers/fullAnswer';
 import * as Metrics from '../metrics';
@@ -158,7 +159,10 @@
 }
 
 /** A duration that the answer is unlikely to exceed. */
-function computeLongestMs({ durations }: ExchangeDependencies, request: ForwardRequest): number {
+export function computeLongestMs(
+  { durations }: Pick<ExchangeDependencies, 'durations'>,
+  request: ForwardRequest,
+): number {
   const { route, arrivedAtMs, expiresAtMs } = request;
   return durations.getUpperBoundMs(route.name, expiresAtMs - arrivedAtMs);
 }
@@ -281,7 +285,13 @@
 
 type HeaderFields = Pick<
   ForwardRequest,
-  'headers' | 'promptTokens' | 'promptParts' | 'lastEventId' | 'resumedRequestId' | 'apiKey'
+  | 'headers'
+  | 'promptTokens'
+  | 'outputTokens'
+  | 'promptParts'
+  | 'lastEventId'
+  | 'resumedRequestId'
+  | 'apiKey'
 >;
 
 function readHeaderFields(
@@ -292,17 +302,15 @@
   const lastEventId = Headers.findSingleValue(headers, names.lastEventId);
   const resumedRequestId = Headers.findSingleValue(headers, names.resumedRequestId);
   const apiKey = Headers.findSingleValue(headers, names.apiKey);
-  const promptTokens = Number.parseInt(
-    Headers.findSingleValue(headers, names.promptSize) ?? '',
-    10,
-  );
+  const promptSize = Headers.findSingleValue(headers, names.promptSize);
+  const outputHint = Headers.findSingleValue(headers, names.outputHint);
   const promptParts = Headers.findSingleValue(headers, names.promptParts) ?? '';
   return {
     requestId: Headers.findSingleValue(headers, names.requestId),
     headers: Headers.selectRequestHeaders(headers, wire).filter(
       ([name]) => !RelayHeaders.isRelayHeader(name),
     ),
-    promptTokens: Number.isFinite(promptTokens) ? promptTokens : 0,
+    ...PromptSizes.decodeSizes(promptSize, outputHint),
     promptParts: wire.decodePromptParts(promptParts),
     ...(apiKey === undefined ? {} : { apiKey }),
     ...(lastEventId === undefined ? {} : { lastEventId }),
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -12,6 +12,10 @@
 export const RELAYED = 'forwarding.relayed';
 export const RELAYED_HERE = 'forwarding.relayedHere';
 export const ORIGINS = 'forwarding.origins';
+export const RANKS = 'forwarding.ranks';
+export const WAITED = 'forwarding.waitedForRoom';
+export const ROOM_REFUSED = 'forwarding.roomRefused';
+export const PREEMPTING = 'forwarding.preempting';
 export const PART_REFUSED = 'forwarding.partRefused';
 
 export const METRICS = [
@@ -70,4 +74,27 @@
     unit: 'count',
     meaning: 'Streams that callers resumed, by who knew which software version began them.',
   },
+  {
+    name: RANKS,
+    unit: 'count',
+    meaning: 'Sends of streams to engines, by the rank in their queues.',
+  },
+  {
+    name: WAITED,
+    unit: 'ms',
+    meaning:
+      'Time for which a stream waited in the router for room at an engine, by level and outcome.',
+  },
+  {
+    name: ROOM_REFUSED,
+    unit: 'count',
+    meaning:
+      'Streams refused instead of waiting for room at an engine, or after that, by cause and level.',
+  },
+  {
+    name: PREEMPTING,
+    unit: 'count',
+    meaning:
+      'Streams of the most urgent level sent to an engine whose KV cache has no room for them, so that it may preempt a run.',
+  },
 ] as const;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -7,11 +7,13 @@
 import * as Drains from './front/drain';
 import * as Events from './events';
 import * as Exchanges from './front/exchange';
+import type { ForwardRequest } from './forwardRequest';
 import * as HttpFrontEnds from './front/httpFrontEnd';
 import * as Parts from './pluginParts';
 import * as RetryQuotas from './retryQuota';
 import * as RouteTables from './front/routeTable';
 import type { RouteTable } from './front/routeTable';
+import * as WaitingStreams from './streams/waitingStreams';
 import { settingsSchema } from './settings';
 import type { ForwardingSettings } from './settings';
 
@@ -23,6 +25,7 @@
   const directory = context.getCapability('directory');
   const peers = context.getCapability('peers');
   const rollouts = context.getCapability('rollouts');
+  const room = context.getCapability('room');
   const log = RateLimitedLogs.createRateLimitedLog(logEvent, clock.getNowMs);
   const parts = Parts.createTargetParts(context, log);
   const { connections, paths, registry, relays, notices, probes, crashes, limits, brittle } = parts;
@@ -39,6 +42,10 @@
       Exchanges.handleRelayedExchange(dependencies, request, response),
     isReady: () => routeTable !== undefined && !drain.isDraining(),
   });
+  const durations = Decisions.createAnswerDurations();
+  const hasTimeForAnswer = (request: ForwardRequest): boolean =>
+    drain.hasTimeFor(Exchanges.computeLongestMs({ durations }, request));
+  const waits = WaitingStreams.createWaitingStreams({ clock, hasTimeFor: hasTimeForAnswer });
   const drain = Drains.createDrain({
     frontEnd,
     clock,
@@ -52,6 +59,7 @@
     directory,
     peers,
     rollouts,
+    room,
     registry,
     paths,
     relays,
@@ -72,16 +80,12 @@
     getRouteTable: () => routeTable,
     isDraining: drain.isDraining,
     hasTimeFor: drain.hasTimeFor,
-    durations: Decisions.createAnswerDurations(),
+    durations,
+    waits,
     clientRetries: Decisions.createClientRetryDetector(),
   };
 
-  rollouts.setInFlightCounter(registry.getInFlight);
-  peers.setCrashHandlers(crashes.contents.handlers);
-  peers.setPartHandlers(crashes.parts.handlers);
-  peers.setOriginHandlers(origins.handlers);
-  peers.setPermitsLender(limits.grantPermits);
-  peers.setBrittleHandler(brittle.handleReport);
+  Parts.registerHandlers(context, { ...parts, origins, waits });
   peers.setRetryQuotaLender((query) => RetryQuotas.grantRetryQuota(dependencies, query));
 
   function isCurrent(target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>): boolean {
@@ -97,6 +101,7 @@
       configurationVersion = configuration.version;
       routeTable = RouteTables.createRouteTable(configuration);
       frontEnd.applyLimits(configuration.limits);
+      waits.wakeAll();
     }
     connections.removeMissing(isCurrent);
     registry.removeMissing(isCurrent);
@@ -123,7 +128,9 @@
         requests: frontEnd.countRequests(),
         graceMs: settings.graceSeconds * MS_PER_SECOND,
       });
-      const [waitedMs] = await Promise.all([drain.drain(), origins.handOver()]);
+      const drained = drain.drain();
+      waits.wakeAll();
+      const [waitedMs] = await Promise.all([drained, origins.handOver()]);
       logEvent(Events.DRAINED, { requests: frontEnd.countRequests(), waitedMs });
     },
     async stop() {
@@ -141,12 +148,7 @@
       connections: frontEnd.countConnections(),
       targetConnections: connections.countOpen(),
       isDraining: drain.isDraining(),
-      crashes: crashes.contents.dumpState(),
-      crashingParts: crashes.parts.dumpState(),
-      limitedTargets: limits.dumpState(),
-      restingTargets: notices.dumpState(),
-      lostPaths: paths.dumpState(),
-      brittleTargets: brittle.dumpState(),
+      ...Parts.dumpTargetParts(parts),
       origins: origins.dumpState(),
     }),
   };
@@ -156,7 +158,7 @@
   name: 'forwarding',
   settingsSchema,
   provides: [],
-  needs: ['wire', 'directory', 'peers', 'rollouts', 'keyValue'],
+  needs: ['wire', 'directory', 'peers', 'rollouts', 'room', 'keyValue'],
   events: Events.EVENTS,
   createInstance,
 };
--- a/packages/sequoiarill-plugin-forwarding/src/streams/copyMonitor.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/copyMonitor.ts
@@ -10,6 +10,7 @@
 import * as Decisions from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
+import * as EnginePairs from '../targets/enginePairs';
 import * as EnginePlacements from '../targets/enginePlacements';
 import * as Events from '../events';
 import type { ForwardRequest } from '../forwardRequest';
@@ -32,6 +33,8 @@
   readonly update: () => void;
   /** The run is complete and no longer needs a copy. */
   readonly release: () => void;
+  /** The run has ended. */
+  readonly close: () => void;
 }
 
 /** How often the holder is checked: well within the time between two crashes. */
@@ -55,12 +58,14 @@
   engine: ForwardingTarget,
   holder: ForwardingTarget | undefined,
 ): CopyMonitor {
-  const { clock, directory } = dependencies;
+  const { clock, directory, registry } = dependencies;
   let copy: MonitoredCopy | undefined =
     holder === undefined
       ? undefined
       : { holder, location: `${holder.address}/${request.id}`, requestedAtMs: undefined };
   let updatedAtMs = clock.getNowMs();
+  const tokens = EnginePairs.countNeededTokens(dependencies, request);
+  let record = holder === undefined ? undefined : registry.recordCopy(holder, tokens);
   let moves = 0;
   let isPending = false;
   let isEnded = false;
@@ -96,6 +101,11 @@
     if (nextHolder === undefined) return;
     if (action === 'move') moves += 1;
     const requestedAtMs = clock.getNowMs();
+    if (!isEnded) {
+      record?.recordEnd();
+      record = registry.recordCopy(nextHolder, tokens);
+      record.recordBegun();
+    }
     const newHandle = await dependencies.createCopy(engine, request.id, nextHolder);
     dependencies.metrics.addCount(Metrics.COPIES, 1, {
       outcome: newHandle === undefined ? 'failed' : 'made',
@@ -121,6 +131,7 @@
     getCopy: () => copy,
     update() {
       const nowMs = clock.getNowMs();
+      record?.recordBegun();
       if (copy === undefined || isPending || nowMs - updatedAtMs < UPDATE_INTERVAL_MS) return;
       updatedAtMs = nowMs;
       if (dependencies.notices.isResting(engine)) return;
@@ -140,5 +151,6 @@
         dependencies.log.logEvent(Events.ORDER_FAILED, { error });
       });
     },
+    close: () => record?.recordEnd(),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -11,6 +11,7 @@
 import * as Sending from '../answers/sending';
 import * as EventBlocks from './eventBlocks';
 import type { EventBlock } from './eventBlocks';
+import * as StreamEnds from './streamEnds';
 import * as StreamPlans from './streamPlan';
 import type { Progress, StreamOutcome } from './streamPlan';
 import * as StreamRelays from './streamRelay';
@@ -127,11 +128,11 @@
   progress.runs += 1;
   progress.deliveries += 1;
   progress.copy = undefined;
-  if (outcome.kind === 'expired') return StreamPlans.decideEnd(progress, 'time is up', true);
+  if (outcome.kind === 'expired') return StreamEnds.decideEnd(progress, 'time is up', true);
   progress.lastReason = Sending.formatReason(outcome);
   return StreamPlans.hasTriesLeft(request, progress)
     ? undefined
-    : StreamPlans.decideEnd(progress, progress.lastReason, false);
+    : StreamEnds.decideEnd(progress, progress.lastReason, false);
 }
 
 /** A stream that has begun is not given up because one router cannot continue it now. */
@@ -141,6 +142,6 @@
   { retryAfterSeconds }: RelayRefusal,
 ): StreamOutcome | undefined {
   if (progress.hasEvents && StreamPlans.hasTriesLeft(request, progress)) return undefined;
-  const end = StreamPlans.decideEnd(progress, 'another router refuses it', false);
+  const end = StreamEnds.decideEnd(progress, 'another router refuses it', false);
   return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -12,10 +12,12 @@
 import type { AttemptOutcome } from './streamAttempt';
 import * as RelayedStreams from './relayedStream';
 import * as ResumedStreams from './resumedStream';
+import * as StreamEnds from './streamEnds';
 import * as StreamPlans from './streamPlan';
 import type { Plan, Progress, StreamOutcome } from './streamPlan';
 import * as StreamRelays from './streamRelay';
 import type { StreamPiece } from './streamRelay';
+import * as StreamUrgency from './streamUrgency';
 
 /** Delay before the next try when targets do not accept the request. */
 const RETRY_DELAY_MS = 40;
@@ -31,7 +33,8 @@
   if (resumed.kind !== 'begun') return resumed;
   const { request } = resumed;
   const budget = dependencies.getBudget(request.service);
-  const progress = StreamPlans.createProgress(request);
+  const urgency = StreamUrgency.recordArrival(dependencies, request);
+  const progress = StreamPlans.createProgress(request, urgency);
   // Another router counts the requests that it is sent.
   if (!dependencies.relays.isDue(request)) budget.recordRequest(clock.getNowMs());
   for (;;) {
@@ -44,6 +47,7 @@
     if (plan.kind !== 'plan') return plan;
     progress.tries += 1;
     const outcome = yield* StreamRelays.relayAttempt(dependencies, request, plan, progress);
+    dependencies.waits.wakeFirst(request.service);
     if (outcome.kind === 'notSent' && plan.isRetry) budget.releaseRetry();
     const end = decideNext(dependencies, request, plan, progress, outcome);
     if (end !== undefined) return end;
@@ -90,7 +94,7 @@
 ): StreamOutcome | undefined {
   if (outcome.kind === 'complete') return { ...outcome, wasStarted: progress.hasEvents };
   if (outcome.kind === 'callerLeft') return outcome;
-  if (outcome.kind === 'expired') return StreamPlans.decideEnd(progress, 'time is up', true);
+  if (outcome.kind === 'expired') return StreamEnds.decideEnd(progress, 'time is up', true);
   if (outcome.kind === 'whole' && !progress.hasEvents) {
     return { kind: 'answer', head: outcome.head, body: outcome.body };
   }
@@ -98,11 +102,11 @@
   logContinued(dependencies, request, plan, progress);
   const isRejected = outcome.kind === 'notRun' && !progress.hasEvents;
   if (isRejected && dependencies.brittle.isBrittle(request.service)) {
-    return StreamPlans.decideEnd(progress, progress.lastReason, false);
+    return StreamEnds.decideEnd(progress, progress.lastReason, false);
   }
   return StreamPlans.hasTriesLeft(request, progress)
     ? undefined
-    : StreamPlans.decideEnd(progress, progress.lastReason, false);
+    : StreamEnds.decideEnd(progress, progress.lastReason, false);
 }
 
 function updateProgress(
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -10,6 +10,8 @@
 import type { PartRun } from '../crashes/partRuns';
 import * as Checks from '../answers/answerChecks';
 import * as Sending from '../answers/sending';
+import * as EnginePairs from '../targets/enginePairs';
+import * as RunSamples from './runSamples';
 import * as TargetCalls from '../targets/targetCall';
 import type { CallEvent, TargetCall } from '../targets/targetCall';
 
@@ -69,7 +71,11 @@
   const run = dependencies.crashes.startRun(request);
   const call = dependencies.openCall(request, target, options.extraHeaders);
   request.closed.addEventListener('abort', call.cancel, { once: true });
-  const recordEnd = dependencies.registry.recordStart(target);
+  const recordEnd = dependencies.registry.recordStart(target, {
+    id: request.id,
+    promptTokens: request.promptTokens,
+    tokens: EnginePairs.countNeededTokens(dependencies, request),
+  });
   try {
     return yield* readStream(dependencies, options, call, run);
   } finally {
@@ -93,6 +99,8 @@
   run: PartRun,
 ): AsyncGenerator<EventBatch, AttemptOutcome, void> {
   const reader = createStreamReader(dependencies, options, call);
+  const samples = RunSamples.createRunSamples(dependencies, options);
+  let wasComplete = false;
   try {
     for (;;) {
       const step = await reader.readStep();
@@ -100,15 +108,18 @@
         if ('kind' in step) {
           // The rest of an answer may be shorter than the time in which a part crashes targets.
           if (step.kind === 'complete' && !options.isContinued) run.recordAnswer();
+          wasComplete = step.kind === 'complete';
           await recordBreak(dependencies, options, step, reader.getProgress());
           return step;
         }
         run.recordEvent();
+        samples.recordEvents(step.blocks.length);
         yield step;
       }
     }
   } finally {
     reader.close();
+    samples.recordEnd(wasComplete);
   }
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -4,15 +4,18 @@
 import type { ForwardingTarget, TargetBuild } from '@sequoiarill/types';
 
 import * as EnginePlacements from '../targets/enginePlacements';
-import type { EnginePair } from '../targets/enginePlacements';
-import * as ForwardRequests from '../forwardRequest';
+import type { EnginePair } from '../targets/enginePairs';
+import * as PlacementLog from '../targets/placementLog';
 import type { AnswerHead, ForwardOutcome, ForwardRequest } from '../forwardRequest';
-import type { BlockedRequest } from '../crashes/crashGuard';
 import type { ForwardingDependencies } from '../dependencies';
 import { NO_ROOM_REASON } from '../answers/gatedTarget';
 import * as Placement from '../answers/placement';
 import * as RetryQuotas from '../retryQuota';
 import type { RunCopy } from './copyMonitor';
+import * as EngineWaits from './engineWaits';
+import type { RoomRefusal } from './engineWaits';
+import * as StreamEnds from './streamEnds';
+import type { RequestUrgency } from './streamUrgency';
 
 export type StreamOutcome =
   | { readonly kind: 'complete'; readonly head: AnswerHead; readonly wasStarted: boolean }
@@ -22,7 +25,6 @@
 
 /** Bounds all sends of a stream, including those that targets did not accept. */
 const MAX_TRIES = 12;
-const RETRY_AFTER_SECONDS = 0.5;
 const NONE: ReadonlySet<string> = new Set();
 /** Retries reserved for streams that have begun: as many as the crash of one zone may require. */
 const RESERVED_RETRIES = 2;
@@ -46,6 +48,8 @@
   /** Sends that reached a target, including ones that it did not accept. */
   deliveries: number;
   readonly excluded: Set<string>;
+  /** Undefined where it is not decided who gets room. */
+  urgency: RequestUrgency | undefined;
   /** Copy of the last run's KV cache. */
   copy: RunCopy | undefined;
   lastReason: string;
@@ -71,8 +75,9 @@
   readonly isRetry: boolean;
 }
 
-export function createProgress(request: ForwardRequest): Progress {
+export function createProgress(request: ForwardRequest, urgency?: RequestUrgency): Progress {
   return {
+    urgency,
     lastEventId: request.lastEventId,
     hasEvents: false,
     build: request.build,
@@ -104,17 +109,17 @@
   const plan =
     (await createPlan(dependencies, request, progress)) ??
     (await createPlanWithBorrowedPermit(dependencies, request, progress));
-  if (plan?.kind === 'refused') return plan;
   if (plan === undefined) return decideWithoutTarget(dependencies, request, progress, budget);
+  if (plan.kind !== 'plan') return plan;
   const isRetry = progress.deliveries > 0;
   if (isRetry && !(await takeRetry(dependencies, request, progress, budget))) {
-    return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
+    return StreamEnds.decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
   }
   // It may have been blocked while engines and other routers were asked.
   const block = dependencies.crashes.findBlock(request);
   if (block === undefined) return { ...plan, isRetry };
   if (isRetry) budget.releaseRetry();
-  return decideBlocked(progress, block);
+  return StreamEnds.decideBlocked(progress, block);
 }
 
 /** The outcome where nothing more may be sent. */
@@ -124,9 +129,11 @@
   progress: Progress,
 ): StreamOutcome | undefined {
   if (request.closed.aborted) return { kind: 'callerLeft' };
-  if (clock.getNowMs() >= request.expiresAtMs) return decideEnd(progress, 'time is up', true);
+  if (clock.getNowMs() >= request.expiresAtMs) {
+    return StreamEnds.decideEnd(progress, 'time is up', true);
+  }
   const block = crashes.findBlock(request);
-  return block === undefined ? undefined : decideBlocked(progress, block);
+  return block === undefined ? undefined : StreamEnds.decideBlocked(progress, block);
 }
 
 /** Waits for a target that rests, or asks another router, which may reach targets that this one has lost. */
@@ -144,7 +151,7 @@
   }
   return relays.isPossible(request)
     ? createRelayPlan(dependencies, request, progress, budget)
-    : decideUnplaced(dependencies, request, progress);
+    : StreamEnds.decideUnplaced(dependencies, request, progress);
 }
 
 async function createRelayPlan(
@@ -155,7 +162,7 @@
 ): Promise<RelayPlan | StreamOutcome> {
   const isRetry = progress.deliveries > 0;
   if (isRetry && !(await takeRetry(dependencies, request, progress, budget))) {
-    return decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
+    return StreamEnds.decideEnd(progress, `${progress.lastReason}; no repeat left`, false);
   }
   return { kind: 'relay', isRetry };
 }
@@ -196,9 +203,11 @@
 function decideAdmission(
   { lastEventId }: ForwardRequest,
   { runs }: Progress,
-  { target, backup, promptsAhead, admission }: EnginePair,
+  { target, backup, promptsAhead, admission, entry }: EnginePair,
 ): Omit<Plan, 'isRetry'> | Extract<StreamOutcome, { kind: 'refused' }> {
-  if (admission.kind === 'refuse' && runs === 0 && lastEventId === undefined) {
+  // `entry` has decided already.
+  const isRefused = entry === undefined && admission.kind === 'refuse';
+  if (isRefused && runs === 0 && lastEventId === undefined) {
     const reason = 'its first event would be late at all engines asked';
     const { retryAfterSeconds } = admission;
     return { kind: 'refused', reason, retryAfterSeconds, lastTarget: target.id };
@@ -214,7 +223,7 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
-): Promise<Omit<Plan, 'isRetry'> | Extract<StreamOutcome, { kind: 'refused' }> | undefined> {
+): Promise<Omit<Plan, 'isRetry'> | RoomRefusal | undefined> {
   const { excluded } = progress;
   const holder = findCopyHolder(dependencies, progress);
   if (holder !== undefined) {
@@ -222,13 +231,14 @@
     return { kind: 'plan', target: holder, backup, copy: progress.copy };
   }
   if (request.route.hasPrompt) {
-    const pair = await EnginePlacements.chooseEngines(dependencies, request, excluded);
-    if (pair !== undefined) return decideAdmission(request, progress, pair);
+    const search = await EngineWaits.findEngines(dependencies, request, progress);
+    if (search.kind !== 'found') return search;
+    if (search.pair !== undefined) return decideAdmission(request, progress, search.pair);
     if (!progress.hasEvents && dependencies.brittle.isBrittle(request.service)) {
       return {
         kind: 'refused',
         reason: NO_ROOM_REASON,
-        retryAfterSeconds: RETRY_AFTER_SECONDS,
+        retryAfterSeconds: StreamEnds.RETRY_AFTER_SECONDS,
       };
     }
   }
@@ -237,7 +247,7 @@
     Placement.chooseTarget(dependencies, { request, excluded, purpose }) ??
     Placement.chooseTarget(dependencies, { request, excluded: NONE, purpose });
   if (target === undefined) return undefined;
-  if (request.route.hasPrompt) EnginePlacements.logUnreportedTarget(dependencies, request, target);
+  if (request.route.hasPrompt) PlacementLog.logUnreportedTarget(dependencies, request, target);
   return { kind: 'plan', target, backup: undefined, copy: undefined };
 }
 
@@ -258,55 +268,3 @@
   if (retryPolicy === 'once') return progress.runs === 0 && progress.tries < MAX_TRIES;
   return progress.runs < maxTargets && progress.tries < MAX_TRIES;
 }
-
-/**
- * No target is available; where some are only at their rate limit, the outcome says when to retry.
- */
-function decideUnplaced(
-  dependencies: ForwardingDependencies,
-  request: ForwardRequest,
-  progress: Progress,
-): StreamOutcome {
-  if (progress.build !== undefined && !hasServingTarget(dependencies, request, progress.build)) {
-    const end = decideEnd(progress, 'no target of its software version serves', false);
-    return ForwardRequests.setRetryAfter(end, undefined);
-  }
-  if (Placement.computeRestMs(dependencies, request) !== undefined) {
-    return decideEnd(progress, Placement.RESTING_REASON, false);
-  }
-  const limited = Placement.listRateLimited(dependencies, request, progress.excluded);
-  if (limited.length === 0) return decideEnd(progress, progress.lastReason, false);
-  const retryAfterSeconds = dependencies.limits.getRetrySeconds(limited);
-  const end = decideEnd(progress, Placement.RATE_LIMITED_REASON, false);
-  return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
-}
-
-/** Whether a target of the build stays, although it may not take the request now. */
-function hasServingTarget(
-  { directory }: ForwardingDependencies,
-  { service }: ForwardRequest,
-  build: TargetBuild,
-): boolean {
-  return directory
-    .listTargets(service)
-    .some(
-      (target) =>
-        target.state !== 'draining' && Decisions.isSameBuild(Decisions.getBuild(target), build),
-    );
-}
-
-function decideBlocked(
-  progress: Progress,
-  { reason, retryAfterSeconds }: BlockedRequest,
-): StreamOutcome {
-  const end = decideEnd(progress, reason, false);
-  return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
-}
-
-export function decideEnd(progress: Progress, reason: string, isLate: boolean): StreamOutcome {
-  const { hasEvents, runs, lastTarget } = progress;
-  const end = lastTarget === undefined ? { reason } : { reason, lastTarget };
-  if (hasEvents) return { kind: 'broken', ...end };
-  if (runs > 0) return { kind: 'failed', isLate, ...end };
-  return { kind: 'refused', retryAfterSeconds: RETRY_AFTER_SECONDS, ...end };
-}
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -13,6 +13,7 @@
 import * as StreamAttempts from './streamAttempt';
 import type { AttemptOutcome } from './streamAttempt';
 import type { Plan, Progress } from './streamPlan';
+import * as StreamUrgency from './streamUrgency';
 
 export type StreamPiece =
   /** `build`: that of the target whose events follow. */
@@ -31,7 +32,9 @@
   progress: Progress,
 ): readonly RawHeader[] {
   const names = dependencies.wire.headers;
-  const headers: RawHeader[] = [];
+  const headers: RawHeader[] = [
+    ...StreamUrgency.createRankHeaders(dependencies, request, progress),
+  ];
   if (plan.backup !== undefined) headers.push([names.backupTarget, plan.backup.address]);
   if (plan.copy !== undefined) headers.push([names.continueFrom, plan.copy.location]);
   if (progress.lastEventId !== undefined) headers.push([names.lastEventId, progress.lastEventId]);
@@ -54,6 +57,7 @@
     prefillTokens: plan.copy === undefined ? request.promptTokens : 0,
     promptsAhead: plan.promptsAhead,
   });
+  const isNew = !StreamUrgency.isBegun(request, progress);
   /**
    * Failure: an engine crashes while it prefills a prompt. Its copy begins with the first event, so
    * the holder has nothing to continue from and refuses. Each such send uses a retry that a stream
@@ -72,6 +76,9 @@
         return outcome;
       }
       const { head, blocks } = step.value;
+      if (isNew && !hasProducedEvents) {
+        StreamUrgency.recordServed(dependencies, request, progress.urgency);
+      }
       hasProducedEvents = true;
       const newBlocks = selectNewBlocks(blocks, progress.lastEventId);
       if (newBlocks === 'gap') {
@@ -86,6 +93,7 @@
       }
     }
   } finally {
+    monitor.close();
     await attempt.return({ kind: 'callerLeft' });
   }
 }
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamUrgency.ts
@@ -0,0 +1,89 @@
+/** What a stream asks for where it is decided who gets room at the engines of its service. */
+import * as Decisions from '@sequoiarill/decisions';
+import type { StreamUrgency } from '@sequoiarill/types';
+
+import type { ForwardingDependencies } from '../dependencies';
+import type { ForwardRequest } from '../forwardRequest';
+import type { RawHeader } from '../front/headers';
+import * as Metrics from '../metrics';
+import * as EnginePairs from '../targets/enginePairs';
+import type { Progress } from './streamPlan';
+
+export interface RequestUrgency extends StreamUrgency {
+  /** Engine time; the unit is that of `computeCost`. */
+  readonly work: number;
+}
+
+/** Whether the caller has events of the stream, or a target may have run it: it is never held back or refused. */
+export function isBegun(
+  { lastEventId }: Pick<ForwardRequest, 'lastEventId'>,
+  { hasEvents, runs }: Pick<Progress, 'hasEvents' | 'runs'>,
+): boolean {
+  return hasEvents || runs > 0 || (lastEventId !== undefined && lastEventId !== '');
+}
+
+/**
+ * Records what an arriving stream asks for, unless another router is to run it, which records it then. Undefined
+ * where it is not decided who gets room.
+ */
+export function recordArrival(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+): RequestUrgency | undefined {
+  const { room, relays } = dependencies;
+  const { service, route, organisation, promptTokens } = request;
+  const level = room.getLevel({ service, route, organisation });
+  if (level === undefined) return undefined;
+  const { work } = Decisions.computeCost({
+    promptTokens,
+    cachedTokens: 0,
+    expectedOutputTokens: EnginePairs.countOutputTokens(dependencies, request),
+  });
+  const isNew = !isBegun(request, { hasEvents: false, runs: 0 });
+  if (!isNew || relays.isDue(request)) return { level, isWithinShare: true, work };
+  room.recordDemand({ service, organisation, level, work });
+  return { ...room.markStream({ service, organisation, level }), work };
+}
+
+/** Applies a change of priorities to a stream that waits; its share was decided when it arrived. */
+export function updateLevel(
+  { room }: ForwardingDependencies,
+  { service, route, organisation }: ForwardRequest,
+  progress: Progress,
+): void {
+  const level = room.getLevel({ service, route, organisation });
+  if (level === undefined) progress.urgency = undefined;
+  else if (progress.urgency !== undefined) progress.urgency = { ...progress.urgency, level };
+}
+
+/** Records that an engine has begun to run a stream that was new. */
+export function recordServed(
+  { room }: ForwardingDependencies,
+  { service, organisation }: ForwardRequest,
+  urgency: RequestUrgency | undefined,
+): void {
+  if (urgency === undefined) return;
+  const { level, work } = urgency;
+  room.recordServed({ service, organisation, level, work });
+}
+
+/** Rank in the queues of engines; undefined where engines are not told any. */
+export function findRank(
+  request: Pick<ForwardRequest, 'lastEventId'>,
+  progress: Pick<Progress, 'hasEvents' | 'runs' | 'urgency'>,
+): number | undefined {
+  if (progress.urgency === undefined) return undefined;
+  const { level, isWithinShare } = progress.urgency;
+  return Decisions.computeRank({ level, isWithinShare, hasBegun: isBegun(request, progress) });
+}
+
+export function createRankHeaders(
+  { wire, metrics }: Pick<ForwardingDependencies, 'wire' | 'metrics'>,
+  request: ForwardRequest,
+  progress: Progress,
+): readonly RawHeader[] {
+  const rank = findRank(request, progress);
+  if (rank === undefined) return [];
+  metrics.addCount(Metrics.RANKS, 1, { rank: String(rank) });
+  return [[wire.headers.priority, String(rank)]];
+}
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -3,24 +3,16 @@
  * engines.
  */
 import * as Decisions from '@sequoiarill/decisions';
-import type { LatencyAdmissionDecision, EngineView } from '@sequoiarill/decisions';
 import type { ForwardingTarget } from '@sequoiarill/types';
 
-import * as Events from '../events';
 import * as Placement from '../answers/placement';
 import type { ForwardRequest } from '../forwardRequest';
 import type { ForwardingDependencies } from '../dependencies';
+import * as EnginePairs from './enginePairs';
+import type { EnginePair, EntryTerms } from './enginePairs';
 import * as EngineStatuses from './engineStatuses';
-import type { EngineStatus } from './engineStatuses';
-
-export interface EnginePair {
-  /** Prompts that the target prefills before this one. */
-  readonly promptsAhead: number;
-  /** Whether a new stream should be admitted there. */
-  readonly admission: LatencyAdmissionDecision;
-  readonly target: ForwardingTarget;
-  readonly backup: ForwardingTarget | undefined;
-}
+import * as EngineViews from './engineViews';
+import * as PlacementLog from './placementLog';
 
 /**
  * Engines among which the holder of a copy is drawn at random, without a query. With one candidate
@@ -30,7 +22,8 @@
 /**
  * After the crash of a zone most engines of the first sample may be down, so further samples are
  * taken until one responds. A busy engine is no reason for another round: callers that resume a
- * stream of a lost router look for their prompt among the engines of the first sample.
+ * stream of a lost router look for their prompt among the engines of the first sample. Only a new
+ * stream that would have to wait takes a second sample.
  */
 const MAX_ROUNDS = 3;
 
@@ -38,10 +31,12 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   excluded: ReadonlySet<string>,
+  terms?: EntryTerms,
 ): Promise<EnginePair | undefined> {
   dependencies.getPromptEstimates(request.service).recordRequest(request.promptTokens);
   const available = Placement.listAvailable(dependencies, request);
   const queried = new Set(excluded);
+  let full: EnginePair | undefined;
   for (let round = 0; round < MAX_ROUNDS; round += 1) {
     const sample = sampleEngines(dependencies, request, available, queried);
     sample.forEach(({ id }) => queried.add(id));
@@ -49,14 +44,21 @@
     // Some may have become unavailable meanwhile, by what they said in these very responses.
     const stillAvailable = Placement.listAvailable(dependencies, request);
     const availableIds = new Set(stillAvailable.map(({ id }) => id));
-    const isScarce = createScarcityCheck(request, stillAvailable);
+    const isScarce = EngineViews.createScarcityCheck(request, stillAvailable);
     const views = statuses
       .filter(({ target }) => availableIds.has(target.id))
-      .flatMap((status) => buildEngineViews(dependencies, status, isScarce));
-    const pair = pickPair(dependencies, request, views, stillAvailable);
-    if (pair !== undefined) {
-      if (pair.admission.kind === 'admit') dependencies.registry.recordPlacement(pair.target);
-      logPlacement(dependencies, request, {
+      .flatMap((status) => EngineViews.buildEngineViews(dependencies, status, isScarce));
+    const pair = EnginePairs.pickPair(dependencies, request, {
+      views,
+      available: stillAvailable,
+      terms,
+    });
+    if (pair?.entry?.kind === 'wait') {
+      if (full !== undefined) return full;
+      full = pair;
+    } else if (pair !== undefined) {
+      recordPlacement(dependencies, request, pair);
+      PlacementLog.logPlacement(dependencies, request, {
         pair,
         views,
         statuses,
@@ -66,77 +68,19 @@
       return pair;
     }
   }
-  return undefined;
+  return full;
 }
 
-interface PlacementLogEntry {
-  readonly pair: EnginePair;
-  readonly views: readonly EngineView[];
-  readonly statuses: readonly EngineStatus[];
-  /** Engines that the sample was taken from. */
-  readonly known: number;
-  readonly round: number;
-}
-
-function logPlacement(
+function recordPlacement(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
-  logEntry: PlacementLogEntry,
+  { target, admission, entry }: EnginePair,
 ): void {
-  const { pair, views, statuses, known, round } = logEntry;
-  const view = views.find(({ id }) => id === pair.target.id);
-  dependencies.log.logEvent(Events.STREAM_PLACED, {
-    request: request.id,
-    content: request.contentKey,
-    target: pair.target.id,
-    targetVersion: pair.target.version,
-    zone: pair.target.zone,
-    backup: pair.backup?.id,
-    queued: view?.queued,
-    prefilling: view?.prefilling,
-    running: view?.running,
-    sentSince: view?.sentSince,
-    usedTokens: view?.usedTokens,
-    keptTokens: view?.keptTokens,
-    asked: statuses.length,
-    answered: views.length,
-    candidates: statuses.map(formatCandidate),
-    known,
-    round,
-  });
-}
-
-function computeRoundedMs(ms: number | undefined): number | undefined {
-  return ms === undefined ? undefined : Math.round(ms);
-}
-
-/** What an engine reported, and after how many milliseconds. */
-function formatCandidate({ target, report, cachedTokens, reportMs, cachedPartsMs }: EngineStatus) {
-  return {
-    target: target.id,
-    running: report?.running,
-    keptTokens: cachedTokens,
-    reportMs: computeRoundedMs(reportMs),
-    keptMs: computeRoundedMs(cachedPartsMs),
-  };
-}
-
-/**
- * Logs a placement where no sampled engine responded, so the target was chosen without a status.
- */
-export function logUnreportedTarget(
-  { log }: ForwardingDependencies,
-  { id, contentKey }: ForwardRequest,
-  target: ForwardingTarget,
-): void {
-  log.logEvent(Events.STREAM_PLACED, {
-    request: id,
-    content: contentKey,
-    target: target.id,
-    targetVersion: target.version,
-    zone: target.zone,
-    answered: 0,
-  });
+  if (entry === undefined && admission.kind !== 'admit') return;
+  dependencies.registry.recordPlacement(
+    target,
+    EnginePairs.countNeededTokens(dependencies, request),
+  );
 }
 
 /**
@@ -149,7 +93,7 @@
   target: ForwardingTarget,
   lostHolder?: ForwardingTarget,
 ): ForwardingTarget | undefined {
-  if (!hasBackups(dependencies, request)) return undefined;
+  if (!EnginePairs.hasBackups(dependencies, request)) return undefined;
   const others = Placement.listAvailable(dependencies, {
     ...request,
     build: Decisions.getBuild(target),
@@ -178,11 +122,6 @@
   );
 }
 
-function hasBackups(dependencies: ForwardingDependencies, request: ForwardRequest): boolean {
-  const service = dependencies.directory.getConfiguration()?.services.get(request.service);
-  return service?.engine?.hasBackups === true && request.route.retryPolicy === 'resumable';
-}
-
 /** Samples some engines of each zone; suspected ones only where no others are left. */
 function sampleEngines(
   dependencies: ForwardingDependencies,
@@ -205,76 +144,3 @@
 function getPromptKey({ id, promptParts }: ForwardRequest): string {
   return promptParts.at(-1)?.id ?? id;
 }
-
-/**
- * Adds this router's own sends to an engine's report; empty where there is no report, or the engine
- * is leaving. Must be called after all responses: the router may have sent requests there in the
- * meantime.
- */
-function buildEngineViews(
-  { registry, brittle }: ForwardingDependencies,
-  { target, report, cachedTokens = 0 }: EngineStatus,
-  isScarce: (target: ForwardingTarget) => boolean,
-): readonly EngineView[] {
-  if (report === undefined || report.isLeaving) return [];
-  const { sentSinceReport: sentSince } = registry.buildView(target);
-  const taken = report.running + report.queued + sentSince;
-  // A brittle engine must not have to reject the request.
-  if (brittle.isBrittle(target.service) && taken >= target.slots) return [];
-  const { id, zone } = target;
-  const view = { ...report, id, zone, sentSince, keptTokens: cachedTokens };
-  return [{ ...view, isScarce: isScarce(target) }];
-}
-
-/** A stream that has begun has no choice between builds. */
-function createScarcityCheck(
-  { build }: ForwardRequest,
-  available: readonly ForwardingTarget[],
-): (target: ForwardingTarget) => boolean {
-  const [first] = available;
-  const isOfFirst = (target: ForwardingTarget): boolean =>
-    target.version === first?.version && target.models === first.models;
-  if (build !== undefined || available.every(isOfFirst)) return () => false;
-  const counts = new Map<string, number>();
-  const formatKey = ({ version, models }: ForwardingTarget) => `${version}\n${models}`;
-  for (const target of available) {
-    const key = formatKey(target);
-    counts.set(key, (counts.get(key) ?? 0) + 1);
-  }
-  const most = Math.max(...counts.values());
-  return (target) => Decisions.isScarceBuild(counts.get(formatKey(target)) ?? 0, most);
-}
-
-function hasSameBuild(
-  left: ForwardingTarget | undefined,
-  right: ForwardingTarget | undefined,
-): boolean {
-  if (left === undefined || right === undefined) return false;
-  return Decisions.isSameBuild(Decisions.getBuild(left), Decisions.getBuild(right));
-}
-
-function pickPair(
-  dependencies: ForwardingDependencies,
-  request: ForwardRequest,
-  views: readonly EngineView[],
-  available: readonly ForwardingTarget[],
-): EnginePair | undefined {
-  const { promptTokens } = request;
-  const estimates = dependencies.getPromptEstimates(request.service);
-  const byId = new Map(available.map((target) => [target.id, target]));
-  const placement = Decisions.chooseEngines({
-    views,
-    isSameBuild: (left, right) => hasSameBuild(byId.get(left), byId.get(right)),
-    zone: dependencies.zone,
-    promptTokens,
-    usualPromptTokens: estimates.getMeanTokens(),
-    prefillMsPerToken: estimates.getMsPerToken(),
-  });
-  const target = byId.get(placement?.target ?? '');
-  if (placement === undefined || target === undefined) return undefined;
-  const backup = hasBackups(dependencies, request) ? byId.get(placement.backup ?? '') : undefined;
-  const { promptsAhead, firstEventMs } = placement;
-  const { objectiveMs } = request.route;
-  const admission = Decisions.decideStreamAdmission({ promptsAhead, firstEventMs, objectiveMs });
-  return { target, backup, promptsAhead, admission };
-}
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetRegistry.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetRegistry.ts
@@ -4,13 +4,22 @@
 import type { EngineReport, ForwardingTarget } from '@sequoiarill/types';
 
 import * as LazyGetters from '../lazyGetter';
+import * as OwnLoads from './ownLoads';
+import type { CopyRecord, OwnLoad, OwnRun } from './ownLoads';
 import type { PathMonitor } from './pathMonitor';
 
 export interface TargetRegistry {
-  /** A request was placed on the target and will be sent shortly, unless it is cancelled. */
-  readonly recordPlacement: (target: ForwardingTarget) => void;
+  /**
+   * A request was placed on the target and will be sent shortly, unless it is cancelled. `tokens`: its prompt and
+   * expected output.
+   */
+  readonly recordPlacement: (target: ForwardingTarget, tokens?: number) => void;
   /** Returns a function that must be called once, when the request has ended there. */
-  readonly recordStart: (target: ForwardingTarget) => () => void;
+  readonly recordStart: (target: ForwardingTarget, run?: OwnRun) => () => void;
+  /** The target is to hold a copy of a run of this size. */
+  readonly recordCopy: (target: ForwardingTarget, tokens: number) => CopyRecord;
+  /** What the target's last report does not show of this router's own doing. */
+  readonly getOwnLoad: (target: ForwardingTarget) => OwnLoad & { readonly sentTokens: number };
   /** Liveness evidence: an event of a stream, or a report. */
   readonly recordAlive: (target: ForwardingTarget) => void;
   readonly recordSuccess: (target: ForwardingTarget) => void;
@@ -38,6 +47,7 @@
 
 interface UnreportedSend {
   readonly atMs: number;
+  readonly tokens: number;
   /** False between placement and send. */
   isStarted: boolean;
 }
@@ -59,6 +69,22 @@
  */
 const REPORT_LAG_MS = 300;
 
+function formatReport(
+  { report, reportedAtMs }: TargetEntry,
+  nowMs: number,
+): Pick<TargetView, 'reportedRunning' | 'reportedWaiting' | 'reportAgeMs'> {
+  if (report === undefined) return {};
+  return {
+    reportedRunning: report.running,
+    reportedWaiting: report.queued,
+    reportAgeMs: nowMs - reportedAtMs,
+  };
+}
+
+function countTokens(sends: readonly UnreportedSend[]): number {
+  return sends.reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
 export function createTargetRegistry(
   getNowMs: () => number,
   paths: Pick<PathMonitor, 'recordHeard' | 'recordLoss'>,
@@ -66,6 +92,7 @@
   const entries = new Map<string, TargetEntry>();
   const getDetector = LazyGetters.createLazyGetter(() => Decisions.createOutlierDetector());
   const suspects = Decisions.createSuspectTracker();
+  const loads = OwnLoads.createOwnLoads(getNowMs, REPORT_LAG_MS);
 
   function getEntry(target: ForwardingTarget): TargetEntry {
     const existing = entries.get(target.id);
@@ -96,8 +123,8 @@
     return getDetector(target.service).getState(target.id, getNowMs());
   }
 
-  function addUnreportedSend(entry: TargetEntry, isStarted: boolean): UnreportedSend {
-    const send = { atMs: getNowMs(), isStarted };
+  function addSend(entry: TargetEntry, isStarted: boolean, tokens = 0): UnreportedSend {
+    const send = { atMs: getNowMs(), tokens, isStarted };
     entry.unreportedSends.push(send);
     return send;
   }
@@ -108,21 +135,27 @@
      * placed there before either is sent; the second is queued behind the first while other engines
      * are idle.
      */
-    recordPlacement(target) {
-      addUnreportedSend(getEntry(target), false);
+    recordPlacement(target, tokens) {
+      addSend(getEntry(target), false, tokens);
     },
-    recordStart(target) {
+    recordStart(target, run) {
       const entry = getEntry(target);
       entry.inFlight += 1;
       const placement = entry.unreportedSends.find(({ isStarted }) => !isStarted);
-      const send = placement ?? addUnreportedSend(entry, true);
+      const send = placement ?? addSend(entry, true, run?.tokens);
       send.isStarted = true;
       return () => {
         entry.inFlight = Math.max(0, entry.inFlight - 1);
         if (!entry.unreportedSends.includes(send)) entry.endedSinceReport += 1;
         entry.unreportedSends = entry.unreportedSends.filter((other) => other !== send);
+        if (run !== undefined) loads.recordRunEnd(target, run);
       };
     },
+    recordCopy: loads.recordCopy,
+    getOwnLoad(target) {
+      const sentTokens = countTokens(getEntry(target).unreportedSends);
+      return { sentTokens, ...loads.getLoad(target) };
+    },
     recordSuccess(target) {
       getDetector(target.service).recordSuccess(target.id, getNowMs());
       suspects.recordAlive(target, getNowMs());
@@ -155,10 +188,11 @@
       const reportedUntilMs = entry.reportedAtMs - REPORT_LAG_MS;
       entry.unreportedSends = entry.unreportedSends.filter(({ atMs }) => atMs > reportedUntilMs);
       entry.endedSinceReport = 0;
+      loads.recordReport(target);
     },
     buildView(target) {
       const entry = getEntry(target);
-      const { report, unreportedSends, endedSinceReport } = entry;
+      const { unreportedSends, endedSinceReport } = entry;
       return {
         name: target.id,
         zone: target.zone,
@@ -168,13 +202,7 @@
         endedSinceReport,
         state: decideState(target),
         warmShare: getDetector(target.service).getWarmShare(target.id, getNowMs()),
-        ...(report === undefined
-          ? {}
-          : {
-              reportedRunning: report.running,
-              reportedWaiting: report.queued,
-              reportAgeMs: getNowMs() - entry.reportedAtMs,
-            }),
+        ...formatReport(entry, getNowMs()),
       };
     },
     isSuspect,
@@ -188,6 +216,7 @@
       for (const [id, { target, inFlight }] of entries) {
         if (!isCurrent(target) && inFlight === 0) {
           entries.delete(id);
+          loads.removeTarget(target);
           getDetector(target.service).removeTarget(id);
           suspects.removeTarget(id);
         }
