--- a/packages/sequoiarill-plugin-room/src/exchange.ts
+++ b/packages/sequoiarill-plugin-room/src/exchange.ts
@@ -79,7 +79,10 @@
       zone,
       facts: group.map(({ facts }) => facts),
     });
-    metrics.addCount(Metrics.CALLS, 1, { scope: header.scope, outcome: outcome.kind });
+    metrics.addCount(Metrics.CALLS, 1, {
+      scope: header.scope,
+      outcome: outcome.kind === 'failed' ? 'failed' : 'answered',
+    });
     if (outcome.kind === 'failed') return group;
     if (header.isEnding) return [];
     const answers = new Map(outcome.facts.map((facts) => [facts.service, facts]));
