--- a/packages/sequoiarill-plugin-room/src/__tests__/activation.test.ts
+++ b/packages/sequoiarill-plugin-room/src/__tests__/activation.test.ts
@@ -56,5 +56,7 @@
     expect(sound.map((route) => getLevel?.(route, 'b'))).toEqual([2, 2, 2]);
     expect(malformed.map(({ owner }) => owner)).toEqual(['badNaN', 'bad-1', 'bad1001', 'b']);
     expect(listActive({ routes: [createRoute('chat', 1), ...bad] })).toEqual([]);
+    const off = Activations.computeActivation(configuration, { ...AUTO, mode: 'off' });
+    expect(off).toEqual({ services: new Map(), malformed });
   });
 });
--- a/packages/sequoiarill-plugin-room/src/activation.ts
+++ b/packages/sequoiarill-plugin-room/src/activation.ts
@@ -73,7 +73,8 @@
   configuration: ForwardingConfiguration,
   { mode, expectsContention }: ActivationOptions,
 ): Activation {
-  if (mode === 'off') return NO_ACTIVATION;
+  const malformed = listMalformed(configuration);
+  if (mode === 'off') return { ...NO_ACTIVATION, malformed };
   const { organisations } = configuration;
   const ownPriorities = new Map(organisations?.map(({ name, priority }) => [name, priority]));
   const services = new Map<string, ServiceUrgency>();
@@ -97,5 +98,5 @@
       },
     });
   }
-  return { services, malformed: listMalformed(configuration) };
+  return { services, malformed };
 }
