--- a/packages/sequoiarill-plugin-room/src/__tests__/virtualFleet.ts
+++ b/packages/sequoiarill-plugin-room/src/__tests__/virtualFleet.ts
@@ -79,22 +79,13 @@
   readonly served: number;
 }
 
-export interface SentCall {
-  readonly atMs: number;
-  readonly from: string;
-  readonly to: string;
-  readonly message: RoomMessage;
-}
-
-export interface FleetOptions {
-  readonly zones: readonly string[];
-  readonly perZone: number;
-  readonly mode?: RoomSettings['mode'];
-}
-
-export function createFleet({ zones, perZone, mode = 'auto' }: FleetOptions) {
+export function createFleet(
+  zones: readonly string[],
+  perZone: number,
+  mode: RoomSettings['mode'] = 'auto',
+) {
   const clock = Kernel.createFakeClock();
-  const calls: SentCall[] = [];
+  const calls: { from: string; to: string; message: RoomMessage }[] = [];
   const loads: Load[] = [];
   const state = { configuration: createConfiguration() };
   /** One delay for each time that a message is delivered; none where it is lost. */
@@ -104,14 +95,10 @@
   const listed = new Set<VirtualRouter>();
 
   async function callRouter(from: VirtualRouter, to: string, message: RoomMessage) {
-    calls.push({ atMs: clock.getNowMs(), from: from.address, to, message });
-    const router = routers.find(({ address }) => address === to);
-    const isReachable = router !== undefined && !router.isDown && !router.isPaused;
-    if (!isReachable || !isLinked(from, router)) {
-      await clock.waitMs(CALL_TIMEOUT_MS);
-      return { kind: 'failed' as const, reason: 'timed out' };
-    }
-    const delivered = delaysMs().map(async (delayMs) => {
+    calls.push({ from: from.address, to, message });
+    const router = routers.find(({ address }) => address === to) as VirtualRouter;
+    const isReachable = !router.isDown && !router.isPaused && isLinked(from, router);
+    const delivered = (isReachable ? delaysMs() : []).map(async (delayMs) => {
       await clock.waitMs(delayMs);
       try {
         const facts = await router.handle(JSON.parse(JSON.stringify(message)) as RoomMessage);
@@ -120,9 +107,9 @@
         return { kind: 'failed' as const, reason: (error as Error).message };
       }
     });
-    const timeout = clock.waitMs(CALL_TIMEOUT_MS);
     const timedOut = { kind: 'failed' as const, reason: 'timed out' };
-    return Promise.race([...delivered, timeout.then(() => timedOut)]);
+    const timeout = clock.waitMs(CALL_TIMEOUT_MS).then(() => timedOut);
+    return Promise.race([...delivered, timeout]);
   }
 
   async function waitWhilePaused(router: VirtualRouter, ms: number, signal?: AbortSignal) {
@@ -144,17 +131,11 @@
         router.handle = async (message) => handle(message);
       },
     } satisfies Partial<RouterPeers>;
-    const capabilities = {
-      peers,
-      wire: Kernel.createFakeWire(),
-      directory: { getConfiguration: () => state.configuration },
-    };
+    const directory = { getConfiguration: () => state.configuration };
+    const capabilities = { peers, directory, wire: Kernel.createFakeWire() };
     const context = {
       process: { name: router.address, zone: router.zone, region: 'r' },
-      clock: {
-        ...clock,
-        waitMs: (ms: number, signal?: AbortSignal) => waitWhilePaused(router, ms, signal),
-      },
+      clock: { ...clock, waitMs: waitWhilePaused.bind(undefined, router) },
       metrics: Kernel.createNoopMetrics(),
       logEvent: (event: EventDefinition, fields: unknown) => router.events.push({ event, fields }),
       nextRandom: () => 0.5,
@@ -168,18 +149,11 @@
     router.instance.start?.();
   }
 
-  for (const [index, zone] of zones.entries()) {
-    for (let number = 1; number <= perZone; number += 1) {
-      const router = {
-        address: `10.0.${index}.${number}:70`,
-        zone,
-        repeats: { requests: 100, retries: 10, capacity: 20 },
-        events: [],
-        isPaused: false,
-        process: 0,
-      } as unknown as VirtualRouter;
-      routers.push(router);
-    }
+  for (let index = 0; index < zones.length * perZone; index += 1) {
+    const process = { events: [], isPaused: false, process: 0 };
+    const repeats = { requests: 100, retries: 10, capacity: 20 };
+    const zone = zones[Math.floor(index / perZone)];
+    routers.push({ address: `10.0.0.${index}:70`, zone, repeats, ...process } as never);
   }
   routers.forEach(startProcess);
 
@@ -210,7 +184,6 @@
       router.instance.stop?.();
     },
     startProcess,
-    removeFromList: (router: VirtualRouter) => listed.delete(router),
     async runFor(ms: number) {
       for (let leftMs = ms; leftMs > 0; leftMs -= STEP_MS) {
         loads.forEach(applyLoad);
