--- a/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
@@ -48,13 +48,14 @@
     return { kind: 'found', pair };
   }
   const line = dependencies.waits.getLine(request.service);
-  if (line.count() === 0) {
+  const isFirst = line.count() === 0;
+  if (isFirst) {
     const pair = await readRoom(dependencies, request, progress);
     if (!isWaitDue(dependencies, request, pair)) {
       return startStream(dependencies, request, line, pair);
     }
   }
-  return waitForRoom(dependencies, request, progress, line);
+  return waitForRoom(dependencies, request, progress, { line, hasAsked: isFirst });
 }
 
 async function readRoom(
@@ -132,11 +133,17 @@
   readonly search: EngineSearch;
 }
 
+interface WaitStart {
+  readonly line: ServiceLine;
+  /** Whether it has just asked engines. */
+  readonly hasAsked: boolean;
+}
+
 async function waitForRoom(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
-  line: ServiceLine,
+  { line, hasAsked }: WaitStart,
 ): Promise<EngineSearch> {
   const { clock, log } = dependencies;
   const { urgency } = progress;
@@ -157,7 +164,7 @@
   request.closed.addEventListener('abort', stream.wake, { once: true });
   let result: WaitResult | undefined;
   try {
-    result = await runWait(dependencies, request, progress, { line, stream });
+    result = await runWait(dependencies, request, progress, { line, hasAsked, stream });
     return result.search;
   } finally {
     request.closed.removeEventListener('abort', stream.wake);
@@ -169,8 +176,7 @@
   }
 }
 
-interface Wait {
-  readonly line: ServiceLine;
+interface Wait extends WaitStart {
   readonly stream: WaitingStream;
 }
 
@@ -178,7 +184,7 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
-  { line, stream }: Wait,
+  { line, hasAsked, stream }: Wait,
 ): Promise<WaitResult> {
   const { clock, directory } = dependencies;
   let version = directory.getConfiguration()?.version;
@@ -200,7 +206,7 @@
     return WaitEnds.findWaitEnd(dependencies, request);
   }
 
-  for (;;) {
+  for (let isAskDue = !hasAsked; ; isAskDue = true) {
     const endBefore = findEnd();
     if (endBefore !== undefined) return decideWaitEnd(dependencies, request, progress, endBefore);
     if (clock.getNowMs() >= stream.waiter.deadlineMs) {
@@ -209,7 +215,7 @@
       const { rank } = stream.waiter;
       return { outcome: 'time', search: createRefusal(dependencies, request, rank, line, reason) };
     }
-    if (progress.urgency === undefined || line.isAskAllowed(stream.waiter)) {
+    if (isAskDue && (progress.urgency === undefined || line.isAskAllowed(stream.waiter))) {
       const pair = await readRoom(dependencies, request, progress);
       const endAfter = findEnd();
       if (endAfter !== undefined) return decideWaitEnd(dependencies, request, progress, endAfter);
