--- a/packages/sequoiarill-decisions/src/room/__tests__/loadReplay.test.ts
+++ b/packages/sequoiarill-decisions/src/room/__tests__/loadReplay.test.ts
@@ -4,6 +4,8 @@
 
 import * as Replays from './loadReplay';
 
+type Load = Omit<Replays.ReplayOptions, 'seed'>;
+
 const SEEDS = [1, 2, 3];
 const BURST = { fromMs: 10_000, untilMs: 16_000 };
 
@@ -18,22 +20,38 @@
   return count[key] / count.arrived;
 }
 
-function simulateSeeds(options: Omit<Replays.ReplayOptions, 'seed'>) {
+function simulateSeeds(options: Load) {
   return SEEDS.map((seed) => Replays.simulateLoad({ ...options, seed }));
 }
 
-const OVERLOADS: readonly (readonly [string, Omit<Replays.ReplayOptions, 'seed'>])[] = [
+const OVERLOADS: readonly (readonly [string, Load])[] = [
   ['1.6 times the capacity', { computeLoads: spread(1.6) }],
   ['a burst of the least urgent level', { computeLoads: computeBurstLoads }],
   ['a third of the engines gone', { computeLoads: spread(0.9), outage: BURST }],
-  ['1.6 times the capacity and a third gone', { computeLoads: spread(1.6), outage: BURST }],
+];
+
+/** In the second, prefill limits an engine, in the third its cache; slots stay free in both. */
+const SHAPES: readonly (readonly [string, Replays.EngineShape])[] = [
+  ['six slots', Replays.SMALL_ENGINES],
+  ['long prompts', { slots: 24, promptTokens: 8_000, prefillMs: 1_000 }],
+  ['long prompts, mostly cached', { slots: 24, promptTokens: 8_000, prefillMs: 250 }],
+];
+
+const CASES: readonly { readonly name: string; readonly load: Load }[] = [
+  ...SHAPES.flatMap(([shapeName, shape]) =>
+    OVERLOADS.map(([name, load]) => ({ name: `${name}, ${shapeName}`, load: { ...load, shape } })),
+  ),
+  {
+    name: '1.6 times the capacity and a third gone',
+    load: { computeLoads: spread(1.6), outage: BURST },
+  },
 ];
 
 describe('replayed load', () => {
-  for (const [name, options] of OVERLOADS) {
+  for (const { name, load } of CASES) {
     // Without ranks and waiting, outcomes are not ordered by priority, and room is refused (page 17).
     it(`serves the most urgent level and starves none at ${name}`, () => {
-      for (const { levels, servedOfPossible } of simulateSeeds(options)) {
+      for (const { levels, servedOfPossible } of simulateSeeds(load)) {
         const [first = 0, second = 0, third = 0] = levels.map((count) =>
           computeShare(count, 'served'),
         );
--- a/packages/sequoiarill-decisions/src/room/__tests__/loadReplay.ts
+++ b/packages/sequoiarill-decisions/src/room/__tests__/loadReplay.ts
@@ -5,27 +5,34 @@
 
 const ROUTERS = 5;
 const ENGINES = 12;
-const SLOTS = 6;
 const QUERIED_ENGINES = 6;
 const REPORT_AGE_MS = 100;
 const ASK_INTERVAL_MS = 150;
 const DIGEST_INTERVAL_MS = 2_000;
 const CALLER_TIME_MS = 25_000;
 const OBJECTIVE_MS = 4_000;
-const PROMPT_TOKENS = 1_000;
 const OUTPUT_TOKENS = 900;
-const PREFILL_MS = 125;
+const TOTAL_TOKENS = 88_000;
 const EVENT_GAP_MS = 20;
 const MEAN_DECODE_MS = 130 * EVENT_GAP_MS;
-const RUN_MS = PREFILL_MS + MEAN_DECODE_MS;
 const END_MS = 40_000;
 const COUNTED_FROM_MS = 4_000;
 /** Callers that arrive later may be unanswered at the end. */
 const COUNTED_UNTIL_MS = 30_000;
+const EMPTY_REPORT = { running: 0, queued: 0, prefilling: 0 };
 /** Loads are read this often while streams are generated. */
 const LOAD_STEP_MS = 100;
 
+export interface EngineShape {
+  readonly slots: number;
+  readonly promptTokens: number;
+  readonly prefillMs: number;
+}
+
+export const SMALL_ENGINES: EngineShape = { slots: 6, promptTokens: 1_000, prefillMs: 125 };
+
 export interface ReplayOptions {
+  readonly shape?: EngineShape;
   readonly seed: number;
   /** Arrivals relative to what the engines can run, by level. */
   readonly computeLoads: (nowMs: number) => readonly number[];
@@ -68,6 +75,12 @@
 export type ReplayCount = ReturnType<typeof createCount>;
 
 export function simulateLoad(options: ReplayOptions) {
+  const { slots, promptTokens, prefillMs } = options.shape ?? SMALL_ENGINES;
+  const runMs = prefillMs + MEAN_DECODE_MS;
+  const usedPerRun = promptTokens + OUTPUT_TOKENS / 2;
+  /** An engine's cache holds no more runs than these, whatever its slots. */
+  const runsPerEngine = Math.min(slots, Math.floor(TOTAL_TOKENS / usedPerRun));
+  const capacityPerMs = ENGINES * Math.min(runsPerEngine / runMs, 1 / prefillMs);
   const nextRandom = Random.createRandom(options.seed);
   const { addEvent, getNowMs, runUntil } = Timelines.createTimeline();
   const speeds = Room.createEngineSpeeds({ getNowMs });
@@ -102,11 +115,11 @@
 
   function startQueued(engine: Engine): void {
     engine.queue.sort((left, right) => left.rank - right.rank);
-    for (const stream of engine.queue.splice(0, SLOTS - engine.running.length)) {
-      const prefillMs = PREFILL_MS * engine.slowness;
+    for (const stream of engine.queue.splice(0, runsPerEngine - engine.running.length)) {
+      const ownPrefillMs = prefillMs * engine.slowness;
       const isAlone = engine.prefilledAtMs <= getNowMs();
-      if (isAlone) speeds.recordPrefill(engine.name, PROMPT_TOKENS, prefillMs);
-      engine.prefilledAtMs = Math.max(getNowMs(), engine.prefilledAtMs) + prefillMs;
+      if (isAlone) speeds.recordPrefill(engine.name, promptTokens, ownPrefillMs);
+      engine.prefilledAtMs = Math.max(getNowMs(), engine.prefilledAtMs) + ownPrefillMs;
       stream.firstEventAtMs ??= engine.prefilledAtMs;
       const endsAtMs = engine.prefilledAtMs + stream.decodeMs * engine.slowness;
       stream.endsAtMs = endsAtMs;
@@ -137,27 +150,21 @@
   function decideAtEngine(engine: Engine, stream: Stream) {
     const reportedAtMs = getNowMs() - REPORT_AGE_MS;
     while ((engine.history[1]?.atMs ?? Infinity) <= reportedAtMs) engine.history.shift();
-    const { running, queued, prefilling } = engine.history[0] ?? createEmptyReport();
+    const { running, queued, prefilling } = engine.history[0] ?? EMPTY_REPORT;
     const sentSince = engine.sent.filter(
       ({ atMs, router }) => atMs > reportedAtMs && router === stream.router,
     ).length;
-    const neededTokens = PROMPT_TOKENS + OUTPUT_TOKENS;
+    const neededTokens = promptTokens + OUTPUT_TOKENS;
     const room = Room.computeEngineRoom({
-      slots: SLOTS,
-      running,
-      queued,
-      sentSince,
-      totalTokens: 88_000,
-      usedTokens: running * (PROMPT_TOKENS + OUTPUT_TOKENS / 2),
+      ...{ slots, running, queued, sentSince, copyTokens: 0 },
+      ...{ totalTokens: TOTAL_TOKENS, usedTokens: running * usedPerRun },
+      ...{ usualPromptTokens: promptTokens, usualOutputTokens: OUTPUT_TOKENS },
       sentTokens: sentSince * neededTokens,
-      copyTokens: 0,
-      usualPromptTokens: PROMPT_TOKENS,
-      usualOutputTokens: OUTPUT_TOKENS,
     });
     const factor = options.isSpeedKnown === false ? 1 : speeds.getFactor(engine.name);
     const promptsAhead = prefilling + queued + sentSince;
-    const slotWaitMs = Math.max(0, (1 - room.freeSlots) / SLOTS) * RUN_MS;
-    const firstEventMs = factor * ((promptsAhead + 1) * PREFILL_MS + slotWaitMs);
+    const slotWaitMs = Math.max(0, (1 - room.freeSlots) / slots) * runMs;
+    const firstEventMs = factor * ((promptsAhead + 1) * prefillMs + slotWaitMs);
     const { rank, level } = stream;
     const waitedMs = getNowMs() - stream.attemptAtMs;
     const times = { waitedMs, objectiveMs: OBJECTIVE_MS, promptsAhead, firstEventMs };
@@ -227,7 +234,7 @@
     const leftMs = stream.arrivedAtMs + CALLER_TIME_MS - getNowMs();
     const returningWaitMs = Math.min(leftMs / 2, OBJECTIVE_MS * 2);
     const { rank, isReturning } = stream;
-    const maxWaitMs = isReturning ? returningWaitMs : OBJECTIVE_MS * 0.6 - PREFILL_MS;
+    const maxWaitMs = isReturning ? returningWaitMs : OBJECTIVE_MS * 0.6 - prefillMs;
     const outcome = line.add({ rank, isReturning, maxWaitMs });
     if (outcome.kind === 'refused') {
       refuseStream(stream, outcome.retryAfterMs);
@@ -267,7 +274,6 @@
   }
 
   function addArrivals(level: number): void {
-    const capacityPerMs = (ENGINES * SLOTS) / RUN_MS;
     for (let atMs = 0; atMs < END_MS;) {
       const perMs = (options.computeLoads(atMs)[level] ?? 0) * capacityPerMs;
       const gapMs = Random.sampleExponential(nextRandom, 1 / perMs);
@@ -316,16 +322,12 @@
   runUntil(END_MS);
 
   const countedMs = COUNTED_UNTIL_MS - COUNTED_FROM_MS - (untilMs - fromMs) / 3;
-  const slots = computeSum(engines.map(({ slowness }) => SLOTS / slowness));
-  const possible = Math.min(computeTotal(levels, 'arrived'), (slots * countedMs) / RUN_MS);
+  const speed = computeSum(engines.map(({ slowness }) => 1 / slowness)) / ENGINES;
+  const possible = Math.min(computeTotal(levels, 'arrived'), speed * capacityPerMs * countedMs);
   const servedOfPossible = computeTotal(levels, 'served') / possible;
   return { levels, organisations, servedOfPossible, arrivals, sends, mostWaiting };
 }
 
-function createEmptyReport() {
-  return { running: 0, queued: 0, prefilling: 0 };
-}
-
 function computeSum(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0);
 }
