Let resumed streams wait for the store where callers compete for room

Ruled out: assuming the only known version, since a target may have restarted with another one unnoticed. Change: where who gets room is decided, a resumed stream whose version is unknown for want of the store waits for it, at most a third of the time that its caller has left; it has not run, so a refusal stays true.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/resumedStream.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/resumedStream.test.ts
@@ -53,6 +53,36 @@
     expect(soon.kind === 'refused' && soon.retryAfterSeconds !== undefined).toEqual(true);
   });
 
+  it('waits for the store where streams wait for room, and is refused if the store stays away', async () => {
+    // Guards against streams that are lost because their callers come back once, during an outage of the store.
+    for (const outageMs of [3_000, 60_000]) {
+      const fake = Fakes.createFakeDependencies(() => []);
+      const { clock, dependencies } = fake;
+      const isUpToDate = () => clock.getNowMs() >= outageMs;
+      const origins = {
+        recordBegun: () => undefined,
+        find: async () => (isUpToDate() ? FOUND : { ...UNKNOWN, isTemporary: true }),
+      };
+      const room = { ...dependencies.room, isActive: () => true };
+      const directory = { ...dependencies.directory, isUpToDate };
+      const request = { ...Fakes.createRequest(Fakes.createRoute()), lastEventId: '5' };
+      const searched = ResumedStreams.findOrigin(
+        { ...dependencies, origins, room, directory },
+        request,
+      );
+      let endedMs = Number.POSITIVE_INFINITY;
+      searched.then(
+        () => {
+          endedMs = clock.getNowMs();
+        },
+        () => undefined,
+      );
+      await clock.runFor(request.expiresAtMs);
+      expect(endedMs).toBeLessThan(request.expiresAtMs * 0.4);
+      expect((await searched).kind).toEqual(outageMs <= endedMs ? 'begun' : 'refused');
+    }
+  });
+
   it('is free where its caller holds no event yet', async () => {
     // Guards against refusals of streams that may begin anywhere.
     for (const lastEventId of [undefined, '']) {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/resumedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/resumedStream.ts
@@ -15,6 +15,13 @@
 /** Another router, or this one in a moment, may know what this one does not know now. */
 const RETRY_AFTER_SECONDS = 0.5;
 
+/**
+ * Part of the time left for which a stream waits for the store. Its caller would wait as long for a second try, which
+ * callers that come back once do not make.
+ */
+const MAX_WAIT_SHARE = 1 / 3;
+const POLL_INTERVAL_MS = 200;
+
 /** Whether the caller holds events that the answer has to fit. */
 function isResumed({ lastEventId }: ForwardRequest): boolean {
   return lastEventId !== undefined && lastEventId !== '';
@@ -30,7 +37,7 @@
   if (build !== undefined) return { kind: 'begun', request: { ...request, build } };
   if (!isResumed(request)) return { kind: 'begun', request };
   const startedAtMs = dependencies.clock.getNowMs();
-  const found = await dependencies.origins.find(request);
+  const found = await findWithStore(dependencies, request);
   logFound(dependencies, request, found, startedAtMs);
   if (found.kind === 'unknown') {
     return {
@@ -42,6 +49,28 @@
   return applyOrigin(request, found.origin);
 }
 
+/**
+ * Load pattern: engines crash while the store is unreachable, and more streams break off than may be retried. Their
+ * callers resume them, and with a refusal all that these streams have produced is lost.
+ */
+async function findWithStore(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+): Promise<FoundOrigin> {
+  const { clock, directory, origins, room, waits } = dependencies;
+  const found = await origins.find(request);
+  const isWaitDue = found.kind === 'unknown' && found.isTemporary && room.isActive(request.service);
+  if (!isWaitDue) return found;
+  const leftMs = request.expiresAtMs - clock.getNowMs();
+  const deadlineMs = clock.getNowMs() + leftMs * MAX_WAIT_SHARE;
+  while (!directory.isUpToDate()) {
+    const mayWait = clock.getNowMs() < deadlineMs && waits.hasTimeFor(request);
+    if (!mayWait || request.closed.aborted) return found;
+    await clock.waitMs(POLL_INTERVAL_MS, request.closed);
+  }
+  return origins.find(request);
+}
+
 function applyOrigin(
   request: ForwardRequest,
   { service, version, models }: StreamOrigin,
