Let urgent streams queue at engines, and do not take their waits for prefills

Waits for a slot were measured as prefills of prompts with none before them, so that streams expected to be late and did not wait at all. Nor could urgent streams queue at an engine, since all that waited there counted as before them. Change: prefills are measured only where more than two slots are free, and a third of the queue for each level of urgency counts.

--- a/packages/sequoiarill-decisions/src/enginePlacement.ts
+++ b/packages/sequoiarill-decisions/src/enginePlacement.ts
@@ -33,6 +33,8 @@
   readonly speedFactor?: number;
   /** Only where it is decided who gets room. */
   readonly room?: EngineRoom;
+  /** Part of the queue that is probably ahead of this stream; 1 unless engines order it by rank. */
+  readonly queueShare?: number;
   /** Expected time until a slot is free, milliseconds; 0 unless it is known. */
   readonly slotWaitMs?: number;
 }
@@ -95,8 +97,8 @@
  */
 const CACHED_TOKEN_WEIGHT = 2;
 
-function countPromptsAhead({ prefilling, queued, sentSince }: EngineView): number {
-  return prefilling + queued + sentSince;
+function countPromptsAhead({ prefilling, queued, sentSince, queueShare = 1 }: EngineView): number {
+  return prefilling + queued * queueShare + sentSince;
 }
 
 /**
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/roomSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/roomSimulation.ts
@@ -11,6 +11,8 @@
 import type { SimulatedEngine } from './simulatedEngine';
 
 export interface RoomPlay {
+  /** What engines run short of; where it is the cache, copies of runs take it as well. */
+  readonly scarcity?: 'slots' | 'cache';
   /** Demand as a multiple of what the engines can run. */
   readonly load: number;
   readonly isOn: boolean;
@@ -40,10 +42,10 @@
 
 const ROUTERS = 5;
 const ENGINES = 12;
-const SLOTS = 6;
+
 const ZONES = ['a', 'b', 'c'];
-const PLAY_MS = 30_000;
-const BURST_FROM_MS = 10_000;
+const PLAY_MS = 20_000;
+const BURST_FROM_MS = 7_000;
 const BURST_MS = 6_000;
 const CALLER_LIMIT_MS = 25_000;
 const USE_FROM_MS = 6_000;
@@ -52,7 +54,8 @@
 const EXCHANGE_MS = 2_000;
 const MS_PER_SECOND = 1_000;
 const OBJECTIVES_MS = [4_000, 4_500, 5_000];
-export const CAPACITY_PER_SECOND = (ENGINES * SLOTS * MS_PER_SECOND) / Engines.RUN_MS;
+/** Slots, and runs that an engine has room for at a time. */
+const SIZES = { slots: { slots: 6, runs: 6 }, cache: { slots: 24, runs: 4.9 } } as const;
 
 function createRandom(seed: number): () => number {
   let state = seed;
@@ -140,12 +143,18 @@
 }
 
 export async function simulateRoom(play: RoomPlay, seed = 7): Promise<RoomResult> {
+  const { slots, runs } = SIZES[play.scarcity ?? 'slots'];
+  const capacityPerSecond = (ENGINES * runs * MS_PER_SECOND) / Engines.RUN_MS;
   const clock = Kernel.createFakeClock();
   const nextRandom = createRandom(seed);
-  const engines = Array.from({ length: ENGINES }, (_one, index) => {
+  const engines: readonly SimulatedEngine[] = Array.from({ length: ENGINES }, (_one, index) => {
     const zone = ZONES[index % ZONES.length] as string;
-    const target = Fakes.createTarget(`e${index}`, { zone, slots: SLOTS });
-    return Engines.createSimulatedEngine(clock, target);
+    const target = Fakes.createTarget(`e${index}`, { zone, slots });
+    return Engines.createSimulatedEngine(clock, target, (address) =>
+      play.scarcity === 'cache'
+        ? engines.find((engine) => engine.target.address === address)
+        : undefined,
+    );
   });
   let sends = 0;
   let cutShort = 0;
@@ -221,7 +230,7 @@
   }
 
   async function runCallers(counts: (typeof routes)[number]): Promise<void> {
-    const perSecond = (play.load * CAPACITY_PER_SECOND) / routes.length;
+    const perSecond = (play.load * capacityPerSecond) / routes.length;
     while (clock.getNowMs() < PLAY_MS) {
       const isLeastUrgent = counts === routes.at(-1);
       const factor = isLeastUrgent && isBurst() ? (play.burst ?? 1) : 1;
@@ -249,7 +258,7 @@
   await clock.runFor(PLAY_MS + CALLER_LIMIT_MS + 5_000);
   await running;
   const lostMs = ((play.downEngines ?? 0) / ENGINES) * BURST_MS;
-  const possible = (CAPACITY_PER_SECOND * (PLAY_MS - USE_FROM_MS - lostMs)) / MS_PER_SECOND;
+  const possible = (capacityPerSecond * (PLAY_MS - USE_FROM_MS - lostMs)) / MS_PER_SECOND;
   return {
     routes: routes.map(({ asked: ofRoute, served, inTime, firstEventMs }) => ({
       asked: ofRoute,
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulatedEngine.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulatedEngine.ts
@@ -21,6 +21,7 @@
   tokens: number;
   hasEvents: boolean;
   isEnded: boolean;
+  readonly holder: SimulatedEngine | undefined;
   readonly pushEvent: (event: CallEvent) => void;
 }
 
@@ -32,6 +33,8 @@
   /** Must be called every 100 ms. */
   readonly updateReport: () => void;
   readonly setDown: (isDown: boolean) => void;
+  /** Tokens of the copies of other engines' runs, by run. */
+  readonly copies: Map<string, number>;
 }
 
 /** A call to which an engine pushes events as they arise. */
@@ -68,7 +71,9 @@
 export function createSimulatedEngine(
   clock: Kernel.FakeClock,
   target: ForwardingTarget,
+  findHolder: (address: string) => SimulatedEngine | undefined,
 ): SimulatedEngine {
+  const copies = new Map<string, number>();
   let queue: Run[] = [];
   let running: Run[] = [];
   let isPrefilling = false;
@@ -76,7 +81,8 @@
   let reports: readonly EngineReport[] = [];
 
   function countUsed(): number {
-    return running.reduce((sum, { tokens }) => sum + tokens, 0);
+    const copied = [...copies.values()].reduce((sum, tokens) => sum + tokens, 0);
+    return running.reduce((sum, { tokens }) => sum + tokens, copied);
   }
 
   function buildReport(): EngineReport {
@@ -116,6 +122,7 @@
   function stopRun(run: Run): void {
     if (run.isEnded) return;
     run.isEnded = true;
+    run.holder?.copies.delete(run.id);
     running = running.filter((other) => other !== run);
     queue = queue.filter((other) => other !== run);
     startRuns();
@@ -126,6 +133,7 @@
     for (let number = run.firstEvent; number <= EVENTS && !run.isEnded; number += 1) {
       run.hasEvents = true;
       run.tokens += TOKENS_PER_EVENT;
+      run.holder?.copies.set(run.id, run.tokens);
       const chunk = Buffer.from(`id: ${number}\ndata: ${number}\n\n`);
       run.pushEvent({ kind: 'data', chunk });
       await clock.waitMs(EVENT_MS);
@@ -136,6 +144,7 @@
   }
 
   return {
+    copies,
     target,
     openCall(id, headers) {
       let run: Run | undefined;
@@ -151,6 +160,7 @@
         tokens: 0,
         hasEvents: false,
         isEnded: false,
+        holder: findHolder(headers.backup ?? ''),
         pushEvent,
       };
       queue = [...queue, run].sort((left, right) => left.rank - right.rank);
@@ -163,6 +173,7 @@
     },
     setDown(next) {
       isDown = next;
+      copies.clear();
       if (!isDown) return;
       const lost = [...running, ...queue];
       running = [];
--- a/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
@@ -50,7 +50,7 @@
   const line = dependencies.waits.getLine(request.service);
   const isFirst = line.count() === 0;
   if (isFirst) {
-    const pair = await readRoom(dependencies, request, progress);
+    const pair = await readRoom(dependencies, request, progress, false);
     if (!isWaitDue(dependencies, request, pair)) {
       return startStream(dependencies, request, line, pair);
     }
@@ -62,6 +62,7 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
+  hasAsked: boolean,
 ): Promise<EnginePair | undefined> {
   const { excluded, urgency } = progress;
   const rank = StreamUrgency.findRank(request, progress);
@@ -73,6 +74,7 @@
     rank,
     waitedMs: dependencies.clock.getNowMs() - request.arrivedAtMs,
     isReturning: request.isClientRetry,
+    hasAsked,
   });
 }
 
@@ -184,7 +186,7 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
-  { line, hasAsked, stream }: Wait,
+  { line, stream, ...wait }: Wait,
 ): Promise<WaitResult> {
   const { clock, directory } = dependencies;
   let version = directory.getConfiguration()?.version;
@@ -206,6 +208,7 @@
     return WaitEnds.findWaitEnd(dependencies, request);
   }
 
+  let { hasAsked } = wait;
   for (let isAskDue = !hasAsked; ; isAskDue = true) {
     const endBefore = findEnd();
     if (endBefore !== undefined) return decideWaitEnd(dependencies, request, progress, endBefore);
@@ -216,7 +219,8 @@
       return { outcome: 'time', search: createRefusal(dependencies, request, rank, line, reason) };
     }
     if (isAskDue && (progress.urgency === undefined || line.isAskAllowed(stream.waiter))) {
-      const pair = await readRoom(dependencies, request, progress);
+      const pair = await readRoom(dependencies, request, progress, hasAsked);
+      hasAsked = true;
       const endAfter = findEnd();
       if (endAfter !== undefined) return decideWaitEnd(dependencies, request, progress, endAfter);
       if (!isWaitDue(dependencies, request, pair)) {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePairs.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePairs.ts
@@ -29,6 +29,8 @@
   readonly waitedMs: number;
   /** Its caller was refused before, so that it is late already. */
   readonly isReturning: boolean;
+  /** Whether it has asked engines before. */
+  readonly hasAsked: boolean;
 }
 
 /** Prompt and expected output. */
@@ -60,6 +62,9 @@
   return Decisions.isSameBuild(Decisions.getBuild(left), Decisions.getBuild(right));
 }
 
+/** Free slots that may be taken before a prompt arrives. */
+const CONTENDED_SLOTS = 2;
+
 interface PairQuery {
   readonly views: readonly EngineView[];
   readonly available: readonly ForwardingTarget[];
@@ -95,7 +100,16 @@
   const view = views.find(({ id }) => id === target.id);
   const entry = decideEntry(dependencies, request, view, { timing, terms });
   const admission = Decisions.decideStreamAdmission(timing);
-  return { target, backup, promptsAhead, admission, entry };
+  return { target, backup, promptsAhead: countCertain(promptsAhead, view), admission, entry };
+}
+
+/**
+ * Failure: other routers take the last slots of an engine before a prompt arrives, and its wait for a slot is
+ * measured as its prefill. All streams then expect to be late, and are refused.
+ */
+function countCertain(promptsAhead: number, view: EngineView | undefined): number {
+  const isContended = view?.room !== undefined && view.room.freeSlots <= CONTENDED_SLOTS;
+  return isContended ? Math.max(1, promptsAhead) : promptsAhead;
 }
 
 interface EntryOptions {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -23,7 +23,7 @@
  * After the crash of a zone most engines of the first sample may be down, so further samples are
  * taken until one responds. A busy engine is no reason for another round: callers that resume a
  * stream of a lost router look for their prompt among the engines of the first sample. Only a new
- * stream that would have to wait takes a second sample.
+ * stream that would have to wait takes a second sample, once.
  */
 const MAX_ROUNDS = 3;
 
@@ -37,6 +37,8 @@
   const available = Placement.listAvailable(dependencies, request);
   const queried = new Set(excluded);
   let full: EnginePair | undefined;
+  // Routers do not know the ranks of those that wait at an engine; they are taken to be of all levels alike.
+  const queueShare = terms === undefined ? 1 : (terms.level + 1) / Decisions.MAX_LEVELS;
   for (let round = 0; round < MAX_ROUNDS; round += 1) {
     const sample = sampleEngines(dependencies, request, available, queried);
     sample.forEach(({ id }) => queried.add(id));
@@ -47,14 +49,16 @@
     const isScarce = EngineViews.createScarcityCheck(request, stillAvailable);
     const views = statuses
       .filter(({ target }) => availableIds.has(target.id))
-      .flatMap((status) => EngineViews.buildEngineViews(dependencies, status, isScarce));
+      .flatMap((status) =>
+        EngineViews.buildEngineViews(dependencies, status, isScarce, queueShare),
+      );
     const pair = EnginePairs.pickPair(dependencies, request, {
       views,
       available: stillAvailable,
       terms,
     });
     if (pair?.entry?.kind === 'wait') {
-      if (full !== undefined) return full;
+      if (full !== undefined || terms?.hasAsked === true) return full ?? pair;
       full = pair;
     } else if (pair !== undefined) {
       recordPlacement(dependencies, request, pair);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineViews.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineViews.ts
@@ -16,6 +16,7 @@
   dependencies: ForwardingDependencies,
   { target, report, cachedTokens = 0 }: EngineStatus,
   isScarce: (target: ForwardingTarget) => boolean,
+  queueShare = 1,
 ): readonly EngineView[] {
   const { registry, brittle, room } = dependencies;
   if (report === undefined || report.isLeaving) return [];
@@ -27,7 +28,7 @@
   const view = { ...report, id, zone, sentSince, keptTokens: cachedTokens };
   const known = { ...view, isScarce: isScarce(target) };
   if (!room.isActive(target.service)) return [known];
-  return [{ ...known, ...buildRoomView(dependencies, target, report, sentSince) }];
+  return [{ ...known, ...buildRoomView(dependencies, target, report, { sentSince, queueShare }) }];
 }
 
 /**
@@ -38,8 +39,8 @@
   dependencies: ForwardingDependencies,
   target: ForwardingTarget,
   report: EngineReport,
-  sentSince: number,
-): Required<Pick<EngineView, 'room' | 'slotWaitMs' | 'speedFactor'>> {
+  { sentSince, queueShare }: Readonly<{ sentSince: number; queueShare: number }>,
+): Required<Pick<EngineView, 'room' | 'slotWaitMs' | 'speedFactor' | 'queueShare'>> {
   const { service, slots } = target;
   const runs = dependencies.getRunEstimates(service);
   const { ended, sentTokens, copyTokens } = dependencies.registry.getOwnLoad(target);
@@ -58,9 +59,10 @@
     usualOutputTokens: runs.getMeanOutputTokens(),
   });
   const speedFactor = dependencies.room.getSpeedFactor(target);
-  const waiting = Math.max(0, 1 - room.freeSlots);
+  const notAhead = report.queued * (1 - queueShare);
+  const waiting = room.freeSlots > 0 ? 0 : Math.max(1, 1 - room.freeSlots - notAhead);
   const slotWaitMs = (waiting * runs.getMeanRunMs() * speedFactor) / Math.max(1, slots);
-  return { room, speedFactor, slotWaitMs };
+  return { room, speedFactor, slotWaitMs, queueShare };
 }
 
 /** A stream that has begun has no choice between builds. */
