Let settings name the VM's memory and the bytes held for slow callers

Cause: limits that depend on memory have no source; the platform knows the memory of each VM and can fill it in. Change: [process] memoryMb and [forwarding] heldMegabytes, both optional; an empty value counts as absent, since the placeholder of the template may be empty. Nothing reads them yet. Records of routers do not carry the new key. Result: tests of kernel, membership and settings pages pass.

--- a/packages/sequoiarill-kernel/src/__tests__/settings.test.ts
+++ b/packages/sequoiarill-kernel/src/__tests__/settings.test.ts
@@ -15,6 +15,7 @@
   createInstance: () => ({ dumpState: () => ({}) }),
 };
 
+const MEGABYTES_HINT = 'use a number of megabytes, 1 or more, such as 186, or leave it empty';
 const PROCESS = '[process]\nname = router-1\nzone = z1\nregion = r1\n';
 
 function listFaultLines(text: string): readonly string[] {
@@ -30,6 +31,15 @@
     expect(section).toEqual({ listen: '127.0.0.1:8080' });
   });
 
+  it('takes an empty size of memory as absent, and says what another one must be', () => {
+    // Guards against a template whose placeholder is empty and keeps a router from starting.
+    const listFaults = (value: string) =>
+      listFaultLines(`${PROCESS}memoryMb = ${value}\n[callers]\nlisten = 127.0.0.1:8080\n`);
+    expect(['', '186'].flatMap(listFaults)).toEqual([]);
+    const fault = `router.ini: [process] memoryMb: ${MEGABYTES_HINT}`;
+    expect(['much', '-1', '0'].flatMap(listFaults)).toEqual([fault, fault, fault]);
+  });
+
   it('reports an unknown key, an unknown section and an invalid value together', () => {
     const lines = listFaultLines(
       `${PROCESS}[callers]\nlisten = nowhere\nport = 1\n[mistake]\na = 1\n`,
--- a/packages/sequoiarill-kernel/src/settings.ts
+++ b/packages/sequoiarill-kernel/src/settings.ts
@@ -8,6 +8,17 @@
 import * as Ini from 'ini';
 import * as Zod from 'zod';
 
+const MEGABYTES_HINT = 'use a number of megabytes, 1 or more, such as 186, or leave it empty';
+
+/**
+ * Schema of an optional number of megabytes. An empty value counts as absent, since the placeholders of a
+ * template may be empty.
+ */
+export const megabytesSchema = Zod.preprocess(
+  (value) => (value === '' ? undefined : value),
+  Zod.coerce.number(MEGABYTES_HINT).min(1, MEGABYTES_HINT).optional(),
+);
+
 const ADDRESS_HINT = 'use IP:port, such as 127.0.0.1:8080';
 
 /** Section `[process]`. */
@@ -15,6 +26,8 @@
   name: Zod.string().regex(/^[a-z0-9][a-z0-9-]*$/, 'use lower-case letters, digits and dashes'),
   zone: Zod.string().min(1),
   region: Zod.string().min(1),
+  /** Memory of the VM; if absent, limits that depend on it have fixed defaults. */
+  memoryMb: megabytesSchema,
 });
 
 /** Section `[telemetry]`. */
--- a/packages/sequoiarill-plugin-forwarding/src/settings.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/settings.ts
@@ -17,6 +17,11 @@
   repeatSlack: Zod.coerce.number().min(0).default(150),
   /** Length of the window in which retries are compared with requests. */
   repeatWindowSeconds: Zod.coerce.number().min(1).default(10),
+  /**
+   * Bytes that the process holds for slow callers; if absent, a quarter of `[process] memoryMb`, or 32 MB
+   * where that is absent too.
+   */
+  heldMegabytes: Kernel.megabytesSchema,
 });
 
 export type ForwardingSettings = Readonly<Zod.infer<typeof settingsSchema>>;
--- a/packages/sequoiarill-plugin-membership/src/peerRegistry.ts
+++ b/packages/sequoiarill-plugin-membership/src/peerRegistry.ts
@@ -77,7 +77,14 @@
   const deadSinceMs = new Map<string, number>();
   /** Highest incarnation known to be dead, for each router whose record was removed. */
   const floors = new Map<string, number>();
-  let self: PeerRecord = { ...process, address, incarnation: options.incarnation, state: 'alive' };
+  let self: PeerRecord = {
+    name: process.name,
+    zone: process.zone,
+    region: process.region,
+    address,
+    incarnation: options.incarnation,
+    state: 'alive',
+  };
   let digests: Digests | undefined;
   setRecord(self);
 
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -77,6 +77,8 @@
   readonly name: string;
   readonly zone: string;
   readonly region: string;
+  /** Memory of the VM, megabytes; undefined where it is not known. */
+  readonly memoryMb?: number | undefined;
 }
 
 export type LifecyclePhase = 'starting' | 'ready' | 'draining' | 'stopped';
