--- /dev/null
+++ b/packages/sequoiarill-decisions/src/__tests__/heldBytes.test.ts
@@ -0,0 +1,57 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as HeldBytes from '../heldBytes';
+
+function createShares(...rows: readonly (readonly [string, number, number | undefined])[]) {
+  return rows.map(([name, bytes, idleMs]) => ({ name, bytes, idleMs }));
+}
+
+function listCut(heldBytes: number, shares: ReturnType<typeof createShares>): readonly string[] {
+  return HeldBytes.selectCut({ heldBytes, limitBytes: 100 }, shares).map(({ name }) => name);
+}
+
+describe('bytes held for slow callers', () => {
+  it('cuts nobody at its own pace while the budget is free, and the stalled above half of it', () => {
+    const shares = createShares(['slow', 20, 9_000], ['stalled', 20, 10_000], ['gone', 20, 60_000]);
+    expect(listCut(50, shares)).toEqual([]);
+    expect(listCut(60, shares)).toEqual(['gone']);
+    expect(listCut(80, shares)).toEqual(['gone', 'stalled']);
+    expect(listCut(100, shares)).toEqual(['gone', 'stalled']);
+  });
+
+  it('cuts above the budget the longest idle first, and of equal ones the last, down to 0.8 of it', () => {
+    const shares = createShares(['a', 15, 0], ['b', 15, 300], ['c', 15, 0], ['d', 15, undefined]);
+    expect(listCut(101, shares)).toEqual(['b', 'c']);
+    expect(listCut(109, shares)).toEqual(['b', 'c']);
+    expect(listCut(120, shares)).toEqual(['b', 'c', 'a']);
+  });
+
+  it('pauses all senders but the first above 0.8 of the budget', () => {
+    // Guards against bodies read in part that fill the budget, of which none can become complete.
+    const [held, senders] = [{ heldBytes: 81, limitBytes: 100 }, ['a', 'b', 'c']] as const;
+    expect(HeldBytes.selectPausedSenders(held, senders)).toEqual(['b', 'c']);
+    expect(HeldBytes.selectPausedSenders({ ...held, heldBytes: 80 }, senders)).toEqual([]);
+  });
+
+  it('refuses only large bodies, and only when the budget is used up', () => {
+    const isRefused = (heldBytes: number, bodyBytes: number | undefined) =>
+      HeldBytes.isBodyRefused({ heldBytes, limitBytes: 100 }, bodyBytes);
+    expect([isRefused(100, 65_537), isRefused(100, 65_536), isRefused(100, undefined)]).toEqual([
+      true,
+      false,
+      false,
+    ]);
+    expect(isRefused(99, 65_537)).toEqual(false);
+  });
+
+  it('is limited by its own setting, by the memory of the VM, or to 32 MB', () => {
+    const megabytes = [
+      HeldBytes.computeHeldLimit(8, 186),
+      HeldBytes.computeHeldLimit(undefined, 186),
+      HeldBytes.computeHeldLimit(undefined, undefined),
+    ].map((bytes) => bytes / 1_048_576);
+    expect(megabytes).toEqual([8, 46.5, 32]);
+  });
+});
--- /dev/null
+++ b/packages/sequoiarill-decisions/src/heldBytes.ts
@@ -0,0 +1,96 @@
+/**
+ * Decides who is paused, cut off and refused where a process holds bytes for callers that read or send slowly.
+ *
+ * Load pattern: hundreds of callers read long answers slowly or not at all. Held in full for each of them, the
+ * answers exceed the memory of the process, which ends with all its requests.
+ */
+
+/** Bytes held for one caller. */
+export interface HeldShare {
+  readonly bytes: number;
+  /**
+   * Time for which its caller has neither taken nor sent a byte although it could, milliseconds; 0 for a sender
+   * that this process has paused, and undefined where nothing waits for the caller.
+   */
+  readonly idleMs: number | undefined;
+}
+
+/** Bytes held in the whole process, and its budget. */
+export interface HeldTotal {
+  readonly heldBytes: number;
+  readonly limitBytes: number;
+}
+
+/** Above this share of the budget, nothing is read ahead. */
+const PAUSE_SHARE = 0.8;
+/** Above this share, callers that have stalled are cut off. */
+const STALL_SHARE = 0.5;
+const STALL_MS = 10_000;
+/** Smaller bodies are taken even when the budget is used up. */
+const SMALL_BODY_BYTES = 65_536;
+
+const DEFAULT_LIMIT_MB = 32;
+const MEMORY_SHARE = 0.25;
+const BYTES_PER_MB = 1_048_576;
+
+/** The budget in bytes, from the settings. */
+export function computeHeldLimit(
+  heldMegabytes: number | undefined,
+  memoryMb: number | undefined,
+): number {
+  const fromMemoryMb = memoryMb === undefined ? DEFAULT_LIMIT_MB : memoryMb * MEMORY_SHARE;
+  return (heldMegabytes ?? fromMemoryMb) * BYTES_PER_MB;
+}
+
+/** Whether readers and senders are paused. */
+export function isPauseDue({ heldBytes, limitBytes }: HeldTotal): boolean {
+  return heldBytes > limitBytes * PAUSE_SHARE;
+}
+
+/** Whether a request whose body has this size, or already has it, is refused at once. */
+export function isBodyRefused(
+  { heldBytes, limitBytes }: HeldTotal,
+  bodyBytes: number | undefined,
+): boolean {
+  return heldBytes >= limitBytes && bodyBytes !== undefined && bodyBytes > SMALL_BODY_BYTES;
+}
+
+/**
+ * The senders to pause, of those whose bodies are incomplete, in the order of their arrival.
+ *
+ * Failure: bodies that are read in part use up the budget. If all their senders were paused, none would become
+ * complete and free its bytes, so the first one goes on.
+ */
+export function selectPausedSenders<Sender>(
+  total: HeldTotal,
+  senders: readonly Sender[],
+): readonly Sender[] {
+  return isPauseDue(total) ? senders.slice(1) : [];
+}
+
+/**
+ * The callers to cut off, in the order of their arrival: those that have stalled while more than half of the
+ * budget is used, and above the budget those that have been idle longest, until 0.8 of it is reached. Of equal
+ * ones the last to arrive is cut first, since the others are closer to their end.
+ */
+export function selectCut<Share extends HeldShare>(
+  { heldBytes, limitBytes }: HeldTotal,
+  shares: readonly Share[],
+): readonly Share[] {
+  const isOver = heldBytes > limitBytes;
+  if (heldBytes <= limitBytes * STALL_SHARE) return [];
+  const slowest = shares
+    .filter(({ bytes, idleMs }) => bytes > 0 && idleMs !== undefined)
+    .reverse()
+    .sort((left, right) => (right.idleMs ?? 0) - (left.idleMs ?? 0));
+  const cut: Share[] = [];
+  let leftBytes = heldBytes;
+  for (const share of slowest) {
+    const hasStalled = (share.idleMs ?? 0) >= STALL_MS && leftBytes > limitBytes * STALL_SHARE;
+    const isTooMuch = isOver && leftBytes > limitBytes * PAUSE_SHARE;
+    if (!hasStalled && !isTooMuch) break;
+    cut.push(share);
+    leftBytes -= share.bytes;
+  }
+  return cut;
+}
--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -31,6 +31,7 @@
 export * from './slotGate';
 export * from './targetRouters';
 export { sortByRank } from './rendezvousHashing';
+export * from './heldBytes';
 export * from './restWait';
 export * from './availableTargets';
 export * from './outlierDetector';
