--- a/packages/sequoiarill-standins/src/userPlatform/index.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/index.ts
@@ -1,4 +1,5 @@
 /** Stand-ins for the users' platform: its store and its targets, with injectable faults. */
+export { createLargeBody } from './largeAnswers';
 export * from './documents';
 export * from './storeStandin';
 export * from './targetStandin';
--- /dev/null
+++ b/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
@@ -0,0 +1,51 @@
+/** Large answers of the stand-in for targets, as the query of a request's path asks for them. */
+import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
+
+const bodies = new Map<number, Buffer>();
+
+/** The body of each large answer with this many bytes; no two parts of it are alike. */
+export function createLargeBody(bytes: number): Buffer {
+  const existing = bodies.get(bytes);
+  if (existing !== undefined) return existing;
+  const body = Buffer.alloc(bytes);
+  for (let offset = 0; offset + 4 <= bytes; offset += 4) body.writeUInt32LE(offset, offset);
+  bodies.set(bytes, body);
+  return body;
+}
+
+/**
+ * Sends the answer that the path asks for; returns false if it asks for none.
+ *
+ * - `bytes`: its size.
+ * - `framing`: `length` unless `chunked` or `close`.
+ * - `status`: 200 unless given.
+ * - `breakAt`: number of bytes after which the connection is reset.
+ * - `unreadMs`: time after which the connection is reset if the answer has not been taken.
+ */
+export function sendLargeAnswer(
+  path: string,
+  headers: OutgoingHttpHeaders,
+  response: ServerResponse,
+): boolean {
+  const query = new URL(path, 'http://target').searchParams;
+  const bytes = Number(query.get('bytes') ?? 0);
+  if (bytes === 0) return false;
+  const framing = query.get('framing') ?? 'length';
+  if (framing === 'close') response.removeHeader('transfer-encoding');
+  response.writeHead(Number(query.get('status') ?? 200), {
+    ...headers,
+    ...(framing === 'length' ? { 'content-length': bytes } : {}),
+    ...(framing === 'close' ? { connection: 'close' } : {}),
+  });
+  const body = createLargeBody(bytes);
+  const breakAt = query.get('breakAt');
+  const resetConnection = () => response.socket?.resetAndDestroy();
+  if (breakAt === null) response.end(body);
+  else response.write(body.subarray(0, Number(breakAt)), () => setTimeout(resetConnection, 50));
+  const unreadMs = query.get('unreadMs');
+  if (unreadMs !== null) {
+    const timer = setTimeout(resetConnection, Number(unreadMs));
+    response.once('close', () => clearTimeout(timer));
+  }
+  return true;
+}
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -5,6 +5,7 @@
 
 import * as Servers from '../shared/server';
 import * as Documents from './documents';
+import * as LargeAnswers from './largeAnswers';
 import { EVENT_COUNT, formatEvent } from './streamEvents';
 
 export type TargetFault =
@@ -185,7 +186,12 @@
     response.end();
   }
 
-  function sendAnswer(requestId: string, body: string, response: ServerResponse): void {
+  function sendAnswer(
+    { url = '' }: IncomingMessage,
+    requestId: string,
+    body: string,
+    response: ServerResponse,
+  ): void {
     const limit =
       announcedLimitPerSecond === undefined
         ? {}
@@ -195,6 +201,7 @@
       'server-signature': Documents.formatSignature(id),
       ...limit,
     };
+    if (LargeAnswers.sendLargeAnswer(url, headers, response)) return;
     if (fault === 'serverError') {
       response.writeHead(500, { ...headers, 'content-length': 0 }).end();
       return;
@@ -294,7 +301,7 @@
     const isStream = request.headers.accept === 'text/event-stream';
     const from = Number(request.headers['last-event-id'] ?? 0) + 1;
     if (isStream) await sendStream(requestId, from, response);
-    else sendAnswer(requestId, `${requestId} got ${body}`, response);
+    else sendAnswer(request, requestId, `${requestId} got ${body}`, response);
     inFlight -= 1;
   }
 
--- a/packages/sequoiarill-testing/src/userRouter.ts
+++ b/packages/sequoiarill-testing/src/userRouter.ts
@@ -26,11 +26,15 @@
 }
 
 /** Starts the compiled program `daemon` with `settings`, the text of an INI file. */
-export function startUserRouter(daemon: string, settings: string): StartedRouter {
+export function startUserRouter(
+  daemon: string,
+  settings: string,
+  nodeArguments: readonly string[] = [],
+): StartedRouter {
   const folder = mkdtempSync(path.join(tmpdir(), 'sequoiarill-'));
   const file = path.join(folder, 'router.ini');
   writeFileSync(file, settings);
-  const child = spawn(process.execPath, [daemon], {
+  const child = spawn(process.execPath, [...nodeArguments, daemon], {
     env: { ...process.env, SEQUOIARILL_CONFIG: file },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
