--- a/packages/sequoiarill-decisions/src/heldBytes.ts
+++ b/packages/sequoiarill-decisions/src/heldBytes.ts
@@ -27,7 +27,7 @@
 const STALL_SHARE = 0.5;
 const STALL_MS = 10_000;
 /** Smaller bodies are taken even when the budget is used up. */
-const SMALL_BODY_BYTES = 65_536;
+export const SMALL_BODY_BYTES = 65_536;
 
 const DEFAULT_LIMIT_MB = 32;
 const MEMORY_SHARE = 0.25;
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/admittedSend.ts
@@ -0,0 +1,77 @@
+/** One attempt of a plain request, with all that is recorded about it when it ends. */
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import type { ForwardingDependencies } from '../dependencies';
+import type { ForwardRequest, PlainOutcome } from '../forwardRequest';
+import * as Checks from './answerChecks';
+import * as Sending from './sending';
+import * as ServiceAdmissions from './serviceAdmission';
+
+/** The answer of a target, held until it was whole or passed on to its end. */
+export function isComplete(
+  outcome: PlainOutcome,
+): outcome is Extract<PlainOutcome, { kind: 'whole' | 'passed' }> {
+  return outcome.kind === 'whole' || outcome.kind === 'passed';
+}
+
+export async function sendWithAdmission(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  target: ForwardingTarget,
+  attemptTimeoutMs: number,
+): Promise<PlainOutcome> {
+  const admission = dependencies.getAdmission(request.service);
+  const sentAtMs = dependencies.clock.getNowMs();
+  const { name: route, objectiveMs } = request.route;
+  const recordEnd = dependencies.rollouts.recordAttempt({ target, route, objectiveMs });
+  admission.recordStart();
+  const run = dependencies.crashes.startRun(request);
+  const outcome = await Sending.sendOnce(
+    dependencies,
+    addStartListener(request, ({ status }) => {
+      // A slow caller must not make the version look slow, so the latency ends with the first bytes.
+      recordEnd(Checks.isServerError(status) ? 'failed' : 'answered');
+    }),
+    target,
+    attemptTimeoutMs,
+  );
+  if (isComplete(outcome) && Checks.isSuccess(outcome.head.status)) run.recordAnswer();
+  run.end();
+  ServiceAdmissions.recordSend(
+    admission,
+    request,
+    outcome,
+    sentAtMs,
+    dependencies.clock.getNowMs(),
+  );
+  recordEnd(Sending.decideVersionResult(outcome));
+  await recordBreak(dependencies, request, target, outcome);
+  return outcome;
+}
+
+function addStartListener(
+  request: ForwardRequest,
+  onStart: NonNullable<ForwardRequest['sink']>['start'],
+): ForwardRequest {
+  const { sink } = request;
+  if (sink === undefined) return request;
+  const start: typeof onStart = (head) => {
+    onStart(head);
+    sink.start(head);
+  };
+  return { ...request, sink: { ...sink, start } };
+}
+
+/** Records that the target broke off the request, which counts as a crash if it has terminated. */
+async function recordBreak(
+  { crashes }: ForwardingDependencies,
+  request: ForwardRequest,
+  target: ForwardingTarget,
+  outcome: PlainOutcome,
+): Promise<void> {
+  if (outcome.kind === 'lost' && !outcome.isTimeout) {
+    await crashes.recordDisconnect({ request, target, hasHead: false, ranMs: undefined });
+  } else if (outcome.kind === 'broken' && !outcome.isTimeout) {
+    await crashes.recordDisconnect({ request, target, hasHead: true, ranMs: outcome.ranMs });
+  }
+}
--- a/packages/sequoiarill-plugin-forwarding/src/answers/attemptRecords.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/attemptRecords.ts
@@ -3,7 +3,7 @@
 
 import type { ForwardingDependencies } from '../dependencies';
 import * as Events from '../events';
-import type { ForwardRequest, SendOutcome } from '../forwardRequest';
+import type { ForwardRequest, PlainOutcome } from '../forwardRequest';
 import * as Checks from './answerChecks';
 import * as Sending from './sending';
 
@@ -35,23 +35,23 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   target: ForwardingTarget,
-  outcome: SendOutcome,
+  outcome: PlainOutcome,
   progress: AttemptProgress,
 ): void {
   const { registry, paths, log } = dependencies;
-  if (outcome.kind === 'whole') {
+  if (outcome.kind === 'whole' || outcome.kind === 'passed') {
     recordFullAnswer(dependencies, target, outcome.head.status, progress);
     return;
   }
   if (outcome.kind === 'notRun') Sending.recordNotRun(dependencies, target, outcome.status);
-  if (outcome.kind !== 'notSent' && outcome.kind !== 'lost') return;
+  if (outcome.kind !== 'notSent' && !isLost(outcome)) return;
   // A single lost answer says little about a target that accepts connections; several in a row do.
   if (outcome.kind === 'notSent') registry.recordLoss(target);
   else {
     registry.recordFailure(target);
     paths.recordLoss(target);
   }
-  if (outcome.kind === 'lost' && outcome.isTimeout) dependencies.renewConnections(target);
+  if (isLost(outcome) && outcome.isTimeout) dependencies.renewConnections(target);
   log.logEvent(Events.TARGET_LOST, {
     request: request.id,
     target: target.id,
@@ -61,3 +61,9 @@
     ...paths.getSummary(request.service),
   });
 }
+
+function isLost(
+  outcome: PlainOutcome,
+): outcome is Extract<PlainOutcome, { kind: 'lost' | 'broken' }> {
+  return outcome.kind === 'lost' || outcome.kind === 'broken';
+}
--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -1,11 +1,12 @@
 /** Gets the complete answer to a non-streaming request, with retries on other targets where allowed. */
 import type { ForwardingTarget } from '@sequoiarill/types';
 
+import * as AdmittedSends from './admittedSend';
 import * as Checks from './answerChecks';
 import * as AttemptRecords from './attemptRecords';
 import * as Events from '../events';
 import * as ForwardRequests from '../forwardRequest';
-import type { ForwardOutcome, ForwardRequest, SendOutcome } from '../forwardRequest';
+import type { ForwardOutcome, ForwardRequest, PlainOutcome, SendOutcome } from '../forwardRequest';
 import * as Metrics from '../metrics';
 import type { BlockedRequest } from '../crashes/crashGuard';
 import type { ForwardingDependencies } from '../dependencies';
@@ -136,48 +137,18 @@
   return ForwardRequests.setRetryAfter(decideEnd(request, progress, false), retryAfterSeconds);
 }
 
-function releaseSlot(progress: Progress, { kind }: SendOutcome, tookMs: number): void {
+function getUnreadMs({ sink }: ForwardRequest): number {
+  return sink?.getUnreadMs().totalMs ?? 0;
+}
+
+function releaseSlot(progress: Progress, outcome: PlainOutcome, tookMs: number): void {
   progress.slot?.release({
-    ...(kind === 'whole' ? { tookMs } : {}),
-    wasRejected: kind === 'notRun',
+    ...(AdmittedSends.isComplete(outcome) ? { tookMs } : {}),
+    wasRejected: outcome.kind === 'notRun',
   });
   progress.slot = undefined;
 }
 
-async function sendWithAdmission(
-  dependencies: ForwardingDependencies,
-  request: ForwardRequest,
-  target: ForwardingTarget,
-  attemptTimeoutMs: number,
-): Promise<SendOutcome> {
-  const admission = dependencies.getAdmission(request.service);
-  const sentAtMs = dependencies.clock.getNowMs();
-  const { name: route, objectiveMs } = request.route;
-  const recordEnd = dependencies.rollouts.recordAttempt({ target, route, objectiveMs });
-  admission.recordStart();
-  const run = dependencies.crashes.startRun(request);
-  const outcome = await Sending.sendOnce(dependencies, request, target, attemptTimeoutMs);
-  if (outcome.kind === 'whole' && Checks.isSuccess(outcome.head.status)) run.recordAnswer();
-  run.end();
-  ServiceAdmissions.recordSend(
-    admission,
-    request,
-    outcome,
-    sentAtMs,
-    dependencies.clock.getNowMs(),
-  );
-  recordEnd(Sending.decideVersionResult(outcome));
-  if (outcome.kind === 'lost' && !outcome.isTimeout) {
-    await dependencies.crashes.recordDisconnect({
-      request,
-      target,
-      hasHead: false,
-      ranMs: undefined,
-    });
-  }
-  return outcome;
-}
-
 /** Undefined where the request may be sent. Another router counts and admits the requests that it is sent. */
 function admitRequest(
   dependencies: ForwardingDependencies,
@@ -299,8 +270,13 @@
     if (progress.sends > 0 && !budget.takeRetry(nowMs)) return decideEnd(request, progress, false);
     const attemptTimeoutMs = computeAttemptTimeoutMs(request, progress, nowMs);
     progress.lastTarget = target.id;
-    const outcome = await sendWithAdmission(dependencies, request, target, attemptTimeoutMs);
-    releaseSlot(progress, outcome, clock.getNowMs() - nowMs);
+    const outcome = await AdmittedSends.sendWithAdmission(
+      dependencies,
+      request,
+      target,
+      attemptTimeoutMs,
+    );
+    releaseSlot(progress, outcome, clock.getNowMs() - nowMs - getUnreadMs(request));
     if (outcome.kind === 'callerLeft') return outcome;
     AttemptRecords.recordOutcome(dependencies, request, target, outcome, progress);
     const finalOutcome = decideNext(request, progress, outcome);
@@ -323,7 +299,7 @@
 function decideNext(
   request: ForwardRequest,
   progress: Progress,
-  outcome: Exclude<SendOutcome, { kind: 'callerLeft' }>,
+  outcome: Exclude<PlainOutcome, { kind: 'callerLeft' }>,
 ): ForwardOutcome | undefined {
   const isAtMostOnce = request.route.retryPolicy === 'once';
   progress.lastReason = Sending.formatReason(outcome);
@@ -331,6 +307,9 @@
   progress.sends += 1;
   if (outcome.kind === 'notRun') return undefined;
   progress.mayHaveRun = true;
+  if (ForwardRequests.isPassed(outcome)) {
+    return ForwardRequests.findPassedEnd(outcome, progress.lastTarget);
+  }
   if (outcome.kind === 'whole') {
     if (isAtMostOnce || !Checks.isServerError(outcome.head.status)) {
       return { kind: 'answer', head: outcome.head, body: outcome.body };
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/passedAnswer.ts
@@ -0,0 +1,98 @@
+/** Holds a short plain answer until it is whole, and passes a longer one on as it arrives. */
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import type { ForwardingDependencies } from '../dependencies';
+import type {
+  AnswerHead,
+  AnswerSink,
+  ForwardRequest,
+  PassedOutcome,
+  SendOutcome,
+} from '../forwardRequest';
+import type { CallEvent, TargetCall } from '../targets/targetCall';
+import * as AnswerBodies from './answerBody';
+import * as Checks from './answerChecks';
+
+/** Longer answers are passed on as they arrive. */
+export const MAX_HELD_BYTES = 262_144;
+/** A caller that has left an answer unread for this long is the likely cause when its target breaks it off. */
+const UNREAD_MS = 1_000;
+
+export interface AnswerSource {
+  readonly call: Pick<TargetCall, 'wasSent' | 'cancel'>;
+  readonly head: AnswerHead;
+  readonly readNext: () => Promise<CallEvent>;
+  /** Undefined where another router passes the answer on; its server errors are not retried. */
+  readonly target?: ForwardingTarget;
+}
+
+type ReadOutcome = Exclude<SendOutcome, { kind: 'notRun' | 'expired' }> | PassedOutcome;
+
+export async function readAnswer(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  source: AnswerSource,
+): Promise<ReadOutcome> {
+  const { sink, held } = request;
+  const { call, head, readNext } = source;
+  if (sink === undefined || !isPassable(request, source)) {
+    return AnswerBodies.readFullAnswer(call, head, readNext, held);
+  }
+  // Declared lengths without a body, as of answers to HEAD, are held: only data starts the passing.
+  const declaredBytes = Number(Checks.getHeader(head, 'content-length') ?? 0);
+  const maxBytes = declaredBytes > MAX_HELD_BYTES ? 0 : MAX_HELD_BYTES;
+  const start = await AnswerBodies.readBody(call, readNext, maxBytes, held);
+  if (start.kind === 'end') {
+    return { kind: 'whole', head, body: Buffer.concat(start.chunks, start.bytes) };
+  }
+  if (start.kind !== 'more') return start;
+  held?.releaseWhole();
+  return relayLongAnswer(dependencies, sink, source, start.chunks);
+}
+
+/** A server error may be retried at another target. */
+function isPassable({ route }: ForwardRequest, { head, target }: AnswerSource): boolean {
+  const isFinal = target === undefined || route.retryPolicy === 'once';
+  return isFinal || !Checks.isServerError(head.status);
+}
+
+async function relayLongAnswer(
+  { clock, crashes }: ForwardingDependencies,
+  sink: AnswerSink,
+  { call, head, readNext, target }: AnswerSource,
+  chunks: Buffer[],
+): Promise<PassedOutcome | { readonly kind: 'callerLeft' }> {
+  const startedMs = clock.getRunningMs();
+  sink.start(head);
+  // Removed from the array, which this function refers to until the answer ends.
+  for (let chunk = chunks.shift(); chunk !== undefined; chunk = chunks.shift()) {
+    await sink.write(chunk);
+  }
+  for (;;) {
+    const event = await readNext();
+    if (event.kind === 'data') await sink.write(event.chunk);
+    else if (event.kind === 'cancelled') return { kind: 'callerLeft' };
+    else if (event.kind === 'end' && !(await isCutByExit())) return { kind: 'passed', head };
+    else return decideBreak(event);
+  }
+
+  /** The connections of a killed target end as after a whole answer without framing. */
+  async function isCutByExit(): Promise<boolean> {
+    return target !== undefined && Checks.isCloseDelimited(head) && crashes.hasExited(target);
+  }
+
+  function decideBreak(event: CallEvent): PassedOutcome {
+    call.cancel();
+    const reason = formatBreak(event);
+    if (sink.getUnreadMs().longestMs >= UNREAD_MS) return { kind: 'unread', reason };
+    const ranMs = clock.getRunningMs() - startedMs;
+    return { kind: 'broken', reason, isTimeout: event.kind === 'timeout', ranMs };
+  }
+}
+
+function formatBreak(event: CallEvent): string {
+  if (event.kind === 'broken') return event.reason;
+  return event.kind === 'end'
+    ? 'target exited without framing'
+    : 'no further data within the timeout in the middle of an answer';
+}
--- a/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -1,39 +1,30 @@
 /** One attempt of a request whose answer is not streamed. */
 import type { ForwardingTarget, VersionAttemptResult } from '@sequoiarill/types';
 
+import * as AnswerBodies from './answerBody';
 import * as Checks from './answerChecks';
-import type { AnswerHead, ForwardRequest, SendOutcome } from '../forwardRequest';
+import * as ForwardRequests from '../forwardRequest';
+import type { AnswerHead, ForwardRequest, PlainOutcome, SendOutcome } from '../forwardRequest';
 import type { ForwardingDependencies } from '../dependencies';
 import * as TargetCalls from '../targets/targetCall';
 import type { CallEvent, TargetCall } from '../targets/targetCall';
+import * as PassedAnswers from './passedAnswer';
 
-/** Longer answers are rejected; those of plain services are a few kilobytes. */
-const MAX_ANSWER_BYTES = 16_777_216;
-
-/** Undefined when the event does not end the call. */
-export function decideFailure(
-  call: Pick<TargetCall, 'wasSent'>,
-  event: CallEvent,
-): Extract<SendOutcome, { kind: 'lost' | 'notSent' | 'callerLeft' }> | undefined {
-  if (event.kind === 'cancelled') return { kind: 'callerLeft' };
-  if (event.kind !== 'broken') return undefined;
-  const { reason } = event;
-  return call.wasSent() ? { kind: 'lost', reason, isTimeout: false } : { kind: 'notSent', reason };
-}
+export { decideFailure, readFullAnswer } from './answerBody';
 
 /** Status of a response from another target that now has the address. */
 const MISDIRECTED = 421;
 
 /** The reason, for log lines and callers, why an attempt returned no answer to forward. */
-export function formatReason(outcome: Exclude<SendOutcome, { kind: 'callerLeft' }>): string {
+export function formatReason(outcome: Exclude<PlainOutcome, { kind: 'callerLeft' }>): string {
   if (outcome.kind === 'notRun') return `not run, status ${outcome.status}`;
-  if (outcome.kind === 'whole') return `status ${outcome.head.status}`;
+  if (outcome.kind === 'whole' || outcome.kind === 'passed') return `status ${outcome.head.status}`;
   return outcome.kind === 'expired' ? 'time is up' : outcome.reason;
 }
 
 /** The result of an attempt for the rollout of the target's version. */
-export function decideVersionResult(outcome: SendOutcome): VersionAttemptResult {
-  if (outcome.kind !== 'whole') return 'unknown';
+export function decideVersionResult(outcome: PlainOutcome): VersionAttemptResult {
+  if (outcome.kind !== 'whole' && outcome.kind !== 'passed') return 'unknown';
   return Checks.isServerError(outcome.head.status) ? 'failed' : 'answered';
 }
 
@@ -67,39 +58,6 @@
   return { kind: 'lost', reason: result.reason, isTimeout: false };
 }
 
-/** Reads the body after the head until the answer is complete. */
-export async function readFullAnswer(
-  call: Pick<TargetCall, 'wasSent' | 'cancel'>,
-  head: AnswerHead,
-  readNext: () => Promise<CallEvent>,
-): Promise<Exclude<SendOutcome, { kind: 'notRun' | 'expired' }>> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for (;;) {
-    const event = await readNext();
-    if (event.kind === 'data') {
-      chunks.push(event.chunk);
-      bytes += event.chunk.length;
-      if (bytes > MAX_ANSWER_BYTES) {
-        call.cancel();
-        return { kind: 'lost', reason: 'answer exceeds the size limit', isTimeout: false };
-      }
-    } else if (event.kind === 'end') {
-      return { kind: 'whole', head, body: Buffer.concat(chunks, bytes) };
-    } else if (event.kind === 'timeout') {
-      call.cancel();
-      return {
-        kind: 'lost',
-        reason: 'no further data within the timeout in the middle of an answer',
-        isTimeout: true,
-      };
-    } else {
-      const failure = decideFailure(call, event);
-      if (failure !== undefined) return failure;
-    }
-  }
-}
-
 /** Silence after which the path to the target is checked; the next checks are further apart. */
 const FIRST_CHECK_MS = 250;
 /**
@@ -116,17 +74,30 @@
  */
 function createAnswerReader(
   { clock, paths }: ForwardingDependencies,
-  { expiresAtMs, route }: ForwardRequest,
+  request: ForwardRequest,
   target: ForwardingTarget,
   call: TargetCall,
-  timeoutMs: number,
+  attemptTimeoutMs: number,
 ): () => Promise<CallEvent> {
+  const { route, sink } = request;
   const sentAtMs = clock.getNowMs();
-  const startedMs = clock.getRunningMs();
+  const sentAtRunningMs = clock.getRunningMs();
   const patienceMs = route.retryPolicy === 'once' ? MAX_UNREACHABLE_MS : 0;
   let nextCheckMs = FIRST_CHECK_MS;
 
+  /** The time for which a slow caller was waited for is not the target's. */
+  function getLimits() {
+    // No other target can follow once an answer is passed on.
+    const isLast = sink?.isStarted() === true;
+    return {
+      startedMs: sentAtRunningMs + (sink?.getUnreadMs().totalMs ?? 0),
+      expiresAtMs: ForwardRequests.getDeadlineMs(request),
+      timeoutMs: isLast ? request.expiresAtMs - sentAtMs : attemptTimeoutMs,
+    };
+  }
+
   return async function readNext() {
+    const { startedMs, expiresAtMs, timeoutMs } = getLimits();
     for (;;) {
       const silenceMs = Math.min(timeoutMs, nextCheckMs);
       const deadlines = { silenceDeadlineMs: startedMs + silenceMs, expiresAtMs };
@@ -146,13 +117,15 @@
   };
 }
 
-/** Sends the request and reads the answer; cancels the call when nothing arrives within the timeout. */
+/**
+ * Sends the request and reads the answer, or passes it on; cancels the call when nothing arrives within the timeout.
+ */
 export async function sendOnce(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   target: ForwardingTarget,
   timeoutMs: number,
-): Promise<SendOutcome> {
+): Promise<PlainOutcome> {
   const call = dependencies.openCall(request, target, []);
   // A request that must not be retried is run to its end, even when its caller has disconnected.
   const mayCancel = request.route.retryPolicy !== 'once';
@@ -168,13 +141,14 @@
         : { kind: 'notSent', reason: 'no connection in time' };
     }
     if (firstEvent.kind === 'head') {
-      return (
-        handleAnswerHead(dependencies, request, target, call, firstEvent.head) ??
-        (await readFullAnswer(call, firstEvent.head, readNext))
-      );
+      const { head } = firstEvent;
+      const failure = handleAnswerHead(dependencies, request, target, call, head);
+      if (failure !== undefined) return failure;
+      const source = { call, head, readNext, target };
+      return await PassedAnswers.readAnswer(dependencies, request, source);
     }
     return (
-      decideFailure(call, firstEvent) ?? {
+      AnswerBodies.decideFailure(call, firstEvent) ?? {
         kind: 'lost',
         reason: 'no status line',
         isTimeout: false,
--- a/packages/sequoiarill-plugin-forwarding/src/answers/serviceAdmission.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/serviceAdmission.ts
@@ -1,7 +1,7 @@
 /** Admission control for each plain service: the admission decision, and the results it learns from. */
 import type { LatencyAdmissionDecision, LatencyAdmission } from '@sequoiarill/decisions';
 
-import type { ForwardRequest, SendOutcome } from '../forwardRequest';
+import type { ForwardRequest, PlainOutcome } from '../forwardRequest';
 import type { ForwardingDependencies } from '../dependencies';
 import * as Placement from './placement';
 
@@ -22,14 +22,16 @@
 /** A target that is full returned no answer; it indicates overload just as a late answer does. */
 export function recordSend(
   admission: LatencyAdmission,
-  { route }: ForwardRequest,
-  outcome: SendOutcome,
+  { route, sink }: ForwardRequest,
+  outcome: PlainOutcome,
   sentAtMs: number,
   nowMs: number,
 ): void {
   const { objectiveMs } = route;
-  if (outcome.kind === 'whole') {
-    admission.recordEnd(nowMs, { latencyMs: nowMs - sentAtMs, objectiveMs });
+  if (outcome.kind === 'whole' || outcome.kind === 'passed') {
+    // The time for which a slow caller was waited for is not the service's.
+    const unreadMs = sink?.getUnreadMs().totalMs ?? 0;
+    admission.recordEnd(nowMs, { latencyMs: nowMs - sentAtMs - unreadMs, objectiveMs });
   } else if (outcome.kind === 'notRun') {
     admission.recordEnd(nowMs, { latencyMs: objectiveMs, objectiveMs });
   } else admission.recordEnd(nowMs);
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -2,6 +2,7 @@
 import type { ForwardingRoute, PromptPart, TargetBuild } from '@sequoiarill/types';
 
 import type { RawHeader } from './front/headers';
+import type { HeldExchange } from './front/heldExchange';
 import type { RelayTerms } from './relay/relayHeaders';
 
 export interface ForwardRequest {
@@ -42,6 +43,26 @@
   readonly build?: TargetBuild;
   /** Aborted when the caller disconnects. */
   readonly closed: AbortSignal;
+  /** Bytes held for the caller; undefined where they are not counted. */
+  readonly held?: HeldExchange;
+  /** Takes a long plain answer as it arrives; undefined where answers must be whole. */
+  readonly sink?: AnswerSink;
+}
+
+/** Passes a long answer on to the caller. */
+export interface AnswerSink {
+  /** Sends the head of the answer. From here on, no other answer can replace it. */
+  readonly start: (head: AnswerHead) => void;
+  readonly isStarted: () => boolean;
+  /** Resolves when the caller takes more bytes. Bytes for a caller that has left are dropped. */
+  readonly write: (chunk: Buffer) => Promise<void>;
+  /** Time for which the caller was waited for: all waits together, and the longest one; milliseconds. */
+  readonly getUnreadMs: () => { readonly totalMs: number; readonly longestMs: number };
+}
+
+/** The time limit of the request, later by the time for which a slow caller was waited for. */
+export function getDeadlineMs({ expiresAtMs, sink }: ForwardRequest): number {
+  return expiresAtMs + (sink?.getUnreadMs().totalMs ?? 0);
 }
 
 export interface AnswerHead {
@@ -63,8 +84,31 @@
   | { readonly kind: 'expired' }
   | { readonly kind: 'callerLeft' };
 
+/** Outcome of one attempt whose answer was passed on as it arrived. */
+export type PassedOutcome =
+  | { readonly kind: 'passed'; readonly head: AnswerHead }
+  /** The target broke the answer off. */
+  | {
+      readonly kind: 'broken';
+      readonly reason: string;
+      readonly isTimeout: boolean;
+      /** Time since the answer began. */
+      readonly ranMs: number;
+    }
+  /** The target broke the answer off after its caller had left it unread. */
+  | { readonly kind: 'unread'; readonly reason: string };
+
+/** Outcome of one attempt of a request whose answer is not streamed. */
+export type PlainOutcome = SendOutcome | PassedOutcome;
+
+/** How an answer ended that was passed on as it arrived. */
+export type PassedEnd =
+  | Extract<PassedOutcome, { kind: 'passed' | 'unread' }>
+  | { readonly kind: 'broken'; readonly reason: string; readonly lastTarget?: string };
+
 /** Outcome of a request for its caller, over all attempts. */
 export type ForwardOutcome =
+  | PassedEnd
   | { readonly kind: 'answer'; readonly head: AnswerHead; readonly body: Buffer }
   /** The request did not run and never will. */
   | {
@@ -91,3 +135,21 @@
 ): Outcome {
   return outcome.kind === 'refused' ? { ...outcome, retryAfterSeconds } : outcome;
 }
+
+export function isPassed(
+  outcome: Readonly<{ kind: string }> | PassedOutcome,
+): outcome is PassedOutcome {
+  const { kind } = outcome;
+  return kind === 'passed' || kind === 'broken' || kind === 'unread';
+}
+
+/** Undefined where the answer was not passed on. */
+export function findPassedEnd(
+  outcome: Readonly<{ kind: string }> | PassedOutcome,
+  lastTarget?: string,
+): PassedEnd | undefined {
+  if (!isPassed(outcome)) return undefined;
+  if (outcome.kind !== 'broken') return outcome;
+  const { kind, reason } = outcome;
+  return { kind, reason, ...(lastTarget === undefined ? {} : { lastTarget }) };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -5,10 +5,13 @@
 import type { ForwardingOrganisation, ForwardingRoute } from '@sequoiarill/types';
 
 import * as Replies from './replies';
-import type { ExchangeDependencies, Refusal } from './replies';
+import type { Exchange, ExchangeDependencies, Refusal } from './replies';
 import type { ForwardRequest } from '../forwardRequest';
+import * as AnswerSinks from './answerSink';
 import * as ContentKeys from './contentKey';
 import * as Headers from './headers';
+import * as HeldExchanges from './heldExchange';
+import * as RequestBodies from './requestBody';
 import type { RawHeader } from './headers';
 import * as FullAnswers from '../answers/fullAnswer';
 import * as Metrics from '../metrics';
@@ -19,7 +22,6 @@
 const BAD_REQUEST = 400;
 const UNAUTHORISED = 401;
 const NOT_FOUND = 404;
-const TOO_LARGE = 413;
 const UNAVAILABLE = 503;
 /** The first configuration arrives within one or two seconds after the start. */
 const STARTUP_RETRY_SECONDS = 0.5;
@@ -62,25 +64,20 @@
   await runExchange(dependencies, { incoming, response, headers, relayTerms });
 }
 
-interface Exchange {
-  readonly incoming: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly headers: readonly RawHeader[];
-  readonly relayTerms?: RelayTerms;
-}
-
 async function runExchange(dependencies: ExchangeDependencies, exchange: Exchange): Promise<void> {
   const { incoming, response, headers, relayTerms } = exchange;
   const arrivedAtMs = dependencies.clock.getNowMs();
   const closed = createCloseSignal(response);
-  const body = await readBody(dependencies, incoming);
+  const id = Headers.findSingleValue(headers, dependencies.wire.headers.requestId);
+  const held = HeldExchanges.createHeldExchange(dependencies.heldBudget, response, id);
+  const body = await RequestBodies.readBody(incoming, {
+    maxBytes: dependencies.directory.getConfiguration()?.limits.maxBodyBytes,
+    budget: dependencies.heldBudget,
+    held,
+  });
   if (body === 'callerLeft' || (await hasDisconnected(incoming, closed))) return;
-  if (body === 'tooLarge') {
-    response.setHeader('connection', 'close');
-    Replies.sendRefusal(dependencies, response, headers, {
-      status: TOO_LARGE,
-      reason: 'the body exceeds the size limit',
-    });
+  if (typeof body === 'string') {
+    RequestBodies.refuseBody(dependencies, exchange, body);
     return;
   }
   const relayRefusal = findRelayRefusal(dependencies, relayTerms);
@@ -120,7 +117,7 @@
     });
     return;
   }
-  await sendAnswer(dependencies, request, response);
+  await sendAnswer(dependencies, { ...request, held }, response);
 }
 
 async function sendAnswer(
@@ -132,8 +129,10 @@
     await Replies.relayStream(dependencies, request, response);
     return;
   }
-  const outcome = await FullAnswers.runFullAnswer(dependencies, request);
-  Replies.sendOutcome(dependencies, request, response, outcome);
+  const sink = AnswerSinks.createAnswerSink(dependencies, request, response);
+  const plain = { ...request, sink };
+  const outcome = await FullAnswers.runFullAnswer(dependencies, plain);
+  AnswerSinks.sendOutcome(dependencies, plain, response, outcome);
 }
 
 /** Undefined for requests of this router's own callers, and where the terms of another router are met. */
@@ -180,26 +179,6 @@
   return closed.aborted || incoming.socket.readableEnded;
 }
 
-async function readBody(
-  dependencies: ExchangeDependencies,
-  incoming: IncomingMessage,
-): Promise<Buffer | 'callerLeft' | 'tooLarge'> {
-  const limit = dependencies.directory.getConfiguration()?.limits.maxBodyBytes;
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of incoming as AsyncIterable<Buffer>) {
-      bytes += chunk.length;
-      if (limit !== undefined && bytes > limit) return 'tooLarge';
-      chunks.push(chunk);
-    }
-  } catch {
-    // The connection closed before the request was complete, so there is no caller to answer.
-    return 'callerLeft';
-  }
-  return Buffer.concat(chunks, bytes);
-}
-
 function checkAccess(
   dependencies: ExchangeDependencies,
   incoming: IncomingMessage,
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
@@ -0,0 +1,99 @@
+/** What one exchange holds in the budget of bytes: its body, and its answer on the way to the caller. */
+import type { ServerResponse } from 'node:http';
+
+import type { HeldBudget, HeldEntry, Holder } from './heldBudget';
+
+/** How a body that is being read is paused and cut off. */
+export interface BodyControl {
+  readonly setPaused: (isPaused: boolean) => void;
+  readonly cut: () => void;
+}
+
+export interface HeldExchange {
+  /** Adds bytes of the body, which is being read under the given control. */
+  readonly addBodyBytes: (bytes: number, control: BodyControl) => void;
+  /** The body is complete; it counts until it is sent. */
+  readonly completeBody: () => void;
+  /** The body was sent for the first time, or is dropped. */
+  readonly releaseBody: () => void;
+  /** Adds bytes of an answer that were read and not yet written to the caller; negative to release them. */
+  readonly addAnswerBytes: (bytes: number) => void;
+  /** Adds bytes of an answer that is held until it is whole; negative to release them. */
+  readonly addWholeBytes: (bytes: number) => void;
+  readonly releaseWhole: () => void;
+  /** Whether more may be read from a target than the caller has asked for. */
+  readonly mayReadAhead: () => boolean;
+}
+
+/** The exchange is registered with its first bytes and released when the response closes. */
+export function createHeldExchange(
+  budget: Pick<HeldBudget, 'register' | 'mayReadAhead'>,
+  response: ServerResponse,
+  requestId: string | undefined,
+): HeldExchange {
+  let entry: HeldEntry | undefined;
+  let isClosed = false;
+  let bodyControl: BodyControl | undefined;
+  let bodyBytes = 0;
+  let answerBytes = 0;
+  let wholeBytes = 0;
+
+  const holder: Holder = {
+    requestId,
+    getKind: () => (bodyControl === undefined ? 'reader' : 'sender'),
+    countBytes: () => bodyBytes + answerBytes + wholeBytes + response.writableLength,
+    countProgress: () => (bodyControl === undefined ? countTaken(response) : bodyBytes),
+    isCallerDue: () => bodyControl !== undefined || response.writableLength > 0,
+    setPaused: (isPaused) => bodyControl?.setPaused(isPaused),
+    cut() {
+      // Unlike an orderly end, a reset completes no answer, also without a length or chunks.
+      if (bodyControl === undefined) response.socket?.resetAndDestroy();
+      else bodyControl.cut();
+    },
+  };
+
+  function updateEntry(): void {
+    if (isClosed) return;
+    entry ??= budget.register(holder);
+    entry.update();
+  }
+
+  function addWholeBytes(bytes: number): void {
+    wholeBytes += bytes;
+    updateEntry();
+  }
+
+  response.once('close', () => {
+    isClosed = true;
+    entry?.release();
+  });
+
+  return {
+    addBodyBytes(bytes, control) {
+      bodyControl = control;
+      bodyBytes += bytes;
+      updateEntry();
+    },
+    completeBody() {
+      bodyControl = undefined;
+    },
+    releaseBody() {
+      if (bodyBytes === 0) return;
+      bodyBytes = 0;
+      bodyControl = undefined;
+      updateEntry();
+    },
+    addAnswerBytes(bytes) {
+      answerBytes += bytes;
+      updateEntry();
+    },
+    addWholeBytes,
+    releaseWhole: () => addWholeBytes(-wholeBytes),
+    mayReadAhead: budget.mayReadAhead,
+  };
+}
+
+/** Bytes of the connection that the kernel has taken. */
+function countTaken({ socket }: ServerResponse): number {
+  return socket === null ? 0 : socket.bytesWritten - socket.writableLength;
+}
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -1,5 +1,5 @@
 /** Sends answers, streams and refusals to callers. */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { AnswerDurations, ClientRetryDetector } from '@sequoiarill/decisions';
 import type { TargetBuild } from '@sequoiarill/types';
@@ -7,10 +7,11 @@
 import * as Checks from '../answers/answerChecks';
 import * as Placement from '../answers/placement';
 import * as Events from '../events';
-import type { AnswerHead, ForwardOutcome, ForwardRequest } from '../forwardRequest';
+import type { AnswerHead, ForwardOutcome, ForwardRequest, PassedEnd } from '../forwardRequest';
 import * as RelayHeaders from '../relay/relayHeaders';
-import type { RelayRefusalCause } from '../relay/relayHeaders';
+import type { RelayRefusalCause, RelayTerms } from '../relay/relayHeaders';
 import * as Headers from './headers';
+import type { HeldBudget } from './heldBudget';
 import type { RawHeader } from './headers';
 import * as Metrics from '../metrics';
 import type { ForwardingDependencies } from '../dependencies';
@@ -30,6 +31,14 @@
   readonly durations: AnswerDurations;
   /** Whether a request of this duration would complete before the process exits. */
   readonly hasTimeFor: (durationMs: number) => boolean;
+  readonly heldBudget: HeldBudget;
+}
+
+export interface Exchange {
+  readonly incoming: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly headers: readonly RawHeader[];
+  readonly relayTerms?: RelayTerms;
 }
 
 export interface Refusal {
@@ -46,7 +55,7 @@
 const MAX_REST_SECONDS = 10;
 
 /** Fields of every log line about the end of a request, apart from its reason. */
-function createLogFields(dependencies: ExchangeDependencies, request: ForwardRequest) {
+export function createLogFields(dependencies: ExchangeDependencies, request: ForwardRequest) {
   return {
     request: request.id,
     content: request.contentKey,
@@ -104,32 +113,36 @@
 }
 
 /** Tells another router how the target's answer is framed, and which build produces it. */
-function addRelayHeaders(response: ServerResponse, head: AnswerHead, build?: TargetBuild): void {
+export function addRelayHeaders(
+  response: ServerResponse,
+  head: AnswerHead,
+  build?: TargetBuild,
+): void {
   RelayHeaders.encodeFraming(head, build).forEach(([name, value]) =>
     response.setHeader(name, value),
   );
 }
 
-function recordRequestEnd(
+export function recordRequestEnd(
   { metrics, clock, crashes, durations }: ExchangeDependencies,
-  { contentKey, route, arrivedAtMs, lastEventId }: ForwardRequest,
-  outcome: StreamOutcome['kind'],
+  { contentKey, route, arrivedAtMs, lastEventId, sink }: ForwardRequest,
+  outcome: StreamOutcome['kind'] | ForwardOutcome['kind'],
 ): void {
   metrics.addCount(Metrics.REQUESTS, 1, { route: route.name, outcome });
   if (outcome !== 'answer' && outcome !== 'complete') return;
   crashes.recordAnswer(contentKey);
-  const tookMs = clock.getNowMs() - arrivedAtMs;
+  const tookMs = clock.getNowMs() - arrivedAtMs - (sink?.getUnreadMs().totalMs ?? 0);
   metrics.recordTiming(Metrics.ANSWER, tookMs, { route: route.name });
   // A resumed stream is shorter than a complete one, so its duration is not representative.
   if (lastEventId === undefined) durations.recordAnswer(route.name, tookMs);
 }
 
-/** A whole answer that is delimited by the close of its connection is forwarded in the same way. */
-function sendHead(
+/** An answer that is delimited by the close of its connection is forwarded in the same way. */
+export function sendHead(
   dependencies: ExchangeDependencies,
   response: ServerResponse,
   head: AnswerHead,
-  bodyLength: number,
+  bodyLength: number | undefined,
 ): void {
   // Towards another router, an answer always has framing of its own, and a header for the target's.
   const isCloseDelimited =
@@ -139,7 +152,10 @@
     ...Headers.selectResponseHeaders(head.headers),
     ...(isCloseDelimited
       ? { connection: 'close' }
-      : { 'content-length': bodyLength, ...createConnectionHeader(dependencies) }),
+      : {
+          ...(bodyLength === undefined ? {} : { 'content-length': bodyLength }),
+          ...createConnectionHeader(dependencies),
+        }),
   });
 }
 
@@ -162,13 +178,14 @@
   dependencies: ExchangeDependencies,
   request: ForwardRequest,
   response: ServerResponse,
-  outcome: ForwardOutcome,
+  outcome: Exclude<ForwardOutcome, PassedEnd>,
 ): void {
   recordRequestEnd(dependencies, request, outcome.kind);
   if (outcome.kind === 'callerLeft' || response.destroyed) return;
   if (outcome.kind === 'answer') {
     const { head, body } = outcome;
     if (request.relayTerms !== undefined) addRelayHeaders(response, head);
+    request.held?.releaseWhole();
     sendHead(dependencies, response, head, body.length);
     response.end(body);
     return;
@@ -250,7 +267,7 @@
 }
 
 /** Applies backpressure: a caller that reads slowly delays only its own stream. */
-async function waitForDrain(response: ServerResponse, closed: AbortSignal): Promise<void> {
+export async function waitForDrain(response: ServerResponse, closed: AbortSignal): Promise<void> {
   if (closed.aborted || response.destroyed) return;
   await new Promise<void>((resolve) => {
     const finish = () => {
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
@@ -0,0 +1,115 @@
+/** Reads the bodies of requests, within the budget of bytes that the process holds. */
+import type { IncomingMessage } from 'node:http';
+
+import * as Decisions from '@sequoiarill/decisions';
+
+import * as RelayHeaders from '../relay/relayHeaders';
+import type { RelayRefusalCause } from '../relay/relayHeaders';
+import type { HeldBudget } from './heldBudget';
+import type { BodyControl, HeldExchange } from './heldExchange';
+import * as Replies from './replies';
+import type { Exchange, ExchangeDependencies, Refusal } from './replies';
+
+export type BodyFailure =
+  | 'callerLeft'
+  | 'tooLarge'
+  /** Refused because the budget is used up. */
+  | 'noRoom'
+  /** Cut off as the slowest while too many bytes were held. */
+  | 'tooSlow';
+
+const TOO_LARGE = 413;
+const UNAVAILABLE = 503;
+/** Bytes of callers that were cut off are free within a moment. */
+const HELD_RETRY_SECONDS = 1;
+
+export interface BodyOptions {
+  readonly maxBytes: number | undefined;
+  readonly budget: Pick<HeldBudget, 'isBodyRefused'>;
+  readonly held: Pick<HeldExchange, 'addBodyBytes' | 'completeBody' | 'releaseBody'>;
+}
+
+/** Resolves to the complete body; after a failure, the rest of the body is read and dropped. */
+export async function readBody(
+  incoming: IncomingMessage,
+  { maxBytes, budget, held }: BodyOptions,
+): Promise<Buffer | BodyFailure> {
+  const declaredBytes = parseLength(incoming);
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    let isDone = false;
+
+    function stopReading(result: Buffer | BodyFailure): void {
+      if (isDone) return;
+      isDone = true;
+      incoming.off('data', handleData);
+      if (typeof result === 'string') {
+        chunks.length = 0;
+        held.releaseBody();
+        incoming.resume();
+      } else held.completeBody();
+      resolve(result);
+    }
+
+    const control: BodyControl = {
+      setPaused(isPaused) {
+        if (isDone) return;
+        if (isPaused) incoming.pause();
+        else incoming.resume();
+      },
+      cut: () => stopReading('tooSlow'),
+    };
+
+    function handleData(chunk: Buffer): void {
+      const wasSmall = bytes <= Decisions.SMALL_BODY_BYTES;
+      bytes += chunk.length;
+      if (maxBytes !== undefined && bytes > maxBytes) stopReading('tooLarge');
+      else if (declaredBytes === undefined && wasSmall && budget.isBodyRefused(bytes)) {
+        stopReading('noRoom');
+      } else {
+        chunks.push(chunk);
+        // A body that came in one piece is not waited for.
+        if (!incoming.complete || chunks.length > 1) held.addBodyBytes(chunk.length, control);
+      }
+    }
+
+    incoming.on('error', () => stopReading('callerLeft'));
+    incoming.once('close', () => stopReading('callerLeft'));
+    incoming.once('end', () => stopReading(Buffer.concat(chunks, bytes)));
+    if (budget.isBodyRefused(declaredBytes)) stopReading('noRoom');
+    else incoming.on('data', handleData);
+  });
+}
+
+function parseLength({ headers }: IncomingMessage): number | undefined {
+  const length = headers['content-length'];
+  return length === undefined ? undefined : Number(length);
+}
+
+const BODY_REFUSALS: Readonly<Record<Exclude<BodyFailure, 'callerLeft'>, Refusal>> = {
+  tooLarge: { status: TOO_LARGE, reason: 'the body exceeds the size limit' },
+  noRoom: {
+    status: UNAVAILABLE,
+    reason: 'too many bytes are held for slow callers',
+    retryAfterSeconds: HELD_RETRY_SECONDS,
+  },
+  tooSlow: {
+    status: UNAVAILABLE,
+    reason: 'too many bytes are held, and its body arrived too slowly',
+    retryAfterSeconds: HELD_RETRY_SECONDS,
+  },
+};
+
+/** The rest of the body may still be under way, so the connection takes no other request. */
+export function refuseBody(
+  dependencies: ExchangeDependencies,
+  { response, headers, relayTerms }: Exchange,
+  failure: Exclude<BodyFailure, 'callerLeft'>,
+): void {
+  response.setHeader('connection', 'close');
+  if (relayTerms !== undefined && failure !== 'tooLarge') {
+    response.setHeader(RelayHeaders.RELAY_HEADERS.refused, 'refused' satisfies RelayRefusalCause);
+  }
+  Replies.sendRefusal(dependencies, response, headers, BODY_REFUSALS[failure]);
+}
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -14,6 +14,11 @@
 export const ORIGINS = 'forwarding.origins';
 export const PART_REFUSED = 'forwarding.partRefused';
 
+export const HELD_BYTES = 'forwarding.heldBytes';
+export const HELD_PAUSED = 'forwarding.heldPaused';
+export const HELD_CUT = 'forwarding.heldCut';
+export const HELD_REFUSED = 'forwarding.heldRefused';
+
 export const METRICS = [
   { name: REQUESTS, unit: 'count', meaning: 'Requests ended, by route and outcome.' },
   {
@@ -70,4 +75,20 @@
     unit: 'count',
     meaning: 'Streams that callers resumed, by who knew which software version began them.',
   },
+  { name: HELD_BYTES, unit: 'bytes', meaning: 'Bytes held for callers that read or send slowly.' },
+  {
+    name: HELD_PAUSED,
+    unit: 'count',
+    meaning: 'Callers for which nothing is read ahead because too many bytes are held, by kind.',
+  },
+  {
+    name: HELD_CUT,
+    unit: 'count',
+    meaning: 'Callers cut off because too many bytes were held, by kind.',
+  },
+  {
+    name: HELD_REFUSED,
+    unit: 'count',
+    meaning: 'Requests with large bodies that were refused because too many bytes were held.',
+  },
 ] as const;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -7,6 +7,7 @@
 import * as Drains from './front/drain';
 import * as Events from './events';
 import * as Exchanges from './front/exchange';
+import * as HeldEvents from './front/heldEvents';
 import * as HttpFrontEnds from './front/httpFrontEnd';
 import * as Parts from './pluginParts';
 import * as RetryQuotas from './retryQuota';
@@ -24,7 +25,7 @@
   const peers = context.getCapability('peers');
   const rollouts = context.getCapability('rollouts');
   const log = RateLimitedLogs.createRateLimitedLog(logEvent, clock.getNowMs);
-  const parts = Parts.createTargetParts(context, log);
+  const parts = Parts.createTargetParts(context, settings, log);
   const { connections, paths, registry, relays, notices, probes, crashes, limits, brittle } = parts;
   const origins = Parts.createOrigins(context, log);
   const stopController = new AbortController();
@@ -72,6 +73,7 @@
     getRouteTable: () => routeTable,
     isDraining: drain.isDraining,
     hasTimeFor: drain.hasTimeFor,
+    heldBudget: parts.heldBudget,
     durations: Decisions.createAnswerDurations(),
     clientRetries: Decisions.createClientRetryDetector(),
   };
@@ -84,9 +86,8 @@
   peers.setBrittleHandler(brittle.handleReport);
   peers.setRetryQuotaLender((query) => RetryQuotas.grantRetryQuota(dependencies, query));
 
-  function isCurrent(target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>): boolean {
-    return directory.findCurrent(target) !== undefined;
-  }
+  const isCurrent = (target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>) =>
+    directory.findCurrent(target) !== undefined;
 
   function applyDirectory(): void {
     crashes.applyDirectory();
@@ -129,7 +130,7 @@
     async stop() {
       stopController.abort();
       paths.stop();
-      await loops;
+      await Promise.all([loops, parts.heldBudget.stop()]);
       await frontEnd.stop();
       connections.close();
       parts.routerConnections.close();
@@ -148,6 +149,7 @@
       lostPaths: paths.dumpState(),
       brittleTargets: brittle.dumpState(),
       origins: origins.dumpState(),
+      heldBytes: parts.heldBudget.dumpState(),
     }),
   };
 }
@@ -157,6 +159,6 @@
   settingsSchema,
   provides: [],
   needs: ['wire', 'directory', 'peers', 'rollouts', 'keyValue'],
-  events: Events.EVENTS,
+  events: [...Events.EVENTS, ...HeldEvents.HELD_EVENTS],
   createInstance,
 };
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -7,7 +7,10 @@
 import type { CrashGuard } from './crashes/crashGuard';
 import type { DisconnectCheckOptions } from './crashes/disconnectCheck';
 import * as ExitChecks from './crashes/exitCheck';
+import type { ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './front/headers';
+import * as HeldBudgets from './front/heldBudget';
+import type { HeldBudget } from './front/heldBudget';
 import type { ExchangeDependencies } from './front/replies';
 import * as Events from './events';
 import * as LazyGetters from './lazyGetter';
@@ -139,15 +142,13 @@
     peers: getCapability('peers'),
     directory: getCapability('directory'),
     paths,
-    openCall: ({ address }, headers, { method, path, body }) =>
+    openCall: ({ address }, headers, request) =>
       TargetCalls.openCall({
         connection: connections.takeConnection({ id: address, address, startedAtUnixMs: 0 }),
         target: { address },
-        method,
-        path,
-        body,
         headers,
         recordHead: () => undefined,
+        ...buildContent(request),
       }),
     closeMissing: (addresses) => connections.removeMissing(({ id }) => addresses.has(id)),
     checkExit: ExitChecks.createExitCheck(clock, ROUTER_CHECK_TIMEOUT_MS),
@@ -177,6 +178,17 @@
   });
 }
 
+/** What is sent of the request, whose body no longer counts as held, and what counts its answer. */
+function buildContent({ method, path, body, held, sink }: ForwardRequest) {
+  held?.releaseBody();
+  const answerHold = held && {
+    addAnswerBytes: held.addAnswerBytes,
+    // The socket of the connection buffers enough for an answer that is passed on.
+    mayReadAhead: () => sink?.isStarted() !== true && held.mayReadAhead(),
+  };
+  return { method, path, body, held: answerHold };
+}
+
 /** Sends a caller's request together with the headers that only the router may set. */
 export function createCallOpener(
   { clock, getCapability }: PluginContext,
@@ -194,9 +206,7 @@
     return TargetCalls.openCall({
       connection: connections.takeConnection(target),
       target,
-      method: request.method,
-      path: request.path,
-      body: request.body,
+      ...buildContent(request),
       recordHead: (head) => notices.recordHead(target, head),
       headers: [
         ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
@@ -209,8 +219,21 @@
   };
 }
 
+function createHeldBudget(
+  { clock, metrics, process }: PluginContext,
+  { heldMegabytes }: ForwardingSettings,
+  log: RateLimitedLog,
+): HeldBudget {
+  const limitBytes = Decisions.computeHeldLimit(heldMegabytes, process.memoryMb);
+  return HeldBudgets.createHeldBudget({ limitBytes, clock, log, metrics });
+}
+
 /** Everything that knows, asks and calls targets and the routers that may stand in for them. */
-export function createTargetParts(context: PluginContext, log: RateLimitedLog) {
+export function createTargetParts(
+  context: PluginContext,
+  settings: ForwardingSettings,
+  log: RateLimitedLog,
+) {
   const { clock, nextRandom, getCapability } = context;
   const wire = getCapability('wire');
   const directory = getCapability('directory');
@@ -256,6 +279,7 @@
     notices,
     relays,
     brittle,
+    heldBudget: createHeldBudget(context, settings, log),
     copyCommands: CopyCommands.createCopyCommands(wire, callEngine),
     crashes: createCrashGuard(context, log, {
       checkAnswer,
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
@@ -1,10 +1,10 @@
 /** What comes of one request that is sent through another router. */
 import type { TargetBuild } from '@sequoiarill/types';
 
-import * as Sending from '../answers/sending';
+import * as PassedAnswers from '../answers/passedAnswer';
 import type { ForwardingDependencies } from '../dependencies';
 import * as Events from '../events';
-import type { AnswerHead, ForwardRequest, SendOutcome } from '../forwardRequest';
+import type { AnswerHead, ForwardRequest, PassedOutcome, SendOutcome } from '../forwardRequest';
 import * as Metrics from '../metrics';
 import type { CallEvent } from '../targets/targetCall';
 import * as RelayHeaders from './relayHeaders';
@@ -34,7 +34,7 @@
 }
 
 /** Whether the next router may be asked: nothing ran, and the cause is this router's own. */
-export function isNextRouterDue(outcome: RelayOutcome): boolean {
+export function isNextRouterDue(outcome: RelayOutcome | PassedOutcome): boolean {
   if (outcome.kind === 'notSent') return true;
   return outcome.kind === 'refused' && outcome.cause !== 'refused';
 }
@@ -87,14 +87,15 @@
   request: ForwardRequest,
   router: RelayRouter,
   options: Pick<RelayCallOptions, 'targetsLeft' | 'target'>,
-): Promise<RelayOutcome> {
+): Promise<RelayOutcome | PassedOutcome> {
   const call = dependencies.relays.openCall(request, router, options);
   // The other router decides, as for its own callers, whether the request still runs to its end.
   request.closed.addEventListener('abort', call.cancel, { once: true });
   try {
     const result = await readHead(dependencies, request, router, call);
     if (result.kind !== 'answer') return result;
-    return await Sending.readFullAnswer(call, result.head, call.readNext);
+    const source = { call, head: result.head, readNext: call.readNext };
+    return await PassedAnswers.readAnswer(dependencies, request, source);
   } finally {
     request.closed.removeEventListener('abort', call.cancel);
   }
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
@@ -1,6 +1,7 @@
 /** Gets the answer to a non-streaming request through other routers. */
 import type { ForwardingDependencies } from '../dependencies';
-import type { ForwardOutcome, ForwardRequest } from '../forwardRequest';
+import * as ForwardRequests from '../forwardRequest';
+import type { ForwardOutcome, ForwardRequest, PassedOutcome } from '../forwardRequest';
 import * as RelayAttempts from './relayAttempt';
 import type { RelayOutcome } from './relayAttempt';
 import type { RelayRouter } from './relays';
@@ -57,9 +58,10 @@
 function decideEnd(
   request: ForwardRequest,
   progress: RelayProgress,
-  outcome: Exclude<RelayOutcome, { kind: 'callerLeft' }>,
+  outcome: Exclude<RelayOutcome, { kind: 'callerLeft' }> | PassedOutcome,
 ): ForwardOutcome | undefined {
   if (RelayAttempts.isNextRouterDue(outcome)) return undefined;
+  if (ForwardRequests.isPassed(outcome)) return ForwardRequests.findPassedEnd(outcome);
   if (outcome.kind === 'whole') return { ...outcome, kind: 'answer' };
   if (outcome.kind === 'refused') {
     const { retryAfterSeconds = RETRY_AFTER_SECONDS } = outcome;
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -9,6 +9,7 @@
 } from '@sequoiarill/types';
 
 import type { ExitCheck } from '../crashes/exitCheck';
+import * as ForwardRequests from '../forwardRequest';
 import type { ForwardRequest } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
 import * as TargetCalls from '../targets/targetCall';
@@ -163,7 +164,7 @@
           for (;;) {
             const limitMs = call.wasSent() ? HOP_CHECK_MS : CONNECT_TIMEOUT_MS;
             const silenceDeadlineMs = clock.getRunningMs() + limitMs;
-            const { expiresAtMs } = request;
+            const expiresAtMs = ForwardRequests.getDeadlineMs(request);
             const event = await TargetCalls.readNextEvent(clock, call, {
               silenceDeadlineMs,
               expiresAtMs,
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -60,7 +60,7 @@
     const result = await RelayAttempts.readHead(dependencies, request, router, call);
     if (result.kind !== 'answer') return result;
     if (result.head.status !== STATUS_OK) {
-      return await Sending.readFullAnswer(call, result.head, call.readNext);
+      return await Sending.readFullAnswer(call, result.head, call.readNext, request.held);
     }
     const answered = { version: '', models: '', ...result.build };
     if (build !== undefined && !Decisions.isSameBuild(answered, build)) {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -176,7 +176,7 @@
     if (failure !== undefined) return failure;
     if (responseHead.status !== STATUS_OK) {
       recordResult(Checks.isServerError(responseHead.status) ? 'failed' : 'unknown');
-      return Sending.readFullAnswer(call, responseHead, readNext);
+      return Sending.readFullAnswer(call, responseHead, readNext, request.held);
     }
     head = responseHead;
     return undefined;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -6,7 +6,7 @@
 import * as EnginePlacements from '../targets/enginePlacements';
 import type { EnginePair } from '../targets/enginePlacements';
 import * as ForwardRequests from '../forwardRequest';
-import type { AnswerHead, ForwardOutcome, ForwardRequest } from '../forwardRequest';
+import type { AnswerHead, ForwardOutcome, ForwardRequest, PassedEnd } from '../forwardRequest';
 import type { BlockedRequest } from '../crashes/crashGuard';
 import type { ForwardingDependencies } from '../dependencies';
 import { NO_ROOM_REASON } from '../answers/gatedTarget';
@@ -18,7 +18,7 @@
   | { readonly kind: 'complete'; readonly head: AnswerHead; readonly wasStarted: boolean }
   /** Events were relayed, and no target can continue. */
   | { readonly kind: 'broken'; readonly reason: string; readonly lastTarget?: string }
-  | ForwardOutcome;
+  | Exclude<ForwardOutcome, PassedEnd>;
 
 /** Bounds all sends of a stream, including those that targets did not accept. */
 const MAX_TRIES = 12;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -5,6 +5,7 @@
 
 import type { AnswerHead } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
+import type { HeldExchange } from '../front/heldExchange';
 import type { TargetConnection } from './targetConnections';
 
 export interface CallOptions {
@@ -16,6 +17,8 @@
   readonly body: Buffer;
   /** Called with the head of each answer, even if the call was cancelled before. */
   readonly recordHead: (head: AnswerHead) => void;
+  /** Counts what is buffered for the caller, and tells whether more may be; undefined for other calls. */
+  readonly held?: Pick<HeldExchange, 'addAnswerBytes' | 'mayReadAhead'> | undefined;
 }
 
 export type CallEvent =
@@ -41,6 +44,14 @@
  */
 const MAX_BUFFERED_BYTES = 262_144;
 
+/** The bodies of refusals are not read, and must not keep their connections paused. */
+const MAX_UNREAD_BYTES = 4_096;
+/**
+ * Bytes of a paused connection: a chunk of 64 KB in its socket, and at least 16 KB of objects of the exchange. With
+ * 300 readers, the process grew by 63 KB each beside its buffers, part of which is reused.
+ */
+const PAUSED_SOCKET_BYTES = 81_920;
+
 /** Shortest wait after a process pause: running time may not advance for a moment. */
 const MIN_WAIT_MS = 10;
 
@@ -72,15 +83,23 @@
 const TIMEOUT: CallEvent = { kind: 'timeout' };
 
 export function openCall(options: CallOptions): TargetCall {
-  const { connection, target, method, path, headers, body, recordHead } = options;
+  const { connection, target, method, path, headers, body, recordHead, held } = options;
   const bufferedEvents: CallEvent[] = [];
   let bufferedBytes = 0;
+  let heldBytes = 0;
   let controller: Undici.Dispatcher.DispatchController | undefined;
   let isSent = false;
   let isDone = false;
   let isCancelled = false;
   let notifyReader: (() => void) | undefined;
 
+  function updateHeld(): void {
+    const isPaused = !isDone && controller?.paused === true;
+    const bytes = isCancelled ? 0 : bufferedBytes + (isPaused ? PAUSED_SOCKET_BYTES : 0);
+    if (bytes !== heldBytes) held?.addAnswerBytes(bytes - heldBytes);
+    heldBytes = bytes;
+  }
+
   function addEvent(event: CallEvent): void {
     if (isCancelled) return;
     bufferedEvents.push(event);
@@ -91,11 +110,16 @@
     const event = bufferedEvents.shift();
     if (event?.kind === 'data') {
       bufferedBytes -= event.chunk.length;
-      if (controller?.paused === true && bufferedBytes < MAX_BUFFERED_BYTES) controller.resume();
+      if (bufferedBytes < MAX_BUFFERED_BYTES && held?.mayReadAhead() !== false) resumeReading();
+      updateHeld();
     }
     return event;
   }
 
+  function resumeReading(): void {
+    if (controller?.paused === true) controller.resume();
+  }
+
   /**
    * Failure: after a process pause, timers fire before the sockets are read, and every target looks
    * silent. So a timeout takes effect only after pending reads.
@@ -113,6 +137,8 @@
 
   async function readEvent(timeoutMs: number): Promise<CallEvent> {
     if (isCancelled) return CANCELLED;
+    // Nothing may be read ahead, but the reader has come for more.
+    if (bufferedEvents.length === 0) resumeReading();
     if (bufferedEvents.length === 0) await waitForEvent(timeoutMs);
     if (isCancelled) return CANCELLED;
     return takeEvent() ?? TIMEOUT;
@@ -121,6 +147,8 @@
   function cancel(): void {
     if (isCancelled) return;
     isCancelled = true;
+    bufferedEvents.length = 0;
+    updateHeld();
     notifyReader?.();
     if (!isDone) connection.close();
   }
@@ -139,7 +167,9 @@
         controller = requestController;
         isSent = true;
       },
-      onResponseStart(_controller, status, responseHeaders, statusMessage) {
+      onResponseStart(requestController, status, responseHeaders, statusMessage) {
+        // They refer to the whole chunk of up to 64 KB that began with them, for as long as the answer lasts.
+        Object.assign(requestController, { rawHeaders: null });
         if (status < 200) return;
         const head = { status, statusMessage: statusMessage ?? '', headers: responseHeaders };
         recordHead(head);
@@ -148,16 +178,20 @@
       onResponseData(requestController, chunk) {
         bufferedBytes += chunk.length;
         addEvent({ kind: 'data', chunk });
-        if (bufferedBytes > MAX_BUFFERED_BYTES) requestController.pause();
+        const maxBytes = held?.mayReadAhead() === false ? MAX_UNREAD_BYTES : MAX_BUFFERED_BYTES;
+        if (bufferedBytes > maxBytes) requestController.pause();
+        updateHeld();
       },
       onResponseEnd() {
         isDone = true;
+        updateHeld();
         if (connection.wasReset()) addEvent({ kind: 'broken', reason: 'reset' });
         else addEvent({ kind: 'end' });
         connection.release();
       },
       onResponseError(_controller, error) {
         isDone = true;
+        updateHeld();
         connection.close();
         const { code = '', message } = error as NodeJS.ErrnoException;
         addEvent({ kind: 'broken', reason: code === '' ? message : code });
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
@@ -48,6 +48,11 @@
  * while the target closes the connection may or may not have run.
  */
 const KEEP_ALIVE_MARGIN_MS = 900;
+/**
+ * An unread socket stops reading once it has buffered this much. Chunks have up to 64 KB, so it buffers one of
+ * them; by the client's default of 64 KB it would buffer up to two. The client's types lack this option.
+ */
+const READ_AHEAD_BYTES = 1_024;
 /** Idle time before the first TCP keep-alive probe. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 
@@ -57,6 +62,7 @@
     timeout: CONNECT_TIMEOUT_MS,
     keepAlive: true,
     keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
+    ...{ highWaterMark: READ_AHEAD_BYTES },
   });
   let openCount = 0;
 
