--- a/packages/sequoiarill-plugin-forwarding/src/front/answerSink.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/answerSink.ts
@@ -70,5 +70,5 @@
     dependencies.log.logEvent(HeldEvents.ANSWER_BROKEN, { ...fields, reason, lastTarget });
   }
   // Unlike an orderly end, a reset completes no answer, also without a length or chunks.
-  response.socket?.resetAndDestroy();
+  response.req.socket.resetAndDestroy();
 }
--- a/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
@@ -118,7 +118,8 @@
     wasPaused = isPaused;
   }
 
-  function checkHolders(): void {
+  /** Returns the number of paused senders. */
+  function checkHolders(): number {
     const nowMs = clock.getNowMs();
     checkedAtMs = nowMs;
     for (const entry of entries) {
@@ -129,14 +130,14 @@
     for (const { entry, idleMs = 0 } of Decisions.selectCut(getTotal(), shares)) {
       cancelEntry(entry, idleMs);
     }
-    recordState(applyPauses());
+    return applyPauses();
   }
 
   /** Ends when nothing is held. */
   async function runChecks(): Promise<void> {
     while (entries.size > 0 && !stopController.signal.aborted) {
       await clock.waitMs(CHECK_INTERVAL_MS, stopController.signal);
-      checkHolders();
+      recordState(checkHolders());
     }
     checks = undefined;
   }
--- a/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
@@ -7,6 +7,8 @@
 export interface BodyControl {
   readonly setPaused: (isPaused: boolean) => void;
   readonly cut: () => void;
+  /** Bytes that were received and are not yet passed to `addBodyBytes`, as while it is paused. */
+  readonly countUnread: () => number;
 }
 
 export interface HeldExchange {
@@ -41,13 +43,18 @@
   const holder: Holder = {
     requestId,
     getKind: () => (bodyControl === undefined ? 'reader' : 'sender'),
-    countBytes: () => bodyBytes + answerBytes + wholeBytes + response.writableLength,
+    countBytes: () =>
+      bodyBytes +
+      (bodyControl?.countUnread() ?? 0) +
+      answerBytes +
+      wholeBytes +
+      response.writableLength,
     countProgress: () => (bodyControl === undefined ? countTaken(response) : bodyBytes),
     isCallerDue: () => bodyControl !== undefined || response.writableLength > 0,
     setPaused: (isPaused) => bodyControl?.setPaused(isPaused),
     cut() {
       // Unlike an orderly end, a reset completes no answer, also without a length or chunks.
-      if (bodyControl === undefined) response.socket?.resetAndDestroy();
+      if (bodyControl === undefined) response.req.socket.resetAndDestroy();
       else bodyControl.cut();
     },
   };
--- a/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
@@ -59,6 +59,7 @@
         else incoming.resume();
       },
       cut: () => stopReading('tooSlow'),
+      countUnread: () => incoming.readableLength,
     };
 
     function handleData(chunk: Buffer): void {
