--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -18,6 +18,11 @@
 export const PREEMPTING = 'forwarding.preempting';
 export const PART_REFUSED = 'forwarding.partRefused';
 
+export const HELD_BYTES = 'forwarding.heldBytes';
+export const HELD_PAUSED = 'forwarding.heldPaused';
+export const HELD_CUT = 'forwarding.heldCut';
+export const HELD_REFUSED = 'forwarding.heldRefused';
+
 export const METRICS = [
   { name: REQUESTS, unit: 'count', meaning: 'Requests ended, by route and outcome.' },
   {
@@ -97,4 +102,20 @@
     meaning:
       'Streams of the most urgent level sent to an engine whose KV cache has no room for them, so that it may preempt a run.',
   },
+  { name: HELD_BYTES, unit: 'bytes', meaning: 'Bytes held for callers that read or send slowly.' },
+  {
+    name: HELD_PAUSED,
+    unit: 'count',
+    meaning: 'Callers for which nothing is read ahead because too many bytes are held, by kind.',
+  },
+  {
+    name: HELD_CUT,
+    unit: 'count',
+    meaning: 'Callers cut off because too many bytes were held, by kind.',
+  },
+  {
+    name: HELD_REFUSED,
+    unit: 'count',
+    meaning: 'Requests with large bodies that were refused because too many bytes were held.',
+  },
 ] as const;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -8,7 +8,9 @@
 import * as Events from './events';
 import * as Exchanges from './front/exchange';
 import type { ForwardRequest } from './forwardRequest';
+import * as HeldEvents from './front/heldEvents';
 import * as HttpFrontEnds from './front/httpFrontEnd';
+import * as PluginHandlers from './pluginHandlers';
 import * as Parts from './pluginParts';
 import * as RetryQuotas from './retryQuota';
 import * as RouteTables from './front/routeTable';
@@ -27,7 +29,7 @@
   const rollouts = context.getCapability('rollouts');
   const room = context.getCapability('room');
   const log = RateLimitedLogs.createRateLimitedLog(logEvent, clock.getNowMs);
-  const parts = Parts.createTargetParts(context, log);
+  const parts = Parts.createTargetParts(context, settings, log);
   const { connections, paths, registry, relays, notices, probes, crashes, limits, brittle } = parts;
   const origins = Parts.createOrigins(context, log);
   const stopController = new AbortController();
@@ -83,15 +85,15 @@
     hasTimeFor: drain.hasTimeFor,
     durations,
     waits,
+    heldBudget: parts.heldBudget,
     clientRetries: Decisions.createClientRetryDetector(),
   };
 
-  Parts.registerHandlers(context, { ...parts, origins, waits });
+  PluginHandlers.registerHandlers(context, { ...parts, origins, waits });
   peers.setRetryQuotaLender((query) => RetryQuotas.grantRetryQuota(dependencies, query));
 
-  function isCurrent(target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>): boolean {
-    return directory.findCurrent(target) !== undefined;
-  }
+  const isCurrent = (target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>) =>
+    directory.findCurrent(target) !== undefined;
 
   function applyDirectory(): void {
     crashes.applyDirectory();
@@ -137,7 +139,7 @@
     async stop() {
       stopController.abort();
       paths.stop();
-      await loops;
+      await Promise.all([loops, parts.heldBudget.stop()]);
       await frontEnd.stop();
       connections.close();
       parts.routerConnections.close();
@@ -149,7 +151,7 @@
       connections: frontEnd.countConnections(),
       targetConnections: connections.countOpen(),
       isDraining: drain.isDraining(),
-      ...Parts.dumpTargetParts(parts),
+      ...PluginHandlers.dumpTargetParts(parts),
       origins: origins.dumpState(),
     }),
   };
@@ -160,6 +162,6 @@
   settingsSchema,
   provides: [],
   needs: ['wire', 'directory', 'peers', 'rollouts', 'room', 'keyValue'],
-  events: Events.EVENTS,
+  events: [...Events.EVENTS, ...HeldEvents.HELD_EVENTS],
   createInstance,
 };
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
@@ -0,0 +1,36 @@
+/** What other plug-ins, other routers and operators ask of the parts of this plug-in. */
+import type { PluginContext } from '@sequoiarill/types';
+
+import type { StreamOrigins } from './origins/streamOrigins';
+import type { TargetParts } from './pluginParts';
+import type { WaitingStreams } from './streams/waitingStreams';
+
+/** Sets what other plug-ins and other routers ask of this one, apart from its retries. */
+export function registerHandlers(
+  { getCapability }: PluginContext,
+  parts: TargetParts &
+    Readonly<{ origins: StreamOrigins; waits: Pick<WaitingStreams, 'dumpState'> }>,
+): void {
+  const peers = getCapability('peers');
+  const { crashes, limits, brittle, registry, origins, waits } = parts;
+  peers.setCrashHandlers(crashes.contents.handlers);
+  peers.setPartHandlers(crashes.parts.handlers);
+  peers.setOriginHandlers(origins.handlers);
+  peers.setPermitsLender(limits.grantPermits);
+  peers.setBrittleHandler(brittle.handleReport);
+  getCapability('rollouts').setInFlightCounter(registry.getInFlight);
+  getCapability('room').setLineSource(waits.dumpState);
+}
+
+export function dumpTargetParts(parts: TargetParts): Readonly<Record<string, unknown>> {
+  const { crashes, limits, notices, paths, brittle, heldBudget } = parts;
+  return {
+    crashes: crashes.contents.dumpState(),
+    crashingParts: crashes.parts.dumpState(),
+    limitedTargets: limits.dumpState(),
+    restingTargets: notices.dumpState(),
+    lostPaths: paths.dumpState(),
+    brittleTargets: brittle.dumpState(),
+    heldBytes: heldBudget.dumpState(),
+  };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -7,7 +7,10 @@
 import type { CrashGuard } from './crashes/crashGuard';
 import type { DisconnectCheckOptions } from './crashes/disconnectCheck';
 import * as ExitChecks from './crashes/exitCheck';
+import type { ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './front/headers';
+import * as HeldBudgets from './front/heldBudget';
+import type { HeldBudget } from './front/heldBudget';
 import type { ExchangeDependencies } from './front/replies';
 import * as Events from './events';
 import * as LazyGetters from './lazyGetter';
@@ -24,7 +27,6 @@
 import type { Relays as RelaysState } from './relay/relays';
 import type { ForwardingSettings } from './settings';
 import * as CopyCommands from './streams/copyCommands';
-import type { WaitingStreams } from './streams/waitingStreams';
 import * as EngineCalls from './targets/engineCalls';
 import * as EngineProbes from './targets/engineProbes';
 import * as PathMonitors from './targets/pathMonitor';
@@ -145,15 +147,13 @@
     peers: getCapability('peers'),
     directory: getCapability('directory'),
     paths,
-    openCall: ({ address }, headers, { method, path, body }) =>
+    openCall: ({ address }, headers, request) =>
       TargetCalls.openCall({
         connection: connections.takeConnection({ id: address, address, startedAtUnixMs: 0 }),
         target: { address },
-        method,
-        path,
-        body,
         headers,
         recordHead: () => undefined,
+        ...buildContent(request),
       }),
     closeMissing: (addresses) => connections.removeMissing(({ id }) => addresses.has(id)),
     checkExit: ExitChecks.createExitCheck(clock, ROUTER_CHECK_TIMEOUT_MS),
@@ -183,6 +183,17 @@
   });
 }
 
+/** What is sent of the request, whose body no longer counts as held, and what counts its answer. */
+function buildContent({ method, path, body, held, sink }: ForwardRequest) {
+  held?.releaseBody();
+  const answerHold = held && {
+    addAnswerBytes: held.addAnswerBytes,
+    // The socket of the connection buffers enough for an answer that is passed on.
+    mayReadAhead: () => sink?.isStarted() !== true && held.mayReadAhead(),
+  };
+  return { method, path, body, held: answerHold };
+}
+
 /** Sends a caller's request together with the headers that only the router may set. */
 export function createCallOpener(
   { clock, getCapability }: PluginContext,
@@ -200,9 +211,7 @@
     return TargetCalls.openCall({
       connection: connections.takeConnection(target),
       target,
-      method: request.method,
-      path: request.path,
-      body: request.body,
+      ...buildContent(request),
       recordHead: (head) => notices.recordHead(target, head),
       headers: [
         ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
@@ -215,8 +224,21 @@
   };
 }
 
+function createHeldBudget(
+  { clock, metrics, process }: PluginContext,
+  { heldMegabytes }: ForwardingSettings,
+  log: RateLimitedLog,
+): HeldBudget {
+  const limitBytes = Decisions.computeHeldLimit(heldMegabytes, process.memoryMb);
+  return HeldBudgets.createHeldBudget({ limitBytes, clock, log, metrics });
+}
+
 /** Everything that knows, asks and calls targets and the routers that may stand in for them. */
-export function createTargetParts(context: PluginContext, log: RateLimitedLog) {
+export function createTargetParts(
+  context: PluginContext,
+  settings: ForwardingSettings,
+  log: RateLimitedLog,
+) {
   const { clock, nextRandom, getCapability } = context;
   const wire = getCapability('wire');
   const directory = getCapability('directory');
@@ -262,6 +284,7 @@
     notices,
     relays,
     brittle,
+    heldBudget: createHeldBudget(context, settings, log),
     copyCommands: CopyCommands.createCopyCommands(wire, callEngine),
     crashes: createCrashGuard(context, log, {
       checkAnswer,
@@ -286,33 +309,4 @@
   };
 }
 
-/** Sets what other plug-ins and other routers ask of this one, apart from its retries. */
-export function registerHandlers(
-  { getCapability }: PluginContext,
-  parts: ReturnType<typeof createTargetParts> &
-    Readonly<{ origins: StreamOriginsState; waits: Pick<WaitingStreams, 'dumpState'> }>,
-): void {
-  const peers = getCapability('peers');
-  const { crashes, limits, brittle, registry, origins, waits } = parts;
-  peers.setCrashHandlers(crashes.contents.handlers);
-  peers.setPartHandlers(crashes.parts.handlers);
-  peers.setOriginHandlers(origins.handlers);
-  peers.setPermitsLender(limits.grantPermits);
-  peers.setBrittleHandler(brittle.handleReport);
-  getCapability('rollouts').setInFlightCounter(registry.getInFlight);
-  getCapability('room').setLineSource(waits.dumpState);
-}
-
-export function dumpTargetParts(
-  parts: ReturnType<typeof createTargetParts>,
-): Readonly<Record<string, unknown>> {
-  const { crashes, limits, notices, paths, brittle } = parts;
-  return {
-    crashes: crashes.contents.dumpState(),
-    crashingParts: crashes.parts.dumpState(),
-    limitedTargets: limits.dumpState(),
-    restingTargets: notices.dumpState(),
-    lostPaths: paths.dumpState(),
-    brittleTargets: brittle.dumpState(),
-  };
-}
+export type TargetParts = ReturnType<typeof createTargetParts>;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
@@ -52,7 +52,7 @@
   if (isFirst) {
     const pair = await readRoom(dependencies, request, progress, false);
     if (!isWaitDue(dependencies, request, pair)) {
-      return startStream(dependencies, request, line, pair);
+      return startStream(dependencies, request, progress, line, pair);
     }
   }
   return waitForRoom(dependencies, request, progress, { line, hasAsked: isFirst });
@@ -89,11 +89,13 @@
 
 function startStream(
   { metrics }: ForwardingDependencies,
-  { service }: ForwardRequest,
+  request: ForwardRequest,
+  progress: Progress,
   line: ServiceLine,
   pair: EnginePair | undefined,
 ): EngineSearch {
-  line.recordStart();
+  const { service } = request;
+  line.recordStart(StreamUrgency.findRank(request, progress));
   if (pair?.entry?.kind === 'preempt') metrics.addCount(Metrics.PREEMPTING, 1, { service });
   return { kind: 'found', pair };
 }
@@ -224,7 +226,10 @@
       const endAfter = findEnd();
       if (endAfter !== undefined) return decideWaitEnd(dependencies, request, progress, endAfter);
       if (!isWaitDue(dependencies, request, pair)) {
-        return { outcome: 'started', search: startStream(dependencies, request, line, pair) };
+        return {
+          outcome: 'started',
+          search: startStream(dependencies, request, progress, line, pair),
+        };
       }
     }
     await stream.waitForWake();
