--- a/packages/sequoiarill-decisions/src/room/__tests__/loadReplay.test.ts
+++ b/packages/sequoiarill-decisions/src/room/__tests__/loadReplay.test.ts
@@ -33,11 +33,13 @@
   ['a third of the engines gone', { computeLoads: spread(0.9), outage: BURST }],
 ];
 
+const MOSTLY_CACHED = 'long prompts, mostly cached';
+
 /** In the second, prefill limits an engine, in the third its cache; slots stay free in both. */
 const SHAPES: readonly (readonly [string, Shape])[] = [
   ['six slots', SIX_SLOTS],
   ['long prompts', { slots: 24, promptTokens: 8_000, prefillMs: 1_000 }],
-  ['long prompts, mostly cached', { slots: 24, promptTokens: 8_000, prefillMs: 250 }],
+  [MOSTLY_CACHED, { slots: 24, promptTokens: 8_000, prefillMs: 250 }],
 ];
 
 const CASES: readonly (readonly [string, Load, Shape])[] = [
@@ -68,14 +70,22 @@
   }
 
   // Without shares, the small organisations lose as many streams as the one that causes the overload.
-  it('serves small organisations beside one that sends nine tenths of too much load', () => {
-    const options = { computeLoads: spread(1.3), organisationWeights: [0.9, 0.05, 0.05] };
-    for (const { organisations, servedOfPossible } of simulateSeeds(options)) {
-      const [, ...small] = organisations.map((count) => computeShare(count, 'served'));
-      for (const share of small) expect(share).toBeGreaterThanOrEqual(0.95);
-      expect(servedOfPossible).toBeGreaterThanOrEqual(0.95);
-    }
-  });
+  for (const [name, shape] of SHAPES) {
+    it(`serves small organisations beside one that sends nine tenths of the load, ${name}`, () => {
+      const load = { computeLoads: spread(1.3), organisationWeights: [0.9, 0.05, 0.05] };
+      const small = simulateSeeds(load, shape).flatMap(({ organisations, servedOfPossible }) => {
+        // Cache that is kept free for the growth of runs is not used: about a tenth.
+        const least = name === MOSTLY_CACHED ? 0.85 : 0.95;
+        expect(servedOfPossible).toBeGreaterThanOrEqual(least);
+        return organisations.slice(1);
+      });
+      // A small organisation has 20 to 50 streams in one replay, so a single one is up to 0.05.
+      const arrived = Replays.computeTotal(small, 'arrived');
+      expect(Replays.computeTotal(small, 'served') / arrived).toBeGreaterThanOrEqual(0.95);
+      const shares = small.map((count) => computeShare(count, 'served'));
+      expect(Math.min(...shares)).toBeGreaterThanOrEqual(shape === SIX_SLOTS ? 0.95 : 0.9);
+    });
+  }
 
   // Waiting or sending more than once where there is room would delay streams for nothing.
   it('starts each stream at once and sends it once at half of the capacity', () => {
--- a/packages/sequoiarill-decisions/src/room/__tests__/room.test.ts
+++ b/packages/sequoiarill-decisions/src/room/__tests__/room.test.ts
@@ -121,12 +121,20 @@
     ]);
   });
 
-  // After a quiet time no stream has started, which does not tell that none could.
+  // After a quiet time no stream has started for long, which does not tell that none could.
   it('refuses none at once before starts are known, also after a quiet time', () => {
     const { clock, line, add } = createLine();
-    line.recordStart();
+    const waiter = add(1);
+    clock.nowMs = 2_000;
+    line.recordStart(1);
+    if (waiter !== undefined) line.remove(waiter);
     clock.nowMs = 600_000;
     for (let index = 0; index < 50; index += 1) expect(add(1)).not.toEqual(undefined);
+    clock.nowMs += 3_000;
+    expect(add(1)).not.toEqual(undefined);
+    // Nothing has started for as long as rates are measured, so only the first place has a chance.
+    clock.nowMs += 2_000;
+    expect([add(1), add(0)].map(Boolean)).toEqual([false, true]);
   });
 
   it('refuses at once what cannot start in time, and tells when to come back', () => {
--- a/packages/sequoiarill-decisions/src/room/engineRoom.ts
+++ b/packages/sequoiarill-decisions/src/room/engineRoom.ts
@@ -76,10 +76,10 @@
 
 /**
  * Factor for each level, and once more for streams beyond their share, by which the first event must be expected
- * earlier where other prompts are ahead. More urgent streams that arrive later find that much of the engine's time
- * free. With the same limit for all, the replay at 1.6 times the capacity showed 0.04 instead of 0.14 of the least
- * urgent streams in time, since engines' queues filled up with them; and with prompts of 8,000 tokens and 24 slots,
- * where slots stay free and prefill is short, 0.41 instead of 0.97 of the most urgent ones.
+ * earlier where other prompts are ahead. This leaves time of the engine to more urgent streams that arrive later. With
+ * the same limit for all, at 1.6 times the capacity, 0.04 instead of 0.14 of the least urgent streams were in time with
+ * six slots, since engines' queues filled up with them, and 0.41 instead of 0.97 of the most urgent ones with prompts
+ * of 8,000 tokens, where prefill limits engines and slots stay free.
  */
 const LEVEL_LIMIT_FACTOR = 0.5;
 
