Add a stand-in of an engine that admits by rank

Cause: the target stand-in runs every request at once, so nothing shows what callers get where engines are short of slots or KV cache.

--- a/packages/sequoiarill-standins/src/userPlatform/index.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/index.ts
@@ -2,4 +2,5 @@
 export * from './documents';
 export * from './storeStandin';
 export * from './targetStandin';
+export * from './queueingEngine';
 export * from './streamEvents';
