--- a/packages/sequoiarill-standins/src/userPlatform/queueingEngine.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/queueingEngine.ts
@@ -57,6 +57,8 @@
   /** Ids of the requests that were rejected because the queue was full. */
   readonly listRejected: () => readonly string[];
   readonly countInFlight: () => number;
+  /** Counts the reads of its report. */
+  readonly countReports: () => number;
 }
 
 interface Exchange extends EngineRequest {
@@ -117,6 +119,7 @@
   let prefilling: ActiveRun<Exchange> | undefined;
   let waitingPrefills: ActiveRun<Exchange>[] = [];
   let snapshots: Snapshot[] = [];
+  let reportReads = 0;
   /** Tokens of each cached part of a prompt, by the id of the part. */
   const cachedTokensByPart = new Map<string, number>();
 
@@ -286,7 +289,10 @@
 
   /** Handlers of the paths for management calls, which are not requests of callers. */
   const managementHandlers: Readonly<Record<string, (response: ServerResponse) => void>> = {
-    '/report': (response) => sendJson(response, getReport()),
+    '/report': (response) => {
+      reportReads += 1;
+      sendJson(response, getReport());
+    },
     '/kv-list': (response) => {
       const held = [...cachedTokensByPart].map(([part, tokens]) => ['', part, tokens, 'm']);
       sendJson(response, JSON.stringify({ epoch: 1, next: 1, held }));
@@ -329,6 +335,7 @@
     },
     listRuns: () => runs,
     listRejected: () => rejected,
+    countReports: () => reportReads,
     countInFlight: () => queue.listActive().length + queue.listQueued().length,
   };
 }
