--- a/packages/sequoiarill-testing/src/userRouter.ts
+++ b/packages/sequoiarill-testing/src/userRouter.ts
@@ -25,12 +25,19 @@
   readonly start: Promise<void>;
 }
 
-/** Starts the compiled program `daemon` with `settings`, the text of an INI file. */
-export function startUserRouter(daemon: string, settings: string): StartedRouter {
+/**
+ * Starts the compiled program `daemon` with `settings`, the text of an INI file. `nodeOptions` are options of
+ * Node.js, for example limits of memory.
+ */
+export function startUserRouter(
+  daemon: string,
+  settings: string,
+  nodeOptions: readonly string[] = [],
+): StartedRouter {
   const folder = mkdtempSync(path.join(tmpdir(), 'sequoiarill-'));
   const file = path.join(folder, 'router.ini');
   writeFileSync(file, settings);
-  const child = spawn(process.execPath, [daemon], {
+  const child = spawn(process.execPath, [...nodeOptions, daemon], {
     env: { ...process.env, SEQUOIARILL_CONFIG: file },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
