Let the contention bench run at the times of the deployments

Cause: with runs of 1.2 s and objectives of 1 s, reports that are 100 ms old and checks every 150 ms weigh four times as much as in the deployments.

--- a/bench/src/contention.ts
+++ b/bench/src/contention.ts
@@ -2,6 +2,7 @@
  * Plays loads that exceed what engines can serve over routers as processes, prints what callers get by
  * route and by organisation, and checks the records of callers and engines.
  */
+import { writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 
@@ -23,6 +24,8 @@
   readonly scenario: string;
   readonly seed: string;
   readonly seconds: string;
+  readonly scale: string;
+  readonly records?: string;
   readonly routers: string;
   readonly engines: string;
   readonly slots: string;
@@ -34,8 +37,6 @@
 }
 
 const ALL = 'all';
-/** A quarter of the patience of the deployments' callers, as are the objectives. */
-const PATIENCE_MS = 6_250;
 const MS_PER_SECOND = 1_000;
 const NANOS_PER_MS = 1_000_000;
 /** Time after the last caller in which engines must notice that it has left. */
@@ -52,12 +53,6 @@
   });
 }
 
-/** Time for which a run holds a slot of an engine of full speed that prefills nothing else. */
-function computeRunMs(): number {
-  const { PROMPT_TOKENS, PREFILL_TOKENS_PER_MS, EVENT_COUNT, EVENT_MS } = Configurations;
-  return PROMPT_TOKENS / PREFILL_TOKENS_PER_MS + (EVENT_COUNT - 1) * EVENT_MS;
-}
-
 function computeConcurrency(slots: number, kvTokens: number): number {
   const { PROMPT_TOKENS, EVENT_COUNT, TOKENS_PER_EVENT } = Configurations;
   return Math.min(slots, Math.floor(kvTokens / (PROMPT_TOKENS + EVENT_COUNT * TOKENS_PER_EVENT)));
@@ -97,8 +92,12 @@
   return (Math.round(engines * LOST_ENGINE_SHARE) / engines) * (lostMs / durationMs);
 }
 
-async function runScenario(scenario: Scenario, args: Arguments) {
-  const durationMs = Number(args.seconds) * MS_PER_SECOND;
+async function runScenario(base: Scenario, args: Arguments) {
+  const scale = Number(args.scale);
+  const scenario = Scenarios.createScaled(base, scale);
+  const timing = Configurations.createTiming(scale);
+  const { patienceMs } = timing;
+  const durationMs = Number(args.seconds) * scale * MS_PER_SECOND;
   const slots = Number(args.slots);
   const kvTokens = Number(args.kvTokens);
   const fleet = await Fleets.startFleet({
@@ -109,10 +108,10 @@
     kvTokens,
     preempts: args.preempt === true,
     slowEngines: Number(args.slowEngines),
-    patienceMs: PATIENCE_MS,
+    timing,
   });
   const pickRouter = createPicker(fleet.routers);
-  const callers = Callers.createCallers({ patienceMs: PATIENCE_MS, pickRouter });
+  const callers = Callers.createCallers({ patienceMs, pickRouter });
   try {
     const speed = fleet.engines.reduce((sum, { slowness }) => sum + 1 / slowness, 0);
     const concurrency = computeConcurrency(slots, kvTokens);
@@ -120,7 +119,7 @@
       scenario,
       seed: Number(args.seed),
       durationMs,
-      capacityPerSecond: (speed * concurrency * MS_PER_SECOND) / computeRunMs(),
+      capacityPerSecond: (speed * concurrency * MS_PER_SECOND) / timing.runMs,
     });
     const delays = monitorEventLoopDelay({ resolution: 10 });
     delays.enable();
@@ -147,14 +146,18 @@
     delays.disable();
     const engines = fleet.listEngineRecords();
     const records = { callers: results, engines, faults, eventCount: Configurations.EVENT_COUNT };
-    const violations = [...Checks.checkRecords(records, { patienceMs: PATIENCE_MS })];
+    const violations = [...Checks.checkRecords(records, { patienceMs })];
+    if (args.records !== undefined) {
+      writeFileSync(args.records, JSON.stringify({ startMs, ...records }));
+    }
     const share = 1 - computeLostShare(scenario, fleet.engines.length, durationMs);
     const availableSlotMs = fleet.engines.length * concurrency * durationMs * share;
     return {
       scenario: scenario.name,
       seed: Number(args.seed),
+      scale,
       ...(args.fault === undefined ? {} : { fault: args.fault }),
-      ...Summaries.createCallerTables(results),
+      ...Summaries.createCallerTables(results, timing.objectivesMs),
       engines: Summaries.buildEngineSummary(engines, {
         fromMs: startMs,
         untilMs,
@@ -178,7 +181,9 @@
       .default(ALL),
   )
   .option('--seed <number>', 'seed of the arrivals', '1')
-  .option('--seconds <number>', 'time in which callers arrive', '15')
+  .option('--seconds <number>', 'time in which callers arrive, before the scale', '15')
+  .option('--scale <number>', 'factor on all times; 4 gives about those of the deployments', '1')
+  .option('--records <file>', 'file for the records of the last scenario')
   .option('--routers <number>', 'number of router processes', '5')
   .option('--engines <number>', 'number of engines', '12')
   .option('--slots <number>', 'slots of an engine', '6')
--- a/bench/src/contention/configuration.ts
+++ b/bench/src/contention/configuration.ts
@@ -6,8 +6,9 @@
 export const PROMPT_TOKENS = 8_000;
 export const TOKENS_PER_EVENT = 7;
 export const EVENT_COUNT = 30;
-export const EVENT_MS = 40;
-export const PREFILL_TOKENS_PER_MS = 100;
+const EVENT_MS = 40;
+const PREFILL_TOKENS_PER_MS = 100;
+const PATIENCE_MS = 6_250;
 /** Part of each prompt that all share. */
 const SHARED_TOKENS = 1_000;
 const MAX_GAP_MS = 700;
@@ -30,21 +31,43 @@
   };
 }
 
-export interface ConfigurationOptions {
+/** Times of a run of the bench; at a scale of 4 they are about those of the deployments. */
+export interface Timing {
+  readonly eventMs: number;
+  readonly prefillTokensPerMs: number;
+  /** Time for which a caller waits, from its arrival. */
   readonly patienceMs: number;
-  readonly kvTokens: number;
+  /** For the first event, by route. */
+  readonly objectivesMs: readonly number[];
+  /** Time for which a run holds a slot of an engine of full speed that prefills nothing else. */
+  readonly runMs: number;
 }
 
-export function formatConfiguration({ patienceMs, kvTokens }: ConfigurationOptions): string {
+export function createTiming(scale: number): Timing {
+  const eventMs = EVENT_MS * scale;
+  const prefillTokensPerMs = PREFILL_TOKENS_PER_MS / scale;
+  return {
+    eventMs,
+    prefillTokensPerMs,
+    patienceMs: PATIENCE_MS * scale,
+    objectivesMs: ROUTES.map(({ objectiveMs }) => objectiveMs * scale),
+    runMs: PROMPT_TOKENS / prefillTokensPerMs + (EVENT_COUNT - 1) * eventMs,
+  };
+}
+
+export function formatConfiguration(
+  { patienceMs, objectivesMs }: Timing,
+  kvTokens: number,
+): string {
   return JSON.stringify({
     version: 1,
-    routes: ROUTES.map(({ name, priority, objectiveMs }) => ({
+    routes: ROUTES.map(({ name, priority }, index) => ({
       name,
       hostname: Standins.HOST,
       prefix: `/${name}/`,
       routeType: 'streaming',
       timeoutMs: patienceMs,
-      targetLatencyMs: objectiveMs,
+      targetLatencyMs: objectivesMs[index],
       gapTargetMs: MAX_GAP_MS,
       priority,
       service: 'engines',
--- a/bench/src/contention/fleet.ts
+++ b/bench/src/contention/fleet.ts
@@ -6,6 +6,7 @@
 
 import type { ListedRouter } from './callers';
 import * as Configurations from './configuration';
+import type { Timing } from './configuration';
 import type { EngineRecord, RouterFault, RouterFaultKind } from './records';
 
 export interface FleetOptions {
@@ -18,7 +19,7 @@
   readonly preempts: boolean;
   /** The first so many engines run at half the speed of the others. */
   readonly slowEngines: number;
-  readonly patienceMs: number;
+  readonly timing: Timing;
 }
 
 export interface ManagedEngine {
@@ -55,7 +56,7 @@
   index: number,
   options: FleetOptions,
 ): Promise<ManagedEngine> {
-  const { slots, kvTokens, preempts, slowEngines } = options;
+  const { slots, kvTokens, preempts, slowEngines, timing } = options;
   const slowness = index < slowEngines ? SLOW : 1;
   const incarnations: QueueingEngine[] = [];
   let listen = '127.0.0.1:0';
@@ -66,8 +67,8 @@
       listen,
       slots,
       maxQueued: 4 * slots,
-      prefillTokensPerMs: Configurations.PREFILL_TOKENS_PER_MS,
-      eventMs: Configurations.EVENT_MS,
+      prefillTokensPerMs: timing.prefillTokensPerMs,
+      eventMs: timing.eventMs,
       eventCount: Configurations.EVENT_COUNT,
       kvTokens,
       tokensPerEvent: Configurations.TOKENS_PER_EVENT,
@@ -176,8 +177,8 @@
 export async function startFleet(options: FleetOptions) {
   const store = Standins.createStoreStandin();
   const storeAddress = await store.start();
-  const { patienceMs, kvTokens } = options;
-  const configuration = Configurations.formatConfiguration({ patienceMs, kvTokens });
+  const { timing, kvTokens } = options;
+  const configuration = Configurations.formatConfiguration(timing, kvTokens);
   store.writeValue(Standins.CONFIGURATION_KEY, configuration);
   const engines: ManagedEngine[] = [];
   for (let index = 0; index < options.engines; index += 1) {
--- a/bench/src/contention/scenarios.ts
+++ b/bench/src/contention/scenarios.ts
@@ -35,6 +35,21 @@
 
 const BURST_FACTOR = 5;
 const DISTURBANCE: Period = { fromMs: 4_000, untilMs: 10_000 };
+
+function computePeriod({ fromMs, untilMs }: Period, scale: number): Period {
+  return { fromMs: fromMs * scale, untilMs: untilMs * scale };
+}
+
+/** The same scenario with longer times. */
+export function createScaled(scenario: Scenario, scale: number): Scenario {
+  const { burst, loss } = scenario;
+  return {
+    ...scenario,
+    ...(burst === undefined ? {} : { burst: computePeriod(burst, scale) }),
+    ...(loss === undefined ? {} : { loss: computePeriod(loss, scale) }),
+  };
+}
+
 const UNEVEN = [0.5, 0.3, 0.2];
 const MS_PER_SECOND = 1_000;
 
--- a/bench/src/contention/summary.ts
+++ b/bench/src/contention/summary.ts
@@ -33,15 +33,15 @@
     : firstAtMs.firstEventAtMs - arrivedAtMs;
 }
 
-function isInTime(caller: Caller): boolean {
+function isInTime(caller: Caller, objectivesMs: readonly number[]): boolean {
   const firstEventMs = getFirstEventMs(caller);
-  const objectiveMs = ROUTES[caller.route]?.objectiveMs ?? 0;
+  const objectiveMs = objectivesMs[caller.route] ?? 0;
   return isServed(caller) && firstEventMs !== undefined && firstEventMs <= objectiveMs;
 }
 
-function buildGroup(name: string, callers: readonly Caller[]) {
+function buildGroup(name: string, callers: readonly Caller[], objectivesMs: readonly number[]) {
   const served = callers.filter(isServed);
-  const inTime = callers.filter(isInTime).length;
+  const inTime = callers.filter((caller) => isInTime(caller, objectivesMs)).length;
   const refused = callers.filter((caller) => {
     const last = getLast(caller);
     return last !== undefined && Records.isRefused(last);
@@ -62,20 +62,22 @@
   };
 }
 
-export function createCallerTables(callers: readonly Caller[]) {
+export function createCallerTables(callers: readonly Caller[], objectivesMs: readonly number[]) {
   const routes = ROUTES.map(({ name }, index) =>
     buildGroup(
       name,
       callers.filter(({ route }) => route === index),
+      objectivesMs,
     ),
   );
   const organisations = ORGANISATIONS.map((name, index) =>
     buildGroup(
       name,
       callers.filter(({ organisation }) => organisation === index),
+      objectivesMs,
     ),
   );
-  return { routes: [...routes, buildGroup('all', callers)], organisations };
+  return { routes: [...routes, buildGroup('all', callers, objectivesMs)], organisations };
 }
 
 export interface LoadPeriod {
