--- a/packages/sequoiarill-standins/src/userPlatform/index.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/index.ts
@@ -3,4 +3,5 @@
 export * from './documents';
 export * from './storeStandin';
 export * from './targetStandin';
+export * from './queueingEngine';
 export * from './streamEvents';
