Say in the state dump what new streams would get, and never hold back a stream that ran elsewhere

Change: for each service and rank, the dump tells whether a new stream would go, wait (behind how many, for how long) or be refused. A stream that another router sends on after one of its targets may have run it is not held back or refused, as if it had run here. Streams that may not ask engines yet check every 600 ms instead of 150 ms whether they may still wait.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -202,11 +202,12 @@
 /** A stream that has run, or whose caller has received events, is never refused for lateness. */
 function decideAdmission(
   { lastEventId }: ForwardRequest,
-  { runs }: Progress,
+  { runs, urgency }: Progress,
   { target, backup, promptsAhead, admission, entry }: EnginePair,
 ): Omit<Plan, 'isRetry'> | Extract<StreamOutcome, { kind: 'refused' }> {
-  // `entry` has decided already.
-  const isRefused = entry === undefined && admission.kind === 'refuse';
+  // Where it is decided who gets room, `entry` has decided for new streams, and others are never refused.
+  const isDecided = entry !== undefined || urgency?.hasRunElsewhere === true;
+  const isRefused = !isDecided && admission.kind === 'refuse';
   if (isRefused && runs === 0 && lastEventId === undefined) {
     const reason = 'its first event would be late at all engines asked';
     const { retryAfterSeconds } = admission;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamUrgency.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamUrgency.ts
@@ -12,13 +12,27 @@
 export interface RequestUrgency extends StreamUrgency {
   /** Engine time; the unit is that of `computeCost`. */
   readonly work: number;
+  /** Another router has sent it to a target, which may have run it. */
+  readonly hasRunElsewhere: boolean;
+}
+
+/** The sending router allows fewer targets than the route once it has used some. */
+function hasRunElsewhere(
+  { directory }: ForwardingDependencies,
+  { route, relayTerms }: ForwardRequest,
+): boolean {
+  if (relayTerms === undefined) return false;
+  const routes = directory.getConfiguration()?.routes ?? [];
+  const { maxTargets = 0 } = routes.find(({ name }) => name === route.name) ?? {};
+  return relayTerms.targetsLeft < maxTargets;
 }
 
 /** Whether the caller has events of the stream, or a target may have run it: it is never held back or refused. */
 export function isBegun(
   { lastEventId }: Pick<ForwardRequest, 'lastEventId'>,
-  { hasEvents, runs }: Pick<Progress, 'hasEvents' | 'runs'>,
+  { hasEvents, runs, urgency }: Pick<Progress, 'hasEvents' | 'runs' | 'urgency'>,
 ): boolean {
+  if (urgency?.hasRunElsewhere === true) return true;
   return hasEvents || runs > 0 || (lastEventId !== undefined && lastEventId !== '');
 }
 
@@ -39,10 +53,12 @@
     cachedTokens: 0,
     expectedOutputTokens: EnginePairs.countOutputTokens(dependencies, request),
   });
-  const isNew = !isBegun(request, { hasEvents: false, runs: 0 });
-  if (!isNew || relays.isDue(request)) return { level, isWithinShare: true, work };
+  const arrived = { level, isWithinShare: true, work };
+  const urgency = { ...arrived, hasRunElsewhere: hasRunElsewhere(dependencies, request) };
+  const isNew = !isBegun(request, { hasEvents: false, runs: 0, urgency });
+  if (!isNew || relays.isDue(request)) return urgency;
   room.recordDemand({ service, organisation, level, work });
-  return { ...room.markStream({ service, organisation, level }), work };
+  return { ...urgency, ...room.markStream({ service, organisation, level }) };
 }
 
 /** Applies a change of priorities to a stream that waits; its share was decided when it arrived. */
--- a/packages/sequoiarill-plugin-forwarding/src/streams/waitingStreams.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/waitingStreams.ts
@@ -25,6 +25,24 @@
   readonly remove: (stream: WaitingStream) => void;
 }
 
+/** What a new stream of a rank would get now. */
+export interface RankOutlook {
+  readonly rank: number;
+  readonly result: 'goes' | 'waits' | 'refused';
+  /** Those that would wait before it. */
+  readonly ahead: number;
+  /** Undefined where nothing starts. */
+  readonly expectedWaitMs: number | undefined;
+  /** Longest wait of the last stream of the rank. */
+  readonly maxWaitMs: number;
+}
+
+/** For the state dump. */
+export interface LineState {
+  readonly waiting: readonly RankSummary[];
+  readonly outlook: readonly RankOutlook[];
+}
+
 export interface WaitingStreams {
   readonly getLine: (service: string) => ServiceLine;
   /** A run of the service has ended: its slot may be free. */
@@ -33,7 +51,7 @@
   readonly wakeAll: () => void;
   /** Whether the answer to the request would be complete before the process exits. */
   readonly hasTimeFor: (request: ForwardRequest) => boolean;
-  readonly dumpState: () => Readonly<Record<string, readonly RankSummary[]>>;
+  readonly dumpState: () => Readonly<Record<string, LineState>>;
 }
 
 export interface WaitingStreamsOptions {
@@ -43,6 +61,8 @@
 
 /** Reports of engines are 100 to 200 ms old, so that asking more often learns nothing. */
 const ASK_INTERVAL_MS = 150;
+/** Intervals after which the others check whether they may still wait; a line may hold thousands. */
+const INTERVALS_PER_CHECK = 4;
 
 type WaitClock = WaitingStreamsOptions['clock'];
 
@@ -69,7 +89,7 @@
 }
 
 interface Line extends ServiceLine {
-  readonly listRanks: WaitingLine['listRanks'];
+  readonly dumpState: () => LineState;
   /** Those that may ask engines, or all; the first one first. */
   readonly wake: (which: 'first' | 'all') => void;
 }
@@ -77,6 +97,8 @@
 function createLine(clock: WaitClock): Line {
   const line = Decisions.createWaitingLine({ getNowMs: clock.getNowMs });
   const streams = new Set<WaitingStream>();
+  /** By rank. */
+  const lastMaxWaitMs = new Map<number, number>();
   let isTicking = false;
 
   function resumeStreams(which: 'first' | 'all'): void {
@@ -92,13 +114,25 @@
   async function runTicks(): Promise<void> {
     if (isTicking) return;
     isTicking = true;
-    while (streams.size > 0) {
+    for (let ticks = 1; streams.size > 0; ticks += 1) {
       await clock.waitMs(ASK_INTERVAL_MS);
-      resumeStreams('all');
+      resumeStreams(ticks % INTERVALS_PER_CHECK === 0 ? 'all' : 'first');
     }
     isTicking = false;
   }
 
+  function computeOutlook(rank: number, maxWaitMs: number): RankOutlook {
+    const ahead = line
+      .listRanks()
+      .filter((other) => other.rank <= rank)
+      .reduce((sum, { waiting }) => sum + waiting, 0);
+    const waitMs = line.getExpectedWaitMs(ahead);
+    const expectedWaitMs = Number.isFinite(waitMs) ? Math.round(waitMs) : undefined;
+    const resultOfWait = waitMs > maxWaitMs ? 'refused' : 'waits';
+    const result = ahead === 0 ? 'goes' : resultOfWait;
+    return { rank, result, ahead, expectedWaitMs, maxWaitMs: Math.round(maxWaitMs) };
+  }
+
   return {
     isAskAllowed: line.isAskAllowed,
     setRank: line.setRank,
@@ -106,9 +140,13 @@
     getRetryAfterMs: line.getRetryAfterMs,
     recordStart: line.recordStart,
     count: line.count,
-    listRanks: line.listRanks,
+    dumpState: () => ({
+      waiting: line.listRanks(),
+      outlook: [...lastMaxWaitMs].map(([rank, maxWaitMs]) => computeOutlook(rank, maxWaitMs)),
+    }),
     wake: resumeStreams,
     add(query) {
+      lastMaxWaitMs.set(query.rank, query.maxWaitMs);
       const outcome = line.add(query);
       if (outcome.kind === 'refused') return outcome;
       const stream = createWaitingStream(clock, outcome.waiter);
@@ -139,6 +177,6 @@
     wakeFirst: (service) => lines.get(service)?.wake('first'),
     wakeAll: () => lines.forEach((line) => line.wake('all')),
     dumpState: () =>
-      Object.fromEntries([...lines].map(([service, line]) => [service, line.listRanks()])),
+      Object.fromEntries([...lines].map(([service, line]) => [service, line.dumpState()])),
   };
 }
