Learn the prefill speed of fast engines from prompts that waited

Change: a prompt that may have waited bounds its prefill from above, and bounds below the estimate lower it, where who gets room is decided.

--- a/packages/sequoiarill-decisions/src/__tests__/promptEstimates.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/promptEstimates.test.ts
@@ -19,6 +19,17 @@
     expect(estimates.getMsPerToken()).toBeLessThan(before * 1.06);
   });
 
+  it('learn the speed of fast engines from prompts that waited, and of slow ones from none of these', () => {
+    // Engines are full from the first second, so that no prompt is alone; streams are refused as late before they
+    // are sent, as long as prefill counts ten times its real duration.
+    const estimates = PromptEstimates.createPromptEstimates();
+    for (const ms of [200, 150, 400, 120, 5_000, 130, 180, 110]) {
+      estimates.recordUpperBound(8_000, ms);
+    }
+    expect(estimates.getMsPerToken() * 8_000).toBeLessThan(200);
+    expect(estimates.getMsPerToken() * 8_000).toBeGreaterThan(110);
+  });
+
   it('estimate the prompt length, so that short prompts do not count as seconds of work', () => {
     // A service has short prompts: two of them ahead of a new one are prefilled within milliseconds. With
     // the default length assumed for each, every stream that met another was refused while load lasted.
--- a/packages/sequoiarill-decisions/src/promptEstimates.ts
+++ b/packages/sequoiarill-decisions/src/promptEstimates.ts
@@ -11,6 +11,8 @@
   readonly recordRequest: (tokens: number) => void;
   /** Records the prefill time of a prompt that waited for no other. */
   readonly recordPrefill: (tokens: number, ms: number) => void;
+  /** Records the time to the first event of a prompt that may have waited: its prefill took at most as long. */
+  readonly recordUpperBound: (tokens: number, ms: number) => void;
   /** Expected length of a prompt about which nothing else is known. */
   readonly getMeanTokens: () => number;
   readonly getMsPerToken: () => number;
@@ -22,6 +24,11 @@
 const INITIAL_MEAN_TOKENS = 8_000;
 /** Weight of a new sample: about the last twenty prompts count. */
 const SAMPLE_WEIGHT = 0.05;
+/**
+ * Weight of an upper bound below the estimate. Where callers compete for room, few prompts wait for nothing, and with
+ * the initial estimate streams of fast engines count as late before they are sent.
+ */
+const BOUND_WEIGHT = 0.5;
 /** Shorter prompts are not measured: the network latency outweighs their prefill time. */
 const MIN_MEASURED_TOKENS = 500;
 /** Bound on a sample relative to the estimate: a slower prompt had to wait for others not yet reported. */
@@ -41,6 +48,10 @@
       const measured = Math.min(ms / tokens, msPerToken * MAX_SAMPLE_FACTOR);
       msPerToken += (measured - msPerToken) * SAMPLE_WEIGHT;
     },
+    recordUpperBound(tokens, ms) {
+      if (tokens < MIN_MEASURED_TOKENS || ms / tokens >= msPerToken) return;
+      msPerToken += (ms / tokens - msPerToken) * BOUND_WEIGHT;
+    },
     getMeanTokens: () => meanTokens ?? INITIAL_MEAN_TOKENS,
     getMsPerToken: () => msPerToken,
   };
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -165,8 +165,12 @@
   function recordFirstEvent(ms: number): void {
     recordResult('answered');
     policy.recordFirstToken(target.id, ms, options.prefillTokens);
-    if (options.promptsAhead !== 0) return;
-    dependencies.getPromptEstimates(request.service).recordPrefill(options.prefillTokens, ms);
+    const { prefillTokens, promptsAhead } = options;
+    const estimates = dependencies.getPromptEstimates(request.service);
+    if (promptsAhead === 0) estimates.recordPrefill(prefillTokens, ms);
+    else if (dependencies.room.isActive(request.service)) {
+      estimates.recordUpperBound(prefillTokens, ms);
+    }
   }
 
   function recordEvents(): void {
