--- a/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
@@ -48,6 +48,7 @@
     return { kind: 'found', pair };
   }
   const line = dependencies.waits.getLine(request.service);
+  const version = dependencies.directory.getConfiguration()?.version;
   const isFirst = line.count() === 0;
   if (isFirst) {
     const pair = await readRoom(dependencies, request, progress, false);
@@ -55,7 +56,7 @@
       return startStream(dependencies, request, line, pair);
     }
   }
-  return waitForRoom(dependencies, request, progress, { line, hasAsked: isFirst });
+  return waitForRoom(dependencies, request, progress, { line, hasAsked: isFirst, version });
 }
 
 async function readRoom(
@@ -139,15 +140,18 @@
   readonly line: ServiceLine;
   /** Whether it has just asked engines. */
   readonly hasAsked: boolean;
+  /** Of the configuration by which it was accepted. */
+  readonly version: number | undefined;
 }
 
 async function waitForRoom(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
-  { line, hasAsked }: WaitStart,
+  start: WaitStart,
 ): Promise<EngineSearch> {
   const { clock, log } = dependencies;
+  const { line } = start;
   const { urgency } = progress;
   const rank = StreamUrgency.findRank(request, progress) ?? Decisions.MAX_RANK_WITHIN_SHARE;
   const maxWaitMs = computeMaxWaitMs(dependencies, request);
@@ -166,7 +170,7 @@
   request.closed.addEventListener('abort', stream.wake, { once: true });
   let result: WaitResult | undefined;
   try {
-    result = await runWait(dependencies, request, progress, { line, hasAsked, stream });
+    result = await runWait(dependencies, request, progress, { ...start, stream });
     return result.search;
   } finally {
     request.closed.removeEventListener('abort', stream.wake);
@@ -189,7 +193,7 @@
   { line, stream, ...wait }: Wait,
 ): Promise<WaitResult> {
   const { clock, directory } = dependencies;
-  let version = directory.getConfiguration()?.version;
+  let { hasAsked, version } = wait;
 
   function findEnd(): WaitEnd | undefined {
     const configuration = directory.getConfiguration();
@@ -208,7 +212,6 @@
     return WaitEnds.findWaitEnd(dependencies, request);
   }
 
-  let { hasAsked } = wait;
   for (let isAskDue = !hasAsked; ; isAskDue = true) {
     const endBefore = findEnd();
     if (endBefore !== undefined) return decideWaitEnd(dependencies, request, progress, endBefore);
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -166,7 +166,8 @@
     recordResult('answered');
     policy.recordFirstToken(target.id, ms, options.prefillTokens);
     if (options.promptsAhead !== 0) return;
-    dependencies.getPromptEstimates(request.service).recordPrefill(options.prefillTokens, ms);
+    const medianMs = ms / dependencies.room.getSpeedFactor(target);
+    dependencies.getPromptEstimates(request.service).recordPrefill(options.prefillTokens, medianMs);
   }
 
   function recordEvents(): void {
