--- a/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
@@ -164,7 +164,8 @@
   }
   const { stream } = added;
   const ahead = line.getPlace(stream.waiter);
-  const fields = { request: request.id, service: request.service, level: urgency?.level };
+  // `level` is the severity of a log line.
+  const fields = { request: request.id, service: request.service, urgency: urgency?.level };
   log.logEvent(Events.STREAM_WAITING, { ...fields, rank, ahead, maxWaitMs: Math.round(maxWaitMs) });
   const startedAtMs = clock.getNowMs();
   request.closed.addEventListener('abort', stream.wake, { once: true });
