--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -9,6 +9,7 @@
 import * as Exchanges from './front/exchange';
 import type { ForwardRequest } from './forwardRequest';
 import * as HttpFrontEnds from './front/httpFrontEnd';
+import * as Handlers from './pluginHandlers';
 import * as Parts from './pluginParts';
 import * as RetryQuotas from './retryQuota';
 import * as RouteTables from './front/routeTable';
@@ -85,7 +86,7 @@
     clientRetries: Decisions.createClientRetryDetector(),
   };
 
-  Parts.registerHandlers(context, { ...parts, origins, waits });
+  Handlers.registerHandlers(context, { ...parts, origins, waits });
   peers.setRetryQuotaLender((query) => RetryQuotas.grantRetryQuota(dependencies, query));
 
   function isCurrent(target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>): boolean {
@@ -148,7 +149,7 @@
       connections: frontEnd.countConnections(),
       targetConnections: connections.countOpen(),
       isDraining: drain.isDraining(),
-      ...Parts.dumpTargetParts(parts),
+      ...Handlers.dumpTargetParts(parts),
       origins: origins.dumpState(),
     }),
   };
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -24,7 +24,6 @@
 import type { Relays as RelaysState } from './relay/relays';
 import type { ForwardingSettings } from './settings';
 import * as CopyCommands from './streams/copyCommands';
-import type { WaitingStreams } from './streams/waitingStreams';
 import * as EngineCalls from './targets/engineCalls';
 import * as EngineProbes from './targets/engineProbes';
 import * as PathMonitors from './targets/pathMonitor';
@@ -281,34 +280,3 @@
     }),
   };
 }
-
-/** Sets what other plug-ins and other routers ask of this one, apart from its retries. */
-export function registerHandlers(
-  { getCapability }: PluginContext,
-  parts: ReturnType<typeof createTargetParts> &
-    Readonly<{ origins: StreamOriginsState; waits: Pick<WaitingStreams, 'dumpState'> }>,
-): void {
-  const peers = getCapability('peers');
-  const { crashes, limits, brittle, registry, origins, waits } = parts;
-  peers.setCrashHandlers(crashes.contents.handlers);
-  peers.setPartHandlers(crashes.parts.handlers);
-  peers.setOriginHandlers(origins.handlers);
-  peers.setPermitsLender(limits.grantPermits);
-  peers.setBrittleHandler(brittle.handleReport);
-  getCapability('rollouts').setInFlightCounter(registry.getInFlight);
-  getCapability('room').setLineSource(waits.dumpState);
-}
-
-export function dumpTargetParts(
-  parts: ReturnType<typeof createTargetParts>,
-): Readonly<Record<string, unknown>> {
-  const { crashes, limits, notices, paths, brittle } = parts;
-  return {
-    crashes: crashes.contents.dumpState(),
-    crashingParts: crashes.parts.dumpState(),
-    limitedTargets: limits.dumpState(),
-    restingTargets: notices.dumpState(),
-    lostPaths: paths.dumpState(),
-    brittleTargets: brittle.dumpState(),
-  };
-}
