--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -167,9 +167,10 @@
     policy.recordFirstToken(target.id, ms, options.prefillTokens);
     const { prefillTokens, promptsAhead } = options;
     const estimates = dependencies.getPromptEstimates(request.service);
-    if (promptsAhead === 0) estimates.recordPrefill(prefillTokens, ms);
+    const medianMs = ms / dependencies.room.getSpeedFactor(target);
+    if (promptsAhead === 0) estimates.recordPrefill(prefillTokens, medianMs);
     else if (dependencies.room.isActive(request.service)) {
-      estimates.recordUpperBound(prefillTokens, ms);
+      estimates.recordUpperBound(prefillTokens, medianMs);
     }
   }
 
