Soak priorities, organisations, slow engines and slow callers

Cause: all streams of the soak were of one priority and organisation, engines were equally fast and had more room than callers, and no caller was slow. Change: three streaming routes with priorities, three organisations, one engine in four at half speed, four slots an engine, and one caller in twenty that sends 80 KB slowly and reads slowly. The check of organisations compares each run with its caller, and a new test shows that it finds a run for another one; all other checks are unchanged. Slow callers use node:http, since undici ended the soak with an assertion.

--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -48,6 +48,8 @@
   readonly listen?: string;
   /** Number of events in each stream. */
   readonly eventCount?: number;
+  /** Time between two events. */
+  readonly eventMs?: number;
   /** Version of its software, which it names in each event; undefined: its events name none. */
   readonly version?: string;
   /** Simulates a crash of the process as soon as it starts to run a request with this path. */
@@ -108,7 +110,7 @@
 
 export function createTargetStandin(id: string, options: TargetOptions = {}): TargetStandin {
   const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, version, crashPath } = options;
-  const { promptCrash, holdMs = 0 } = options;
+  const { promptCrash, holdMs = 0, eventMs = EVENT_MS } = options;
   let fault: TargetFault = 'none';
   let isSilent = false;
   let announcedLimitPerSecond: number | undefined;
@@ -168,7 +170,7 @@
     writeStreamHead(requestId, response, isUnframed);
     const lastUnframed = isUnframed ? Math.max(EVENTS_BEFORE_FAULT, from + 1) : undefined;
     for (let number = from; number <= eventCount; number += 1) {
-      await waitMs(EVENT_MS);
+      await waitMs(eventMs);
       if (response.destroyed || isSilent) return;
       response.write(formatEvent(requestId, number, version));
       if (number === EVENTS_BEFORE_FAULT && fault === 'dieInStream') {
--- a/soak/src/__tests__/checks.test.ts
+++ b/soak/src/__tests__/checks.test.ts
@@ -25,7 +25,8 @@
   overrides: Partial<SentRequest> & { readonly id: string },
   result: Partial<Extract<CallerResult, { kind: 'answer' }>>,
 ): void {
-  const sending = { router: 0, incarnation: 1, sentAtMs: 0 };
+  const caller = { organisation: 'shop', priority: 0, isSlow: false };
+  const sending = { ...caller, router: 0, incarnation: 1, sentAtMs: 0 };
   const request = { ...sending, kind: 'order' as const, body: 'b', fromEvent: 1, ...overrides };
   requestLog.requests.set(request.id, request);
   const answer = {
@@ -103,6 +104,14 @@
     ]);
   });
 
+  it('report a run on behalf of another organisation than that of its caller', () => {
+    // Failure: a router mixes up organisations, so that one gets the share or the data of another.
+    const requestLog = RequestLogs.createRequestLog();
+    addRequest(requestLog, { id: 'o1', organisation: 'bakery' }, { text: 'o1 got b' });
+    expect(listRules(requestLog, [createRun('o1', { organisation: 'bakery' })])).toEqual([]);
+    expect(listRules(requestLog, [createRun('o1')])).toEqual(['unasked']);
+  });
+
   it('report a router that returns to an older configuration, or applies one too late', () => {
     const requestLog = RequestLogs.createRequestLog();
     requestLog.probes.push(
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -6,6 +6,8 @@
 import * as Undici from 'undici';
 
 import * as Configurations from './configuration';
+import * as Pacing from './pacing';
+import type { OpenAnswer } from './pacing';
 import * as RequestLogs from './requestLog';
 import type { CallerResult, RequestLog, SentRequest } from './requestLog';
 import type { Random } from './random';
@@ -38,6 +40,8 @@
 const CRASHING_ID = 'crashing-';
 /** Share of the requests whose caller disconnects before the end of the answer. */
 const ABANDON_SHARE = 0.05;
+/** Share of the requests whose caller sends a long body slowly and reads the answer slowly. */
+const SLOW_SHARE = 0.05;
 const ABANDON_AFTER_MS = [20, 400] as const;
 
 async function waitMs(ms: number): Promise<void> {
@@ -47,23 +51,26 @@
 }
 
 /** Reads until the end, a broken connection or the abort, and returns what arrived. */
-async function readAnswer(answer: Undici.Dispatcher.ResponseData): Promise<CallerResult> {
+async function readAnswer(
+  { statusCode, headers, body }: OpenAnswer,
+  isSlow: boolean,
+): Promise<CallerResult> {
   const chunks: Buffer[] = [];
   let isComplete = true;
   try {
-    for await (const chunk of answer.body as AsyncIterable<Buffer>) chunks.push(chunk);
+    for await (const chunk of isSlow ? Pacing.readSlowly(body) : body) chunks.push(chunk);
   } catch {
     isComplete = false;
   }
   // Without framing the body ends where the connection closes, and a truncated body looks complete.
-  const { 'content-length': length, 'transfer-encoding': coding } = answer.headers;
+  const { 'content-length': length, 'transfer-encoding': coding } = headers;
   const isFramed = length !== undefined || coding !== undefined;
   return {
     kind: 'answer',
-    status: answer.statusCode,
+    status: statusCode,
     text: Buffer.concat(chunks).toString('utf8'),
     isComplete: isComplete && isFramed,
-    isSigned: Standins.hasSignature(answer.headers),
+    isSigned: Standins.hasSignature(headers),
   };
 }
 
@@ -92,12 +99,14 @@
 function createHeaders({
   id,
   kind,
+  organisation,
+  body,
   fromEvent,
   resumes,
 }: SentRequest): Readonly<Record<string, string>> {
-  const apiKey = Configurations.CALLERS_KEY;
+  const apiKey = Configurations.formatKey(organisation);
   const headers = Standins.createCallerHeaders({ requestId: id, apiKey, limitMs: TIMEOUT_MS });
-  if (kind !== 'stream') return headers;
+  if (kind !== 'stream') return { ...headers, 'content-length': String(Buffer.byteLength(body)) };
   // A continuation has the id `ID.restN` and the prompt of the original stream.
   const [prompt = id] = id.split('.');
   const resumeAfter = fromEvent > 1 ? fromEvent - 1 : undefined;
@@ -106,6 +115,16 @@
   return { ...headers, ...streamHeaders, 'prompt-prefix': `aa:20,${CRASHING_PART}:20,${id}:60` };
 }
 
+function createContent(random: Random, id: string) {
+  const isSlow = random.next() < SLOW_SHARE;
+  return {
+    organisation: random.pickOne(Configurations.ORGANISATIONS),
+    priority: random.pickBetween(0, Configurations.STREAM_PATHS.length - 1),
+    isSlow,
+    body: isSlow ? Pacing.formatBulkyBody(id) : `body of ${id}`,
+  };
+}
+
 export function createCallers(options: CallersOptions) {
   const { routers, requestLog, random, eventCount } = options;
   const agent = new Undici.Agent({ connections: 16, pipelining: 1 });
@@ -123,22 +142,19 @@
   }
 
   async function sendRequest(request: SentRequest, timeoutMs: number): Promise<CallerResult> {
-    const { id, kind, body } = request;
-    const path = { stream: '/advice/x', order: '/orders/x', read: '/reads/x' }[kind];
+    const { id, kind, body, isSlow } = request;
+    const streamPath = Configurations.STREAM_PATHS[request.priority] ?? '';
+    const path = { stream: streamPath, order: '/orders/', read: '/reads/' }[kind];
     requestLog.requests.set(id, request);
     try {
-      const answer = await Undici.request(
-        `http://${getRouter(request.router).getAddress()}${path}`,
-        {
-          method: 'POST',
-          dispatcher: agent,
-          body,
-          signal: AbortSignal.timeout(timeoutMs),
-          headers: createHeaders(request),
-        },
-      );
+      const url = `http://${getRouter(request.router).getAddress()}${path}x`;
+      const headers = createHeaders(request);
+      const signal = AbortSignal.timeout(timeoutMs);
+      const answer = isSlow
+        ? await Pacing.sendSlowly({ url, headers, body, signal })
+        : await Undici.request(url, { method: 'POST', dispatcher: agent, body, signal, headers });
       recordLeaving(request, answer);
-      return await readAnswer(answer);
+      return await readAnswer(answer, isSlow);
     } catch {
       // The connection was refused or reset, or the request timed out before the headers arrived.
       return { kind: 'noAnswer' };
@@ -147,7 +163,7 @@
 
   function recordLeaving(
     { router, incarnation }: SentRequest,
-    { headers }: Undici.Dispatcher.ResponseData,
+    { headers }: Pick<OpenAnswer, 'headers'>,
   ): void {
     const target = Standins.findLeavingTarget(headers);
     if (target === undefined || getRouter(router).getIncarnation() !== incarnation) return;
@@ -160,7 +176,7 @@
     const router = random.pickBetween(0, routers.length - 1);
     const id = `r${requestCount}`;
     const sending = createSending(router);
-    const request = { ...sending, id, kind, body: `body of ${id}`, fromEvent: 1 };
+    const request = { ...sending, id, kind, ...createContent(random, id), fromEvent: 1 };
     const isAbandoned = random.next() < ABANDON_SHARE;
     const result = await sendRequest(
       request,
@@ -258,7 +274,9 @@
 ): Promise<void> {
   for (let count = 0; !signal.aborted; count += 1) {
     const id = `${CRASHING_ID}${count}`;
-    const request = { ...createSending(count % routers.length), id, body: id, fromEvent: 1 };
+    const common = { organisation: Standins.ORGANISATION, priority: 0, isSlow: false };
+    const sending = createSending(count % routers.length);
+    const request = { ...common, ...sending, id, body: id, fromEvent: 1 };
     requestLog.results.set(id, await sendRequest({ ...request, kind: 'stream' }, TIMEOUT_MS));
     await waitMs(CRASHING_PAUSE_MS);
   }
--- a/soak/src/checks.ts
+++ b/soak/src/checks.ts
@@ -23,6 +23,7 @@
   readonly incarnations: readonly IncarnationRuns[];
   /** Number of events in a complete stream. */
   readonly eventCount: number;
+  /** Organisation of the probes. */
   readonly organisation: string;
 }
 
@@ -131,7 +132,8 @@
     if (hasApiKey) {
       yield { rule: 'unasked', text: `${requestId}: the API key was passed on` };
     }
-    if (runOrganisation !== organisation) {
+    const expected = requestLog.requests.get(requestId)?.organisation ?? organisation;
+    if (runOrganisation !== expected) {
       yield { rule: 'unasked', text: `${requestId}: ran for ${runOrganisation}` };
     }
   }
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -10,6 +10,11 @@
 export interface SentRequest {
   readonly id: string;
   readonly kind: RequestKind;
+  readonly organisation: string;
+  /** Priority of a stream's route. */
+  readonly priority: number;
+  /** Whether the caller sends the body and reads the answer slowly. */
+  readonly isSlow: boolean;
   readonly router: number;
   readonly body: string;
   /** First event requested: 1, or a later one where the caller resumes a broken stream. */
--- a/soak/src/targets.ts
+++ b/soak/src/targets.ts
@@ -30,7 +30,12 @@
   readonly onCrash: () => void;
 }
 
-const SLOTS = 32;
+/** So few that streams wait for room while engines are down. */
+const SLOTS = 4;
+/** Time between two events; one engine in four runs at half the speed. */
+const EVENT_MS = 15;
+const SLOW_EVENT_MS = 30;
+const SLOW_INTERVAL = 4;
 /** Part of prompts that crashes engines. */
 export const CRASHING_PART = 'crashing';
 const CRASH_AFTER_MS = 60;
@@ -60,6 +65,7 @@
     const incarnation = Standins.createTargetStandin(id, {
       listen,
       eventCount,
+      eventMs: index % SLOW_INTERVAL === 0 ? SLOW_EVENT_MS : EVENT_MS,
       version,
       promptCrash: { parts: [CRASHING_PART], afterMs: CRASH_AFTER_MS, onCrash: startAgain },
     });
