--- a/packages/sequoiarill-testing/src/userRouter.ts
+++ b/packages/sequoiarill-testing/src/userRouter.ts
@@ -25,19 +25,16 @@
   readonly start: Promise<void>;
 }
 
-/**
- * Starts the compiled program `daemon` with `settings`, the text of an INI file. `nodeOptions` are options of
- * Node.js, for example limits of memory.
- */
+/** Starts the compiled program `daemon` with `settings`, the text of an INI file. */
 export function startUserRouter(
   daemon: string,
   settings: string,
-  nodeOptions: readonly string[] = [],
+  nodeArguments: readonly string[] = [],
 ): StartedRouter {
   const folder = mkdtempSync(path.join(tmpdir(), 'sequoiarill-'));
   const file = path.join(folder, 'router.ini');
   writeFileSync(file, settings);
-  const child = spawn(process.execPath, [...nodeOptions, daemon], {
+  const child = spawn(process.execPath, [...nodeArguments, daemon], {
     env: { ...process.env, SEQUOIARILL_CONFIG: file },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
