Let slow readers of long answers not fill up their service for others

Change: admission and roll-outs record the latency of a passed-on answer with its first bytes, once.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/passedAnswer.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/passedAnswer.test.ts
@@ -51,10 +51,15 @@
   const shares = [{ service: 'orders', weight: 1 }];
   const limits = { timeoutMs: 600, objectiveMs: 100, shares };
   const route = Fakes.createRoute({ ...ROUTE, ...limits, ...options.route });
-  const { crashes, rollouts } = fake.dependencies;
+  const { crashes, rollouts, getAdmission } = fake.dependencies;
+  const latencies: (number | undefined)[] = [];
   const running = FullAnswers.runFullAnswer(
     {
       ...fake.dependencies,
+      getAdmission: (service) => ({
+        ...getAdmission(service),
+        recordEnd: (_nowMs, answer) => latencies.push(answer?.latencyMs),
+      }),
       rollouts: { ...rollouts, recordAttempt: () => (result) => results.push(result) },
       crashes: {
         ...crashes,
@@ -84,7 +89,7 @@
   await fake.clock.runFor(60_000);
   const outcome = await running;
   const states = targets.map((one) => fake.dependencies.registry.buildView(one).state);
-  return { outcome, bytes, breaks, results, heads, states, calls: fake.sentCalls };
+  return { outcome, bytes, latencies, breaks, results, heads, states, calls: fake.sentCalls };
 }
 
 describe('a long plain answer', () => {
@@ -138,6 +143,13 @@
     expect([outcome.kind, bytes]).toEqual(['passed', CHUNK.length * 20]);
   });
 
+  it('leaves room for others at its service while slow callers read', async () => {
+    // Guards against 503 for fast callers because a service looks full of answers that are already on the way.
+    const scripts = [createAnswer(20, END)];
+    const { latencies, bytes } = await runRequest({ scripts, readMs: 900 });
+    expect([latencies, bytes]).toEqual([[15], CHUNK.length * 20]);
+  });
+
   it('is not blamed on a target that breaks off what its caller leaves unread', async () => {
     const scripts = [createAnswer(6, RESET), createAnswer(6, END)];
     const { outcome, breaks, states, calls } = await runRequest({ scripts, readMs: 2_000 });
--- a/packages/sequoiarill-plugin-forwarding/src/answers/admittedSend.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/admittedSend.ts
@@ -2,7 +2,7 @@
 import type { ForwardingTarget } from '@sequoiarill/types';
 
 import type { ForwardingDependencies } from '../dependencies';
-import type { ForwardRequest, PlainOutcome } from '../forwardRequest';
+import type { AnswerSink, ForwardRequest, PlainOutcome } from '../forwardRequest';
 import * as Checks from './answerChecks';
 import * as Sending from './sending';
 import * as ServiceAdmissions from './serviceAdmission';
@@ -14,48 +14,50 @@
   return outcome.kind === 'whole' || outcome.kind === 'passed';
 }
 
+/**
+ * Failure: callers that read long answers slowly keep them in progress for minutes. Their service would look full and
+ * their version slow, and requests of other callers would be refused. So the latency of an answer that is passed on
+ * ends with its first bytes.
+ */
 export async function sendWithAdmission(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   target: ForwardingTarget,
   attemptTimeoutMs: number,
 ): Promise<PlainOutcome> {
+  const { clock } = dependencies;
   const admission = dependencies.getAdmission(request.service);
-  const sentAtMs = dependencies.clock.getNowMs();
+  const sentAtMs = clock.getNowMs();
   const { name: route, objectiveMs } = request.route;
   const recordEnd = dependencies.rollouts.recordAttempt({ target, route, objectiveMs });
   admission.recordStart();
   const run = dependencies.crashes.startRun(request);
+  let isLatencyRecorded = false;
+
+  function recordLatency(outcome: PlainOutcome): void {
+    if (isLatencyRecorded) return;
+    isLatencyRecorded = true;
+    ServiceAdmissions.recordSend(admission, request, outcome, sentAtMs, clock.getNowMs());
+    recordEnd(Sending.decideVersionResult(outcome));
+  }
+
   const outcome = await Sending.sendOnce(
     dependencies,
-    addStartListener(request, ({ status }) => {
-      // A slow caller must not make the version look slow, so the latency ends with the first bytes.
-      recordEnd(Checks.isServerError(status) ? 'failed' : 'answered');
-    }),
+    addStartListener(request, (head) => recordLatency({ kind: 'passed', head })),
     target,
     attemptTimeoutMs,
   );
   if (isComplete(outcome) && Checks.isSuccess(outcome.head.status)) run.recordAnswer();
   run.end();
-  ServiceAdmissions.recordSend(
-    admission,
-    request,
-    outcome,
-    sentAtMs,
-    dependencies.clock.getNowMs(),
-  );
-  recordEnd(Sending.decideVersionResult(outcome));
+  recordLatency(outcome);
   await recordBreak(dependencies, request, target, outcome);
   return outcome;
 }
 
-function addStartListener(
-  request: ForwardRequest,
-  onStart: NonNullable<ForwardRequest['sink']>['start'],
-): ForwardRequest {
+function addStartListener(request: ForwardRequest, onStart: AnswerSink['start']): ForwardRequest {
   const { sink } = request;
   if (sink === undefined) return request;
-  const start: typeof onStart = (head) => {
+  const start: AnswerSink['start'] = (head) => {
     onStart(head);
     sink.start(head);
   };
--- a/packages/sequoiarill-plugin-forwarding/src/answers/serviceAdmission.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/serviceAdmission.ts
@@ -22,16 +22,14 @@
 /** A target that is full returned no answer; it indicates overload just as a late answer does. */
 export function recordSend(
   admission: LatencyAdmission,
-  { route, sink }: ForwardRequest,
+  { route }: ForwardRequest,
   outcome: PlainOutcome,
   sentAtMs: number,
   nowMs: number,
 ): void {
   const { objectiveMs } = route;
   if (outcome.kind === 'whole' || outcome.kind === 'passed') {
-    // The time for which a slow caller was waited for is not the service's.
-    const unreadMs = sink?.getUnreadMs().totalMs ?? 0;
-    admission.recordEnd(nowMs, { latencyMs: nowMs - sentAtMs - unreadMs, objectiveMs });
+    admission.recordEnd(nowMs, { latencyMs: nowMs - sentAtMs, objectiveMs });
   } else if (outcome.kind === 'notRun') {
     admission.recordEnd(nowMs, { latencyMs: objectiveMs, objectiveMs });
   } else admission.recordEnd(nowMs);
