--- a/packages/sequoiarill-decisions/src/room/urgency.ts
+++ b/packages/sequoiarill-decisions/src/room/urgency.ts
@@ -13,7 +13,7 @@
 
 export interface RankQuery {
   readonly level: number;
-  /** The caller has events already; the stream continues on another engine. */
+  /** The caller has events already; the stream continues on another engine, which has KV cache for it. */
   readonly hasBegun: boolean;
   readonly isWithinShare: boolean;
 }
@@ -42,17 +42,12 @@
   return { getLevel, countLevels: () => levels };
 }
 
-/**
- * From 1, the most urgent, to 8. An engine assumes 5 for a request without a rank.
- *
- * Load pattern: engines of a zone crash, and all their streams go on elsewhere, where the KV cache runs out. If they
- * had ranks of their own before new streams of their level, each would preempt a new one, whose prompt is then
- * read again. So both have the same rank.
- */
+/** From 0, the most urgent, to 8. An engine assumes 5 for a request without a rank. */
 export function computeRank({ level, hasBegun, isWithinShare }: RankQuery): number {
   const bounded = Number.isFinite(level)
     ? Math.min(MAX_LEVELS - 1, Math.max(0, Math.floor(level)))
     : MAX_LEVELS - 1;
-  if (hasBegun || isWithinShare) return bounded * RANKS_PER_LEVEL + 1;
+  if (hasBegun) return bounded * RANKS_PER_LEVEL;
+  if (isWithinShare) return bounded * RANKS_PER_LEVEL + 1;
   return MAX_RANK_WITHIN_SHARE + 1 + bounded;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -133,6 +133,17 @@
   await crashes.recordDisconnect({ request, target, ...progress });
 }
 
+function recordPrefill(
+  { room, getPromptEstimates }: ForwardingDependencies,
+  { request, target, prefillTokens, promptsAhead }: AttemptOptions,
+  ms: number,
+): void {
+  const estimates = getPromptEstimates(request.service);
+  const medianMs = ms / room.getSpeedFactor(target);
+  if (promptsAhead === 0) estimates.recordPrefill(prefillTokens, medianMs);
+  else if (room.isActive(request.service)) estimates.recordUpperBound(prefillTokens, medianMs);
+}
+
 function createStreamReader(
   dependencies: ForwardingDependencies,
   options: AttemptOptions,
@@ -165,13 +176,7 @@
   function recordFirstEvent(ms: number): void {
     recordResult('answered');
     policy.recordFirstToken(target.id, ms, options.prefillTokens);
-    const { prefillTokens, promptsAhead } = options;
-    const estimates = dependencies.getPromptEstimates(request.service);
-    const medianMs = ms / dependencies.room.getSpeedFactor(target);
-    if (promptsAhead === 0) estimates.recordPrefill(prefillTokens, medianMs);
-    else if (dependencies.room.isActive(request.service)) {
-      estimates.recordUpperBound(prefillTokens, medianMs);
-    }
+    recordPrefill(dependencies, options, ms);
   }
 
   function recordEvents(): void {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -66,6 +66,8 @@
   readonly copy: RunCopy | undefined;
   /** Prompts that the target prefills before this one; undefined where it was not queried. */
   readonly promptsAhead?: number;
+  /** Whether the target has KV cache for a stream that continues without a copy, as far as is known. */
+  readonly hasTokens: boolean;
   /** Counts against the retry budget, unless it reaches no target. */
   readonly isRetry: boolean;
 }
@@ -218,7 +220,7 @@
 function decideAdmission(
   { lastEventId }: ForwardRequest,
   { runs, urgency }: Progress,
-  { target, backup, promptsAhead, admission, entry }: EnginePair,
+  { target, backup, promptsAhead, admission, entry, hasTokens }: EnginePair,
 ): Omit<Plan, 'isRetry'> | Extract<StreamOutcome, { kind: 'refused' }> {
   // Where it is decided who gets room, `entry` has decided for new streams, and others are never refused.
   const isDecided = entry !== undefined || urgency?.hasRunElsewhere === true;
@@ -228,7 +230,7 @@
     const { retryAfterSeconds } = admission;
     return { kind: 'refused', reason, retryAfterSeconds, lastTarget: target.id };
   }
-  return { kind: 'plan', target, backup, copy: undefined, promptsAhead };
+  return { kind: 'plan', target, backup, copy: undefined, promptsAhead, hasTokens };
 }
 
 /**
@@ -244,7 +246,7 @@
   const holder = await findVerifiedHolder(dependencies, progress);
   if (holder !== undefined) {
     const backup = EnginePlacements.chooseBackup(dependencies, request, holder);
-    return { kind: 'plan', target: holder, backup, copy: progress.copy };
+    return { kind: 'plan', target: holder, backup, copy: progress.copy, hasTokens: true };
   }
   if (request.route.hasPrompt) {
     const search = await EngineWaits.findEngines(dependencies, request, progress);
@@ -264,7 +266,7 @@
     Placement.chooseTarget(dependencies, { request, excluded: NONE, purpose });
   if (target === undefined) return undefined;
   if (request.route.hasPrompt) PlacementLog.logUnreportedTarget(dependencies, request, target);
-  return { kind: 'plan', target, backup: undefined, copy: undefined };
+  return { kind: 'plan', target, backup: undefined, copy: undefined, hasTokens: false };
 }
 
 /** Another router may have a permit left for a target at which this one has reached its limit. */
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -33,7 +33,7 @@
 ): readonly RawHeader[] {
   const names = dependencies.wire.headers;
   const headers: RawHeader[] = [
-    ...StreamUrgency.createRankHeaders(dependencies, request, progress),
+    ...StreamUrgency.createRankHeaders(dependencies, request, plan, progress),
   ];
   if (plan.backup !== undefined) headers.push([names.backupTarget, plan.backup.address]);
   if (plan.copy !== undefined) headers.push([names.continueFrom, plan.copy.location]);
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamUrgency.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamUrgency.ts
@@ -7,7 +7,7 @@
 import type { RawHeader } from '../front/headers';
 import * as Metrics from '../metrics';
 import * as EnginePairs from '../targets/enginePairs';
-import type { Progress } from './streamPlan';
+import type { Plan, Progress } from './streamPlan';
 
 export interface RequestUrgency extends StreamUrgency {
   /** Engine time; the unit is that of `computeCost`. */
@@ -93,13 +93,24 @@
   return Decisions.computeRank({ level, isWithinShare, hasBegun: isBegun(request, progress) });
 }
 
+/**
+ * Load pattern: engines of a zone crash, and their streams go on at engines whose KV cache runs out. With a rank before
+ * new streams of its level, each would preempt a new one there, whose prompt is then read again.
+ */
 export function createRankHeaders(
   { wire, metrics }: Pick<ForwardingDependencies, 'wire' | 'metrics'>,
   request: ForwardRequest,
+  { hasTokens }: Pick<Plan, 'hasTokens'>,
   progress: Progress,
 ): readonly RawHeader[] {
-  const rank = findRank(request, progress);
-  if (rank === undefined) return [];
+  if (progress.urgency === undefined) return [];
+  const { level, isWithinShare } = progress.urgency;
+  const isContinued = isBegun(request, progress);
+  const rank = Decisions.computeRank({
+    level,
+    isWithinShare: isWithinShare || isContinued,
+    hasBegun: isContinued && hasTokens,
+  });
   metrics.addCount(Metrics.RANKS, 1, { rank: String(rank) });
   return [[wire.headers.priority, String(rank)]];
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePairs.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePairs.ts
@@ -18,6 +18,8 @@
   readonly admission: LatencyAdmissionDecision;
   /** The same where it is decided who gets room; undefined where this is not decided, or not for this stream. */
   readonly entry: EntryDecision | undefined;
+  /** Whether the target has KV cache for the stream, or this is not known. */
+  readonly hasTokens: boolean;
   readonly target: ForwardingTarget;
   readonly backup: ForwardingTarget | undefined;
 }
@@ -100,7 +102,15 @@
   const view = views.find(({ id }) => id === target.id);
   const entry = decideEntry(dependencies, request, view, { timing, terms });
   const admission = Decisions.decideStreamAdmission(timing);
-  return { target, backup, promptsAhead: countCertain(promptsAhead, view), admission, entry };
+  const freeTokens = view?.room?.freeTokens ?? Number.POSITIVE_INFINITY;
+  return {
+    target,
+    backup,
+    promptsAhead: countCertain(promptsAhead, view),
+    admission,
+    entry,
+    hasTokens: countNeededTokens(dependencies, request) <= freeTokens,
+  };
 }
 
 /**
