Forget the loads of engines' earlier incarnations

Cause, found by reading: what this router had at an incarnation of an engine stayed in memory after the engine had restarted. Change: it is removed with the targets that are gone. Result: the tests of targets pass.

--- a/packages/sequoiarill-plugin-forwarding/src/targets/ownLoads.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/ownLoads.ts
@@ -31,10 +31,11 @@
   /** The target has reported its load, as it was up to the report's lag ago. */
   readonly recordReport: (target: ForwardingTarget) => void;
   readonly getLoad: (target: ForwardingTarget) => OwnLoad;
-  readonly removeTarget: (target: ForwardingTarget) => void;
+  readonly removeMissing: (isCurrent: (target: ForwardingTarget) => boolean) => void;
 }
 
 interface Entry {
+  readonly target: ForwardingTarget;
   ended: readonly (OwnRun & { readonly atMs: number })[];
   readonly copies: Set<{ readonly tokens: number; begunAtMs: number }>;
 }
@@ -44,7 +45,7 @@
 
   function getEntry(target: ForwardingTarget): Entry {
     const key = Incarnations.formatIncarnation(target);
-    const entry = entries.get(key) ?? { ended: [], copies: new Set() };
+    const entry = entries.get(key) ?? { target, ended: [], copies: new Set() };
     entries.set(key, entry);
     return entry;
   }
@@ -80,6 +81,10 @@
       const copyTokens = [...entry.copies].reduce((sum, { tokens }) => sum + tokens, 0);
       return { copyTokens, ended: listRecentlyEnded(entry) };
     },
-    removeTarget: (target) => entries.delete(Incarnations.formatIncarnation(target)),
+    removeMissing(isCurrent) {
+      for (const [key, { target }] of entries) {
+        if (!isCurrent(target)) entries.delete(key);
+      }
+    },
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetRegistry.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetRegistry.ts
@@ -213,10 +213,10 @@
     },
     getInFlight: (target) => getEntry(target).inFlight,
     removeMissing(isCurrent) {
+      loads.removeMissing(isCurrent);
       for (const [id, { target, inFlight }] of entries) {
         if (!isCurrent(target) && inFlight === 0) {
           entries.delete(id);
-          loads.removeTarget(target);
           getDetector(target.service).removeTarget(id);
           suspects.removeTarget(id);
         }
