Warm routers up before the contention bench counts callers

Cause: the prefill time of a prompt is assumed until prompts are measured that wait for no other, of which a run that begins overloaded has few, so its figures are those of a cold start.

--- a/bench/src/contention.ts
+++ b/bench/src/contention.ts
@@ -25,6 +25,7 @@
   readonly seed: string;
   readonly seconds: string;
   readonly scale: string;
+  readonly warmUp: string;
   readonly records?: string;
   readonly routers: string;
   readonly engines: string;
@@ -115,15 +116,19 @@
   try {
     const speed = fleet.engines.reduce((sum, { slowness }) => sum + 1 / slowness, 0);
     const concurrency = computeConcurrency(slots, kvTokens);
-    const arrivals = Scenarios.createArrivals({
-      scenario,
-      seed: Number(args.seed),
-      durationMs,
-      capacityPerSecond: (speed * concurrency * MS_PER_SECOND) / timing.runMs,
+    const seed = Number(args.seed);
+    const capacityPerSecond = (speed * concurrency * MS_PER_SECOND) / timing.runMs;
+    const warmUpMs = Number(args.warmUp) * scale * MS_PER_SECOND;
+    const earlyArrivals = Scenarios.createArrivals({
+      scenario: Scenarios.findScenario('calm'),
+      seed: seed + 1,
+      durationMs: warmUpMs,
+      capacityPerSecond,
     });
+    const arrivals = Scenarios.createArrivals({ scenario, seed, durationMs, capacityPerSecond });
     const delays = monitorEventLoopDelay({ resolution: 10 });
     delays.enable();
-    const startMs = performance.now() + START_MS;
+    const startMs = performance.now() + START_MS + warmUpMs;
     const untilMs = startMs + durationMs;
     const faults: RouterFault[] = [];
 
@@ -135,17 +140,29 @@
     }
 
     const disturbances = Promise.all([runLoss(scenario, fleet.engines, startMs), runFault()]);
+    const early: Promise<Caller>[] = [];
+    for (const arrival of earlyArrivals) {
+      await waitUntil(startMs - warmUpMs + arrival.atMs);
+      early.push(callers.runCaller(arrival));
+    }
     const running: Promise<Caller>[] = [];
     for (const arrival of arrivals) {
       await waitUntil(startMs + arrival.atMs);
       running.push(callers.runCaller(arrival));
     }
     const results = await Promise.all(running);
+    const earlyResults = await Promise.all(early);
     await disturbances;
     await waitUntil(performance.now() + CANCELLATION_MS);
     delays.disable();
     const engines = fleet.listEngineRecords();
-    const records = { callers: results, engines, faults, eventCount: Configurations.EVENT_COUNT };
+    const allResults = [...earlyResults, ...results];
+    const records = {
+      callers: allResults,
+      engines,
+      faults,
+      eventCount: Configurations.EVENT_COUNT,
+    };
     const violations = [...Checks.checkRecords(records, { patienceMs })];
     if (args.records !== undefined) {
       writeFileSync(args.records, JSON.stringify({ startMs, ...records }));
@@ -154,7 +171,7 @@
     const availableSlotMs = fleet.engines.length * concurrency * durationMs * share;
     return {
       scenario: scenario.name,
-      seed: Number(args.seed),
+      seed,
       scale,
       ...(args.fault === undefined ? {} : { fault: args.fault }),
       ...Summaries.createCallerTables(results, timing.objectivesMs),
@@ -183,6 +200,7 @@
   .option('--seed <number>', 'seed of the arrivals', '1')
   .option('--seconds <number>', 'time in which callers arrive, before the scale', '15')
   .option('--scale <number>', 'factor on all times; 4 gives about those of the deployments', '1')
+  .option('--warm-up <number>', 'seconds of calm load before, not in the tables', '5')
   .option('--records <file>', 'file for the records of the last scenario')
   .option('--routers <number>', 'number of router processes', '5')
   .option('--engines <number>', 'number of engines', '12')
