Let streams within their share queue at engines before their wait ends

Change: where all slots of an engine are taken, the limit of the first event of a stream within its share rises to that of the most urgent level within 0.3 of its objective; the engine orders its queue by rank.

--- a/packages/sequoiarill-decisions/src/room/engineRoom.ts
+++ b/packages/sequoiarill-decisions/src/room/engineRoom.ts
@@ -82,6 +82,21 @@
  * of 8,000 tokens, where prefill limits engines and slots stay free.
  */
 const LEVEL_LIMIT_FACTOR = 0.5;
+/**
+ * Share of its objective after which a stream within its share may queue at an engine like one of the most urgent
+ * level; the engine orders its queue by rank. Routers do not know each other's lines: without this, streams beyond
+ * their share take free slots at one router while streams within theirs are refused at another, and 0.92 of a small
+ * organisation's streams were served beside a large one. Where slots are free, prompts are prefilled in the order of
+ * arrival, and less urgent ones must not go before the most urgent.
+ */
+const QUEUE_LIMIT_END_SHARE = 0.3;
+
+/** Number of times that the limit is reduced by its factor. */
+function computeLimitLevel({ room, rank, level, waitedMs, objectiveMs }: EntryQuery): number {
+  if (rank > MAX_RANK_WITHIN_SHARE) return MAX_LEVELS;
+  if (room.freeSlots > 0) return level;
+  return level * Math.max(0, 1 - waitedMs / (objectiveMs * QUEUE_LIMIT_END_SHARE));
+}
 
 export function decideEntry(query: EntryQuery): EntryDecision {
   const { room, neededTokens, rank, level, waitedMs, objectiveMs } = query;
@@ -90,8 +105,7 @@
     return { kind: mayPreempt ? 'preempt' : 'wait' };
   }
   const isWithinShare = rank <= MAX_RANK_WITHIN_SHARE;
-  const limitLevel = isWithinShare ? level : MAX_LEVELS;
-  const levelObjectiveMs = objectiveMs * LEVEL_LIMIT_FACTOR ** limitLevel;
+  const levelObjectiveMs = objectiveMs * LEVEL_LIMIT_FACTOR ** computeLimitLevel(query);
   const admission = decideStreamAdmission({ ...query, objectiveMs: levelObjectiveMs });
   if (admission.kind === 'refuse') return { kind: 'wait' };
   if (room.freeSlots > 0) return { kind: 'enter' };
