--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -79,6 +79,12 @@
   }
 }
 
+/**
+ * Failure: an answer without framing ends while reading is paused, and undici throws in an event of the socket, which
+ * ends the process. So such an answer is read on; its bytes count as held, and its reader is cut when they are too many.
+ */
+const FRAMING_HEADERS = ['content-length', 'transfer-encoding'] as const;
+
 const CANCELLED: CallEvent = { kind: 'cancelled' };
 const TIMEOUT: CallEvent = { kind: 'timeout' };
 
@@ -89,6 +95,7 @@
   let heldBytes = 0;
   let controller: Undici.Dispatcher.DispatchController | undefined;
   let isSent = false;
+  let isFramed = false;
   let isDone = false;
   let isCancelled = false;
   let notifyReader: (() => void) | undefined;
@@ -171,6 +178,7 @@
         // They refer to the whole chunk of up to 64 KB that began with them, for as long as the answer lasts.
         Object.assign(requestController, { rawHeaders: null });
         if (status < 200) return;
+        isFramed = FRAMING_HEADERS.some((name) => responseHeaders[name] !== undefined);
         const head = { status, statusMessage: statusMessage ?? '', headers: responseHeaders };
         recordHead(head);
         addEvent({ kind: 'head', head });
@@ -179,7 +187,7 @@
         bufferedBytes += chunk.length;
         addEvent({ kind: 'data', chunk });
         const maxBytes = held?.mayReadAhead() === false ? MAX_UNREAD_BYTES : MAX_BUFFERED_BYTES;
-        if (bufferedBytes > maxBytes) requestController.pause();
+        if (isFramed && bufferedBytes > maxBytes) requestController.pause();
         updateHeld();
       },
       onResponseEnd() {
