Check held bytes only where many are held, and look for active services once a second

Change: holders are checked above 0.4 of the budget (nobody is paused or cut below a half); a process without active services looks once a second after its first 10 s.

--- a/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
@@ -45,6 +45,11 @@
 }
 
 const CHECK_INTERVAL_MS = 100;
+/**
+ * Share of the budget above which holders are checked regularly. Nobody is paused or cut below a half, and a check in
+ * each interval costs a router with little load a tenth of its processor time.
+ */
+const CHECKED_SHARE = 0.4;
 /** Above the budget, each addition may start a check; checks of 1,000 holders take a fraction of this. */
 const MIN_CHECK_INTERVAL_MS = 5;
 
@@ -133,9 +138,13 @@
     return applyPauses();
   }
 
-  /** Ends when nothing is held. */
+  function isCheckDue(): boolean {
+    return heldBytes > limitBytes * CHECKED_SHARE && !stopController.signal.aborted;
+  }
+
+  /** Ends when little is held. */
   async function runChecks(): Promise<void> {
-    while (entries.size > 0 && !stopController.signal.aborted) {
+    while (isCheckDue()) {
       await clock.waitMs(CHECK_INTERVAL_MS, stopController.signal);
       recordState(checkHolders());
     }
@@ -152,11 +161,12 @@
         isPaused: false,
       };
       entries.add(entry);
-      checks ??= runChecks();
       return {
         update() {
           if (!entries.has(entry)) return;
           countEntry(entry);
+          if (!isCheckDue()) return;
+          checks ??= runChecks();
           if (!Decisions.isPauseDue(getTotal())) return;
           const isSender = holder.getKind() === 'sender' && !entry.isPaused;
           const isDue = clock.getNowMs() - checkedAtMs >= MIN_CHECK_INTERVAL_MS;
--- a/packages/sequoiarill-plugin-room/src/plugin.ts
+++ b/packages/sequoiarill-plugin-room/src/plugin.ts
@@ -20,6 +20,9 @@
 /** Peers refuse reports of a router that is not in their list; it is in its own about as soon. */
 const MAX_REGISTRATION_WAIT_MS = 800;
 const POLL_MS = 100;
+/** Interval at which a process without active services looks for some, once it has started. */
+const IDLE_POLL_MS = 1_000;
+const STARTING_MS = 10_000;
 
 export function createInstance(context: PluginContext, { mode }: RoomSettings): PluginInstance {
   const { clock, logEvent, metrics } = context;
@@ -89,7 +92,8 @@
     await clock.waitMs(context.nextRandom() * START_SPREAD_MS, signal);
     while (!signal.aborted) {
       const roundMs = getNowMs();
-      let intervalMs = POLL_MS;
+      const isIdle = services.listStates().size === 0 && roundMs - startedMs >= STARTING_MS;
+      let intervalMs = isIdle ? IDLE_POLL_MS : POLL_MS;
       if (isReady(startedMs)) {
         await runRound();
         intervalMs = ROUND_MS;
