--- a/packages/sequoiarill-decisions/src/room/engineRoom.ts
+++ b/packages/sequoiarill-decisions/src/room/engineRoom.ts
@@ -77,17 +77,15 @@
 /**
  * Factor for each level, and once more for streams beyond their share, by which the first event must be expected
  * earlier where other prompts are ahead. This leaves time of the engine to more urgent streams that arrive later. With
- * the same limit for all, at 1.6 times the capacity, 0.04 instead of 0.14 of the least urgent streams were in time with
- * six slots, since engines' queues filled up with them, and 0.41 instead of 0.97 of the most urgent ones with prompts
- * of 8,000 tokens, where prefill limits engines and slots stay free.
+ * the same limit for all, queues fill up with the least urgent streams, and with long prompts, where prefill limits
+ * engines and slots stay free, the most urgent ones come too late.
  */
 const LEVEL_LIMIT_FACTOR = 0.5;
 /**
  * Share of its objective after which a stream within its share may queue at an engine like one of the most urgent
  * level; the engine orders its queue by rank. Routers do not know each other's lines: without this, streams beyond
- * their share take free slots at one router while streams within theirs are refused at another, and 0.92 of a small
- * organisation's streams were served beside a large one. Where slots are free, prompts are prefilled in the order of
- * arrival, and less urgent ones must not go before the most urgent.
+ * their share take free slots at one router while streams within theirs are refused at another. Where slots are free,
+ * prompts are prefilled in the order of arrival, and less urgent ones must not go before the most urgent.
  */
 const QUEUE_LIMIT_END_SHARE = 0.3;
 
--- a/packages/sequoiarill-decisions/src/room/organisationShares.ts
+++ b/packages/sequoiarill-decisions/src/room/organisationShares.ts
@@ -26,9 +26,7 @@
 /**
  * Part of the capacity that is shared out. Demand and capacity are measured over seconds and known seconds later, so
  * sharing all of it marks at times more than engines take, and the least urgent streams of small organisations wait
- * behind those of a large one. In 16 replays with one large organisation and six slots, the small ones were served
- * 0.980 on average and 0.89 at worst with all of the capacity, 0.999 and 0.98 with this part of it. Streams beyond
- * their share use the rest.
+ * behind those of a large one. Streams beyond their share use the rest.
  */
 const SHARED_CAPACITY = 0.9;
 /** Keys for which the marked part is tracked, the most recently used ones; bounds the memory. */
--- a/packages/sequoiarill-decisions/src/room/waitingLine.ts
+++ b/packages/sequoiarill-decisions/src/room/waitingLine.ts
@@ -72,8 +72,7 @@
 const MAX_RESERVED_RANK = 1;
 /**
  * A stream is refused at once if its expected wait is this multiple of its longest wait. The rate of starts is known
- * from a few of them. In 16 replays with one large organisation and prompts of 8,000 tokens, the small ones were
- * served 0.975 with a multiple of 1, 0.986 with 2 and 0.987 with 3.
+ * from a few of them, and a refusal that was not needed costs more than a wait in vain.
  */
 const MAX_EXPECTED_RATIO = 2;
 const MIN_RETRY_AFTER_MS = 500;
