Add a check that tells a silent target from a dead one and from one that isn't reached

Cause: "silent" stands for a paused process, a host without power and a cut path, and streams are closed on it alone. A paused process still accepts connections, since its kernel does; one that ended refuses; a host that is gone doesn't respond. Change: targets/contactCheck.ts opens a connection (150 ms) and, if it is accepted, sends a probe over a new one (250 ms): answers, accepts, refuses or unreachable. Callers of one target share a check that is running. Nothing calls it yet.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -12,6 +12,8 @@
 
 import type { RawHeader } from '../front/headers';
 import type { ForwardingDependencies } from '../dependencies';
+import * as ContactChecks from '../targets/contactCheck';
+import type { TargetContact } from '../targets/contactCheck';
 import * as PathMonitors from '../targets/pathMonitor';
 import * as BrittleTargets from '../limits/brittleTargets';
 import * as Relays from '../relay/relays';
@@ -69,6 +71,8 @@
   readonly rateLimited: Set<string>;
   /** Ids of targets that do not answer probes. */
   readonly unreachable: Set<string>;
+  /** Results of contact checks, by id of the target; without one it answers unless it is `unreachable`. */
+  readonly contacts: Map<string, TargetContact>;
   /** Other routers that take requests. */
   readonly otherRouters: RouterLocation[];
   /** Relay addresses of routers that are no longer reached. */
@@ -95,6 +99,7 @@
   const commands: string[] = [];
   const rateLimited = new Set<string>();
   const unreachable = new Set<string>();
+  const contacts = new Map<string, TargetContact>();
   const goneRouters = new Set<string>();
   const otherRouters: RouterLocation[] = [];
   const restsUntilMs = new Map<string, number>();
@@ -115,6 +120,7 @@
     return tookMs > timeoutMs ? undefined : response;
   }
 
+  const isResting = ({ id }: ForwardingTarget) => (restsUntilMs.get(id) ?? 0) > clock.getNowMs();
   const log = { logEvent: () => undefined, close: () => undefined };
   const directory: Directory = {
     getConfiguration: () => configuration,
@@ -141,6 +147,22 @@
     },
     onRegained: (service) => registry.removeLosses(directory.listTargets(service)),
   });
+  const getContact = (id: string): TargetContact =>
+    contacts.get(id) ?? (unreachable.has(id) ? 'unreachable' : 'answers');
+  const contactCheck = ContactChecks.createContactCheck({
+    checkExit: async ({ id }) => {
+      const contact = getContact(id);
+      if (contact === 'unreachable') await clock.waitMs(ContactChecks.CONNECT_TIMEOUT_MS);
+      if (contact === 'refuses') return 'ended';
+      return contact === 'unreachable' ? 'silent' : 'alive';
+    },
+    checkAnswer: async ({ id }) => {
+      const isAnswered = getContact(id) === 'answers';
+      if (!isAnswered) await clock.waitMs(ContactChecks.ANSWER_TIMEOUT_MS);
+      return isAnswered ? 'answered' : 'silent';
+    },
+    notices: { isResting },
+  });
   function recordCall(target: string, extraHeaders: readonly RawHeader[]): TargetCall {
     const headers = Object.fromEntries(extraHeaders);
     const record = { target, headers, atMs: clock.getNowMs(), isCancelled: false };
@@ -209,6 +231,7 @@
     waits,
     registry,
     paths,
+    contacts: contactCheck,
     relays,
     crashes: {
       findBlock: () => undefined,
@@ -236,7 +259,7 @@
       getRetrySeconds: () => 1,
     },
     notices: {
-      isResting: ({ id }) => (restsUntilMs.get(id) ?? 0) > clock.getNowMs(),
+      isResting,
       getRestMs: ({ id }) => Math.max(0, (restsUntilMs.get(id) ?? 0) - clock.getNowMs()),
     },
     chooser: Decisions.createTargetChooser({ nextRandom }),
@@ -277,6 +300,7 @@
     commands,
     rateLimited,
     unreachable,
+    contacts,
     otherRouters,
     goneRouters,
     restsUntilMs,
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -23,6 +23,7 @@
 import type { RateLimitedLog } from './rateLimitedLog';
 import type { QuotaBorrower } from './retryQuota';
 import type { CrashGuard } from './crashes/crashGuard';
+import type { ContactCheck } from './targets/contactCheck';
 import type { EngineProbes } from './targets/engineProbes';
 import type { PathMonitor } from './targets/pathMonitor';
 import type { ForwardRequest } from './forwardRequest';
@@ -50,6 +51,7 @@
     PathMonitor,
     'recordLoss' | 'getState' | 'isUnreachable' | 'checkSilence' | 'getSummary'
   >;
+  readonly contacts: ContactCheck;
   readonly relays: Omit<Relays, 'removeMissing'>;
   readonly crashes: Pick<
     CrashGuard,
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -1,6 +1,6 @@
 /** Plug-in `forwarding`: forwards callers' requests to targets and relays the answers. */
 import * as Decisions from '@sequoiarill/decisions';
-import type { ForwardingTarget, Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
+import type { Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
 
 import type { ExchangeDependencies } from './front/replies';
 import * as RateLimitedLogs from './rateLimitedLog';
@@ -65,6 +65,7 @@
     room,
     registry,
     paths,
+    contacts: parts.contacts,
     relays,
     brittle,
     crashes,
@@ -92,9 +93,6 @@
   PluginHandlers.registerHandlers(context, { ...parts, origins, waits });
   peers.setRetryQuotaLender((query) => RetryQuotas.grantRetryQuota(dependencies, query));
 
-  const isCurrent = (target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>) =>
-    directory.findCurrent(target) !== undefined;
-
   function applyDirectory(): void {
     crashes.applyDirectory();
     const configuration = directory.getConfiguration();
@@ -106,13 +104,7 @@
       frontEnd.applyLimits(configuration.limits);
       waits.wakeAll();
     }
-    connections.removeMissing(isCurrent);
-    registry.removeMissing(isCurrent);
-    probes.removeMissing(isCurrent);
-    limits.removeOld();
-    notices.removeOld();
-    relays.removeMissing();
-    brittle.removeMissing(isCurrent);
+    PluginHandlers.removeMissing(parts, directory);
   }
 
   return {
--- a/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
@@ -1,5 +1,5 @@
-/** What other plug-ins, other routers and operators ask of the parts of this plug-in. */
-import type { PluginContext } from '@sequoiarill/types';
+/** What other plug-ins, other routers, the directory and operators ask of the parts of this plug-in. */
+import type { Directory, ForwardingTarget, PluginContext } from '@sequoiarill/types';
 
 import type { StreamOrigins } from './origins/streamOrigins';
 import type { TargetParts } from './pluginParts';
@@ -22,6 +22,20 @@
   getCapability('room').setLineSource(waits.dumpState);
 }
 
+/** Forgets targets and routers that the directory no longer lists. */
+export function removeMissing(parts: TargetParts, directory: Pick<Directory, 'findCurrent'>): void {
+  const { connections, registry, probes, limits, notices, relays, brittle } = parts;
+  const isCurrent = (target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>) =>
+    directory.findCurrent(target) !== undefined;
+  connections.removeMissing(isCurrent);
+  registry.removeMissing(isCurrent);
+  probes.removeMissing(isCurrent);
+  limits.removeOld();
+  notices.removeOld();
+  relays.removeMissing();
+  brittle.removeMissing(isCurrent);
+}
+
 export function dumpTargetParts(parts: TargetParts): Readonly<Record<string, unknown>> {
   const { crashes, limits, notices, paths, brittle, heldBudget } = parts;
   return {
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -27,6 +27,7 @@
 import type { Relays as RelaysState } from './relay/relays';
 import type { ForwardingSettings } from './settings';
 import * as CopyCommands from './streams/copyCommands';
+import * as ContactChecks from './targets/contactCheck';
 import * as EngineCalls from './targets/engineCalls';
 import * as EngineProbes from './targets/engineProbes';
 import * as PathMonitors from './targets/pathMonitor';
@@ -244,13 +245,14 @@
   const directory = getCapability('directory');
   const connections = TargetConnections.createTargetConnections();
   const routerConnections = TargetConnections.createTargetConnections();
-  const checkAnswer = TargetProbes.createTargetProbe({
+  const probeOptions: TargetProbes.TargetProbeOptions = {
     clock,
     wire,
     directory,
     connections,
     recordHead: (target, head) => notices.recordHead(target, head),
-  });
+  };
+  const checkAnswer = TargetProbes.createTargetProbe(probeOptions);
   const paths = createPaths(context, { checkAnswer, log, onRegained: removeOldLosses });
   const registry = TargetRegistries.createTargetRegistry(clock.getNowMs, paths);
   const notices = createNotices(context, log, {
@@ -280,6 +282,14 @@
     connections,
     routerConnections,
     paths,
+    contacts: ContactChecks.createContactCheck({
+      checkExit: ExitChecks.createExitCheck(clock, ContactChecks.CONNECT_TIMEOUT_MS),
+      checkAnswer: TargetProbes.createTargetProbe({
+        ...probeOptions,
+        answerTimeoutMs: ContactChecks.ANSWER_TIMEOUT_MS,
+      }),
+      notices,
+    }),
     registry,
     notices,
     relays,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
@@ -11,6 +11,8 @@
   readonly directory: Pick<Directory, 'getConfiguration'>;
   readonly connections: Pick<TargetConnections, 'openConnection'>;
   readonly recordHead: (target: ForwardingTarget, head: AnswerHead) => void;
+  /** From the start of the probe to its answer, milliseconds of running time. */
+  readonly answerTimeoutMs?: number;
 }
 
 /** Covers a connection between zones. */
@@ -25,6 +27,8 @@
 
 export function createTargetProbe(options: TargetProbeOptions): TargetProbe {
   const { clock, wire, directory, connections } = options;
+  const { answerTimeoutMs = ANSWER_TIMEOUT_MS } = options;
+  const connectTimeoutMs = Math.min(CONNECT_TIMEOUT_MS, answerTimeoutMs);
 
   return async function checkAnswer(target) {
     const service = directory.getConfiguration()?.services.get(target.service);
@@ -45,9 +49,9 @@
         silenceDeadlineMs,
         expiresAtMs: Number.POSITIVE_INFINITY,
       });
-    let event = await readUntil(startedMs + CONNECT_TIMEOUT_MS);
+    let event = await readUntil(startedMs + connectTimeoutMs);
     if (event.kind === 'timeout' && call.wasSent()) {
-      event = await readUntil(startedMs + ANSWER_TIMEOUT_MS);
+      event = await readUntil(startedMs + answerTimeoutMs);
     }
     call.cancel();
     if (event.kind === 'head') return 'answered';
