Say in lines about lost targets who else is silent, and whether the router was late

Cause: one line with the reason "silent" stands for a paused process, a host without power, a cut path, and an answer that a busy router read late; nothing beside it told them apart. Change: the summary in stream.continued, target.lost, path.doubted, path.lost and request.refused also has silentTargets (asked something and not heard for longer than usual, now or within the last second), heardTargets and heardZones (within the last second), routerDelayMs and routerDelayAgeMs (the longest pause or blocked event loop of the last ten seconds) and configurationAgeMs. The kernel's running time tells of each read that came 20 ms late or more (Clock.getLastDelay); a blocked event loop shorter than its tick of 50 ms may be missed.

--- a/bench/src/control/fleet.ts
+++ b/bench/src/control/fleet.ts
@@ -200,6 +200,7 @@
     clock: {
       getNowMs: () => performance.now(),
       getRunningMs: () => performance.now(),
+      getLastDelay: () => undefined,
       getWallTime: () => new Date().toISOString(),
       waitMs,
     },
--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -25,6 +25,7 @@
 export * from './latencyAdmission';
 export * from './suspectTracker';
 export * from './targetContacts';
+export * from './targetSilences';
 export * from './originHolders';
 export * from './pathTracker';
 export * from './brittleServices';
--- a/packages/sequoiarill-kernel/src/clock.ts
+++ b/packages/sequoiarill-kernel/src/clock.ts
@@ -10,11 +10,13 @@
 }
 
 export function createSystemClock(): Clock {
-  const getRunningMs = RunningTimes.createRunningTime(getNowMs);
+  const delays = RunningTimes.createDelayRecord();
+  const getRunningMs = RunningTimes.createRunningTime(getNowMs, delays.recordDelay);
   setInterval(getRunningMs, RunningTimes.RUNNING_TIME_TICK_MS).unref();
   return {
     getNowMs,
     getRunningMs,
+    getLastDelay: delays.getLastDelay,
     getWallTime: () => new Date().toISOString(),
     async waitMs(ms, signal) {
       if (signal === undefined) await startTimeout(ms);
--- a/packages/sequoiarill-kernel/src/fakeClock.ts
+++ b/packages/sequoiarill-kernel/src/fakeClock.ts
@@ -2,7 +2,7 @@
  * A clock with virtual time for tests: waits end in the order of their deadlines when the test
  * advances the clock.
  */
-import type { Clock } from '@sequoiarill/types';
+import type { Clock, ProcessDelay } from '@sequoiarill/types';
 
 interface Waiter {
   readonly dueMs: number;
@@ -26,6 +26,7 @@
 export function createFakeClock(): FakeClock {
   let nowMs = 0;
   let pausedMs = 0;
+  let lastDelay: ProcessDelay | undefined;
   /** In the order of their deadlines; equal ones in the order of their start. */
   const waiters: Waiter[] = [];
 
@@ -48,6 +49,7 @@
   return {
     getNowMs: () => nowMs,
     getRunningMs: () => nowMs - pausedMs,
+    getLastDelay: () => lastDelay,
     getWallTime: () => new Date(nowMs).toISOString(),
     waitMs: (ms, signal) =>
       new Promise((resolve) => {
@@ -80,6 +82,7 @@
     simulatePause(ms) {
       nowMs += ms;
       pausedMs += ms;
+      lastDelay = { endedAtMs: nowMs, lastedMs: ms };
     },
   };
 }
--- a/packages/sequoiarill-kernel/src/runningTime.ts
+++ b/packages/sequoiarill-kernel/src/runningTime.ts
@@ -5,6 +5,7 @@
  * meantime. With timeouts measured by the clock alone, all peers that it waits for would appear
  * silent and time out when it resumes.
  */
+import type { ProcessDelay } from '@sequoiarill/types';
 
 /** Interval at which the running time is updated in the background. */
 export const RUNNING_TIME_TICK_MS = 50;
@@ -18,16 +19,40 @@
  */
 const MAX_GRACE_MS = 250;
 
+/** A shorter delay ends no wait on another process; the shortest timeout of a probe is 35 ms. */
+const MIN_DELAY_MS = 20;
+/** For this long a delay is not replaced by a shorter one, which a busy process has several times a second. */
+const DELAY_KEPT_MS = 10_000;
+
 /**
  * Minimum delay of a rearmed timer; prevents rapid rearming while running time stops after a pause.
  */
 const MIN_TIMER_MS = 10;
 
+/** Keeps the longest delay of the last ten seconds, or the last one where there was none since. */
+export function createDelayRecord() {
+  let last: ProcessDelay | undefined;
+  return {
+    recordDelay(delay: ProcessDelay): void {
+      const isKept =
+        last !== undefined &&
+        last.lastedMs > delay.lastedMs &&
+        delay.endedAtMs - last.endedAtMs < DELAY_KEPT_MS;
+      if (!isKept) last = delay;
+    },
+    getLastDelay: (): ProcessDelay | undefined => last,
+  };
+}
+
 /**
  * Returns a function that reads the running time; it must be called at least once per
- * `RUNNING_TIME_TICK_MS`.
+ * `RUNNING_TIME_TICK_MS`. `recordDelay` is called with each pause and each blocked event loop, as far as it
+ * makes a read late.
  */
-export function createRunningTime(getNowMs: () => number): () => number {
+export function createRunningTime(
+  getNowMs: () => number,
+  recordDelay?: (delay: ProcessDelay) => void,
+): () => number {
   let lastReadMs = getNowMs();
   let graceUntilMs = lastReadMs;
   let runningMs = 0;
@@ -35,6 +60,8 @@
   return function getRunningMs() {
     const nowMs = getNowMs();
     const gapMs = nowMs - lastReadMs;
+    const lastedMs = gapMs - RUNNING_TIME_TICK_MS;
+    if (lastedMs >= MIN_DELAY_MS) recordDelay?.({ endedAtMs: nowMs, lastedMs });
     if (gapMs > MAX_COUNTED_GAP_MS) {
       runningMs += MAX_COUNTED_GAP_MS;
       graceUntilMs = nowMs + Math.min(gapMs, MAX_GRACE_MS);
--- a/packages/sequoiarill-plugin-callers/src/__tests__/responseLog.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/responseLog.test.ts
@@ -10,6 +10,7 @@
 const CLOCK = {
   getNowMs: () => 0,
   getRunningMs: () => 0,
+  getLastDelay: () => undefined,
   getWallTime: () => '2026-01-01T00:00:00.000Z',
   waitMs: async () => undefined,
 };
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -101,6 +101,7 @@
     if (configurationVersion !== configuration.version) {
       configurationVersion = configuration.version;
       routeTable = RouteTables.createRouteTable(configuration);
+      paths.recordConfiguration();
       frontEnd.applyLimits(configuration.limits);
       waits.wakeAll();
     }
--- a/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
@@ -24,10 +24,11 @@
 
 /** Forgets targets and routers that the directory no longer lists. */
 export function removeMissing(parts: TargetParts, directory: Pick<Directory, 'findCurrent'>): void {
-  const { connections, registry, probes, limits, notices, relays, brittle } = parts;
+  const { connections, paths, registry, probes, limits, notices, relays, brittle } = parts;
   const isCurrent = (target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>) =>
     directory.findCurrent(target) !== undefined;
   connections.removeMissing(isCurrent);
+  paths.removeMissing(isCurrent);
   registry.removeMissing(isCurrent);
   probes.removeMissing(isCurrent);
   limits.removeOld();
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -111,24 +111,18 @@
   });
 }
 
-interface PathOptions {
-  readonly checkAnswer: TargetProbes.TargetProbe;
-  readonly log: RateLimitedLog;
-  readonly onRegained: (service: string) => void;
-}
-
 function createPaths(
   { clock, nextRandom, getCapability }: PluginContext,
-  { checkAnswer, log, onRegained }: PathOptions,
+  checkAnswer: TargetProbes.TargetProbe,
+  listeners: Pick<PathMonitors.PathMonitorOptions, 'log' | 'onRegained'>,
 ): PathMonitor {
   const directory = getCapability('directory');
   return PathMonitors.createPathMonitor({
     clock,
     nextRandom,
     directory,
-    log,
     checkTarget: async (target) => (await checkAnswer(target)) === 'answered',
-    onRegained,
+    ...listeners,
   });
 }
 
@@ -214,6 +208,7 @@
       target,
       ...buildContent(request),
       recordHead: (head) => notices.recordHead(target, head),
+      recordStart: () => notices.recordStart(target),
       headers: [
         ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
         [headerNames.remainingMs, String(leftMs)],
@@ -250,10 +245,13 @@
     wire,
     directory,
     connections,
-    recordHead: (target, head) => notices.recordHead(target, head),
+    notices: {
+      recordHead: (target, head) => notices.recordHead(target, head),
+      recordStart: (target) => paths.recordStart(target),
+    },
   };
   const checkAnswer = TargetProbes.createTargetProbe(probeOptions);
-  const paths = createPaths(context, { checkAnswer, log, onRegained: removeOldLosses });
+  const paths = createPaths(context, checkAnswer, { log, onRegained: removeOldLosses });
   const registry = TargetRegistries.createTargetRegistry(clock.getNowMs, paths);
   const notices = createNotices(context, log, {
     paths,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
@@ -64,7 +64,11 @@
     callEngine: EngineCalls.createEngineCaller(
       clock,
       createConnections(new Map([[target.address, id]]), requests),
-      { recordHead: () => undefined, isResting: () => false },
+      {
+        recordHead: () => undefined,
+        recordStart: () => () => undefined,
+        isResting: () => false,
+      },
     ),
     directory: {
       getConfiguration: () => ({ ...configuration, services: new Map(services) }),
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/targetNotices.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/targetNotices.test.ts
@@ -12,7 +12,7 @@
   const leaving: string[] = [];
   const clock = Kernel.createFakeClock();
   const notices = TargetNotices.createTargetNotices({
-    paths: { recordHeard: () => undefined },
+    paths: { recordHeard: () => undefined, recordStart: () => () => undefined },
     brittle: { recordHead: () => undefined },
     headers: Fakes.HEADER_NAMES,
     directory: {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
@@ -29,7 +29,7 @@
 export function createEngineCaller(
   clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>,
   connections: Pick<TargetConnections, 'takeConnection'>,
-  notices: Pick<TargetNotices, 'recordHead' | 'isResting'>,
+  notices: Pick<TargetNotices, 'recordHead' | 'recordStart' | 'isResting'>,
 ): EngineCaller {
   return async (target, { method, path, body, headers = [], limitMs }) => {
     if (notices.isResting(target)) return undefined;
@@ -41,6 +41,7 @@
       headers: body === undefined ? headers : [['content-type', 'application/json'], ...headers],
       body: Buffer.from(body ?? ''),
       recordHead: (answerHead) => notices.recordHead(target, answerHead),
+      recordStart: () => notices.recordStart(target),
     });
     const silenceDeadlineMs = clock.getRunningMs() + limitMs;
     const limits = { silenceDeadlineMs, expiresAtMs: Number.POSITIVE_INFINITY };
--- a/packages/sequoiarill-plugin-forwarding/src/targets/pathMonitor.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/pathMonitor.ts
@@ -5,8 +5,13 @@
 
 import * as Events from '../events';
 import type { RateLimitedLog } from '../rateLimitedLog';
+import * as ServiceSummaries from './serviceSummaries';
+import type { ServiceSummary, SummaryClock } from './serviceSummaries';
 
-export interface PathMonitor {
+export interface PathMonitor extends Pick<
+  ServiceSummaries.ServiceSummaries,
+  'recordStart' | 'recordConfiguration' | 'removeMissing'
+> {
   /** The target answered, or sent an event of a stream. */
   readonly recordHeard: (target: ForwardingTarget) => void;
   /** A refused or broken connection, or a silence; starts a survey where the path may be the cause. */
@@ -33,13 +38,13 @@
   /** No other router could help. */
   readonly recordUntaken: (service: string) => void;
   /** Fields for log lines about lost targets. */
-  readonly getSummary: (service: string) => ContactSummary;
+  readonly getSummary: (service: string) => ContactSummary & ServiceSummary;
   readonly dumpState: () => Readonly<Record<string, PathState>>;
   readonly stop: () => void;
 }
 
 export interface PathMonitorOptions {
-  readonly clock: Pick<Clock, 'getNowMs' | 'waitMs'>;
+  readonly clock: Pick<Clock, 'waitMs'> & SummaryClock;
   readonly nextRandom: () => number;
   readonly directory: Pick<Directory, 'listTargets' | 'getConfiguration'>;
   readonly log: Pick<RateLimitedLog, 'logEvent'>;
@@ -57,22 +62,34 @@
 /** Pause between two surveys while no target is reached; the next ones are further apart. */
 const SURVEY_PAUSE_MS = { first: 250, last: 1_000, factor: 1.3 } as const;
 
+function listOthers(
+  directory: PathMonitorOptions['directory'],
+  { id }: ForwardingTarget,
+): readonly ForwardingTarget[] {
+  const services = [...(directory.getConfiguration()?.services.keys() ?? [])];
+  return services.flatMap(directory.listTargets).filter((other) => other.id !== id);
+}
+
 export function createPathMonitor(options: PathMonitorOptions): PathMonitor {
   const { clock, directory, log } = options;
   const contacts = Decisions.createTargetContacts();
   const tracker = Decisions.createPathTracker();
+  const summaries = ServiceSummaries.createServiceSummaries(clock);
   const surveys = new Map<string, Promise<PathState>>();
   /** Start of the doubt about each path that is not open, monotonic milliseconds. */
   const doubtedAtMs = new Map<string, number>();
   const stopping = new AbortController();
 
-  function recordHeard({ service }: ForwardingTarget): void {
-    contacts.recordHeard(service, clock.getNowMs());
-    tracker.recordHeard(service);
+  function recordHeard(target: ForwardingTarget): void {
+    contacts.recordHeard(target.service, clock.getNowMs());
+    tracker.recordHeard(target.service);
+    summaries.recordHeard(target);
   }
 
-  const getSummary = (service: string): ContactSummary =>
-    contacts.getSummary(service, clock.getNowMs());
+  const getSummary = (service: string): ContactSummary & ServiceSummary => ({
+    ...contacts.getSummary(service, clock.getNowMs()),
+    ...summaries.getSummary(service),
+  });
 
   async function checkTarget(target: ForwardingTarget): Promise<boolean> {
     const hasAnswered = await options.checkTarget(target);
@@ -121,17 +138,17 @@
     if (running !== undefined) return running;
     const started = runSurvey(service).then((state) => {
       surveys.delete(service);
-      if (state !== 'open' && !doubtedAtMs.has(service)) startWatch(service);
+      if (state !== 'open' && !doubtedAtMs.has(service)) {
+        watchPath(service).catch((error: unknown) => logFailure(service, error));
+      }
       return state;
     });
     surveys.set(service, started);
     return started;
   }
 
-  function startWatch(service: string): void {
-    watchPath(service).catch((error: unknown) =>
-      log.logEvent(Events.SURVEY_FAILED, { service, reason: String(error) }),
-    );
+  function logFailure(service: string, error: unknown): void {
+    log.logEvent(Events.SURVEY_FAILED, { service, reason: String(error) });
   }
 
   function isSurveyDue(service: string): boolean {
@@ -146,16 +163,12 @@
   function startSurvey(service: string): void {
     runSharedSurvey(service).catch((error: unknown) => {
       surveys.delete(service);
-      log.logEvent(Events.SURVEY_FAILED, { service, reason: String(error) });
+      logFailure(service, error);
     });
   }
 
-  function listOthers({ id }: ForwardingTarget): readonly ForwardingTarget[] {
-    const services = [...(directory.getConfiguration()?.services.keys() ?? [])];
-    return services.flatMap(directory.listTargets).filter((other) => other.id !== id);
-  }
-
   return {
+    ...summaries,
     recordHeard,
     recordLoss(target) {
       contacts.recordLoss(target);
@@ -181,7 +194,7 @@
       return hasAnswered;
     },
     async checkOthers(target, sinceMs) {
-      const others = listOthers(target);
+      const others = listOthers(directory, target);
       const services = new Set([target, ...others].map(({ service }) => service));
       if ([...services].some((service) => contacts.hasHeardSince(service, sinceMs))) return true;
       if (others.length === 0) return true;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -17,6 +17,8 @@
   readonly body: Buffer;
   /** Called with the head of each answer, even if the call was cancelled before. */
   readonly recordHead: (head: AnswerHead) => void;
+  /** Called at once; the function that it returns, when the call has ended or was cancelled, perhaps twice. */
+  readonly recordStart?: () => () => void;
   /** Counts what is buffered for the caller, and tells whether more may be; undefined for other calls. */
   readonly held?: Pick<HeldExchange, 'addAnswerBytes' | 'mayReadAhead'> | undefined;
 }
@@ -154,12 +156,14 @@
   function cancel(): void {
     if (isCancelled) return;
     isCancelled = true;
+    recordEnd?.();
     bufferedEvents.length = 0;
     updateHeld();
     notifyReader?.();
     if (!isDone) connection.close();
   }
 
+  const recordEnd = options.recordStart?.();
   const flatHeaders = headers.flatMap(([name, value]) => [name, value]);
   connection.dispatch(
     {
@@ -192,6 +196,7 @@
       },
       onResponseEnd() {
         isDone = true;
+        recordEnd?.();
         updateHeld();
         if (connection.wasReset()) addEvent({ kind: 'broken', reason: 'reset' });
         else addEvent({ kind: 'end' });
@@ -199,6 +204,7 @@
       },
       onResponseError(_controller, error) {
         isDone = true;
+        recordEnd?.();
         updateHeld();
         connection.close();
         const { code = '', message } = error as NodeJS.ErrnoException;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
@@ -13,6 +13,8 @@
 export interface TargetNotices {
   /** Records the head of an answer that came from the target's address. */
   readonly recordHead: (target: ForwardingTarget, head: AnswerHead) => void;
+  /** A call to the target is outstanding until the returned function is called. */
+  readonly recordStart: PathMonitor['recordStart'];
   /** Records that the target said that it is about to stop; `source` names where, for the log. */
   readonly recordLeaving: (target: ForwardingTarget, source: 'answer' | 'report') => void;
   /** Whether the target has asked this router for rest that is not over. */
@@ -26,7 +28,7 @@
 }
 
 export interface TargetNoticesOptions {
-  readonly paths: Pick<PathMonitor, 'recordHeard'>;
+  readonly paths: Pick<PathMonitor, 'recordHeard' | 'recordStart'>;
   readonly brittle: Pick<BrittleTargets, 'recordHead'>;
   readonly headers: Pick<HeaderNames, 'leaving' | 'retryAfter' | 'targetId'>;
   readonly directory: Pick<Directory, 'findCurrent' | 'recordLeaving'>;
@@ -95,6 +97,7 @@
 
   return {
     recordLeaving,
+    recordStart: options.paths.recordStart,
     recordHead(target, head) {
       options.paths.recordHeard(target);
       if (!Checks.isFromTarget(head, target, headers)) return;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
@@ -1,16 +1,16 @@
 /** Probes targets for a sign of life, each over a new connection. */
 import type { Clock, Directory, ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
 
-import type { AnswerHead } from '../forwardRequest';
 import * as TargetCalls from './targetCall';
 import type { TargetConnections } from './targetConnections';
+import type { TargetNotices } from './targetNotices';
 
 export interface TargetProbeOptions {
   readonly clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>;
   readonly wire: Pick<ForwardingWire, 'reportPath'>;
   readonly directory: Pick<Directory, 'getConfiguration'>;
   readonly connections: Pick<TargetConnections, 'openConnection'>;
-  readonly recordHead: (target: ForwardingTarget, head: AnswerHead) => void;
+  readonly notices: Pick<TargetNotices, 'recordHead' | 'recordStart'>;
   /** From the start of the probe to its answer, milliseconds of running time. */
   readonly answerTimeoutMs?: number;
 }
@@ -26,7 +26,7 @@
 export type TargetProbe = (target: ForwardingTarget) => Promise<TargetProbeResult>;
 
 export function createTargetProbe(options: TargetProbeOptions): TargetProbe {
-  const { clock, wire, directory, connections } = options;
+  const { clock, wire, directory, connections, notices } = options;
   const { answerTimeoutMs = ANSWER_TIMEOUT_MS } = options;
   const connectTimeoutMs = Math.min(CONNECT_TIMEOUT_MS, answerTimeoutMs);
 
@@ -41,7 +41,8 @@
       path,
       headers: [],
       body: Buffer.alloc(0),
-      recordHead: (head) => options.recordHead(target, head),
+      recordHead: (head) => notices.recordHead(target, head),
+      recordStart: () => notices.recordStart(target),
     });
     const startedMs = clock.getRunningMs();
     const readUntil = (silenceDeadlineMs: number) =>
--- a/packages/sequoiarill-plugin-generations/src/__tests__/capacityTask.test.ts
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/capacityTask.test.ts
@@ -36,6 +36,7 @@
     clock: {
       getNowMs: () => 0,
       getRunningMs: () => 0,
+      getLastDelay: () => undefined,
       getWallTime: () => '',
       waitMs: async () => controller.abort(),
     },
--- a/packages/sequoiarill-plugin-orders/src/__tests__/claimInterleavings.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/claimInterleavings.test.ts
@@ -72,6 +72,7 @@
   const clock: Clock = {
     getNowMs: () => waits,
     getRunningMs: () => waits,
+    getLastDelay: () => undefined,
     getWallTime: () => '',
     waitMs: delayStep,
   };
--- a/packages/sequoiarill-plugin-orders/src/__tests__/fakeStore.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/fakeStore.ts
@@ -97,6 +97,7 @@
   return {
     getNowMs: () => nowMs,
     getRunningMs: () => nowMs,
+    getLastDelay: () => undefined,
     getWallTime: () => '2026-01-01T00:00:00.000Z',
     waitMs: async () => undefined,
     advance(ms) {
--- a/packages/sequoiarill-plugin-orders/src/__tests__/transactionBatches.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/transactionBatches.test.ts
@@ -16,6 +16,7 @@
   return {
     getNowMs: () => nowMs,
     getRunningMs: () => nowMs,
+    getLastDelay: () => undefined,
     getWallTime: () => '',
     async waitMs(ms) {
       nowMs += ms;
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -57,6 +57,14 @@
 }
 
 /** Source of time, passed as a dependency so that tests can replace it and run without waiting. */
+/** A pause of this process, or a time in which its event loop was blocked and read nothing. */
+export interface ProcessDelay {
+  /** Monotonic milliseconds. */
+  readonly endedAtMs: number;
+  /** At least this long, milliseconds. */
+  readonly lastedMs: number;
+}
+
 export interface Clock {
   /** Monotonic time, milliseconds. Comparable within this process only. */
   readonly getNowMs: () => number;
@@ -66,6 +74,8 @@
    * that another party measures as well, such as a lease or a deadline.
    */
   readonly getRunningMs: () => number;
+  /** The longest recent delay of this process, or its last one; undefined if there was none. */
+  readonly getLastDelay: () => ProcessDelay | undefined;
   /** Wall-clock time, ISO 8601, for display only. */
   readonly getWallTime: () => string;
   /** Resolves early, without an error, when the signal is aborted. */
