Define log lines and metrics for targets that fall silent during a request and go on

Cause: a silent target left no line until its request was given up, and a target that went on left none at all; why a request waits or is given up could not be read anywhere.

--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -4,6 +4,8 @@
 export const ANSWER = 'forwarding.answer';
 export const FIRST_EVENT = 'forwarding.firstEvent';
 export const PAUSE = 'forwarding.longestPause';
+export const SILENCES = 'forwarding.silences';
+export const SILENCE = 'forwarding.silence';
 export const CONTINUED = 'forwarding.continued';
 export const COPIES = 'forwarding.copies';
 export const REPEATED = 'forwarding.repeated';
@@ -40,6 +42,17 @@
     unit: 'ms',
     meaning: 'Longest pause between two consecutive events of a stream, by route.',
   },
+  {
+    name: SILENCES,
+    unit: 'count',
+    meaning:
+      'Silences of targets that ran a request, by contact (answers, accepts, refuses, unreachable) and end (spoke, continued elsewhere, closed, expired, callerLeft).',
+  },
+  {
+    name: SILENCE,
+    unit: 'ms',
+    meaning: 'Time for which a target that ran a request was silent, by contact and end.',
+  },
   { name: CONTINUED, unit: 'count', meaning: 'Streams continued on another target, by cause.' },
   {
     name: COPIES,
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -16,6 +16,7 @@
 import * as RouteTables from './front/routeTable';
 import type { RouteTable } from './front/routeTable';
 import * as WaitingStreams from './streams/waitingStreams';
+import * as SilenceEvents from './targets/silenceEvents';
 import { settingsSchema } from './settings';
 import type { ForwardingSettings } from './settings';
 
@@ -155,6 +156,6 @@
   settingsSchema,
   provides: [],
   needs: ['wire', 'directory', 'peers', 'rollouts', 'room', 'keyValue'],
-  events: [...Events.EVENTS, ...HeldEvents.HELD_EVENTS],
+  events: [...Events.EVENTS, ...HeldEvents.HELD_EVENTS, ...SilenceEvents.SILENCE_EVENTS],
   createInstance,
 };
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/silenceEvents.ts
@@ -0,0 +1,17 @@
+/** Events 1950 to 1959: targets that fall silent while they run a request, and that go on. */
+import * as Kernel from '@sequoiarill/kernel';
+
+export const TARGET_SILENT = Kernel.defineEvent(
+  1950,
+  'warn',
+  'target.silent',
+  'A target that runs a request has sent nothing for `silentMs`. `contact` is what a new connection shows: `answers` a probe, `accepts` and answers nothing (a paused process), `refuses` (it has terminated) or `unreachable` (no response: no power, or a cut path). `kept` says why the request stays with it: `noOtherAnswers`, `noAttemptLeft`, `noRepeatLeft` or `promptReadAgain`; without `kept` it goes on elsewhere.',
+);
+export const TARGET_SPOKE = Kernel.defineEvent(
+  1951,
+  'info',
+  'target.spoke',
+  'A target that was reported silent for a request goes on with it, after `silentMs`.',
+);
+
+export const SILENCE_EVENTS = [TARGET_SILENT, TARGET_SPOKE];
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -56,7 +56,6 @@
   readonly recordTiming: (name: string, valueMs: number, tags?: MetricTags) => void;
 }
 
-/** Source of time, passed as a dependency so that tests can replace it and run without waiting. */
 /** A pause of this process, or a time in which its event loop was blocked and read nothing. */
 export interface ProcessDelay {
   /** Monotonic milliseconds. */
@@ -65,6 +64,7 @@
   readonly lastedMs: number;
 }
 
+/** Source of time, passed as a dependency so that tests can replace it and run without waiting. */
 export interface Clock {
   /** Monotonic time, milliseconds. Comparable within this process only. */
   readonly getNowMs: () => number;
