--- a/packages/sequoiarill-kernel/src/__tests__/runningTime.test.ts
+++ b/packages/sequoiarill-kernel/src/__tests__/runningTime.test.ts
@@ -68,34 +68,32 @@
 describe('delays of this process', () => {
   function createDelays() {
     let nowMs = 0;
-    const delays = RunningTimes.createDelayRecord();
-    const getRunningMs = RunningTimes.createRunningTime(() => nowMs, delays.recordDelay);
+    const delays = RunningTimes.createDelayRecord(nowMs);
     return {
       getLastDelay: delays.getLastDelay,
-      /** The next read of the running time comes after this time. */
-      readAfter(ms: number) {
+      recordTickAfter(ms: number) {
         nowMs += ms;
-        getRunningMs();
+        delays.recordTick(nowMs);
       },
     };
   }
 
   it('are known with their length and end, and none while the process runs', () => {
     // Guards against a target that is said to be silent where the router itself read nothing.
-    const { getLastDelay, readAfter } = createDelays();
-    for (let tick = 0; tick < 20; tick += 1) readAfter(RunningTimes.RUNNING_TIME_TICK_MS + 5);
+    const { getLastDelay, recordTickAfter } = createDelays();
+    for (let tick = 0; tick < 20; tick += 1) recordTickAfter(RunningTimes.RUNNING_TIME_TICK_MS + 5);
     expect(getLastDelay()).toEqual(undefined);
-    readAfter(1_300);
+    recordTickAfter(1_300);
     expect(getLastDelay()).toEqual({ endedAtMs: 2_400, lastedMs: 1_250 });
   });
 
   it('are not hidden by shorter ones that follow', () => {
     // Guards against a pause that a busy router no longer shows a second later.
-    const { getLastDelay, readAfter } = createDelays();
-    readAfter(1_300);
-    for (let tick = 0; tick < 100; tick += 1) readAfter(90);
+    const { getLastDelay, recordTickAfter } = createDelays();
+    recordTickAfter(1_300);
+    for (let tick = 0; tick < 100; tick += 1) recordTickAfter(90);
     expect(getLastDelay()).toEqual({ endedAtMs: 1_300, lastedMs: 1_250 });
-    for (let tick = 0; tick < 15; tick += 1) readAfter(90);
+    for (let tick = 0; tick < 15; tick += 1) recordTickAfter(90);
     expect(getLastDelay()?.lastedMs).toEqual(40);
   });
 });
--- a/packages/sequoiarill-kernel/src/clock.ts
+++ b/packages/sequoiarill-kernel/src/clock.ts
@@ -10,9 +10,12 @@
 }
 
 export function createSystemClock(): Clock {
-  const delays = RunningTimes.createDelayRecord();
-  const getRunningMs = RunningTimes.createRunningTime(getNowMs, delays.recordDelay);
-  setInterval(getRunningMs, RunningTimes.RUNNING_TIME_TICK_MS).unref();
+  const delays = RunningTimes.createDelayRecord(getNowMs());
+  const getRunningMs = RunningTimes.createRunningTime(getNowMs);
+  setInterval(() => {
+    getRunningMs();
+    delays.recordTick(getNowMs());
+  }, RunningTimes.RUNNING_TIME_TICK_MS).unref();
   return {
     getNowMs,
     getRunningMs,
--- a/packages/sequoiarill-kernel/src/runningTime.ts
+++ b/packages/sequoiarill-kernel/src/runningTime.ts
@@ -29,16 +29,28 @@
  */
 const MIN_TIMER_MS = 10;
 
-/** Keeps the longest delay of the last ten seconds, or the last one where there was none since. */
-export function createDelayRecord() {
+/**
+ * Keeps the longest delay of the last ten seconds, or the last one where there was none since. A delay is at least as
+ * long as a tick was late; between two ticks, one shorter than `RUNNING_TIME_TICK_MS` may go unnoticed.
+ */
+export function createDelayRecord(startedMs: number) {
+  let tickedAtMs = startedMs;
   let last: ProcessDelay | undefined;
+
+  function recordDelay(delay: ProcessDelay): void {
+    const isKept =
+      last !== undefined &&
+      last.lastedMs > delay.lastedMs &&
+      delay.endedAtMs - last.endedAtMs < DELAY_KEPT_MS;
+    if (!isKept) last = delay;
+  }
+
   return {
-    recordDelay(delay: ProcessDelay): void {
-      const isKept =
-        last !== undefined &&
-        last.lastedMs > delay.lastedMs &&
-        delay.endedAtMs - last.endedAtMs < DELAY_KEPT_MS;
-      if (!isKept) last = delay;
+    /** Must be called by a timer every `RUNNING_TIME_TICK_MS`. */
+    recordTick(nowMs: number): void {
+      const lastedMs = nowMs - tickedAtMs - RUNNING_TIME_TICK_MS;
+      tickedAtMs = nowMs;
+      if (lastedMs >= MIN_DELAY_MS) recordDelay({ endedAtMs: nowMs, lastedMs });
     },
     getLastDelay: (): ProcessDelay | undefined => last,
   };
@@ -46,13 +58,9 @@
 
 /**
  * Returns a function that reads the running time; it must be called at least once per
- * `RUNNING_TIME_TICK_MS`. `recordDelay` is called with each pause and each blocked event loop, as far as it
- * makes a read late.
+ * `RUNNING_TIME_TICK_MS`.
  */
-export function createRunningTime(
-  getNowMs: () => number,
-  recordDelay?: (delay: ProcessDelay) => void,
-): () => number {
+export function createRunningTime(getNowMs: () => number): () => number {
   let lastReadMs = getNowMs();
   let graceUntilMs = lastReadMs;
   let runningMs = 0;
@@ -60,8 +68,6 @@
   return function getRunningMs() {
     const nowMs = getNowMs();
     const gapMs = nowMs - lastReadMs;
-    const lastedMs = gapMs - RUNNING_TIME_TICK_MS;
-    if (lastedMs >= MIN_DELAY_MS) recordDelay?.({ endedAtMs: nowMs, lastedMs });
     if (gapMs > MAX_COUNTED_GAP_MS) {
       runningMs += MAX_COUNTED_GAP_MS;
       graceUntilMs = nowMs + Math.min(gapMs, MAX_GRACE_MS);
