--- a/packages/sequoiarill-plugin-forwarding/src/targets/silenceEvents.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/silenceEvents.ts
@@ -5,7 +5,7 @@
   1950,
   'warn',
   'target.silent',
-  'A target that runs a request has sent nothing for `silentMs`. `contact` is what a new connection shows: `answers` a probe, `accepts` and answers nothing (a paused process), `refuses` (it has terminated) or `unreachable` (no response: no power, or a cut path). `kept` says why the request stays with it: `noOtherAnswers`, `noAttemptLeft`, `noRepeatLeft` or `promptReadAgain`; without `kept` it goes on elsewhere.',
+  'A target that runs a request has sent nothing for `silentMs`. `contact` is what a new connection to it shows, `kept` why the request stays with it; without `kept` it goes on elsewhere.',
 );
 export const TARGET_SPOKE = Kernel.defineEvent(
   1951,
