Check a target's contact over one connection, and a paused one not again within 300 ms

Cause: a check opened two connections. A paused process keeps each of them in its accept queue, also once it is closed, so that checks by several routers without a pause fill a queue of 128 within seconds, and the target then looks unreachable. Change: the probe itself tells whether its connection was opened, refused or got no response; accepts is returned again for 300 ms. Targets that have asked for rest get a connection attempt and no probe, as before.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -149,18 +149,16 @@
   });
   const getContact = (id: string): TargetContact =>
     contacts.get(id) ?? (unreachable.has(id) ? 'unreachable' : 'answers');
+  const { connectMs, answerMs } = ContactChecks.CONTACT_TIMEOUTS;
   const contactCheck = ContactChecks.createContactCheck({
-    checkExit: async ({ id }) => {
+    clock,
+    async readContact({ id }) {
       const contact = getContact(id);
-      if (contact === 'unreachable') await clock.waitMs(ContactChecks.CONNECT_TIMEOUT_MS);
-      if (contact === 'refuses') return 'ended';
-      return contact === 'unreachable' ? 'silent' : 'alive';
-    },
-    checkAnswer: async ({ id }) => {
-      const isAnswered = getContact(id) === 'answers';
-      if (!isAnswered) await clock.waitMs(ContactChecks.ANSWER_TIMEOUT_MS);
-      return isAnswered ? 'answered' : 'silent';
+      if (contact === 'unreachable') await clock.waitMs(connectMs);
+      if (contact === 'accepts') await clock.waitMs(answerMs);
+      return contact;
     },
+    checkExit: async () => 'alive',
     notices: { isResting },
   });
   function recordCall(target: string, extraHeaders: readonly RawHeader[]): TargetCall {
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -281,11 +281,9 @@
     routerConnections,
     paths,
     contacts: ContactChecks.createContactCheck({
-      checkExit: ExitChecks.createExitCheck(clock, ContactChecks.CONNECT_TIMEOUT_MS),
-      checkAnswer: TargetProbes.createTargetProbe({
-        ...probeOptions,
-        answerTimeoutMs: ContactChecks.ANSWER_TIMEOUT_MS,
-      }),
+      clock,
+      readContact: TargetProbes.createContactProbe(probeOptions, ContactChecks.CONTACT_TIMEOUTS),
+      checkExit: ExitChecks.createExitCheck(clock, ContactChecks.CONTACT_TIMEOUTS.connectMs),
       notices,
     }),
     registry,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/contactCheck.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/contactCheck.ts
@@ -1,58 +1,79 @@
 /** Tells a silent target from a terminated one and from one that this router does not reach. */
-import type { ForwardingTarget } from '@sequoiarill/types';
+import type { Clock, ForwardingTarget } from '@sequoiarill/types';
 
-import type { ExitCheckResult } from '../crashes/exitCheck';
+import type { ExitCheck } from '../crashes/exitCheck';
 import type { TargetNotices } from './targetNotices';
-import type { TargetProbe } from './targetProbe';
+import type { ContactProbe, ProbeTimeouts, TargetContact } from './targetProbe';
 
-/**
- * `answers`: a probe over a new connection is answered; `accepts`: a connection opens and nothing is answered, as with
- * a paused process, whose kernel goes on accepting; `refuses`: the connection is refused, or closed without an answer,
- * so the process has terminated; `unreachable`: no response to the connection attempt, as from a host without power
- * or beyond a cut path.
- */
-export type TargetContact = 'answers' | 'accepts' | 'refuses' | 'unreachable';
+export type { TargetContact } from './targetProbe';
 
 export interface ContactCheck {
-  /** Concurrent checks of one target share their connections and result. */
+  /**
+   * Concurrent checks of one target share a connection and the result. `accepts` is returned again at once for
+   * `ACCEPTS_TTL_MS`, so that a caller that looks again has to wait in between.
+   */
   readonly checkContact: (target: ForwardingTarget) => Promise<TargetContact>;
 }
 
 export interface ContactCheckOptions {
-  /** Its timeout bounds the time until `unreachable`. */
-  readonly checkExit: (target: ForwardingTarget) => Promise<ExitCheckResult>;
-  /** Its timeout bounds the time until `accepts`. */
-  readonly checkAnswer: TargetProbe;
-  /** A target that has asked for rest is not probed. */
+  readonly clock: Pick<Clock, 'getRunningMs'>;
+  readonly readContact: ContactProbe;
+  /** Used for a target that has asked for rest, which gets no probes. */
+  readonly checkExit: ExitCheck;
   readonly notices: Pick<TargetNotices, 'isResting'>;
 }
 
-/** A connection within a region opens within a few milliseconds, also where the target is busy. */
-export const CONNECT_TIMEOUT_MS = 150;
-/** Most engines answer a probe within 5 ms. */
-export const ANSWER_TIMEOUT_MS = 250;
+/**
+ * A connection within a region opens within a few milliseconds, also where the target is busy. Most engines answer a
+ * probe within 5 ms.
+ */
+export const CONTACT_TIMEOUTS: ProbeTimeouts = { connectMs: 150, answerMs: 250 };
+/**
+ * A paused process keeps each connection in its accept queue, closed or not. Checks without a pause by all
+ * routers would fill a queue of 128 within seconds, and the target would then look unreachable.
+ */
+export const ACCEPTS_TTL_MS = 300;
+
+interface Check {
+  readonly result: Promise<TargetContact>;
+  /** Running time until which the result is returned again; infinite while the check is running. */
+  validUntilMs: number;
+}
 
 export function createContactCheck(options: ContactCheckOptions): ContactCheck {
-  const { checkExit, checkAnswer, notices } = options;
-  const checks = new Map<string, Promise<TargetContact>>();
+  const { clock, readContact, checkExit, notices } = options;
+  /** Checks that run, or whose result is still returned. */
+  const checks = new Map<string, Check>();
 
-  async function runCheck(target: ForwardingTarget): Promise<TargetContact> {
+  async function checkResting(target: ForwardingTarget): Promise<TargetContact> {
     const exit = await checkExit(target);
     if (exit === 'ended') return 'refuses';
-    if (exit === 'silent') return 'unreachable';
-    if (notices.isResting(target)) return 'accepts';
-    const probe = await checkAnswer(target);
-    if (probe === 'answered') return 'answers';
-    return probe === 'closed' ? 'refuses' : 'accepts';
+    return exit === 'alive' ? 'accepts' : 'unreachable';
+  }
+
+  function removeExpired(): void {
+    const nowMs = clock.getRunningMs();
+    for (const [id, { validUntilMs }] of checks) if (validUntilMs <= nowMs) checks.delete(id);
+  }
+
+  async function runCheck(target: ForwardingTarget): Promise<TargetContact> {
+    const check = notices.isResting(target) ? checkResting(target) : readContact(target);
+    const entry: Check = { result: check, validUntilMs: Number.POSITIVE_INFINITY };
+    checks.set(target.id, entry);
+    try {
+      const contact = await check;
+      entry.validUntilMs = clock.getRunningMs() + (contact === 'accepts' ? ACCEPTS_TTL_MS : 0);
+      return contact;
+    } catch (error) {
+      entry.validUntilMs = Number.NEGATIVE_INFINITY;
+      throw error;
+    }
   }
 
   return {
     checkContact(target) {
-      const running = checks.get(target.id);
-      if (running !== undefined) return running;
-      const check = runCheck(target).finally(() => checks.delete(target.id));
-      checks.set(target.id, check);
-      return check;
+      removeExpired();
+      return checks.get(target.id)?.result ?? runCheck(target);
     },
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
@@ -2,6 +2,7 @@
 import type { Clock, Directory, ForwardingTarget, ForwardingWire } from '@sequoiarill/types';
 
 import * as TargetCalls from './targetCall';
+import type { CallEvent } from './targetCall';
 import type { TargetConnections } from './targetConnections';
 import type { TargetNotices } from './targetNotices';
 
@@ -11,26 +12,49 @@
   readonly directory: Pick<Directory, 'getConfiguration'>;
   readonly connections: Pick<TargetConnections, 'openConnection'>;
   readonly notices: Pick<TargetNotices, 'recordHead' | 'recordStart'>;
-  /** From the start of the probe to its answer, milliseconds of running time. */
-  readonly answerTimeoutMs?: number;
 }
 
-/** Covers a connection between zones. */
-const CONNECT_TIMEOUT_MS = 300;
-/** An overloaded target accepts the connection, and answers once a slot is free. */
-const ANSWER_TIMEOUT_MS = 1_000;
+/** From the start of a probe, milliseconds of running time. */
+export interface ProbeTimeouts {
+  readonly connectMs: number;
+  readonly answerMs: number;
+}
+
+const TIMEOUTS: ProbeTimeouts = {
+  /** Covers a connection between zones. */
+  connectMs: 300,
+  /** An overloaded target accepts the connection, and answers once a slot is free. */
+  answerMs: 1_000,
+};
+
+const REFUSED = 'ECONNREFUSED';
 
 /** `answered`: in time, with whatever status; `closed`: the connection was refused, or ended without an answer. */
 export type TargetProbeResult = 'answered' | 'closed' | 'silent';
 
 export type TargetProbe = (target: ForwardingTarget) => Promise<TargetProbeResult>;
 
-export function createTargetProbe(options: TargetProbeOptions): TargetProbe {
-  const { clock, wire, directory, connections, notices } = options;
-  const { answerTimeoutMs = ANSWER_TIMEOUT_MS } = options;
-  const connectTimeoutMs = Math.min(CONNECT_TIMEOUT_MS, answerTimeoutMs);
+/**
+ * `answers`: a probe over a new connection is answered; `accepts`: a connection opens and nothing is answered, as with
+ * a paused process, whose kernel goes on accepting; `refuses`: the connection is refused, or closed without an answer,
+ * so the process has terminated; `unreachable`: no response to the connection attempt, as from a host without power
+ * or beyond a cut path.
+ */
+export type TargetContact = 'answers' | 'accepts' | 'refuses' | 'unreachable';
 
-  return async function checkAnswer(target) {
+export type ContactProbe = (target: ForwardingTarget) => Promise<TargetContact>;
+
+interface ProbeEnd {
+  readonly event: CallEvent;
+  /** Whether the connection was opened. */
+  readonly wasOpen: boolean;
+}
+
+function createProbe(
+  { clock, wire, directory, connections, notices }: TargetProbeOptions,
+  { connectMs, answerMs }: ProbeTimeouts,
+): (target: ForwardingTarget) => Promise<ProbeEnd> {
+  return async function runProbe(target) {
     const service = directory.getConfiguration()?.services.get(target.service);
     // The load report of an engine waits for no slot.
     const path = service?.engine === undefined ? (service?.healthPath ?? '/') : wire.reportPath;
@@ -50,12 +74,34 @@
         silenceDeadlineMs,
         expiresAtMs: Number.POSITIVE_INFINITY,
       });
-    let event = await readUntil(startedMs + connectTimeoutMs);
-    if (event.kind === 'timeout' && call.wasSent()) {
-      event = await readUntil(startedMs + answerTimeoutMs);
-    }
+    let event = await readUntil(startedMs + connectMs);
+    if (event.kind === 'timeout' && call.wasSent()) event = await readUntil(startedMs + answerMs);
     call.cancel();
+    return { event, wasOpen: call.wasSent() };
+  };
+}
+
+export function createTargetProbe(options: TargetProbeOptions): TargetProbe {
+  const runProbe = createProbe(options, TIMEOUTS);
+
+  return async function checkAnswer(target) {
+    const { event } = await runProbe(target);
     if (event.kind === 'head') return 'answered';
     return event.kind === 'timeout' ? 'silent' : 'closed';
   };
 }
+
+export function createContactProbe(
+  options: TargetProbeOptions,
+  timeouts: ProbeTimeouts,
+): ContactProbe {
+  const runProbe = createProbe(options, timeouts);
+
+  return async function readContact(target) {
+    const { event, wasOpen } = await runProbe(target);
+    if (event.kind === 'head') return 'answers';
+    if (event.kind === 'timeout') return wasOpen ? 'accepts' : 'unreachable';
+    const isRefused = event.kind === 'broken' && event.reason === REFUSED;
+    return wasOpen || isRefused ? 'refuses' : 'unreachable';
+  };
+}
