Let the stand-ins for targets fall silent and go on

Nothing could stop a target as a stopped process does: connections stay open, new ones are accepted, nothing is read, runs stand still, and all goes on afterwards. Their timers stand still meanwhile (shared/timers.ts). The fault fallSilentInStream uses the same. Large answers can be sent in pieces over time (pieceMs).

--- a/packages/sequoiarill-standins/src/shared/server.ts
+++ b/packages/sequoiarill-standins/src/shared/server.ts
@@ -19,6 +19,8 @@
   readonly stopListening: () => void;
   /** Closes every connection and refuses new ones until `start`. */
   readonly refuseConnections: () => void;
+  /** While silent, connections stay open and new ones are accepted, but nothing is read. */
+  readonly setSilent: (isSilent: boolean) => void;
 }
 
 /** Another process may occupy the port for a moment when a stand-in reopens it. */
@@ -32,6 +34,14 @@
   let port = Number(listen.slice(separator + 1));
   const sockets = new Set<Socket>();
   let server: Http.Server | undefined;
+  let isSilent = false;
+
+  // Node.js starts to read a new connection in the next tick, also one that was paused before that.
+  function stopReading(socket: Socket): void {
+    process.nextTick(() => {
+      if (isSilent) socket.pause();
+    });
+  }
 
   function createServer(): Http.Server {
     const created = Http.createServer((request, response) => {
@@ -42,6 +52,7 @@
     created.on('connection', (socket) => {
       socket.setNoDelay(true);
       sockets.add(socket);
+      if (isSilent) stopReading(socket);
       socket.on('close', () => sockets.delete(socket));
       socket.on('error', () => undefined);
     });
@@ -83,7 +94,10 @@
   async function stop(): Promise<void> {
     const closing = server;
     server = undefined;
-    if (closing === undefined) return;
+    if (closing === undefined) {
+      closeConnections();
+      return;
+    }
     const closed = new Promise<void>((resolve) => {
       closing.close(() => resolve());
     });
@@ -91,7 +105,16 @@
     await closed;
   }
 
-  return { start, stop, closeConnections, stopListening, refuseConnections };
+  function setSilent(next: boolean): void {
+    if (next === isSilent) return;
+    isSilent = next;
+    for (const socket of sockets) {
+      if (isSilent) stopReading(socket);
+      else socket.resume();
+    }
+  }
+
+  return { start, stop, closeConnections, stopListening, refuseConnections, setSilent };
 }
 
 function startListening(
--- a/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
@@ -1,6 +1,10 @@
 /** Large answers of the stand-in for targets, as the query of a request's path asks for them. */
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
+import type { RunTimers } from '../shared/timers';
+
+const PIECES = 20;
+
 const bodies = new Map<number, Buffer>();
 
 /** The body of each large answer with this many bytes; no two parts of it are alike. */
@@ -20,12 +24,14 @@
  * - `framing`: `length` unless `chunked` or `close`.
  * - `status`: 200 unless given.
  * - `breakAt`: number of bytes after which the connection is reset.
+ * - `pieceMs`: time before each of `PIECES` equal pieces of it; without it, it is sent at once.
  * - `unreadMs`: time after which the connection is reset if the answer has not been taken.
  */
 export function sendLargeAnswer(
   path: string,
   headers: OutgoingHttpHeaders,
   response: ServerResponse,
+  timers: RunTimers,
 ): boolean {
   const query = new URL(path, 'http://target').searchParams;
   const bytes = Number(query.get('bytes') ?? 0);
@@ -40,7 +46,9 @@
   const body = createLargeBody(bytes);
   const breakAt = query.get('breakAt');
   const resetConnection = () => response.socket?.resetAndDestroy();
-  if (breakAt === null) response.end(body);
+  const pieceMs = query.get('pieceMs');
+  if (pieceMs !== null) sendPieces(body, Number(pieceMs), response, timers);
+  else if (breakAt === null) response.end(body);
   else response.write(body.subarray(0, Number(breakAt)), () => setTimeout(resetConnection, 50));
   const unreadMs = query.get('unreadMs');
   if (unreadMs !== null) {
@@ -49,3 +57,19 @@
   }
   return true;
 }
+
+function sendPieces(
+  body: Buffer,
+  pieceMs: number,
+  response: ServerResponse,
+  timers: RunTimers,
+): void {
+  const size = Math.ceil(body.length / PIECES);
+  const sendFrom = (offset: number) => {
+    if (response.destroyed) return;
+    response.write(body.subarray(offset, offset + size));
+    if (offset + size >= body.length) response.end();
+    else timers.startTimer(() => sendFrom(offset + size), pieceMs);
+  };
+  timers.startTimer(() => sendFrom(0), pieceMs);
+}
--- a/packages/sequoiarill-standins/src/userPlatform/queueingEngine.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/queueingEngine.ts
@@ -5,6 +5,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import * as Servers from '../shared/server';
+import * as Silences from '../shared/silence';
+import type { Silence } from '../shared/silence';
+import * as Timers from '../shared/timers';
+import type { RunTimer } from '../shared/timers';
 import * as Documents from './documents';
 import * as EngineQueues from './engineQueue';
 import type { ActiveRun, EngineRequest } from './engineQueue';
@@ -47,7 +51,7 @@
   end: QueueingRunEnd | undefined;
 }
 
-export interface QueueingEngine {
+export interface QueueingEngine extends Silence {
   readonly id: string;
   readonly start: () => Promise<string>;
   /** Breaks all connections and forgets all requests; `start` listens at the same address again. */
@@ -115,7 +119,8 @@
   const runs: QueueingRun[] = [];
   const rejected: string[] = [];
   const recordsByRun = new Map<ActiveRun<Exchange>, QueueingRun>();
-  const timers = new Map<ActiveRun<Exchange>, NodeJS.Timeout>();
+  const timers = Timers.createRunTimers();
+  const timersByRun = new Map<ActiveRun<Exchange>, RunTimer>();
   let prefilling: ActiveRun<Exchange> | undefined;
   let waitingPrefills: ActiveRun<Exchange>[] = [];
   let snapshots: Snapshot[] = [];
@@ -151,8 +156,8 @@
   }
 
   function recordEnd(run: ActiveRun<Exchange>, end: QueueingRunEnd): void {
-    clearTimeout(timers.get(run));
-    timers.delete(run);
+    timersByRun.get(run)?.cancel();
+    timersByRun.delete(run);
     const record = recordsByRun.get(run);
     recordsByRun.delete(run);
     if (record === undefined) return;
@@ -197,9 +202,9 @@
     const finishPrefill = () => {
       prefilling = undefined;
       startPrefill();
-      sendEvent(run, performance.now());
+      sendEvent(run, timers.getNowMs());
     };
-    timers.set(run, setTimeout(finishPrefill, prefillMs));
+    timersByRun.set(run, timers.startTimer(finishPrefill, prefillMs));
   }
 
   /** Each event is timed from when the one before was due, so that late timers don't slow a run down. */
@@ -219,10 +224,10 @@
     if (number === eventCount) closeRun(run);
     else if (recordsByRun.has(run)) {
       const nextMs = dueMs + eventMs * slowness;
-      const delayMs = Math.max(0, nextMs - performance.now());
-      timers.set(
+      const delayMs = Math.max(0, nextMs - timers.getNowMs());
+      timersByRun.set(
         run,
-        setTimeout(() => sendEvent(run, nextMs), delayMs),
+        timers.startTimer(() => sendEvent(run, nextMs), delayMs),
       );
     }
     runNext();
@@ -319,6 +324,7 @@
   }
 
   const server = Servers.createStandinServer(listen, handleRequest);
+  const silence = Silences.createSilence(server, timers);
   recordSnapshot();
 
   return {
@@ -332,7 +338,10 @@
       cachedTokensByPart.clear();
       recordSnapshot();
       await server.stop();
+      silence.stop();
     },
+    setSilent: silence.setSilent,
+    stopSilently: silence.stopSilently,
     listRuns: () => runs,
     listRejected: () => rejected,
     countReports: () => reportReads,
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -4,6 +4,9 @@
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 
 import * as Servers from '../shared/server';
+import * as Silences from '../shared/silence';
+import type { Silence } from '../shared/silence';
+import * as Timers from '../shared/timers';
 import * as Documents from './documents';
 import * as LargeAnswers from './largeAnswers';
 import { EVENT_COUNT, formatEvent } from './streamEvents';
@@ -74,7 +77,7 @@
   readonly runMs: number;
 }
 
-export interface TargetStandin {
+export interface TargetStandin extends Silence {
   readonly id: string;
   readonly start: () => Promise<string>;
   readonly stop: () => Promise<void>;
@@ -113,7 +116,6 @@
   const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, version, crashPath } = options;
   const { promptCrash, holdMs = 0, eventMs = EVENT_MS } = options;
   let fault: TargetFault = 'none';
-  let isSilent = false;
   let announcedLimitPerSecond: number | undefined;
   let isLeaving = false;
   let restSeconds: number | undefined;
@@ -127,21 +129,16 @@
   let heldCount = 0;
   /** Tokens of each cached part of a prompt, by the id of the part. */
   const cachedTokensByPart = new Map<string, number>();
-
-  async function waitMs(ms: number): Promise<void> {
-    await new Promise((resolve) => {
-      setTimeout(resolve, ms);
-    });
-  }
+  const timers = Timers.createRunTimers();
 
   async function delayRun(): Promise<void> {
     heldCount += 1;
-    await waitMs(holdMs);
+    await timers.waitMs(holdMs);
     heldCount -= 1;
   }
 
   function startCrash({ afterMs, onCrash }: PromptCrash): void {
-    setTimeout(() => {
+    timers.startTimer(() => {
       if (hasCrashed) return;
       hasCrashed = true;
       server.refuseConnections();
@@ -171,8 +168,8 @@
     writeStreamHead(requestId, response, isUnframed);
     const lastUnframed = isUnframed ? Math.max(EVENTS_BEFORE_FAULT, from + 1) : undefined;
     for (let number = from; number <= eventCount; number += 1) {
-      await waitMs(eventMs);
-      if (response.destroyed || isSilent) return;
+      await timers.waitMs(eventMs);
+      if (response.destroyed) return;
       response.write(formatEvent(requestId, number, version));
       if (number === EVENTS_BEFORE_FAULT && fault === 'dieInStream') {
         // Breaks off within an event, as a crash does.
@@ -183,7 +180,9 @@
         closeUnframed(response);
         return;
       }
-      if (number === EVENTS_BEFORE_FAULT && fault === 'fallSilentInStream') isSilent = true;
+      if (number === EVENTS_BEFORE_FAULT && fault === 'fallSilentInStream') {
+        silence.stopSilently();
+      }
     }
     response.end();
   }
@@ -203,7 +202,7 @@
       'server-signature': Documents.formatSignature(id),
       ...limit,
     };
-    if (LargeAnswers.sendLargeAnswer(url, headers, response)) return;
+    if (LargeAnswers.sendLargeAnswer(url, headers, response, timers)) return;
     if (fault === 'serverError') {
       response.writeHead(500, { ...headers, 'content-length': 0 }).end();
       return;
@@ -297,7 +296,7 @@
     });
     if (stopRunByFault(request, response)) return;
     inFlight += 1;
-    if (room !== undefined) await waitMs(room.runMs);
+    if (room !== undefined) await timers.waitMs(room.runMs);
     const partIds = addCachedParts(request.headers['prompt-prefix']);
     if (promptCrash?.parts.some((part) => partIds.includes(part)) === true) startCrash(promptCrash);
     const isStream = request.headers.accept === 'text/event-stream';
@@ -308,7 +307,6 @@
   }
 
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (isSilent) return;
     const handleManagement = managementHandlers[request.url ?? ''];
     if (handleManagement !== undefined) {
       handleManagement(response);
@@ -336,6 +334,8 @@
     return handleRequest(request, response);
   });
 
+  const silence = Silences.createSilence(server, timers);
+
   return {
     id,
     start: async () => (await server.start()).address,
@@ -355,6 +355,8 @@
     setBrittle(rejectionsPerSecond) {
       brittleness = rejectionsPerSecond;
     },
+    setSilent: silence.setSilent,
+    stopSilently: silence.stopSilently,
     setRoom(next) {
       room = next;
     },
