--- a/packages/sequoiarill-standins/src/userPlatform/index.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/index.ts
@@ -1,5 +1,6 @@
 /** Stand-ins for the users' platform: its store and its targets, with injectable faults. */
 export { createLargeBody } from './largeAnswers';
+export type { Silence } from '../shared/silence';
 export * from './documents';
 export * from './storeStandin';
 export * from './targetStandin';
