Give a silent run up only once the next send is reserved

Callers saw streams closed long before their time limit while their engines were sound: all engines paused for about a second, each router cancelled its runs after 220 to 450 ms, asked for other engines only then, sent the prompts to engines that were as silent, and ended the streams once attempts, repeats or engines were used up. Cause: a silence was treated as the loss of the engine, and what cannot be taken back was done on it.

Now a silence is watched beside the read of the run (silenceWatch, silenceProbe). A pure policy decides by what the engine reports, whether its host accepts connections, whether a copy exists, and how long it lasts (silencePolicy). The run is given up only when its next send is reserved (takeover): an attempt is left, a repeat of the budget is taken, and the next engine has answered just now and does not stand still with the streams of this router (runActivity). Otherwise it stays until the engine goes on, its connection ends or its time is up. At the end of a common silence the old engine gets a moment to speak.

--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -16,6 +16,8 @@
 export * from './promptEstimates';
 export * from './runEstimates';
 export * from './stallPolicy';
+export * from './silencePolicy';
+export * from './runActivity';
 export * from './rateLimitShares';
 export * from './streamAdmission';
 export * from './streamBuilds';
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -71,7 +71,10 @@
   readonly rateLimited: Set<string>;
   /** Ids of targets that do not answer probes. */
   readonly unreachable: Set<string>;
-  /** Results of contact checks, by id of the target; without one it answers unless it is `unreachable`. */
+  /**
+   * Results of contact checks, by id of the target; without one, an engine that has a report and is not `unreachable`
+   * answers, and others are not reached.
+   */
   readonly contacts: Map<string, TargetContact>;
   /** Other routers that take requests. */
   readonly otherRouters: RouterLocation[];
@@ -148,7 +151,7 @@
     onRegained: (service) => registry.removeLosses(directory.listTargets(service)),
   });
   const getContact = (id: string): TargetContact =>
-    contacts.get(id) ?? (unreachable.has(id) ? 'unreachable' : 'answers');
+    contacts.get(id) ?? (unreachable.has(id) || !reports.has(id) ? 'unreachable' : 'answers');
   const { connectMs, answerMs } = ContactChecks.CONTACT_TIMEOUTS;
   const contactCheck = ContactChecks.createContactCheck({
     clock,
@@ -158,7 +161,12 @@
       if (contact === 'accepts') await clock.waitMs(answerMs);
       return contact;
     },
-    checkExit: async () => 'alive',
+    async checkExit({ id }) {
+      const contact = getContact(id);
+      if (contact === 'unreachable') await clock.waitMs(ContactChecks.CONNECTION_TIMEOUT_MS);
+      if (contact === 'refuses') return 'ended';
+      return contact === 'unreachable' ? 'silent' : 'alive';
+    },
     notices: { isResting },
   });
   function recordCall(target: string, extraHeaders: readonly RawHeader[]): TargetCall {
@@ -226,6 +234,7 @@
       recordAttempt: () => () => undefined,
     },
     room: room.capability,
+    activity: Decisions.createRunActivity(),
     waits,
     registry,
     paths,
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -3,6 +3,7 @@
   FleetRetryBudget,
   LatencyAdmission,
   PromptEstimates,
+  RunActivity,
   RunEstimates,
   StallPolicy,
   TargetChooser,
@@ -86,6 +87,8 @@
   readonly releaseCopy: CopyCommands['releaseCopy'];
   /** Replaces the connections to the target, which may be broken. */
   readonly renewConnections: (target: ForwardingTarget) => void;
+  /** Events of the streams of this router, by target. */
+  readonly activity: RunActivity;
   /** Streams that wait for room at engines. */
   readonly waits: Omit<WaitingStreams, 'wakeAll' | 'dumpState'>;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -263,6 +263,13 @@
   'The wait of a stream for room at an engine has ended; nothing was sent for it before.',
 );
 
+export const SILENCE_CHECK_FAILED = Kernel.defineEvent(
+  1949,
+  'error',
+  'stream.silenceCheckFailed',
+  'A check of a silent target failed with an internal error of the router; the stream goes on without it.',
+);
+
 export const EVENTS = [
   LISTENING,
   READY,
@@ -305,4 +312,5 @@
   PART_CLEARED,
   STREAM_WAITING,
   STREAM_WAITED,
+  SILENCE_CHECK_FAILED,
 ];
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -86,6 +86,7 @@
     isDraining: drain.isDraining,
     hasTimeFor: drain.hasTimeFor,
     durations,
+    activity: Decisions.createRunActivity(),
     waits,
     heldBudget: parts.heldBudget,
     clientRetries: Decisions.createClientRetryDetector(),
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -283,7 +283,7 @@
     contacts: ContactChecks.createContactCheck({
       clock,
       readContact: TargetProbes.createContactProbe(probeOptions, ContactChecks.CONTACT_TIMEOUTS),
-      checkExit: ExitChecks.createExitCheck(clock, ContactChecks.CONTACT_TIMEOUTS.connectMs),
+      checkExit: ExitChecks.createExitCheck(clock, ContactChecks.CONNECTION_TIMEOUT_MS),
       notices,
     }),
     registry,
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulateStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulateStream.ts
@@ -17,8 +17,9 @@
 export async function simulateStream(
   fake: FakeDependencies,
   limitMs = 30_000,
+  routeChange: Parameters<typeof Fakes.createRoute>[0] = {},
 ): Promise<SimulatedStream> {
-  const request = Fakes.createRequest(Fakes.createRoute());
+  const request = Fakes.createRequest(Fakes.createRoute(routeChange));
   const answer = StreamAnswers.runStreamAnswer(fake.dependencies, request);
   const pieces: string[] = [];
   let outcome: StreamOutcome | undefined;
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/silenceWatch.ts
@@ -0,0 +1,221 @@
+/** Watches over a run whose target is silent, until the target goes on or the run is given up. */
+import * as Decisions from '@sequoiarill/decisions';
+import type { ConnectionResult, RunReport, SilentRunView } from '@sequoiarill/decisions';
+
+import type { ForwardingDependencies } from '../dependencies';
+import type { CallEvent, TargetCall } from '../targets/targetCall';
+import * as Events from '../events';
+import type { KeptReason, SilenceLog } from '../targets/silenceLog';
+import type { TargetContact } from '../targets/contactCheck';
+import * as SilenceProbes from './silenceProbe';
+import type { SilenceProbeOptions, SilenceStart } from './silenceProbe';
+import type { Reservation, SilentRun, Takeover } from './takeover';
+import type { Plan, RelayPlan } from './streamPlan';
+
+/** Reserves the send that would follow this attempt. */
+export interface AttemptTakeover {
+  readonly reserve: (run: Omit<SilentRun, 'target' | 'copy'>) => Promise<Reservation>;
+  readonly release: Takeover['release'];
+}
+
+export interface SilenceWatchOptions extends SilenceProbeOptions {
+  readonly call: Pick<TargetCall, 'readEvent'>;
+  readonly takeover: AttemptTakeover;
+  readonly silences: SilenceLog;
+}
+
+/** `gone`: the target no longer has the run. */
+type RunEnd =
+  { readonly kind: 'takenOver'; readonly next: Plan | RelayPlan } | { readonly kind: 'gone' };
+
+/** The next event of the call, or why the run is given up. */
+export type SilenceEnd = CallEvent | RunEnd;
+
+/** Pause between two checks of a target that stays silent. */
+const RECHECK_MS = { first: 100, last: 250, factor: 1.5 } as const;
+
+type CheckResult = RunEnd | { readonly kind: 'wait'; readonly ms: number };
+
+function isCheckResult(result: CheckResult | CallEvent): result is CheckResult {
+  return result.kind === 'wait' || result.kind === 'takenOver' || result.kind === 'gone';
+}
+
+const LOGGED_ENDS = {
+  head: 'spoke',
+  data: 'spoke',
+  end: 'closed',
+  broken: 'closed',
+  gone: 'closed',
+  timeout: 'expired',
+  cancelled: 'callerLeft',
+} as const;
+
+function decideContact(report: RunReport, connection: ConnectionResult): TargetContact {
+  if (report === 'busy' || report === 'missing') return 'answers';
+  if (connection === 'accepted') return 'accepts';
+  return connection === 'refused' ? 'refuses' : 'unreachable';
+}
+
+/** Whether the next check comes when the time of a busy target is over. */
+function isTimeGranted(
+  { report, hasEvents, silentMs, firstEventMs }: SilentRunView,
+  { kind }: Decisions.SilenceDecision,
+): boolean {
+  return report === 'busy' && kind === 'keep' && (hasEvents || silentMs >= firstEventMs);
+}
+
+export function createSilenceWatch(
+  dependencies: ForwardingDependencies,
+  options: SilenceWatchOptions,
+  start: SilenceStart,
+): () => Promise<SilenceEnd> {
+  const { clock, directory, log } = dependencies;
+  const { hasEvents, sinceMs } = start;
+  const probe = SilenceProbes.createSilenceProbe(dependencies, options, start);
+  const { request, target, call, timeouts, takeover, silences } = options;
+  const checkIntervalMs = request.route.objectiveMs / SilenceProbes.CHECKS_PER_OBJECTIVE;
+  let recheckMs: number = RECHECK_MS.first;
+  /** No other target could take the run over when this was asked last. */
+  let wasKept: KeptReason | undefined;
+  let hadGrace = false;
+  /** The target was busy and was granted a time that is over at the next check. */
+  let isTimeUsed = false;
+
+  /**
+   * Whether connections to the target fail and the directory no longer lists it. Refused ones alone do not show that: a
+   * target that leaves closes its listener before its last answers are complete.
+   */
+  function isGone(connection: ConnectionResult): boolean {
+    if (connection === 'accepted') return false;
+    return directory.isUpToDate() && directory.findCurrent(target) === undefined;
+  }
+
+  function takeRecheckMs(): number {
+    const ms = recheckMs;
+    recheckMs = Math.min(RECHECK_MS.last, recheckMs * RECHECK_MS.factor);
+    return ms;
+  }
+
+  /**
+   * Failure: targets that were paused together go on, one of them answers first, and takes over a run whose own target
+   * would have gone on a few milliseconds later.
+   */
+  function isGraceDue(view: SilentRunView): boolean {
+    const wasAlone = wasKept === 'noOtherAnswers' || wasKept === 'promptReadAgain';
+    const mayGoOn = view.connection === undefined || view.connection === 'accepted';
+    return wasAlone && !hadGrace && mayGoOn;
+  }
+
+  async function runTakeover(view: SilentRunView, needsCopy: boolean): Promise<CheckResult> {
+    const isUnreachable = view.connection === 'none';
+    const reservation = await takeover.reserve({
+      needsCopy,
+      isUnreachable,
+      silentMs: view.silentMs,
+    });
+    if (reservation.kind === 'reserved') {
+      const { next } = reservation;
+      if (!isGraceDue(view)) {
+        logLate(recordTakenOver(view));
+        return { kind: 'takenOver', next };
+      }
+      hadGrace = true;
+      takeover.release(next);
+      return { kind: 'wait', ms: timeouts.gapMs };
+    }
+    wasKept = reservation.reason;
+    return decideKept(view, reservation.reason, needsCopy);
+  }
+
+  async function readConnection({ report, connection }: SilentRunView): Promise<ConnectionResult> {
+    return connection ?? (report === 'unanswered' ? probe.checkConnection() : 'accepted');
+  }
+
+  async function decideKept(
+    view: SilentRunView,
+    kept: KeptReason,
+    needsCopy: boolean,
+  ): Promise<CheckResult> {
+    const connection = await readConnection(view);
+    if (isGone(connection)) return { kind: 'gone' };
+    if (needsCopy && connection !== 'accepted') return runTakeover({ ...view, connection }, false);
+    recordKept(view, connection, kept);
+    return { kind: 'wait', ms: takeRecheckMs() };
+  }
+
+  function recordKept(view: SilentRunView, connection: ConnectionResult, kept: KeptReason): void {
+    const contact = decideContact(view.report, connection);
+    silences.recordSilent({ sinceMs, contact, kept });
+  }
+
+  /** The run does not wait for the connection attempt that completes its log line. */
+  async function recordTakenOver(view: SilentRunView): Promise<void> {
+    const contact = decideContact(view.report, await readConnection(view));
+    silences.recordSilent({ sinceMs, contact });
+    silences.recordEnd('continued');
+  }
+
+  function logLate(recording: Promise<void>): void {
+    recording.catch((error: unknown) =>
+      log.logEvent(Events.SILENCE_CHECK_FAILED, { request: request.id, error }),
+    );
+  }
+
+  /** Only a target that has yet to send its first event is checked at intervals while it answers. */
+  function computeWaitMs(
+    { report, silentMs, firstEventMs }: SilentRunView,
+    untilMs: number,
+  ): number {
+    const leftMs = untilMs - silentMs;
+    if (!hasEvents && silentMs < firstEventMs) return Math.min(leftMs, checkIntervalMs);
+    return report === 'unanswered' ? Math.min(leftMs, takeRecheckMs()) : leftMs;
+  }
+
+  async function runCheck(): Promise<CheckResult> {
+    const view = await probe.readView(isTimeUsed);
+    const decision = Decisions.decideSilence(view);
+    isTimeUsed = isTimeGranted(view, decision);
+    if (decision.kind === 'lost') return { kind: 'gone' };
+    if (decision.kind === 'takeOver') return runTakeover(view, decision.needsCopy);
+    if (view.connection === 'accepted') recordKept(view, view.connection, 'promptReadAgain');
+    return { kind: 'wait', ms: computeWaitMs(view, decision.untilMs) };
+  }
+
+  /** Gives back what a check reserves that has not ended when the target goes on. */
+  function releaseLate(checking: Promise<CheckResult>): void {
+    checking.then(
+      (result) => result.kind === 'takenOver' && takeover.release(result.next),
+      (error: unknown) => log.logEvent(Events.SILENCE_CHECK_FAILED, { request: request.id, error }),
+    );
+  }
+
+  function recordEnd({ kind }: SilenceEnd): void {
+    if (kind === 'takenOver') return;
+    silences.recordEnd(LOGGED_ENDS[kind]);
+  }
+
+  /** One read awaits the next event of the call, also while the target is checked. */
+  async function waitForNext(): Promise<SilenceEnd> {
+    const reading = call.readEvent(request.expiresAtMs - clock.getNowMs());
+    for (;;) {
+      const checking = runCheck();
+      const first = await Promise.race([reading, checking]);
+      if (!isCheckResult(first)) {
+        releaseLate(checking);
+        return first;
+      }
+      if (first.kind !== 'wait') return first;
+      const timer = new AbortController();
+      const pause = clock.waitMs(first.ms, timer.signal).then(() => undefined);
+      const event = await Promise.race([reading, pause]);
+      timer.abort();
+      if (event !== undefined) return event;
+    }
+  }
+
+  return async function waitForEnd(): Promise<SilenceEnd> {
+    const end = await waitForNext();
+    recordEnd(end);
+    return end;
+  };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -18,6 +18,7 @@
 import * as StreamRelays from './streamRelay';
 import type { StreamPiece } from './streamRelay';
 import * as StreamUrgency from './streamUrgency';
+import * as Takeovers from './takeover';
 
 /** Delay before the next try when targets do not accept the request. */
 const RETRY_DELAY_MS = 40;
@@ -37,6 +38,7 @@
   const progress = StreamPlans.createProgress(request, urgency);
   // Another router counts the requests that it is sent.
   if (!dependencies.relays.isDue(request)) budget.recordRequest(clock.getNowMs());
+  const takeover = Takeovers.createTakeover(dependencies, request, progress, budget);
   for (;;) {
     const plan = await StreamPlans.decidePlan(dependencies, request, progress, budget);
     if (plan.kind === 'relay') {
@@ -46,7 +48,13 @@
     }
     if (plan.kind !== 'plan') return plan;
     progress.tries += 1;
-    const outcome = yield* StreamRelays.relayAttempt(dependencies, request, plan, progress);
+    const outcome = yield* StreamRelays.relayAttempt(
+      dependencies,
+      request,
+      plan,
+      progress,
+      takeover,
+    );
     dependencies.waits.wakeFirst(request.service);
     if (outcome.kind === 'notSent' && plan.isRetry) budget.releaseRetry();
     const end = decideNext(dependencies, request, plan, progress, outcome);
@@ -122,6 +130,7 @@
   if (StreamRelays.hasRun(outcome)) progress.runs += 1;
   else if (copy !== undefined) progress.copy = undefined;
   if (outcome.kind !== 'notSent') progress.deliveries += 1;
+  if (outcome.kind === 'lost' && 'next' in outcome) progress.reserved = outcome.next;
   recordOutcome(dependencies, target, outcome);
   dependencies.metrics.addCount(Metrics.CONTINUED, 1, { cause: outcome.kind });
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -11,7 +11,12 @@
 import * as Checks from '../answers/answerChecks';
 import * as Sending from '../answers/sending';
 import * as EnginePairs from '../targets/enginePairs';
+import * as SilenceLogs from '../targets/silenceLog';
 import * as RunSamples from './runSamples';
+import * as SilenceProbes from './silenceProbe';
+import * as SilenceWatches from './silenceWatch';
+import type { AttemptTakeover } from './silenceWatch';
+import type { Plan, RelayPlan } from './streamPlan';
 import * as TargetCalls from '../targets/targetCall';
 import type { CallEvent, TargetCall } from '../targets/targetCall';
 
@@ -22,7 +27,11 @@
   readonly blocks: readonly EventBlock[];
 }
 
-export type AttemptOutcome = SendOutcome | { readonly kind: 'complete'; readonly head: AnswerHead };
+export type AttemptOutcome =
+  | SendOutcome
+  | { readonly kind: 'complete'; readonly head: AnswerHead }
+  /** The target is silent; `next` is reserved to take the run over. */
+  | (Extract<SendOutcome, { kind: 'lost' }> & { readonly next: Plan | RelayPlan });
 
 export interface AttemptOptions {
   readonly request: ForwardRequest;
@@ -36,32 +45,10 @@
   readonly prefillTokens: number;
   /** Prompts that the target prefills before this one; undefined where it was not queried. */
   readonly promptsAhead: number | undefined;
+  readonly takeover: AttemptTakeover;
 }
 
 const STATUS_OK = 200;
-/** After this silence a stream continues from its copy, even if the target responds to probes. */
-const MAX_SILENCE_WITH_COPY_MS = 450;
-/**
- * Without a copy the prompt must be prefilled again, which takes seconds, so that waiting is
- * cheaper.
- */
-const MAX_SILENCE_WITHOUT_COPY_MS = 2_500;
-/** A first event may take this many times its timeout while the target responds to probes. */
-const FIRST_EVENT_TIMEOUT_FACTOR = 3;
-/** A live target responds to a probe within a few milliseconds. */
-const PROBE_TIMEOUT_MS = 35;
-/**
- * Failure: an engine becomes unreachable while it prefills a prompt. No event is due for seconds,
- * so the caller waits that long and then for the whole prefill on another engine; its first event
- * is late. So the engine is probed this many times within the objective of the first event. The
- * loss is then detected early enough to prefill elsewhere. Most prompts are prefilled within one or
- * two checks, so these cost less than they save.
- */
-const CHECKS_PER_OBJECTIVE = 6;
-/** Timeout of such a check; the target counts as lost after `MAX_MISSED_CHECKS` in a row. */
-const CHECK_TIMEOUT_MS = 120;
-const MAX_MISSED_CHECKS = 2;
-
 /** Yields events as they are complete; returns the outcome of the attempt. */
 export async function* runStreamAttempt(
   dependencies: ForwardingDependencies,
@@ -100,6 +87,7 @@
 ): AsyncGenerator<EventBatch, AttemptOutcome, void> {
   const reader = createStreamReader(dependencies, options, call);
   const samples = RunSamples.createRunSamples(dependencies, options);
+  const activeRun = dependencies.activity.startRun(options.target);
   let wasComplete = false;
   try {
     for (;;) {
@@ -113,12 +101,14 @@
           return step;
         }
         run.recordEvent();
+        activeRun.recordEvents(dependencies.clock.getRunningMs());
         samples.recordEvents(step.blocks.length);
         yield step;
       }
     }
   } finally {
     reader.close();
+    activeRun.recordEnd();
     samples.recordEnd(wasComplete);
   }
 }
@@ -157,15 +147,14 @@
   const timeouts = policy.getLimits(target.id, preference, options.prefillTokens);
   // Timeouts of the engine are measured in running time; the caller's deadline is not.
   const startedAtMs = clock.getRunningMs();
-  const checkIntervalMs = request.route.objectiveMs / CHECKS_PER_OBJECTIVE;
-  const firstEventDeadlineMs = startedAtMs + timeouts.firstTokenMs;
   let lastEventAtMs = startedAtMs;
-  let silenceDeadlineMs = Math.min(firstEventDeadlineMs, startedAtMs + checkIntervalMs);
-  let missedChecks = 0;
+  const firstCheckMs = request.route.objectiveMs / SilenceProbes.CHECKS_PER_OBJECTIVE;
+  let silenceDeadlineMs = startedAtMs + Math.min(timeouts.firstTokenMs, firstCheckMs);
   let hasEvents = false;
   let firstEventAtMs = Number.POSITIVE_INFINITY;
   let head: AnswerHead | undefined;
   const { name: route, objectiveMs } = request.route;
+  const silences = SilenceLogs.createSilenceLog(dependencies, request, target);
   const recordResult = dependencies.rollouts.recordAttempt({ target, route, objectiveMs });
 
   function readNext(): Promise<CallEvent> {
@@ -225,59 +214,20 @@
     return { kind: 'complete', head };
   }
 
-  /** An engine that has asked for rest gets no probes; only the limits of its silence apply. */
-  function isResting(): boolean {
-    return dependencies.notices.isResting(target);
-  }
-
-  /**
-   * A silent engine that still reports the run is busy, and waiting for it is worthwhile up to a
-   * limit. One that no longer reports it has restarted, and its old connections may stay silent
-   * forever.
-   */
-  async function isWorthWaiting(): Promise<boolean> {
-    const maxSilenceMs = hasEvents
-      ? MAX_SILENCE_WITH_COPY_MS
-      : timeouts.firstTokenMs * FIRST_EVENT_TIMEOUT_FACTOR;
-    const deadlineMs =
-      lastEventAtMs +
-      (options.hasCopy() || !hasEvents ? maxSilenceMs : MAX_SILENCE_WITHOUT_COPY_MS);
-    if (clock.getRunningMs() >= deadlineMs) return false;
-    if (isResting()) {
-      silenceDeadlineMs = deadlineMs;
-      return true;
-    }
-    const report = await dependencies.readReport(target, PROBE_TIMEOUT_MS);
-    silenceDeadlineMs = deadlineMs;
-    if (report === undefined) return false;
-    if (hasEvents) return report.runIds.includes(request.id) || report.queued > 0;
-    return report.prefilling + report.queued > 0;
-  }
-
-  /**
-   * Whether an engine whose first event is outstanding responds, or has missed too few checks to be
-   * lost.
-   */
-  async function checkLiveness(): Promise<boolean> {
-    const report = isResting()
-      ? 'unprobed'
-      : await dependencies.readReport(target, CHECK_TIMEOUT_MS);
-    missedChecks = report === undefined ? missedChecks + 1 : 0;
-    const nextCheckMs = clock.getRunningMs() + (missedChecks > 0 ? 0 : checkIntervalMs);
-    silenceDeadlineMs = Math.min(firstEventDeadlineMs, nextCheckMs);
-    return missedChecks < MAX_MISSED_CHECKS;
-  }
-
   async function handleTimeout(): Promise<StepResult> {
     if (clock.getNowMs() >= request.expiresAtMs) return { kind: 'expired' };
-    const nowMs = clock.getRunningMs();
     if (!call.wasSent()) return { kind: 'notSent', reason: 'no connection in time' };
-    const isLivenessCheck = !hasEvents && nowMs < firstEventDeadlineMs;
-    if (await (isLivenessCheck ? checkLiveness() : isWorthWaiting())) return undefined;
-    // An event may have arrived during the probe.
-    const event = await call.readEvent(0);
-    if (event.kind !== 'timeout') return handleEvent(event);
-    return { kind: 'lost', reason: 'silent', isTimeout: true };
+    const waitForEnd = SilenceWatches.createSilenceWatch(
+      dependencies,
+      { ...options, call, timeouts, silences },
+      { hasEvents, sinceMs: lastEventAtMs },
+    );
+    const end = await waitForEnd();
+    if (end.kind === 'takenOver') {
+      return { kind: 'lost', reason: 'silent', isTimeout: true, next: end.next };
+    }
+    if (end.kind === 'gone') return { kind: 'lost', reason: 'silent', isTimeout: true };
+    return handleEvent(end);
   }
 
   async function handleEvent(event: CallEvent): Promise<StepResult> {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -53,6 +53,8 @@
   urgency: RequestUrgency | undefined;
   /** Copy of the last run's KV cache. */
   copy: RunCopy | undefined;
+  /** The send that takes over a run whose target was silent. */
+  reserved: Plan | RelayPlan | undefined;
   lastReason: string;
   lastTarget: string | undefined;
 }
@@ -90,6 +92,7 @@
     deliveries: 0,
     excluded: new Set(),
     copy: undefined,
+    reserved: undefined,
     lastReason: 'no target is known',
     lastTarget: undefined,
   };
@@ -102,7 +105,9 @@
   progress: Progress,
   budget: FleetRetryBudget,
 ): Promise<Plan | RelayPlan | StreamOutcome> {
-  const { build } = progress;
+  const { build, reserved } = progress;
+  progress.reserved = undefined;
+  if (reserved !== undefined) return reserved;
   const request = build === undefined ? received : { ...received, build };
   const end = findEnd(dependencies, request, progress);
   if (end !== undefined) return end;
@@ -126,7 +131,7 @@
 }
 
 /** The outcome where nothing more may be sent. */
-function findEnd(
+export function findEnd(
   { clock, crashes }: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
@@ -171,7 +176,7 @@
 }
 
 /** A stream whose caller has received events has priority over one that can still be refused. */
-async function takeRetry(
+export async function takeRetry(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   { hasEvents }: Progress,
@@ -206,14 +211,26 @@
  * Failure: engines crash while the store is unreachable, and holders of copies restart unnoticed. Their
  * next incarnations reject the streams, and each rejection uses a retry that the stream may need.
  */
-async function findVerifiedHolder(
+async function isHolderVerified(
   dependencies: ForwardingDependencies,
   progress: Progress,
-): Promise<ForwardingTarget | undefined> {
+): Promise<boolean> {
+  const holder = findCopyHolder(dependencies, progress);
+  if (holder === undefined) return false;
+  if (dependencies.directory.isUpToDate()) return true;
+  return (await dependencies.readReport(holder, HOLDER_TIMEOUT_MS)) !== undefined;
+}
+
+/** Continues from the copy of the last run; undefined where its holder does not take the run. */
+export function createCopyPlan(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
+): Omit<Plan, 'isRetry'> | undefined {
   const holder = findCopyHolder(dependencies, progress);
-  if (holder === undefined || dependencies.directory.isUpToDate()) return holder;
-  const report = await dependencies.readReport(holder, HOLDER_TIMEOUT_MS);
-  return report === undefined ? undefined : holder;
+  if (holder === undefined) return undefined;
+  const backup = EnginePlacements.chooseBackup(dependencies, request, holder);
+  return { kind: 'plan', target: holder, backup, copy: progress.copy, hasTokens: true };
 }
 
 /** A stream that has run, or whose caller has received events, is never refused for lateness. */
@@ -237,16 +254,15 @@
  * Continuing from a copy saves the whole prefill; without one the next target is chosen like the
  * first.
  */
-async function createPlan(
+export async function createPlan(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
 ): Promise<Omit<Plan, 'isRetry'> | RoomRefusal | undefined> {
   const { excluded } = progress;
-  const holder = await findVerifiedHolder(dependencies, progress);
-  if (holder !== undefined) {
-    const backup = EnginePlacements.chooseBackup(dependencies, request, holder);
-    return { kind: 'plan', target: holder, backup, copy: progress.copy, hasTokens: true };
+  if (await isHolderVerified(dependencies, progress)) {
+    const plan = createCopyPlan(dependencies, request, progress);
+    if (plan !== undefined) return plan;
   }
   if (request.route.hasPrompt) {
     const search = await EngineWaits.findEngines(dependencies, request, progress);
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -13,6 +13,7 @@
 import * as StreamAttempts from './streamAttempt';
 import type { AttemptOutcome } from './streamAttempt';
 import type { Plan, Progress } from './streamPlan';
+import type { Takeover } from './takeover';
 import * as StreamUrgency from './streamUrgency';
 
 export type StreamPiece =
@@ -46,6 +47,7 @@
   request: ForwardRequest,
   plan: Plan,
   progress: Progress,
+  takeover: Takeover,
 ): AsyncGenerator<StreamPiece, AttemptOutcome, void> {
   const monitor = CopyMonitors.createCopyMonitor(dependencies, request, plan.target, plan.backup);
   const attempt = StreamAttempts.runStreamAttempt(dependencies, {
@@ -56,6 +58,10 @@
     hasCopy: () => monitor.getCopy() !== undefined,
     prefillTokens: plan.copy === undefined ? request.promptTokens : 0,
     promptsAhead: plan.promptsAhead,
+    takeover: {
+      reserve: (run) => takeover.reserve({ ...run, target: plan.target, copy: findCopy() }),
+      release: takeover.release,
+    },
   });
   const isNew = !StreamUrgency.isBegun(request, progress);
   /**
@@ -64,6 +70,7 @@
    * which has begun may need a moment later.
    */
   let hasProducedEvents = false;
+  const findCopy = () => (hasProducedEvents ? monitor.getCopy() : undefined);
   try {
     for (;;) {
       const step = await attempt.next();
@@ -72,7 +79,7 @@
         if (outcome.kind === 'complete') monitor.release();
         // A copy can be used only once. A lost run has a copy of its own once it has produced
         // events.
-        if (hasRun(outcome)) progress.copy = hasProducedEvents ? monitor.getCopy() : undefined;
+        if (hasRun(outcome)) progress.copy = findCopy();
         return outcome;
       }
       const { head, blocks } = step.value;
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/takeover.ts
@@ -0,0 +1,137 @@
+/**
+ * Reserves the send that would follow a run whose engine is silent, while the run is still open.
+ *
+ * Failure: all engines of a service pause for a second. Each run is cancelled after a few hundred milliseconds, its prompt
+ * goes to the next engine, which is as silent, and the stream ends once its attempts, repeats or engines are used up,
+ * although each of its engines would have gone on. So a run is given up for silence only after an attempt and a repeat are
+ * found to be left and the next engine has answered.
+ */
+import type { FleetRetryBudget } from '@sequoiarill/decisions';
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import type { ForwardRequest } from '../forwardRequest';
+import type { ForwardingDependencies } from '../dependencies';
+import type { KeptReason } from '../targets/silenceLog';
+import type { RunCopy } from './copyMonitor';
+import * as StreamPlans from './streamPlan';
+import type { Plan, Progress, RelayPlan } from './streamPlan';
+
+export type Reservation =
+  | { readonly kind: 'reserved'; readonly next: Plan | RelayPlan }
+  | { readonly kind: 'kept'; readonly reason: KeptReason };
+
+export interface SilentRun {
+  readonly target: ForwardingTarget;
+  /** Since its last event, or since it was sent. */
+  readonly silentMs: number;
+  /** Copy of its KV cache. */
+  readonly copy: RunCopy | undefined;
+  /** Whether connections to its target get no response either. */
+  readonly isUnreachable: boolean;
+  /** Whether the run should stay where the prompt would have to be prefilled again. */
+  readonly needsCopy: boolean;
+}
+
+export interface Takeover {
+  readonly reserve: (run: SilentRun) => Promise<Reservation>;
+  /** The reserved send is not needed: the silent target went on. */
+  readonly release: (next: Plan | RelayPlan) => void;
+}
+
+/** The next engine counts as live if it reports within this time. */
+const ANSWER_TIMEOUT_MS = 120;
+/** Streams elsewhere that have had no event for this part of the silence stand still as well. */
+const STILL_SHARE = 0.6;
+const MAX_STILL_MS = 300;
+
+export function createTakeover(
+  dependencies: ForwardingDependencies,
+  received: ForwardRequest,
+  progress: Progress,
+  budget: FleetRetryBudget,
+): Takeover {
+  const { activity, clock, contacts, paths, relays } = dependencies;
+
+  /** The state of the stream if the run ended now. */
+  function createNextProgress({ target, copy }: SilentRun, still: ReadonlySet<string>): Progress {
+    return {
+      ...progress,
+      runs: progress.runs + 1,
+      deliveries: progress.deliveries + 1,
+      excluded: new Set([...progress.excluded, ...still, target.id]),
+      copy,
+      lastTarget: target.id,
+    };
+  }
+
+  async function hasAnswered(target: ForwardingTarget, next: Progress): Promise<boolean> {
+    if (next.excluded.has(target.id)) return false;
+    if (!received.route.hasPrompt) return (await contacts.checkContact(target)) === 'answers';
+    return (await dependencies.readReport(target, ANSWER_TIMEOUT_MS)) !== undefined;
+  }
+
+  async function findPlan(
+    request: ForwardRequest,
+    next: Progress,
+    run: SilentRun,
+  ): Promise<Omit<Plan, 'isRetry'> | undefined> {
+    if (next.copy !== undefined) {
+      const plan = StreamPlans.createCopyPlan(dependencies, request, next);
+      if (plan !== undefined && (await hasAnswered(plan.target, next))) return plan;
+    }
+    if (run.needsCopy) return undefined;
+    const plan = await StreamPlans.createPlan(dependencies, request, { ...next, copy: undefined });
+    if (plan?.kind !== 'plan') return undefined;
+    const hasReported = plan.promptsAhead !== undefined && !next.excluded.has(plan.target.id);
+    return hasReported || (await hasAnswered(plan.target, next)) ? plan : undefined;
+  }
+
+  /**
+   * Targets that are paused together look like a lost path. So another router gets the stream only where connections fail
+   * as well, or a target has answered through it.
+   */
+  function isRelayBetter({ isUnreachable }: SilentRun): boolean {
+    return isUnreachable || paths.getState(received.service) === 'lost';
+  }
+
+  async function findNext(
+    request: ForwardRequest,
+    next: Progress,
+    run: SilentRun,
+  ): Promise<Omit<Plan, 'isRetry'> | Pick<RelayPlan, 'kind'> | undefined> {
+    if (relays.isDue(request)) return isRelayBetter(run) ? { kind: 'relay' } : undefined;
+    const plan = await findPlan(request, next, run);
+    if (plan !== undefined || !run.isUnreachable) return plan;
+    // No target answers either: the path may be lost.
+    paths.recordLoss(run.target);
+    return relays.isPossible(request) ? { kind: 'relay' } : undefined;
+  }
+
+  async function reserve(run: SilentRun): Promise<Plan | RelayPlan | KeptReason> {
+    const stillMs = Math.min(MAX_STILL_MS, run.silentMs * STILL_SHARE);
+    const nowMs = clock.getRunningMs();
+    const next = createNextProgress(run, activity.listStill(received.service, stillMs, nowMs));
+    if (!StreamPlans.hasTriesLeft(received, next)) return 'noAttemptLeft';
+    const { build } = progress;
+    const request = build === undefined ? received : { ...received, build };
+    const isPossible =
+      StreamPlans.findEnd(dependencies, request, next) === undefined &&
+      (run.isUnreachable || !activity.isStandstill(run.target, stillMs, nowMs));
+    const found = isPossible ? await findNext(request, next, run) : undefined;
+    if (found === undefined) return run.needsCopy ? 'promptReadAgain' : 'noOtherAnswers';
+    const hasRepeat = await StreamPlans.takeRetry(dependencies, request, next, budget);
+    return hasRepeat ? { ...found, isRetry: true } : 'noRepeatLeft';
+  }
+
+  return {
+    async reserve(run) {
+      const result = await reserve(run);
+      return typeof result === 'string'
+        ? { kind: 'kept', reason: result }
+        : { kind: 'reserved', next: result };
+    },
+    release: ({ isRetry }) => {
+      if (isRetry) budget.releaseRetry();
+    },
+  };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/targets/contactCheck.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/contactCheck.ts
@@ -1,7 +1,7 @@
 /** Tells a silent target from a terminated one and from one that this router does not reach. */
 import type { Clock, ForwardingTarget } from '@sequoiarill/types';
 
-import type { ExitCheck } from '../crashes/exitCheck';
+import type { ExitCheckResult } from '../crashes/exitCheck';
 import type { TargetNotices } from './targetNotices';
 import type { ContactProbe, ProbeTimeouts, TargetContact } from './targetProbe';
 
@@ -13,13 +13,14 @@
    * `ACCEPTS_TTL_MS`, so that a caller that looks again has to wait in between.
    */
   readonly checkContact: (target: ForwardingTarget) => Promise<TargetContact>;
+  /** Whether connections to the target open; shared and returned again in the same way. */
+  readonly checkConnection: (target: ForwardingTarget) => Promise<ExitCheckResult>;
 }
 
 export interface ContactCheckOptions {
   readonly clock: Pick<Clock, 'getRunningMs'>;
   readonly readContact: ContactProbe;
-  /** Used for a target that has asked for rest, which gets no probes. */
-  readonly checkExit: ExitCheck;
+  readonly checkExit: (target: ForwardingTarget) => Promise<ExitCheckResult>;
   readonly notices: Pick<TargetNotices, 'isResting'>;
 }
 
@@ -28,52 +29,70 @@
  * probe within 5 ms.
  */
 export const CONTACT_TIMEOUTS: ProbeTimeouts = { connectMs: 150, answerMs: 250 };
+/** Timeout of a connection alone: streams of a target that is not reached wait for it. */
+export const CONNECTION_TIMEOUT_MS = 50;
 /**
  * A paused process keeps each connection in its accept queue, closed or not. Checks without a pause by all
  * routers would fill a queue of 128 within seconds, and the target would then look unreachable.
  */
 export const ACCEPTS_TTL_MS = 300;
 
-interface Check {
-  readonly result: Promise<TargetContact>;
+interface Check<Result> {
+  readonly result: Promise<Result>;
   /** Running time until which the result is returned again; infinite while the check is running. */
   validUntilMs: number;
 }
 
-export function createContactCheck(options: ContactCheckOptions): ContactCheck {
-  const { clock, readContact, checkExit, notices } = options;
+/** Shares checks of one target, and returns a result for which `isKept` holds again for a while. */
+function createSharedCheck<Result>(
+  { clock }: Pick<ContactCheckOptions, 'clock'>,
+  runCheck: (target: ForwardingTarget) => Promise<Result>,
+  isKept: (result: Result) => boolean,
+): (target: ForwardingTarget) => Promise<Result> {
   /** Checks that run, or whose result is still returned. */
-  const checks = new Map<string, Check>();
-
-  async function checkResting(target: ForwardingTarget): Promise<TargetContact> {
-    const exit = await checkExit(target);
-    if (exit === 'ended') return 'refuses';
-    return exit === 'alive' ? 'accepts' : 'unreachable';
-  }
+  const checks = new Map<string, Check<Result>>();
 
   function removeExpired(): void {
     const nowMs = clock.getRunningMs();
     for (const [id, { validUntilMs }] of checks) if (validUntilMs <= nowMs) checks.delete(id);
   }
 
-  async function runCheck(target: ForwardingTarget): Promise<TargetContact> {
-    const check = notices.isResting(target) ? checkResting(target) : readContact(target);
-    const entry: Check = { result: check, validUntilMs: Number.POSITIVE_INFINITY };
+  async function startCheck(target: ForwardingTarget): Promise<Result> {
+    const check = runCheck(target);
+    const entry: Check<Result> = { result: check, validUntilMs: Number.POSITIVE_INFINITY };
     checks.set(target.id, entry);
     try {
-      const contact = await check;
-      entry.validUntilMs = clock.getRunningMs() + (contact === 'accepts' ? ACCEPTS_TTL_MS : 0);
-      return contact;
+      const result = await check;
+      entry.validUntilMs = clock.getRunningMs() + (isKept(result) ? ACCEPTS_TTL_MS : 0);
+      return result;
     } catch (error) {
       entry.validUntilMs = Number.NEGATIVE_INFINITY;
       throw error;
     }
   }
 
+  return async (target) => {
+    removeExpired();
+    return checks.get(target.id)?.result ?? startCheck(target);
+  };
+}
+
+export function createContactCheck(options: ContactCheckOptions): ContactCheck {
+  const { readContact, checkExit, notices } = options;
+
+  async function checkResting(target: ForwardingTarget): Promise<TargetContact> {
+    const exit = await checkExit(target);
+    if (exit === 'ended') return 'refuses';
+    return exit === 'alive' ? 'accepts' : 'unreachable';
+  }
+
   return {
-    checkContact(target) {
-      removeExpired();
-      return checks.get(target.id)?.result ?? runCheck(target);
-    },
+    checkContact: createSharedCheck(
+      options,
+      // A target that has asked for rest gets no probes.
+      (target) => (notices.isResting(target) ? checkResting(target) : readContact(target)),
+      (contact) => contact === 'accepts',
+    ),
+    checkConnection: createSharedCheck(options, checkExit, (result) => result === 'alive'),
   };
 }
