--- a/bench/src/contention/fleet.ts
+++ b/bench/src/contention/fleet.ts
@@ -20,6 +20,10 @@
   /** The first so many engines run at half the speed of the others. */
   readonly slowEngines: number;
   readonly timing: Timing;
+  /** Number of events in each stream. */
+  readonly eventCount?: number;
+  /** Text of the first configuration, instead of that of the contention bench. */
+  readonly configuration?: string;
 }
 
 export interface ManagedEngine {
@@ -57,6 +61,7 @@
   options: FleetOptions,
 ): Promise<ManagedEngine> {
   const { slots, kvTokens, preempts, slowEngines, timing } = options;
+  const { eventCount = Configurations.EVENT_COUNT } = options;
   const slowness = index < slowEngines ? SLOW : 1;
   const incarnations: QueueingEngine[] = [];
   let listen = '127.0.0.1:0';
@@ -69,7 +74,7 @@
       maxQueued: 4 * slots,
       prefillTokensPerMs: timing.prefillTokensPerMs,
       eventMs: timing.eventMs,
-      eventCount: Configurations.EVENT_COUNT,
+      eventCount,
       kvTokens,
       tokensPerEvent: Configurations.TOKENS_PER_EVENT,
       preempts,
@@ -178,7 +183,7 @@
   const store = Standins.createStoreStandin();
   const storeAddress = await store.start();
   const { timing, kvTokens } = options;
-  const configuration = Configurations.formatConfiguration(timing, kvTokens);
+  const { configuration = Configurations.formatConfiguration(timing, kvTokens) } = options;
   store.writeValue(Standins.CONFIGURATION_KEY, configuration);
   const engines: ManagedEngine[] = [];
   for (let index = 0; index < options.engines; index += 1) {
@@ -190,6 +195,7 @@
     ),
   );
   return {
+    store,
     engines,
     routers,
     listEngineRecords: (): readonly EngineRecord[] =>
