Let targets fall silent together in the soak, and check that nothing ends early

The soak had no target that goes on after a silence, and nothing that asks when an answer ended: a stream that its router closes was resumed by its caller and counted as nothing wrong.

A target that is silent for good counts no requests as running, as before.

--- a/packages/sequoiarill-standins/src/shared/silence.ts
+++ b/packages/sequoiarill-standins/src/shared/silence.ts
@@ -17,6 +17,7 @@
 }
 
 export interface ControlledSilence extends Silence {
+  readonly isForGood: () => boolean;
   /** Ends a silence for good; for a stand-in that has closed its connections. */
   readonly stop: () => void;
 }
@@ -38,6 +39,7 @@
       setSilent(true);
       if (releasesPort) server.stopListening();
     },
+    isForGood: () => isForGood,
     stop() {
       isForGood = false;
       setSilent(false);
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -105,7 +105,7 @@
   readonly listHeaders: () => readonly IncomingHttpHeaders[];
   /** Counts the requests that were rejected for want of room. */
   readonly countRejected: () => number;
-  /** Counts the requests that are running now. */
+  /** Counts the requests that are running now; none once the target is silent for good. */
   readonly countInFlight: () => number;
 }
 
@@ -363,6 +363,6 @@
     listRuns: () => runs,
     countRejected: () => rejectedCount,
     listHeaders: () => receivedHeaders,
-    countInFlight: () => inFlight,
+    countInFlight: () => (silence.isForGood() ? 0 : inFlight),
   };
 }
--- a/soak/src/__tests__/checks.test.ts
+++ b/soak/src/__tests__/checks.test.ts
@@ -147,7 +147,7 @@
 
 describe('the schedule of a soak', () => {
   it('is determined by its seed', () => {
-    const size = { routers: 3, targets: 7 };
+    const size = { routers: 3, targets: 7, engines: 4 };
     const schedule = Schedules.createSchedule(7, 20_000, size);
     expect(Schedules.createSchedule(7, 20_000, size)).toEqual(schedule);
     expect(Schedules.createSchedule(8, 20_000, size)).not.toEqual(schedule);
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -28,7 +28,8 @@
   readonly writtenAtMs: number;
 }
 
-const TIMEOUT_MS = 8_000;
+/** For which callers wait, and the time limit of their routes. */
+export const TIMEOUT_MS = 8_000;
 const OK = 200;
 /** Attempts of a caller to go on with a stream. */
 const MAX_RESUMES = 3;
@@ -146,10 +147,10 @@
     const streamPath = Configurations.STREAM_PATHS[request.priority] ?? '';
     const path = { stream: streamPath, order: '/orders/', read: '/reads/' }[kind];
     requestLog.requests.set(id, request);
+    const signal = AbortSignal.timeout(timeoutMs);
     try {
       const url = `http://${getRouter(request.router).getAddress()}${path}x`;
       const headers = createHeaders(request);
-      const signal = AbortSignal.timeout(timeoutMs);
       const answer = isSlow
         ? await Pacing.sendSlowly({ url, headers, body, signal })
         : await Undici.request(url, { method: 'POST', dispatcher: agent, body, signal, headers });
@@ -158,6 +159,8 @@
     } catch {
       // The connection was refused or reset, or the request timed out before the headers arrived.
       return { kind: 'noAnswer' };
+    } finally {
+      requestLog.ends.set(id, { atMs: performance.now(), hasCallerLeft: signal.aborted });
     }
   }
 
--- /dev/null
+++ b/soak/src/earlyEnds.ts
@@ -0,0 +1,133 @@
+/** Checks that no request ends before its time limit because targets were silent together; pure functions. */
+import type { ServiceName } from '@sequoiarill/standins';
+import type { LogLine } from '@sequoiarill/testing';
+
+import { TIMEOUT_MS, isCrashing } from './callers';
+import type { Evidence, Violation } from './checks';
+import type { CallerResult, RequestLog, SentRequest } from './requestLog';
+
+/** Routers count the time limit from when they read a request, and end it a little before their caller would. */
+const LIMIT_TOLERANCE_MS = 500;
+/** Time after a fault in which its traces, such as connections that were reset, may end a request. */
+const AFTERMATH_MS = 1_500;
+const OK = 200;
+const FAILURES: ReadonlySet<number> = new Set([502, 504]);
+
+export interface EarlyEnds {
+  readonly violations: readonly Violation[];
+  readonly counts: { readonly silent: number; readonly silentWhole: number };
+}
+
+interface SilentEnd {
+  readonly id: string;
+  readonly result: CallerResult;
+  readonly tookMs: number;
+}
+
+interface OpenTime {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** What the routers' lines tell of one request. */
+export interface RequestTrace {
+  /** Ids of the incarnations that were chosen for it, also where it didn't run. */
+  readonly targets: Set<string>;
+  /** Whether its router sent it through another one. */
+  isRelayed: boolean;
+}
+
+type Traces = ReadonlyMap<string, RequestTrace>;
+
+export function createTraces(lines: readonly LogLine[]): Traces {
+  const traces = new Map<string, RequestTrace>();
+  for (const { name, request, target } of lines) {
+    if (typeof request === 'string') {
+      const trace = traces.get(request) ?? { targets: new Set(), isRelayed: false };
+      traces.set(request, trace);
+      if (typeof target === 'string') trace.targets.add(target);
+      if (name === 'request.relayed') trace.isRelayed = true;
+    }
+  }
+  return traces;
+}
+
+function getService({ kind }: SentRequest): ServiceName {
+  return kind === 'stream' ? 'engines' : 'orders';
+}
+
+function hasOverlap(one: OpenTime, other: OpenTime, afterMs = 0): boolean {
+  return one.fromMs <= other.untilMs + afterMs && one.untilMs >= other.fromMs;
+}
+
+function isSilentMeanwhile({ silences }: RequestLog, request: SentRequest, open: OpenTime) {
+  const service = getService(request);
+  return silences.some((one) => one.service === service && hasOverlap(open, one, AFTERMATH_MS));
+}
+
+/** Incarnations at which the request ran or for which it was chosen; all of its service if none is known. */
+function listTargets(
+  { incarnations }: Evidence,
+  request: SentRequest,
+  trace: RequestTrace | undefined,
+): readonly string[] {
+  const ids = incarnations.map(({ target }) => target);
+  const ran = incarnations
+    .filter(({ runs }) => runs.some(({ requestId }) => requestId === request.id))
+    .map(({ target }) => target);
+  const known = [...ran, ...(trace?.targets ?? [])];
+  return known.length > 0 ? known : ids.filter((id) => id.startsWith(getService(request)));
+}
+
+function isTouched(
+  evidence: Evidence,
+  request: SentRequest,
+  open: OpenTime,
+  trace: RequestTrace | undefined,
+): boolean {
+  const targets = listTargets(evidence, request, trace);
+  // `engines-1-life-2` is an incarnation of `target 1`.
+  const places = targets.map((target) => `target ${target.split('-')[1] ?? ''}`);
+  const components = new Set([...targets, ...places, `router ${request.router}`]);
+  const isRelayed = trace?.isRelayed === true;
+  return evidence.requestLog.faults.some(
+    (fault) =>
+      (components.has(fault.component) || (isRelayed && fault.component.startsWith('router'))) &&
+      hasOverlap(open, fault, AFTERMATH_MS),
+  );
+}
+
+function formatEarlyEnd(result: CallerResult): string | undefined {
+  if (result.kind === 'noAnswer') return 'no answer';
+  if (FAILURES.has(result.status)) return String(result.status);
+  return result.status === OK && !result.isComplete ? 'closed' : undefined;
+}
+
+/** Ends of the requests that were open in a silence and that no other fault touched. */
+function* listSilentEnds(evidence: Evidence, traces: Traces): Generator<SilentEnd> {
+  const { requests, results, ends } = evidence.requestLog;
+  for (const [id, request] of requests) {
+    const [result, end] = [results.get(id), ends.get(id)];
+    if (result !== undefined && end !== undefined && !end.hasCallerLeft && !isCrashing(id)) {
+      const open = { fromMs: request.sentAtMs, untilMs: end.atMs };
+      const isChecked =
+        isSilentMeanwhile(evidence.requestLog, request, open) &&
+        !isTouched(evidence, request, open, traces.get(id));
+      if (isChecked) yield { id, result, tookMs: Math.round(end.atMs - request.sentAtMs) };
+    }
+  }
+}
+
+export function checkEarlyEnds(evidence: Evidence, traces: Traces): EarlyEnds {
+  const silentEnds = [...listSilentEnds(evidence, traces)];
+  const violations = silentEnds.flatMap(({ id, result, tookMs }) => {
+    const seen = formatEarlyEnd(result);
+    if (seen === undefined || tookMs >= TIMEOUT_MS - LIMIT_TOLERANCE_MS) return [];
+    const text = `${id}: ${seen} after ${tookMs} ms, as targets of its service were silent`;
+    return [{ rule: 'endedEarly', text }];
+  });
+  const whole = silentEnds.filter(
+    ({ result }) => result.kind === 'answer' && result.status === OK && result.isComplete,
+  );
+  return { violations, counts: { silent: silentEnds.length, silentWhole: whole.length } };
+}
--- a/soak/src/environment.ts
+++ b/soak/src/environment.ts
@@ -33,7 +33,7 @@
 }
 
 const ZONES = ['zone-a', 'zone-b'] as const;
-const ENGINES = 4;
+export const ENGINES = 4;
 const SERVICES = 3;
 export const TARGET_COUNT = ENGINES + SERVICES;
 export const EVENT_COUNT = 60;
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -43,8 +43,9 @@
     const hasCrashingPart = args.crashingPart === true;
     const result = await Runs.runSoak({ seed, seconds, routers, callers, hasCrashingPart });
     const { violations, schedule, requests, answered, probes, resumed, resumedServed } = result;
-    const { crashes } = result;
-    const counts = { requests, answered, probes, resumed, resumedServed, crashes };
+    const { crashes, silent, silentWhole } = result;
+    const resumes = { resumed, resumedServed };
+    const counts = { requests, answered, probes, ...resumes, silent, silentWhole, crashes };
     const line = { seed, steps: schedule.length, ...counts };
     process.stdout.write(`${JSON.stringify({ ...line, violations: violations.length })}\n`);
     if (violations.length > 0) {
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -76,6 +76,28 @@
   readonly isOfProcess: boolean;
 }
 
+/** A fault of a component, whether or not it counts as a disturbance of a router. */
+export interface ComponentFault {
+  /** `router N`, `target N`, or the id of an incarnation of a target. */
+  readonly component: string;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
+/** A time in which targets of a service were silent together. */
+export interface TargetSilence {
+  readonly service: Standins.ServiceName;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** How a request ended for its caller. */
+export interface RequestEnd {
+  readonly atMs: number;
+  /** Whether the caller's time was over, or it left before that. */
+  readonly hasCallerLeft: boolean;
+}
+
 export interface RequestLog {
   readonly requests: Map<string, SentRequest>;
   readonly results: Map<string, CallerResult>;
@@ -83,6 +105,9 @@
   readonly leavings: Leaving[];
   readonly leavingAnswers: LeavingAnswer[];
   readonly disturbances: Disturbance[];
+  readonly faults: ComponentFault[];
+  readonly silences: TargetSilence[];
+  readonly ends: Map<string, RequestEnd>;
   /** Times at which engines crashed under the part that crashes them. */
   readonly crashesMs: number[];
 }
@@ -100,6 +125,9 @@
     leavings: [],
     leavingAnswers: [],
     disturbances: [],
+    faults: [],
+    silences: [],
+    ends: new Map(),
     crashesMs: [],
   };
 }
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -10,13 +10,22 @@
 import * as Checks from './checks';
 import type { Violation } from './checks';
 import * as Configurations from './configuration';
-import { EVENT_COUNT, TARGET_COUNT, startEnvironment, writeNextVersion } from './environment';
+import * as EarlyEnds from './earlyEnds';
+import * as EndChecks from './endChecks';
+import {
+  ENGINES,
+  EVENT_COUNT,
+  TARGET_COUNT,
+  startEnvironment,
+  writeNextVersion,
+} from './environment';
 import type { Environment, SoakOptions } from './environment';
 import * as Randoms from './random';
 import * as RequestLogs from './requestLog';
 import type { ManagedRouter } from './routers';
 import * as Schedules from './schedule';
 import type { Action, PartitionFault, Step } from './schedule';
+import * as SilentTargets from './silentTargets';
 import type { ManagedTarget } from './targets';
 
 export type { SoakOptions } from './environment';
@@ -30,6 +39,10 @@
   /** Attempts to go on with a stream, and those of them that brought an event. */
   readonly resumed: number;
   readonly resumedServed: number;
+  /** Requests that were open while targets of their service were silent, and no other fault touched them. */
+  readonly silent: number;
+  /** Those of them that ended whole. */
+  readonly silentWhole: number;
   /** Crashes of engines under the part that crashes them. */
   readonly crashes: number;
   readonly lines: readonly LogLine[];
@@ -214,7 +227,9 @@
   const allRouters = environment.routers.map((_router, index) => index);
   if (action.kind === 'configure') writeNextVersion(environment);
   else if (action.kind === 'compact') environment.store.compact();
-  else if (action.kind === 'silence') injectSilence(environment, action.routers);
+  else if (action.kind === 'silentTargets') {
+    await SilentTargets.simulateSilentTargets(environment, action, forMs);
+  } else if (action.kind === 'silence') injectSilence(environment, action.routers);
   else if (action.kind === 'partition') {
     await simulatePartition(environment, action.routers, action.fault, forMs);
   } else if (action.kind === 'restoreStore') {
@@ -250,41 +265,16 @@
     const earlierActions = busy.get(component) ?? Promise.resolve();
     busy.set(
       component,
-      earlierActions.then(() => applyAction(environment, step)),
+      earlierActions.then(() =>
+        SilentTargets.recordFaults(environment, step.action, () => applyAction(environment, step)),
+      ),
     );
   }
   await Promise.all(busy.values());
 }
 
-/** Checks that every router serves requests after the last fault and that no abandoned request still runs. */
-function* checkEnd(environment: Environment, priorCount: number): Generator<Violation> {
-  const { requestLog, routers, targets } = environment;
-  const finalRequests = [...requestLog.requests.values()].slice(priorCount);
-  for (const [index, router] of routers.entries()) {
-    const routerRequests = finalRequests.filter((request) => request.router === index);
-    const served = routerRequests.filter(({ id }) => {
-      const result = requestLog.results.get(id);
-      return result?.kind === 'answer' && result.status === 200 && result.isComplete;
-    });
-    if (served.length * 2 < routerRequests.length) {
-      const text = `router ${index}: ${served.length} of ${routerRequests.length} served at the end`;
-      yield { rule: 'recovers', text };
-    }
-    for (const code of router.listExitCodes().filter((one) => one !== 0)) {
-      yield { rule: 'ends', text: `router ${index}: exited with ${String(code)} after SIGTERM` };
-    }
-  }
-  const openRequests = targets.reduce(
-    (sum, target) => sum + target.getCurrent().countInFlight(),
-    0,
-  );
-  if (openRequests > 0) {
-    yield { rule: 'cancelled', text: `${openRequests} requests still run at the end` };
-  }
-}
-
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const size = { routers: options.routers, targets: TARGET_COUNT };
+  const size = { routers: options.routers, targets: TARGET_COUNT, engines: ENGINES };
   const schedule = Schedules.createSchedule(options.seed, options.seconds * 1_000, size);
   const environment = await startEnvironment(options);
   const { requestLog, routers, targets, versions } = environment;
@@ -308,23 +298,26 @@
   stopping.abort();
   await Promise.all(running);
   await waitMs(CANCELLATION_MS);
-  const atEnd = [...checkEnd(environment, priorCount)];
+  const atEnd = [...EndChecks.checkEnd(environment, priorCount)];
   await callers.close();
   await Promise.all(routers.map((router) => router.stop()));
   const incarnations = targets.flatMap((target) => target.listIncarnations());
   const organisation = Standins.ORGANISATION;
   const evidence = { requestLog, incarnations, eventCount: EVENT_COUNT, organisation };
+  const lines = routers.flatMap((router) => router.listLogLines());
+  const early = EarlyEnds.checkEarlyEnds(evidence, EarlyEnds.createTraces(lines));
   await Promise.all(targets.map((target) => target.stop()));
   await Promise.all(environment.routerLinks.map((one) => one.stop()));
   await environment.store.stop();
   return {
-    violations: [...Checks.checkEvidence(evidence), ...atEnd],
+    violations: [...Checks.checkEvidence(evidence), ...early.violations, ...atEnd],
+    ...early.counts,
     schedule,
     requests: requestLog.requests.size,
     answered: [...requestLog.results.values()].filter((result) => result.kind === 'answer').length,
     probes: requestLog.probes.length,
     ...RequestLogs.countResumed(requestLog),
     crashes: requestLog.crashesMs.length,
-    lines: routers.flatMap((router) => router.listLogLines()),
+    lines,
   };
 }
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -36,6 +36,8 @@
   | { readonly kind: 'router'; readonly router: number; readonly fault: RouterFault }
   /** The processes of these routers are killed at the same moment. */
   | { readonly kind: 'killRouters'; readonly routers: readonly number[] }
+  /** A configuration is written, and soon after it these targets of one service fall silent together. */
+  | { readonly kind: 'silentTargets'; readonly targets: readonly number[]; readonly leadMs: number }
   | { readonly kind: 'configure' };
 
 export interface Step {
@@ -48,6 +50,8 @@
 export interface SystemSize {
   readonly routers: number;
   readonly targets: number;
+  /** The first so many targets are engines, the others plain services. */
+  readonly engines: number;
 }
 
 /** Pause between two steps. Faults overlap, since most last longer than a pause. */
@@ -158,6 +162,27 @@
 const KILL_STEP_PAUSE_MS = [3_000, 9_000] as const;
 const KILL_SEED_OFFSET = 2_000_000;
 
+const ALL_SILENT_SHARE = 0.5;
+
+/** All targets of a service that are silent, or all but one. */
+function pickSilent(random: Random, { targets, engines }: SystemSize): readonly number[] {
+  const all = listNumbers(targets);
+  const ofService = random.pickOne([all.slice(0, engines), all.slice(engines)]);
+  const spared = random.next() < ALL_SILENT_SHARE ? undefined : random.pickOne(ofService);
+  return ofService.filter((target) => target !== spared);
+}
+
+const TARGET_SILENCE_PICKERS: readonly PickAction[] = [
+  (random, size) => ({
+    kind: 'silentTargets',
+    targets: pickSilent(random, size),
+    leadMs: random.pickBetween(0, 600),
+  }),
+];
+const TARGET_SILENCE_STEP_PAUSE_MS = [2_500, 5_000] as const;
+const TARGET_SILENCE_MS = [500, 3_000] as const;
+const TARGET_SILENCE_SEED_OFFSET = 2_500_000;
+
 export function createSchedule(
   seed: number,
   durationMs: number,
@@ -189,6 +214,12 @@
       KILL_STEP_PAUSE_MS,
       { durationMs, size },
     ),
+    ...createSteps(
+      Randoms.createRandom(seed + TARGET_SILENCE_SEED_OFFSET),
+      TARGET_SILENCE_PICKERS,
+      TARGET_SILENCE_STEP_PAUSE_MS,
+      { durationMs, size, faultMs: TARGET_SILENCE_MS },
+    ),
   ];
   return steps.sort((left, right) => left.atMs - right.atMs);
 }
@@ -196,13 +227,14 @@
 interface DrawLimits {
   readonly durationMs: number;
   readonly size: SystemSize;
+  readonly faultMs?: readonly [number, number];
 }
 
 function createSteps(
   random: Random,
   pickers: readonly PickAction[],
   pauseMs: readonly [number, number],
-  { durationMs, size }: DrawLimits,
+  { durationMs, size, faultMs = FAULT_DURATION_MS }: DrawLimits,
 ): readonly Step[] {
   const steps: Step[] = [];
   let atMs = 0;
@@ -211,7 +243,7 @@
     const count = random.next() < SERIES_SHARE ? random.pickBetween(2, MAX_SERIES) : 1;
     for (let index = 0; index < count && atMs < durationMs; index += 1) {
       atMs += random.pickBetween(...pauseMs);
-      steps.push({ atMs, forMs: random.pickBetween(...FAULT_DURATION_MS), action });
+      steps.push({ atMs, forMs: random.pickBetween(...faultMs), action });
     }
   }
   return steps.filter((step) => step.atMs < durationMs);
