--- a/packages/sequoiarill-kernel/src/clock.ts
+++ b/packages/sequoiarill-kernel/src/clock.ts
@@ -10,11 +10,16 @@
 }
 
 export function createSystemClock(): Clock {
+  const delays = RunningTimes.createDelayRecord(getNowMs());
   const getRunningMs = RunningTimes.createRunningTime(getNowMs);
-  setInterval(getRunningMs, RunningTimes.RUNNING_TIME_TICK_MS).unref();
+  setInterval(() => {
+    getRunningMs();
+    delays.recordTick(getNowMs());
+  }, RunningTimes.RUNNING_TIME_TICK_MS).unref();
   return {
     getNowMs,
     getRunningMs,
+    getLastDelay: delays.getLastDelay,
     getWallTime: () => new Date().toISOString(),
     async waitMs(ms, signal) {
       if (signal === undefined) await startTimeout(ms);
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -1,6 +1,6 @@
 /** Plug-in `forwarding`: forwards callers' requests to targets and relays the answers. */
 import * as Decisions from '@sequoiarill/decisions';
-import type { ForwardingTarget, Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
+import type { Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
 
 import type { ExchangeDependencies } from './front/replies';
 import * as RateLimitedLogs from './rateLimitedLog';
@@ -16,6 +16,7 @@
 import * as RouteTables from './front/routeTable';
 import type { RouteTable } from './front/routeTable';
 import * as WaitingStreams from './streams/waitingStreams';
+import * as SilenceEvents from './targets/silenceEvents';
 import { settingsSchema } from './settings';
 import type { ForwardingSettings } from './settings';
 
@@ -65,6 +66,7 @@
     room,
     registry,
     paths,
+    contacts: parts.contacts,
     relays,
     brittle,
     crashes,
@@ -92,9 +94,6 @@
   PluginHandlers.registerHandlers(context, { ...parts, origins, waits });
   peers.setRetryQuotaLender((query) => RetryQuotas.grantRetryQuota(dependencies, query));
 
-  const isCurrent = (target: Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>) =>
-    directory.findCurrent(target) !== undefined;
-
   function applyDirectory(): void {
     crashes.applyDirectory();
     const configuration = directory.getConfiguration();
@@ -103,16 +102,11 @@
     if (configurationVersion !== configuration.version) {
       configurationVersion = configuration.version;
       routeTable = RouteTables.createRouteTable(configuration);
+      paths.recordConfiguration();
       frontEnd.applyLimits(configuration.limits);
       waits.wakeAll();
     }
-    connections.removeMissing(isCurrent);
-    registry.removeMissing(isCurrent);
-    probes.removeMissing(isCurrent);
-    limits.removeOld();
-    notices.removeOld();
-    relays.removeMissing();
-    brittle.removeMissing(isCurrent);
+    PluginHandlers.removeMissing(parts, directory);
   }
 
   return {
@@ -162,6 +156,6 @@
   settingsSchema,
   provides: [],
   needs: ['wire', 'directory', 'peers', 'rollouts', 'room', 'keyValue'],
-  events: [...Events.EVENTS, ...HeldEvents.HELD_EVENTS],
+  events: [...Events.EVENTS, ...HeldEvents.HELD_EVENTS, ...SilenceEvents.SILENCE_EVENTS],
   createInstance,
 };
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -27,6 +27,7 @@
 import type { Relays as RelaysState } from './relay/relays';
 import type { ForwardingSettings } from './settings';
 import * as CopyCommands from './streams/copyCommands';
+import * as ContactChecks from './targets/contactCheck';
 import * as EngineCalls from './targets/engineCalls';
 import * as EngineProbes from './targets/engineProbes';
 import * as PathMonitors from './targets/pathMonitor';
@@ -110,24 +111,18 @@
   });
 }
 
-interface PathOptions {
-  readonly checkAnswer: TargetProbes.TargetProbe;
-  readonly log: RateLimitedLog;
-  readonly onRegained: (service: string) => void;
-}
-
 function createPaths(
   { clock, nextRandom, getCapability }: PluginContext,
-  { checkAnswer, log, onRegained }: PathOptions,
+  checkAnswer: TargetProbes.TargetProbe,
+  listeners: Pick<PathMonitors.PathMonitorOptions, 'log' | 'onRegained'>,
 ): PathMonitor {
   const directory = getCapability('directory');
   return PathMonitors.createPathMonitor({
     clock,
     nextRandom,
     directory,
-    log,
     checkTarget: async (target) => (await checkAnswer(target)) === 'answered',
-    onRegained,
+    ...listeners,
   });
 }
 
@@ -213,6 +208,7 @@
       target,
       ...buildContent(request),
       recordHead: (head) => notices.recordHead(target, head),
+      recordStart: () => notices.recordStart(target),
       headers: [
         ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
         [headerNames.remainingMs, String(leftMs)],
@@ -244,14 +240,18 @@
   const directory = getCapability('directory');
   const connections = TargetConnections.createTargetConnections();
   const routerConnections = TargetConnections.createTargetConnections();
-  const checkAnswer = TargetProbes.createTargetProbe({
+  const probeOptions: TargetProbes.TargetProbeOptions = {
     clock,
     wire,
     directory,
     connections,
-    recordHead: (target, head) => notices.recordHead(target, head),
-  });
-  const paths = createPaths(context, { checkAnswer, log, onRegained: removeOldLosses });
+    notices: {
+      recordHead: (target, head) => notices.recordHead(target, head),
+      recordStart: (target) => paths.recordStart(target),
+    },
+  };
+  const checkAnswer = TargetProbes.createTargetProbe(probeOptions);
+  const paths = createPaths(context, checkAnswer, { log, onRegained: removeOldLosses });
   const registry = TargetRegistries.createTargetRegistry(clock.getNowMs, paths);
   const notices = createNotices(context, log, {
     paths,
@@ -280,6 +280,12 @@
     connections,
     routerConnections,
     paths,
+    contacts: ContactChecks.createContactCheck({
+      clock,
+      readContact: TargetProbes.createContactProbe(probeOptions, ContactChecks.CONTACT_TIMEOUTS),
+      checkExit: ExitChecks.createExitCheck(clock, ContactChecks.CONTACT_TIMEOUTS.connectMs),
+      notices,
+    }),
     registry,
     notices,
     relays,
