Send a request to no further target once hops have used its attempts

A plain request that may be repeated lost two hops to other routers and had used all attempts of its route; the loop compared the number of sends with the limit only before it asked other routers, so the request was sent to one more target.

The limit is compared again after the hops. The new test failed before with the sends o, r, r, o at three attempts; now o, r, r and a refusal. All tests of relays and of plain answers pass.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -214,6 +214,7 @@
     ? await runRelayed(dependencies, request, progress)
     : undefined;
   if (relayed !== undefined) return relayed;
+  if (progress.sends >= request.route.maxTargets) return decideEnd(request, progress, false);
   // On a connection that carries nothing, it would not run and could not be repeated.
   const isTooRisky =
     request.route.retryPolicy === 'once' && dependencies.paths.isUnreachable(request.service);
--- a/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
@@ -216,6 +216,15 @@
     expect(tookMs).toBeLessThanOrEqual(2_500);
   });
 
+  it('sends a request to no more targets than its route allows, hops included', async () => {
+    // Guards against a further target after hops have used all attempts of the request.
+    const broken: Script = [[5, { kind: 'broken', reason: 'reset' }]];
+    const fakes = createPartitioned({ 'r1:2': broken, 'r2:2': broken });
+    const { outcome } = await runOrder(fakes, createOrder('idempotent'));
+    expect(outcome?.kind).toEqual('refused');
+    expect(fakes.sentCalls.map(({ target }) => target.slice(0, 1))).toEqual(['o', 'r', 'r']);
+  });
+
   it('tells the other router the time and the targets left, its key and its configuration', async () => {
     const fakes = createPartitioned({ 'r1:2': ANSWERED });
     await waitForLostPath(fakes);
