Give a plain request up for a silence only where another target answers

Cause: the reader of plain answers took an unanswered check of a target for the end of its request. With all targets paused together for 1.3 s, a request that may be repeated was cancelled after one check and sent to the next silent target (two of its three attempts and a repeat gone, the prompt of work done twice); with no repeat left it was refused with 503 while its target still ran it. A request that must not run twice was cancelled and failed with 504 after 1.5 to 2.5 s, limit 6 s. An answer that had begun and was held was dropped in the middle.

Change: a silence is watched beside the read (`answerReader`). A target is given up only when the next send is planned (`nextSend`): an attempt and a repeat are left, the repeat is taken, and another target has just answered a probe; or the path is lost and another router can be asked, which needs that connections fail too, or that a target has answered through another router, because paused targets accept connections. Otherwise the request stays until the answer, the end of its connection or its time, and another look follows every 500 ms. After a common silence the old target gets 250 ms to speak. Answers are read during the checks, so they no longer delay an answer or the end at the time limit (before up to 1.3 s). A planned repeat that is not used is given back. Probes tell `accepted` from `silent` now.

Ruled out: treating a target that accepts connections as a reached path.

Also ruled out: racing each read against one promise of the watch.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeCalls.ts
@@ -35,20 +35,23 @@
   const pendingEvents = [...script];
   const first = script[0]?.[1];
   const isRefused = first?.kind === 'broken' && first.reason === 'ECONNREFUSED';
+  const cancelling = new AbortController();
   return {
     wasSent: () => !isRefused,
     cancel() {
       record.isCancelled = true;
+      cancelling.abort();
     },
     async readEvent(timeoutMs) {
       if (record.isCancelled) return { kind: 'cancelled' };
       const dueMs =
         (pendingEvents[0]?.[0] ?? Number.POSITIVE_INFINITY) + sentAtMs - clock.getNowMs();
       if (dueMs > timeoutMs) {
-        await clock.waitMs(Math.max(0, timeoutMs));
-        return { kind: 'timeout' };
+        await clock.waitMs(Math.max(0, timeoutMs), cancelling.signal);
+        return { kind: record.isCancelled ? 'cancelled' : 'timeout' };
       }
-      if (dueMs > 0) await clock.waitMs(dueMs);
+      if (dueMs > 0) await clock.waitMs(dueMs, cancelling.signal);
+      if (record.isCancelled) return { kind: 'cancelled' };
       return pendingEvents.shift()?.[1] ?? { kind: 'timeout' };
     },
   };
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -45,6 +45,7 @@
 /** For tests of what does not depend on paths. */
 export const UNUSED_PATHS = { recordHeard: () => undefined, recordLoss: () => undefined };
 const PROBE_TIMEOUT_MS = 300;
+const PROBE_ANSWER_TIMEOUT_MS = 1_000;
 
 /** Duration of a copy of a KV cache. */
 const COPY_MS = 100;
@@ -69,6 +70,8 @@
   readonly rateLimited: Set<string>;
   /** Ids of targets that do not answer probes. */
   readonly unreachable: Set<string>;
+  /** End of the pause of a target that accepts connections and answers no probe until then, monotonic milliseconds. */
+  readonly pausedUntilMs: Map<string, number>;
   /** Other routers that take requests. */
   readonly otherRouters: RouterLocation[];
   /** Relay addresses of routers that are no longer reached. */
@@ -95,6 +98,7 @@
   const commands: string[] = [];
   const rateLimited = new Set<string>();
   const unreachable = new Set<string>();
+  const pausedUntilMs = new Map<string, number>();
   const goneRouters = new Set<string>();
   const otherRouters: RouterLocation[] = [];
   const restsUntilMs = new Map<string, number>();
@@ -135,9 +139,13 @@
     directory,
     log,
     async checkTarget({ id }) {
-      if (!unreachable.has(id)) return true;
-      await clock.waitMs(PROBE_TIMEOUT_MS);
-      return false;
+      if (unreachable.has(id)) {
+        await clock.waitMs(PROBE_TIMEOUT_MS);
+        return 'silent';
+      }
+      const leftMs = (pausedUntilMs.get(id) ?? 0) - clock.getNowMs();
+      if (leftMs > 0) await clock.waitMs(Math.min(leftMs, PROBE_ANSWER_TIMEOUT_MS));
+      return leftMs > PROBE_ANSWER_TIMEOUT_MS ? 'accepted' : 'answered';
     },
     onRegained: (service) => registry.removeLosses(directory.listTargets(service)),
   });
@@ -277,6 +285,7 @@
     commands,
     rateLimited,
     unreachable,
+    pausedUntilMs,
     otherRouters,
     goneRouters,
     restsUntilMs,
--- a/packages/sequoiarill-plugin-forwarding/src/answers/admittedSend.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/admittedSend.ts
@@ -22,9 +22,9 @@
 export async function sendWithAdmission(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
-  target: ForwardingTarget,
-  attemptTimeoutMs: number,
+  options: Sending.SendOptions,
 ): Promise<PlainOutcome> {
+  const { target } = options;
   const { clock } = dependencies;
   const admission = dependencies.getAdmission(request.service);
   const sentAtMs = clock.getNowMs();
@@ -44,8 +44,7 @@
   const outcome = await Sending.sendOnce(
     dependencies,
     addStartListener(request, (head) => recordLatency({ kind: 'passed', head })),
-    target,
-    attemptTimeoutMs,
+    options,
   );
   if (isComplete(outcome) && Checks.isSuccess(outcome.head.status)) run.recordAnswer();
   run.end();
--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -12,6 +12,8 @@
 import type { ForwardingDependencies } from '../dependencies';
 import * as Placement from './placement';
 import * as GatedTargets from './gatedTarget';
+import * as NextSends from './nextSend';
+import type { SendProgress } from './nextSend';
 import type { Slot } from '../limits/brittleTargets';
 import * as RelayedAnswers from '../relay/relayedAnswer';
 import * as Sending from './sending';
@@ -29,7 +31,7 @@
 /** Refused connections are cheap, but a request must not try every target of a zone. */
 const MAX_TARGETS_TRIED = 8;
 
-interface Progress {
+interface Progress extends SendProgress {
   readonly excluded: Set<string>;
   /** Held while the request runs at a brittle target. */
   slot: Slot | undefined;
@@ -236,7 +238,9 @@
 ): Promise<ForwardingTarget | ForwardOutcome> {
   const block = dependencies.crashes.findBlock(request);
   if (block !== undefined) return decideBlocked(request, progress, block);
-  const target = await findTargetOrEnd(dependencies, request, progress);
+  const target =
+    NextSends.takeTarget(dependencies, request, progress) ??
+    (await findTargetOrEnd(dependencies, request, progress));
   if ('kind' in target) return target;
   const newBlock = dependencies.crashes.findBlock(request);
   if (newBlock === undefined) return target;
@@ -248,8 +252,6 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
 ): Promise<ForwardOutcome> {
-  const { clock, log } = dependencies;
-  const budget = dependencies.getBudget(request.service);
   const progress: Progress = {
     excluded: new Set(),
     slot: undefined,
@@ -259,7 +261,22 @@
     lastReason: 'no target is known',
     lastTarget: undefined,
     serverErrors: 0,
+    isRetryTaken: false,
+    nextTarget: undefined,
   };
+  try {
+    return await runAttempts(dependencies, request, progress);
+  } finally {
+    NextSends.releaseRetry(dependencies, request, progress);
+  }
+}
+
+async function runAttempts(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
+): Promise<ForwardOutcome> {
+  const { clock, log } = dependencies;
   const refusal = admitRequest(dependencies, request, progress);
   if (refusal !== undefined) return refusal;
   for (;;) {
@@ -268,15 +285,15 @@
     if (progress.sends >= request.route.maxTargets) return decideEnd(request, progress, false);
     const target = await findUnblockedTarget(dependencies, request, progress);
     if ('kind' in target) return target;
-    if (progress.sends > 0 && !budget.takeRetry(nowMs)) return decideEnd(request, progress, false);
-    const attemptTimeoutMs = computeAttemptTimeoutMs(request, progress, nowMs);
+    if (progress.sends > 0 && !NextSends.takeRetry(dependencies, request, progress)) {
+      return decideEnd(request, progress, false);
+    }
     progress.lastTarget = target.id;
-    const outcome = await AdmittedSends.sendWithAdmission(
-      dependencies,
-      request,
+    const outcome = await AdmittedSends.sendWithAdmission(dependencies, request, {
       target,
-      attemptTimeoutMs,
-    );
+      attemptTimeoutMs: computeAttemptTimeoutMs(request, progress, nowMs),
+      next: NextSends.createNextSend(dependencies, request, progress, target),
+    });
     releaseSlot(progress, outcome, clock.getNowMs() - nowMs - getUnreadMs(request));
     if (outcome.kind === 'callerLeft') return outcome;
     AttemptRecords.recordOutcome(dependencies, request, target, outcome, progress);
--- a/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -2,12 +2,12 @@
 import type { ForwardingTarget, VersionAttemptResult } from '@sequoiarill/types';
 
 import * as AnswerBodies from './answerBody';
+import * as AnswerReaders from './answerReader';
 import * as Checks from './answerChecks';
-import * as ForwardRequests from '../forwardRequest';
 import type { AnswerHead, ForwardRequest, PlainOutcome, SendOutcome } from '../forwardRequest';
 import type { ForwardingDependencies } from '../dependencies';
-import * as TargetCalls from '../targets/targetCall';
-import type { CallEvent, TargetCall } from '../targets/targetCall';
+import type { TargetCall } from '../targets/targetCall';
+import type { NextSend } from './nextSend';
 import * as PassedAnswers from './passedAnswer';
 
 export { decideFailure, readFullAnswer } from './answerBody';
@@ -58,79 +58,26 @@
   return { kind: 'lost', reason: result.reason, isTimeout: false };
 }
 
-/** Silence after which the path to the target is checked; the next checks are further apart. */
-const FIRST_CHECK_MS = 250;
-/**
- * A target may pause for about a second. A request that must not run twice is worth that wait even where the
- * target seems unreachable, because no other target can run it.
- */
-const MAX_UNREACHABLE_MS = 1_500;
-
-/**
- * Reads the events of an answer; `timeout` when none comes in time, or the target is no longer reached.
- *
- * Failure: a connection carries nothing any more and is not closed. A request on it would wait until its
- * time limit, although this router no longer reaches the target.
- */
-function createAnswerReader(
-  { clock, paths }: ForwardingDependencies,
-  request: ForwardRequest,
-  target: ForwardingTarget,
-  call: TargetCall,
-  attemptTimeoutMs: number,
-): () => Promise<CallEvent> {
-  const { route, sink } = request;
-  const sentAtMs = clock.getNowMs();
-  const sentAtRunningMs = clock.getRunningMs();
-  const patienceMs = route.retryPolicy === 'once' ? MAX_UNREACHABLE_MS : 0;
-  let nextCheckMs = FIRST_CHECK_MS;
-
-  /** The time for which a slow caller was waited for is not the target's. */
-  function getLimits() {
-    // No other target can follow once an answer is passed on.
-    const isLast = sink?.isStarted() === true;
-    return {
-      startedMs: sentAtRunningMs + (sink?.getUnreadMs().totalMs ?? 0),
-      expiresAtMs: ForwardRequests.getDeadlineMs(request),
-      timeoutMs: isLast ? request.expiresAtMs - sentAtMs : attemptTimeoutMs,
-    };
-  }
-
-  return async function readNext() {
-    const { startedMs, expiresAtMs, timeoutMs } = getLimits();
-    for (;;) {
-      const silenceMs = Math.min(timeoutMs, nextCheckMs);
-      const deadlines = { silenceDeadlineMs: startedMs + silenceMs, expiresAtMs };
-      const event = await TargetCalls.readNextEvent(clock, call, deadlines);
-      if (event.kind !== 'timeout' || clock.getNowMs() >= expiresAtMs) return event;
-      if (clock.getRunningMs() - startedMs >= timeoutMs) return event;
-      if (call.wasSent() && !(await paths.checkSilence(target, sentAtMs))) {
-        if (clock.getRunningMs() - startedMs >= patienceMs) {
-          // The answer may have arrived during the check.
-          return call.readEvent(0);
-        }
-        paths.recordLoss(target);
-      }
-      const elapsedMs = clock.getRunningMs() - startedMs;
-      nextCheckMs = elapsedMs < patienceMs ? Math.min(patienceMs, elapsedMs * 2) : elapsedMs * 2;
-    }
-  };
+export interface SendOptions {
+  readonly target: ForwardingTarget;
+  /** Time after which another target is preferred. */
+  readonly attemptTimeoutMs: number;
+  readonly next: NextSend;
 }
 
-/**
- * Sends the request and reads the answer, or passes it on; cancels the call when nothing arrives within the timeout.
- */
+/** Sends the request and reads the answer, or passes it on; cancels the call where another send is planned. */
 export async function sendOnce(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
-  target: ForwardingTarget,
-  timeoutMs: number,
+  { target, attemptTimeoutMs, next }: SendOptions,
 ): Promise<PlainOutcome> {
   const call = dependencies.openCall(request, target, []);
   // A request that must not be retried is run to its end, even when its caller has disconnected.
   const mayCancel = request.route.retryPolicy !== 'once';
   if (mayCancel) request.closed.addEventListener('abort', call.cancel, { once: true });
-  const readNext = createAnswerReader(dependencies, request, target, call, timeoutMs);
+  const readerOptions = { request, target, call, attemptTimeoutMs, next };
+  const reader = AnswerReaders.createAnswerReader(dependencies, readerOptions);
+  const { readNext } = reader;
   const recordEnd = dependencies.registry.recordStart(target);
   try {
     const firstEvent = await readNext();
@@ -155,6 +102,7 @@
       }
     );
   } finally {
+    reader.close();
     recordEnd();
     if (mayCancel) request.closed.removeEventListener('abort', call.cancel);
   }
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -48,7 +48,7 @@
   readonly registry: TargetRegistry;
   readonly paths: Pick<
     PathMonitor,
-    'recordLoss' | 'getState' | 'isUnreachable' | 'checkSilence' | 'getSummary'
+    'recordLoss' | 'getState' | 'isUnreachable' | 'checkSilence' | 'checkAnswers' | 'getSummary'
   >;
   readonly relays: Omit<Relays, 'removeMissing'>;
   readonly crashes: Pick<
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -126,7 +126,7 @@
     nextRandom,
     directory,
     log,
-    checkTarget: async (target) => (await checkAnswer(target)) === 'answered',
+    checkTarget: checkAnswer,
     onRegained,
   });
 }
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
@@ -1,4 +1,5 @@
 /** Gets the answer to a non-streaming request through other routers. */
+import * as NextSends from '../answers/nextSend';
 import type { ForwardingDependencies } from '../dependencies';
 import * as ForwardRequests from '../forwardRequest';
 import type { ForwardOutcome, ForwardRequest, PassedOutcome } from '../forwardRequest';
@@ -12,6 +13,8 @@
   sends: number;
   mayHaveRun: boolean;
   lastReason: string;
+  /** A repeat of the budget is taken for the next send. */
+  isRetryTaken?: boolean;
 }
 
 /** Where the other router names no time. */
@@ -36,7 +39,7 @@
     const targetsLeft = request.route.maxTargets - progress.sends;
     const hop = chooseHop(tried);
     if (hop === undefined || targetsLeft <= 0) return undefined;
-    if (progress.sends > 0 && !takeRetry(dependencies, request)) return undefined;
+    if (!hasRepeat(dependencies, request, progress)) return undefined;
     const { router, target } = hop;
     tried.add(router.address);
     const options = { targetsLeft, target };
@@ -50,8 +53,13 @@
   return undefined;
 }
 
-function takeRetry({ getBudget, clock }: ForwardingDependencies, { service }: ForwardRequest) {
-  return getBudget(service).takeRetry(clock.getNowMs());
+/** The first send needs none. */
+function hasRepeat(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: RelayProgress,
+): boolean {
+  return progress.sends === 0 || NextSends.takeRetry(dependencies, request, progress);
 }
 
 /** Undefined where another router may be asked. */
--- a/packages/sequoiarill-plugin-forwarding/src/targets/pathMonitor.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/pathMonitor.ts
@@ -5,6 +5,13 @@
 
 import * as Events from '../events';
 import type { RateLimitedLog } from '../rateLimitedLog';
+import type { TargetProbe, TargetProbeResult } from './targetProbe';
+
+/**
+ * `busy`: others of its service were heard, or it answers a probe; `paused`: it accepts connections and answers none;
+ * `unreached`: its connections are refused or get no response, so that it has ended or is cut off.
+ */
+export type SilenceCause = 'busy' | 'paused' | 'unreached';
 
 export interface PathMonitor {
   /** The target answered, or sent an event of a stream. */
@@ -19,11 +26,10 @@
    * and not because they refuse.
    */
   readonly mayRelay: (service: string) => boolean;
-  /**
-   * Whether the target is worth waiting for although nothing of it arrived since then, monotonic milliseconds:
-   * others of its service were heard, or it answers a probe.
-   */
-  readonly checkSilence: (target: ForwardingTarget, sinceMs: number) => Promise<boolean>;
+  /** What is known of a target of which nothing arrived since then, monotonic milliseconds. */
+  readonly checkSilence: (target: ForwardingTarget, sinceMs: number) => Promise<SilenceCause>;
+  /** Whether the target answers a probe within the usual time. */
+  readonly checkAnswers: (target: ForwardingTarget) => Promise<boolean>;
   /** Whether a target other than this one has answered since then, or answers a probe. */
   readonly checkOthers: (target: ForwardingTarget, sinceMs: number) => Promise<boolean>;
   /** A target answered a request that another router sent. */
@@ -39,12 +45,12 @@
 }
 
 export interface PathMonitorOptions {
-  readonly clock: Pick<Clock, 'getNowMs' | 'waitMs'>;
+  readonly clock: Pick<Clock, 'getNowMs' | 'getRunningMs' | 'waitMs'>;
   readonly nextRandom: () => number;
   readonly directory: Pick<Directory, 'listTargets' | 'getConfiguration'>;
   readonly log: Pick<RateLimitedLog, 'logEvent'>;
-  /** Whether the target answers a call over a new connection. */
-  readonly checkTarget: (target: ForwardingTarget) => Promise<boolean>;
+  /** Calls the target over a new connection. */
+  readonly checkTarget: TargetProbe;
   /** The service is reached again: judgements from the time before were of the path. */
   readonly onRegained: (service: string) => void;
 }
@@ -57,6 +63,33 @@
 /** Pause between two surveys while no target is reached; the next ones are further apart. */
 const SURVEY_PAUSE_MS = { first: 250, last: 1_000, factor: 1.3 } as const;
 
+function decideCause(result: TargetProbeResult): SilenceCause {
+  if (result === 'answered') return 'busy';
+  return result === 'accepted' ? 'paused' : 'unreached';
+}
+
+type MonitorClock = PathMonitorOptions['clock'];
+
+/** `pending` where the probe takes longer than usual. */
+async function waitForUsual(
+  clock: MonitorClock,
+  check: Promise<TargetProbeResult>,
+): Promise<TargetProbeResult | 'pending'> {
+  const limit = new AbortController();
+  const result = await Promise.race([check, waitUsualTime(clock, limit.signal)]);
+  limit.abort();
+  return result;
+}
+
+/** In running time, since answers that came during a pause of this process are not read yet. */
+async function waitUsualTime(clock: MonitorClock, signal: AbortSignal): Promise<'pending'> {
+  const endMs = clock.getRunningMs() + USUAL_ANSWER_MS;
+  do {
+    await clock.waitMs(Math.max(1, endMs - clock.getRunningMs()), signal);
+  } while (!signal.aborted && clock.getRunningMs() < endMs);
+  return 'pending';
+}
+
 export function createPathMonitor(options: PathMonitorOptions): PathMonitor {
   const { clock, directory, log } = options;
   const contacts = Decisions.createTargetContacts();
@@ -74,10 +107,10 @@
   const getSummary = (service: string): ContactSummary =>
     contacts.getSummary(service, clock.getNowMs());
 
-  async function checkTarget(target: ForwardingTarget): Promise<boolean> {
-    const hasAnswered = await options.checkTarget(target);
-    if (hasAnswered) recordHeard(target);
-    return hasAnswered;
+  async function checkTarget(target: ForwardingTarget): Promise<TargetProbeResult> {
+    const result = await options.checkTarget(target);
+    if (result === 'answered') recordHeard(target);
+    return result;
   }
 
   /** Asks a few of the targets; returns whether each has answered. */
@@ -88,7 +121,9 @@
       isLost: contacts.isLost(target),
     }));
     const surveyed = Decisions.selectSurveyed(candidates, options.nextRandom);
-    return Promise.all(surveyed.map(({ target }) => checkTarget(target)));
+    return Promise.all(
+      surveyed.map(async ({ target }) => (await checkTarget(target)) === 'answered'),
+    );
   }
 
   async function runSurvey(service: string): Promise<PathState> {
@@ -168,18 +203,17 @@
       contacts.getSummary(service, clock.getNowMs()).lostTargets > 0 &&
       tracker.mayRelay(service, clock.getNowMs()),
     async checkSilence(target, sinceMs) {
-      if (contacts.hasHeardSince(target.service, sinceMs)) return true;
+      if (contacts.hasHeardSince(target.service, sinceMs)) return 'busy';
       const check = checkTarget(target);
-      const isPending = clock.waitMs(USUAL_ANSWER_MS).then(() => 'pending' as const);
-      const first = await Promise.race([check, isPending]);
-      if (first === true) return true;
+      if ((await waitForUsual(clock, check)) === 'answered') return 'busy';
       const isOpen = tracker.getState(target.service) === 'open';
-      const [hasAnswered] = await Promise.all([
+      const [result] = await Promise.all([
         check,
         isOpen ? runSharedSurvey(target.service) : undefined,
       ]);
-      return hasAnswered;
+      return decideCause(result);
     },
+    checkAnswers: async (target) => (await waitForUsual(clock, checkTarget(target))) === 'answered',
     async checkOthers(target, sinceMs) {
       const others = listOthers(target);
       const services = new Set([target, ...others].map(({ service }) => service));
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
@@ -18,8 +18,12 @@
 /** An overloaded target accepts the connection, and answers once a slot is free. */
 const ANSWER_TIMEOUT_MS = 1_000;
 
-/** `answered`: in time, with whatever status; `closed`: the connection was refused, or ended without an answer. */
-export type TargetProbeResult = 'answered' | 'closed' | 'silent';
+/**
+ * `answered`: in time, with whatever status; `accepted`: it took the connection and gave no answer in time, as a process
+ * that is paused or overloaded does; `closed`: the connection was refused, or ended without an answer; `silent`: no
+ * connection in time.
+ */
+export type TargetProbeResult = 'answered' | 'accepted' | 'closed' | 'silent';
 
 export type TargetProbe = (target: ForwardingTarget) => Promise<TargetProbeResult>;
 
@@ -51,6 +55,7 @@
     }
     call.cancel();
     if (event.kind === 'head') return 'answered';
-    return event.kind === 'timeout' ? 'silent' : 'closed';
+    if (event.kind !== 'timeout') return 'closed';
+    return call.wasSent() ? 'accepted' : 'silent';
   };
 }
