Leave the repeat of a hop that no router takes to the next send

A plain request that had been sent before took a repeat of the budget for each router that it was offered to. In a silence of all targets the other routers refuse as well, since they reach none either, and up to four repeats went with one request that reached no target; later ones were refused for want of them.

A hop that was refused or not connected reached no target, so its repeat stays taken for the next send, and is given back where none follows.

--- a/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
@@ -230,6 +230,16 @@
     expect(fakes.sentCalls.map(({ target }) => target.slice(0, 1))).toEqual(['o', 'r', 'r']);
   });
 
+  it('spends no repeats on hops that no router takes', async () => {
+    // Guards against a budget that is used up by refusals of other routers, and against refusals for want of it.
+    const refusing = createRefusal('unreachable');
+    const fakes = createPartitioned({ 'r1:2': refusing, 'r2:2': refusing, 'r3:2': refusing });
+    await runOrder(fakes, createOrder('idempotent'));
+    expect(listHops(fakes).length).toEqual(3);
+    const { retries } = fakes.dependencies.getBudget('orders').getTotals(fakes.clock.getNowMs());
+    expect(retries).toEqual(listDirectSends(fakes).length - 1);
+  });
+
   it('tells the other router the time and the targets left, its key and its configuration', async () => {
     const fakes = createPartitioned({ 'r1:2': ANSWERED });
     await waitForLostPath(fakes);
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
@@ -46,6 +46,8 @@
     const outcome = await RelayAttempts.relayAnswer(dependencies, request, router, options);
     RelayAttempts.recordOutcome(dependencies, request, router, outcome);
     if (outcome.kind === 'callerLeft') return outcome;
+    // A hop that reached no target leaves its repeat to the next send.
+    if (isUntaken(outcome)) progress.isRetryTaken = progress.sends > 0;
     const end = decideEnd(request, progress, outcome);
     if (end !== undefined) return end;
     if (outcome.kind === 'notSent') unanswered += 1;
@@ -62,6 +64,10 @@
   return progress.sends === 0 || NextSends.takeRetry(dependencies, request, progress);
 }
 
+function isUntaken({ kind }: RelayOutcome | PassedOutcome): boolean {
+  return kind === 'notSent' || kind === 'refused';
+}
+
 /** Undefined where another router may be asked. */
 function decideEnd(
   request: ForwardRequest,
