Leave another router only when it is gone and the request can be sent again

Cause: a hop through another router counted as gone after one connection attempt without response in 150 ms. A machine that is busy for a tenth of a second does that. The hop was cancelled, an attempt and a repeat were spent, the prompt of a stream was read again, and where none was left a begun stream was closed and an order failed although the other router went on.

Change: a refused attempt still means gone at once; one without response is repeated, and three in a row mean gone. A router that is gone is left only where an attempt and a repeat are left and another router or the own path can take the request; orders and last attempts stay until the answer, the end of the connection or their time. A router that ends closes its connections, so what stays waits only where packets vanish. A paused router accepts connections and was waited for before, too.

--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
@@ -42,7 +42,10 @@
     if (!hasRepeat(dependencies, request, progress)) return undefined;
     const { router, target } = hop;
     tried.add(router.address);
-    const options = { targetsLeft, target };
+    // A request to a brittle target is sent once.
+    const mayLeave = () =>
+      target === undefined && isNextPossible(dependencies, request, progress, tried);
+    const options = { targetsLeft, target, mayLeave };
     const outcome = await RelayAttempts.relayAnswer(dependencies, request, router, options);
     RelayAttempts.recordOutcome(dependencies, request, router, outcome);
     if (outcome.kind === 'callerLeft') return outcome;
@@ -64,6 +67,19 @@
   return progress.sends === 0 || NextSends.takeRetry(dependencies, request, progress);
 }
 
+/** Whether the request could be sent once more after the hop that is under way. */
+function isNextPossible(
+  { getBudget, clock, relays }: ForwardingDependencies,
+  request: ForwardRequest,
+  { sends }: RelayProgress,
+  tried: ReadonlySet<string>,
+): boolean {
+  const { retryPolicy, maxTargets } = request.route;
+  if (retryPolicy === 'once' || sends + 1 >= maxTargets) return false;
+  if (getBudget(request.service).getBalance(clock.getNowMs()) < 1) return false;
+  return relays.chooseRouter(tried) !== undefined || !relays.isDue(request);
+}
+
 function isUntaken({ kind }: RelayOutcome | PassedOutcome): boolean {
   return kind === 'notSent' || kind === 'refused';
 }
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -25,7 +25,7 @@
 }
 
 export interface RelayCall extends Pick<TargetCall, 'wasSent' | 'cancel'> {
-  /** The next event; `timeout` when the request's time is up or the other router is gone. */
+  /** The next event; `timeout` when the request's time is up, or the other router is gone and may be left. */
   readonly readNext: () => Promise<CallEvent>;
 }
 
@@ -37,6 +37,8 @@
   readonly build?: TargetBuild | undefined;
   /** The only target that it may be sent to. */
   readonly target?: string | undefined;
+  /** Whether the request could be sent once more if the other router is gone. */
+  readonly mayLeave: () => boolean;
 }
 
 export interface Relays {
@@ -89,9 +91,17 @@
 const CONNECT_TIMEOUT_MS = 150;
 /** Silence after which the other router is checked; it answers once a target has. */
 const HOP_CHECK_MS = 500;
+/** Time before a check that got no response is repeated. */
+const HOP_RECHECK_MS = 100;
+/** Failure: a busy machine leaves one connection attempt without a response, and a sound hop is given up for it. */
+const MAX_MISSED_CHECKS = 3;
 /** The other router must not answer after this one's time is up. */
 const HOP_MARGIN_MS = 10;
 
+function getHopCheckMs(missedChecks: number): number {
+  return missedChecks > 0 && missedChecks < MAX_MISSED_CHECKS ? HOP_RECHECK_MS : HOP_CHECK_MS;
+}
+
 export function createRelays(options: RelaysOptions): Relays {
   const { clock, wire, peers, directory, paths, checkExit } = options;
   /** End of the time for which a router gets no requests, by address; monotonic milliseconds. */
@@ -145,6 +155,36 @@
     ];
   }
 
+  /**
+   * Failure: a router that is paused or busy for a moment holds the request on, and giving it up costs an attempt, or ends
+   * a stream. Only one that refuses connections, or leaves several attempts without response, is gone; and it is left only
+   * where the request can be sent once more.
+   */
+  async function readHopEvent(
+    request: ForwardRequest,
+    router: RelayRouter,
+    call: TargetCall,
+    mayLeave: () => boolean,
+  ): Promise<CallEvent> {
+    let missedChecks = 0;
+    for (;;) {
+      const limitMs = call.wasSent() ? getHopCheckMs(missedChecks) : CONNECT_TIMEOUT_MS;
+      const silenceDeadlineMs = clock.getRunningMs() + limitMs;
+      const expiresAtMs = ForwardRequests.getDeadlineMs(request);
+      const event = await TargetCalls.readNextEvent(clock, call, {
+        silenceDeadlineMs,
+        expiresAtMs,
+      });
+      if (event.kind !== 'timeout' || clock.getNowMs() >= expiresAtMs) return event;
+      if (!call.wasSent()) return event;
+      const result = await checkExit(router);
+      missedChecks = result === 'silent' ? missedChecks + 1 : 0;
+      const isGone = result === 'ended' || missedChecks >= MAX_MISSED_CHECKS;
+      // The answer may have arrived during the check.
+      if (isGone && mayLeave()) return call.readEvent(0);
+    }
+  }
+
   return {
     isDue: (request) => paths.isRelayDue(request.service) && isRelayable(request),
     isPossible: (request) => paths.mayRelay(request.service) && isRelayable(request),
@@ -160,20 +200,7 @@
       return {
         wasSent: call.wasSent,
         cancel: call.cancel,
-        async readNext() {
-          for (;;) {
-            const limitMs = call.wasSent() ? HOP_CHECK_MS : CONNECT_TIMEOUT_MS;
-            const silenceDeadlineMs = clock.getRunningMs() + limitMs;
-            const expiresAtMs = ForwardRequests.getDeadlineMs(request);
-            const event = await TargetCalls.readNextEvent(clock, call, {
-              silenceDeadlineMs,
-              expiresAtMs,
-            });
-            if (event.kind !== 'timeout' || clock.getNowMs() >= expiresAtMs) return event;
-            if (!call.wasSent()) return event;
-            if ((await checkExit(router)) !== 'alive') return event;
-          }
-        },
+        readNext: () => readHopEvent(request, router, call, callOptions.mayLeave),
       };
     },
     recordRefusal({ address }, cause) {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -38,7 +38,7 @@
     const router = relays.chooseRouter(tried);
     if (router === undefined) break;
     tried.add(router.address);
-    const outcome = yield* relayThroughRouter(dependencies, request, router, progress);
+    const outcome = yield* relayThroughRouter(dependencies, request, router, { progress, tried });
     RelayAttempts.recordOutcome(dependencies, request, router, outcome);
     if (outcome.kind === 'complete' || !RelayAttempts.isNextRouterDue(outcome)) return outcome;
     if (outcome.kind === 'notSent') unanswered += 1;
@@ -51,11 +51,15 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   router: RelayRouter,
-  progress: Progress,
+  { progress, tried }: Readonly<{ progress: Progress; tried: ReadonlySet<string> }>,
 ): AsyncGenerator<StreamPiece, Exclude<RelayedStreamOutcome, { kind: 'untaken' }>, void> {
   const { lastEventId, build, runs } = progress;
-  const targetsLeft = Math.max(1, request.route.maxTargets - runs);
-  const call = dependencies.relays.openCall(request, router, { targetsLeft, lastEventId, build });
+  const call = dependencies.relays.openCall(request, router, {
+    targetsLeft: Math.max(1, request.route.maxTargets - runs),
+    lastEventId,
+    build,
+    mayLeave: () => isNextPossible(dependencies, request, progress, tried),
+  });
   request.closed.addEventListener('abort', call.cancel, { once: true });
   try {
     const result = await RelayAttempts.readHead(dependencies, request, router, call);
@@ -76,6 +80,21 @@
   }
 }
 
+/** Whether the stream could be sent once more after the hop that is under way. */
+function isNextPossible(
+  { getBudget, clock, relays }: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
+  tried: ReadonlySet<string>,
+): boolean {
+  if (!StreamPlans.hasTriesLeft(request, { ...progress, runs: progress.runs + 1 })) return false;
+  const budget = getBudget(request.service);
+  return (
+    budget.getBalance(clock.getNowMs()) >= 1 &&
+    (relays.chooseRouter(tried) !== undefined || !relays.isDue(request))
+  );
+}
+
 async function* relayEvents(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
