Let a new stream wait for a moment while all engines are silent

Cause: an unanswered read of an engine's load records a loss, and a lost engine is tried by one stream at a time. While all engines are paused together all are suspected, and each has streams of this router in progress, so that no engine is left to choose: each new stream was refused 25 to 40 ms after it arrived ("no target is known"), the last ones milliseconds before the engines went on. The short ones joined a read that was about to end.

Change: where nothing else is left, no other router may be asked, and an engine accepts connections, a new stream asks again for an eighth of its objective before it is refused. Engines that refuse connections, or leave them without response, are not waited for. Nothing is sent meanwhile, so that a refusal stays true and no repeat is used.

Open: streams without a prompt, which are placed without reading the load of engines, are refused as before.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -267,6 +267,10 @@
     async releaseCopy(engine, handle) {
       commands.push(`${engine.id} frees ${handle}`);
     },
+    async checkExit({ address }) {
+      const target = targets.find((one) => one.address === address);
+      return unreachable.has(target?.id ?? '') ? 'silent' : 'alive';
+    },
     renewConnections: () => undefined,
   };
   return {
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -23,6 +23,7 @@
 import type { RateLimitedLog } from './rateLimitedLog';
 import type { QuotaBorrower } from './retryQuota';
 import type { CrashGuard } from './crashes/crashGuard';
+import type { ExitCheck } from './crashes/exitCheck';
 import type { EngineProbes } from './targets/engineProbes';
 import type { PathMonitor } from './targets/pathMonitor';
 import type { ForwardRequest } from './forwardRequest';
@@ -82,6 +83,7 @@
   readonly readCachedParts: EngineProbes['readCachedParts'];
   readonly createCopy: CopyCommands['createCopy'];
   readonly releaseCopy: CopyCommands['releaseCopy'];
+  readonly checkExit: ExitCheck;
   /** Replaces the connections to the target, which may be broken. */
   readonly renewConnections: (target: ForwardingTarget) => void;
   /** Streams that wait for room at engines. */
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -78,7 +78,7 @@
     openCall: Parts.createCallOpener(context, connections, limits.recordSend, notices),
     readReport: probes.readReport,
     readCachedParts: probes.readCachedParts,
-    ...parts.copyCommands,
+    ...parts.targetCalls,
     renewConnections: connections.closeIdle,
     getRouteTable: () => routeTable,
     isDraining: drain.isDraining,
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -285,7 +285,10 @@
     relays,
     brittle,
     heldBudget: createHeldBudget(context, settings, log),
-    copyCommands: CopyCommands.createCopyCommands(wire, callEngine),
+    targetCalls: {
+      ...CopyCommands.createCopyCommands(wire, callEngine),
+      checkExit: ExitChecks.createExitCheck(clock),
+    },
     crashes: createCrashGuard(context, log, {
       checkAnswer,
       checkOthers: paths.checkOthers,
--- a/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/engineWaits.ts
@@ -13,6 +13,7 @@
 import type { EnginePair } from '../targets/enginePairs';
 import * as EnginePlacements from '../targets/enginePlacements';
 import type { Progress } from './streamPlan';
+import * as SilentEngines from './silentEngines';
 import * as StreamUrgency from './streamUrgency';
 import type { RequestUrgency } from './streamUrgency';
 import * as WaitEnds from './waitEnds';
@@ -36,11 +37,29 @@
 const RETURNING_MAX_OBJECTIVES = 2;
 const MS_PER_SECOND = 1_000;
 
-/** Engines for the next send. A stream that has begun takes the best ones at once. */
+/** Engines for the next send. A new stream waits for a moment where all engines are silent. */
 export async function findEngines(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
+): Promise<EngineSearch> {
+  const search = await findAnsweringEngines(dependencies, request, progress);
+  const isUnanswered = search.kind === 'found' && search.pair === undefined;
+  if (!isUnanswered || StreamUrgency.isBegun(request, progress)) return search;
+  let isFull = false;
+  const pair = await SilentEngines.waitForEngines(dependencies, request, async () => {
+    const found = await readRoom(dependencies, request, progress, false);
+    isFull = isWaitDue(dependencies, request, found);
+    return found;
+  });
+  return isFull ? findAnsweringEngines(dependencies, request, progress) : { kind: 'found', pair };
+}
+
+/** A stream that has begun takes the best engines at once. */
+async function findAnsweringEngines(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
 ): Promise<EngineSearch> {
   const { excluded } = progress;
   if (progress.urgency === undefined || StreamUrgency.isBegun(request, progress)) {
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/silentEngines.ts
@@ -0,0 +1,66 @@
+/** Lets a new stream wait for a moment while all engines of its service are silent and none of them has ended. */
+import * as Decisions from '@sequoiarill/decisions';
+import type { ForwardingTarget } from '@sequoiarill/types';
+
+import * as Placement from '../answers/placement';
+import type { ForwardingDependencies } from '../dependencies';
+import type { ForwardRequest } from '../forwardRequest';
+import type { EnginePair } from '../targets/enginePairs';
+import * as WaitEnds from './waitEnds';
+
+/** Longer waits would delay a refusal by a noticeable part of the time in which its caller wants an answer. */
+const MAX_WAIT_SHARE = 1 / 8;
+/** Engines report their load in a few milliseconds; a read that is under way is shared by all streams. */
+const ASK_INTERVAL_MS = 25;
+/** Engines to which a connection is attempted. */
+const CHECKED_ENGINES = 3;
+
+/** Engines that would be tried by no further stream, since all of them were lost and are being tried. */
+function listSilent(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+): readonly ForwardingTarget[] {
+  const { registry } = dependencies;
+  const available = Placement.listAvailable(dependencies, request);
+  const isSilent = (engine: ForwardingTarget) =>
+    registry.isSuspect(engine) && registry.getInFlight(engine) > 0;
+  return available.every(isSilent) ? available : [];
+}
+
+/** Whether an engine accepts connections: a paused process does, one that has ended or is cut off does not. */
+async function isPaused(
+  { checkExit, nextRandom }: ForwardingDependencies,
+  engines: readonly ForwardingTarget[],
+): Promise<boolean> {
+  const candidates = engines.map((target) => ({ target, zone: target.zone, isLost: true }));
+  const checked = Decisions.selectSurveyed(candidates, nextRandom).slice(0, CHECKED_ENGINES);
+  const results = await Promise.all(checked.map(({ target }) => checkExit(target)));
+  return results.includes('alive');
+}
+
+/**
+ * Engines for a new stream as soon as one of them answers; undefined where none does in time, or none is merely silent.
+ *
+ * Failure: all engines are paused for a second, and each new stream is refused after one unanswered read of their load,
+ * the last ones milliseconds before the engines go on. Another router that may be asked is asked at once.
+ */
+export async function waitForEngines(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  readEngines: () => Promise<EnginePair | undefined>,
+): Promise<EnginePair | undefined> {
+  const { clock, relays, brittle } = dependencies;
+  if (relays.isPossible(request) || brittle.isBrittle(request.service)) return undefined;
+  const startedMs = clock.getRunningMs();
+  const maxWaitMs = request.route.objectiveMs * MAX_WAIT_SHARE;
+  const silent = listSilent(dependencies, request);
+  if (silent.length === 0 || !(await isPaused(dependencies, silent))) return undefined;
+  while (clock.getRunningMs() - startedMs < maxWaitMs) {
+    if (clock.getNowMs() >= request.expiresAtMs) return undefined;
+    if (WaitEnds.findWaitEnd(dependencies, request) !== undefined) return undefined;
+    await clock.waitMs(ASK_INTERVAL_MS, request.closed);
+    const pair = await readEngines();
+    if (pair !== undefined || listSilent(dependencies, request).length === 0) return pair;
+  }
+  return undefined;
+}
