--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -16,6 +16,7 @@
 import * as BrittleTargets from '../limits/brittleTargets';
 import * as Relays from '../relay/relays';
 import * as RetryQuotas from '../retryQuota';
+import * as SharedProbes from '../targets/sharedProbe';
 import * as TargetRegistries from '../targets/targetRegistry';
 import type { TargetCall } from '../targets/targetCall';
 import * as WaitingStreams from '../streams/waitingStreams';
@@ -138,7 +139,7 @@
     nextRandom,
     directory,
     log,
-    async checkTarget({ id }) {
+    checkTarget: SharedProbes.createSharedProbe(clock, async ({ id }) => {
       if (unreachable.has(id)) {
         await clock.waitMs(PROBE_TIMEOUT_MS);
         return 'silent';
@@ -146,7 +147,7 @@
       const leftMs = (pausedUntilMs.get(id) ?? 0) - clock.getNowMs();
       if (leftMs > 0) await clock.waitMs(Math.min(leftMs, PROBE_ANSWER_TIMEOUT_MS));
       return leftMs > PROBE_ANSWER_TIMEOUT_MS ? 'accepted' : 'answered';
-    },
+    }),
     onRegained: (service) => registry.removeLosses(directory.listTargets(service)),
   });
   function recordCall(target: string, extraHeaders: readonly RawHeader[]): TargetCall {
--- a/packages/sequoiarill-plugin-forwarding/src/answers/nextSend.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/nextSend.ts
@@ -59,16 +59,14 @@
 
   async function findAnswering(): Promise<ForwardingTarget | undefined> {
     const excluded = new Set([...progress.excluded, current.id]);
-    const candidates: ForwardingTarget[] = [];
-    while (candidates.length < PROBED_TARGETS) {
+    for (let probed = 0; probed < PROBED_TARGETS; probed += 1) {
       const query = { request, excluded, purpose: 'first' } as const;
       const candidate = Placement.chooseTarget(dependencies, query);
-      if (candidate === undefined) break;
-      candidates.push(candidate);
+      if (candidate === undefined) return undefined;
+      if (await paths.checkAnswers(candidate)) return candidate;
       excluded.add(candidate.id);
     }
-    const answers = await Promise.all(candidates.map(paths.checkAnswers));
-    return candidates.find((_candidate, index) => answers[index]);
+    return undefined;
   }
 
   return {
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -34,6 +34,7 @@
 import * as TargetCalls from './targets/targetCall';
 import * as TargetConnections from './targets/targetConnections';
 import * as TargetNotices from './targets/targetNotices';
+import * as SharedProbes from './targets/sharedProbe';
 import * as TargetProbes from './targets/targetProbe';
 import * as TargetRegistries from './targets/targetRegistry';
 
@@ -126,7 +127,7 @@
     nextRandom,
     directory,
     log,
-    checkTarget: checkAnswer,
+    checkTarget: SharedProbes.createSharedProbe(clock, checkAnswer),
     onRegained,
   });
 }
