Ask again for a begun stream that another router refuses

Cause: a stream that goes on through another router counted each refusal of that router as a try, took a repeat for each, and asked again after 40 ms. Where the engines are silent for all routers, the other one refuses what it cannot place. Twelve tries and nine repeats were gone in half a second, and the stream was closed long before its time.

Change: a refusal says that nothing ran, so it costs neither a try nor a repeat of a begun stream, and the next router is asked after 200 ms, until the time of the stream is up or its caller leaves. Streams without events are refused as before.

The test failed before.

Open: the tries that the stream makes at its own engines meanwhile, and the end where no target can be placed here (`streamPlan`, `streamAnswer`).

--- a/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/silentRouters.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/silentRouters.test.ts
@@ -172,6 +172,50 @@
   return { ...result, hops, hopTimes: hopCalls.map(({ atMs }) => atMs) };
 }
 
+/** A stream that must go on at other routers, which refuse it for so long. */
+async function simulateRefusals(refusedMs: number) {
+  let firstHopMs: number | undefined;
+  const fake: FakeDependencies = Fakes.createFakeDependencies((name, headers) => {
+    if (name.startsWith('r')) {
+      firstHopMs ??= fake.clock.getNowMs();
+      if (fake.clock.getNowMs() - firstHopMs >= refusedMs) return createSilentRun(headers, 0);
+      const refusal = { [RELAY_HEADERS.version]: '1', [RELAY_HEADERS.refused]: 'refused' };
+      return [
+        [1, Fakes.createHead(503, { ...refusal, signature: '' })],
+        [1, { kind: 'end' }],
+      ];
+    }
+    engines.forEach(({ id }) => {
+      fake.reports.delete(id);
+      fake.unreachable.add(id);
+    });
+    return [[50, Fakes.createHead(200)], ...Fakes.createEvents(1, 5, 30, 60)];
+  });
+  const engines = ['a1', 'b1'].map((id) => Fakes.createTarget(id, { zone: id.slice(0, 1) }));
+  fake.setTargets(engines);
+  engines.forEach(({ id }) => fake.reports.set(id, Fakes.IDLE_REPORT));
+  fake.otherRouters.push(...ROUTERS);
+  let retries = 0;
+  const budget = fake.dependencies.getBudget('engines');
+  const countedBudget: typeof budget = {
+    ...budget,
+    takeRetry(nowMs) {
+      const isTaken = budget.takeRetry(nowMs);
+      if (isTaken) retries += 1;
+      return isTaken;
+    },
+    releaseRetry() {
+      retries -= 1;
+      budget.releaseRetry();
+    },
+  };
+  const dependencies = { ...fake.dependencies, getBudget: () => countedBudget };
+  const result = await Simulation.simulateStream({ ...fake, dependencies });
+  const hops = fake.sentCalls.filter(({ target }) => target.startsWith('r'));
+  const directSends = fake.sentCalls.length - hops.length;
+  return { ...result, hops: hops.length, retries, directSends };
+}
+
 describe('a stream at another router that is silent', () => {
   it('stays there where one connection attempt gets no response', async () => {
     // Guards against a prompt that is read again because a machine is busy for a tenth of a second.
@@ -191,4 +235,13 @@
     const [first = 0, second = 0] = hopTimes;
     expect(second - first).toBeLessThanOrEqual(1_000);
   });
+
+  it('goes on once another router takes it, and spends no repeat on refusals', async () => {
+    // Guards against the end of a begun stream while the engines of all routers are silent for a moment.
+    const { text, hops, retries, directSends } = await simulateRefusals(2_500);
+    expect(text).toEqual(Simulation.formatAll(EVENTS));
+    // One for each engine after the first, and one for the hop.
+    expect(retries).toEqual(directSends);
+    expect(hops).toBeLessThanOrEqual(20);
+  });
 });
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -24,6 +24,8 @@
   | { readonly kind: 'untaken' };
 
 const STATUS_OK = 200;
+/** Short beside the gaps after which a caller leaves a stream. */
+const REFUSED_PAUSE_MS = 200;
 
 export async function* relayThroughRouters(
   dependencies: ForwardingDependencies,
@@ -40,6 +42,12 @@
     tried.add(router.address);
     const outcome = yield* relayThroughRouter(dependencies, request, router, { progress, tried });
     RelayAttempts.recordOutcome(dependencies, request, router, outcome);
+    if (
+      outcome.kind === 'refused' &&
+      (await isAskedAgain(dependencies, request, progress, outcome))
+    ) {
+      return { kind: 'untaken' };
+    }
     if (outcome.kind === 'complete' || !RelayAttempts.isNextRouterDue(outcome)) return outcome;
     if (outcome.kind === 'notSent') unanswered += 1;
   }
@@ -47,6 +55,23 @@
   return { kind: 'untaken' };
 }
 
+/**
+ * Failure: the engines of all routers are silent for a moment, so that the router which is asked refuses, and a stream that
+ * has begun uses up its tries and repeats in half a second. Nothing ran, so the try does not count, and the next one
+ * follows after a pause.
+ */
+async function isAskedAgain(
+  { clock }: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
+  { cause }: RelayRefusal,
+): Promise<boolean> {
+  if (!progress.hasEvents || cause !== 'refused') return false;
+  progress.tries -= 1;
+  await clock.waitMs(REFUSED_PAUSE_MS, request.closed);
+  return true;
+}
+
 async function* relayThroughRouter(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
@@ -142,7 +167,7 @@
   if (outcome.kind === 'complete') return { ...outcome, wasStarted: progress.hasEvents };
   if (outcome.kind === 'callerLeft') return outcome;
   if (outcome.kind === 'untaken' || outcome.kind === 'notSent') return undefined;
-  if (outcome.kind === 'refused') return decideRefused(request, progress, outcome);
+  if (outcome.kind === 'refused') return decideRefused(progress, outcome);
   if (outcome.kind === 'whole' && !progress.hasEvents) return { ...outcome, kind: 'answer' };
   progress.runs += 1;
   progress.deliveries += 1;
@@ -154,13 +179,7 @@
     : StreamEnds.decideEnd(progress, progress.lastReason, false);
 }
 
-/** A stream that has begun is not given up because one router cannot continue it now. */
-function decideRefused(
-  request: ForwardRequest,
-  progress: Progress,
-  { retryAfterSeconds }: RelayRefusal,
-): StreamOutcome | undefined {
-  if (progress.hasEvents && StreamPlans.hasTriesLeft(request, progress)) return undefined;
+function decideRefused(progress: Progress, { retryAfterSeconds }: RelayRefusal): StreamOutcome {
   const end = StreamEnds.decideEnd(progress, 'another router refuses it', false);
   return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
 }
