Test that a late request whose answer comes takes no repeat

The answer comes 50 ms after another target is probed for the request, and that target answers 40 ms later: the planned repeat is given back.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/silentTargets.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/__tests__/silentTargets.test.ts
@@ -126,6 +126,18 @@
     expect(tookMs).toBeLessThanOrEqual(1_400);
   });
 
+  it('takes no repeat when its answer comes while another target is probed', async () => {
+    // Guards against a budget that is used up by requests which were sent once.
+    const first = await findFirstTarget();
+    const others = TARGETS.filter((id) => id !== first);
+    const fake = createPaused({ [first]: 250 });
+    others.forEach((id) => fake.pausedUntilMs.set(id, 340));
+    const budget = fake.dependencies.getBudget('orders');
+    const { outcome, tookMs } = await runRequest(fake, { objectiveMs: 100 });
+    expect([outcome?.kind, tookMs, fake.sentCalls.length]).toEqual(['answer', 300, 1]);
+    expect(budget.getTotals(5_000).retries).toEqual(0);
+  });
+
   it('stays there while no repeat is left', async () => {
     // Guards against a refusal of a request that its target still runs.
     const fake = createPaused({ [await findFirstTarget()]: 2_000 });
