Keep a silent engine of a generation until another one can go on

Cause: a stall timer aborted the attempt at a silent engine at once, before it was known whether another engine could go on, and the engine stayed excluded. Engines that were paused together were given up one after another, and the answer ended ("none of 3 targets is usable") although all were sound and its caller still waited.

Change: after its limit the relay looks for another engine, by a load probe of the one that would be chosen. The attempt is given up only if that engine responds and an attempt and a retry are left; the retry is taken at that moment, and the continuation goes to the engine that responded. Otherwise the attempt is kept, and the relay looks again every 100 ms until the engine speaks, its connection ends or the caller leaves. Times over the limit aren't recorded, as before, so that a silence doesn't extend the limits. An answer that has all its tokens still ends at the limit.

--- a/packages/sequoiarill-decisions/src/targetChoiceTypes.ts
+++ b/packages/sequoiarill-decisions/src/targetChoiceTypes.ts
@@ -36,6 +36,8 @@
   readonly purpose: 'first' | 'continuation';
   /** Tokens to prefill if nothing is cached; an average prompt is assumed if absent. */
   readonly promptTokens?: number;
+  /** Whether the choice may go unused, so that nothing is recorded of it. */
+  readonly isTentative?: boolean;
 }
 
 export interface ConsideredTarget {
--- a/packages/sequoiarill-decisions/src/targetChooser.ts
+++ b/packages/sequoiarill-decisions/src/targetChooser.ts
@@ -93,9 +93,11 @@
     const considered = [...indices].map((index) => computeConsidered(request, index, shares));
     const best = pickShortest(considered);
     if (best === undefined) return buildNoTargetChosen(request);
-    freed = freed.filter((one) => one.name !== best.name);
-    recordChoice(best.name, best.index);
-    affinity.recordUse(request.prefixKeys, best.name, best.index, request.nowMs);
+    if (request.isTentative !== true) {
+      freed = freed.filter((one) => one.name !== best.name);
+      recordChoice(best.name, best.index);
+      affinity.recordUse(request.prefixKeys, best.name, best.index, request.nowMs);
+    }
     return {
       kind: 'target',
       name: best.name,
--- a/packages/sequoiarill-plugin-generations/src/__tests__/fakeEngines.ts
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/fakeEngines.ts
@@ -12,6 +12,7 @@
 } from '@sequoiarill/types';
 
 import type { EngineEvent } from '../answer';
+import type { AttemptSilence } from '../attempt';
 import type { AttemptResult } from '../attemptResults';
 import * as Generations from '../generation';
 import type { Attempt, GenerationDependencies } from '../generation';
@@ -57,6 +58,8 @@
 export type Fault =
   | { readonly kind: 'none' }
   | { readonly kind: 'lost'; readonly afterEvents: number }
+  /** The engine goes on unless it is given up meanwhile. */
+  | { readonly kind: 'silent'; readonly afterEvents: number }
   | { readonly kind: 'refused' }
   | { readonly kind: 'busy' };
 
@@ -67,7 +70,7 @@
   readonly attempts: readonly Attempt[];
 }
 
-function createTarget(index: number): EngineTarget {
+export function createTarget(index: number): EngineTarget {
   return {
     kind: 'engine',
     name: `engine-${index}`,
@@ -94,9 +97,14 @@
   };
 }
 
+async function isGivenUp(silence: AttemptSilence): Promise<boolean> {
+  return (await silence.canGiveUp()) && silence.takeOver();
+}
+
 async function* runFakeAttempt(
   attempt: Attempt,
   fault: Fault,
+  openSilence: () => AttemptSilence,
 ): AsyncGenerator<readonly EngineEvent[], AttemptResult, void> {
   if (fault.kind === 'busy') return { kind: 'busy', retryAfterSeconds: 3 };
   if (fault.kind === 'refused') {
@@ -106,6 +114,10 @@
   const events = [{ ...first!, promptTokenIds: attempt.tokenIds ?? PROMPT_IDS }, ...rest];
   for (const [index, event] of events.entries()) {
     if (fault.kind === 'lost' && index >= fault.afterEvents) break;
+    const isSilent = fault.kind === 'silent' && index === fault.afterEvents;
+    if (isSilent && (await isGivenUp(openSilence()))) {
+      return { kind: 'lost', cause: 'stalled', message: 'silent', mayHaveRun: true };
+    }
     yield [event];
   }
   if (fault.kind === 'lost') {
@@ -119,6 +131,7 @@
   request: GenerationRequest,
   faults: readonly Fault[],
   engines = faults.length + 1,
+  overrides: Partial<GenerationDependencies> = {},
 ): Promise<Run> {
   const attempts: Attempt[] = [];
   const journal: Journal = { recordDecision: () => undefined, explainRequest: () => undefined };
@@ -127,18 +140,21 @@
       if (attempts.length >= engines) return { kind: 'none', reason: 'none', retryAfterSeconds: 2 };
       return { kind: 'target', target: createTarget(attempts.length), reason: 'test' };
     },
-    runAttempt(attempt) {
+    runAttempt(attempt, openSilence) {
       attempts.push(attempt);
-      return runFakeAttempt(attempt, faults[attempts.length - 1] ?? { kind: 'none' });
+      const fault = faults[attempts.length - 1] ?? { kind: 'none' };
+      return runFakeAttempt(attempt, fault, openSilence);
     },
     cancelAttempt: () => undefined,
     takeRetry: () => true,
+    openSilence: () => ({ findSuccessor: async () => undefined }),
     waitForStart: async () => undefined,
     journal,
     onLost: () => undefined,
     onBusy: () => undefined,
     onResumed: () => undefined,
     getNowMs: () => 0,
+    ...overrides,
   };
   const batches: TokenBatch[] = [];
   const generation = Generations.runGeneration(request, model, dependencies);
--- a/packages/sequoiarill-plugin-generations/src/attempt.ts
+++ b/packages/sequoiarill-plugin-generations/src/attempt.ts
@@ -5,6 +5,7 @@
  * connection, so output that a slow engine, or one that resumed after a pause, still sends is
  * discarded whenever it arrives.
  */
+import * as Kernel from '@sequoiarill/kernel';
 import type { Clock, EngineTarget, FinishReason } from '@sequoiarill/types';
 import * as Undici from 'undici';
 
@@ -33,15 +34,33 @@
   readonly onFirstToken: (ms: number) => void;
   /** `ms`: time for which the relay waited for the next tokens. */
   readonly onGap: (ms: number) => void;
+  readonly openSilence: () => AttemptSilence;
+}
+
+/** What the relay does while the engine is silent for longer than its limit. */
+export interface AttemptSilence {
+  /**
+   * Looks for another engine that can go on; returns whether the attempt may be given up for it.
+   */
+  readonly canGiveUp: () => Promise<boolean>;
+  /** Called right before the attempt is given up; false if it must be kept after all. */
+  readonly takeOver: () => boolean;
 }
 
 const HTTP_OK = 200;
+/** Interval at which a silent attempt looks for an engine that can go on. */
+const SEARCH_INTERVAL_MS = 100;
 type Response = Undici.Dispatcher.ResponseData;
 
 /** Progress of one attempt; determines the result when its stream breaks. */
 interface AttemptState {
   isSent: boolean;
   isStalled: boolean;
+  /** Set while the engine is silent for longer than its limit. */
+  silence: AttemptSilence | undefined;
+  waitingSinceMs: number;
+  /** Whether the engine exceeded its limit; such a time would extend the limits if it were recorded. */
+  isLate: boolean;
   hasTokens: boolean;
   finishReason: FinishReason | undefined;
 }
@@ -57,12 +76,14 @@
   const state: AttemptState = {
     isSent: false,
     isStalled: false,
+    silence: undefined,
+    waitingSinceMs: options.getRunningMs(),
+    isLate: false,
     hasTokens: false,
     finishReason: undefined,
   };
   const timer = StallTimers.createStallTimer(options.getRunningMs, () => {
-    state.isStalled = true;
-    controller.abort();
+    handleSilence(options, state, timer, controller).catch((error) => controller.abort(error));
   });
   try {
     timer.start(options.limits.firstTokenMs);
@@ -74,12 +95,33 @@
     return decideResult(error as NodeJS.ErrnoException, options, state);
   } finally {
     timer.close();
+    state.silence = undefined;
     options.signal.removeEventListener('abort', cancel);
     // Aborts an abandoned attempt; has no effect once the response is complete.
     controller.abort();
   }
 }
 
+/** Gives the attempt up if another engine can go on; otherwise keeps it and looks again. */
+async function handleSilence(
+  options: AttemptOptions,
+  state: AttemptState,
+  timer: StallTimers.StallTimer,
+  controller: AbortController,
+): Promise<void> {
+  state.silence ??= options.openSilence();
+  state.isLate = true;
+  const { silence } = state;
+  const canGiveUp = await silence.canGiveUp();
+  // Reads what the engine has sent in the meantime, which ends the silence.
+  await new Promise<void>(Kernel.runAfterPendingReads);
+  if (state.silence !== silence) return;
+  if (canGiveUp && silence.takeOver()) {
+    state.isStalled = true;
+    controller.abort();
+  } else timer.start(SEARCH_INTERVAL_MS);
+}
+
 async function* relayBody(
   response: Response,
   options: AttemptOptions,
@@ -88,18 +130,22 @@
 ): AsyncGenerator<readonly EngineEvent[], AttemptResult, void> {
   const { limits, getRunningMs, startedMs } = options;
   const splitter = ServerSentEvents.createEventSplitter();
-  let waitingSinceMs = getRunningMs();
+  state.waitingSinceMs = getRunningMs();
   for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
     timer.stop();
+    state.silence = undefined;
     const events = parseEvents(splitter.addBytes(bytes));
     if (events === undefined) {
       return AttemptResults.createLoss('broken', 'an event is malformed', true);
     }
-    if (state.hasTokens) options.onGap(getRunningMs() - waitingSinceMs);
-    updateState(state, events, () => options.onFirstToken(getRunningMs() - startedMs));
+    if (state.hasTokens && !state.isLate) options.onGap(getRunningMs() - state.waitingSinceMs);
+    updateState(state, events, () => {
+      if (!state.isLate) options.onFirstToken(getRunningMs() - startedMs);
+    });
+    if (state.hasTokens) state.isLate = false;
     yield events;
     // The body is read to its end, so that the connection can be reused for the next request.
-    waitingSinceMs = getRunningMs();
+    state.waitingSinceMs = getRunningMs();
     timer.start(state.hasTokens ? limits.gapMs : limits.firstTokenMs);
   }
   if (state.finishReason !== undefined) return AttemptResults.createFinished(state.finishReason);
@@ -140,7 +186,10 @@
   // The finish reason follows the last token, so the answer is complete despite the error.
   if (state.finishReason !== undefined) return AttemptResults.createFinished(state.finishReason);
   if (options.signal.aborted) return { kind: 'cancelled' };
-  if (state.isStalled) return AttemptResults.createStallLoss(options.limits, state.hasTokens);
+  if (state.isStalled) {
+    const silentMs = options.getRunningMs() - state.waitingSinceMs;
+    return AttemptResults.createStallLoss(silentMs, state.hasTokens);
+  }
   return AttemptResults.createConnectionLoss(error, state.isSent);
 }
 
--- a/packages/sequoiarill-plugin-generations/src/attemptResults.ts
+++ b/packages/sequoiarill-plugin-generations/src/attemptResults.ts
@@ -37,7 +37,7 @@
 export type AttemptResult =
   AttemptFinished | AttemptLost | AttemptBusy | AttemptRejected | AttemptCancelled;
 
-/** Longest times that the relay waits for the engine. */
+/** Times after which the relay looks for another engine; the attempt is kept until there is one. */
 export interface AttemptLimits {
   readonly firstTokenMs: number;
   readonly gapMs: number;
@@ -96,10 +96,10 @@
   return { kind: 'lost', cause, message, mayHaveRun };
 }
 
-export function createStallLoss(limits: AttemptLimits, hasTokens: boolean): AttemptLost {
+export function createStallLoss(silentMs: number, hasTokens: boolean): AttemptLost {
   return hasTokens
-    ? createLoss('stalled', `no token for ${Math.round(limits.gapMs)} ms`, true)
-    : createLoss('noFirstToken', `no first token in ${Math.round(limits.firstTokenMs)} ms`, true);
+    ? createLoss('stalled', `no token for ${Math.round(silentMs)} ms`, true)
+    : createLoss('noFirstToken', `no first token in ${Math.round(silentMs)} ms`, true);
 }
 
 /**
--- a/packages/sequoiarill-plugin-generations/src/generation.ts
+++ b/packages/sequoiarill-plugin-generations/src/generation.ts
@@ -14,9 +14,12 @@
 } from '@sequoiarill/types';
 
 import type { AnswerStep, EngineEvent } from './answer';
+import type { AttemptSilence } from './attempt';
 import type { AttemptBusy, AttemptResult, AttemptLost } from './attemptResults';
 import * as Progresses from './progress';
 import type { Progress } from './progress';
+import type { Silence } from './silence';
+import * as Takeovers from './takeover';
 
 /** The part of a request that one engine is to run. */
 export interface Attempt {
@@ -39,17 +42,24 @@
   readonly model: Model;
   readonly excluded: ReadonlySet<string>;
   readonly purpose: 'first' | 'continuation';
+  /** Whether the choice may go unused, so that nothing is recorded of it. */
+  readonly isTentative?: boolean;
+  /** The only engine that may be chosen, if set. */
+  readonly only?: string;
 }
 
 export interface GenerationDependencies {
   readonly chooseTarget: (query: TargetQuery) => TargetDecision;
   readonly runAttempt: (
     attempt: Attempt,
+    openSilence: () => AttemptSilence,
   ) => AsyncGenerator<readonly EngineEvent[], AttemptResult, void>;
   /** Cancels the attempt on its engine; best effort, never awaited. */
   readonly cancelAttempt: (attempt: Attempt) => void;
   /** Whether another engine may be tried; false when the retry budget is exhausted. */
   readonly takeRetry: (query: TargetQuery) => boolean;
+  /** Starts to look for an engine that can go on for a silent one. */
+  readonly openSilence: (attempt: Attempt, query: TargetQuery) => Silence;
   /** Paces the continuations of streams that were lost at the same time. */
   readonly waitForStart: (attempt: Attempt) => Promise<void>;
   readonly journal: Journal;
@@ -59,8 +69,6 @@
   readonly getNowMs: () => number;
 }
 
-/** Engines that one request may lose before it fails; each loss leads to another engine. */
-const MAX_LOSSES = 8;
 /** Engines that may refuse one request for lack of capacity before it fails. */
 const MAX_REFUSALS = 3;
 
@@ -70,10 +78,12 @@
   dependencies: GenerationDependencies,
 ): AsyncGenerator<TokenBatch, GenerationOutcome, void> {
   const progress = Progresses.createProgress(request);
+  const takeover = Takeovers.createTakeover(progress, dependencies);
   for (;;) {
-    const purpose = progress.answer.hasTokens() ? 'continuation' : 'first';
-    const query: TargetQuery = { request, model, excluded: progress.getExcluded(), purpose };
-    const mayTry = progress.getGeneration() === 0 || dependencies.takeRetry(query);
+    const query = createQuery(request, model, progress, takeover.takeSuccessor());
+    const { purpose } = query;
+    const isPaid = progress.getGeneration() === 0 || query.only !== undefined;
+    const mayTry = isPaid || dependencies.takeRetry(query);
     if (request.signal.aborted) return progress.createCancelled();
     if (!mayTry) return progress.createFailure('overloaded', 'too many engines failed at once');
     const decision = dependencies.chooseTarget(query);
@@ -84,12 +94,23 @@
     const attempt = createAttempt(query, decision.target, progress);
     if (purpose === 'continuation') await dependencies.waitForStart(attempt);
     recordDispatch(attempt, decision.reason, dependencies);
-    const result = yield* relayAttempt(attempt, progress, dependencies);
+    const result = yield* relayAttempt(attempt, progress, dependencies, takeover);
     const outcome = decideOutcome(result, attempt, progress, dependencies);
     if (outcome !== undefined) return outcome;
   }
 }
 
+function createQuery(
+  request: GenerationRequest,
+  model: Model,
+  progress: Progress,
+  only?: string,
+): TargetQuery {
+  const purpose = progress.answer.hasTokens() ? 'continuation' : 'first';
+  const query = { request, model, excluded: progress.getExcluded(), purpose } as const;
+  return only === undefined ? query : { ...query, only };
+}
+
 function createAttempt(query: TargetQuery, target: EngineTarget, progress: Progress): Attempt {
   const { request, model, purpose } = query;
   const tokenIds = purpose === 'continuation' ? progress.answer.getContinuationIds() : undefined;
@@ -121,8 +142,11 @@
   attempt: Attempt,
   progress: Progress,
   dependencies: GenerationDependencies,
+  takeover: Takeovers.Takeover,
 ): AsyncGenerator<TokenBatch, AttemptResult, void> {
-  const events = dependencies.runAttempt(attempt);
+  const events = dependencies.runAttempt(attempt, () =>
+    takeover.openSilence(attempt, createQuery(attempt.request, attempt.model, progress)),
+  );
   let isRunning = true;
   try {
     for (;;) {
@@ -217,7 +241,7 @@
     cause: loss.cause,
     tokensCertain: progress.answer.getUsage().completionTokens,
   });
-  if (losses > MAX_LOSSES) {
+  if (losses > Takeovers.MAX_LOSSES) {
     return progress.createFailure('noTarget', 'one engine after another was lost');
   }
   if (progress.answer.hasTokens() && progress.answer.getContinuationIds() === undefined) {
--- a/packages/sequoiarill-plugin-generations/src/loadPoller.ts
+++ b/packages/sequoiarill-plugin-generations/src/loadPoller.ts
@@ -7,21 +7,14 @@
  */
 import * as Decisions from '@sequoiarill/decisions';
 import type { EngineTarget, Membership } from '@sequoiarill/types';
-import * as Zod from 'zod';
 
+import * as EngineLoads from './engineLoads';
 import type { EnginePools } from './enginePools';
 
 /** Reports are outdated within seconds; faster polling would spend control bandwidth on noise. */
 export const POLL_INTERVAL_MS = 2_000;
 /** A later response no longer describes the current load. */
 const RESPONSE_TIMEOUT_MS = 900;
-const HTTP_OK = 200;
-
-const loadSchema = Zod.object({
-  running: Zod.number().int().min(0),
-  waiting: Zod.number().int().min(0),
-  draining: Zod.boolean().default(false),
-});
 
 export interface LoadPollerOptions {
   readonly routerName: string;
@@ -41,16 +34,10 @@
   const targetSet = Decisions.createTargetSet({ routerName: options.routerName, size: 1 });
 
   async function readLoad(engine: EngineTarget): Promise<void> {
-    const { dispatcher, origin } = options.pools.getPool(engine);
     const signal = AbortSignal.timeout(RESPONSE_TIMEOUT_MS);
-    const response = await dispatcher.request({ origin, path: '/load', method: 'GET', signal });
-    if (response.statusCode !== HTTP_OK) {
-      await response.body.dump();
-      return;
-    }
-    const load = loadSchema.safeParse(await response.body.json());
-    if (!load.success) return;
-    const { running, waiting, draining } = load.data;
+    const load = await EngineLoads.readLoad(options.pools.getPool(engine), signal);
+    if (load === undefined) return;
+    const { running, waiting, draining } = load;
     const state = draining ? 'leaving' : 'healthy';
     options.reportTarget({ target: engine.name, state, running, waiting });
   }
--- a/packages/sequoiarill-plugin-generations/src/plugin.ts
+++ b/packages/sequoiarill-plugin-generations/src/plugin.ts
@@ -81,8 +81,7 @@
 
   const dependencies: GenerationDependencies = {
     chooseTarget: targets.chooseTarget,
-    runAttempt: engineCalls.runAttempt,
-    cancelAttempt: engineCalls.cancelAttempt,
+    ...engineCalls,
     // Continuations are paced instead; only requests without output consume the retry budget.
     takeRetry: (query) => query.purpose === 'continuation' || retryBudget.takeRetry(getNowMs()),
     async waitForStart(attempt) {
--- a/packages/sequoiarill-plugin-generations/src/progress.ts
+++ b/packages/sequoiarill-plugin-generations/src/progress.ts
@@ -21,6 +21,7 @@
   /** Starts the next generation and returns its number, which is also its fencing number. */
   readonly addGeneration: () => number;
   readonly getGeneration: () => number;
+  readonly getLosses: () => number;
   /** Returns the number of engines lost so far. */
   readonly addLoss: (target: string, loss: AttemptLost, nowMs: number) => number;
   /** Returns the number of engines that refused so far. */
@@ -57,6 +58,7 @@
       return generation;
     },
     getGeneration: () => generation,
+    getLosses: () => losses,
     addLoss(target, loss, nowMs) {
       excluded.add(target);
       answer.removePending();
--- a/packages/sequoiarill-plugin-generations/src/targets.ts
+++ b/packages/sequoiarill-plugin-generations/src/targets.ts
@@ -50,7 +50,9 @@
     const nowMs = getNowMs();
     const { messages } = query.request;
     const model = query.model.name;
-    const selected = serving.listSelected(query.model);
+    const selected = serving
+      .listSelected(query.model)
+      .filter(({ name }) => query.only === undefined || name === query.only);
     const choice = chooser.chooseTarget({
       candidates: selected.map((target) => views.createView(target, model, nowMs)),
       zone: options.zone,
@@ -59,6 +61,7 @@
       excluded: query.excluded,
       purpose: query.purpose,
       promptTokens: Prompts.computePromptTokens(messages),
+      isTentative: query.isTentative === true,
     });
     if (choice.kind === 'none') return chooseLastResort(query, choice.reason);
     const target = selected.find(({ name }) => name === choice.name)!;
@@ -69,7 +72,8 @@
   function chooseLastResort(query: TargetQuery, reason: string): TargetDecision {
     const live = serving
       .listAll(query.model)
-      .filter(({ name, vmState }) => vmState === 'live' && !query.excluded.has(name));
+      .filter(({ name, vmState }) => vmState === 'live' && !query.excluded.has(name))
+      .filter(({ name }) => query.only === undefined || name === query.only);
     const target = live[Math.floor(options.nextRandom() * live.length)];
     if (target === undefined) return { kind: 'none', reason, retryAfterSeconds: RETRY_SECONDS };
     return { kind: 'target', target, reason: `last resort: ${reason}` };
