Let an engine that was given up for its silence run a generation again

Cause: each engine that was given up was excluded from the request for good, also one that was only silent. If the engine that went on was lost later, the answer ended although the first one was sound again.

Change: engines that were given up for a silence are chosen again if no other is left; those that failed or refused are not. The fencing number rises with each attempt as before.

--- a/packages/sequoiarill-plugin-generations/src/attemptResults.ts
+++ b/packages/sequoiarill-plugin-generations/src/attemptResults.ts
@@ -102,6 +102,11 @@
     : createLoss('noFirstToken', `no first token in ${Math.round(silentMs)} ms`, true);
 }
 
+/** Whether the engine was only silent; it may be sound. */
+export function isSilenceLoss({ cause }: AttemptLost): boolean {
+  return cause === 'stalled' || cause === 'noFirstToken';
+}
+
 /**
  * A connect error occurs before undici writes a byte, so the engine cannot have received the
  * request; after any other error it may have. The error code alone is not sufficient: an established
--- a/packages/sequoiarill-plugin-generations/src/generation.ts
+++ b/packages/sequoiarill-plugin-generations/src/generation.ts
@@ -41,6 +41,8 @@
   readonly request: GenerationRequest;
   readonly model: Model;
   readonly excluded: ReadonlySet<string>;
+  /** Engines that are chosen only if no other is left. */
+  readonly suspected: ReadonlySet<string>;
   readonly purpose: 'first' | 'continuation';
   /** Whether the choice may go unused, so that nothing is recorded of it. */
   readonly isTentative?: boolean;
@@ -107,7 +109,13 @@
   only?: string,
 ): TargetQuery {
   const purpose = progress.answer.hasTokens() ? 'continuation' : 'first';
-  const query = { request, model, excluded: progress.getExcluded(), purpose } as const;
+  const query = {
+    request,
+    model,
+    excluded: progress.getExcluded(),
+    suspected: progress.getSuspected(),
+    purpose,
+  } as const;
   return only === undefined ? query : { ...query, only };
 }
 
--- a/packages/sequoiarill-plugin-generations/src/observer.ts
+++ b/packages/sequoiarill-plugin-generations/src/observer.ts
@@ -7,6 +7,7 @@
   PluginContext,
 } from '@sequoiarill/types';
 
+import * as AttemptResults from './attemptResults';
 import * as Events from './events';
 import type { Attempt, GenerationDependencies } from './generation';
 import type { Targets } from './targets';
@@ -52,7 +53,7 @@
       const target = attempt.target.name;
       targets.recordFailure(attempt);
       // The engine may still be generating; cancelling avoids work that nobody reads.
-      if (loss.cause === 'stalled' || loss.cause === 'noFirstToken') cancelAttempt(attempt);
+      if (AttemptResults.isSilenceLoss(loss)) cancelAttempt(attempt);
       metrics.addCount('generations.lost', 1, { cause: loss.cause });
       logEvent(Events.GENERATION_LOST, {
         requestId,
--- a/packages/sequoiarill-plugin-generations/src/progress.ts
+++ b/packages/sequoiarill-plugin-generations/src/progress.ts
@@ -10,6 +10,7 @@
 
 import * as Answers from './answer';
 import type { Answer } from './answer';
+import * as AttemptResults from './attemptResults';
 import type { AttemptLost } from './attemptResults';
 
 const DEFAULT_RETRY_AFTER_SECONDS = 2;
@@ -18,6 +19,8 @@
   readonly answer: Answer;
   /** Engines that failed or refused this request; not tried again. */
   readonly getExcluded: () => ReadonlySet<string>;
+  /** Engines that were given up for their silence; tried again only if no other is left. */
+  readonly getSuspected: () => ReadonlySet<string>;
   /** Starts the next generation and returns its number, which is also its fencing number. */
   readonly addGeneration: () => number;
   readonly getGeneration: () => number;
@@ -43,6 +46,7 @@
 export function createProgress(request: GenerationRequest): Progress {
   const answer = Answers.createAnswer(request.maxOutputTokens, request.stop);
   const excluded = new Set<string>();
+  const suspected = new Set<string>();
   let generation = 0;
   let losses = 0;
   let refusals = 0;
@@ -53,6 +57,7 @@
   return {
     answer,
     getExcluded: () => excluded,
+    getSuspected: () => suspected,
     addGeneration() {
       generation += 1;
       return generation;
@@ -60,7 +65,8 @@
     getGeneration: () => generation,
     getLosses: () => losses,
     addLoss(target, loss, nowMs) {
-      excluded.add(target);
+      if (AttemptResults.isSilenceLoss(loss)) suspected.add(target);
+      else excluded.add(target);
       answer.removePending();
       losses += 1;
       mayHaveRun ||= loss.mayHaveRun;
--- a/packages/sequoiarill-plugin-generations/src/targets.ts
+++ b/packages/sequoiarill-plugin-generations/src/targets.ts
@@ -47,6 +47,13 @@
   const views = TargetViews.createTargetViews(options);
 
   function chooseTarget(query: TargetQuery): TargetDecision {
+    if (query.suspected.size === 0) return chooseFrom(query);
+    const excluded = new Set([...query.excluded, ...query.suspected]);
+    const decision = chooseFrom({ ...query, excluded });
+    return decision.kind === 'target' ? decision : chooseFrom(query);
+  }
+
+  function chooseFrom(query: TargetQuery): TargetDecision {
     const nowMs = getNowMs();
     const { messages } = query.request;
     const model = query.model.name;
--- a/packages/sequoiarill-testing/src/__tests__/silentEngines.test.ts
+++ b/packages/sequoiarill-testing/src/__tests__/silentEngines.test.ts
@@ -158,4 +158,20 @@
       expect(deployment.engines[1]!.getCounters().requests).toEqual(1);
     });
   });
+
+  it('gets its stream back when the engine that went on is lost', async () => {
+    // Guards against an answer that ends although the engine that was silent earlier is sound.
+    await runWithDeployment(2, async (deployment, baseline) => {
+      const [first, second] = deployment.engines;
+      const waitForToken = await GenerationSteps.delayAtToken(deployment, 3);
+      const reading = readAnswer(deployment);
+      await waitForToken();
+      await first!.setFault({ kind: 'pause' });
+      await Waiting.waitUntil('the other engine goes on', () => second!.getLoad().running > 0);
+      await first!.setFault({ kind: 'unpause' });
+      await waitForTokens(deployment, TOKENS_BETWEEN_SILENCES);
+      await second!.setFault({ kind: 'die' });
+      checkComplete({ baseline, answers: [await reading] });
+    });
+  });
 });
