Add cells for silences of all engines at once to the fault matrix

Cause: the cells of paused engines (E2, X1, T2) pause one engine at a time while others are sound, so they showed the takeover and never a silence that no other engine can end.

Change: fault E6 pauses all engines for 3 s at the steps G3 to G10; the answer must be whole, from one engine where it is in the middle.

--- a/packages/sequoiarill-testing/src/matrix/cells.ts
+++ b/packages/sequoiarill-testing/src/matrix/cells.ts
@@ -31,15 +31,15 @@
 const FAULTS_BY_GENERATION_STEP: Readonly<Record<GenerationStep, readonly FaultCode[]>> = {
   G1: [...FAULTS_BEFORE_TARGET, 'C1'],
   G2: [...FAULTS_BEFORE_TARGET, 'C1'],
-  G3: [...COMMON_FAULTS, 'C1'],
-  G4: [...COMMON_FAULTS, 'C1', 'X1', 'X2', 'T1'],
-  G5: [...COMMON_FAULTS, 'C1', 'C2', 'C3', ...FAULT_PAIRS],
-  G6: [...COMMON_FAULTS, 'C1', 'C2', 'C3', ...FAULT_PAIRS],
-  G7: [...COMMON_FAULTS, 'C1', 'X1', 'X3'],
-  G8: [...COMMON_FAULTS, 'C1', 'C2', 'X1'],
+  G3: [...COMMON_FAULTS, 'E6', 'C1'],
+  G4: [...COMMON_FAULTS, 'E6', 'C1', 'X1', 'X2', 'T1'],
+  G5: [...COMMON_FAULTS, 'E6', 'C1', 'C2', 'C3', ...FAULT_PAIRS],
+  G6: [...COMMON_FAULTS, 'E6', 'C1', 'C2', 'C3', ...FAULT_PAIRS],
+  G7: [...COMMON_FAULTS, 'E6', 'C1', 'X1', 'X3'],
+  G8: [...COMMON_FAULTS, 'E6', 'C1', 'C2', 'X1'],
   // The caller has already disconnected in this step.
-  G9: COMMON_FAULTS,
-  G10: [...COMMON_FAULTS, 'C1', 'C3', 'X1', 'X2'],
+  G9: [...COMMON_FAULTS, 'E6'],
+  G10: [...COMMON_FAULTS, 'E6', 'C1', 'C3', 'X1', 'X2'],
 };
 
 const FAULTS_BY_ORDER_STEP: Readonly<Record<OrderStep, readonly FaultCode[]>> = {
--- a/packages/sequoiarill-testing/src/matrix/generationFaults.ts
+++ b/packages/sequoiarill-testing/src/matrix/generationFaults.ts
@@ -1,4 +1,6 @@
 /** The faults injected at the steps of a generation, through the stand-ins of one deployment. */
+import { setTimeout as startTimeout } from 'node:timers/promises';
+
 import type { FaultCode } from './steps';
 import * as Waiting from './waiting';
 import type { Deployment } from './deployment';
@@ -24,6 +26,8 @@
  */
 const SLOW_FACTOR = 10;
 const PLATFORM_SLOW_MS = 300;
+/** Longer than every limit of a silent engine: for a gap, and for a first token. */
+const COMMON_SILENCE_MS = 3_000;
 
 async function failEngine(deployment: Deployment): Promise<void> {
   await deployment.engines[0]!.setFault({ kind: 'die' });
@@ -106,6 +110,19 @@
     followUp: resumeAfterTakeover,
     dispatches: 2,
   },
+  {
+    code: 'E6',
+    async inject({ engines, engineLink }) {
+      await Promise.all(engines.map((engine) => engine.setFault({ kind: 'pause' })));
+      engineLink.heal();
+    },
+    releasesEngine: false,
+    async followUp({ engines }) {
+      await startTimeout(COMMON_SILENCE_MS);
+      await Promise.all(engines.map((engine) => engine.setFault({ kind: 'unpause' })));
+    },
+    dispatches: 1,
+  },
 ];
 
 export const LINK_FAULTS: readonly GenerationFault[] = [
--- a/packages/sequoiarill-testing/src/matrix/steps.ts
+++ b/packages/sequoiarill-testing/src/matrix/steps.ts
@@ -36,6 +36,7 @@
   { code: 'E3', name: 'target slow' },
   { code: 'E4', name: 'target restarted at the same address without memory' },
   { code: 'E5', name: 'target answering late for work it no longer owns' },
+  { code: 'E6', name: 'all targets paused together and woken' },
   { code: 'R1', name: 'router killed' },
   { code: 'R2', name: 'router paused past its lease and woken' },
   { code: 'R3', name: 'router drained by a planned stop' },
