Test that paused engine processes together end no stream

Cause: the tests of silences pause stand-ins inside the test's process; a paused process differs, since its kernel still accepts connections and answers nothing at all.

Change: a test that stops all three engine processes by SIGSTOP for 1.3 s, 3 s and 1.3 s during one answer.

--- a/packages/sequoiarill-testing/src/__tests__/engineLoss.test.ts
+++ b/packages/sequoiarill-testing/src/__tests__/engineLoss.test.ts
@@ -1,4 +1,5 @@
 import { after, before, describe, it } from 'node:test';
+import { setTimeout as startTimeout } from 'node:timers/promises';
 
 import * as Demo from '@sequoiarill/demo';
 import { expect } from 'earl';
@@ -11,6 +12,7 @@
 
 const MAX_TOKENS = 150;
 const LOSS_AFTER_PIECES = 30;
+const PAUSE_BETWEEN_SILENCES_MS = 200;
 const PROMPT = 'Which size fits a narrow foot?';
 
 describe('loss of an engine process', () => {
@@ -96,6 +98,28 @@
     expect(again.text).toEqual(baseline.text);
   });
 
+  it('keeps the stream while all engine processes are paused together', async () => {
+    // The kernel still accepts connections for a paused process. Giving up one engine after another for
+    // its silence would leave none, although all of them are sound.
+    const silencesMs = [1_300, 3_000, 1_300];
+    let silences: Promise<void> | undefined;
+    async function injectSilences(): Promise<void> {
+      for (const ms of silencesMs) {
+        fleet.engines.forEach((engine) => engine.send('SIGSTOP'));
+        await startTimeout(ms);
+        fleet.engines.forEach((engine) => engine.send('SIGCONT'));
+        await startTimeout(PAUSE_BETWEEN_SILENCES_MS);
+      }
+    }
+    const answer = await readAnswer(() => {
+      silences = injectSilences();
+    });
+    await silences;
+    expect(answer.error).toEqual(undefined);
+    expect(answer.text).toEqual(baseline.text);
+    expect(answer.completionTokens).toEqual(MAX_TOKENS);
+  });
+
   it('serves the official client during the loss of an engine, streaming and not', async () => {
     // Uses the published client unchanged while an engine is killed during its stream.
     const client = new OpenAI({
