Read an order's answer that arrived in time after a pause of the router

Cause: after a pause of the router, timers fire before sockets are read. The timer of an order's time limit cancelled the order although its answer had come in time and waited in the socket, and the caller got "outcome unknown".

Change: pending reads come before the order is cancelled.

--- a/packages/sequoiarill-plugin-orders/src/orderRunner.ts
+++ b/packages/sequoiarill-plugin-orders/src/orderRunner.ts
@@ -1,4 +1,5 @@
 /** Runs one order: looks up its service, claims the order if needed, and sends it. */
+import * as Kernel from '@sequoiarill/kernel';
 import type {
   Clock,
   ConfigurationReader,
@@ -55,7 +56,8 @@
     if (canResend) order.signal.addEventListener('abort', handleCallerDisconnected, { once: true });
     const timer = clock
       .waitMs(service.timeoutMs, timerCancellation.signal)
-      .then(() => deadline.abort());
+      // After a pause of the router, timers fire before an answer that arrived in time is read.
+      .then(() => Kernel.runAfterPendingReads(() => deadline.abort()));
     const outcome = await runAttempts(order, service, canResend, deadline.signal);
     order.signal.removeEventListener('abort', handleCallerDisconnected);
     timerCancellation.abort();
