Keep a client's silent connection until the response can be read over another one

Cause: the client library broke off a stream after 30 s of silence and counted that as a failed attempt. A paused router goes on with the response and may be the only one that has it; behind a balancer the attempts were used up within seconds at routers that answer 404, and the response ended as lost. Eight silences in a row of a response under way ended it too.

Change: a silent stream is kept while the rest of the response is asked for over another connection, once each idle time. If that opens, it replaces the silent one; if the silent one speaks first, it goes on. Only 8 refused resumptions in a row (maxAttempts) count the silent connection as broken, so a router that is gone without a reset still ends as lost.

Not changed: a request without any response header is still broken off and sent again after 300 s, the default of undici.

--- a/packages/sequoiarill-client/src/__tests__/client.test.ts
+++ b/packages/sequoiarill-client/src/__tests__/client.test.ts
@@ -14,6 +14,8 @@
 const SEED = 20_261_202;
 const WORDS = ['The', ' jacket', ' fits', ' – þú', ' ert', ' 42', '.'];
 const TEXT = WORDS.join('');
+/** Short, so that tests of silences end soon. */
+const IDLE_TIMEOUT_MS = 100;
 const REQUEST = { model: 'standin-model', input: 'Which size?' };
 
 function formatEvent(type: string, sequence: number, fields: object): string {
@@ -55,7 +57,7 @@
     });
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
-    client = createTestClient((server.address() as AddressInfo).port);
+    client = createTestClient();
   });
 
   afterEach(async () => {
@@ -66,11 +68,13 @@
     });
   });
 
-  function createTestClient(port: number): Client.Client {
+  function createTestClient(idleTimeoutMs?: number): Client.Client {
+    const { port } = server.address() as AddressInfo;
     return Client.createClient({
       baseUrl: `http://127.0.0.1:${port}`,
       apiKey: 'sqr_test',
       nextRandom: () => 0.5,
+      ...(idleTimeoutMs !== undefined && { idleTimeoutMs }),
       clock: {
         async waitMs(ms) {
           waitsMs.push(ms);
@@ -217,6 +221,59 @@
     });
   });
 
+  /** Sends the events up to index `end` and nothing more until `resume` is called. */
+  function sendSilently(end: number): { readonly behaviour: ServerBehaviour; resume: () => void } {
+    const silent = { behaviour: handleRequest, resume: () => undefined as void };
+    function handleRequest(_request: Http.IncomingMessage, response: Http.ServerResponse): void {
+      response.writeHead(200, { 'content-type': 'text/event-stream' });
+      response.flushHeaders();
+      response.write(EVENTS.slice(0, end).join(''));
+      silent.resume = () => {
+        response.end(EVENTS.slice(end).join(''));
+      };
+    }
+    return silent;
+  }
+
+  // Guards against a client that closes its only connection to a paused router and then uses up its
+  // attempts at routers that do not have the response.
+  it('keeps a silent connection until another one to the response is open', async () => {
+    client = createTestClient(IDLE_TIMEOUT_MS);
+    const silent = sendSilently(3);
+    const refuseResume = refuseRequest(404, 'not_found');
+    behaviours = [
+      silent.behaviour,
+      refuseResume,
+      (request, response) => {
+        refuseResume(request, response);
+        silent.resume();
+      },
+      refuseResume,
+    ];
+    const { text, outcome } = await readAnswer();
+    expect(text).toEqual(TEXT);
+    expect(outcome.kind).toEqual('completed');
+  });
+
+  // Guards against a client that counts silences of a response that is under way as failed attempts.
+  it('does not count silences as failed attempts', async () => {
+    client = createTestClient(IDLE_TIMEOUT_MS);
+    const silences = Array.from({ length: 6 }, () => sendSilently(0).behaviour);
+    behaviours = [sendSilently(3).behaviour, ...silences, sendEvents(EVENTS)];
+    const { text, outcome } = await readAnswer();
+    expect(text).toEqual(TEXT);
+    expect(outcome.kind).toEqual('completed');
+    expect(requests.length).toEqual(8);
+  });
+
+  // Guards against a client that waits forever for a router that is gone without closing connections.
+  it('returns lost if a silent response cannot be resumed', async () => {
+    client = createTestClient(IDLE_TIMEOUT_MS);
+    behaviours = [sendSilently(3).behaviour, refuseRequest(404, 'not_found')];
+    const { outcome } = await readAnswer();
+    expect(outcome.kind).toEqual('lost');
+  });
+
   it('cancels the response if the consumer returns early', async () => {
     behaviours = [sendEvents(EVENTS), refuseRequest(200, '')];
     const stream = client.streamResponse(REQUEST);
--- a/packages/sequoiarill-client/src/client.ts
+++ b/packages/sequoiarill-client/src/client.ts
@@ -10,19 +10,20 @@
 import type { AttemptFailure } from './attempts';
 import * as Backoff from './backoff';
 import * as Connections from './connection';
-import type { ResponseRequest } from './connection';
+import type { ResponseRequest, StreamOpened } from './connection';
 import type { ResponseOutcome } from './outcomes';
 import * as Progresses from './progress';
 import type { Progress } from './progress';
 import * as DeltaReader from './deltaReader';
 import type { TextDelta } from './deltaReader';
+import * as WatchedStreams from './watchedStream';
 
 export interface ClientOptions {
   /** Scheme, host and port without a path, such as `https://gateway.example:8443`. */
   readonly baseUrl: string;
   readonly apiKey: string;
   readonly backoff?: Partial<Backoff.BackoffSettings>;
-  /** Time without data after which a stream counts as broken, in milliseconds. */
+  /** Time without data after which another connection to the response is tried, in milliseconds. */
   readonly idleTimeoutMs?: number;
   /** Returns uniformly distributed numbers in [0, 1). */
   readonly nextRandom?: () => number;
@@ -55,8 +56,9 @@
   const backoff = { ...Backoff.DEFAULT_BACKOFF, ...options.backoff };
   const nextRandom = options.nextRandom ?? Math.random;
   const clock = options.clock ?? SYSTEM_CLOCK;
-  const bodyTimeout = options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
-  const dispatcher = new Undici.Agent({ bodyTimeout });
+  const idleTimeoutMs = options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
+  // Silent streams are watched instead of being broken off.
+  const dispatcher = new Undici.Agent({ bodyTimeout: 0 });
   const connection = Connections.createConnection({ ...options, dispatcher });
 
   /**
@@ -75,8 +77,35 @@
       const outcome = isRefused ? Attempts.findFinalOutcome(opened, position) : undefined;
       return { outcome, failure };
     }
-    const { outcome, failureReason } = yield* DeltaReader.readDeltas(opened.bytes, progress);
-    return { outcome, failure: Attempts.buildStreamFailure(failureReason) };
+    return yield* readStreams(opened, request, progress, signal);
+  }
+
+  /** Reads the stream, and another one in its place whenever it was silent. */
+  async function* readStreams(
+    opened: StreamOpened,
+    request: ResponseRequest,
+    progress: Progress,
+    signal: AbortSignal,
+  ): AsyncGenerator<TextDelta, AttemptResult, void> {
+    let stream = opened;
+    for (;;) {
+      const watched = WatchedStreams.createWatchedStream({
+        stream,
+        idleTimeoutMs,
+        maxFailures: backoff.maxAttempts,
+        openRest() {
+          const position = progress.getPosition();
+          const isKnown = position.responseId !== undefined;
+          return isKnown ? connection.openStream(request, position, signal) : undefined;
+        },
+      });
+      const { outcome, failureReason } = yield* DeltaReader.readDeltas(watched.bytes, progress);
+      const replacement = watched.getReplacement();
+      if (outcome !== undefined || replacement === undefined) {
+        return { outcome, failure: Attempts.buildStreamFailure(failureReason) };
+      }
+      stream = replacement;
+    }
   }
 
   async function* runAttempts(
--- a/packages/sequoiarill-client/src/connection.ts
+++ b/packages/sequoiarill-client/src/connection.ts
@@ -12,6 +12,8 @@
 export interface StreamOpened {
   readonly kind: 'opened';
   readonly bytes: AsyncIterable<Uint8Array>;
+  /** Closes the connection unless its response is complete. */
+  readonly close: () => void;
 }
 
 /** The server responded with an error. */
@@ -95,15 +97,27 @@
     position: Position,
     signal: AbortSignal,
   ): Promise<OpenResult> {
+    const controller = new AbortController();
+    function close(): void {
+      signal.removeEventListener('abort', close);
+      controller.abort();
+    }
+    signal.addEventListener('abort', close);
+    if (signal.aborted) close();
     try {
       const { responseId } = position;
       const response =
         responseId === undefined
-          ? await sendStartRequest(request, signal)
-          : await sendResumeRequest(responseId, position, signal);
-      if (!response.ok) return await buildRefused(response);
-      return { kind: 'opened', bytes: response.body ?? createEmptyStream() };
+          ? await sendStartRequest(request, controller.signal)
+          : await sendResumeRequest(responseId, position, controller.signal);
+      if (response.ok) {
+        return { kind: 'opened', bytes: response.body ?? createEmptyStream(), close };
+      }
+      const refused = await buildRefused(response);
+      close();
+      return refused;
     } catch (error) {
+      close();
       return buildUnreachable(error);
     }
   }
