Read what waits on a kept connection before it is closed as idle

Cause: after a pause of a process, timers fire before sockets are read. If the idle timeout of a kept connection passed meanwhile, the connection was closed although a request waited in its socket, and its caller got a reset instead of an answer.

Change: the servers for callers (both interfaces), for routers and for operators read pending input before they close an idle connection; a connection without new input is closed as before.

--- a/packages/sequoiarill-kernel/src/__tests__/requestGuard.test.ts
+++ b/packages/sequoiarill-kernel/src/__tests__/requestGuard.test.ts
@@ -8,6 +8,9 @@
 import * as RequestGuards from '../requestGuard';
 
 const HEADERS_TIMEOUT_MS = 200;
+const KEEP_ALIVE_MS = 300;
+/** Longer than the idle timeout and the second that Node.js adds to it. */
+const IDLE_PAUSE_MS = 2_000;
 /** Longer than the headers timeout plus the interval at which Node.js checks it. */
 const PAUSE_MS = 700;
 
@@ -33,7 +36,11 @@
       (code) => `HTTP/1.1 ${code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400} Refused\r\n\r\n`,
     );
     server = Http.createServer(
-      { headersTimeout: HEADERS_TIMEOUT_MS, connectionsCheckingInterval: 50 },
+      {
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        connectionsCheckingInterval: 50,
+      },
       (request, response) => {
         if (!guard.admitRequest(request, response)) return;
         run();
@@ -41,6 +48,7 @@
       },
     );
     server.on('clientError', guard.handleClientError);
+    server.on('timeout', Listeners.closeIdleConnection);
     await Listeners.openListener(server, '127.0.0.1:0', 'test');
     return Listeners.getBoundAddress(server);
   }
@@ -90,4 +98,37 @@
     await waitMs(50);
     expect(runs).toEqual(0);
   });
+
+  it('reads a request that waits on a kept connection before that counts as idle', async () => {
+    // Guards against a process that closes its callers' kept connections without an answer when it
+    // resumes after a pause, because the idle timeout passed meanwhile.
+    let runs = 0;
+    const address = await startServer(() => {
+      runs += 1;
+    });
+    const { socket, read } = await openSocket(address);
+    const request = 'GET /order HTTP/1.1\r\nhost: a\r\n\r\n';
+    socket.write(request);
+    await waitMs(50);
+    // A pause in this phase of the event loop is followed by timers, then by reads.
+    await new Promise(setImmediate);
+    socket.write(request);
+    simulatePause(IDLE_PAUSE_MS);
+    await waitMs(50);
+    expect(runs).toEqual(2);
+    expect(read().split(' 200 ').length).toEqual(3);
+    socket.destroy();
+  });
+
+  it('closes a kept connection that is idle', async () => {
+    const address = await startServer(() => undefined);
+    const { socket } = await openSocket(address);
+    socket.write('GET /order HTTP/1.1\r\nhost: a\r\n\r\n');
+    await waitMs(50);
+    expect(socket.readableEnded).toEqual(false);
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    expect(socket.readableEnded).toEqual(true);
+  });
 });
--- a/packages/sequoiarill-kernel/src/listeners.ts
+++ b/packages/sequoiarill-kernel/src/listeners.ts
@@ -1,6 +1,8 @@
 /** Binds HTTP servers to the addresses given in the settings. */
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+
+import * as RunningTimes from './runningTime';
 
 /** The server cannot listen on the configured address, for instance because the port is in use. */
 export class AddressError extends Error {
@@ -45,6 +47,19 @@
   return `${host}:${boundAddress.port}`;
 }
 
+/**
+ * Listener for a server's `timeout` event: closes a kept connection whose idle timeout has passed.
+ *
+ * Reads pending input first: after a pause, timers fire before sockets are read, and a request may
+ * have arrived in time. Input restarts the idle timeout, or ends it with a request.
+ */
+export function closeIdleConnection(socket: Socket): void {
+  const { bytesRead } = socket;
+  RunningTimes.runAfterPendingReads(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 /** Closes the server and all its connections; does nothing if the server is not listening. */
 export async function closeListener(server: Server): Promise<void> {
   if (!server.listening) return;
--- a/packages/sequoiarill-plugin-callers/src/httpServer.ts
+++ b/packages/sequoiarill-plugin-callers/src/httpServer.ts
@@ -80,6 +80,7 @@
   );
   server.maxConnections = settings.maxConnections;
   server.on('clientError', guard.handleClientError);
+  server.on('timeout', Kernel.closeIdleConnection);
   server.on('connection', (socket: Socket) => {
     connectionCount += 1;
     socket.on('close', () => {
--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -98,6 +98,7 @@
       },
     );
     server.on('clientError', requestGuard.handleClientError);
+    server.on('timeout', Kernel.closeIdleConnection);
     server.on('connection', (socket: Socket) => {
       connectionCount += 1;
       socket.once('close', () => {
--- a/packages/sequoiarill-plugin-operators/src/listener.ts
+++ b/packages/sequoiarill-plugin-operators/src/listener.ts
@@ -3,6 +3,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
+import * as Kernel from '@sequoiarill/kernel';
+
 import * as ErrorResponses from './errorResponses';
 
 /** Operators' requests are short; limits on time and headers keep others from using up memory. */
@@ -38,6 +40,7 @@
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   server.headersTimeout = REQUEST_TIMEOUT_MS;
   server.maxHeadersCount = MAX_HEADER_COUNT;
+  server.on('timeout', Kernel.closeIdleConnection);
 
   return {
     open: () =>
