Report silent engines that are kept

Cause: a generation that waits for a silent engine, because no other can go on, left no trace for operators.

Result: the tests of silence.ts check that it is reported once if the engine is kept and not if another goes on.

--- a/packages/sequoiarill-plugin-generations/src/__tests__/fakeEngines.ts
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/fakeEngines.ts
@@ -151,6 +151,7 @@
     waitForStart: async () => undefined,
     journal,
     onLost: () => undefined,
+    onKept: () => undefined,
     onBusy: () => undefined,
     onResumed: () => undefined,
     getNowMs: () => 0,
--- a/packages/sequoiarill-plugin-generations/src/__tests__/silence.test.ts
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/silence.test.ts
@@ -94,6 +94,8 @@
 interface GenerationRun extends FakeEngines.Run {
   readonly queries: readonly TargetQuery[];
   readonly retries: number;
+  /** Silences reported whose engine was kept. */
+  readonly kept: number;
 }
 
 async function runGeneration(
@@ -102,8 +104,12 @@
 ): Promise<GenerationRun> {
   const queries: TargetQuery[] = [];
   let retries = 0;
+  let kept = 0;
   const overrides: Partial<GenerationDependencies> = {
     openSilence: () => ({ findSuccessor: async () => successor }),
+    onKept() {
+      kept += 1;
+    },
     takeRetry() {
       retries += 1;
       return retries <= retriesLeft;
@@ -116,7 +122,7 @@
   };
   const request = FakeEngines.createRequest();
   const run = await FakeEngines.runRequest(request, faults, faults.length + 1, overrides);
-  return { ...run, queries, retries };
+  return { ...run, queries, retries, kept };
 }
 
 // A silent engine of these runs goes on where it was unless it is given up. Guards against an answer
@@ -130,12 +136,14 @@
     expect(run.outcome.kind).toEqual('completed');
     expect(run.attempts.length).toEqual(1);
     expect(run.retries).toEqual(0);
+    expect(run.kept).toEqual(1);
   });
 
   it('keeps the engine if no retry is left', async () => {
     const run = await runGeneration([silentFault], { successor, retriesLeft: 0 });
     expect(run.outcome.kind).toEqual('completed');
     expect(run.attempts.length).toEqual(1);
+    expect(run.kept).toEqual(1);
   });
 
   it('keeps the engine if no attempt is left', async () => {
@@ -157,5 +165,6 @@
     expect(run.outcome.kind).toEqual('completed');
     expect(run.queries.map(({ only }) => only)).toEqual([undefined, successor.name]);
     expect(run.retries).toEqual(1);
+    expect(run.kept).toEqual(0);
   });
 });
--- a/packages/sequoiarill-plugin-generations/src/events.ts
+++ b/packages/sequoiarill-plugin-generations/src/events.ts
@@ -19,3 +19,9 @@
   'engine.busy',
   'An engine refused a generation for lack of capacity; the request goes to another engine.',
 );
+export const ENGINE_SILENT = Kernel.defineEvent(
+  1303,
+  'info',
+  'engine.silent',
+  'An engine is silent during a generation and no other engine can go on now; the engine is kept.',
+);
--- a/packages/sequoiarill-plugin-generations/src/generation.ts
+++ b/packages/sequoiarill-plugin-generations/src/generation.ts
@@ -66,6 +66,8 @@
   readonly waitForStart: (attempt: Attempt) => Promise<void>;
   readonly journal: Journal;
   readonly onLost: (attempt: Attempt, loss: AttemptLost) => void;
+  /** Called once in a silence whose engine is kept because no other can go on. */
+  readonly onKept: (attempt: Attempt) => void;
   readonly onBusy: (attempt: Attempt, busy: AttemptBusy) => void;
   readonly onResumed: (attempt: Attempt, resumeMs: number) => void;
   readonly getNowMs: () => number;
--- a/packages/sequoiarill-plugin-generations/src/metrics.ts
+++ b/packages/sequoiarill-plugin-generations/src/metrics.ts
@@ -12,6 +12,11 @@
     unit: 'count',
     meaning: 'Engines lost during a generation, by cause.',
   },
+  {
+    name: 'generations.kept',
+    unit: 'count',
+    meaning: 'Silences in which the engine was kept, because no other engine could go on.',
+  },
   {
     name: 'generations.resume',
     unit: 'ms',
--- a/packages/sequoiarill-plugin-generations/src/observer.ts
+++ b/packages/sequoiarill-plugin-generations/src/observer.ts
@@ -12,7 +12,10 @@
 import type { Attempt, GenerationDependencies } from './generation';
 import type { Targets } from './targets';
 
-export interface Observer extends Pick<GenerationDependencies, 'onLost' | 'onBusy' | 'onResumed'> {
+export interface Observer extends Pick<
+  GenerationDependencies,
+  'onLost' | 'onKept' | 'onBusy' | 'onResumed'
+> {
   readonly recordStart: (request: GenerationRequest, permit: Permit) => void;
   readonly recordRefusal: (request: GenerationRequest, refused: Refused) => GenerationNotRun;
   readonly recordOutcome: (
@@ -63,6 +66,12 @@
         reason: loss.message,
       });
     },
+    onKept(attempt) {
+      const { requestId } = attempt.request;
+      const { generation } = attempt;
+      metrics.addCount('generations.kept');
+      logEvent(Events.ENGINE_SILENT, { requestId, target: attempt.target.name, generation });
+    },
     onBusy(attempt) {
       targets.recordBusy(attempt);
       const { requestId } = attempt.request;
--- a/packages/sequoiarill-plugin-generations/src/takeover.ts
+++ b/packages/sequoiarill-plugin-generations/src/takeover.ts
@@ -14,7 +14,7 @@
 
 export function createTakeover(
   progress: Progress,
-  dependencies: Pick<GenerationDependencies, 'openSilence' | 'takeRetry'>,
+  dependencies: Pick<GenerationDependencies, 'openSilence' | 'takeRetry' | 'onKept'>,
 ): Takeover {
   let successor: string | undefined;
 
@@ -28,6 +28,13 @@
   function openSilence(attempt: Attempt, query: TargetQuery): AttemptSilence {
     const silence = dependencies.openSilence(attempt, query);
     let found: string | undefined;
+    let isReported = false;
+
+    function reportKept(): false {
+      if (!isReported) dependencies.onKept(attempt);
+      isReported = true;
+      return false;
+    }
 
     /** With all tokens at hand only the finish reason is missing, which no engine has to send. */
     function hasAllTokens(): boolean {
@@ -37,13 +44,13 @@
     return {
       async canGiveUp() {
         if (hasAllTokens()) return true;
-        if (!hasAttemptLeft()) return false;
+        if (!hasAttemptLeft()) return reportKept();
         found = (await silence.findSuccessor())?.name;
-        return found !== undefined;
+        return found !== undefined || reportKept();
       },
       takeOver() {
         if (hasAllTokens()) return true;
-        if (!dependencies.takeRetry(query)) return false;
+        if (!dependencies.takeRetry(query)) return reportKept();
         successor = found;
         return true;
       },
