Ask other routers whether they hear the targets of a service that is silent here

Cause: a router whose targets are all silent cannot tell a pause of all of them from the loss of its own path where something on the way accepts connections. The state `lost` of a path needs an answer that came through another router, which a router without other requests never gets.

Change: the call `findContact` between routers returns the time since the other one heard a target of a service itself, absent if it never did; a router of an earlier build does not know it, which counts as failed. `peerContacts.isHeardElsewhere` asks one near router and two in other zones at once, with a timeout of 150 ms, and is true as soon as one has heard a target in the later part of the silence: after half of it, at least 100 ms after it began, and within the last 500 ms. Questions about a service share a round for 100 ms. `path.heardElsewhere` and `path.silentElsewhere` log the outcome with what each router said. Nothing calls it yet.

The cost at 570 routers is worked out, not measured.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/peerServer.test.ts
@@ -25,6 +25,7 @@
     handleAnswers: () => undefined,
     handleBlocks: () => [],
     handleBrittle: () => undefined,
+    handleContactQuery: () => ({}),
     handleOrigins: () => undefined,
     handleOriginQuery: () => ({ kind: 'unknown' }),
     handlePartCrashes: () => undefined,
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -7,6 +7,8 @@
   BlockExchangeOutcome,
   BrittleReport,
   Clock,
+  ContactOutcome,
+  ContactQuery,
   ContentAnswer,
   ContentBlock,
   Crash,
@@ -28,6 +30,7 @@
 import * as TrpcClient from '@trpc/client';
 import * as Undici from 'undici';
 
+import * as ContactClients from './contactClient';
 import * as PartClients from './partClient';
 import * as PeerCalls from './peerCall';
 import * as Messages from './peerMessages';
@@ -61,6 +64,7 @@
     records: readonly OriginRecord[],
   ) => Promise<CrashReportOutcome>;
   readonly findOrigin: (address: string, query: OriginQuery) => Promise<OriginOutcome>;
+  readonly findContact: (address: string, query: ContactQuery) => Promise<ContactOutcome>;
   readonly exchangeRoom: (address: string, message: RoomMessage) => Promise<RoomOutcome>;
   readonly close: () => Promise<void>;
 }
@@ -81,6 +85,7 @@
   headerNames: Pick<HeaderNames, 'expectedTarget'>,
   { getRunningMs }: Pick<Clock, 'getRunningMs'>,
   quotaTimeoutMs = QUOTA_TIMEOUT_MS,
+  contactTimeoutMs = ContactClients.CONTACT_TIMEOUT_MS,
 ): PeerClient {
   const dispatcher = new Undici.Agent({
     connections: CONNECTIONS_PER_PEER,
@@ -197,6 +202,7 @@
         const query = { ...key, services: [...services] };
         return Messages.decodeOriginReply(await caller.findOrigin.mutate(query));
       }),
+    findContact: ContactClients.createContactCall(createPeerCaller, contactTimeoutMs),
     exchangeRoom: (address, message) =>
       PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
--- a/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerHandlers.ts
@@ -32,6 +32,7 @@
   | 'grantPermits'
   | 'handleReport'
   | 'handleBrittle'
+  | 'handleContactQuery'
   | 'handleRoom'
   | 'recordRoomRefusal'
   | keyof CrashHandlers
@@ -45,6 +46,7 @@
   | 'setPermitsLender'
   | 'setReportHandler'
   | 'setBrittleHandler'
+  | 'setContactHandler'
   | 'setRoomHandler'
   | 'setCrashHandlers'
   | 'setOriginHandlers'
@@ -60,6 +62,7 @@
   let grantPermits: Parameters<RouterPeers['setPermitsLender']>[0] = () => ({ permits: 0 });
   let handleReport: Parameters<RouterPeers['setReportHandler']>[0] = () => NO_GUIDANCE;
   let handleBrittle: Parameters<RouterPeers['setBrittleHandler']>[0] = () => undefined;
+  let handleContactQuery: Parameters<RouterPeers['setContactHandler']>[0] = () => ({});
   let handleRoom: Parameters<RouterPeers['setRoomHandler']>[0] = () => [];
   let recordRoomRefusal: Parameters<RouterPeers['setRoomHandler']>[1];
   let crashHandlers = NO_CRASH_HANDLERS;
@@ -71,6 +74,7 @@
       grantPermits: (request) => grantPermits(request),
       handleReport: (report) => handleReport(report),
       handleBrittle: (report) => handleBrittle(report),
+      handleContactQuery: (query) => handleContactQuery(query),
       handleRoom: (message) => handleRoom(message),
       recordRoomRefusal: (sender, reason) => recordRoomRefusal?.(sender, reason),
       handleCrashes: (crashes) => crashHandlers.handleCrashes(crashes),
@@ -96,6 +100,9 @@
       setBrittleHandler(handle) {
         handleBrittle = handle;
       },
+      setContactHandler(handle) {
+        handleContactQuery = handle;
+      },
       setRoomHandler(handle, recordRefusal) {
         handleRoom = handle;
         recordRoomRefusal = recordRefusal;
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -1,6 +1,7 @@
 /** Messages between routers, validated on both sides. */
 import * as Kernel from '@sequoiarill/kernel';
 import type {
+  ContactReply,
   ContentBlock,
   ObservedLimit,
   OriginReply,
@@ -243,6 +244,18 @@
   return ageMs === undefined ? found : { ...found, ageMs };
 }
 
+export const contactQuerySchema = Zod.object({
+  service: Zod.string().min(1).max(MAX_NAME_LENGTH),
+});
+
+const contactReplySchema = Zod.object({ heardAgeMs: Zod.number().min(0).optional() });
+
+/** Throws if the response is invalid. */
+export function decodeContactReply(response: unknown): ContactReply {
+  const { heardAgeMs } = contactReplySchema.parse(response);
+  return heardAgeMs === undefined ? {} : { heardAgeMs };
+}
+
 const observedLimitSchema = Zod.object({
   perSecond: Zod.number().min(0).optional(),
   ageMs: Zod.number().min(0),
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -8,6 +8,8 @@
 import type {
   BrittleReport,
   Clock,
+  ContactQuery,
+  ContactReply,
   CrashHandlers,
   OriginHandlers,
   OriginReply,
@@ -50,6 +52,7 @@
   readonly grantRetryQuota: (request: RetryQuotaRequest) => number;
   readonly grantPermits: (request: PermitsRequest) => GrantedPermits;
   readonly handleBrittle: (report: BrittleReport) => void;
+  readonly handleContactQuery: (query: ContactQuery) => ContactReply;
   readonly handleReport: (report: RolloutReport) => RolloutGuidance;
   readonly handleRoom: (
     message: RoomMessage,
@@ -176,6 +179,9 @@
     findOrigin: procedure
       .input(Messages.originQuerySchema)
       .mutation(({ input }): OriginReply => options.handleOriginQuery(input)),
+    findContact: procedure
+      .input(Messages.contactQuerySchema)
+      .mutation(({ input }): ContactReply => options.handleContactQuery(input)),
     lendPermits: procedure
       .input(Messages.permitsRequestSchema)
       .mutation(({ input }): GrantedPermits =>
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -92,6 +92,7 @@
     reportBrittle: client.reportBrittle,
     reportOrigins: client.reportOrigins,
     findOrigin: client.findOrigin,
+    findContact: client.findContact,
     exchangeRoom: client.exchangeRoom,
     reportPartCrashes: client.reportPartCrashes,
     reportPartAnswers: client.reportPartAnswers,
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -73,6 +73,8 @@
   readonly unreachable: Set<string>;
   /** Results of contact checks, by id of the target; without one it answers unless it is `unreachable`. */
   readonly contacts: Map<string, TargetContact>;
+  /** Services of which other routers hear targets, whenever they are asked. */
+  readonly heardElsewhere: Set<string>;
   /** Other routers that take requests. */
   readonly otherRouters: RouterLocation[];
   /** Relay addresses of routers that are no longer reached. */
@@ -100,6 +102,7 @@
   const rateLimited = new Set<string>();
   const unreachable = new Set<string>();
   const contacts = new Map<string, TargetContact>();
+  const heardElsewhere = new Set<string>();
   const goneRouters = new Set<string>();
   const otherRouters: RouterLocation[] = [];
   const restsUntilMs = new Map<string, number>();
@@ -230,6 +233,7 @@
     registry,
     paths,
     contacts: contactCheck,
+    peerContacts: { isHeardElsewhere: async (service) => heardElsewhere.has(service) },
     relays,
     crashes: {
       findBlock: () => undefined,
@@ -299,6 +303,7 @@
     rateLimited,
     unreachable,
     contacts,
+    heardElsewhere,
     otherRouters,
     goneRouters,
     restsUntilMs,
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -26,6 +26,7 @@
 import type { ContactCheck } from './targets/contactCheck';
 import type { EngineProbes } from './targets/engineProbes';
 import type { PathMonitor } from './targets/pathMonitor';
+import type { PeerContacts } from './targets/peerContacts';
 import type { ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './front/headers';
 import type { WaitingStreams } from './streams/waitingStreams';
@@ -52,6 +53,7 @@
     'recordLoss' | 'getState' | 'isUnreachable' | 'checkSilence' | 'getSummary'
   >;
   readonly contacts: ContactCheck;
+  readonly peerContacts: Pick<PeerContacts, 'isHeardElsewhere'>;
   readonly relays: Omit<Relays, 'removeMissing'>;
   readonly crashes: Pick<
     CrashGuard,
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -16,6 +16,7 @@
 import * as RouteTables from './front/routeTable';
 import type { RouteTable } from './front/routeTable';
 import * as WaitingStreams from './streams/waitingStreams';
+import * as PeerContacts from './targets/peerContacts';
 import * as SilenceEvents from './targets/silenceEvents';
 import { settingsSchema } from './settings';
 import type { ForwardingSettings } from './settings';
@@ -24,6 +25,7 @@
 
 function createInstance(context: PluginContext, settings: ForwardingSettings): PluginInstance {
   const { clock, logEvent, nextRandom } = context;
+  const { zone } = context.process;
   const wire = context.getCapability('wire');
   const directory = context.getCapability('directory');
   const peers = context.getCapability('peers');
@@ -33,6 +35,8 @@
   const parts = Parts.createTargetParts(context, settings, log);
   const { connections, paths, registry, relays, notices, probes, crashes, limits, brittle } = parts;
   const origins = Parts.createOrigins(context, log);
+  const contactOptions = { clock, nextRandom, zone, peers, paths, log };
+  const peerContacts = PeerContacts.createPeerContacts(contactOptions);
   const stopController = new AbortController();
   let loops: Promise<unknown> | undefined;
   let routeTable: RouteTable | undefined;
@@ -55,7 +59,7 @@
     graceMs: settings.graceSeconds * MS_PER_SECOND,
   });
   const dependencies: ExchangeDependencies = {
-    zone: context.process.zone,
+    zone,
     clock,
     nextRandom,
     wire,
@@ -67,6 +71,7 @@
     registry,
     paths,
     contacts: parts.contacts,
+    peerContacts,
     relays,
     brittle,
     crashes,
@@ -91,7 +96,7 @@
     clientRetries: Decisions.createClientRetryDetector(),
   };
 
-  PluginHandlers.registerHandlers(context, { ...parts, origins, waits });
+  PluginHandlers.registerHandlers(context, { ...parts, origins, waits, peerContacts });
   peers.setRetryQuotaLender((query) => RetryQuotas.grantRetryQuota(dependencies, query));
 
   function applyDirectory(): void {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/silenceEvents.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/silenceEvents.ts
@@ -1,4 +1,4 @@
-/** Events 1950 to 1959: targets that fall silent while they run a request, and that go on. */
+/** Events 1950 to 1959: targets that fall silent, and what other routers hear of them. */
 import * as Kernel from '@sequoiarill/kernel';
 
 export const TARGET_SILENT = Kernel.defineEvent(
@@ -14,4 +14,17 @@
   'A target that was reported silent for a request goes on with it, after `silentMs`.',
 );
 
-export const SILENCE_EVENTS = [TARGET_SILENT, TARGET_SPOKE];
+export const HEARD_ELSEWHERE = Kernel.defineEvent(
+  1952,
+  'warn',
+  'path.heardElsewhere',
+  'No target of a service has been heard here for `silentMs`, while `router` in `zone` heard one `routerHeardAgeMs` ago: the path of this router is lost, and requests may go through another one.',
+);
+export const SILENT_ELSEWHERE = Kernel.defineEvent(
+  1953,
+  'warn',
+  'path.silentElsewhere',
+  'No target of a service has been heard here for `silentMs`, and no other router that was asked has heard one in the later part of that time: requests stay with their targets. `answers` has what each router said.',
+);
+
+export const SILENCE_EVENTS = [TARGET_SILENT, TARGET_SPOKE, HEARD_ELSEWHERE, SILENT_ELSEWHERE];
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -119,6 +119,8 @@
     setCrashHandlers: () => undefined,
     registerSelf: () => undefined,
     reportBrittle: async () => ({ kind: 'counted' }),
+    findContact: async () => ({ kind: 'failed', reason: 'unused' }),
+    setContactHandler: () => undefined,
     setBrittleHandler: () => undefined,
     reportOrigins: async () => ({ kind: 'counted' }),
     findOrigin: async () => ({ kind: 'unknown' }),
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -196,6 +196,24 @@
   readonly handleOriginQuery: (query: OriginQuery) => OriginReply;
 }
 
+/** Asks whether a router has heard targets of a service lately. */
+export interface ContactQuery {
+  readonly service: string;
+}
+
+export interface ContactReply {
+  /**
+   * Time since a target of the service answered the router itself, or sent it an event of a stream, milliseconds;
+   * absent if none ever has. Answers that came through another router do not count.
+   */
+  readonly heardAgeMs?: number;
+}
+
+/** `failed` says nothing about targets: a router of an earlier build does not know the call. */
+export type ContactOutcome =
+  | { readonly kind: 'contact'; readonly contact: ContactReply }
+  | { readonly kind: 'failed'; readonly reason: string };
+
 /** Capability `peers`: calls to the other routers that the directory lists. */
 export interface RouterPeers extends PartCalls {
   /** `IP:port` of the other routers, the local zone first, each group in random order. */
@@ -238,6 +256,10 @@
     records: readonly OriginRecord[],
   ) => Promise<CrashReportOutcome>;
   readonly findOrigin: (peer: string, query: OriginQuery) => Promise<OriginOutcome>;
+  /** Ends within about 150 ms, also where the peer does not respond. */
+  readonly findContact: (peer: string, query: ContactQuery) => Promise<ContactOutcome>;
+  /** Sets the function that answers `findContact` of other routers. Until then, nothing was heard. */
+  readonly setContactHandler: (handleQuery: (query: ContactQuery) => ContactReply) => void;
   readonly setOriginHandlers: (handlers: OriginHandlers) => void;
   readonly setPartHandlers: (handlers: PartHandlers) => void;
   /** Tells a peer what this router knows of its services, and learns what the peer knows of them. */
