Check a target before the answer to a router that asks whether any is heard

Cause: a router whose path is lost may be the only one with requests, as in lostPath.test.ts. The others have heard no target lately for want of an occasion, so their word would say that all targets are paused.

Change: a router that has heard no target of the service within 100 ms checks one before it answers, at most one in 300 ms for each service since a paused process keeps the connection of each check in its accept queue, and waits for it for 100 ms at most; the other router waits for 150 ms.

--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -52,7 +52,7 @@
   readonly grantRetryQuota: (request: RetryQuotaRequest) => number;
   readonly grantPermits: (request: PermitsRequest) => GrantedPermits;
   readonly handleBrittle: (report: BrittleReport) => void;
-  readonly handleContactQuery: (query: ContactQuery) => ContactReply;
+  readonly handleContactQuery: (query: ContactQuery) => ContactReply | Promise<ContactReply>;
   readonly handleReport: (report: RolloutReport) => RolloutGuidance;
   readonly handleRoom: (
     message: RoomMessage,
@@ -181,7 +181,7 @@
       .mutation(({ input }): OriginReply => options.handleOriginQuery(input)),
     findContact: procedure
       .input(Messages.contactQuerySchema)
-      .mutation(({ input }): ContactReply => options.handleContactQuery(input)),
+      .mutation(async ({ input }): Promise<ContactReply> => options.handleContactQuery(input)),
     lendPermits: procedure
       .input(Messages.permitsRequestSchema)
       .mutation(({ input }): GrantedPermits =>
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -53,7 +53,7 @@
     'recordLoss' | 'getState' | 'isUnreachable' | 'checkSilence' | 'getSummary'
   >;
   readonly contacts: ContactCheck;
-  readonly peerContacts: Pick<PeerContacts, 'isHeardElsewhere'>;
+  readonly peerContacts: PeerContacts;
   readonly relays: Omit<Relays, 'removeMissing'>;
   readonly crashes: Pick<
     CrashGuard,
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -96,7 +96,7 @@
     clientRetries: Decisions.createClientRetryDetector(),
   };
 
-  PluginHandlers.registerHandlers(context, { ...parts, origins, waits, peerContacts });
+  PluginHandlers.registerHandlers(context, { ...parts, origins, waits });
   peers.setRetryQuotaLender((query) => RetryQuotas.grantRetryQuota(dependencies, query));
 
   function applyDirectory(): void {
--- a/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
@@ -3,26 +3,26 @@
 
 import type { StreamOrigins } from './origins/streamOrigins';
 import type { TargetParts } from './pluginParts';
-import type { PeerContacts } from './targets/peerContacts';
+import * as ContactQueries from './targets/contactQueries';
 import type { WaitingStreams } from './streams/waitingStreams';
 
 /** Sets what other plug-ins and other routers ask of this one, apart from its retries. */
 export function registerHandlers(
-  { getCapability }: PluginContext,
+  { clock, nextRandom, getCapability }: PluginContext,
   parts: TargetParts &
-    Readonly<{
-      origins: StreamOrigins;
-      waits: Pick<WaitingStreams, 'dumpState'>;
-      peerContacts: Pick<PeerContacts, 'handleQuery'>;
-    }>,
+    Readonly<{ origins: StreamOrigins; waits: Pick<WaitingStreams, 'dumpState'> }>,
 ): void {
   const peers = getCapability('peers');
-  const { crashes, limits, brittle, registry, origins, waits, peerContacts } = parts;
+  const { crashes, limits, brittle, registry, origins, waits } = parts;
   peers.setCrashHandlers(crashes.contents.handlers);
   peers.setPartHandlers(crashes.parts.handlers);
   peers.setOriginHandlers(origins.handlers);
   peers.setPermitsLender(limits.grantPermits);
-  peers.setContactHandler(peerContacts.handleQuery);
+  const directory = getCapability('directory');
+  const { contacts, paths } = parts;
+  peers.setContactHandler(
+    ContactQueries.createContactQueryHandler({ clock, nextRandom, directory, paths, contacts }),
+  );
   peers.setBrittleHandler(brittle.handleReport);
   getCapability('rollouts').setInFlightCounter(registry.getInFlight);
   getCapability('room').setLineSource(waits.dumpState);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/peerContacts.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/peerContacts.test.ts
@@ -201,29 +201,3 @@
     expect([router, zone, routerHeardAgeMs, silentMs]).toEqual(['r1', 'a', 210, 3_005]);
   });
 });
-
-describe('answers to other routers about contacts', () => {
-  it('have the time since a target of the service was last heard here', async () => {
-    // Guards against a router without contact of its own that vouches for targets.
-    const { dependencies, clock } = Fakes.createFakeDependencies(() => []);
-    const { registry, paths } = dependencies;
-    const { handleQuery } = PeerContacts.createPeerContacts({
-      clock,
-      nextRandom: () => 0,
-      zone: 'a',
-      paths,
-      log: { logEvent: () => undefined },
-      peers: {
-        self: 'self',
-        listRouters: () => [],
-        findContact: async () => ({ kind: 'failed', reason: 'unused' }),
-      },
-    });
-    const target = Fakes.createTarget('s1');
-    expect(handleQuery({ service: target.service })).toEqual({});
-    registry.recordAlive(target);
-    await clock.runFor(70);
-    expect(handleQuery({ service: target.service })).toEqual({ heardAgeMs: 70 });
-    expect(handleQuery({ service: 'others' })).toEqual({});
-  });
-});
--- a/packages/sequoiarill-plugin-forwarding/src/targets/peerContacts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/peerContacts.ts
@@ -5,14 +5,7 @@
  * where something on the way accepts connections. A stream that is sent through another router in a pause has its
  * prompt read again; one that stays with its target on a lost path never goes on.
  */
-import type {
-  Clock,
-  ContactOutcome,
-  ContactQuery,
-  ContactReply,
-  RouterLocation,
-  RouterPeers,
-} from '@sequoiarill/types';
+import type { Clock, ContactOutcome, RouterLocation, RouterPeers } from '@sequoiarill/types';
 
 import type { RateLimitedLog } from '../rateLimitedLog';
 import type { PathMonitor } from './pathMonitor';
@@ -28,8 +21,6 @@
    * router may hear them a few milliseconds earlier.
    */
   readonly isHeardElsewhere: (service: string, sinceMs: number) => Promise<boolean>;
-  /** Answers the question of another router. */
-  readonly handleQuery: (query: ContactQuery) => ContactReply;
 }
 
 export interface PeerContactsOptions {
@@ -190,9 +181,5 @@
       else logHeard(service, sinceMs, heard);
       return heard !== undefined;
     },
-    handleQuery({ service }) {
-      const { heardAgeMs } = paths.getSummary(service);
-      return heardAgeMs === undefined ? {} : { heardAgeMs };
-    },
   };
 }
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -259,7 +259,9 @@
   /** Ends within about 150 ms, also where the peer does not respond. */
   readonly findContact: (peer: string, query: ContactQuery) => Promise<ContactOutcome>;
   /** Sets the function that answers `findContact` of other routers. Until then, nothing was heard. */
-  readonly setContactHandler: (handleQuery: (query: ContactQuery) => ContactReply) => void;
+  readonly setContactHandler: (
+    handleQuery: (query: ContactQuery) => ContactReply | Promise<ContactReply>,
+  ) => void;
   readonly setOriginHandlers: (handlers: OriginHandlers) => void;
   readonly setPartHandlers: (handlers: PartHandlers) => void;
   /** Tells a peer what this router knows of its services, and learns what the peer knows of them. */
