Answer other routers with a word of at most 100 ms where targets answer checks

Cause: with one check in 300 ms, a router without requests returned ages of up to 300 ms, which count as old for a silence of less than 600 ms.

Change: a check that was followed by a sign of a target allows the next one as soon as that sign is older than 100 ms. Checks that nothing followed keep their interval of 300 ms.

--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/contactQueries.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/contactQueries.test.ts
@@ -86,6 +86,17 @@
     expect(checked.length).toEqual(20);
   });
 
+  it('are no older than 100 ms where targets answer', async () => {
+    // Guards against an old word that looks like a pause to a router that fell silent just now.
+    const { clock, handleQuery } = createHandler(0);
+    for (let question = 0; question < 20; question += 1) {
+      const answer = handleQuery(QUERY);
+      await clock.runFor(0);
+      expect((await answer).heardAgeMs ?? LIMIT_MS + 1).toBeLessThanOrEqual(LIMIT_MS);
+      await clock.runFor(70);
+    }
+  });
+
   it('say that nothing was heard of a service without targets', async () => {
     const { checked, setTargets, handleQuery } = createHandler(CHECK_MS);
     setTargets([]);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/peerContacts.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/peerContacts.test.ts
@@ -10,6 +10,8 @@
 const SERVICE = 'engines';
 const CALL_MS = 5;
 const TIMEOUT_MS = 150;
+/** Time for which questions share a round. */
+const ROUND_MS = 100;
 
 type Line = Readonly<Record<string, unknown>>;
 
@@ -133,7 +135,7 @@
       expect(far.length).toEqual(2);
       expect(new Set(far).size).toEqual(2);
       expect(far).not.toInclude('a');
-      await clock.runFor(PeerContacts.ROUND_TTL_MS);
+      await clock.runFor(ROUND_MS);
     }
   });
 
@@ -155,7 +157,7 @@
     const { clock, contacts, asked } = createContacts({ r1: { heardAtMs: 990 } });
     await clock.runFor(1_000);
     const questions = [500, 400, 950].map((sinceMs) => contacts.isHeardElsewhere(SERVICE, sinceMs));
-    await clock.runFor(PeerContacts.ROUND_TTL_MS - 10);
+    await clock.runFor(ROUND_MS - 10);
     questions.push(contacts.isHeardElsewhere(SERVICE, 600));
     // Each question is judged by its own silence.
     expect(await Promise.all(questions)).toEqual([true, true, false, true]);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/contactQueries.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/contactQueries.ts
@@ -23,10 +23,10 @@
 /** Most engines answer a probe within 5 ms; the other router waits for 150 ms. */
 const MAX_WAIT_MS = 100;
 /**
- * At most one target is checked in this time for each service. A paused process keeps the connection of each check
- * in its accept queue, also while hundreds of routers ask each other.
+ * At most one target is checked in this time for each service while none is heard. A paused process keeps the
+ * connection of each check in its accept queue, also while hundreds of routers ask each other.
  */
-export const CHECK_INTERVAL_MS = 300;
+const CHECK_INTERVAL_MS = 300;
 
 interface Check {
   readonly startedMs: number;
@@ -51,17 +51,18 @@
     return check;
   }
 
-  function getCheck(service: string): Check | undefined {
+  /** `ageMs`: time since a target was last heard. */
+  function getCheck(service: string, ageMs: number): Check | undefined {
     const last = checks.get(service);
-    const isRecent =
-      last !== undefined && clock.getRunningMs() - last.startedMs < CHECK_INTERVAL_MS;
+    const sinceCheckMs = last === undefined ? 0 : clock.getRunningMs() - last.startedMs;
+    const isRecent = last !== undefined && sinceCheckMs < CHECK_INTERVAL_MS && ageMs > sinceCheckMs;
     return isRecent ? last : startCheck(service);
   }
 
   return async function handleContactQuery({ service }) {
-    const getAgeMs = () => paths.getSummary(service).heardAgeMs;
-    if ((getAgeMs() ?? Number.POSITIVE_INFINITY) > FRESH_MS) await getCheck(service)?.ended;
-    const heardAgeMs = getAgeMs();
+    const { heardAgeMs: ageMs = Number.POSITIVE_INFINITY } = paths.getSummary(service);
+    if (ageMs > FRESH_MS) await getCheck(service, ageMs)?.ended;
+    const { heardAgeMs } = paths.getSummary(service);
     return heardAgeMs === undefined ? {} : { heardAgeMs };
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/peerContacts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/peerContacts.ts
@@ -36,7 +36,7 @@
 /** One near and two of other zones: the path of a whole zone may be lost, or a router may be gone. */
 const ROUTERS_ASKED = 3;
 /** With this, a router asks at most three others every 100 ms for each silent service. */
-export const ROUND_TTL_MS = 100;
+const ROUND_TTL_MS = 100;
 /**
  * A word counts if it is younger than this share of the silence here. Targets that are paused together do not stop in
  * the same moment, and their last events are read at different times.
