Do not eject engines for unanswered probes

Cause: an unanswered probe counted as a failure of the engine. Three of them ejected it for two seconds, followed by a warm-up of ten, in which one more ejected it for twice as long. A common pause of 1.3 s so took half of the engines out for seconds after it had ended, and their later answers did not undo it. Besides, the suspicion of a zone outlasted the answers of its targets: 250 ms after an answer, a target was suspected again for losses from before that answer.

Change: an unanswered probe makes the engine suspect (and the path doubted) as before and is no failure. A probe whose connection is refused or breaks still is, as are lost runs. A target that has answered after the losses of its zone is not suspected for them.

Refused probes eject as before.

The placement of prompts by load reports does not read the ejections; they affect plain requests, and streams placed while no engine answers a report.

--- a/packages/sequoiarill-decisions/src/__tests__/suspectTracker.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/suspectTracker.test.ts
@@ -29,6 +29,19 @@
     expect(tracker.isSuspect(createLocation('a4'), 2_100)).toEqual(false);
   });
 
+  it('trusts a target that has answered after the losses of its zone', () => {
+    // Guards against engines without new requests for a second after a common pause that they have ended.
+    const tracker = SuspectTrackers.createSuspectTracker();
+    for (const id of ['a1', 'a2', 'a3', 'a4']) tracker.recordLoss(createLocation(id), 1_000);
+    tracker.recordAlive(createLocation('a1'), 1_050);
+    tracker.recordLoss(createLocation('b1', 'b'), 1_400);
+    expect(tracker.isSuspect(createLocation('a1'), 1_500)).toEqual(false);
+    expect(tracker.isSuspect(createLocation('a2'), 1_500)).toEqual(true);
+    // Three more losses: the zone was lost after the answer.
+    for (const id of ['a2', 'a3', 'a4']) tracker.recordLoss(createLocation(id), 1_600);
+    expect(tracker.isSuspect(createLocation('a1'), 1_700)).toEqual(true);
+  });
+
   it('treats losses at different times as ordinary crashes', () => {
     const tracker = SuspectTrackers.createSuspectTracker();
     tracker.recordLoss(createLocation('a1'), 1_000);
--- a/packages/sequoiarill-decisions/src/suspectTracker.ts
+++ b/packages/sequoiarill-decisions/src/suspectTracker.ts
@@ -51,7 +51,7 @@
 const MIN_UNVERIFIED_LOSSES = 2;
 /** Time for which the rest of such a zone is suspected after the last loss. */
 const ZONE_SUSPECT_MS = 1_000;
-/** A target with liveness evidence this recent is not suspected with its zone. */
+/** A target with liveness evidence this recent, or from after the last loss, is not suspected with its zone. */
 const ALIVE_MS = 250;
 
 interface ZoneRecord {
@@ -81,7 +81,7 @@
 
   function removeExpired(nowMs: number): void {
     for (const [id, untilMs] of suspectUntil) if (untilMs <= nowMs) suspectUntil.delete(id);
-    for (const [id, atMs] of aliveAt) if (nowMs - atMs > ALIVE_MS) aliveAt.delete(id);
+    for (const [id, atMs] of aliveAt) if (nowMs - atMs > ZONE_SUSPECT_MS) aliveAt.delete(id);
   }
 
   return {
@@ -129,9 +129,12 @@
     },
     isSuspect(target, nowMs) {
       if ((suspectUntil.get(target.id) ?? 0) > nowMs) return true;
-      if (getZone(target).suspectUntilMs <= nowMs) return false;
+      const { suspectUntilMs, lostAtMs } = getZone(target);
+      if (suspectUntilMs <= nowMs) return false;
       const aliveAtMs = aliveAt.get(target.id);
-      return aliveAtMs === undefined || nowMs - aliveAtMs > ALIVE_MS;
+      if (aliveAtMs === undefined) return true;
+      // Losses of a zone that is silent for a moment say nothing of a target that has answered since.
+      return aliveAtMs <= lostAtMs && nowMs - aliveAtMs > ALIVE_MS;
     },
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
@@ -13,6 +13,8 @@
   readonly body?: string;
   readonly headers?: readonly RawHeader[];
   readonly limitMs: number;
+  /** Called when the connection was refused or ended before the response was complete. */
+  readonly recordBroken?: () => void;
 }
 
 export interface EngineResponse {
@@ -31,7 +33,7 @@
   connections: Pick<TargetConnections, 'takeConnection'>,
   notices: Pick<TargetNotices, 'recordHead' | 'recordStart' | 'isResting'>,
 ): EngineCaller {
-  return async (target, { method, path, body, headers = [], limitMs }) => {
+  return async (target, { method, path, body, headers = [], limitMs, recordBroken }) => {
     if (notices.isResting(target)) return undefined;
     const call = TargetCalls.openCall({
       connection: connections.takeConnection(target),
@@ -53,6 +55,7 @@
       else if (event.kind === 'data') chunks.push(event.chunk);
       else {
         call.cancel();
+        if (event.kind === 'broken') recordBroken?.();
         if (event.kind !== 'end' || head === undefined) return undefined;
         return { head, text: Buffer.concat(chunks).toString('utf8') };
       }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineProbes.ts
@@ -40,7 +40,7 @@
   readonly notices: Pick<TargetNotices, 'recordLeaving' | 'isResting'>;
 }
 
-/** An engine without a response by then counts as lost; most respond within 5 ms. */
+/** An engine without a response by then is suspected to be down; most respond within 5 ms. */
 const PROBE_TIMEOUT_MS = 250;
 /** A report of this age is as good as a new one: engines update their counts every 100 ms. */
 const REPORT_TTL_MS = 40;
@@ -65,6 +65,23 @@
     return callEngine(target, { method: 'GET', path, limitMs });
   }
 
+  /** A refused or broken connection is a failure of the engine; the lack of an answer is none yet. */
+  async function readReportResponse(target: ForwardingTarget) {
+    let isBroken = false;
+    const response = await callEngine(target, {
+      method: 'GET',
+      path: wire.reportPath,
+      limitMs: PROBE_TIMEOUT_MS,
+      recordBroken() {
+        isBroken = true;
+      },
+    });
+    if (response !== undefined || notices.isResting(target)) return response;
+    if (isBroken) registry.recordLoss(target);
+    else registry.recordSilence(target);
+    return undefined;
+  }
+
   function isIdentityUncertain(target: ForwardingTarget): boolean {
     if (registry.isUnverified(target)) return true;
     if (directory.isUpToDate()) return false;
@@ -120,11 +137,7 @@
   }
 
   async function readVerifiedReport(target: ForwardingTarget): Promise<EngineReport | undefined> {
-    const [response, id] = await Promise.all([
-      readPath(target, wire.reportPath),
-      findCurrentId(target),
-    ]);
-    if (response === undefined && !notices.isResting(target)) registry.recordLoss(target);
+    const [response, id] = await Promise.all([readReportResponse(target), findCurrentId(target)]);
     const report = response?.head.status === OK ? wire.decodeReport(response.text) : undefined;
     if (id === target.id) return isOfIncarnation(target, report) ? report : undefined;
     const isUsable = report !== undefined && !report.isLeaving;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetRegistry.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetRegistry.ts
@@ -1,6 +1,6 @@
 /** This router's view of the targets: its own in-flight requests, failures, and recent losses. */
 import * as Decisions from '@sequoiarill/decisions';
-import type { TargetView } from '@sequoiarill/decisions';
+import type { SuspectTracker, TargetView } from '@sequoiarill/decisions';
 import type { EngineReport, ForwardingTarget } from '@sequoiarill/types';
 
 import * as LazyGetters from '../lazyGetter';
@@ -25,8 +25,14 @@
   readonly recordSuccess: (target: ForwardingTarget) => void;
   /** A failure that is no evidence about other targets of the zone, such as a full queue. */
   readonly recordFailure: (target: ForwardingTarget) => void;
-  /** A refused or broken connection, a silence, or a damaged response. */
+  /** A refused or broken connection, a lost run, or a damaged response. */
   readonly recordLoss: (target: ForwardingTarget) => void;
+  /**
+   * A probe without an answer in time. The target is suspected until it answers or the suspicion expires, but not
+   * ejected: an ejection would outlast a pause by seconds, and the common pause of a service's targets would leave
+   * half of them with all of the load.
+   */
+  readonly recordSilence: (target: ForwardingTarget) => void;
   /**
    * Another incarnation of the target, or another target, has its address now: this one is removed.
    */
@@ -81,6 +87,16 @@
   };
 }
 
+function recordSuspicion(
+  target: ForwardingTarget,
+  suspects: Pick<SuspectTracker, 'recordLoss'>,
+  paths: Pick<PathMonitor, 'recordLoss'>,
+  nowMs: number,
+): void {
+  suspects.recordLoss(target, nowMs);
+  paths.recordLoss(target);
+}
+
 function countTokens(sends: readonly UnreportedSend[]): number {
   return sends.reduce((sum, { tokens }) => sum + tokens, 0);
 }
@@ -170,9 +186,9 @@
     },
     recordLoss(target) {
       getDetector(target.service).recordFailure(target.id, getNowMs());
-      suspects.recordLoss(target, getNowMs());
-      paths.recordLoss(target);
+      recordSuspicion(target, suspects, paths, getNowMs());
     },
+    recordSilence: (target) => recordSuspicion(target, suspects, paths, getNowMs()),
     recordReplacement(target) {
       suspects.recordRemoval(target, getNowMs());
     },
