--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -7,15 +7,14 @@
   BlockExchangeOutcome,
   BrittleReport,
   Clock,
+  ContactOutcome,
+  ContactQuery,
   ContentAnswer,
   ContentBlock,
   Crash,
   CrashReportOutcome,
   GuidanceOutcome,
   HeaderNames,
-  OriginOutcome,
-  OriginQuery,
-  OriginRecord,
   PartCalls,
   RetryQuotaOutcome,
   RetryQuotaRequest,
@@ -28,6 +27,9 @@
 import * as TrpcClient from '@trpc/client';
 import * as Undici from 'undici';
 
+import * as ContactClients from './contactClient';
+import * as OriginClients from './originClient';
+import type { OriginCalls } from './originClient';
 import * as PartClients from './partClient';
 import * as PeerCalls from './peerCall';
 import * as Messages from './peerMessages';
@@ -35,7 +37,7 @@
 import type { PeerRouter } from './peerServer';
 import * as RoomMessages from './roomMessages';
 
-export interface PeerClient extends PartCalls {
+export interface PeerClient extends PartCalls, OriginCalls {
   readonly readRecords: (address: string, query: RecordsQuery) => Promise<RecordsOutcome>;
   readonly acquireRetryQuota: (
     address: string,
@@ -56,11 +58,7 @@
     blocks: readonly ContentBlock[],
   ) => Promise<BlockExchangeOutcome>;
   readonly acquirePermits: (address: string, request: PermitsRequest) => Promise<PermitsOutcome>;
-  readonly reportOrigins: (
-    address: string,
-    records: readonly OriginRecord[],
-  ) => Promise<CrashReportOutcome>;
-  readonly findOrigin: (address: string, query: OriginQuery) => Promise<OriginOutcome>;
+  readonly findContact: (address: string, query: ContactQuery) => Promise<ContactOutcome>;
   readonly exchangeRoom: (address: string, message: RoomMessage) => Promise<RoomOutcome>;
   readonly close: () => Promise<void>;
 }
@@ -72,8 +70,6 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Short, because a caller's stream is stalled meanwhile; another peer can be queried. */
 const QUOTA_TIMEOUT_MS = 80;
-/** A caller waits meanwhile, and is refused without the reply; a busy router needs longer than an idle one. */
-const ORIGIN_TIMEOUT_MS = 250;
 /** A request that waits for updates must not delay another one. */
 const CONNECTIONS_PER_PEER = 2;
 
@@ -81,6 +77,7 @@
   headerNames: Pick<HeaderNames, 'expectedTarget'>,
   { getRunningMs }: Pick<Clock, 'getRunningMs'>,
   quotaTimeoutMs = QUOTA_TIMEOUT_MS,
+  contactTimeoutMs = ContactClients.CONTACT_TIMEOUT_MS,
 ): PeerClient {
   const dispatcher = new Undici.Agent({
     connections: CONNECTIONS_PER_PEER,
@@ -92,12 +89,18 @@
    * has sent. The expected target in the header is the address of the router. No target has such an
    * id, so all targets refuse the call.
    */
-  async function sendCall(url: string, body: string, timeoutMs: number) {
+  async function sendCall(
+    url: string,
+    body: string,
+    timeoutMs: number,
+    recordTimeout?: () => void,
+  ) {
     const timeout = new AbortController();
     let stopTimer: (() => void) | undefined;
     // undici rejects an aborted request only once it has a connection or fails to get one.
     const timedOut = new Promise<never>((_resolve, reject) => {
       stopTimer = Kernel.startRunningTimer(getRunningMs, timeoutMs, () => {
+        recordTimeout?.();
         const error = new Error(`no response within ${timeoutMs} ms`);
         timeout.abort(error);
         reject(error);
@@ -129,10 +132,11 @@
     };
   }
 
-  function createPeerCaller(address: string, timeoutMs: number) {
+  function createPeerCaller(address: string, timeoutMs: number, recordTimeout?: () => void) {
     const link = TrpcClient.httpLink<PeerRouter>({
       url: `http://${address}`,
-      fetch: (input, init) => sendCall(String(input), String(init?.body ?? ''), timeoutMs),
+      fetch: (input, init) =>
+        sendCall(String(input), String(init?.body ?? ''), timeoutMs, recordTimeout),
     });
     return TrpcClient.createTRPCClient<PeerRouter>({ links: [link] });
   }
@@ -185,18 +189,8 @@
         return { kind: 'blocks', blocks: Messages.blocksSchema.parse(response).blocks };
       }),
     ...PartClients.createPartCalls(createPeerCaller, CALL_TIMEOUT_MS),
-    reportOrigins: (address, records) =>
-      PeerCalls.runCall(async () => {
-        const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
-        await caller.reportOrigins.mutate({ records: records.slice(0, Messages.MAX_ORIGINS) });
-        return { kind: 'counted' };
-      }),
-    findOrigin: (address, { services, ...key }) =>
-      PeerCalls.runCall(async () => {
-        const caller = createPeerCaller(address, ORIGIN_TIMEOUT_MS);
-        const query = { ...key, services: [...services] };
-        return Messages.decodeOriginReply(await caller.findOrigin.mutate(query));
-      }),
+    findContact: ContactClients.createContactCall(createPeerCaller, contactTimeoutMs),
+    ...OriginClients.createOriginCalls(createPeerCaller, CALL_TIMEOUT_MS),
     exchangeRoom: (address, message) =>
       PeerCalls.runCall(async () => {
         const caller = createPeerCaller(address, CALL_TIMEOUT_MS);
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -12,16 +12,17 @@
 
 import type { RawHeader } from '../front/headers';
 import type { ForwardingDependencies } from '../dependencies';
-import * as ContactChecks from '../targets/contactCheck';
 import type { TargetContact } from '../targets/contactCheck';
 import * as PathMonitors from '../targets/pathMonitor';
 import * as BrittleTargets from '../limits/brittleTargets';
 import * as Relays from '../relay/relays';
 import * as RetryQuotas from '../retryQuota';
+import * as SharedProbes from '../targets/sharedProbe';
 import * as TargetRegistries from '../targets/targetRegistry';
 import type { TargetCall } from '../targets/targetCall';
 import * as WaitingStreams from '../streams/waitingStreams';
 import * as FakeCalls from './fakeCalls';
+import * as FakeContacts from './fakeContacts';
 import * as FakeRooms from './fakeRoom';
 import type { FakeRoom } from './fakeRoom';
 import { CONFIGURATION } from './fakeConfiguration';
@@ -47,6 +48,7 @@
 /** For tests of what does not depend on paths. */
 export const UNUSED_PATHS = { recordHeard: () => undefined, recordLoss: () => undefined };
 const PROBE_TIMEOUT_MS = 300;
+const PROBE_ANSWER_TIMEOUT_MS = 1_000;
 
 /** Duration of a copy of a KV cache. */
 const COPY_MS = 100;
@@ -71,11 +73,12 @@
   readonly rateLimited: Set<string>;
   /** Ids of targets that do not answer probes. */
   readonly unreachable: Set<string>;
-  /**
-   * Results of contact checks, by id of the target; without one, an engine that has a report and is not `unreachable`
-   * answers, and others are not reached.
-   */
+  /** Results of contact checks, by id; without one, only an engine with a report answers, unless it is `unreachable`. */
   readonly contacts: Map<string, TargetContact>;
+  /** End of the pause of a target that accepts connections and answers no probe until then, monotonic milliseconds. */
+  readonly pausedUntilMs: Map<string, number>;
+  /** Services of which other routers hear targets, whenever they are asked. */
+  readonly heardElsewhere: Set<string>;
   /** Other routers that take requests. */
   readonly otherRouters: RouterLocation[];
   /** Relay addresses of routers that are no longer reached. */
@@ -103,6 +106,8 @@
   const rateLimited = new Set<string>();
   const unreachable = new Set<string>();
   const contacts = new Map<string, TargetContact>();
+  const pausedUntilMs = new Map<string, number>();
+  const heardElsewhere = new Set<string>();
   const goneRouters = new Set<string>();
   const otherRouters: RouterLocation[] = [];
   const restsUntilMs = new Map<string, number>();
@@ -143,32 +148,21 @@
     nextRandom,
     directory,
     log,
-    async checkTarget({ id }) {
-      if (!unreachable.has(id)) return true;
-      await clock.waitMs(PROBE_TIMEOUT_MS);
-      return false;
-    },
+    checkTarget: SharedProbes.createSharedProbe(clock, async ({ id }) => {
+      if (unreachable.has(id)) {
+        await clock.waitMs(PROBE_TIMEOUT_MS);
+        return 'silent';
+      }
+      const leftMs = (pausedUntilMs.get(id) ?? 0) - clock.getNowMs();
+      if (leftMs > 0) await clock.waitMs(Math.min(leftMs, PROBE_ANSWER_TIMEOUT_MS));
+      return leftMs > PROBE_ANSWER_TIMEOUT_MS ? 'accepted' : 'answered';
+    }),
     onRegained: (service) => registry.removeLosses(directory.listTargets(service)),
   });
-  const getContact = (id: string): TargetContact =>
-    contacts.get(id) ?? (unreachable.has(id) || !reports.has(id) ? 'unreachable' : 'answers');
-  const { connectMs, answerMs } = ContactChecks.CONTACT_TIMEOUTS;
-  const contactCheck = ContactChecks.createContactCheck({
-    clock,
-    async readContact({ id }) {
-      const contact = getContact(id);
-      if (contact === 'unreachable') await clock.waitMs(connectMs);
-      if (contact === 'accepts') await clock.waitMs(answerMs);
-      return contact;
-    },
-    async checkExit({ id }) {
-      const contact = getContact(id);
-      if (contact === 'unreachable') await clock.waitMs(ContactChecks.CONNECTION_TIMEOUT_MS);
-      if (contact === 'refuses') return 'ended';
-      return contact === 'unreachable' ? 'silent' : 'alive';
-    },
-    notices: { isResting },
-  });
+  const isReached = (id: string) => reports.has(id) && !unreachable.has(id);
+  const getContact = (id: string) =>
+    contacts.get(id) ?? (isReached(id) ? 'answers' : 'unreachable');
+  const contactCheck = FakeContacts.createFakeContactCheck({ clock, getContact, isResting });
   function recordCall(target: string, extraHeaders: readonly RawHeader[]): TargetCall {
     const headers = Object.fromEntries(extraHeaders);
     const record = { target, headers, atMs: clock.getNowMs(), isCancelled: false };
@@ -209,8 +203,7 @@
     countRouters: () => 1,
     startedMs: 0,
   });
-  const promptEstimates = Decisions.createPromptEstimates();
-  const runEstimates = Decisions.createRunEstimates();
+  const estimates = [Decisions.createPromptEstimates(), Decisions.createRunEstimates()] as const;
   const admission = Decisions.createLatencyAdmission({ nextRandom });
   const peers: ForwardingDependencies['peers'] = {
     listNearest: () => [...peerRetryQuota.keys()],
@@ -239,6 +232,7 @@
     registry,
     paths,
     contacts: contactCheck,
+    peerContacts: { isHeardElsewhere: async (service) => heardElsewhere.has(service) },
     relays,
     crashes: {
       findBlock: () => undefined,
@@ -273,8 +267,8 @@
     log,
     metrics: Kernel.createMetrics(undefined, {}),
     getAdmission: () => admission,
-    getPromptEstimates: () => promptEstimates,
-    getRunEstimates: () => runEstimates,
+    getPromptEstimates: () => estimates[0],
+    getRunEstimates: () => estimates[1],
     getBudget: () => budget,
     getStallPolicy: () => policy,
     openCall: (_request, target, extraHeaders) => recordCall(target.id, extraHeaders),
@@ -308,6 +302,8 @@
     rateLimited,
     unreachable,
     contacts,
+    pausedUntilMs,
+    heardElsewhere,
     otherRouters,
     goneRouters,
     restsUntilMs,
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -27,6 +27,7 @@
 import type { ContactCheck } from './targets/contactCheck';
 import type { EngineProbes } from './targets/engineProbes';
 import type { PathMonitor } from './targets/pathMonitor';
+import type { PeerContacts } from './targets/peerContacts';
 import type { ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './front/headers';
 import type { WaitingStreams } from './streams/waitingStreams';
@@ -50,9 +51,10 @@
   readonly registry: TargetRegistry;
   readonly paths: Pick<
     PathMonitor,
-    'recordLoss' | 'getState' | 'isUnreachable' | 'checkSilence' | 'getSummary'
+    'recordLoss' | 'getState' | 'isUnreachable' | 'checkSilence' | 'checkAnswers' | 'getSummary'
   >;
   readonly contacts: ContactCheck;
+  readonly peerContacts: PeerContacts;
   readonly relays: Omit<Relays, 'removeMissing'>;
   readonly crashes: Pick<
     CrashGuard,
--- a/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/originSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/originSimulation.ts
@@ -86,10 +86,12 @@
     from: SimulatedRouter,
     to: string,
     call: (handlers: OriginHandlers) => Outcome,
-  ): Promise<Outcome | { readonly kind: 'failed'; readonly reason: string }> {
+  ): Promise<Outcome | Extract<OriginOutcome, { kind: 'failed' }>> {
     await clock.waitMs(HOP_MS);
     const router = routers.get(to);
-    if (router?.isReached !== true || !from.isReached) return { kind: 'failed', reason: 'gone' };
+    if (router === undefined) return { kind: 'failed', reason: 'gone' };
+    const isReached = router.isReached && from.isReached;
+    if (!isReached) return { kind: 'failed', reason: 'no response', isSilent: true };
     return call(router.origins.handlers);
   }
 
--- a/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/streamOrigins.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/streamOrigins.test.ts
@@ -133,6 +133,22 @@
     expect(found).toEqual({ kind: 'unknown', isTemporary: true, asked: 2, answered: 0 });
   });
 
+  it('is refused only for a moment where a router that may know it does not answer', async () => {
+    // Guards against streams that are lost for good because the routers that know them are paused for a moment.
+    const simulation = Simulation.createSimulation();
+    simulation.setTargets([...OLD, ...NEW]);
+    const [first, second, third] = await startRouters(simulation, 1);
+    const attempt = Simulation.createAttempt('s2', 's1');
+    const known = await findOrigin(simulation, first, attempt);
+    expect(known).toEqual({ kind: 'unknown', isTemporary: false, asked: 2, answered: 2 });
+    second.isReached = false;
+    const partly = await findOrigin(simulation, first, attempt);
+    expect(partly).toEqual({ kind: 'unknown', isTemporary: true, asked: 2, answered: 1 });
+    [third, second].forEach((router) => Object.assign(router ?? {}, { isReached: false }));
+    const silent = await findOrigin(simulation, first, attempt);
+    expect(silent).toEqual({ kind: 'unknown', isTemporary: true, asked: 2, answered: 0 });
+  });
+
   it('is known during an outage of the store', async () => {
     // Guards against refusals of all streams of a router that ends while the store is away.
     const simulation = Simulation.createSimulation();
--- a/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
@@ -36,7 +36,7 @@
     }
   | {
       readonly kind: 'unknown';
-      /** Whether this router may know more in a moment. */
+      /** Whether this router, or one that did not answer, may know more in a moment. */
       readonly isTemporary: boolean;
       /** Routers that were asked, and those that answered. */
       readonly asked: number;
@@ -140,10 +140,12 @@
     const ranked = Decisions.selectOriginHolders(peers.listRouters(), query.requestId);
     const asked = ranked.filter((router) => router !== peers.self).slice(0, ROUTERS_ASKED);
     let answered = 0;
+    let silent = 0;
     const found = await findFirst(
       asked.map(async (router) => {
         const outcome = await peers.findOrigin(router, query);
         if (outcome.kind !== 'failed') answered += 1;
+        else if (outcome.isSilent === true) silent += 1;
         return outcome;
       }),
     );
@@ -151,7 +153,8 @@
     // The directory may have become complete, or a report may have arrived meanwhile.
     const foundHere = findHere(query);
     if (foundHere !== undefined) return foundHere;
-    const isTemporary = !wasUpToDate || !directory.isUpToDate();
+    // A router that did not answer in time may know the stream; one that has terminated knows nothing.
+    const isTemporary = silent > 0 || !wasUpToDate || !directory.isUpToDate();
     return { kind: 'unknown', isTemporary, asked: asked.length, answered };
   }
 
--- a/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
@@ -3,11 +3,12 @@
 
 import type { StreamOrigins } from './origins/streamOrigins';
 import type { TargetParts } from './pluginParts';
+import * as ContactQueries from './targets/contactQueries';
 import type { WaitingStreams } from './streams/waitingStreams';
 
 /** Sets what other plug-ins and other routers ask of this one, apart from its retries. */
 export function registerHandlers(
-  { getCapability }: PluginContext,
+  { clock, nextRandom, getCapability }: PluginContext,
   parts: TargetParts &
     Readonly<{ origins: StreamOrigins; waits: Pick<WaitingStreams, 'dumpState'> }>,
 ): void {
@@ -17,6 +18,11 @@
   peers.setPartHandlers(crashes.parts.handlers);
   peers.setOriginHandlers(origins.handlers);
   peers.setPermitsLender(limits.grantPermits);
+  const directory = getCapability('directory');
+  const { contacts, paths } = parts;
+  peers.setContactHandler(
+    ContactQueries.createContactQueryHandler({ clock, nextRandom, directory, paths, contacts }),
+  );
   peers.setBrittleHandler(brittle.handleReport);
   getCapability('rollouts').setInFlightCounter(registry.getInFlight);
   getCapability('room').setLineSource(waits.dumpState);
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -35,6 +35,7 @@
 import * as TargetCalls from './targets/targetCall';
 import * as TargetConnections from './targets/targetConnections';
 import * as TargetNotices from './targets/targetNotices';
+import * as SharedProbes from './targets/sharedProbe';
 import * as TargetProbes from './targets/targetProbe';
 import * as TargetRegistries from './targets/targetRegistry';
 
@@ -121,7 +122,7 @@
     clock,
     nextRandom,
     directory,
-    checkTarget: async (target) => (await checkAnswer(target)) === 'answered',
+    checkTarget: SharedProbes.createSharedProbe(clock, checkAnswer),
     ...listeners,
   });
 }
@@ -291,7 +292,10 @@
     relays,
     brittle,
     heldBudget: createHeldBudget(context, settings, log),
-    copyCommands: CopyCommands.createCopyCommands(wire, callEngine),
+    targetCalls: {
+      ...CopyCommands.createCopyCommands(wire, callEngine),
+      checkExit: ExitChecks.createExitCheck(clock),
+    },
     crashes: createCrashGuard(context, log, {
       checkAnswer,
       checkOthers: paths.checkOthers,
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
@@ -1,4 +1,5 @@
 /** Gets the answer to a non-streaming request through other routers. */
+import * as NextSends from '../answers/nextSend';
 import type { ForwardingDependencies } from '../dependencies';
 import * as ForwardRequests from '../forwardRequest';
 import type { ForwardOutcome, ForwardRequest, PassedOutcome } from '../forwardRequest';
@@ -12,6 +13,8 @@
   sends: number;
   mayHaveRun: boolean;
   lastReason: string;
+  /** A repeat of the budget is taken for the next send. */
+  isRetryTaken?: boolean;
 }
 
 /** Where the other router names no time. */
@@ -36,13 +39,18 @@
     const targetsLeft = request.route.maxTargets - progress.sends;
     const hop = chooseHop(tried);
     if (hop === undefined || targetsLeft <= 0) return undefined;
-    if (progress.sends > 0 && !takeRetry(dependencies, request)) return undefined;
+    if (!hasRepeat(dependencies, request, progress)) return undefined;
     const { router, target } = hop;
     tried.add(router.address);
-    const options = { targetsLeft, target };
+    // A request to a brittle target is sent once.
+    const mayLeave = () =>
+      target === undefined && isNextPossible(dependencies, request, progress, tried);
+    const options = { targetsLeft, target, mayLeave };
     const outcome = await RelayAttempts.relayAnswer(dependencies, request, router, options);
     RelayAttempts.recordOutcome(dependencies, request, router, outcome);
     if (outcome.kind === 'callerLeft') return outcome;
+    // A hop that reached no target leaves its repeat to the next send.
+    if (isUntaken(outcome)) progress.isRetryTaken = progress.sends > 0;
     const end = decideEnd(request, progress, outcome);
     if (end !== undefined) return end;
     if (outcome.kind === 'notSent') unanswered += 1;
@@ -50,8 +58,30 @@
   return undefined;
 }
 
-function takeRetry({ getBudget, clock }: ForwardingDependencies, { service }: ForwardRequest) {
-  return getBudget(service).takeRetry(clock.getNowMs());
+/** The first send needs none. */
+function hasRepeat(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: RelayProgress,
+): boolean {
+  return progress.sends === 0 || NextSends.takeRetry(dependencies, request, progress);
+}
+
+/** Whether the request could be sent once more after the hop that is under way. */
+function isNextPossible(
+  { getBudget, clock, relays }: ForwardingDependencies,
+  request: ForwardRequest,
+  { sends }: RelayProgress,
+  tried: ReadonlySet<string>,
+): boolean {
+  const { retryPolicy, maxTargets } = request.route;
+  if (retryPolicy === 'once' || sends + 1 >= maxTargets) return false;
+  if (getBudget(request.service).getBalance(clock.getNowMs()) < 1) return false;
+  return relays.chooseRouter(tried) !== undefined || !relays.isDue(request);
+}
+
+function isUntaken({ kind }: RelayOutcome | PassedOutcome): boolean {
+  return kind === 'notSent' || kind === 'refused';
 }
 
 /** Undefined where another router may be asked. */
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -24,6 +24,8 @@
   | { readonly kind: 'untaken' };
 
 const STATUS_OK = 200;
+/** Short beside the gaps after which a caller leaves a stream. */
+const REFUSED_PAUSE_MS = 200;
 
 export async function* relayThroughRouters(
   dependencies: ForwardingDependencies,
@@ -38,8 +40,14 @@
     const router = relays.chooseRouter(tried);
     if (router === undefined) break;
     tried.add(router.address);
-    const outcome = yield* relayThroughRouter(dependencies, request, router, progress);
+    const outcome = yield* relayThroughRouter(dependencies, request, router, { progress, tried });
     RelayAttempts.recordOutcome(dependencies, request, router, outcome);
+    if (
+      outcome.kind === 'refused' &&
+      (await isAskedAgain(dependencies, request, progress, outcome))
+    ) {
+      return { kind: 'untaken' };
+    }
     if (outcome.kind === 'complete' || !RelayAttempts.isNextRouterDue(outcome)) return outcome;
     if (outcome.kind === 'notSent') unanswered += 1;
   }
@@ -47,15 +55,36 @@
   return { kind: 'untaken' };
 }
 
+/**
+ * Failure: the engines of all routers are silent for a moment, so that the router which is asked refuses, and a stream that
+ * has begun uses up its tries and repeats in half a second. Nothing ran, so the try does not count, and the next one
+ * follows after a pause.
+ */
+async function isAskedAgain(
+  { clock }: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
+  { cause }: RelayRefusal,
+): Promise<boolean> {
+  if (!progress.hasEvents || cause !== 'refused') return false;
+  progress.tries -= 1;
+  await clock.waitMs(REFUSED_PAUSE_MS, request.closed);
+  return true;
+}
+
 async function* relayThroughRouter(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   router: RelayRouter,
-  progress: Progress,
+  { progress, tried }: Readonly<{ progress: Progress; tried: ReadonlySet<string> }>,
 ): AsyncGenerator<StreamPiece, Exclude<RelayedStreamOutcome, { kind: 'untaken' }>, void> {
   const { lastEventId, build, runs } = progress;
-  const targetsLeft = Math.max(1, request.route.maxTargets - runs);
-  const call = dependencies.relays.openCall(request, router, { targetsLeft, lastEventId, build });
+  const call = dependencies.relays.openCall(request, router, {
+    targetsLeft: Math.max(1, request.route.maxTargets - runs),
+    lastEventId,
+    build,
+    mayLeave: () => isNextPossible(dependencies, request, progress, tried),
+  });
   request.closed.addEventListener('abort', call.cancel, { once: true });
   try {
     const result = await RelayAttempts.readHead(dependencies, request, router, call);
@@ -76,6 +105,21 @@
   }
 }
 
+/** Whether the stream could be sent once more after the hop that is under way. */
+function isNextPossible(
+  { getBudget, clock, relays }: ForwardingDependencies,
+  request: ForwardRequest,
+  progress: Progress,
+  tried: ReadonlySet<string>,
+): boolean {
+  if (!StreamPlans.hasTriesLeft(request, { ...progress, runs: progress.runs + 1 })) return false;
+  const budget = getBudget(request.service);
+  return (
+    budget.getBalance(clock.getNowMs()) >= 1 &&
+    (relays.chooseRouter(tried) !== undefined || !relays.isDue(request))
+  );
+}
+
 async function* relayEvents(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
@@ -123,7 +167,7 @@
   if (outcome.kind === 'complete') return { ...outcome, wasStarted: progress.hasEvents };
   if (outcome.kind === 'callerLeft') return outcome;
   if (outcome.kind === 'untaken' || outcome.kind === 'notSent') return undefined;
-  if (outcome.kind === 'refused') return decideRefused(request, progress, outcome);
+  if (outcome.kind === 'refused') return decideRefused(progress, outcome);
   if (outcome.kind === 'whole' && !progress.hasEvents) return { ...outcome, kind: 'answer' };
   progress.runs += 1;
   progress.deliveries += 1;
@@ -135,13 +179,7 @@
     : StreamEnds.decideEnd(progress, progress.lastReason, false);
 }
 
-/** A stream that has begun is not given up because one router cannot continue it now. */
-function decideRefused(
-  request: ForwardRequest,
-  progress: Progress,
-  { retryAfterSeconds }: RelayRefusal,
-): StreamOutcome | undefined {
-  if (progress.hasEvents && StreamPlans.hasTriesLeft(request, progress)) return undefined;
+function decideRefused(progress: Progress, { retryAfterSeconds }: RelayRefusal): StreamOutcome {
   const end = StreamEnds.decideEnd(progress, 'another router refuses it', false);
   return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/silenceWatch.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/silenceWatch.ts
@@ -36,6 +36,9 @@
 
 type CheckResult = RunEnd | { readonly kind: 'wait'; readonly ms: number };
 
+/** A run without events at a target whose host does not respond for this long is given up in any case. */
+const MAX_UNREACHABLE_MS = 1_000;
+
 function isCheckResult(result: CheckResult | CallEvent): result is CheckResult {
   return result.kind === 'wait' || result.kind === 'takenOver' || result.kind === 'gone';
 }
@@ -78,16 +81,20 @@
   /** No other target could take the run over when this was asked last. */
   let wasKept: KeptReason | undefined;
   let hadGrace = false;
+  let unreachableSinceMs: number | undefined;
   /** The target was busy and was granted a time that is over at the next check. */
   let isTimeUsed = false;
 
   /**
    * Whether connections to the target fail and the directory no longer lists it. Refused ones alone do not show that: a
-   * target that leaves closes its listener before its last answers are complete.
+   * target that leaves closes its listener before its last answers are complete. Where the caller has no events yet, it
+   * learns at once what no target can run.
    */
   function isGone(connection: ConnectionResult): boolean {
     if (connection === 'accepted') return false;
-    return directory.isUpToDate() && directory.findCurrent(target) === undefined;
+    if (directory.isUpToDate() && directory.findCurrent(target) === undefined) return true;
+    const unreachableMs = clock.getRunningMs() - (unreachableSinceMs ?? Number.POSITIVE_INFINITY);
+    return !hasEvents && unreachableMs >= MAX_UNREACHABLE_MS;
   }
 
   function takeRecheckMs(): number {
@@ -137,6 +144,8 @@
     needsCopy: boolean,
   ): Promise<CheckResult> {
     const connection = await readConnection(view);
+    const nowMs = clock.getRunningMs();
+    unreachableSinceMs = connection === 'none' ? (unreachableSinceMs ?? nowMs) : undefined;
     if (isGone(connection)) return { kind: 'gone' };
     if (needsCopy && connection !== 'accepted') return runTakeover({ ...view, connection }, false);
     recordKept(view, connection, kept);
@@ -190,8 +199,7 @@
   }
 
   function recordEnd({ kind }: SilenceEnd): void {
-    if (kind === 'takenOver') return;
-    silences.recordEnd(LOGGED_ENDS[kind]);
+    if (kind !== 'takenOver') silences.recordEnd(LOGGED_ENDS[kind]);
   }
 
   /** One read awaits the next event of the call, also while the target is checked. */
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -215,8 +215,8 @@
   }
 
   async function handleTimeout(): Promise<StepResult> {
-    if (clock.getNowMs() >= request.expiresAtMs) return { kind: 'expired' };
     if (!call.wasSent()) return { kind: 'notSent', reason: 'no connection in time' };
+    if (clock.getNowMs() >= request.expiresAtMs) return { kind: 'expired' };
     const waitForEnd = SilenceWatches.createSilenceWatch(
       dependencies,
       { ...options, call, timeouts, silences },
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -211,14 +211,15 @@
  * Failure: engines crash while the store is unreachable, and holders of copies restart unnoticed. Their
  * next incarnations reject the streams, and each rejection uses a retry that the stream may need.
  */
-async function isHolderVerified(
+async function createVerifiedCopyPlan(
   dependencies: ForwardingDependencies,
+  request: ForwardRequest,
   progress: Progress,
-): Promise<boolean> {
-  const holder = findCopyHolder(dependencies, progress);
-  if (holder === undefined) return false;
-  if (dependencies.directory.isUpToDate()) return true;
-  return (await dependencies.readReport(holder, HOLDER_TIMEOUT_MS)) !== undefined;
+): Promise<Omit<Plan, 'isRetry'> | undefined> {
+  const plan = createCopyPlan(dependencies, request, progress);
+  if (plan === undefined || dependencies.directory.isUpToDate()) return plan;
+  const report = await dependencies.readReport(plan.target, HOLDER_TIMEOUT_MS);
+  return report === undefined ? undefined : plan;
 }
 
 /** Continues from the copy of the last run; undefined where its holder does not take the run. */
@@ -258,14 +259,13 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
+  findEngines: typeof EngineWaits.findEngines = EngineWaits.findEngines,
 ): Promise<Omit<Plan, 'isRetry'> | RoomRefusal | undefined> {
   const { excluded } = progress;
-  if (await isHolderVerified(dependencies, progress)) {
-    const plan = createCopyPlan(dependencies, request, progress);
-    if (plan !== undefined) return plan;
-  }
+  const copyPlan = await createVerifiedCopyPlan(dependencies, request, progress);
+  if (copyPlan !== undefined) return copyPlan;
   if (request.route.hasPrompt) {
-    const search = await EngineWaits.findEngines(dependencies, request, progress);
+    const search = await findEngines(dependencies, request, progress);
     if (search.kind !== 'found') return search;
     if (search.pair !== undefined) return decideAdmission(request, progress, search.pair);
     if (!progress.hasEvents && dependencies.brittle.isBrittle(request.service)) {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/takeover.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/takeover.ts
@@ -11,8 +11,10 @@
 
 import type { ForwardRequest } from '../forwardRequest';
 import type { ForwardingDependencies } from '../dependencies';
+import * as EnginePlacements from '../targets/enginePlacements';
 import type { KeptReason } from '../targets/silenceLog';
 import type { RunCopy } from './copyMonitor';
+import type { EngineSearch } from './engineWaits';
 import * as StreamPlans from './streamPlan';
 import type { Plan, Progress, RelayPlan } from './streamPlan';
 
@@ -44,13 +46,27 @@
 const STILL_SHARE = 0.6;
 const MAX_STILL_MS = 300;
 
+function computeStillMs(silentMs: number): number {
+  return Math.min(MAX_STILL_MS, silentMs * STILL_SHARE);
+}
+
+/** The run stays where it is, so that it waits for no engine. */
+async function findEnginesNow(
+  dependencies: ForwardingDependencies,
+  request: ForwardRequest,
+  { excluded }: Progress,
+): Promise<EngineSearch> {
+  const pair = await EnginePlacements.chooseEngines(dependencies, request, excluded);
+  return { kind: 'found', pair };
+}
+
 export function createTakeover(
   dependencies: ForwardingDependencies,
   received: ForwardRequest,
   progress: Progress,
   budget: FleetRetryBudget,
 ): Takeover {
-  const { activity, clock, contacts, paths, relays } = dependencies;
+  const { activity, clock, contacts, paths, peerContacts, relays } = dependencies;
 
   /** The state of the stream if the run ended now. */
   function createNextProgress({ target, copy }: SilentRun, still: ReadonlySet<string>): Progress {
@@ -80,7 +96,12 @@
       if (plan !== undefined && (await hasAnswered(plan.target, next))) return plan;
     }
     if (run.needsCopy) return undefined;
-    const plan = await StreamPlans.createPlan(dependencies, request, { ...next, copy: undefined });
+    const plan = await StreamPlans.createPlan(
+      dependencies,
+      request,
+      { ...next, copy: undefined },
+      findEnginesNow,
+    );
     if (plan?.kind !== 'plan') return undefined;
     const hasReported = plan.promptsAhead !== undefined && !next.excluded.has(plan.target.id);
     return hasReported || (await hasAnswered(plan.target, next)) ? plan : undefined;
@@ -88,10 +109,17 @@
 
   /**
    * Targets that are paused together look like a lost path. So another router gets the stream only where connections fail
-   * as well, or a target has answered through it.
+   * as well, a target has answered through it, or it hears targets that are silent here.
    */
-  function isRelayBetter({ isUnreachable }: SilentRun): boolean {
-    return isUnreachable || paths.getState(received.service) === 'lost';
+  async function isRelayBetter({ isUnreachable, silentMs }: SilentRun): Promise<boolean> {
+    const { service } = received;
+    if (isUnreachable || paths.getState(service) === 'lost') return true;
+    return peerContacts.isHeardElsewhere(service, clock.getRunningMs() - silentMs);
+  }
+
+  /** Whether streams at other targets stand still as well. */
+  function isStandstill({ target, silentMs }: SilentRun): boolean {
+    return activity.isStandstill(target, computeStillMs(silentMs), clock.getRunningMs());
   }
 
   async function findNext(
@@ -99,25 +127,24 @@
     next: Progress,
     run: SilentRun,
   ): Promise<Omit<Plan, 'isRetry'> | Pick<RelayPlan, 'kind'> | undefined> {
-    if (relays.isDue(request)) return isRelayBetter(run) ? { kind: 'relay' } : undefined;
-    const plan = await findPlan(request, next, run);
-    if (plan !== undefined || !run.isUnreachable) return plan;
+    if (relays.isDue(request)) return (await isRelayBetter(run)) ? { kind: 'relay' } : undefined;
+    const isAlone = run.isUnreachable || !isStandstill(run);
+    const plan = isAlone ? await findPlan(request, next, run) : undefined;
+    if (plan !== undefined) return plan;
     // No target answers either: the path may be lost.
     paths.recordLoss(run.target);
-    return relays.isPossible(request) ? { kind: 'relay' } : undefined;
+    return run.isUnreachable && relays.isPossible(request) ? { kind: 'relay' } : undefined;
   }
 
   async function reserve(run: SilentRun): Promise<Plan | RelayPlan | KeptReason> {
-    const stillMs = Math.min(MAX_STILL_MS, run.silentMs * STILL_SHARE);
-    const nowMs = clock.getRunningMs();
-    const next = createNextProgress(run, activity.listStill(received.service, stillMs, nowMs));
+    const stillMs = computeStillMs(run.silentMs);
+    const still = activity.listStill(received.service, stillMs, clock.getRunningMs());
+    const next = createNextProgress(run, still);
     if (!StreamPlans.hasTriesLeft(received, next)) return 'noAttemptLeft';
     const { build } = progress;
     const request = build === undefined ? received : { ...received, build };
-    const isPossible =
-      StreamPlans.findEnd(dependencies, request, next) === undefined &&
-      (run.isUnreachable || !activity.isStandstill(run.target, stillMs, nowMs));
-    const found = isPossible ? await findNext(request, next, run) : undefined;
+    const isEnded = StreamPlans.findEnd(dependencies, request, next) !== undefined;
+    const found = isEnded ? undefined : await findNext(request, next, run);
     if (found === undefined) return run.needsCopy ? 'promptReadAgain' : 'noOtherAnswers';
     const hasRepeat = await StreamPlans.takeRetry(dependencies, request, next, budget);
     return hasRepeat ? { ...found, isRetry: true } : 'noRepeatLeft';
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetProbe.ts
@@ -29,8 +29,12 @@
 
 const REFUSED = 'ECONNREFUSED';
 
-/** `answered`: in time, with whatever status; `closed`: the connection was refused, or ended without an answer. */
-export type TargetProbeResult = 'answered' | 'closed' | 'silent';
+/**
+ * `answered`: in time, with whatever status; `accepted`: it took the connection and gave no answer in time, as a process
+ * that is paused or overloaded does; `closed`: the connection was refused, or ended without an answer; `silent`: no
+ * connection in time.
+ */
+export type TargetProbeResult = 'answered' | 'accepted' | 'closed' | 'silent';
 
 export type TargetProbe = (target: ForwardingTarget) => Promise<TargetProbeResult>;
 
@@ -85,9 +89,10 @@
   const runProbe = createProbe(options, TIMEOUTS);
 
   return async function checkAnswer(target) {
-    const { event } = await runProbe(target);
+    const { event, wasOpen } = await runProbe(target);
     if (event.kind === 'head') return 'answered';
-    return event.kind === 'timeout' ? 'silent' : 'closed';
+    if (event.kind !== 'timeout') return 'closed';
+    return wasOpen ? 'accepted' : 'silent';
   };
 }
 
--- a/packages/sequoiarill-plugin-generations/src/observer.ts
+++ b/packages/sequoiarill-plugin-generations/src/observer.ts
@@ -7,11 +7,15 @@
   PluginContext,
 } from '@sequoiarill/types';
 
+import * as AttemptResults from './attemptResults';
 import * as Events from './events';
 import type { Attempt, GenerationDependencies } from './generation';
 import type { Targets } from './targets';
 
-export interface Observer extends Pick<GenerationDependencies, 'onLost' | 'onBusy' | 'onResumed'> {
+export interface Observer extends Pick<
+  GenerationDependencies,
+  'onLost' | 'onKept' | 'onBusy' | 'onResumed'
+> {
   readonly recordStart: (request: GenerationRequest, permit: Permit) => void;
   readonly recordRefusal: (request: GenerationRequest, refused: Refused) => GenerationNotRun;
   readonly recordOutcome: (
@@ -52,7 +56,7 @@
       const target = attempt.target.name;
       targets.recordFailure(attempt);
       // The engine may still be generating; cancelling avoids work that nobody reads.
-      if (loss.cause === 'stalled' || loss.cause === 'noFirstToken') cancelAttempt(attempt);
+      if (AttemptResults.isSilenceLoss(loss)) cancelAttempt(attempt);
       metrics.addCount('generations.lost', 1, { cause: loss.cause });
       logEvent(Events.GENERATION_LOST, {
         requestId,
@@ -62,6 +66,12 @@
         reason: loss.message,
       });
     },
+    onKept(attempt) {
+      const { requestId } = attempt.request;
+      const { generation } = attempt;
+      metrics.addCount('generations.kept');
+      logEvent(Events.ENGINE_SILENT, { requestId, target: attempt.target.name, generation });
+    },
     onBusy(attempt) {
       targets.recordBusy(attempt);
       const { requestId } = attempt.request;
