Count a run whose time is up as one that may have happened

A stream whose time was up before its first event was refused with 503 and Retry-After although its engine had the request: the attempt that expired was not counted as a run. Found in the review of runs that stay with a silent engine, which reach their time limit more often.

The new test saw refused before, and failed now.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/silentEngines.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/silentEngines.test.ts
@@ -153,4 +153,13 @@
     expect(result.text).toEqual(Simulation.formatAll(EVENTS));
     expect(fake.sentCalls[1]?.atMs ?? 0).toBeLessThan(FIRST_SILENCE_MS + 600);
   });
+
+  it('is not said to be unrun when its time is up', async () => {
+    // Guards against a caller that repeats what its engine has run.
+    const fake = Fakes.createFakeDependencies(() => []);
+    fake.setTargets([A1]);
+    setSilent(fake, ['a1']);
+    const { outcome } = await Simulation.simulateStream(fake);
+    expect(outcome?.kind).toEqual('failed');
+  });
 });
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -102,7 +102,7 @@
 ): StreamOutcome | undefined {
   if (outcome.kind === 'complete') return { ...outcome, wasStarted: progress.hasEvents };
   if (outcome.kind === 'callerLeft') return outcome;
-  if (outcome.kind === 'expired') return StreamEnds.decideEnd(progress, 'time is up', true);
+  if (outcome.kind === 'expired') return decideExpired(progress);
   if (outcome.kind === 'whole' && !progress.hasEvents) {
     return { kind: 'answer', head: outcome.head, body: outcome.body };
   }
@@ -117,6 +117,12 @@
     : StreamEnds.decideEnd(progress, progress.lastReason, false);
 }
 
+/** Its target may have begun to run the request, although no event came. */
+function decideExpired(progress: Progress): StreamOutcome {
+  progress.runs += 1;
+  return StreamEnds.decideEnd(progress, 'time is up', true);
+}
+
 function updateProgress(
   dependencies: ForwardingDependencies,
   plan: Plan,
