Treat failed connections and missing runs as suspicions too

A run is given up without a reserved send only where its caller has no events yet, it may be repeated, and its host has not responded for a second.

--- a/packages/sequoiarill-decisions/src/silencePolicy.ts
+++ b/packages/sequoiarill-decisions/src/silencePolicy.ts
@@ -36,18 +36,15 @@
   readonly objectiveMs: number;
   /** Checks in a row, this one included, that the target has not answered. */
   readonly missedChecks: number;
-  /** Time for which the target has answered without having the run. */
-  readonly missingMs: number;
 }
 
 /**
  * `keep`: the run stays where it is, at least until its silence lasts `untilMs`; `takeOver`: another target may take it over, only from a copy of its KV cache where
- * `needsCopy` is set; `lost`: the run has ended at its target.
+ * `needsCopy` is set.
  */
 export type SilenceDecision =
   | { readonly kind: 'keep'; readonly untilMs: number }
-  | { readonly kind: 'takeOver'; readonly needsCopy: boolean }
-  | { readonly kind: 'lost' };
+  | { readonly kind: 'takeOver'; readonly needsCopy: boolean };
 
 /** After this silence a run continues from its copy, even if its target answers. */
 const MAX_SILENCE_WITH_COPY_MS = 450;
@@ -58,8 +55,6 @@
 /** Leaves enough of the objective for a prefill elsewhere. */
 const MAX_OBJECTIVE_SHARE = 0.4;
 const MAX_MISSED_CHECKS = 2;
-/** Reports are a few hundred milliseconds old, so that one of them may be from before the run. */
-const MAX_MISSING_MS = 1_000;
 
 const TAKE_OVER: SilenceDecision = { kind: 'takeOver', needsCopy: false };
 const TAKE_OVER_COPY: SilenceDecision = { kind: 'takeOver', needsCopy: true };
@@ -86,11 +81,11 @@
 }
 
 export function decideSilence(view: SilentRunView): SilenceDecision {
-  const { report, hasEvents, silentMs, firstEventMs, missingMs } = view;
+  const { report, hasEvents, silentMs, firstEventMs } = view;
   if (report === 'unanswered') return decideUnanswered(view);
   if (report === 'missing') {
-    if (!hasEvents && silentMs < firstEventMs) return { kind: 'keep', untilMs: firstEventMs };
-    return missingMs >= MAX_MISSING_MS ? { kind: 'lost' } : TAKE_OVER;
+    const isFirstDue = !hasEvents && silentMs < firstEventMs;
+    return isFirstDue ? { kind: 'keep', untilMs: firstEventMs } : TAKE_OVER;
   }
   const busyMs = computeBusyMs(view);
   if (silentMs >= busyMs) return TAKE_OVER;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/silenceProbe.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/silenceProbe.ts
@@ -42,10 +42,8 @@
 /** Timeout of such a check. */
 const CHECK_TIMEOUT_MS = 120;
 function decideReport(report: EngineReport, id: string, hasEvents: boolean): RunReport {
-  const isBusy = hasEvents
-    ? report.runIds.includes(id) || report.queued > 0
-    : report.prefilling + report.queued > 0;
-  return isBusy ? 'busy' : 'missing';
+  const isPrefilling = !hasEvents && report.prefilling > 0;
+  return report.runIds.includes(id) || report.queued > 0 || isPrefilling ? 'busy' : 'missing';
 }
 
 const CONNECTION_RESULTS = { alive: 'accepted', ended: 'refused', silent: 'none' } as const;
@@ -57,7 +55,6 @@
 ): SilenceProbe {
   const { clock, contacts, notices } = dependencies;
   let missedChecks = 0;
-  let missingSinceMs: number | undefined;
 
   async function readReport(): Promise<RunReport> {
     if (notices.isResting(target)) return 'resting';
@@ -76,8 +73,6 @@
     async readView(isBusy) {
       const report = isBusy ? 'busy' : await readReport();
       const isCopied = hasCopy();
-      const nowMs = clock.getRunningMs();
-      missingSinceMs = report === 'missing' ? (missingSinceMs ?? nowMs) : undefined;
       return {
         report,
         // A copy makes it cheap to go on elsewhere, whatever the connection shows.
@@ -88,7 +83,6 @@
         firstEventMs: timeouts.firstTokenMs,
         objectiveMs: request.route.objectiveMs,
         missedChecks,
-        missingMs: nowMs - (missingSinceMs ?? nowMs),
       };
     },
   };
--- a/packages/sequoiarill-plugin-forwarding/src/streams/silenceWatch.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/silenceWatch.ts
@@ -36,6 +36,8 @@
 
 type CheckResult = RunEnd | { readonly kind: 'wait'; readonly ms: number };
 
+/** Each check that finds no repeat asks other routers for theirs. */
+const NO_REPEAT_RECHECK_MS = 1_000;
 /** A run without events at a target whose host does not respond for this long is given up in any case. */
 const MAX_UNREACHABLE_MS = 1_000;
 
@@ -72,10 +74,10 @@
   options: SilenceWatchOptions,
   start: SilenceStart,
 ): () => Promise<SilenceEnd> {
-  const { clock, directory, log } = dependencies;
+  const { clock, log } = dependencies;
   const { hasEvents, sinceMs } = start;
   const probe = SilenceProbes.createSilenceProbe(dependencies, options, start);
-  const { request, target, call, timeouts, takeover, silences } = options;
+  const { request, call, timeouts, takeover, silences } = options;
   const checkIntervalMs = request.route.objectiveMs / SilenceProbes.CHECKS_PER_OBJECTIVE;
   let recheckMs: number = RECHECK_MS.first;
   /** No other target could take the run over when this was asked last. */
@@ -86,15 +88,14 @@
   let isTimeUsed = false;
 
   /**
-   * Whether connections to the target fail and the directory no longer lists it. Refused ones alone do not show that: a
-   * target that leaves closes its listener before its last answers are complete. Where the caller has no events yet, it
-   * learns at once what no target can run.
+   * Whether a caller without events learns now that no target can run its request. A run that has events, or must not be
+   * repeated, stays: a target that leaves is not listed, accepts no connections, and still answers.
    */
-  function isGone(connection: ConnectionResult): boolean {
-    if (connection === 'accepted') return false;
-    if (directory.isUpToDate() && directory.findCurrent(target) === undefined) return true;
+  function isGone(): boolean {
     const unreachableMs = clock.getRunningMs() - (unreachableSinceMs ?? Number.POSITIVE_INFINITY);
-    return !hasEvents && unreachableMs >= MAX_UNREACHABLE_MS;
+    return (
+      !hasEvents && request.route.retryPolicy !== 'once' && unreachableMs >= MAX_UNREACHABLE_MS
+    );
   }
 
   function takeRecheckMs(): number {
@@ -114,7 +115,7 @@
   }
 
   async function runTakeover(view: SilentRunView, needsCopy: boolean): Promise<CheckResult> {
-    const isUnreachable = view.connection === 'none';
+    const isUnreachable = view.connection === 'none' || view.connection === 'refused';
     const reservation = await takeover.reserve({
       needsCopy,
       isUnreachable,
@@ -131,25 +132,22 @@
       return { kind: 'wait', ms: timeouts.gapMs };
     }
     wasKept = reservation.reason;
-    return decideKept(view, reservation.reason, needsCopy);
+    return decideKept(view, reservation.reason);
   }
 
   async function readConnection({ report, connection }: SilentRunView): Promise<ConnectionResult> {
     return connection ?? (report === 'unanswered' ? probe.checkConnection() : 'accepted');
   }
 
-  async function decideKept(
-    view: SilentRunView,
-    kept: KeptReason,
-    needsCopy: boolean,
-  ): Promise<CheckResult> {
+  async function decideKept(view: SilentRunView, kept: KeptReason): Promise<CheckResult> {
     const connection = await readConnection(view);
     const nowMs = clock.getRunningMs();
     unreachableSinceMs = connection === 'none' ? (unreachableSinceMs ?? nowMs) : undefined;
-    if (isGone(connection)) return { kind: 'gone' };
-    if (needsCopy && connection !== 'accepted') return runTakeover({ ...view, connection }, false);
+    if (isGone()) return { kind: 'gone' };
+    const isNewFailure = view.connection === undefined && connection !== 'accepted';
+    if (isNewFailure) return runTakeover({ ...view, connection }, false);
     recordKept(view, connection, kept);
-    return { kind: 'wait', ms: takeRecheckMs() };
+    return { kind: 'wait', ms: kept === 'noRepeatLeft' ? NO_REPEAT_RECHECK_MS : takeRecheckMs() };
   }
 
   function recordKept(view: SilentRunView, connection: ConnectionResult, kept: KeptReason): void {
@@ -184,7 +182,6 @@
     const view = await probe.readView(isTimeUsed);
     const decision = Decisions.decideSilence(view);
     isTimeUsed = isTimeGranted(view, decision);
-    if (decision.kind === 'lost') return { kind: 'gone' };
     if (decision.kind === 'takeOver') return runTakeover(view, decision.needsCopy);
     if (view.connection === 'accepted') recordKept(view, view.connection, 'promptReadAgain');
     return { kind: 'wait', ms: computeWaitMs(view, decision.untilMs) };
