Read an answer of another status to its end

An engine that answered with another status than 200 after the first check of its silence was given up between its head and its body: the deadline of that check had passed and nothing extended it. Such an answer has begun, and no other target could give a better one. Two tests of silentRuns failed before (a 400 whose body came 20 ms after its head ended as failed).

--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -49,6 +49,8 @@
 }
 
 const STATUS_OK = 200;
+/** An answer of another status has begun, and no other target could give a better one. */
+const NO_LIMIT = { silenceDeadlineMs: Number.POSITIVE_INFINITY };
 /** Yields events as they are complete; returns the outcome of the attempt. */
 export async function* runStreamAttempt(
   dependencies: ForwardingDependencies,
@@ -157,8 +159,9 @@
   const silences = SilenceLogs.createSilenceLog(dependencies, request, target);
   const recordResult = dependencies.rollouts.recordAttempt({ target, route, objectiveMs });
 
+  const { expiresAtMs } = request;
+
   function readNext(): Promise<CallEvent> {
-    const { expiresAtMs } = request;
     return TargetCalls.readNextEvent(clock, call, { silenceDeadlineMs, expiresAtMs });
   }
 
@@ -186,7 +189,8 @@
     if (failure !== undefined) return failure;
     if (responseHead.status !== STATUS_OK) {
       recordResult(Checks.isServerError(responseHead.status) ? 'failed' : 'unknown');
-      return Sending.readFullAnswer(call, responseHead, readNext, request.held);
+      const readRest = () => TargetCalls.readNextEvent(clock, call, { ...NO_LIMIT, expiresAtMs });
+      return Sending.readFullAnswer(call, responseHead, readRest, request.held);
     }
     head = responseHead;
     return undefined;
@@ -227,6 +231,7 @@
       return { kind: 'lost', reason: 'silent', isTimeout: true, next: end.next };
     }
     if (end.kind === 'gone') return { kind: 'lost', reason: 'silent', isTimeout: true };
+    silenceDeadlineMs = clock.getRunningMs() + (hasEvents ? timeouts.gapMs : firstCheckMs);
     return handleEvent(end);
   }
 
