Check blocks again before a reserved send

A send that was reserved while its request was blocked went to one more engine. The end of the stream is decided again when the send is due, and the repeat given back. The test of silentRuns saw two engines before, one now.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -105,12 +105,12 @@
   progress: Progress,
   budget: FleetRetryBudget,
 ): Promise<Plan | RelayPlan | StreamOutcome> {
-  const { build, reserved } = progress;
-  progress.reserved = undefined;
-  if (reserved !== undefined) return reserved;
+  const { build } = progress;
   const request = build === undefined ? received : { ...received, build };
   const end = findEnd(dependencies, request, progress);
+  const reserved = takeReserved(progress, budget, end);
   if (end !== undefined) return end;
+  if (reserved !== undefined) return reserved;
   if (dependencies.relays.isDue(request)) {
     return createRelayPlan(dependencies, request, progress, budget);
   }
@@ -130,6 +130,18 @@
   return StreamEnds.decideBlocked(progress, block);
 }
 
+/** The reserved send, whose repeat is given back where nothing more may be sent. */
+function takeReserved(
+  progress: Progress,
+  budget: FleetRetryBudget,
+  end: StreamOutcome | undefined,
+): Plan | RelayPlan | undefined {
+  const { reserved } = progress;
+  progress.reserved = undefined;
+  if (end !== undefined && reserved?.isRetry === true) budget.releaseRetry();
+  return reserved;
+}
+
 /** The outcome where nothing more may be sent. */
 export function findEnd(
   { clock, crashes }: ForwardingDependencies,
