Try the targets again where another router refuses a request that may have run

A request that was taken from a silent target to go through another router ended with that router's refusal, although its own target would have answered. A stream asks again, a plain request goes on to the targets.

--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
@@ -94,6 +94,8 @@
   if (ForwardRequests.isPassed(outcome)) return ForwardRequests.findPassedEnd(outcome);
   if (outcome.kind === 'whole') return { ...outcome, kind: 'answer' };
   if (outcome.kind === 'refused') {
+    // It was taken from a target that was silent, and what remains is to try the targets again.
+    if (progress.mayHaveRun) return undefined;
     const { retryAfterSeconds = RETRY_AFTER_SECONDS } = outcome;
     return { kind: 'refused', reason: 'another router refuses it', retryAfterSeconds };
   }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -15,6 +15,7 @@
 import * as StreamPlans from './streamPlan';
 import type { Progress, StreamOutcome } from './streamPlan';
 import * as StreamRelays from './streamRelay';
+import * as StreamUrgency from './streamUrgency';
 import type { StreamPiece } from './streamRelay';
 
 export type RelayedStreamOutcome =
@@ -66,7 +67,7 @@
   progress: Progress,
   { cause }: RelayRefusal,
 ): Promise<boolean> {
-  if (!progress.hasEvents || cause !== 'refused') return false;
+  if (!StreamUrgency.isBegun(request, progress) || cause !== 'refused') return false;
   progress.tries -= 1;
   await clock.waitMs(REFUSED_PAUSE_MS, request.closed);
   return true;
