Close the other connection of a client's stream that breaks meanwhile

While a client opened another connection for a silent stream and that stream broke, the other connection was left open. The test failed before.

--- a/packages/sequoiarill-client/src/watchedStream.ts
+++ b/packages/sequoiarill-client/src/watchedStream.ts
@@ -34,13 +34,17 @@
   async function openReplacement(pending: Promise<Read>): Promise<Read | 'opened' | 'failed'> {
     const opening = openRest();
     if (opening === undefined) return pending;
-    const first = await Promise.race([pending, opening]);
-    if (!('kind' in first)) {
-      opening.then(closeOpened).catch(() => undefined);
-      return first;
+    let opened: OpenResult | undefined;
+    try {
+      const first = await Promise.race([pending, opening]);
+      if (!('kind' in first)) return first;
+      opened = first;
+    } finally {
+      // Also where the silent stream has ended or broken meanwhile.
+      if (opened === undefined) opening.then(closeOpened).catch(() => undefined);
     }
-    if (first.kind !== 'opened') return 'failed';
-    replacement = first;
+    if (opened.kind !== 'opened') return 'failed';
+    replacement = opened;
     return 'opened';
   }
 
