--- a/packages/sequoiarill-plugin-forwarding/src/streams/silenceWatch.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/silenceWatch.ts
@@ -24,7 +24,7 @@
   readonly silences: SilenceLog;
 }
 
-/** `gone`: the target no longer has the run. */
+/** `gone`: no target is known to run the request, and its caller learns it now. */
 type RunEnd =
   { readonly kind: 'takenOver'; readonly next: Plan | RelayPlan } | { readonly kind: 'gone' };
 
--- a/packages/sequoiarill-plugin-forwarding/src/streams/silentEngines.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/silentEngines.ts
@@ -34,7 +34,10 @@
 ): Promise<boolean> {
   const candidates = engines.map((target) => ({ target, zone: target.zone, isLost: true }));
   const checked = Decisions.selectSurveyed(candidates, nextRandom).slice(0, CHECKED_ENGINES);
-  const results = await Promise.all(checked.map(({ target }) => contacts.checkConnection(target)));
+  const results = await Promise.all(
+    // The caller may not wait for the result; an address that cannot be tried is no sign of a pause.
+    checked.map(({ target }) => contacts.checkConnection(target).catch(() => 'silent' as const)),
+  );
   return results.includes('alive');
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -51,6 +51,7 @@
 const STATUS_OK = 200;
 /** An answer of another status has begun, and no other target could give a better one. */
 const NO_LIMIT = { silenceDeadlineMs: Number.POSITIVE_INFINITY };
+
 /** Yields events as they are complete; returns the outcome of the attempt. */
 export async function* runStreamAttempt(
   dependencies: ForwardingDependencies,
@@ -156,11 +157,10 @@
   let firstEventAtMs = Number.POSITIVE_INFINITY;
   let head: AnswerHead | undefined;
   const { name: route, objectiveMs } = request.route;
+  const { expiresAtMs } = request;
   const silences = SilenceLogs.createSilenceLog(dependencies, request, target);
   const recordResult = dependencies.rollouts.recordAttempt({ target, route, objectiveMs });
 
-  const { expiresAtMs } = request;
-
   function readNext(): Promise<CallEvent> {
     return TargetCalls.readNextEvent(clock, call, { silenceDeadlineMs, expiresAtMs });
   }
@@ -220,7 +220,7 @@
 
   async function handleTimeout(): Promise<StepResult> {
     if (!call.wasSent()) return { kind: 'notSent', reason: 'no connection in time' };
-    if (clock.getNowMs() >= request.expiresAtMs) return { kind: 'expired' };
+    if (clock.getNowMs() >= expiresAtMs) return { kind: 'expired' };
     const waitForEnd = SilenceWatches.createSilenceWatch(
       dependencies,
       { ...options, call, timeouts, silences },
--- a/packages/sequoiarill-plugin-forwarding/src/streams/takeover.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/takeover.ts
@@ -28,7 +28,7 @@
   readonly silentMs: number;
   /** Copy of its KV cache. */
   readonly copy: RunCopy | undefined;
-  /** Whether connections to its target get no response either. */
+  /** Whether connections to its target fail as well. */
   readonly isUnreachable: boolean;
   /** Whether the run should stay where the prompt would have to be prefilled again. */
   readonly needsCopy: boolean;
