Leave a router that is cut off after a second where the caller may repeat the request

The target behind may be sound, but its answer has no way any more, and the caller can repeat the request elsewhere. It is left after four checks in a row without a response; orders and streams stay as they are.

--- a/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
@@ -210,6 +210,17 @@
     expect((await running).outcome?.kind).toEqual('callerLeft');
   });
 
+  it('notices that the other router is gone before the time limit', async () => {
+    // Guards against requests that wait for a router that was cut off in the middle of them.
+    const fakes = createPartitioned({ 'r1:2': ANSWERED });
+    await waitForLostPath(fakes);
+    const silent = createPartitioned({ 'r1:2': SILENCE, 'r2:2': SILENCE });
+    silent.goneRouters.add('r1:2');
+    silent.goneRouters.add('r2:2');
+    const { tookMs } = await runOrder(silent, createOrder('idempotent'));
+    expect(tookMs).toBeLessThanOrEqual(2_500);
+  });
+
   it('sends a request to no more targets than its route allows, hops included', async () => {
     // Guards against a further target after hops have used all attempts of the request.
     const broken: Script = [[5, { kind: 'broken', reason: 'reset' }]];
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
@@ -17,6 +17,8 @@
   isRetryTaken?: boolean;
 }
 
+/** Checks without a response after which a router counts as cut off for good, about a second after its last word. */
+const MAX_MISSED_CHECKS = 4;
 /** Where the other router names no time. */
 const RETRY_AFTER_SECONDS = 0.3;
 
@@ -43,8 +45,9 @@
     const { router, target } = hop;
     tried.add(router.address);
     // A request to a brittle target is sent once.
-    const mayLeave = () =>
-      target === undefined && isNextPossible(dependencies, request, progress, tried);
+    const mayLeave = (missedChecks: number) =>
+      target === undefined &&
+      (isNextPossible(dependencies, request, progress, tried) || isGivenUp(request, missedChecks));
     const options = { targetsLeft, target, mayLeave };
     const outcome = await RelayAttempts.relayAnswer(dependencies, request, router, options);
     RelayAttempts.recordOutcome(dependencies, request, router, outcome);
@@ -67,6 +70,11 @@
   return progress.sends === 0 || NextSends.takeRetry(dependencies, request, progress);
 }
 
+/** A caller may repeat such a request elsewhere, and an order waits for its answer. */
+function isGivenUp({ route }: ForwardRequest, missedChecks: number): boolean {
+  return route.retryPolicy !== 'once' && missedChecks >= MAX_MISSED_CHECKS;
+}
+
 /** Whether the request could be sent once more after the hop that is under way. */
 function isNextPossible(
   { getBudget, clock, relays }: ForwardingDependencies,
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -37,8 +37,8 @@
   readonly build?: TargetBuild | undefined;
   /** The only target that it may be sent to. */
   readonly target?: string | undefined;
-  /** Whether the request could be sent once more if the other router is gone. */
-  readonly mayLeave: () => boolean;
+  /** Whether a router that is gone may be left, after so many checks in a row without a response. */
+  readonly mayLeave: (missedChecks: number) => boolean;
 }
 
 export interface Relays {
@@ -95,11 +95,14 @@
 const HOP_RECHECK_MS = 100;
 /** Failure: a busy machine leaves one connection attempt without a response, and a sound hop is given up for it. */
 const MAX_MISSED_CHECKS = 3;
+/** Time between checks of a router that is gone, where the request stays for now. */
+const GONE_RECHECK_MS = 300;
 /** The other router must not answer after this one's time is up. */
 const HOP_MARGIN_MS = 10;
 
 function getHopCheckMs(missedChecks: number): number {
-  return missedChecks > 0 && missedChecks < MAX_MISSED_CHECKS ? HOP_RECHECK_MS : HOP_CHECK_MS;
+  if (missedChecks === 0) return HOP_CHECK_MS;
+  return missedChecks < MAX_MISSED_CHECKS ? HOP_RECHECK_MS : GONE_RECHECK_MS;
 }
 
 export function createRelays(options: RelaysOptions): Relays {
@@ -164,7 +167,7 @@
     request: ForwardRequest,
     router: RelayRouter,
     call: TargetCall,
-    mayLeave: () => boolean,
+    mayLeave: RelayCallOptions['mayLeave'],
   ): Promise<CallEvent> {
     let missedChecks = 0;
     for (;;) {
@@ -181,7 +184,7 @@
       missedChecks = result === 'silent' ? missedChecks + 1 : 0;
       const isGone = result === 'ended' || missedChecks >= MAX_MISSED_CHECKS;
       // The answer may have arrived during the check.
-      if (isGone && mayLeave()) return call.readEvent(0);
+      if (isGone && mayLeave(missedChecks)) return call.readEvent(0);
     }
   }
 
