Take blocks of parts of long prompts from other routers

Cause: a block names all other parts that the crashes of its targets have in common, gathered over several requests of up to 32 parts each, and the schema of messages took 64. A longer one made the receiver refuse the whole message with up to 200 blocks, and the question to other routers before a block as well.

Change: blocks and questions take 1,024 other parts; a block with more is left out of the message, so that the others still arrive, and is learned from the store.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/partMessages.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/partMessages.test.ts
@@ -13,4 +13,14 @@
     const message = PartMessages.encodePartBlocks([block]);
     expect(PartMessages.partBlocksSchema.safeParse(message).success).toEqual(true);
   });
+
+  it('are taken beside one that is longer than a message may hold', () => {
+    // Guards against one block that keeps all others of its message from other routers.
+    const ages = { firstAgeMs: 10, lastAgeMs: 1 };
+    const sound = { part: 'p', others: ['q'], targets: ['t1'], failedTrials: 0, ...ages };
+    const others = Array.from({ length: 2_000 }, (_one, index) => `part${index}`);
+    const message = PartMessages.encodePartBlocks([sound, { ...sound, part: 'r', others }]);
+    const parsed = PartMessages.partBlocksSchema.parse(message);
+    expect(parsed.blocks.map(({ part }) => part)).toEqual(['p']);
+  });
 });
--- a/packages/sequoiarill-plugin-directory/src/partMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/partMessages.ts
@@ -4,12 +4,15 @@
 
 /** Limits of one message. */
 const MAX_ITEMS = 200;
-const MAX_OTHERS = 64;
+const MAX_CRASH_OTHERS = 64;
+/** A block holds the parts that all crashes of its targets have in common, of several requests each. */
+const MAX_BLOCK_OTHERS = 1_024;
+const MAX_TARGETS = 64;
 const MAX_NAME_LENGTH = 200;
 
 const partSchema = Zod.string().min(1).max(MAX_NAME_LENGTH);
-const othersSchema = Zod.array(partSchema).max(MAX_OTHERS);
-const targetsSchema = Zod.array(Zod.string().max(MAX_NAME_LENGTH)).max(MAX_OTHERS);
+const blockOthersSchema = Zod.array(partSchema).max(MAX_BLOCK_OTHERS);
+const targetsSchema = Zod.array(Zod.string().max(MAX_NAME_LENGTH)).max(MAX_TARGETS);
 const organisationSchema = Zod.string().max(MAX_NAME_LENGTH);
 const ageSchema = Zod.number().min(0);
 
@@ -17,7 +20,7 @@
   crashes: Zod.array(
     Zod.object({
       part: partSchema,
-      others: othersSchema,
+      others: Zod.array(partSchema).max(MAX_CRASH_OTHERS),
       organisation: organisationSchema,
       target: Zod.string().max(MAX_NAME_LENGTH),
       stage: Zod.enum(['waiting', 'begun', 'running']),
@@ -32,7 +35,7 @@
 
 export const partQuerySchema = Zod.object({
   part: partSchema,
-  others: othersSchema,
+  others: blockOthersSchema,
   targets: targetsSchema,
   awaitedRuns: Zod.enum(['none', 'begun', 'all']),
   sinceAgeMs: ageSchema,
@@ -47,7 +50,7 @@
   blocks: Zod.array(
     Zod.object({
       part: partSchema,
-      others: othersSchema,
+      others: blockOthersSchema,
       organisation: organisationSchema.optional(),
       targets: targetsSchema,
       firstAgeMs: ageSchema,
@@ -59,10 +62,14 @@
 
 type PartBlocksMessage = Zod.infer<typeof partBlocksSchema>;
 
-/** The last blocks are the ones that changed most recently. */
+/**
+ * The last blocks are the ones that changed most recently. One with more parts than a message may hold is left out,
+ * since the receiver would refuse all blocks of the message; routers learn it from the store.
+ */
 export function encodePartBlocks(blocks: readonly PartBlock[]): PartBlocksMessage {
+  const sendable = blocks.filter(({ others }) => others.length <= MAX_BLOCK_OTHERS);
   return {
-    blocks: blocks.slice(-MAX_ITEMS).map((block) => ({
+    blocks: sendable.slice(-MAX_ITEMS).map((block) => ({
       ...block,
       others: [...block.others],
       targets: [...block.targets],
