Refuse requests whose time may have been up before they were read

What callers saw: a router that has been without processor time reads the requests that came meanwhile and runs them, each with the whole of its time, for callers who no longer wait. Their work holds up the requests of those who do.

Cause: a request counts from the moment at which it is read, and a router did not know for how long it had not been reading.

Change: the clock tells for how long data that is read now may have waited: the delay of the last tick, until the reads that were pending then are done. A request whose time is not longer than that is refused as not run, to come back at once. One that came late in the delay is refused needlessly, which costs its caller a repeat; nothing has run.

Not measured at a fleet that recovers.

--- a/bench/src/control/fleet.ts
+++ b/bench/src/control/fleet.ts
@@ -201,6 +201,7 @@
       getNowMs: () => performance.now(),
       getRunningMs: () => performance.now(),
       getLastDelay: () => undefined,
+      getReadDelayMs: () => 0,
       getWallTime: () => new Date().toISOString(),
       waitMs,
     },
--- a/packages/sequoiarill-kernel/src/__tests__/runningTime.test.ts
+++ b/packages/sequoiarill-kernel/src/__tests__/runningTime.test.ts
@@ -68,9 +68,12 @@
 describe('delays of this process', () => {
   function createDelays() {
     let nowMs = 0;
-    const delays = RunningTimes.createDelayRecord(nowMs);
+    const pendingReads: (() => void)[] = [];
+    const delays = RunningTimes.createDelayRecord(nowMs, (callback) => pendingReads.push(callback));
     return {
       getLastDelay: delays.getLastDelay,
+      getReadDelayMs: delays.getReadDelayMs,
+      runPendingReads: () => pendingReads.splice(0).forEach((callback) => callback()),
       recordTickAfter(ms: number) {
         nowMs += ms;
         delays.recordTick(nowMs);
@@ -96,6 +99,17 @@
     for (let tick = 0; tick < 15; tick += 1) recordTickAfter(90);
     expect(getLastDelay()?.lastedMs).toEqual(40);
   });
+
+  it('count for what is read right after them, and for nothing later', () => {
+    // Guards against sound requests that are taken for late ones long after a pause.
+    const { getReadDelayMs, recordTickAfter, runPendingReads } = createDelays();
+    recordTickAfter(1_300);
+    expect(getReadDelayMs()).toEqual(1_250);
+    runPendingReads();
+    expect(getReadDelayMs()).toEqual(1_250);
+    runPendingReads();
+    expect(getReadDelayMs()).toEqual(0);
+  });
 });
 
 describe('running-time timer', () => {
--- a/packages/sequoiarill-kernel/src/clock.ts
+++ b/packages/sequoiarill-kernel/src/clock.ts
@@ -10,7 +10,7 @@
 }
 
 export function createSystemClock(): Clock {
-  const delays = RunningTimes.createDelayRecord(getNowMs());
+  const delays = RunningTimes.createDelayRecord(getNowMs(), RunningTimes.runAfterPendingReads);
   const getRunningMs = RunningTimes.createRunningTime(getNowMs);
   setInterval(() => {
     getRunningMs();
@@ -20,6 +20,7 @@
     getNowMs,
     getRunningMs,
     getLastDelay: delays.getLastDelay,
+    getReadDelayMs: delays.getReadDelayMs,
     getWallTime: () => new Date().toISOString(),
     async waitMs(ms, signal) {
       if (signal === undefined) await startTimeout(ms);
--- a/packages/sequoiarill-kernel/src/fakeClock.ts
+++ b/packages/sequoiarill-kernel/src/fakeClock.ts
@@ -50,6 +50,7 @@
     getNowMs: () => nowMs,
     getRunningMs: () => nowMs - pausedMs,
     getLastDelay: () => lastDelay,
+    getReadDelayMs: () => 0,
     getWallTime: () => new Date(nowMs).toISOString(),
     waitMs: (ms, signal) =>
       new Promise((resolve) => {
--- a/packages/sequoiarill-kernel/src/runningTime.ts
+++ b/packages/sequoiarill-kernel/src/runningTime.ts
@@ -33,9 +33,13 @@
  * Keeps the longest delay of the last ten seconds, or the last one where there was none since. A delay is at least as
  * long as a tick was late; between two ticks, one shorter than `RUNNING_TIME_TICK_MS` may go unnoticed.
  */
-export function createDelayRecord(startedMs: number) {
+export function createDelayRecord(
+  startedMs: number,
+  runAfterReads: (callback: () => void) => void,
+) {
   let tickedAtMs = startedMs;
   let last: ProcessDelay | undefined;
+  let readDelayMs = 0;
 
   function recordDelay(delay: ProcessDelay): void {
     const isKept =
@@ -45,14 +49,28 @@
     if (!isKept) last = delay;
   }
 
+  /** A connection that was opened during the delay is accepted first, and read one or two iterations later. */
+  function setReadDelay(lastedMs: number): void {
+    readDelayMs = lastedMs;
+    runAfterReads(() =>
+      runAfterReads(() => {
+        readDelayMs = 0;
+      }),
+    );
+  }
+
   return {
     /** Must be called by a timer every `RUNNING_TIME_TICK_MS`. */
     recordTick(nowMs: number): void {
       const lastedMs = nowMs - tickedAtMs - RUNNING_TIME_TICK_MS;
       tickedAtMs = nowMs;
-      if (lastedMs >= MIN_DELAY_MS) recordDelay({ endedAtMs: nowMs, lastedMs });
+      if (lastedMs < MIN_DELAY_MS) return;
+      recordDelay({ endedAtMs: nowMs, lastedMs });
+      setReadDelay(lastedMs);
     },
     getLastDelay: (): ProcessDelay | undefined => last,
+    /** Timers fire before sockets are read, so that the delay is known when the first data after it is read. */
+    getReadDelayMs: () => readDelayMs,
   };
 }
 
--- a/packages/sequoiarill-plugin-callers/src/__tests__/responseLog.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/responseLog.test.ts
@@ -11,6 +11,7 @@
   getNowMs: () => 0,
   getRunningMs: () => 0,
   getLastDelay: () => undefined,
+  getReadDelayMs: () => 0,
   getWallTime: () => '2026-01-01T00:00:00.000Z',
   waitMs: async () => undefined,
 };
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -40,7 +40,7 @@
 
 export interface ForwardingDependencies {
   readonly zone: string;
-  readonly clock: Pick<Clock, 'getNowMs' | 'getRunningMs' | 'waitMs'>;
+  readonly clock: Pick<Clock, 'getNowMs' | 'getRunningMs' | 'getReadDelayMs' | 'waitMs'>;
   readonly nextRandom: () => number;
   readonly wire: ForwardingWire;
   readonly directory: Directory;
--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -27,6 +27,9 @@
 /** The first configuration arrives within one or two seconds after the start. */
 const STARTUP_RETRY_SECONDS = 0.5;
 
+/** A caller that still waits has little time left. */
+const LATE_RETRY_SECONDS = 0;
+
 /** Another router can accept the request immediately. */
 const DRAINING_RETRY_SECONDS = 0.1;
 
@@ -68,6 +71,7 @@
 async function runExchange(dependencies: ExchangeDependencies, exchange: Exchange): Promise<void> {
   const { incoming, response, headers, relayTerms } = exchange;
   const arrivedAtMs = dependencies.clock.getNowMs();
+  const readDelayMs = dependencies.clock.getReadDelayMs();
   const closed = createCloseSignal(response);
   const id = Headers.findSingleValue(headers, dependencies.wire.headers.requestId);
   const held = HeldExchanges.createHeldExchange(dependencies.heldBudget, response, id);
@@ -108,19 +112,29 @@
     refuseRelayed(dependencies, exchange, 'unreachable');
     return;
   }
-  if (!dependencies.hasTimeFor(computeLongestMs(dependencies, request))) {
-    const reason = 'this process is about to end';
-    const retryAfterSeconds = DRAINING_RETRY_SECONDS;
-    Replies.sendRefusal(dependencies, response, headers, {
-      status: UNAVAILABLE,
-      reason,
-      retryAfterSeconds,
-    });
+  const timeRefusal = findTimeRefusal(dependencies, request, readDelayMs);
+  if (timeRefusal !== undefined) {
+    Replies.sendRefusal(dependencies, response, headers, timeRefusal);
     return;
   }
   await sendAnswer(dependencies, { ...request, held }, response);
 }
 
+/** Undefined where there is time for the request on both sides. */
+function findTimeRefusal(
+  dependencies: ExchangeDependencies,
+  request: ForwardRequest,
+  readDelayMs: number,
+): Refusal | undefined {
+  if (request.expiresAtMs - request.arrivedAtMs <= readDelayMs) {
+    const reason = 'its time may have been up before it was read';
+    return { status: UNAVAILABLE, reason, retryAfterSeconds: LATE_RETRY_SECONDS };
+  }
+  if (dependencies.hasTimeFor(computeLongestMs(dependencies, request))) return undefined;
+  const reason = 'this process is about to end';
+  return { status: UNAVAILABLE, reason, retryAfterSeconds: DRAINING_RETRY_SECONDS };
+}
+
 async function sendAnswer(
   dependencies: ExchangeDependencies,
   request: ForwardRequest,
--- a/packages/sequoiarill-plugin-generations/src/__tests__/capacityTask.test.ts
+++ b/packages/sequoiarill-plugin-generations/src/__tests__/capacityTask.test.ts
@@ -37,6 +37,7 @@
       getNowMs: () => 0,
       getRunningMs: () => 0,
       getLastDelay: () => undefined,
+      getReadDelayMs: () => 0,
       getWallTime: () => '',
       waitMs: async () => controller.abort(),
     },
--- a/packages/sequoiarill-plugin-orders/src/__tests__/claimInterleavings.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/claimInterleavings.test.ts
@@ -73,6 +73,7 @@
     getNowMs: () => waits,
     getRunningMs: () => waits,
     getLastDelay: () => undefined,
+    getReadDelayMs: () => 0,
     getWallTime: () => '',
     waitMs: delayStep,
   };
--- a/packages/sequoiarill-plugin-orders/src/__tests__/fakeStore.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/fakeStore.ts
@@ -98,6 +98,7 @@
     getNowMs: () => nowMs,
     getRunningMs: () => nowMs,
     getLastDelay: () => undefined,
+    getReadDelayMs: () => 0,
     getWallTime: () => '2026-01-01T00:00:00.000Z',
     waitMs: async () => undefined,
     advance(ms) {
--- a/packages/sequoiarill-plugin-orders/src/__tests__/transactionBatches.test.ts
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/transactionBatches.test.ts
@@ -17,6 +17,7 @@
     getNowMs: () => nowMs,
     getRunningMs: () => nowMs,
     getLastDelay: () => undefined,
+    getReadDelayMs: () => 0,
     getWallTime: () => '',
     async waitMs(ms) {
       nowMs += ms;
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -76,6 +76,11 @@
   readonly getRunningMs: () => number;
   /** The longest recent delay of this process, or its last one; undefined if there was none. */
   readonly getLastDelay: () => ProcessDelay | undefined;
+  /**
+   * The longest time for which data that is read now may have waited in a socket buffer, milliseconds; 0 unless this
+   * process has just been paused or blocked.
+   */
+  readonly getReadDelayMs: () => number;
   /** Wall-clock time, ISO 8601, for display only. */
   readonly getWallTime: () => string;
   /** Resolves early, without an error, when the signal is aborted. */
