Let the soak see cuts of links that a router learned from another one

Cause, traced: each router of the soak has links of its own to the targets, and sees their addresses in its view of the store. A router that learns a target from a peer gets the address of the peer's link. Router 2 sent to target 6 at the link of router 1 (port 39663, by the lines of both), whose partition ended with a reset: 1.4 s after the end of the silence. The check looked for partitions of the request's own router only.

Change: a partition touches the addresses of its links as well, and a request is touched by a fault of an address at which it lost a target.

Ruled out: a fault of the router. It had heard no target for 2.4 s, which is the length of the partition, and the 502 came with the reset.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -162,6 +162,7 @@
     request: request.id,
     content: request.contentKey,
     target: target.id,
+    address: target.address,
     targetVersion: target.version,
     begunVersion: progress.build?.version,
     zone: target.zone,
--- a/soak/src/__tests__/earlyEnds.test.ts
+++ b/soak/src/__tests__/earlyEnds.test.ts
@@ -77,6 +77,16 @@
     }
   });
 
+  it('leaves out requests that were lost at the cut link of another router', () => {
+    // Guards against a cut that the check does not see, because routers also use links learned from others.
+    const [cut, other] = ['127.0.0.1:4001', '127.0.0.1:4002'];
+    const evidence = createEvidence({ status: 502 });
+    evidence.requestLog.faults.push(createFault(cut, 10_000));
+    const createLines = (address: string) => [{ name: 'target.lost', request: 's1', address }];
+    expect(listRules(evidence, createLines(cut))).toEqual([]);
+    expect(listRules(evidence, createLines(other))).toEqual(['endedEarly']);
+  });
+
   it('reports requests where other faults were elsewhere or long before', () => {
     // Failure: the check finds nothing, because in a soak some fault is always present.
     const evidence = createEvidence(CLOSED);
--- a/soak/src/earlyEnds.ts
+++ b/soak/src/earlyEnds.ts
@@ -33,6 +33,8 @@
 export interface RequestTrace {
   /** Ids of the incarnations that were chosen for it, also where it didn't run. */
   readonly targets: Set<string>;
+  /** At which its targets were lost: that of another router's link where the target was learned from that router. */
+  readonly addresses: Set<string>;
   /** Whether its router sent it through another one. */
   isRelayed: boolean;
 }
@@ -41,11 +43,16 @@
 
 export function createTraces(lines: readonly LogLine[]): Traces {
   const traces = new Map<string, RequestTrace>();
-  for (const { name, request, target } of lines) {
+  for (const { name, request, target, address } of lines) {
     if (typeof request === 'string') {
-      const trace = traces.get(request) ?? { targets: new Set(), isRelayed: false };
+      const trace = traces.get(request) ?? {
+        targets: new Set(),
+        addresses: new Set(),
+        isRelayed: false,
+      };
       traces.set(request, trace);
       if (typeof target === 'string') trace.targets.add(target);
+      if (typeof address === 'string') trace.addresses.add(address);
       if (name === 'request.relayed') trace.isRelayed = true;
     }
   }
@@ -88,7 +95,8 @@
   const targets = listTargets(evidence, request, trace);
   // `engines-1-life-2` is an incarnation of `target 1`.
   const places = targets.map((target) => `target ${target.split('-')[1] ?? ''}`);
-  const components = new Set([...targets, ...places, `router ${request.router}`]);
+  const addresses = trace?.addresses ?? [];
+  const components = new Set([...targets, ...places, ...addresses, `router ${request.router}`]);
   const isRelayed = trace?.isRelayed === true;
   return evidence.requestLog.faults.some(
     (fault) =>
--- a/soak/src/routerLinks.ts
+++ b/soak/src/routerLinks.ts
@@ -6,6 +6,8 @@
   /** `IP:port` of the store as this router sees it: targets have the addresses of its links. */
   readonly storeAddress: string;
   readonly links: readonly LinkStandin[];
+  /** Of the links, `IP:port`. Routers that learn a target from this one use them as well. */
+  readonly addresses: readonly string[];
   readonly stop: () => Promise<void>;
 }
 
@@ -27,6 +29,7 @@
   return {
     storeAddress,
     links,
+    addresses: [...linkAddresses.values()],
     stop: async () => {
       await Promise.all(links.map((link) => link.stop()));
     },
--- a/soak/src/silentTargets.ts
+++ b/soak/src/silentTargets.ts
@@ -28,14 +28,16 @@
 }
 
 /** The store's faults touch no request that is under way. */
-function listComponents(action: Action): readonly string[] {
+function listComponents({ routerLinks }: Environment, action: Action): readonly string[] {
   if ('target' in action) return [`target ${action.target}`];
   if (action.kind === 'storeLink') return [];
   if ('router' in action) return [`router ${action.router}`];
-  if (action.kind === 'partition' || action.kind === 'killRouters') {
-    return action.routers.map((router) => `router ${router}`);
-  }
-  return [];
+  if (action.kind === 'killRouters') return action.routers.map((router) => `router ${router}`);
+  if (action.kind !== 'partition') return [];
+  return action.routers.flatMap((router) => [
+    `router ${router}`,
+    ...(routerLinks[router]?.addresses ?? []),
+  ]);
 }
 
 /** A target that fell silent in a stream stays so until it is started again, as another incarnation. */
@@ -56,7 +58,7 @@
   if (silentForGood !== undefined) {
     faults.push({ component: silentForGood, fromMs, untilMs: Number.POSITIVE_INFINITY });
   }
-  const touched = listComponents(action).map((component) => ({
+  const touched = listComponents(environment, action).map((component) => ({
     component,
     fromMs,
     untilMs: Number.POSITIVE_INFINITY,
