Tell another router which targets leave when a request goes through it

The router had lost its path and sent the request through one that had just started and whose entry of the target said ready.

Cause: a request that goes through another router carried what the other one must know of configuration and build, and nothing of targets that have said that they leave.

Change: the header sequoiarill-relay-leaving names up to 32 incarnations that the sender knows to leave. The other router marks them once the request's key is accepted, before it chooses a target. Routers of earlier builds ignore the header.

--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -140,6 +140,7 @@
   request: ForwardRequest,
   response: ServerResponse,
 ): Promise<void> {
+  RelayAttempts.recordLeaving(dependencies.directory, request.relayTerms);
   if (request.route.isStream) {
     await Replies.relayStream(dependencies, request, response);
     return;
--- a/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
@@ -7,7 +7,7 @@
 import type { CallEvent } from '../../targets/targetCall';
 import * as Fakes from '../../__tests__/fakeDependencies';
 import type { FakeDependencies, Script } from '../../__tests__/fakeDependencies';
-import { RELAY_HEADERS } from '../relayHeaders';
+import { RELAY_HEADERS, decodeTerms } from '../relayHeaders';
 
 const TARGETS = ['o1', 'o2', 'o3'].map((id, index) =>
   Fakes.createTarget(id, { service: 'orders', zone: ['a', 'b', 'c'][index] ?? '' }),
@@ -252,6 +252,18 @@
     expect([headers.key, headers.target]).toEqual(['key-1', 'r1:2']);
   });
 
+  it('tells the other router which targets leave', async () => {
+    // Guards against a router that has just started and sends the request to a target that said so before.
+    const fakes = createPartitioned({ 'r1:2': ANSWERED });
+    await waitForLostPath(fakes);
+    const [first, ...others] = TARGETS;
+    fakes.setTargets([{ ...first!, id: 'o,1@', startedAtUnixMs: 7, state: 'draining' }, ...others]);
+    await runOrder(fakes, createOrder('once'));
+    const headers = Object.entries(fakes.sentCalls.at(-1)?.headers ?? {});
+    const { leaving } = decodeTerms(headers.map(([name, value]) => [name, String(value)])) ?? {};
+    expect(leaving).toEqual([{ id: 'o,1@', startedAtUnixMs: 7 }]);
+  });
+
   it('goes back to no older configuration than one that has decided through a router', async () => {
     // Guards against callers that see a change and, through the next router, the state before it.
     const newer: Script = [
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
@@ -1,5 +1,5 @@
 /** What comes of one request that is sent through another router. */
-import type { TargetBuild } from '@sequoiarill/types';
+import type { Directory, TargetBuild } from '@sequoiarill/types';
 
 import * as PassedAnswers from '../answers/passedAnswer';
 import type { ForwardingDependencies } from '../dependencies';
@@ -123,6 +123,20 @@
   });
 }
 
+/**
+ * Failure: a router that has just started takes a request from one that knows that a target leaves, and sends it to that
+ * target, whose entry still says ready.
+ */
+export function recordLeaving(
+  directory: Pick<Directory, 'findCurrent' | 'recordLeaving'>,
+  terms: RelayTerms | undefined,
+): void {
+  const leaving = terms?.leaving ?? [];
+  leaving
+    .flatMap((incarnation) => directory.findCurrent(incarnation) ?? [])
+    .forEach(directory.recordLeaving);
+}
+
 /** The route of a request that another router sent on: it may go to no more targets than that one allows. */
 export function applyTerms<Route extends { readonly maxTargets: number }>(
   route: Route,
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
@@ -1,5 +1,5 @@
 /** Headers between two routers when one sends a request through the other; never sent to callers or targets. */
-import type { TargetBuild } from '@sequoiarill/types';
+import type { ForwardingTarget, TargetBuild } from '@sequoiarill/types';
 
 import type { AnswerHead } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
@@ -26,6 +26,8 @@
   targetsLeft: 'sequoiarill-relay-targets-left',
   /** Request: the incarnation of the only target that it may be sent to, percent-encoded. */
   target: 'sequoiarill-relay-target',
+  /** Request: incarnations of targets that are about to stop, `ID@START` with ids percent-encoded, joined by commas. */
+  leaving: 'sequoiarill-relay-leaving',
   /** Models of the target, percent-encoded: in an answer those that produced it, in a request those required. */
   models: 'sequoiarill-relay-models',
   /** The same for the software version of the target. */
@@ -43,6 +45,11 @@
   return NAMES.has(name.toLowerCase());
 }
 
+export type Incarnation = Pick<ForwardingTarget, 'id' | 'startedAtUnixMs'>;
+
+/** Keeps the header to a few kilobytes; targets of one service seldom leave all at once. */
+const MAX_LEAVING = 32;
+
 /** What one router requires of another that is to run its caller's request. */
 export interface RelayTerms {
   readonly version: number;
@@ -51,6 +58,8 @@
   readonly build?: TargetBuild;
   /** The only target that the request may be sent to; undefined for any. */
   readonly target?: string;
+  /** Targets of the service that the sender knows to be about to stop. */
+  readonly leaving?: readonly Incarnation[];
 }
 
 export function encodeTerms(terms: RelayTerms): readonly RawHeader[] {
@@ -59,9 +68,28 @@
     [RELAY_HEADERS.targetsLeft, String(terms.targetsLeft)],
     ...encodeBuild(terms.build),
     ...encodeText(RELAY_HEADERS.target, terms.target),
+    ...encodeLeaving(terms.leaving ?? []),
   ];
 }
 
+function encodeLeaving(leaving: readonly Incarnation[]): readonly RawHeader[] {
+  if (leaving.length === 0) return [];
+  const incarnations = leaving
+    .slice(-MAX_LEAVING)
+    .map(({ id, startedAtUnixMs }) => `${encodeURIComponent(id)}@${startedAtUnixMs}`);
+  return [[RELAY_HEADERS.leaving, incarnations.join(',')]];
+}
+
+function decodeLeaving(text: string | undefined): readonly Incarnation[] {
+  const items = text === undefined ? [] : text.split(',', MAX_LEAVING);
+  return items.flatMap((item) => {
+    const [name, start] = item.split('@');
+    const id = decodeText(name);
+    const startedAtUnixMs = parseCount(start);
+    return id === undefined || startedAtUnixMs === undefined ? [] : [{ id, startedAtUnixMs }];
+  });
+}
+
 function encodeBuild(build: TargetBuild | undefined): readonly RawHeader[] {
   if (build === undefined) return [];
   return [
@@ -93,12 +121,14 @@
     Headers.findSingleValue(headers, RELAY_HEADERS.targetVersion),
   );
   const target = decodeText(Headers.findSingleValue(headers, RELAY_HEADERS.target));
+  const leaving = decodeLeaving(Headers.findSingleValue(headers, RELAY_HEADERS.leaving));
   if (version === undefined || targetsLeft === undefined) return undefined;
   return {
     version,
     targetsLeft,
     ...(build === undefined ? {} : { build }),
     ...(target === undefined ? {} : { target }),
+    ...(leaving.length === 0 ? {} : { leaving }),
   };
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -70,7 +70,7 @@
   readonly nextRandom: () => number;
   readonly wire: Pick<ForwardingWire, 'headers'>;
   readonly peers: Pick<RouterPeers, 'self' | 'listRouters'>;
-  readonly directory: Pick<Directory, 'getConfiguration'>;
+  readonly directory: Pick<Directory, 'getConfiguration' | 'listTargets'>;
   readonly paths: Pick<PathMonitor, 'isRelayDue' | 'mayRelay' | 'recordRelayed' | 'recordUntaken'>;
   /** Sends the request with these headers to the router. */
   readonly openCall: (
@@ -146,6 +146,7 @@
       targetsLeft,
       ...(build === undefined ? {} : { build }),
       ...(target === undefined ? {} : { target }),
+      leaving: directory.listTargets(request.service).filter(({ state }) => state === 'draining'),
     };
     return [
       ...request.headers.filter(([name]) => name.toLowerCase() !== names.lastEventId),
