Answer 502 where a request fails with an internal error of the router

An exception in the task of a request closed its connection, without a status and without a line in the log. Seen with a target whose entry has an address that no URL can hold: 7 of 12 requests to its service ended so. Its caller now gets 502, since the request may have run; an answer that has begun is still broken off. Each is logged as request.handlerFailed with its stack.

--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -16,6 +16,8 @@
   /** Handles requests that other routers send on for their callers. */
   readonly handleRelayed: RequestTask;
   readonly isReady: () => boolean;
+  /** A task failed with an internal error; its caller was answered with 502, or its answer was broken off. */
+  readonly logFailure: (error: unknown) => void;
 }
 
 type RequestTask = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
@@ -57,6 +59,7 @@
 /** Routers keep connections to each other open at least this long. */
 const RELAY_IDLE_TIMEOUT_MS = 30_000;
 const SERVER_ERROR = 500;
+const BAD_GATEWAY = 502;
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -105,7 +108,12 @@
         connectionCount -= 1;
       });
     });
-    const service = createGatewayService(name, runTask, (handler) => {
+    const runLogged: RequestTask = (request, response) =>
+      runTask(request, response).catch((error: unknown) => {
+        options.logFailure(error);
+        stopFailed(response);
+      });
+    const service = createGatewayService(name, runLogged, (handler) => {
       handleAdmitted = handler;
     });
     return { server, service };
@@ -154,9 +162,8 @@
   setHandler: (handler: RequestHandler) => void,
 ): ServiceSchema {
   const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
-    runTask(request, response).catch((error: unknown) => {
-      response.destroy(error instanceof Error ? error : undefined);
-    });
+    // A failed task ends its response itself.
+    runTask(request, response).catch(() => response.destroy());
   };
   return {
     name,
@@ -185,6 +192,12 @@
   response.end();
 }
 
+/** The request may have run, so the status promises nothing. An answer that has begun must not look complete. */
+function stopFailed(response: ServerResponse): void {
+  if (response.headersSent) response.destroy();
+  else sendStatus(response, BAD_GATEWAY);
+}
+
 function formatRefusal(code: string): string {
   const status = STATUS_BY_PARSER_CODE[code] ?? BAD_REQUEST;
   const reason = Http.STATUS_CODES[status] ?? '';
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -8,6 +8,7 @@
 import * as Events from './events';
 import * as Exchanges from './front/exchange';
 import type { ForwardRequest } from './forwardRequest';
+import * as FailureEvents from './front/failureEvents';
 import * as HeldEvents from './front/heldEvents';
 import * as HttpFrontEnds from './front/httpFrontEnd';
 import * as PluginHandlers from './pluginHandlers';
@@ -48,6 +49,7 @@
     handleRelayed: (request, response) =>
       Exchanges.handleRelayedExchange(dependencies, request, response),
     isReady: () => routeTable !== undefined && !drain.isDraining(),
+    logFailure: (error) => log.logEvent(FailureEvents.HANDLER_FAILED, { error }),
   });
   const durations = Decisions.createAnswerDurations();
   const hasTimeForAnswer = (request: ForwardRequest): boolean =>
@@ -162,6 +164,11 @@
   settingsSchema,
   provides: [],
   needs: ['wire', 'directory', 'peers', 'rollouts', 'room', 'keyValue'],
-  events: [...Events.EVENTS, ...HeldEvents.HELD_EVENTS, ...SilenceEvents.SILENCE_EVENTS],
+  events: [
+    ...Events.EVENTS,
+    ...HeldEvents.HELD_EVENTS,
+    ...SilenceEvents.SILENCE_EVENTS,
+    ...FailureEvents.FAILURE_EVENTS,
+  ],
   createInstance,
 };
