Take only addresses that can stand in a URL

A setting with an IPv6 address without brackets is refused at the start, with the usual hint; no other router could have used it.

--- a/packages/sequoiarill-kernel/src/settings.ts
+++ b/packages/sequoiarill-kernel/src/settings.ts
@@ -62,14 +62,13 @@
 const MAX_PORT = 65_535;
 
 /**
- * Whether the value is an `IP:port`; host names are invalid, since routers address each other by
- * IP.
+ * Whether the value is an `IP:port` that can stand in a URL: the port in decimal digits, an IPv6 address in brackets and
+ * without a zone. Host names are invalid, since routers address each other by IP.
  */
 export function isAddress(value: string): boolean {
-  const separator = value.lastIndexOf(':');
-  const host = value.slice(0, separator).replace(/^\[(.*)\]$/, '$1');
-  const port = Number(value.slice(separator + 1));
-  return isIP(host) !== 0 && Number.isInteger(port) && port >= 0 && port <= MAX_PORT;
+  const [, inBrackets, plain, port] = /^(?:\[([^\]%]*)\]|([^:]*)):(\d{1,5})$/.exec(value) ?? [];
+  const isKnownHost = inBrackets === undefined ? isIP(plain ?? '') === 4 : isIP(inBrackets) === 6;
+  return isKnownHost && Number(port) <= MAX_PORT;
 }
 
 /** Schema of an `IP:port` setting of a plug-in. */
