Add a stand-in for targets that send without end

Cause: a faulty server may send bytes that are no answer and never stop, and no stand-in could: `node:http` refuses to write most of these forms.

Change: the stand-in for targets sends one of fifteen forms in place of its answers to requests or to the router's own calls, at a settable speed and with backpressure, and lists each flow with start, end and bytes.

--- a/packages/sequoiarill-standins/src/userPlatform/index.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/index.ts
@@ -2,7 +2,9 @@
 export { createLargeBody } from './largeAnswers';
 export type { Silence } from '../shared/silence';
 export * from './documents';
+export * from './endlessAnswers';
 export * from './storeStandin';
 export * from './targetStandin';
+export * from './targetTypes';
 export * from './queueingEngine';
 export * from './streamEvents';
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -5,109 +5,20 @@
 
 import * as Servers from '../shared/server';
 import * as Silences from '../shared/silence';
-import type { Silence } from '../shared/silence';
 import * as Timers from '../shared/timers';
 import * as Documents from './documents';
+import * as EndlessAnswers from './endlessAnswers';
 import * as LargeAnswers from './largeAnswers';
-import { EVENT_COUNT, formatEvent } from './streamEvents';
-
-export type TargetFault =
-  | 'none'
-  /** Resets the connection once a stream has sent `EVENTS_BEFORE_FAULT` events. */
-  | 'dieInStream'
-  /** Sends streams without framing, and ends the connection within an event after the same number of events. */
-  | 'unframedBreak'
-  /** Sends a stream without framing, and exits after the same number of events. */
-  | 'unframedExit'
-  /**
-   * After the same number of events, the target sends and answers nothing more, but closes no
-   * connection.
-   */
-  | 'fallSilentInStream'
-  /** Sends non-streaming answers without a length and closes the connection halfway through. */
-  | 'unframedHalf'
-  /** Sends a second answer, with the id of another request, after each answer. */
-  | 'extraAnswer'
-  /** Refuses the request without running it, as with a full queue. */
-  | 'shed'
-  /** Runs the request and answers with a server error. */
-  | 'serverError'
-  /** Runs the request and closes the connection without an answer. */
-  | 'loseAnswer';
-
-/** One request that a target started to run. */
-export interface TargetRun {
-  readonly requestId: string;
-  readonly path: string;
-  /** The organisation that the request named in its header. */
-  readonly organisation: string;
-  /** Whether the request carried the caller's API key. */
-  readonly hasApiKey: boolean;
-  /** `performance.now()`, milliseconds. */
-  readonly startedAtMs: number;
-}
-
-export interface TargetOptions {
-  /** `IP:port`; port 0 lets the operating system choose one. */
-  readonly listen?: string;
-  /** Number of events in each stream. */
-  readonly eventCount?: number;
-  /** Time between two events. */
-  readonly eventMs?: number;
-  /** Version of its software, which it names in each event; undefined: its events name none. */
-  readonly version?: string;
-  /** Simulates a crash of the process as soon as it starts to run a request with this path. */
-  readonly crashPath?: string;
-  /** Simulates a crash of the process some time after it has begun to answer certain prompts. */
-  readonly promptCrash?: PromptCrash;
-  /** Time for which it holds a stream before it runs it. */
-  readonly holdMs?: number;
-}
-
-export interface PromptCrash {
-  /** Ids of the parts of a prompt of which each makes it crash. */
-  readonly parts: readonly string[];
-  /** Time from the head of the answer to the crash; events are sent meanwhile. */
-  readonly afterMs: number;
-  readonly onCrash: () => unknown;
-}
-
-export interface TargetRoom {
-  readonly slots: number;
-  readonly runMs: number;
-}
-
-export interface TargetStandin extends Silence {
-  readonly id: string;
-  readonly start: () => Promise<string>;
-  readonly stop: () => Promise<void>;
-  readonly setFault: (fault: TargetFault) => void;
-  /**
-   * Sets the limit, in requests per second, that its answers announce; undefined announces none.
-   */
-  readonly setAnnouncedLimit: (perSecond: number | undefined) => void;
-  /** Sets whether all its answers say that it is about to stop. It continues to serve. */
-  readonly setLeaving: (isLeaving: boolean) => void;
-  /**
-   * Sets the time, in seconds, for which its refusals with 503 ask for no requests; undefined asks
-   * for none.
-   */
-  readonly setRequestedRest: (seconds: number | undefined) => void;
-  /**
-   * Sets how many rejections a second its answers say that it bears; undefined: they do not say so.
-   */
-  readonly setBrittle: (rejectionsPerSecond: number | undefined) => void;
-  /** Limits the requests that run at a time; others are rejected. Each takes `runMs`. */
-  readonly setRoom: (room: TargetRoom) => void;
-  /** Lists the runs in the order in which they started. */
-  readonly listRuns: () => readonly TargetRun[];
-  /** Lists the headers of all requests, including those that were not run. */
-  readonly listHeaders: () => readonly IncomingHttpHeaders[];
-  /** Counts the requests that were rejected for want of room. */
-  readonly countRejected: () => number;
-  /** Counts the requests that are running now; none once the target is silent for good. */
-  readonly countInFlight: () => number;
-}
+import * as ManagementCalls from './managementCalls';
+import { EVENT_COUNT, formatEvent, formatEvents } from './streamEvents';
+import type {
+  PromptCrash,
+  TargetFault,
+  TargetOptions,
+  TargetRoom,
+  TargetRun,
+  TargetStandin,
+} from './targetTypes';
 
 const EVENTS_BEFORE_FAULT = 5;
 const EVENT_MS = 15;
@@ -130,6 +41,7 @@
   /** Tokens of each cached part of a prompt, by the id of the part. */
   const cachedTokensByPart = new Map<string, number>();
   const timers = Timers.createRunTimers();
+  const endless = EndlessAnswers.createEndlessAnswers(timers);
 
   async function delayRun(): Promise<void> {
     heldCount += 1;
@@ -221,7 +133,7 @@
     }
   }
 
-  function handleReport(response: ServerResponse): void {
+  function formatReport(): string {
     const report = {
       queued: heldCount,
       active: inFlight,
@@ -229,14 +141,12 @@
       kvTotal: 100_000,
       runs: [],
     };
-    response.writeHead(200, { 'content-type': 'application/json' });
-    response.end(JSON.stringify({ ...report, state: 'ready' }));
+    return JSON.stringify({ ...report, state: 'ready' });
   }
 
-  function handleKvList(response: ServerResponse): void {
+  function formatCachedParts(): string {
     const held = [...cachedTokensByPart].map(([part, tokens]) => ['', part, tokens, 'm']);
-    response.writeHead(200, { 'content-type': 'application/json' });
-    response.end(JSON.stringify({ epoch: 1, next: 1, held }));
+    return JSON.stringify({ epoch: 1, next: 1, held });
   }
 
   /** Returns the ids of the parts. */
@@ -249,22 +159,44 @@
     });
   }
 
-  /** Handlers of the paths for management calls, which are not requests of callers. */
-  const managementHandlers: Readonly<Record<string, (response: ServerResponse) => void>> = {
-    '/report': handleReport,
-    '/kv-list': handleKvList,
-    '/kv-move': (response) => response.writeHead(404).end(),
-    '/healthz': (response) => response.writeHead(200, { 'instance-id': id }).end(),
-  };
+  const management = ManagementCalls.createManagementCalls(
+    { id, formatReport, formatCachedParts },
+    endless,
+  );
+
+  async function sendEndless(request: IncomingMessage, response: ServerResponse, body: string) {
+    const requestId = String(request.headers['request-id']);
+    const isStream = request.headers.accept === 'text/event-stream';
+    const from = Number(request.headers['last-event-id'] ?? 0) + 1;
+    const headers = {
+      'request-id': requestId,
+      'server-signature': Documents.formatSignature(id),
+      ...(isStream ? { 'content-type': 'text/event-stream' } : {}),
+    };
+    const wholeBody = isStream
+      ? formatEvents(requestId, from, eventCount, version)
+      : `${requestId} got ${body}`;
+    inFlight += 1;
+    await endless.sendEndless('requests', request, response, { headers, body: wholeBody });
+    inFlight -= 1;
+  }
 
-  /** Ends a run without an answer if a fault requires it; returns false if the run continues. */
-  function stopRunByFault(request: IncomingMessage, response: ServerResponse): boolean {
+  /** Ends a run without a whole answer if a fault requires it; returns false if the run continues. */
+  async function stopRunByFault(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<boolean> {
     if (crashPath !== undefined && request.url === crashPath) {
       server.refuseConnections();
       return true;
     }
-    if (fault !== 'loseAnswer') return false;
-    response.destroy();
+    if (fault === 'loseAnswer') {
+      response.destroy();
+      return true;
+    }
+    if (!endless.isEndless('requests')) return false;
+    await sendEndless(request, response, body);
     return true;
   }
 
@@ -294,7 +226,7 @@
       hasApiKey: request.headers.credential !== undefined,
       startedAtMs: performance.now(),
     });
-    if (stopRunByFault(request, response)) return;
+    if (await stopRunByFault(request, response, body)) return;
     inFlight += 1;
     if (room !== undefined) await timers.waitMs(room.runMs);
     const partIds = addCachedParts(request.headers['prompt-prefix']);
@@ -307,9 +239,8 @@
   }
 
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const handleManagement = managementHandlers[request.url ?? ''];
-    if (handleManagement !== undefined) {
-      handleManagement(response);
+    if (management.isManagementCall(request)) {
+      await management.handleCall(request, response);
       return;
     }
     const chunks: Buffer[] = [];
@@ -325,7 +256,9 @@
       refuseAsFull(requestId, response);
       return;
     }
-    await runRequest(request, response, Buffer.concat(chunks).toString());
+    const body = Buffer.concat(chunks).toString();
+    if (endless.refusesRequests()) await sendEndless(request, response, body);
+    else await runRequest(request, response, body);
   }
 
   const server = Servers.createStandinServer(listen, (request, response) => {
@@ -343,6 +276,8 @@
     setFault(next) {
       fault = next;
     },
+    setEndless: endless.setEndless,
+    listEndlessFlows: endless.listFlows,
     setAnnouncedLimit(perSecond) {
       announcedLimitPerSecond = perSecond;
     },
