Let a stand-in send several forms without end in turn

Cause: one target per form leaves no case in which all of them meet one router.

Change: `setEndless` takes a list of forms; each answer takes the next one.

--- a/packages/sequoiarill-standins/src/userPlatform/__tests__/endlessAnswers.test.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/__tests__/endlessAnswers.test.ts
@@ -47,10 +47,8 @@
 
   it('go on in every form until the reader closes, and are counted', async () => {
     // Failure: a form that ends by itself, or whose end is not seen, makes every router look right or wrong.
-    for (const form of ENDLESS_FORMS) {
-      target.setEndless({ form });
-      await readFlow();
-    }
+    target.setEndless({ forms: ENDLESS_FORMS });
+    for (let index = 0; index < ENDLESS_FORMS.length; index += 1) await readFlow();
     await waitForEnd();
     const flows = target.listEndlessFlows();
     expect(flows.map(({ form }) => form)).toEqual([...ENDLESS_FORMS]);
@@ -61,7 +59,7 @@
 
   it('stop growing while their reader takes nothing', async () => {
     // Failure: the memory of the stand-in grows, and the bytes that a router took are not known.
-    target.setEndless({ form: 'body', bytesPerSecond: Number.POSITIVE_INFINITY });
+    target.setEndless({ forms: ['body'], bytesPerSecond: Number.POSITIVE_INFINITY });
     const socket = openConnection();
     socket.pause();
     let bytes = -1;
--- a/packages/sequoiarill-standins/src/userPlatform/endlessAnswers.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/endlessAnswers.ts
@@ -47,7 +47,8 @@
   'requests' | 'reports' | 'statusChecks' | 'cacheListings' | 'copyCommands';
 
 export interface EndlessOptions {
-  readonly form: EndlessForm;
+  /** Each answer takes the next one, and the first one again after the last. */
+  readonly forms: readonly EndlessForm[];
   /** `['requests']` unless given. */
   readonly scopes?: readonly EndlessScope[];
   /** Speed of each answer; as fast as the reader takes them if it is infinite. */
@@ -218,6 +219,12 @@
 export function createEndlessAnswers(timers: RunTimers): EndlessAnswers {
   const flows: EndlessFlow[] = [];
   let options: EndlessOptions | undefined;
+  let forms: readonly EndlessForm[] = [];
+  let nextIndex = 0;
+
+  function getNextForm(): EndlessForm | undefined {
+    return forms[nextIndex % forms.length];
+  }
 
   function isEndless(scope: EndlessScope): boolean {
     return options !== undefined && (options.scopes ?? DEFAULT_SCOPES).includes(scope);
@@ -226,13 +233,16 @@
   return {
     setEndless(next) {
       options = next;
+      forms = next?.forms ?? [];
     },
     isEndless,
-    refusesRequests: () => isEndless('requests') && options?.form === 'notRunBody',
+    refusesRequests: () => isEndless('requests') && getNextForm() === 'notRunBody',
     async sendEndless(scope, request, response, whole) {
       const { socket } = response;
-      if (options === undefined || socket === null) return;
-      const { form, bytesPerSecond = DEFAULT_BYTES_PER_SECOND } = options;
+      const form = getNextForm();
+      if (options === undefined || form === undefined || socket === null) return;
+      nextIndex += 1;
+      const { bytesPerSecond = DEFAULT_BYTES_PER_SECOND } = options;
       const requestId = request.headers['request-id'];
       const flow = {
         form,
