Test that long and slow answers are not cut

Cause: bounds on answers without end must not reach answers that are long, or whose targets are slow or pause, and end.

Change: the stand-in for targets pauses once or several times within a phase of an answer, and sends one event of any size.

--- a/packages/sequoiarill-standins/src/userPlatform/endlessAnswers.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/endlessAnswers.ts
@@ -6,6 +6,8 @@
 import type { Socket } from 'node:net';
 
 import type { RunTimers } from '../shared/timers';
+import { formatChunk, formatHead } from './rawHttp';
+import type { WholeAnswer } from './rawHttp';
 
 export const ENDLESS_FORMS = [
   /** Interim responses with status 103, one after another. */
@@ -69,12 +71,6 @@
   readonly bytes: number;
 }
 
-/** The answer that the target would have sent. */
-export interface WholeAnswer {
-  readonly headers: OutgoingHttpHeaders;
-  readonly body: string;
-}
-
 export interface EndlessAnswers {
   /** Applies to answers that have not begun; undefined: all answers are sent as usual. */
   readonly setEndless: (options: EndlessOptions | undefined) => void;
@@ -106,15 +102,6 @@
   readonly unit: string;
 }
 
-function formatHead(status: string, headers: OutgoingHttpHeaders): string {
-  const fields = Object.entries(headers).map(([name, value]) => `${name}: ${String(value)}\r\n`);
-  return `HTTP/1.1 ${status}\r\n${fields.join('')}\r\n`;
-}
-
-function formatChunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
 const FILLER = 'a'.repeat(CHUNK_BYTES);
 const FILLER_CHUNK = formatChunk(FILLER);
 const CHUNKED = { 'transfer-encoding': 'chunked' };
@@ -132,9 +119,7 @@
 
 function createStreamForm(firstText: string, unitText: string): BuildBytes {
   return ({ headers }) => ({
-    start:
-      formatHead('200 OK', { ...headers, ...EVENT_STREAM }) +
-      (firstText === '' ? '' : formatChunk(firstText)),
+    start: formatHead('200 OK', { ...headers, ...EVENT_STREAM }) + formatChunk(firstText),
     unit: formatChunk(unitText),
   });
 }
@@ -164,7 +149,7 @@
     unit: FILLER,
   }),
   trailers: ({ headers, body }) => ({
-    start: `${formatHead('200 OK', { ...headers, ...CHUNKED })}${body === '' ? '' : formatChunk(body)}0\r\n`,
+    start: `${formatHead('200 OK', { ...headers, ...CHUNKED })}${formatChunk(body)}0\r\n`,
     unit: `x-filler: ${FILLER}\r\n`,
   }),
   noHttp: () => ({ start: '', unit: FILLER }),
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -10,6 +10,8 @@
 import * as EndlessAnswers from './endlessAnswers';
 import * as LargeAnswers from './largeAnswers';
 import * as ManagementCalls from './managementCalls';
+import * as PausedAnswers from './pausedAnswers';
+import type { WholeAnswer } from './rawHttp';
 import { EVENT_COUNT, formatEvent, formatEvents } from './streamEvents';
 import type {
   PromptCrash,
@@ -164,24 +166,40 @@
     endless,
   );
 
-  async function sendEndless(request: IncomingMessage, response: ServerResponse, body: string) {
-    const requestId = String(request.headers['request-id']);
-    const isStream = request.headers.accept === 'text/event-stream';
-    const from = Number(request.headers['last-event-id'] ?? 0) + 1;
-    const headers = {
-      'request-id': requestId,
-      'server-signature': Documents.formatSignature(id),
-      ...(isStream ? { 'content-type': 'text/event-stream' } : {}),
+  function buildWholeAnswer({ headers, url = '' }: IncomingMessage, body: string): WholeAnswer {
+    const requestId = String(headers['request-id']);
+    const isStream = headers.accept === 'text/event-stream';
+    const from = Number(headers['last-event-id'] ?? 0) + 1;
+    return {
+      headers: {
+        'request-id': requestId,
+        'server-signature': Documents.formatSignature(id),
+        ...(isStream ? { 'content-type': 'text/event-stream' } : {}),
+      },
+      body: isStream
+        ? (PausedAnswers.findLargeEvent(url) ?? formatEvents(requestId, from, eventCount, version))
+        : `${requestId} got ${body}`,
     };
-    const wholeBody = isStream
-      ? formatEvents(requestId, from, eventCount, version)
-      : `${requestId} got ${body}`;
+  }
+
+  /** Sends an answer that is not written by `ServerResponse`; returns false if none is to be sent. */
+  async function sendRawAnswer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<boolean> {
+    const { url = '' } = request;
+    const isEndless = endless.isEndless('requests');
+    if (!isEndless && !PausedAnswers.isPaused(url)) return false;
+    const whole = buildWholeAnswer(request, body);
     inFlight += 1;
-    await endless.sendEndless('requests', request, response, { headers, body: wholeBody });
+    if (isEndless) await endless.sendEndless('requests', request, response, whole);
+    else await PausedAnswers.sendPaused(url, whole, response, timers);
     inFlight -= 1;
+    return true;
   }
 
-  /** Ends a run without a whole answer if a fault requires it; returns false if the run continues. */
+  /** Ends a run if a fault or its path requires it; returns false if the run continues. */
   async function stopRunByFault(
     request: IncomingMessage,
     response: ServerResponse,
@@ -195,9 +213,7 @@
       response.destroy();
       return true;
     }
-    if (!endless.isEndless('requests')) return false;
-    await sendEndless(request, response, body);
-    return true;
+    return sendRawAnswer(request, response, body);
   }
 
   function refuseAsFull(requestId: string, response: ServerResponse): void {
@@ -257,7 +273,7 @@
       return;
     }
     const body = Buffer.concat(chunks).toString();
-    if (endless.refusesRequests()) await sendEndless(request, response, body);
+    if (endless.refusesRequests()) await sendRawAnswer(request, response, body);
     else await runRequest(request, response, body);
   }
 
