Count a partition in the soak as a fault of every router

Cause: routers pass the entries of targets on to each other, and an entry that comes from another router has the address of that router's link.

Change: a partition touches all routers in the record of faults.

--- a/soak/src/silentTargets.ts
+++ b/soak/src/silentTargets.ts
@@ -27,14 +27,16 @@
   environment.requestLog.silences.push({ service, fromMs, untilMs: performance.now() });
 }
 
-/** The store's faults touch no request that is under way. */
-function listComponents(action: Action): readonly string[] {
+/**
+ * The store's faults touch no request that is under way. Routers pass the entries of targets on to each other, with the
+ * addresses of their own links, so a partition touches all of them.
+ */
+function listComponents({ routers }: Environment, action: Action): readonly string[] {
   if ('target' in action) return [`target ${action.target}`];
   if (action.kind === 'storeLink') return [];
   if ('router' in action) return [`router ${action.router}`];
-  if (action.kind === 'partition' || action.kind === 'killRouters') {
-    return action.routers.map((router) => `router ${router}`);
-  }
+  if (action.kind === 'partition') return routers.map((_router, index) => `router ${index}`);
+  if (action.kind === 'killRouters') return action.routers.map((router) => `router ${router}`);
   return [];
 }
 
@@ -56,7 +58,7 @@
   if (silentForGood !== undefined) {
     faults.push({ component: silentForGood, fromMs, untilMs: Number.POSITIVE_INFINITY });
   }
-  const touched = listComponents(action).map((component) => ({
+  const touched = listComponents(environment, action).map((component) => ({
     component,
     fromMs,
     untilMs: Number.POSITIVE_INFINITY,
