--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -1,6 +1,8 @@
 /** The plug-in kernel of sequoiarill, built on a local Moleculer broker. */
 export * from './apiKeys';
+export * from './boundedText';
 export * from './clock';
+export * from './endlessServer';
 export * from './events';
 export * from './fakeClock';
 export * from './fakeWire';
