End a range of the gateway whose pages do not go on

A page that ends before the key from which it was requested, or more than 100,000 entries, now makes the range unavailable.

The reader for bounded bodies moves to the kernel, for other clients.

--- a/packages/sequoiarill-plugin-platform/src/gatewayClient.ts
+++ b/packages/sequoiarill-plugin-platform/src/gatewayClient.ts
@@ -2,6 +2,7 @@
  * HTTP client of the platform's gateway, with endpoint failover, a timeout and a bounded response
  * size. The outcome of a failed call states whether the call can have taken effect.
  */
+import * as Kernel from '@sequoiarill/kernel';
 import * as Undici from 'undici';
 import type { ZodType } from 'zod';
 
@@ -85,21 +86,6 @@
   return `${endpoint}: ${message === undefined || message === '' ? code : message}`;
 }
 
-/** Reads a response body, or returns undefined if it exceeds `maxBytes`. */
-async function readBounded(
-  body: AsyncIterable<Uint8Array>,
-  maxBytes: number,
-): Promise<string | undefined> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  for await (const chunk of body) {
-    size += chunk.byteLength;
-    if (size > maxBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
-
 function decodeResponse<Payload>(text: string, schema: ZodType<Payload>): CallOutcome<Payload> {
   try {
     // Streaming methods respond with one JSON object per line. A unary call needs only the first.
@@ -161,7 +147,7 @@
     try {
       const signal = AbortSignal.timeout(callTimeoutMs);
       const response = await sendRequest(endpoint, path, body, signal);
-      const text = await readBounded(response.body, maxResponseBytes);
+      const text = await Kernel.readBoundedText(response.body, maxResponseBytes);
       if (text === undefined) return { kind: 'tooLarge', message: `${endpoint}: response too big` };
       if (response.statusCode === HTTP_OK) return decodeResponse(text, schema);
       if (response.statusCode === HTTP_UNAUTHORIZED) return { kind: 'unauthorized' };
--- a/packages/sequoiarill-plugin-platform/src/keyValueStore.ts
+++ b/packages/sequoiarill-plugin-platform/src/keyValueStore.ts
@@ -39,6 +39,9 @@
 /** Keys per page: 6,700 VM records take seven calls. Halved if the response is too long. */
 const PAGE_KEYS = 1_000;
 
+/** Far above the 6,700 VM records of the target size; bounds the memory of a read whose pages never end. */
+const MAX_RANGE_ENTRIES = 100_000;
+
 type FailedCall = Exclude<CallOutcome<never>, { readonly kind: 'answer' }>;
 
 function reportUnavailable(outcome: FailedCall): KeyValueUnavailable {
@@ -56,6 +59,11 @@
   return { target: 'MOD', result: 'EQUAL', modRevision: String(revision) };
 }
 
+/** Whether a page ends before the key from which it was requested, as one that is repeated does. Both in base64. */
+function isBeforeKey(lastKey: string, requestedKey: string): boolean {
+  return Buffer.from(lastKey, 'base64').compare(Buffer.from(requestedKey, 'base64')) < 0;
+}
+
 interface RangeRequest {
   readonly key: string;
   readonly range_end?: string;
@@ -122,6 +130,9 @@
       entries.push(...kvs.map((kv) => Messages.decodeEntry(kv, keyPrefix)));
       const last = kvs.at(-1);
       if (!more || last === undefined) return { kind: 'range', revision, entries };
+      if (isBeforeKey(last.key, next.key) || entries.length > MAX_RANGE_ENTRIES) {
+        return { kind: 'unavailable', message: 'the pages of a range do not end' };
+      }
       const key = Messages.encodeText(`${Messages.decodeText(last.key)}\0`);
       next = { ...next, key };
     }
