Pace the calls to a store or a reader that answers at once

A watch that is answered at once without changes was followed by the next one without a pause, and so was the query of a zone reader; a store that never finds its history was read completely about four times a second. Pages without end were kept in memory. A watch whose answer goes on without end held back all changes, since each part of it counted as progress.

Waits before full reads get longer while no watch succeeds. A full read is given up after 32 MiB of text; the configuration in force stays. A watch is sent over a new connection 4 s after its answer was due, also while parts of it arrive: the largest page takes that long over a link of 0.6 MB/s.

--- a/packages/sequoiarill-plugin-directory/src/__tests__/watchAttempts.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/watchAttempts.test.ts
@@ -55,6 +55,23 @@
     expect(fixture.countCalls()).toEqual(1);
   });
 
+  it('are sent over new connections when an answer goes on for too long', async () => {
+    // Guards against an answer without end that holds back all changes of the configuration.
+    const clock = Kernel.createFakeClock();
+    let watches = 0;
+    const fixture = createFixture(clock, async function* watch(_prefix, _from, signal, options) {
+      watches += 1;
+      while (watches === 1 && !signal.aborted) {
+        await clock.waitMs(PART_PAUSE_MS);
+        options?.handleProgress?.();
+      }
+      yield EMPTY;
+    });
+    const answer = fixture.watchOnce();
+    await clock.runFor(WAIT_MS + WatchAttempts.MAX_ARRIVAL_MS + WatchAttempts.PATIENCE_MS);
+    expect((await Promise.race([answer, undefined]))?.attempt).toEqual(2);
+  });
+
   it('are sent over new connections when an answer stops midway', async () => {
     // Guards against a connection that turns silent within an answer.
     const clock = Kernel.createFakeClock();
--- a/packages/sequoiarill-plugin-directory/src/fullRead.ts
+++ b/packages/sequoiarill-plugin-directory/src/fullRead.ts
@@ -32,6 +32,16 @@
   readonly prefix: string;
 }
 
+/**
+ * Failure: a store has a further page for ever, and what was read takes the memory of the process. The entries of 6,700
+ * targets take 3 MB, and a configuration at most 1 MiB.
+ */
+export const MAX_READ_CHARACTERS = 32 * 1_048_576;
+
+function countCharacters(records: readonly DirectoryRecord[]): number {
+  return records.reduce((sum, { key, value = '' }) => sum + key.length + value.length, 0);
+}
+
 /**
  * Load pattern: hundreds of routers lose power together and all read everything at once over small
  * links. A router that starts over after each failed call, and uses nothing before it has
@@ -44,10 +54,12 @@
   let revision: number | undefined;
   let startedAtMs = 0;
   let pageCount = 0;
+  let characters = 0;
 
   function removePages(): void {
     records = [];
     revision = undefined;
+    characters = 0;
   }
 
   return {
@@ -61,6 +73,12 @@
         value,
       }));
       pageCount += 1;
+      characters += countCharacters(pageRecords);
+      if (characters > MAX_READ_CHARACTERS) {
+        const reason = `the pages have more than ${MAX_READ_CHARACTERS} characters`;
+        removePages();
+        return { kind: 'failed', reason };
+      }
       if (revision !== undefined && getEra(page.revision) !== getEra(revision)) {
         // The store was restored between two pages: the ones before are of another state.
         removePages();
--- a/packages/sequoiarill-plugin-directory/src/readerPolling.ts
+++ b/packages/sequoiarill-plugin-directory/src/readerPolling.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '@sequoiarill/types';
 
 import type { Confirmation } from './confirmation';
+import * as Pacing from './pacing';
 import type { RecordsOutcome, RecordsQuery } from './peerMessages';
 
 export type ReaderRecords = Extract<RecordsOutcome, { kind: 'records' }>;
@@ -80,6 +81,7 @@
           confirmation.recordConfirmed(computeConfirmedAtMs(outcome, sentAtMs, clock.getNowMs()));
         }
         if (outcome.records.length > 0) await waitAfterChanges();
+        else await Pacing.waitForNextCall(clock, sentAtMs, signal);
       }
       return undefined;
     },
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -11,6 +11,7 @@
 import * as EraSweeps from './eraSweep';
 import * as Events from './events';
 import * as FullReads from './fullRead';
+import * as Pacing from './pacing';
 import * as ReaderPollings from './readerPolling';
 import type { ReaderPollingOptions, ReaderRecords } from './readerPolling';
 import * as StoreOutages from './storeOutage';
@@ -70,6 +71,15 @@
   return Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** failures) * (0.5 + random / 2);
 }
 
+async function waitToRetry(
+  { clock, state, nextRandom }: Pick<StoreFollowerOptions, 'clock' | 'state' | 'nextRandom'>,
+  failures: number,
+  signal: AbortSignal,
+): Promise<void> {
+  await clock.waitMs(computeRetryWaitMs(failures, nextRandom()), signal);
+  state.removeDueTargets();
+}
+
 export function createStoreFollower(options: StoreFollowerOptions): StoreFollower {
   const { store, state, clock, logEvent } = options;
   const fullRead = FullReads.createFullRead({ store, state, clock, prefix: WATCHED_PREFIX });
@@ -78,8 +88,9 @@
     recordAge: options.recordAge,
   });
   const outage = StoreOutages.createStoreOutage({ state, clock, logEvent, confirmation });
-  let hasCompletedRead = false;
   let fullReadAtMs = Number.NEGATIVE_INFINITY;
+  /** Watches in a row that found no history; waits between the full reads that follow get longer. */
+  let compactions = 0;
   const eraSweep = EraSweeps.createEraSweep(state);
   /** Whether everything must be read before a watch can continue. */
   let isFullReadDue = true;
@@ -104,7 +115,7 @@
 
   function markConnected(): void {
     // A router that started during an outage knows its targets from peers.
-    outage.markConnected(hasCompletedRead || state.getRevision() > 0);
+    outage.markConnected(Number.isFinite(fullReadAtMs) || state.getRevision() > 0);
   }
 
   function applyReaderRecords(records: ReaderRecords): void {
@@ -126,7 +137,6 @@
     confirmation.recordSeen(result.revision);
     fullReadAtMs = clock.getNowMs();
     eraSweep.markRead(confirmation.getSeenRevision());
-    hasCompletedRead = true;
     confirmation.recordConfirmed(result.startedAtMs);
     return 'complete';
   }
@@ -134,6 +144,7 @@
   const waitAfterChanges = (signal: AbortSignal) => clock.waitMs(BATCH_PAUSE_MS, signal);
 
   async function runWatch(signal: AbortSignal): Promise<WatchResult['kind']> {
+    const startedMs = clock.getNowMs();
     const result = await watch.run(signal);
     if (result.kind === 'failed') {
       if (!signal.aborted) markLost('a watch got no response');
@@ -142,12 +153,15 @@
     }
     markConnected();
     if (result.kind === 'compacted') {
+      compactions += 1;
       logEvent(Events.HISTORY_GONE, splitRevision(confirmation.getSeenRevision()));
       store.renewConnections();
       return 'compacted';
     }
+    compactions = 0;
     state.removeDueTargets();
     if (result.changeCount > 0) await waitAfterChanges(signal);
+    else await Pacing.waitForNextCall(clock, startedMs, signal);
     return 'changes';
   }
 
@@ -169,11 +183,6 @@
     store.renewConnections();
   }
 
-  async function waitToRetry(failures: number, signal: AbortSignal): Promise<void> {
-    await clock.waitMs(computeRetryWaitMs(failures, options.nextRandom()), signal);
-    state.removeDueTargets();
-  }
-
   /** Runs one read or watch; returns `next` if another one may follow immediately. */
   async function runOnce(signal: AbortSignal): Promise<'next' | 'retry'> {
     if (isFullReadDue) {
@@ -204,7 +213,9 @@
         fullRead.countPages() > pagesBefore ||
         clock.getNowMs() - startedMs > MAX_RETRY_MS;
       failures = hasProgressed ? 0 : failures + 1;
-      if (next === 'retry' && !signal.aborted) await waitToRetry(failures, signal);
+      if (next === 'retry' && !signal.aborted) {
+        await waitToRetry(options, Math.max(failures, compactions), signal);
+      }
     }
   }
 
--- a/packages/sequoiarill-plugin-directory/src/watchAttempts.ts
+++ b/packages/sequoiarill-plugin-directory/src/watchAttempts.ts
@@ -37,6 +37,11 @@
 
 /** A responding store answers within a few milliseconds after the wait, a slow one within hundreds. */
 export const PATIENCE_MS = 250;
+/**
+ * Failure: a watch whose answer goes on without end holds all changes back. Changes are to be in force within 8 s; the largest
+ * page takes this long over a link of 0.6 MB/s.
+ */
+export const MAX_ARRIVAL_MS = 4_000;
 /** A repeated watch reports what is known at once: a longer wait would hide a silent connection again. */
 const REPEATED_WAIT_MS = 1;
 
@@ -79,10 +84,11 @@
 
     /** A large answer over a slow link is not requested once more while its parts arrive. */
     async function waitUntilOverdue(attemptWaitMs: number): Promise<'overdue'> {
+      const latestMs = clock.getNowMs() + attemptWaitMs + MAX_ARRIVAL_MS;
       let leftMs = attemptWaitMs + PATIENCE_MS;
       while (leftMs > 0 && !signal.aborted) {
         await clock.waitMs(leftMs, signal);
-        leftMs = progressAtMs + PATIENCE_MS - clock.getNowMs();
+        leftMs = Math.min(progressAtMs + PATIENCE_MS, latestMs) - clock.getNowMs();
       }
       return 'overdue';
     }
