Close connections whose requests go on after their answers

Node.js reads and drops the rest of a body that nobody needs until its time limit, 60 s or more, however much arrives. So a caller whose request was refused, or anyone who calls the readiness check, the metrics page or the operators' interface with a body without end, kept a connection busy; in the test, 512 MB were read after a 404. And one connection could have any number of requests under way by sending them ahead of their answers: the test did not end within 20 s.

The connection of a request whose body has not ended 1 s after its answer is now closed; one that ends sooner stays open for the next request. A connection takes 32 requests ahead of their answers; the next one is answered with 503 after them, and the connection is closed. The request guard does both for the listeners for callers and for other routers, so the front end has one line for its readiness listener only.

--- a/packages/sequoiarill-kernel/src/endlessServer.ts
+++ b/packages/sequoiarill-kernel/src/endlessServer.ts
@@ -66,7 +66,7 @@
   });
 }
 
-function waitForDrain(socket: Socket): Promise<void> {
+export function waitForDrain(socket: Socket): Promise<void> {
   return new Promise((resolve) => {
     socket.once('drain', resolve);
   });
--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -2,6 +2,7 @@
 export * from './apiKeys';
 export * from './boundedText';
 export * from './clock';
+export * from './endlessRequests';
 export * from './endlessServer';
 export * from './events';
 export * from './fakeClock';
@@ -17,3 +18,4 @@
 export * from './requestGuard';
 export * from './runningTime';
 export * from './settings';
+export * from './unreadRequests';
--- a/packages/sequoiarill-kernel/src/metricsPage.ts
+++ b/packages/sequoiarill-kernel/src/metricsPage.ts
@@ -6,6 +6,7 @@
 import * as Prometheus from 'prom-client';
 
 import * as Listeners from './listeners';
+import * as UnreadRequests from './unreadRequests';
 
 export interface MetricsPage extends Metrics {
   readonly formatPage: () => Promise<string>;
@@ -63,6 +64,7 @@
   }
 
   const server = Http.createServer((request, response) => {
+    UnreadRequests.closeIfUnread(request, response);
     request.resume();
     sendPage(response).catch(() => {
       response.writeHead(HTTP_SERVER_ERROR).end();
--- a/packages/sequoiarill-kernel/src/requestGuard.ts
+++ b/packages/sequoiarill-kernel/src/requestGuard.ts
@@ -1,10 +1,12 @@
 /**
  * Refuses requests that Node.js reports as timed out or malformed, and ensures that none of them is
- * processed.
+ * processed. Bounds what one connection sends ahead of its answers and after them.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import * as UnreadRequests from './unreadRequests';
+
 export interface RequestGuard {
   /** Returns false if the connection was refused before; the request must not be processed then. */
   readonly admitRequest: (request: IncomingMessage, response: ServerResponse) => boolean;
@@ -12,16 +14,31 @@
   readonly handleClientError: (error: NodeJS.ErrnoException, socket: Socket) => void;
 }
 
+/**
+ * Requests of one connection that may wait for the answers to earlier ones. Callers send the next request after the answer;
+ * a few may pipeline some.
+ */
+export const MAX_PIPELINED_REQUESTS = 32;
+const UNAVAILABLE = 503;
 const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 /** `formatRefusal` returns the complete raw HTTP response for an error code of Node.js. */
-export function createRequestGuard(formatRefusal: (code: string) => string): RequestGuard {
+export function createRequestGuard(
+  formatRefusal: (code: string) => string,
+  lingerMs?: number,
+): RequestGuard {
   const refusedSockets = new WeakSet<Socket>();
-  /** Connections whose latest request has no complete response yet. */
-  const busySockets = new WeakSet<Socket>();
+  /** Connections that have sent too many requests ahead; they are closed after the last answer. */
+  const closingSockets = new WeakSet<Socket>();
+  /** Number of requests without a complete response, by connection. */
+  const pendingCounts = new WeakMap<Socket, number>();
   /** The latest request of each connection. */
   const latestRequests = new WeakMap<Socket, IncomingMessage>();
 
+  function countPending(socket: Socket): number {
+    return pendingCounts.get(socket) ?? 0;
+  }
+
   function refuse(socket: Socket, code: string): void {
     refusedSockets.add(socket);
     if (socket.writable) socket.write(formatRefusal(code));
@@ -43,7 +60,7 @@
     setImmediate(() => {
       setImmediate(() => {
         const latest = latestRequests.get(socket);
-        const hasRequest = latest !== previous || busySockets.has(socket);
+        const hasRequest = latest !== previous || countPending(socket) > 0;
         if (!hasRequest || latest?.complete !== true) refuse(socket, TIMEOUT_CODE);
       });
     });
@@ -56,9 +73,17 @@
         socket.destroy();
         return false;
       }
+      if (closingSockets.has(socket)) return false;
+      if (countPending(socket) >= MAX_PIPELINED_REQUESTS) {
+        closingSockets.add(socket);
+        response.writeHead(UNAVAILABLE, { connection: 'close', 'content-length': 0 }).end();
+        socket.pause();
+        return false;
+      }
       latestRequests.set(socket, request);
-      busySockets.add(socket);
-      response.once('close', () => busySockets.delete(socket));
+      pendingCounts.set(socket, countPending(socket) + 1);
+      response.once('close', () => pendingCounts.set(socket, countPending(socket) - 1));
+      UnreadRequests.closeIfUnread(request, response, lingerMs);
       return true;
     },
     handleClientError(error, socket) {
--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -115,6 +115,7 @@
   const routers = createServer('forwarding-relayed', options.handleRelayed);
   routers.server.keepAliveTimeout = RELAY_IDLE_TIMEOUT_MS;
   const readiness = Http.createServer((request, response) => {
+    Kernel.closeIfUnread(request, response);
     request.resume();
     sendStatus(response, options.isReady() ? OK : UNAVAILABLE);
   });
--- a/packages/sequoiarill-plugin-operators/src/__tests__/operators.test.ts
+++ b/packages/sequoiarill-plugin-operators/src/__tests__/operators.test.ts
@@ -10,6 +10,8 @@
 import * as Operators from '../plugin';
 import * as Redaction from '../redaction';
 
+/** More than arrives while the connection is kept open for the rest of a body. */
+const ENDLESS_BYTES = 8_192 * 1_048_576;
 const TOKEN = 'a-token-of-operators';
 
 /** A second plug-in whose state dump and journal entry contain a secret. */
@@ -58,6 +60,17 @@
 }
 
 describe('operators', () => {
+  it('close the connection of a request whose body never ends', async () => {
+    // Guards against a sender whose bytes are read and dropped for as long as it sends them.
+    const { kernel, address } = await startKernel();
+    for (const path of ['/ready', '/none']) {
+      const { chunkedBody } = Kernel.createEndlessRequests(path);
+      const result = await Kernel.sendEndlessRequest(address, chunkedBody, ENDLESS_BYTES);
+      expect(result.isClosed).toEqual(true);
+    }
+    await kernel.stop();
+  });
+
   it('shows the full state, one plug-in and the decisions on a request, without secrets', async () => {
     const { kernel, call } = await startKernel();
     const [, state] = await call('/state');
--- a/packages/sequoiarill-plugin-operators/src/listener.ts
+++ b/packages/sequoiarill-plugin-operators/src/listener.ts
@@ -36,7 +36,10 @@
   const port = Number(listen.slice(separator + 1));
   let handleRequest: HandleRequest = (request, response) =>
     ErrorResponses.sendError(response, 503, 'starting', 'the process is starting; ask again');
-  const server = createServer((request, response) => handleRequest(request, response));
+  const server = createServer((request, response) => {
+    Kernel.closeIfUnread(request, response);
+    handleRequest(request, response);
+  });
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   server.headersTimeout = REQUEST_TIMEOUT_MS;
   server.maxHeadersCount = MAX_HEADER_COUNT;
