Bound requests and answers between routers

The tRPC server for other routers kept a body of any length in memory: the process grew by 1.2 GB while the test sent 4 GB. The client took an answer of any length within the timeout of its call, more than the 64 MB at which the test stops.

The server now uses maxBodySize with 8 MiB, above the 5 MB that the schemas take, a request timeout of 10 s, and closes the connection of a body that goes on after the refusal. The client uses undici's maxResponseSize with 8 MiB, above 200 records with one configuration of 1 MiB. Calls end within their timeout while bytes flow, as before; the test holds that.

--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -70,6 +70,11 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Short, because a caller's stream is stalled meanwhile; another peer can be queried. */
 const QUOTA_TIMEOUT_MS = 80;
+/**
+ * The largest response has 200 records, one of them a configuration of at most 1 MiB, which its quotes make up to twice as
+ * long. Without a bound, one that sends as fast as it is read takes hundreds of MB within the timeout.
+ */
+const MAX_RESPONSE_BYTES = 8 * 1_048_576;
 /** A request that waits for updates must not delay another one. */
 const CONNECTIONS_PER_PEER = 2;
 
@@ -82,6 +87,7 @@
   const dispatcher = new Undici.Agent({
     connections: CONNECTIONS_PER_PEER,
     connect: { timeout: CONNECT_TIMEOUT_MS },
+    maxResponseSize: MAX_RESPONSE_BYTES,
   });
 
   /**
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -198,9 +198,20 @@
 
 export type PeerRouter = ReturnType<typeof createPeerRouter>;
 
+/** The schemas take up to 5 MB: 200 blocks with 64 parts and 64 targets of 200 characters each. */
+const MAX_BODY_BYTES = 8 * 1_048_576;
+/** Other routers send their requests at once. */
+const REQUEST_TIMEOUT_MS = 10_000;
+
 export function createPeerServer(options: PeerServerOptions, listen: string): PeerServer {
-  const handler = Standalone.createHTTPHandler({ router: createPeerRouter(options) });
-  const server = Http.createServer(handler);
+  const handler = Standalone.createHTTPHandler({
+    router: createPeerRouter(options),
+    maxBodySize: MAX_BODY_BYTES,
+  });
+  const server = Http.createServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
+    Kernel.closeIfUnread(request, response);
+    handler(request, response);
+  });
   return {
     async start() {
       await Kernel.openListener(server, listen, '[directory] listen');
