Bound the answers of other routers in membership

A call of membership had a timeout until its answer began and between two parts of it, and no bound on its bytes: an answer without end was kept in memory, and one that sends a byte now and then held the call for ever.

Answers now have at most 32 MiB (undici's maxResponseSize), above a whole document of 11.5 MB with its quotes, and a call takes at most three times its timeout while parts arrive.

--- a/packages/sequoiarill-plugin-membership/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-membership/src/peerClient.ts
@@ -11,6 +11,10 @@
 const CALL_TIMEOUT_MS = 2_000;
 /** A section may have 1 MB, and the network may have just recovered from a partition. */
 const SECTIONS_TIMEOUT_MS = 10_000;
+/** Of the timeout between two parts of a response: longest time of a call, also while parts arrive. */
+const TRANSFER_FACTOR = 3;
+/** A whole document that was accepted at once has up to 11.5 MB, which its quotes make up to twice as long. */
+const MAX_RESPONSE_BYTES = 32 * 1_048_576;
 /** Maximum number of cached clients; they are small, and the oldest one is evicted first. */
 const MAX_CACHED_CLIENTS = 1_024;
 const SECTIONS_PATH = '/listSections';
@@ -41,6 +45,8 @@
   readonly getSelf: () => { readonly name: string; readonly incarnation: number };
   /** Called if a peer knows this router with a higher incarnation. */
   readonly onStaleIncarnation: (highestIncarnation: number) => void;
+  /** Time until the response of a call begins, and then between two parts of it; another one for sections. */
+  readonly timeoutMs?: number;
 }
 
 export interface PeerTraffic {
@@ -60,13 +66,14 @@
 type Client = TrpcClient.TRPCClient<PeerRouter>;
 
 export function createPeerClient(options: PeerClientOptions): PeerClient {
-  const { key, getSelf, onStaleIncarnation } = options;
+  const { key, getSelf, onStaleIncarnation, timeoutMs: callTimeoutMs = CALL_TIMEOUT_MS } = options;
   const clients = new Map<string, Client>();
   const dispatcher = new Undici.Agent({
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveMaxTimeout: KEEP_ALIVE_MS,
     connections: 1,
     connect: { timeout: CALL_TIMEOUT_MS },
+    maxResponseSize: MAX_RESPONSE_BYTES,
   });
   let counter = 0;
   let traffic: PeerTraffic = { calls: 0, failures: 0, bytesSent: 0, bytesReceived: 0 };
@@ -74,7 +81,7 @@
   async function sendSigned(requestUrl: string, request: RequestBody): Promise<FetchResponse> {
     const url = new URL(requestUrl);
     const { body } = request;
-    const timeoutMs = url.pathname.endsWith(SECTIONS_PATH) ? SECTIONS_TIMEOUT_MS : CALL_TIMEOUT_MS;
+    const timeoutMs = url.pathname.endsWith(SECTIONS_PATH) ? SECTIONS_TIMEOUT_MS : callTimeoutMs;
     const { name: from, incarnation } = getSelf();
     counter += 1;
     const path = `${url.pathname}${url.search}`;
@@ -85,6 +92,7 @@
       body,
       headersTimeout: timeoutMs,
       bodyTimeout: timeoutMs,
+      signal: AbortSignal.timeout(TRANSFER_FACTOR * timeoutMs),
       dispatcher,
       headers: {
         'content-type': 'application/json',
