--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -1,6 +1,9 @@
 /** The plug-in kernel of sequoiarill, built on a local Moleculer broker. */
 export * from './apiKeys';
+export * from './boundedText';
 export * from './clock';
+export * from './endlessRequests';
+export * from './endlessServer';
 export * from './events';
 export * from './fakeClock';
 export * from './fakeWire';
@@ -15,3 +18,4 @@
 export * from './requestGuard';
 export * from './runningTime';
 export * from './settings';
+export * from './unreadRequests';
