Bound the parts of all blocks in one message between routers

The receiver takes messages of up to 8 MiB. 200 blocks with 1,024 other parts each would exceed that and be refused as a whole; 16,384 parts of all blocks stay within it. The latest blocks come first.

--- a/packages/sequoiarill-plugin-directory/src/partMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/partMessages.ts
@@ -8,6 +8,8 @@
 /** A block holds the parts that all crashes of its targets have in common, of several requests each. */
 const MAX_BLOCK_OTHERS = 1_024;
 const MAX_TARGETS = 64;
+/** Of all blocks of one message, which the receiver takes up to a number of bytes. */
+const MAX_MESSAGE_OTHERS = 16_384;
 const MAX_NAME_LENGTH = 200;
 
 const partSchema = Zod.string().min(1).max(MAX_NAME_LENGTH);
@@ -63,13 +65,25 @@
 type PartBlocksMessage = Zod.infer<typeof partBlocksSchema>;
 
 /**
- * The last blocks are the ones that changed most recently. One with more parts than a message may hold is left out,
- * since the receiver would refuse all blocks of the message; routers learn it from the store.
+ * The last blocks are the ones that changed most recently. What a message may not hold is left out, since the receiver
+ * would refuse all blocks of the message; routers learn it from the store.
  */
+function selectSendable(blocks: readonly PartBlock[]): readonly PartBlock[] {
+  const selected: PartBlock[] = [];
+  let othersLeft = MAX_MESSAGE_OTHERS;
+  for (const block of blocks.slice(-MAX_ITEMS).reverse()) {
+    const { length } = block.others;
+    if (length <= Math.min(MAX_BLOCK_OTHERS, othersLeft)) {
+      selected.unshift(block);
+      othersLeft -= length;
+    }
+  }
+  return selected;
+}
+
 export function encodePartBlocks(blocks: readonly PartBlock[]): PartBlocksMessage {
-  const sendable = blocks.filter(({ others }) => others.length <= MAX_BLOCK_OTHERS);
   return {
-    blocks: sendable.slice(-MAX_ITEMS).map((block) => ({
+    blocks: selectSendable(blocks).map((block) => ({
       ...block,
       others: [...block.others],
       targets: [...block.targets],
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -198,7 +198,7 @@
 
 export type PeerRouter = ReturnType<typeof createPeerRouter>;
 
-/** The schemas take up to 5 MB: 200 blocks with 64 parts and 64 targets of 200 characters each. */
+/** Above the largest message: 200 blocks with 16,384 parts and 64 targets each, of up to 200 characters: 6 MB. */
 const MAX_BODY_BYTES = 8 * 1_048_576;
 /** Other routers send their requests at once. */
 const REQUEST_TIMEOUT_MS = 10_000;
