Close connections of a draining router only after their answers have left and what has arrived was read

While a router drains, it closed idle connections by closeIdleConnections of Node.js every 100 ms. That function takes a connection for idle once the answer on it was written (response.end), although it may not be flushed, and does not read the socket before. So an answer to a slow caller was cut, and a whole request that had arrived in the socket was reset without being read.

The front end keeps its own record of connections: one is idle from the close of a response, which follows the last byte, until the next request. It is closed after pending reads, as kept connections are whose idle time has passed.

--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/front/__tests__/httpFrontEnd.test.ts
@@ -0,0 +1,89 @@
+import { once } from 'node:events';
+import * as Net from 'node:net';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+import { ServiceBroker } from 'moleculer';
+
+import { settingsSchema } from '../../settings';
+import * as HttpFrontEnds from '../httpFrontEnd';
+import type { HttpFrontEnd } from '../httpFrontEnd';
+
+const LISTEN = '127.0.0.1:0';
+const REQUEST = 'POST /x HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 2\r\n\r\nhi';
+const SMALL = Buffer.from('answer');
+/** More than the buffers of a connection hold. */
+const LARGE = Buffer.alloc(33_554_432, 'a');
+
+describe('connections of a router that drains', () => {
+  let frontEnd: HttpFrontEnd;
+  let broker: ServiceBroker;
+  let body: Buffer;
+  let caller: Net.Socket;
+  let received: Buffer[];
+
+  beforeEach(async () => {
+    body = SMALL;
+    received = [];
+    frontEnd = HttpFrontEnds.createHttpFrontEnd({
+      settings: settingsSchema.parse({ listen: LISTEN, readinessListen: LISTEN }),
+      async handleRequest(request, response) {
+        request.resume();
+        response.writeHead(200, { 'content-length': body.length }).end(body);
+      },
+      handleRelayed: async () => undefined,
+      isReady: () => true,
+    });
+    broker = new ServiceBroker({ logger: false, transporter: null });
+    await broker.start();
+    frontEnd.services.forEach((schema) => broker.createService(schema));
+    await frontEnd.start();
+    const [host = '', port] = frontEnd.getAddresses().listen.split(':');
+    caller = Net.connect(Number(port), host);
+    await once(caller, 'connect');
+  });
+
+  afterEach(async () => {
+    caller.destroy();
+    await frontEnd.stop();
+    await broker.stop();
+  });
+
+  function countBytes(): number {
+    return received.reduce((sum, { length }) => sum + length, 0);
+  }
+
+  async function readUntilClose(): Promise<void> {
+    caller.on('data', (chunk: Buffer) => received.push(chunk));
+    caller.on('error', () => undefined);
+    caller.resume();
+    const timer = setInterval(frontEnd.closeIdle, 20);
+    await once(caller, 'close');
+    clearInterval(timer);
+  }
+
+  it('are not closed before a request that has arrived is answered', async () => {
+    // Guards against a kept connection that is closed with a whole request unread in its socket.
+    caller.write(REQUEST);
+    await once(caller, 'data');
+    // Both happen before the server reads again.
+    caller.write(REQUEST);
+    frontEnd.closeIdle();
+    await readUntilClose();
+    expect(Buffer.concat(received).toString('latin1')).toMatchRegex(/^HTTP\/1\.1 200 .*answer$/s);
+  });
+
+  it('are not closed before the end of an answer has left the process', async () => {
+    // Guards against an answer that is cut since it was written, but not flushed.
+    body = LARGE;
+    caller.pause();
+    caller.write(REQUEST);
+    while (frontEnd.countRequests() === 0) await new Promise(setImmediate);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    frontEnd.closeIdle();
+    await readUntilClose();
+    expect(countBytes()).toBeGreaterThan(LARGE.length);
+  });
+});
--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -34,7 +34,7 @@
   readonly applyLimits: (limits: CallerLimits) => void;
   readonly countRequests: () => number;
   readonly countConnections: () => number;
-  /** Closes connections that have no request in progress. */
+  /** Closes connections that have had a request and have none in progress; what has arrived is read first. */
   readonly closeIdle: () => void;
   readonly stop: () => Promise<void>;
 }
@@ -77,6 +77,8 @@
   const { relayListen } = settings;
   let requestCount = 0;
   let connectionCount = 0;
+  /** Bytes read from each connection by the end of its last response; without those that have a request. */
+  const idleConnections = new Map<Socket, number>();
 
   function createServer(name: string, runTask: RequestTask): CountedServer {
     let handleAdmitted: RequestHandler = (_request, response) => sendStatus(response, UNAVAILABLE);
@@ -91,8 +93,11 @@
       (request, response) => {
         if (!requestGuard.admitRequest(request, response)) return;
         requestCount += 1;
+        const { socket } = request;
+        idleConnections.delete(socket);
         response.once('close', () => {
           requestCount -= 1;
+          if (!socket.destroyed) idleConnections.set(socket, socket.bytesRead);
         });
         handleAdmitted(request, response);
       },
@@ -103,6 +108,7 @@
       connectionCount += 1;
       socket.once('close', () => {
         connectionCount -= 1;
+        idleConnections.delete(socket);
       });
     });
     const service = createGatewayService(name, runTask, (handler) => {
@@ -140,7 +146,12 @@
     },
     countRequests: () => requestCount,
     countConnections: () => connectionCount,
-    closeIdle: () => servers.forEach((server) => server.closeIdleConnections()),
+    closeIdle() {
+      for (const [socket, bytesRead] of idleConnections) {
+        // Other bytes are the beginning of the next request.
+        if (socket.bytesRead === bytesRead) Kernel.closeIdleConnection(socket);
+      }
+    },
     async stop() {
       await Promise.all([...servers, readiness].map(Kernel.closeListener));
     },
