Give each open request its last status before a planned stop closes connections

At the end of the grace period the front end closed every open connection. A request that was read whole and had no response head then ended without an answer, in whatever wait it was, and the log named none of them.

Open exchanges are registered. Each call to a target or another router is recorded with its request, and whether its head says that nothing ran. At the end of the grace period a request without a head is answered 502 where it may have run, else 503 with Retry-After 0.1 (to another router: refused as draining, so that it asks the next one). From then on it opens no calls, and calls of which nothing was sent are cancelled, so that a refused request never reaches a target. A stream that has begun ends after its last written event, flushed, without the end of the body; other answers are reset. The listener closes after that, and connections that were just accepted are read.

While the router drains, requests that have not run are asked every 100 ms whether there is time, whatever they wait for, and are refused with Retry-After 0.1 once there is none: another router can take them at once. No time counts as enough while all targets that would take the request are silent.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -86,6 +86,12 @@
   return true;
 }
 
+/** Whether all targets that would take the request were lost a moment ago. */
+export function isSuspected(dependencies: ListingDependencies, request: ServiceRequest): boolean {
+  const available = listAvailable(dependencies, request);
+  return available.length > 0 && available.every(dependencies.registry.isSuspect);
+}
+
 /** Targets that are unavailable to the request only because of the rate limits that they announce. */
 export function listRateLimited(
   dependencies: ListingDependencies,
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
@@ -0,0 +1,107 @@
+/** Opens the calls that carry callers' requests to targets and to other routers. */
+import type { ForwardingTarget, HeaderNames, PluginContext } from '@sequoiarill/types';
+
+import * as Checks from './answers/answerChecks';
+import type { ForwardRequest } from './forwardRequest';
+import type { RawHeader } from './front/headers';
+import type { ExchangeDependencies } from './front/replies';
+import type { CallTerms, RequestCalls } from './front/requestCalls';
+import type * as TargetLimits from './limits/targetLimits';
+import * as RelayHeaders from './relay/relayHeaders';
+import type { RelayRouter } from './relay/relays';
+import * as TargetCalls from './targets/targetCall';
+import type * as TargetConnections from './targets/targetConnections';
+import type * as TargetNotices from './targets/targetNotices';
+
+/** What is sent of the request, whose body no longer counts as held, and what counts its answer. */
+function buildContent({ method, path, body, held, sink }: ForwardRequest) {
+  held?.releaseBody();
+  const answerHold = held && {
+    addAnswerBytes: held.addAnswerBytes,
+    // The socket of the connection buffers enough for an answer that is passed on.
+    mayReadAhead: () => sink?.isStarted() !== true && held.mayReadAhead(),
+  };
+  return { method, path, body, held: answerHold };
+}
+
+/** Opens the call, unless the request was ended by a stop. */
+function openRecorded(
+  { calls }: ForwardRequest,
+  terms: CallTerms,
+  openCall: Parameters<RequestCalls['open']>[1],
+): TargetCalls.TargetCall {
+  return calls === undefined ? openCall(() => undefined) : calls.open(terms, openCall);
+}
+
+function createTargetTerms(
+  { id: target }: ForwardingTarget,
+  { id }: ForwardRequest,
+  names: HeaderNames,
+): CallTerms {
+  return {
+    place: { stage: 'target', target },
+    isNotRun: (head) => Checks.checkHead(head, id, names).kind === 'notRun',
+  };
+}
+
+function createHopTerms(target: string, { id }: ForwardRequest, names: HeaderNames): CallTerms {
+  return {
+    place: { stage: 'router', target },
+    isNotRun: (head) => RelayHeaders.decodeHead(head, id, names).kind === 'refused',
+  };
+}
+
+/** Sends a caller's request to another router. */
+export function openHop(
+  connections: TargetConnections.TargetConnections,
+  names: HeaderNames,
+  { address }: RelayRouter,
+  headers: readonly RawHeader[],
+  request: ForwardRequest,
+): TargetCalls.TargetCall {
+  return openRecorded(request, createHopTerms(address, request, names), (recordHead) =>
+    TargetCalls.openCall({
+      connection: connections.takeConnection({ id: address, address, startedAtUnixMs: 0 }),
+      target: { address },
+      headers,
+      recordHead,
+      ...buildContent(request),
+    }),
+  );
+}
+
+/** Sends a caller's request together with the headers that only the router may set. */
+export function createCallOpener(
+  { clock, getCapability }: PluginContext,
+  connections: TargetConnections.TargetConnections,
+  recordSend: TargetLimits.TargetLimits['recordSend'],
+  notices: TargetNotices.TargetNotices,
+): ExchangeDependencies['openCall'] {
+  const { headers: headerNames } = getCapability('wire');
+  return (request, target, extraHeaders) => {
+    const leftMs = Math.max(1, Math.floor(request.expiresAtMs - clock.getNowMs()));
+    const replaced = new Set(extraHeaders.map(([name]) => name));
+    const organisation: readonly RawHeader[] =
+      request.organisation === undefined ? [] : [[headerNames.organisation, request.organisation]];
+    recordSend(target);
+    return openRecorded(request, createTargetTerms(target, request, headerNames), (recordHead) =>
+      TargetCalls.openCall({
+        connection: connections.takeConnection(target),
+        target,
+        ...buildContent(request),
+        recordHead(head) {
+          recordHead(head);
+          notices.recordHead(target, head);
+        },
+        recordStart: () => notices.recordStart(target),
+        headers: [
+          ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
+          [headerNames.remainingMs, String(leftMs)],
+          [headerNames.expectedTarget, target.id],
+          ...organisation,
+          ...extraHeaders,
+        ],
+      }),
+    );
+  };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -3,6 +3,7 @@
 
 import type { RawHeader } from './front/headers';
 import type { HeldExchange } from './front/heldExchange';
+import type { RequestCalls } from './front/requestCalls';
 import type { RelayTerms } from './relay/relayHeaders';
 
 export interface ForwardRequest {
@@ -43,8 +44,10 @@
   readonly versionDraw: number;
   /** Set where a stream has begun: only targets of this build may run the request. */
   readonly build?: TargetBuild;
-  /** Aborted when the caller disconnects. */
+  /** Aborted when the caller disconnects, or a stop ends the request. */
   readonly closed: AbortSignal;
+  /** The calls that are opened for it; undefined where they are not recorded. */
+  readonly calls?: RequestCalls;
   /** Bytes held for the caller; undefined where they are not counted. */
   readonly held?: HeldExchange;
   /** Takes a long plain answer as it arrives; undefined where answers must be whole. */
--- a/packages/sequoiarill-plugin-forwarding/src/front/answerSink.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/answerSink.ts
@@ -20,13 +20,13 @@
   return {
     start(head) {
       isStarted = true;
-      if (response.destroyed) return;
+      if (response.destroyed || response.writableEnded) return;
       if (request.relayTerms !== undefined) Replies.addRelayHeaders(response, head);
       Replies.sendHead(dependencies, response, head, getLength(head));
     },
     isStarted: () => isStarted,
     async write(chunk) {
-      if (response.destroyed || response.write(chunk)) return;
+      if (response.destroyed || response.writableEnded || response.write(chunk)) return;
       const startedMs = clock.getNowMs();
       await Replies.waitForDrain(response, request.closed);
       const tookMs = clock.getNowMs() - startedMs;
@@ -51,6 +51,11 @@
   response: ServerResponse,
   outcome: ForwardOutcome,
 ): void {
+  if (response.writableEnded) {
+    // A stop has ended the exchange.
+    Replies.recordRequestEnd(dependencies, request, 'callerLeft');
+    return;
+  }
   if (outcome.kind === 'passed') {
     Replies.recordRequestEnd(dependencies, request, 'answer');
     response.end();
--- a/packages/sequoiarill-plugin-forwarding/src/front/drain.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/drain.ts
@@ -3,16 +3,30 @@
 
 import type { HttpFrontEnd } from './httpFrontEnd';
 
+/** Fields of the log line about the end. */
+export type DrainResult = Readonly<{
+  waitedMs: number;
+  /** Requests that were in progress at the end of the grace period. */
+  requests: number;
+}>;
+
 export interface Drain {
   readonly isDraining: () => boolean;
   /** Whether a request of this duration would complete before the process exits. */
   readonly hasTimeFor: (durationMs: number) => boolean;
-  /** Returns the milliseconds it took; ends when no connection is left or the grace period expires. */
-  readonly drain: () => Promise<number>;
+  /** Ends when no connection is left or the grace period expires. */
+  readonly drain: () => Promise<DrainResult>;
 }
 
 export interface DrainOptions {
-  readonly frontEnd: Pick<HttpFrontEnd, 'countRequests' | 'countConnections' | 'closeIdle'>;
+  readonly frontEnd: Pick<
+    HttpFrontEnd,
+    'countRequests' | 'countConnections' | 'closeIdle' | 'stopListening'
+  >;
+  /** Refuses the requests that wait and have no time left; called repeatedly. */
+  readonly refuseWaiting: () => void;
+  /** Sends its last status to each request that has none. */
+  readonly endRequests: () => void;
   readonly clock: Clock;
   /** From the signal to the exit of the process. */
   readonly graceMs: number;
@@ -26,11 +40,40 @@
 /** Reserved for closing the remaining connections and writing the last log lines. */
 const SHUTDOWN_MARGIN_MS = 400;
 const POLL_MS = 100;
+/** Time for the last answers to leave the process, and for connections that were just accepted to be read. */
+const FLUSH_MS = 150;
+const ACCEPTED_MS = 30;
+const FLUSH_POLL_MS = 10;
 
 export function createDrain(options: DrainOptions): Drain {
   const { frontEnd, clock, graceMs } = options;
   let startedMs: number | undefined;
 
+  async function waitForConnections(beganMs: number): Promise<void> {
+    const deadlineMs = beganMs + graceMs - SHUTDOWN_MARGIN_MS;
+    const noticedMs = Math.min(beganMs + BALANCER_NOTICE_MS, deadlineMs);
+    // Streams that wait for room are refused by their own tasks.
+    await clock.waitMs(FLUSH_POLL_MS);
+    for (;;) {
+      options.refuseWaiting();
+      const nowMs = clock.getNowMs();
+      const isNoticed = nowMs >= noticedMs;
+      if (isNoticed) frontEnd.closeIdle();
+      const isDone = isNoticed && frontEnd.countConnections() === 0;
+      if (isDone || nowMs >= deadlineMs) return;
+      const untilMs = isNoticed ? deadlineMs : noticedMs;
+      await clock.waitMs(Math.min(POLL_MS, untilMs - nowMs));
+    }
+  }
+
+  async function waitForFlush(limitMs: number): Promise<void> {
+    const untilMs = clock.getNowMs() + limitMs;
+    do {
+      frontEnd.closeIdle();
+      await clock.waitMs(FLUSH_POLL_MS);
+    } while (frontEnd.countRequests() > 0 && clock.getNowMs() < untilMs);
+  }
+
   return {
     isDraining: () => startedMs !== undefined,
     hasTimeFor(durationMs) {
@@ -40,14 +83,15 @@
     async drain() {
       const beganMs = clock.getNowMs();
       startedMs = beganMs;
-      const deadlineMs = beganMs + graceMs - SHUTDOWN_MARGIN_MS;
-      await clock.waitMs(Math.min(BALANCER_NOTICE_MS, graceMs - SHUTDOWN_MARGIN_MS));
-      frontEnd.closeIdle();
-      while (frontEnd.countConnections() > 0 && clock.getNowMs() < deadlineMs) {
-        await clock.waitMs(POLL_MS);
-        frontEnd.closeIdle();
-      }
-      return Math.round(clock.getNowMs() - beganMs);
+      await waitForConnections(beganMs);
+      const waitedMs = Math.round(clock.getNowMs() - beganMs);
+      const requests = frontEnd.countRequests();
+      options.endRequests();
+      await waitForFlush(FLUSH_MS);
+      // Node.js closes connections whose last answer is not flushed together with the listener.
+      frontEnd.stopListening();
+      await waitForFlush(ACCEPTED_MS);
+      return { waitedMs, requests };
     },
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -12,8 +12,12 @@
 import * as Headers from './headers';
 import * as PromptSizes from './promptSize';
 import * as HeldExchanges from './heldExchange';
+import type { Drain } from './drain';
+import * as OpenExchanges from './openExchanges';
 import * as RequestBodies from './requestBody';
+import type { RequestCalls } from './requestCalls';
 import type { RawHeader } from './headers';
+import * as Placement from '../answers/placement';
 import * as FullAnswers from '../answers/fullAnswer';
 import * as Metrics from '../metrics';
 import * as RelayAttempts from '../relay/relayAttempt';
@@ -27,9 +31,6 @@
 /** The first configuration arrives within one or two seconds after the start. */
 const STARTUP_RETRY_SECONDS = 0.5;
 
-/** Another router can accept the request immediately. */
-const DRAINING_RETRY_SECONDS = 0.1;
-
 type AccessResult =
   | {
       readonly kind: 'allowed';
@@ -68,7 +69,7 @@
 async function runExchange(dependencies: ExchangeDependencies, exchange: Exchange): Promise<void> {
   const { incoming, response, headers, relayTerms } = exchange;
   const arrivedAtMs = dependencies.clock.getNowMs();
-  const closed = createCloseSignal(response);
+  const { closed, calls, setRequest } = dependencies.exchanges.register(exchange);
   const id = Headers.findSingleValue(headers, dependencies.wire.headers.requestId);
   const held = HeldExchanges.createHeldExchange(dependencies.heldBudget, response, id);
   const body = await RequestBodies.readBody(incoming, {
@@ -97,6 +98,7 @@
     body,
     arrivedAtMs,
     closed,
+    calls,
     ...(relayTerms === undefined ? {} : { relayTerms }),
   });
   if (request === undefined) {
@@ -108,9 +110,9 @@
     refuseRelayed(dependencies, exchange, 'unreachable');
     return;
   }
-  if (!dependencies.hasTimeFor(computeLongestMs(dependencies, request))) {
+  if (!dependencies.waits.hasTimeFor(request)) {
     const reason = 'this process is about to end';
-    const retryAfterSeconds = DRAINING_RETRY_SECONDS;
+    const retryAfterSeconds = OpenExchanges.STOPPING_RETRY_SECONDS;
     Replies.sendRefusal(dependencies, response, headers, {
       status: UNAVAILABLE,
       reason,
@@ -118,6 +120,7 @@
     });
     return;
   }
+  setRequest(request);
   await sendAnswer(dependencies, { ...request, held }, response);
 }
 
@@ -157,21 +160,20 @@
   Replies.sendRefusal(dependencies, response, headers, { status: UNAVAILABLE, reason });
 }
 
-/** A duration that the answer is unlikely to exceed. */
-export function computeLongestMs(
-  { durations }: Pick<ExchangeDependencies, 'durations'>,
+/** Whether the answer would be complete before the process exits; no time is enough at silent targets. */
+export function hasTimeFor(
+  dependencies: ExchangeDependencies,
+  drain: Pick<Drain, 'isDraining' | 'hasTimeFor'>,
   request: ForwardRequest,
-): number {
-  const { route, arrivedAtMs, expiresAtMs } = request;
-  return durations.getUpperBoundMs(route.name, expiresAtMs - arrivedAtMs);
-}
-
-function createCloseSignal(response: ServerResponse): AbortSignal {
-  const disconnect = new AbortController();
-  response.once('close', () => {
-    if (!response.writableFinished) disconnect.abort();
-  });
-  return disconnect.signal;
+): boolean {
+  if (!drain.isDraining()) return true;
+  const { route, service, arrivedAtMs, expiresAtMs } = request;
+  const limitMs = expiresAtMs - arrivedAtMs;
+  // Answers of the route are unlikely to take longer.
+  const longestMs = dependencies.durations.getUpperBoundMs(route.name, limitMs);
+  if (!drain.hasTimeFor(longestMs)) return false;
+  const isReached = dependencies.paths.getState(service) === 'open';
+  return isReached && !Placement.isSuspected(dependencies, request);
 }
 
 /**
@@ -216,6 +218,7 @@
   readonly body: Buffer;
   readonly arrivedAtMs: number;
   readonly closed: AbortSignal;
+  readonly calls: RequestCalls;
   readonly relayTerms?: RelayTerms;
 }
 
@@ -259,6 +262,7 @@
     ...(relayTerms === undefined ? {} : { relayTerms }),
     versionDraw: dependencies.nextRandom(),
     closed: received.closed,
+    calls: received.calls,
   };
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -36,6 +36,8 @@
   readonly countConnections: () => number;
   /** Closes connections that have had a request and have none in progress; what has arrived is read first. */
   readonly closeIdle: () => void;
+  /** Refuses new connections; open ones stay. */
+  readonly stopListening: () => void;
   readonly stop: () => Promise<void>;
 }
 
@@ -152,7 +154,9 @@
         if (socket.bytesRead === bytesRead) Kernel.closeIdleConnection(socket);
       }
     },
+    stopListening: () => servers.forEach((server) => server.close()),
     async stop() {
+      servers.forEach((server) => server.closeAllConnections());
       await Promise.all([...servers, readiness].map(Kernel.closeListener));
     },
   };
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/front/openExchanges.ts
@@ -0,0 +1,149 @@
+/** The exchanges that are open, and how a planned stop ends them. */
+import type { ForwardRequest } from '../forwardRequest';
+import * as Metrics from '../metrics';
+import * as RelayHeaders from '../relay/relayHeaders';
+import type { RelayRefusalCause } from '../relay/relayHeaders';
+import * as Headers from './headers';
+import * as Replies from './replies';
+import type { Exchange, ExchangeDependencies } from './replies';
+import * as RequestCalls from './requestCalls';
+import * as StopEvents from './stopEvents';
+
+export interface OpenExchange {
+  readonly calls: RequestCalls.RequestCalls;
+  /** Aborted when the caller disconnects, or the exchange is ended. */
+  readonly closed: AbortSignal;
+  /** Called when the request has been read and accepted. */
+  readonly setRequest: (request: ForwardRequest) => void;
+}
+
+export interface OpenExchanges {
+  /** The exchange is registered until its response closes. */
+  readonly register: (exchange: Exchange) => OpenExchange;
+  /** Refuses the requests that have not run and for which there is no time left. */
+  readonly refuseWaiting: (dependencies: ExchangeDependencies) => void;
+  /**
+   * Ends all exchanges: those without a response head get their last status, streams end between two events, and
+   * other answers are reset.
+   */
+  readonly endAll: (dependencies: ExchangeDependencies) => void;
+}
+
+interface Entry extends Exchange, Pick<OpenExchange, 'calls'> {
+  request: ForwardRequest | undefined;
+  readonly close: () => void;
+}
+
+const BAD_GATEWAY = 502;
+const UNAVAILABLE = 503;
+/** Another router can accept the request immediately. */
+export const STOPPING_RETRY_SECONDS = 0.1;
+const REASON = 'this process is about to end';
+const HTTP_WITHOUT_CHUNKS = '1.0';
+
+export function createOpenExchanges(): OpenExchanges {
+  /** In the order of arrival. */
+  const entries = new Set<Entry>();
+
+  function closeExchange(dependencies: ExchangeDependencies, entry: Entry): void {
+    entries.delete(entry);
+    entry.calls.close();
+    const { response } = entry;
+    // The whole answer is on its way to the caller.
+    if (response.destroyed || response.writableEnded) return;
+    const status = response.headersSent ? undefined : decideStatus(entry);
+    logEnd(dependencies, entry, status);
+    if (status === undefined) closeBroken(entry);
+    else sendStatus(dependencies, entry, status);
+    entry.close();
+  }
+
+  return {
+    register(exchange) {
+      const { response } = exchange;
+      const disconnect = new AbortController();
+      const entry: Entry = {
+        ...exchange,
+        calls: RequestCalls.createRequestCalls(),
+        request: undefined,
+        close: () => disconnect.abort(),
+      };
+      entries.add(entry);
+      response.once('close', () => {
+        entries.delete(entry);
+        if (!response.writableFinished) disconnect.abort();
+      });
+      return {
+        calls: entry.calls,
+        closed: disconnect.signal,
+        setRequest(request) {
+          entry.request = request;
+        },
+      };
+    },
+    refuseWaiting(dependencies) {
+      for (const entry of entries) {
+        const { request, response, calls } = entry;
+        const isWaiting = request !== undefined && !response.headersSent && !calls.mayHaveRun();
+        if (isWaiting && !dependencies.waits.hasTimeFor(request)) {
+          closeExchange(dependencies, entry);
+        }
+      }
+    },
+    endAll(dependencies) {
+      for (const entry of entries) closeExchange(dependencies, entry);
+    },
+  };
+}
+
+/** 503 promises that the request has not run and never will. */
+function decideStatus({ calls }: Entry): number {
+  return calls.mayHaveRun() ? BAD_GATEWAY : UNAVAILABLE;
+}
+
+function sendStatus(
+  dependencies: ExchangeDependencies,
+  { response, headers, relayTerms }: Entry,
+  status: number,
+): void {
+  const isRefused = status === UNAVAILABLE;
+  if (isRefused && relayTerms !== undefined) {
+    response.setHeader(RelayHeaders.RELAY_HEADERS.refused, 'draining' satisfies RelayRefusalCause);
+  }
+  const id = Headers.findSingleValue(headers, dependencies.wire.headers.requestId);
+  const retryAfter = isRefused ? { retryAfterSeconds: STOPPING_RETRY_SECONDS } : {};
+  Replies.sendEmptyResponse(dependencies, response, id, { status, reason: REASON, ...retryAfter });
+}
+
+/** No end of the connection completes the answer, and a stream keeps the events that were written. */
+function closeBroken({ request, response }: Entry): void {
+  const { req, socket } = response;
+  const hasChunks = request?.route.isStream === true && req.httpVersion !== HTTP_WITHOUT_CHUNKS;
+  if (hasChunks) socket?.end();
+  else req.socket.resetAndDestroy();
+}
+
+function decideStage({ request, response, calls }: Entry): string {
+  if (request === undefined) return 'reading';
+  if (response.headersSent) return 'answering';
+  return calls.findPlace()?.stage ?? 'waiting';
+}
+
+function logEnd(
+  dependencies: ExchangeDependencies,
+  entry: Entry,
+  status: number | undefined,
+): void {
+  const { request, headers, calls } = entry;
+  const told = status === undefined ? 'closed' : String(status);
+  dependencies.metrics.addCount(Metrics.ENDED_BY_STOP, 1, { told });
+  dependencies.logEvent(StopEvents.ENDED_BY_STOP, {
+    ...(request === undefined
+      ? { request: Headers.findSingleValue(headers, dependencies.wire.headers.requestId) }
+      : Replies.createLogFields(dependencies, request)),
+    stage: decideStage(entry),
+    target: calls.findPlace()?.target,
+    mayHaveRun: calls.mayHaveRun(),
+    status,
+  });
+}
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { AnswerDurations, ClientRetryDetector } from '@sequoiarill/decisions';
-import type { TargetBuild } from '@sequoiarill/types';
+import type { LogEvent, TargetBuild } from '@sequoiarill/types';
 
 import * as Checks from '../answers/answerChecks';
 import * as Placement from '../answers/placement';
@@ -13,6 +13,7 @@
 import * as Headers from './headers';
 import type { HeldBudget } from './heldBudget';
 import type { RawHeader } from './headers';
+import type { OpenExchanges } from './openExchanges';
 import * as Metrics from '../metrics';
 import type { ForwardingDependencies } from '../dependencies';
 import type { RouteTable } from './routeTable';
@@ -29,8 +30,9 @@
   readonly clientRetries: ClientRetryDetector;
   /** Durations of complete answers, by route. */
   readonly durations: AnswerDurations;
-  /** Whether a request of this duration would complete before the process exits. */
-  readonly hasTimeFor: (durationMs: number) => boolean;
+  readonly exchanges: OpenExchanges;
+  /** Logs without a limit of lines. */
+  readonly logEvent: LogEvent;
   readonly heldBudget: HeldBudget;
 }
 
@@ -85,13 +87,13 @@
   sendEmptyResponse(dependencies, response, id, refusal);
 }
 
-function sendEmptyResponse(
+export function sendEmptyResponse(
   dependencies: ExchangeDependencies,
   response: ServerResponse,
   requestId: string | undefined,
   { status, retryAfterSeconds }: Refusal,
 ): void {
-  if (response.destroyed) return;
+  if (isEnded(response)) return;
   const retryAfter =
     retryAfterSeconds === undefined ? {} : { 'retry-after': String(retryAfterSeconds) };
   const echoed =
@@ -105,6 +107,11 @@
   response.end();
 }
 
+/** Whether the caller has left, or a stop has answered it. */
+function isEnded(response: ServerResponse): boolean {
+  return response.destroyed || response.headersSent;
+}
+
 /** Makes callers open another connection while this process is draining. */
 function createConnectionHeader(
   dependencies: ExchangeDependencies,
@@ -181,7 +188,7 @@
   outcome: Exclude<ForwardOutcome, PassedEnd>,
 ): void {
   recordRequestEnd(dependencies, request, outcome.kind);
-  if (outcome.kind === 'callerLeft' || response.destroyed) return;
+  if (outcome.kind === 'callerLeft' || isEnded(response)) return;
   if (outcome.kind === 'answer') {
     const { head, body } = outcome;
     if (request.relayTerms !== undefined) addRelayHeaders(response, head);
@@ -235,6 +242,8 @@
       sendStreamEnd(dependencies, request, response, step.value);
       return;
     }
+    // Nothing follows the last bytes of an exchange that a stop has ended.
+    if (request.closed.aborted) continue;
     const part = step.value;
     if (part.kind === 'head') {
       const waitedMs = dependencies.clock.getNowMs() - request.arrivedAtMs;
@@ -289,7 +298,7 @@
   if (outcome.kind === 'complete') {
     if (outcome.wasStarted) {
       recordRequestEnd(dependencies, request, outcome.kind);
-      response.end();
+      if (!request.closed.aborted) response.end();
     } else {
       sendOutcome(dependencies, request, response, {
         kind: 'answer',
@@ -307,7 +316,7 @@
   const { reason, lastTarget } = outcome;
   const fields = { ...createLogFields(dependencies, request), reason, lastTarget };
   dependencies.log.logEvent(Events.STREAM_BROKEN, fields);
-  closeBroken(response);
+  if (!request.closed.aborted) closeBroken(response);
 }
 
 /** Closes the connection without the end of the body, so that the answer does not look complete. */
--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestCalls.ts
@@ -0,0 +1,68 @@
+/** The calls that are opened for one request, by which it is known whether it may have run. */
+import type { AnswerHead } from '../forwardRequest';
+import type { TargetCall } from '../targets/targetCall';
+
+export interface CallPlace {
+  readonly stage: 'target' | 'router';
+  /** Id of the target, or address of the router. */
+  readonly target: string;
+}
+
+export interface CallTerms {
+  readonly place: CallPlace;
+  /** Whether the head says that the request has not run. */
+  readonly isNotRun: (head: AnswerHead) => boolean;
+}
+
+type RecordHead = (head: AnswerHead) => void;
+
+export interface RequestCalls {
+  /** Opens a call with `openCall`, which is given a listener for its heads; a cancelled one after `close`. */
+  readonly open: (terms: CallTerms, openCall: (recordHead: RecordHead) => TargetCall) => TargetCall;
+  /** Whether the request was sent to a target or router that has not said that it did not run it. */
+  readonly mayHaveRun: () => boolean;
+  /** Where it may have run, or was sent last; undefined before the first send. */
+  readonly findPlace: () => CallPlace | undefined;
+  /** Cancels the calls of which nothing was sent, and opens no others. */
+  readonly close: () => void;
+}
+
+interface OpenCall {
+  readonly place: CallPlace;
+  readonly call: TargetCall;
+  isNotRun: boolean;
+}
+
+const CANCELLED_CALL: TargetCall = {
+  readEvent: async () => ({ kind: 'cancelled' }),
+  wasSent: () => false,
+  cancel: () => undefined,
+};
+
+export function createRequestCalls(): RequestCalls {
+  const calls: OpenCall[] = [];
+  let isClosed = false;
+
+  function findRun(): OpenCall | undefined {
+    return calls.findLast(({ call, isNotRun }) => !isNotRun && call.wasSent());
+  }
+
+  return {
+    open({ place, isNotRun }, openCall) {
+      if (isClosed) return CANCELLED_CALL;
+      const call = openCall((head) => {
+        opened.isNotRun = isNotRun(head);
+      });
+      const opened: OpenCall = { place, call, isNotRun: false };
+      calls.push(opened);
+      return call;
+    },
+    mayHaveRun: () => findRun() !== undefined,
+    findPlace: () => (findRun() ?? calls.at(-1))?.place,
+    close() {
+      isClosed = true;
+      // A connection that is established later would still carry the request.
+      for (const { call } of calls) if (!call.wasSent()) call.cancel();
+    },
+  };
+}
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of the plug-in `forwarding`. */
 
 export const REQUESTS = 'forwarding.requests';
+export const ENDED_BY_STOP = 'forwarding.endedByStop';
 export const ANSWER = 'forwarding.answer';
 export const FIRST_EVENT = 'forwarding.firstEvent';
 export const PAUSE = 'forwarding.longestPause';
@@ -27,6 +28,12 @@
 
 export const METRICS = [
   { name: REQUESTS, unit: 'count', meaning: 'Requests ended, by route and outcome.' },
+  {
+    name: ENDED_BY_STOP,
+    unit: 'count',
+    meaning:
+      'Requests ended by a planned stop, by what their callers were told (a status, or closed).',
+  },
   {
     name: ANSWER,
     unit: 'ms',
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -2,6 +2,7 @@
 import * as Decisions from '@sequoiarill/decisions';
 import type { Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
 
+import * as CallOpeners from './callOpeners';
 import type { ExchangeDependencies } from './front/replies';
 import * as RateLimitedLogs from './rateLimitedLog';
 import * as Drains from './front/drain';
@@ -10,9 +11,11 @@
 import type { ForwardRequest } from './forwardRequest';
 import * as HeldEvents from './front/heldEvents';
 import * as HttpFrontEnds from './front/httpFrontEnd';
+import * as OpenExchanges from './front/openExchanges';
 import * as PluginHandlers from './pluginHandlers';
 import * as Parts from './pluginParts';
 import * as RetryQuotas from './retryQuota';
+import * as StopEvents from './front/stopEvents';
 import * as RouteTables from './front/routeTable';
 import type { RouteTable } from './front/routeTable';
 import * as WaitingStreams from './streams/waitingStreams';
@@ -26,6 +29,7 @@
 function createInstance(context: PluginContext, settings: ForwardingSettings): PluginInstance {
   const { clock, logEvent, nextRandom } = context;
   const { zone } = context.process;
+  const graceMs = settings.graceSeconds * MS_PER_SECOND;
   const wire = context.getCapability('wire');
   const directory = context.getCapability('directory');
   const peers = context.getCapability('peers');
@@ -49,14 +53,16 @@
       Exchanges.handleRelayedExchange(dependencies, request, response),
     isReady: () => routeTable !== undefined && !drain.isDraining(),
   });
-  const durations = Decisions.createAnswerDurations();
-  const hasTimeForAnswer = (request: ForwardRequest): boolean =>
-    drain.hasTimeFor(Exchanges.computeLongestMs({ durations }, request));
-  const waits = WaitingStreams.createWaitingStreams({ clock, hasTimeFor: hasTimeForAnswer });
+  const exchanges = OpenExchanges.createOpenExchanges();
+  const hasTimeFor = (request: ForwardRequest): boolean =>
+    Exchanges.hasTimeFor(dependencies, drain, request);
+  const waits = WaitingStreams.createWaitingStreams({ clock, hasTimeFor });
   const drain = Drains.createDrain({
     frontEnd,
     clock,
-    graceMs: settings.graceSeconds * MS_PER_SECOND,
+    graceMs,
+    refuseWaiting: () => exchanges.refuseWaiting(dependencies),
+    endRequests: () => exchanges.endAll(dependencies),
   });
   const dependencies: ExchangeDependencies = {
     zone,
@@ -82,15 +88,16 @@
     log,
     metrics: context.metrics,
     ...Parts.createServiceDecisions(context, settings, directory.countRouters),
-    openCall: Parts.createCallOpener(context, connections, limits.recordSend, notices),
+    openCall: CallOpeners.createCallOpener(context, connections, limits.recordSend, notices),
     readReport: probes.readReport,
     readCachedParts: probes.readCachedParts,
     ...parts.targetCalls,
     renewConnections: connections.closeIdle,
     getRouteTable: () => routeTable,
     isDraining: drain.isDraining,
-    hasTimeFor: drain.hasTimeFor,
-    durations,
+    exchanges,
+    logEvent,
+    durations: Decisions.createAnswerDurations(),
     activity: Decisions.createRunActivity(),
     waits,
     heldBudget: parts.heldBudget,
@@ -127,14 +134,11 @@
       logEvent(Events.LISTENING, frontEnd.getAddresses());
     },
     async drain() {
-      logEvent(Events.DRAINING, {
-        requests: frontEnd.countRequests(),
-        graceMs: settings.graceSeconds * MS_PER_SECOND,
-      });
+      logEvent(Events.DRAINING, { requests: frontEnd.countRequests(), graceMs });
       const drained = drain.drain();
       waits.wakeAll();
-      const [waitedMs] = await Promise.all([drained, origins.handOver()]);
-      logEvent(Events.DRAINED, { requests: frontEnd.countRequests(), waitedMs });
+      const [result] = await Promise.all([drained, origins.handOver()]);
+      logEvent(Events.DRAINED, result);
     },
     async stop() {
       stopController.abort();
@@ -162,6 +166,11 @@
   settingsSchema,
   provides: [],
   needs: ['wire', 'directory', 'peers', 'rollouts', 'room', 'keyValue'],
-  events: [...Events.EVENTS, ...HeldEvents.HELD_EVENTS, ...SilenceEvents.SILENCE_EVENTS],
+  events: [
+    ...Events.EVENTS,
+    ...HeldEvents.HELD_EVENTS,
+    ...SilenceEvents.SILENCE_EVENTS,
+    ...StopEvents.STOP_EVENTS,
+  ],
   createInstance,
 };
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -3,12 +3,11 @@
 import type { StallPolicy } from '@sequoiarill/decisions';
 import type { PluginContext } from '@sequoiarill/types';
 
+import * as CallOpeners from './callOpeners';
 import * as CrashGuards from './crashes/crashGuard';
 import type { CrashGuard } from './crashes/crashGuard';
 import type { DisconnectCheckOptions } from './crashes/disconnectCheck';
 import * as ExitChecks from './crashes/exitCheck';
-import type { ForwardRequest } from './forwardRequest';
-import type { RawHeader } from './front/headers';
 import * as HeldBudgets from './front/heldBudget';
 import type { HeldBudget } from './front/heldBudget';
 import type { ExchangeDependencies } from './front/replies';
@@ -32,7 +31,6 @@
 import * as EngineProbes from './targets/engineProbes';
 import * as PathMonitors from './targets/pathMonitor';
 import type { PathMonitor } from './targets/pathMonitor';
-import * as TargetCalls from './targets/targetCall';
 import * as TargetConnections from './targets/targetConnections';
 import * as TargetNotices from './targets/targetNotices';
 import * as SharedProbes from './targets/sharedProbe';
@@ -136,21 +134,16 @@
   connections: TargetConnections.TargetConnections,
 ): RelaysState {
   const { clock, nextRandom, getCapability } = context;
+  const wire = getCapability('wire');
   return Relays.createRelays({
     clock,
     nextRandom,
-    wire: getCapability('wire'),
+    wire,
     peers: getCapability('peers'),
     directory: getCapability('directory'),
     paths,
-    openCall: ({ address }, headers, request) =>
-      TargetCalls.openCall({
-        connection: connections.takeConnection({ id: address, address, startedAtUnixMs: 0 }),
-        target: { address },
-        headers,
-        recordHead: () => undefined,
-        ...buildContent(request),
-      }),
+    openCall: (router, headers, request) =>
+      CallOpeners.openHop(connections, wire.headers, router, headers, request),
     closeMissing: (addresses) => connections.removeMissing(({ id }) => addresses.has(id)),
     checkExit: ExitChecks.createExitCheck(clock, ROUTER_CHECK_TIMEOUT_MS),
   });
@@ -179,48 +172,6 @@
   });
 }
 
-/** What is sent of the request, whose body no longer counts as held, and what counts its answer. */
-function buildContent({ method, path, body, held, sink }: ForwardRequest) {
-  held?.releaseBody();
-  const answerHold = held && {
-    addAnswerBytes: held.addAnswerBytes,
-    // The socket of the connection buffers enough for an answer that is passed on.
-    mayReadAhead: () => sink?.isStarted() !== true && held.mayReadAhead(),
-  };
-  return { method, path, body, held: answerHold };
-}
-
-/** Sends a caller's request together with the headers that only the router may set. */
-export function createCallOpener(
-  { clock, getCapability }: PluginContext,
-  connections: TargetConnections.TargetConnections,
-  recordSend: TargetLimits.TargetLimits['recordSend'],
-  notices: TargetNotices.TargetNotices,
-): ExchangeDependencies['openCall'] {
-  const { headers: headerNames } = getCapability('wire');
-  return (request, target, extraHeaders) => {
-    const leftMs = Math.max(1, Math.floor(request.expiresAtMs - clock.getNowMs()));
-    const replaced = new Set(extraHeaders.map(([name]) => name));
-    const organisation: readonly RawHeader[] =
-      request.organisation === undefined ? [] : [[headerNames.organisation, request.organisation]];
-    recordSend(target);
-    return TargetCalls.openCall({
-      connection: connections.takeConnection(target),
-      target,
-      ...buildContent(request),
-      recordHead: (head) => notices.recordHead(target, head),
-      recordStart: () => notices.recordStart(target),
-      headers: [
-        ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
-        [headerNames.remainingMs, String(leftMs)],
-        [headerNames.expectedTarget, target.id],
-        ...organisation,
-        ...extraHeaders,
-      ],
-    });
-  };
-}
-
 function createHeldBudget(
   { clock, metrics, process }: PluginContext,
   { heldMegabytes }: ForwardingSettings,
