Close idle connections of the product's own interface as the front end does

The interface for callers used closeIdleConnections of Node.js while it drained, with the same faults as the front end of forwarding: an answer that is written and not flushed is cut, and a request that has arrived is reset. The record of idle connections moves to the kernel, and both use it. The tests of the front end cover it.

--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -5,6 +5,7 @@
 export * from './fakeClock';
 export * from './fakeWire';
 export * from './hopByHopHeaders';
+export * from './idleConnections';
 export * from './journal';
 export * from './kernel';
 export * from './listeners';
--- a/packages/sequoiarill-plugin-callers/src/httpServer.ts
+++ b/packages/sequoiarill-plugin-callers/src/httpServer.ts
@@ -67,6 +67,7 @@
   };
   let connectionCount = 0;
   const guard = Kernel.createRequestGuard(formatRefusal);
+  const idleConnections = Kernel.createIdleConnections();
   const server = Http.createServer(
     {
       requestTimeout: settings.requestTimeoutMs,
@@ -75,7 +76,9 @@
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     },
     (request, response) => {
-      if (guard.admitRequest(request, response)) handleRequest(request, response);
+      if (!guard.admitRequest(request, response)) return;
+      idleConnections.recordRequest(request, response);
+      handleRequest(request, response);
     },
   );
   server.maxConnections = settings.maxConnections;
@@ -83,6 +86,7 @@
   server.on('timeout', Kernel.closeIdleConnection);
   server.on('connection', (socket: Socket) => {
     connectionCount += 1;
+    idleConnections.recordConnection(socket);
     socket.on('close', () => {
       connectionCount -= 1;
     });
@@ -96,7 +100,7 @@
     service,
     getAddress: () => Kernel.getBoundAddress(server),
     start: () => Kernel.openListener(server, settings.listen, '[callers] listen'),
-    closeIdle: () => server.closeIdleConnections(),
+    closeIdle: idleConnections.close,
     stop: () => Kernel.closeListener(server),
     getConnectionCount: () => connectionCount,
   };
--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -79,8 +79,7 @@
   const { relayListen } = settings;
   let requestCount = 0;
   let connectionCount = 0;
-  /** Bytes read from each connection by the end of its last response; without those that have a request. */
-  const idleConnections = new Map<Socket, number>();
+  const idleConnections = Kernel.createIdleConnections();
 
   function createServer(name: string, runTask: RequestTask): CountedServer {
     let handleAdmitted: RequestHandler = (_request, response) => sendStatus(response, UNAVAILABLE);
@@ -95,11 +94,9 @@
       (request, response) => {
         if (!requestGuard.admitRequest(request, response)) return;
         requestCount += 1;
-        const { socket } = request;
-        idleConnections.delete(socket);
+        idleConnections.recordRequest(request, response);
         response.once('close', () => {
           requestCount -= 1;
-          if (!socket.destroyed) idleConnections.set(socket, socket.bytesRead);
         });
         handleAdmitted(request, response);
       },
@@ -108,9 +105,9 @@
     server.on('timeout', Kernel.closeIdleConnection);
     server.on('connection', (socket: Socket) => {
       connectionCount += 1;
+      idleConnections.recordConnection(socket);
       socket.once('close', () => {
         connectionCount -= 1;
-        idleConnections.delete(socket);
       });
     });
     const service = createGatewayService(name, runTask, (handler) => {
@@ -148,12 +145,7 @@
     },
     countRequests: () => requestCount,
     countConnections: () => connectionCount,
-    closeIdle() {
-      for (const [socket, bytesRead] of idleConnections) {
-        // Other bytes are the beginning of the next request.
-        if (socket.bytesRead === bytesRead) Kernel.closeIdleConnection(socket);
-      }
-    },
+    closeIdle: idleConnections.close,
     stopListening: () => servers.forEach((server) => server.close()),
     async stop() {
       servers.forEach((server) => server.closeAllConnections());
