Answer requests of the product's own interface that are open when the drain limit passes

After the drain limit the router closed all connections of callers. A request that was read whole and had no response head got no status, and a stream ended without its error event.

A stream that has begun ends with the error event of a lost generation, so that it does not look complete. Up to 150 ms pass for these bytes to leave. Event 1205 names each of them.

Without the change the first test fails with "socket hang up" for the order and the generation, the second one since the stream has no error event.

--- a/packages/sequoiarill-plugin-callers/src/__tests__/httpServer.test.ts
+++ b/packages/sequoiarill-plugin-callers/src/__tests__/httpServer.test.ts
@@ -146,6 +146,50 @@
     await drained;
   });
 
+  it('answers requests that are open when its drain limit passes', async () => {
+    // Guards against a stop that closes connections on which whole requests wait, without a status.
+    const router = await startRouter();
+    const steps = Fakes.createControlledGeneration();
+    router.setScript(steps.script);
+    router.setOrders(async ({ signal }) => {
+      await new Promise((resolve) => {
+        signal.addEventListener('abort', resolve);
+      });
+      return { kind: 'unknown', message: 'the caller left' };
+    });
+    const chat = Calls.callOnce(`${router.url}/v1/chat/completions`, { body: Calls.CHAT_BODY });
+    const order = Calls.callOnce(`${router.url}/v1/services/stock/x`, { body: {} });
+    const getWaiting = async () => {
+      const { requests } = (await router.kernel.dumpProcess()).plugins.callers ?? {};
+      return (requests as Readonly<Record<string, number>>).waiting;
+    };
+    while ((await getWaiting()) !== 2) await new Promise(setImmediate);
+    await router.kernel.drain(10);
+    await router.kernel.stop();
+    const answers = await Promise.all([chat, order]);
+    expect(answers.map(Calls.getError)).toEqual([
+      [503, 'generation_lost', null],
+      [502, 'outcome_unknown', null],
+    ]);
+    expect(answers[1]?.headers['x-sequoiarill-outcome']).toEqual('unknown');
+  });
+
+  it('ends streams that are open when its drain limit passes with an error event', async () => {
+    // Guards against a partial answer that looks complete, and one that is cut before its last event.
+    const router = await startRouter();
+    const steps = Fakes.createControlledGeneration();
+    router.setScript(steps.script);
+    steps.sendText('Half');
+    const open = await Calls.openCall(`${router.url}/v1/chat/completions`, {
+      body: Calls.CHAT_BODY,
+    });
+    await open.readUntil('Half');
+    await router.kernel.drain(10);
+    await router.kernel.stop();
+    const text = await open.readUntil();
+    expect([text.includes('generation_lost'), text.includes('[DONE]')]).toEqual([true, false]);
+  });
+
   for (const [path, body] of [
     ['/v1/chat/completions', Calls.CHAT_BODY],
     ['/v1/responses', Calls.RESPONSE_BODY],
--- a/packages/sequoiarill-plugin-callers/src/dispatch.ts
+++ b/packages/sequoiarill-plugin-callers/src/dispatch.ts
@@ -10,6 +10,7 @@
 import * as Faults from './faults';
 import * as GenerationRequests from './generationRequest';
 import * as Keys from './keys';
+import * as LastReplies from './lastReplies';
 import * as Metrics from './metrics';
 import * as Notifiers from './notifier';
 import * as Refusals from './refusals';
@@ -31,12 +32,14 @@
   readonly isDraining: () => boolean;
   /** Refuses new requests and resolves when no request is open. */
   readonly drain: () => Promise<void>;
+  /** Sends its last status, or the end of its stream, to each open request; resolves when all have left the process. */
+  readonly endAll: () => Promise<void>;
 }
 
 export function createDispatcher(deps: HandlerDependencies): Dispatcher {
   const requestEnded = Notifiers.createNotifier();
   const stateTracker = RequestStateTrackers.createRequestStateTracker();
-  let openRequests = 0;
+  const openExchanges = new Set<Exchange>();
   let isDraining = false;
 
   function findOwner(request: IncomingMessage): KeyOwner | undefined {
@@ -53,13 +56,13 @@
   }
 
   async function runHandler(handler: Handler, exchange: Exchange): Promise<void> {
-    openRequests += 1;
+    openExchanges.add(exchange);
     try {
       await handler(deps, exchange);
     } catch (error) {
       failExchange(deps, exchange, error);
     }
-    openRequests -= 1;
+    openExchanges.delete(exchange);
     exchange.state.close();
     requestEnded.sendNotification();
   }
@@ -90,11 +93,23 @@
     isDraining: () => isDraining,
     async drain() {
       isDraining = true;
-      while (openRequests > 0) await requestEnded.waitForNotification();
+      while (openExchanges.size > 0) await requestEnded.waitForNotification();
+    },
+    async endAll() {
+      const closed = [...openExchanges].map(({ closed: signal }) => waitForAbort(signal));
+      for (const exchange of openExchanges) LastReplies.sendLastReply(deps, exchange);
+      await Promise.all(closed);
     },
   };
 }
 
+async function waitForAbort(signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return;
+  await new Promise((resolve) => {
+    signal.addEventListener('abort', resolve, { once: true });
+  });
+}
+
 function findHandler(route: Route, request: IncomingMessage): Handler | undefined {
   return route.methods[request.method ?? ''] ?? route.methods[Routes.ANY_METHOD];
 }
--- a/packages/sequoiarill-plugin-callers/src/events.ts
+++ b/packages/sequoiarill-plugin-callers/src/events.ts
@@ -31,4 +31,17 @@
   'callers.handlerFailed',
   'A request failed with an internal error; report it with its stack.',
 );
-export const EVENTS = [LISTENING, DRAINED, STREAM_LOST, ANSWER_ABANDONED, HANDLER_FAILED] as const;
+export const ENDED_BY_STOP = Kernel.defineEvent(
+  1205,
+  'warn',
+  'callers.endedByStop',
+  'The drain limit passed while a request was open; `status` is what its caller was told, absent where its stream ended with an error event.',
+);
+export const EVENTS = [
+  LISTENING,
+  DRAINED,
+  STREAM_LOST,
+  ANSWER_ABANDONED,
+  HANDLER_FAILED,
+  ENDED_BY_STOP,
+] as const;
--- a/packages/sequoiarill-plugin-callers/src/plugin.ts
+++ b/packages/sequoiarill-plugin-callers/src/plugin.ts
@@ -10,6 +10,9 @@
 import { settingsSchema } from './settings';
 import type { CallersSettings } from './settings';
 
+/** Time for the last answers to leave the process. */
+const FLUSH_MS = 150;
+
 function createInstance(context: PluginContext, settings: CallersSettings): PluginInstance {
   const store = ResponseStores.createResponseStore(settings, context.clock);
   const deps: HandlerDependencies = {
@@ -39,6 +42,8 @@
       context.logEvent(Events.DRAINED, {});
     },
     async stop() {
+      const ended = dispatcher.endAll();
+      await Promise.race([ended, context.clock.waitMs(FLUSH_MS)]);
       store.close();
       await httpServer.stop();
     },
--- a/packages/sequoiarill-plugin-callers/src/services.ts
+++ b/packages/sequoiarill-plugin-callers/src/services.ts
@@ -155,15 +155,28 @@
     Refusals.refuseRequest(deps, exchange, createNotRunFault(outcome));
     return;
   }
+  refuseUnknown(deps, exchange, outcome.message);
+}
+
+/** Tells the caller that its order may have run. */
+export function refuseUnknown(
+  deps: HandlerDependencies,
+  exchange: Exchange,
+  message: string,
+): void {
   if (!exchange.response.headersSent) exchange.response.setHeader(OUTCOME_HEADER, 'unknown');
   Refusals.refuseRequest(deps, exchange, {
     status: HTTP_BAD_GATEWAY,
     type: 'server_error',
     code: 'outcome_unknown',
-    message: `Outcome unknown, it ran once or not at all: ${outcome.message}`,
+    message: `Outcome unknown, it ran once or not at all: ${message}`,
   });
 }
 
+export function isServicePath(path: string): boolean {
+  return PATH_PATTERN.test(path);
+}
+
 function sendDone(response: ServerResponse, outcome: OrderDone): void {
   if (response.headersSent || response.destroyed) return;
   const headers = selectHeaders(outcome.headers, UNFORWARDED_ANSWER_HEADERS);
