--- a/packages/sequoiarill-plugin-forwarding/src/front/failureEvents.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/failureEvents.ts
@@ -1,6 +1,11 @@
 /** Events 1990 to 1994: internal errors of the router at a caller's request. */
+import type { IncomingMessage } from 'node:http';
+
 import * as Kernel from '@sequoiarill/kernel';
 
+import * as Headers from './headers';
+import type { ExchangeDependencies } from './replies';
+
 export const HANDLER_FAILED = Kernel.defineEvent(
   1990,
   'error',
@@ -9,3 +14,14 @@
 );
 
 export const FAILURE_EVENTS = [HANDLER_FAILED];
+
+/** Names the request whose task failed with an internal error. */
+export function logFailure(
+  { log, wire }: Pick<ExchangeDependencies, 'log' | 'wire'>,
+  { rawHeaders, method, url }: IncomingMessage,
+  error: unknown,
+): void {
+  const headers = Headers.listRawHeaders(rawHeaders);
+  const request = Headers.findSingleValue(headers, wire.headers.requestId);
+  log.logEvent(HANDLER_FAILED, { request, method, path: url, error });
+}
--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -17,7 +17,7 @@
   readonly handleRelayed: RequestTask;
   readonly isReady: () => boolean;
   /** A task failed with an internal error; its caller was answered with 502, or its answer was broken off. */
-  readonly logFailure: (error: unknown) => void;
+  readonly logFailure: (request: IncomingMessage, error: unknown) => void;
 }
 
 type RequestTask = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
@@ -36,8 +36,10 @@
   readonly applyLimits: (limits: CallerLimits) => void;
   readonly countRequests: () => number;
   readonly countConnections: () => number;
-  /** Closes connections that have no request in progress. */
+  /** Closes connections that have had a request and have none in progress; what has arrived is read first. */
   readonly closeIdle: () => void;
+  /** Refuses new connections; open ones stay. */
+  readonly stopListening: () => void;
   readonly stop: () => Promise<void>;
 }
 
@@ -80,6 +82,7 @@
   const { relayListen } = settings;
   let requestCount = 0;
   let connectionCount = 0;
+  const idleConnections = Kernel.createIdleConnections();
 
   function createServer(name: string, runTask: RequestTask): CountedServer {
     let handleAdmitted: RequestHandler = (_request, response) => sendStatus(response, UNAVAILABLE);
@@ -94,6 +97,7 @@
       (request, response) => {
         if (!requestGuard.admitRequest(request, response)) return;
         requestCount += 1;
+        idleConnections.recordRequest(request, response);
         response.once('close', () => {
           requestCount -= 1;
         });
@@ -104,13 +108,14 @@
     server.on('timeout', Kernel.closeIdleConnection);
     server.on('connection', (socket: Socket) => {
       connectionCount += 1;
+      idleConnections.recordConnection(socket);
       socket.once('close', () => {
         connectionCount -= 1;
       });
     });
     const runLogged: RequestTask = (request, response) =>
       runTask(request, response).catch((error: unknown) => {
-        options.logFailure(error);
+        options.logFailure(request, error);
         stopFailed(response);
       });
     const service = createGatewayService(name, runLogged, (handler) => {
@@ -149,8 +154,10 @@
     },
     countRequests: () => requestCount,
     countConnections: () => connectionCount,
-    closeIdle: () => servers.forEach((server) => server.closeIdleConnections()),
+    closeIdle: idleConnections.close,
+    stopListening: () => servers.forEach((server) => server.close()),
     async stop() {
+      servers.forEach((server) => server.closeAllConnections());
       await Promise.all([...servers, readiness].map(Kernel.closeListener));
     },
   };
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -2,6 +2,7 @@
 import * as Decisions from '@sequoiarill/decisions';
 import type { Plugin, PluginContext, PluginInstance } from '@sequoiarill/types';
 
+import * as CallOpeners from './callOpeners';
 import type { ExchangeDependencies } from './front/replies';
 import * as RateLimitedLogs from './rateLimitedLog';
 import * as Drains from './front/drain';
@@ -11,9 +12,11 @@
 import * as FailureEvents from './front/failureEvents';
 import * as HeldEvents from './front/heldEvents';
 import * as HttpFrontEnds from './front/httpFrontEnd';
+import * as OpenExchanges from './front/openExchanges';
 import * as PluginHandlers from './pluginHandlers';
 import * as Parts from './pluginParts';
 import * as RetryQuotas from './retryQuota';
+import * as StopEvents from './front/stopEvents';
 import * as RouteTables from './front/routeTable';
 import type { RouteTable } from './front/routeTable';
 import * as WaitingStreams from './streams/waitingStreams';
@@ -27,6 +30,7 @@
 function createInstance(context: PluginContext, settings: ForwardingSettings): PluginInstance {
   const { clock, logEvent, nextRandom } = context;
   const { zone } = context.process;
+  const graceMs = settings.graceSeconds * MS_PER_SECOND;
   const wire = context.getCapability('wire');
   const directory = context.getCapability('directory');
   const peers = context.getCapability('peers');
@@ -49,16 +53,18 @@
     handleRelayed: (request, response) =>
       Exchanges.handleRelayedExchange(dependencies, request, response),
     isReady: () => routeTable !== undefined && !drain.isDraining(),
-    logFailure: (error) => log.logEvent(FailureEvents.HANDLER_FAILED, { error }),
+    logFailure: (request, error) => FailureEvents.logFailure(dependencies, request, error),
   });
-  const durations = Decisions.createAnswerDurations();
-  const hasTimeForAnswer = (request: ForwardRequest): boolean =>
-    drain.hasTimeFor(Exchanges.computeLongestMs({ durations }, request));
-  const waits = WaitingStreams.createWaitingStreams({ clock, hasTimeFor: hasTimeForAnswer });
+  const exchanges = OpenExchanges.createOpenExchanges();
+  const hasTimeFor = (request: ForwardRequest): boolean =>
+    Exchanges.hasTimeFor(dependencies, drain, request);
+  const waits = WaitingStreams.createWaitingStreams({ clock, hasTimeFor });
   const drain = Drains.createDrain({
     frontEnd,
     clock,
-    graceMs: settings.graceSeconds * MS_PER_SECOND,
+    graceMs,
+    refuseWaiting: () => exchanges.refuseWaiting(dependencies),
+    endRequests: () => exchanges.endAll(dependencies),
   });
   const dependencies: ExchangeDependencies = {
     zone,
@@ -84,15 +90,16 @@
     log,
     metrics: context.metrics,
     ...Parts.createServiceDecisions(context, settings, directory.countRouters),
-    openCall: Parts.createCallOpener(context, connections, limits.recordSend, notices),
+    openCall: CallOpeners.createCallOpener(context, connections, limits.recordSend, notices),
     readReport: probes.readReport,
     readCachedParts: probes.readCachedParts,
     ...parts.targetCalls,
     renewConnections: connections.closeIdle,
     getRouteTable: () => routeTable,
     isDraining: drain.isDraining,
-    hasTimeFor: drain.hasTimeFor,
-    durations,
+    exchanges,
+    logEvent,
+    durations: Decisions.createAnswerDurations(),
     activity: Decisions.createRunActivity(),
     waits,
     heldBudget: parts.heldBudget,
@@ -129,23 +136,18 @@
       logEvent(Events.LISTENING, frontEnd.getAddresses());
     },
     async drain() {
-      logEvent(Events.DRAINING, {
-        requests: frontEnd.countRequests(),
-        graceMs: settings.graceSeconds * MS_PER_SECOND,
-      });
+      logEvent(Events.DRAINING, { requests: frontEnd.countRequests(), graceMs });
       const drained = drain.drain();
       waits.wakeAll();
-      const [waitedMs] = await Promise.all([drained, origins.handOver()]);
-      logEvent(Events.DRAINED, { requests: frontEnd.countRequests(), waitedMs });
+      const [result] = await Promise.all([drained, origins.handOver()]);
+      logEvent(Events.DRAINED, result);
     },
     async stop() {
       stopController.abort();
       paths.stop();
       await Promise.all([loops, parts.heldBudget.stop()]);
       await frontEnd.stop();
-      connections.close();
-      parts.routerConnections.close();
-      log.close();
+      [connections, parts.routerConnections, log].forEach((one) => one.close());
     },
     dumpState: () => ({
       version: configurationVersion,
@@ -169,6 +171,7 @@
     ...HeldEvents.HELD_EVENTS,
     ...SilenceEvents.SILENCE_EVENTS,
     ...FailureEvents.FAILURE_EVENTS,
+    ...StopEvents.STOP_EVENTS,
   ],
   createInstance,
 };
