Close the connection of a refusal whose body does not end

Cause: a target that says that a request did not run is answered for by its head alone, and nobody read or cancelled the rest. A body without end filled the buffers, reading paused, and the connection stayed open for as long as the router ran.

A call that is cut so is logged as target.excessBytes with its target, request, phase, bytes and time, and counted by phase in forwarding.targetExcess. The queue of a call's events has a module of its own.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeCalls.ts
@@ -42,6 +42,7 @@
       record.isCancelled = true;
       cancelling.abort();
     },
+    drain: () => undefined,
     async readEvent(timeoutMs) {
       if (record.isCancelled) return { kind: 'cancelled' };
       const dueMs =
--- a/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -41,7 +41,7 @@
   else if (!notices.isResting(target)) registry.recordFailure(target);
 }
 
-/** Cancels the call and returns an outcome when the head is not a valid answer to this request. */
+/** Ends the call and returns an outcome when the head is not a valid answer to this request. */
 export function handleAnswerHead(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
@@ -53,7 +53,10 @@
   const isMisdirected = result.kind === 'notRun' && result.status === MISDIRECTED;
   if (result.kind !== 'invalid' && !isMisdirected) dependencies.limits.recordHead(target, head);
   if (result.kind === 'valid') return undefined;
-  if (result.kind === 'notRun') return result;
+  if (result.kind === 'notRun') {
+    call.drain();
+    return result;
+  }
   call.cancel();
   return { kind: 'lost', reason: result.reason, isTimeout: false };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -6,6 +6,7 @@
 export const PAUSE = 'forwarding.longestPause';
 export const SILENCES = 'forwarding.silences';
 export const SILENCE = 'forwarding.silence';
+export const EXCESS = 'forwarding.targetExcess';
 export const CONTINUED = 'forwarding.continued';
 export const COPIES = 'forwarding.copies';
 export const REPEATED = 'forwarding.repeated';
@@ -53,6 +54,11 @@
     unit: 'ms',
     meaning: 'Time for which a target that ran a request was silent, by contact and end.',
   },
+  {
+    name: EXCESS,
+    unit: 'count',
+    meaning: 'Calls cut because the target sent more than an answer has, by phase.',
+  },
   { name: CONTINUED, unit: 'count', meaning: 'Streams continued on another target, by cause.' },
   {
     name: COPIES,
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -210,6 +210,7 @@
       ...buildContent(request),
       recordHead: (head) => notices.recordHead(target, head),
       recordStart: () => notices.recordStart(target),
+      recordExcess: notices.createExcessRecord(target, request.id),
       headers: [
         ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
         [headerNames.remainingMs, String(leftMs)],
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulatedEngine.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulatedEngine.ts
@@ -50,6 +50,7 @@
       cancel();
       resume?.();
     },
+    drain: () => undefined,
     async readEvent(timeoutMs) {
       if (events.length === 0 && !isCancelled) {
         const timer = new AbortController();
--- a/packages/sequoiarill-plugin-forwarding/src/targets/silenceEvents.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/silenceEvents.ts
@@ -1,4 +1,4 @@
-/** Events 1950 to 1959: targets that fall silent, and what other routers hear of them. */
+/** Events 1950 to 1959: targets that fall silent, what other routers hear of them, and targets that send too much. */
 import * as Kernel from '@sequoiarill/kernel';
 
 export const TARGET_SILENT = Kernel.defineEvent(
@@ -27,4 +27,17 @@
   'No target of a service has been heard here for `silentMs`, and no other router that was asked has heard one in the later part of that time: requests stay with their targets. `answers` has what each router said.',
 );
 
-export const SILENCE_EVENTS = [TARGET_SILENT, TARGET_SPOKE, HEARD_ELSEWHERE, SILENT_ELSEWHERE];
+export const TARGET_EXCESS = Kernel.defineEvent(
+  1954,
+  'warn',
+  'target.excessBytes',
+  'A target has sent more than an answer has in this `phase`: its call is cut and its connection closed, `ms` after the call began. Without `request`, the call was one of the router itself.',
+);
+
+export const SILENCE_EVENTS = [
+  TARGET_SILENT,
+  TARGET_SPOKE,
+  HEARD_ELSEWHERE,
+  SILENT_ELSEWHERE,
+  TARGET_EXCESS,
+];
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -1,11 +1,14 @@
 /** One HTTP exchange with one target, as a queue of events that a single task reads. */
-import * as Kernel from '@sequoiarill/kernel';
 import type { Clock, ForwardingTarget } from '@sequoiarill/types';
 import type * as Undici from 'undici';
 
 import type { AnswerHead } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
 import type { HeldExchange } from '../front/heldExchange';
+import * as AnswerLimits from './answerLimits';
+import type { ExcessPhase } from './answerLimits';
+import * as CallEvents from './callEvents';
+import type { CallEvent } from './callEvents';
 import type { TargetConnection } from './targetConnections';
 
 export interface CallOptions {
@@ -19,17 +22,13 @@
   readonly recordHead: (head: AnswerHead) => void;
   /** Called at once; the function that it returns, when the call has ended or was cancelled, perhaps twice. */
   readonly recordStart?: () => () => void;
+  /** Called when the target has sent more in a phase than an answer has there, and the call is cut. */
+  readonly recordExcess?: (phase: ExcessPhase, bytes: number) => void;
   /** Counts what is buffered for the caller, and tells whether more may be; undefined for other calls. */
   readonly held?: Pick<HeldExchange, 'addAnswerBytes' | 'mayReadAhead'> | undefined;
 }
 
-export type CallEvent =
-  | { readonly kind: 'head'; readonly head: AnswerHead }
-  | { readonly kind: 'data'; readonly chunk: Buffer }
-  | { readonly kind: 'end' }
-  | { readonly kind: 'broken'; readonly reason: string }
-  | { readonly kind: 'timeout' }
-  | { readonly kind: 'cancelled' };
+export type { CallEvent } from './callEvents';
 
 export interface TargetCall {
   /** The next event, or `timeout` when none comes in time. Only one task may read. */
@@ -38,6 +37,8 @@
   readonly wasSent: () => boolean;
   /** Closes the connection unless the response is complete; the target aborts the request. */
   readonly cancel: () => void;
+  /** As `cancel`, but reads a short rest of the body first, so that the connection can be used again. */
+  readonly drain: () => void;
 }
 
 /**
@@ -46,7 +47,7 @@
  */
 const MAX_BUFFERED_BYTES = 262_144;
 
-/** The bodies of refusals are not read, and must not keep their connections paused. */
+/** Bytes that are buffered while nothing may be read ahead of a slow caller. */
 const MAX_UNREAD_BYTES = 4_096;
 /**
  * Bytes of a paused connection: a chunk of 64 KB in its socket, and 64 KB of objects of the exchange, by which the
@@ -92,34 +93,32 @@
 
 export function openCall(options: CallOptions): TargetCall {
   const { connection, target, method, path, headers, body, recordHead, held } = options;
-  const bufferedEvents: CallEvent[] = [];
-  let bufferedBytes = 0;
+  const buffer = CallEvents.createEventQueue();
   let heldBytes = 0;
   let controller: Undici.Dispatcher.DispatchController | undefined;
   let isSent = false;
   let isFramed = false;
   let isDone = false;
   let isCancelled = false;
-  let notifyReader: (() => void) | undefined;
+  const drain = AnswerLimits.createDrain(connection.close, options.recordExcess);
 
   function updateHeld(): void {
     const isPaused = !isDone && controller?.paused === true;
-    const bytes = isCancelled ? 0 : bufferedBytes + (isPaused ? PAUSED_SOCKET_BYTES : 0);
+    const bytes = isCancelled ? 0 : buffer.countBytes() + (isPaused ? PAUSED_SOCKET_BYTES : 0);
     if (bytes !== heldBytes) held?.addAnswerBytes(bytes - heldBytes);
     heldBytes = bytes;
   }
 
   function addEvent(event: CallEvent): void {
-    if (isCancelled) return;
-    bufferedEvents.push(event);
-    notifyReader?.();
+    if (!isCancelled) buffer.add(event);
   }
 
   function takeEvent(): CallEvent | undefined {
-    const event = bufferedEvents.shift();
+    const event = buffer.take();
     if (event?.kind === 'data') {
-      bufferedBytes -= event.chunk.length;
-      if (bufferedBytes < MAX_BUFFERED_BYTES && held?.mayReadAhead() !== false) resumeReading();
+      if (buffer.countBytes() < MAX_BUFFERED_BYTES && held?.mayReadAhead() !== false) {
+        resumeReading();
+      }
       updateHeld();
     }
     return event;
@@ -129,37 +128,25 @@
     if (controller?.paused === true) controller.resume();
   }
 
-  /**
-   * Failure: after a process pause, timers fire before the sockets are read, and every target looks
-   * silent. So a timeout takes effect only after pending reads.
-   */
-  async function waitForEvent(timeoutMs: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const timer = setTimeout(() => Kernel.runAfterPendingReads(resolve), Math.max(0, timeoutMs));
-      notifyReader = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
-    notifyReader = undefined;
-  }
-
   async function readEvent(timeoutMs: number): Promise<CallEvent> {
     if (isCancelled) return CANCELLED;
     // Nothing may be read ahead, but the reader has come for more.
-    if (bufferedEvents.length === 0) resumeReading();
-    if (bufferedEvents.length === 0) await waitForEvent(timeoutMs);
+    if (buffer.isEmpty()) resumeReading();
+    if (buffer.isEmpty()) await buffer.waitForEvent(timeoutMs);
     if (isCancelled) return CANCELLED;
     return takeEvent() ?? TIMEOUT;
   }
 
-  function cancel(): void {
-    if (isCancelled) return;
+  function stopReading(): void {
     isCancelled = true;
     recordEnd?.();
-    bufferedEvents.length = 0;
+    buffer.clear();
     updateHeld();
-    notifyReader?.();
+  }
+
+  function cancel(): void {
+    if (isCancelled) return;
+    stopReading();
     if (!isDone) connection.close();
   }
 
@@ -188,14 +175,18 @@
         addEvent({ kind: 'head', head });
       },
       onResponseData(requestController, chunk) {
-        bufferedBytes += chunk.length;
+        if (isCancelled) {
+          drain.addBytes(chunk.length);
+          return;
+        }
         addEvent({ kind: 'data', chunk });
         const maxBytes = held?.mayReadAhead() === false ? MAX_UNREAD_BYTES : MAX_BUFFERED_BYTES;
-        if (isFramed && bufferedBytes > maxBytes) requestController.pause();
+        if (isFramed && buffer.countBytes() > maxBytes) requestController.pause();
         updateHeld();
       },
       onResponseEnd() {
         isDone = true;
+        drain.stop();
         recordEnd?.();
         updateHeld();
         if (connection.wasReset()) addEvent({ kind: 'broken', reason: 'reset' });
@@ -204,6 +195,7 @@
       },
       onResponseError(_controller, error) {
         isDone = true;
+        drain.stop();
         recordEnd?.();
         updateHeld();
         connection.close();
@@ -212,5 +204,15 @@
       },
     },
   );
-  return { readEvent, wasSent: () => isSent, cancel };
+  return {
+    readEvent,
+    wasSent: () => isSent,
+    cancel,
+    drain() {
+      if (isCancelled) return;
+      if (!isDone) drain.start(buffer.countBytes());
+      stopReading();
+      resumeReading();
+    },
+  };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
@@ -7,7 +7,9 @@
 import type { AnswerHead } from '../forwardRequest';
 import * as MetricNames from '../metrics';
 import type { RateLimitedLog } from '../rateLimitedLog';
+import type { ExcessPhase } from './answerLimits';
 import type { PathMonitor } from './pathMonitor';
+import * as SilenceEvents from './silenceEvents';
 import * as Incarnations from './targetIncarnation';
 
 export interface TargetNotices {
@@ -17,6 +19,14 @@
   readonly recordStart: PathMonitor['recordStart'];
   /** Records that the target said that it is about to stop; `source` names where, for the log. */
   readonly recordLeaving: (target: ForwardingTarget, source: 'answer' | 'report') => void;
+  /**
+   * Returns a function for a call that begins now, which logs and counts that it was cut because the target sent too
+   * much. `request` is undefined for calls of the router itself.
+   */
+  readonly createExcessRecord: (
+    target: ForwardingTarget,
+    request?: string,
+  ) => (phase: ExcessPhase, bytes: number) => void;
   /** Whether the target has asked this router for rest that is not over. */
   readonly isResting: (target: ForwardingTarget) => boolean;
   /** Time until the end of that rest, milliseconds; 0 for a target that is not resting. */
@@ -110,6 +120,14 @@
         recordRest(target, retryAfter);
       }
     },
+    createExcessRecord({ id, zone }, request) {
+      const sinceMs = clock.getNowMs();
+      return (phase, bytes) => {
+        const ms = Math.round(clock.getNowMs() - sinceMs);
+        log.logEvent(SilenceEvents.TARGET_EXCESS, { target: id, zone, request, phase, bytes, ms });
+        metrics.addCount(MetricNames.EXCESS, 1, { phase });
+      };
+    },
     isResting: (target) => getRestMs(target) > 0,
     getRestMs,
     removeOld,
