Limit what a target sends beside the body of its answer

Cause: the HTTP client parses interim responses, empty lines, a status line and extensions of chunks and has nothing to report of them, and nothing bounded how many there are. A target that sends them without end held its request until its time limit, 8 s for interim responses, at three times the processor time.

Change: a connection counts the bytes that its parser has taken and that were no body: more than 64 KB, and 16 times the body, end the call, as do 128 interim responses; between requests they close the connection. The check comes after each read of the socket; a timer over open calls would have bounded a fast flow less well. Sixteen times covers the framing of chunks of one byte.

A hundred interim responses before an answer, 200,000 chunks of one byte and an answer of 40 MB are read whole. Header fields and trailers were already bounded by the HTTP client (test).

--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/contactCheck.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/contactCheck.test.ts
@@ -8,6 +8,7 @@
 
 import * as ContactChecks from '../contactCheck';
 import type { ContactCheckOptions, TargetContact } from '../contactCheck';
+import * as OverheadMeters from '../overheadMeter';
 import * as TargetConnections from '../targetConnections';
 import * as TargetProbes from '../targetProbe';
 import * as Fakes from '../../__tests__/fakeDependencies';
@@ -162,6 +163,7 @@
         return true;
       },
       wasReset: () => false,
+      overhead: OverheadMeters.createOverheadMeter(),
       release: () => undefined,
       close: () => undefined,
     });
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
@@ -25,6 +25,16 @@
   }
 }
 
+/** Reads up to the event that ends the call; returns it with the number of bytes of the body. */
+async function readToEnd(call: TargetCall): Promise<readonly [kind: string, bytes: number]> {
+  let bytes = 0;
+  for (;;) {
+    const event = await call.readEvent(WAIT_MS);
+    if (event.kind === 'data') bytes += event.chunk.length;
+    else if (event.kind !== 'head') return [event.kind, bytes];
+  }
+}
+
 /** Reads the head of an answer that says that the request did not run. */
 async function readRefusal(call: TargetCall) {
   const event = await call.readEvent(WAIT_MS);
@@ -35,6 +45,81 @@
   return Sending.handleAnswerHead(dependencies, request, target, call, event.head);
 }
 
+const CHUNKED = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+const INTERIM = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
+
+describe('a target that sends bytes that are no answer', () => {
+  /** What comes first, and what never ends; where it is cut, by phase, and how the call ends. */
+  const forms: readonly (readonly [string, string, string, string, string])[] = [
+    ['interim responses', '', INTERIM, 'interim', 'broken'],
+    ['empty lines before the head', '', '\r\n'.repeat(512), 'head', 'broken'],
+    ['a status line', 'HTTP/1.1 200 ', 'x'.repeat(1_024), 'head', 'broken'],
+    ['the extension of a chunk', `${CHUNKED}1;a=`, 'x'.repeat(1_024), 'framing', 'broken'],
+    ['empty lines after an answer', `${CHUNKED}1\r\nx\r\n0\r\n\r\n`, '\r\n'.repeat(512), '', 'end'],
+  ];
+  for (const [name, start, rest, phase, end] of forms) {
+    it(`has its connection closed soon: ${name}`, async () => {
+      // Guards against connections that carry bytes for as long as a request, or the router, lasts.
+      const answer = (socket: Socket) => {
+        socket.write(start);
+        RawTargets.writeEndless(socket, rest);
+      };
+      await runWithTarget(answer, async (target) => {
+        const [kind] = await readToEnd(target.openCall());
+        await target.waitClosed();
+        expect([kind, target.excesses.map(([one]) => one)]).toEqual([
+          end,
+          phase === '' ? [] : [phase],
+        ]);
+      });
+    });
+  }
+
+  it('is cut for header fields and trailers by the HTTP client', async () => {
+    for (const start of ['HTTP/1.1 200 OK\r\n', `${CHUNKED}0\r\n`]) {
+      const answer = (socket: Socket) => {
+        socket.write(start);
+        RawTargets.writeEndless(socket, 'a-field: value\r\n'.repeat(64));
+      };
+      await runWithTarget(answer, async (target) => {
+        const [kind] = await readToEnd(target.openCall());
+        await target.waitClosed();
+        expect(kind).toEqual('broken');
+      });
+    }
+  });
+});
+
+describe('an unusual answer that is sound', () => {
+  const size = 200_000;
+  const forms: readonly (readonly [string, string, number])[] = [
+    [
+      'after many interim responses',
+      `${INTERIM.repeat(100)}HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx`,
+      1,
+    ],
+    ['in chunks of one byte', `${CHUNKED}${'00000001\r\nx\r\n'.repeat(size)}0\r\n\r\n`, size],
+    [
+      'of many megabytes',
+      `HTTP/1.1 200 OK\r\ncontent-length: ${size * 200}\r\n\r\n${'x'.repeat(size * 200)}`,
+      size * 200,
+    ],
+  ];
+  for (const [name, answer, bytes] of forms) {
+    it(`is read whole ${name}`, async () => {
+      // Guards against limits on what is no body that cut true answers.
+      await runWithTarget(
+        (socket) => socket.write(answer),
+        async (target) => {
+          expect(await readToEnd(target.openCall())).toEqual(['end', bytes]);
+          expect(await readToEnd(target.openCall())).toEqual(['end', bytes]);
+          expect([target.excesses, target.countConnections()]).toEqual([[], 1]);
+        },
+      );
+    });
+  }
+});
+
 describe('a refusal whose body is not read', () => {
   it('has its connection closed where the body does not end', async () => {
     // Guards against connections that stay open, paused, after their requests have ended.
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
@@ -7,6 +7,7 @@
 import * as EngineCalls from '../engineCalls';
 import * as EngineProbes from '../engineProbes';
 import * as TargetRegistries from '../targetRegistry';
+import * as OverheadMeters from '../overheadMeter';
 import type { TargetConnection, TargetConnections } from '../targetConnections';
 import * as Fakes from '../../__tests__/fakeDependencies';
 
@@ -28,7 +29,13 @@
       handler.onResponseEnd?.(controller, {});
       return true;
     };
-    return { dispatch, wasReset: () => false, release: () => undefined, close: () => undefined };
+    return {
+      dispatch,
+      wasReset: () => false,
+      overhead: OverheadMeters.createOverheadMeter(),
+      release: () => undefined,
+      close: () => undefined,
+    };
   }
   return { takeConnection } as unknown as TargetConnections;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/probeLosses.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/probeLosses.test.ts
@@ -6,6 +6,7 @@
 import * as EngineCalls from '../engineCalls';
 import type { EngineCaller } from '../engineCalls';
 import * as EngineProbes from '../engineProbes';
+import * as OverheadMeters from '../overheadMeter';
 import type { TargetConnections } from '../targetConnections';
 import * as TargetRegistries from '../targetRegistry';
 import * as Fakes from '../../__tests__/fakeDependencies';
@@ -66,6 +67,7 @@
         return true;
       },
       wasReset: () => false,
+      overhead: OverheadMeters.createOverheadMeter(),
       release: () => undefined,
       close: () => undefined,
     }),
--- a/packages/sequoiarill-plugin-forwarding/src/targets/answerLimits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/answerLimits.ts
@@ -1,17 +1,56 @@
 /** Limits of what a target may send before its bytes must mean something. */
 
 /**
- * `refusal`: the body of an answer that says that the request did not run.
+ * `interim`: interim responses; `head`: bytes before the head, or the head itself; `framing`: extensions of chunks,
+ * trailers and other bytes after the head that are no body; `refusal`: the body of an answer that says that the request
+ * did not run.
  */
-export type ExcessPhase = 'refusal';
+export type ExcessPhase = 'interim' | 'head' | 'framing' | 'refusal';
 
 export type RecordExcess = (phase: ExcessPhase, bytes: number) => void;
 
+/** A target may announce for minutes that it is at work, or send hints for the caller. */
+const MAX_INTERIM_RESPONSES = 128;
 /** The bodies of refusals have a few hundred bytes. */
 const MAX_DRAINED_BYTES = 65_536;
 /** Time in which the rest of an unwanted body must arrive; a new connection costs less than a longer wait. */
 const DRAIN_TIMEOUT_MS = 500;
 
+const EXCESS_REASONS = {
+  interim: 'interim responses without an answer',
+  head: 'head exceeds the size limit',
+  framing: 'too many bytes that are no body',
+  refusal: 'refusal exceeds the size limit',
+} as const;
+
+export function formatExcess(phase: ExcessPhase): string {
+  return EXCESS_REASONS[phase];
+}
+
+/** Phase of an answer by its heads. */
+export interface HeadPhase {
+  /** Returns whether there are too many interim responses. */
+  readonly recordInterim: () => boolean;
+  readonly recordHead: () => void;
+  readonly get: () => ExcessPhase;
+}
+
+export function createHeadPhase(): HeadPhase {
+  let interimResponses = 0;
+  let phase: ExcessPhase = 'head';
+  return {
+    recordInterim() {
+      phase = 'interim';
+      interimResponses += 1;
+      return interimResponses > MAX_INTERIM_RESPONSES;
+    },
+    recordHead() {
+      phase = 'framing';
+    },
+    get: () => phase,
+  };
+}
+
 /** The rest of a body that nobody reads, after which the connection can be used again. */
 export interface Drain {
   /** Closes the connection when the body has not ended in time. */
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -100,6 +100,7 @@
   let isFramed = false;
   let isDone = false;
   let isCancelled = false;
+  const phase = AnswerLimits.createHeadPhase();
   const drain = AnswerLimits.createDrain(connection.close, options.recordExcess);
 
   function updateHeld(): void {
@@ -150,14 +151,22 @@
     if (!isDone) connection.close();
   }
 
+  function cancelExcess(bytes: number): void {
+    if (isDone) return;
+    options.recordExcess?.(phase.get(), bytes);
+    // Also ends the parsing of what was read.
+    if (controller === undefined) connection.close();
+    else controller.abort(new Error(AnswerLimits.formatExcess(phase.get())));
+  }
+
   const recordEnd = options.recordStart?.();
-  const flatHeaders = headers.flatMap(([name, value]) => [name, value]);
+  connection.overhead.start(cancelExcess);
   connection.dispatch(
     {
       origin: `http://${target.address}`,
       method,
       path,
-      headers: flatHeaders,
+      headers: headers.flatMap(([name, value]) => [name, value]),
       body: body.length > 0 ? body : null,
     },
     {
@@ -168,13 +177,18 @@
       onResponseStart(requestController, status, responseHeaders, statusMessage) {
         // They refer to the whole chunk of up to 64 KB that began with them, for as long as the answer lasts.
         Object.assign(requestController, { rawHeaders: null });
-        if (status < 200) return;
+        if (status < 200) {
+          if (phase.recordInterim()) cancelExcess(connection.overhead.countOverhead());
+          return;
+        }
+        phase.recordHead();
         isFramed = FRAMING_HEADERS.some((name) => responseHeaders[name] !== undefined);
         const head = { status, statusMessage: statusMessage ?? '', headers: responseHeaders };
         recordHead(head);
         addEvent({ kind: 'head', head });
       },
       onResponseData(requestController, chunk) {
+        connection.overhead.addBodyBytes(chunk.length);
         if (isCancelled) {
           drain.addBytes(chunk.length);
           return;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
@@ -2,6 +2,9 @@
 import type { ForwardingTarget } from '@sequoiarill/types';
 import * as Undici from 'undici';
 
+import * as OverheadMeters from './overheadMeter';
+import type { OverheadMeter } from './overheadMeter';
+
 /** The process behind an address. Another one at the same address gets connections of its own. */
 export type Endpoint = Pick<ForwardingTarget, 'id' | 'address' | 'startedAtUnixMs'>;
 
@@ -12,6 +15,8 @@
    * then.
    */
   readonly wasReset: () => boolean;
+  /** Counts what the target sends beside bodies; `start` is to be called with each request. */
+  readonly overhead: Pick<OverheadMeter, 'start' | 'addBodyBytes' | 'countOverhead'>;
   /** Returns the connection to the pool after a complete response. */
   readonly release: () => void;
   readonly close: () => void;
@@ -86,6 +91,7 @@
    */
   function openConnection(target: Endpoint): TargetConnection {
     let isReset = false;
+    const overhead = OverheadMeters.createOverheadMeter();
     const client = new Undici.Client(`http://${target.address}`, {
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -94,10 +100,13 @@
       bodyTimeout: 0,
       connect(options, callback) {
         connect(options, (...result) => {
-          result[1]?.on('error', () => {
+          const [, socket] = result;
+          socket?.on('error', () => {
             isReset = true;
           });
           callback(...result);
+          // After the client's own listener, so that it has parsed what was read.
+          if (socket) overhead.watchSocket(socket);
         });
       },
     });
@@ -114,10 +123,14 @@
     const connection: TargetConnection = {
       dispatch: client.dispatch.bind(client),
       wasReset: () => isReset,
+      overhead,
       release() {
         const pool = pools.get(target.id);
         if (!isOpen || isReset || pool === undefined || !isSameTarget(pool.target, target)) close();
-        else pool.idle.push(connection);
+        else {
+          overhead.start(close);
+          pool.idle.push(connection);
+        }
       },
       close,
     };
