End a call at its deadline also while data keeps arriving

Cause: a read takes a buffered event even when its deadline has passed, so that an answer that arrived in time is taken after a pause of the router. A body that always has data never reached its deadline.

Change: once no time is left, 1 MiB more is read without a pause between the reads; then the read times out. What had arrived in time waits in the buffers of the call and of its connection, which is less.

--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
@@ -5,6 +5,7 @@
 
 import * as Sending from '../../answers/sending';
 import * as Fakes from '../../__tests__/fakeDependencies';
+import * as TargetCalls from '../targetCall';
 import type { TargetCall } from '../targetCall';
 import * as RawTargets from './rawTarget';
 import type { RawTarget } from './rawTarget';
@@ -90,6 +91,45 @@
   });
 });
 
+describe('an answer whose deadline has passed', () => {
+  const clock = { getNowMs: () => 1_000, getRunningMs: () => 1_000 };
+  const deadlines = { silenceDeadlineMs: Number.POSITIVE_INFINITY, expiresAtMs: 900 };
+
+  async function readLate(answer: (socket: Socket) => void): Promise<readonly [string, number]> {
+    return runWithTarget(answer, async (target) => {
+      const call = target.openCall();
+      let bytes = 0;
+      const head = await call.readEvent(WAIT_MS);
+      if (head.kind !== 'head') return [head.kind, bytes];
+      // Sent in time, read late.
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+      for (;;) {
+        const event = await TargetCalls.readNextEvent(clock, call, deadlines);
+        if (event.kind !== 'data') return [event.kind, bytes];
+        bytes += event.chunk.length;
+      }
+    });
+  }
+
+  it('ends also while data keeps arriving', async () => {
+    // Guards against calls that last as long as their target sends.
+    const [kind, bytes] = await readLate((socket) => {
+      socket.write(CHUNKED);
+      RawTargets.writeEndless(socket, CHUNK);
+    });
+    expect([kind, bytes < 2_000_000]).toEqual(['timeout', true]);
+  });
+
+  it('is taken where it arrived in time', async () => {
+    const size = 500_000;
+    const head = `HTTP/1.1 200 OK\r\ncontent-length: ${size}\r\n\r\n`;
+    const result = await readLate((socket) => socket.write(head + 'x'.repeat(size)));
+    expect(result).toEqual(['end', size]);
+  });
+});
+
 describe('an unusual answer that is sound', () => {
   const size = 200_000;
   const forms: readonly (readonly [string, string, number])[] = [
--- a/packages/sequoiarill-plugin-forwarding/src/targets/callEvents.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/callEvents.ts
@@ -13,7 +13,8 @@
 
 export interface EventQueue {
   readonly add: (event: CallEvent) => void;
-  readonly take: () => CallEvent | undefined;
+  /** Undefined where none is buffered, or where too many bytes were taken late, one read after another. */
+  readonly take: (isLate: boolean) => CallEvent | undefined;
   readonly isEmpty: () => boolean;
   /** Bytes of data events that are not taken. */
   readonly countBytes: () => number;
@@ -23,9 +24,17 @@
   readonly waitForEvent: (timeoutMs: number) => Promise<void>;
 }
 
+/**
+ * Failure: a target sends without end, an event is buffered at each read, and no deadline ever ends the call. But an
+ * answer that arrived in time and is read late, as after a pause of this process, is taken. When the deadline
+ * has passed, a whole answer may wait here and in the buffers of the connection, so this much is still read.
+ */
+const MAX_LATE_BYTES = 1_048_576;
+
 export function createEventQueue(): EventQueue {
   const events: CallEvent[] = [];
   let bytes = 0;
+  let lateBytes = 0;
   let notifyReader: (() => void) | undefined;
 
   return {
@@ -34,9 +43,14 @@
       if (event.kind === 'data') bytes += event.chunk.length;
       notifyReader?.();
     },
-    take() {
+    take(isLate) {
+      if (!isLate) lateBytes = 0;
+      if (lateBytes > MAX_LATE_BYTES) return undefined;
       const event = events.shift();
-      if (event?.kind === 'data') bytes -= event.chunk.length;
+      if (event?.kind === 'data') {
+        bytes -= event.chunk.length;
+        lateBytes += isLate ? event.chunk.length : 0;
+      }
       return event;
     },
     isEmpty: () => events.length === 0,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -31,7 +31,10 @@
 export type { CallEvent } from './callEvents';
 
 export interface TargetCall {
-  /** The next event, or `timeout` when none comes in time. Only one task may read. */
+  /**
+   * The next event, or `timeout` when none comes in time. Without time left, only what has arrived is read, and little
+   * more. Only one task may read.
+   */
   readonly readEvent: (timeoutMs: number) => Promise<CallEvent>;
   /** Whether bytes of the request may have been sent; if not, the request has not run. */
   readonly wasSent: () => boolean;
@@ -114,8 +117,8 @@
     if (!isCancelled) buffer.add(event);
   }
 
-  function takeEvent(): CallEvent | undefined {
-    const event = buffer.take();
+  function takeEvent(isLate: boolean): CallEvent | undefined {
+    const event = buffer.take(isLate);
     if (event?.kind === 'data') {
       if (buffer.countBytes() < MAX_BUFFERED_BYTES && held?.mayReadAhead() !== false) {
         resumeReading();
@@ -135,7 +138,7 @@
     if (buffer.isEmpty()) resumeReading();
     if (buffer.isEmpty()) await buffer.waitForEvent(timeoutMs);
     if (isCancelled) return CANCELLED;
-    return takeEvent() ?? TIMEOUT;
+    return takeEvent(timeoutMs <= 0) ?? TIMEOUT;
   }
 
   function stopReading(): void {
