Bound the answers to a router's own calls to engines

Cause: reports, listings and answers to commands were collected without a limit on their bytes until the call's time was up.

Change: more than 4 MB cut the call, close its connection and count as a broken connection, so that the engine is avoided. A listing of 10,000 prompt parts has half a megabyte. Readers of a call report what they give up for its length.

The fakes of connections and notices in two tests got the new members.

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeCalls.ts
@@ -43,6 +43,7 @@
       cancelling.abort();
     },
     drain: () => undefined,
+    recordExcess: () => undefined,
     async readEvent(timeoutMs) {
       if (record.isCancelled) return { kind: 'cancelled' };
       const dueMs =
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulatedEngine.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulatedEngine.ts
@@ -51,6 +51,7 @@
       resume?.();
     },
     drain: () => undefined,
+    recordExcess: () => undefined,
     async readEvent(timeoutMs) {
       if (events.length === 0 && !isCancelled) {
         const timer = new AbortController();
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
@@ -5,6 +5,7 @@
 
 import * as Sending from '../../answers/sending';
 import * as Fakes from '../../__tests__/fakeDependencies';
+import * as EngineCalls from '../engineCalls';
 import * as TargetCalls from '../targetCall';
 import type { TargetCall } from '../targetCall';
 import * as RawTargets from './rawTarget';
@@ -130,6 +131,40 @@
   });
 });
 
+describe('a call of the router itself', () => {
+  it('is cut where its answer is too long, whatever its time limit', async () => {
+    // Guards against reports and listings of which a router collects gigabytes.
+    const answer = (socket: Socket) => {
+      socket.write(CHUNKED);
+      RawTargets.writeEndless(socket, CHUNK.repeat(16));
+    };
+    await runWithTarget(answer, async ({ connections, address, waitClosed }) => {
+      const excesses: string[] = [];
+      const callEngine = EngineCalls.createEngineCaller(
+        { getNowMs: () => performance.now(), getRunningMs: () => performance.now() },
+        connections,
+        {
+          recordHead: () => undefined,
+          recordStart: () => () => undefined,
+          createExcessRecord: () => (phase) => excesses.push(phase),
+          isResting: () => false,
+        },
+      );
+      let isBroken = false;
+      const response = await callEngine(Fakes.createTarget('e1', { address }), {
+        method: 'GET',
+        path: '/report',
+        limitMs: 600_000,
+        recordBroken() {
+          isBroken = true;
+        },
+      });
+      await waitClosed();
+      expect([response, isBroken, excesses]).toEqual([undefined, true, ['report']]);
+    });
+  });
+});
+
 describe('an unusual answer that is sound', () => {
   const size = 200_000;
   const forms: readonly (readonly [string, string, number])[] = [
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
@@ -74,6 +74,7 @@
       {
         recordHead: () => undefined,
         recordStart: () => () => undefined,
+        createExcessRecord: () => () => undefined,
         isResting: () => false,
       },
     ),
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/probeLosses.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/probeLosses.test.ts
@@ -75,6 +75,7 @@
   return EngineCalls.createEngineCaller(clock, connections, {
     recordHead: () => undefined,
     recordStart: () => () => undefined,
+    createExcessRecord: () => () => undefined,
     isResting: () => false,
   });
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/rawTarget.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/rawTarget.ts
@@ -7,6 +7,8 @@
 import * as TargetConnections from '../targetConnections';
 
 export interface RawTarget {
+  readonly address: string;
+  readonly connections: TargetConnections.TargetConnections;
   readonly openCall: (options?: Partial<CallOptions>) => TargetCall;
   /** Resolves when all connections that were opened are closed. */
   readonly waitClosed: () => Promise<void>;
@@ -38,6 +40,8 @@
   const connections = TargetConnections.createTargetConnections();
   const excesses: [string, number][] = [];
   return {
+    address,
+    connections,
     openCall: (options = {}) =>
       TargetCalls.openCall({
         connection: connections.takeConnection({ id: 't1', address, startedAtUnixMs: 1 }),
--- a/packages/sequoiarill-plugin-forwarding/src/targets/answerLimits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/answerLimits.ts
@@ -2,10 +2,11 @@
 
 /**
  * `interim`: interim responses; `head`: bytes before the head, or the head itself; `framing`: extensions of chunks,
- * trailers and other bytes after the head that are no body; `refusal`: the body of an answer that says that the request
- * did not run.
+ * trailers and other bytes after the head that are no body; `body`: the body of an answer that must be whole; `event`:
+ * an event of a stream; `refusal`: the body of an answer that says that the request did not run; `report`: the body of an
+ * answer to a call of the router itself.
  */
-export type ExcessPhase = 'interim' | 'head' | 'framing' | 'refusal';
+export type ExcessPhase = 'interim' | 'head' | 'framing' | 'body' | 'event' | 'refusal' | 'report';
 
 export type RecordExcess = (phase: ExcessPhase, bytes: number) => void;
 
@@ -16,15 +17,9 @@
 /** Time in which the rest of an unwanted body must arrive; a new connection costs less than a longer wait. */
 const DRAIN_TIMEOUT_MS = 500;
 
-const EXCESS_REASONS = {
-  interim: 'interim responses without an answer',
-  head: 'head exceeds the size limit',
-  framing: 'too many bytes that are no body',
-  refusal: 'refusal exceeds the size limit',
-} as const;
-
+/** The reason, for log lines and callers, why a call was cut before its body. */
 export function formatExcess(phase: ExcessPhase): string {
-  return EXCESS_REASONS[phase];
+  return `the target sends without an answer (${phase})`;
 }
 
 /** Phase of an answer by its heads. */
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
@@ -4,6 +4,7 @@
 import type { AnswerHead } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
 import * as TargetCalls from './targetCall';
+import type { CallEvent, TargetCall } from './targetCall';
 import type { TargetConnections } from './targetConnections';
 import type { TargetNotices } from './targetNotices';
 
@@ -13,7 +14,7 @@
   readonly body?: string;
   readonly headers?: readonly RawHeader[];
   readonly limitMs: number;
-  /** Called when the connection was refused or ended before the response was complete. */
+  /** Called when the connection was refused, ended before the response was complete, or carried too much. */
   readonly recordBroken?: () => void;
 }
 
@@ -28,10 +29,13 @@
   command: EngineCommand,
 ) => Promise<EngineResponse | undefined>;
 
+/** A listing of 10,000 prompt parts has half a megabyte. */
+const MAX_RESPONSE_BYTES = 4_194_304;
+
 export function createEngineCaller(
   clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>,
   connections: Pick<TargetConnections, 'takeConnection'>,
-  notices: Pick<TargetNotices, 'recordHead' | 'recordStart' | 'isResting'>,
+  notices: Pick<TargetNotices, 'recordHead' | 'recordStart' | 'isResting' | 'createExcessRecord'>,
 ): EngineCaller {
   return async (target, { method, path, body, headers = [], limitMs, recordBroken }) => {
     if (notices.isResting(target)) return undefined;
@@ -44,21 +48,44 @@
       body: Buffer.from(body ?? ''),
       recordHead: (answerHead) => notices.recordHead(target, answerHead),
       recordStart: () => notices.recordStart(target),
+      recordExcess: notices.createExcessRecord(target),
     });
     const silenceDeadlineMs = clock.getRunningMs() + limitMs;
     const limits = { silenceDeadlineMs, expiresAtMs: Number.POSITIVE_INFINITY };
-    const chunks: Buffer[] = [];
-    let head: AnswerHead | undefined;
-    for (;;) {
-      const event = await TargetCalls.readNextEvent(clock, call, limits);
-      if (event.kind === 'head') head = event.head;
-      else if (event.kind === 'data') chunks.push(event.chunk);
-      else {
-        call.cancel();
-        if (event.kind === 'broken') recordBroken?.();
-        if (event.kind !== 'end' || head === undefined) return undefined;
-        return { head, text: Buffer.concat(chunks).toString('utf8') };
+    const result = await readResponse(call, () => TargetCalls.readNextEvent(clock, call, limits));
+    call.cancel();
+    if (result.kind === 'broken') recordBroken?.();
+    return result.kind === 'response' ? result.response : undefined;
+  };
+}
+
+type ReadResult =
+  | { readonly kind: 'response'; readonly response: EngineResponse }
+  | { readonly kind: 'broken' }
+  | { readonly kind: 'none' };
+
+async function readResponse(
+  call: Pick<TargetCall, 'recordExcess'>,
+  readNext: () => Promise<CallEvent>,
+): Promise<ReadResult> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  let head: AnswerHead | undefined;
+  for (;;) {
+    const event = await readNext();
+    if (event.kind === 'head') head = event.head;
+    else if (event.kind === 'data') {
+      chunks.push(event.chunk);
+      bytes += event.chunk.length;
+      if (bytes > MAX_RESPONSE_BYTES) {
+        call.recordExcess('report', bytes);
+        return { kind: 'broken' };
       }
+    } else if (event.kind !== 'end' || head === undefined) {
+      return { kind: event.kind === 'broken' ? 'broken' : 'none' };
+    } else {
+      const text = Buffer.concat(chunks, bytes).toString('utf8');
+      return { kind: 'response', response: { head, text } };
     }
-  };
+  }
 }
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -6,7 +6,7 @@
 import type { RawHeader } from '../front/headers';
 import type { HeldExchange } from '../front/heldExchange';
 import * as AnswerLimits from './answerLimits';
-import type { ExcessPhase } from './answerLimits';
+import type { RecordExcess } from './answerLimits';
 import * as CallEvents from './callEvents';
 import type { CallEvent } from './callEvents';
 import type { TargetConnection } from './targetConnections';
@@ -23,7 +23,7 @@
   /** Called at once; the function that it returns, when the call has ended or was cancelled, perhaps twice. */
   readonly recordStart?: () => () => void;
   /** Called when the target has sent more in a phase than an answer has there, and the call is cut. */
-  readonly recordExcess?: (phase: ExcessPhase, bytes: number) => void;
+  readonly recordExcess?: RecordExcess;
   /** Counts what is buffered for the caller, and tells whether more may be; undefined for other calls. */
   readonly held?: Pick<HeldExchange, 'addAnswerBytes' | 'mayReadAhead'> | undefined;
 }
@@ -40,6 +40,8 @@
   readonly wasSent: () => boolean;
   /** Closes the connection unless the response is complete; the target aborts the request. */
   readonly cancel: () => void;
+  /** Reports that the reader gives the call up for the number of bytes in a phase. */
+  readonly recordExcess: RecordExcess;
   /** As `cancel`, but reads a short rest of the body first, so that the connection can be used again. */
   readonly drain: () => void;
 }
@@ -225,6 +227,7 @@
     readEvent,
     wasSent: () => isSent,
     cancel,
+    recordExcess: (...excess) => options.recordExcess?.(...excess),
     drain() {
       if (isCancelled) return;
       if (!isDone) drain.start(buffer.countBytes());
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetNotices.ts
@@ -7,7 +7,7 @@
 import type { AnswerHead } from '../forwardRequest';
 import * as MetricNames from '../metrics';
 import type { RateLimitedLog } from '../rateLimitedLog';
-import type { ExcessPhase } from './answerLimits';
+import type { RecordExcess } from './answerLimits';
 import type { PathMonitor } from './pathMonitor';
 import * as SilenceEvents from './silenceEvents';
 import * as Incarnations from './targetIncarnation';
@@ -23,10 +23,7 @@
    * Returns a function for a call that begins now, which logs and counts that it was cut because the target sent too
    * much. `request` is undefined for calls of the router itself.
    */
-  readonly createExcessRecord: (
-    target: ForwardingTarget,
-    request?: string,
-  ) => (phase: ExcessPhase, bytes: number) => void;
+  readonly createExcessRecord: (target: ForwardingTarget, request?: string) => RecordExcess;
   /** Whether the target has asked this router for rest that is not over. */
   readonly isResting: (target: ForwardingTarget) => boolean;
   /** Time until the end of that rest, milliseconds; 0 for a target that is not resting. */
