Cut the body of an error that does not end

Cause: the body of a server error that may be retried, and of any other status for a stream, was read up to 16 MiB, several at a time; errors of plain requests beyond 256 KB were passed on until the request's time limit.

Change: an error is held whole up to 512 KB. A longer one is cut and its connection closed: the request goes to another target where it may run again, and ends with 502 at once otherwise. One with a declared length still is passed on where no other target may follow.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/answerBody.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/answerBody.ts
@@ -2,9 +2,15 @@
 import type { AnswerHead, SendOutcome } from '../forwardRequest';
 import type { HeldExchange } from '../front/heldExchange';
 import type { CallEvent, TargetCall } from '../targets/targetCall';
+import * as Checks from './answerChecks';
 
 /** Answers that must be whole and are longer are rejected. */
 const MAX_WHOLE_BYTES = 16_777_216;
+/**
+ * Failure: targets answer with errors whose bodies do not end, and several of them at a time fill the memory of the router.
+ * An error has a text for its reader.
+ */
+const MAX_ERROR_BYTES = 524_288;
 
 /** Undefined when the event does not end the call. */
 export function decideFailure(
@@ -17,7 +23,7 @@
   return call.wasSent() ? { kind: 'lost', reason, isTimeout: false } : { kind: 'notSent', reason };
 }
 
-type BodyCall = Pick<TargetCall, 'wasSent' | 'cancel'>;
+type BodyCall = Pick<TargetCall, 'wasSent' | 'cancel'> & Partial<Pick<TargetCall, 'recordExcess'>>;
 type BodyFailure = Extract<SendOutcome, { kind: 'lost' | 'notSent' | 'callerLeft' }>;
 
 /** A body up to its end, or its first bytes where it is longer than allowed. */
@@ -67,11 +73,14 @@
   readNext: () => Promise<CallEvent>,
   held: HeldExchange | undefined,
 ): Promise<Exclude<SendOutcome, { kind: 'notRun' | 'expired' }>> {
-  const result = await readBody(call, readNext, MAX_WHOLE_BYTES, held);
+  const maxBytes = Checks.isSuccess(head.status) ? MAX_WHOLE_BYTES : MAX_ERROR_BYTES;
+  const isTooLong = Number(Checks.getHeader(head, 'content-length') ?? 0) > maxBytes;
+  const result = await readBody(call, readNext, isTooLong ? 0 : maxBytes, held);
   if (result.kind === 'end') {
     return { kind: 'whole', head, body: Buffer.concat(result.chunks, result.bytes) };
   }
   if (result.kind !== 'more') return result;
+  call.recordExcess?.('body', result.bytes);
   call.cancel();
   held?.addWholeBytes(-result.bytes);
   return { kind: 'lost', reason: 'answer exceeds the size limit', isTimeout: false };
--- a/packages/sequoiarill-plugin-forwarding/src/answers/passedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/passedAnswer.ts
@@ -19,7 +19,7 @@
 const UNREAD_MS = 1_000;
 
 export interface AnswerSource {
-  readonly call: Pick<TargetCall, 'wasSent' | 'cancel'>;
+  readonly call: Pick<TargetCall, 'wasSent' | 'cancel'> & Partial<Pick<TargetCall, 'recordExcess'>>;
   readonly head: AnswerHead;
   readonly readNext: () => Promise<CallEvent>;
   /** Undefined where another router passes the answer on; its server errors are not retried. */
@@ -50,8 +50,13 @@
   return relayLongAnswer(dependencies, sink, source, start.chunks);
 }
 
-/** A server error may be retried at another target. */
+/**
+ * A server error may be retried at another target. An error of unknown length that is longer than an error is answered
+ * for at once: passed on, it would last until the time limit of its request.
+ */
 function isPassable({ route }: ForwardRequest, { head, target }: AnswerSource): boolean {
+  const hasEnd = Checks.getHeader(head, 'content-length') !== undefined;
+  if (!Checks.isSuccess(head.status) && !hasEnd) return false;
   const isFinal = target === undefined || route.retryPolicy === 'once';
   return isFinal || !Checks.isServerError(head.status);
 }
