Bound the events of a stream that carry no id, and count a partial event as held

Cause: events without ids counted as progress however many came, so that a target could send them until the stream's time limit. An incomplete event of up to 1 MiB was not counted among the bytes that a router holds for its callers.

Change: more than 1 MiB of events without ids after the last numbered one ends the attempt as an incomplete event of this size does; both are logged as target.excessBytes. The bytes of an incomplete event are held bytes of its request.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/eventBlocks.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/eventBlocks.ts
@@ -7,11 +7,11 @@
 }
 
 export interface EventBlockSplitter {
-  /** Events that are complete now; undefined when an incomplete one exceeds the size limit. */
+  /** Events that are complete now; undefined when an incomplete one, or those without ids, exceed their limit. */
   readonly addBytes: (bytes: Buffer) => readonly EventBlock[] | undefined;
   /** Whether bytes of an incomplete event are buffered. */
   readonly hasPartialEvent: () => boolean;
-  /** Bytes of the incomplete event. */
+  /** Bytes of the incomplete event, which are buffered. */
   readonly countPartialBytes: () => number;
 }
 
@@ -20,12 +20,19 @@
 const ID_FIELD = /^id: ?(.*)$/m;
 /** Bounds memory; a target that sends more than this in one event is faulty. */
 const MAX_EVENT_BYTES = 1_048_576;
+/**
+ * Failure: a target sends events without ids for as long as it is read. They reach the caller and count as progress, but
+ * nothing that it asked for comes. Between two numbered events, a few comments and other events are usual.
+ */
+const MAX_UNNUMBERED_BYTES = MAX_EVENT_BYTES;
 const EMPTY = Buffer.alloc(0);
 
 export function createEventBlockSplitter(): EventBlockSplitter {
   /** Begins with the incomplete event; may be longer, so that few copies are made while it grows. */
   let buffer: Buffer = EMPTY;
   let length = 0;
+  /** Bytes of events without ids since the last one with an id. */
+  let unnumberedBytes = 0;
 
   function decodeBlock(bytes: Buffer): EventBlock {
     const id = ID_FIELD.exec(bytes.toString('latin1'))?.[1]?.trim();
@@ -69,7 +76,10 @@
       const blocks: EventBlock[] = [];
       let start = 0;
       for (let end = findFirstEnd(bytes); end > 0; end = findEnd(bytes, start)) {
-        blocks.push(decodeBlock(takePartial(bytes.subarray(start, end))));
+        const block = decodeBlock(takePartial(bytes.subarray(start, end)));
+        unnumberedBytes = block.id === undefined ? unnumberedBytes + block.bytes.length : 0;
+        if (unnumberedBytes > MAX_UNNUMBERED_BYTES) return undefined;
+        blocks.push(block);
         start = end;
       }
       if (start < bytes.length) addPartial(bytes.subarray(start));
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -49,7 +49,7 @@
 }
 
 const STATUS_OK = 200;
-/** An answer of another status has begun, and no other target could give a better one. */
+/** An answer of another status has begun. It is short, and a silence of its target does not end it. */
 const NO_LIMIT = { silenceDeadlineMs: Number.POSITIVE_INFINITY };
 
 /** Yields events as they are complete; returns the outcome of the attempt. */
@@ -156,6 +156,7 @@
   let hasEvents = false;
   let firstEventAtMs = Number.POSITIVE_INFINITY;
   let head: AnswerHead | undefined;
+  let heldBytes = 0;
   const { name: route, objectiveMs } = request.route;
   const { expiresAtMs } = request;
   const silences = SilenceLogs.createSilenceLog(dependencies, request, target);
@@ -196,9 +197,20 @@
     return undefined;
   }
 
+  /** Counts the incomplete event, which its caller does not get yet. */
+  function updateHeld(): void {
+    const bytes = splitter.countPartialBytes();
+    if (bytes !== heldBytes) request.held?.addWholeBytes(bytes - heldBytes);
+    heldBytes = bytes;
+  }
+
   function handleData(chunk: Buffer): StepResult {
     const blocks = splitter.addBytes(chunk);
-    if (blocks === undefined) return { kind: 'lost', reason: 'oversized event', isTimeout: false };
+    updateHeld();
+    if (blocks === undefined) {
+      call.recordExcess('event', splitter.countPartialBytes());
+      return { kind: 'lost', reason: 'oversized event', isTimeout: false };
+    }
     if (blocks.length === 0 || head === undefined) return undefined;
     recordEvents();
     return { head, blocks };
@@ -249,6 +261,10 @@
       hasHead: head !== undefined,
       ranMs: hasEvents ? clock.getRunningMs() - firstEventAtMs : undefined,
     }),
-    close: () => recordResult('unknown'),
+    close() {
+      recordResult('unknown');
+      if (heldBytes > 0) request.held?.addWholeBytes(-heldBytes);
+      heldBytes = 0;
+    },
   };
 }
