Find a stream that carries no numbered event sooner

Cause: beside engines that send events without ids, or a text that is no event, each attempt took 1 MiB until it was cut. On a busy machine this took seconds, and streams met the same engines again until their time limit.

Change: 256 KB of events without ids after a numbered one are allowed, beside the last of them, which may have 1 MiB; an answer that names another content type than an event stream may have 64 KB without the end of an event.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/eventBlocks.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/eventBlocks.ts
@@ -24,7 +24,7 @@
  * Failure: a target sends events without ids for as long as it is read. They reach the caller and count as progress, but
  * nothing that it asked for comes. Between two numbered events, a few comments and other events are usual.
  */
-const MAX_UNNUMBERED_BYTES = MAX_EVENT_BYTES;
+const MAX_UNNUMBERED_BYTES = 262_144;
 const EMPTY = Buffer.alloc(0);
 
 export function createEventBlockSplitter(): EventBlockSplitter {
@@ -76,9 +76,10 @@
       const blocks: EventBlock[] = [];
       let start = 0;
       for (let end = findFirstEnd(bytes); end > 0; end = findEnd(bytes, start)) {
+        // A single event may be larger than this, so the last one does not count yet.
+        if (unnumberedBytes > MAX_UNNUMBERED_BYTES) return undefined;
         const block = decodeBlock(takePartial(bytes.subarray(start, end)));
         unnumberedBytes = block.id === undefined ? unnumberedBytes + block.bytes.length : 0;
-        if (unnumberedBytes > MAX_UNNUMBERED_BYTES) return undefined;
         blocks.push(block);
         start = end;
       }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -49,6 +49,9 @@
 }
 
 const STATUS_OK = 200;
+const EVENT_STREAM = 'text/event-stream';
+/** Bytes without the end of an event in an answer that calls itself something else than a stream of events. */
+const MAX_OTHER_BYTES = 65_536;
 /** An answer of another status has begun. It is short, and a silence of its target does not end it. */
 const NO_LIMIT = { silenceDeadlineMs: Number.POSITIVE_INFINITY };
 
@@ -157,6 +160,7 @@
   let firstEventAtMs = Number.POSITIVE_INFINITY;
   let head: AnswerHead | undefined;
   let heldBytes = 0;
+  let maxPartialBytes = Number.POSITIVE_INFINITY;
   const { name: route, objectiveMs } = request.route;
   const { expiresAtMs } = request;
   const silences = SilenceLogs.createSilenceLog(dependencies, request, target);
@@ -194,6 +198,8 @@
       return Sending.readFullAnswer(call, responseHead, readRest, request.held);
     }
     head = responseHead;
+    const type = Checks.getHeader(head, 'content-type') ?? EVENT_STREAM;
+    if (!type.toLowerCase().startsWith(EVENT_STREAM)) maxPartialBytes = MAX_OTHER_BYTES;
     return undefined;
   }
 
@@ -207,7 +213,7 @@
   function handleData(chunk: Buffer): StepResult {
     const blocks = splitter.addBytes(chunk);
     updateHeld();
-    if (blocks === undefined) {
+    if (blocks === undefined || splitter.countPartialBytes() > maxPartialBytes) {
       call.recordExcess('event', splitter.countPartialBytes());
       return { kind: 'lost', reason: 'oversized event', isTimeout: false };
     }
