--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeCalls.ts
@@ -42,6 +42,8 @@
       record.isCancelled = true;
       cancelling.abort();
     },
+    drain: () => undefined,
+    recordExcess: () => undefined,
     async readEvent(timeoutMs) {
       if (record.isCancelled) return { kind: 'cancelled' };
       const dueMs =
--- a/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
@@ -94,6 +94,7 @@
           notices.recordHead(target, head);
         },
         recordStart: () => notices.recordStart(target),
+        recordExcess: notices.createExcessRecord(target, request.id),
         headers: [
           ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
           [headerNames.remainingMs, String(leftMs)],
--- a/packages/sequoiarill-plugin-forwarding/src/front/__tests__/requestCalls.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/__tests__/requestCalls.test.ts
@@ -19,6 +19,8 @@
       cancel() {
         state.isCancelled = true;
       },
+      drain: () => undefined,
+      recordExcess: () => undefined,
     };
     const terms = {
       place: { stage: 'target', target },
--- a/packages/sequoiarill-plugin-forwarding/src/front/requestCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestCalls.ts
@@ -37,6 +37,8 @@
   readEvent: async () => ({ kind: 'cancelled' }),
   wasSent: () => false,
   cancel: () => undefined,
+  drain: () => undefined,
+  recordExcess: () => undefined,
 };
 
 export function createRequestCalls(): RequestCalls {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulatedEngine.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/simulatedEngine.ts
@@ -50,6 +50,8 @@
       cancel();
       resume?.();
     },
+    drain: () => undefined,
+    recordExcess: () => undefined,
     async readEvent(timeoutMs) {
       if (events.length === 0 && !isCancelled) {
         const timer = new AbortController();
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -49,7 +49,10 @@
 }
 
 const STATUS_OK = 200;
-/** An answer of another status has begun, and no other target could give a better one. */
+const EVENT_STREAM = 'text/event-stream';
+/** Bytes without the end of an event in an answer that calls itself something else than a stream of events. */
+const MAX_OTHER_BYTES = 65_536;
+/** An answer of another status has begun. It is short, and a silence of its target does not end it. */
 const NO_LIMIT = { silenceDeadlineMs: Number.POSITIVE_INFINITY };
 
 /** Yields events as they are complete; returns the outcome of the attempt. */
@@ -156,6 +159,8 @@
   let hasEvents = false;
   let firstEventAtMs = Number.POSITIVE_INFINITY;
   let head: AnswerHead | undefined;
+  let heldBytes = 0;
+  let maxPartialBytes = Number.POSITIVE_INFINITY;
   const { name: route, objectiveMs } = request.route;
   const { expiresAtMs } = request;
   const silences = SilenceLogs.createSilenceLog(dependencies, request, target);
@@ -193,12 +198,25 @@
       return Sending.readFullAnswer(call, responseHead, readRest, request.held);
     }
     head = responseHead;
+    const type = Checks.getHeader(head, 'content-type') ?? EVENT_STREAM;
+    if (!type.toLowerCase().startsWith(EVENT_STREAM)) maxPartialBytes = MAX_OTHER_BYTES;
     return undefined;
   }
 
+  /** Counts the incomplete event, which its caller does not get yet. */
+  function updateHeld(): void {
+    const bytes = splitter.countPartialBytes();
+    if (bytes !== heldBytes) request.held?.addWholeBytes(bytes - heldBytes);
+    heldBytes = bytes;
+  }
+
   function handleData(chunk: Buffer): StepResult {
     const blocks = splitter.addBytes(chunk);
-    if (blocks === undefined) return { kind: 'lost', reason: 'oversized event', isTimeout: false };
+    updateHeld();
+    if (blocks === undefined || splitter.countPartialBytes() > maxPartialBytes) {
+      call.recordExcess('event', splitter.countPartialBytes());
+      return { kind: 'lost', reason: 'oversized event', isTimeout: false };
+    }
     if (blocks.length === 0 || head === undefined) return undefined;
     recordEvents();
     return { head, blocks };
@@ -249,6 +267,10 @@
       hasHead: head !== undefined,
       ranMs: hasEvents ? clock.getRunningMs() - firstEventAtMs : undefined,
     }),
-    close: () => recordResult('unknown'),
+    close() {
+      recordResult('unknown');
+      if (heldBytes > 0) request.held?.addWholeBytes(-heldBytes);
+      heldBytes = 0;
+    },
   };
 }
