End a hop whose router sends without end

A hop whose answer is a refusal, or an answer to another request, was given up by its head and its call not ended: a body that goes on kept its connection open, and paused, for as long as the process ran. Data that is always at hand was read beyond the time limit of the request, since a reader looks at its deadline only while nothing is buffered.

The call of a plain hop is now cancelled whenever the hop ends, which does nothing to one that is complete. A read of a hop ends with a timeout at the time limit also where data is at hand. Streams through another router cancelled theirs already.

--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
@@ -98,6 +98,8 @@
     return await PassedAnswers.readAnswer(dependencies, request, source);
   } finally {
     request.closed.removeEventListener('abort', call.cancel);
+    // The body of a refusal, or of an answer that is not used, may have no end.
+    call.cancel();
   }
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -178,7 +178,10 @@
         silenceDeadlineMs,
         expiresAtMs,
       });
-      if (event.kind !== 'timeout' || clock.getNowMs() >= expiresAtMs) return event;
+      // Data that is always at hand must not hold the request beyond its time.
+      const isExpired = clock.getNowMs() >= expiresAtMs;
+      if (event.kind === 'data' && isExpired) return { kind: 'timeout' };
+      if (event.kind !== 'timeout' || isExpired) return event;
       if (!call.wasSent()) return event;
       const result = await checkExit(router);
       missedChecks = result === 'silent' ? missedChecks + 1 : 0;
