Hold what callers of a router may send without end

A test over a router process sends heads, bodies, chunk extensions and trailers without end to each of its three HTTP listeners, and 2,000 requests at a time on one connection.

It also showed that reading the body of an earlier request resumes a connection that is to be closed: the process grew to 340 MB. Such a connection is now paused again with each request that is read from it.

--- a/packages/sequoiarill-kernel/src/requestGuard.ts
+++ b/packages/sequoiarill-kernel/src/requestGuard.ts
@@ -73,7 +73,11 @@
         socket.destroy();
         return false;
       }
-      if (closingSockets.has(socket)) return false;
+      if (closingSockets.has(socket)) {
+        // Reading the body of an earlier request has resumed the connection.
+        socket.pause();
+        return false;
+      }
       if (countPending(socket) >= MAX_PIPELINED_REQUESTS) {
         closingSockets.add(socket);
         response.writeHead(UNAVAILABLE, { connection: 'close', 'content-length': 0 }).end();
