Bound what the client library reads of a response without end

The library kept an error body, or an event, of any length, joined a partial event with each read and searched it from its start, waited for a response for as long as interim responses came, and took comments for life: a stream that carries no more events was read for ever and not resumed.

Error bodies now have 64 KB and 10 s; a response begins within 5 minutes (undici's timeout for silence, which interim responses restart); a stream breaks after 16 MiB without an event, or, once its beginning is known, after the time for which a silent one is kept that can't be resumed (4 minutes by default). Then it is resumed over another connection as after any break. Partial events are kept in pieces and searched once. Calls that cancel a response end within 10 s.

--- a/packages/sequoiarill-client/src/__tests__/brokenWatchedStream.test.ts
+++ b/packages/sequoiarill-client/src/__tests__/brokenWatchedStream.test.ts
@@ -17,6 +17,7 @@
       stream: { kind: 'opened', bytes: sendBreak(), close: () => undefined },
       idleTimeoutMs: 10,
       maxFailures: 3,
+      getSequenceNumber: () => 0,
       async openRest() {
         await startTimeout(60);
         return {
--- a/packages/sequoiarill-client/src/client.ts
+++ b/packages/sequoiarill-client/src/client.ts
@@ -25,6 +25,8 @@
   readonly backoff?: Partial<Backoff.BackoffSettings>;
   /** Time without data after which another connection to the response is tried, in milliseconds. */
   readonly idleTimeoutMs?: number;
+  /** Longest time until a response begins, in milliseconds. */
+  readonly headTimeoutMs?: number;
   /** Returns uniformly distributed numbers in [0, 1). */
   readonly nextRandom?: () => number;
   readonly clock?: Pick<Clock, 'waitMs'>;
@@ -93,6 +95,7 @@
         stream,
         idleTimeoutMs,
         maxFailures: backoff.maxAttempts,
+        getSequenceNumber: () => progress.getPosition().sequenceNumber,
         openRest() {
           const position = progress.getPosition();
           const isKnown = position.responseId !== undefined;
--- a/packages/sequoiarill-client/src/connection.ts
+++ b/packages/sequoiarill-client/src/connection.ts
@@ -42,6 +42,10 @@
   readonly baseUrl: string;
   readonly apiKey: string;
   readonly dispatcher: Undici.Dispatcher;
+  /** Longest time until a response begins, in milliseconds. */
+  readonly headTimeoutMs?: number | undefined;
+  /** Longest time for the body of an error, in milliseconds. */
+  readonly errorBodyTimeoutMs?: number | undefined;
 }
 
 export interface Connection {
@@ -55,12 +59,21 @@
   readonly cancelResponse: (responseId: string) => Promise<void>;
 }
 
+/** Error bodies have a few hundred bytes; a load balancer's page has some KB. */
+const MAX_ERROR_BYTES = 65_536;
+/** Longest time for an error body, also while it arrives. */
+const ERROR_BODY_TIMEOUT_MS = 10_000;
+/** Longest time until a response begins, also while interim responses arrive; undici's own timeout for silence. */
+const HEAD_TIMEOUT_MS = 300_000;
+const CANCEL_TIMEOUT_MS = 10_000;
+
 interface ErrorBody {
   readonly error?: { readonly message?: string; readonly code?: string | null };
 }
 
 export function createConnection(options: ConnectionOptions): Connection {
   const { baseUrl, dispatcher } = options;
+  const { headTimeoutMs = HEAD_TIMEOUT_MS, errorBodyTimeoutMs = ERROR_BODY_TIMEOUT_MS } = options;
   const authorization = `Bearer ${options.apiKey}`;
 
   function sendStartRequest(
@@ -104,27 +117,33 @@
     }
     signal.addEventListener('abort', close);
     if (signal.aborted) close();
+    let timer = setTimeout(close, headTimeoutMs);
     try {
       const { responseId } = position;
       const response =
         responseId === undefined
           ? await sendStartRequest(request, controller.signal)
           : await sendResumeRequest(responseId, position, controller.signal);
+      clearTimeout(timer);
       if (response.ok) {
         return { kind: 'opened', bytes: response.body ?? createEmptyStream(), close };
       }
+      timer = setTimeout(close, errorBodyTimeoutMs);
       const refused = await buildRefused(response);
       close();
       return refused;
     } catch (error) {
       close();
       return buildUnreachable(error);
+    } finally {
+      clearTimeout(timer);
     }
   }
 
   async function cancelResponse(responseId: string): Promise<void> {
     const url = `${baseUrl}/v1/responses/${encodeURIComponent(responseId)}/cancel`;
-    const init = { method: 'POST', headers: { authorization }, dispatcher };
+    const signal = AbortSignal.timeout(CANCEL_TIMEOUT_MS);
+    const init = { method: 'POST', headers: { authorization }, dispatcher, signal };
     await Undici.fetch(url, init).then(
       (response) => response.body?.cancel(),
       () => undefined,
@@ -140,8 +159,7 @@
 }
 
 async function buildRefused(response: Undici.Response): Promise<StreamRefused> {
-  const text = await response.text();
-  const error = parseError(text);
+  const error = parseError(await readErrorText(response));
   const retryAfter = Number(response.headers.get('retry-after') ?? Number.NaN);
   return {
     kind: 'refused',
@@ -152,6 +170,22 @@
   };
 }
 
+/** Returns an empty text for a body that is too long, or that does not end in time. */
+async function readErrorText({ body }: Undici.Response): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of (body ?? createEmptyStream()) as AsyncIterable<Uint8Array>) {
+      bytes += chunk.length;
+      if (bytes > MAX_ERROR_BYTES) return '';
+      chunks.push(chunk);
+    }
+  } catch {
+    return '';
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
 /** Returns an empty object for other formats: a load balancer may respond with any body. */
 function parseError(text: string): NonNullable<ErrorBody['error']> {
   try {
--- a/packages/sequoiarill-client/src/streamEvents.ts
+++ b/packages/sequoiarill-client/src/streamEvents.ts
@@ -1,4 +1,5 @@
 /** Parses the server-sent events of a response in the published format. */
+import * as BlockSplitters from './blockSplitter';
 import type { ResponseObject } from './outcomes';
 
 /** One event of a response, with the fields that the client uses. */
@@ -21,21 +22,31 @@
   readonly message?: string;
 }
 
-const SEPARATOR = '\n\n';
+/**
+ * Failure: an event, or comments, go on without end and take the memory of the process. The last event of a response has
+ * its whole text, a few MB for the longest.
+ */
+const MAX_CHARACTERS_WITHOUT_EVENT = 16_777_216;
 
 /** Yields events as they arrive; drops an incomplete event at the end of a broken stream. */
 export async function* readEvents(
   bytes: AsyncIterable<Uint8Array>,
 ): AsyncGenerator<StreamEvent, void, void> {
   const decoder = new TextDecoder();
-  let buffered = '';
+  const splitter = BlockSplitters.createBlockSplitter();
+  let characters = 0;
   for await (const chunk of bytes) {
-    buffered += decoder.decode(chunk, { stream: true });
-    const blocks = buffered.split(SEPARATOR);
-    buffered = blocks.pop() ?? '';
-    for (const block of blocks) {
+    const text = decoder.decode(chunk, { stream: true });
+    characters += text.length;
+    for (const block of splitter.addText(text)) {
       const event = parseEvent(block);
-      if (event !== undefined) yield event;
+      if (event !== undefined) {
+        characters = 0;
+        yield event;
+      }
+    }
+    if (characters > MAX_CHARACTERS_WITHOUT_EVENT) {
+      throw new Error(`no event within ${MAX_CHARACTERS_WITHOUT_EVENT} characters`);
     }
   }
 }
--- a/packages/sequoiarill-client/src/watchedStream.ts
+++ b/packages/sequoiarill-client/src/watchedStream.ts
@@ -13,6 +13,8 @@
   readonly idleTimeoutMs: number;
   /** Consecutive failures to open another connection after which the stream counts as broken. */
   readonly maxFailures: number;
+  /** Number of the last event that was read; -1 before the first one. */
+  readonly getSequenceNumber: () => number;
   /** Opens the rest of the response; undefined while nothing of it is known. */
   readonly openRest: () => Promise<OpenResult> | undefined;
 }
@@ -26,8 +28,13 @@
 
 type Read = IteratorResult<Uint8Array, unknown>;
 
+/**
+ * Failure: bytes that are no event, such as comments without end, count as life, and the response is not read on over
+ * another connection. So a stream whose beginning is known breaks when it carries no event for as long as a silent one is
+ * kept that can't be resumed.
+ */
 export function createWatchedStream(options: WatchedStreamOptions): WatchedStream {
-  const { stream, idleTimeoutMs, maxFailures, openRest } = options;
+  const { stream, idleTimeoutMs, maxFailures, getSequenceNumber, openRest } = options;
   let replacement: StreamOpened | undefined;
 
   /** Opens another connection; returns the next bytes instead if these arrive first. */
@@ -60,8 +67,17 @@
 
   async function* readBytes(): AsyncGenerator<Uint8Array, void, void> {
     const iterator = stream.bytes[Symbol.asyncIterator]();
+    let sequenceNumber = getSequenceNumber();
+    let eventAtMs = performance.now();
     try {
       for (;;) {
+        if (sequenceNumber !== getSequenceNumber()) {
+          sequenceNumber = getSequenceNumber();
+          eventAtMs = performance.now();
+        }
+        if (sequenceNumber >= 0 && performance.now() - eventAtMs > idleTimeoutMs * maxFailures) {
+          throw new Error('the stream carries no events');
+        }
         const pending = iterator.next();
         // Fails when the connection is closed below, which nobody waits for any more.
         pending.catch(() => undefined);
