Cut calls whose interim responses do not end

Orders, calls to the store and calls between routers ignored interim responses, which also restart undici's timeout for the head: they were parsed at the speed of the sender until the deadline of the order, or of the call. In the test of the order sender, an order with a deadline of 1 s waited for all of it.

A call now takes 128 interim responses and is aborted by the next one, through undici's onInfo where the request API is used. An order of which bytes were sent counts as unanswered then, as before.

--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -8,6 +8,7 @@
 export * from './fakeClock';
 export * from './fakeWire';
 export * from './hopByHopHeaders';
+export * from './interimResponses';
 export * from './journal';
 export * from './kernel';
 export * from './listeners';
--- a/packages/sequoiarill-plugin-directory/src/__tests__/endlessPeers.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/endlessPeers.test.ts
@@ -10,7 +10,7 @@
 /** Far above the bounds of bodies; less than what a sender without a bound reaches within a call's timeout. */
 const MAX_BYTES = 64 * 1_048_576;
 /** Bytes without a body: they take no memory, and the time of the call bounds them. */
-const BODILESS: readonly string[] = ['interim', 'chunkExtension'];
+const BODILESS: readonly string[] = ['chunkExtension'];
 /** More than arrives while the connection is kept open for the rest of a body. */
 const MAX_REQUEST_BYTES = 4_096 * 1_048_576;
 
--- a/packages/sequoiarill-plugin-directory/src/peerClient.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerClient.ts
@@ -113,13 +113,13 @@
       });
     });
     try {
-      return await Promise.race([sendRequest(url, body, timeout.signal), timedOut]);
+      return await Promise.race([sendRequest(url, body, timeout), timedOut]);
     } finally {
       stopTimer?.();
     }
   }
 
-  async function sendRequest(url: string, body: string, signal: AbortSignal) {
+  async function sendRequest(url: string, body: string, ended: AbortController) {
     const response = await Undici.request(url, {
       method: 'POST',
       body,
@@ -128,7 +128,8 @@
         [headerNames.expectedTarget]: new URL(url).host,
       },
       dispatcher,
-      signal,
+      signal: ended.signal,
+      onInfo: Kernel.createInterimLimit((error) => ended.abort(error)),
     });
     const text = await response.body.text();
     return {
--- /dev/null
+++ b/packages/sequoiarill-plugin-orders/src/__tests__/endlessTargets.test.ts
@@ -0,0 +1,40 @@
+import { describe, it } from 'node:test';
+
+import * as Kernel from '@sequoiarill/kernel';
+import type { OrderRequest } from '@sequoiarill/types';
+import { expect } from 'earl';
+
+import * as OrderSenders from '../orderSender';
+
+const DEADLINE_MS = 1_000;
+const MAX_ANSWER_BYTES = 1_048_576;
+const MAX_BYTES = 64 * 1_048_576;
+const ORDER = { method: 'POST', path: '/', headers: {}, requestId: 'r1', body: Buffer.from('a') };
+/** Ends by the deadline of the order only: an extension of a chunk takes no memory. */
+const UNTIL_DEADLINE: readonly string[] = ['chunkExtension'];
+
+describe('a target that sends without end', () => {
+  for (const [name, answer] of Object.entries(Kernel.ENDLESS_ANSWERS)) {
+    it(`leaves its order without an answer, and its connection is closed (${name})`, async () => {
+      // Guards against orders that wait until their deadline for bytes that are no answer, or take the memory.
+      const server = await Kernel.startEndlessServer({ answer, maxBytes: MAX_BYTES });
+      const sender = OrderSenders.createOrderSender({
+        connectTimeoutMs: DEADLINE_MS,
+        maxAnswerBytes: MAX_ANSWER_BYTES,
+        maxInFlightPerTarget: 2,
+      });
+      const signal = AbortSignal.timeout(DEADLINE_MS);
+      const order = ORDER as unknown as OrderRequest;
+      const result = await sender.sendOrder(server.address, order, signal);
+      const isBeforeDeadline = !signal.aborted;
+      await server.waitUntilClosed();
+      const bytes = server.getLargestBytes();
+      await sender.close();
+      await server.stop();
+      expect(result.kind).toEqual('unanswered');
+      expect((isBeforeDeadline && bytes < MAX_BYTES) || UNTIL_DEADLINE.includes(name)).toEqual(
+        true,
+      );
+    });
+  }
+});
--- a/packages/sequoiarill-plugin-orders/src/orderSender.ts
+++ b/packages/sequoiarill-plugin-orders/src/orderSender.ts
@@ -1,4 +1,5 @@
 /** Sends an order to a target once, and reports whether any byte may have reached the target. */
+import * as Kernel from '@sequoiarill/kernel';
 import type { OrderDone, OrderRequest } from '@sequoiarill/types';
 import { errors as Errors, Pool } from 'undici';
 import type { Dispatcher } from 'undici';
@@ -115,6 +116,7 @@
     let status = 0;
     let headers: OrderDone['headers'] = {};
     let receivedBytes = 0;
+    const handleInterim = Kernel.createInterimLimit((error) => abort?.(error));
     const chunks: Buffer[] = [];
 
     function resolveResult(result: AttemptResult): void {
@@ -152,7 +154,10 @@
           abort = (reason) => controller.abort(reason);
         },
         onResponseStart(_controller, statusCode, responseHeaders) {
-          if (statusCode < MIN_FINAL_STATUS) return;
+          if (statusCode < MIN_FINAL_STATUS) {
+            handleInterim();
+            return;
+          }
           status = statusCode;
           headers = mergeHeaders(responseHeaders);
         },
