Count only tokens as life of an engine

Any bytes of an engine restarted the stall timer of an attempt and ended its search for another engine: comments, events without tokens, or an event that goes on without end. So did what follows the last token, and an attempt that had finished did not end. A load report of any length was kept. In the test, comments passed 64 MB, and a comment now and then held an attempt for more than 20 s.

The timer now runs on while bytes come that are no part of the answer; it counts waits only, so that a slow caller does not matter. Attempts with 4 MiB without a token are lost as broken, interim responses are limited, and the body of a refusal has 1 s (its status decides where the body breaks off). Load reports have at most 64 KB.

--- a/packages/sequoiarill-plugin-generations/src/attempt.ts
+++ b/packages/sequoiarill-plugin-generations/src/attempt.ts
@@ -48,6 +48,10 @@
 }
 
 const HTTP_OK = 200;
+/** Longest time for the body of a refusal, also while it arrives. */
+const REFUSAL_TIMEOUT_MS = 1_000;
+/** Bytes without a token after which an engine counts as broken; an event may have as many characters. */
+const MAX_BYTES_WITHOUT_TOKENS = 4_194_304;
 /** Interval at which a silent attempt looks for an engine that can go on. */
 const SEARCH_INTERVAL_MS = 100;
 type Response = Undici.Dispatcher.ResponseData;
@@ -59,6 +63,9 @@
   /** Set while the engine is silent for longer than its limit. */
   silence: AttemptSilence | undefined;
   waitingSinceMs: number;
+  /** Time waited for the next tokens before `waitingSinceMs`, while bytes without tokens came. */
+  waitedMs: number;
+  bytesWithoutTokens: number;
   /** Whether the engine exceeded its limit; such a time would extend the limits if it were recorded. */
   isLate: boolean;
   hasTokens: boolean;
@@ -78,6 +85,8 @@
     isStalled: false,
     silence: undefined,
     waitingSinceMs: options.getRunningMs(),
+    waitedMs: 0,
+    bytesWithoutTokens: 0,
     isLate: false,
     hasTokens: false,
     finishReason: undefined,
@@ -87,9 +96,9 @@
   });
   try {
     timer.start(options.limits.firstTokenMs);
-    const response = await sendRequest(options, controller.signal);
+    const response = await sendRequest(options, controller);
     state.isSent = true;
-    if (response.statusCode !== HTTP_OK) return await AttemptResults.readRefusal(response);
+    if (response.statusCode !== HTTP_OK) return await readRefusal(response, options, controller);
     return yield* relayBody(response, options, state, timer);
   } catch (error) {
     return decideResult(error as NodeJS.ErrnoException, options, state);
@@ -102,6 +111,20 @@
   }
 }
 
+async function readRefusal(
+  response: Response,
+  { getRunningMs }: AttemptOptions,
+  controller: AbortController,
+): Promise<AttemptResult> {
+  const abort = () => controller.abort();
+  const stopTimer = Kernel.startRunningTimer(getRunningMs, REFUSAL_TIMEOUT_MS, abort);
+  try {
+    return await AttemptResults.readRefusal(response);
+  } finally {
+    stopTimer();
+  }
+}
+
 /** Gives the attempt up if another engine can go on; otherwise keeps it and looks again. */
 async function handleSilence(
   options: AttemptOptions,
@@ -109,6 +132,11 @@
   timer: StallTimers.StallTimer,
   controller: AbortController,
 ): Promise<void> {
+  // The answer is complete, and what follows it does not end.
+  if (state.finishReason !== undefined) {
+    controller.abort();
+    return;
+  }
   state.silence ??= options.openSilence();
   state.isLate = true;
   const { silence } = state;
@@ -131,27 +159,55 @@
   const { limits, getRunningMs, startedMs } = options;
   const splitter = ServerSentEvents.createEventSplitter();
   state.waitingSinceMs = getRunningMs();
+  state.waitedMs = state.waitingSinceMs - startedMs;
   for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
-    timer.stop();
-    state.silence = undefined;
     const events = parseEvents(splitter.addBytes(bytes));
     if (events === undefined) {
       return AttemptResults.createLoss('broken', 'an event is malformed', true);
     }
-    if (state.hasTokens && !state.isLate) options.onGap(getRunningMs() - state.waitingSinceMs);
-    updateState(state, events, () => {
-      if (!state.isLate) options.onFirstToken(getRunningMs() - startedMs);
-    });
-    if (state.hasTokens) state.isLate = false;
-    yield events;
+    recordRead(options, state, events, bytes.length);
+    if (state.bytesWithoutTokens > MAX_BYTES_WITHOUT_TOKENS) {
+      return AttemptResults.createLoss('broken', 'its bytes carry no tokens', true);
+    }
+    // A search for another engine goes on while bytes come that carry no tokens.
+    const isTimed = state.silence === undefined;
+    if (isTimed) timer.stop();
+    if (events.length > 0) yield events;
     // The body is read to its end, so that the connection can be reused for the next request.
     state.waitingSinceMs = getRunningMs();
-    timer.start(state.hasTokens ? limits.gapMs : limits.firstTokenMs);
+    const limitMs = state.hasTokens ? limits.gapMs : limits.firstTokenMs;
+    if (isTimed) timer.start(Math.max(0, limitMs - state.waitedMs));
   }
   if (state.finishReason !== undefined) return AttemptResults.createFinished(state.finishReason);
   return AttemptResults.createLoss('endedEarly', 'the stream ended before the answer', true);
 }
 
+/** Whether the event is a part of the answer; others, and comments, must not pass for life. */
+function isProgress({ tokenIds, text, finishReason }: EngineEvent): boolean {
+  return tokenIds.length > 0 || text !== '' || finishReason !== undefined;
+}
+
+function recordRead(
+  { getRunningMs, startedMs, onFirstToken, onGap }: AttemptOptions,
+  state: AttemptState,
+  events: readonly EngineEvent[],
+  bytes: number,
+): void {
+  state.waitedMs += getRunningMs() - state.waitingSinceMs;
+  if (!events.some(isProgress)) {
+    state.bytesWithoutTokens += bytes;
+    return;
+  }
+  state.silence = undefined;
+  if (state.hasTokens && !state.isLate) onGap(state.waitedMs);
+  updateState(state, events, () => {
+    if (!state.isLate) onFirstToken(getRunningMs() - startedMs);
+  });
+  if (state.hasTokens) state.isLate = false;
+  state.bytesWithoutTokens = 0;
+  state.waitedMs = 0;
+}
+
 function parseEvents(eventData: readonly string[] | undefined): readonly EngineEvent[] | undefined {
   if (eventData === undefined) return undefined;
   const events: EngineEvent[] = [];
@@ -187,13 +243,16 @@
   if (state.finishReason !== undefined) return AttemptResults.createFinished(state.finishReason);
   if (options.signal.aborted) return { kind: 'cancelled' };
   if (state.isStalled) {
-    const silentMs = options.getRunningMs() - state.waitingSinceMs;
+    const silentMs = state.waitedMs + options.getRunningMs() - state.waitingSinceMs;
     return AttemptResults.createStallLoss(silentMs, state.hasTokens);
   }
   return AttemptResults.createConnectionLoss(error, state.isSent);
 }
 
-async function sendRequest(options: AttemptOptions, signal: AbortSignal): Promise<Response> {
+async function sendRequest(
+  options: AttemptOptions,
+  controller: AbortController,
+): Promise<Response> {
   return options.pool.dispatcher.request({
     origin: options.pool.origin,
     path: options.path,
@@ -204,6 +263,7 @@
       'x-fencing-number': String(options.fencingNumber),
     },
     body: JSON.stringify(options.body),
-    signal,
+    signal: controller.signal,
+    onInfo: Kernel.createInterimLimit((error) => controller.abort(error)),
   });
 }
--- a/packages/sequoiarill-plugin-generations/src/attemptResults.ts
+++ b/packages/sequoiarill-plugin-generations/src/attemptResults.ts
@@ -1,4 +1,5 @@
 /** Results of an attempt on one engine, and their derivation from responses and errors. */
+import * as Kernel from '@sequoiarill/kernel';
 import type { FinishReason } from '@sequoiarill/types';
 import type * as Undici from 'undici';
 
@@ -59,7 +60,7 @@
 
 /** Converts a response with a status other than 200. */
 export async function readRefusal(response: Response): Promise<AttemptResult> {
-  const text = await readLimited(response);
+  const text = await readErrorText(response);
   const { statusCode } = response;
   if (RETRYABLE_STATUS_CODES.has(statusCode)) {
     const seconds = Number(response.headers['retry-after'] ?? DEFAULT_RETRY_AFTER_SECONDS);
@@ -71,15 +72,10 @@
   return { kind: 'rejected', ...parseError(text) };
 }
 
-async function readLimited(response: Response): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  let sizeBytes = 0;
-  for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
-    sizeBytes += bytes.length;
-    if (sizeBytes > MAX_ERROR_BYTES) break;
-    chunks.push(bytes);
-  }
-  return Buffer.concat(chunks).toString('utf8');
+/** The status decides where the body is too long, or breaks off. */
+async function readErrorText({ body }: Response): Promise<string> {
+  const text = await Kernel.readBoundedText(body, MAX_ERROR_BYTES).catch(() => undefined);
+  return text ?? '';
 }
 
 function parseError(text: string): { readonly message: string; readonly parameter?: string } {
--- a/packages/sequoiarill-plugin-generations/src/engineLoads.ts
+++ b/packages/sequoiarill-plugin-generations/src/engineLoads.ts
@@ -1,9 +1,12 @@
 /** Reads the load that an engine reports. */
+import * as Kernel from '@sequoiarill/kernel';
 import * as Zod from 'zod';
 
 import type { EnginePool } from './enginePools';
 
 const HTTP_OK = 200;
+/** A report has about a hundred bytes. */
+const MAX_REPORT_BYTES = 65_536;
 
 const loadSchema = Zod.object({
   running: Zod.number().int().min(0),
@@ -23,6 +26,8 @@
     await response.body.dump();
     return undefined;
   }
-  const load = loadSchema.safeParse(await response.body.json());
+  const text = await Kernel.readBoundedText(response.body, MAX_REPORT_BYTES);
+  if (text === undefined) return undefined;
+  const load = loadSchema.safeParse(JSON.parse(text));
   return load.success ? load.data : undefined;
 }
