--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -9,6 +9,7 @@
 export * from './fakeWire';
 export * from './hopByHopHeaders';
 export * from './idleConnections';
+export * from './interimResponses';
 export * from './journal';
 export * from './kernel';
 export * from './listeners';
