Let the soak check that each whole request ends in an answer or a status

Nothing looked at requests that end without a status, unless targets were silent. The rule answered counts a request that was run, named in a line or held for more than 0.3 s and then closed without a status, and a 200 that is closed in the middle, unless an unplanned fault touched its router or targets. SIGTERM, SIGHUP and configurations are no excuse; answers that a planned stop broke off at the end of its grace period are counted apart.

--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -31,6 +31,7 @@
 /** For which callers wait, and the time limit of their routes. */
 export const TIMEOUT_MS = 8_000;
 const OK = 200;
+const REFUSED_CODE = 'ECONNREFUSED';
 /** Attempts of a caller to go on with a stream. */
 const MAX_RESUMES = 3;
 const PROBE_TIMEOUT_MS = 1_000;
@@ -156,9 +157,9 @@
         : await Undici.request(url, { method: 'POST', dispatcher: agent, body, signal, headers });
       recordLeaving(request, answer);
       return await readAnswer(answer, isSlow);
-    } catch {
+    } catch (error) {
       // The connection was refused or reset, or the request timed out before the headers arrived.
-      return { kind: 'noAnswer' };
+      return { kind: 'noAnswer', wasRefused: (error as { code?: string }).code === REFUSED_CODE };
     } finally {
       requestLog.ends.set(id, { atMs: performance.now(), hasCallerLeft: signal.aborted });
     }
--- a/soak/src/earlyEnds.ts
+++ b/soak/src/earlyEnds.ts
@@ -4,7 +4,7 @@
 
 import { TIMEOUT_MS, isCrashing } from './callers';
 import type { Evidence, Violation } from './checks';
-import type { CallerResult, RequestLog, SentRequest } from './requestLog';
+import type { CallerResult, ComponentFault, RequestLog, SentRequest } from './requestLog';
 
 /** Routers count the time limit from when they read a request, and end it a little before their caller would. */
 const LIMIT_TOLERANCE_MS = 500;
@@ -22,6 +22,7 @@
   readonly id: string;
   readonly result: CallerResult;
   readonly tookMs: number;
+  readonly isEarly: boolean;
 }
 
 interface OpenTime {
@@ -37,7 +38,7 @@
   isRelayed: boolean;
 }
 
-type Traces = ReadonlyMap<string, RequestTrace>;
+export type Traces = ReadonlyMap<string, RequestTrace>;
 
 export function createTraces(lines: readonly LogLine[]): Traces {
   const traces = new Map<string, RequestTrace>();
@@ -79,11 +80,17 @@
   return known.length > 0 ? known : ids.filter((id) => id.startsWith(getService(request)));
 }
 
-function isTouched(
+export interface TouchQuery {
+  readonly trace: RequestTrace | undefined;
+  readonly isCounted: (fault: ComponentFault) => boolean;
+}
+
+/** Whether a fault that counts touched the router or the targets of the request while it was open, or shortly before. */
+export function isTouched(
   evidence: Evidence,
   request: SentRequest,
   open: OpenTime,
-  trace: RequestTrace | undefined,
+  { trace, isCounted }: TouchQuery,
 ): boolean {
   const targets = listTargets(evidence, request, trace);
   // `engines-1-life-2` is an incarnation of `target 1`.
@@ -92,11 +99,17 @@
   const isRelayed = trace?.isRelayed === true;
   return evidence.requestLog.faults.some(
     (fault) =>
+      isCounted(fault) &&
       (components.has(fault.component) || (isRelayed && fault.component.startsWith('router'))) &&
       hasOverlap(open, fault, AFTERMATH_MS),
   );
 }
 
+/** Time after which the request may end for its time limit. */
+export function computeEarliestEndMs(_requestLog: RequestLog, _request: SentRequest): number {
+  return TIMEOUT_MS - LIMIT_TOLERANCE_MS;
+}
+
 function formatEarlyEnd(result: CallerResult): string | undefined {
   if (result.kind === 'noAnswer') return 'no answer';
   if (FAILURES.has(result.status)) return String(result.status);
@@ -112,17 +125,19 @@
       const open = { fromMs: request.sentAtMs, untilMs: end.atMs };
       const isChecked =
         isSilentMeanwhile(evidence.requestLog, request, open) &&
-        !isTouched(evidence, request, open, traces.get(id));
-      if (isChecked) yield { id, result, tookMs: Math.round(end.atMs - request.sentAtMs) };
+        !isTouched(evidence, request, open, { trace: traces.get(id), isCounted: () => true });
+      const tookMs = Math.round(end.atMs - request.sentAtMs);
+      const isEarly = tookMs < computeEarliestEndMs(evidence.requestLog, request);
+      if (isChecked) yield { id, result, tookMs, isEarly };
     }
   }
 }
 
 export function checkEarlyEnds(evidence: Evidence, traces: Traces): EarlyEnds {
   const silentEnds = [...listSilentEnds(evidence, traces)];
-  const violations = silentEnds.flatMap(({ id, result, tookMs }) => {
+  const violations = silentEnds.flatMap(({ id, result, tookMs, isEarly }) => {
     const seen = formatEarlyEnd(result);
-    if (seen === undefined || tookMs >= TIMEOUT_MS - LIMIT_TOLERANCE_MS) return [];
+    if (seen === undefined || !isEarly) return [];
     const text = `${id}: ${seen} after ${tookMs} ms, as targets of its service were silent`;
     return [{ rule: 'endedEarly', text }];
   });
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -37,8 +37,8 @@
       /** Whether the headers carry the signature of a target. */
       readonly isSigned: boolean;
     }
-  /** No response arrived. */
-  | { readonly kind: 'noAnswer' };
+  /** No response arrived. `wasRefused`: no connection was accepted, so that nothing was sent. */
+  | { readonly kind: 'noAnswer'; readonly wasRefused?: boolean };
 
 /** A request that tests whether a configuration version is in force at a router. */
 export interface Probe {
@@ -82,6 +82,8 @@
   readonly component: string;
   readonly fromMs: number;
   untilMs: number;
+  /** A planned stop or SIGHUP, which excuses no request that ends without a status. */
+  readonly isPlanned?: boolean;
 }
 
 /** A time in which targets of a service were silent together. */
--- a/soak/src/routers.ts
+++ b/soak/src/routers.ts
@@ -31,6 +31,7 @@
 
 const ROUTER_MAIN = require.resolve('@sequoiarill/platform-adapter/lib/main.js');
 const DRAIN_GRACE_SECONDS = 4;
+export const DRAIN_GRACE_MS = DRAIN_GRACE_SECONDS * 1_000;
 const MAX_START_ATTEMPTS = 20;
 /** Delay after which the platform restarts a process that has exited. */
 const RESTART_DELAY_MS = 300;
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -6,6 +6,7 @@
 import type { LinkStandin } from '@sequoiarill/standins';
 import type { LogLine } from '@sequoiarill/testing';
 
+import * as AnsweredRequests from './answeredRequests';
 import * as Callers from './callers';
 import * as Checks from './checks';
 import type { Violation } from './checks';
@@ -43,6 +44,9 @@
   readonly silent: number;
   /** Those of them that ended whole. */
   readonly silentWhole: number;
+  /** Requests that no unplanned fault touched, and answers that a planned stop broke off. */
+  readonly undisturbed: number;
+  readonly stopped: number;
   /** Crashes of engines under the part that crashes them. */
   readonly crashes: number;
   readonly lines: readonly LogLine[];
@@ -305,13 +309,21 @@
   const organisation = Standins.ORGANISATION;
   const evidence = { requestLog, incarnations, eventCount: EVENT_COUNT, organisation };
   const lines = routers.flatMap((router) => router.listLogLines());
-  const early = EarlyEnds.checkEarlyEnds(evidence, EarlyEnds.createTraces(lines));
+  const traces = EarlyEnds.createTraces(lines);
+  const early = EarlyEnds.checkEarlyEnds(evidence, traces);
+  const answered = AnsweredRequests.checkAnswered(evidence, traces);
   await Promise.all(targets.map((target) => target.stop()));
   await Promise.all(environment.routerLinks.map((one) => one.stop()));
   await environment.store.stop();
   return {
-    violations: [...Checks.checkEvidence(evidence), ...early.violations, ...atEnd],
+    violations: [
+      ...Checks.checkEvidence(evidence),
+      ...early.violations,
+      ...answered.violations,
+      ...atEnd,
+    ],
     ...early.counts,
+    ...answered.counts,
     schedule,
     requests: requestLog.requests.size,
     answered: [...requestLog.results.values()].filter((result) => result.kind === 'answer').length,
--- a/soak/src/silentTargets.ts
+++ b/soak/src/silentTargets.ts
@@ -44,6 +44,10 @@
   return isForGood ? targets[action.target]?.getCurrent().id : undefined;
 }
 
+function isPlanned(action: Action): boolean {
+  return action.kind === 'router' && (action.fault === 'terminate' || action.fault === 'reload');
+}
+
 /** Records the components that an action touches for as long as it lasts. */
 export async function recordFaults(
   environment: Environment,
@@ -60,6 +64,7 @@
     component,
     fromMs,
     untilMs: Number.POSITIVE_INFINITY,
+    isPlanned: isPlanned(action),
   }));
   faults.push(...touched);
   await applyFault();
