Let the soak change routes, limits and organisations under load

Configurations differed in nothing but a route and a key of their own, so that no request of a caller ever met a change. The steps are drawn apart, so that the schedules of earlier seeds keep theirs. endedEarly and answered take the shorter limit while a router may have it.

--- a/soak/src/__tests__/earlyEnds.test.ts
+++ b/soak/src/__tests__/earlyEnds.test.ts
@@ -86,4 +86,19 @@
     const relayed = [{ name: 'request.relayed', request: 's1' }];
     expect(listRules(evidence, relayed)).toEqual([]);
   });
+
+  it('allows an end at a shorter limit of the route while a configuration may have it', () => {
+    // Failure: requests that end at a limit which a change has shortened are reported as closed by a silence.
+    const changes = [
+      { change: 'limitsShorter', fromMs: 9_000, untilMs: 9_200 },
+      { change: 'routesRemoved', fromMs: 9_000, untilMs: 9_200 },
+      { change: 'limitsShorter', fromMs: 1_000, untilMs: 3_000 },
+    ] as const;
+    const seen = changes.map((change) => {
+      const evidence = createEvidence({ status: 504 }, { endedAtMs: 12_400 });
+      evidence.requestLog.changes.push(change);
+      return listRules(evidence);
+    });
+    expect(seen).toEqual([[], ['endedEarly'], ['endedEarly']]);
+  });
 });
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -28,8 +28,6 @@
   readonly writtenAtMs: number;
 }
 
-/** For which callers wait, and the time limit of their routes. */
-export const TIMEOUT_MS = 8_000;
 const OK = 200;
 const REFUSED_CODE = 'ECONNREFUSED';
 /** Attempts of a caller to go on with a stream. */
@@ -107,7 +105,11 @@
   resumes,
 }: SentRequest): Readonly<Record<string, string>> {
   const apiKey = Configurations.formatKey(organisation);
-  const headers = Standins.createCallerHeaders({ requestId: id, apiKey, limitMs: TIMEOUT_MS });
+  const headers = Standins.createCallerHeaders({
+    requestId: id,
+    apiKey,
+    limitMs: Configurations.TIMEOUT_MS,
+  });
   if (kind !== 'stream') return { ...headers, 'content-length': String(Buffer.byteLength(body)) };
   // A continuation has the id `ID.restN` and the prompt of the original stream.
   const [prompt = id] = id.split('.');
@@ -184,7 +186,7 @@
     const isAbandoned = random.next() < ABANDON_SHARE;
     const result = await sendRequest(
       request,
-      isAbandoned ? random.pickBetween(...ABANDON_AFTER_MS) : TIMEOUT_MS,
+      isAbandoned ? random.pickBetween(...ABANDON_AFTER_MS) : Configurations.TIMEOUT_MS,
     );
     requestLog.results.set(id, result);
     // Half of the callers that leave come back for the rest.
@@ -199,7 +201,7 @@
       if (rest === undefined) return;
       const router = (request.router + 1) % routers.length;
       request = { ...request, ...createSending(router), ...rest };
-      result = await sendRequest(request, TIMEOUT_MS);
+      result = await sendRequest(request, Configurations.TIMEOUT_MS);
       requestLog.results.set(request.id, result);
     }
   }
@@ -281,7 +283,10 @@
     const common = { organisation: Standins.ORGANISATION, priority: 0, isSlow: false };
     const sending = createSending(count % routers.length);
     const request = { ...common, ...sending, id, body: id, fromEvent: 1 };
-    requestLog.results.set(id, await sendRequest({ ...request, kind: 'stream' }, TIMEOUT_MS));
+    requestLog.results.set(
+      id,
+      await sendRequest({ ...request, kind: 'stream' }, Configurations.TIMEOUT_MS),
+    );
     await waitMs(CRASHING_PAUSE_MS);
   }
 }
--- a/soak/src/configuration.ts
+++ b/soak/src/configuration.ts
@@ -17,6 +17,24 @@
   return organisation === Standins.ORGANISATION ? CALLERS_KEY : `key-of-${organisation}`;
 }
 
+/** Changes that a configuration makes for a while. */
+export const CONFIGURATION_CHANGES = [
+  'routesRemoved',
+  'limitsShorter',
+  'organisationsChanged',
+] as const;
+export type ConfigurationChange = (typeof CONFIGURATION_CHANGES)[number];
+export type ConfigurationChanges = ReadonlySet<ConfigurationChange>;
+
+/** For which callers wait, and the usual time limit of their routes. */
+export const TIMEOUT_MS = 8_000;
+/** Longer than a stream of an engine at half the speed takes, so that limits end waits and not whole streams. */
+export const SHORT_TIMEOUT_MS = 3_000;
+/** After all others. */
+const LATEST_PRIORITY = 9;
+/** Prefixes of the routes that are removed: some streams and all reads. */
+const REMOVED_PATHS: ReadonlySet<unknown> = new Set([STREAM_PATHS[2], '/reads/']);
+
 interface DocumentParts {
   readonly routes: readonly Readonly<Record<string, unknown>>[];
   readonly tenants: readonly unknown[];
@@ -30,9 +48,19 @@
   return `key-of-version-${version}`;
 }
 
-export function formatConfiguration(version: number): string {
+/** One organisation comes after all others, and another one is unknown. */
+function listOrganisations(isChanged: boolean): readonly unknown[] {
+  const [first, second] = FURTHER_ORGANISATIONS;
+  const all = FURTHER_ORGANISATIONS.map((name) => ({ name, apiKeys: [formatKey(name)] }));
+  if (!isChanged) return all;
+  return all
+    .filter(({ name }) => name !== second)
+    .map((one) => (one.name === first ? { ...one, priority: LATEST_PRIORITY } : one));
+}
+
+export function formatConfiguration(version: number, changes: ConfigurationChanges): string {
   const document = Standins.createConfiguration(version, {
-    timeoutMs: 8_000,
+    timeoutMs: changes.has('limitsShorter') ? SHORT_TIMEOUT_MS : TIMEOUT_MS,
     maxAttempts: 4,
     apiKeys: [CALLERS_KEY, formatVersionKey(version)],
     furtherPrefix: formatVersionPath(version),
@@ -46,10 +74,12 @@
     priority,
   }));
   const others = routes.filter((route) => route !== stream);
-  const further = FURTHER_ORGANISATIONS.map((name) => ({ name, apiKeys: [formatKey(name)] }));
+  const kept = [...streams, ...others].filter(
+    ({ prefix }) => !changes.has('routesRemoved') || !REMOVED_PATHS.has(prefix),
+  );
   return JSON.stringify({
     ...document,
-    routes: [...streams, ...others],
-    tenants: [...tenants, ...further],
+    routes: kept,
+    tenants: [...tenants, ...listOrganisations(changes.has('organisationsChanged'))],
   });
 }
--- a/soak/src/earlyEnds.ts
+++ b/soak/src/earlyEnds.ts
@@ -2,7 +2,8 @@
 import type { ServiceName } from '@sequoiarill/standins';
 import type { LogLine } from '@sequoiarill/testing';
 
-import { TIMEOUT_MS, isCrashing } from './callers';
+import { isCrashing } from './callers';
+import { SHORT_TIMEOUT_MS, TIMEOUT_MS } from './configuration';
 import type { Evidence, Violation } from './checks';
 import type { CallerResult, ComponentFault, RequestLog, SentRequest } from './requestLog';
 
@@ -10,6 +11,10 @@
 const LIMIT_TOLERANCE_MS = 500;
 /** Time after a fault in which its traces, such as connections that were reset, may end a request. */
 const AFTERMATH_MS = 1_500;
+/** A slow body has arrived, and its request is accepted. */
+const ACCEPTANCE_MS = 2_000;
+/** A router may be without the newest configuration for so long. */
+const IN_FORCE_MS = 6_000;
 const OK = 200;
 const FAILURES: ReadonlySet<number> = new Set([502, 504]);
 
@@ -105,9 +110,18 @@
   );
 }
 
-/** Time after which the request may end for its time limit. */
-export function computeEarliestEndMs(_requestLog: RequestLog, _request: SentRequest): number {
-  return TIMEOUT_MS - LIMIT_TOLERANCE_MS;
+/** Time after which the request may end for its time limit, or for a shorter one of its route that may be in force. */
+export function computeEarliestEndMs(
+  { changes }: Pick<RequestLog, 'changes'>,
+  { sentAtMs }: SentRequest,
+): number {
+  const isShort = changes.some(
+    ({ change, fromMs, untilMs }) =>
+      change === 'limitsShorter' &&
+      fromMs <= sentAtMs + ACCEPTANCE_MS &&
+      untilMs + IN_FORCE_MS >= sentAtMs,
+  );
+  return (isShort ? SHORT_TIMEOUT_MS : TIMEOUT_MS) - LIMIT_TOLERANCE_MS;
 }
 
 function formatEarlyEnd(result: CallerResult): string | undefined {
--- a/soak/src/environment.ts
+++ b/soak/src/environment.ts
@@ -4,6 +4,7 @@
 
 import type { WrittenVersion } from './callers';
 import * as Configurations from './configuration';
+import type { ConfigurationChange } from './configuration';
 import * as RequestLogs from './requestLog';
 import type { RequestLog } from './requestLog';
 import * as ManagedLinks from './routerLinks';
@@ -28,6 +29,8 @@
   readonly targets: readonly ManagedTarget[];
   readonly requestLog: RequestLog;
   readonly versions: WrittenVersion[];
+  /** What the configurations that are written now change. */
+  readonly changes: Set<ConfigurationChange>;
   /** By router. */
   readonly routerLinks: readonly RouterLinks[];
 }
@@ -38,9 +41,12 @@
 export const TARGET_COUNT = ENGINES + SERVICES;
 export const EVENT_COUNT = 60;
 
-export function writeNextVersion({ store, versions }: Environment): void {
+export function writeNextVersion({ store, versions, changes }: Environment): void {
   const version = (versions[0]?.version ?? 0) + 1;
-  store.writeValue(Standins.CONFIGURATION_KEY, Configurations.formatConfiguration(version));
+  store.writeValue(
+    Standins.CONFIGURATION_KEY,
+    Configurations.formatConfiguration(version, changes),
+  );
   versions.unshift({ version, writtenAtMs: performance.now() });
 }
 
@@ -85,6 +91,7 @@
     targets,
     requestLog,
     versions,
+    changes: new Set(),
     routerLinks,
   };
   writeNextVersion(environment);
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -5,6 +5,8 @@
 
 import * as Standins from '@sequoiarill/standins';
 
+import type { ConfigurationChange } from './configuration';
+
 export type RequestKind = 'stream' | 'order' | 'read';
 
 export interface SentRequest {
@@ -93,6 +95,13 @@
   readonly untilMs: number;
 }
 
+/** A time in which configurations had a change. */
+export interface ChangeTime {
+  readonly change: ConfigurationChange;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
 /** How a request ended for its caller. */
 export interface RequestEnd {
   readonly atMs: number;
@@ -109,6 +118,7 @@
   readonly disturbances: Disturbance[];
   readonly faults: ComponentFault[];
   readonly silences: TargetSilence[];
+  readonly changes: ChangeTime[];
   readonly ends: Map<string, RequestEnd>;
   /** Times at which engines crashed under the part that crashes them. */
   readonly crashesMs: number[];
@@ -129,6 +139,7 @@
     disturbances: [],
     faults: [],
     silences: [],
+    changes: [],
     ends: new Map(),
     crashesMs: [],
   };
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -13,14 +13,9 @@
 import * as Configurations from './configuration';
 import * as EarlyEnds from './earlyEnds';
 import * as EndChecks from './endChecks';
-import {
-  ENGINES,
-  EVENT_COUNT,
-  TARGET_COUNT,
-  startEnvironment,
-  writeNextVersion,
-} from './environment';
+import { ENGINES, EVENT_COUNT, TARGET_COUNT, startEnvironment } from './environment';
 import type { Environment, SoakOptions } from './environment';
+import * as Operators from './operators';
 import * as Randoms from './random';
 import * as RequestLogs from './requestLog';
 import type { ManagedRouter } from './routers';
@@ -128,7 +123,7 @@
 
 /** The store is away for a moment; operators and targets then write again what it lost. */
 async function simulateRestore(environment: Environment, ageMs: number): Promise<void> {
-  const { store, targets, versions } = environment;
+  const { store, targets, versions, changes } = environment;
   const copy = store.takeCopy();
   await waitMs(ageMs);
   store.setFault('silent');
@@ -137,7 +132,10 @@
   store.setFault('none');
   await waitMs(REWRITE_MS);
   const version = versions[0]?.version ?? 0;
-  store.writeValue(Standins.CONFIGURATION_KEY, Configurations.formatConfiguration(version));
+  store.writeValue(
+    Standins.CONFIGURATION_KEY,
+    Configurations.formatConfiguration(version, changes),
+  );
   targets.forEach((target) => target.writeAgain());
 }
 
@@ -229,11 +227,10 @@
 
 async function applyAction(environment: Environment, { action, forMs }: Step): Promise<void> {
   const allRouters = environment.routers.map((_router, index) => index);
-  if (action.kind === 'configure') writeNextVersion(environment);
-  else if (action.kind === 'compact') environment.store.compact();
-  else if (action.kind === 'silentTargets') {
-    await SilentTargets.simulateSilentTargets(environment, action, forMs);
-  } else if (action.kind === 'silence') injectSilence(environment, action.routers);
+  if (Operators.isWritingAction(action)) {
+    await Operators.applyWritingAction(environment, action, forMs);
+  } else if (action.kind === 'compact') environment.store.compact();
+  else if (action.kind === 'silence') injectSilence(environment, action.routers);
   else if (action.kind === 'partition') {
     await simulatePartition(environment, action.routers, action.fault, forMs);
   } else if (action.kind === 'restoreStore') {
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -1,6 +1,8 @@
 /** Creates the schedule of faults, which depends on the seed, the duration and the size only. */
 import type { StoreFault, TargetFault } from '@sequoiarill/standins';
 
+import { CONFIGURATION_CHANGES } from './configuration';
+import type { ConfigurationChange } from './configuration';
 import * as Randoms from './random';
 import type { Random } from './random';
 
@@ -38,6 +40,8 @@
   | { readonly kind: 'killRouters'; readonly routers: readonly number[] }
   /** A configuration is written, and soon after it these targets of one service fall silent together. */
   | { readonly kind: 'silentTargets'; readonly targets: readonly number[]; readonly leadMs: number }
+  /** Configurations have the change for a while. */
+  | { readonly kind: 'change'; readonly change: ConfigurationChange }
   | { readonly kind: 'configure' };
 
 export interface Step {
@@ -183,6 +187,12 @@
 const TARGET_SILENCE_MS = [500, 3_000] as const;
 const TARGET_SILENCE_SEED_OFFSET = 2_500_000;
 
+const CHANGE_PICKERS: readonly PickAction[] = [
+  (random) => ({ kind: 'change', change: random.pickOne(CONFIGURATION_CHANGES) }),
+];
+const CHANGE_STEP_PAUSE_MS = [800, 3_000] as const;
+const CHANGE_SEED_OFFSET = 3_000_000;
+
 export function createSchedule(
   seed: number,
   durationMs: number,
@@ -220,6 +230,12 @@
       TARGET_SILENCE_STEP_PAUSE_MS,
       { durationMs, size, faultMs: TARGET_SILENCE_MS },
     ),
+    ...createSteps(
+      Randoms.createRandom(seed + CHANGE_SEED_OFFSET),
+      CHANGE_PICKERS,
+      CHANGE_STEP_PAUSE_MS,
+      { durationMs, size },
+    ),
   ];
   return steps.sort((left, right) => left.atMs - right.atMs);
 }
