--- a/packages/sequoiarill-testing/src/fleet.ts
+++ b/packages/sequoiarill-testing/src/fleet.ts
@@ -75,20 +75,27 @@
   }));
 }
 
-/** Writes the document's only section, replacing its previous text. */
-export async function writeDocument(platformAddress: string, text: string): Promise<void> {
+/** Writes the document's only section in place of its previous text; undefined where there is none yet. */
+export async function updateDocument(
+  platformAddress: string,
+  edit: (text: string | undefined) => string,
+): Promise<void> {
   const settings = Platform.platformSchema.parse({ endpoints: platformAddress });
   const connection = Platform.openPlatform(settings, Kernel.createMetrics(undefined, {}));
   const existing = await connection.store.readKey(DOCUMENT_KEY);
-  const revision = existing.kind === 'range' ? (existing.entries[0]?.revision ?? 0) : 0;
+  const [entry] = existing.kind === 'range' ? existing.entries : [];
   const outcome = await connection.store.writeTransaction({
-    comparisons: [{ key: DOCUMENT_KEY, revision }],
-    writes: [{ key: DOCUMENT_KEY, value: text }],
+    comparisons: [{ key: DOCUMENT_KEY, revision: entry?.revision ?? 0 }],
+    writes: [{ key: DOCUMENT_KEY, value: edit(entry?.value) }],
   });
   await connection.close();
   if (outcome.kind !== 'written') throw new Error(`document not written: ${outcome.kind}`);
 }
 
+export async function writeDocument(platformAddress: string, text: string): Promise<void> {
+  await updateDocument(platformAddress, () => text);
+}
+
 export async function startRouter(
   index: number,
   zones: number,
