--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -5,6 +5,8 @@
 
 import * as Standins from '@sequoiarill/standins';
 
+import type { ConfigurationChange } from './configuration';
+
 export type RequestKind = 'stream' | 'order' | 'read';
 
 export interface SentRequest {
@@ -37,8 +39,8 @@
       /** Whether the headers carry the signature of a target. */
       readonly isSigned: boolean;
     }
-  /** No response arrived. */
-  | { readonly kind: 'noAnswer' };
+  /** No response arrived. `wasRefused`: no connection was accepted, so that nothing was sent. */
+  | { readonly kind: 'noAnswer'; readonly wasRefused?: boolean };
 
 /** A request that tests whether a configuration version is in force at a router. */
 export interface Probe {
@@ -82,6 +84,8 @@
   readonly component: string;
   readonly fromMs: number;
   untilMs: number;
+  /** A planned stop or SIGHUP, which excuses no request that ends without a status. */
+  readonly isPlanned?: boolean;
 }
 
 /** A time in which targets of a service were silent together. */
@@ -91,6 +95,13 @@
   readonly untilMs: number;
 }
 
+/** A time in which configurations had a change. */
+export interface ChangeTime {
+  readonly change: ConfigurationChange;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
 /** How a request ended for its caller. */
 export interface RequestEnd {
   readonly atMs: number;
@@ -107,6 +118,7 @@
   readonly disturbances: Disturbance[];
   readonly faults: ComponentFault[];
   readonly silences: TargetSilence[];
+  readonly changes: ChangeTime[];
   readonly ends: Map<string, RequestEnd>;
   /** Times at which engines crashed under the part that crashes them. */
   readonly crashesMs: number[];
@@ -127,6 +139,7 @@
     disturbances: [],
     faults: [],
     silences: [],
+    changes: [],
     ends: new Map(),
     crashesMs: [],
   };
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -6,20 +6,16 @@
 import type { LinkStandin } from '@sequoiarill/standins';
 import type { LogLine } from '@sequoiarill/testing';
 
+import * as AnsweredRequests from './answeredRequests';
 import * as Callers from './callers';
 import * as Checks from './checks';
 import type { Violation } from './checks';
 import * as Configurations from './configuration';
 import * as EarlyEnds from './earlyEnds';
 import * as EndChecks from './endChecks';
-import {
-  ENGINES,
-  EVENT_COUNT,
-  TARGET_COUNT,
-  startEnvironment,
-  writeNextVersion,
-} from './environment';
+import { ENGINES, EVENT_COUNT, TARGET_COUNT, startEnvironment } from './environment';
 import type { Environment, SoakOptions } from './environment';
+import * as Operators from './operators';
 import * as Randoms from './random';
 import * as RequestLogs from './requestLog';
 import type { ManagedRouter } from './routers';
@@ -43,6 +39,9 @@
   readonly silent: number;
   /** Those of them that ended whole. */
   readonly silentWhole: number;
+  /** Requests that no unplanned fault touched, and answers that a planned stop broke off. */
+  readonly undisturbed: number;
+  readonly stopped: number;
   /** Crashes of engines under the part that crashes them. */
   readonly crashes: number;
   readonly lines: readonly LogLine[];
@@ -124,7 +123,7 @@
 
 /** The store is away for a moment; operators and targets then write again what it lost. */
 async function simulateRestore(environment: Environment, ageMs: number): Promise<void> {
-  const { store, targets, versions } = environment;
+  const { store, targets, versions, changes } = environment;
   const copy = store.takeCopy();
   await waitMs(ageMs);
   store.setFault('silent');
@@ -133,7 +132,10 @@
   store.setFault('none');
   await waitMs(REWRITE_MS);
   const version = versions[0]?.version ?? 0;
-  store.writeValue(Standins.CONFIGURATION_KEY, Configurations.formatConfiguration(version));
+  store.writeValue(
+    Standins.CONFIGURATION_KEY,
+    Configurations.formatConfiguration(version, changes),
+  );
   targets.forEach((target) => target.writeAgain());
 }
 
@@ -225,11 +227,10 @@
 
 async function applyAction(environment: Environment, { action, forMs }: Step): Promise<void> {
   const allRouters = environment.routers.map((_router, index) => index);
-  if (action.kind === 'configure') writeNextVersion(environment);
-  else if (action.kind === 'compact') environment.store.compact();
-  else if (action.kind === 'silentTargets') {
-    await SilentTargets.simulateSilentTargets(environment, action, forMs);
-  } else if (action.kind === 'silence') injectSilence(environment, action.routers);
+  if (Operators.isWritingAction(action)) {
+    await Operators.applyWritingAction(environment, action, forMs);
+  } else if (action.kind === 'compact') environment.store.compact();
+  else if (action.kind === 'silence') injectSilence(environment, action.routers);
   else if (action.kind === 'partition') {
     await simulatePartition(environment, action.routers, action.fault, forMs);
   } else if (action.kind === 'restoreStore') {
@@ -305,13 +306,21 @@
   const organisation = Standins.ORGANISATION;
   const evidence = { requestLog, incarnations, eventCount: EVENT_COUNT, organisation };
   const lines = routers.flatMap((router) => router.listLogLines());
-  const early = EarlyEnds.checkEarlyEnds(evidence, EarlyEnds.createTraces(lines));
+  const traces = EarlyEnds.createTraces(lines);
+  const early = EarlyEnds.checkEarlyEnds(evidence, traces);
+  const answered = AnsweredRequests.checkAnswered(evidence, traces);
   await Promise.all(targets.map((target) => target.stop()));
   await Promise.all(environment.routerLinks.map((one) => one.stop()));
   await environment.store.stop();
   return {
-    violations: [...Checks.checkEvidence(evidence), ...early.violations, ...atEnd],
+    violations: [
+      ...Checks.checkEvidence(evidence),
+      ...early.violations,
+      ...answered.violations,
+      ...atEnd,
+    ],
     ...early.counts,
+    ...answered.counts,
     schedule,
     requests: requestLog.requests.size,
     answered: [...requestLog.results.values()].filter((result) => result.kind === 'answer').length,
