Measure requests beside targets that send without end

Cause: the effect of such targets on requests, memory and processor time of routers was known from runs by hand only.

The fleet of the contention bench takes the memory and the Node.js arguments of its routers.

--- a/bench/src/contention/fleet.ts
+++ b/bench/src/contention/fleet.ts
@@ -24,6 +24,9 @@
   readonly eventCount?: number;
   /** Text of the first configuration, instead of that of the contention bench. */
   readonly configuration?: string;
+  /** Megabytes of memory of a router's VM, as its settings name them; unless given, they name none. */
+  readonly memoryMb?: number;
+  readonly nodeArguments?: readonly string[];
 }
 
 export interface ManagedEngine {
@@ -37,6 +40,8 @@
 export interface ManagedRouter {
   /** Undefined while the balancer sends no callers there. */
   readonly getListed: () => ListedRouter | undefined;
+  /** Id of its current process. */
+  readonly getProcessId: () => number | undefined;
   readonly applyFault: (kind: RouterFaultKind) => Promise<RouterFault>;
   readonly stop: () => Promise<void>;
 }
@@ -107,9 +112,9 @@
   };
 }
 
-function formatSettings(store: string, name: string, zone: string): string {
+function formatSettings(store: string, name: string, zone: string, memoryMb?: number): string {
   return [
-    `[process]\nname = ${name}\nzone = ${zone}\nregion = here`,
+    `[process]\nname = ${name}\nzone = ${zone}\nregion = here\nmemoryMb = ${memoryMb ?? ''}`,
     `[adapter]\nstore = ${store}`,
     '[directory]\nlisten = 127.0.0.1:0',
     '[forwarding]\nlisten = 127.0.0.1:0\nreadinessListen = 127.0.0.1:0\nrelayListen = 127.0.0.1:0\ngraceSeconds = 4',
@@ -119,16 +124,16 @@
 async function startRouter(
   storeAddress: string,
   index: number,
-  { daemon, engines }: FleetOptions,
+  { daemon, engines, memoryMb, nodeArguments }: FleetOptions,
 ): Promise<ManagedRouter> {
   const zone = ZONES[index % ZONES.length] ?? ZONES[0];
-  const settings = formatSettings(storeAddress, `router-${index}`, zone);
+  const settings = formatSettings(storeAddress, `router-${index}`, zone, memoryMb);
   let incarnation = 0;
   let isListed = false;
   let current: StartedRouter;
 
   async function startNext(): Promise<void> {
-    current = Testing.startUserRouter(daemon, settings);
+    current = Testing.startUserRouter(daemon, settings, nodeArguments);
     await current.start;
     // A router is ready before it has read all targets.
     await current.waitForLine(
@@ -163,6 +168,7 @@
   return {
     getListed: () =>
       isListed ? { router: index, incarnation, address: current.address } : undefined,
+    getProcessId: () => current.process.pid,
     async applyFault(kind) {
       const fault = { kind, router: index, incarnation, fromMs: performance.now() };
       if (kind === 'pause') {
--- a/packages/sequoiarill-standins/src/userPlatform/streamEvents.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/streamEvents.ts
@@ -36,3 +36,9 @@
     .map((number) => formatEvent(requestId, number, version))
     .join('');
 }
+
+/** The events that have an id, without comments: what a caller of a stream counts. */
+export function selectNumberedEvents(text: string): string {
+  const blocks = text.replaceAll(/^:.*\n/gm, '').split(/(?<=\n\n)/);
+  return blocks.filter((block) => /^id:/m.test(block)).join('');
+}
