Let targets of the soak send without end, and check that they are cut

Cause: the soak had no target that sends bytes without end beside other faults.

Change: a target sends one of the stand-in's forms in place of its answers to requests, or to the routers' calls, drawn apart from the other faults, whose steps stay as they were for every seed. Checked are each flow's end within 10 s, no open flow at the end, and the requests that met a flow or were open beside one. Forms whose bytes are passed on under the target's signature are left out, since the check of whole answers takes them for wrong bytes. isTouched of the check of early ends is exported for it.

--- a/soak/src/earlyEnds.ts
+++ b/soak/src/earlyEnds.ts
@@ -79,7 +79,8 @@
   return known.length > 0 ? known : ids.filter((id) => id.startsWith(getService(request)));
 }
 
-function isTouched(
+/** Whether a fault touched the request's router or one of its targets, in its time or shortly before. */
+export function isTouched(
   evidence: Evidence,
   request: SentRequest,
   open: OpenTime,
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -43,9 +43,19 @@
     const hasCrashingPart = args.crashingPart === true;
     const result = await Runs.runSoak({ seed, seconds, routers, callers, hasCrashingPart });
     const { violations, schedule, requests, answered, probes, resumed, resumedServed } = result;
-    const { crashes, silent, silentWhole } = result;
+    const { crashes, silent, silentWhole, flooded, besideFloods } = result;
     const resumes = { resumed, resumedServed };
-    const counts = { requests, answered, probes, ...resumes, silent, silentWhole, crashes };
+    const counts = {
+      requests,
+      answered,
+      probes,
+      ...resumes,
+      silent,
+      silentWhole,
+      flooded,
+      besideFloods,
+      crashes,
+    };
     const line = { seed, steps: schedule.length, ...counts };
     process.stdout.write(`${JSON.stringify({ ...line, violations: violations.length })}\n`);
     if (violations.length > 0) {
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -107,6 +107,8 @@
   readonly disturbances: Disturbance[];
   readonly faults: ComponentFault[];
   readonly silences: TargetSilence[];
+  /** Those of the faults in which a target sends without end. */
+  readonly floods: ComponentFault[];
   readonly ends: Map<string, RequestEnd>;
   /** Times at which engines crashed under the part that crashes them. */
   readonly crashesMs: number[];
@@ -127,6 +129,7 @@
     disturbances: [],
     faults: [],
     silences: [],
+    floods: [],
     ends: new Map(),
     crashesMs: [],
   };
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -20,6 +20,7 @@
   writeNextVersion,
 } from './environment';
 import type { Environment, SoakOptions } from './environment';
+import * as Floods from './floods';
 import * as Randoms from './random';
 import * as RequestLogs from './requestLog';
 import type { ManagedRouter } from './routers';
@@ -43,6 +44,9 @@
   readonly silent: number;
   /** Those of them that ended whole. */
   readonly silentWhole: number;
+  /** Requests that met an answer without end, or were open beside one, and no other fault touched them. */
+  readonly flooded: number;
+  readonly besideFloods: number;
   /** Crashes of engines under the part that crashes them. */
   readonly crashes: number;
   readonly lines: readonly LogLine[];
@@ -201,15 +205,21 @@
   await Promise.all(links.map((link) => applyLinkFault(link, fault, forMs)));
 }
 
+async function applyRoutersAction(
+  environment: Environment,
+  action: Extract<Action, { kind: 'silence' | 'partition' | 'killRouters' }>,
+  forMs: number,
+): Promise<void> {
+  if (action.kind === 'killRouters') await simulateKills(environment, action.routers);
+  else if (action.kind === 'silence') injectSilence(environment, action.routers);
+  else await simulatePartition(environment, action.routers, action.fault, forMs);
+}
+
 async function applyRouterAction(
   environment: Environment,
-  action: Extract<Action, { kind: 'router' | 'storeLink' | 'killRouters' }>,
+  action: Extract<Action, { kind: 'router' | 'storeLink' }>,
   forMs: number,
 ): Promise<void> {
-  if (action.kind === 'killRouters') {
-    await simulateKills(environment, action.routers);
-    return;
-  }
   const router = environment.routers[action.router];
   if (router === undefined) return;
   await runDisturbed(
@@ -227,12 +237,11 @@
   const allRouters = environment.routers.map((_router, index) => index);
   if (action.kind === 'configure') writeNextVersion(environment);
   else if (action.kind === 'compact') environment.store.compact();
+  else if (action.kind === 'flood') await Floods.simulateFlood(environment, action, forMs);
   else if (action.kind === 'silentTargets') {
     await SilentTargets.simulateSilentTargets(environment, action, forMs);
-  } else if (action.kind === 'silence') injectSilence(environment, action.routers);
-  else if (action.kind === 'partition') {
-    await simulatePartition(environment, action.routers, action.fault, forMs);
-  } else if (action.kind === 'restoreStore') {
+  } else if ('routers' in action) await applyRoutersAction(environment, action, forMs);
+  else if (action.kind === 'restoreStore') {
     await runDisturbed(environment, allRouters, () => simulateRestore(environment, forMs));
   } else if (action.kind === 'store') {
     await runDisturbed(environment, allRouters, async () => {
@@ -240,7 +249,7 @@
       await waitMs(forMs);
       environment.store.setFault('none');
     });
-  } else if ('router' in action || 'routers' in action) {
+  } else if ('router' in action) {
     await applyRouterAction(environment, action, forMs);
   } else if (action.kind === 'targetLink') {
     const target = environment.targets[action.target];
@@ -251,6 +260,7 @@
 /** Names the component that an action affects. Actions on one component run in sequence, others overlap. */
 function getComponent(action: Action): string {
   if ('router' in action) return `router ${action.router}`;
+  if (action.kind === 'flood') return `flood of ${action.flooding}`;
   if ('target' in action && action.kind !== 'targetLink') return `target ${action.target}`;
   if ('target' in action) return `link ${action.target}`;
   return action.kind === 'restoreStore' ? 'store' : action.kind;
@@ -299,19 +309,28 @@
   await Promise.all(running);
   await waitMs(CANCELLATION_MS);
   const atEnd = [...EndChecks.checkEnd(environment, priorCount)];
+  const flows = targets.flatMap((target) => target.listFlows());
   await callers.close();
   await Promise.all(routers.map((router) => router.stop()));
   const incarnations = targets.flatMap((target) => target.listIncarnations());
   const organisation = Standins.ORGANISATION;
   const evidence = { requestLog, incarnations, eventCount: EVENT_COUNT, organisation };
   const lines = routers.flatMap((router) => router.listLogLines());
-  const early = EarlyEnds.checkEarlyEnds(evidence, EarlyEnds.createTraces(lines));
+  const traces = EarlyEnds.createTraces(lines);
+  const early = EarlyEnds.checkEarlyEnds(evidence, traces);
+  const floods = Floods.checkFloods(evidence, traces, flows);
   await Promise.all(targets.map((target) => target.stop()));
   await Promise.all(environment.routerLinks.map((one) => one.stop()));
   await environment.store.stop();
   return {
-    violations: [...Checks.checkEvidence(evidence), ...early.violations, ...atEnd],
+    violations: [
+      ...Checks.checkEvidence(evidence),
+      ...early.violations,
+      ...floods.violations,
+      ...atEnd,
+    ],
     ...early.counts,
+    ...floods.counts,
     schedule,
     requests: requestLog.requests.size,
     answered: [...requestLog.results.values()].filter((result) => result.kind === 'answer').length,
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -1,5 +1,6 @@
 /** Creates the schedule of faults, which depends on the seed, the duration and the size only. */
-import type { StoreFault, TargetFault } from '@sequoiarill/standins';
+import * as Standins from '@sequoiarill/standins';
+import type { EndlessForm, StoreFault, TargetFault } from '@sequoiarill/standins';
 
 import * as Randoms from './random';
 import type { Random } from './random';
@@ -38,6 +39,13 @@
   | { readonly kind: 'killRouters'; readonly routers: readonly number[] }
   /** A configuration is written, and soon after it these targets of one service fall silent together. */
   | { readonly kind: 'silentTargets'; readonly targets: readonly number[]; readonly leadMs: number }
+  /** A target sends without end in place of its answers to requests, or to the calls of routers. */
+  | {
+      readonly kind: 'flood';
+      readonly flooding: number;
+      readonly form: EndlessForm;
+      readonly scope: 'requests' | 'calls';
+    }
   | { readonly kind: 'configure' };
 
 export interface Step {
@@ -183,6 +191,28 @@
 const TARGET_SILENCE_MS = [500, 3_000] as const;
 const TARGET_SILENCE_SEED_OFFSET = 2_500_000;
 
+/** Forms whose bytes are passed on under the signature of their target, which `whole` takes for wrong bytes. */
+const UNCHECKED_FORMS: readonly EndlessForm[] = ['body', 'comments', 'eventsWithoutId'];
+const ENGINE_FORMS = Standins.ENDLESS_FORMS.filter((form) => !UNCHECKED_FORMS.includes(form));
+/** A plain answer is passed on whatever it contains. */
+const SERVICE_FORMS = ENGINE_FORMS.filter((form) => form !== 'event');
+const CALLS_SHARE = 0.25;
+
+const FLOOD_PICKERS: readonly PickAction[] = [
+  (random, { targets, engines }) => {
+    const flooding = random.pickBetween(0, targets - 1);
+    return {
+      kind: 'flood',
+      flooding,
+      form: random.pickOne(flooding < engines ? ENGINE_FORMS : SERVICE_FORMS),
+      scope: random.next() < CALLS_SHARE ? 'calls' : 'requests',
+    };
+  },
+];
+const FLOOD_STEP_PAUSE_MS = [800, 2_500] as const;
+const FLOOD_MS = [500, 3_000] as const;
+const FLOOD_SEED_OFFSET = 3_000_000;
+
 export function createSchedule(
   seed: number,
   durationMs: number,
@@ -220,6 +250,12 @@
       TARGET_SILENCE_STEP_PAUSE_MS,
       { durationMs, size, faultMs: TARGET_SILENCE_MS },
     ),
+    ...createSteps(
+      Randoms.createRandom(seed + FLOOD_SEED_OFFSET),
+      FLOOD_PICKERS,
+      FLOOD_STEP_PAUSE_MS,
+      { durationMs, size, faultMs: FLOOD_MS },
+    ),
   ];
   return steps.sort((left, right) => left.atMs - right.atMs);
 }
--- a/soak/src/targets.ts
+++ b/soak/src/targets.ts
@@ -1,6 +1,12 @@
 /** Runs targets behind links. A target has a sequence of incarnations at one address. */
 import * as Standins from '@sequoiarill/standins';
-import type { LinkStandin, ServiceName, StoreStandin, TargetStandin } from '@sequoiarill/standins';
+import type {
+  EndlessFlow,
+  LinkStandin,
+  ServiceName,
+  StoreStandin,
+  TargetStandin,
+} from '@sequoiarill/standins';
 
 import type { IncarnationRuns } from './checks';
 
@@ -11,6 +17,8 @@
   readonly address: string;
   readonly getCurrent: () => TargetStandin;
   readonly listIncarnations: () => readonly IncarnationRuns[];
+  /** Answers without end of all incarnations. */
+  readonly listFlows: () => readonly EndlessFlow[];
   /** Stops the current incarnation without notice and starts the next one after the given time. */
   readonly restart: (downMs: number) => Promise<void>;
   /** Writes the entry again that the store may have lost, and removes those of ended incarnations. */
@@ -118,6 +126,7 @@
     getCurrent,
     listIncarnations: () =>
       incarnations.map((incarnation) => ({ target: incarnation.id, runs: incarnation.listRuns() })),
+    listFlows: () => incarnations.flatMap((incarnation) => incarnation.listEndlessFlows()),
     restart: startNext,
     writeAgain() {
       incarnations.slice(0, -1).forEach(({ id }) => store.removeKey(Standins.formatTargetKey(id)));
