--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -43,7 +43,7 @@
     const hasCrashingPart = args.crashingPart === true;
     const result = await Runs.runSoak({ seed, seconds, routers, callers, hasCrashingPart });
     const { violations, schedule, requests, answered, probes, resumed, resumedServed } = result;
-    const { crashes, silent, silentWhole, undisturbed, stopped } = result;
+    const { crashes, silent, silentWhole, undisturbed, stopped, flooded, besideFloods } = result;
     const resumes = { resumed, resumedServed };
     const counts = {
       requests,
@@ -54,6 +54,8 @@
       silentWhole,
       undisturbed,
       stopped,
+      flooded,
+      besideFloods,
       crashes,
     };
     const line = { seed, steps: schedule.length, ...counts };
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -119,6 +119,8 @@
   readonly faults: ComponentFault[];
   readonly silences: TargetSilence[];
   readonly changes: ChangeTime[];
+  /** Those of the faults in which a target sends without end. */
+  readonly floods: ComponentFault[];
   readonly ends: Map<string, RequestEnd>;
   /** Times at which engines crashed under the part that crashes them. */
   readonly crashesMs: number[];
@@ -140,6 +142,7 @@
     faults: [],
     silences: [],
     changes: [],
+    floods: [],
     ends: new Map(),
     crashesMs: [],
   };
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -15,6 +15,7 @@
 import * as EndChecks from './endChecks';
 import { ENGINES, EVENT_COUNT, TARGET_COUNT, startEnvironment } from './environment';
 import type { Environment, SoakOptions } from './environment';
+import * as Floods from './floods';
 import * as Operators from './operators';
 import * as Randoms from './random';
 import * as RequestLogs from './requestLog';
@@ -42,6 +43,9 @@
   /** Requests that no unplanned fault touched, and answers that a planned stop broke off. */
   readonly undisturbed: number;
   readonly stopped: number;
+  /** Requests that met an answer without end, or were open beside one, and no other fault touched them. */
+  readonly flooded: number;
+  readonly besideFloods: number;
   /** Crashes of engines under the part that crashes them. */
   readonly crashes: number;
   readonly lines: readonly LogLine[];
@@ -203,15 +207,21 @@
   await Promise.all(links.map((link) => applyLinkFault(link, fault, forMs)));
 }
 
+async function applyRoutersAction(
+  environment: Environment,
+  action: Extract<Action, { kind: 'silence' | 'partition' | 'killRouters' }>,
+  forMs: number,
+): Promise<void> {
+  if (action.kind === 'killRouters') await simulateKills(environment, action.routers);
+  else if (action.kind === 'silence') injectSilence(environment, action.routers);
+  else await simulatePartition(environment, action.routers, action.fault, forMs);
+}
+
 async function applyRouterAction(
   environment: Environment,
-  action: Extract<Action, { kind: 'router' | 'storeLink' | 'killRouters' }>,
+  action: Extract<Action, { kind: 'router' | 'storeLink' }>,
   forMs: number,
 ): Promise<void> {
-  if (action.kind === 'killRouters') {
-    await simulateKills(environment, action.routers);
-    return;
-  }
   const router = environment.routers[action.router];
   if (router === undefined) return;
   await runDisturbed(
@@ -230,10 +240,9 @@
   if (Operators.isWritingAction(action)) {
     await Operators.applyWritingAction(environment, action, forMs);
   } else if (action.kind === 'compact') environment.store.compact();
-  else if (action.kind === 'silence') injectSilence(environment, action.routers);
-  else if (action.kind === 'partition') {
-    await simulatePartition(environment, action.routers, action.fault, forMs);
-  } else if (action.kind === 'restoreStore') {
+  else if (action.kind === 'flood') await Floods.simulateFlood(environment, action, forMs);
+  else if ('routers' in action) await applyRoutersAction(environment, action, forMs);
+  else if (action.kind === 'restoreStore') {
     await runDisturbed(environment, allRouters, () => simulateRestore(environment, forMs));
   } else if (action.kind === 'store') {
     await runDisturbed(environment, allRouters, async () => {
@@ -241,7 +250,7 @@
       await waitMs(forMs);
       environment.store.setFault('none');
     });
-  } else if ('router' in action || 'routers' in action) {
+  } else if ('router' in action) {
     await applyRouterAction(environment, action, forMs);
   } else if (action.kind === 'targetLink') {
     const target = environment.targets[action.target];
@@ -252,6 +261,7 @@
 /** Names the component that an action affects. Actions on one component run in sequence, others overlap. */
 function getComponent(action: Action): string {
   if ('router' in action) return `router ${action.router}`;
+  if (action.kind === 'flood') return `flood of ${action.flooding}`;
   if ('target' in action && action.kind !== 'targetLink') return `target ${action.target}`;
   if ('target' in action) return `link ${action.target}`;
   return action.kind === 'restoreStore' ? 'store' : action.kind;
@@ -300,6 +310,7 @@
   await Promise.all(running);
   await waitMs(CANCELLATION_MS);
   const atEnd = [...EndChecks.checkEnd(environment, priorCount)];
+  const flows = targets.flatMap((target) => target.listFlows());
   await callers.close();
   await Promise.all(routers.map((router) => router.stop()));
   const incarnations = targets.flatMap((target) => target.listIncarnations());
@@ -309,6 +320,7 @@
   const traces = EarlyEnds.createTraces(lines);
   const early = EarlyEnds.checkEarlyEnds(evidence, traces);
   const answered = AnsweredRequests.checkAnswered(evidence, traces);
+  const floods = Floods.checkFloods(evidence, traces, flows);
   await Promise.all(targets.map((target) => target.stop()));
   await Promise.all(environment.routerLinks.map((one) => one.stop()));
   await environment.store.stop();
@@ -317,10 +329,12 @@
       ...Checks.checkEvidence(evidence),
       ...early.violations,
       ...answered.violations,
+      ...floods.violations,
       ...atEnd,
     ],
     ...early.counts,
     ...answered.counts,
+    ...floods.counts,
     schedule,
     requests: requestLog.requests.size,
     answered: [...requestLog.results.values()].filter((result) => result.kind === 'answer').length,
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -1,5 +1,6 @@
 /** Creates the schedule of faults, which depends on the seed, the duration and the size only. */
-import type { StoreFault, TargetFault } from '@sequoiarill/standins';
+import * as Standins from '@sequoiarill/standins';
+import type { EndlessForm, StoreFault, TargetFault } from '@sequoiarill/standins';
 
 import { CONFIGURATION_CHANGES } from './configuration';
 import type { ConfigurationChange } from './configuration';
@@ -42,6 +43,13 @@
   | { readonly kind: 'silentTargets'; readonly targets: readonly number[]; readonly leadMs: number }
   /** Configurations have the change for a while. */
   | { readonly kind: 'change'; readonly change: ConfigurationChange }
+  /** A target sends without end in place of its answers to requests, or to the calls of routers. */
+  | {
+      readonly kind: 'flood';
+      readonly flooding: number;
+      readonly form: EndlessForm;
+      readonly scope: 'requests' | 'calls';
+    }
   | { readonly kind: 'configure' };
 
 export interface Step {
@@ -192,53 +200,27 @@
 ];
 const CHANGE_STEP_PAUSE_MS = [800, 3_000] as const;
 const CHANGE_SEED_OFFSET = 3_000_000;
+/** Forms whose bytes are passed on under the signature of their target, which `whole` takes for wrong bytes. */
+const UNCHECKED_FORMS: readonly EndlessForm[] = ['body', 'comments', 'eventsWithoutId'];
+const ENGINE_FORMS = Standins.ENDLESS_FORMS.filter((form) => !UNCHECKED_FORMS.includes(form));
+/** A plain answer is passed on whatever it contains. */
+const SERVICE_FORMS = ENGINE_FORMS.filter((form) => form !== 'event');
+const CALLS_SHARE = 0.25;
 
-export function createSchedule(
-  seed: number,
-  durationMs: number,
-  size: SystemSize,
-): readonly Step[] {
-  const steps = [
-    ...createSteps(Randoms.createRandom(seed), ACTION_PICKERS, STEP_PAUSE_MS, { durationMs, size }),
-    ...createSteps(
-      Randoms.createRandom(seed + LATER_SEED_OFFSET),
-      LATER_ACTION_PICKERS,
-      LATER_STEP_PAUSE_MS,
-      { durationMs, size },
-    ),
-    ...createSteps(
-      Randoms.createRandom(seed + SILENCE_SEED_OFFSET),
-      SILENCE_PICKERS,
-      SILENCE_STEP_PAUSE_MS,
-      { durationMs, size },
-    ),
-    ...createSteps(
-      Randoms.createRandom(seed + PARTITION_SEED_OFFSET),
-      PARTITION_PICKERS,
-      PARTITION_STEP_PAUSE_MS,
-      { durationMs, size },
-    ),
-    ...createSteps(
-      Randoms.createRandom(seed + KILL_SEED_OFFSET),
-      KILL_PICKERS,
-      KILL_STEP_PAUSE_MS,
-      { durationMs, size },
-    ),
-    ...createSteps(
-      Randoms.createRandom(seed + TARGET_SILENCE_SEED_OFFSET),
-      TARGET_SILENCE_PICKERS,
-      TARGET_SILENCE_STEP_PAUSE_MS,
-      { durationMs, size, faultMs: TARGET_SILENCE_MS },
-    ),
-    ...createSteps(
-      Randoms.createRandom(seed + CHANGE_SEED_OFFSET),
-      CHANGE_PICKERS,
-      CHANGE_STEP_PAUSE_MS,
-      { durationMs, size },
-    ),
-  ];
-  return steps.sort((left, right) => left.atMs - right.atMs);
-}
+const FLOOD_PICKERS: readonly PickAction[] = [
+  (random, { targets, engines }) => {
+    const flooding = random.pickBetween(0, targets - 1);
+    return {
+      kind: 'flood',
+      flooding,
+      form: random.pickOne(flooding < engines ? ENGINE_FORMS : SERVICE_FORMS),
+      scope: random.next() < CALLS_SHARE ? 'calls' : 'requests',
+    };
+  },
+];
+const FLOOD_STEP_PAUSE_MS = [800, 2_500] as const;
+const FLOOD_MS = [500, 3_000] as const;
+const FLOOD_SEED_OFFSET = 4_000_000;
 
 interface DrawLimits {
   readonly durationMs: number;
@@ -264,3 +246,50 @@
   }
   return steps.filter((step) => step.atMs < durationMs);
 }
+
+interface Series {
+  /** Each series is drawn apart, so that the others stay as they were for every seed. */
+  readonly seedOffset: number;
+  readonly pickers: readonly PickAction[];
+  readonly pauseMs: readonly [number, number];
+  readonly faultMs?: readonly [number, number];
+}
+
+const SERIES: readonly Series[] = [
+  { seedOffset: 0, pickers: ACTION_PICKERS, pauseMs: STEP_PAUSE_MS },
+  { seedOffset: LATER_SEED_OFFSET, pickers: LATER_ACTION_PICKERS, pauseMs: LATER_STEP_PAUSE_MS },
+  { seedOffset: SILENCE_SEED_OFFSET, pickers: SILENCE_PICKERS, pauseMs: SILENCE_STEP_PAUSE_MS },
+  {
+    seedOffset: PARTITION_SEED_OFFSET,
+    pickers: PARTITION_PICKERS,
+    pauseMs: PARTITION_STEP_PAUSE_MS,
+  },
+  { seedOffset: KILL_SEED_OFFSET, pickers: KILL_PICKERS, pauseMs: KILL_STEP_PAUSE_MS },
+  {
+    seedOffset: TARGET_SILENCE_SEED_OFFSET,
+    pickers: TARGET_SILENCE_PICKERS,
+    pauseMs: TARGET_SILENCE_STEP_PAUSE_MS,
+    faultMs: TARGET_SILENCE_MS,
+  },
+  { seedOffset: CHANGE_SEED_OFFSET, pickers: CHANGE_PICKERS, pauseMs: CHANGE_STEP_PAUSE_MS },
+  {
+    seedOffset: FLOOD_SEED_OFFSET,
+    pickers: FLOOD_PICKERS,
+    pauseMs: FLOOD_STEP_PAUSE_MS,
+    faultMs: FLOOD_MS,
+  },
+];
+
+export function createSchedule(
+  seed: number,
+  durationMs: number,
+  size: SystemSize,
+): readonly Step[] {
+  return SERIES.flatMap(({ seedOffset, pickers, pauseMs, faultMs }) =>
+    createSteps(Randoms.createRandom(seed + seedOffset), pickers, pauseMs, {
+      durationMs,
+      size,
+      ...(faultMs === undefined ? {} : { faultMs }),
+    }),
+  ).sort((left, right) => left.atMs - right.atMs);
+}
