--- /dev/null
+++ b/packages/sequoiarill-plugin-forwarding/src/front/__tests__/openExchanges.test.ts
@@ -0,0 +1,111 @@
+import { EventEmitter } from 'node:events';
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import * as Fakes from '../../__tests__/fakeDependencies';
+import type { TargetCall } from '../../targets/targetCall';
+import * as OpenExchanges from '../openExchanges';
+import type { Exchange, ExchangeDependencies } from '../replies';
+
+const SENT_CALL: TargetCall = {
+  readEvent: async () => ({ kind: 'end' }),
+  wasSent: () => true,
+  cancel: () => undefined,
+};
+
+interface Reply {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+function createExchange(id: string, isRelayed: boolean) {
+  const replies: Reply[] = [];
+  const headers: Record<string, string> = {};
+  const response = Object.assign(new EventEmitter(), {
+    headersSent: false,
+    destroyed: false,
+    writableEnded: false,
+    setHeader(name: string, value: string) {
+      headers[name] = value;
+    },
+    writeHead(status: number, further: Readonly<Record<string, string>>) {
+      replies.push({ status, headers: { ...headers, ...further } });
+      response.headersSent = true;
+    },
+    end() {
+      response.writableEnded = true;
+    },
+  });
+  const terms = isRelayed ? { relayTerms: { version: 1, targetsLeft: 1 } } : {};
+  const exchange = { incoming: {}, response, headers: [['request-id', id]], ...terms };
+  return { exchange: exchange as unknown as Exchange, replies };
+}
+
+describe('open exchanges of a router that stops', () => {
+  function createSetup() {
+    const { dependencies, room } = Fakes.createFakeDependencies(() => []);
+    const lines: unknown[] = [];
+    const logEvent = (_event: unknown, { request, status }: Readonly<Record<string, unknown>>) =>
+      lines.push([request, status]);
+    const all = { ...dependencies, isDraining: () => true, logEvent };
+    const exchanges = OpenExchanges.createOpenExchanges();
+
+    function register(id: string, { isRead = true, isSent = false, isRelayed = false } = {}) {
+      const { exchange, replies } = createExchange(id, isRelayed);
+      const open = exchanges.register(exchange);
+      if (isRead) open.setRequest({ ...Fakes.createRequest(Fakes.createRoute()), id });
+      const place = { stage: 'target', target: 'a' } as const;
+      if (isSent) open.calls.open({ place, isNotRun: () => false }, () => SENT_CALL);
+      return { closed: open.closed, replies, getStatuses: () => replies.map((one) => one.status) };
+    }
+
+    return {
+      dependencies: all as unknown as ExchangeDependencies,
+      room,
+      lines,
+      exchanges,
+      register,
+    };
+  }
+
+  it('are refused at once where they have not run and there is no time for them', () => {
+    // Guards against requests that wait, for whatever reason, until the process ends.
+    const { dependencies, room, lines, exchanges, register } = createSetup();
+    const reading = register('reading', { isRead: false });
+    const sent = register('sent', { isSent: true });
+    const waiting = [register('first'), register('second')];
+    exchanges.refuseWaiting(dependencies);
+    expect(lines).toEqual([]);
+    room.hasTime = false;
+    exchanges.refuseWaiting(dependencies);
+    exchanges.refuseWaiting(dependencies);
+    expect(lines).toEqual([
+      ['first', 503],
+      ['second', 503],
+    ]);
+    expect(waiting.map(({ closed }) => closed.aborted)).toEqual([true, true]);
+    const headers = waiting[0]?.replies[0]?.headers;
+    expect([headers?.['retry-after'], headers?.connection]).toEqual(['0.1', 'close']);
+    expect([...reading.replies, ...sent.replies]).toEqual([]);
+  });
+
+  it('get their last status by whether they may have run', () => {
+    // Guards against connections that are closed without a status, and promises that are not kept.
+    const { dependencies, exchanges, register } = createSetup();
+    const reading = register('reading', { isRead: false });
+    const sent = register('sent', { isSent: true });
+    const relayed = register('relayed', { isRelayed: true });
+    exchanges.endAll(dependencies);
+    exchanges.endAll(dependencies);
+    const statuses = [reading, sent, relayed].map(({ getStatuses }) => getStatuses());
+    expect(statuses).toEqual([[503], [502], [503]]);
+    expect(sent.replies[0]?.headers['retry-after']).toEqual(undefined);
+    expect(Object.values(relayed.replies[0]?.headers ?? {})).toInclude('draining');
+    expect([reading, sent, relayed].map(({ closed }) => closed.aborted)).toEqual([
+      true,
+      true,
+      true,
+    ]);
+  });
+});
