Refuse a request at once where the targets whose rest it waits for have left

A request that waits until its targets take requests again looked at them only at the end of the rest. It looks every 100 ms now whether a target is left.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/placement.ts
@@ -9,6 +9,9 @@
 /** Reason of refusing a request while no target takes requests, by the targets' own word. */
 export const RESTING_REASON = 'all targets have asked for rest';
 
+/** Time between two looks at the targets of a request that waits for their rest. */
+const LISTING_INTERVAL_MS = 100;
+
 type ListingDependencies = Pick<
   ForwardingDependencies,
   'registry' | 'directory' | 'rollouts' | 'limits' | 'notices'
@@ -82,10 +85,26 @@
     leftMs: request.expiresAtMs - nowMs,
   });
   if (decision.kind === 'refuse') return false;
-  await clock.waitMs(decision.waitMs, request.closed);
+  await waitWhileServed(dependencies, request, decision.waitMs);
   return true;
 }
 
+/** Ends early where no target is left that could run the request, so that it is refused at once. */
+async function waitWhileServed(
+  dependencies: ListingDependencies & Pick<ForwardingDependencies, 'clock'>,
+  request: ForwardRequest,
+  waitMs: number,
+): Promise<void> {
+  const { clock } = dependencies;
+  const endMs = clock.getNowMs() + waitMs;
+  for (;;) {
+    const leftMs = endMs - clock.getNowMs();
+    const isServed = listCandidates(dependencies, request).length > 0;
+    if (leftMs <= 0 || !isServed || request.closed.aborted) return;
+    await clock.waitMs(Math.min(leftMs, LISTING_INTERVAL_MS), request.closed);
+  }
+}
+
 /** Targets that are unavailable to the request only because of the rate limits that they announce. */
 export function listRateLimited(
   dependencies: ListingDependencies,
