Close unread requests only after what has arrived was read

The timer that closes the connection of a request whose body goes on after its answer could fire before the end of the body was read, as after a pause of the process. It now closes after pending reads, as other timers on connections do.

--- a/packages/sequoiarill-kernel/src/unreadRequests.ts
+++ b/packages/sequoiarill-kernel/src/unreadRequests.ts
@@ -1,6 +1,8 @@
 /** Ends requests whose bodies are still arriving after they were answered. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import * as RunningTimes from './runningTime';
+
 /** A caller that is still sending reads the answer first, and its connection is not reset before. */
 const LINGER_MS = 1_000;
 
@@ -16,9 +18,11 @@
   response.once('finish', () => {
     if (request.complete) return;
     const { socket } = request;
-    const timer = setTimeout(() => {
+    const closeUnread = () => {
       if (!request.complete) socket.destroy();
-    }, lingerMs);
+    };
+    // After a pause of this process, timers fire before the end of the body is read.
+    const timer = setTimeout(() => RunningTimes.runAfterPendingReads(closeUnread), lingerMs);
     socket.once('close', () => clearTimeout(timer));
   });
 }
