--- a/packages/sequoiarill-plugin-forwarding/src/front/__tests__/openExchanges.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/__tests__/openExchanges.test.ts
@@ -12,6 +12,8 @@
   readEvent: async () => ({ kind: 'end' }),
   wasSent: () => true,
   cancel: () => undefined,
+  drain: () => undefined,
+  recordExcess: () => undefined,
 };
 
 interface Reply {
--- a/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/endlessRouters.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/endlessRouters.test.ts
@@ -44,8 +44,8 @@
     const call: TargetCall = {
       wasSent: () => true,
       cancel: () => undefined,
-    drain: () => undefined,
-    recordExcess: () => undefined,
+      drain: () => undefined,
+      recordExcess: () => undefined,
       async readEvent() {
         clock.simulatePause(100);
         return { kind: 'data', chunk: Buffer.from('x') };
