Pause a call also for the number of its buffered chunks

Cause: what is buffered of an answer was limited by its bytes alone. A body in chunks of one byte is an object for each of them, up to 262,144 in one call.

Change: reading pauses at 4,096 buffered chunks as well.

--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
@@ -165,6 +165,31 @@
   });
 });
 
+describe('a body in chunks of one byte', () => {
+  it('fills no memory while it is not read', async () => {
+    // Guards against objects for each chunk that take many times the bytes that may be buffered.
+    const size = 200_000;
+    let heldBytes = 0;
+    const held = {
+      addAnswerBytes(bytes: number) {
+        heldBytes += bytes;
+      },
+      mayReadAhead: () => true,
+    };
+    const answer = (socket: Socket) =>
+      socket.write(`${CHUNKED}${'1\r\nx\r\n'.repeat(size)}0\r\n\r\n`);
+    await runWithTarget(answer, async (target) => {
+      const call = target.openCall({ held });
+      await new Promise((resolve) => {
+        setTimeout(resolve, 300);
+      });
+      // A paused connection counts with the buffer of its socket.
+      expect(heldBytes - 131_072).toBeLessThan(4_200);
+      expect(await readToEnd(call)).toEqual(['end', size]);
+    });
+  });
+});
+
 describe('an unusual answer that is sound', () => {
   const size = 200_000;
   const forms: readonly (readonly [string, string, number])[] = [
--- a/packages/sequoiarill-plugin-forwarding/src/targets/callEvents.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/callEvents.ts
@@ -18,6 +18,8 @@
   readonly isEmpty: () => boolean;
   /** Bytes of data events that are not taken. */
   readonly countBytes: () => number;
+  /** Whether chunks of a few bytes take more memory than they hold. */
+  readonly isCrowded: () => boolean;
   /** Removes all events and ends the wait of the reader. */
   readonly clear: () => void;
   /** Resolves when an event is added, or after the timeout. */
@@ -31,6 +33,12 @@
  */
 const MAX_LATE_BYTES = 1_048_576;
 
+/**
+ * Failure: a target sends a body in chunks of one byte, each of which is an object of some hundred bytes, and the limit on
+ * buffered bytes holds 40 MB for one call.
+ */
+const MAX_EVENTS = 4_096;
+
 export function createEventQueue(): EventQueue {
   const events: CallEvent[] = [];
   let bytes = 0;
@@ -55,6 +63,7 @@
     },
     isEmpty: () => events.length === 0,
     countBytes: () => bytes,
+    isCrowded: () => events.length > MAX_EVENTS,
     clear() {
       events.length = 0;
       bytes = 0;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -122,7 +122,8 @@
   function takeEvent(isLate: boolean): CallEvent | undefined {
     const event = buffer.take(isLate);
     if (event?.kind === 'data') {
-      if (buffer.countBytes() < MAX_BUFFERED_BYTES && held?.mayReadAhead() !== false) {
+      const isFull = buffer.countBytes() >= MAX_BUFFERED_BYTES || buffer.isCrowded();
+      if (!isFull && held?.mayReadAhead() !== false) {
         resumeReading();
       }
       updateHeld();
@@ -200,7 +201,8 @@
         }
         addEvent({ kind: 'data', chunk });
         const maxBytes = held?.mayReadAhead() === false ? MAX_UNREAD_BYTES : MAX_BUFFERED_BYTES;
-        if (isFramed && buffer.countBytes() > maxBytes) requestController.pause();
+        const isFull = buffer.countBytes() > maxBytes || buffer.isCrowded();
+        if (isFramed && isFull) requestController.pause();
         updateHeld();
       },
       onResponseEnd() {
