Take numbered events after a large event without an id

A complete event without an id of more than 256 KiB counted when the next event came, whatever that one was, so a stream with one large event without an id and then numbered ones was cut with 'oversized event', although a single event may have up to 1 MiB. Now only further events without ids exceed the limit. Before, the test got 1, undefined, undefined, undefined in place of 1, 1, 1, 1 events.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/eventBlocks.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/eventBlocks.test.ts
@@ -84,6 +84,21 @@
     expect(counts).toEqual([20_000, 1, 20_000, undefined, undefined]);
   });
 
+  it('takes a numbered event after one large event without an id', () => {
+    // Guards against a sound stream that is cut because its first event, which has no id, is large.
+    const splitter = EventBlocks.createEventBlockSplitter();
+    const large = Buffer.from(`data: ${'x'.repeat(MEGABYTE / 2)}\n\n`);
+    const numbered = Buffer.from('id: 1\ndata: a\n\n');
+    const counts = [large, numbered, large, numbered].map(
+      (bytes) => splitter.addBytes(bytes)?.length,
+    );
+    expect(counts).toEqual([1, 1, 1, 1]);
+    const joined = EventBlocks.createEventBlockSplitter().addBytes(
+      Buffer.concat([large, numbered]),
+    );
+    expect(joined?.map(({ id }) => id)).toEqual([undefined, '1']);
+  });
+
   it('takes an event just below the limit, and frees its bytes', () => {
     const splitter = EventBlocks.createEventBlockSplitter();
     const data = Buffer.alloc(MEGABYTE - 10, 'x');
--- a/packages/sequoiarill-plugin-forwarding/src/streams/eventBlocks.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/eventBlocks.ts
@@ -33,6 +33,7 @@
   let length = 0;
   /** Bytes of events without ids since the last one with an id. */
   let unnumberedBytes = 0;
+  let isExceeded = false;
 
   function decodeBlock(bytes: Buffer): EventBlock {
     const id = ID_FIELD.exec(bytes.toString('latin1'))?.[1]?.trim();
@@ -76,9 +77,10 @@
       const blocks: EventBlock[] = [];
       let start = 0;
       for (let end = findFirstEnd(bytes); end > 0; end = findEnd(bytes, start)) {
-        // A single event may be larger than this, so the last one does not count yet.
-        if (unnumberedBytes > MAX_UNNUMBERED_BYTES) return undefined;
         const block = decodeBlock(takePartial(bytes.subarray(start, end)));
+        // A single event may be larger than this, so it does not count yet.
+        isExceeded ||= block.id === undefined && unnumberedBytes > MAX_UNNUMBERED_BYTES;
+        if (isExceeded) return undefined;
         unnumberedBytes = block.id === undefined ? unnumberedBytes + block.bytes.length : 0;
         blocks.push(block);
         start = end;
