Keep connections open for requests that were sent ahead of an answer

A connection of a draining router counted as idle when any response on it had closed. A caller that sends its next request before the answer to the one before had its connection closed with that request in progress, neither answered nor refused. Now only the response to the latest request makes the connection idle. Before, the test saw one answer to two requests.

--- a/packages/sequoiarill-kernel/src/idleConnections.ts
+++ b/packages/sequoiarill-kernel/src/idleConnections.ts
@@ -20,6 +20,8 @@
 export function createIdleConnections(): IdleConnections {
   /** Bytes read from each idle connection by the end of its last response. */
   const bytesReadBySocket = new Map<Socket, number>();
+  /** Of the latest request on each connection; earlier ones are answered before it. */
+  const latestResponses = new WeakMap<Socket, ServerResponse>();
 
   return {
     recordConnection(socket) {
@@ -27,8 +29,10 @@
     },
     recordRequest({ socket }, response) {
       bytesReadBySocket.delete(socket);
+      latestResponses.set(socket, response);
       response.once('close', () => {
-        if (!socket.destroyed) bytesReadBySocket.set(socket, socket.bytesRead);
+        const isLatest = latestResponses.get(socket) === response;
+        if (isLatest && !socket.destroyed) bytesReadBySocket.set(socket, socket.bytesRead);
       });
     },
     close() {
--- a/packages/sequoiarill-plugin-forwarding/src/front/__tests__/httpFrontEnd.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/__tests__/httpFrontEnd.test.ts
@@ -1,4 +1,4 @@
-import { once } from 'node:events';
+import { EventEmitter, once } from 'node:events';
 import * as Net from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
@@ -19,16 +19,25 @@
   let frontEnd: HttpFrontEnd;
   let broker: ServiceBroker;
   let body: Buffer;
+  /** Resolve when the answer to the first request, and those to later ones, may be sent. */
+  let firstAnswer: Promise<unknown>;
+  let laterAnswers: Promise<unknown>;
+  let requestCount: number;
   let caller: Net.Socket;
   let received: Buffer[];
 
   beforeEach(async () => {
     body = SMALL;
+    firstAnswer = Promise.resolve();
+    laterAnswers = Promise.resolve();
+    requestCount = 0;
     received = [];
     frontEnd = HttpFrontEnds.createHttpFrontEnd({
       settings: settingsSchema.parse({ listen: LISTEN, readinessListen: LISTEN }),
       async handleRequest(request, response) {
         request.resume();
+        requestCount += 1;
+        await (requestCount > 1 ? laterAnswers : firstAnswer);
         response.writeHead(200, { 'content-length': body.length }).end(body);
       },
       handleRelayed: async () => undefined,
@@ -74,6 +83,24 @@
     expect(Buffer.concat(received).toString('latin1')).toMatchRegex(/^HTTP\/1\.1 200 .*answer$/s);
   });
 
+  it('are not closed before a request that was sent ahead of an answer is answered', async () => {
+    // Guards against a whole request that ends without an answer because the one before it was answered.
+    const answers = new EventEmitter();
+    firstAnswer = once(answers, 'first');
+    laterAnswers = once(answers, 'later');
+    caller.write(REQUEST + REQUEST);
+    while (requestCount < 2) await new Promise(setImmediate);
+    answers.emit('first');
+    while (frontEnd.countRequests() === 2) await new Promise(setImmediate);
+    frontEnd.closeIdle();
+    setTimeout(() => answers.emit('later'), 50);
+    await readUntilClose();
+    const heads = Buffer.concat(received)
+      .toString('latin1')
+      .match(/HTTP\/1\.1 200 /g);
+    expect(heads?.length).toEqual(2);
+  });
+
   it('are not closed before the end of an answer has left the process', async () => {
     // Guards against an answer that is cut since it was written, but not flushed.
     body = LARGE;
