Keep the delay of a pause until what arrived in it was read

A process that resumes reads what has arrived meanwhile over some iterations, which often makes the next tick late as well. That shorter delay replaced the one of the pause, and the pause's end of reads reset the later one, so requests that had waited longer than their time limits were sent on. Now the longest of the delays counts whose reads may not be over. Before, the test got 40 ms in place of 1,250 ms.

--- a/packages/sequoiarill-kernel/src/__tests__/runningTime.test.ts
+++ b/packages/sequoiarill-kernel/src/__tests__/runningTime.test.ts
@@ -110,6 +110,21 @@
     runPendingReads();
     expect(getReadDelayMs()).toEqual(0);
   });
+
+  it('count in full where the process is busy right after them', () => {
+    // Guards against late requests that are sent on because a short delay follows the pause before they are read.
+    const { getReadDelayMs, recordTickAfter, runPendingReads } = createDelays();
+    recordTickAfter(1_300);
+    recordTickAfter(90);
+    expect(getReadDelayMs()).toEqual(1_250);
+    runPendingReads();
+    recordTickAfter(170);
+    expect(getReadDelayMs()).toEqual(1_250);
+    runPendingReads();
+    expect(getReadDelayMs()).toEqual(120);
+    runPendingReads();
+    expect(getReadDelayMs()).toEqual(0);
+  });
 });
 
 describe('running-time timer', () => {
--- a/packages/sequoiarill-kernel/src/runningTime.ts
+++ b/packages/sequoiarill-kernel/src/runningTime.ts
@@ -39,7 +39,8 @@
 ) {
   let tickedAtMs = startedMs;
   let last: ProcessDelay | undefined;
-  let readDelayMs = 0;
+  /** Delays that may not be followed by the reads of all that arrived in them, oldest first. */
+  const unreadDelaysMs: number[] = [];
 
   function recordDelay(delay: ProcessDelay): void {
     const isKept =
@@ -50,13 +51,9 @@
   }
 
   /** A connection that was opened during the delay is accepted first, and read one or two iterations later. */
-  function setReadDelay(lastedMs: number): void {
-    readDelayMs = lastedMs;
-    runAfterReads(() =>
-      runAfterReads(() => {
-        readDelayMs = 0;
-      }),
-    );
+  function addReadDelay(lastedMs: number): void {
+    unreadDelaysMs.push(lastedMs);
+    runAfterReads(() => runAfterReads(() => unreadDelaysMs.shift()));
   }
 
   return {
@@ -66,11 +63,11 @@
       tickedAtMs = nowMs;
       if (lastedMs < MIN_DELAY_MS) return;
       recordDelay({ endedAtMs: nowMs, lastedMs });
-      setReadDelay(lastedMs);
+      addReadDelay(lastedMs);
     },
     getLastDelay: (): ProcessDelay | undefined => last,
     /** Timers fire before sockets are read, so that the delay is known when the first data after it is read. */
-    getReadDelayMs: () => readDelayMs,
+    getReadDelayMs: () => Math.max(0, ...unreadDelaysMs),
   };
 }
 
