Read answers of other routers that arrived in a pause

Data of a hop that was read after the request's time limit was taken for a timeout, so that an endless answer could not hold the request. An answer that had arrived whole in a pause of this process, and was read after it, was dropped by the same check, unlike one of a target. Now data is read for 50 ms from the first read after the limit; one MiB at most, as before.

--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -99,6 +99,8 @@
 const GONE_RECHECK_MS = 300;
 /** The other router must not answer after this one's time is up. */
 const HOP_MARGIN_MS = 10;
+/** Time from the first read after the time limit in which buffered data of an answer is still read. */
+const LATE_READ_MS = 50;
 
 function getHopCheckMs(missedChecks: number): number {
   if (missedChecks === 0) return HOP_CHECK_MS;
@@ -169,6 +171,7 @@
     router: RelayRouter,
     call: TargetCall,
     mayLeave: RelayCallOptions['mayLeave'],
+    isTooLate: (expiresAtMs: number) => boolean,
   ): Promise<CallEvent> {
     let missedChecks = 0;
     for (;;) {
@@ -179,10 +182,8 @@
         silenceDeadlineMs,
         expiresAtMs,
       });
-      // Data that is always at hand must not hold the request beyond its time.
-      const isExpired = clock.getNowMs() >= expiresAtMs;
-      if (event.kind === 'data' && isExpired) return { kind: 'timeout' };
-      if (event.kind !== 'timeout' || isExpired) return event;
+      if (event.kind === 'data' && isTooLate(expiresAtMs)) return { kind: 'timeout' };
+      if (event.kind !== 'timeout' || clock.getNowMs() >= expiresAtMs) return event;
       if (!call.wasSent()) return event;
       const result = await checkExit(router);
       missedChecks = result === 'silent' ? missedChecks + 1 : 0;
@@ -192,6 +193,20 @@
     }
   }
 
+  /**
+   * Data that is always at hand must not hold the request beyond its time, but what arrived in time is read after a pause
+   * of this process. The returned function is called after each read.
+   */
+  function createLateReadLimit(): (expiresAtMs: number) => boolean {
+    let lateSinceMs: number | undefined;
+    return function isTooLate(expiresAtMs) {
+      const nowMs = clock.getNowMs();
+      if (nowMs < expiresAtMs) return false;
+      lateSinceMs ??= nowMs;
+      return nowMs - lateSinceMs > LATE_READ_MS;
+    };
+  }
+
   return {
     isDue: (request) => paths.isRelayDue(request.service) && isRelayable(request),
     isPossible: (request) => paths.mayRelay(request.service) && isRelayable(request),
@@ -204,10 +219,11 @@
     openCall(request, router, callOptions) {
       const headers = createHeaders(request, router, callOptions);
       const call = options.openCall(router, headers, request);
+      const isTooLate = createLateReadLimit();
       return {
         wasSent: call.wasSent,
         cancel: call.cancel,
-        readNext: () => readHopEvent(request, router, call, callOptions.mayLeave),
+        readNext: () => readHopEvent(request, router, call, callOptions.mayLeave, isTooLate),
       };
     },
     recordRefusal({ address }, cause) {
