Refuse requests that arrive while a draining router ends

A drain ends early when no connection is left, and the process exits 50 to 200 ms later. A request on a connection that opened in between was taken since the grace period had time left, and its connection was closed in the middle of it. Now there is no time for any request from the moment when the open ones are ended. Before, the test found time for an answer both then and when the listener closed.

--- a/packages/sequoiarill-plugin-forwarding/src/front/drain.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/drain.ts
@@ -48,6 +48,8 @@
 export function createDrain(options: DrainOptions): Drain {
   const { frontEnd, clock, graceMs } = options;
   let startedMs: number | undefined;
+  /** Whether open requests are being ended; one that a new connection brings then would be cut. */
+  let isEnding = false;
 
   async function waitForConnections(beganMs: number): Promise<void> {
     const deadlineMs = beganMs + graceMs - SHUTDOWN_MARGIN_MS;
@@ -78,6 +80,7 @@
     isDraining: () => startedMs !== undefined,
     hasTimeFor(durationMs) {
       if (startedMs === undefined) return true;
+      if (isEnding) return false;
       return clock.getNowMs() - startedMs + durationMs <= graceMs - SHUTDOWN_MARGIN_MS;
     },
     async drain() {
@@ -86,6 +89,7 @@
       await waitForConnections(beganMs);
       const waitedMs = Math.round(clock.getNowMs() - beganMs);
       const requests = frontEnd.countRequests();
+      isEnding = true;
       options.endRequests();
       await waitForFlush(FLUSH_MS);
       // Node.js closes connections whose last answer is not flushed together with the listener.
