Close a draining connection only with the answer to its last request

While a router drains, each answer says 'connection: close', and Node.js closes the connection after the first of them. A caller that had sent further requests ahead got no answer to them, although they were read whole and may have run. Now only the answer to the latest request of a connection says so. Before, the test saw 'close' in the answer to the first of two requests on one connection.

--- a/packages/sequoiarill-plugin-forwarding/src/front/__tests__/openExchanges.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/__tests__/openExchanges.test.ts
@@ -21,7 +21,7 @@
   readonly headers: Readonly<Record<string, string>>;
 }
 
-function createExchange(id: string, isRelayed: boolean) {
+function createExchange(id: string, isRelayed: boolean, socket: object) {
   const replies: Reply[] = [];
   const headers: Record<string, string> = {};
   const response = Object.assign(new EventEmitter(), {
@@ -40,7 +40,7 @@
     },
   });
   const terms = isRelayed ? { relayTerms: { version: 1, targetsLeft: 1 } } : {};
-  const exchange = { incoming: {}, response, headers: [['request-id', id]], ...terms };
+  const exchange = { incoming: { socket }, response, headers: [['request-id', id]], ...terms };
   return { exchange: exchange as unknown as Exchange, replies };
 }
 
@@ -50,11 +50,14 @@
     const lines: unknown[] = [];
     const logEvent = (_event: unknown, { request, status }: Readonly<Record<string, unknown>>) =>
       lines.push([request, status]);
-    const all = { ...dependencies, isDraining: () => true, logEvent };
     const exchanges = OpenExchanges.createOpenExchanges();
+    const all = { ...dependencies, exchanges, isDraining: () => true, logEvent };
 
-    function register(id: string, { isRead = true, isSent = false, isRelayed = false } = {}) {
-      const { exchange, replies } = createExchange(id, isRelayed);
+    function register(
+      id: string,
+      { isRead = true, isSent = false, isRelayed = false, socket = {} } = {},
+    ) {
+      const { exchange, replies } = createExchange(id, isRelayed, socket);
       const open = exchanges.register(exchange);
       if (isRead) open.setRequest({ ...Fakes.createRequest(Fakes.createRoute()), id });
       const place = { stage: 'target', target: 'a' } as const;
@@ -92,6 +95,19 @@
     expect([...reading.replies, ...sent.replies]).toEqual([]);
   });
 
+  it('do not close a connection on which a later request waits for its answer', () => {
+    // Guards against a whole request without an answer, whose connection ends with the answer to the one before it.
+    const { dependencies, exchanges, register } = createSetup();
+    const socket = {};
+    const [first, second] = [register('first', { socket }), register('second', { socket })];
+    const other = register('other');
+    exchanges.endAll(dependencies);
+    const connections = [first, second, other].map(({ replies }) =>
+      replies.map(({ status, headers }) => [status, headers.connection]),
+    );
+    expect(connections).toEqual([[[503, undefined]], [[503, 'close']], [[503, 'close']]]);
+  });
+
   it('get their last status by whether they may have run', () => {
     // Guards against connections that are closed without a status, and promises that are not kept.
     const { dependencies, exchanges, register } = createSetup();
--- a/packages/sequoiarill-plugin-forwarding/src/front/openExchanges.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/openExchanges.ts
@@ -1,4 +1,7 @@
 /** The exchanges that are open, and how a planned stop ends them. */
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
 import type { ForwardRequest } from '../forwardRequest';
 import * as Metrics from '../metrics';
 import * as RelayHeaders from '../relay/relayHeaders';
@@ -20,6 +23,8 @@
 export interface OpenExchanges {
   /** The exchange is registered until its response closes. */
   readonly register: (exchange: Exchange) => OpenExchange;
+  /** Whether no later request has arrived on the connection of the response, which may close with it then. */
+  readonly isLatest: (response: ServerResponse) => boolean;
   /** Refuses the requests that have not run and for which there is no time left. */
   readonly refuseWaiting: (dependencies: ExchangeDependencies) => void;
   /**
@@ -44,6 +49,9 @@
 export function createOpenExchanges(): OpenExchanges {
   /** In the order of arrival. */
   const entries = new Set<Entry>();
+  /** Responses after which others are due on their connections. */
+  const followed = new WeakSet<ServerResponse>();
+  const latestResponses = new WeakMap<Socket, ServerResponse>();
 
   function closeExchange(dependencies: ExchangeDependencies, entry: Entry): void {
     entries.delete(entry);
@@ -60,7 +68,10 @@
 
   return {
     register(exchange) {
-      const { response } = exchange;
+      const { incoming, response } = exchange;
+      const previous = latestResponses.get(incoming.socket);
+      if (previous !== undefined) followed.add(previous);
+      latestResponses.set(incoming.socket, response);
       const disconnect = new AbortController();
       const entry: Entry = {
         ...exchange,
@@ -81,6 +92,7 @@
         },
       };
     },
+    isLatest: (response) => !followed.has(response),
     refuseWaiting(dependencies) {
       for (const entry of entries) {
         const { request, response, calls } = entry;
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -101,7 +101,7 @@
   response.writeHead(status, {
     ...echoed,
     ...retryAfter,
-    ...createConnectionHeader(dependencies),
+    ...createConnectionHeader(dependencies, response),
     'content-length': 0,
   });
   response.end();
@@ -112,11 +112,15 @@
   return response.destroyed || response.headersSent;
 }
 
-/** Makes callers open another connection while this process is draining. */
+/**
+ * Makes callers open another connection while this process is draining. Node.js closes the connection after a response
+ * with this header, so one that other responses are to follow does not have it.
+ */
 function createConnectionHeader(
-  dependencies: ExchangeDependencies,
+  { isDraining, exchanges }: ExchangeDependencies,
+  response: ServerResponse,
 ): Readonly<Record<string, string>> {
-  return dependencies.isDraining() ? { connection: 'close' } : {};
+  return isDraining() && exchanges.isLatest(response) ? { connection: 'close' } : {};
 }
 
 /** Tells another router how the target's answer is framed, and which build produces it. */
@@ -161,7 +165,7 @@
       ? { connection: 'close' }
       : {
           ...(bodyLength === undefined ? {} : { 'content-length': bodyLength }),
-          ...createConnectionHeader(dependencies),
+          ...createConnectionHeader(dependencies, response),
         }),
   });
 }
@@ -177,7 +181,7 @@
 ): void {
   response.writeHead(head.status, head.statusMessage, {
     ...Headers.selectResponseHeaders(head.headers),
-    ...createConnectionHeader(dependencies),
+    ...createConnectionHeader(dependencies, response),
   });
 }
 
