End calls soon after their deadlines where a little data keeps arriving

Once its time is up, a call still reads one MiB, for an answer that arrived in a pause of this process. Each read without data waits a moment for pending reads of sockets, and a target that sends 100 KB/s in small parts had some at hand each time, so its call could go on for ten seconds. Now a call waits 64 times at most; what is buffered is read without a wait.

--- a/packages/sequoiarill-plugin-forwarding/src/targets/callEvents.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/callEvents.ts
@@ -13,7 +13,7 @@
 
 export interface EventQueue {
   readonly add: (event: CallEvent) => void;
-  /** Undefined where none is buffered, or where too many bytes were taken late, one read after another. */
+  /** Undefined where none is buffered, or where too much was taken late, one read after another. */
   readonly take: (isLate: boolean) => CallEvent | undefined;
   readonly isEmpty: () => boolean;
   /** Bytes of data events that are not taken. */
@@ -32,6 +32,11 @@
  * has passed, a whole answer may wait here and in the buffers of the connection, so this much is still read.
  */
 const MAX_LATE_BYTES = 1_048_576;
+/**
+ * Failure: a target sends 100 KB/s, some bytes are at hand at each read, and the call ends ten seconds after its deadline.
+ * Each wait brings up to 64 KB of what waits in the buffers of the connection, so this is more than the bytes above.
+ */
+const MAX_LATE_WAITS = 64;
 
 /**
  * Failure: a target sends a body in chunks of one byte, each of which is an object of some hundred bytes, and the limit on
@@ -43,6 +48,8 @@
   const events: CallEvent[] = [];
   let bytes = 0;
   let lateBytes = 0;
+  /** Waits without time left, one read after another. */
+  let lateWaits = 0;
   let notifyReader: (() => void) | undefined;
 
   return {
@@ -52,8 +59,11 @@
       notifyReader?.();
     },
     take(isLate) {
-      if (!isLate) lateBytes = 0;
-      if (lateBytes > MAX_LATE_BYTES) return undefined;
+      if (!isLate) {
+        lateBytes = 0;
+        lateWaits = 0;
+      }
+      if (lateBytes > MAX_LATE_BYTES || lateWaits > MAX_LATE_WAITS) return undefined;
       const event = events.shift();
       if (event?.kind === 'data') {
         bytes -= event.chunk.length;
@@ -74,6 +84,7 @@
      * silent. So a timeout takes effect only after pending reads.
      */
     async waitForEvent(timeoutMs) {
+      if (timeoutMs <= 0) lateWaits += 1;
       await new Promise<void>((resolve) => {
         const timer = setTimeout(
           () => Kernel.runAfterPendingReads(resolve),
