Let the soak's check of floods know the shorter time limit of a route

Traced: its line says that its time was up after 3,018 ms, and a configuration with a limit of 3 s instead of 8 s was in force since a second before.

Change: a request that lasted until the shorter limit, where that may have been in force, is not reported; one that lasts until the usual limit still is.

--- a/soak/src/earlyEnds.ts
+++ b/soak/src/earlyEnds.ts
@@ -118,17 +118,25 @@
   );
 }
 
-/** Time after which the request may end for its time limit, or for a shorter one of its route that may be in force. */
-export function computeEarliestEndMs(
+/** Whether the request may have been accepted with the shorter time limit of its route. */
+export function hasShortLimit(
   { changes }: Pick<RequestLog, 'changes'>,
   { sentAtMs }: SentRequest,
-): number {
-  const isShort = changes.some(
+): boolean {
+  return changes.some(
     ({ change, fromMs, untilMs }) =>
       change === 'limitsShorter' &&
       fromMs <= sentAtMs + ACCEPTANCE_MS &&
       untilMs + IN_FORCE_MS >= sentAtMs,
   );
+}
+
+/** Time after which the request may end for its time limit, or for a shorter one of its route that may be in force. */
+export function computeEarliestEndMs(
+  requestLog: Pick<RequestLog, 'changes'>,
+  request: SentRequest,
+): number {
+  const isShort = hasShortLimit(requestLog, request);
   return (isShort ? SHORT_TIMEOUT_MS : TIMEOUT_MS) - LIMIT_TOLERANCE_MS;
 }
 
--- a/soak/src/floods.ts
+++ b/soak/src/floods.ts
@@ -117,11 +117,27 @@
   yield { rule: 'floodServed', text: `of ${repeatable.length} requests: ${seen.join(', ')}` };
 }
 
+/** Whether it lasted until the shorter time limit that its route has for a while. */
+function isEndedByShortLimit(
+  requestLog: Evidence['requestLog'],
+  { request, open }: EndedRequest,
+): boolean {
+  const tookMs = open.untilMs - open.fromMs;
+  return (
+    EarlyEnds.hasShortLimit(requestLog, request) &&
+    tookMs >= EarlyEnds.computeEarliestEndMs(requestLog, request)
+  );
+}
+
 /** Requests at other targets are served as if nothing were wrong. */
-function* checkBeside(beside: readonly EndedRequest[]): Generator<Violation> {
-  for (const { request, result } of beside) {
+function* checkBeside(
+  requestLog: Evidence['requestLog'],
+  beside: readonly EndedRequest[],
+): Generator<Violation> {
+  for (const ended of beside) {
+    const { request, result } = ended;
     const failure = formatFailure(result);
-    if (failure !== undefined) {
+    if (failure !== undefined && !isEndedByShortLimit(requestLog, ended)) {
       yield { rule: 'floodBeside', text: `${request.id}: ${failure} while another target floods` };
     }
   }
@@ -147,7 +163,7 @@
   const violations = [
     ...checkFlows(flows, untouchedIds, performance.now()),
     ...checkFlooded(flooded),
-    ...checkBeside(beside),
+    ...checkBeside(evidence.requestLog, beside),
   ];
   return { violations, counts: { flooded: flooded.length, besideFloods: beside.length } };
 }
