--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -151,8 +151,11 @@
     const path = { stream: streamPath, order: '/orders/', read: '/reads/' }[kind];
     requestLog.requests.set(id, request);
     const signal = AbortSignal.timeout(timeoutMs);
+    const address = getRouter(request.router).getAddress();
     try {
-      const url = `http://${getRouter(request.router).getAddress()}${path}x`;
+      // A process that does not listen yet; without this, the path's first part is taken for the host, and looked up.
+      if (address === '') return { kind: 'noAnswer', wasRefused: true };
+      const url = `http://${address}${path}x`;
       const headers = createHeaders(request);
       const answer = isSlow
         ? await Pacing.sendSlowly({ url, headers, body, signal })
