--- a/packages/sequoiarill-kernel/src/interimResponses.ts
+++ b/packages/sequoiarill-kernel/src/interimResponses.ts
@@ -4,7 +4,7 @@
  * A process may announce for minutes that it is at work. Each interim response also restarts undici's timeout for the head,
  * and parsing them without end takes the processor time.
  */
-const MAX_INTERIM_RESPONSES = 128;
+export const MAX_INTERIM_RESPONSES = 128;
 
 /** Returns a function to call for each interim response of a call; `abort` is called when there are too many. */
 export function createInterimLimit(abort: (error: Error) => void): () => void {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/answerLimits.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/answerLimits.ts
@@ -1,4 +1,5 @@
 /** Limits of what a target may send before its bytes must mean something. */
+import * as Kernel from '@sequoiarill/kernel';
 
 /**
  * `interim`: interim responses; `head`: bytes before the head, or the head itself; `framing`: extensions of chunks,
@@ -10,8 +11,6 @@
 
 export type RecordExcess = (phase: ExcessPhase, bytes: number) => void;
 
-/** A target may announce for minutes that it is at work, or send hints for the caller. */
-const MAX_INTERIM_RESPONSES = 128;
 /** The bodies of refusals have a few hundred bytes. */
 const MAX_DRAINED_BYTES = 65_536;
 /** Time in which the rest of an unwanted body must arrive; a new connection costs less than a longer wait. */
@@ -37,7 +36,7 @@
     recordInterim() {
       phase = 'interim';
       interimResponses += 1;
-      return interimResponses > MAX_INTERIM_RESPONSES;
+      return interimResponses > Kernel.MAX_INTERIM_RESPONSES;
     },
     recordHead() {
       phase = 'framing';
