--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,6 +1,5 @@
-/** Servers whose answers end with their channels are killed in the middle of an answer. */
+/** A server breaks off a few of its answers by a reset; these have no length. */
 /* eslint-disable import-x/extensions, no-await-in-loop -- plain scripts name files in full, steps follow each other */
-import { fork } from 'node:child_process';
 import net from 'node:net';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -8,28 +7,33 @@
 import { formatRequest } from '../standins/clients.mjs';
 import { waitMs } from '../standins/deployment.mjs';
 import { runCase } from '../standins/runCase.mjs';
+import { formatAnswer, startServer } from '../standins/servers.mjs';
 
 const FOLDER = path.dirname(fileURLToPath(import.meta.url));
 const KEY = 'n2ctnfzs989anu6wsjnb';
-const ROUNDS = 6;
-const PARTS = 8;
-const PART_BYTES = 500;
-const PART_MS = 60;
-/** Within the answer, which takes PARTS * PART_MS. */
-const KILL_MS = 270;
-const LIMIT_MS = 4_000;
-const WHOLE = Array.from({ length: PARTS }, (_one, index) =>
-  `${index + 1}`.repeat(PART_BYTES),
-).join('');
+/** `garble`, how = "unframed", with the doses that the bench names: one of three servers, 0.02 of its answers, 5.5 s. */
+const GARBLE = { x: 0.02, forMs: 5_500, pauseMs: 1_000 };
+const WINDOWS = 6;
+const CLIENTS = 12;
+const WORK_MS = 21;
+const LIMIT_MS = 600;
+const PARTS = 4;
+const WHOLE = Array.from({ length: PARTS }, (_one, index) => `${index}`.repeat(200)).join('');
 
 function createConfiguration() {
-  const route = { hostname: 'shop.example', priority: 1, public: false, service: 'shopcore' };
-  const times = { timeoutMs: LIMIT_MS, targetLatencyMs: 1_000 };
+  const route = {
+    hostname: 'shop.example',
+    priority: 2,
+    public: false,
+    service: 'shopcore',
+    timeoutMs: LIMIT_MS,
+    targetLatencyMs: 121,
+  };
   return {
     version: 1,
     routes: [
-      { ...route, ...times, name: 'w', prefix: '/orders/', routeType: 'unsafe', maxAttempts: 1 },
-      { ...route, ...times, name: 'r', prefix: '/reads/', routeType: 'safe', maxAttempts: 2 },
+      { ...route, name: 'w', prefix: '/orders/', routeType: 'unsafe', maxAttempts: 1 },
+      { ...route, name: 'r', prefix: '/reads/', routeType: 'safe', maxAttempts: 2 },
     ],
     services: [{ name: 'shopcore', healthPath: '/healthz', maxConnections: 110 }],
     limits: {
@@ -42,8 +46,8 @@
   };
 }
 
-/** Reads up to the end of the channel; `isReset` tells a reset from an orderly end. */
-async function readToEnd(address, request) {
+/** One request on a channel of its own; `isReset` tells a reset from an orderly end. */
+async function sendRequest(address, request) {
   const [host, port] = address.split(':');
   const socket = net.connect({ host, port: Number(port) });
   let text = '';
@@ -63,7 +67,7 @@
     socket.once('close', resolve);
   });
   const end = text.indexOf('\r\n\r\n');
-  return { head: text.slice(0, end), body: text.slice(end + 4), isReset };
+  return { head: text.slice(0, Math.max(0, end)), body: text.slice(end + 4), isReset };
 }
 
 /** Whether a client takes the answer for complete. */
@@ -76,70 +80,89 @@
 
 await runCase(FOLDER, {}, async ({ record, store, deployment, hasTrouble }) => {
   store.write('op/config', createConfiguration());
-  /** The server that began to run each request last. */
-  const serverByRequest = new Map();
-  const children = new Set();
-  process.once('exit', () => children.forEach((child) => child.kill('SIGKILL')));
-  let serverCount = 0;
+  let garblesUntilMs = 0;
+  /** Requests whose answers were broken off. */
+  const broken = new Set();
+  let answered = 0;
 
-  async function addServer(zone) {
-    serverCount += 1;
-    const id = `i-shopcore-${serverCount}`;
-    const child = fork(path.join(FOLDER, 'server.mjs'), [id, `${PART_BYTES}`, `${PART_MS}`]);
-    children.add(child);
-    const address = await new Promise((resolve) => {
-      child.on('message', ({ port, runs, ends }) => {
-        if (port !== undefined) resolve(`127.0.0.1:${port}`);
-        if (ends !== undefined) record(`${id} has sent the whole answer to ${ends}`);
-        if (runs === undefined) return;
-        record(`${id} runs ${runs}`);
-        serverByRequest.set(runs, { id, child });
-      });
-    });
-    const entry = { service: 'shopcore', address, zone, version: 'v1', slots: 6, state: 'ready' };
-    store.write(`servers/${id}`, { ...entry, warmupLeftMs: 0, born: Date.now(), sequence: 1 });
+  function createHandler(id, isFaulty) {
+    return async ({ headers, socket, readBody, send }) => {
+      const requestId = headers.get('request-id');
+      await readBody();
+      await waitMs(WORK_MS);
+      answered += 1;
+      const fields = { 'Request-Id': requestId, 'Server-Signature': id };
+      const isGarbled = isFaulty && performance.now() < garblesUntilMs && Math.random() < GARBLE.x;
+      if (!isGarbled) {
+        send(formatAnswer('200 OK', fields, WHOLE));
+        return;
+      }
+      broken.add(requestId);
+      record(`${id} breaks off its answer to ${requestId}, which has no length, by a reset`);
+      const head = Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`);
+      send(`HTTP/1.1 200 OK\r\n${head.join('')}Connection: close\r\n\r\n`);
+      send(WHOLE.slice(0, WHOLE.length / 2));
+      await waitMs(1);
+      send(WHOLE.slice(WHOLE.length / 2, (WHOLE.length * 3) / 4));
+      socket.resetAndDestroy();
+    };
   }
 
   const zones = ['fra-a', 'fra-b', 'fra-c'];
-  for (const zone of zones) await addServer(zone);
-  for (const zone of zones) deployment.startRouter(await deployment.addRouter(zone));
+  for (const [index, zone] of zones.entries()) {
+    const id = `i-shopcore-${index + 1}`;
+    const handleRequest = createHandler(id, index === 0);
+    await startServer({ id, service: 'shopcore', zone, slots: 6, store, handleRequest });
+    deployment.startRouter(await deployment.addRouter(zone));
+  }
   await Promise.all(deployment.routers.map(deployment.waitUntilReady));
   await waitMs(1_000);
   const faults = [];
+  const answers = {};
+  let isOver = false;
 
-  async function killServer(requestId) {
-    await waitMs(KILL_MS);
-    const server = serverByRequest.get(requestId);
-    if (server === undefined) return;
-    server.child.kill('SIGKILL');
-    record(`${server.id} is killed while it answers ${requestId}`);
-    store.remove(`servers/${server.id}`);
-  }
-
-  async function runRound(round, kind) {
-    const id = `${kind}${round}`;
-    const router = deployment.routers[round % deployment.routers.length];
-    const request =
-      kind === 'order' ? { path: '/orders/1', body: 'order' } : { path: '/reads/1', method: 'GET' };
-    const reading = readToEnd(router.listen, { ...request, id, key: KEY, limitMs: LIMIT_MS });
-    if (hasTrouble) await killServer(id);
-    const answer = await reading;
-    const status = answer.head.slice(9, 12);
-    const end = answer.isReset ? 'reset' : 'ended in order';
-    record(`${id} is answered ${status} with ${answer.body.length} bytes, its channel ${end}`);
-    const isSigned = /server-signature/i.test(answer.head);
-    if (status === '200' && isSigned && isComplete(answer) && answer.body !== WHOLE) {
-      const { length } = answer.body;
-      faults.push(`MIXED: ${id} got ${length} of ${WHOLE.length} bytes as a complete success`);
+  async function runClient(client) {
+    const router = deployment.routers[client % deployment.routers.length];
+    for (let number = 0; !isOver; number += 1) {
+      const id = `c${client}x${number}`;
+      const request =
+        number % 3 === 0
+          ? { path: '/reads/1', method: 'GET' }
+          : { path: '/orders/1', body: 'order' };
+      const answer = await sendRequest(router.listen, {
+        ...request,
+        id,
+        key: KEY,
+        limitMs: LIMIT_MS,
+      });
+      const status = answer.head.slice(9, 12);
+      answers[status] = (answers[status] ?? 0) + 1;
+      const isSuccess = status === '200' && /server-signature/i.test(answer.head);
+      if (broken.has(id)) {
+        const end = answer.isReset ? 'reset' : 'ended in order';
+        record(`${id} is answered ${status} with ${answer.body.length} bytes, its channel ${end}`);
+      }
+      if (isSuccess && isComplete(answer) && answer.body !== WHOLE) {
+        const { length } = answer.body;
+        faults.push(`MIXED: ${id} got ${length} of ${WHOLE.length} bytes as a complete success`);
+      }
+      await waitMs(100);
     }
-    if (!hasTrouble && answer.body !== WHOLE) throw new Error(`${id} was not served: ${status}`);
-    if (hasTrouble) await addServer(zones[round % zones.length]);
-    await waitMs(1_500);
   }
 
-  for (let round = 0; round < ROUNDS; round += 1) {
-    await runRound(round, 'order');
-    await runRound(round, 'read');
+  const clients = zones.flatMap(() => Array.from({ length: CLIENTS / zones.length }));
+  const running = clients.map((_one, client) => runClient(client));
+  for (let window = 0; window < WINDOWS; window += 1) {
+    if (hasTrouble) {
+      garblesUntilMs = performance.now() + GARBLE.forMs;
+      record(`garble for ${GARBLE.forMs} ms`);
+    }
+    await waitMs(GARBLE.forMs + GARBLE.pauseMs);
   }
+  isOver = true;
+  await Promise.all(running);
+  record(
+    `answers: ${JSON.stringify(answers)}, of servers: ${answered}, broken off: ${broken.size}`,
+  );
   return faults;
 });
