--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -13,7 +13,8 @@
 /** The dose of the site file: `garble`, how = "extra late", share = 0.6, x = 0.03, for_s = 5.0. */
 const GARBLE = { share: 0.6, x: 0.03, forMs: 5_000, pauseMs: 1_000 };
 const ENGINES = 2;
-/** Each router has one client. */
+/** Each router has one client for each service. */
+const SERVICES = ['advisor', 'writer', 'reader', 'planner'];
 const ROUTER_ZONES = ['fra-a', 'fra-b', 'fra-c'];
 const SECONDS = 105;
 const EVENTS = 2;
@@ -22,22 +23,19 @@
 
 function createConfiguration() {
   const route = { hostname: 'shop.example', priority: 1, maxAttempts: 5, public: false };
+  const kind = { routeType: 'streaming', streamResume: false };
+  const times = { timeoutMs: LIMIT_MS, targetLatencyMs: 4_500, gapTargetMs: 700 };
   return {
     version: 1,
-    routes: [
-      {
-        ...route,
-        name: 'advice',
-        prefix: '/advice/',
-        service: 'advisor',
-        routeType: 'streaming',
-        streamResume: false,
-        timeoutMs: LIMIT_MS,
-        targetLatencyMs: 4_500,
-        gapTargetMs: 700,
-      },
-    ],
-    services: [{ name: 'advisor', healthPath: '/healthz', maxConnections: 630 }],
+    routes: SERVICES.map((service) => ({
+      ...route,
+      ...kind,
+      ...times,
+      name: service,
+      prefix: `/${service}/`,
+      service,
+    })),
+    services: SERVICES.map((name) => ({ name, healthPath: '/healthz', maxConnections: 630 })),
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 4_194_304,
@@ -116,11 +114,13 @@
     };
   }
 
-  for (let index = 1; index <= ENGINES; index += 1) {
-    const id = `i-advisor-${index}`;
-    const handleRequest = createEngine(id, index <= Math.floor(ENGINES * GARBLE.share));
-    const zone = `fra-${'abc'[index % 3]}`;
-    await startServer({ id, service: 'advisor', zone, slots: 1, store, handleRequest });
+  for (const service of SERVICES) {
+    for (let index = 1; index <= ENGINES; index += 1) {
+      const id = `i-${service}-${index}`;
+      const handleRequest = createEngine(id, index <= Math.floor(ENGINES * GARBLE.share));
+      const zone = `fra-${'abc'[index % 3]}`;
+      await startServer({ id, service, zone, slots: 1, store, handleRequest });
+    }
   }
   for (const zone of ROUTER_ZONES) deployment.startRouter(await deployment.addRouter(zone));
   await Promise.all(deployment.routers.map(deployment.waitUntilReady));
@@ -129,12 +129,11 @@
   const answers = {};
   const faults = [];
 
-  async function runClient(client) {
-    const router = deployment.routers[client];
+  async function runClient(router, service) {
     for (let number = 0; performance.now() < endMs && faults.length === 0; number += 1) {
-      const id = `c${client}x${number}`;
+      const id = `${router.name}-${service}-${number}`;
       const channel = openChannel(router.listen);
-      const request = { path: '/advice/1', id, key: KEY, limitMs: LIMIT_MS, body: 'prompt' };
+      const request = { path: `/${service}/1`, id, key: KEY, limitMs: LIMIT_MS, body: 'prompt' };
       const { status } = await channel.ask(request);
       channel.close();
       answers[status] = (answers[status] ?? 0) + 1;
@@ -155,7 +154,10 @@
     }
   }
 
-  await Promise.all([runGarble(), ...ROUTER_ZONES.map((_zone, client) => runClient(client))]);
+  const clients = deployment.routers.flatMap((router) =>
+    SERVICES.map((service) => runClient(router, service)),
+  );
+  await Promise.all([runGarble(), ...clients]);
   record(`answers: ${JSON.stringify(answers)}, engines: ${JSON.stringify(counts)}`);
   return faults;
 });
