Take a reset that arrives with the last bytes of an answer for a break

What callers saw: a server sends three quarters of an answer that has no length and resets its connection.

Hypotheses: (1) Node.js reports the reset as an end; (2) the error comes, but after the HTTP client has completed the answer; (3) the router sees the reset, and the caller doesn't see the router's. Evidence: 30 lines of node:net, a server that writes 600 bytes and resets: `end` and no `error` in 400 of 400 tries, so (1), without any HTTP client. (3) is out, since the router answered with a status of its own accord: the answer was held whole. Read: data and hang-up are one poll event, the read does not fill its buffer, and the end is reported without a further read.

Ways weighed: the peer address, read first in the `end` event, was undefined in 400 of 400 resets and defined in 400 of 400 orderly ends; a write of no bytes failed in 200 of 200 resets and succeeded in 200 of 200 orderly ends. The address is read at once, before the HTTP client decides, and disturbs no connection; the write is answered later, when the answer is already taken for complete. The address depends on Linux, which knows no peer of a connection that is closed on both sides; elsewhere a reset may be missed as before, and the tests show it. An end in order that is followed by a reset at once was taken for a reset in 8 of 400 tries, which costs a 502 and never a part of an answer.

Change: the connection notes a reset in both events, before the client's own listeners; orders get 502, reads and streams go on at another target. It holds for all calls to targets and to other routers: plain answers of any size, streams, hops, reports and commands. Ends of chunked bodies and of lengths that come too early were errors already; tests hold that.

Tests: bodies of 1 to 600,000 bytes, on both sides of one read and of the bytes that are held, reset with the last bytes and ended in order; streams, orders, reads, a hop and reports. Before the change five of them failed ("end" instead of "broken"; 200 instead of 502; half a report read).

--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -2,6 +2,7 @@
 export * from './apiKeys';
 export * from './boundedText';
 export * from './clock';
+export * from './connectionEnds';
 export * from './endlessRequests';
 export * from './endlessServer';
 export * from './events';
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
@@ -1,4 +1,5 @@
 /** Pools of connections to targets: one request at a time for each connection, last used first. */
+import * as Kernel from '@sequoiarill/kernel';
 import type { ForwardingTarget } from '@sequoiarill/types';
 import * as Undici from 'undici';
 
@@ -86,8 +87,8 @@
 
   /**
    * Failure: a response without a length ends with its connection, and the HTTP client takes a
-   * reset for that end, so a truncated response looks complete. The socket's error event, which
-   * comes first, shows the reset.
+   * reset for that end, so a truncated response looks complete. Listeners that come before those of
+   * the client see the reset.
    */
   function openConnection(target: Endpoint): TargetConnection {
     let isReset = false;
@@ -104,6 +105,9 @@
           socket?.on('error', () => {
             isReset = true;
           });
+          socket?.on('end', () => {
+            isReset ||= Kernel.isReset(socket);
+          });
           callback(...result);
           // After the client's own listener, so that it has parsed what was read.
           if (socket) overhead.watchSocket(socket);
--- a/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
@@ -2,8 +2,10 @@
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
 import type { RunTimers } from '../shared/timers';
+import * as RawHttp from './rawHttp';
 
 const PIECES = 20;
+const BREAK_MS = 50;
 
 const bodies = new Map<number, Buffer>();
 
@@ -24,6 +26,7 @@
  * - `framing`: `length` unless `chunked` or `close`.
  * - `status`: 200 unless given.
  * - `breakAt`: number of bytes after which the connection is reset.
+ * - `breakMs`: with 0, these bytes and the reset arrive together; otherwise, 50 ms lie between them.
  * - `pieceMs`: time before each of `PIECES` equal pieces of it; without it, it is sent at once.
  * - `unreadMs`: time after which the connection is reset if the answer has not been taken.
  */
@@ -49,7 +52,12 @@
   const pieceMs = query.get('pieceMs');
   if (pieceMs !== null) sendPieces(body, Number(pieceMs), response, timers);
   else if (breakAt === null) response.end(body);
-  else response.write(body.subarray(0, Number(breakAt)), () => setTimeout(resetConnection, 50));
+  else if (query.get('breakMs') === '0') {
+    response.flushHeaders();
+    timers.startTimer(() => RawHttp.writeAndReset(response, body.subarray(0, Number(breakAt))), 1);
+  } else {
+    response.write(body.subarray(0, Number(breakAt)), () => setTimeout(resetConnection, BREAK_MS));
+  }
   const unreadMs = query.get('unreadMs');
   if (unreadMs !== null) {
     const timer = setTimeout(resetConnection, Number(unreadMs));
--- a/packages/sequoiarill-standins/src/userPlatform/rawHttp.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/rawHttp.ts
@@ -1,5 +1,5 @@
 /** Text of HTTP/1.1 that stand-ins write to a connection themselves. */
-import type { OutgoingHttpHeaders } from 'node:http';
+import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
 /** The answer that a target sends when nothing is wrong. */
 export interface WholeAnswer {
@@ -17,3 +17,10 @@
 export function formatChunk(text: string): string {
   return text === '' ? '' : `${text.length.toString(16)}\r\n${text}\r\n`;
 }
+
+/** Sends the last bytes of an answer whose head was sent, and resets the connection in the same moment. */
+export function writeAndReset({ socket }: ServerResponse, bytes: Buffer | string): void {
+  // Not by the response, which holds its bytes back for a moment.
+  socket?.write(bytes);
+  socket?.resetAndDestroy();
+}
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -11,6 +11,7 @@
 import * as LargeAnswers from './largeAnswers';
 import * as ManagementCalls from './managementCalls';
 import * as PausedAnswers from './pausedAnswers';
+import * as RawHttp from './rawHttp';
 import type { WholeAnswer } from './rawHttp';
 import { EVENT_COUNT, formatEvent, formatEvents } from './streamEvents';
 import type {
@@ -24,6 +25,11 @@
 
 const EVENTS_BEFORE_FAULT = 5;
 const EVENT_MS = 15;
+const UNFRAMED_STREAM_FAULTS: ReadonlySet<TargetFault> = new Set([
+  'unframedBreak',
+  'unframedExit',
+  'unframedReset',
+]);
 
 export function createTargetStandin(id: string, options: TargetOptions = {}): TargetStandin {
   const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, version, crashPath } = options;
@@ -78,13 +84,18 @@
   }
 
   async function sendStream(requestId: string, from: number, response: ServerResponse) {
-    const isUnframed = fault === 'unframedBreak' || fault === 'unframedExit';
+    const isUnframed = UNFRAMED_STREAM_FAULTS.has(fault);
     writeStreamHead(requestId, response, isUnframed);
     const lastUnframed = isUnframed ? Math.max(EVENTS_BEFORE_FAULT, from + 1) : undefined;
     for (let number = from; number <= eventCount; number += 1) {
       await timers.waitMs(eventMs);
       if (response.destroyed) return;
-      response.write(formatEvent(requestId, number, version));
+      const event = formatEvent(requestId, number, version);
+      if (number === lastUnframed && fault === 'unframedReset') {
+        RawHttp.writeAndReset(response, event);
+        return;
+      }
+      response.write(event);
       if (number === EVENTS_BEFORE_FAULT && fault === 'dieInStream') {
         // Breaks off within an event, as a crash does.
         response.write('id: 6\ndata: ha', () => response.socket?.resetAndDestroy());
@@ -121,10 +132,12 @@
       response.writeHead(500, { ...headers, 'content-length': 0 }).end();
       return;
     }
-    if (fault === 'unframedHalf') {
+    if (fault === 'unframedHalf' || fault === 'unframedReset') {
       response.removeHeader('transfer-encoding');
-      response.writeHead(200, { ...headers, connection: 'close' });
-      response.end(body.slice(0, body.length / 2));
+      response.writeHead(200, { ...headers, connection: 'close' }).flushHeaders();
+      const half = body.slice(0, body.length / 2);
+      if (fault === 'unframedHalf') response.end(half);
+      else timers.startTimer(() => RawHttp.writeAndReset(response, half), 1);
       return;
     }
     response.writeHead(200, { ...headers, 'content-length': Buffer.byteLength(body) });
--- a/packages/sequoiarill-standins/src/userPlatform/targetTypes.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetTypes.ts
@@ -17,6 +17,11 @@
    * connection.
    */
   | 'fallSilentInStream'
+  /**
+   * Sends streams and other answers without framing, and resets the connection together with the last bytes: of a stream
+   * after the same number of events, of another answer halfway through.
+   */
+  | 'unframedReset'
   /** Sends non-streaming answers without a length and closes the connection halfway through. */
   | 'unframedHalf'
   /** Sends a second answer, with the id of another request, after each answer. */
