Send a request that comes again over a connection that has not carried it

Hypotheses: (1) the router counts a rejection twice; (2) it takes a late second rejection for the answer to the same request, sent again; (3) the engine rejects and runs. The answer was told by the id of the request alone, and both have it.

Cause: a connection goes back to the pool after a rejection, and the same request is sent over it again. The class: an answer is taken for the one that is due because it stands where that is due.

Change: a connection remembers the ids that it carried until their time limits, and a request takes one that has not carried its id; commands to engines likewise take one without an earlier command to the same path. Each call says which heads may be its own before anything else sees them: the echoed id, no id for calls of the router, and without an id only the first answer of a connection. A foreign head ends its call and connection. Hops to other routers are such calls too. Weighed and left: closing each connection after a rejection, since new ones are dear; leaving a full target out for a request, which may have no other.

Tests over processes with a stand-in that sends refusals again: streams that may run once and others ran twice before ([200, 2] instead of [200, 1]), once after it; orders get 503 only where they have not run. Unit tests: repeats, foreign answers in one piece, answers without an id, reports, commands; memory of 100,000 calls stays below 500 keys.

Four requests over one raw connection still cost one connection.

What remains: a load report that comes a second time is read as the next one, which it precedes by the time between two reports; the stray answer that follows closes the connection.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/answerChecks.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/answerChecks.ts
@@ -9,6 +9,8 @@
 const MISDIRECTED = 421;
 /** Statuses that guarantee to a caller that its request did not run and never will. */
 const NOT_RUN_CODES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const OTHER_REQUEST = 'answer to another request';
+const NO_REQUEST = 'answer without a request id';
 
 export type HeadCheckResult =
   | { readonly kind: 'valid' }
@@ -55,8 +57,23 @@
 /**
  * Failure: a target sends a second answer to a request in place of the answer to the next request on that
  * connection, and a caller would receive the answer to another caller's request. The echoed request id
- * reveals this.
+ * reveals this. Without an id, only the first answer on a connection is known to belong to its request.
+ *
+ * Returns why the head belongs to another call; undefined where it may be the answer. `requestId` is undefined for calls
+ * of the router itself, which carry none.
  */
+export function findMismatch(
+  head: AnswerHead,
+  requestId: string | undefined,
+  names: Pick<HeaderNames, 'requestId'>,
+  isFirst: boolean,
+): string | undefined {
+  const echoed = getHeader(head, names.requestId);
+  if (echoed !== undefined) return echoed === requestId ? undefined : OTHER_REQUEST;
+  return isFirst || requestId === undefined ? undefined : NO_REQUEST;
+}
+
+/** Whether the head is that of a complete answer to the request, where it is the answer to this request at all. */
 export function checkHead(
   head: AnswerHead,
   requestId: string,
@@ -65,7 +82,7 @@
   const { status } = head;
   const echoed = getHeader(head, names.requestId);
   if (echoed !== undefined && echoed !== requestId) {
-    return { kind: 'invalid', reason: 'answer to another request' };
+    return { kind: 'invalid', reason: OTHER_REQUEST };
   }
   if (status === MISDIRECTED) return { kind: 'notRun', status };
   if (getHeader(head, names.notRun) !== undefined && status !== BAD_REQUEST) {
@@ -74,7 +91,7 @@
   if (getHeader(head, 'content-encoding') !== undefined) {
     return { kind: 'invalid', reason: 'encoded body that was not requested' };
   }
-  if (echoed === undefined) return { kind: 'invalid', reason: 'answer without a request id' };
+  if (echoed === undefined) return { kind: 'invalid', reason: NO_REQUEST };
   if (isSuccess(status) && getHeader(head, names.signature) === undefined) {
     return { kind: 'invalid', reason: 'success without a signature' };
   }
--- a/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
@@ -2,7 +2,7 @@
 import type { ForwardingTarget, HeaderNames, PluginContext } from '@sequoiarill/types';
 
 import * as Checks from './answers/answerChecks';
-import type { ForwardRequest } from './forwardRequest';
+import type { AnswerHead, ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './front/headers';
 import type { ExchangeDependencies } from './front/replies';
 import type { CallTerms, RequestCalls } from './front/requestCalls';
@@ -24,6 +24,15 @@
   return { method, path, body, held: answerHold };
 }
 
+/** What tells the answer to this request from those to others that its connection carries. */
+function createIdentity({ id, expiresAtMs }: ForwardRequest, names: HeaderNames) {
+  return {
+    key: { key: id, untilMs: expiresAtMs },
+    findMismatch: (head: AnswerHead, isFirst: boolean) =>
+      Checks.findMismatch(head, id, names, isFirst),
+  };
+}
+
 /** Opens the call, unless the request was ended by a stop. */
 function openRecorded(
   { calls }: ForwardRequest,
@@ -59,12 +68,15 @@
   headers: readonly RawHeader[],
   request: ForwardRequest,
 ): TargetCalls.TargetCall {
+  const endpoint = { id: address, address, startedAtUnixMs: 0 };
+  const { key, findMismatch } = createIdentity(request, names);
   return openRecorded(request, createHopTerms(address, request, names), (recordHead) =>
     TargetCalls.openCall({
-      connection: connections.takeConnection({ id: address, address, startedAtUnixMs: 0 }),
+      connection: connections.takeConnection(endpoint, key),
       target: { address },
       headers,
       recordHead,
+      findMismatch,
       ...buildContent(request),
     }),
   );
@@ -83,12 +95,14 @@
     const replaced = new Set(extraHeaders.map(([name]) => name));
     const organisation: readonly RawHeader[] =
       request.organisation === undefined ? [] : [[headerNames.organisation, request.organisation]];
+    const { key, findMismatch } = createIdentity(request, headerNames);
     recordSend(target);
     return openRecorded(request, createTargetTerms(target, request, headerNames), (recordHead) =>
       TargetCalls.openCall({
-        connection: connections.takeConnection(target),
+        connection: connections.takeConnection(target, key),
         target,
         ...buildContent(request),
+        findMismatch,
         recordHead(head) {
           recordHead(head);
           notices.recordHead(target, head);
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -190,8 +190,8 @@
   const { clock, nextRandom, getCapability } = context;
   const wire = getCapability('wire');
   const directory = getCapability('directory');
-  const connections = TargetConnections.createTargetConnections();
-  const routerConnections = TargetConnections.createTargetConnections();
+  const connections = TargetConnections.createTargetConnections(clock);
+  const routerConnections = TargetConnections.createTargetConnections(clock);
   const probeOptions: TargetProbes.TargetProbeOptions = {
     clock,
     wire,
@@ -219,7 +219,7 @@
     paths,
     isAvoided: relays.isAvoided,
   });
-  const callEngine = EngineCalls.createEngineCaller(clock, connections, notices);
+  const callEngine = EngineCalls.createEngineCaller(clock, connections, notices, wire.headers);
 
   /** Open connections from the time of a lost path may carry nothing any more. */
   function removeOldLosses(service: string): void {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/connectionEnds.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/connectionEnds.test.ts
@@ -113,12 +113,14 @@
         },
       };
       const clock = { getNowMs: () => performance.now(), getRunningMs: () => performance.now() };
-      const callEngine = EngineCalls.createEngineCaller(clock, connections, {
+      const notices = {
         recordHead: () => undefined,
         recordStart: () => () => undefined,
         isResting: () => false,
         createExcessRecord: () => () => undefined,
-      });
+      };
+      const names = { requestId: 'id' };
+      const callEngine = EngineCalls.createEngineCaller(clock, connections, notices, names);
       const target = { id: 't1', address, startedAtUnixMs: 1 } as Parameters<typeof callEngine>[0];
       for (let tries = 0; tries < TRIES; tries += 1) {
         expect(await callEngine(target, command)).toEqual(undefined);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/contactCheck.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/contactCheck.test.ts
@@ -112,7 +112,7 @@
 
 describe('contact probe of a target', () => {
   const clock = Kernel.createSystemClock();
-  const connections = TargetConnections.createTargetConnections();
+  const connections = TargetConnections.createTargetConnections(clock);
   const readContact = TargetProbes.createContactProbe(
     {
       clock,
@@ -163,6 +163,7 @@
         return true;
       },
       wasReset: () => false,
+      wasUsed: () => false,
       overhead: OverheadMeters.createOverheadMeter(),
       release: () => undefined,
       close: () => undefined,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
@@ -149,6 +149,7 @@
           createExcessRecord: () => (phase) => excesses.push(phase),
           isResting: () => false,
         },
+        { requestId: 'id' },
       );
       let isBroken = false;
       const response = await callEngine(Fakes.createTarget('e1', { address }), {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessProbes.test.ts
@@ -20,9 +20,10 @@
       // Guards against status checks that read for ever, and against a target that looks sound because it is sending.
       const server = await Kernel.startEndlessServer({ answer, maxBytes: MAX_BYTES });
       const target = Fakes.createTarget('t1', { address: server.address });
-      const connections = TargetConnections.createTargetConnections();
+      const clock = Kernel.createSystemClock();
+      const connections = TargetConnections.createTargetConnections(clock);
       const options: TargetProbeOptions = {
-        clock: Kernel.createSystemClock(),
+        clock,
         wire: Kernel.createFakeWire({}),
         directory: { getConfiguration: () => undefined },
         connections,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/engineProbes.test.ts
@@ -32,6 +32,7 @@
     return {
       dispatch,
       wasReset: () => false,
+      wasUsed: () => false,
       overhead: OverheadMeters.createOverheadMeter(),
       release: () => undefined,
       close: () => undefined,
@@ -77,6 +78,7 @@
         createExcessRecord: () => () => undefined,
         isResting: () => false,
       },
+      dependencies.wire.headers,
     ),
     directory: {
       getConfiguration: () => ({ ...configuration, services: new Map(services) }),
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/probeLosses.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/probeLosses.test.ts
@@ -67,17 +67,19 @@
         return true;
       },
       wasReset: () => false,
+      wasUsed: () => false,
       overhead: OverheadMeters.createOverheadMeter(),
       release: () => undefined,
       close: () => undefined,
     }),
   } as unknown as TargetConnections;
-  return EngineCalls.createEngineCaller(clock, connections, {
+  const notices = {
     recordHead: () => undefined,
     recordStart: () => () => undefined,
     createExcessRecord: () => () => undefined,
     isResting: () => false,
-  });
+  };
+  return EngineCalls.createEngineCaller(clock, connections, notices, { requestId: 'id' });
 }
 
 describe('unanswered probes', () => {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/rawTarget.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/rawTarget.ts
@@ -37,7 +37,9 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-  const connections = TargetConnections.createTargetConnections();
+  const connections = TargetConnections.createTargetConnections({
+    getNowMs: () => performance.now(),
+  });
   const excesses: [string, number][] = [];
   return {
     address,
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/slowReading.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/slowReading.ts
@@ -16,7 +16,9 @@
 
 async function readAnswer(port: number): Promise<number> {
   const address = `127.0.0.1:${port}`;
-  const connections = TargetConnections.createTargetConnections();
+  const connections = TargetConnections.createTargetConnections({
+    getNowMs: () => performance.now(),
+  });
   const call = TargetCalls.openCall({
     connection: connections.openConnection({ id: 't1', address, startedAtUnixMs: 1 }),
     target: { address },
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetCall.ts
@@ -18,8 +18,13 @@
   readonly path: string;
   readonly headers: readonly RawHeader[];
   readonly body: Buffer;
-  /** Called with the head of each answer, even if the call was cancelled before. */
+  /** Called with the head of each answer to this call, even if the call was cancelled before. */
   readonly recordHead: (head: AnswerHead) => void;
+  /**
+   * Returns why the head belongs to another call of the connection, whose answer came late; undefined if it may be the
+   * answer to this one. `isFirst`: the connection has carried no other call.
+   */
+  readonly findMismatch?: (head: AnswerHead, isFirst: boolean) => string | undefined;
   /** Called at once; the function that it returns, when the call has ended or was cancelled, perhaps twice. */
   readonly recordStart?: () => () => void;
   /** Called when the target has sent more in a phase than an answer has there, and the call is cut. */
@@ -93,11 +98,21 @@
  */
 const FRAMING_HEADERS = ['content-length', 'transfer-encoding'] as const;
 
+/** Returns why the head belongs to another call; it is recorded unless it does. */
+function recordOwnHead(
+  { connection, recordHead, findMismatch }: CallOptions,
+  head: AnswerHead,
+): string | undefined {
+  const mismatch = findMismatch?.(head, !connection.wasUsed());
+  if (mismatch === undefined) recordHead(head);
+  return mismatch;
+}
+
 const CANCELLED: CallEvent = { kind: 'cancelled' };
 const TIMEOUT: CallEvent = { kind: 'timeout' };
 
 export function openCall(options: CallOptions): TargetCall {
-  const { connection, target, method, path, headers, body, recordHead, held } = options;
+  const { connection, target, method, path, headers, body, held } = options;
   const buffer = CallEvents.createEventQueue();
   let heldBytes = 0;
   let controller: Undici.Dispatcher.DispatchController | undefined;
@@ -123,9 +138,7 @@
     const event = buffer.take(isLate);
     if (event?.kind === 'data') {
       const isFull = buffer.countBytes() >= MAX_BUFFERED_BYTES || buffer.isCrowded();
-      if (!isFull && held?.mayReadAhead() !== false) {
-        resumeReading();
-      }
+      if (!isFull && held?.mayReadAhead() !== false) resumeReading();
       updateHeld();
     }
     return event;
@@ -190,8 +203,10 @@
         phase.recordHead();
         isFramed = FRAMING_HEADERS.some((name) => responseHeaders[name] !== undefined);
         const head = { status, statusMessage: statusMessage ?? '', headers: responseHeaders };
-        recordHead(head);
-        addEvent({ kind: 'head', head });
+        const mismatch = recordOwnHead(options, head);
+        if (mismatch === undefined) addEvent({ kind: 'head', head });
+        // Closes the connection: the answer to this call is still to come, and must not meet the next one.
+        else requestController.abort(new Error(mismatch));
       },
       onResponseData(requestController, chunk) {
         connection.overhead.addBodyBytes(chunk.length);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
@@ -1,8 +1,10 @@
 /** Pools of connections to targets: one request at a time for each connection, last used first. */
 import * as Kernel from '@sequoiarill/kernel';
-import type { ForwardingTarget } from '@sequoiarill/types';
+import type { Clock, ForwardingTarget } from '@sequoiarill/types';
 import * as Undici from 'undici';
 
+import * as CarriedCalls from './carriedCalls';
+import type { CallKey } from './carriedCalls';
 import * as OverheadMeters from './overheadMeter';
 import type { OverheadMeter } from './overheadMeter';
 
@@ -16,6 +18,8 @@
    * then.
    */
   readonly wasReset: () => boolean;
+  /** Whether it has carried a call before: an answer without an id may belong to that one. */
+  readonly wasUsed: () => boolean;
   /** Counts what the target sends beside bodies; `start` is to be called with each request. */
   readonly overhead: Pick<OverheadMeter, 'start' | 'addBodyBytes' | 'countOverhead'>;
   /** Returns the connection to the pool after a complete response. */
@@ -26,7 +30,8 @@
 export interface TargetConnections {
   /** A new connection, also where an idle one is open. */
   readonly openConnection: (target: Endpoint) => TargetConnection;
-  readonly takeConnection: (target: Endpoint) => TargetConnection;
+  /** An idle connection that has not carried the call before, or a new one. */
+  readonly takeConnection: (target: Endpoint, call?: CallKey) => TargetConnection;
   /**
    * Closes idle connections that may be dead, as after a silence; the next requests open new ones.
    */
@@ -36,10 +41,14 @@
   readonly close: () => void;
 }
 
+interface PooledConnection extends TargetConnection {
+  readonly carried: CarriedCalls.CarriedCalls;
+}
+
 interface ConnectionPool {
   readonly target: Endpoint;
   /** Most recently used last. */
-  readonly idle: TargetConnection[];
+  readonly idle: PooledConnection[];
 }
 
 /**
@@ -62,7 +71,7 @@
 /** Idle time before the first TCP keep-alive probe. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 
-export function createTargetConnections(): TargetConnections {
+export function createTargetConnections({ getNowMs }: Pick<Clock, 'getNowMs'>): TargetConnections {
   const pools = new Map<string, ConnectionPool>();
   const connect = Undici.buildConnector({
     timeout: CONNECT_TIMEOUT_MS,
@@ -90,8 +99,9 @@
    * reset for that end, so a truncated response looks complete. Listeners that come before those of
    * the client see the reset.
    */
-  function openConnection(target: Endpoint): TargetConnection {
+  function openConnection(target: Endpoint): PooledConnection {
     let isReset = false;
+    let isUsed = false;
     const overhead = OverheadMeters.createOverheadMeter();
     const client = new Undici.Client(`http://${target.address}`, {
       pipelining: 1,
@@ -124,11 +134,14 @@
       client.destroy().catch(() => undefined);
     }
 
-    const connection: TargetConnection = {
+    const connection: PooledConnection = {
+      carried: CarriedCalls.createCarriedCalls(),
       dispatch: client.dispatch.bind(client),
       wasReset: () => isReset,
+      wasUsed: () => isUsed,
       overhead,
       release() {
+        isUsed = true;
         const pool = pools.get(target.id);
         if (!isOpen || isReset || pool === undefined || !isSameTarget(pool.target, target)) close();
         else {
@@ -149,9 +162,23 @@
     return connection;
   }
 
+  /**
+   * Failure: a full target rejects a request, gets it again over the same connection, and sends its rejection a second
+   * time before it runs the request. Both have the id of the request, so the rejection would be taken for the answer, and
+   * the request would run twice. So a repeat goes over another connection.
+   */
+  function takeIdle({ idle }: ConnectionPool, call: CallKey | undefined) {
+    const index = idle.findLastIndex(({ carried }) => call === undefined || !carried.has(call));
+    return index < 0 ? undefined : idle.splice(index, 1)[0];
+  }
+
   return {
     openConnection,
-    takeConnection: (target) => getPool(target).idle.pop() ?? openConnection(target),
+    takeConnection(target, call) {
+      const connection = takeIdle(getPool(target), call) ?? openConnection(target);
+      if (call !== undefined) connection.carried.add(call, getNowMs());
+      return connection;
+    },
     closeIdle(target) {
       const pool = pools.get(target.id);
       if (pool !== undefined) closePool(pool);
--- a/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
@@ -81,3 +81,18 @@
   };
   timers.startTimer(() => sendFrom(0), pieceMs);
 }
+
+/** Sends half an answer without framing, whose connection ends in order or is reset together with these bytes. */
+export function sendUnframedHalf(
+  body: string,
+  isReset: boolean,
+  headers: OutgoingHttpHeaders,
+  response: ServerResponse,
+  timers: RunTimers,
+): void {
+  response.removeHeader('transfer-encoding');
+  response.writeHead(200, { ...headers, connection: 'close' }).flushHeaders();
+  const half = body.slice(0, body.length / 2);
+  if (isReset) timers.startTimer(() => RawHttp.writeAndReset(response, half), 1);
+  else response.end(half);
+}
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -9,6 +9,7 @@
 import * as Documents from './documents';
 import * as EndlessAnswers from './endlessAnswers';
 import * as LargeAnswers from './largeAnswers';
+import * as LateRefusals from './lateRefusals';
 import * as ManagementCalls from './managementCalls';
 import * as PausedAnswers from './pausedAnswers';
 import * as RawHttp from './rawHttp';
@@ -50,6 +51,7 @@
   const cachedTokensByPart = new Map<string, number>();
   const timers = Timers.createRunTimers();
   const endless = EndlessAnswers.createEndlessAnswers(timers);
+  const lateRefusals = LateRefusals.createLateRefusals();
 
   async function delayRun(): Promise<void> {
     heldCount += 1;
@@ -133,11 +135,7 @@
       return;
     }
     if (fault === 'unframedHalf' || fault === 'unframedReset') {
-      response.removeHeader('transfer-encoding');
-      response.writeHead(200, { ...headers, connection: 'close' }).flushHeaders();
-      const half = body.slice(0, body.length / 2);
-      if (fault === 'unframedHalf') response.end(half);
-      else timers.startTimer(() => RawHttp.writeAndReset(response, half), 1);
+      LargeAnswers.sendUnframedHalf(body, fault === 'unframedReset', headers, response, timers);
       return;
     }
     response.writeHead(200, { ...headers, 'content-length': Buffer.byteLength(body) });
@@ -281,7 +279,8 @@
       response.writeHead(421, { 'instance-id': id, 'request-id': requestId }).end();
       return;
     }
-    if (fault === 'shed' || hasNoRoom()) {
+    const isRefused = fault === 'lateRefusal' && lateRefusals.sendLate(request, requestId);
+    if (isRefused || fault === 'shed' || hasNoRoom()) {
       refuseAsFull(requestId, response);
       return;
     }
@@ -304,6 +303,7 @@
     stop: server.stop,
     setFault(next) {
       fault = next;
+      lateRefusals.clear();
     },
     setEndless: endless.setEndless,
     listEndlessFlows: endless.listFlows,
--- a/packages/sequoiarill-standins/src/userPlatform/targetTypes.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetTypes.ts
@@ -28,6 +28,11 @@
   | 'extraAnswer'
   /** Refuses the request without running it, as with a full queue. */
   | 'shed'
+  /**
+   * Refuses each request when it comes for the first time, and sends the refusal a second time where the answer to the
+   * next request on the same connection is due.
+   */
+  | 'lateRefusal'
   /** Runs the request and answers with a server error. */
   | 'serverError'
   /** Runs the request and closes the connection without an answer. */
