Check the ends and the owners of answers on the product's own interface too

What callers would see: an order whose service resets its answer without framing gets a part of it as the outcome; an order, or a generation, gets the answer to another one that comes a second time, late.

Change: both pools open their connections by one client of the kernel. It sees a reset before the HTTP client's own listeners do, and an echoed x-request-id that the connection has carried for another request ends the call, which counts as sent: an order is "unknown", a generation goes on at another engine. An id that this connection has not carried is the service's own and no evidence. Where nothing is echoed, a late answer still can't be told.

Left as they are, since their answers end by their content: generations (the finish reason), the client library (the last event), the store, the gateway, peers and operators (JSON, of which no part is valid).

--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -1,6 +1,7 @@
 /** The plug-in kernel of sequoiarill, built on a local Moleculer broker. */
 export * from './apiKeys';
 export * from './boundedText';
+export * from './checkedClient';
 export * from './clock';
 export * from './connectionEnds';
 export * from './endlessRequests';
--- a/packages/sequoiarill-plugin-generations/src/attempt.ts
+++ b/packages/sequoiarill-plugin-generations/src/attempt.ts
@@ -259,7 +259,7 @@
     method: 'POST',
     headers: {
       'content-type': 'application/json',
-      'x-request-id': options.requestId,
+      [Kernel.REQUEST_ID_HEADER]: options.requestId,
       'x-fencing-number': String(options.fencingNumber),
     },
     body: JSON.stringify(options.body),
--- a/packages/sequoiarill-plugin-generations/src/enginePools.ts
+++ b/packages/sequoiarill-plugin-generations/src/enginePools.ts
@@ -1,4 +1,5 @@
 /** Connection pool and count of in-flight attempts for each engine. */
+import * as Kernel from '@sequoiarill/kernel';
 import type { EngineTarget } from '@sequoiarill/types';
 import * as Undici from 'undici';
 
@@ -39,6 +40,7 @@
       connect: { timeout: options.connectTimeoutMs },
       headersTimeout: 0,
       bodyTimeout: 0,
+      factory: Kernel.openCheckedClient,
     });
     const entry: PoolEntry = { address: target.address, pool, dispatcher: pool, origin };
     entries.set(target.name, entry);
--- a/packages/sequoiarill-plugin-orders/src/orderSender.ts
+++ b/packages/sequoiarill-plugin-orders/src/orderSender.ts
@@ -70,6 +70,7 @@
       // The deadline of the order limits the request instead.
       headersTimeout: 0,
       bodyTimeout: 0,
+      factory: Kernel.openCheckedClient,
     });
     pools.set(address, pool);
     return pool;
@@ -141,7 +142,7 @@
       {
         method: order.method,
         path: order.path,
-        headers: { ...order.headers, 'x-request-id': order.requestId },
+        headers: { ...order.headers, [Kernel.REQUEST_ID_HEADER]: order.requestId },
         body: order.body.length === 0 ? null : Buffer.from(order.body),
       },
       {
