Ask whether a target has exited wherever an answer without framing ends

Cause: the end of a connection taken for the end of an answer, once more: the kernel closes the connections of a killed process in order. Streams, and plain answers above 256 KiB, asked whether the target still accepts connections; answers held whole, and answers of another status to streams, did not. The question itself had a gap: the kernel may close the connections before the listener, which then accepts the question.

Change: one check for all of them. The connection of the question is held for 15 ms; where it closes, another one is opened, since a target at its limit may have had no room, and one that closes too tells that the process has ended.

Tests: orders and reads at targets that exit in an answer: before, "k-0 got" for "k-0 got a coat" and half a read with 200; after, 502 once or the whole answer of another target. A listener that accepts for 3 ms more, a proxy, and a target without room for the first connection, in exitCheck.test.ts.

Cost: a connection and 15 ms for each answer without framing, and none for any other. What remains: a target that exits and is back within these 15 ms, and one that doesn't respond, are believed; so is one that ends its answer too early and lives on.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/passedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/passedAnswer.ts
@@ -11,6 +11,7 @@
 } from '../forwardRequest';
 import type { CallEvent, TargetCall } from '../targets/targetCall';
 import * as AnswerBodies from './answerBody';
+import * as AnswerEnds from './answerEnd';
 import * as Checks from './answerChecks';
 
 /** Longer answers are passed on as they arrive. */
@@ -34,7 +35,11 @@
   source: AnswerSource,
 ): Promise<ReadOutcome> {
   const { sink, held } = request;
-  const { call, head, readNext } = source;
+  const { call, head, target } = source;
+  const readNext =
+    target === undefined
+      ? source.readNext
+      : AnswerEnds.createEndCheck(dependencies, target, head, source.readNext);
   if (sink === undefined || !isPassable(request, source)) {
     return AnswerBodies.readFullAnswer(call, head, readNext, held);
   }
@@ -47,7 +52,7 @@
   }
   if (start.kind !== 'more') return start;
   held?.releaseWhole();
-  return relayLongAnswer(dependencies, sink, source, start.chunks);
+  return relayLongAnswer(dependencies, sink, { ...source, readNext }, start.chunks);
 }
 
 /**
@@ -62,9 +67,9 @@
 }
 
 async function relayLongAnswer(
-  { clock, crashes }: ForwardingDependencies,
+  { clock }: ForwardingDependencies,
   sink: AnswerSink,
-  { call, head, readNext, target }: AnswerSource,
+  { call, head, readNext }: AnswerSource,
   chunks: Buffer[],
 ): Promise<PassedOutcome | { readonly kind: 'callerLeft' }> {
   const startedMs = clock.getRunningMs();
@@ -77,15 +82,10 @@
     const event = await readNext();
     if (event.kind === 'data') await sink.write(event.chunk);
     else if (event.kind === 'cancelled') return { kind: 'callerLeft' };
-    else if (event.kind === 'end' && !(await isCutByExit())) return { kind: 'passed', head };
+    else if (event.kind === 'end') return { kind: 'passed', head };
     else return decideBreak(event);
   }
 
-  /** The connections of a killed target end as after a whole answer without framing. */
-  async function isCutByExit(): Promise<boolean> {
-    return target !== undefined && Checks.isCloseDelimited(head) && crashes.hasExited(target);
-  }
-
   function decideBreak(event: CallEvent): PassedOutcome {
     call.cancel();
     const reason = formatBreak(event);
@@ -96,8 +96,7 @@
 }
 
 function formatBreak(event: CallEvent): string {
-  if (event.kind === 'broken') return event.reason;
-  return event.kind === 'end'
-    ? 'target exited without framing'
+  return event.kind === 'broken'
+    ? event.reason
     : 'no further data within the timeout in the middle of an answer';
 }
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/exitCheck.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/exitCheck.test.ts
@@ -53,3 +53,40 @@
     server.close();
   });
 });
+
+describe('exit check that holds its connection', () => {
+  const checkEnd = ExitChecks.createExitCheck(Kernel.createSystemClock(), DELAY_MS, DELAY_MS);
+
+  it('detects a process whose listener accepts for a moment after its other connections have closed', async () => {
+    // Guards against half an answer that is taken for whole, since the killed target seems to accept connections.
+    const server = Net.createServer((socket) => {
+      server.close();
+      setTimeout(() => socket.resetAndDestroy(), 3);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    expect(await checkEnd(createTarget(server))).toEqual('ended');
+  });
+
+  it('detects an ended process behind a proxy that accepts connections for it', async () => {
+    // Guards against half an answer that is taken for whole, since somebody accepts connections at the target's address.
+    const server = await openServer();
+    expect(await checkEnd(createTarget(server))).toEqual('ended');
+    server.close();
+  });
+
+  it('reports a target as alive that had no room for the first connection', async () => {
+    const sockets: Net.Socket[] = [];
+    const server = Net.createServer((socket) => {
+      if (sockets.push(socket) === 1) socket.resetAndDestroy();
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const result = await checkEnd(createTarget(server));
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+    expect(result).toEqual('alive');
+  });
+});
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/__tests__/routerSimulation.ts
@@ -165,6 +165,7 @@
       log: { logEvent: () => undefined },
       metrics: { addCount: () => undefined },
       checkExit: async () => 'ended',
+      checkEnd: async () => 'ended',
       checkAnswer: async () => 'closed',
     });
     const { contents: reports, parts } = guard;
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/crashGuard.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/crashGuard.ts
@@ -22,6 +22,7 @@
 import type { BrokenRun, DisconnectCheckOptions } from './disconnectCheck';
 import * as PartReports from './partReports';
 import type { PartRequest } from './partBlockReports';
+import type { ExitCheck } from './exitCheck';
 import type { PartRun } from './partRuns';
 
 /** Why a request is sent to no target. */
@@ -39,7 +40,7 @@
   readonly recordAnswer: (content: string) => void;
   /** Records that the target disconnected during a run; a crash if it has terminated. */
   readonly recordDisconnect: (run: BrokenRun) => Promise<void>;
-  /** Whether the target refuses connections now. */
+  /** Whether the target has terminated. */
   readonly hasExited: (target: ForwardingTarget) => Promise<boolean>;
   readonly contents: CrashReports.CrashReports;
   readonly parts: PartReports.PartReports;
@@ -54,6 +55,8 @@
   'checkExit' | 'checkAnswer' | 'checkOthers' | 'isBrittle'
 > {
   readonly clock: Clock;
+  /** Also tells of a process that is about to close its listener. */
+  readonly checkEnd: ExitCheck;
   readonly nextRandom: () => number;
   readonly wire: Pick<ForwardingWire, 'ownPrefix'>;
   readonly directory: Pick<Directory, 'isUpToDate' | 'listEntries'>;
@@ -130,7 +133,7 @@
     startRun: (request) => parts.startRun(buildPartRequest(request)),
     recordAnswer: contents.recordAnswer,
     recordDisconnect,
-    hasExited: async (target) => (await options.checkExit(target)) === 'ended',
+    hasExited: async (target) => (await options.checkEnd(target)) === 'ended',
     contents,
     parts,
     applyDirectory() {
--- a/packages/sequoiarill-plugin-forwarding/src/crashes/exitCheck.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/crashes/exitCheck.ts
@@ -12,29 +12,57 @@
 
 export type ExitCheck = (process: Pick<ForwardingTarget, 'address'>) => Promise<ExitCheckResult>;
 
-/** The timeout counts running time, because this process may lack processor time when targets terminate. */
+/** `closed`: the connection was accepted, and closed again while it was held. */
+type ConnectionResult = ExitCheckResult | 'closed';
+
+/**
+ * The timeout counts running time, because this process may lack processor time when targets terminate.
+ *
+ * Failure: the kernel closes the connections of a killed process shortly before its listener, which still accepts a
+ * connection in between; and a proxy accepts connections for a process that has ended. With `holdMs`, a connection is
+ * held that long. Where it closes, the process has ended, or has had no room for it: another one tells.
+ */
 export function createExitCheck(
   { getRunningMs }: Pick<Clock, 'getRunningMs'>,
   timeoutMs = CONNECT_TIMEOUT_MS,
+  holdMs = 0,
 ): ExitCheck {
-  return async function checkExit({ address }) {
+  function checkConnection(address: string): Promise<ConnectionResult> {
     const separator = address.lastIndexOf(':');
     const host = address.slice(0, separator);
     const port = Number(address.slice(separator + 1));
     return new Promise((resolve) => {
       const socket = Net.connect({ host, port });
-      const resolveCheck = (result: ExitCheckResult) => {
+      let isOpen = false;
+      let stopTimer: () => void;
+      const resolveCheck = (result: ConnectionResult) => {
         stopTimer();
         socket.destroy();
         resolve(result);
       };
-      const stopTimer = Kernel.startRunningTimer(getRunningMs, timeoutMs, () =>
-        resolveCheck('silent'),
-      );
-      socket.once('connect', () => resolveCheck('alive'));
-      socket.once('error', ({ code }: NodeJS.ErrnoException) =>
-        resolveCheck(code === 'ECONNREFUSED' ? 'ended' : 'silent'),
-      );
+      const startTimer = (ms: number, result: ConnectionResult) => {
+        stopTimer = Kernel.startRunningTimer(getRunningMs, ms, () => resolveCheck(result));
+      };
+      startTimer(timeoutMs, 'silent');
+      socket.once('connect', () => {
+        isOpen = true;
+        stopTimer();
+        if (holdMs === 0) resolveCheck('alive');
+        else startTimer(holdMs, 'alive');
+      });
+      socket.once('error', ({ code }: NodeJS.ErrnoException) => {
+        const isClosed = isOpen || (holdMs > 0 && code === 'ECONNRESET');
+        if (isClosed) resolveCheck('closed');
+        else resolveCheck(code === 'ECONNREFUSED' ? 'ended' : 'silent');
+      });
+      socket.once('end', () => resolveCheck('closed'));
+      socket.resume();
     });
+  }
+
+  return async function checkExit({ address }) {
+    const first = await checkConnection(address);
+    const result = first === 'closed' ? await checkConnection(address) : first;
+    return result === 'closed' ? 'ended' : result;
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -72,6 +72,11 @@
   };
 }
 
+/** An answer without framing waits so long for a target that does not respond. */
+const END_CHECK_TIMEOUT_MS = 150;
+/** The listener of a killed process closes within a few milliseconds after its connections. */
+const END_HOLD_MS = 15;
+
 function createCrashGuard(
   context: PluginContext,
   log: RateLimitedLog,
@@ -88,6 +93,7 @@
     log,
     metrics: context.metrics,
     checkExit: ExitChecks.createExitCheck(clock),
+    checkEnd: ExitChecks.createExitCheck(clock, END_CHECK_TIMEOUT_MS, END_HOLD_MS),
     ...evidence,
   });
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -9,6 +9,7 @@
 import type { ForwardingDependencies } from '../dependencies';
 import type { PartRun } from '../crashes/partRuns';
 import * as Checks from '../answers/answerChecks';
+import * as AnswerEnds from '../answers/answerEnd';
 import * as Sending from '../answers/sending';
 import * as EnginePairs from '../targets/enginePairs';
 import * as SilenceLogs from '../targets/silenceLog';
@@ -194,7 +195,9 @@
     if (failure !== undefined) return failure;
     if (responseHead.status !== STATUS_OK) {
       recordResult(Checks.isServerError(responseHead.status) ? 'failed' : 'unknown');
-      const readRest = () => TargetCalls.readNextEvent(clock, call, { ...NO_LIMIT, expiresAtMs });
+      const readRest = AnswerEnds.createEndCheck(dependencies, target, responseHead, () =>
+        TargetCalls.readNextEvent(clock, call, { ...NO_LIMIT, expiresAtMs }),
+      );
       return Sending.readFullAnswer(call, responseHead, readRest, request.held);
     }
     head = responseHead;
@@ -222,16 +225,12 @@
     return { head, blocks };
   }
 
-  /**
-   * Failure: an engine whose response has no framing is killed between two events. Its connections end as they would
-   * after the last event, and the answer would look complete.
-   */
   async function handleEnd(): Promise<StepResult> {
     if (head === undefined || splitter.hasPartialEvent()) {
       return { kind: 'lost', reason: 'ended within an event', isTimeout: false };
     }
-    if (Checks.isCloseDelimited(head) && (await dependencies.crashes.hasExited(target))) {
-      return { kind: 'lost', reason: 'target exited without framing', isTimeout: false };
+    if (await AnswerEnds.isCutByExit(dependencies, target, head)) {
+      return { kind: 'lost', reason: AnswerEnds.EXITED_REASON, isTimeout: false };
     }
     return { kind: 'complete', head };
   }
--- a/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
@@ -82,7 +82,10 @@
   timers.startTimer(() => sendFrom(0), pieceMs);
 }
 
-/** Sends half an answer without framing, whose connection ends in order or is reset together with these bytes. */
+/** Stands after half an answer that was reset: not the beginning of any answer, so that one that is passed on is seen. */
+const RESET_MARK = '(reset)';
+
+/** Sends half an answer without framing. Its connection ends in order, or is reset together with the last bytes. */
 export function sendUnframedHalf(
   body: string,
   isReset: boolean,
@@ -93,6 +96,6 @@
   response.removeHeader('transfer-encoding');
   response.writeHead(200, { ...headers, connection: 'close' }).flushHeaders();
   const half = body.slice(0, body.length / 2);
-  if (isReset) timers.startTimer(() => RawHttp.writeAndReset(response, half), 1);
+  if (isReset) timers.startTimer(() => RawHttp.writeAndReset(response, half + RESET_MARK), 1);
   else response.end(half);
 }
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -15,6 +15,7 @@
 import * as RawHttp from './rawHttp';
 import type { WholeAnswer } from './rawHttp';
 import { EVENT_COUNT, formatEvent, formatEvents } from './streamEvents';
+import { UNFRAMED_ANSWERS, UNFRAMED_STREAMS } from './targetTypes';
 import type {
   PromptCrash,
   TargetFault,
@@ -26,11 +27,6 @@
 
 const EVENTS_BEFORE_FAULT = 5;
 const EVENT_MS = 15;
-const UNFRAMED_STREAM_FAULTS: ReadonlySet<TargetFault> = new Set([
-  'unframedBreak',
-  'unframedExit',
-  'unframedReset',
-]);
 
 export function createTargetStandin(id: string, options: TargetOptions = {}): TargetStandin {
   const { listen = '127.0.0.1:0', eventCount = EVENT_COUNT, version, crashPath } = options;
@@ -86,7 +82,7 @@
   }
 
   async function sendStream(requestId: string, from: number, response: ServerResponse) {
-    const isUnframed = UNFRAMED_STREAM_FAULTS.has(fault);
+    const isUnframed = UNFRAMED_STREAMS.has(fault);
     writeStreamHead(requestId, response, isUnframed);
     const lastUnframed = isUnframed ? Math.max(EVENTS_BEFORE_FAULT, from + 1) : undefined;
     for (let number = from; number <= eventCount; number += 1) {
@@ -134,7 +130,8 @@
       response.writeHead(500, { ...headers, 'content-length': 0 }).end();
       return;
     }
-    if (fault === 'unframedHalf' || fault === 'unframedReset') {
+    if (UNFRAMED_ANSWERS.has(fault)) {
+      if (fault === 'unframedExit') server.stopListening();
       LargeAnswers.sendUnframedHalf(body, fault === 'unframedReset', headers, response, timers);
       return;
     }
--- a/packages/sequoiarill-standins/src/userPlatform/targetTypes.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetTypes.ts
@@ -10,7 +10,7 @@
   | 'dieInStream'
   /** Sends streams without framing, and ends the connection within an event after the same number of events. */
   | 'unframedBreak'
-  /** Sends a stream without framing, and exits after the same number of events. */
+  /** Sends an answer without framing, and exits: of a stream after the same number of events, of another one halfway. */
   | 'unframedExit'
   /**
    * After the same number of events, the target sends and answers nothing more, but closes no
@@ -38,6 +38,18 @@
   /** Runs the request and closes the connection without an answer. */
   | 'loseAnswer';
 
+/** Faults of streams, and of other answers, that come without framing. */
+export const UNFRAMED_STREAMS: ReadonlySet<TargetFault> = new Set([
+  'unframedBreak',
+  'unframedExit',
+  'unframedReset',
+]);
+export const UNFRAMED_ANSWERS: ReadonlySet<TargetFault> = new Set([
+  'unframedHalf',
+  'unframedExit',
+  'unframedReset',
+]);
+
 /** One request that a target started to run. */
 export interface TargetRun {
   readonly requestId: string;
