Frame answers without framing on their way to callers, unless they are short

A router that breaks such an answer off resets the connection, and a caller on Node.js may take that for an end, too.

Cause: the end of a connection taken for the end of an answer, this time by callers: such answers were passed on as they came, unlike streams.

Change: where the caller speaks HTTP/1.1, they are sent in chunks as they arrive; those that were held whole get their length. Framing belongs to one connection, and the body stays as it is. Up to 4 KB go as they came: the kernel takes them at once, so no death of the router cuts them, and half an answer of a target that ends too early and lives on, which nothing can tell, claims no more than its target did. To callers of HTTP/1.0 a long one of unknown length still ends with its connection, and a break is a reset; an internal error of the router ended it in order and resets it now.

--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -9,6 +9,7 @@
 import ApiGateway from 'moleculer-web';
 
 import type { ForwardingSettings } from '../settings';
+import * as Replies from './replies';
 
 export interface HttpFrontEndOptions {
   readonly settings: ForwardingSettings;
@@ -202,7 +203,7 @@
 
 /** The request may have run, so the status promises nothing. An answer that has begun must not look complete. */
 function stopFailed(response: ServerResponse): void {
-  if (response.headersSent) response.destroy();
+  if (response.headersSent) Replies.closeBroken(response);
   else sendStatus(response, BAD_GATEWAY);
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/front/openExchanges.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/openExchanges.ts
@@ -44,7 +44,6 @@
 /** Another router can accept the request immediately. */
 export const STOPPING_RETRY_SECONDS = 0.1;
 const REASON = 'this process is about to end';
-const HTTP_WITHOUT_CHUNKS = '1.0';
 
 export function createOpenExchanges(): OpenExchanges {
   /** In the order of arrival. */
@@ -130,8 +129,7 @@
 /** No end of the connection completes the answer, and a stream keeps the events that were written. */
 function closeBroken({ request, response }: Entry): void {
   const { req, socket } = response;
-  const hasChunks = request?.route.isStream === true && req.httpVersion !== HTTP_WITHOUT_CHUNKS;
-  if (hasChunks) socket?.end();
+  if (request?.route.isStream === true && Replies.hasChunks(response)) socket?.end();
   else req.socket.resetAndDestroy();
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -148,20 +148,35 @@
   if (lastEventId === undefined) durations.recordAnswer(route.name, tookMs);
 }
 
-/** An answer that is delimited by the close of its connection is forwarded in the same way. */
+/**
+ * Failure: this process is killed, or breaks an answer off, while its caller takes a long answer without framing. The
+ * connection ends in order, or by a reset that many clients take for an end, so a part of the answer looks complete.
+ *
+ * So an answer without framing gets some of its own, unless the kernel takes it at once, or its caller knows no chunks.
+ */
+function isSentUnframed(
+  response: ServerResponse,
+  head: AnswerHead,
+  bodyLength: number | undefined,
+): boolean {
+  // Towards another router, an answer always has framing of its own, and a header for the target's.
+  if (response.hasHeader(RelayHeaders.RELAY_HEADERS.version)) return false;
+  if (!Checks.isCloseDelimited(head)) return false;
+  return bodyLength === undefined ? !hasChunks(response) : bodyLength <= MAX_UNFRAMED_BYTES;
+}
+
+/** `bodyLength` is undefined where the answer is passed on as it arrives and its target declares no length. */
 export function sendHead(
   dependencies: ExchangeDependencies,
   response: ServerResponse,
   head: AnswerHead,
   bodyLength: number | undefined,
 ): void {
-  // Towards another router, an answer always has framing of its own, and a header for the target's.
-  const isCloseDelimited =
-    !response.hasHeader(RelayHeaders.RELAY_HEADERS.version) && Checks.isCloseDelimited(head);
-  if (isCloseDelimited) response.removeHeader('transfer-encoding');
+  const isUnframed = isSentUnframed(response, head, bodyLength);
+  if (isUnframed) response.removeHeader('transfer-encoding');
   response.writeHead(head.status, head.statusMessage, {
     ...Headers.selectResponseHeaders(head.headers),
-    ...(isCloseDelimited
+    ...(isUnframed
       ? { connection: 'close' }
       : {
           ...(bodyLength === undefined ? {} : { 'content-length': bodyLength }),
@@ -324,11 +339,18 @@
 }
 
 /** Closes the connection without the end of the body, so that the answer does not look complete. */
-function closeBroken(response: ServerResponse): void {
+export function closeBroken(response: ServerResponse): void {
   // Callers without chunks take an orderly end of the connection for the end of the body.
-  if (response.req.httpVersion === HTTP_WITHOUT_CHUNKS) response.socket?.resetAndDestroy();
-  else response.destroy();
+  if (hasChunks(response)) response.destroy();
+  else response.socket?.resetAndDestroy();
+}
+
+/** Whether the caller knows chunks. */
+export function hasChunks({ req }: ServerResponse): boolean {
+  return req.httpVersion !== HTTP_WITHOUT_CHUNKS;
 }
 
 const HTTP_WITHOUT_CHUNKS = '1.0';
 const EMPTY = Buffer.alloc(0);
+/** The send buffer of a new connection has room for this much and more. */
+const MAX_UNFRAMED_BYTES = 4_096;
