Play ends and answers that are taken for others in the soak

The soak could not see either class: its links, which are Node.js programs, passed a reset on as an end; no stream of its callers might run once only; and its targets neither reset with the last bytes nor refused a second time.

--- a/packages/sequoiarill-standins/src/link/pipe.ts
+++ b/packages/sequoiarill-standins/src/link/pipe.ts
@@ -48,7 +48,11 @@
   }
 
   source.on('data', sendChunk);
-  source.on('end', () => closeSink(() => sink.end()));
+  source.on('end', () => {
+    // Node.js reports a reset that arrives together with data as an end, and the connection has no peer then.
+    const isReset = source.remoteAddress === undefined;
+    closeSink(() => (isReset ? closeByReset(sink) : sink.end()));
+  });
   source.on('error', () => closeSink(() => closeByReset(sink)));
   source.on('close', () => closeSink(() => sink.destroySoon()));
   sink.on('drain', () => {
--- a/soak/src/callers.ts
+++ b/soak/src/callers.ts
@@ -35,13 +35,22 @@
 const PROBE_TIMEOUT_MS = 1_000;
 const PROBE_INTERVAL_MS = 120;
 const REQUEST_PAUSE_MS = [5, 120] as const;
-/** Pause between two requests with the part that crashes engines. */
-const CRASHING_PAUSE_MS = 400;
 const CRASHING_ID = 'crashing-';
+
+/** Streams, no two alike, that one caller sends to each router in turn. */
+interface SteadyStreams {
+  readonly idPrefix: string;
+  readonly kind: 'stream' | 'once';
+  readonly pauseMs: number;
+}
+
+const CRASHING_STREAMS: SteadyStreams = { idPrefix: CRASHING_ID, kind: 'stream', pauseMs: 400 };
+const ONCE_STREAMS: SteadyStreams = { idPrefix: 'once-', kind: 'once', pauseMs: 60 };
 /** Share of the requests whose caller disconnects before the end of the answer. */
 const ABANDON_SHARE = 0.05;
 /** Share of the requests whose caller sends a long body slowly and reads the answer slowly. */
 const SLOW_SHARE = 0.05;
+const PATHS = { once: Configurations.ONCE_PATH, order: '/orders/', read: '/reads/' } as const;
 const ABANDON_AFTER_MS = [20, 400] as const;
 
 async function waitMs(ms: number): Promise<void> {
@@ -110,7 +119,9 @@
     apiKey,
     limitMs: Configurations.TIMEOUT_MS,
   });
-  if (kind !== 'stream') return { ...headers, 'content-length': String(Buffer.byteLength(body)) };
+  if (!RequestLogs.isStream(kind)) {
+    return { ...headers, 'content-length': String(Buffer.byteLength(body)) };
+  }
   // A continuation has the id `ID.restN` and the prompt of the original stream.
   const [prompt = id] = id.split('.');
   const resumeAfter = fromEvent > 1 ? fromEvent - 1 : undefined;
@@ -148,7 +159,7 @@
   async function sendRequest(request: SentRequest, timeoutMs: number): Promise<CallerResult> {
     const { id, kind, body, isSlow } = request;
     const streamPath = Configurations.STREAM_PATHS[request.priority] ?? '';
-    const path = { stream: streamPath, order: '/orders/', read: '/reads/' }[kind];
+    const path = { ...PATHS, stream: streamPath }[kind];
     requestLog.requests.set(id, request);
     const signal = AbortSignal.timeout(timeoutMs);
     const address = getRouter(request.router).getAddress();
@@ -261,7 +272,10 @@
     },
     /** Sends streams with the part that crashes engines, no two alike, until the signal is aborted. */
     runCrashingCaller: (signal: AbortSignal) =>
-      runCrashingCaller(options, createSending, sendRequest, signal),
+      runSteadyCaller(options, { ...CRASHING_STREAMS, createSending, sendRequest }, signal),
+    /** Sends streams that may run once at most, one at a time, until the signal is aborted. */
+    runOnceCaller: (signal: AbortSignal) =>
+      runSteadyCaller(options, { ...ONCE_STREAMS, createSending, sendRequest }, signal),
     /** Probes the two newest configuration versions at a router until the signal is aborted. */
     async runProber(router: number, signal: AbortSignal): Promise<void> {
       while (!signal.aborted) {
@@ -275,21 +289,24 @@
   };
 }
 
-async function runCrashingCaller(
+interface SteadySending extends SteadyStreams {
+  readonly createSending: (
+    router: number,
+  ) => Pick<SentRequest, 'router' | 'incarnation' | 'sentAtMs'>;
+  readonly sendRequest: (request: SentRequest, timeoutMs: number) => Promise<CallerResult>;
+}
+
+async function runSteadyCaller(
   { routers, requestLog }: CallersOptions,
-  createSending: (router: number) => Pick<SentRequest, 'router' | 'incarnation' | 'sentAtMs'>,
-  sendRequest: (request: SentRequest, timeoutMs: number) => Promise<CallerResult>,
+  { idPrefix, kind, pauseMs, createSending, sendRequest }: SteadySending,
   signal: AbortSignal,
 ): Promise<void> {
   for (let count = 0; !signal.aborted; count += 1) {
-    const id = `${CRASHING_ID}${count}`;
+    const id = `${idPrefix}${count}`;
     const common = { organisation: Standins.ORGANISATION, priority: 0, isSlow: false };
     const sending = createSending(count % routers.length);
-    const request = { ...common, ...sending, id, body: id, fromEvent: 1 };
-    requestLog.results.set(
-      id,
-      await sendRequest({ ...request, kind: 'stream' }, Configurations.TIMEOUT_MS),
-    );
-    await waitMs(CRASHING_PAUSE_MS);
+    const request = { ...common, ...sending, id, kind, body: id, fromEvent: 1 };
+    requestLog.results.set(id, await sendRequest(request, Configurations.TIMEOUT_MS));
+    await waitMs(pauseMs);
   }
 }
--- a/soak/src/checks.ts
+++ b/soak/src/checks.ts
@@ -48,7 +48,7 @@
   { id, kind, body, fromEvent }: SentRequest,
   count: number,
 ): readonly string[] {
-  if (kind !== 'stream') return [`${id} got ${body}`];
+  if (!RequestLogs.isStream(kind)) return [`${id} got ${body}`];
   return VERSIONS.map((version) => Standins.formatEvents(id, fromEvent, count, version));
 }
 
@@ -67,7 +67,7 @@
   );
   if (isExact) return;
   // A broken stream may end within an event, so any prefix of the expected text is right.
-  const rule = kind === 'stream' ? 'events' : 'whole';
+  const rule = RequestLogs.isStream(kind) ? 'events' : 'whole';
   const seen = JSON.stringify(result.text.slice(-120));
   yield {
     rule,
@@ -100,12 +100,13 @@
   return runsById;
 }
 
-function* checkOrder(
-  id: string,
+/** Checks a request that may run once at most. */
+function* checkRunsOnce(
+  { id, kind }: SentRequest,
   result: CallerResult | undefined,
   runs: number,
 ): Generator<Violation> {
-  if (runs > 1) yield { rule: 'atMostOnce', text: `${id}: an order ran ${runs} times` };
+  if (runs > 1) yield { rule: 'atMostOnce', text: `${id}: ${kind} ran ${runs} times` };
   const isPromisedNotRun = result?.kind === 'answer' && NOT_RUN_STATUSES.has(result.status);
   if (isPromisedNotRun && runs > 0) {
     yield { rule: 'notRun', text: `${id}: refused with ${result.status}, and it ran` };
@@ -117,7 +118,9 @@
   for (const [id, request] of requestLog.requests) {
     const result = requestLog.results.get(id);
     if (result?.kind === 'answer') yield* checkAnswer(request, result, eventCount);
-    if (request.kind === 'order') yield* checkOrder(id, result, runsById.get(id) ?? 0);
+    if (!RequestLogs.isRepeatable(request.kind)) {
+      yield* checkRunsOnce(request, result, runsById.get(id) ?? 0);
+    }
   }
 }
 
--- a/soak/src/configuration.ts
+++ b/soak/src/configuration.ts
@@ -13,6 +13,9 @@
 /** Paths of the streaming routes, by priority. */
 export const STREAM_PATHS = ['/advice/', '/advice-later/', '/advice-last/'] as const;
 
+/** Path of the route of streams that may run once at most. */
+export const ONCE_PATH = '/once/';
+
 export function formatKey(organisation: string): string {
   return organisation === Standins.ORGANISATION ? CALLERS_KEY : `key-of-${organisation}`;
 }
@@ -73,8 +76,9 @@
     prefix,
     priority,
   }));
+  const once = { ...stream, name: 'once', prefix: ONCE_PATH, streamResume: false };
   const others = routes.filter((route) => route !== stream);
-  const kept = [...streams, ...others].filter(
+  const kept = [...streams, once, ...others].filter(
     ({ prefix }) => !changes.has('routesRemoved') || !REMOVED_PATHS.has(prefix),
   );
   return JSON.stringify({
--- a/soak/src/earlyEnds.ts
+++ b/soak/src/earlyEnds.ts
@@ -5,6 +5,7 @@
 import { isCrashing } from './callers';
 import { SHORT_TIMEOUT_MS, TIMEOUT_MS } from './configuration';
 import type { Evidence, Violation } from './checks';
+import * as RequestLogs from './requestLog';
 import type { CallerResult, ComponentFault, RequestLog, SentRequest } from './requestLog';
 
 /** Routers count the time limit from when they read a request, and end it a little before their caller would. */
@@ -66,7 +67,7 @@
 }
 
 function getService({ kind }: SentRequest): ServiceName {
-  return kind === 'stream' ? 'engines' : 'orders';
+  return RequestLogs.isStream(kind) ? 'engines' : 'orders';
 }
 
 function hasOverlap(one: OpenTime, other: OpenTime, afterMs = 0): boolean {
--- a/soak/src/floods.ts
+++ b/soak/src/floods.ts
@@ -6,6 +6,7 @@
 import * as EarlyEnds from './earlyEnds';
 import type { RequestTrace } from './earlyEnds';
 import type { Environment } from './environment';
+import * as RequestLogs from './requestLog';
 import type { CallerResult, ComponentFault, SentRequest } from './requestLog';
 import type { Action } from './schedule';
 
@@ -110,7 +111,7 @@
       yield { rule: 'floodAnswer', text: `${request.id}: no answer beside a flow` };
     }
   }
-  const repeatable = flooded.filter(({ request }) => request.kind !== 'order');
+  const repeatable = flooded.filter(({ request }) => RequestLogs.isRepeatable(request.kind));
   const failed = repeatable.filter(({ result }) => formatFailure(result) !== undefined);
   if (failed.length <= Math.max(1, repeatable.length / FAILED_INTERVAL)) return;
   const seen = failed.map(({ request, result }) => `${request.id} ${formatFailure(result) ?? ''}`);
--- a/soak/src/requestLog.ts
+++ b/soak/src/requestLog.ts
@@ -7,7 +7,17 @@
 
 import type { ConfigurationChange } from './configuration';
 
-export type RequestKind = 'stream' | 'order' | 'read';
+/** `once`: a stream that may run once at most. */
+export type RequestKind = 'stream' | 'once' | 'order' | 'read';
+
+export function isStream(kind: RequestKind): boolean {
+  return kind === 'stream' || kind === 'once';
+}
+
+/** Whether a request may run more than once. */
+export function isRepeatable(kind: RequestKind): boolean {
+  return kind === 'stream' || kind === 'read';
+}
 
 export interface SentRequest {
   readonly id: string;
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -300,6 +300,7 @@
   const running = [
     ...Array.from({ length: options.callers }, () => callers.runCaller(stopping.signal)),
     ...routers.map((_router, index) => callers.runProber(index, stopping.signal)),
+    callers.runOnceCaller(stopping.signal),
     ...(options.hasCrashingPart ? [callers.runCrashingCaller(stopping.signal)] : []),
   ];
   await runSchedule(environment, schedule);
--- a/soak/src/schedule.ts
+++ b/soak/src/schedule.ts
@@ -222,6 +222,17 @@
 const FLOOD_MS = [500, 3_000] as const;
 const FLOOD_SEED_OFFSET = 4_000_000;
 
+/** Ends and answers that are taken for others: a reset with the last bytes, a refusal that comes again. */
+const CONFUSING_PICKERS: readonly PickAction[] = [
+  (random, { targets }) => ({
+    kind: 'target',
+    target: random.pickBetween(0, targets - 1),
+    fault: random.pickOne(['unframedReset', 'lateRefusal'] as const),
+  }),
+];
+const CONFUSING_STEP_PAUSE_MS = [600, 2_500] as const;
+const CONFUSING_SEED_OFFSET = 4_500_000;
+
 interface DrawLimits {
   readonly durationMs: number;
   readonly size: SystemSize;
@@ -278,6 +289,11 @@
     pauseMs: FLOOD_STEP_PAUSE_MS,
     faultMs: FLOOD_MS,
   },
+  {
+    seedOffset: CONFUSING_SEED_OFFSET,
+    pickers: CONFUSING_PICKERS,
+    pauseMs: CONFUSING_STEP_PAUSE_MS,
+  },
 ];
 
 export function createSchedule(
