--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/connectionEnds.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/connectionEnds.test.ts
@@ -3,11 +3,9 @@
 
 import { expect } from 'earl';
 
-import * as EngineCalls from '../engineCalls';
+import * as Fakes from '../../__tests__/fakeDependencies';
 import type { EngineCommand } from '../engineCalls';
-import type { TargetCall } from '../targetCall';
 import * as RawTargets from './rawTarget';
-import type { RawTarget } from './rawTarget';
 
 const WAIT_MS = 5_000;
 const UNFRAMED = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n';
@@ -18,33 +16,12 @@
 
 type Answer = (socket: Socket) => void;
 
-async function runWithTarget<Result>(
-  answer: Answer,
-  run: (target: RawTarget) => Promise<Result>,
-): Promise<Result> {
-  const target = await RawTargets.startRawTarget(answer);
-  try {
-    return await run(target);
-  } finally {
-    await target.close();
-  }
-}
-
-async function readToEnd(call: TargetCall): Promise<readonly [kind: string, bytes: number]> {
-  let bytes = 0;
-  for (;;) {
-    const event = await call.readEvent(WAIT_MS);
-    if (event.kind === 'data') bytes += event.chunk.length;
-    else if (event.kind !== 'head') return [event.kind, bytes];
-  }
-}
-
 /** Kinds of the events by which as many answers ended. */
 async function listEnds(answer: Answer): Promise<readonly string[]> {
-  return runWithTarget(answer, async (target) => {
+  return RawTargets.runWithTarget(answer, async (target) => {
     const ends = new Set<string>();
     for (let tries = 0; tries < TRIES; tries += 1) {
-      ends.add((await readToEnd(target.openCall()))[0]);
+      ends.add((await RawTargets.readToEnd(target.openCall()))[0]);
     }
     return [...ends];
   });
@@ -82,7 +59,9 @@
   it('is whole where its connection ends in order', async () => {
     for (const size of SIZES) {
       const answer = createAnswer(UNFRAMED, 'x'.repeat(size), end);
-      const result = await runWithTarget(answer, (target) => readToEnd(target.openCall()));
+      const result = await RawTargets.runWithTarget(answer, (target) =>
+        RawTargets.readToEnd(target.openCall()),
+      );
       expect(result).toEqual(['end', size]);
     }
   });
@@ -102,7 +81,7 @@
   it('has no response where the connection is reset with the last bytes', async () => {
     // Guards against a part of a report that is read as a whole one.
     const answer = createAnswer(UNFRAMED, '{"running":1}', reset);
-    await runWithTarget(answer, async ({ address, connections }) => {
+    await RawTargets.runWithTarget(answer, async (target) => {
       let broken = 0;
       const command: EngineCommand = {
         method: 'GET',
@@ -112,18 +91,10 @@
           broken += 1;
         },
       };
-      const clock = { getNowMs: () => performance.now(), getRunningMs: () => performance.now() };
-      const notices = {
-        recordHead: () => undefined,
-        recordStart: () => () => undefined,
-        isResting: () => false,
-        createExcessRecord: () => () => undefined,
-      };
-      const names = { requestId: 'id' };
-      const callEngine = EngineCalls.createEngineCaller(clock, connections, notices, names);
-      const target = { id: 't1', address, startedAtUnixMs: 1 } as Parameters<typeof callEngine>[0];
+      const callEngine = RawTargets.createCaller(target, { requestId: 'id' });
+      const engine = Fakes.createTarget('t1', { address: target.address });
       for (let tries = 0; tries < TRIES; tries += 1) {
-        expect(await callEngine(target, command)).toEqual(undefined);
+        expect(await callEngine(engine, command)).toEqual(undefined);
       }
       expect(broken).toEqual(TRIES);
     });
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/endlessAnswers.test.ts
@@ -9,34 +9,11 @@
 import * as TargetCalls from '../targetCall';
 import type { TargetCall } from '../targetCall';
 import * as RawTargets from './rawTarget';
-import type { RawTarget } from './rawTarget';
 
 const WAIT_MS = 5_000;
 const CHUNK = `1000\r\n${'x'.repeat(0x1000)}\r\n`;
 const NOT_RUN = 'HTTP/1.1 503 Full\r\nnot-run: 1\r\n';
 
-async function runWithTarget<Result>(
-  answer: (socket: Socket) => void,
-  run: (target: RawTarget) => Promise<Result>,
-): Promise<Result> {
-  const target = await RawTargets.startRawTarget(answer);
-  try {
-    return await run(target);
-  } finally {
-    await target.close();
-  }
-}
-
-/** Reads up to the event that ends the call; returns it with the number of bytes of the body. */
-async function readToEnd(call: TargetCall): Promise<readonly [kind: string, bytes: number]> {
-  let bytes = 0;
-  for (;;) {
-    const event = await call.readEvent(WAIT_MS);
-    if (event.kind === 'data') bytes += event.chunk.length;
-    else if (event.kind !== 'head') return [event.kind, bytes];
-  }
-}
-
 /** Reads the head of an answer that says that the request did not run. */
 async function readRefusal(call: TargetCall) {
   const event = await call.readEvent(WAIT_MS);
@@ -66,8 +43,8 @@
         socket.write(start);
         RawTargets.writeEndless(socket, rest);
       };
-      await runWithTarget(answer, async (target) => {
-        const [kind] = await readToEnd(target.openCall());
+      await RawTargets.runWithTarget(answer, async (target) => {
+        const [kind] = await RawTargets.readToEnd(target.openCall());
         await target.waitClosed();
         expect([kind, target.excesses.map(([one]) => one)]).toEqual([
           end,
@@ -83,8 +60,8 @@
         socket.write(start);
         RawTargets.writeEndless(socket, 'a-field: value\r\n'.repeat(64));
       };
-      await runWithTarget(answer, async (target) => {
-        const [kind] = await readToEnd(target.openCall());
+      await RawTargets.runWithTarget(answer, async (target) => {
+        const [kind] = await RawTargets.readToEnd(target.openCall());
         await target.waitClosed();
         expect(kind).toEqual('broken');
       });
@@ -97,7 +74,7 @@
   const deadlines = { silenceDeadlineMs: Number.POSITIVE_INFINITY, expiresAtMs: 900 };
 
   async function readLate(answer: (socket: Socket) => void): Promise<readonly [string, number]> {
-    return runWithTarget(answer, async (target) => {
+    return RawTargets.runWithTarget(answer, async (target) => {
       const call = target.openCall();
       let bytes = 0;
       const head = await call.readEvent(WAIT_MS);
@@ -138,7 +115,7 @@
       socket.write(CHUNKED);
       RawTargets.writeEndless(socket, CHUNK.repeat(16));
     };
-    await runWithTarget(answer, async ({ connections, address, waitClosed }) => {
+    await RawTargets.runWithTarget(answer, async ({ connections, address, waitClosed }) => {
       const excesses: string[] = [];
       const callEngine = EngineCalls.createEngineCaller(
         { getNowMs: () => performance.now(), getRunningMs: () => performance.now() },
@@ -179,14 +156,14 @@
     };
     const answer = (socket: Socket) =>
       socket.write(`${CHUNKED}${'1\r\nx\r\n'.repeat(size)}0\r\n\r\n`);
-    await runWithTarget(answer, async (target) => {
+    await RawTargets.runWithTarget(answer, async (target) => {
       const call = target.openCall({ held });
       await new Promise((resolve) => {
         setTimeout(resolve, 300);
       });
       // A paused connection counts with the buffer of its socket.
       expect(heldBytes - 131_072).toBeLessThan(4_200);
-      expect(await readToEnd(call)).toEqual(['end', size]);
+      expect(await RawTargets.readToEnd(call)).toEqual(['end', size]);
     });
   });
 });
@@ -209,11 +186,11 @@
   for (const [name, answer, bytes] of forms) {
     it(`is read whole ${name}`, async () => {
       // Guards against limits on what is no body that cut true answers.
-      await runWithTarget(
+      await RawTargets.runWithTarget(
         (socket) => socket.write(answer),
         async (target) => {
-          expect(await readToEnd(target.openCall())).toEqual(['end', bytes]);
-          expect(await readToEnd(target.openCall())).toEqual(['end', bytes]);
+          expect(await RawTargets.readToEnd(target.openCall())).toEqual(['end', bytes]);
+          expect(await RawTargets.readToEnd(target.openCall())).toEqual(['end', bytes]);
           expect([target.excesses, target.countConnections()]).toEqual([[], 1]);
         },
       );
@@ -228,7 +205,7 @@
       socket.write(`${NOT_RUN}transfer-encoding: chunked\r\n\r\n`);
       RawTargets.writeEndless(socket, CHUNK);
     };
-    const excesses = await runWithTarget(answer, async (target) => {
+    const excesses = await RawTargets.runWithTarget(answer, async (target) => {
       expect((await readRefusal(target.openCall()))?.kind).toEqual('notRun');
       await target.waitClosed();
       return target.excesses;
@@ -238,7 +215,7 @@
 
   it('has its connection closed where the body does not come', async () => {
     const answer = (socket: Socket) => socket.write(`${NOT_RUN}content-length: 9\r\n\r\n`);
-    await runWithTarget(answer, async (target) => {
+    await RawTargets.runWithTarget(answer, async (target) => {
       expect((await readRefusal(target.openCall()))?.kind).toEqual('notRun');
       await target.waitClosed();
     });
@@ -250,7 +227,7 @@
       socket.write(`${NOT_RUN}content-length: 4\r\n\r\n`);
       setTimeout(() => socket.write('full'), 20);
     };
-    const connections = await runWithTarget(answer, async (target) => {
+    const connections = await RawTargets.runWithTarget(answer, async (target) => {
       await readRefusal(target.openCall());
       await new Promise((resolve) => {
         setTimeout(resolve, 100);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/lateAnswers.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/lateAnswers.test.ts
@@ -6,7 +6,6 @@
 import * as Fakes from '../../__tests__/fakeDependencies';
 import * as Checks from '../../answers/answerChecks';
 import * as CarriedCalls from '../carriedCalls';
-import * as EngineCalls from '../engineCalls';
 import type { EngineCommand } from '../engineCalls';
 import type { CallEvent, TargetCall } from '../targetCall';
 import * as RawTargets from './rawTarget';
@@ -29,16 +28,11 @@
   run: (target: RawTarget) => Promise<void>,
 ): Promise<void> {
   const counts = new WeakMap<Socket, number>();
-  const target = await RawTargets.startRawTarget((socket) => {
+  await RawTargets.runWithTarget((socket) => {
     const number = (counts.get(socket) ?? 0) + 1;
     counts.set(socket, number);
     socket.write(listAnswers(number).join(''));
-  });
-  try {
-    await run(target);
-  } finally {
-    await target.close();
-  }
+  }, run);
 }
 
 function openRequest({ address, connections, openCall }: RawTarget, id: string): TargetCall {
@@ -64,17 +58,6 @@
   return first?.kind === 'head' ? first.head.status : (first?.kind ?? '');
 }
 
-function createCaller({ connections }: RawTarget) {
-  const clock = { getNowMs: () => performance.now(), getRunningMs: () => performance.now() };
-  const notices = {
-    recordHead: () => undefined,
-    recordStart: () => () => undefined,
-    isResting: () => false,
-    createExcessRecord: () => () => undefined,
-  };
-  return EngineCalls.createEngineCaller(clock, connections, notices, NAMES);
-}
-
 describe('an answer that comes late, where that to the next call of its connection is due', () => {
   it('is not met by a request that is sent again, which goes over another connection', async () => {
     // Guards against a second refusal that has the id of the request, which is sent again and then runs.
@@ -139,7 +122,7 @@
         expect(await readResult(openRequest(target, 'r1'))).toEqual(200);
         const engine = Fakes.createTarget('t1', { address: target.address });
         const report = { method: 'GET', path: '/report', limitMs: WAIT_MS } as const;
-        expect(await createCaller(target)(engine, report)).toEqual(undefined);
+        expect(await RawTargets.createCaller(target, NAMES)(engine, report)).toEqual(undefined);
       },
     );
   });
@@ -149,7 +132,7 @@
     const listAnswers = () => [formatAnswer(undefined)];
     await runWithTarget(listAnswers, async (target) => {
       const engine = Fakes.createTarget('t1', { address: target.address });
-      const callEngine = createCaller(target);
+      const callEngine = RawTargets.createCaller(target, NAMES);
       const report: EngineCommand = { method: 'GET', path: '/report', limitMs: WAIT_MS };
       const copy: EngineCommand = { method: 'POST', path: '/copy', body: '{}', limitMs: WAIT_MS };
       for (const command of [report, report, report, copy]) {
--- a/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/rawTarget.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/__tests__/rawTarget.ts
@@ -2,6 +2,10 @@
 import * as Net from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 
+import type { HeaderNames } from '@sequoiarill/types';
+
+import * as EngineCalls from '../engineCalls';
+import type { EngineCaller } from '../engineCalls';
 import * as TargetCalls from '../targetCall';
 import type { CallOptions, TargetCall } from '../targetCall';
 import * as TargetConnections from '../targetConnections';
@@ -72,6 +76,46 @@
   };
 }
 
+const WAIT_MS = 5_000;
+
+/** `answer` is called for each request of the target that `run` calls. */
+export async function runWithTarget<Result>(
+  answer: (socket: Socket) => void,
+  run: (target: RawTarget) => Promise<Result>,
+): Promise<Result> {
+  const target = await startRawTarget(answer);
+  try {
+    return await run(target);
+  } finally {
+    await target.close();
+  }
+}
+
+/** Reads up to the event that ends the call; returns it with the number of bytes of the body. */
+export async function readToEnd(call: TargetCall): Promise<readonly [kind: string, bytes: number]> {
+  let bytes = 0;
+  for (;;) {
+    const event = await call.readEvent(WAIT_MS);
+    if (event.kind === 'data') bytes += event.chunk.length;
+    else if (event.kind !== 'head') return [event.kind, bytes];
+  }
+}
+
+/** Sends calls of the router itself to the target, by real time and without limits. */
+export function createCaller(
+  { connections }: RawTarget,
+  names: Pick<HeaderNames, 'requestId'>,
+): EngineCaller {
+  const clock = { getNowMs: () => performance.now(), getRunningMs: () => performance.now() };
+  const notices = {
+    recordHead: () => undefined,
+    recordStart: () => () => undefined,
+    isResting: () => false,
+    createExcessRecord: () => () => undefined,
+  };
+  return EngineCalls.createEngineCaller(clock, connections, notices, names);
+}
+
 /** Writes the same bytes again and again, as fast as the reader takes them, until the connection closes. */
 export function writeEndless(socket: Socket, bytes: Buffer | string): void {
   function writeMore(): void {
