Refuse the handle of another run's copy, in place of a connection for each command

Cause: the mend of late answers sent each command to an engine over a connection without an earlier command.

Change: commands share connections again. What a late response could do is told by its content: a handle that the engine gave for one run is refused for another, within the last 1,024 handles.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/copyCommands.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/copyCommands.test.ts
@@ -24,4 +24,22 @@
     const named: EngineCommand['headers'] = [[Fakes.HEADER_NAMES.expectedTarget, 'a1']];
     expect(sent.map(({ headers }) => headers)).toEqual([named, named]);
   });
+
+  it('give no handle that was given for another run', async () => {
+    // Guards against a late second response, by which a run would go on from the KV cache of another request.
+    const handles = ['h1', 'h1', 'h1', 'h2'];
+    const commands = CopyCommands.createCopyCommands(
+      Kernel.createFakeWire({ decodeCopyHandle: (text) => text }),
+      async () => ({
+        head: { status: 200, statusMessage: '', headers: {} },
+        text: handles.shift() ?? '',
+      }),
+    );
+    const holder = Fakes.createTarget('b1');
+    const createCopy = (runId: string) =>
+      commands.createCopy(Fakes.createTarget('a1'), runId, holder);
+    const results = [];
+    for (const runId of ['r1', 'r1', 'r2', 'r2']) results.push(await createCopy(runId));
+    expect(results).toEqual(['h1', 'h1', undefined, 'h2']);
+  });
 });
--- a/packages/sequoiarill-plugin-forwarding/src/streams/copyCommands.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/copyCommands.ts
@@ -3,6 +3,7 @@
 
 import type { RawHeader } from '../front/headers';
 import type { EngineCaller } from '../targets/engineCalls';
+import * as Incarnations from '../targets/targetIncarnation';
 
 /** Creates and releases copies of a run's KV cache on other engines. */
 export interface CopyCommands {
@@ -22,7 +23,35 @@
 const RELEASE_TIMEOUT_MS = 500;
 const OK = 200;
 
+/** Copies last for seconds, and a node begins a few of them a second. */
+const MAX_REMEMBERED_HANDLES = 1_024;
+
+/**
+ * Failure: an engine sends the response to a command a second time, where that to the next one is due. The handle of one
+ * copy is taken for that of another, and a run goes on from the KV cache of another request. So a handle that was given
+ * for another run is refused.
+ */
+function createHandleMemory(): (
+  engine: ForwardingTarget,
+  handle: string,
+  runId: string,
+) => boolean {
+  /** Oldest first. */
+  const runIds = new Map<string, string>();
+
+  return function isOfRun(engine, handle, runId) {
+    const key = `${Incarnations.formatIncarnation(engine)} ${handle}`;
+    const known = runIds.get(key);
+    if (known === undefined) runIds.set(key, runId);
+    const [oldest = key] = runIds.keys();
+    if (runIds.size > MAX_REMEMBERED_HANDLES) runIds.delete(oldest);
+    return known === undefined || known === runId;
+  };
+}
+
 export function createCopyCommands(wire: ForwardingWire, callEngine: EngineCaller): CopyCommands {
+  const isOfRun = createHandleMemory();
+
   /** Another target may have the engine's address by now, and must not run the command. */
   const createHeaders = ({ id }: ForwardingTarget): readonly RawHeader[] => [
     [wire.headers.expectedTarget, id],
@@ -38,7 +67,9 @@
         headers: createHeaders(engine),
         limitMs: CREATE_TIMEOUT_MS,
       });
-      return response?.head.status === OK ? wire.decodeCopyHandle(response.text) : undefined;
+      if (response?.head.status !== OK) return undefined;
+      const handle = wire.decodeCopyHandle(response.text);
+      return handle !== undefined && isOfRun(engine, handle, runId) ? handle : undefined;
     },
     async releaseCopy(engine, handle) {
       const path = wire.formatCopyPath(handle);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/engineCalls.ts
@@ -4,7 +4,6 @@
 import * as Checks from '../answers/answerChecks';
 import type { AnswerHead } from '../forwardRequest';
 import type { RawHeader } from '../front/headers';
-import type { CallKey } from './carriedCalls';
 import * as TargetCalls from './targetCall';
 import type { CallEvent, TargetCall } from './targetCall';
 import type { TargetConnections } from './targetConnections';
@@ -34,26 +33,16 @@
 /** A listing of 10,000 prompt parts has half a megabyte. */
 const MAX_RESPONSE_BYTES = 4_194_304;
 
-/**
- * A late response to a command would be taken for that to the next one, and a run would go on from the KV cache of
- * another. So commands to one path each have a connection that has carried none. A report that comes a second time is
- * merely older, and what is answered to a release is not read.
- */
-function getCommandKey({ method, path }: EngineCommand): CallKey | undefined {
-  return method === 'POST' ? { key: path, untilMs: Number.POSITIVE_INFINITY } : undefined;
-}
-
 export function createEngineCaller(
   clock: Pick<Clock, 'getNowMs' | 'getRunningMs'>,
   connections: Pick<TargetConnections, 'takeConnection'>,
   notices: Pick<TargetNotices, 'recordHead' | 'recordStart' | 'isResting' | 'createExcessRecord'>,
   names: Pick<HeaderNames, 'requestId'>,
 ): EngineCaller {
-  return async (target, command) => {
-    const { method, path, body, headers = [], limitMs, recordBroken } = command;
+  return async (target, { method, path, body, headers = [], limitMs, recordBroken }) => {
     if (notices.isResting(target)) return undefined;
     const call = TargetCalls.openCall({
-      connection: connections.takeConnection(target, getCommandKey(command)),
+      connection: connections.takeConnection(target),
       target,
       method,
       path,
