End a stream of the stand-in by the fault with which it began

A stream without framing that had begun under "unframedReset" looked at the fault again at its last event. Where the fault was over by then, the stand-in took the branch of a target that exits: it stopped listening for good and ended the stream in order. Links reset what they can't forward, and the engine was missing until its next life.

Change: the stream keeps the fault of its start.

--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -64,9 +64,15 @@
     }, afterMs);
   }
 
-  /** Ends the connection in an orderly way, as the kernel does for a process that is killed. */
-  function closeUnframed(response: ServerResponse): void {
-    if (fault === 'unframedBreak') response.write('id: 6\ndata: ha');
+  /** Breaks a stream without framing off after an event, as the fault with which it began says. */
+  function sendUnframedEnd(streamFault: TargetFault, event: string, response: ServerResponse): void {
+    if (streamFault === 'unframedReset') {
+      RawHttp.writeAndReset(response, event);
+      return;
+    }
+    response.write(event);
+    // An orderly end, as the kernel sends it for a process that is killed.
+    if (streamFault === 'unframedBreak') response.write('id: 6\ndata: ha');
     else server.stopListening();
     response.end();
   }
@@ -82,15 +88,16 @@
   }
 
   async function sendStream(requestId: string, from: number, response: ServerResponse) {
-    const isUnframed = UNFRAMED_STREAMS.has(fault);
+    const streamFault = fault;
+    const isUnframed = UNFRAMED_STREAMS.has(streamFault);
     writeStreamHead(requestId, response, isUnframed);
     const lastUnframed = isUnframed ? Math.max(EVENTS_BEFORE_FAULT, from + 1) : undefined;
     for (let number = from; number <= eventCount; number += 1) {
       await timers.waitMs(eventMs);
       if (response.destroyed) return;
       const event = formatEvent(requestId, number, version);
-      if (number === lastUnframed && fault === 'unframedReset') {
-        RawHttp.writeAndReset(response, event);
+      if (number === lastUnframed) {
+        sendUnframedEnd(streamFault, event, response);
         return;
       }
       response.write(event);
@@ -99,10 +106,6 @@
         response.write('id: 6\ndata: ha', () => response.socket?.resetAndDestroy());
         return;
       }
-      if (number === lastUnframed) {
-        closeUnframed(response);
-        return;
-      }
       if (number === EVENTS_BEFORE_FAULT && fault === 'fallSilentInStream') {
         silence.stopSilently();
       }
