--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -65,7 +65,11 @@
   }
 
   /** Breaks a stream without framing off after an event, as the fault with which it began says. */
-  function sendUnframedEnd(streamFault: TargetFault, event: string, response: ServerResponse): void {
+  function sendUnframedEnd(
+    streamFault: TargetFault,
+    event: string,
+    response: ServerResponse,
+  ): void {
     if (streamFault === 'unframedReset') {
       RawHttp.writeAndReset(response, event);
       return;
