--- a/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/largeAnswers.ts
@@ -3,6 +3,7 @@
 
 import type { RunTimers } from '../shared/timers';
 import * as RawHttp from './rawHttp';
+import type { TargetFault } from './targetTypes';
 
 const PIECES = 20;
 const BREAK_MS = 50;
@@ -99,3 +100,21 @@
   if (isReset) timers.startTimer(() => RawHttp.writeAndReset(response, half + RESET_MARK), 1);
   else response.end(half);
 }
+
+/** Breaks a stream without framing off after an event, as the fault with which it began says. */
+export function sendUnframedEnd(
+  fault: TargetFault,
+  event: string,
+  response: ServerResponse,
+  stopListening: () => void,
+): void {
+  if (fault === 'unframedReset') {
+    RawHttp.writeAndReset(response, event);
+    return;
+  }
+  response.write(event);
+  // An orderly end, as the kernel sends it for a process that is killed.
+  if (fault === 'unframedBreak') response.write('id: 6\ndata: ha');
+  else stopListening();
+  response.end();
+}
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -64,23 +64,6 @@
     }, afterMs);
   }
 
-  /** Breaks a stream without framing off after an event, as the fault with which it began says. */
-  function sendUnframedEnd(
-    streamFault: TargetFault,
-    event: string,
-    response: ServerResponse,
-  ): void {
-    if (streamFault === 'unframedReset') {
-      RawHttp.writeAndReset(response, event);
-      return;
-    }
-    response.write(event);
-    // An orderly end, as the kernel sends it for a process that is killed.
-    if (streamFault === 'unframedBreak') response.write('id: 6\ndata: ha');
-    else server.stopListening();
-    response.end();
-  }
-
   function writeStreamHead(requestId: string, response: ServerResponse, isUnframed: boolean): void {
     if (isUnframed) response.removeHeader('transfer-encoding');
     response.writeHead(200, {
@@ -101,7 +84,7 @@
       if (response.destroyed) return;
       const event = formatEvent(requestId, number, version);
       if (number === lastUnframed) {
-        sendUnframedEnd(streamFault, event, response);
+        LargeAnswers.sendUnframedEnd(streamFault, event, response, server.stopListening);
         return;
       }
       response.write(event);
