--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -152,7 +152,8 @@
  * Failure: this process is killed, or breaks an answer off, while its caller takes a long answer without framing. The
  * connection ends in order, or by a reset that many clients take for an end, so a part of the answer looks complete.
  *
- * So an answer without framing gets some of its own, unless the kernel takes it at once, or its caller knows no chunks.
+ * So an answer that is passed on as it arrives goes in chunks where its caller knows them. One that was held whole stays
+ * without framing: a target that ends it too early and lives on can't be told, and a length would vouch for it.
  */
 function isSentUnframed(
   response: ServerResponse,
@@ -162,7 +163,7 @@
   // Towards another router, an answer always has framing of its own, and a header for the target's.
   if (response.hasHeader(RelayHeaders.RELAY_HEADERS.version)) return false;
   if (!Checks.isCloseDelimited(head)) return false;
-  return bodyLength === undefined ? !hasChunks(response) : bodyLength <= MAX_UNFRAMED_BYTES;
+  return bodyLength !== undefined || !hasChunks(response);
 }
 
 /** `bodyLength` is undefined where the answer is passed on as it arrives and its target declares no length. */
@@ -352,5 +353,3 @@
 
 const HTTP_WITHOUT_CHUNKS = '1.0';
 const EMPTY = Buffer.alloc(0);
-/** The send buffer of a new connection has room for this much and more. */
-const MAX_UNFRAMED_BYTES = 4_096;
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -12,7 +12,6 @@
 import * as LateRefusals from './lateRefusals';
 import * as ManagementCalls from './managementCalls';
 import * as PausedAnswers from './pausedAnswers';
-import * as RawHttp from './rawHttp';
 import type { WholeAnswer } from './rawHttp';
 import { EVENT_COUNT, formatEvent, formatEvents } from './streamEvents';
 import { UNFRAMED_ANSWERS, UNFRAMED_STREAMS } from './targetTypes';
