Keep sending through a router whose target broke off

Cause: a hop that ended without a complete answer counted as a router that had not answered, so that it got nothing for three seconds. But the other router had answered: with its own 502 for its target, or by breaking off as its target did. With two other routers, two such orders left none.

A hop is now marked where the other router was heard: by its own head, or by an answer that began and was broken off. Only a hop without a sign of the router counts against it; one that refuses connections counts at the next try.

The unit test failed before ("refused" instead of "answer").

--- a/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/relays.test.ts
@@ -19,6 +19,7 @@
 }));
 const BODY: CallEvent = { kind: 'data', chunk: Buffer.from('done') };
 const SILENCE: Script = [];
+const BROKEN: Script = [[5, { kind: 'broken', reason: 'reset' }]];
 const REFUSED: Script = [[0, { kind: 'broken', reason: 'ECONNREFUSED' }]];
 
 function createHead(status: number, headers: Readonly<Record<string, string>> = {}): CallEvent {
@@ -31,6 +32,16 @@
   [20, { kind: 'end' }],
 ];
 
+/** Of the router itself, and not of a target. */
+function createUnsigned(status: number): Script {
+  const { head } = Fakes.createHead(status, { [RELAY_HEADERS.version]: '1' });
+  const headers = { ...head.headers, signature: undefined };
+  return [
+    [5, { kind: 'head', head: { ...head, headers } }],
+    [5, { kind: 'end' }],
+  ];
+}
+
 function createRefusal(cause: string, seconds = '1.5'): Script {
   return [
     [1, createHead(503, { [RELAY_HEADERS.refused]: cause, 'retry-after': seconds, signature: '' })],
@@ -163,13 +174,26 @@
     });
   });
 
+  it('goes on sending through a router that answers for a target that broke off', async () => {
+    // Guards against all other routers being avoided for seconds since a target fails behind them.
+    const failed = createUnsigned(502);
+    for (const script of [failed, [[5, createHead(200)], ...BROKEN] as const]) {
+      const scripts: Record<string, Script> = { 'r1:2': ANSWERED };
+      const fakes = createPartitioned(scripts);
+      await waitForLostPath(fakes);
+      scripts['r1:2'] = script;
+      expect((await runOrder(fakes, createOrder('once'))).outcome?.kind).toEqual('failed');
+      scripts['r1:2'] = ANSWERED;
+      expect((await runOrder(fakes, createOrder('once'))).outcome?.kind).toEqual('answer');
+    }
+  });
+
   it('sends a request that must not run twice through one router at most', async () => {
     // Guards against a second run after the hop broke off.
-    const broken: Script = [[5, { kind: 'broken', reason: 'reset' }]];
     const fakes = createPartitioned({ 'r1:2': ANSWERED });
     await waitForLostPath(fakes);
     const before = listHops(fakes).length;
-    const scripts: Record<string, Script> = { 'r1:2': broken, 'r2:2': broken };
+    const scripts: Record<string, Script> = { 'r1:2': BROKEN, 'r2:2': BROKEN };
     const cut = createPartitioned(scripts);
     await waitForLostPath(cut);
     await cut.clock.runFor(3_000);
@@ -223,8 +247,7 @@
 
   it('sends a request to no more targets than its route allows, hops included', async () => {
     // Guards against a further target after hops have used all attempts of the request.
-    const broken: Script = [[5, { kind: 'broken', reason: 'reset' }]];
-    const fakes = createPartitioned({ 'r1:2': broken, 'r2:2': broken });
+    const fakes = createPartitioned({ 'r1:2': BROKEN, 'r2:2': BROKEN });
     const { outcome } = await runOrder(fakes, createOrder('idempotent'));
     expect(outcome?.kind).toEqual('refused');
     expect(fakes.sentCalls.map(({ target }) => target.slice(0, 1))).toEqual(['o', 'r', 'r']);
@@ -289,13 +312,7 @@
   });
 
   it('takes an answer without a signature for none', async () => {
-    const { head } = Fakes.createHead(200, { [RELAY_HEADERS.version]: '1' });
-    const headers = { ...head.headers, signature: undefined };
-    const unsigned: Script = [
-      [5, { kind: 'head', head: { ...head, headers } }],
-      [5, { kind: 'end' }],
-    ];
-    const fakes = createPartitioned({ 'r1:2': unsigned });
+    const fakes = createPartitioned({ 'r1:2': createUnsigned(200) });
     await waitForLostPath(fakes);
     const { outcome } = await runOrder(fakes, createOrder('once'));
     expect(outcome?.kind).not.toEqual('answer');
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
@@ -17,8 +17,16 @@
   retryAfterSeconds: number | undefined;
 }>;
 
+/** Whether the other router itself is still there, although no complete answer came through it. */
+interface RouterSign {
+  readonly isRouterHeard?: boolean;
+}
+
 /** `notRun` does not occur: another router says so by a refusal. */
-export type RelayOutcome = Exclude<SendOutcome, { kind: 'notRun' }> | RelayRefusal;
+export type RelayOutcome =
+  | Exclude<SendOutcome, { kind: 'notRun' | 'lost' }>
+  | (Extract<SendOutcome, { kind: 'lost' }> & RouterSign)
+  | RelayRefusal;
 
 export type HeadResult =
   | Readonly<{ kind: 'answer'; head: AnswerHead; build?: TargetBuild }>
@@ -50,8 +58,8 @@
   if (event.kind !== 'head') return decideFailure(dependencies, request, call, event);
   const relayed = RelayHeaders.decodeHead(event.head, request.id, dependencies.wire.headers);
   if (relayed.kind === 'invalid') {
-    const { reason, isTimeout } = relayed;
-    return { kind: 'lost', reason, isTimeout };
+    const { reason, isTimeout, isRouter } = relayed;
+    return { kind: 'lost', reason, isTimeout, isRouterHeard: isRouter };
   }
   if (relayed.kind === 'refused') return relayed;
   const { version, ...answer } = relayed;
@@ -81,6 +89,18 @@
   return call.wasSent() ? { kind: 'lost', reason, isTimeout: false } : { kind: 'notSent', reason };
 }
 
+/**
+ * For the rest of an answer that has begun: where its target breaks it off, the other router breaks it off as well. Without a
+ * sign of life within the time, the router is the one that is missing.
+ */
+export function markHeard<Outcome extends Readonly<{ kind: string; isTimeout?: boolean }>>(
+  outcome: Outcome,
+): Outcome & RouterSign {
+  return outcome.kind === 'lost'
+    ? { ...outcome, isRouterHeard: outcome.isTimeout !== true }
+    : outcome;
+}
+
 /** Sends a request whose answer is not a stream through the router. */
 export async function relayAnswer(
   dependencies: ForwardingDependencies,
@@ -95,7 +115,7 @@
     const result = await readHead(dependencies, request, router, call);
     if (result.kind !== 'answer') return result;
     const source = { call, head: result.head, readNext: call.readNext };
-    return await PassedAnswers.readAnswer(dependencies, request, source);
+    return markHeard(await PassedAnswers.readAnswer(dependencies, request, source));
   } finally {
     request.closed.removeEventListener('abort', call.cancel);
     // The body of a refusal, or of an answer that is not used, may have no end.
@@ -108,11 +128,12 @@
   { relays, log, metrics, clock }: ForwardingDependencies,
   request: ForwardRequest,
   router: RelayRouter,
-  outcome: Readonly<{ kind: string; cause?: RelayRefusalCause; reason?: string }>,
+  outcome: Readonly<{ kind: string; cause?: RelayRefusalCause; reason?: string }> & RouterSign,
 ): void {
-  const { kind, cause, reason } = outcome;
+  const { kind, cause, reason, isRouterHeard = false } = outcome;
+  const isUnanswered = kind === 'notSent' || (kind === 'lost' && !isRouterHeard);
   if (cause !== undefined) relays.recordRefusal(router, cause);
-  else if (kind === 'notSent' || kind === 'lost') relays.recordRefusal(router, 'unanswered');
+  else if (isUnanswered) relays.recordRefusal(router, 'unanswered');
   metrics.addCount(Metrics.RELAYED, 1, { outcome: cause ?? kind });
   log.logEvent(Events.REQUEST_RELAYED, {
     request: request.id,
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
@@ -170,7 +170,13 @@
       readonly retryAfterSeconds: number | undefined;
     }
   /** Not an answer of another router, or one that leaves open whether the request has run. */
-  | { readonly kind: 'invalid'; readonly reason: string; readonly isTimeout: boolean };
+  | {
+      readonly kind: 'invalid';
+      readonly reason: string;
+      readonly isTimeout: boolean;
+      /** Whether a router has sent the head. */
+      readonly isRouter: boolean;
+    };
 
 const GATEWAY_TIMEOUT = 504;
 const BAD_GATEWAY = 502;
@@ -182,7 +188,12 @@
 ): RelayedHead {
   const version = parseCount(Checks.getHeader(head, RELAY_HEADERS.version));
   if (version === undefined || Checks.getHeader(head, names.requestId) !== requestId) {
-    return { kind: 'invalid', reason: 'not an answer of a router', isTimeout: false };
+    return {
+      kind: 'invalid',
+      reason: 'not an answer of a router',
+      isTimeout: false,
+      isRouter: false,
+    };
   }
   const cause = CAUSES.find((one) => one === Checks.getHeader(head, RELAY_HEADERS.refused));
   if (cause !== undefined) {
@@ -193,7 +204,8 @@
   const isUnknown = head.status === BAD_GATEWAY || head.status === GATEWAY_TIMEOUT;
   if (!isSigned && (isUnknown || Checks.isSuccess(head.status))) {
     const reason = `status ${head.status} of a router`;
-    return { kind: 'invalid', reason, isTimeout: head.status === GATEWAY_TIMEOUT };
+    const isTimeout = head.status === GATEWAY_TIMEOUT;
+    return { kind: 'invalid', reason, isTimeout, isRouter: true };
   }
   const build = decodeBuild(
     Checks.getHeader(head, RELAY_HEADERS.models),
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -91,14 +91,20 @@
     const result = await RelayAttempts.readHead(dependencies, request, router, call);
     if (result.kind !== 'answer') return result;
     if (result.head.status !== STATUS_OK) {
-      return await Sending.readFullAnswer(call, result.head, call.readNext, request.held);
+      const { head } = result;
+      const answer = await Sending.readFullAnswer(call, head, call.readNext, request.held);
+      return RelayAttempts.markHeard(answer);
     }
     const answered = { version: '', models: '', ...result.build };
     if (build !== undefined && !Decisions.isSameBuild(answered, build)) {
-      return { kind: 'lost', reason: 'another build answered', isTimeout: false };
+      const reason = 'another build answered';
+      return { kind: 'lost', reason, isTimeout: false, isRouterHeard: true };
     }
     const { head } = result;
-    return yield* relayEvents(dependencies, request, call, { head, build: answered }, progress);
+    const terms = { head, build: answered };
+    return RelayAttempts.markHeard(
+      yield* relayEvents(dependencies, request, call, terms, progress),
+    );
   } finally {
     // Also runs when the consumer returns the generator early.
     call.cancel();
