Never pause senders of small bodies

Small requests waited while large bodies used up the budget of held bytes, and were refused after their time limit: orders with a few bytes waited for 7 s, and got "no target is known".

Cause: above 0.8 of the budget all senders but the first are paused, in the order of their arrival. A body counts as being read even where it has arrived in full, in a segment of its own after its head, so that small requests queued behind one large body. Ruled out: processor time (the router was idle, by /proc and a count of its system calls).

Bodies up to 64 KB are taken even when the budget is used up, and now they are not paused either; they still count, and a slow one is still cut first. The unit test failed before.

--- a/packages/sequoiarill-plugin-forwarding/src/front/__tests__/heldBudget.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/__tests__/heldBudget.test.ts
@@ -9,6 +9,7 @@
   bytes: number;
   taken: number;
   isDue: boolean;
+  isLarge: boolean;
   isPaused: boolean;
   isCut: boolean;
 }
@@ -18,6 +19,7 @@
     bytes,
     taken: 0,
     isDue: true,
+    isLarge: true,
     isPaused: false,
     isCut: false,
     requestId: 'r1',
@@ -25,6 +27,7 @@
     countBytes: () => holder.bytes,
     countProgress: () => holder.taken,
     isCallerDue: () => holder.isDue,
+    mayPause: () => holder.isLarge,
     setPaused(isPaused) {
       holder.isPaused = isPaused;
     },
@@ -115,6 +118,18 @@
     expect(listPaused().slice(1)).toEqual([false, false]);
   });
 
+  it('pauses no senders of small bodies', async () => {
+    // Guards against small requests that wait for large ones.
+    const { clock, budget, addHolders } = createBudget();
+    const senders = addHolders('sender', 850_000, 70_000);
+    const small = createHolder('sender', 100);
+    small.isLarge = false;
+    budget.register(small).update();
+    await clock.runFor(100);
+    const holders = [...senders.map(({ holder }) => holder), small];
+    expect(holders.map(({ isPaused }) => isPaused)).toEqual([false, true, false]);
+  });
+
   it('refuses large bodies while it is used up', async () => {
     const { clock, budget, addHolders } = createBudget();
     const [reader] = addHolders('reader', 1_000_000);
--- a/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
@@ -15,6 +15,8 @@
   readonly countProgress: () => number;
   /** Whether the caller is to take or to send the next byte. */
   readonly isCallerDue: () => boolean;
+  /** For senders only; one with a small body is not worth pausing, and its request is served all the same. */
+  readonly mayPause: () => boolean;
   /** For senders only. */
   readonly setPaused: (isPaused: boolean) => void;
   readonly cut: () => void;
@@ -98,7 +100,7 @@
 
   function applyPauses(): number {
     const senders = [...entries].filter(
-      ({ holder }) => holder.getKind() === 'sender' && holder.isCallerDue(),
+      ({ holder }) => holder.getKind() === 'sender' && holder.isCallerDue() && holder.mayPause(),
     );
     const pausedSenders = new Set(Decisions.selectPausedSenders(getTotal(), senders));
     for (const entry of senders) {
--- a/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
@@ -5,6 +5,8 @@
 
 /** How a body that is being read is paused and cut off. */
 export interface BodyControl {
+  /** Whether it has more bytes than are taken at any time. */
+  readonly isLarge: () => boolean;
   readonly setPaused: (isPaused: boolean) => void;
   readonly cut: () => void;
   /** Bytes that were received and are not yet passed to `addBodyBytes`, as while it is paused. */
@@ -51,6 +53,7 @@
       response.writableLength,
     countProgress: () => (bodyControl === undefined ? countTaken(response) : bodyBytes),
     isCallerDue: () => bodyControl !== undefined || response.writableLength > 0,
+    mayPause: () => bodyControl?.isLarge() === true,
     setPaused: (isPaused) => bodyControl?.setPaused(isPaused),
     cut() {
       // Unlike an orderly end, a reset completes no answer, also without a length or chunks.
--- a/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
@@ -53,6 +53,7 @@
     }
 
     const control: BodyControl = {
+      isLarge: () => (declaredBytes ?? bytes) > Decisions.SMALL_BODY_BYTES,
       setPaused(isPaused) {
         if (isDone) return;
         if (isPaused) incoming.pause();
