Count large bodies as held until their requests end

Cause: the budget of held bytes counted a body until it was first sent, but its request and the HTTP client hold it on. Ruled out: buffers of sockets (the kernel takes such a body at once, and the memory stays) and copies for repeats (the route sends once).

A body above 64 KB now counts until its request ends. Where sent bodies hold 0.8 of the budget, further large ones get 503 with Retry-After: 1 when their heads arrive, and senders of such bodies are paused, the first one included: it would complete, be sent, and make room for the next above the budget.

--- a/packages/sequoiarill-decisions/src/__tests__/heldBytes.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/heldBytes.test.ts
@@ -30,14 +30,32 @@
 
   it('pauses all senders but the first above 0.8 of the budget', () => {
     // Guards against bodies read in part that fill the budget, of which none can become complete.
-    const [held, senders] = [{ heldBytes: 81, limitBytes: 100 }, ['a', 'b', 'c']] as const;
+    const held = { heldBytes: 81, limitBytes: 100, sentBytes: 80 };
+    const senders = ['a', 'b', 'c'];
     expect(HeldBytes.selectPausedSenders(held, senders)).toEqual(['b', 'c']);
     expect(HeldBytes.selectPausedSenders({ ...held, heldBytes: 80 }, senders)).toEqual([]);
   });
 
+  it('pauses all senders where bodies that were sent hold 0.8 of the budget', () => {
+    // Guards against bodies for slow targets that exceed the budget one after the other.
+    const held = { heldBytes: 90, limitBytes: 100, sentBytes: 81 };
+    expect(HeldBytes.selectPausedSenders(held, ['a', 'b'])).toEqual(['a', 'b']);
+  });
+
+  it('refuses large bodies where 0.8 of the budget waits for targets', () => {
+    const held = { heldBytes: 81, limitBytes: 100 };
+    const isRefused = (sentBytes: number, bodyBytes: number) =>
+      HeldBytes.isBodyRefused({ ...held, sentBytes }, bodyBytes);
+    expect([isRefused(80, 65_537), isRefused(81, 65_537), isRefused(81, 65_536)]).toEqual([
+      false,
+      true,
+      false,
+    ]);
+  });
+
   it('refuses only large bodies, and only when the budget is used up', () => {
     const isRefused = (heldBytes: number, bodyBytes: number | undefined) =>
-      HeldBytes.isBodyRefused({ heldBytes, limitBytes: 100 }, bodyBytes);
+      HeldBytes.isBodyRefused({ heldBytes, limitBytes: 100, sentBytes: 0 }, bodyBytes);
     expect([isRefused(100, 65_537), isRefused(100, 65_536), isRefused(100, undefined)]).toEqual([
       true,
       false,
--- a/packages/sequoiarill-decisions/src/heldBytes.ts
+++ b/packages/sequoiarill-decisions/src/heldBytes.ts
@@ -1,8 +1,10 @@
 /**
- * Decides who is paused, cut off and refused where a process holds bytes for callers that read or send slowly.
+ * Decides who is paused, cut off and refused where a process holds bytes for callers that read or send slowly, and for
+ * targets that do.
  *
- * Load pattern: hundreds of callers read long answers slowly or not at all. Held in full for each of them, the
- * answers exceed the memory of the process, which ends with all its requests.
+ * Load pattern: hundreds of callers read long answers slowly or not at all, or the targets of a service take long for
+ * large bodies. Held in full for each of them, the answers and bodies exceed the memory of the process, which ends with all
+ * its requests.
  */
 
 /** Bytes held for one caller. */
@@ -19,6 +21,8 @@
 export interface HeldTotal {
   readonly heldBytes: number;
   readonly limitBytes: number;
+  /** Of the bytes held, those of bodies that were sent to targets, and that only the end of their requests frees. */
+  readonly sentBytes: number;
 }
 
 /** Above this share of the budget, nothing is read ahead. */
@@ -43,29 +47,34 @@
 }
 
 /** Whether readers and senders are paused. */
-export function isPauseDue({ heldBytes, limitBytes }: HeldTotal): boolean {
+export function isPauseDue({ heldBytes, limitBytes }: Omit<HeldTotal, 'sentBytes'>): boolean {
   return heldBytes > limitBytes * PAUSE_SHARE;
 }
 
+/** Whether so much waits for targets that the next body would only wait as well. */
+function isSentTooMuch({ sentBytes, limitBytes }: HeldTotal): boolean {
+  return sentBytes > limitBytes * PAUSE_SHARE;
+}
+
 /** Whether a request whose body has this size, or already has it, is refused at once. */
-export function isBodyRefused(
-  { heldBytes, limitBytes }: HeldTotal,
-  bodyBytes: number | undefined,
-): boolean {
-  return heldBytes >= limitBytes && bodyBytes !== undefined && bodyBytes > SMALL_BODY_BYTES;
+export function isBodyRefused(total: HeldTotal, bodyBytes: number | undefined): boolean {
+  const isUsedUp = total.heldBytes >= total.limitBytes || isSentTooMuch(total);
+  return isUsedUp && bodyBytes !== undefined && bodyBytes > SMALL_BODY_BYTES;
 }
 
 /**
  * The senders to pause, of those whose bodies are incomplete, in the order of their arrival.
  *
  * Failure: bodies that are read in part use up the budget. If all their senders were paused, none would become
- * complete and free its bytes, so the first one goes on.
+ * complete and free its bytes, so the first one goes on, unless bodies that were sent use up the budget: these end by
+ * themselves, and one more would be added to them.
  */
 export function selectPausedSenders<Sender>(
   total: HeldTotal,
   senders: readonly Sender[],
 ): readonly Sender[] {
-  return isPauseDue(total) ? senders.slice(1) : [];
+  if (!isPauseDue(total)) return [];
+  return isSentTooMuch(total) ? senders : senders.slice(1);
 }
 
 /**
@@ -74,7 +83,7 @@
  * ones the last to arrive is cut first, since the others are closer to their end.
  */
 export function selectCut<Share extends HeldShare>(
-  { heldBytes, limitBytes }: HeldTotal,
+  { heldBytes, limitBytes }: Omit<HeldTotal, 'sentBytes'>,
   shares: readonly Share[],
 ): readonly Share[] {
   const isOver = heldBytes > limitBytes;
--- a/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
@@ -13,9 +13,9 @@
 import type * as TargetConnections from './targets/targetConnections';
 import type * as TargetNotices from './targets/targetNotices';
 
-/** What is sent of the request, whose body no longer counts as held, and what counts its answer. */
+/** What is sent of the request, and what counts its answer. */
 function buildContent({ method, path, body, held, sink }: ForwardRequest) {
-  held?.releaseBody();
+  held?.recordBodySent();
   const answerHold = held && {
     addAnswerBytes: held.addAnswerBytes,
     // The socket of the connection buffers enough for an answer that is passed on.
--- a/packages/sequoiarill-plugin-forwarding/src/front/__tests__/heldBudget.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/__tests__/heldBudget.test.ts
@@ -25,6 +25,7 @@
     requestId: 'r1',
     getKind: () => kind,
     countBytes: () => holder.bytes,
+    countSentBytes: () => 0,
     countProgress: () => holder.taken,
     isCallerDue: () => holder.isDue,
     mayPause: () => holder.isLarge,
--- a/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
@@ -1,4 +1,4 @@
-/** The budget of bytes that this process holds for callers that read or send slowly. */
+/** The budget of bytes that this process holds for callers and targets that read or send slowly. */
 import * as Decisions from '@sequoiarill/decisions';
 import type { Clock, Metrics as MetricsWriter, StateDump } from '@sequoiarill/types';
 
@@ -11,6 +11,8 @@
   readonly requestId: string | undefined;
   readonly getKind: () => 'reader' | 'sender';
   readonly countBytes: () => number;
+  /** Of these, the bytes of a body that was sent to a target. */
+  readonly countSentBytes: () => number;
   /** Changes whenever the caller has taken or sent bytes. */
   readonly countProgress: () => number;
   /** Whether the caller is to take or to send the next byte. */
@@ -58,6 +60,7 @@
 interface Entry {
   readonly holder: Holder;
   bytes: number;
+  sentBytes: number;
   progress: number;
   /** Time of the last progress, or since when the caller is due, monotonic milliseconds. */
   movedAtMs: number;
@@ -69,22 +72,27 @@
   const entries = new Set<Entry>();
   const stopController = new AbortController();
   let heldBytes = 0;
+  let sentBytes = 0;
   let checkedAtMs = Number.NEGATIVE_INFINITY;
   let wasPaused = false;
   let cutCount = 0;
   let refusedCount = 0;
   let checks: Promise<void> | undefined;
 
-  const getTotal = () => ({ heldBytes, limitBytes });
+  const getTotal = () => ({ heldBytes, limitBytes, sentBytes });
 
-  function countEntry(entry: Entry): void {
-    const bytes = entry.holder.countBytes();
+  function setBytes(entry: Entry, bytes: number, entrySentBytes: number): void {
     heldBytes += bytes - entry.bytes;
-    entry.bytes = bytes;
+    sentBytes += entrySentBytes - entry.sentBytes;
+    Object.assign(entry, { bytes, sentBytes: entrySentBytes });
+  }
+
+  function countEntry(entry: Entry): void {
+    setBytes(entry, entry.holder.countBytes(), entry.holder.countSentBytes());
   }
 
   function removeEntry(entry: Entry): void {
-    if (entries.delete(entry)) heldBytes -= entry.bytes;
+    if (entries.delete(entry)) setBytes(entry, 0, 0);
   }
 
   function cancelEntry(entry: Entry, idleMs: number): void {
@@ -155,13 +163,7 @@
 
   return {
     register(holder) {
-      const entry: Entry = {
-        holder,
-        bytes: 0,
-        progress: holder.countProgress(),
-        movedAtMs: clock.getNowMs(),
-        isPaused: false,
-      };
+      const entry = createEntry(holder, clock.getNowMs());
       entries.add(entry);
       return {
         update() {
@@ -203,6 +205,11 @@
   };
 }
 
+function createEntry(holder: Holder, nowMs: number): Entry {
+  const progress = holder.countProgress();
+  return { holder, bytes: 0, sentBytes: 0, progress, movedAtMs: nowMs, isPaused: false };
+}
+
 function updateProgress(entry: Entry, nowMs: number): void {
   const progress = entry.holder.countProgress();
   const hasMoved = progress !== entry.progress || !entry.holder.isCallerDue();
--- a/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
@@ -1,6 +1,8 @@
 /** What one exchange holds in the budget of bytes: its body, and its answer on the way to the caller. */
 import type { ServerResponse } from 'node:http';
 
+import * as Decisions from '@sequoiarill/decisions';
+
 import type { HeldBudget, HeldEntry, Holder } from './heldBudget';
 
 /** How a body that is being read is paused and cut off. */
@@ -16,9 +18,10 @@
 export interface HeldExchange {
   /** Adds bytes of the body, which is being read under the given control. */
   readonly addBodyBytes: (bytes: number, control: BodyControl) => void;
-  /** The body is complete; it counts until it is sent. */
   readonly completeBody: () => void;
-  /** The body was sent for the first time, or is dropped. */
+  /** The body is sent. A large one counts until the request ends: it is kept for its target, and for another send. */
+  readonly recordBodySent: () => void;
+  /** The body is dropped. */
   readonly releaseBody: () => void;
   /** Adds bytes of an answer that were read and not yet written to the caller; negative to release them. */
   readonly addAnswerBytes: (bytes: number) => void;
@@ -39,6 +42,7 @@
   let isClosed = false;
   let bodyControl: BodyControl | undefined;
   let bodyBytes = 0;
+  let isBodySent = false;
   let answerBytes = 0;
   let wholeBytes = 0;
 
@@ -51,6 +55,7 @@
       answerBytes +
       wholeBytes +
       response.writableLength,
+    countSentBytes: () => (isBodySent ? bodyBytes : 0),
     countProgress: () => (bodyControl === undefined ? countTaken(response) : bodyBytes),
     isCallerDue: () => bodyControl !== undefined || response.writableLength > 0,
     mayPause: () => bodyControl?.isLarge() === true,
@@ -73,6 +78,13 @@
     updateEntry();
   }
 
+  function releaseBody(): void {
+    if (bodyBytes === 0) return;
+    bodyBytes = 0;
+    bodyControl = undefined;
+    updateEntry();
+  }
+
   response.once('close', () => {
     isClosed = true;
     entry?.release();
@@ -87,12 +99,15 @@
     completeBody() {
       bodyControl = undefined;
     },
-    releaseBody() {
-      if (bodyBytes === 0) return;
-      bodyBytes = 0;
-      bodyControl = undefined;
-      updateEntry();
+    recordBodySent() {
+      if (isBodySent) return;
+      if (bodyBytes <= Decisions.SMALL_BODY_BYTES) releaseBody();
+      else {
+        isBodySent = true;
+        updateEntry();
+      }
     },
+    releaseBody,
     addAnswerBytes(bytes) {
       answerBytes += bytes;
       updateEntry();
--- a/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
@@ -93,7 +93,7 @@
   tooLarge: { status: TOO_LARGE, reason: 'the body exceeds the size limit' },
   noRoom: {
     status: UNAVAILABLE,
-    reason: 'too many bytes are held for slow callers',
+    reason: 'too many bytes are held for slow callers and targets',
     retryAfterSeconds: HELD_RETRY_SECONDS,
   },
   tooSlow: {
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -128,7 +128,11 @@
     meaning:
       'Streams of the most urgent level sent to an engine whose KV cache has no room for them, so that it may preempt a run.',
   },
-  { name: HELD_BYTES, unit: 'bytes', meaning: 'Bytes held for callers that read or send slowly.' },
+  {
+    name: HELD_BYTES,
+    unit: 'bytes',
+    meaning: 'Bytes held for callers and targets that read or send slowly.',
+  },
   {
     name: HELD_PAUSED,
     unit: 'count',
