Read the rest of a refused body before the connection closes

Cause: the refusal closes its connection while the rest of the body is still arriving. Bytes that arrive at a closed connection reset it, and the answer that the caller has not read is lost with it.

The head of the refusal goes out at once, and the response ends with the body, or 2 s later.

--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -72,7 +72,7 @@
   });
   if (body === 'callerLeft' || (await hasDisconnected(incoming, closed))) return;
   if (typeof body === 'string') {
-    RequestBodies.refuseBody(dependencies, exchange, body);
+    await RequestBodies.refuseBody(dependencies, exchange, body);
     return;
   }
   const relayRefusal = findRelayRefusal(dependencies, relayTerms);
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -73,18 +73,18 @@
   response: ServerResponse,
   headers: readonly RawHeader[],
   refusal: Refusal,
+  endResponse?: () => unknown,
 ): void {
   const id = Headers.findSingleValue(headers, dependencies.wire.headers.requestId);
-  const { status, reason } = refusal;
   const { directory, log } = dependencies;
   log.logEvent(Events.REQUEST_REFUSED, {
     request: id,
-    status,
-    reason,
+    status: refusal.status,
+    reason: refusal.reason,
     version: directory.getConfiguration()?.version,
     confirmedAgeMs: Math.round(directory.getConfirmedAgeMs()),
   });
-  sendEmptyResponse(dependencies, response, id, refusal);
+  sendEmptyResponse(dependencies, response, id, refusal, endResponse);
 }
 
 export function sendEmptyResponse(
@@ -92,6 +92,7 @@
   response: ServerResponse,
   requestId: string | undefined,
   { status, retryAfterSeconds }: Refusal,
+  endResponse: () => unknown = () => response.end(),
 ): void {
   if (isEnded(response)) return;
   const retryAfter =
@@ -104,7 +105,7 @@
     ...createConnectionHeader(dependencies, response),
     'content-length': 0,
   });
-  response.end();
+  endResponse();
 }
 
 /** Whether the caller has left, or a stop has answered it. */
--- a/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
@@ -22,6 +22,8 @@
 const UNAVAILABLE = 503;
 /** Bytes of callers that were cut off are free within a moment. */
 const HELD_RETRY_SECONDS = 1;
+/** Time for the rest of a body that is refused. */
+const MAX_REST_MS = 2_000;
 
 export interface BodyOptions {
   readonly maxBytes: number | undefined;
@@ -104,14 +106,31 @@
 };
 
 /** The rest of the body may still be under way, so the connection takes no other request. */
-export function refuseBody(
+export async function refuseBody(
   dependencies: ExchangeDependencies,
-  { response, headers, relayTerms }: Exchange,
+  { incoming, response, headers, relayTerms }: Exchange,
   failure: Exclude<BodyFailure, 'callerLeft'>,
-): void {
+): Promise<void> {
   response.setHeader('connection', 'close');
   if (relayTerms !== undefined && failure !== 'tooLarge') {
     response.setHeader(RelayHeaders.RELAY_HEADERS.refused, 'refused' satisfies RelayRefusalCause);
   }
-  Replies.sendRefusal(dependencies, response, headers, BODY_REFUSALS[failure]);
+  const refusal = BODY_REFUSALS[failure];
+  Replies.sendRefusal(dependencies, response, headers, refusal, () => response.flushHeaders());
+  await waitForRest(dependencies, incoming);
+  response.end();
+}
+
+/**
+ * Failure: a caller sends its whole body before it reads. Bytes that arrive after the connection was closed reset it, and
+ * the caller never gets the refusal.
+ */
+async function waitForRest(
+  { clock }: Pick<ExchangeDependencies, 'clock'>,
+  incoming: IncomingMessage,
+): Promise<void> {
+  const rest = new AbortController();
+  for (const event of ['end', 'close']) incoming.once(event, () => rest.abort());
+  const isComplete = incoming.readableEnded || incoming.destroyed;
+  if (!isComplete) await clock.waitMs(MAX_REST_MS, rest.signal);
 }
