Wait for the rest of refused bodies in one place

The kernel already waits for the rest of a body after an answer, and the refusal of a body waited by itself, with a time of its own.

--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -68,6 +68,7 @@
   };
 }
 
+/** `endResponse`: called instead of `response.end` after the head, where the connection is needed a moment longer. */
 export function sendRefusal(
   dependencies: ExchangeDependencies,
   response: ServerResponse,
--- a/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import * as Decisions from '@sequoiarill/decisions';
+import * as Kernel from '@sequoiarill/kernel';
 
 import * as RelayHeaders from '../relay/relayHeaders';
 import type { RelayRefusalCause } from '../relay/relayHeaders';
@@ -22,8 +23,6 @@
 const UNAVAILABLE = 503;
 /** Bytes of callers that were cut off are free within a moment. */
 const HELD_RETRY_SECONDS = 1;
-/** Time for the rest of a body that is refused. */
-const MAX_REST_MS = 2_000;
 
 export interface BodyOptions {
   readonly maxBytes: number | undefined;
@@ -105,7 +104,12 @@
   },
 };
 
-/** The rest of the body may still be under way, so the connection takes no other request. */
+/**
+ * The rest of the body may still be under way, so the connection takes no other request.
+ *
+ * Failure: bytes that arrive after the connection was closed reset it, and a caller that sends its whole body before it
+ * reads never gets the refusal. So the response ends after the body.
+ */
 export async function refuseBody(
   dependencies: ExchangeDependencies,
   { incoming, response, headers, relayTerms }: Exchange,
@@ -117,20 +121,6 @@
   }
   const refusal = BODY_REFUSALS[failure];
   Replies.sendRefusal(dependencies, response, headers, refusal, () => response.flushHeaders());
-  await waitForRest(dependencies, incoming);
+  await Kernel.waitForRest(incoming);
   response.end();
 }
-
-/**
- * Failure: a caller sends its whole body before it reads. Bytes that arrive after the connection was closed reset it, and
- * the caller never gets the refusal.
- */
-async function waitForRest(
-  { clock }: Pick<ExchangeDependencies, 'clock'>,
-  incoming: IncomingMessage,
-): Promise<void> {
-  const rest = new AbortController();
-  for (const event of ['end', 'close']) incoming.once(event, () => rest.abort());
-  const isComplete = incoming.readableEnded || incoming.destroyed;
-  if (!isComplete) await clock.waitMs(MAX_REST_MS, rest.signal);
-}
