--- a/packages/sequoiarill-kernel/src/checkedClient.ts
+++ b/packages/sequoiarill-kernel/src/checkedClient.ts
@@ -39,12 +39,10 @@
         const [, socket] = result;
         isReset = false;
         earlierIds.length = 0;
-        socket?.on('error', () => {
+        const recordReset = () => {
           isReset = true;
-        });
-        socket?.on('end', () => {
-          isReset ||= ConnectionEnds.isReset(socket);
-        });
+        };
+        if (socket) ConnectionEnds.watchReset(socket, recordReset);
         callback(...result);
       });
     },
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
@@ -101,6 +101,9 @@
    */
   function openConnection(target: Endpoint): PooledConnection {
     let isReset = false;
+    const recordReset = () => {
+      isReset = true;
+    };
     let isUsed = false;
     const overhead = OverheadMeters.createOverheadMeter();
     const client = new Undici.Client(`http://${target.address}`, {
@@ -112,12 +115,7 @@
       connect(options, callback) {
         connect(options, (...result) => {
           const [, socket] = result;
-          socket?.on('error', () => {
-            isReset = true;
-          });
-          socket?.on('end', () => {
-            isReset ||= Kernel.isReset(socket);
-          });
+          if (socket) Kernel.watchReset(socket, recordReset);
           callback(...result);
           // After the client's own listener, so that it has parsed what was read.
           if (socket) overhead.watchSocket(socket);
