--- a/packages/sequoiarill-decisions/src/heldBytes.ts
+++ b/packages/sequoiarill-decisions/src/heldBytes.ts
@@ -18,9 +18,12 @@
 }
 
 /** Bytes held in the whole process, and its budget. */
-export interface HeldTotal {
+interface HeldBytes {
   readonly heldBytes: number;
   readonly limitBytes: number;
+}
+
+export interface HeldTotal extends HeldBytes {
   /** Of the bytes held, those of bodies that were sent to targets, and that only the end of their requests frees. */
   readonly sentBytes: number;
 }
@@ -47,18 +50,18 @@
 }
 
 /** Whether readers and senders are paused. */
-export function isPauseDue({ heldBytes, limitBytes }: Omit<HeldTotal, 'sentBytes'>): boolean {
+export function isPauseDue({ heldBytes, limitBytes }: HeldBytes): boolean {
   return heldBytes > limitBytes * PAUSE_SHARE;
 }
 
-/** Whether so much waits for targets that the next body would only wait as well. */
-function isSentTooMuch({ sentBytes, limitBytes }: HeldTotal): boolean {
+/** Whether bodies that were sent take so much of the budget that a further one would only wait behind them. */
+function isTakenBySent({ sentBytes, limitBytes }: HeldTotal): boolean {
   return sentBytes > limitBytes * PAUSE_SHARE;
 }
 
 /** Whether a request whose body has this size, or already has it, is refused at once. */
 export function isBodyRefused(total: HeldTotal, bodyBytes: number | undefined): boolean {
-  const isUsedUp = total.heldBytes >= total.limitBytes || isSentTooMuch(total);
+  const isUsedUp = total.heldBytes >= total.limitBytes || isTakenBySent(total);
   return isUsedUp && bodyBytes !== undefined && bodyBytes > SMALL_BODY_BYTES;
 }
 
@@ -74,7 +77,7 @@
   senders: readonly Sender[],
 ): readonly Sender[] {
   if (!isPauseDue(total)) return [];
-  return isSentTooMuch(total) ? senders : senders.slice(1);
+  return isTakenBySent(total) ? senders : senders.slice(1);
 }
 
 /**
@@ -83,7 +86,7 @@
  * ones the last to arrive is cut first, since the others are closer to their end.
  */
 export function selectCut<Share extends HeldShare>(
-  { heldBytes, limitBytes }: Omit<HeldTotal, 'sentBytes'>,
+  { heldBytes, limitBytes }: HeldBytes,
   shares: readonly Share[],
 ): readonly Share[] {
   const isOver = heldBytes > limitBytes;
--- a/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldBudget.ts
@@ -17,7 +17,7 @@
   readonly countProgress: () => number;
   /** Whether the caller is to take or to send the next byte. */
   readonly isCallerDue: () => boolean;
-  /** For senders only; one with a small body is not worth pausing, and its request is served all the same. */
+  /** For senders only: whether the body is not one of the small ones, which are taken at any time. */
   readonly mayPause: () => boolean;
   /** For senders only. */
   readonly setPaused: (isPaused: boolean) => void;
--- a/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
@@ -7,7 +7,7 @@
 
 /** How a body that is being read is paused and cut off. */
 export interface BodyControl {
-  /** Whether it has more bytes than are taken at any time. */
+  /** Whether the body is not one of the small ones, which are taken even when the budget is used up. */
   readonly isLarge: () => boolean;
   readonly setPaused: (isPaused: boolean) => void;
   readonly cut: () => void;
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
@@ -17,15 +17,15 @@
   retryAfterSeconds: number | undefined;
 }>;
 
-/** Whether the other router itself is still there, although no complete answer came through it. */
-interface RouterSign {
+interface RouterContact {
+  /** Whether the other router was heard, although no complete answer came through it. */
   readonly isRouterHeard?: boolean;
 }
 
 /** `notRun` does not occur: another router says so by a refusal. */
 export type RelayOutcome =
   | Exclude<SendOutcome, { kind: 'notRun' | 'lost' }>
-  | (Extract<SendOutcome, { kind: 'lost' }> & RouterSign)
+  | (Extract<SendOutcome, { kind: 'lost' }> & RouterContact)
   | RelayRefusal;
 
 export type HeadResult =
@@ -90,12 +90,12 @@
 }
 
 /**
- * For the rest of an answer that has begun: where its target breaks it off, the other router breaks it off as well. Without a
- * sign of life within the time, the router is the one that is missing.
+ * Adds to the outcome of an answer that has begun whether the other router was heard. Where the target breaks the answer
+ * off, the other router does so as well; where nothing more comes in time, the router itself may be gone.
  */
-export function markHeard<Outcome extends Readonly<{ kind: string; isTimeout?: boolean }>>(
+export function addRouterContact<Outcome extends Readonly<{ kind: string; isTimeout?: boolean }>>(
   outcome: Outcome,
-): Outcome & RouterSign {
+): Outcome & RouterContact {
   return outcome.kind === 'lost'
     ? { ...outcome, isRouterHeard: outcome.isTimeout !== true }
     : outcome;
@@ -115,7 +115,7 @@
     const result = await readHead(dependencies, request, router, call);
     if (result.kind !== 'answer') return result;
     const source = { call, head: result.head, readNext: call.readNext };
-    return markHeard(await PassedAnswers.readAnswer(dependencies, request, source));
+    return addRouterContact(await PassedAnswers.readAnswer(dependencies, request, source));
   } finally {
     request.closed.removeEventListener('abort', call.cancel);
     // The body of a refusal, or of an answer that is not used, may have no end.
@@ -128,7 +128,7 @@
   { relays, log, metrics, clock }: ForwardingDependencies,
   request: ForwardRequest,
   router: RelayRouter,
-  outcome: Readonly<{ kind: string; cause?: RelayRefusalCause; reason?: string }> & RouterSign,
+  outcome: Readonly<{ kind: string; cause?: RelayRefusalCause; reason?: string }> & RouterContact,
 ): void {
   const { kind, cause, reason, isRouterHeard = false } = outcome;
   const isUnanswered = kind === 'notSent' || (kind === 'lost' && !isRouterHeard);
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -93,7 +93,7 @@
     if (result.head.status !== STATUS_OK) {
       const { head } = result;
       const answer = await Sending.readFullAnswer(call, head, call.readNext, request.held);
-      return RelayAttempts.markHeard(answer);
+      return RelayAttempts.addRouterContact(answer);
     }
     const answered = { version: '', models: '', ...result.build };
     if (build !== undefined && !Decisions.isSameBuild(answered, build)) {
@@ -102,7 +102,7 @@
     }
     const { head } = result;
     const terms = { head, build: answered };
-    return RelayAttempts.markHeard(
+    return RelayAttempts.addRouterContact(
       yield* relayEvents(dependencies, request, call, terms, progress),
     );
   } finally {
