Use the slack of retries only after a window in which no earlier process could use it

Cause: in its first window a process used 0.4 of its share of the slack, times a factor of up to 2.5, although the process before it may have used that share in the same window. Where all routers are killed, nobody knows what was spent, and each process of a series used it once more.

Change: in its first window a process uses its share of the slack only as far as other routers have run for a whole window, since those know from the reports of ended processes what was spent. Messages between routers carry how many have (settledRouters; 0 in messages of older versions). What its own requests earn is used from the start.

The fake of the forwarding tests starts its budget a window earlier, as it stands for a router that has run.

--- a/packages/sequoiarill-decisions/src/__tests__/fleetRetryBudget.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetRetryBudget.test.ts
@@ -122,6 +122,7 @@
       ),
       endedRetries: sum(fleet.map(({ ended }) => (getLeft(ended.atMs, 0) > 0 ? ended.retries : 0))),
       routers,
+      settledRouters: own.filter(({ isSettled }) => isSettled).length,
     };
   }
 
--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -23,7 +23,7 @@
  * retries. Where the totals of the fleet are known, each router scales its share so that the sum of
  * all shares is what the rule allows, apart from one small margin.
  */
-import type { FleetRepeats, RepeatTotals } from '@sequoiarill/types';
+import type { FleetRepeats, OwnRepeats } from '@sequoiarill/types';
 
 import type { RetryBudget } from './retryBudget';
 
@@ -54,9 +54,27 @@
   /** Adds quota that another router granted for the window that begins now. */
   readonly recordBorrowed: (nowMs: number, retries: number) => void;
   /** Own figures of the window, for the totals of the fleet. */
-  readonly getTotals: (nowMs: number) => RepeatTotals;
+  readonly getTotals: (nowMs: number) => OwnRepeats;
   /** Factor on the own share of the fleet's retries. */
   readonly getFactor: () => number;
+  /** What the capacity is made of, for logs and the state dump. */
+  readonly describe: (nowMs: number) => RetryBudgetState;
+}
+
+export interface RetryBudgetState {
+  /** Requests and retries of the window, as this router counts them. */
+  readonly requests: number;
+  readonly retries: number;
+  /** Retries that the window allows. */
+  readonly capacity: number;
+  /** Routers that share the slack. */
+  readonly routers: number;
+  /** Factor on this router's share of the slack: 0 in the first window of a process whose predecessors nobody knows. */
+  readonly slackFactor: number;
+  /** Factor on the whole share, from the sums of the fleet. */
+  readonly fleetFactor: number;
+  /** Retries taken since the start, without those that were returned. */
+  readonly taken: number;
 }
 
 /**
@@ -69,8 +87,8 @@
 /** A router that knows fewer routers than this may not have discovered the others yet. */
 const MIN_ROUTERS = 6;
 /**
- * Factor for the slack in the first window of an incarnation, since an earlier incarnation may have
- * spent some of it.
+ * Factor for the slack in the first window of a process where all others tell what ended processes have spent: their sums
+ * are seconds old.
  */
 const FIRST_WINDOW_SHARE = 0.4;
 /** Share of the fleet's rule that all routers together use where its totals are known. */
@@ -121,18 +139,35 @@
 }
 
 export function createFleetRetryBudget(options: FleetRetryBudgetOptions): FleetRetryBudget {
-  const { ratio, slack, windowMs, countRouters, startedMs, getFleetTotals } = options;
+  const { ratio, slack, windowMs, countRouters, startedMs } = options;
+  const { getFleetTotals } = options;
   const requests = createSlidingWindowCounter(windowMs);
   const retries = createSlidingWindowCounter(windowMs);
   const borrowed = createSlidingWindowCounter(windowMs);
   let latestMs = startedMs;
+  let taken = 0;
+
+  function isSettled(): boolean {
+    return latestMs - startedMs >= windowMs;
+  }
+
+  /**
+   * Failure: all routers are killed, some times in a row, and each process uses the share of the slack that the one before
+   * it has used in the same window. So in its first window a process uses it only as far as other routers have run for
+   * longer and tell what ended processes have spent.
+   */
+  function getSlackFactor(): number {
+    if (isSettled()) return 1;
+    const { routers = 1, settledRouters = 0 } = getFleetTotals?.() ?? {};
+    return (FIRST_WINDOW_SHARE * settledRouters) / Math.max(1, routers);
+  }
 
-  /** Own share, from which the shares of a fleet with known totals are scaled. */
-  function getShare(nowMs: number, windowFactor: number): number {
+  /** Share that the others assume for this router, from which the shares of a fleet with known totals are scaled. */
+  function getShare(nowMs: number): { readonly earned: number; readonly slackShare: number } {
     latestMs = Math.max(latestMs, nowMs);
     const slackShare = (slack * SLACK_MARGIN) / Math.max(MIN_ROUTERS, countRouters());
     const earned = requests.read(latestMs, 'without') * ratio * RATIO_MARGIN;
-    return earned + slackShare * windowFactor;
+    return { earned, slackShare };
   }
 
   /** Routers that are not in the totals are assumed to allow themselves as much as the others do. */
@@ -145,10 +180,9 @@
     return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, allowed / (fleet.capacity * (1 + missing))));
   }
 
-  /** Totals are seconds old, so an earlier incarnation may have spent quota that they do not count. */
   function getCapacity(nowMs: number): number {
-    const windowFactor = nowMs - startedMs < windowMs ? FIRST_WINDOW_SHARE : 1;
-    const share = getShare(nowMs, windowFactor) * getFactor();
+    const { earned, slackShare } = getShare(nowMs);
+    const share = (earned + slackShare * getSlackFactor()) * getFactor();
     return share + borrowed.read(latestMs, 'without');
   }
 
@@ -161,13 +195,23 @@
     getBalance,
     getFactor,
     getTotals(nowMs) {
-      const capacity = getShare(nowMs, 1);
+      const { earned, slackShare } = getShare(nowMs);
       return {
         requests: requests.read(latestMs, 'without'),
         retries: Math.max(0, retries.read(latestMs, 'with')),
-        capacity,
+        capacity: earned + slackShare,
+        isSettled: isSettled(),
       };
     },
+    describe: (nowMs) => ({
+      requests: requests.read(nowMs, 'without'),
+      retries: retries.read(nowMs, 'with'),
+      capacity: getCapacity(nowMs),
+      routers: countRouters(),
+      slackFactor: getSlackFactor(),
+      fleetFactor: getFactor(),
+      taken,
+    }),
     recordRequest(nowMs) {
       latestMs = Math.max(latestMs, nowMs);
       requests.add(latestMs, 1);
@@ -175,10 +219,12 @@
     takeRetry(nowMs) {
       if (getBalance(nowMs) < 1) return false;
       retries.add(latestMs, 1);
+      taken += 1;
       return true;
     },
     releaseRetry() {
       retries.add(latestMs, -1);
+      taken -= 1;
     },
     grantQuota(nowMs, wanted) {
       const granted = Math.max(0, Math.min(wanted, getBalance(nowMs)));
--- a/packages/sequoiarill-plugin-directory/src/__tests__/roomCall.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/roomCall.test.ts
@@ -20,6 +20,7 @@
   repeats: { requests: 10, retries: 0.5, capacity: 3 },
   endedRepeats: { requests: 1, retries: 1 },
   routers: 1,
+  settledRouters: 1,
 };
 const NUMBER = { incarnation: 1_764_800_000_000, sequence: 3 };
 const SENDER = { router: '10.0.0.1:70', zone: 'a', scope: 'router' } as const;
--- a/packages/sequoiarill-plugin-directory/src/roomMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/roomMessages.ts
@@ -28,6 +28,8 @@
   repeats: Zod.object({ requests: countSchema, retries: countSchema, capacity: countSchema }),
   endedRepeats: Zod.object({ requests: countSchema, retries: countSchema }),
   routers: Zod.number().int().min(0).max(MAX_ROUTERS),
+  /** Missing in messages of older versions. */
+  settledRouters: Zod.number().int().min(0).max(MAX_ROUTERS).default(0),
 });
 
 export const factsSchema = Zod.object({ facts: Zod.array(roomFactsSchema).max(MAX_SERVICES) });
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -201,7 +201,7 @@
     slack: 150,
     windowMs: 10_000,
     countRouters: () => 1,
-    startedMs: 0,
+    startedMs: -10_000,
   });
   const estimates = [Decisions.createPromptEstimates(), Decisions.createRunEstimates()] as const;
   const admission = Decisions.createLatencyAdmission({ nextRandom });
--- a/packages/sequoiarill-plugin-forwarding/src/lazyGetter.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/lazyGetter.ts
@@ -1,8 +1,10 @@
-/** Returns a getter that creates one value per name, on the first call with that name. */
+/**
+ * Returns a getter that creates one value per name, on the first call with that name. Values are kept in `values`.
+ */
 export function createLazyGetter<Value>(
   createValue: (name: string) => Value,
+  values = new Map<string, Value>(),
 ): (name: string) => Value {
-  const values = new Map<string, Value>();
   return (name) => {
     const existing = values.get(name);
     if (existing !== undefined) return existing;
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -42,6 +42,7 @@
   const origins = Parts.createOrigins(context, log);
   const contactOptions = { clock, nextRandom, zone, peers, paths, log };
   const peerContacts = PeerContacts.createPeerContacts(contactOptions);
+  const decisions = Parts.createServiceDecisions(context, settings);
   const stopController = new AbortController();
   let loops: Promise<unknown> | undefined;
   let routeTable: RouteTable | undefined;
@@ -89,7 +90,7 @@
     chooser: Decisions.createTargetChooser({ nextRandom }),
     log,
     metrics: context.metrics,
-    ...Parts.createServiceDecisions(context, settings, directory.countRouters),
+    ...decisions,
     openCall: CallOpeners.createCallOpener(context, connections, limits.recordSend, notices),
     readReport: probes.readReport,
     readCachedParts: probes.readCachedParts,
@@ -155,8 +156,7 @@
       connections: frontEnd.countConnections(),
       targetConnections: connections.countOpen(),
       isDraining: drain.isDraining(),
-      ...PluginHandlers.dumpTargetParts(parts),
-      origins: origins.dumpState(),
+      ...PluginHandlers.dumpParts({ ...parts, origins, decisions }),
     }),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
@@ -2,7 +2,7 @@
 import type { Directory, ForwardingTarget, PluginContext } from '@sequoiarill/types';
 
 import type { StreamOrigins } from './origins/streamOrigins';
-import type { TargetParts } from './pluginParts';
+import type { ServiceDecisions, TargetParts } from './pluginParts';
 import * as ContactQueries from './targets/contactQueries';
 import type { WaitingStreams } from './streams/waitingStreams';
 
@@ -43,7 +43,14 @@
   brittle.removeMissing(isCurrent);
 }
 
-export function dumpTargetParts(parts: TargetParts): Readonly<Record<string, unknown>> {
+export function dumpParts({
+  origins,
+  decisions,
+  ...parts
+}: TargetParts & {
+  readonly origins: StreamOrigins;
+  readonly decisions: Pick<ServiceDecisions, 'dumpRepeats'>;
+}): Readonly<Record<string, unknown>> {
   const { crashes, limits, notices, paths, brittle, heldBudget } = parts;
   return {
     crashes: crashes.contents.dumpState(),
@@ -53,5 +60,7 @@
     lostPaths: paths.dumpState(),
     brittleTargets: brittle.dumpState(),
     heldBytes: heldBudget.dumpState(),
+    origins: origins.dumpState(),
+    repeats: decisions.dumpRepeats(),
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -1,6 +1,6 @@
 /** Creates the parts of the plug-in from its context. */
 import * as Decisions from '@sequoiarill/decisions';
-import type { StallPolicy } from '@sequoiarill/decisions';
+import type { FleetRetryBudget, StallPolicy } from '@sequoiarill/decisions';
 import type { PluginContext } from '@sequoiarill/types';
 
 import * as CallOpeners from './callOpeners';
@@ -39,30 +39,41 @@
 
 const MS_PER_SECOND = 1_000;
 
+export interface ServiceDecisions extends Pick<
+  ExchangeDependencies,
+  'getBudget' | 'getAdmission' | 'getPromptEstimates' | 'getRunEstimates' | 'getStallPolicy'
+> {
+  /** Retry budget of each service. */
+  readonly dumpRepeats: () => readonly Readonly<Record<string, unknown>>[];
+}
+
 /** Creates the decision state that each service has separately. */
 export function createServiceDecisions(
   { clock, nextRandom, getCapability }: PluginContext,
   settings: ForwardingSettings,
-  countRouters: () => number,
-): Pick<
-  ExchangeDependencies,
-  'getBudget' | 'getAdmission' | 'getPromptEstimates' | 'getRunEstimates' | 'getStallPolicy'
-> {
+): ServiceDecisions {
   const startedMs = clock.getNowMs();
+  const budgets = new Map<string, FleetRetryBudget>();
   const room = getCapability('room');
-  const getBudget = LazyGetters.createLazyGetter((service) =>
+  const windowMs = settings.repeatWindowSeconds * MS_PER_SECOND;
+  const createBudget = (service: string): FleetRetryBudget =>
     Decisions.createFleetRetryBudget({
       ratio: settings.repeatRatio,
       slack: settings.repeatSlack,
-      windowMs: settings.repeatWindowSeconds * MS_PER_SECOND,
-      countRouters,
+      windowMs,
+      countRouters: getCapability('directory').countRouters,
       startedMs,
       getFleetTotals: () => room.getFleetRepeats(service),
-    }),
-  );
+    });
+  const getBudget = LazyGetters.createLazyGetter(createBudget, budgets);
   room.setRepeatSource((service) => getBudget(service).getTotals(clock.getNowMs()));
   return {
     getBudget,
+    dumpRepeats: () =>
+      [...budgets].map(([service, budget]) => ({
+        service,
+        ...budget.describe(clock.getNowMs()),
+      })),
     getAdmission: LazyGetters.createLazyGetter(() =>
       Decisions.createLatencyAdmission({ nextRandom }),
     ),
--- a/packages/sequoiarill-plugin-forwarding/src/retryQuota.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/retryQuota.ts
@@ -114,6 +114,7 @@
         asked: peersAsked,
         failure,
         stillMissing: Math.max(0, computeMissing()),
+        budget: budget.describe(clock.getNowMs()),
         tookMs: Math.round(clock.getNowMs() - startedMs),
       });
     },
--- a/packages/sequoiarill-plugin-room/src/__tests__/exchange.test.ts
+++ b/packages/sequoiarill-plugin-room/src/__tests__/exchange.test.ts
@@ -47,14 +47,14 @@
   it('tells every router the sums of the fleet, each router counted once', async () => {
     const fleet = createLoadedFleet();
     await fleet.runFor(6_000);
-    const sums = { requests: 600, retries: 60, capacity: 120 };
+    const sums = { requests: 600, retries: 60, capacity: 120, settledRouters: 6 };
     for (const { room } of fleet.routers) {
       const repeats = { ...sums, endedRequests: 0, endedRetries: 0, routers: 6 };
       expect(room.getFleetRepeats(SERVICE)).toEqual(repeats);
     }
     // Own figures are those of now.
     const [first] = fleet.routers as [VirtualRouter];
-    first.repeats = { requests: 300, retries: 100, capacity: 20 };
+    first.repeats = { requests: 300, retries: 100, capacity: 20, isSettled: true };
     expect(first.room.getFleetRepeats(SERVICE)?.requests).toEqual(800);
   });
 
@@ -189,7 +189,7 @@
       ) as VirtualRouter;
       const observer = fleet.routers.find(({ zone }) => zone === 'b') as VirtualRouter;
       fleet.killRouter(restarted);
-      restarted.repeats = { requests: 0, retries: 0, capacity: 8 };
+      restarted.repeats = { requests: 0, retries: 0, capacity: 8, isSettled: false };
       fleet.startProcess(restarted);
       await fleet.runFor(4_500);
       const ended = observer.room.getFleetRepeats(SERVICE);
@@ -204,7 +204,7 @@
     const fleet = createLoadedFleet(['a', 'b'], 1);
     await fleet.runFor(11_000);
     const [stopped, left] = fleet.routers as [VirtualRouter, VirtualRouter];
-    stopped.repeats = { requests: 100, retries: 40, capacity: 20 };
+    stopped.repeats = { requests: 100, retries: 40, capacity: 20, isSettled: true };
     stopped.instance.stop?.();
     await fleet.runFor(200);
     stopped.isDown = true;
--- a/packages/sequoiarill-plugin-room/src/__tests__/messages.test.ts
+++ b/packages/sequoiarill-plugin-room/src/__tests__/messages.test.ts
@@ -95,7 +95,7 @@
     const { receiver, message } = await createCollector();
     const unknown = FactSums.createEmptyFacts('unknown');
     expect(await receiver.handle({ ...message, facts: [unknown] })).toEqual([]);
-    receiver.repeats = { requests: Number.NaN, retries: -5, capacity: 1e300 };
+    receiver.repeats = { requests: Number.NaN, retries: -5, capacity: 1e300, isSettled: true };
     const [answer] = await receiver.handle({ ...message, sequence: 7 });
     expect(answer?.repeats).toEqual({ requests: 10, retries: 1, capacity: 1e7 });
   });
--- a/packages/sequoiarill-plugin-room/src/__tests__/virtualFleet.ts
+++ b/packages/sequoiarill-plugin-room/src/__tests__/virtualFleet.ts
@@ -6,7 +6,7 @@
   ForwardingRoute,
   ForwardingTarget,
   PluginInstance,
-  RepeatTotals,
+  OwnRepeats,
   Room,
   RoomFacts,
   RoomMessage,
@@ -60,7 +60,7 @@
   readonly zone: string;
   room: Room;
   instance: PluginInstance;
-  repeats: RepeatTotals;
+  repeats: OwnRepeats;
   /** Counts the processes; calls of those that were killed are not sent. */
   process: number;
   /** A paused process answers no call and runs no code. */
@@ -151,7 +151,7 @@
 
   for (let index = 0; index < zones.length * perZone; index += 1) {
     const process = { events: [], isPaused: false, process: 0 };
-    const repeats = { requests: 100, retries: 10, capacity: 20 };
+    const repeats = { requests: 100, retries: 10, capacity: 20, isSettled: true };
     const zone = zones[Math.floor(index / perZone)];
     routers.push({ address: `10.0.0.${index}:70`, zone, repeats, ...process } as never);
   }
--- a/packages/sequoiarill-plugin-room/src/factSums.ts
+++ b/packages/sequoiarill-plugin-room/src/factSums.ts
@@ -22,6 +22,7 @@
     repeats: NO_REPEATS,
     endedRepeats: { requests: 0, retries: 0 },
     routers: 0,
+    settledRouters: 0,
   };
 }
 
@@ -136,6 +137,7 @@
       retries: 0,
     }),
     routers: computeTotal(facts.map(({ routers }) => routers)),
+    settledRouters: computeTotal(facts.map(({ settledRouters }) => settledRouters)),
   };
 }
 
@@ -156,6 +158,7 @@
     repeats: mergeRepeats(sum.repeats, part.repeats, computeRest),
     endedRepeats: mergeEnded(sum.endedRepeats, part.endedRepeats, computeRest),
     routers: computeRest(sum.routers, part.routers),
+    settledRouters: computeRest(sum.settledRouters, part.settledRouters),
   };
 }
 
@@ -211,5 +214,6 @@
       retries: computeRounded(endedRepeats.retries, MAX_COUNT),
     },
     routers: Math.min(MAX_ROUTERS, facts.routers),
+    settledRouters: Math.min(MAX_ROUTERS, facts.settledRouters),
   };
 }
--- a/packages/sequoiarill-plugin-room/src/room.ts
+++ b/packages/sequoiarill-plugin-room/src/room.ts
@@ -1,17 +1,18 @@
 /** The capability `room`. */
-import type { RepeatTotals, Room } from '@sequoiarill/types';
+import type { OwnRepeats, Room } from '@sequoiarill/types';
 
 import * as FactSums from './factSums';
 import type { RecentStreams } from './recentStreams';
 import type { ActiveServices } from './services';
 
 export interface RoomSources {
-  readRepeats: (service: string) => RepeatTotals;
+  readRepeats: (service: string) => OwnRepeats;
   dumpLines: () => Readonly<Record<string, unknown>>;
 }
 
 export function createRoomSources(): RoomSources {
-  return { readRepeats: () => FactSums.NO_REPEATS, dumpLines: () => ({}) };
+  const noRepeats = { ...FactSums.NO_REPEATS, isSettled: false };
+  return { readRepeats: () => noRepeats, dumpLines: () => ({}) };
 }
 
 export function createRoom(
--- a/packages/sequoiarill-plugin-room/src/serviceState.ts
+++ b/packages/sequoiarill-plugin-room/src/serviceState.ts
@@ -1,5 +1,5 @@
 /** What this router knows of one active service, of its own and from other routers. */
-import type { FleetRepeats, RepeatTotals, RoomFacts, RoomMessage } from '@sequoiarill/types';
+import type { FleetRepeats, OwnRepeats, RoomFacts, RoomMessage } from '@sequoiarill/types';
 
 import * as DigestStores from './digestStore';
 import type { DigestStore } from './digestStore';
@@ -43,7 +43,7 @@
 export interface ServiceStateOptions {
   readonly service: string;
   readonly getNowMs: () => number;
-  readonly readRepeats: (service: string) => RepeatTotals;
+  readonly readRepeats: (service: string) => OwnRepeats;
 }
 
 export function createServiceState(options: ServiceStateOptions): ServiceState {
@@ -54,9 +54,10 @@
   const digests = DigestStores.createDigestStore();
   let isCollector = false;
 
-  function readRepeats(): RepeatTotals {
-    const { requests, retries, capacity } = options.readRepeats(service);
+  function readRepeats(): OwnRepeats {
+    const { requests, retries, capacity, isSettled } = options.readRepeats(service);
     return {
+      isSettled,
       requests: FactSums.computeBounded(requests),
       retries: FactSums.computeBounded(retries),
       capacity: FactSums.computeBounded(capacity),
@@ -64,12 +65,14 @@
   }
 
   function buildOwn(): RoomFacts {
+    const { isSettled, ...repeats } = readRepeats();
     return {
       ...FactSums.createEmptyFacts(service),
       ...own.buildFacts(),
-      repeats: readRepeats(),
+      repeats,
       endedRepeats: reports.computeEnded(getNowMs(), isCollector),
       routers: 1,
+      settledRouters: isSettled ? 1 : 0,
     };
   }
 
@@ -122,7 +125,8 @@
     computeRepeats() {
       const others = digests.getDigest(getNowMs());
       if (others === undefined) return undefined;
-      const repeats = FactSums.mergeRepeats(readRepeats(), others.repeats);
+      const { isSettled, ...ownRepeats } = readRepeats();
+      const repeats = FactSums.mergeRepeats(ownRepeats, others.repeats);
       const held = reports.computeEnded(getNowMs(), isCollector);
       const ended = FactSums.mergeEnded(held, others.endedRepeats);
       return {
@@ -130,6 +134,7 @@
         endedRequests: ended.requests,
         endedRetries: ended.retries,
         routers: others.routers + 1,
+        settledRouters: others.settledRouters + (isSettled ? 1 : 0),
       };
     },
     removeCeased: () => reports.removeCeased(getNowMs()),
--- a/packages/sequoiarill-plugin-room/src/services.ts
+++ b/packages/sequoiarill-plugin-room/src/services.ts
@@ -1,5 +1,5 @@
 /** Services that are active in the current configuration, and what is known of each. */
-import type { Directory, LogEvent, RepeatTotals } from '@sequoiarill/types';
+import type { Directory, LogEvent, OwnRepeats } from '@sequoiarill/types';
 
 import * as Activations from './activation';
 import type { Activation, ActivationOptions, ServiceUrgency } from './activation';
@@ -18,7 +18,7 @@
   readonly directory: Pick<Directory, 'getConfiguration'>;
   readonly getNowMs: () => number;
   readonly logEvent: LogEvent;
-  readonly readRepeats: (service: string) => RepeatTotals;
+  readonly readRepeats: (service: string) => OwnRepeats;
 }
 
 export function createActiveServices(options: ActiveServicesOptions): ActiveServices {
--- a/packages/sequoiarill-types/src/room.ts
+++ b/packages/sequoiarill-types/src/room.ts
@@ -27,6 +27,12 @@
   readonly capacity: number;
 }
 
+/** What the retry budget of one router tells the others. */
+export interface OwnRepeats extends RepeatTotals {
+  /** Whether the process has run for a whole window. */
+  readonly isSettled: boolean;
+}
+
 /** What one router, or one availability zone, knows of a service. */
 export interface RoomFacts {
   readonly service: string;
@@ -37,6 +43,8 @@
   readonly endedRepeats: Pick<RepeatTotals, 'requests' | 'retries'>;
   /** Routers that the facts cover. */
   readonly routers: number;
+  /** Those of them whose processes have run for a whole window of the retry budget. */
+  readonly settledRouters: number;
 }
 
 export interface RoomMessage {
@@ -85,6 +93,8 @@
   readonly endedRetries: number;
   /** Routers that the sums cover, including this one. */
   readonly routers: number;
+  /** Those of them whose processes have run for a whole window: they know what ended processes have spent. */
+  readonly settledRouters: number;
 }
 
 /** Capability `room`. */
@@ -108,7 +118,7 @@
   /** Duration of work there relative to the median engine; 1 where nothing is known. */
   readonly getSpeedFactor: (target: ForwardingTarget) => number;
   /** Sets the function that returns this router's own figures for a service's retry budget. */
-  readonly setRepeatSource: (read: (service: string) => RepeatTotals) => void;
+  readonly setRepeatSource: (read: (service: string) => OwnRepeats) => void;
   /** Undefined where no sums of the last seconds are known. */
   readonly getFleetRepeats: (service: string) => FleetRepeats | undefined;
   /** Sets the function that describes what waits in this router, for the state dump. */
