Reserve the share of retries of a router whose entry has disappeared

Callers may lose requests to targets that get more repeats than the rule allows (BUDGET).

Cause: the fixed part of the fleet's retries is divided by the routers that the directory lists now. When a zone is cut off until its entries lapse, or the store loses them, the others divide the whole part among themselves while those behind the cut go on using their shares, and sums of the fleet scale the shares of each side up to the whole.

Change: a router counts for ten minutes after it was last listed, and one that has not seen its own entry confirmed for nearly as long uses its share no more, so that what it spends leaves the window before the others take its share.

--- a/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
@@ -4,6 +4,7 @@
 import { expect } from 'earl';
 
 import * as FleetRetryBudgets from '../fleetRetryBudget';
+import * as RetrySharers from '../retrySharers';
 import * as Random from '../simulation/random';
 
 const WINDOW_MS = 10_000;
@@ -118,12 +119,20 @@
 
   function startRouter(index: number, startedMs: number): ModelRouter {
     const zone = index % ZONES;
+    const sharers = RetrySharers.createRetrySharers({
+      getNowMs: () => nowMs,
+      listRouters: () => listRouters(zone),
+      getSelf: () => formatAddress(index),
+      isUpToDate: () => !isCut() || (cut?.kind === 'one' && zone !== 0),
+      windowMs: WINDOW_MS,
+    });
     const budget = FleetRetryBudgets.createFleetRetryBudget({
       ratio: RATIO,
       slack: SLACK,
       windowMs: WINDOW_MS,
       startedMs,
-      countRouters: () => listRouters(zone).length,
+      countRouters: sharers.count,
+      isShareReserved: sharers.isReserved,
       getFleetTotals: () => computeTotals(zone),
     });
     return { zone, startedMs, reports: [], budget };
@@ -168,6 +177,15 @@
     text: 'all routers are killed three times in 8 s',
     options: { kills: [72_000, 76_000, 80_000] },
   },
+  // Guards against shares that are divided anew while their owners behind a cut still use them.
+  {
+    text: 'one zone is cut off and its entries lapse',
+    options: { cut: { ...CUT, kind: 'one', hasLapsed: true } },
+  },
+  {
+    text: 'three zones are cut off from each other and entries lapse',
+    options: { cut: { ...CUT, kind: 'all', hasLapsed: true } },
+  },
   {
     text: 'three zones are cut off from each other and entries stay',
     options: { cut: { ...CUT, kind: 'all', hasLapsed: false } },
--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -37,6 +37,8 @@
   readonly countRouters: () => number;
   /** Start of this incarnation; an earlier one may have spent quota of the same window. */
   readonly startedMs: number;
+  /** Whether the other routers still count this one among those that share the slack. */
+  readonly isShareReserved?: () => boolean;
   /** Sums over the routers of the fleet; undefined where no recent ones are known. */
   readonly getFleetTotals?: () => FleetRepeats | undefined;
 }
@@ -140,7 +142,7 @@
 
 export function createFleetRetryBudget(options: FleetRetryBudgetOptions): FleetRetryBudget {
   const { ratio, slack, windowMs, countRouters, startedMs } = options;
-  const { getFleetTotals } = options;
+  const { getFleetTotals, isShareReserved } = options;
   const requests = createSlidingWindowCounter(windowMs);
   const retries = createSlidingWindowCounter(windowMs);
   const borrowed = createSlidingWindowCounter(windowMs);
@@ -157,6 +159,7 @@
    * longer and tell what ended processes have spent.
    */
   function getSlackFactor(): number {
+    if (isShareReserved?.() === false) return 0;
     if (isSettled()) return 1;
     const { routers = 1, settledRouters = 0 } = getFleetTotals?.() ?? {};
     return (FIRST_WINDOW_SHARE * settledRouters) / Math.max(1, routers);
--- a/packages/sequoiarill-decisions/src/index.ts
+++ b/packages/sequoiarill-decisions/src/index.ts
@@ -24,6 +24,7 @@
 export * from './targetChooser';
 export type * from './targetChoiceTypes';
 export * from './fleetRetryBudget';
+export * from './retrySharers';
 export * from './latencyAdmission';
 export * from './suspectTracker';
 export * from './targetContacts';
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -55,13 +55,22 @@
   const startedMs = clock.getNowMs();
   const budgets = new Map<string, FleetRetryBudget>();
   const room = getCapability('room');
+  const peers = getCapability('peers');
   const windowMs = settings.repeatWindowSeconds * MS_PER_SECOND;
+  const sharers = Decisions.createRetrySharers({
+    getNowMs: clock.getNowMs,
+    listRouters: () => peers.listRouters().map(({ address }) => address),
+    getSelf: () => peers.self,
+    isUpToDate: getCapability('directory').isUpToDate,
+    windowMs,
+  });
   const createBudget = (service: string): FleetRetryBudget =>
     Decisions.createFleetRetryBudget({
       ratio: settings.repeatRatio,
       slack: settings.repeatSlack,
       windowMs,
-      countRouters: getCapability('directory').countRouters,
+      countRouters: sharers.count,
+      isShareReserved: sharers.isReserved,
       startedMs,
       getFleetTotals: () => room.getFleetRepeats(service),
     });
