Store what began streams in batches while several builds serve

Cause: what began a stream lived in the memory of router processes only. Those that start know from the store that two builds have served, remember no stream, and must not guess.

Change: while more than one build may have begun streams of a service, each router stores digests of its new streams by build, in one entry of its own once a second (less often in a large fleet), under a lease that lasts as long as the streams may be resumed. A router that neither remembers a stream nor hears of it from others reads the entries, at most as often. With one build nothing is written or read. The directory does not keep the entries.

Weighed: the copy of a run's KV cache may belong to another run for all that a router knows; a build computed from the attempt's id has exceptions that would have to be stored too; lists of cached parts do not tell who brought events.

--- a/packages/sequoiarill-kernel/src/fakeWire.ts
+++ b/packages/sequoiarill-kernel/src/fakeWire.ts
@@ -32,6 +32,7 @@
     configurationKey: 'configuration',
     targetPrefix: 'targets/',
     ownPrefix: 'routers/',
+    streamPrefix: 'streams/',
     decodeConfiguration: () => ({ kind: 'malformed', reason: 'no format' }),
     decodeTarget: () => ({ kind: 'malformed', reason: 'no format' }),
     rolloutPrefix: 'rollouts/',
--- a/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/originSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/originSimulation.ts
@@ -17,6 +17,8 @@
 import * as OriginMemories from '../originMemory';
 import * as OriginReports from '../originReports';
 import * as ServiceBuilds from '../serviceBuilds';
+import * as StoredStreamReaders from '../storedStreamReader';
+import * as StoredStreamWriters from '../storedStreamWriter';
 import * as StreamOrigins from '../streamOrigins';
 
 export interface SimulatedRouter {
@@ -38,8 +40,19 @@
   readonly reports: readonly number[];
   /** Values written to the store, in order. */
   readonly writes: readonly string[];
+  /** Times at which routers stored what began their streams. */
+  readonly streamWrites: readonly number[];
+  /** Times at which routers read what others have stored. */
+  readonly reads: readonly number[];
+  /** What routers have stored of their streams, by key. */
+  readonly storedStreams: Map<string, string>;
 }
 
+type StreamStore = Pick<
+  KeyValueStore,
+  'writeTransaction' | 'grantLease' | 'refreshLease' | 'readPrefix'
+>;
+
 const WIRE = Kernel.createFakeWire();
 const HOP_MS = 2;
 export const ROUTE = Fakes.createRoute();
@@ -64,10 +77,60 @@
   const entries = new Map<string, StoredEntry>();
   const reports: number[] = [];
   const writes: string[] = [];
+  const streamWrites: number[] = [];
+  const reads: number[] = [];
   let targets: readonly ForwardingTarget[] = [];
   let count = 0;
   let revision = 0;
 
+  const storedStreams = new Map<string, string>();
+  const leaseEndsMs = new Map<string, number>();
+
+  function removeLapsed(): void {
+    for (const key of storedStreams.keys()) {
+      const [, address = ''] = key.split('/');
+      if ((leaseEndsMs.get(address) ?? 0) <= clock.getNowMs()) storedStreams.delete(key);
+    }
+  }
+
+  function createRouterStore(
+    address: string,
+    router: Pick<SimulatedRouter, 'isUpToDate'>,
+  ): StreamStore {
+    const unavailable = { kind: 'unavailable', message: 'cut off' } as const;
+    let ttlSeconds = 0;
+    const renewLease = () => {
+      if (!router.isUpToDate) return unavailable;
+      leaseEndsMs.set(address, clock.getNowMs() + ttlSeconds * 1_000);
+      return { kind: 'granted', leaseId: address, ttlSeconds } as const;
+    };
+    return {
+      async grantLease(seconds) {
+        ttlSeconds = seconds;
+        return renewLease();
+      },
+      refreshLease: async () => renewLease(),
+      async writeTransaction({ writes: changes }) {
+        if (!router.isUpToDate) return unavailable;
+        for (const { key, value } of changes) {
+          if (value === undefined) storedStreams.delete(key);
+          else storedStreams.set(key, value);
+        }
+        streamWrites.push(clock.getNowMs());
+        return { kind: 'written', revision: 1 };
+      },
+      async readPrefix() {
+        await clock.waitMs(HOP_MS);
+        reads.push(clock.getNowMs());
+        if (!router.isUpToDate) return unavailable;
+        removeLapsed();
+        const stored = [...storedStreams].map(([key, value]) => ({ key, value }));
+        const found = stored.map((entry) => ({ ...entry, revision: 1, createRevision: 1 }));
+        return { kind: 'range', revision: 1, entries: found };
+      },
+    };
+  }
+
   const store: Pick<KeyValueStore, 'writeTransaction'> = {
     async writeTransaction({ comparisons, writes: [write] }) {
       const [{ key = '', revision: expected = 0 } = {}] = comparisons;
@@ -126,10 +189,16 @@
           handleOriginQuery(query),
         ),
     };
-    const router: SimulatedRouter = {
+    const links = { isUpToDate: true, isReached: true };
+    const routerStore = createRouterStore(address, links);
+    const builds = ServiceBuilds.createServiceBuilds({
+      clock,
+      directory,
+      peers,
+      entries: BuildEntries.createBuildEntries({ wire: WIRE, directory, store }),
+    });
+    const router: SimulatedRouter = Object.assign(links, {
       address,
-      isUpToDate: true,
-      isReached: true,
       origins: StreamOrigins.createStreamOrigins({
         clock,
         directory,
@@ -137,14 +206,24 @@
         log: { logEvent: () => undefined },
         memory: OriginMemories.createOriginMemory(clock),
         reports: OriginReports.createOriginReports({ clock, peers, logFailure: () => undefined }),
-        builds: ServiceBuilds.createServiceBuilds({
+        builds,
+        storedStreams: StoredStreamReaders.createStoredStreamReader({
           clock,
+          wire: WIRE,
+          peers,
+          store: routerStore,
+        }),
+        streamWriter: StoredStreamWriters.createStoredStreamWriter({
+          clock,
+          wire: WIRE,
           directory,
           peers,
-          entries: BuildEntries.createBuildEntries({ wire: WIRE, directory, store }),
+          store: routerStore,
+          nextRandom: () => 0.1 + count / 1_000,
+          hasSeveralBuilds: (service) => builds.findOnlyOrigin([service]) === undefined,
         }),
       }),
-    };
+    });
     routers.set(address, router);
     locations.set(address, { address, zone, registration: count });
     const stop = new AbortController();
@@ -156,7 +235,10 @@
   return {
     clock,
     addRouter,
-    removeRouter({ address }) {
+    removeRouter(router) {
+      const { address } = router;
+      // A killed process writes nothing more.
+      Object.assign(router, { isUpToDate: false });
       stops.get(address)?.abort();
       routers.delete(address);
     },
@@ -165,5 +247,42 @@
     },
     reports,
     writes,
+    streamWrites,
+    reads,
+    storedStreams,
   };
 }
+
+export const V1 = { version: 'v1', models: 'm 1' };
+export const V2 = { version: 'v2', models: 'm 1' };
+export const OLD = ['a1', 'b1', 'c1'].map((id) => Fakes.createTarget(id, V1));
+export const NEW = ['a2', 'b2', 'c2'].map((id) => Fakes.createTarget(id, V2));
+/** Time after which reports have arrived and entries are written. */
+export const SETTLE_MS = 600;
+
+export async function startRouters(simulation: OriginSimulation, perZone: number) {
+  const zones = Array.from({ length: perZone }, () => ['a', 'b', 'c']).flat();
+  const routers = zones.map(simulation.addRouter);
+  await simulation.clock.runFor(SETTLE_MS);
+  return routers as [SimulatedRouter, SimulatedRouter, ...SimulatedRouter[]];
+}
+
+export async function findOrigin(
+  { clock }: OriginSimulation,
+  { origins }: SimulatedRouter,
+  request: ForwardRequest,
+): Promise<StreamOrigins.FoundOrigin | undefined> {
+  let found: StreamOrigins.FoundOrigin | undefined;
+  origins.find(request).then(
+    (result) => {
+      found = result;
+    },
+    () => undefined,
+  );
+  await clock.runFor(100);
+  return found;
+}
+
+export function getVersion(found: StreamOrigins.FoundOrigin | undefined): string | undefined {
+  return found?.kind === 'found' ? found.origin.version : found?.kind;
+}
--- a/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/streamOrigins.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/streamOrigins.test.ts
@@ -2,47 +2,11 @@
 
 import { expect } from 'earl';
 
-import * as Fakes from '../../__tests__/fakeDependencies';
-import type { ForwardRequest } from '../../forwardRequest';
-import type { FoundOrigin } from '../streamOrigins';
 import * as Simulation from './originSimulation';
-import type { OriginSimulation, SimulatedRouter } from './originSimulation';
 
-const V1 = { version: 'v1', models: 'm 1' };
-const V2 = { version: 'v2', models: 'm 1' };
-const OLD = ['a1', 'b1', 'c1'].map((id) => Fakes.createTarget(id, V1));
-const NEW = ['a2', 'b2', 'c2'].map((id) => Fakes.createTarget(id, V2));
-/** Time after which reports have arrived and entries are written. */
-const SETTLE_MS = 600;
+const { V1, V2, OLD, NEW, SETTLE_MS, startRouters, findOrigin, getVersion } = Simulation;
 const RESUMABLE_MS = Simulation.ROUTE.timeoutMs + 5_000;
 
-async function startRouters(simulation: OriginSimulation, perZone: number) {
-  const zones = Array.from({ length: perZone }, () => ['a', 'b', 'c']).flat();
-  const routers = zones.map(simulation.addRouter);
-  await simulation.clock.runFor(SETTLE_MS);
-  return routers as [SimulatedRouter, SimulatedRouter, ...SimulatedRouter[]];
-}
-
-async function findOrigin(
-  { clock }: OriginSimulation,
-  { origins }: SimulatedRouter,
-  request: ForwardRequest,
-): Promise<FoundOrigin | undefined> {
-  let found: FoundOrigin | undefined;
-  origins.find(request).then(
-    (result) => {
-      found = result;
-    },
-    () => undefined,
-  );
-  await clock.runFor(100);
-  return found;
-}
-
-function getVersion(found: FoundOrigin | undefined): string | undefined {
-  return found?.kind === 'found' ? found.origin.version : found?.kind;
-}
-
 describe('the origin of a stream', () => {
   it('is known after its router and all other routers of the zone have ended', async () => {
     // Guards against knowledge that ends with one process or one zone.
--- a/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
@@ -3,8 +3,8 @@
  *
  * Failure: a caller that resumes its stream at another router gets the rest from whatever version serves, and
  * holds events of two versions that do not fit together. So the origin is known for certain, or the stream is
- * refused: by this router's memory, because a single build has served, or by the routers that were
- * told of the stream while several builds served.
+ * refused: by this router's memory, because a single build has served, by the routers that were
+ * told of the stream while several builds served, or from what its router has stored.
  */
 import * as Decisions from '@sequoiarill/decisions';
 import type {
@@ -25,12 +25,14 @@
 import type { OriginMemory } from './originMemory';
 import type { OriginReports } from './originReports';
 import * as ServiceBuilds from './serviceBuilds';
+import type { StoredStreamReader } from './storedStreamReader';
+import type { StoredStreamWriter } from './storedStreamWriter';
 
 export type FoundOrigin =
   | {
       readonly kind: 'found';
       readonly origin: StreamOrigin;
-      readonly source: 'ownMemory' | 'onlyBuild' | 'router';
+      readonly source: 'ownMemory' | 'onlyBuild' | 'router' | 'store';
       /** Time since the first event of the stream, where it is remembered. */
       readonly ageMs?: number;
     }
@@ -64,6 +66,8 @@
   readonly memory: OriginMemory;
   readonly reports: OriginReports;
   readonly builds: ServiceBuilds.ServiceBuilds;
+  readonly storedStreams: Pick<StoredStreamReader, 'find'>;
+  readonly streamWriter: StoredStreamWriter;
 }
 
 /** All others in a small fleet; in a large one, more than remember a stream, since some may be gone. */
@@ -90,6 +94,7 @@
 
 export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
   const { clock, directory, peers, log, memory, reports, builds } = options;
+  const { storedStreams, streamWriter } = options;
   /** Services with a single build, whose streams no other router has been told of. */
   const untoldServices = new Set<string>();
 
@@ -105,7 +110,9 @@
     const record = { organisation, requestId, origin, ageMs: 0, leftMs };
     memory.addRecord(record);
     // The router of the caller reports a stream that it has sent here.
-    if (relayTerms === undefined && isReportDue(origin.service)) reports.addRecord(record);
+    if (relayTerms !== undefined) return;
+    streamWriter.addRecord(record);
+    if (isReportDue(origin.service)) reports.addRecord(record);
   }
 
   /**
@@ -150,11 +157,14 @@
       }),
     );
     if (found !== undefined) return { ...found, source: 'router' };
+    const stored = await storedStreams.find(query);
+    if (stored.kind === 'found') return { ...stored, source: 'store' };
     // The directory may have become complete, or a report may have arrived meanwhile.
     const foundHere = findHere(query);
     if (foundHere !== undefined) return foundHere;
     // A router that did not answer in time may know the stream; one that has terminated knows nothing.
-    const isTemporary = silent > 0 || !wasUpToDate || !directory.isUpToDate();
+    const isLate = silent > 0 || stored.isTemporary;
+    const isTemporary = isLate || !wasUpToDate || !directory.isUpToDate();
     return { kind: 'unknown', isTemporary, asked: asked.length, answered };
   }
 
@@ -193,8 +203,9 @@
     async run(signal) {
       while (!signal.aborted) {
         await clock.waitMs(UPDATE_INTERVAL_MS, signal);
+        if (signal.aborted) return;
         reportMissing();
-        await builds.update().catch((error: unknown) => {
+        await Promise.all([builds.update(), streamWriter.update()]).catch((error: unknown) => {
           log.logEvent(Events.ORIGINS_FAILED, { error });
         });
       }
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -20,6 +20,8 @@
 import * as OriginMemories from './origins/originMemory';
 import * as OriginReports from './origins/originReports';
 import * as ServiceBuilds from './origins/serviceBuilds';
+import * as StoredStreamReaders from './origins/storedStreamReader';
+import * as StoredStreamWriters from './origins/storedStreamWriter';
 import * as StreamOrigins from './origins/streamOrigins';
 import type { StreamOrigins as StreamOriginsState } from './origins/streamOrigins';
 import * as Relays from './relay/relays';
@@ -176,13 +178,11 @@
 }
 
 export function createOrigins(context: PluginContext, log: RateLimitedLog): StreamOriginsState {
-  const { clock, getCapability } = context;
+  const { clock, nextRandom, getCapability } = context;
   const [directory, peers] = [getCapability('directory'), getCapability('peers')];
-  const entries = BuildEntries.createBuildEntries({
-    directory,
-    wire: getCapability('wire'),
-    store: getCapability('keyValue'),
-  });
+  const [wire, store] = [getCapability('wire'), getCapability('keyValue')];
+  const entries = BuildEntries.createBuildEntries({ directory, wire, store });
+  const builds = ServiceBuilds.createServiceBuilds({ clock, directory, peers, entries });
   return StreamOrigins.createStreamOrigins({
     clock,
     directory,
@@ -194,7 +194,17 @@
       peers,
       logFailure: (peer, reason) => log.logEvent(Events.ORIGIN_NOT_REPORTED, { peer, reason }),
     }),
-    builds: ServiceBuilds.createServiceBuilds({ clock, directory, peers, entries }),
+    builds,
+    storedStreams: StoredStreamReaders.createStoredStreamReader({ clock, wire, peers, store }),
+    streamWriter: StoredStreamWriters.createStoredStreamWriter({
+      clock,
+      wire,
+      directory,
+      peers,
+      store,
+      nextRandom,
+      hasSeveralBuilds: (service) => builds.findOnlyOrigin([service]) === undefined,
+    }),
   });
 }
 
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -25,6 +25,7 @@
 
 export const WIRE: ForwardingWire = Kernel.createFakeWire({
   ownPrefix: 'own/',
+  streamPrefix: 'streams/',
   decodeRolloutOrder(text) {
     const [toVersion = '', durationMs = ''] = text.split(' ');
     return {
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -215,6 +215,8 @@
   readonly targetPrefix: string;
   /** Prefix of the store keys that routers may write. */
   readonly ownPrefix: string;
+  /** Prefix of the store keys with what began streams; the directory does not keep them. */
+  readonly streamPrefix: string;
   readonly decodeConfiguration: (text: string) => DecodedConfiguration;
   readonly decodeTarget: (key: string, text: string) => DecodedTarget;
   /** Prefix of the keys of rollout orders; the service name follows. */
