Ask the target that brought the first event of a stream when its caller resumes it

Cause: a router that starts finds the prompt only if its target is among the six that it asks.

Change: what is remembered, told and stored of a stream names the target that brought its first event, and that target is asked besides the others.

--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -205,6 +205,8 @@
   service: Zod.string().min(1).max(MAX_NAME_LENGTH),
   version: Zod.string().max(MAX_NAME_LENGTH),
   models: Zod.string().max(MAX_MODELS_LENGTH),
+  /** Missing in messages of older versions. */
+  target: Zod.string().max(MAX_NAME_LENGTH).optional(),
 });
 
 const streamKeySchema = Zod.object({
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -44,6 +44,8 @@
   readonly versionDraw: number;
   /** Set where a stream has begun: only targets of this build may run the request. */
   readonly build?: TargetBuild;
+  /** Id of the target that may have the prompt of a resumed stream in its KV cache. */
+  readonly promptHolder?: string | undefined;
   /** Aborted when the caller disconnects, or a stop ends the request. */
   readonly closed: AbortSignal;
   /** The calls that are opened for it; undefined where they are not recorded. */
--- a/packages/sequoiarill-plugin-forwarding/src/origins/serviceBuilds.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/serviceBuilds.ts
@@ -174,8 +174,8 @@
       const [only, ...others] = services.flatMap(listOrigins);
       return only === undefined || only.version === '' || others.length > 0 ? undefined : only;
     },
-    recordBegun({ service, ...build }) {
-      recordSeen(getState(service), build);
+    recordBegun({ service, version, models }) {
+      recordSeen(getState(service), { version, models });
     },
     async update() {
       const services = new Set(
--- a/packages/sequoiarill-plugin-forwarding/src/origins/storedStreamReader.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/storedStreamReader.ts
@@ -1,4 +1,5 @@
 /** Looks up what began streams in the entries that routers have stored, some of which have ended since. */
+import * as Decisions from '@sequoiarill/decisions';
 import type {
   Clock,
   ForwardingWire,
@@ -31,6 +32,10 @@
 /** Bounds the memory; streams of later entries are not known. */
 const MAX_STREAMS = 20_000;
 
+function isSameBuild(left: StreamOrigin | undefined, right: StreamOrigin): boolean {
+  return left?.service === right.service && Decisions.isSameBuild(left, right);
+}
+
 export function createStoredStreamReader(options: StoredStreamReaderOptions): StoredStreamReader {
   const { clock, wire, peers, store } = options;
   /** By digest; undefined where entries contradict each other. */
@@ -44,8 +49,7 @@
       for (const { digest, origin } of StoredStreams.decodeStreams(value)) {
         if (found.size >= MAX_STREAMS) break;
         const known = found.get(digest);
-        const isSame = !found.has(digest) || JSON.stringify(known) === JSON.stringify(origin);
-        found.set(digest, isSame ? origin : undefined);
+        found.set(digest, !found.has(digest) || isSameBuild(known, origin) ? origin : undefined);
       }
     }
     origins = found;
--- a/packages/sequoiarill-plugin-forwarding/src/origins/storedStreamWriter.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/storedStreamWriter.ts
@@ -34,11 +34,11 @@
 }
 
 /** A stream whose router ends earlier after its first event is refused when its caller resumes it. */
-const MIN_INTERVAL_MS = 1_000;
+const MIN_INTERVAL_MS = 500;
 /** Bounds what all routers together ask of the store, whose limit is some hundred writes a second. */
 const FLEET_WRITES_PER_SECOND = 40;
-/** Bounds the bytes that all who watch the store receive: some 16 for each stream. */
-const FLEET_STREAMS_PER_SECOND = 1_000;
+/** Bounds the bytes that all who watch the store receive: at most 50 for each stream. */
+const FLEET_STREAMS_PER_SECOND = 400;
 /** Bounds the memory while nothing can be written; the oldest are dropped. */
 const MAX_PENDING = 20_000;
 /** Old entries that one write removes; a transaction may change 32 keys. */
--- a/packages/sequoiarill-plugin-forwarding/src/origins/storedStreams.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/storedStreams.ts
@@ -10,6 +10,7 @@
 export const DIGEST_LENGTH = 12;
 /** Builds that serve side by side are few; further ones of a damaged entry are ignored. */
 const MAX_BUILDS = 64;
+const MAX_TARGETS = 1_000;
 
 const nameSchema = Zod.string().max(1_000);
 
@@ -19,8 +20,8 @@
       service: nameSchema,
       version: nameSchema,
       models: nameSchema,
-      /** Digests of its streams, one after the other. */
-      streams: Zod.string(),
+      /** Each: id of a target, which is empty where it is not known, and the digests of its streams, joined. */
+      targets: Zod.array(Zod.tuple([nameSchema, Zod.string()])).max(MAX_TARGETS),
     }),
   ).max(MAX_BUILDS),
 });
@@ -37,18 +38,18 @@
 }
 
 export function encodeStreams(records: readonly OriginRecord[]): string {
-  const builds = new Map<string, { readonly origin: StreamOrigin; readonly digests: string[] }>();
+  const builds = new Map<string, Map<string, string>>();
   for (const record of records) {
-    const { service, version, models } = record.origin;
-    const key = JSON.stringify([service, version, models]);
-    const build = builds.get(key) ?? { origin: { service, version, models }, digests: [] };
-    build.digests.push(computeDigest(record));
-    builds.set(key, build);
+    const { service, version, models, target = '' } = record.origin;
+    const key = JSON.stringify({ service, version, models });
+    const targets = builds.get(key) ?? new Map<string, string>();
+    targets.set(target, (targets.get(target) ?? '') + computeDigest(record));
+    builds.set(key, targets);
   }
   return JSON.stringify({
-    builds: [...builds.values()].map(({ origin, digests }) => ({
-      ...origin,
-      streams: digests.join(''),
+    builds: [...builds].map(([key, targets]) => ({
+      ...(JSON.parse(key) as Omit<StreamOrigin, 'target'>),
+      targets: [...targets],
     })),
   });
 }
@@ -63,9 +64,12 @@
 
 /** Nothing for a value that no router wrote. */
 export function* decodeStreams(value: string): Generator<StoredStream, void, void> {
-  for (const { streams, ...origin } of parseValue(value)?.builds ?? []) {
-    for (let start = 0; start + DIGEST_LENGTH <= streams.length; start += DIGEST_LENGTH) {
-      yield { digest: streams.slice(start, start + DIGEST_LENGTH), origin };
+  for (const { targets, ...build } of parseValue(value)?.builds ?? []) {
+    for (const [target, streams] of targets) {
+      const origin = target === '' ? build : { ...build, target };
+      for (let start = 0; start + DIGEST_LENGTH <= streams.length; start += DIGEST_LENGTH) {
+        yield { digest: streams.slice(start, start + DIGEST_LENGTH), origin };
+      }
     }
   }
 }
--- a/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
@@ -16,7 +16,6 @@
   OriginRecord,
   RouterPeers,
   StreamOrigin,
-  TargetBuild,
 } from '@sequoiarill/types';
 
 import * as Events from '../events';
@@ -45,9 +44,11 @@
       readonly answered: number;
     };
 
+export type StreamSource = Omit<StreamOrigin, 'service'>;
+
 export interface StreamOrigins {
   /** The first event for the caller of the request has arrived, from a target of the build. */
-  readonly recordBegun: (request: ForwardRequest, build: TargetBuild) => void;
+  readonly recordBegun: (request: ForwardRequest, source: StreamSource) => void;
   /** Finds what began the stream that the request resumes. */
   readonly find: (request: ForwardRequest) => Promise<FoundOrigin>;
   readonly handlers: OriginHandlers;
@@ -169,8 +170,8 @@
   }
 
   return {
-    recordBegun(request, { version, models }) {
-      const origin = { service: request.service, version, models };
+    recordBegun(request, { version, models, target }) {
+      const origin = { service: request.service, version, models, target };
       builds.recordBegun(origin);
       recordStream(request.id, request, origin);
       // Keeps the first attempt known for as long as this one may be resumed. An attempt that is not bound to a
--- a/packages/sequoiarill-plugin-forwarding/src/streams/resumedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/resumedStream.ts
@@ -73,13 +73,14 @@
 
 function applyOrigin(
   request: ForwardRequest,
-  { service, version, models }: StreamOrigin,
+  { service, version, models, target }: StreamOrigin,
 ): ResumedStream {
   if (!request.route.shares.some((share) => share.service === service)) {
     const reason = 'the service that began the stream is no longer part of the route';
     return { kind: 'refused', reason, retryAfterSeconds: undefined };
   }
-  return { kind: 'begun', request: { ...request, service, build: { version, models } } };
+  const build = { version, models };
+  return { kind: 'begun', request: { ...request, service, build, promptHolder: target } };
 }
 
 function logFound(
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -95,7 +95,8 @@
       if (newBlocks.length > 0) {
         const build = Decisions.getBuild(plan.target);
         if (!progress.hasEvents) yield { kind: 'head', head, build };
-        recordEvents(dependencies, request, progress, { build, head }, newBlocks);
+        const source = { build, head, target: plan.target.id };
+        recordEvents(dependencies, request, progress, source, newBlocks);
         yield { kind: 'events', bytes: mergeBlocks(newBlocks) };
       }
     }
@@ -105,14 +106,21 @@
   }
 }
 
+export interface EventSource {
+  readonly build: TargetBuild;
+  readonly head: AnswerHead;
+  /** Undefined where the events came through another router. */
+  readonly target?: string;
+}
+
 export function recordEvents(
   { origins }: Pick<ForwardingDependencies, 'origins'>,
   request: ForwardRequest,
   progress: Progress,
-  { build, head }: Readonly<{ build: TargetBuild; head: AnswerHead }>,
+  { build, head, target }: EventSource,
   newBlocks: readonly EventBlock[],
 ): void {
-  if (!progress.hasEvents) origins.recordBegun(request, build);
+  if (!progress.hasEvents) origins.recordBegun(request, { ...build, target });
   progress.isFramed ??= !Checks.isCloseDelimited(head);
   progress.hasEvents = true;
   progress.build ??= build;
--- a/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/enginePlacements.ts
@@ -126,7 +126,10 @@
   );
 }
 
-/** Samples some engines of each zone; suspected ones only where no others are left. */
+/**
+ * Samples some engines of each zone; suspected ones only where no others are left. The engine that may have the prompt of
+ * a resumed stream is among the first.
+ */
 function sampleEngines(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
@@ -137,9 +140,11 @@
   const unsuspected = unqueried.filter((target) => !dependencies.registry.isSuspect(target));
   const pool = unsuspected.length > 0 ? unsuspected : unqueried;
   const zones = new Set(pool.map(({ zone }) => zone)).size;
-  return Decisions.selectCandidates(pool, getPromptKey(request), (zone) =>
+  const candidates = Decisions.selectCandidates(pool, getPromptKey(request), (zone) =>
     Decisions.computeZoneSampleSize(zone === dependencies.zone, zones),
   );
+  const holder = pool.find(({ id }) => id === request.promptHolder);
+  return holder === undefined || candidates.includes(holder) ? candidates : [holder, ...candidates];
 }
 
 /**
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -155,6 +155,8 @@
 /** What began a stream, and has to go on with it. */
 export interface StreamOrigin extends TargetBuild {
   readonly service: string;
+  /** Id of the target that brought its first event, and may still have its prompt in the KV cache; if known. */
+  readonly target?: string | undefined;
 }
 
 /** One stream whose origin a router remembers. */
