Bound the length of a single entry of the store, and read answers with a large one

A target that registered after another writer's entry of 7 MB got no requests, and routers that started beside it followed nothing: the store's answer with it, 9.3 MB in base64, was refused as a whole, and asked for again for ever.

Cause, and its class: what one writer leaves is judged, and paid for, together with the entries of all others: in pages, watches, copies for other routers, and full reads.

The stand-in of the store ends a page at 1 MB, as the platform's does.

--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -7,6 +7,7 @@
 import * as DelayedRemovals from './delayedRemovals';
 import * as DirectoryKeys from './directoryKeys';
 import * as DirectoryTargets from './directoryTargets';
+import * as EntryLimits from './entryLimits';
 import * as Events from './events';
 import * as RecordCaches from './recordCache';
 import type { DirectoryRecord } from './recordCache';
@@ -16,6 +17,8 @@
 const { getEra, splitRevision } = Kernel.Revisions;
 
 export interface DirectoryState extends Omit<Directory, 'isUpToDate' | 'getConfirmedAgeMs'> {
+  /** Leaves out the content of an entry that is far too long for its kind, and logs it. */
+  readonly applyLimit: (record: DirectoryRecord) => DirectoryRecord;
   /** Applies records that are newer than the known ones. Older records have no effect. */
   readonly applyRecords: (records: readonly DirectoryRecord[]) => void;
   /**
@@ -112,7 +115,21 @@
     targets.delayRemovalsUntil(getNowMs() + DelayedRemovals.REREGISTRATION_MS);
   }
 
-  function applyRecords(records: readonly DirectoryRecord[]): void {
+  function applyLimit(received: DirectoryRecord): DirectoryRecord {
+    const { record, isTooLong } = EntryLimits.applyLimit(wire, received);
+    if (isTooLong) {
+      const { key, revision, value } = received;
+      logEvent(Events.ENTRY_TOO_LONG, {
+        key,
+        ...splitRevision(revision),
+        characters: value?.length,
+      });
+    }
+    return record;
+  }
+
+  function applyRecords(received: readonly DirectoryRecord[]): void {
+    const records = received.map(applyLimit);
     checkEra(records);
     const changed = records.filter(applyRecord);
     if (changed.length === 0) return;
@@ -145,6 +162,7 @@
     },
     listEntries: (prefix) => recordCache.listEntries(prefix),
     recordEntry: (entry) => applyRecords([entry]),
+    applyLimit,
     applyRecords,
     applySnapshot(records, snapshotRevision) {
       const presentKeys = new Set(records.map(({ key }) => key));
--- a/packages/sequoiarill-plugin-directory/src/directoryTargets.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryTargets.ts
@@ -1,6 +1,12 @@
 /** Keeps the known targets, delays their removals, and adds what was learned without the store. */
 import * as Kernel from '@sequoiarill/kernel';
-import type { Directory, ForwardingTarget, ForwardingWire, LogEvent } from '@sequoiarill/types';
+import type {
+  DecodedTarget,
+  Directory,
+  ForwardingTarget,
+  ForwardingWire,
+  LogEvent,
+} from '@sequoiarill/types';
 
 import * as DelayedRemovals from './delayedRemovals';
 import * as Events from './events';
@@ -37,6 +43,12 @@
   /** Keys of replacement targets that no record has confirmed. */
   const replacementKeys = new Set<string>();
 
+  /** The content of an entry that is too long is not known here. */
+  function decodeTarget(key: string, value: string): DecodedTarget {
+    if (value === '') return { kind: 'malformed', reason: 'the entry is empty or too long' };
+    return wire.decodeTarget(key, value);
+  }
+
   function applyRecord({ key, revision, value }: DirectoryRecord): void {
     removals.cancelRemoval(key);
     const isReplacement = replacementKeys.delete(key);
@@ -45,7 +57,7 @@
       removals.removeTarget(key);
       return;
     }
-    const decoded = wire.decodeTarget(key, value);
+    const decoded = decodeTarget(key, value);
     if (decoded.kind === 'target') {
       targets.set(key, decoded.target);
       // The entry gives the start time of the same incarnation, which was not known before.
--- a/packages/sequoiarill-plugin-directory/src/events.ts
+++ b/packages/sequoiarill-plugin-directory/src/events.ts
@@ -91,6 +91,13 @@
   'A new connection to the store delivered changes that an open watch had not delivered; they are applied.',
 );
 
+export const ENTRY_TOO_LONG = Kernel.defineEvent(
+  1814,
+  'warn',
+  'directory.entryTooLong',
+  'An entry of the store is far longer than one of its kind; it is not read, and other entries are not affected.',
+);
+
 export const EVENTS = [
   STORE_LOST,
   STORE_REGAINED,
@@ -106,4 +113,5 @@
   CONFIGURATION_OUTDATED,
   WATCH_OVERDUE,
   WATCH_SILENT,
+  ENTRY_TOO_LONG,
 ];
--- a/packages/sequoiarill-plugin-directory/src/fullRead.ts
+++ b/packages/sequoiarill-plugin-directory/src/fullRead.ts
@@ -27,7 +27,7 @@
 
 export interface FullReadOptions {
   readonly store: Pick<KeyValueStore, 'readPage'>;
-  readonly state: Pick<DirectoryState, 'applyRecords' | 'applySnapshot'>;
+  readonly state: Pick<DirectoryState, 'applyRecords' | 'applySnapshot' | 'applyLimit'>;
   readonly clock: Pick<Clock, 'getNowMs'>;
   readonly prefix: string;
 }
@@ -37,8 +37,10 @@
  * targets take 3 MB, and a configuration at most 1 MiB.
  */
 export const MAX_READ_CHARACTERS = 32 * 1_048_576;
+/** The same for what is received, including the content of entries that is not kept: its pages may go on for ever as well. */
+const MAX_RECEIVED_CHARACTERS = 4 * MAX_READ_CHARACTERS;
 
-function countCharacters(records: readonly DirectoryRecord[]): number {
+function countCharacters(records: readonly Pick<DirectoryRecord, 'key' | 'value'>[]): number {
   return records.reduce((sum, { key, value = '' }) => sum + key.length + value.length, 0);
 }
 
@@ -55,11 +57,13 @@
   let startedAtMs = 0;
   let pageCount = 0;
   let characters = 0;
+  let receivedCharacters = 0;
 
   function removePages(): void {
     records = [];
     revision = undefined;
     characters = 0;
+    receivedCharacters = 0;
   }
 
   return {
@@ -67,15 +71,14 @@
       if (revision === undefined) startedAtMs = clock.getNowMs();
       const page = await store.readPage(prefix, records.at(-1)?.key ?? '');
       if (page.kind === 'unavailable') return { kind: 'failed', reason: page.message };
-      const pageRecords = page.entries.map(({ key, revision: entryRevision, value }) => ({
-        key,
-        revision: entryRevision,
-        value,
-      }));
+      const pageRecords = page.entries.map(({ key, revision: entryRevision, value }) =>
+        state.applyLimit({ key, revision: entryRevision, value }),
+      );
       pageCount += 1;
       characters += countCharacters(pageRecords);
-      if (characters > MAX_READ_CHARACTERS) {
-        const reason = `the pages have more than ${MAX_READ_CHARACTERS} characters`;
+      receivedCharacters += countCharacters(page.entries);
+      if (characters > MAX_READ_CHARACTERS || receivedCharacters > MAX_RECEIVED_CHARACTERS) {
+        const reason = `the pages have ${receivedCharacters} characters, ${characters} without long entries`;
         removePages();
         return { kind: 'failed', reason };
       }
--- a/packages/sequoiarill-standins/src/userPlatform/storeStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/storeStandin.ts
@@ -70,6 +70,7 @@
 ) => void | Promise<void>;
 
 const ITEMS_PER_PAGE = 3;
+const PAGE_CHARACTERS = 1_048_576;
 const FIRST_ERA = 1;
 const KEEP_PREFIX = '/kv-keep/';
 
@@ -85,6 +86,18 @@
   return { ...item, data: Buffer.from(value).toString('base64') };
 }
 
+/** At least one item, and no more than fit into a page. */
+function selectPage(items: readonly StoredItem[]): readonly StoredItem[] {
+  const page: StoredItem[] = [];
+  let characters = 0;
+  for (const item of items.slice(0, ITEMS_PER_PAGE)) {
+    characters += item.data.length;
+    if (page.length > 0 && characters > PAGE_CHARACTERS) break;
+    page.push(item);
+  }
+  return page;
+}
+
 export function createStoreStandin(): StoreStandin {
   const items = new Map<string, StoredItem>();
   let history: Change[] = [];
@@ -153,7 +166,7 @@
     const found = [...items.values()]
       .filter(({ key }) => key.startsWith(prefix) && key > after)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
-    const entries = found.slice(0, ITEMS_PER_PAGE);
+    const entries = selectPage(found);
     return { entries, hasMore: found.length > entries.length, currentRev: revision };
   }
 
