Count repeats taken from the budget, and compare them with arrivals at targets

No line or metric told a router's repeats from what its targets got.

Change: the metric forwarding.repeats counts retries that are taken from the budget of a service and returned to it.

--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -41,6 +41,8 @@
   readonly isShareReserved?: () => boolean;
   /** Sums over the routers of the fleet; undefined where no recent ones are known. */
   readonly getFleetTotals?: () => FleetRepeats | undefined;
+  /** Called when a retry was taken, and when one was returned. */
+  readonly reportChange?: (change: 'taken' | 'returned') => void;
 }
 
 export interface FleetRetryBudget extends RetryBudget {
@@ -142,7 +144,7 @@
 
 export function createFleetRetryBudget(options: FleetRetryBudgetOptions): FleetRetryBudget {
   const { ratio, slack, windowMs, countRouters, startedMs } = options;
-  const { getFleetTotals, isShareReserved } = options;
+  const { getFleetTotals, isShareReserved, reportChange } = options;
   const requests = createSlidingWindowCounter(windowMs);
   const retries = createSlidingWindowCounter(windowMs);
   const borrowed = createSlidingWindowCounter(windowMs);
@@ -223,11 +225,13 @@
       if (getBalance(nowMs) < 1) return false;
       retries.add(latestMs, 1);
       taken += 1;
+      reportChange?.('taken');
       return true;
     },
     releaseRetry() {
       retries.add(latestMs, -1);
       taken -= 1;
+      reportChange?.('returned');
     },
     grantQuota(nowMs, wanted) {
       const granted = Math.max(0, Math.min(wanted, getBalance(nowMs)));
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -11,6 +11,7 @@
 export const CONTINUED = 'forwarding.continued';
 export const COPIES = 'forwarding.copies';
 export const REPEATED = 'forwarding.repeated';
+export const REPEATS = 'forwarding.repeats';
 export const LEAVING = 'forwarding.targetsLeaving';
 export const RESTS = 'forwarding.rests';
 export const RELAYED = 'forwarding.relayed';
@@ -74,6 +75,12 @@
       'Copies of a KV cache that were commanded to replace an earlier copy during a run, by outcome.',
   },
   { name: REPEATED, unit: 'count', meaning: 'Retries of requests on another target.' },
+  {
+    name: REPEATS,
+    unit: 'count',
+    meaning:
+      'Retries taken from the retry budget and returned to it, by service and change (taken, returned). Deliveries beyond the first of each request are at most the difference.',
+  },
   {
     name: LEAVING,
     unit: 'count',
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -13,6 +13,7 @@
 import type { ExchangeDependencies } from './front/replies';
 import * as Events from './events';
 import * as LazyGetters from './lazyGetter';
+import * as Metrics from './metrics';
 import * as BrittleTargets from './limits/brittleTargets';
 import * as TargetLimits from './limits/targetLimits';
 import type { RateLimitedLog } from './rateLimitedLog';
@@ -51,7 +52,7 @@
 
 /** Creates the decision state that each service has separately. */
 export function createServiceDecisions(
-  { clock, nextRandom, getCapability }: PluginContext,
+  { clock, nextRandom, metrics, getCapability }: PluginContext,
   settings: ForwardingSettings,
 ): ServiceDecisions {
   const startedMs = clock.getNowMs();
@@ -75,6 +76,7 @@
       isShareReserved: sharers.isReserved,
       startedMs,
       getFleetTotals: () => room.getFleetRepeats(service),
+      reportChange: (change) => metrics.addCount(Metrics.REPEATS, 1, { service, change }),
     });
   const getBudget = LazyGetters.createLazyGetter(createBudget, budgets);
   room.setRepeatSource((service) => getBudget(service).getTotals(clock.getNowMs()));
