--- a/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/storedStreams.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/storedStreams.test.ts
@@ -85,6 +85,23 @@
     expect(getVersion(found)).toEqual('v1');
   });
 
+  it('is unknown for a moment while the store is away, and known after it', async () => {
+    // Guards against routers that guess, or refuse for good, while they cannot read what is stored.
+    const simulation = Simulation.createSimulation();
+    simulation.setTargets([...OLD, ...NEW]);
+    const routers = await startRouters(simulation, 1);
+    routers[0].origins.recordBegun(Simulation.createAttempt('s1'), V1);
+    await simulation.clock.runFor(SETTLE_MS);
+    routers.splice(0).forEach(simulation.removeRouter);
+    const started = await startRouters(simulation, 1);
+    started.forEach((router) => Object.assign(router, { isUpToDate: false }));
+    const early = await findOrigin(simulation, started[0], Simulation.createAttempt('s2', 's1'));
+    expect(early?.kind === 'unknown' && early.isTemporary).toEqual(true);
+    started.forEach((router) => Object.assign(router, { isUpToDate: true }));
+    const found = await findOrigin(simulation, started[0], Simulation.createAttempt('s3', 's1'));
+    expect(getVersion(found)).toEqual('v1');
+  });
+
   it('is unknown where stored entries are damaged or contradict each other', async () => {
     // Guards against entries of another writer that end a router or choose a version.
     const simulation = Simulation.createSimulation();
