Tell routers that share retries apart by their names, and look up builds once for each service

A router that starts again at another port of its VM counted twice for ten minutes, and left the others less of the slack. Routers count by the name under which they register. What is written of streams is chosen by service, not by a look-up for each stream.

--- a/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
@@ -85,7 +85,7 @@
     return cut?.kind === 'one' && from !== 0 && to !== 0;
   }
 
-  const formatAddress = (index: number) => `10.0.0.${index}:1`;
+  const formatName = (index: number) => `router-${index}`;
 
   function listRouters(zone: number): readonly string[] {
     const isListed = (index: number) =>
@@ -94,7 +94,7 @@
       (cut.kind === 'one' && zone === 0);
     return Array.from({ length: ROUTERS }, (_one, index) => index)
       .filter(isListed)
-      .map(formatAddress);
+      .map(formatName);
   }
 
   function computeTotals(zone: number): FleetRepeats | undefined {
@@ -122,7 +122,7 @@
     const sharers = RetrySharers.createRetrySharers({
       getNowMs: () => nowMs,
       listRouters: () => listRouters(zone),
-      getSelf: () => formatAddress(index),
+      self: formatName(index),
       isUpToDate: () => !isCut() || (cut?.kind === 'one' && zone !== 0),
       windowMs: WINDOW_MS,
     });
--- a/packages/sequoiarill-decisions/src/retrySharers.ts
+++ b/packages/sequoiarill-decisions/src/retrySharers.ts
@@ -8,10 +8,10 @@
 
 export interface RetrySharersOptions {
   readonly getNowMs: () => number;
-  /** Addresses of the routers that the directory lists. */
+  /** Names of the routers that the directory lists; a router keeps its name when it starts again. */
   readonly listRouters: () => readonly string[];
-  /** Address of this router. */
-  readonly getSelf: () => string;
+  /** Name of this router. */
+  readonly self: string;
   /** Whether the directory is confirmed to be current. */
   readonly isUpToDate: () => boolean;
   /** Window of the retry budget, milliseconds. */
@@ -33,7 +33,7 @@
 const MAX_ROUTERS = 10_000;
 
 export function createRetrySharers(options: RetrySharersOptions): RetrySharers {
-  const { getNowMs, listRouters, getSelf, isUpToDate, windowMs } = options;
+  const { getNowMs, listRouters, self, isUpToDate, windowMs } = options;
   /** When each router was last listed, the oldest first. */
   const listedAtMs = new Map<string, number>();
   let updatedAtMs = Number.NEGATIVE_INFINITY;
@@ -55,7 +55,7 @@
       listedAtMs.delete(router);
       listedAtMs.set(router, nowMs);
     }
-    if (isUpToDate() && routers.includes(getSelf())) confirmedAtMs = nowMs;
+    if (isUpToDate() && routers.includes(self)) confirmedAtMs = nowMs;
     removeOld(nowMs);
   }
 
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -67,7 +67,10 @@
   function applyRouter({ key, value, revision }: DirectoryRecord): void {
     const entry = value === undefined ? undefined : RouterEntries.decodeRouter(value);
     if (entry === undefined) routers.delete(key);
-    else routers.set(key, { ...entry, registration: revision });
+    else {
+      const name = key.slice(key.lastIndexOf('/') + 1);
+      routers.set(key, { ...entry, name, registration: revision });
+    }
   }
 
   function applyRecord(record: DirectoryRecord): boolean {
--- a/packages/sequoiarill-plugin-forwarding/src/origins/storedStreamWriter.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/storedStreamWriter.ts
@@ -81,7 +81,7 @@
   const { clock, wire, directory, peers, store, nextRandom, hasSeveralBuilds } = options;
   /** Differs from that of the process before, whose entries are still needed. */
   const incarnation = nextRandom().toString(36).slice(2);
-  let pending: readonly Pending[] = [];
+  let pending: Pending[] = [];
   let written: readonly WrittenEntry[] = [];
   let lease: Lease | undefined;
   let triedAtMs = Number.NEGATIVE_INFINITY;
@@ -103,7 +103,9 @@
 
   /** The newest of those that are due: callers resume streams that have not ended. */
   function selectDue(): readonly Pending[] {
-    const due = pending.filter(({ record }) => hasSeveralBuilds(record.origin.service));
+    const services = new Set(pending.map(({ record }) => record.origin.service));
+    const mixedServices = new Set([...services].filter(hasSeveralBuilds));
+    const due = pending.filter(({ record }) => mixedServices.has(record.origin.service));
     return due.slice(-computeMaxStreams(peers.listRouters().length));
   }
 
@@ -133,7 +135,8 @@
   return {
     addRecord(record) {
       const expiresAtMs = clock.getNowMs() + record.leftMs;
-      pending = [...pending, { record, expiresAtMs }].slice(-MAX_PENDING);
+      pending.push({ record, expiresAtMs });
+      if (pending.length > MAX_PENDING) pending.shift();
     },
     async update() {
       const nowMs = clock.getNowMs();
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -52,7 +52,7 @@
 
 /** Creates the decision state that each service has separately. */
 export function createServiceDecisions(
-  { clock, nextRandom, metrics, getCapability }: PluginContext,
+  { clock, nextRandom, metrics, process, getCapability }: PluginContext,
   settings: ForwardingSettings,
 ): ServiceDecisions {
   const startedMs = clock.getNowMs();
@@ -62,8 +62,8 @@
   const windowMs = settings.repeatWindowSeconds * MS_PER_SECOND;
   const sharers = Decisions.createRetrySharers({
     getNowMs: clock.getNowMs,
-    listRouters: () => peers.listRouters().map(({ address }) => address),
-    getSelf: () => peers.self,
+    listRouters: () => peers.listRouters().map(({ name, address }) => name ?? address),
+    self: process.name,
     isUpToDate: getCapability('directory').isUpToDate,
     windowMs,
   });
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -103,6 +103,8 @@
 }
 
 export interface RouterLocation {
+  /** Stays the same when the router starts again; if known. */
+  readonly name?: string;
   /** `IP:port`, as the router's peers know it. */
   readonly address: string;
   readonly zone: string;
