Let a router without an earlier process use some of its slack from its start

Cause: the rule that a process uses no slack in its first window held also where no process before it could have spent any.

Change: a router writes its first entry under the condition that none exists. The lease of an entry outlasts the window, so without a conflict no process of this router was killed in it, and 0.4 of its share is used, as before. A router has one window to be listed.

--- a/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
@@ -133,6 +133,7 @@
       startedMs,
       countRouters: sharers.count,
       isShareReserved: sharers.isReserved,
+      hasPredecessor: () => startedMs > 0,
       getFleetTotals: () => computeTotals(zone),
     });
     return { zone, startedMs, reports: [], budget };
--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -37,6 +37,8 @@
   readonly countRouters: () => number;
   /** Start of this incarnation; an earlier one may have spent quota of the same window. */
   readonly startedMs: number;
+  /** Whether an earlier process of this router may have used its share in the last window. */
+  readonly hasPredecessor?: () => boolean;
   /** Whether the other routers still count this one among those that share the slack. */
   readonly isShareReserved?: () => boolean;
   /** Sums over the routers of the fleet; undefined where no recent ones are known. */
@@ -91,8 +93,8 @@
 /** A router that knows fewer routers than this may not have discovered the others yet. */
 const MIN_ROUTERS = 6;
 /**
- * Factor for the slack in the first window of a process where all others tell what ended processes have spent: their sums
- * are seconds old.
+ * Factor for the slack in the first window of a process that has no predecessor, or where all others tell what ended processes
+ * have spent: their sums are seconds old, and a process that was stopped leaves no trace.
  */
 const FIRST_WINDOW_SHARE = 0.4;
 /** Share of the fleet's rule that all routers together use where its totals are known. */
@@ -144,7 +146,7 @@
 
 export function createFleetRetryBudget(options: FleetRetryBudgetOptions): FleetRetryBudget {
   const { ratio, slack, windowMs, countRouters, startedMs } = options;
-  const { getFleetTotals, isShareReserved, reportChange } = options;
+  const { getFleetTotals, hasPredecessor, isShareReserved, reportChange } = options;
   const requests = createSlidingWindowCounter(windowMs);
   const retries = createSlidingWindowCounter(windowMs);
   const borrowed = createSlidingWindowCounter(windowMs);
@@ -163,6 +165,7 @@
   function getSlackFactor(): number {
     if (isShareReserved?.() === false) return 0;
     if (isSettled()) return 1;
+    if (hasPredecessor?.() === false) return FIRST_WINDOW_SHARE;
     const { routers = 1, settledRouters = 0 } = getFleetTotals?.() ?? {};
     return (FIRST_WINDOW_SHARE * settledRouters) / Math.max(1, routers);
   }
--- a/packages/sequoiarill-decisions/src/retrySharers.ts
+++ b/packages/sequoiarill-decisions/src/retrySharers.ts
@@ -37,7 +37,8 @@
   /** When each router was last listed, the oldest first. */
   const listedAtMs = new Map<string, number>();
   let updatedAtMs = Number.NEGATIVE_INFINITY;
-  let confirmedAtMs = Number.NEGATIVE_INFINITY;
+  /** A router that starts has a window to be listed, in which it uses little. */
+  let confirmedAtMs = getNowMs() - RESERVED_MS + 2 * windowMs;
 
   function removeOld(nowMs: number): void {
     for (const [router, atMs] of listedAtMs) {
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -65,6 +65,7 @@
     settings.listen,
   );
   const ownKey = `${wire.ownPrefix}routers/${context.process.name}`;
+  let hasPredecessor = true;
   const stopping = new AbortController();
   let registerSelf: RouterPeers['registerSelf'] = () => undefined;
   const relayAddress = new Promise<string | undefined>((resolve) => {
@@ -84,6 +85,7 @@
       return ownAddress;
     },
     listRouters: state.listRouters,
+    hasPredecessor: () => hasPredecessor,
     borrowPermits: client.acquirePermits,
     sendReport: client.sendReport,
     reportCrashes: client.reportCrashes,
@@ -108,7 +110,16 @@
       ...(relay === undefined ? {} : { relayAddress: relay }),
     };
     await Registrations.runRegistration(
-      { store, clock, key: ownKey, entry, getEra: state.getEra },
+      {
+        store,
+        clock,
+        key: ownKey,
+        entry,
+        getEra: state.getEra,
+        reportPredecessor(isFound) {
+          hasPredecessor = isFound;
+        },
+      },
       stopping.signal,
     );
   }
--- a/packages/sequoiarill-plugin-directory/src/registration.ts
+++ b/packages/sequoiarill-plugin-directory/src/registration.ts
@@ -11,6 +11,8 @@
   readonly entry: RouterEntry;
   /** Era of the store that is known now. */
   readonly getEra: () => number;
+  /** Called once the first entry is written, with whether an earlier process of this router has left one. */
+  readonly reportPredecessor: (hasPredecessor: boolean) => void;
 }
 
 /**
@@ -27,8 +29,9 @@
   options: RegistrationOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { store, clock, key, entry, getEra } = options;
+  const { store, clock, key, entry, getEra, reportPredecessor } = options;
   let leaseId: string | undefined;
+  let hasWritten = false;
 
   /**
    * Failure: the store is restored from a copy that lacks the entry of this router or its lease, and gives
@@ -47,6 +50,17 @@
     const lease = await store.grantLease(LEASE_SECONDS);
     if (lease.kind !== 'granted') return false;
     const writes = [{ key, value: RouterEntries.encodeRouter(entry), leaseId: lease.leaseId }];
+    if (!hasWritten) {
+      const comparisons = [{ key, revision: 0 }];
+      const first = await store.writeTransaction({ comparisons, writes });
+      if (first.kind !== 'written' && first.kind !== 'conflict') return false;
+      hasWritten = true;
+      reportPredecessor(first.kind === 'conflict');
+      if (first.kind === 'written') {
+        leaseId = lease.leaseId;
+        return true;
+      }
+    }
     const outcome = await store.writeTransaction({ comparisons: [], writes });
     if (outcome.kind !== 'written') return false;
     leaseId = lease.leaseId;
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -74,6 +74,7 @@
       windowMs,
       countRouters: sharers.count,
       isShareReserved: sharers.isReserved,
+      hasPredecessor: peers.hasPredecessor,
       startedMs,
       getFleetTotals: () => room.getFleetRepeats(service),
       reportChange: (change) => metrics.addCount(Metrics.REPEATS, 1, { service, change }),
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -109,6 +109,7 @@
 /** Calls between routers that roll-outs do not use. */
 const UNUSED_CALLS: Omit<RouterPeers, 'self' | 'listRouters' | 'sendReport' | 'setReportHandler'> =
   {
+    hasPredecessor: () => false,
     listNearest: () => [],
     borrowRetryQuota: async () => ({ kind: 'granted', repeats: 0 }),
     setRetryQuotaLender: () => undefined,
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -239,6 +239,8 @@
   readonly self: string;
   /** All known routers, including this one. */
   readonly listRouters: () => readonly RouterLocation[];
+  /** Whether an earlier process of this router was registered when this one started; also true until that is known. */
+  readonly hasPredecessor: () => boolean;
   readonly sendReport: (peer: string, report: RolloutReport) => Promise<GuidanceOutcome>;
   /** Reports crashes to an aggregator, which counts them for all routers by content. */
   readonly reportCrashes: (peer: string, crashes: readonly Crash[]) => Promise<CrashReportOutcome>;
