Stop reading requests that a connection sends ahead of its answers

Callers saw a router end by itself (SIGABRT, heap out of memory) where one connection sent requests without waiting for their answers.

Cause: a connection that has sent too many requests is paused, but Node.js resumes it at the end of each request that it has parsed already. The next read goes on, and all requests in it are kept, unserved, until the first 32 are answered. The class: a pause that another owner of the stream takes back.

Change: such a connection is paused again whenever it is resumed, so nothing more is read from it.

Not mended: one read of 64 KB may hold some 1,800 short requests, and 32 connections that do so at once end a router that has served floods before.

--- a/packages/sequoiarill-kernel/src/__tests__/endlessRequests.test.ts
+++ b/packages/sequoiarill-kernel/src/__tests__/endlessRequests.test.ts
@@ -1,6 +1,8 @@
 import * as Http from 'node:http';
 import type { RequestListener } from 'node:http';
+import type { Socket } from 'node:net';
 import { describe, it } from 'node:test';
+import { setTimeout as startTimeout } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
@@ -18,6 +20,9 @@
 const LINGER_MS = 50;
 /** Time for the rest of a body to arrive on a busy machine. */
 const BODY_LINGER_MS = 500;
+/** Time in which requests are held, and what may be read of them: two reads of Node.js. */
+const HELD_MS = 300;
+const MAX_READ_BYTES = 2 * 65_536 + 1;
 
 async function findFreeAddress(): Promise<string> {
   const server = Http.createServer();
@@ -114,6 +119,22 @@
       expect(result.isClosed).toEqual(true);
     });
   });
+
+  it('are not read while the earlier ones are answered', async () => {
+    // Guards against requests that are read and kept, without being served, until the earlier ones are answered.
+    const sockets = new Set<Socket>();
+    const hold: RequestListener = ({ socket }) => sockets.add(socket);
+    const part = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(100);
+    await runWithServer(hold, async (address) => {
+      const sending = EndlessRequests.sendEndlessRequest(address, { start: '', part }, MAX_BYTES);
+      await startTimeout(HELD_MS);
+      const bytesRead = [...sockets].map((socket) => socket.bytesRead);
+      sockets.forEach((socket) => socket.destroy());
+      await sending;
+      expect(bytesRead.length).toEqual(1);
+      expect(Math.max(...bytesRead)).toBeLessThan(MAX_READ_BYTES);
+    });
+  });
 });
 
 describe('the metrics page', () => {
--- a/packages/sequoiarill-kernel/src/requestGuard.ts
+++ b/packages/sequoiarill-kernel/src/requestGuard.ts
@@ -66,6 +66,12 @@
     });
   }
 
+  /** Node.js resumes the connection at the end of each request, also of those that it has read already. */
+  function stopReading(socket: Socket): void {
+    socket.on('resume', () => socket.pause());
+    socket.pause();
+  }
+
   return {
     admitRequest(request, response) {
       const { socket } = request;
@@ -73,15 +79,11 @@
         socket.destroy();
         return false;
       }
-      if (closingSockets.has(socket)) {
-        // Reading the body of an earlier request has resumed the connection.
-        socket.pause();
-        return false;
-      }
+      if (closingSockets.has(socket)) return false;
       if (countPending(socket) >= MAX_PIPELINED_REQUESTS) {
         closingSockets.add(socket);
         response.writeHead(UNAVAILABLE, { connection: 'close', 'content-length': 0 }).end();
-        socket.pause();
+        stopReading(socket);
         return false;
       }
       latestRequests.set(socket, request);
