Take no retry once the fleet together has spent what the rule allows

Cause: the share of a router goes up and down with its own requests. Each router takes a retry at the best moment of its own window, and these add up to more than all had together at any moment. The class: shares that are each right when they are used, and together wrong. The margin of 5 % hides it where requests are many.

Change: a router takes no retry while the sums of the fleet, which are a second or more old, show 0.92 of the rule as spent. A retry with borrowed quota is reported by its lender alone; it was in the sums twice.

Ruled out: a higher bound.

All tests of the package pass.

--- a/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
@@ -37,6 +37,8 @@
   readonly cut?: Cut;
   /** Whether routers know the sums of those that they reach. */
   readonly hasTotals: boolean;
+  /** From when on there are streams to retry; from the start unless given. */
+  readonly retriesFromMs?: number;
 }
 
 interface Report {
@@ -71,7 +73,8 @@
 }
 
 /** Nine routers in three zones, all of which have more streams to retry than they may. */
-function simulateFleet({ seed, perSecond, kills = [], cut, hasTotals }: Play): number {
+function simulateFleet(play: Play): number {
+  const { seed, perSecond, kills = [], cut, hasTotals, retriesFromMs = 0 } = play;
   const nextRandom = Random.createRandom(seed);
   const requestsMs: number[] = [];
   const retriesMs: number[] = [];
@@ -149,7 +152,7 @@
       budget.recordRequest(nowMs);
       requestsMs.push(nowMs);
     }
-    for (let stream = 0; stream < 2; stream += 1) {
+    for (let stream = 0; nowMs >= retriesFromMs && stream < 2; stream += 1) {
       if (budget.takeRetry(nowMs)) retriesMs.push(nowMs);
     }
     if (nowMs % REPORT_MS === 0) reports.push({ atMs: nowMs, totals: budget.getTotals(nowMs) });
@@ -166,10 +169,12 @@
 const CUT = { fromMs: 75_000, untilMs: 100_000 } as const;
 const LOSSES: readonly {
   readonly text: string;
-  readonly options: Pick<Play, 'kills' | 'cut'>;
+  readonly options: Pick<Play, 'kills' | 'cut' | 'retriesFromMs'>;
 }[] = [
   // Guards against totals that are seconds old and shares that add up to more than the rule.
   { text: 'nothing happens', options: {} },
+  // Guards against shares that vary with the requests of each router and are each used up at their highest.
+  { text: 'engines crash after a calm time', options: { retriesFromMs: 70_000 } },
   // Guards against a start that uses the share which the process before it has used in the same window.
   { text: 'all routers are killed', options: { kills: [76_000] } },
   // Guards against each process of a series using the share of its router once more.
--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -99,6 +99,8 @@
 const FIRST_WINDOW_SHARE = 0.4;
 /** Share of the fleet's rule that all routers together use where its totals are known. */
 const FLEET_SHARE = 0.95;
+/** Share of the rule at which no router takes a retry any more, since the totals are seconds old. */
+const SPENT_SHARE = 0.92;
 /** Bounds the effect of totals that are wrong, such as those of a fleet that has just started. */
 const MAX_FACTOR = 2.5;
 /** A fleet whose ended processes have spent most of the window must still retry some streams. */
@@ -178,14 +180,29 @@
     return { earned, slackShare };
   }
 
+  /** A share of what the rule allows, without what ended processes have spent. */
+  function computeAllowed(fleet: FleetRepeats, share: number): number {
+    const earned = ratio * (fleet.requests + fleet.endedRequests);
+    return share * (earned + slack) - fleet.endedRetries;
+  }
+
   /** Routers that are not in the totals are assumed to allow themselves as much as the others do. */
   function getFactor(): number {
     const fleet = getFleetTotals?.();
     if (fleet === undefined || fleet.capacity <= 0) return 1;
     const missing = Math.max(0, countRouters() - fleet.routers) / Math.max(1, fleet.routers);
-    const earned = ratio * (fleet.requests + fleet.endedRequests);
-    const allowed = FLEET_SHARE * (earned + slack) - fleet.endedRetries;
-    return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, allowed / (fleet.capacity * (1 + missing))));
+    const factor = computeAllowed(fleet, FLEET_SHARE) / (fleet.capacity * (1 + missing));
+    return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
+  }
+
+  /**
+   * Load pattern: few requests. The share of a router goes up and down with its own requests, and what each of the routers
+   * has taken at the best moment of the window adds up to more than they had together at any moment.
+   */
+  function getFleetBalance(): number {
+    const fleet = getFleetTotals?.();
+    if (fleet === undefined || fleet.capacity <= 0) return Number.POSITIVE_INFINITY;
+    return computeAllowed(fleet, SPENT_SHARE) - fleet.retries;
   }
 
   function getCapacity(nowMs: number): number {
@@ -195,7 +212,8 @@
   }
 
   function getBalance(nowMs: number): number {
-    return getCapacity(nowMs) - retries.read(latestMs, 'with');
+    const balance = getCapacity(nowMs) - retries.read(latestMs, 'with');
+    return Math.min(balance, getFleetBalance());
   }
 
   return {
@@ -206,7 +224,8 @@
       const { earned, slackShare } = getShare(nowMs);
       return {
         requests: requests.read(latestMs, 'without'),
-        retries: Math.max(0, retries.read(latestMs, 'with')),
+        // What was borrowed is among the retries of the lender.
+        retries: Math.max(0, retries.read(latestMs, 'with') - borrowed.read(latestMs, 'without')),
         capacity: earned + slackShare,
         isSettled: isSettled(),
       };
