Let a process whose predecessors nobody knows retry nothing for a window

Cause: the fleet has spent all of the window when the routers end, and nobody knows it afterwards. New processes used none of the slack in their first window, but all retries that their own new requests allow.

Change: in its first window a process uses what its requests allow, as the slack, only as far as other routers have run for a window and tell what ended processes have spent. A process without a predecessor is not held back.

Ruled out: half or three quarters of what its requests allow; worked out, the sums stay above the rule.

--- a/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetBudgetLosses.test.ts
@@ -183,6 +183,15 @@
     text: 'all routers are killed three times in 8 s',
     options: { kills: [72_000, 76_000, 80_000] },
   },
+  // Guards against processes that earn retries in a window in which those before them have spent all of it.
+  {
+    text: 'all routers are killed shortly after engines',
+    options: { kills: [74_000], retriesFromMs: 70_000 },
+  },
+  {
+    text: 'all routers are killed three times in 8 s after engines',
+    options: { kills: [74_000, 78_000, 82_000], retriesFromMs: 70_000 },
+  },
   // Guards against shares that are divided anew while their owners behind a cut still use them.
   {
     text: 'one zone is cut off and its entries lapse',
--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -75,7 +75,9 @@
   readonly capacity: number;
   /** Routers that share the slack. */
   readonly routers: number;
-  /** Factor on this router's share of the slack: 0 in the first window of a process whose predecessors nobody knows. */
+  /** Factor on the retries that this router's requests allow: 0 in the first window of a process whose predecessors nobody knows. */
+  readonly knownShare: number;
+  /** Factor on this router's share of the slack. */
   readonly slackFactor: number;
   /** Factor on the whole share, from the sums of the fleet. */
   readonly fleetFactor: number;
@@ -160,16 +162,19 @@
   }
 
   /**
-   * Failure: all routers are killed, some times in a row, and each process uses the share of the slack that the one before
-   * it has used in the same window. So in its first window a process uses it only as far as other routers have run for
-   * longer and tell what ended processes have spent.
+   * Failure: all routers are killed, some times in a row, and each process uses the share that the one before it has used in
+   * the same window. So in its first window a process uses a share only as far as other routers have run for longer and
+   * tell what ended processes have spent.
    */
+  function getKnownShare(): number {
+    if (isSettled() || hasPredecessor?.() === false) return 1;
+    const { routers = 1, settledRouters = 0 } = getFleetTotals?.() ?? {};
+    return settledRouters / Math.max(1, routers);
+  }
+
   function getSlackFactor(): number {
     if (isShareReserved?.() === false) return 0;
-    if (isSettled()) return 1;
-    if (hasPredecessor?.() === false) return FIRST_WINDOW_SHARE;
-    const { routers = 1, settledRouters = 0 } = getFleetTotals?.() ?? {};
-    return (FIRST_WINDOW_SHARE * settledRouters) / Math.max(1, routers);
+    return isSettled() ? 1 : FIRST_WINDOW_SHARE * getKnownShare();
   }
 
   /** Share that the others assume for this router, from which the shares of a fleet with known totals are scaled. */
@@ -207,7 +212,7 @@
 
   function getCapacity(nowMs: number): number {
     const { earned, slackShare } = getShare(nowMs);
-    const share = (earned + slackShare * getSlackFactor()) * getFactor();
+    const share = (earned * getKnownShare() + slackShare * getSlackFactor()) * getFactor();
     return share + borrowed.read(latestMs, 'without');
   }
 
@@ -235,6 +240,7 @@
       retries: retries.read(nowMs, 'with'),
       capacity: getCapacity(nowMs),
       routers: countRouters(),
+      knownShare: getKnownShare(),
       slackFactor: getSlackFactor(),
       fleetFactor: getFactor(),
       taken,
