--- a/packages/sequoiarill-kernel/src/cutHeadServer.ts
+++ b/packages/sequoiarill-kernel/src/cutHeadServer.ts
@@ -7,6 +7,8 @@
   readonly head: string;
   /** Whether connections are reset instead of closed in order. */
   readonly isReset: boolean;
+  /** Bytes of the head that the first request gets; 0 unless given. */
+  readonly firstCut?: number;
 }
 
 export interface CutHeadServer {
@@ -20,9 +22,10 @@
 export async function startCutHeadServer({
   head,
   isReset,
+  firstCut = 0,
 }: CutHeadServerOptions): Promise<CutHeadServer> {
   const sockets = new Set<Socket>();
-  let cut = -1;
+  let cut = firstCut - 1;
   const server = Net.createServer((socket) => {
     sockets.add(socket);
     socket.on('error', () => undefined);
