Let stand-ins end leases, follow a changing address and list arrivals

The stand-in of the store answered the end of a lease without removing its keys, so that a router that stops as planned left its entry. Links ask for the address of each connection's target, since routers get theirs when they start. Targets list when they read each request.

--- a/packages/sequoiarill-standins/src/link/link.ts
+++ b/packages/sequoiarill-standins/src/link/link.ts
@@ -9,8 +9,8 @@
 import * as Pipes from './pipe';
 
 export interface LinkSettings {
-  /** `IP:port` that connections are forwarded to. */
-  readonly target: string;
+  /** `IP:port` that connections are forwarded to; a function is asked for each connection. */
+  readonly target: string | (() => string);
   /** `IP:port` to listen on; port 0 lets the operating system choose one. */
   readonly listen?: string;
 }
@@ -67,7 +67,9 @@
 
 export function createLinkStandin(settings: LinkSettings): LinkStandin {
   const listen = parseAddress(settings.listen ?? '127.0.0.1:0');
-  const target = parseAddress(settings.target);
+  const { target } = settings;
+  const findTarget = (): ReturnType<typeof parseAddress> =>
+    parseAddress(typeof target === 'string' ? target : target());
   const connections = new Set<Connection>();
   const silenced = new WeakSet<Connection>();
   const server = Net.createServer({ allowHalfOpen: true }, handleCaller);
@@ -92,7 +94,7 @@
   }
 
   function handleCaller(caller: Net.Socket): void {
-    const targetSocket = Net.connect({ ...target, allowHalfOpen: true, noDelay: true });
+    const targetSocket = Net.connect({ ...findTarget(), allowHalfOpen: true, noDelay: true });
     caller.setNoDelay(true);
     const connection: Connection = {
       toTarget: Pipes.createPipe(caller, targetSocket, toTargetMode, {
--- a/packages/sequoiarill-standins/src/userPlatform/storeStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/storeStandin.ts
@@ -76,6 +76,7 @@
 const PAGE_CHARACTERS = 1_048_576;
 const FIRST_ERA = 1;
 const KEEP_PREFIX = '/kv-keep/';
+const END_PREFIX = '/kv-lease-end/';
 
 /** An item is encoded once, however many readers get it. */
 const encodedItems = new WeakMap<Change, Buffer>();
@@ -249,7 +250,7 @@
     if (fault !== 'loseWrites') sendJson(response, status, answer);
   }
 
-  /** Leases never expire in this stand-in; they are lost when it is restored from an older copy. */
+  /** Leases never expire by themselves in this stand-in; they are lost when it is restored from an older copy. */
   function grantLease(_query: URLSearchParams, response: ServerResponse): void {
     nextLease += 1;
     leases.add(nextLease);
@@ -262,6 +263,15 @@
     else sendJson(response, 404, {});
   }
 
+  function removeLease(path: string, response: ServerResponse): void {
+    const lease = Number(path.slice(path.lastIndexOf('/') + 1));
+    leases.delete(lease);
+    const ended = [...items.values()].filter((item) => item.lease === lease);
+    ended.forEach(({ key }) => writeItem(key, undefined));
+    if (ended.length > 0) resumeWatches();
+    sendJson(response, 200, {});
+  }
+
   const handlers: Readonly<Record<string, CallHandler>> = {
     '/kv-range': handleRange,
     '/kv-key': handleKey,
@@ -285,6 +295,7 @@
       return;
     }
     if (url.pathname.startsWith(KEEP_PREFIX)) renewLease(url.pathname, response);
+    else if (url.pathname.startsWith(END_PREFIX)) removeLease(url.pathname, response);
     else await (handlers[url.pathname] ?? grantLease)(url.searchParams, response, body);
   }
 
--- a/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetStandin.ts
@@ -17,6 +17,7 @@
 import { UNFRAMED_ANSWERS, UNFRAMED_STREAMS } from './targetTypes';
 import type {
   PromptCrash,
+  TargetArrival,
   TargetFault,
   TargetOptions,
   TargetRoom,
@@ -40,6 +41,7 @@
   let hasCrashed = false;
   const runs: TargetRun[] = [];
   const receivedHeaders: IncomingHttpHeaders[] = [];
+  const arrivals: TargetArrival[] = [];
   let inFlight = 0;
   let heldCount = 0;
   /** Tokens of each cached part of a prompt, by the id of the part. */
@@ -251,6 +253,11 @@
     inFlight -= 1;
   }
 
+  function recordArrival(requestId: string, limit: string | string[] | undefined): void {
+    const limitMs = limit === undefined ? undefined : Number(limit);
+    arrivals.push({ requestId, atMs: performance.now(), limitMs });
+  }
+
   async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (management.isManagementCall(request)) {
       await management.handleCall(request, response);
@@ -261,6 +268,7 @@
     const requestId = String(request.headers['request-id']);
     const expected = request.headers['expect-instance'];
     receivedHeaders.push(request.headers);
+    recordArrival(requestId, request.headers['deadline-ms']);
     if (expected !== undefined && expected !== id) {
       response.writeHead(421, { 'instance-id': id, 'request-id': requestId }).end();
       return;
@@ -313,6 +321,7 @@
     listRuns: () => runs,
     countRejected: () => rejectedCount,
     listHeaders: () => receivedHeaders,
+    listArrivals: () => arrivals,
     countInFlight: () => (silence.isForGood() ? 0 : inFlight),
   };
 }
--- a/packages/sequoiarill-standins/src/userPlatform/targetTypes.ts
+++ b/packages/sequoiarill-standins/src/userPlatform/targetTypes.ts
@@ -50,6 +50,15 @@
   'unframedReset',
 ]);
 
+/** One request that a target has read, whether it ran it or not. */
+export interface TargetArrival {
+  readonly requestId: string;
+  /** `performance.now()`, milliseconds. */
+  readonly atMs: number;
+  /** Time that the request allowed the target from then on, milliseconds; undefined where it named none. */
+  readonly limitMs: number | undefined;
+}
+
 /** One request that a target started to run. */
 export interface TargetRun {
   readonly requestId: string;
@@ -122,6 +131,8 @@
   readonly listRuns: () => readonly TargetRun[];
   /** Lists the headers of all requests, including those that were not run. */
   readonly listHeaders: () => readonly IncomingHttpHeaders[];
+  /** Lists the same requests with the times at which they were read. */
+  readonly listArrivals: () => readonly TargetArrival[];
   /** Counts the requests that were rejected for want of room. */
   readonly countRejected: () => number;
   /** Counts the requests that are running now; none once the target is silent for good. */
