Measure repeats at targets against the rule of the fleet's budget, over processes

bench:repeats starts routers as processes, lets targets break off what they run, disturbs routers, their links, the store and targets in rows, and compares arrivals beyond the first of each request with the rule in sliding windows as it counts them. It counts requests at more targets than their route allows and sends that allow more time than their callers have, too.

--- /dev/null
+++ b/bench/src/repeats/callers.ts
@@ -0,0 +1,136 @@
+/** Sends requests to a fleet while it is disturbed, and counts what its targets received. */
+import * as Standins from '@sequoiarill/standins';
+import * as Undici from 'undici';
+
+import * as Outputs from '../output';
+import * as Fleets from './fleet';
+import type { Fleet, FleetOptions } from './fleet';
+import type { Row } from './rows';
+import * as Windows from './windows';
+import type { SentRequest } from './windows';
+
+export interface PlayOptions extends Omit<FleetOptions, 'limitMs' | 'maxTargets'> {
+  readonly perSecond: number;
+}
+
+export interface Summary {
+  readonly name: string;
+  readonly sent: number;
+  readonly answered: number;
+  readonly arrivals: number;
+  readonly repeats: number;
+  /** Largest number of repeats in a window, as a multiple of what the rule allows. */
+  readonly worst: number;
+  readonly beyondTargets: number;
+  readonly beyondTime: number;
+}
+
+const LIMIT_MS = 8_000;
+const MAX_TARGETS = 5;
+const OK = 200;
+const MS_PER_SECOND = 1_000;
+/** Windows before the disturbance: the second one of a process is the first in which it may use its whole share. */
+const WINDOWS_BEFORE = 2;
+const WINDOWS_AFTER = 2;
+
+function createHeaders(kind: FleetOptions['kind'], id: string, organisation: string) {
+  const apiKey = Fleets.formatKey(organisation);
+  return {
+    ...Standins.createCallerHeaders({ requestId: id, apiKey, limitMs: LIMIT_MS }),
+    ...(kind === 'streams' ? Standins.createStreamHeaders(`p${id}`) : {}),
+  };
+}
+
+/** Sends until the signal is aborted; returns the number of whole answers. */
+async function sendRequests(
+  { routers }: Fleet,
+  { kind, perSecond }: PlayOptions,
+  sent: SentRequest[],
+  signal: AbortSignal,
+): Promise<number> {
+  const agent = new Undici.Agent({ pipelining: 0, bodyTimeout: 0 });
+  const sending: Promise<void>[] = [];
+  let answered = 0;
+
+  async function sendOne(address: string, index: number): Promise<void> {
+    const id = `r${index}`;
+    const organisation = Fleets.ORGANISATIONS[index % Fleets.ORGANISATIONS.length] ?? '';
+    sent.push({ id, atMs: performance.now() });
+    try {
+      const response = await Undici.request(
+        `http://${address}/${kind === 'streams' ? 'advice' : 'reads'}/x`,
+        {
+          method: kind === 'streams' ? 'POST' : 'GET',
+          dispatcher: agent,
+          headers: createHeaders(kind, id, organisation),
+          signal: AbortSignal.timeout(LIMIT_MS),
+        },
+      );
+      await response.body.text();
+      if (response.statusCode === OK) answered += 1;
+    } catch {
+      // Its router has ended, or nothing came in time.
+    }
+  }
+
+  const startMs = performance.now();
+  for (let index = 0; !signal.aborted; index += 1) {
+    const dueMs = startMs + (index * MS_PER_SECOND) / perSecond;
+    const leftMs = dueMs - performance.now();
+    if (leftMs > 0) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, leftMs);
+      });
+    }
+    const serving = routers.flatMap((router) => router.getAddress() ?? []);
+    const address = serving[index % Math.max(1, serving.length)];
+    if (address !== undefined) sending.push(sendOne(address, index));
+  }
+  await Promise.all(sending);
+  await agent.destroy();
+  return answered;
+}
+
+async function waitMs(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+export async function runRow(row: Row, options: PlayOptions): Promise<Summary> {
+  const { kind, rule } = options;
+  const fleet = await Fleets.startFleet({ ...options, limitMs: LIMIT_MS, maxTargets: MAX_TARGETS });
+  try {
+    const faults = new AbortController();
+    const failing = Fleets.runFaults(
+      fleet,
+      kind === 'streams' ? 'dieInStream' : 'loseAnswer',
+      faults.signal,
+    );
+    const sent: SentRequest[] = [];
+    const ended = new AbortController();
+    const sending = sendRequests(fleet, options, sent, ended.signal);
+    await waitMs(WINDOWS_BEFORE * rule.windowMs);
+    await row.disturb(fleet);
+    await waitMs(WINDOWS_AFTER * rule.windowMs);
+    ended.abort();
+    const answered = await sending;
+    faults.abort();
+    await failing;
+    const arrivals = fleet.listArrivals();
+    const repeats = Windows.listRepeatTimes(arrivals);
+    const sentMs = sent.map(({ atMs }) => atMs);
+    return {
+      name: row.name,
+      sent: sent.length,
+      answered,
+      arrivals: arrivals.length,
+      repeats: repeats.length,
+      worst: Outputs.computeRounded(Windows.computeWorstWindow(sentMs, repeats, rule), 3),
+      beyondTargets: Windows.countBeyondTargets(arrivals, MAX_TARGETS),
+      beyondTime: Windows.countBeyondTime(arrivals, sent, LIMIT_MS),
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
--- /dev/null
+++ b/bench/src/repeats/fleet.ts
@@ -0,0 +1,234 @@
+/** Routers as processes, of which each reaches the store, the others and the targets through links. */
+import * as Standins from '@sequoiarill/standins';
+import type { LinkStandin, StoreStandin, TargetFault, TargetStandin } from '@sequoiarill/standins';
+import * as Testing from '@sequoiarill/testing';
+import type { StartedRouter } from '@sequoiarill/testing';
+
+import type { Arrival, Rule } from './windows';
+
+export type Kind = 'streams' | 'reads';
+
+export interface FleetOptions {
+  /** Program file of the routers. */
+  readonly daemon: string;
+  readonly routers: number;
+  readonly targets: number;
+  readonly kind: Kind;
+  readonly rule: Rule;
+  readonly limitMs: number;
+  readonly maxTargets: number;
+}
+
+export interface ManagedRouter {
+  /** Undefined while it does not serve. */
+  readonly getAddress: () => string | undefined;
+  readonly restart: (signal: 'SIGKILL' | 'SIGTERM') => Promise<void>;
+  readonly pause: (ms: number) => Promise<void>;
+  readonly stop: () => Promise<void>;
+}
+
+export interface Fleet {
+  readonly routers: readonly ManagedRouter[];
+  readonly targets: readonly TargetStandin[];
+  /** To each target, of all routers. */
+  readonly targetLinks: readonly LinkStandin[];
+  /** From the others to each router. */
+  readonly peerLinks: readonly LinkStandin[];
+  /** From each router to the store. */
+  readonly storeLinks: readonly LinkStandin[];
+  readonly listArrivals: () => readonly Arrival[];
+  readonly stop: () => Promise<void>;
+}
+
+export const ORGANISATIONS = ['a', 'b', 'c', 'd', 'e', 'f'];
+const PRIORITIES = 3;
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const ROUTER_PREFIX = 'sequoiarill/routers/';
+const NO_ADDRESS = '127.0.0.1:1';
+const EVENT_COUNT = 60;
+const MS_PER_SECOND = 1_000;
+const RESTART_MS = 500;
+/** Each target fails in all but one of so many steps. */
+const FAULT_STEPS = 3;
+const FAULT_STEP_MS = 150;
+
+export function formatKey(organisation: string): string {
+  return `key-of-${organisation}`;
+}
+
+async function waitMs(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** Organisations have different priorities, so that routers tell each other their sums. */
+function formatConfiguration({ limitMs, maxTargets }: FleetOptions): string {
+  const options = { apiKeys: [], timeoutMs: limitMs, maxAttempts: maxTargets };
+  const tenants = ORGANISATIONS.map((name, index) => ({
+    name,
+    apiKeys: [formatKey(name)],
+    priority: index % PRIORITIES,
+  }));
+  return JSON.stringify({ ...Standins.createConfiguration(1, options), tenants });
+}
+
+function formatSettings(
+  name: string,
+  zone: string,
+  store: string,
+  { ratio, slack, windowMs }: Rule,
+): string {
+  return [
+    `[process]\nname = ${name}\nzone = ${zone}\nregion = here`,
+    `[adapter]\nstore = ${store}`,
+    '[directory]\nlisten = 127.0.0.1:0',
+    [
+      '[forwarding]',
+      'listen = 127.0.0.1:0',
+      'readinessListen = 127.0.0.1:0',
+      'graceSeconds = 2',
+      `repeatRatio = ${ratio}`,
+      `repeatSlack = ${slack}`,
+      `repeatWindowSeconds = ${windowMs / MS_PER_SECOND}`,
+    ].join('\n'),
+  ].join('\n\n');
+}
+
+async function startLink(target: string | (() => string)) {
+  const link = Standins.createLinkStandin({ target });
+  return { link, address: (await link.start()).address };
+}
+
+async function startTargets(store: StoreStandin, { targets, kind }: FleetOptions) {
+  const started = [];
+  for (let index = 0; index < targets; index += 1) {
+    const target = Standins.createTargetStandin(`target-${index}`, { eventCount: EVENT_COUNT });
+    const { link, address } = await startLink(await target.start());
+    const entry = {
+      service: kind === 'streams' ? 'engines' : 'orders',
+      address,
+      zone: ZONES[index % ZONES.length] ?? '',
+      version: 'v1',
+      slots: 24,
+      state: 'ready',
+      startedAtUnixMs: 1,
+    } as const;
+    store.writeValue(Standins.formatTargetKey(target.id), Standins.formatTargetEntry(entry));
+    started.push({ target, link });
+  }
+  return started;
+}
+
+async function startRouter(
+  index: number,
+  store: StoreStandin,
+  viewAddress: string,
+  options: FleetOptions,
+) {
+  const { link, address: storeAddress } = await startLink(viewAddress);
+  const zone = ZONES[index % ZONES.length] ?? '';
+  const settings = formatSettings(`router-${index}`, zone, storeAddress, options.rule);
+  let current: StartedRouter;
+  let isServing = false;
+
+  async function startNext(): Promise<void> {
+    current = Testing.startUserRouter(options.daemon, settings);
+    await current.start;
+    await current.waitForLine(
+      ({ name, known }) => name === 'directory.targetsChanged' && Number(known) >= options.targets,
+    );
+    isServing = true;
+  }
+
+  const router: ManagedRouter = {
+    getAddress: () => (isServing ? current.address : undefined),
+    async restart(signal) {
+      isServing = false;
+      current.process.kill(signal);
+      await current.exited;
+      await waitMs(RESTART_MS);
+      await startNext();
+    },
+    async pause(ms) {
+      current.process.kill('SIGSTOP');
+      await waitMs(ms);
+      current.process.kill('SIGCONT');
+    },
+    async stop() {
+      current.process.kill('SIGKILL');
+      await current.exited;
+    },
+  };
+  await startNext();
+  return { router, link };
+}
+
+/** A view in which all routers have the addresses of their links. */
+async function startPeerView(store: StoreStandin, routers: number) {
+  const links = new Map<string, Awaited<ReturnType<typeof startLink>>>();
+  for (let index = 0; index < routers; index += 1) {
+    const key = `${ROUTER_PREFIX}router-${index}`;
+    const findAddress = (): string => {
+      const text = store.getValue(key) ?? `{"address":"${NO_ADDRESS}"}`;
+      return (JSON.parse(text) as { readonly address: string }).address;
+    };
+    links.set(key, await startLink(findAddress));
+  }
+  const address = await store.startView((key, value) => {
+    const linked = links.get(key)?.address;
+    return linked === undefined
+      ? value
+      : JSON.stringify({ ...(JSON.parse(value) as object), address: linked });
+  });
+  return { address, peerLinks: [...links.values()].map(({ link }) => link) };
+}
+
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+  const store = Standins.createStoreStandin();
+  await store.start();
+  store.writeValue(Standins.CONFIGURATION_KEY, formatConfiguration(options));
+  const targets = await startTargets(store, options);
+  const { address, peerLinks } = await startPeerView(store, options.routers);
+  const routers = await Promise.all(
+    Array.from({ length: options.routers }, (_one, index) =>
+      startRouter(index, store, address, options),
+    ),
+  );
+  const storeLinks = routers.map(({ link }) => link);
+  const targetLinks = targets.map(({ link }) => link);
+  return {
+    routers: routers.map(({ router }) => router),
+    targets: targets.map(({ target }) => target),
+    targetLinks,
+    peerLinks,
+    storeLinks,
+    listArrivals: () =>
+      targets.flatMap(({ target }) =>
+        target.listArrivals().map((arrival) => ({ ...arrival, target: target.id })),
+      ),
+    async stop() {
+      await Promise.all(routers.map(({ router }) => router.stop()));
+      await Promise.all([...storeLinks, ...targetLinks, ...peerLinks].map((link) => link.stop()));
+      await Promise.all(targets.map(({ target }) => target.stop()));
+      await store.stop();
+    },
+  };
+}
+
+/**
+ * Lets each target fail most of the time and be sound in between, not all at the same moment: one that always fails gets
+ * no requests.
+ */
+export async function runFaults(
+  { targets }: Fleet,
+  fault: TargetFault,
+  signal: AbortSignal,
+): Promise<void> {
+  for (let step = 0; !signal.aborted; step += 1) {
+    targets.forEach((target, index) => {
+      target.setFault((index + step) % FAULT_STEPS === 0 ? 'none' : fault);
+    });
+    await waitMs(FAULT_STEP_MS);
+  }
+}
