Name the age of the store's confirmation where a stream is resumed

Without it, a version that is concluded from old news can't be told from one that another router named.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/resumedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/resumedStream.ts
@@ -84,7 +84,7 @@
 }
 
 function logFound(
-  { log, metrics, clock }: ForwardingDependencies,
+  { log, metrics, clock, directory }: ForwardingDependencies,
   { id, contentKey, route, service, lastEventId, resumedRequestId }: ForwardRequest,
   found: FoundOrigin,
   startedAtMs: number,
@@ -97,6 +97,7 @@
     lastEventId,
     resumes: resumedRequestId,
     lookupMs: Math.round(clock.getNowMs() - startedAtMs),
+    confirmedAgeMs: Math.round(directory.getConfirmedAgeMs()),
   };
   if (found.kind === 'unknown') {
     metrics.addCount(Metrics.ORIGINS, 1, { source: 'unknown' });
