Ask the store before the only known version is taken for the one that began a stream

Callers saw answers that begin with the words of one software version and end with those of another, while a version joined and a router was cut off for a few seconds.

Cause: a router that does not remember a stream took the only build that it knew of for the one that began it while its directory had been confirmed within 2 s. The class: a conclusion from the absence of news is drawn with news that is older than the question. A router asked on behalf of another one did the same.

Change: the conclusion is verified for each take-up with news as young as itself: a watch of the store that does not wait, sent after the take-up has arrived, one for all that wait. Whoever began a stream of another build by then had learned of it from the store by then, so this holds without clocks and over pauses.

The unit tests of two routers that are cut off failed before.

--- a/packages/sequoiarill-plugin-directory/src/confirmation.ts
+++ b/packages/sequoiarill-plugin-directory/src/confirmation.ts
@@ -6,6 +6,8 @@
   readonly getSeenRevision: () => number;
   /** Everything that the store held at this time is known. Monotonic milliseconds. */
   readonly recordConfirmed: (atMs: number) => void;
+  /** Whether everything that the store held at this time is known. Monotonic milliseconds. */
+  readonly isConfirmedSince: (atMs: number) => boolean;
   /** Never below the real age. Infinite until the first confirmation; `null` in logs. Milliseconds. */
   readonly getAgeMs: () => number;
   /** The listener is called at each newer confirmation. */
@@ -38,6 +40,7 @@
       confirmedAtMs = atMs;
       listeners.forEach((listener) => listener());
     },
+    isConfirmedSince: (atMs) => confirmedAtMs >= atMs,
     getAgeMs,
     subscribe(listener) {
       listeners.add(listener);
--- a/packages/sequoiarill-plugin-directory/src/directoryState.ts
+++ b/packages/sequoiarill-plugin-directory/src/directoryState.ts
@@ -16,7 +16,10 @@
 
 const { getEra, splitRevision } = Kernel.Revisions;
 
-export interface DirectoryState extends Omit<Directory, 'isUpToDate' | 'getConfirmedAgeMs'> {
+export interface DirectoryState extends Omit<
+  Directory,
+  'isUpToDate' | 'getConfirmedAgeMs' | 'verifySince'
+> {
   /** Leaves out the content of an entry that is far too long for its kind, and logs it. */
   readonly applyLimit: (record: DirectoryRecord) => DirectoryRecord;
   /** Applies records that are newer than the known ones. Older records have no effect. */
--- a/packages/sequoiarill-plugin-directory/src/directorySync.ts
+++ b/packages/sequoiarill-plugin-directory/src/directorySync.ts
@@ -3,6 +3,7 @@
 
 import * as DirectoryStates from './directoryState';
 import type { DirectoryState } from './directoryState';
+import * as FreshReads from './freshReads';
 import type { PeerClient } from './peerClient';
 import * as PeerUpdates from './peerUpdates';
 import * as StoreFollowers from './storeFollower';
@@ -24,6 +25,8 @@
   readonly readRecords: PeerClient['readRecords'];
   /** Receives the age that a confirmation had reached when a newer one arrived, in milliseconds. */
   readonly recordAge: (ageMs: number) => void;
+  /** Receives whether a read on behalf of a question was answered. */
+  readonly recordFreshRead: (isAnswered: boolean) => void;
 }
 
 export interface DirectorySync {
@@ -33,6 +36,7 @@
   /** `IP:port` of the other routers that are known. */
   readonly listPeers: () => readonly string[];
   readonly isUpToDate: () => boolean;
+  readonly verifySince: FreshReads.FreshReads['verifySince'];
   /** Runs until the signal is aborted. */
   readonly run: (signal: AbortSignal) => Promise<void>;
 }
@@ -81,12 +85,23 @@
     follower,
   });
 
+  const freshReads = FreshReads.createFreshReads({
+    store,
+    state,
+    clock,
+    confirmation: follower,
+    prefix: StoreFollowers.WATCHED_PREFIX,
+    countRouters: state.countRouters,
+    recordRead: options.recordFreshRead,
+  });
+
   return {
     state,
     follower,
     chooseReader: zoneReaders.chooseReader,
     listPeers,
     isUpToDate: () => follower.getAgeMs() < MAX_CONFIRMED_AGE_MS,
+    verifySince: freshReads.verifySince,
     async run(signal) {
       await Promise.all([follower.run(signal), peerUpdates.run(signal)]);
     },
--- a/packages/sequoiarill-plugin-directory/src/peerMessages.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerMessages.ts
@@ -235,6 +235,7 @@
     origin: originSchema,
     source: Zod.enum(['memory', 'onlyBuild']),
     ageMs: Zod.number().min(0).optional(),
+    isVerified: Zod.boolean().default(false),
   }),
 ]);
 
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -178,7 +178,7 @@
     }),
     findOrigin: procedure
       .input(Messages.originQuerySchema)
-      .mutation(({ input }): OriginReply => options.handleOriginQuery(input)),
+      .mutation(async ({ input }): Promise<OriginReply> => options.handleOriginQuery(input)),
     findContact: procedure
       .input(Messages.contactQuerySchema)
       .mutation(async ({ input }): Promise<ContactReply> => options.handleContactQuery(input)),
--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -57,6 +57,10 @@
     seeds: settings.seeds,
     readRecords: client.readRecords,
     recordAge: (ageMs) => context.metrics.recordTiming(Metrics.CONFIRMATION_AGE, ageMs),
+    recordFreshRead: (isAnswered) =>
+      context.metrics.addCount(Metrics.FRESH_READS, 1, {
+        outcome: isAnswered ? 'answered' : 'failed',
+      }),
   });
   const { state, follower } = sync;
   const { handlers, setters } = PeerHandlers.createPeerHandlers();
@@ -130,6 +134,7 @@
         ...state,
         isUpToDate: sync.isUpToDate,
         getConfirmedAgeMs: follower.getAgeMs,
+        verifySince: sync.verifySince,
       },
       peers,
     },
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -51,7 +51,7 @@
 /**
  * One watch covers the keys of operators and of targets: each waiting watch is a call that costs.
  */
-const WATCHED_PREFIX = '';
+export const WATCHED_PREFIX = '';
 /**
  * Pause after changes before the next ones are requested. Targets that restart together write one
  * after the other, and each single change would cost a call. The pause is well below the two
--- a/packages/sequoiarill-plugin-directory/src/storeWatch.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeWatch.ts
@@ -5,10 +5,10 @@
 import type { Confirmation } from './confirmation';
 import type { DirectoryState } from './directoryState';
 import * as Events from './events';
-import type { DirectoryRecord } from './recordCache';
 import type { StoreOutage } from './storeOutage';
 import * as WatchAttempts from './watchAttempts';
 import type { WatchAnswer } from './watchAttempts';
+import * as WatchChanges from './watchChanges';
 
 export interface StoreWatchOptions {
   readonly store: Pick<KeyValueStore, 'watchPrefix' | 'renewConnections'>;
@@ -66,19 +66,13 @@
 
   function applyChanges(
     { attempt, confirmedAtMs }: WatchAnswer,
-    { revision, changes }: Extract<WatchEvent, { kind: 'changes' }>,
+    event: Extract<WatchEvent, { kind: 'changes' }>,
   ): void {
+    const { changes } = event;
     if (attempt > 1 && changes.length > 0) {
       logEvent(Events.WATCH_SILENT, { ...buildFields(), attempt, changes: changes.length });
     }
-    const records = changes.map(({ key, revision: changedRevision, entry }): DirectoryRecord =>
-      entry === undefined
-        ? { key, revision: changedRevision }
-        : { key, revision: changedRevision, value: entry.value },
-    );
-    state.applyRecords(records);
-    confirmation.recordSeen(revision);
-    confirmation.recordConfirmed(confirmedAtMs);
+    WatchChanges.applyChanges({ state, confirmation }, event, confirmedAtMs);
   }
 
   return {
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -136,6 +136,7 @@
     findCurrent: (target) => targets.find(({ id }) => id === target.id),
     isUpToDate: () => true,
     getConfirmedAgeMs: () => 0,
+    verifySince: async () => true,
     recordReplacement: () => undefined,
     recordLeaving: () => undefined,
     countRouters: () => 1,
--- a/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/originSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/originSimulation.ts
@@ -14,6 +14,7 @@
 import { CONFIGURATION } from '../../__tests__/fakeConfiguration';
 import type { ForwardRequest } from '../../forwardRequest';
 import * as BuildEntries from '../buildEntries';
+import type { FoundOrigin } from '../originLookup';
 import * as OriginMemories from '../originMemory';
 import * as OriginReports from '../originReports';
 import * as ServiceBuilds from '../serviceBuilds';
@@ -24,8 +25,10 @@
 export interface SimulatedRouter {
   readonly address: string;
   readonly origins: StreamOrigins.StreamOrigins;
-  /** Whether the router hears the store. */
+  /** Whether the router hears the store, or its last news of it are recent. */
   isUpToDate: boolean;
+  /** What it knows of the targets since it does not hear the store; undefined while it does. */
+  frozenTargets: readonly ForwardingTarget[] | undefined;
   /** Whether other routers reach it, and it them. */
   isReached: boolean;
 }
@@ -79,6 +82,7 @@
   const writes: string[] = [];
   const streamWrites: number[] = [];
   const reads: number[] = [];
+  const listeners = new Set<() => void>();
   let targets: readonly ForwardingTarget[] = [];
   let count = 0;
   let revision = 0;
@@ -148,7 +152,7 @@
   async function callHandlers<Outcome>(
     from: SimulatedRouter,
     to: string,
-    call: (handlers: OriginHandlers) => Outcome,
+    call: (handlers: OriginHandlers) => Outcome | Promise<Outcome>,
   ): Promise<Outcome | Extract<OriginOutcome, { kind: 'failed' }>> {
     await clock.waitMs(HOP_MS);
     const router = routers.get(to);
@@ -163,11 +167,27 @@
     const address = `10.0.0.${count}:1`;
     const directory: Pick<
       Directory,
-      'getConfiguration' | 'listTargets' | 'isUpToDate' | 'listEntries' | 'recordEntry'
+      | 'getConfiguration'
+      | 'listTargets'
+      | 'isUpToDate'
+      | 'verifySince'
+      | 'subscribe'
+      | 'listEntries'
+      | 'recordEntry'
     > = {
       getConfiguration: () => ({ ...CONFIGURATION, routes: [ROUTE] }),
-      listTargets: (service) => targets.filter((target) => target.service === service),
+      listTargets: (service) =>
+        (router.frozenTargets ?? targets).filter((target) => target.service === service),
       isUpToDate: () => router.isUpToDate,
+      async verifySince(_atMs, timeoutMs) {
+        const isHeard = router.isUpToDate && router.frozenTargets === undefined;
+        await clock.waitMs(isHeard ? HOP_MS : timeoutMs);
+        return isHeard;
+      },
+      subscribe(listener) {
+        listeners.add(listener);
+        return () => listeners.delete(listener);
+      },
       listEntries: (prefix) => [...entries.values()].filter(({ key }) => key.startsWith(prefix)),
       recordEntry: () => undefined,
     };
@@ -189,7 +209,7 @@
           handleOriginQuery(query),
         ),
     };
-    const links = { isUpToDate: true, isReached: true };
+    const links = { isUpToDate: true, isReached: true, frozenTargets: undefined };
     const routerStore = createRouterStore(address, links);
     const builds = ServiceBuilds.createServiceBuilds({
       clock,
@@ -244,6 +264,7 @@
     },
     setTargets(next) {
       targets = next;
+      listeners.forEach((listener) => listener());
     },
     reports,
     writes,
@@ -271,18 +292,19 @@
   { clock }: OriginSimulation,
   { origins }: SimulatedRouter,
   request: ForwardRequest,
-): Promise<StreamOrigins.FoundOrigin | undefined> {
-  let found: StreamOrigins.FoundOrigin | undefined;
+  waitMs = 100,
+): Promise<FoundOrigin | undefined> {
+  let found: FoundOrigin | undefined;
   origins.find(request).then(
     (result) => {
       found = result;
     },
     () => undefined,
   );
-  await clock.runFor(100);
+  await clock.runFor(waitMs);
   return found;
 }
 
-export function getVersion(found: StreamOrigins.FoundOrigin | undefined): string | undefined {
+export function getVersion(found: FoundOrigin | undefined): string | undefined {
   return found?.kind === 'found' ? found.origin.version : found?.kind;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/streamOrigins.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/__tests__/streamOrigins.test.ts
@@ -5,6 +5,8 @@
 import * as Simulation from './originSimulation';
 
 const { V1, V2, OLD, NEW, SETTLE_MS, startRouters, findOrigin, getVersion } = Simulation;
+/** A caller that cannot be served is told so within this time. */
+const REFUSAL_MS = 1_000;
 const RESUMABLE_MS = Simulation.ROUTE.timeoutMs + 5_000;
 
 describe('the origin of a stream', () => {
@@ -97,6 +99,47 @@
     expect(found).toEqual({ kind: 'unknown', isTemporary: true, asked: 2, answered: 0 });
   });
 
+  it('is not concluded from the versions that a router knew before it was cut off', async () => {
+    // Guards against a router out of step that takes the only version that it has heard of for the one that began the stream.
+    const simulation = Simulation.createSimulation();
+    simulation.setTargets(OLD);
+    const [first, second] = await startRouters(simulation, 1);
+    Object.assign(first, { frozenTargets: OLD, isReached: false });
+    simulation.setTargets([...OLD, ...NEW]);
+    second.origins.recordBegun(Simulation.createAttempt('s1'), V2);
+    const attempt = Simulation.createAttempt('s2', 's1');
+    const found = await findOrigin(simulation, first, attempt, REFUSAL_MS);
+    expect(found).toEqual({ kind: 'unknown', isTemporary: true, asked: 2, answered: 0 });
+    first.isReached = true;
+    expect(getVersion(await findOrigin(simulation, first, attempt, REFUSAL_MS))).toEqual('v2');
+  });
+
+  it('is not concluded by a router on behalf of another one from what it knew before', async () => {
+    // Guards against two routers that are cut off together, of which each believes the other.
+    const simulation = Simulation.createSimulation();
+    simulation.setTargets(OLD);
+    const [first, second, third] = await startRouters(simulation, 1);
+    for (const router of [first, second]) Object.assign(router, { frozenTargets: OLD });
+    simulation.setTargets([...OLD, ...NEW]);
+    third?.origins.recordBegun(Simulation.createAttempt('s1'), V2);
+    Object.assign(third ?? {}, { isReached: false });
+    const attempt = Simulation.createAttempt('s2', 's1');
+    const found = await findOrigin(simulation, first, attempt, REFUSAL_MS);
+    expect(found).toEqual({ kind: 'unknown', isTemporary: true, asked: 2, answered: 1 });
+  });
+
+  it('is known through a router that hears the store where this one does not', async () => {
+    // Guards against refusals of all streams at a router that is cut off from the store alone.
+    const simulation = Simulation.createSimulation();
+    simulation.setTargets(OLD);
+    const [first, second] = await startRouters(simulation, 1);
+    second.origins.recordBegun(Simulation.createAttempt('s1'), V1);
+    Object.assign(first, { frozenTargets: OLD });
+    const attempt = Simulation.createAttempt('s2', 's9');
+    const found = await findOrigin(simulation, first, attempt, REFUSAL_MS);
+    expect(getVersion(found)).toEqual('v1');
+  });
+
   it('is refused only for a moment where a router that may know it does not answer', async () => {
     // Guards against streams that are lost for good because the routers that know them are paused for a moment.
     const simulation = Simulation.createSimulation();
--- a/packages/sequoiarill-plugin-forwarding/src/origins/serviceBuilds.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/serviceBuilds.ts
@@ -17,9 +17,25 @@
 
 import type { BuildEntries } from './buildEntries';
 
+export type OnlyOrigin =
+  | { readonly kind: 'only'; readonly origin: StreamOrigin }
+  /** More than one build, or none that is known. */
+  | { readonly kind: 'uncertain' }
+  /** The store has not answered in time. */
+  | { readonly kind: 'unverified' };
+
 export interface ServiceBuilds {
   /** The only build that can have begun a stream of one of the services; undefined unless it is certain. */
   readonly findOnlyOrigin: (services: readonly string[]) => StreamOrigin | undefined;
+  /**
+   * The only build that can have begun a stream of one of the services before a time, in monotonic milliseconds. What other
+   * routers have begun by then, they have learned from the store by then, so the store is asked for all of it.
+   */
+  readonly verifyOnlyOrigin: (
+    services: readonly string[],
+    sinceMs: number,
+    timeoutMs: number,
+  ) => Promise<OnlyOrigin>;
   /** A stream of this build has begun. */
   readonly recordBegun: (origin: StreamOrigin) => void;
   /** Must be called regularly: brings the entries of the store in line, if that is this router's turn. */
@@ -29,7 +45,10 @@
 
 export interface ServiceBuildsOptions {
   readonly clock: Pick<Clock, 'getNowMs'>;
-  readonly directory: Pick<Directory, 'getConfiguration' | 'listTargets' | 'isUpToDate'>;
+  readonly directory: Pick<
+    Directory,
+    'getConfiguration' | 'listTargets' | 'isUpToDate' | 'verifySince' | 'subscribe'
+  >;
   readonly peers: Pick<RouterPeers, 'self' | 'listRouters'>;
   readonly entries: BuildEntries;
 }
@@ -57,6 +76,8 @@
   /** Builds that were gone for long enough, and whose entry in the store has yet to go. */
   readonly expired: Set<string>;
   countedAtMs: number;
+  /** Changes of the directory by then. */
+  countedChanges: number;
   /** Since when the entry of the store differs from what should stand there; undefined while it does not. */
   differsSinceMs: number | undefined;
   isWriting: boolean;
@@ -69,6 +90,10 @@
 export function createServiceBuilds(options: ServiceBuildsOptions): ServiceBuilds {
   const { clock, directory, peers, entries } = options;
   const states = new Map<string, ServiceState>();
+  let changes = 0;
+  directory.subscribe(() => {
+    changes += 1;
+  });
 
   function getState(service: string): ServiceState {
     const existing = states.get(service);
@@ -77,6 +102,7 @@
       builds: new Map(),
       expired: new Set(),
       countedAtMs: Number.NEGATIVE_INFINITY,
+      countedChanges: 0,
       differsSinceMs: undefined,
       isWriting: false,
     };
@@ -116,10 +142,12 @@
   }
 
   /** Counts the builds of the targets, and those of the store that were not seen here. */
-  function countBuilds(service: string, state: ServiceState): void {
+  function countBuilds(service: string, state: ServiceState, isExact: boolean): void {
     const nowMs = clock.getNowMs();
-    if (nowMs - state.countedAtMs < COUNT_INTERVAL_MS) return;
+    const isOutdated = isExact && state.countedChanges !== changes;
+    if (!isOutdated && nowMs - state.countedAtMs < COUNT_INTERVAL_MS) return;
     state.countedAtMs = nowMs;
+    state.countedChanges = changes;
     for (const target of directory.listTargets(service)) {
       recordSeen(state, Decisions.getBuild(target));
     }
@@ -131,9 +159,10 @@
     for (const key of state.expired) if (!stored.has(key)) state.expired.delete(key);
   }
 
-  function listOrigins(service: string): readonly StreamOrigin[] {
+  /** `isExact`: with all that the directory knows now, instead of some time ago. */
+  function listOrigins(service: string, isExact = false): readonly StreamOrigin[] {
     const state = getState(service);
-    countBuilds(service, state);
+    countBuilds(service, state, isExact);
     return [...state.builds.values()].map(({ version, models }) => ({ service, version, models }));
   }
 
@@ -167,12 +196,24 @@
     }
   }
 
+  function findSingle(origins: readonly StreamOrigin[]): StreamOrigin | undefined {
+    const [only, ...others] = origins;
+    return only === undefined || only.version === '' || others.length > 0 ? undefined : only;
+  }
+
   return {
     findOnlyOrigin(services) {
       // Without news of the store, targets of another build may have begun streams elsewhere.
       if (!directory.isUpToDate()) return undefined;
-      const [only, ...others] = services.flatMap(listOrigins);
-      return only === undefined || only.version === '' || others.length > 0 ? undefined : only;
+      return findSingle(services.flatMap((service) => listOrigins(service)));
+    },
+    async verifyOnlyOrigin(services, sinceMs, timeoutMs) {
+      if (services.flatMap((service) => listOrigins(service)).length > 1) {
+        return { kind: 'uncertain' };
+      }
+      if (!(await directory.verifySince(sinceMs, timeoutMs))) return { kind: 'unverified' };
+      const origin = findSingle(services.flatMap((service) => listOrigins(service, true)));
+      return origin === undefined ? { kind: 'uncertain' } : { kind: 'only', origin };
     },
     recordBegun({ service, version, models }) {
       recordSeen(getState(service), { version, models });
--- a/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/origins/streamOrigins.ts
@@ -6,44 +6,18 @@
  * refused: by this router's memory, because a single build has served, by the routers that were
  * told of the stream while several builds served, or from what its router has stored.
  */
-import * as Decisions from '@sequoiarill/decisions';
-import type {
-  Clock,
-  Directory,
-  OriginHandlers,
-  OriginOutcome,
-  OriginQuery,
-  OriginRecord,
-  RouterPeers,
-  StreamOrigin,
-} from '@sequoiarill/types';
+import type { Clock, OriginHandlers, OriginRecord, StreamOrigin } from '@sequoiarill/types';
 
 import * as Events from '../events';
 import type { ForwardRequest } from '../forwardRequest';
 import type { RateLimitedLog } from '../rateLimitedLog';
+import * as OriginLookups from './originLookup';
+import type { FoundOrigin, OriginLookupOptions } from './originLookup';
 import type { OriginMemory } from './originMemory';
 import type { OriginReports } from './originReports';
 import * as ServiceBuilds from './serviceBuilds';
-import type { StoredStreamReader } from './storedStreamReader';
 import type { StoredStreamWriter } from './storedStreamWriter';
 
-export type FoundOrigin =
-  | {
-      readonly kind: 'found';
-      readonly origin: StreamOrigin;
-      readonly source: 'ownMemory' | 'onlyBuild' | 'router' | 'store';
-      /** Time since the first event of the stream, where it is remembered. */
-      readonly ageMs?: number;
-    }
-  | {
-      readonly kind: 'unknown';
-      /** Whether this router, or one that did not answer, may know more in a moment. */
-      readonly isTemporary: boolean;
-      /** Routers that were asked, and those that answered. */
-      readonly asked: number;
-      readonly answered: number;
-    };
-
 export type StreamSource = Omit<StreamOrigin, 'service'>;
 
 export interface StreamOrigins {
@@ -59,43 +33,27 @@
   readonly dumpState: () => Readonly<Record<string, unknown>>;
 }
 
-export interface StreamOriginsOptions {
+export interface StreamOriginsOptions extends OriginLookupOptions {
   readonly clock: Pick<Clock, 'getNowMs' | 'waitMs'>;
-  readonly directory: Pick<Directory, 'isUpToDate'>;
-  readonly peers: Pick<RouterPeers, 'self' | 'listRouters' | 'findOrigin'>;
   readonly log: Pick<RateLimitedLog, 'logEvent'>;
   readonly memory: OriginMemory;
   readonly reports: OriginReports;
   readonly builds: ServiceBuilds.ServiceBuilds;
-  readonly storedStreams: Pick<StoredStreamReader, 'find'>;
   readonly streamWriter: StoredStreamWriter;
 }
 
-/** All others in a small fleet; in a large one, more than remember a stream, since some may be gone. */
-const ROUTERS_ASKED = 6;
 const UPDATE_INTERVAL_MS = 250;
+/** Below the time for which another router waits for the answer. */
+const PEER_VERIFY_TIMEOUT_MS = 150;
 
 function listServices({ route, service }: ForwardRequest): readonly string[] {
   const services = route.shares.filter(({ weight }) => weight > 0).map((share) => share.service);
   return [...new Set([service, ...services])];
 }
 
-/** The first outcome that names an origin; undefined when all calls have ended without one. */
-async function findFirst(
-  calls: readonly Promise<OriginOutcome>[],
-): Promise<Extract<OriginOutcome, { kind: 'found' }> | undefined> {
-  const found = calls.map(async (call) => {
-    const outcome = await call;
-    if (outcome.kind !== 'found') throw new Error(outcome.kind);
-    return outcome;
-  });
-  // Rejected only when none of them is found.
-  return Promise.any(found).catch(() => undefined);
-}
-
 export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
-  const { clock, directory, peers, log, memory, reports, builds } = options;
-  const { storedStreams, streamWriter } = options;
+  const { clock, log, memory, reports, builds, streamWriter } = options;
+  const lookup = OriginLookups.createOriginLookup(options);
   /** Services with a single build, whose streams no other router has been told of. */
   const untoldServices = new Set<string>();
 
@@ -136,39 +94,6 @@
     untold.forEach((service) => untoldServices.delete(service));
   }
 
-  function findHere(query: OriginQuery): Extract<FoundOrigin, { kind: 'found' }> | undefined {
-    const remembered = memory.find(query);
-    if (remembered !== undefined) return { kind: 'found', source: 'ownMemory', ...remembered };
-    const only = builds.findOnlyOrigin(query.services);
-    return only === undefined ? undefined : { kind: 'found', source: 'onlyBuild', origin: only };
-  }
-
-  async function findElsewhere(query: OriginQuery): Promise<FoundOrigin> {
-    const wasUpToDate = directory.isUpToDate();
-    const ranked = Decisions.selectOriginHolders(peers.listRouters(), query.requestId);
-    const asked = ranked.filter((router) => router !== peers.self).slice(0, ROUTERS_ASKED);
-    let answered = 0;
-    let silent = 0;
-    const found = await findFirst(
-      asked.map(async (router) => {
-        const outcome = await peers.findOrigin(router, query);
-        if (outcome.kind !== 'failed') answered += 1;
-        else if (outcome.isSilent === true) silent += 1;
-        return outcome;
-      }),
-    );
-    if (found !== undefined) return { ...found, source: 'router' };
-    const stored = await storedStreams.find(query);
-    if (stored.kind === 'found') return { ...stored, source: 'store' };
-    // The directory may have become complete, or a report may have arrived meanwhile.
-    const foundHere = findHere(query);
-    if (foundHere !== undefined) return foundHere;
-    // A router that did not answer in time may know the stream; one that has terminated knows nothing.
-    const isLate = silent > 0 || stored.isTemporary;
-    const isTemporary = isLate || !wasUpToDate || !directory.isUpToDate();
-    return { kind: 'unknown', isTemporary, asked: asked.length, answered };
-  }
-
   return {
     recordBegun(request, { version, models, target }) {
       const origin = { service: request.service, version, models, target };
@@ -181,17 +106,25 @@
         recordStream(resumedRequestId, request, origin);
       }
     },
-    async find(request) {
-      const { organisation = '', resumedRequestId: requestId = '' } = request;
+    find(request) {
+      const { organisation = '', resumedRequestId: requestId = '', arrivedAtMs } = request;
       const query = { organisation, requestId, services: listServices(request) };
-      return findHere(query) ?? findElsewhere(query);
+      return lookup.find(query, arrivedAtMs);
     },
     handlers: {
       handleOrigins: (records: readonly OriginRecord[]) => records.forEach(memory.addRecord),
-      handleOriginQuery(query) {
-        const found = findHere(query);
-        if (found === undefined) return { kind: 'unknown' };
-        return { ...found, source: found.source === 'onlyBuild' ? 'onlyBuild' : 'memory' };
+      async handleOriginQuery(query) {
+        const remembered = memory.find(query);
+        if (remembered !== undefined) {
+          return { kind: 'found', source: 'memory', isVerified: false, ...remembered };
+        }
+        const verified = await builds.verifyOnlyOrigin(
+          query.services,
+          clock.getNowMs(),
+          PEER_VERIFY_TIMEOUT_MS,
+        );
+        if (verified.kind !== 'only') return { kind: 'unknown' };
+        return { kind: 'found', source: 'onlyBuild', isVerified: true, origin: verified.origin };
       },
     },
     async handOver() {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/resumedStream.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/resumedStream.test.ts
@@ -4,7 +4,7 @@
 
 import * as Fakes from '../../__tests__/fakeDependencies';
 import type { ForwardRequest } from '../../forwardRequest';
-import type { FoundOrigin } from '../../origins/streamOrigins';
+import type { FoundOrigin } from '../../origins/originLookup';
 import * as ResumedStreams from '../resumedStream';
 
 const ORIGIN = { service: 'engines', version: 'v1', models: 'm 1' };
--- a/packages/sequoiarill-plugin-forwarding/src/streams/resumedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/resumedStream.ts
@@ -5,7 +5,7 @@
 import * as Events from '../events';
 import type { ForwardRequest } from '../forwardRequest';
 import * as Metrics from '../metrics';
-import type { FoundOrigin } from '../origins/streamOrigins';
+import type { FoundOrigin } from '../origins/originLookup';
 import type { StreamOutcome } from './streamPlan';
 
 export type ResumedStream =
@@ -63,7 +63,7 @@
   if (!isWaitDue) return found;
   const leftMs = request.expiresAtMs - clock.getNowMs();
   const deadlineMs = clock.getNowMs() + leftMs * MAX_WAIT_SHARE;
-  while (!directory.isUpToDate()) {
+  while (!(await directory.verifySince(request.arrivedAtMs, POLL_INTERVAL_MS))) {
     const mayWait = clock.getNowMs() < deadlineMs && waits.hasTimeFor(request);
     if (!mayWait || request.closed.aborted) return found;
     await clock.waitMs(POLL_INTERVAL_MS, request.closed);
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -94,6 +94,7 @@
     findCurrent: (target) => listTargets().find(({ id }) => id === target.id),
     isUpToDate: options.isUpToDate,
     getConfirmedAgeMs: () => 0,
+    verifySince: async () => options.isUpToDate(),
     recordReplacement: () => undefined,
     recordLeaving: () => undefined,
     countRouters: () => routers,
--- a/packages/sequoiarill-types/src/forwarding.ts
+++ b/packages/sequoiarill-types/src/forwarding.ts
@@ -275,6 +275,11 @@
    * Time since which changes may be unknown here, in milliseconds: the age of the store's last confirmation.
    */
   readonly getConfirmedAgeMs: () => number;
+  /**
+   * Whether everything that the store held at a time, in monotonic milliseconds, is known here. Asks the store unless a
+   * confirmation is as young. Resolves within `timeoutMs`.
+   */
+  readonly verifySince: (atMs: number, timeoutMs: number) => Promise<boolean>;
   /** Records that another incarnation answered at a target's address during a store outage. */
   readonly recordReplacement: (replaced: ForwardingTarget, id: string) => void;
   /**
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -189,6 +189,8 @@
       readonly source: OriginSource;
       /** Time since the first event of the stream; undefined where it is not remembered. */
       readonly ageMs?: number;
+      /** Whether the store has confirmed the only build since the router was asked. */
+      readonly isVerified: boolean;
     }
   | { readonly kind: 'unknown' };
 
@@ -204,7 +206,7 @@
 /** Handlers for origins of streams that peers report or ask for. */
 export interface OriginHandlers {
   readonly handleOrigins: (records: readonly OriginRecord[]) => void;
-  readonly handleOriginQuery: (query: OriginQuery) => OriginReply;
+  readonly handleOriginQuery: (query: OriginQuery) => OriginReply | Promise<OriginReply>;
 }
 
 /** Asks whether a router has heard targets of a service lately. */
