Ask the store before a stream is refused for good because no target of its version is known

The router had learned from the others what began the stream, but not yet of the targets of that version, and took the absence of news for their end.

Change: the store is asked before the stream is refused, and the stream is planned anew if targets have come; without an answer the refusal has a time to come back.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamEnds.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamEnds.ts
@@ -19,9 +19,11 @@
   request: ForwardRequest,
   progress: Progress,
 ): StreamOutcome {
-  if (progress.build !== undefined && !hasServingTarget(dependencies, request, progress.build)) {
+  if (isVersionGone(dependencies, request, progress)) {
     const end = decideEnd(progress, 'no target of its software version serves', false);
-    return ForwardRequests.setRetryAfter(end, undefined);
+    // Targets may have come that this router has not heard of yet.
+    const isCertain = isConfirmedSince(dependencies, request.arrivedAtMs);
+    return ForwardRequests.setRetryAfter(end, isCertain ? undefined : RETRY_AFTER_SECONDS);
   }
   if (Placement.computeRestMs(dependencies, request) !== undefined) {
     return decideEnd(progress, Placement.RESTING_REASON, false);
@@ -33,9 +35,25 @@
   return ForwardRequests.setRetryAfter(end, retryAfterSeconds);
 }
 
+function isConfirmedSince(
+  { clock, directory }: Pick<ForwardingDependencies, 'clock' | 'directory'>,
+  atMs: number,
+): boolean {
+  return directory.getConfirmedAgeMs() <= clock.getNowMs() - atMs;
+}
+
+/** Whether the stream is bound to a build that no known target has. */
+export function isVersionGone(
+  dependencies: Pick<ForwardingDependencies, 'directory'>,
+  request: ForwardRequest,
+  { build }: Progress,
+): boolean {
+  return build !== undefined && !hasServingTarget(dependencies, request, build);
+}
+
 /** Whether a target of the build stays, although it may not take the request now. */
 function hasServingTarget(
-  { directory }: ForwardingDependencies,
+  { directory }: Pick<ForwardingDependencies, 'directory'>,
   { service }: ForwardRequest,
   build: TargetBuild,
 ): boolean {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -26,6 +26,8 @@
 const MAX_TRIES = 12;
 /** Prefilling the prompt again takes a second, so a busy holder may take longer than an idle one. */
 const HOLDER_TIMEOUT_MS = 120;
+/** Time for which the store may name targets of a version that none is known of; it answers in milliseconds. */
+const VERIFY_TIMEOUT_MS = 150;
 const NONE: ReadonlySet<string> = new Set();
 /** Retries reserved for streams that have begun: as many as the crash of one zone may require. */
 const RESERVED_RETRIES = 2;
@@ -163,7 +165,13 @@
   progress: Progress,
   budget: FleetRetryBudget,
 ): Promise<Plan | RelayPlan | StreamOutcome> {
-  const { clock, relays } = dependencies;
+  const { clock, directory, relays } = dependencies;
+  if (StreamEnds.isVersionGone(dependencies, request, progress)) {
+    await directory.verifySince(request.arrivedAtMs, VERIFY_TIMEOUT_MS);
+    if (!StreamEnds.isVersionGone(dependencies, request, progress)) {
+      return decidePlan(dependencies, request, progress, budget);
+    }
+  }
   const waitingSinceMs = progress.hasEvents ? clock.getNowMs() : request.arrivedAtMs;
   if (await Placement.waitForRest(dependencies, request, waitingSinceMs)) {
     progress.excluded.clear();
