Compare a router's repeats with the fewest requests of the last windows instead of with sums of the fleet

Targets got more repeats than the rule of the fleet allows.

Cause: each router scaled its share by sums of the fleet, by up to 2.5 times, so that all shares were 0.95 of the rule as it was when the sums were taken; sums that come late let windows break it. And a share went up and down with a router's own requests, and each router used it at its highest, so that the sum exceeded what the fleet had at any one moment. Two smaller faults of the same count: quota that was lent could be used until its borrower's window ended, when its lender no longer counted it; and a return was booked when it was made, so that it outlived the retry that it returned, and the count fell below what was sent.

Change: a router's share rests on its own counts alone. The retries of a window are compared with the fewest requests of those windows that ended within the last one, at fixed times. For any window of the rule, each router then uses no more than its requests of a window before it allow, and these add up, whatever each router's best moment is; so margins of a quarter go as well. Lent quota expires after half a second, and counts at its lender for as long as that and a window. A return takes off the oldest retry. Sums of the fleet only end retries early, for routers of an earlier build. Without sums nothing is saved up by a process until it has run for a window, so streams of such a router borrow.

--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -6,26 +6,37 @@
  * or three streams in the same second. With a token bucket that earns its share request by request,
  * a router can only save up its part of the slack, one or two retries, and nearly half of the
  * streams of such a crash fail. So each router applies the fleet's rule to itself: the retries of a
- * window against the requests of the same window. Retries earned in the seconds before the crash
- * are then available when it happens, and the sum over all routers stays within the rule without a
- * central counter.
+ * window against the requests of a window. Retries earned in the seconds before the crash
+ * are then available when it happens.
+ *
+ * The sum over all routers stays within the rule without a central counter, and without knowledge of
+ * each other that could be late. A router's requests go up and down, and if each retried as much as its own best moment
+ * allows, the sum would exceed what the fleet had at any one moment. So the retries of a window are
+ * compared with the fewest requests that any window has had which ended in the last one. For a window of the
+ * rule, each router then uses no more than its requests of the window before allow, and these add up.
  *
  * In a fleet of so many routers that each has one or two streams and a share below two retries, a
  * router that has two streams in one crash, or one stream in each of two crashes, exceeds its
  * share, while most of the other routers' shares are unused; one stream in ten fails for that
- * alone. So such a router borrows the missing fraction of a retry. The lender counts it as spent,
- * and the sum stays within the rule.
- *
- * Without knowledge of the others, a router needs margins: requests and retries fall into different
- * windows of two routers, some routers are unknown, and a process that starts cannot know what an
- * earlier one has spent. When engines crash zone after zone, or all routers are restarted, these
- * margins are a fifth and more of what the rule allows, and streams end for want of just these
- * retries. Where the totals of the fleet are known, each router scales its share so that the sum of
- * all shares is what the rule allows, apart from one small margin.
+ * alone. So such a router borrows the missing fraction of a retry. The lender counts it as spent
+ * for longer than it can be used, and the sum stays within the rule.
  */
 import type { FleetRepeats, OwnRepeats } from '@sequoiarill/types';
 
 import type { RetryBudget } from './retryBudget';
+import * as SlotCounters from './slotCounter';
+
+/** What a process of a router has counted by its end; the next one goes on with it. */
+export interface RetryHistory {
+  /** Counts by slot, the newest first. */
+  readonly requests: readonly number[];
+  readonly retries: readonly number[];
+}
+
+export interface EndedProcess extends RetryHistory {
+  /** Monotonic milliseconds of this process. */
+  readonly endedMs: number;
+}
 
 export interface FleetRetryBudgetOptions {
   /** Retries that all routers together may send for each request of a window. */
@@ -39,9 +50,11 @@
   readonly startedMs: number;
   /** Whether an earlier process of this router may have used its share in the last window. */
   readonly hasPredecessor?: () => boolean;
+  /** Counts of the earlier process, where it has left them. */
+  readonly getPredecessor?: () => EndedProcess | undefined;
   /** Whether the other routers still count this one among those that share the slack. */
   readonly isShareReserved?: () => boolean;
-  /** Sums over the routers of the fleet; undefined where no recent ones are known. */
+  /** Sums over the routers of the fleet, which may be late; undefined where none are known. */
   readonly getFleetTotals?: () => FleetRepeats | undefined;
   /** Called when a retry was taken, and when one was returned. */
   readonly reportChange?: (change: 'taken' | 'returned') => void;
@@ -57,12 +70,12 @@
    * count as spent by this router.
    */
   readonly grantQuota: (nowMs: number, wanted: number) => number;
-  /** Adds quota that another router granted for the window that begins now. */
-  readonly recordBorrowed: (nowMs: number, retries: number) => void;
+  /** Adds quota that another router granted; `askedMs`: when it was asked, since the quota expires. */
+  readonly recordBorrowed: (askedMs: number, retries: number) => void;
   /** Own figures of the window, for the totals of the fleet. */
   readonly getTotals: (nowMs: number) => OwnRepeats;
-  /** Factor on the own share of the fleet's retries. */
-  readonly getFactor: () => number;
+  /** Undefined in the first window, in which a process does not know what its share allows. */
+  readonly getHistory: (nowMs: number) => RetryHistory | undefined;
   /** What the capacity is made of, for logs and the state dump. */
   readonly describe: (nowMs: number) => RetryBudgetState;
 }
@@ -71,204 +84,194 @@
   /** Requests and retries of the window, as this router counts them. */
   readonly requests: number;
   readonly retries: number;
+  /** The fewest requests of a window that ended in the last one. */
+  readonly fewestRequests: number;
   /** Retries that the window allows. */
   readonly capacity: number;
+  /** Retries of other routers that may still be used. */
+  readonly borrowed: number;
   /** Routers that share the slack. */
   readonly routers: number;
-  /** Factor on the retries that this router's requests allow: 0 in the first window of a process whose predecessors nobody knows. */
-  readonly knownShare: number;
-  /** Factor on this router's share of the slack. */
-  readonly slackFactor: number;
-  /** Factor on the whole share, from the sums of the fleet. */
-  readonly fleetFactor: number;
+  /** Part of the fleet's slack that this router may use. */
+  readonly slackShare: number;
   /** Retries taken since the start, without those that were returned. */
   readonly taken: number;
 }
 
-/**
- * Margin for windows of two routers that do not align, so that requests and retries fall into
- * different ones.
- */
-const RATIO_MARGIN = 0.75;
-/** Margin for routers that have just joined and are not known to all others. */
-const SLACK_MARGIN = 0.85;
+/** Part of the rule that all routers together use, for events whose times are rounded. */
+const FLEET_SHARE = 0.97;
+/** Share of the rule at which no router takes a retry any more where the totals of the fleet say so. */
+const SPENT_SHARE = 0.97;
 /** A router that knows fewer routers than this may not have discovered the others yet. */
 const MIN_ROUTERS = 6;
-/**
- * Factor for the slack in the first window of a process that has no predecessor, or where all others tell what ended processes
- * have spent: their sums are seconds old, and a process that was stopped leaves no trace.
- */
+/** Factor for the slack in the first window of a process that has no predecessor: others may not know of it yet. */
 const FIRST_WINDOW_SHARE = 0.4;
-/** Share of the fleet's rule that all routers together use where its totals are known. */
-const FLEET_SHARE = 0.95;
-/** Share of the rule at which no router takes a retry any more, since the totals are seconds old. */
-const SPENT_SHARE = 0.92;
-/** Bounds the effect of totals that are wrong, such as those of a fleet that has just started. */
-const MAX_FACTOR = 2.5;
-/** A fleet whose ended processes have spent most of the window must still retry some streams. */
-const MIN_FACTOR = 0.5;
-/** Slots of a window in which events are counted; the age of an event is accurate to one slot. */
-const WINDOW_SLOTS = 20;
+/** Slots of a window in which events are counted. */
+const WINDOW_SLOTS = 100;
+/** Windows that are compared end so often within one. */
+const COMPARED_WINDOWS = 2;
+/** Time from taking a retry, or borrowing quota, until it reaches its target at the latest; it counts for so much longer. */
+const DELIVERY_MS = 500;
 
-interface SlidingWindowCounter {
-  readonly add: (nowMs: number, count: number) => void;
-  /**
-   * Sum over the window that ends now, with or without the oldest slot, which is only partly
-   * inside.
-   */
-  readonly read: (nowMs: number, partialSlot: 'without' | 'with') => number;
-}
-
-function createSlidingWindowCounter(windowMs: number): SlidingWindowCounter {
-  const slotMs = windowMs / WINDOW_SLOTS;
-  /**
-   * One slot more than a window has, for the oldest one, which is only partly inside the window.
-   */
-  const counts = new Array<number>(WINDOW_SLOTS + 1).fill(0);
-  let newestSlot = 0;
-
-  function update(nowMs: number): void {
-    const current = Math.floor(nowMs / slotMs);
-    const first = Math.max(newestSlot + 1, current - WINDOW_SLOTS);
-    for (let slot = first; slot <= current; slot += 1) counts[slot % counts.length] = 0;
-    newestSlot = Math.max(newestSlot, current);
-  }
-
-  return {
-    add(nowMs, count) {
-      update(nowMs);
-      const index = newestSlot % counts.length;
-      counts[index] = (counts[index] ?? 0) + count;
-    },
-    read(nowMs, partialSlot) {
-      update(nowMs);
-      const oldest = partialSlot === 'with' ? 0 : (counts[(newestSlot + 1) % counts.length] ?? 0);
-      return counts.reduce((sum, count) => sum + count, 0) - oldest;
-    },
-  };
+/** Quota of another router, until it expires. */
+interface BorrowedQuota {
+  retries: number;
+  readonly untilMs: number;
 }
 
 export function createFleetRetryBudget(options: FleetRetryBudgetOptions): FleetRetryBudget {
   const { ratio, slack, windowMs, countRouters, startedMs } = options;
-  const { getFleetTotals, hasPredecessor, isShareReserved, reportChange } = options;
-  const requests = createSlidingWindowCounter(windowMs);
-  const retries = createSlidingWindowCounter(windowMs);
-  const borrowed = createSlidingWindowCounter(windowMs);
+  const { getFleetTotals, getPredecessor, hasPredecessor, isShareReserved, reportChange } = options;
+  const slotMs = windowMs / WINDOW_SLOTS;
+  /** A retry counts until it has left the window in which it arrived. */
+  const countedMs = windowMs + DELIVERY_MS;
+  const comparedMs = windowMs / COMPARED_WINDOWS;
+  const requests = SlotCounters.createSlotCounter(slotMs, 2 * windowMs + comparedMs);
+  const retries = SlotCounters.createSlotCounter(slotMs, countedMs);
+  /** Retries that were paid with quota of other routers. */
+  const paidByOthers = SlotCounters.createSlotCounter(slotMs, countedMs);
+  /** End of the first window of which all requests are known. */
+  let settledMs = startedMs + windowMs;
+  let borrowed: readonly BorrowedQuota[] = [];
   let latestMs = startedMs;
   let taken = 0;
 
   function isSettled(): boolean {
-    return latestMs - startedMs >= windowMs;
+    return latestMs >= settledMs;
+  }
+
+  function getSlackShare(): number {
+    if (isShareReserved?.() === false) return 0;
+    const share = slack / Math.max(MIN_ROUTERS, countRouters());
+    return isSettled() ? share : FIRST_WINDOW_SHARE * share;
   }
 
   /**
-   * Failure: all routers are killed, some times in a row, and each process uses the share that the one before it has used in
-   * the same window. So in its first window a process uses a share only as far as other routers have run for longer and
-   * tell what ended processes have spent.
+   * Windows of the last one are compared at fixed times, not at each moment: with few requests, the fewest of very many
+   * windows are hardly any. Windows that end before the first one of this process has passed are not known.
    */
-  function getKnownShare(): number {
-    if (isSettled() || hasPredecessor?.() === false) return 1;
-    const { routers = 1, settledRouters = 0 } = getFleetTotals?.() ?? {};
-    return settledRouters / Math.max(1, routers);
+  function countFewestRequests(): number {
+    let fewest = requests.sum(latestMs, windowMs);
+    if (!isSettled()) return fewest;
+    const firstMs = Math.floor((latestMs - windowMs) / comparedMs) * comparedMs;
+    for (let endMs = firstMs; endMs <= latestMs; endMs += comparedMs) {
+      const knownMs = Math.max(endMs, settledMs);
+      if (knownMs <= latestMs) fewest = Math.min(fewest, requests.sumUntil(knownMs, windowMs));
+    }
+    return fewest;
   }
 
-  function getSlackFactor(): number {
-    if (isShareReserved?.() === false) return 0;
-    return isSettled() ? 1 : FIRST_WINDOW_SHARE * getKnownShare();
+  /**
+   * Failure: all routers are killed, some times in a row, and each process uses the share that the one before it has used in
+   * the same window. So a process with a predecessor uses its share only after a window, or with the counts of the earlier one.
+   */
+  function computeShare(nowMs: number): number {
+    latestMs = Math.max(latestMs, nowMs);
+    if (!isSettled() && hasPredecessor?.() !== false) {
+      const predecessor = getPredecessor?.();
+      if (predecessor === undefined) return 0;
+      addHistory(predecessor);
+    }
+    return FLEET_SHARE * (ratio * countFewestRequests() + getSlackShare());
   }
 
-  /** Share that the others assume for this router, from which the shares of a fleet with known totals are scaled. */
-  function getShare(nowMs: number): { readonly earned: number; readonly slackShare: number } {
-    latestMs = Math.max(latestMs, nowMs);
-    const slackShare = (slack * SLACK_MARGIN) / Math.max(MIN_ROUTERS, countRouters());
-    const earned = requests.read(latestMs, 'without') * ratio * RATIO_MARGIN;
-    return { earned, slackShare };
+  function addHistory({ requests: earlier, retries: spent, endedMs }: EndedProcess): void {
+    requests.addCounts(earlier, endedMs);
+    retries.addCounts(spent, endedMs);
+    settledMs = Number.NEGATIVE_INFINITY;
   }
 
-  /** A share of what the rule allows, without what ended processes have spent. */
-  function computeAllowed(fleet: FleetRepeats, share: number): number {
-    const earned = ratio * (fleet.requests + fleet.endedRequests);
-    return share * (earned + slack) - fleet.endedRetries;
+  function countBorrowed(): number {
+    borrowed = borrowed.filter(({ untilMs, retries: left }) => untilMs > latestMs && left > 0);
+    return borrowed.reduce((sum, { retries: left }) => sum + left, 0);
   }
 
-  /** Routers that are not in the totals are assumed to allow themselves as much as the others do. */
-  function getFactor(): number {
-    const fleet = getFleetTotals?.();
-    if (fleet === undefined || fleet.capacity <= 0) return 1;
-    const missing = Math.max(0, countRouters() - fleet.routers) / Math.max(1, fleet.routers);
-    const factor = computeAllowed(fleet, FLEET_SHARE) / (fleet.capacity * (1 + missing));
-    return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
+  /** What is left of the own share; negative where it has shrunk since it was used. */
+  function getOwnBalance(nowMs: number): number {
+    return computeShare(nowMs) - retries.sumAll(latestMs);
   }
 
-  /**
-   * Load pattern: few requests. The share of a router goes up and down with its own requests, and what each of the routers
-   * has taken at the best moment of the window adds up to more than they had together at any moment.
-   */
+  /** Routers of an earlier build may use more than their share. */
   function getFleetBalance(): number {
     const fleet = getFleetTotals?.();
     if (fleet === undefined || fleet.capacity <= 0) return Number.POSITIVE_INFINITY;
-    return computeAllowed(fleet, SPENT_SHARE) - fleet.retries;
-  }
-
-  function getCapacity(nowMs: number): number {
-    const { earned, slackShare } = getShare(nowMs);
-    const share = (earned * getKnownShare() + slackShare * getSlackFactor()) * getFactor();
-    return share + borrowed.read(latestMs, 'without');
+    const earned = ratio * (fleet.requests + fleet.endedRequests);
+    return SPENT_SHARE * (earned + slack) - fleet.endedRetries - fleet.retries;
   }
 
   function getBalance(nowMs: number): number {
-    const balance = getCapacity(nowMs) - retries.read(latestMs, 'with');
+    const balance = Math.max(0, getOwnBalance(nowMs)) + countBorrowed();
     return Math.min(balance, getFleetBalance());
   }
 
+  /** Returns how much of one retry it pays. */
+  function takeBorrowed(): number {
+    let missing = 1;
+    for (const quota of borrowed) {
+      const used = Math.min(missing, quota.retries);
+      quota.retries -= used;
+      missing -= used;
+    }
+    return 1 - missing;
+  }
+
   return {
-    getCapacity,
     getBalance,
-    getFactor,
+    getCapacity: (nowMs) => computeShare(nowMs) + countBorrowed(),
     getTotals(nowMs) {
-      const { earned, slackShare } = getShare(nowMs);
+      const capacity = computeShare(nowMs);
       return {
-        requests: requests.read(latestMs, 'without'),
-        // What was borrowed is among the retries of the lender.
-        retries: Math.max(0, retries.read(latestMs, 'with') - borrowed.read(latestMs, 'without')),
-        capacity: earned + slackShare,
+        requests: requests.sum(latestMs, windowMs),
+        retries: retries.sumAll(latestMs),
+        capacity,
         isSettled: isSettled(),
       };
     },
-    describe: (nowMs) => ({
-      requests: requests.read(nowMs, 'without'),
-      retries: retries.read(nowMs, 'with'),
-      capacity: getCapacity(nowMs),
-      routers: countRouters(),
-      knownShare: getKnownShare(),
-      slackFactor: getSlackFactor(),
-      fleetFactor: getFactor(),
-      taken,
-    }),
+    getHistory(nowMs) {
+      latestMs = Math.max(latestMs, nowMs);
+      if (!isSettled()) return undefined;
+      return { requests: requests.listCounts(latestMs), retries: retries.listCounts(latestMs) };
+    },
+    describe(nowMs) {
+      const capacity = computeShare(nowMs);
+      return {
+        requests: requests.sum(latestMs, windowMs),
+        retries: retries.sumAll(latestMs),
+        fewestRequests: countFewestRequests(),
+        capacity,
+        borrowed: countBorrowed(),
+        routers: countRouters(),
+        slackShare: getSlackShare(),
+        taken,
+      };
+    },
     recordRequest(nowMs) {
       latestMs = Math.max(latestMs, nowMs);
       requests.add(latestMs, 1);
     },
     takeRetry(nowMs) {
       if (getBalance(nowMs) < 1) return false;
-      retries.add(latestMs, 1);
+      const paid = takeBorrowed();
+      paidByOthers.add(latestMs, paid);
+      retries.add(latestMs, 1 - paid);
       taken += 1;
       reportChange?.('taken');
       return true;
     },
     releaseRetry() {
-      retries.add(latestMs, -1);
+      // Which retry it was is not known: one that another router has paid returns nothing.
+      if (paidByOthers.sumAll(latestMs) === 0) retries.removeOldest(latestMs, 1);
       taken -= 1;
       reportChange?.('returned');
     },
     grantQuota(nowMs, wanted) {
-      const granted = Math.max(0, Math.min(wanted, getBalance(nowMs)));
+      const balance = Math.min(getOwnBalance(nowMs), getFleetBalance());
+      const granted = Math.max(0, Math.min(wanted, balance));
       retries.add(latestMs, granted);
       return granted;
     },
-    recordBorrowed(nowMs, quota) {
-      latestMs = Math.max(latestMs, nowMs);
-      borrowed.add(latestMs, quota);
+    recordBorrowed(askedMs, quota) {
+      borrowed = [...borrowed, { retries: quota, untilMs: askedMs + DELIVERY_MS }];
     },
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/retryQuota.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/retryQuota.ts
@@ -76,10 +76,11 @@
 
       async function borrowFrom(peer: string): Promise<void> {
         const repeats = computeMissing() + ROUNDING_MARGIN;
+        const askedMs = clock.getNowMs();
         const outcome = await peers.borrowRetryQuota(peer, { service, repeats });
         if (outcome.kind === 'granted') {
           unreachableSinceMs.delete(peer);
-          budget.recordBorrowed(clock.getNowMs(), outcome.repeats);
+          budget.recordBorrowed(askedMs, outcome.repeats);
           return;
         }
         failure = outcome.reason;
