Hand the counts of a retry budget over when a router stops as planned

A router that stopped as planned left nothing behind, so that the next process of the same router knew of no predecessor and used a part of a share which had been used in the same window.

Change: a process that stops replaces its entry in the store by a record of its counts, which lasts as long as the entry would; the next one goes on with them, with no share used twice and none lost. A process that finds an entry instead, or a record that it cannot use, retries nothing of its own for a window.

--- a/packages/sequoiarill-plugin-directory/src/plugin.ts
+++ b/packages/sequoiarill-plugin-directory/src/plugin.ts
@@ -69,7 +69,9 @@
     settings.listen,
   );
   const ownKey = `${wire.ownPrefix}routers/${context.process.name}`;
-  let hasPredecessor = true;
+  const stopKey = `${wire.ownPrefix}stopped/${context.process.name}`;
+  let predecessor: Registrations.Predecessor = { isFound: true, stopRecord: undefined };
+  let buildStopRecord = () => '';
   const stopping = new AbortController();
   let registerSelf: RouterPeers['registerSelf'] = () => undefined;
   const relayAddress = new Promise<string | undefined>((resolve) => {
@@ -89,7 +91,11 @@
       return ownAddress;
     },
     listRouters: state.listRouters,
-    hasPredecessor: () => hasPredecessor,
+    hasPredecessor: () => predecessor.isFound,
+    getStopRecord: () => predecessor.stopRecord,
+    setStopRecord(build) {
+      buildStopRecord = build;
+    },
     borrowPermits: client.acquirePermits,
     sendReport: client.sendReport,
     reportCrashes: client.reportCrashes,
@@ -120,8 +126,10 @@
         key: ownKey,
         entry,
         getEra: state.getEra,
-        reportPredecessor(isFound) {
-          hasPredecessor = isFound;
+        stopKey,
+        buildStopRecord: () => buildStopRecord(),
+        reportPredecessor(found) {
+          predecessor = found;
         },
       },
       stopping.signal,
--- a/packages/sequoiarill-plugin-directory/src/registration.ts
+++ b/packages/sequoiarill-plugin-directory/src/registration.ts
@@ -1,18 +1,28 @@
 /** Writes this router's address into the store, so that others find it, while the router runs. */
-import type { Clock, KeyValueStore } from '@sequoiarill/types';
+import type { Clock, KeyValueStore, KeyWrite } from '@sequoiarill/types';
 
 import * as RouterEntries from './routerEntry';
 import type { RouterEntry } from './routerEntry';
 
+export interface Predecessor {
+  /** Whether an earlier process of this router has left an entry, or a record of its stop. */
+  readonly isFound: boolean;
+  /** What it left when it stopped as planned; undefined where it ended otherwise. */
+  readonly stopRecord: string | undefined;
+}
+
 export interface RegistrationOptions {
   readonly store: KeyValueStore;
   readonly clock: Clock;
   readonly key: string;
+  /** Key of what a process that stops as planned leaves to the next one. */
+  readonly stopKey: string;
+  readonly buildStopRecord: () => string;
   readonly entry: RouterEntry;
   /** Era of the store that is known now. */
   readonly getEra: () => number;
-  /** Called once the first entry is written, with whether an earlier process of this router has left one. */
-  readonly reportPredecessor: (hasPredecessor: boolean) => void;
+  /** Called once the first entry is written. */
+  readonly reportPredecessor: (predecessor: Predecessor) => void;
 }
 
 /**
@@ -29,7 +39,7 @@
   options: RegistrationOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { store, clock, key, entry, getEra, reportPredecessor } = options;
+  const { store, clock, key, stopKey, entry, getEra, reportPredecessor } = options;
   let leaseId: string | undefined;
   let hasWritten = false;
 
@@ -46,22 +56,45 @@
     if (getEra() !== era) leaseId = undefined;
   }
 
+  /** Keys that an earlier process has left, in which case nothing was written; undefined without an answer. */
+  async function writeFirst(write: KeyWrite): Promise<readonly string[] | undefined> {
+    const comparisons = [key, stopKey].map((compared) => ({ key: compared, revision: 0 }));
+    const outcome = await store.writeTransaction({ comparisons, writes: [write] });
+    if (outcome.kind !== 'written' && outcome.kind !== 'conflict') return undefined;
+    hasWritten = true;
+    const left = outcome.kind === 'conflict' ? outcome.current : [];
+    const keys = left.map((stored) => stored.key);
+    const stopRecord = left.find((stored) => stored.key === stopKey)?.value;
+    reportPredecessor({
+      isFound: outcome.kind === 'conflict',
+      stopRecord: keys.includes(key) ? undefined : stopRecord,
+    });
+    return outcome.kind === 'conflict' && keys.length === 0 ? [key] : keys;
+  }
+
+  /** Leaves a record in place of the entry: the next process of this router uses it instead of starting anew. */
+  async function writeStopRecord(): Promise<boolean> {
+    const lease = await store.grantLease(LEASE_SECONDS);
+    if (lease.kind !== 'granted') return false;
+    const record = { key: stopKey, value: options.buildStopRecord(), leaseId: lease.leaseId };
+    const outcome = await store.writeTransaction({ comparisons: [], writes: [{ key }, record] });
+    return outcome.kind === 'written';
+  }
+
   async function writeEntry(): Promise<boolean> {
     const lease = await store.grantLease(LEASE_SECONDS);
     if (lease.kind !== 'granted') return false;
-    const writes = [{ key, value: RouterEntries.encodeRouter(entry), leaseId: lease.leaseId }];
-    if (!hasWritten) {
-      const comparisons = [{ key, revision: 0 }];
-      const first = await store.writeTransaction({ comparisons, writes });
-      if (first.kind !== 'written' && first.kind !== 'conflict') return false;
-      hasWritten = true;
-      reportPredecessor(first.kind === 'conflict');
-      if (first.kind === 'written') {
-        leaseId = lease.leaseId;
-        return true;
-      }
+    const write = { key, value: RouterEntries.encodeRouter(entry), leaseId: lease.leaseId };
+    const isFirst = !hasWritten;
+    const found = isFirst ? await writeFirst(write) : [];
+    if (found === undefined) return false;
+    if (isFirst && found.length === 0) {
+      leaseId = lease.leaseId;
+      return true;
     }
-    const outcome = await store.writeTransaction({ comparisons: [], writes });
+    // A process that is killed later must not be taken for one that has stopped as planned.
+    const removals = found.filter((entryKey) => entryKey === stopKey).map(() => ({ key: stopKey }));
+    const outcome = await store.writeTransaction({ comparisons: [], writes: [write, ...removals] });
     if (outcome.kind !== 'written') return false;
     leaseId = lease.leaseId;
     return true;
@@ -79,5 +112,5 @@
     if (!hasSucceeded) store.renewConnections();
     await waitUntilDue(hasSucceeded ? REFRESH_MS : RETRY_MS);
   }
-  if (leaseId !== undefined) await store.revokeLease(leaseId);
+  if (leaseId !== undefined && !(await writeStopRecord())) await store.revokeLease(leaseId);
 }
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -16,6 +16,7 @@
 import * as Metrics from './metrics';
 import * as BrittleTargets from './limits/brittleTargets';
 import * as TargetLimits from './limits/targetLimits';
+import * as RetryHandovers from './retryHandover';
 import type { RateLimitedLog } from './rateLimitedLog';
 import * as BuildEntries from './origins/buildEntries';
 import * as OriginMemories from './origins/originMemory';
@@ -67,6 +68,8 @@
     isUpToDate: getCapability('directory').isUpToDate,
     windowMs,
   });
+  const handover = RetryHandovers.createRetryHandover(peers.getStopRecord, clock, windowMs);
+  peers.setStopRecord(() => RetryHandovers.encodeBudgets(budgets, clock, windowMs, startedMs));
   const createBudget = (service: string): FleetRetryBudget =>
     Decisions.createFleetRetryBudget({
       ratio: settings.repeatRatio,
@@ -75,6 +78,7 @@
       countRouters: sharers.count,
       isShareReserved: sharers.isReserved,
       hasPredecessor: peers.hasPredecessor,
+      getPredecessor: () => handover.getPredecessor(service),
       startedMs,
       getFleetTotals: () => room.getFleetRepeats(service),
       reportChange: (change) => metrics.addCount(Metrics.REPEATS, 1, { service, change }),
--- a/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
+++ b/packages/sequoiarill-plugin-rollouts/src/simulation/simulatedEnvironment.ts
@@ -111,6 +111,8 @@
 const UNUSED_CALLS: Omit<RouterPeers, 'self' | 'listRouters' | 'sendReport' | 'setReportHandler'> =
   {
     hasPredecessor: () => false,
+    getStopRecord: () => undefined,
+    setStopRecord: () => undefined,
     listNearest: () => [],
     borrowRetryQuota: async () => ({ kind: 'granted', repeats: 0 }),
     setRetryQuotaLender: () => undefined,
--- a/packages/sequoiarill-types/src/peers.ts
+++ b/packages/sequoiarill-types/src/peers.ts
@@ -243,6 +243,10 @@
   readonly listRouters: () => readonly RouterLocation[];
   /** Whether an earlier process of this router was registered when this one started; also true until that is known. */
   readonly hasPredecessor: () => boolean;
+  /** What the earlier process of this router left when it stopped as planned; undefined where it ended otherwise. */
+  readonly getStopRecord: () => string | undefined;
+  /** Sets the function that builds what this process leaves to the next one. */
+  readonly setStopRecord: (build: () => string) => void;
   readonly sendReport: (peer: string, report: RolloutReport) => Promise<GuidanceOutcome>;
   /** Reports crashes to an aggregator, which counts them for all routers by content. */
   readonly reportCrashes: (peer: string, crashes: readonly Crash[]) => Promise<CrashReportOutcome>;
