Count a repeat for as long as what was sent before it may still arrive

What a router gives up while its target stands still, or while a link holds bytes back, arrives later, together with its repeats and with what is sent by then. A repeat was charged for a window from when it was taken, so that up to two windows' worth of arrivals could come in one.

Change: a repeat whose earlier send, or whose own send, got no answer counts until its target is heard again, 20 s at most, and for a window from then on. A request that is given up ends its connection with a reset, so that the operating system drops what it has not delivered.

--- a/bench/src/repeats/callers.ts
+++ b/bench/src/repeats/callers.ts
@@ -9,7 +9,10 @@
 import * as Windows from './windows';
 import type { SentRequest } from './windows';
 
-export interface PlayOptions extends Omit<FleetOptions, 'limitMs' | 'maxTargets'> {
+export interface PlayOptions extends Omit<
+  FleetOptions,
+  'limitMs' | 'maxTargets' | 'hasTargetLinks'
+> {
   readonly perSecond: number;
 }
 
@@ -99,7 +102,12 @@
 
 export async function runRow(row: Row, options: PlayOptions): Promise<Summary> {
   const { kind, rule } = options;
-  const fleet = await Fleets.startFleet({ ...options, limitMs: LIMIT_MS, maxTargets: MAX_TARGETS });
+  const fleet = await Fleets.startFleet({
+    ...options,
+    limitMs: LIMIT_MS,
+    maxTargets: MAX_TARGETS,
+    hasTargetLinks: row.hasTargetLinks === true,
+  });
   try {
     const faults = new AbortController();
     const failing = Fleets.runFaults(
--- a/bench/src/repeats/fleet.ts
+++ b/bench/src/repeats/fleet.ts
@@ -17,6 +17,8 @@
   readonly rule: Rule;
   readonly limitMs: number;
   readonly maxTargets: number;
+  /** Whether routers reach targets through links; each connection through one costs processor time here. */
+  readonly hasTargetLinks: boolean;
 }
 
 export interface ManagedRouter {
@@ -30,7 +32,7 @@
 export interface Fleet {
   readonly routers: readonly ManagedRouter[];
   readonly targets: readonly TargetStandin[];
-  /** To each target, of all routers. */
+  /** To each target, of all routers; empty unless the options ask for them. */
   readonly targetLinks: readonly LinkStandin[];
   /** From the others to each router. */
   readonly peerLinks: readonly LinkStandin[];
@@ -100,11 +102,13 @@
   return { link, address: (await link.start()).address };
 }
 
-async function startTargets(store: StoreStandin, { targets, kind }: FleetOptions) {
+async function startTargets(store: StoreStandin, { targets, kind, hasTargetLinks }: FleetOptions) {
   const started = [];
   for (let index = 0; index < targets; index += 1) {
     const target = Standins.createTargetStandin(`target-${index}`, { eventCount: EVENT_COUNT });
-    const { link, address } = await startLink(await target.start());
+    const listening = await target.start();
+    const linked = hasTargetLinks ? await startLink(listening) : undefined;
+    const address = linked?.address ?? listening;
     const entry = {
       service: kind === 'streams' ? 'engines' : 'orders',
       address,
@@ -115,7 +119,7 @@
       startedAtUnixMs: 1,
     } as const;
     store.writeValue(Standins.formatTargetKey(target.id), Standins.formatTargetEntry(entry));
-    started.push({ target, link });
+    started.push({ target, links: linked === undefined ? [] : [linked.link] });
   }
   return started;
 }
@@ -196,7 +200,7 @@
     ),
   );
   const storeLinks = routers.map(({ link }) => link);
-  const targetLinks = targets.map(({ link }) => link);
+  const targetLinks = targets.flatMap(({ links }) => links);
   return {
     routers: routers.map(({ router }) => router),
     targets: targets.map(({ target }) => target),
--- a/bench/src/repeats/rows.ts
+++ b/bench/src/repeats/rows.ts
@@ -6,6 +6,7 @@
 export interface Row {
   readonly name: string;
   readonly disturb: (fleet: Fleet) => Promise<void>;
+  readonly hasTargetLinks?: boolean;
 }
 
 const KILL_INTERVAL_MS = 4_000;
@@ -100,10 +101,12 @@
   },
   {
     name: 'bytes to all targets held back twice',
+    hasTargetLinks: true,
     disturb: createHold(({ targetLinks }) => targetLinks, 4_000, 2),
   },
   {
     name: 'bytes to half of the targets held back for 9 s',
+    hasTargetLinks: true,
     disturb: createHold(({ targetLinks }) => targetLinks.filter((_one, index) => index % 2), 9_000),
   },
   {
--- a/packages/sequoiarill-decisions/src/__tests__/fleetBudgetShares.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetBudgetShares.test.ts
@@ -126,8 +126,7 @@
     return fleet[Math.max(0, place)];
   }
 
-  for (let nowMs = 0; nowMs < END_MS; nowMs += STEP_MS) {
-    if (nowMs % REPORT_MS === 0) updateTotals(nowMs);
+  function recordRequests(nowMs: number): void {
     const isCollapsed = nowMs >= (play.collapseMs ?? Number.POSITIVE_INFINITY);
     const share =
       (1 + swing * Math.sin((2 * Math.PI * nowMs) / periodMs)) * (isCollapsed ? 0.05 : 1);
@@ -138,13 +137,22 @@
         requestsMs.push(nowMs);
       }
     }
-    for (const budget of nowMs >= FAILING_MS ? fleet : []) {
+  }
+
+  function takeRetries(nowMs: number): void {
+    for (const budget of fleet) {
       for (let stream = 0; stream < 2; stream += 1) {
         if (play.areBorrowed === true) borrowQuota(budget, nowMs);
         if (budget.takeRetry(nowMs)) retriesMs.push(nowMs + nextRandom() * deliveryMs);
       }
     }
   }
+
+  for (let nowMs = 0; nowMs < END_MS; nowMs += STEP_MS) {
+    if (nowMs % REPORT_MS === 0) updateTotals(nowMs);
+    recordRequests(nowMs);
+    if (nowMs >= FAILING_MS) takeRetries(nowMs);
+  }
   return computeWorst(requestsMs, retriesMs);
 }
 
@@ -221,6 +229,25 @@
     expect(late + again).toBeLessThanOrEqual(share);
   });
 
+  it('is not free while what a retry repeats may still arrive', () => {
+    // Guards against requests that a silent target receives later, together with those that are sent by then.
+    const budget = createSlackBudget();
+    const share = takeAll(budget, 0);
+    for (let held = 0; held < share; held += 1) budget.holdRetry(0, 'silent');
+    expect(takeAll(budget, 15_000)).toEqual(0);
+    budget.settleHeld(15_000, 'silent');
+    expect(takeAll(budget, 24_900)).toEqual(0);
+    expect(takeAll(budget, 25_800)).toEqual(share);
+  });
+
+  it('is free again where a silent target is not heard any more', () => {
+    // Guards against targets that have lost power and keep the retries of others for good.
+    const budget = createSlackBudget();
+    const share = takeAll(budget, 0);
+    for (let held = 0; held < share; held += 1) budget.holdRetry(0, 'gone');
+    expect(takeAll(budget, 60_000)).toEqual(share);
+  });
+
   it('is not larger for a retry that is returned long after it was taken', () => {
     // Guards against returns that outlive the retries which they return.
     const budget = createSlackBudget();
--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -23,6 +23,8 @@
  */
 import type { FleetRepeats, OwnRepeats } from '@sequoiarill/types';
 
+import * as BorrowedQuotas from './borrowedQuota';
+import * as HeldRetries from './heldRetries';
 import type { RetryBudget } from './retryBudget';
 import * as SlotCounters from './slotCounter';
 
@@ -63,6 +65,13 @@
 export interface FleetRetryBudget extends RetryBudget {
   /** Returns a retry that was spent on an attempt which reached no target and so added no load. */
   readonly releaseRetry: () => void;
+  /**
+   * The request of a retry was sent to a target that has not answered it, and may receive it later together with what is sent
+   * by then. The retry counts until the target is heard, and for a window from then on.
+   */
+  readonly holdRetry: (nowMs: number, target: string) => void;
+  /** The target is heard again: it has received what was sent to it. */
+  readonly settleHeld: (nowMs: number, target: string) => void;
   /** Retries that the window allows, including those already spent. */
   readonly getCapacity: (nowMs: number) => number;
   /**
@@ -90,6 +99,8 @@
   readonly capacity: number;
   /** Retries of other routers that may still be used. */
   readonly borrowed: number;
+  /** Retries whose requests may reach a silent target later. */
+  readonly held: number;
   /** Routers that share the slack. */
   readonly routers: number;
   /** Part of the fleet's slack that this router may use. */
@@ -113,12 +124,6 @@
 /** Time from taking a retry, or borrowing quota, until it reaches its target at the latest; it counts for so much longer. */
 const DELIVERY_MS = 500;
 
-/** Quota of another router, until it expires. */
-interface BorrowedQuota {
-  retries: number;
-  readonly untilMs: number;
-}
-
 export function createFleetRetryBudget(options: FleetRetryBudgetOptions): FleetRetryBudget {
   const { ratio, slack, windowMs, countRouters, startedMs } = options;
   const { getFleetTotals, getPredecessor, hasPredecessor, isShareReserved, reportChange } = options;
@@ -132,7 +137,8 @@
   const paidByOthers = SlotCounters.createSlotCounter(slotMs, countedMs);
   /** End of the first window of which all requests are known. */
   let settledMs = startedMs + windowMs;
-  let borrowed: readonly BorrowedQuota[] = [];
+  const held = HeldRetries.createHeldRetries();
+  const borrowed = BorrowedQuotas.createBorrowedQuota();
   let latestMs = startedMs;
   let taken = 0;
 
@@ -181,14 +187,12 @@
     settledMs = Number.NEGATIVE_INFINITY;
   }
 
-  function countBorrowed(): number {
-    borrowed = borrowed.filter(({ untilMs, retries: left }) => untilMs > latestMs && left > 0);
-    return borrowed.reduce((sum, { retries: left }) => sum + left, 0);
-  }
+  const countHeld = (): number =>
+    held.count(latestMs, (count, untilMs) => retries.addCounts([count], untilMs));
 
   /** What is left of the own share; negative where it has shrunk since it was used. */
   function getOwnBalance(nowMs: number): number {
-    return computeShare(nowMs) - retries.sumAll(latestMs);
+    return computeShare(nowMs) - countHeld() - retries.sumAll(latestMs);
   }
 
   /** Routers of an earlier build may use more than their share. */
@@ -200,29 +204,18 @@
   }
 
   function getBalance(nowMs: number): number {
-    const balance = Math.max(0, getOwnBalance(nowMs)) + countBorrowed();
+    const balance = Math.max(0, getOwnBalance(nowMs)) + borrowed.count(latestMs);
     return Math.min(balance, getFleetBalance());
   }
 
-  /** Returns how much of one retry it pays. */
-  function takeBorrowed(): number {
-    let missing = 1;
-    for (const quota of borrowed) {
-      const used = Math.min(missing, quota.retries);
-      quota.retries -= used;
-      missing -= used;
-    }
-    return 1 - missing;
-  }
-
   return {
     getBalance,
-    getCapacity: (nowMs) => computeShare(nowMs) + countBorrowed(),
+    getCapacity: (nowMs) => computeShare(nowMs) + borrowed.count(latestMs),
     getTotals(nowMs) {
       const capacity = computeShare(nowMs);
       return {
         requests: requests.sum(latestMs, windowMs),
-        retries: retries.sumAll(latestMs),
+        retries: countHeld() + retries.sumAll(latestMs),
         capacity,
         isSettled: isSettled(),
       };
@@ -239,7 +232,8 @@
         retries: retries.sumAll(latestMs),
         fewestRequests: countFewestRequests(),
         capacity,
-        borrowed: countBorrowed(),
+        borrowed: borrowed.count(latestMs),
+        held: countHeld(),
         routers: countRouters(),
         slackShare: getSlackShare(),
         taken,
@@ -251,7 +245,7 @@
     },
     takeRetry(nowMs) {
       if (getBalance(nowMs) < 1) return false;
-      const paid = takeBorrowed();
+      const paid = borrowed.take(1, latestMs);
       paidByOthers.add(latestMs, paid);
       retries.add(latestMs, 1 - paid);
       taken += 1;
@@ -264,6 +258,15 @@
       taken -= 1;
       reportChange?.('returned');
     },
+    holdRetry(nowMs, target) {
+      latestMs = Math.max(latestMs, nowMs);
+      retries.removeOldest(latestMs, 1);
+      held.add(target, latestMs);
+    },
+    settleHeld(nowMs, target) {
+      latestMs = Math.max(latestMs, nowMs);
+      retries.add(latestMs, held.remove(target));
+    },
     grantQuota(nowMs, wanted) {
       const balance = Math.min(getOwnBalance(nowMs), getFleetBalance());
       const granted = Math.max(0, Math.min(wanted, balance));
@@ -271,7 +274,7 @@
       return granted;
     },
     recordBorrowed(askedMs, quota) {
-      borrowed = [...borrowed, { retries: quota, untilMs: askedMs + DELIVERY_MS }];
+      borrowed.add(quota, askedMs + DELIVERY_MS);
     },
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -158,6 +158,7 @@
       if (leftMs > 0) await clock.waitMs(Math.min(leftMs, PROBE_ANSWER_TIMEOUT_MS));
       return leftMs > PROBE_ANSWER_TIMEOUT_MS ? 'accepted' : 'answered';
     }),
+    onHeard: ({ id }) => budget.settleHeld(clock.getNowMs(), id),
     onRegained: (service) => registry.removeLosses(directory.listTargets(service)),
   });
   const isReached = (id: string) => reports.has(id) && !unreachable.has(id);
--- a/packages/sequoiarill-plugin-forwarding/src/answers/attemptRecords.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/attemptRecords.ts
@@ -5,11 +5,13 @@
 import * as Events from '../events';
 import type { ForwardRequest, PlainOutcome } from '../forwardRequest';
 import * as Checks from './answerChecks';
+import * as LateArrivals from './lateArrivals';
 import * as Sending from './sending';
 
 export interface AttemptProgress {
   /** The first target that returned a server error. */
   failedTarget: ForwardingTarget | undefined;
+  readonly late: LateArrivals.LateSends;
 }
 
 /**
@@ -51,6 +53,9 @@
     registry.recordFailure(target);
     paths.recordLoss(target);
   }
+  if (outcome.kind === 'lost' && outcome.isUnanswered === true) {
+    LateArrivals.recordUnanswered(dependencies, request, progress.late, target.id);
+  }
   if (isLost(outcome) && outcome.isTimeout) dependencies.renewConnections(target);
   log.logEvent(Events.TARGET_LOST, {
     request: request.id,
--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -12,6 +12,7 @@
 import type { ForwardingDependencies } from '../dependencies';
 import * as Placement from './placement';
 import * as GatedTargets from './gatedTarget';
+import * as LateArrivals from './lateArrivals';
 import * as NextSends from './nextSend';
 import type { SendProgress } from './nextSend';
 import type { Slot } from '../limits/brittleTargets';
@@ -254,6 +255,7 @@
 ): Promise<ForwardOutcome> {
   const progress: Progress = {
     excluded: new Set(),
+    late: LateArrivals.createLateSends(),
     slot: undefined,
     failedTarget: undefined,
     sends: 0,
--- a/packages/sequoiarill-plugin-forwarding/src/answers/nextSend.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/nextSend.ts
@@ -4,6 +4,7 @@
 import type { ForwardingDependencies } from '../dependencies';
 import type { ForwardRequest } from '../forwardRequest';
 import type { SilenceCause } from '../targets/pathMonitor';
+import * as LateArrivals from './lateArrivals';
 import * as Placement from './placement';
 
 /** Of the request, over all its sends. */
@@ -11,6 +12,7 @@
   readonly excluded: ReadonlySet<string>;
   /** Attempts of which bytes were sent. */
   readonly sends: number;
+  readonly late: LateArrivals.LateSends;
   /** A repeat of the budget is taken for the next send. */
   isRetryTaken: boolean;
   /** Target of the next send, which has just answered a probe. */
@@ -98,12 +100,16 @@
 
 /** A repeat for a request that was sent before, unless one is taken already; false where none is left. */
 export function takeRetry(
-  { getBudget, clock }: Pick<ForwardingDependencies, 'getBudget' | 'clock'>,
-  { service }: ForwardRequest,
-  progress: Partial<Pick<SendProgress, 'isRetryTaken'>>,
+  dependencies: Pick<ForwardingDependencies, 'getBudget' | 'clock'>,
+  request: ForwardRequest,
+  progress: Partial<Pick<SendProgress, 'isRetryTaken' | 'late' | 'sends'>>,
 ): boolean {
-  if (progress.isRetryTaken !== true) return getBudget(service).takeRetry(clock.getNowMs());
+  const { getBudget, clock } = dependencies;
+  const isTaken = progress.isRetryTaken === true;
+  if (!isTaken && !getBudget(request.service).takeRetry(clock.getNowMs())) return false;
   progress.isRetryTaken = false;
+  const { late, sends = 0 } = progress;
+  if (late) LateArrivals.recordRepeat(dependencies, request, late, sends);
   return true;
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -87,7 +87,7 @@
     if (firstEvent.kind === 'timeout') {
       call.cancel();
       return call.wasSent()
-        ? { kind: 'lost', reason: 'silent', isTimeout: true }
+        ? { kind: 'lost', reason: 'silent', isTimeout: true, isUnanswered: true }
         : { kind: 'notSent', reason: 'no connection in time' };
     }
     if (firstEvent.kind === 'head') {
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -87,7 +87,13 @@
   /** No connection was established, so nothing was sent. */
   | { readonly kind: 'notSent'; readonly reason: string }
   /** Sent without receiving a complete answer: the request may have run. */
-  | { readonly kind: 'lost'; readonly reason: string; readonly isTimeout: boolean }
+  | {
+      readonly kind: 'lost';
+      readonly reason: string;
+      readonly isTimeout: boolean;
+      /** Nothing came of the target: it may receive the request later. */
+      readonly isUnanswered?: boolean;
+    }
   | { readonly kind: 'expired' }
   | { readonly kind: 'callerLeft' };
 
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -37,12 +37,12 @@
   const rollouts = context.getCapability('rollouts');
   const room = context.getCapability('room');
   const log = RateLimitedLogs.createRateLimitedLog(logEvent, clock.getNowMs);
-  const parts = Parts.createTargetParts(context, settings, log);
+  const decisions = Parts.createServiceDecisions(context, settings);
+  const parts = Parts.createTargetParts(context, settings, log, decisions);
   const { connections, paths, registry, relays, notices, probes, crashes, limits, brittle } = parts;
   const origins = Parts.createOrigins(context, log);
   const contactOptions = { clock, nextRandom, zone, peers, paths, log };
   const peerContacts = PeerContacts.createPeerContacts(contactOptions);
-  const decisions = Parts.createServiceDecisions(context, settings);
   const stopController = new AbortController();
   let loops: Promise<unknown> | undefined;
   let routeTable: RouteTable | undefined;
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -148,7 +148,7 @@
 function createPaths(
   { clock, nextRandom, getCapability }: PluginContext,
   checkAnswer: TargetProbes.TargetProbe,
-  listeners: Pick<PathMonitors.PathMonitorOptions, 'log' | 'onRegained'>,
+  listeners: Pick<PathMonitors.PathMonitorOptions, 'log' | 'onHeard' | 'onRegained'>,
 ): PathMonitor {
   const directory = getCapability('directory');
   return PathMonitors.createPathMonitor({
@@ -229,6 +229,7 @@
   context: PluginContext,
   settings: ForwardingSettings,
   log: RateLimitedLog,
+  { getBudget }: Pick<ServiceDecisions, 'getBudget'>,
 ) {
   const { clock, nextRandom, getCapability } = context;
   const wire = getCapability('wire');
@@ -246,7 +247,11 @@
     },
   };
   const checkAnswer = TargetProbes.createTargetProbe(probeOptions);
-  const paths = createPaths(context, checkAnswer, { log, onRegained: removeOldLosses });
+  const paths = createPaths(context, checkAnswer, {
+    log,
+    onHeard: ({ id, service }) => getBudget(service).settleHeld(clock.getNowMs(), id),
+    onRegained: removeOldLosses,
+  });
   const registry = TargetRegistries.createTargetRegistry(clock.getNowMs, paths);
   const notices = createNotices(context, log, {
     paths,
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -8,6 +8,7 @@
 import type { ForwardRequest, SendOutcome } from '../forwardRequest';
 import * as Metrics from '../metrics';
 import type { ForwardingDependencies } from '../dependencies';
+import * as LateArrivals from '../answers/lateArrivals';
 import * as Sending from '../answers/sending';
 import type { AttemptOutcome } from './streamAttempt';
 import * as RelayedStreams from './relayedStream';
@@ -48,6 +49,9 @@
     }
     if (plan.kind !== 'plan') return plan;
     progress.tries += 1;
+    if (plan.isRetry) {
+      LateArrivals.recordRepeat(dependencies, request, progress.late, progress.deliveries);
+    }
     const outcome = yield* StreamRelays.relayAttempt(
       dependencies,
       request,
@@ -71,6 +75,7 @@
   isRetry: boolean,
 ): AsyncGenerator<StreamPiece, StreamOutcome | undefined, void> {
   progress.tries += 1;
+  if (isRetry) LateArrivals.recordRepeat(dependencies, request, progress.late, progress.deliveries);
   const outcome = yield* RelayedStreams.relayThroughRouters(dependencies, request, progress);
   if (outcome.kind === 'untaken' && isRetry) {
     dependencies.getBudget(request.service).releaseRetry();
@@ -107,6 +112,9 @@
     return { kind: 'answer', head: outcome.head, body: outcome.body };
   }
   updateProgress(dependencies, plan, progress, outcome);
+  if (outcome.kind === 'lost' && outcome.isUnanswered === true) {
+    LateArrivals.recordUnanswered(dependencies, request, progress.late, plan.target.id);
+  }
   logContinued(dependencies, request, plan, progress);
   const isRejected = outcome.kind === 'notRun' && !progress.hasEvents;
   if (isRejected && dependencies.brittle.isBrittle(request.service)) {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -244,10 +244,13 @@
       { hasEvents, sinceMs: lastEventAtMs },
     );
     const end = await waitForEnd();
+    const isUnanswered = head === undefined;
     if (end.kind === 'takenOver') {
-      return { kind: 'lost', reason: 'silent', isTimeout: true, next: end.next };
+      return { kind: 'lost', reason: 'silent', isTimeout: true, isUnanswered, next: end.next };
+    }
+    if (end.kind === 'gone') {
+      return { kind: 'lost', reason: 'silent', isTimeout: true, isUnanswered };
     }
-    if (end.kind === 'gone') return { kind: 'lost', reason: 'silent', isTimeout: true };
     silenceDeadlineMs = clock.getRunningMs() + (hasEvents ? timeouts.gapMs : firstCheckMs);
     return handleEvent(end);
   }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -9,6 +9,7 @@
 import type { AnswerHead, ForwardOutcome, ForwardRequest, PassedEnd } from '../forwardRequest';
 import type { ForwardingDependencies } from '../dependencies';
 import { NO_ROOM_REASON } from '../answers/gatedTarget';
+import * as LateArrivals from '../answers/lateArrivals';
 import * as Placement from '../answers/placement';
 import type { RunCopy } from './copyMonitor';
 import * as EngineWaits from './engineWaits';
@@ -51,6 +52,7 @@
   /** Sends that reached a target, including ones that it did not accept. */
   deliveries: number;
   readonly excluded: Set<string>;
+  readonly late: LateArrivals.LateSends;
   /** Undefined where it is not decided who gets room. */
   urgency: RequestUrgency | undefined;
   /** Copy of the last run's KV cache. */
@@ -93,6 +95,7 @@
     tries: 0,
     deliveries: 0,
     excluded: new Set(),
+    late: LateArrivals.createLateSends(),
     copy: undefined,
     reserved: undefined,
     lastReason: 'no target is known',
--- a/packages/sequoiarill-plugin-forwarding/src/targets/pathMonitor.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/pathMonitor.ts
@@ -56,6 +56,7 @@
   readonly log: Pick<RateLimitedLog, 'logEvent'>;
   /** Calls the target over a new connection. */
   readonly checkTarget: TargetProbe;
+  readonly onHeard: (target: ForwardingTarget) => void;
   /** The service is reached again: judgements from the time before were of the path. */
   readonly onRegained: (service: string) => void;
 }
@@ -117,12 +118,11 @@
     contacts.recordHeard(target.service, clock.getNowMs());
     tracker.recordHeard(target.service);
     summaries.recordHeard(target);
+    options.onHeard(target);
   }
 
-  const getSummary = (service: string): ContactSummary & ServiceSummary => ({
-    ...contacts.getSummary(service, clock.getNowMs()),
-    ...summaries.getSummary(service),
-  });
+  const getSummary = (service: string): ContactSummary & ServiceSummary =>
+    Object.assign(contacts.getSummary(service, clock.getNowMs()), summaries.getSummary(service));
 
   async function checkTarget(target: ForwardingTarget): Promise<TargetProbeResult> {
     const result = await options.checkTarget(target);
--- a/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/targets/targetConnections.ts
@@ -1,4 +1,6 @@
 /** Pools of connections to targets: one request at a time for each connection, last used first. */
+import type { Socket } from 'node:net';
+
 import * as Kernel from '@sequoiarill/kernel';
 import type { Clock, ForwardingTarget } from '@sequoiarill/types';
 import * as Undici from 'undici';
@@ -105,6 +107,9 @@
       isReset = true;
     };
     let isUsed = false;
+    /** Whether a request was dispatched that has not ended. */
+    let isCarrying = false;
+    let socket: Socket | undefined;
     const overhead = OverheadMeters.createOverheadMeter();
     const client = new Undici.Client(`http://${target.address}`, {
       pipelining: 1,
@@ -114,11 +119,12 @@
       bodyTimeout: 0,
       connect(options, callback) {
         connect(options, (...result) => {
-          const [, socket] = result;
-          if (socket) Kernel.watchReset(socket, recordReset);
+          const [, connected] = result;
+          socket = connected ?? undefined;
+          if (connected) Kernel.watchReset(connected, recordReset);
           callback(...result);
           // After the client's own listener, so that it has parsed what was read.
-          if (socket) overhead.watchSocket(socket);
+          if (connected) overhead.watchSocket(connected);
         });
       },
     });
@@ -129,17 +135,24 @@
       if (!isOpen) return;
       isOpen = false;
       openCount -= 1;
+      // What the operating system has not delivered yet is dropped with the request that is given up.
+      const isOpenSocket = socket?.destroyed === false && !socket.writableEnded;
+      if (isCarrying && isOpenSocket) socket?.resetAndDestroy();
       client.destroy().catch(() => undefined);
     }
 
     const connection: PooledConnection = {
       carried: CarriedCalls.createCarriedCalls(),
-      dispatch: client.dispatch.bind(client),
+      dispatch(...call) {
+        isCarrying = true;
+        return client.dispatch(...call);
+      },
       wasReset: () => isReset,
       wasUsed: () => isUsed,
       overhead,
       release() {
         isUsed = true;
+        isCarrying = false;
         const pool = pools.get(target.id);
         if (!isOpen || isReset || pool === undefined || !isSameTarget(pool.target, target)) close();
         else {
