Count each request once where it goes through another router

A request that its router had counted when it arrived, and sent on later because its path to the targets was lost, was counted by the other router as well, so that the fleet allowed itself repeats that no request had earned.

Change: the router of the caller counts each request, and the other one none. Beside a router of an earlier build a request is counted twice or by nobody.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -152,17 +152,19 @@
   progress.slot = undefined;
 }
 
-/** Undefined where the request may be sent. Another router counts and admits the requests that it is sent. */
+/**
+ * Undefined where the request may be sent. Another router admits the requests that it is sent; the router of the caller
+ * counts them.
+ */
 function admitRequest(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   progress: Progress,
 ): ForwardOutcome | undefined {
-  if (dependencies.relays.isDue(request)) return undefined;
-  const isCounted = request.relayTerms?.target !== undefined;
-  if (!isCounted) {
+  if (request.relayTerms === undefined) {
     dependencies.getBudget(request.service).recordRequest(dependencies.clock.getNowMs());
   }
+  if (dependencies.relays.isDue(request)) return undefined;
   if (dependencies.brittle.isBrittle(request.service)) return undefined;
   const decision = ServiceAdmissions.decideAdmission(dependencies, request);
   if (decision.kind !== 'refuse') return undefined;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -37,8 +37,8 @@
   const budget = dependencies.getBudget(request.service);
   const urgency = StreamUrgency.recordArrival(dependencies, request);
   const progress = StreamPlans.createProgress(request, urgency);
-  // Another router counts the requests that it is sent.
-  if (!dependencies.relays.isDue(request)) budget.recordRequest(clock.getNowMs());
+  // The router of the caller counts the requests that it sends on.
+  if (request.relayTerms === undefined) budget.recordRequest(clock.getNowMs());
   const takeover = Takeovers.createTakeover(dependencies, request, progress, budget);
   for (;;) {
     const plan = await StreamPlans.decidePlan(dependencies, request, progress, budget);
