Keep sums of the retry budget instead of adding them up for each question

The test of fleets that lose routers took over 180 s beside a load and was ended by its time limit: each question for a repeat added up some 600 slots. The counter keeps its total and its latest sum, and the windows that have ended are added up once.

--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -139,6 +139,8 @@
   let settledMs = startedMs + windowMs;
   const held = HeldRetries.createHeldRetries();
   const borrowed = BorrowedQuotas.createBorrowedQuota();
+  /** Of the windows that ended at fixed times, until the next one ends. */
+  let ended: { readonly lastMs: number; readonly fewest: number } | undefined;
   let latestMs = startedMs;
   let taken = 0;
 
@@ -157,14 +159,17 @@
    * windows are hardly any. Windows that end before the first one of this process has passed are not known.
    */
   function countFewestRequests(): number {
-    let fewest = requests.sum(latestMs, windowMs);
-    if (!isSettled()) return fewest;
-    const firstMs = Math.floor((latestMs - windowMs) / comparedMs) * comparedMs;
-    for (let endMs = firstMs; endMs <= latestMs; endMs += comparedMs) {
-      const knownMs = Math.max(endMs, settledMs);
-      if (knownMs <= latestMs) fewest = Math.min(fewest, requests.sumUntil(knownMs, windowMs));
+    const latest = requests.sum(latestMs, windowMs);
+    if (!isSettled()) return latest;
+    const lastMs = Math.floor(latestMs / comparedMs) * comparedMs;
+    if (ended?.lastMs !== lastMs) {
+      const ends = Array.from({ length: COMPARED_WINDOWS + 1 }, (_one, index) =>
+        Math.max(lastMs - index * comparedMs, settledMs),
+      );
+      const counts = ends.map((endMs) => requests.sumUntil(endMs, windowMs));
+      ended = { lastMs, fewest: Math.min(...counts) };
     }
-    return fewest;
+    return Math.min(latest, ended.fewest);
   }
 
   /**
--- a/packages/sequoiarill-decisions/src/slotCounter.ts
+++ b/packages/sequoiarill-decisions/src/slotCounter.ts
@@ -22,33 +22,48 @@
   const length = Math.ceil(keptMs / slotMs) + 1;
   const counts = new Array<number>(length).fill(0);
   let newestSlot = Number.NEGATIVE_INFINITY;
+  let total = 0;
+  /** The latest sum over a window that ends now, until a slot changes. */
+  let latestSum: { readonly windowMs: number; readonly sum: number } | undefined;
 
   const findIndex = (slot: number): number => ((slot % length) + length) % length;
 
+  const getCount = (slot: number): number => counts[findIndex(slot)] ?? 0;
+
+  function addToSlot(slot: number, count: number): void {
+    if (count === 0) return;
+    counts[findIndex(slot)] = getCount(slot) + count;
+    total += count;
+    latestSum = undefined;
+  }
+
   /** Times do not run backwards: an earlier one counts as the latest. */
   function update(nowMs: number): void {
     const slot = Math.floor(nowMs / slotMs);
     const first = Math.max(newestSlot + 1, slot - length + 1);
-    for (let cleared = first; cleared <= slot; cleared += 1) counts[findIndex(cleared)] = 0;
+    for (let cleared = first; cleared <= slot; cleared += 1) addToSlot(cleared, -getCount(cleared));
+    if (slot > newestSlot) latestSum = undefined;
     newestSlot = Math.max(newestSlot, slot);
   }
 
   /** Sum over so many slots, the last of which is `last`. */
   function countSlots(last: number, slots: number): number {
     let sum = 0;
-    for (let slot = last; slot > last - slots; slot -= 1) sum += counts[findIndex(slot)] ?? 0;
+    for (let slot = last; slot > last - slots; slot -= 1) sum += getCount(slot);
     return sum;
   }
 
   return {
     add(nowMs, count) {
       update(nowMs);
-      const index = findIndex(newestSlot);
-      counts[index] = (counts[index] ?? 0) + count;
+      addToSlot(newestSlot, count);
     },
     sum(nowMs, windowMs) {
       update(nowMs);
-      return countSlots(newestSlot, Math.round(windowMs / slotMs));
+      if (latestSum?.windowMs === windowMs) return latestSum.sum;
+      const sum = countSlots(newestSlot, Math.round(windowMs / slotMs));
+      latestSum = { windowMs, sum };
+      return sum;
     },
     sumUntil(endMs, windowMs) {
       const last = Math.floor(endMs / slotMs) - 1;
@@ -57,28 +72,27 @@
     },
     sumAll(nowMs) {
       update(nowMs);
-      return counts.reduce((sum, count) => sum + count, 0);
+      // Fractions are added and taken off again, and may leave a rest.
+      return Math.max(0, total);
     },
     listCounts(nowMs) {
       update(nowMs);
-      return counts.map((_count, age) => counts[findIndex(newestSlot - age)] ?? 0);
+      return counts.map((_count, age) => getCount(newestSlot - age));
     },
     addCounts(added, listedMs) {
       update(listedMs);
       const listedSlot = Math.floor(listedMs / slotMs);
       added.forEach((count, age) => {
         const slot = listedSlot - age;
-        const index = findIndex(slot);
-        if (slot > newestSlot - length) counts[index] = (counts[index] ?? 0) + count;
+        if (slot > newestSlot - length) addToSlot(slot, count);
       });
     },
     removeOldest(nowMs, count) {
       update(nowMs);
       let left = count;
       for (let slot = newestSlot - length + 1; slot <= newestSlot && left > 0; slot += 1) {
-        const index = findIndex(slot);
-        const removed = Math.min(left, counts[index] ?? 0);
-        counts[index] = (counts[index] ?? 0) - removed;
+        const removed = Math.min(left, getCount(slot));
+        addToSlot(slot, -removed);
         left -= removed;
       }
     },
