--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -124,6 +124,26 @@
 /** Time from taking a retry, or borrowing quota, until it reaches its target at the latest; it counts for so much longer. */
 const DELIVERY_MS = 500;
 
+/**
+ * Counts the fewest requests of windows that ended within the last one. They are compared at fixed times, not at each moment:
+ * with few requests, the fewest of very many windows are hardly any. Windows that end before `settledMs` are not known.
+ */
+function createFewestCount(requests: SlotCounters.SlotCounter, windowMs: number) {
+  const comparedMs = windowMs / COMPARED_WINDOWS;
+  let ended: { readonly lastMs: number; readonly fewest: number } | undefined;
+  return (nowMs: number, settledMs: number): number => {
+    const lastMs = Math.floor(nowMs / comparedMs) * comparedMs;
+    if (ended?.lastMs !== lastMs) {
+      const ends = Array.from({ length: COMPARED_WINDOWS + 1 }, (_one, index) =>
+        Math.max(lastMs - index * comparedMs, settledMs),
+      );
+      const counts = ends.map((endMs) => requests.sumUntil(endMs, windowMs));
+      ended = { lastMs, fewest: Math.min(...counts) };
+    }
+    return ended.fewest;
+  };
+}
+
 export function createFleetRetryBudget(options: FleetRetryBudgetOptions): FleetRetryBudget {
   const { ratio, slack, windowMs, countRouters, startedMs } = options;
   const { getFleetTotals, getPredecessor, hasPredecessor, isShareReserved, reportChange } = options;
@@ -132,6 +152,7 @@
   const countedMs = windowMs + DELIVERY_MS;
   const comparedMs = windowMs / COMPARED_WINDOWS;
   const requests = SlotCounters.createSlotCounter(slotMs, 2 * windowMs + comparedMs);
+  const countFewest = createFewestCount(requests, windowMs);
   const retries = SlotCounters.createSlotCounter(slotMs, countedMs);
   /** Retries that were paid with quota of other routers. */
   const paidByOthers = SlotCounters.createSlotCounter(slotMs, countedMs);
@@ -139,8 +160,6 @@
   let settledMs = startedMs + windowMs;
   const held = HeldRetries.createHeldRetries();
   const borrowed = BorrowedQuotas.createBorrowedQuota();
-  /** Of the windows that ended at fixed times, until the next one ends. */
-  let ended: { readonly lastMs: number; readonly fewest: number } | undefined;
   let latestMs = startedMs;
   let taken = 0;
 
@@ -154,22 +173,9 @@
     return isSettled() ? share : FIRST_WINDOW_SHARE * share;
   }
 
-  /**
-   * Windows of the last one are compared at fixed times, not at each moment: with few requests, the fewest of very many
-   * windows are hardly any. Windows that end before the first one of this process has passed are not known.
-   */
   function countFewestRequests(): number {
     const latest = requests.sum(latestMs, windowMs);
-    if (!isSettled()) return latest;
-    const lastMs = Math.floor(latestMs / comparedMs) * comparedMs;
-    if (ended?.lastMs !== lastMs) {
-      const ends = Array.from({ length: COMPARED_WINDOWS + 1 }, (_one, index) =>
-        Math.max(lastMs - index * comparedMs, settledMs),
-      );
-      const counts = ends.map((endMs) => requests.sumUntil(endMs, windowMs));
-      ended = { lastMs, fewest: Math.min(...counts) };
-    }
-    return Math.min(latest, ended.fewest);
+    return isSettled() ? Math.min(latest, countFewest(latestMs, settledMs)) : latest;
   }
 
   /**
