--- a/packages/sequoiarill-kernel/src/clock.ts
+++ b/packages/sequoiarill-kernel/src/clock.ts
@@ -9,12 +9,14 @@
   return performance.now();
 }
 
-export function createSystemClock(): Clock {
+/** `handleTick` is called about every `RunningTimes.RUNNING_TIME_TICK_MS`. */
+export function createSystemClock(handleTick: () => void = () => undefined): Clock {
   const delays = RunningTimes.createDelayRecord(getNowMs(), RunningTimes.runAfterPendingReads);
   const getRunningMs = RunningTimes.createRunningTime(getNowMs);
   setInterval(() => {
     getRunningMs();
     delays.recordTick(getNowMs());
+    handleTick();
   }, RunningTimes.RUNNING_TIME_TICK_MS).unref();
   return {
     getNowMs,
--- a/packages/sequoiarill-kernel/src/kernel.ts
+++ b/packages/sequoiarill-kernel/src/kernel.ts
@@ -18,11 +18,13 @@
 import { ServiceBroker } from 'moleculer';
 
 import * as Clocks from './clock';
+import * as EventLoops from './eventLoop';
 import * as Events from './events';
 import * as Journals from './journal';
 import * as KernelEvents from './kernelEvents';
 import * as MetricsSenders from './metrics';
 import * as MetricsPages from './metricsPage';
+import * as ProcessMonitors from './processMonitor';
 import * as Registry from './registry';
 import * as Settings from './settings';
 import type { SettingsResult } from './settings';
@@ -66,14 +68,16 @@
 
 export function createKernel(options: KernelOptions): Kernel {
   const { settings } = options;
-  const clock = Clocks.createSystemClock();
+  const clock = Clocks.createSystemClock(() => monitor.recordTick());
   const logger = Events.createLogger(settings.process.name, settings.telemetry.logLevel);
   const logEvent = options.logEvent ?? logger.logEvent;
   const { metricsSink, metricsListen } = settings.telemetry;
   const tags = { process: settings.process.name, zone: settings.process.zone };
   const metricsPage =
     metricsListen === undefined ? undefined : MetricsPages.createMetricsPage(tags);
-  const metrics = MetricsSenders.createMetrics(metricsSink, tags, metricsPage);
+  const metricsSender = MetricsSenders.createMetrics(metricsSink, tags, metricsPage);
+  const monitor = ProcessMonitors.createProcessMonitor(logEvent, metricsSender);
+  const { metrics } = monitor;
   const journal = Journals.createJournal(clock);
   const startedMs = clock.getNowMs();
   const runningPlugins: RunningPlugin[] = [];
@@ -175,7 +179,10 @@
       }
       if (!isStarting()) return;
       phase = 'ready';
-      logEvent(KernelEvents.PROCESS_READY, { zone: settings.process.zone });
+      logEvent(KernelEvents.PROCESS_READY, {
+        zone: settings.process.zone,
+        ...EventLoops.computeStartCost(),
+      });
     },
     async drain(limitMs) {
       phase = 'draining';
@@ -191,7 +198,8 @@
       await metricsPage?.close();
       phase = 'stopped';
       logEvent(KernelEvents.PROCESS_STOPPED, {});
-      metrics.close();
+      monitor.stop();
+      metricsSender.close();
       logger.close();
     },
     recordSettings,
--- a/packages/sequoiarill-kernel/src/kernelEvents.ts
+++ b/packages/sequoiarill-kernel/src/kernelEvents.ts
@@ -37,3 +37,21 @@
   'process.drainFailed',
   'A plug-in failed while it drained; the others finish their work.',
 );
+export const TURN_LONG = Events.defineEvent(
+  1006,
+  'warn',
+  'process.turnLong',
+  'One turn of the event loop lasted for more than a second, or the process was paused (then `processorMs` is small); `work` counts what was done since the last such line, by metric.',
+);
+export const LOOP_BUSY = Events.defineEvent(
+  1007,
+  'warn',
+  'process.loopBusy',
+  'The event loop has not waited for anything for some seconds; logged again each time that this has doubled. `work` counts what was done since the last such line, by metric.',
+);
+export const LOOP_IDLE = Events.defineEvent(
+  1008,
+  'info',
+  'process.loopIdle',
+  'The event loop waits for events again.',
+);
--- a/packages/sequoiarill-kernel/src/metrics.ts
+++ b/packages/sequoiarill-kernel/src/metrics.ts
@@ -5,6 +5,8 @@
 import type { Metrics } from '@sequoiarill/types';
 import { StatsD } from 'hot-shots';
 
+export { METRICS } from './loopMetrics';
+
 const PREFIX = 'sequoiarill.';
 /**
  * Metrics are batched for at most this time, which keeps the number of packets low at thousands of
