--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -83,7 +83,10 @@
   readonly getReadDelayMs: () => number;
   /** Wall-clock time, ISO 8601, for display only. */
   readonly getWallTime: () => string;
-  /** Resolves early, without an error, when the signal is aborted. */
+  /**
+   * Resolves early, without an error, when the signal is aborted. Each wait lasts for a millisecond at least, so that a
+   * loop whose waits end early still lets the process read its sockets and fire its timers.
+   */
   readonly waitMs: (ms: number, signal?: AbortSignal) => Promise<void>;
 }
 
