--- a/packages/sequoiarill-plugin-directory/src/__tests__/freshReads.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/freshReads.test.ts
@@ -16,8 +16,8 @@
   readonly readsAtMs: number[];
 }
 
-function startReads(routers = 3) {
-  const clock = Kernel.createFakeClock();
+function startReads(routers = 3, clock = Kernel.createFakeClock()) {
+  let checks = 0;
   const confirmation = Confirmations.createConfirmation({
     getNowMs: clock.getNowMs,
     recordAge: () => undefined,
@@ -26,7 +26,13 @@
   const applied: string[] = [];
   const reads = FreshReads.createFreshReads({
     clock,
-    confirmation,
+    confirmation: {
+      ...confirmation,
+      isConfirmedSince(atMs) {
+        checks += 1;
+        return confirmation.isConfirmedSince(atMs);
+      },
+    },
     prefix: '',
     countRouters: () => routers,
     recordRead: () => undefined,
@@ -51,7 +57,7 @@
     const isVerified = await reads.verifySince(atMs, TIMEOUT_MS);
     return [isVerified, clock.getNowMs() - startedAtMs];
   }
-  return { clock, confirmation, store, applied, verify };
+  return { clock, confirmation, store, applied, verify, countChecks: () => checks };
 }
 
 describe('a question that needs news of the store as young as itself', () => {
@@ -127,4 +133,18 @@
     }
     expect(store.readsAtMs.length).toBeLessThanOrEqual(5);
   });
+
+  it('does not spin where its timer fires before its deadline', async () => {
+    // Guards against a loop without a wait for the rest of the time, in which no answer can be read.
+    const clock = Kernel.createFakeClock();
+    const earlyClock = { ...clock, waitMs: (ms: number) => clock.waitMs(ms - 0.9) };
+    const { confirmation, store, verify, countChecks } = startReads(3, earlyClock);
+    confirmation.recordConfirmed(0);
+    store.isSilent = true;
+    await clock.runFor(500);
+    const asked = verify(clock.getNowMs());
+    await clock.runFor(TIMEOUT_MS);
+    expect((await asked)[0]).toEqual(false);
+    expect(countChecks()).toBeLessThanOrEqual(6);
+  });
 });
--- a/packages/sequoiarill-plugin-directory/src/freshReads.ts
+++ b/packages/sequoiarill-plugin-directory/src/freshReads.ts
@@ -88,9 +88,11 @@
       // Without a complete read there is nothing that changes could be added to.
       if (!Number.isFinite(confirmation.getAgeMs())) return false;
       const deadline = new AbortController();
-      const timedOut = clock.waitMs(timeoutMs, deadline.signal);
-      const deadlineMs = clock.getNowMs() + timeoutMs;
-      while (!confirmation.isConfirmedSince(atMs) && clock.getNowMs() < deadlineMs) {
+      let isTimedOut = false;
+      const timedOut = clock.waitMs(timeoutMs, deadline.signal).then(() => {
+        isTimedOut = true;
+      });
+      while (!confirmation.isConfirmedSince(atMs) && !isTimedOut) {
         await Promise.race([startReading(), timedOut]);
       }
       deadline.abort();
