--- a/packages/sequoiarill-kernel/src/__tests__/waits.test.ts
+++ b/packages/sequoiarill-kernel/src/__tests__/waits.test.ts
@@ -4,6 +4,8 @@
 import { expect } from 'earl';
 
 import * as Clocks from '../clock';
+import * as FakeClocks from '../fakeClock';
+import * as RoundPacers from '../roundPacer';
 
 /** Runs a loop until the event loop has turned so often; returns the number of rounds. */
 async function countRounds(turns: number, runRound: () => Promise<unknown>): Promise<number> {
@@ -74,3 +76,45 @@
     expect(performance.now() - startedMs).toBeLessThan(30_000);
   });
 });
+
+describe('the pacer of a loop', () => {
+  it('lets some rounds follow each other at once', async () => {
+    const clock = FakeClocks.createFakeClock();
+    const pacer = RoundPacers.createRoundPacer(clock);
+    for (let round = 0; round < 8; round += 1) await pacer.waitForRound();
+    expect(clock.getNowMs()).toEqual(0);
+  });
+
+  it('does not hold up rounds that take their time', async () => {
+    const clock = FakeClocks.createFakeClock();
+    const pacer = RoundPacers.createRoundPacer(clock);
+    let rounds = 0;
+    async function runRounds(): Promise<void> {
+      for (; rounds < 1_000; rounds += 1) {
+        await pacer.waitForRound();
+        await clock.waitMs(5);
+      }
+    }
+    const running = runRounds();
+    await clock.runFor(5_000);
+    await running;
+    expect(rounds).toEqual(1_000);
+  });
+
+  // Failure: rounds that take some processor time and wait for nothing go on for ever.
+  it('holds up rounds that follow each other at once', async () => {
+    const clock = FakeClocks.createFakeClock();
+    const pacer = RoundPacers.createRoundPacer(clock);
+    let rounds = 0;
+    async function runRounds(): Promise<void> {
+      while (clock.getNowMs() < 1_000) {
+        await pacer.waitForRound();
+        rounds += 1;
+      }
+    }
+    const running = runRounds();
+    await clock.runFor(1_100);
+    await running;
+    expect(rounds).toBeLessThanOrEqual(1_000 / 5 + 10);
+  });
+});
--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -25,6 +25,7 @@
 export * as Revisions from './revisions';
 export * from './requestGuard';
 export * from './requestTarget';
+export * from './roundPacer';
 export * from './runningTime';
 export * from './settings';
 export * from './unreadRequests';
--- a/packages/sequoiarill-plugin-directory/src/storeFollower.ts
+++ b/packages/sequoiarill-plugin-directory/src/storeFollower.ts
@@ -71,6 +71,10 @@
   return Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** failures) * (0.5 + random / 2);
 }
 
+function buildFields({ getSeenRevision, getAgeMs }: Confirmation) {
+  return { ...splitRevision(getSeenRevision()), confirmedAgeMs: getAgeMs() };
+}
+
 async function waitToRetry(
   { clock, state, nextRandom }: Pick<StoreFollowerOptions, 'clock' | 'state' | 'nextRandom'>,
   failures: number,
@@ -172,12 +176,7 @@
       waitAfterChanges(signal),
     );
     if (reason === undefined) return;
-    logEvent(Events.READER_LEFT, {
-      reader,
-      ...splitRevision(confirmation.getSeenRevision()),
-      confirmedAgeMs: confirmation.getAgeMs(),
-      reason,
-    });
+    logEvent(Events.READER_LEFT, { reader, reason, ...buildFields(confirmation) });
     options.recordReaderFailure(reader);
     // The open connections were idle and may be silent.
     store.renewConnections();
@@ -203,7 +202,9 @@
 
   async function run(signal: AbortSignal): Promise<void> {
     let failures = 0;
+    const pacer = Kernel.createRoundPacer(clock);
     while (!signal.aborted) {
+      await pacer.waitForRound();
       const seenBefore = confirmation.getSeenRevision();
       const pagesBefore = fullRead.countPages();
       const startedMs = clock.getNowMs();
