--- a/packages/sequoiarill-plugin-directory/src/fullRead.ts
+++ b/packages/sequoiarill-plugin-directory/src/fullRead.ts
@@ -28,7 +28,7 @@
 export interface FullReadOptions {
   readonly store: Pick<KeyValueStore, 'readPage'>;
   readonly state: Pick<DirectoryState, 'applyRecords' | 'applySnapshot' | 'applyLimit'>;
-  readonly clock: Pick<Clock, 'getNowMs'>;
+  readonly clock: Pick<Clock, 'getNowMs' | 'waitMs'>;
   readonly prefix: string;
 }
 
@@ -40,6 +40,13 @@
 /** The same for what is received, including the content of entries that is not kept: its pages may go on for ever as well. */
 const MAX_RECEIVED_CHARACTERS = 4 * MAX_READ_CHARACTERS;
 
+/**
+ * Failure: the entries of a large fleet are applied in one turn of the event loop, which takes hundreds of milliseconds of
+ * processor time when a router starts, and more on a small share of a core; no caller or peer is answered meanwhile.
+ */
+const SLICE_RECORDS = 64;
+const SLICE_PAUSE_MS = 1;
+
 function countCharacters(records: readonly Pick<DirectoryRecord, 'key' | 'value'>[]): number {
   return records.reduce((sum, { key, value = '' }) => sum + key.length + value.length, 0);
 }
@@ -59,6 +66,18 @@
   let characters = 0;
   let receivedCharacters = 0;
 
+  /** Lets other work of the process run between two slices. */
+  async function applySlices(pageRecords: readonly DirectoryRecord[]): Promise<void> {
+    for (let start = 0; start < pageRecords.length; start += SLICE_RECORDS) {
+      if (start > 0) await clock.waitMs(SLICE_PAUSE_MS);
+      state.applyRecords(pageRecords.slice(start, start + SLICE_RECORDS));
+    }
+  }
+
+  function isTooLarge(): boolean {
+    return characters > MAX_READ_CHARACTERS || receivedCharacters > MAX_RECEIVED_CHARACTERS;
+  }
+
   function removePages(): void {
     records = [];
     revision = undefined;
@@ -77,7 +96,7 @@
       pageCount += 1;
       characters += countCharacters(pageRecords);
       receivedCharacters += countCharacters(page.entries);
-      if (characters > MAX_READ_CHARACTERS || receivedCharacters > MAX_RECEIVED_CHARACTERS) {
+      if (isTooLarge()) {
         const reason = `the pages have ${receivedCharacters} characters, ${characters} without long entries`;
         removePages();
         return { kind: 'failed', reason };
@@ -89,10 +108,8 @@
       }
       revision ??= page.revision;
       records = [...records, ...pageRecords];
-      if (page.hasMore) {
-        state.applyRecords(pageRecords);
-        return { kind: 'more' };
-      }
+      if (page.hasMore || pageRecords.length > SLICE_RECORDS) await applySlices(pageRecords);
+      if (page.hasMore) return { kind: 'more' };
       // A key that is missing from all pages was removed at the revision of the first page or
       // before.
       const snapshot = { records, revision };
