--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,6 @@
 /**
- * Bundles the platform's router into one file, which starts faster and uses less memory, with an entry point beside it that
- * loads it. Argument: the file of the entry point (default: `target/router.js`); the bundle is `router.bundle.js` then.
+ * Bundles the platform's router into one file, which starts faster and uses less memory.
+ * Argument: the output file (default: `target/router.js`).
  */
 import { readFileSync } from 'node:fs';
 import path from 'node:path';
@@ -38,10 +38,10 @@
 const unusedModules = [
   // Trace exporters, the runner's command line, and hot reloading.
   { library: 'moleculer', modules: /^(node-fetch|args|glob)$/ },
-  // Parsing of multipart uploads, files served from a folder, and HTTP/2.
-  { library: 'moleculer-web', modules: /^(@fastify\/busboy|serve-static|http2)$/ },
-  // Web APIs, mocks, the response cache, and HTTP/2.
-  { library: 'undici', modules: /^\.\/(lib\/(web|mock|cache)\/|client-h2)/ },
+  // Parsing of multipart uploads.
+  { library: 'moleculer-web', modules: /^@fastify\/busboy$/ },
+  // Web APIs, mocks, and the response cache.
+  { library: 'undici', modules: /^\.\/lib\/(web|mock|cache)\// },
   // Readers and writers of histogram log files, and the WebAssembly implementation.
   { library: 'hdr-histogram-js', modules: /^\.\/(HistogramLogReader|HistogramLogWriter|wasm)$/ },
 ];
@@ -62,31 +62,17 @@
   },
 };
 
-const entryFile = process.argv[2] ?? path.join(root, 'target/router.js');
-
-const shared = {
+await Esbuild.build({
+  entryPoints: [path.join(root, 'platform/src/main.ts')],
+  outfile: process.argv[2] ?? path.join(root, 'target/router.js'),
   bundle: true,
   platform: 'node',
   target: 'node20',
+  external: Object.keys(peerDependencies).filter((name) => name !== 'pino'),
+  plugins: [workspaceSources, emptyModules],
   // Identifiers are not minified, so that stack traces stay readable.
   minifyWhitespace: true,
   minifySyntax: true,
+  legalComments: 'external',
   logLevel: 'warning',
-};
-
-await Promise.all([
-  Esbuild.build({
-    ...shared,
-    entryPoints: [path.join(root, 'platform/src/main.ts')],
-    outfile: entryFile.replace(/\.js$/, '.bundle.js'),
-    format: 'cjs',
-    external: Object.keys(peerDependencies).filter((name) => name !== 'pino'),
-    plugins: [workspaceSources, emptyModules],
-    legalComments: 'external',
-  }),
-  Esbuild.build({
-    ...shared,
-    entryPoints: [path.join(root, 'platform/src/start.ts')],
-    outfile: entryFile,
-  }),
-]);
+});
