--- a/packages/sequoiarill-kernel/src/collections.ts
+++ b/packages/sequoiarill-kernel/src/collections.ts
@@ -17,14 +17,14 @@
   readonly takeCounts: () => ReadonlyMap<CollectionKind, CollectionCounts>;
 }
 
+type CollectionEntry = PerformanceEntry & Readonly<{ detail: Readonly<{ kind?: number }> }>;
+
 const KINDS: ReadonlyMap<number, CollectionKind> = new Map([
   [constants.NODE_PERFORMANCE_GC_MINOR, 'minor'],
   [constants.NODE_PERFORMANCE_GC_MAJOR, 'major'],
   [constants.NODE_PERFORMANCE_GC_INCREMENTAL, 'incremental'],
   [constants.NODE_PERFORMANCE_GC_WEAKCB, 'weak'],
 ]);
-type CollectionEntry = PerformanceEntry & Readonly<{ detail: Readonly<{ kind?: number }> }>;
-
 const NONE: CollectionCounts = { count: 0, totalMs: 0, longestMs: 0 };
 
 export function createCollectionRecord(): CollectionRecord {
@@ -52,9 +52,8 @@
     for (const entry of list.getEntries()) {
       // The types of Node.js lack the details of an entry.
       const { duration, detail } = entry as CollectionEntry;
-      const { kind } = detail;
-      const name = KINDS.get(kind ?? 0);
-      if (name !== undefined) record.recordCollection(name, duration);
+      const kind = KINDS.get(detail.kind ?? 0);
+      if (kind !== undefined) record.recordCollection(kind, duration);
     }
   });
   observer.observe({ entryTypes: ['gc'] });
--- a/packages/sequoiarill-kernel/src/fakeClock.ts
+++ b/packages/sequoiarill-kernel/src/fakeClock.ts
@@ -2,6 +2,8 @@
  * A clock with virtual time for tests: waits end in the order of their deadlines when the test
  * advances the clock.
  */
+import { setImmediate as startTurn } from 'node:timers/promises';
+
 import type { Clock, ProcessDelay } from '@sequoiarill/types';
 
 interface Waiter {
@@ -87,3 +89,30 @@
     },
   };
 }
+
+export interface StandingClock {
+  readonly clock: FakeClock;
+  readonly countWaits: () => number;
+  /** Lets the event loop turn so often; no wait ends afterwards, so that loops under test end with it. */
+  readonly runTurns: (turns: number) => Promise<void>;
+}
+
+/** A clock that stands still; each wait ends in the next turn of the event loop, whatever its time or signal. */
+export function createStandingClock(): StandingClock {
+  let waits = 0;
+  let isStopped = false;
+  return {
+    clock: {
+      ...createFakeClock(),
+      async waitMs() {
+        waits += 1;
+        await (isStopped ? Promise.race([]) : startTurn());
+      },
+    },
+    countWaits: () => waits,
+    async runTurns(turns) {
+      for (let turn = 0; turn < turns; turn += 1) await startTurn();
+      isStopped = true;
+    },
+  };
+}
--- a/packages/sequoiarill-plugin-directory/src/__tests__/standingClock.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/standingClock.test.ts
@@ -1,5 +1,4 @@
 import { describe, it } from 'node:test';
-import { setImmediate as startTurn } from 'node:timers/promises';
 
 import * as Kernel from '@sequoiarill/kernel';
 import type { KeyValueStore } from '@sequoiarill/types';
@@ -16,18 +15,11 @@
 /** Bounds a test of a loop that never lets the event loop turn. */
 const MAX_CALLS = 20_000;
 
-/** A follower whose clock stands still, whose waits take a turn of the event loop, and whose calls are answered at once. */
+/** A follower whose clock stands still, and whose calls are answered at once. */
 function startFollower(change: Partial<StoreFollowerOptions>) {
-  let waits = 0;
   let calls = 0;
   const stopping = new AbortController();
-  const clock: Kernel.FakeClock = {
-    ...Kernel.createFakeClock(),
-    async waitMs() {
-      waits += 1;
-      await startTurn();
-    },
-  };
+  const { clock, countWaits, runTurns } = Kernel.createStandingClock();
   function countCall(): void {
     calls += 1;
     if (calls >= MAX_CALLS) stopping.abort();
@@ -65,17 +57,15 @@
     },
     ...change,
   });
-  const running = follower.run(stopping.signal);
-  return { stopping, running, countCall, countCalls: () => calls, countWaits: () => waits };
+  follower.run(stopping.signal).catch(() => stopping.abort());
+  return { stopping, countCall, countCalls: () => calls, countWaits, runTurns };
 }
 
 async function checkPaced(change: (countCall: () => void) => Partial<StoreFollowerOptions>) {
   let countCall: () => void = () => undefined;
   const started = startFollower(change(() => countCall()));
   countCall = started.countCall;
-  for (let turn = 0; turn < TURNS; turn += 1) await startTurn();
-  started.stopping.abort();
-  await started.running;
+  await started.runTurns(TURNS);
   expect(started.countCalls()).toBeLessThanOrEqual(MAX_ROUNDS + 4 * started.countWaits());
 }
 
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/standingClock.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/standingClock.test.ts
@@ -1,5 +1,4 @@
 import { describe, it } from 'node:test';
-import { setImmediate as startTurn } from 'node:timers/promises';
 
 import * as Kernel from '@sequoiarill/kernel';
 import { expect } from 'earl';
@@ -17,24 +16,6 @@
 /** Calls that a loop may make without a wait between them, over all its waits. */
 const MAX_CALLS = 80;
 
-/** A clock that stands still; each wait ends in the next turn of the event loop, and none does after `runTurns`. */
-function createStandingClock() {
-  let waits = 0;
-  let isStopped = false;
-  const clock: Kernel.FakeClock = {
-    ...Kernel.createFakeClock(),
-    async waitMs() {
-      waits += 1;
-      await (isStopped ? Promise.race([]) : startTurn());
-    },
-  };
-  async function runTurns(): Promise<void> {
-    for (let turn = 0; turn < TURNS; turn += 1) await startTurn();
-    isStopped = true;
-  }
-  return { clock, runTurns, countWaits: () => waits };
-}
-
 const REFUSED: Script = [
   [0, Fakes.createHead(503, { 'not-run': '1' })],
   [0, { kind: 'end' }],
@@ -80,7 +61,7 @@
 ];
 
 function createSituation({ script, prepare, isCallerGone = false }: Situation) {
-  const { clock, countWaits, runTurns } = createStandingClock();
+  const { clock, countWaits, runTurns } = Kernel.createStandingClock();
   const fake = Fakes.createFakeDependencies(() => script, clock);
   fake.setTargets(TARGETS);
   prepare?.(fake);
@@ -110,7 +91,7 @@
       it(`a ${kind} with ${situation.name} makes few calls for each wait`, async () => {
         const { fake, request, countWaits, runTurns, countCalls } = createSituation(situation);
         const running = run(fake, request);
-        await runTurns();
+        await runTurns(TURNS);
         expect(countCalls()).toBeLessThanOrEqual(MAX_CALLS + countWaits());
         expect(countWaits()).toBeLessThanOrEqual(20 * TURNS);
         running.catch(() => undefined);
@@ -119,7 +100,7 @@
   }
 
   it('a silent run whose check reads nothing makes few checks for each wait', async () => {
-    const { clock, countWaits, runTurns } = createStandingClock();
+    const { clock, countWaits, runTurns } = Kernel.createStandingClock();
     const fake = Fakes.createFakeDependencies(() => [], clock);
     const [target] = TARGETS;
     if (target === undefined) throw new Error('no target');
@@ -152,7 +133,7 @@
       { hasEvents: false, sinceMs: 0 },
     );
     watch().catch(() => undefined);
-    await runTurns();
+    await runTurns(TURNS);
     expect(reads).toBeLessThanOrEqual(MAX_CALLS + countWaits());
   });
 });
