--- a/packages/sequoiarill-plugin-directory/src/__tests__/fullRead.test.ts
+++ b/packages/sequoiarill-plugin-directory/src/__tests__/fullRead.test.ts
@@ -19,7 +19,7 @@
   }));
 }
 
-/** Reads one page with all entries; `applied` lists how many records were applied at each time. */
+/** Reads one page with all entries; `applied` lists how many targets became known at each time. */
 async function readAll() {
   const clock = Kernel.createFakeClock();
   const applied = new Map<number, number>();
@@ -29,6 +29,13 @@
     logEvent,
     getNowMs: clock.getNowMs,
   });
+  function countAdded(apply: () => void): void {
+    const before = state.listTargets('engines').length;
+    apply();
+    const added = state.listTargets('engines').length - before;
+    const nowMs = clock.getNowMs();
+    applied.set(nowMs, (applied.get(nowMs) ?? 0) + added);
+  }
   const entries = createEntries();
   const fullRead = FullReads.createFullRead({
     clock,
@@ -38,11 +45,9 @@
     },
     state: {
       ...state,
-      applyRecords(records) {
-        const nowMs = clock.getNowMs();
-        applied.set(nowMs, (applied.get(nowMs) ?? 0) + records.length);
-        state.applyRecords(records);
-      },
+      applyRecords: (records) => countAdded(() => state.applyRecords(records)),
+      applySnapshot: (records, revision) =>
+        countAdded(() => state.applySnapshot(records, revision)),
     },
   });
   const reading = fullRead.readNextPage();
