Log how often another router sent a request to targets, and play routers that lose all targets in turn

To tell a lost count of sends apart from late arrivals and refusals, a router now names in its last answer to another router how often it sent the request to a target, and request.relayed logs it. The bench of repeats has a row in which half of the routers, then the other half, lose all targets over links of their own, and names the largest number of targets of one request.

--- a/bench/src/repeats.ts
+++ b/bench/src/repeats.ts
@@ -17,6 +17,7 @@
   readonly targets: string;
   readonly kind: Kind;
   readonly rate: string;
+  readonly maxTargets: string;
   readonly ratio: string;
   readonly slack: string;
   readonly window: string;
@@ -32,6 +33,7 @@
   .option('--targets <number>', 'number of targets', '12')
   .option('--kind <streams|reads>', 'requests to play', 'streams')
   .option('--rate <number>', 'requests per second', '40')
+  .option('--max-targets <number>', 'targets that a request may be sent to', '5')
   .option('--ratio <number>', 'repeats that the rule allows for each request', '0.3')
   .option('--slack <number>', 'repeats that the rule allows in a window besides', '40')
   .option('--window <seconds>', 'length of the window of the rule', '10')
@@ -48,6 +50,7 @@
       targets: Number(args.targets),
       kind: args.kind,
       perSecond: Number(args.rate),
+      maxTargets: Number(args.maxTargets),
       rule: {
         ratio: Number(args.ratio),
         slack: Number(args.slack),
--- a/bench/src/repeats/__tests__/windows.test.ts
+++ b/bench/src/repeats/__tests__/windows.test.ts
@@ -35,6 +35,7 @@
 
   it('go beyond what the route allows by targets and by time', () => {
     const arrivals = ['a', 'b', 'a', 'c'].map((target) => createArrival('r1', 600, target));
+    expect(Windows.countTargets(arrivals)).toEqual([3]);
     expect(Windows.countBeyondTargets(arrivals, 3)).toEqual(0);
     expect(Windows.countBeyondTargets(arrivals, 2)).toEqual(1);
     const sent = [{ id: 'r1', atMs: 0 }];
--- a/bench/src/repeats/callers.ts
+++ b/bench/src/repeats/callers.ts
@@ -11,7 +11,7 @@
 
 export interface PlayOptions extends Omit<
   FleetOptions,
-  'limitMs' | 'maxTargets' | 'hasTargetLinks'
+  'limitMs' | 'hasTargetLinks' | 'hasRouterLinks'
 > {
   readonly perSecond: number;
 }
@@ -24,12 +24,14 @@
   readonly repeats: number;
   /** Largest number of repeats in a window, as a multiple of what the rule allows. */
   readonly worst: number;
+  /** Requests that reached more targets than their route allows. */
   readonly beyondTargets: number;
+  /** Largest number of targets that one request reached. */
+  readonly mostTargets: number;
   readonly beyondTime: number;
 }
 
 const LIMIT_MS = 8_000;
-const MAX_TARGETS = 5;
 const OK = 200;
 const MS_PER_SECOND = 1_000;
 /** Windows before the disturbance: the second one of a process is the first in which it may use its whole share. */
@@ -105,8 +107,8 @@
   const fleet = await Fleets.startFleet({
     ...options,
     limitMs: LIMIT_MS,
-    maxTargets: MAX_TARGETS,
     hasTargetLinks: row.hasTargetLinks === true,
+    hasRouterLinks: row.hasRouterLinks === true,
   });
   try {
     const faults = new AbortController();
@@ -135,7 +137,8 @@
       arrivals: arrivals.length,
       repeats: repeats.length,
       worst: Outputs.computeRounded(Windows.computeWorstWindow(sentMs, repeats, rule), 3),
-      beyondTargets: Windows.countBeyondTargets(arrivals, MAX_TARGETS),
+      beyondTargets: Windows.countBeyondTargets(arrivals, options.maxTargets),
+      mostTargets: Math.max(0, ...Windows.countTargets(arrivals)),
       beyondTime: Windows.countBeyondTime(arrivals, sent, LIMIT_MS),
     };
   } finally {
--- a/bench/src/repeats/fleet.ts
+++ b/bench/src/repeats/fleet.ts
@@ -19,6 +19,8 @@
   readonly maxTargets: number;
   /** Whether routers reach targets through links; each connection through one costs processor time here. */
   readonly hasTargetLinks: boolean;
+  /** Whether each router reaches targets through links of its own instead. */
+  readonly hasRouterLinks: boolean;
 }
 
 export interface ManagedRouter {
@@ -34,6 +36,8 @@
   readonly targets: readonly TargetStandin[];
   /** To each target, of all routers; empty unless the options ask for them. */
   readonly targetLinks: readonly LinkStandin[];
+  /** To each target, by router; empty unless the options ask for them. */
+  readonly routerLinks: readonly (readonly LinkStandin[])[];
   /** From the others to each router. */
   readonly peerLinks: readonly LinkStandin[];
   /** From each router to the store. */
@@ -119,7 +123,7 @@
       startedAtUnixMs: 1,
     } as const;
     store.writeValue(Standins.formatTargetKey(target.id), Standins.formatTargetEntry(entry));
-    started.push({ target, links: linked === undefined ? [] : [linked.link] });
+    started.push({ target, address, links: linked === undefined ? [] : [linked.link] });
   }
   return started;
 }
@@ -168,10 +172,25 @@
   return { router, link };
 }
 
-/** A view in which all routers have the addresses of their links. */
-async function startPeerView(store: StoreStandin, routers: number) {
+/** For each router, links of its own to the targets with these addresses. */
+async function startRouterLinks(
+  { routers, hasRouterLinks }: FleetOptions,
+  targets: readonly string[],
+) {
+  const linked = hasRouterLinks ? targets : [];
+  return Promise.all(
+    Array.from({ length: routers }, () =>
+      Promise.all(linked.map(async (target) => ({ target, ...(await startLink(target)) }))),
+    ),
+  );
+}
+
+type RouterLinks = Awaited<ReturnType<typeof startRouterLinks>>[number];
+
+/** Views in which all routers have the addresses of their links, and each router its own links to targets. */
+async function startViews(store: StoreStandin, routerLinks: readonly RouterLinks[]) {
   const links = new Map<string, Awaited<ReturnType<typeof startLink>>>();
-  for (let index = 0; index < routers; index += 1) {
+  for (let index = 0; index < routerLinks.length; index += 1) {
     const key = `${ROUTER_PREFIX}router-${index}`;
     const findAddress = (): string => {
       const text = store.getValue(key) ?? `{"address":"${NO_ADDRESS}"}`;
@@ -179,13 +198,22 @@
     };
     links.set(key, await startLink(findAddress));
   }
-  const address = await store.startView((key, value) => {
-    const linked = links.get(key)?.address;
-    return linked === undefined
-      ? value
-      : JSON.stringify({ ...(JSON.parse(value) as object), address: linked });
-  });
-  return { address, peerLinks: [...links.values()].map(({ link }) => link) };
+  const addresses = routerLinks.map((targetLinks) =>
+    store.startView((key, value) => {
+      const peer = links.get(key)?.address;
+      if (peer !== undefined) {
+        return JSON.stringify({ ...(JSON.parse(value) as object), address: peer });
+      }
+      return targetLinks.reduce(
+        (changed, { target, address }) => changed.replaceAll(`"${target}"`, `"${address}"`),
+        value,
+      );
+    }),
+  );
+  return {
+    addresses: await Promise.all(addresses),
+    peerLinks: [...links.values()].map(({ link }) => link),
+  };
 }
 
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
@@ -193,18 +221,22 @@
   await store.start();
   store.writeValue(Standins.CONFIGURATION_KEY, formatConfiguration(options));
   const targets = await startTargets(store, options);
-  const { address, peerLinks } = await startPeerView(store, options.routers);
+  const ownLinks = await startRouterLinks(
+    options,
+    targets.map(({ address }) => address),
+  );
+  const { addresses, peerLinks } = await startViews(store, ownLinks);
   const routers = await Promise.all(
-    Array.from({ length: options.routers }, (_one, index) =>
-      startRouter(index, store, address, options),
-    ),
+    addresses.map((address, index) => startRouter(index, store, address, options)),
   );
   const storeLinks = routers.map(({ link }) => link);
   const targetLinks = targets.flatMap(({ links }) => links);
+  const routerLinks = ownLinks.map((links) => links.map(({ link }) => link));
   return {
     routers: routers.map(({ router }) => router),
     targets: targets.map(({ target }) => target),
     targetLinks,
+    routerLinks,
     peerLinks,
     storeLinks,
     listArrivals: () =>
@@ -213,7 +245,8 @@
       ),
     async stop() {
       await Promise.all(routers.map(({ router }) => router.stop()));
-      await Promise.all([...storeLinks, ...targetLinks, ...peerLinks].map((link) => link.stop()));
+      const links = [...storeLinks, ...targetLinks, ...routerLinks.flat(), ...peerLinks];
+      await Promise.all(links.map((link) => link.stop()));
       await Promise.all(targets.map(({ target }) => target.stop()));
       await store.stop();
     },
--- a/bench/src/repeats/rows.ts
+++ b/bench/src/repeats/rows.ts
@@ -7,6 +7,7 @@
   readonly name: string;
   readonly disturb: (fleet: Fleet) => Promise<void>;
   readonly hasTargetLinks?: boolean;
+  readonly hasRouterLinks?: boolean;
 }
 
 const KILL_INTERVAL_MS = 4_000;
@@ -109,6 +110,17 @@
     hasTargetLinks: true,
     disturb: createHold(({ targetLinks }) => targetLinks.filter((_one, index) => index % 2), 9_000),
   },
+  {
+    name: 'half of the routers lose all targets, in turn',
+    hasRouterLinks: true,
+    disturb: ({ routerLinks }) =>
+      runRepeatedly(2, 6_500, async (time) => {
+        const links = routerLinks.filter((_one, index) => index % 2 === time % 2).flat();
+        links.forEach((link) => link.stall());
+        await waitMs(6_000);
+        links.forEach((link) => link.heal());
+      }),
+  },
   {
     name: 'targets read nothing twice',
     disturb: ({ targets }) =>
--- a/bench/src/repeats/windows.ts
+++ b/bench/src/repeats/windows.ts
@@ -75,14 +75,19 @@
   return worst;
 }
 
-/** Requests that reached more targets than their route allows. */
-export function countBeyondTargets(arrivals: readonly Arrival[], maxTargets: number): number {
+/** Number of targets that each request reached. */
+export function countTargets(arrivals: readonly Arrival[]): readonly number[] {
   const targets = new Map<string, Set<string>>();
   for (const { requestId, target } of arrivals) {
     const reached = targets.get(requestId) ?? new Set();
     targets.set(requestId, reached.add(target));
   }
-  return [...targets.values()].filter(({ size }) => size > maxTargets).length;
+  return [...targets.values()].map(({ size }) => size);
+}
+
+/** Requests that reached more targets than their route allows. */
+export function countBeyondTargets(arrivals: readonly Arrival[], maxTargets: number): number {
+  return countTargets(arrivals).filter((count) => count > maxTargets).length;
 }
 
 /** Sends that allow their target more than half a second longer than their caller waits. */
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -190,7 +190,7 @@
   1935,
   'info',
   'request.relayed',
-  'A request was sent through another router, whose lines about the same request tell the rest. `outcome` says what came of it.',
+  'A request was sent through another router, whose lines about the same request tell the rest. `outcome` says what came of it, `sends` how often that router sent it to a target, where it said so.',
 );
 export const SURVEY_FAILED = Kernel.defineEvent(
   1936,
--- a/packages/sequoiarill-plugin-forwarding/src/front/openExchanges.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/openExchanges.ts
@@ -130,12 +130,10 @@
   return calls.mayHaveRun() ? BAD_GATEWAY : UNAVAILABLE;
 }
 
-function sendStatus(
-  dependencies: ExchangeDependencies,
-  { response, headers, relayTerms }: Entry,
-  status: number,
-): void {
+function sendStatus(dependencies: ExchangeDependencies, entry: Entry, status: number): void {
+  const { response, headers, relayTerms } = entry;
   const isRefused = status === UNAVAILABLE;
+  Replies.addSends(response, entry);
   if (isRefused && relayTerms !== undefined) {
     response.setHeader(RelayHeaders.RELAY_HEADERS.refused, 'draining' satisfies RelayRefusalCause);
   }
--- a/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/replies.ts
@@ -191,6 +191,15 @@
   });
 }
 
+/** Tells another router how often the request was sent to a target here, before an answer that nothing follows. */
+export function addSends(
+  response: ServerResponse,
+  { relayTerms, calls }: Partial<Pick<ForwardRequest, 'relayTerms' | 'calls'>>,
+): void {
+  if (relayTerms === undefined || calls === undefined) return;
+  response.setHeader(...RelayHeaders.encodeSends(calls.countSends()));
+}
+
 export function sendOutcome(
   dependencies: ExchangeDependencies,
   request: ForwardRequest,
@@ -199,6 +208,7 @@
 ): void {
   RequestEnds.recordRequestEnd(dependencies, request, outcome.kind);
   if (outcome.kind === 'callerLeft' || isEnded(response)) return;
+  addSends(response, request);
   if (outcome.kind === 'answer') {
     const { head, body } = outcome;
     if (request.relayTerms !== undefined) addRelayHeaders(response, head);
--- a/packages/sequoiarill-plugin-forwarding/src/front/requestCalls.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestCalls.ts
@@ -21,6 +21,8 @@
   readonly open: (terms: CallTerms, openCall: (recordHead: RecordHead) => TargetCall) => TargetCall;
   /** Whether the request was sent to a target or router that has not said that it did not run it. */
   readonly mayHaveRun: () => boolean;
+  /** Number of times that it was sent to a target. */
+  readonly countSends: () => number;
   /** Where it may have run, or was sent last; undefined before the first send. */
   readonly findPlace: () => CallPlace | undefined;
   /** Records that events of its stream were passed on. */
@@ -83,6 +85,8 @@
       };
     },
     mayHaveRun: () => findRun() !== undefined,
+    countSends: () =>
+      calls.filter(({ place, call }) => place.stage === 'target' && call.wasSent()).length,
     findPlace: () => (findRun() ?? calls.at(-1))?.place,
     recordEvents(count, nowMs) {
       events += count;
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
@@ -11,25 +11,32 @@
 import type { RelayRefusalCause, RelayTerms } from './relayHeaders';
 import type { RelayCall, RelayCallOptions, RelayRouter } from './relays';
 
+interface RouterSends {
+  /** How often the other router has sent the request to a target; undefined where it did not say. */
+  readonly sends?: number;
+}
+
 export type RelayRefusal = Readonly<{
   kind: 'refused';
   cause: RelayRefusalCause;
   retryAfterSeconds: number | undefined;
-}>;
+}> &
+  RouterSends;
 
-interface RouterContact {
+interface RouterContact extends RouterSends {
   /** Whether the other router was heard, although no complete answer came through it. */
   readonly isRouterHeard?: boolean;
 }
 
 /** `notRun` does not occur: another router says so by a refusal. */
 export type RelayOutcome =
-  | Exclude<SendOutcome, { kind: 'notRun' | 'lost' }>
+  | Exclude<SendOutcome, { kind: 'notRun' | 'lost' | 'whole' }>
+  | (Extract<SendOutcome, { kind: 'whole' }> & RouterSends)
   | (Extract<SendOutcome, { kind: 'lost' }> & RouterContact)
   | RelayRefusal;
 
 export type HeadResult =
-  | Readonly<{ kind: 'answer'; head: AnswerHead; build?: TargetBuild }>
+  | Readonly<{ kind: 'answer'; head: AnswerHead; build?: TargetBuild; sends?: number }>
   | Exclude<RelayOutcome, { kind: 'whole' }>;
 
 /** Routers asked one after another for one request; after these its caller is told to come back. */
@@ -58,8 +65,8 @@
   if (event.kind !== 'head') return decideFailure(dependencies, request, call, event);
   const relayed = RelayHeaders.decodeHead(event.head, request.id, dependencies.wire.headers);
   if (relayed.kind === 'invalid') {
-    const { reason, isTimeout, isRouter } = relayed;
-    return { kind: 'lost', reason, isTimeout, isRouterHeard: isRouter };
+    const { isRouter, ...rest } = relayed;
+    return { ...rest, kind: 'lost', isRouterHeard: isRouter };
   }
   if (relayed.kind === 'refused') return relayed;
   const { version, ...answer } = relayed;
@@ -114,8 +121,10 @@
   try {
     const result = await readHead(dependencies, request, router, call);
     if (result.kind !== 'answer') return result;
-    const source = { call, head: result.head, readNext: call.readNext };
-    return addRouterContact(await PassedAnswers.readAnswer(dependencies, request, source));
+    const { head, sends } = result;
+    const source = { call, head, readNext: call.readNext };
+    const outcome = await PassedAnswers.readAnswer(dependencies, request, source);
+    return addRouterContact(sends === undefined ? outcome : { ...outcome, sends });
   } finally {
     request.closed.removeEventListener('abort', call.cancel);
     // The body of a refusal, or of an answer that is not used, may have no end.
@@ -130,7 +139,7 @@
   router: RelayRouter,
   outcome: Readonly<{ kind: string; cause?: RelayRefusalCause; reason?: string }> & RouterContact,
 ): void {
-  const { kind, cause, reason, isRouterHeard = false } = outcome;
+  const { kind, cause, reason, sends, isRouterHeard = false } = outcome;
   const isUnanswered = kind === 'notSent' || (kind === 'lost' && !isRouterHeard);
   if (cause !== undefined) relays.recordRefusal(router, cause);
   else if (isUnanswered) relays.recordRefusal(router, 'unanswered');
@@ -142,6 +151,7 @@
     zone: router.zone,
     outcome: cause ?? kind,
     reason,
+    sends,
     afterMs: Math.round(clock.getNowMs() - request.arrivedAtMs),
   });
 }
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
@@ -34,6 +34,8 @@
   targetVersion: 'sequoiarill-relay-target-version',
   /** Answer: a `RelayRefusalCause`. */
   refused: 'sequoiarill-relay-refused',
+  /** Answer: how often the router has sent the request to a target. */
+  sends: 'sequoiarill-relay-sends',
   /** Answer: `close` where the target's answer ended with its connection. */
   framing: 'sequoiarill-relay-framing',
 } as const;
@@ -145,6 +147,11 @@
   }
 }
 
+/** Header of an answer that nothing follows, by which the router of the caller counts the targets reached. */
+export function encodeSends(sends: number): RawHeader {
+  return [RELAY_HEADERS.sends, String(sends)];
+}
+
 /** Headers that another router adds to the answer. */
 export function encodeFraming(
   head: AnswerHead,
@@ -156,6 +163,7 @@
   ];
 }
 
+/** `sends`: how often the other router has sent the request to a target; undefined where it does not say. */
 export type RelayedHead =
   /** `head` as the target sent it. */
   | {
@@ -163,11 +171,13 @@
       readonly head: AnswerHead;
       readonly version: number;
       readonly build?: TargetBuild;
+      readonly sends?: number;
     }
   | {
       readonly kind: 'refused';
       readonly cause: RelayRefusalCause;
       readonly retryAfterSeconds: number | undefined;
+      readonly sends?: number;
     }
   /** Not an answer of another router, or one that leaves open whether the request has run. */
   | {
@@ -176,6 +186,7 @@
       readonly isTimeout: boolean;
       /** Whether a router has sent the head. */
       readonly isRouter: boolean;
+      readonly sends?: number;
     };
 
 const GATEWAY_TIMEOUT = 504;
@@ -195,26 +206,33 @@
       isRouter: false,
     };
   }
+  const sends = findSends(head);
   const cause = CAUSES.find((one) => one === Checks.getHeader(head, RELAY_HEADERS.refused));
   if (cause !== undefined) {
     const seconds = Number(Checks.getHeader(head, 'retry-after'));
-    return { kind: 'refused', cause, retryAfterSeconds: seconds > 0 ? seconds : undefined };
+    const retryAfterSeconds = seconds > 0 ? seconds : undefined;
+    return { kind: 'refused', cause, retryAfterSeconds, ...sends };
   }
   const isSigned = Checks.getHeader(head, names.signature) !== undefined;
   const isUnknown = head.status === BAD_GATEWAY || head.status === GATEWAY_TIMEOUT;
   if (!isSigned && (isUnknown || Checks.isSuccess(head.status))) {
     const reason = `status ${head.status} of a router`;
     const isTimeout = head.status === GATEWAY_TIMEOUT;
-    return { kind: 'invalid', reason, isTimeout, isRouter: true };
+    return { kind: 'invalid', reason, isTimeout, isRouter: true, ...sends };
   }
   const build = decodeBuild(
     Checks.getHeader(head, RELAY_HEADERS.models),
     Checks.getHeader(head, RELAY_HEADERS.targetVersion),
   );
-  const answer = { kind: 'answer', head: buildTargetHead(head), version } as const;
+  const answer = { kind: 'answer', head: buildTargetHead(head), version, ...sends } as const;
   return build === undefined ? answer : { ...answer, build };
 }
 
+function findSends(head: AnswerHead): { readonly sends?: number } {
+  const sends = parseCount(Checks.getHeader(head, RELAY_HEADERS.sends));
+  return sends === undefined ? {} : { sends };
+}
+
 /** The head without the headers between routers, and framed like the target's answer. */
 function buildTargetHead(head: AnswerHead): AnswerHead {
   const isCloseDelimited = Checks.getHeader(head, RELAY_HEADERS.framing) === CLOSE_FRAMING;
