Count every target that a request has reached through other routers

Callers' reads and streams ran at up to five targets, and took up to seven sends, where their routes allow three, while a router reached its targets through others only.

Cause: the router of the caller booked one send for a hop that was lost, and none for one that was refused, whatever the other router had sent; each of up to four routers that were asked one after another was told nearly the same allowance.

Change: a hop that is lost without a word counts as all that it was allowed; one that answers counts as what it names in sequoiarill-relay-sends. A hop is allowed half of what is left, so that a router that is lost does not use up all of it, and a server error from the only target of a hop may be repeated as one of the router's own sends is. A hop whose targets have rejected the request uses up its repeat, so that the next send takes another one. As the allowance no longer tells whether a stream has run, sequoiarill-relay-has-run does; it is read from the allowance of routers of earlier builds.

--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
@@ -48,6 +48,24 @@
   return tried < MAX_ROUTERS && unanswered < MAX_UNANSWERED;
 }
 
+/**
+ * Number of targets that the next hop may send to. All that it is allowed counts as sent if it is lost, so it gets half of
+ * what is left, and others can follow.
+ */
+export function computeAllowance({ route }: ForwardRequest, sends: number): number {
+  const left = route.maxTargets - sends;
+  return route.retryPolicy === 'once' ? left : Math.ceil(left / 2);
+}
+
+/** Sends of a hop that count against the request: those that the other router names, or all that it was allowed. */
+export function countSpent(
+  { kind, sends }: Readonly<{ kind: string }> & RouterSends,
+  allowance: number,
+): number {
+  if (kind === 'notSent' || kind === 'callerLeft') return 0;
+  return sends ?? (kind === 'refused' ? 0 : allowance);
+}
+
 /** Whether the next router may be asked: nothing ran, and the cause is this router's own. */
 export function isNextRouterDue(outcome: RelayOutcome | PassedOutcome): boolean {
   if (outcome.kind === 'notSent') return true;
@@ -113,7 +131,7 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   router: RelayRouter,
-  options: Pick<RelayCallOptions, 'targetsLeft' | 'target' | 'mayLeave'>,
+  options: Pick<RelayCallOptions, 'targetsLeft' | 'hasRun' | 'target' | 'mayLeave'>,
 ): Promise<RelayOutcome | PassedOutcome> {
   const call = dependencies.relays.openCall(request, router, options);
   // The other router decides, as for its own callers, whether the request still runs to its end.
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayHeaders.ts
@@ -24,6 +24,8 @@
   version: 'sequoiarill-relay-version',
   /** Request: number of targets that it may still be sent to. */
   targetsLeft: 'sequoiarill-relay-targets-left',
+  /** Request: 1 if a target may have run it, 0 otherwise. */
+  hasRun: 'sequoiarill-relay-has-run',
   /** Request: the incarnation of the only target that it may be sent to, percent-encoded. */
   target: 'sequoiarill-relay-target',
   /** Request: incarnations of targets that are about to stop, `ID@START` with ids percent-encoded, joined by commas. */
@@ -56,6 +58,8 @@
 export interface RelayTerms {
   readonly version: number;
   readonly targetsLeft: number;
+  /** Whether a target may have run it; undefined where a router of an earlier build does not say. */
+  readonly hasRun?: boolean;
   /** Build that must go on with a stream; undefined where none has begun, or none is known. */
   readonly build?: TargetBuild;
   /** The only target that the request may be sent to; undefined for any. */
@@ -68,6 +72,9 @@
   return [
     [RELAY_HEADERS.version, String(terms.version)],
     [RELAY_HEADERS.targetsLeft, String(terms.targetsLeft)],
+    ...(terms.hasRun === undefined
+      ? []
+      : [[RELAY_HEADERS.hasRun, String(Number(terms.hasRun))] as const]),
     ...encodeBuild(terms.build),
     ...encodeText(RELAY_HEADERS.target, terms.target),
     ...encodeLeaving(terms.leaving ?? []),
@@ -118,6 +125,7 @@
 export function decodeTerms(headers: readonly RawHeader[]): RelayTerms | undefined {
   const version = parseCount(Headers.findSingleValue(headers, RELAY_HEADERS.version));
   const targetsLeft = parseCount(Headers.findSingleValue(headers, RELAY_HEADERS.targetsLeft));
+  const runs = parseCount(Headers.findSingleValue(headers, RELAY_HEADERS.hasRun));
   const build = decodeBuild(
     Headers.findSingleValue(headers, RELAY_HEADERS.models),
     Headers.findSingleValue(headers, RELAY_HEADERS.targetVersion),
@@ -128,6 +136,7 @@
   return {
     version,
     targetsLeft,
+    ...(runs === undefined ? {} : { hasRun: runs > 0 }),
     ...(build === undefined ? {} : { build }),
     ...(target === undefined ? {} : { target }),
     ...(leaving.length === 0 ? {} : { leaving }),
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -31,6 +31,8 @@
 
 export interface RelayCallOptions {
   readonly targetsLeft: number;
+  /** Whether a target may have run it. */
+  readonly hasRun: boolean;
   /** Last event that the caller received of a stream. */
   readonly lastEventId?: string | undefined;
   /** Build that must go on with the stream. */
@@ -139,13 +141,14 @@
   function createHeaders(
     request: ForwardRequest,
     { address }: RelayRouter,
-    { targetsLeft, lastEventId = request.lastEventId, build, target }: RelayCallOptions,
+    { targetsLeft, hasRun, lastEventId = request.lastEventId, build, target }: RelayCallOptions,
   ): readonly RawHeader[] {
     const names = wire.headers;
     const leftMs = request.expiresAtMs - clock.getNowMs() - HOP_MARGIN_MS;
     const terms = {
       version: getVersion(),
       targetsLeft,
+      hasRun,
       ...(build === undefined ? {} : { build }),
       ...(target === undefined ? {} : { target }),
       leaving: directory.listTargets(request.service).filter(({ state }) => state === 'draining'),
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -21,8 +21,20 @@
 export type RelayedStreamOutcome =
   | RelayOutcome
   | { readonly kind: 'complete'; readonly head: AnswerHead }
-  /** No router took the request: nothing ran on the way. */
-  | { readonly kind: 'untaken' };
+  /** No router took the request: nothing was sent to targets on the way. */
+  | { readonly kind: 'untaken' }
+  /** Targets that another router asked have rejected it, and it may be sent once more. */
+  | { readonly kind: 'rejected' };
+
+type HopOutcome = Exclude<RelayedStreamOutcome, { kind: 'untaken' | 'rejected' }>;
+
+interface Hop {
+  readonly router: RelayRouter;
+  /** Targets that the router may send to. */
+  readonly allowance: number;
+  /** Addresses of the routers that were asked, with this one. */
+  readonly tried: ReadonlySet<string>;
+}
 
 const STATUS_OK = 200;
 /** Short beside the gaps after which a caller leaves a stream. */
@@ -41,15 +53,20 @@
     const router = relays.chooseRouter(tried);
     if (router === undefined) break;
     tried.add(router.address);
-    const outcome = yield* relayThroughRouter(dependencies, request, router, { progress, tried });
+    const allowance = RelayAttempts.computeAllowance(request, progress.runs);
+    const hop = { router, allowance, tried };
+    const outcome = yield* relayThroughRouter(dependencies, request, progress, hop);
+    recordSpent(progress, outcome, allowance);
     RelayAttempts.recordOutcome(dependencies, request, router, outcome);
+    const untaken = { kind: hasRejected(outcome) ? 'rejected' : 'untaken' } as const;
     if (
       outcome.kind === 'refused' &&
       (await isAskedAgain(dependencies, request, progress, outcome))
     ) {
-      return { kind: 'untaken' };
+      return untaken;
     }
     if (outcome.kind === 'complete' || !RelayAttempts.isNextRouterDue(outcome)) return outcome;
+    if (untaken.kind === 'rejected') return untaken;
     if (outcome.kind === 'notSent') unanswered += 1;
   }
   relays.recordUntaken(request.service);
@@ -76,15 +93,19 @@
 async function* relayThroughRouter(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
-  router: RelayRouter,
-  { progress, tried }: Readonly<{ progress: Progress; tried: ReadonlySet<string> }>,
-): AsyncGenerator<StreamPiece, Exclude<RelayedStreamOutcome, { kind: 'untaken' }>, void> {
-  const { lastEventId, build, runs } = progress;
+  progress: Progress,
+  { router, allowance, tried }: Hop,
+): AsyncGenerator<StreamPiece, HopOutcome, void> {
+  const { lastEventId, build } = progress;
   const call = dependencies.relays.openCall(request, router, {
-    targetsLeft: Math.max(1, request.route.maxTargets - runs),
+    targetsLeft: allowance,
+    hasRun: StreamUrgency.isBegun(request, progress),
     lastEventId,
     build,
-    mayLeave: () => isNextPossible(dependencies, request, progress, tried),
+    mayLeave: () => {
+      const next = { ...progress, runs: progress.runs + allowance };
+      return isNextPossible(dependencies, request, next, tried);
+    },
   });
   request.closed.addEventListener('abort', call.cancel, { once: true });
   try {
@@ -93,7 +114,8 @@
     if (result.head.status !== STATUS_OK) {
       const { head } = result;
       const answer = await Sending.readFullAnswer(call, head, call.readNext, request.held);
-      return RelayAttempts.addRouterContact(answer);
+      const { sends } = result;
+      return RelayAttempts.addRouterContact(sends === undefined ? answer : { ...answer, sends });
     }
     const answered = { version: '', models: '', ...result.build };
     if (build !== undefined && !Decisions.isSameBuild(answered, build)) {
@@ -119,7 +141,7 @@
   progress: Progress,
   tried: ReadonlySet<string>,
 ): boolean {
-  if (!StreamPlans.hasTriesLeft(request, { ...progress, runs: progress.runs + 1 })) return false;
+  if (!StreamPlans.hasTriesLeft(request, progress)) return false;
   const budget = getBudget(request.service);
   return (
     budget.getBalance(clock.getNowMs()) >= 1 &&
@@ -133,7 +155,7 @@
   call: RelayCall,
   { head, build }: Readonly<{ head: AnswerHead; build: TargetBuild }>,
   progress: Progress,
-): AsyncGenerator<StreamPiece, Exclude<RelayedStreamOutcome, { kind: 'untaken' }>, void> {
+): AsyncGenerator<StreamPiece, HopOutcome, void> {
   const splitter = EventBlocks.createEventBlockSplitter();
   for (;;) {
     const event = await call.readNext();
@@ -175,15 +197,38 @@
   if (outcome.kind === 'callerLeft') return outcome;
   if (outcome.kind === 'untaken' || outcome.kind === 'notSent') return undefined;
   if (outcome.kind === 'refused') return decideRefused(progress, outcome);
+  if (outcome.kind === 'rejected') {
+    return decideNext(request, progress, 'targets of another router reject it');
+  }
   if (outcome.kind === 'whole' && !progress.hasEvents) return { ...outcome, kind: 'answer' };
-  progress.runs += 1;
-  progress.deliveries += 1;
-  progress.copy = undefined;
   if (outcome.kind === 'expired') return StreamEnds.decideEnd(progress, 'time is up', true);
-  progress.lastReason = Sending.formatReason(outcome);
+  return decideNext(request, progress, Sending.formatReason(outcome));
+}
+
+/** Undefined where it may be sent once more. */
+function decideNext(
+  request: ForwardRequest,
+  progress: Progress,
+  reason: string,
+): StreamOutcome | undefined {
+  progress.lastReason = reason;
   return StreamPlans.hasTriesLeft(request, progress)
     ? undefined
-    : StreamEnds.decideEnd(progress, progress.lastReason, false);
+    : StreamEnds.decideEnd(progress, reason, false);
+}
+
+function hasRejected(outcome: HopOutcome): boolean {
+  return outcome.kind === 'refused' && (outcome.sends ?? 0) > 0;
+}
+
+/** Targets may have run the request that another router has lost. */
+function recordSpent(progress: Progress, outcome: HopOutcome, allowance: number): void {
+  const spent = RelayAttempts.countSpent(outcome, allowance);
+  if (spent === 0) return;
+  progress.deliveries += 1;
+  if (outcome.kind === 'refused') return;
+  progress.runs += spent;
+  progress.copy = undefined;
 }
 
 function decideRefused(progress: Progress, { retryAfterSeconds }: RelayRefusal): StreamOutcome {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -47,7 +47,7 @@
   build: TargetBuild | undefined;
   /** Whether the caller's answer has framing (a length or chunks); undefined before its head. */
   isFramed: boolean | undefined;
-  /** Attempts in which a target may have begun to run the request. */
+  /** Attempts in which a target may have begun to run the request, here and in lost hops. */
   runs: number;
   tries: number;
   /** Sends that reached a target, including ones that it did not accept. */
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamUrgency.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamUrgency.ts
@@ -16,12 +16,13 @@
   readonly hasRunElsewhere: boolean;
 }
 
-/** The sending router allows fewer targets than the route once it has used some. */
+/** A router of an earlier build does not say, and allows fewer targets than the route once it has used some. */
 function hasRunElsewhere(
   { directory }: ForwardingDependencies,
   { route, relayTerms }: ForwardRequest,
 ): boolean {
   if (relayTerms === undefined) return false;
+  if (relayTerms.hasRun !== undefined) return relayTerms.hasRun;
   const routes = directory.getConfiguration()?.routes ?? [];
   const { maxTargets = 0 } = routes.find(({ name }) => name === route.name) ?? {};
   return relayTerms.targetsLeft < maxTargets;
