Leave repeats to lost requests where targets reject

A request that was rejected is repeated only while more than a fifth of the router's budget is left, and refused at once otherwise, with the time after which to come back. rejectedRepeats: 300 rejected requests left a balance of 0.25 before, and the lost request after them was refused; it is answered now.

--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -79,9 +79,8 @@
   if (lastFailure !== undefined) {
     return { kind: 'answer', head: lastFailure.head, body: lastFailure.body };
   }
-  const isRetrySafe = request.route.retryPolicy !== 'once' || !mayHaveRun;
-  if (isRetrySafe && !isLate) return buildRefusal(progress);
-  if (!mayHaveRun) return buildRefusal(progress);
+  const isRepeatable = request.route.retryPolicy !== 'once' && !isLate;
+  if (isRepeatable || !mayHaveRun) return buildRefusal(progress);
   return { kind: 'failed', reason: lastReason, isLate, ...getLastTarget(progress) };
 }
 
@@ -266,6 +265,7 @@
     lastReason: 'no target is known',
     lastTarget: undefined,
     serverErrors: 0,
+    wasRejected: false,
     isRetryTaken: false,
     nextTarget: undefined,
   };
@@ -328,9 +328,9 @@
 ): ForwardOutcome | undefined {
   const isAtMostOnce = request.route.retryPolicy === 'once';
   progress.lastReason = Sending.formatReason(outcome);
-  if (outcome.kind === 'notSent') return undefined;
-  progress.sends += 1;
-  if (outcome.kind === 'notRun') return undefined;
+  progress.wasRejected = outcome.kind === 'notRun';
+  if (outcome.kind !== 'notSent') progress.sends += 1;
+  if (outcome.kind === 'notSent' || outcome.kind === 'notRun') return undefined;
   progress.mayHaveRun = true;
   if (ForwardRequests.isPassed(outcome)) {
     return ForwardRequests.findPassedEnd(outcome, progress.lastTarget);
@@ -341,10 +341,10 @@
     }
     progress.lastFailure = outcome;
     progress.serverErrors += 1;
-    if (progress.serverErrors > MAX_SERVER_ERRORS) return decideEnd(request, progress, false);
-    return undefined;
+    const isLast = progress.serverErrors > MAX_SERVER_ERRORS;
+    return isLast ? decideEnd(request, progress, false) : undefined;
   }
-  if (!isAtMostOnce) return undefined;
   const isLate = outcome.kind === 'lost' && outcome.isTimeout;
-  return { kind: 'failed', reason: progress.lastReason, isLate, ...getLastTarget(progress) };
+  const end = { reason: progress.lastReason, isLate, ...getLastTarget(progress) };
+  return isAtMostOnce ? { kind: 'failed', ...end } : undefined;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/answers/nextSend.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/nextSend.ts
@@ -13,6 +13,8 @@
   /** Attempts of which bytes were sent. */
   readonly sends: number;
   readonly late: LateArrivals.LateSends;
+  /** The last target that was asked has rejected it. */
+  wasRejected: boolean;
   /** A repeat of the budget is taken for the next send. */
   isRetryTaken: boolean;
   /** Target of the next send, which has just answered a probe. */
@@ -29,6 +31,11 @@
   readonly cancel: () => void;
 }
 
+/**
+ * Share of the budget that rejected requests leave to others. The targets of a service are full together, and a repeat seldom
+ * helps where all are.
+ */
+const REJECTED_RESERVE_SHARE = 0.2;
 /** Targets that are probed for one plan: one may be silent as well. */
 const PROBED_TARGETS = 2;
 
@@ -102,11 +109,17 @@
 export function takeRetry(
   dependencies: Pick<ForwardingDependencies, 'getBudget' | 'clock'>,
   request: ForwardRequest,
-  progress: Partial<Pick<SendProgress, 'isRetryTaken' | 'late' | 'sends'>>,
+  progress: Partial<Pick<SendProgress, 'isRetryTaken' | 'late' | 'sends' | 'wasRejected'>>,
 ): boolean {
   const { getBudget, clock } = dependencies;
   const isTaken = progress.isRetryTaken === true;
-  if (!isTaken && !getBudget(request.service).takeRetry(clock.getNowMs())) return false;
+  if (!isTaken) {
+    const budget = getBudget(request.service);
+    const nowMs = clock.getNowMs();
+    const reserve = budget.getCapacity(nowMs) * REJECTED_RESERVE_SHARE;
+    if (progress.wasRejected === true && budget.getBalance(nowMs) < 1 + reserve) return false;
+    if (!budget.takeRetry(nowMs)) return false;
+  }
   progress.isRetryTaken = false;
   const { late, sends = 0 } = progress;
   if (late) LateArrivals.recordRepeat(dependencies, request, late, sends);
