Bound the memory of a body by what has arrived of it

A client with one body in chunks of one byte ended a router after 5 MB on the wire; 16 clients with chunks of 16 bytes did as well, and all other callers were cut.

Cause: each chunk was kept as a buffer of its own until the body ended, with some hundred bytes of heap and a hold on the read that it was a part of, while the budget counted its payload. The class: a budget counts payload, not memory.

Bodies of callers, of other routers, of peers and of the own interface are gathered in blocks that grow with what has come, and the budget of held bytes counts the blocks.

--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -1,5 +1,6 @@
 /** The plug-in kernel of sequoiarill, built on a local Moleculer broker. */
 export * from './apiKeys';
+export * from './blockBuffer';
 export * from './boundedText';
 export * from './checkedClient';
 export * from './clock';
--- a/packages/sequoiarill-plugin-callers/src/bodies.ts
+++ b/packages/sequoiarill-plugin-callers/src/bodies.ts
@@ -1,6 +1,8 @@
 /** Reads and parses request bodies of limited size. */
 import type { IncomingMessage } from 'node:http';
 
+import * as Kernel from '@sequoiarill/kernel';
+
 import * as Faults from './faults';
 import type { ValidationResult, Fault } from './faults';
 
@@ -30,14 +32,12 @@
     return fault;
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = Kernel.createBlockBuffer();
     request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= maxBytes) chunks.push(chunk);
+      if (body.countBytes() + chunk.length <= maxBytes) body.addBytes(chunk);
       else resolve(fault);
     });
-    request.on('end', () => resolve({ kind: 'value', value: Buffer.concat(chunks) }));
+    request.on('end', () => resolve({ kind: 'value', value: body.merge() }));
     request.on('error', () => resolve({ kind: 'fault', fault: BROKEN_BODY_FAULT }));
     request.on('close', () => resolve({ kind: 'fault', fault: BROKEN_BODY_FAULT }));
   });
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -3,6 +3,7 @@
  * permits, and report rollouts, crashes and origins of streams.
  */
 import * as Http from 'node:http';
+import type { IncomingMessage } from 'node:http';
 
 import * as Kernel from '@sequoiarill/kernel';
 import type {
@@ -203,6 +204,16 @@
 /** Other routers send their requests at once. */
 const REQUEST_TIMEOUT_MS = 10_000;
 
+/** Rejects where the body is too large, or its connection ends before it. */
+async function readBody(request: IncomingMessage): Promise<string> {
+  const body = Kernel.createBlockBuffer();
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    body.addBytes(chunk);
+    if (body.countBytes() > MAX_BODY_BYTES) throw new Error('the body is too large');
+  }
+  return body.merge().toString('utf8');
+}
+
 export function createPeerServer(options: PeerServerOptions, listen: string): PeerServer {
   const handler = Standalone.createHTTPHandler({
     router: createPeerRouter(options),
@@ -210,7 +221,10 @@
   });
   const server = Http.createServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
     Kernel.closeIfUnread(request, response);
-    handler(request, response);
+    readBody(request).then(
+      (body) => handler(Object.assign(request, { body }), response),
+      () => response.destroy(),
+    );
   });
   return {
     async start() {
--- a/packages/sequoiarill-plugin-forwarding/src/front/__tests__/requestBody.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/__tests__/requestBody.test.ts
@@ -11,7 +11,11 @@
 /** A request with a body on the way, in a process whose budget of held bytes may be used up. */
 function openBody(isFull: boolean, headers: Readonly<Record<string, string>> = {}) {
   const stream = new PassThrough();
-  const incoming = Object.assign(stream, { headers, complete: false });
+  const incoming = Object.assign(stream, {
+    headers,
+    complete: false,
+    socket: { readableLength: 0 },
+  });
   const held = { bytes: 0, control: undefined as BodyControl | undefined };
   const reading = RequestBodies.readBody(incoming as unknown as IncomingMessage, {
     maxBytes: 200_000,
--- a/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/heldExchange.ts
@@ -13,10 +13,12 @@
   readonly cut: () => void;
   /** Bytes that were received and are not yet passed to `addBodyBytes`, as while it is paused. */
   readonly countUnread: () => number;
+  /** Bytes of the body that were received. */
+  readonly countReceived: () => number;
 }
 
 export interface HeldExchange {
-  /** Adds bytes of the body, which is being read under the given control. */
+  /** Adds memory that the body takes, which is being read under the given control; 0 where only its bytes have grown. */
   readonly addBodyBytes: (bytes: number, control: BodyControl) => void;
   readonly completeBody: () => void;
   /** The body is sent. A large one counts until the request ends: it is kept for its target, and for another send. */
@@ -59,7 +61,7 @@
       response.writableLength,
     countSentBytes: () => (isBodySent ? bodyBytes : 0),
     countWholeBytes: () => wholeBytes,
-    countProgress: () => (bodyControl === undefined ? countTaken(response) : bodyBytes),
+    countProgress: () => bodyControl?.countReceived() ?? countTaken(response),
     isCallerDue: () => bodyControl !== undefined || response.writableLength > 0,
     mayPause: () => bodyControl?.isLarge() === true,
     setPaused: (isPaused) => bodyControl?.setPaused(isPaused),
--- a/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
@@ -35,10 +35,12 @@
   incoming: IncomingMessage,
   { maxBytes, budget, held }: BodyOptions,
 ): Promise<Buffer | BodyFailure> {
+  const { socket } = incoming;
   const declaredBytes = parseLength(incoming);
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const buffer = Kernel.createBlockBuffer(declaredBytes);
+    /** Memory that was added to the budget. */
+    let heldBytes = 0;
     let isDone = false;
 
     function stopReading(result: Buffer | BodyFailure): void {
@@ -46,7 +48,7 @@
       isDone = true;
       incoming.off('data', handleData);
       if (typeof result === 'string') {
-        chunks.length = 0;
+        buffer.clear();
         held.releaseBody();
         incoming.resume();
       } else held.completeBody();
@@ -54,32 +56,36 @@
     }
 
     const control: BodyControl = {
-      isLarge: () => (declaredBytes ?? bytes) > Decisions.SMALL_BODY_BYTES,
+      isLarge: () => (declaredBytes ?? buffer.countBytes()) > Decisions.SMALL_BODY_BYTES,
       setPaused(isPaused) {
         if (isDone) return;
         if (isPaused) incoming.pause();
         else incoming.resume();
       },
       cut: () => stopReading('tooSlow'),
-      countUnread: () => incoming.readableLength,
+      countUnread: () => incoming.readableLength + socket.readableLength,
+      countReceived: buffer.countBytes,
     };
 
     function handleData(chunk: Buffer): void {
-      const wasSmall = bytes <= Decisions.SMALL_BODY_BYTES;
-      bytes += chunk.length;
+      const wasSmall = buffer.countBytes() <= Decisions.SMALL_BODY_BYTES;
+      const isFirst = buffer.countBytes() === 0;
+      const bytes = buffer.countBytes() + chunk.length;
       if (maxBytes !== undefined && bytes > maxBytes) stopReading('tooLarge');
       else if (declaredBytes === undefined && wasSmall && budget.isBodyRefused(bytes)) {
         stopReading('noRoom');
       } else {
-        chunks.push(chunk);
+        buffer.addBytes(chunk);
         // A body that came in one piece is not waited for.
-        if (!incoming.complete || chunks.length > 1) held.addBodyBytes(chunk.length, control);
+        if (incoming.complete && isFirst) return;
+        held.addBodyBytes(buffer.countMemory() - heldBytes, control);
+        heldBytes = buffer.countMemory();
       }
     }
 
     incoming.on('error', () => stopReading('callerLeft'));
     incoming.once('close', () => stopReading('callerLeft'));
-    incoming.once('end', () => stopReading(Buffer.concat(chunks, bytes)));
+    incoming.once('end', () => stopReading(buffer.merge()));
     if (budget.isBodyRefused(declaredBytes)) stopReading('noRoom');
     else incoming.on('data', handleData);
   });
--- a/packages/sequoiarill-plugin-membership/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-membership/src/peerServer.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
+import * as Kernel from '@sequoiarill/kernel';
 import * as TrpcFetch from '@trpc/server/adapters/fetch';
 import * as Undici from 'undici';
 
@@ -193,18 +194,16 @@
 }
 
 async function readBody(request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const body = Kernel.createBlockBuffer();
   try {
     for await (const chunk of request as AsyncIterable<Buffer>) {
-      bytes += chunk.length;
-      if (bytes > MAX_BODY_BYTES) return undefined;
-      chunks.push(chunk);
+      body.addBytes(chunk);
+      if (body.countBytes() > MAX_BODY_BYTES) return undefined;
     }
   } catch {
     return undefined;
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return body.merge().toString('utf8');
 }
 
 /** Verifies the signature before any other part of a call is used. */
