Bound what each connection sends ahead and leaves unread, at every listener

300 clients that sent requests ahead and read nothing left ordinary callers without any answer, at the address for callers and at the one for readiness, where their connections were never closed; 64 of them ended a router with a heap of 64 MB.

Cause: Node.js parses a whole read of 64 KB, some 2,000 requests, before a guard is asked, keeps each of them until the first ones are answered, and answers each one without a host itself. The listeners for readiness, metrics, peers and operators had no guard. Nothing closed a connection whose last answers nobody read.

All listeners are created by createGuardedServer. One request without a host is answered, and is the last one. A connection whose client takes none of what is sent is closed after a second once it is to be closed, and after 10 to 60 s otherwise.

--- /dev/null
+++ b/packages/sequoiarill-kernel/src/guardedServer.ts
@@ -0,0 +1,83 @@
+/** Creates HTTP servers that bound what a connection makes the process hold; all listeners are created here. */
+import * as Http from 'node:http';
+import type { Socket } from 'node:net';
+
+import * as Listeners from './listeners';
+import * as RequestGuards from './requestGuard';
+
+export interface GuardedServerOptions extends Http.ServerOptions {
+  /** Returns the complete raw HTTP response for an error code of Node.js. */
+  readonly formatRefusal?: (code: string) => string;
+  /** Connections beyond this number are closed at once. */
+  readonly maxConnections?: number | undefined;
+  /** Time after which a connection is reset whose reader takes nothing of what is sent, milliseconds. */
+  readonly unreadMs?: number;
+}
+
+const DEFAULT_MAX_CONNECTIONS = 1_024;
+const DEFAULT_UNREAD_MS = 60_000;
+/** Connections are checked so often within that time. */
+const UNREAD_CHECKS = 4;
+const STATUS_BY_PARSER_CODE: Readonly<Record<string, number>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  HPE_HEADER_OVERFLOW: 431,
+};
+const BAD_REQUEST = 400;
+
+function formatEmptyRefusal(code: string): string {
+  const status = STATUS_BY_PARSER_CODE[code] ?? BAD_REQUEST;
+  const reason = Http.STATUS_CODES[status] ?? '';
+  return `HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+}
+
+/** Resets connections whose reader has taken nothing for a while; a part of an answer must not look whole. */
+function closeUnread(server: Http.Server, unreadMs: number): void {
+  const waiting = new Map<Socket, { taken: number; sinceMs: number }>();
+
+  function checkSocket(socket: Socket): void {
+    const taken = socket.bytesWritten - socket.writableLength;
+    const nowMs = performance.now();
+    const earlier = waiting.get(socket);
+    if (socket.writableLength === 0 || earlier?.taken !== taken) {
+      waiting.set(socket, { taken, sinceMs: nowMs });
+    } else if (nowMs - earlier.sinceMs >= unreadMs) socket.resetAndDestroy();
+  }
+
+  const timer = setInterval(
+    () => [...waiting.keys()].forEach(checkSocket),
+    unreadMs / UNREAD_CHECKS,
+  );
+  timer.unref();
+  server.on('connection', (socket: Socket) => {
+    waiting.set(socket, { taken: 0, sinceMs: performance.now() });
+    socket.once('close', () => waiting.delete(socket));
+  });
+  server.once('close', () => clearInterval(timer));
+}
+
+export function createGuardedServer(
+  options: GuardedServerOptions,
+  handleRequest: Http.RequestListener,
+): Http.Server {
+  const {
+    formatRefusal = formatEmptyRefusal,
+    maxConnections = DEFAULT_MAX_CONNECTIONS,
+    unreadMs = DEFAULT_UNREAD_MS,
+    ...serverOptions
+  } = options;
+  const guard = RequestGuards.createRequestGuard(formatRefusal);
+  // The guard answers requests without the header, and closes their connections.
+  const server = Http.createServer({ ...serverOptions, requireHostHeader: false });
+  server.on('request', (request, response) => {
+    if (!guard.admitRequest(request, response)) return;
+    handleRequest(request, response);
+  });
+  server.on('clientError', guard.handleClientError);
+  server.on('timeout', Listeners.closeIdleConnection);
+  server.on('connection', (socket: Socket) => {
+    guard.watchConnection(socket);
+  });
+  server.maxConnections = maxConnections;
+  closeUnread(server, unreadMs);
+  return server;
+}
--- a/packages/sequoiarill-kernel/src/index.ts
+++ b/packages/sequoiarill-kernel/src/index.ts
@@ -15,6 +15,7 @@
 export * from './fakeClock';
 export * from './fakeWire';
 export * from './hopByHopHeaders';
+export * from './guardedServer';
 export * from './idleConnections';
 export * from './interimResponses';
 export * from './journal';
--- a/packages/sequoiarill-kernel/src/metricsPage.ts
+++ b/packages/sequoiarill-kernel/src/metricsPage.ts
@@ -1,12 +1,11 @@
 /** Serves counters, gauges and latency histograms in the Prometheus text format. */
-import * as Http from 'node:http';
 import type { ServerResponse } from 'node:http';
 
 import type { Metrics, MetricTags } from '@sequoiarill/types';
 import * as Prometheus from 'prom-client';
 
+import * as GuardedServers from './guardedServer';
 import * as Listeners from './listeners';
-import * as UnreadRequests from './unreadRequests';
 
 export interface MetricsPage extends Metrics {
   readonly formatPage: () => Promise<string>;
@@ -20,6 +19,8 @@
 ];
 const PREFIX = 'sequoiarill_';
 const HTTP_SERVER_ERROR = 500;
+/** A few readers, each of which takes the page at once. */
+const LIMITS = { maxConnections: 64, unreadMs: 10_000 } as const;
 
 /** Converts `forwarding.firstEvent` to `sequoiarill_forwarding_first_event`. */
 function formatName(name: string): string {
@@ -63,8 +64,7 @@
     response.end(text);
   }
 
-  const server = Http.createServer((request, response) => {
-    UnreadRequests.closeIfUnread(request, response);
+  const server = GuardedServers.createGuardedServer(LIMITS, (request, response) => {
     request.resume();
     sendPage(response).catch(() => {
       response.writeHead(HTTP_SERVER_ERROR).end();
--- a/packages/sequoiarill-kernel/src/requestGuard.ts
+++ b/packages/sequoiarill-kernel/src/requestGuard.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import * as SplitReads from './splitReads';
 import * as UnreadRequests from './unreadRequests';
 
 export interface RequestGuard {
@@ -12,6 +13,8 @@
   readonly admitRequest: (request: IncomingMessage, response: ServerResponse) => boolean;
   /** Listener for the `clientError` event of the server. */
   readonly handleClientError: (error: NodeJS.ErrnoException, socket: Socket) => void;
+  /** To be called with each connection when it is opened; parses what it receives in slices. */
+  readonly watchConnection: (socket: Socket) => void;
 }
 
 /**
@@ -20,6 +23,7 @@
  */
 export const MAX_PIPELINED_REQUESTS = 32;
 const UNAVAILABLE = 503;
+const BAD_REQUEST = 400;
 const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 /** Node.js closes only the response that it is sending, and not those that wait for it, when their connection closes. */
@@ -29,23 +33,48 @@
   response.emit('close');
 }
 
+/** HTTP/1.1 demands the header; Node.js itself would answer each of any number of requests without it. */
+function isHostMissing({ headers, httpVersion }: IncomingMessage): boolean {
+  return headers.host === undefined && httpVersion === '1.1';
+}
+
+/** Time in which a reader takes some of the last answers. */
+const UNREAD_MS = 1_000;
+
+/** Closes the connection when none of what waits for its reader was taken for a while. */
+function closeUnread(socket: Socket, unreadMs = UNREAD_MS): void {
+  let takenBytes = -1;
+  const timer = setInterval(() => {
+    const taken = socket.bytesWritten - socket.writableLength;
+    if (socket.writableLength > 0 && taken === takenBytes) socket.destroy();
+    takenBytes = taken;
+  }, unreadMs);
+  timer.unref();
+  socket.once('close', () => clearInterval(timer));
+}
+
 /** `formatRefusal` returns the complete raw HTTP response for an error code of Node.js. */
 export function createRequestGuard(
   formatRefusal: (code: string) => string,
   lingerMs?: number,
 ): RequestGuard {
   const refusedSockets = new WeakSet<Socket>();
-  /** Connections that have sent too many requests ahead; they are closed after the last answer. */
+  /** Connections that nothing more is read of; they are closed after the last answer. */
   const closingSockets = new WeakSet<Socket>();
   /** Responses that are not complete, by connection. */
   const pendingResponses = new WeakMap<Socket, Set<ServerResponse>>();
   /** The latest request of each connection. */
   const latestRequests = new WeakMap<Socket, IncomingMessage>();
+  const requestCounts = new WeakMap<Socket, number>();
 
   function countPending(socket: Socket): number {
     return pendingResponses.get(socket)?.size ?? 0;
   }
 
+  function countRequests(socket: Socket): number {
+    return requestCounts.get(socket) ?? 0;
+  }
+
   function addPending(socket: Socket, response: ServerResponse): void {
     const pending = pendingResponses.get(socket) ?? new Set();
     if (!pendingResponses.has(socket)) {
@@ -83,6 +112,14 @@
     });
   }
 
+  /** The answer is the last one of the connection, which is closed at once where nobody reads it. */
+  function refuseLast({ socket }: IncomingMessage, response: ServerResponse, status: number): void {
+    closingSockets.add(socket);
+    response.writeHead(status, { connection: 'close', 'content-length': 0 }).end();
+    stopReading(socket);
+    closeUnread(socket, lingerMs);
+  }
+
   /** Node.js resumes the connection at the end of each request, also of those that it has read already. */
   function stopReading(socket: Socket): void {
     socket.on('resume', () => socket.pause());
@@ -97,10 +134,13 @@
         return false;
       }
       if (closingSockets.has(socket)) return false;
+      requestCounts.set(socket, countRequests(socket) + 1);
+      if (isHostMissing(request)) {
+        refuseLast(request, response, BAD_REQUEST);
+        return false;
+      }
       if (countPending(socket) >= MAX_PIPELINED_REQUESTS) {
-        closingSockets.add(socket);
-        response.writeHead(UNAVAILABLE, { connection: 'close', 'content-length': 0 }).end();
-        stopReading(socket);
+        refuseLast(request, response, UNAVAILABLE);
         return false;
       }
       latestRequests.set(socket, request);
@@ -108,6 +148,13 @@
       UnreadRequests.closeIfUnread(request, response, lingerMs);
       return true;
     },
+    watchConnection(socket) {
+      SplitReads.splitReads(socket, {
+        isStopped: () => closingSockets.has(socket) || refusedSockets.has(socket),
+        isRefused: () => refusedSockets.has(socket),
+        countRequests: () => countRequests(socket),
+      });
+    },
     handleClientError(error, socket) {
       const code = error.code ?? '';
       if (!socket.writable || code === 'ECONNRESET') socket.destroy();
--- a/packages/sequoiarill-plugin-callers/src/httpServer.ts
+++ b/packages/sequoiarill-plugin-callers/src/httpServer.ts
@@ -66,24 +66,22 @@
     Replies.sendFault(response, Faults.STARTING);
   };
   let connectionCount = 0;
-  const guard = Kernel.createRequestGuard(formatRefusal);
   const idleConnections = Kernel.createIdleConnections();
-  const server = Http.createServer(
+  const server = Kernel.createGuardedServer(
     {
+      formatRefusal,
+      maxConnections: settings.maxConnections,
+      unreadMs: settings.writeTimeoutMs,
       requestTimeout: settings.requestTimeoutMs,
       headersTimeout: settings.headersTimeoutMs,
       keepAliveTimeout: settings.keepAliveMs,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     },
     (request, response) => {
-      if (!guard.admitRequest(request, response)) return;
       idleConnections.recordRequest(request, response);
       handleRequest(request, response);
     },
   );
-  server.maxConnections = settings.maxConnections;
-  server.on('clientError', guard.handleClientError);
-  server.on('timeout', Kernel.closeIdleConnection);
   server.on('connection', (socket: Socket) => {
     connectionCount += 1;
     idleConnections.recordConnection(socket);
--- a/packages/sequoiarill-plugin-directory/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-directory/src/peerServer.ts
@@ -2,7 +2,6 @@
  * tRPC server for other routers: they read this router's directory, acquire retry quota and
  * permits, and report rollouts, crashes and origins of streams.
  */
-import * as Http from 'node:http';
 import type { IncomingMessage } from 'node:http';
 
 import * as Kernel from '@sequoiarill/kernel';
@@ -201,8 +200,8 @@
 
 /** Above the largest message: 200 blocks with 16,384 parts and 64 targets each, of up to 200 characters: 6 MB. */
 const MAX_BODY_BYTES = 8 * 1_048_576;
-/** Other routers send their requests at once. */
-const REQUEST_TIMEOUT_MS = 10_000;
+/** Other routers send their requests at once, and read the answers. */
+const LIMITS = { requestTimeout: 10_000, headersTimeout: 10_000, unreadMs: 10_000 } as const;
 
 /** Rejects where the body is too large, or its connection ends before it. */
 async function readBody(request: IncomingMessage): Promise<string> {
@@ -219,8 +218,7 @@
     router: createPeerRouter(options),
     maxBodySize: MAX_BODY_BYTES,
   });
-  const server = Http.createServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
-    Kernel.closeIfUnread(request, response);
+  const server = Kernel.createGuardedServer(LIMITS, (request, response) => {
     readBody(request).then(
       (body) => handler(Object.assign(request, { body }), response),
       () => response.destroy(),
--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -1,6 +1,5 @@
 /** HTTP front end: the server for callers, handled by moleculer-web, and the server for readiness checks. */
-import * as Http from 'node:http';
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import * as Kernel from '@sequoiarill/kernel';
@@ -66,14 +65,12 @@
 const OK = 200;
 const UNAVAILABLE = 503;
 
-const STATUS_BY_PARSER_CODE: Readonly<Record<string, number>> = {
-  ERR_HTTP_REQUEST_TIMEOUT: 408,
-  HPE_HEADER_OVERFLOW: 431,
-};
-const BAD_REQUEST = 400;
+const MAX_CONNECTIONS = 2_048;
+/** The platform asks on a few connections, and reads each answer at once. */
+const READINESS_LIMITS = { maxConnections: 64, unreadMs: 10_000 } as const;
 
 interface CountedServer {
-  readonly server: Http.Server;
+  readonly server: Server;
   /** Local moleculer service that passes admitted requests to the task. */
   readonly service: ServiceSchema;
 }
@@ -87,16 +84,15 @@
 
   function createServer(name: string, runTask: RequestTask): CountedServer {
     let handleAdmitted: RequestHandler = (_request, response) => sendStatus(response, UNAVAILABLE);
-    const requestGuard = Kernel.createRequestGuard(formatRefusal);
-    const server = Http.createServer(
+    const server = Kernel.createGuardedServer(
       {
+        maxConnections: MAX_CONNECTIONS,
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
         noDelay: true,
       },
       (request, response) => {
-        if (!requestGuard.admitRequest(request, response)) return;
         requestCount += 1;
         idleConnections.recordRequest(request, response);
         response.once('close', () => {
@@ -105,8 +101,6 @@
         handleAdmitted(request, response);
       },
     );
-    server.on('clientError', requestGuard.handleClientError);
-    server.on('timeout', Kernel.closeIdleConnection);
     server.on('connection', (socket: Socket) => {
       connectionCount += 1;
       idleConnections.recordConnection(socket);
@@ -128,8 +122,7 @@
   const callers = createServer('forwarding', options.handleRequest);
   const routers = createServer('forwarding-relayed', options.handleRelayed);
   routers.server.keepAliveTimeout = RELAY_IDLE_TIMEOUT_MS;
-  const readiness = Http.createServer((request, response) => {
-    Kernel.closeIfUnread(request, response);
+  const readiness = Kernel.createGuardedServer(READINESS_LIMITS, (request, response) => {
     request.resume();
     sendStatus(response, options.isReady() ? OK : UNAVAILABLE);
   });
@@ -206,9 +199,3 @@
   if (response.headersSent) Replies.closeBroken(response);
   else sendStatus(response, BAD_GATEWAY);
 }
-
-function formatRefusal(code: string): string {
-  const status = STATUS_BY_PARSER_CODE[code] ?? BAD_REQUEST;
-  const reason = Http.STATUS_CODES[status] ?? '';
-  return `HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
-}
--- a/packages/sequoiarill-plugin-membership/src/peerServer.ts
+++ b/packages/sequoiarill-plugin-membership/src/peerServer.ts
@@ -1,5 +1,4 @@
 /** HTTP server for other routers: verifies calls, passes them to tRPC and signs the responses. */
-import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
@@ -15,8 +14,12 @@
 /**
  * Exceeds the time between two calls of a pair of routers in a large zone, to reuse connections.
  */
-const KEEP_ALIVE_MS = 60_000;
-const REQUEST_TIMEOUT_MS = 10_000;
+const LIMITS = {
+  keepAliveTimeout: 60_000,
+  requestTimeout: 10_000,
+  headersTimeout: 10_000,
+  unreadMs: 10_000,
+} as const;
 const MAX_HEADERS = 32;
 /** The records of the whole fleet take 70 KB at the target size. */
 const MAX_BODY_BYTES = 1_048_576;
@@ -127,14 +130,11 @@
     response.end(body);
   }
 
-  const server = createServer((request, response) => {
+  const server = Kernel.createGuardedServer(LIMITS, (request, response) => {
     handleRequest(request, response).catch((error: unknown) => {
       response.destroy(error instanceof Error ? error : undefined);
     });
   });
-  server.keepAliveTimeout = KEEP_ALIVE_MS;
-  server.requestTimeout = REQUEST_TIMEOUT_MS;
-  server.headersTimeout = REQUEST_TIMEOUT_MS;
   server.maxHeadersCount = MAX_HEADERS;
   server.on('connection', (socket: Socket) => {
     sockets.add(socket);
--- a/packages/sequoiarill-plugin-operators/src/listener.ts
+++ b/packages/sequoiarill-plugin-operators/src/listener.ts
@@ -1,5 +1,4 @@
 /** HTTP listener for operators, separate from the one for callers. */
-import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
@@ -8,7 +7,12 @@
 import * as ErrorResponses from './errorResponses';
 
 /** Operators' requests are short; limits on time and headers keep others from using up memory. */
-const REQUEST_TIMEOUT_MS = 10_000;
+const LIMITS = {
+  requestTimeout: 10_000,
+  headersTimeout: 10_000,
+  maxConnections: 64,
+  unreadMs: 10_000,
+} as const;
 const MAX_HEADER_COUNT = 64;
 /** Time for responses in progress to end when the listener closes; then connections are closed. */
 const CLOSE_TIMEOUT_MS = 1_000;
@@ -36,14 +40,10 @@
   const port = Number(listen.slice(separator + 1));
   let handleRequest: HandleRequest = (request, response) =>
     ErrorResponses.sendError(response, 503, 'starting', 'the process is starting; ask again');
-  const server = createServer((request, response) => {
-    Kernel.closeIfUnread(request, response);
-    handleRequest(request, response);
-  });
-  server.requestTimeout = REQUEST_TIMEOUT_MS;
-  server.headersTimeout = REQUEST_TIMEOUT_MS;
+  const server = Kernel.createGuardedServer(LIMITS, (request, response) =>
+    handleRequest(request, response),
+  );
   server.maxHeadersCount = MAX_HEADER_COUNT;
-  server.on('timeout', Kernel.closeIdleConnection);
 
   return {
     open: () =>
