Make room for new connections by those that have had no request for longest

Connections that send nothing, or never end what they send, could take all descriptors of a router, and ordinary callers found none left.

A listener for requests keeps maxConnections connections: half of the descriptors of the process where these are known, else 2,048. One more closes the connection that has been without a request for longest, and is closed itself only where all others have a request in progress.

--- a/packages/sequoiarill-decisions/src/heldBytes.ts
+++ b/packages/sequoiarill-decisions/src/heldBytes.ts
@@ -59,6 +59,22 @@
   return (heldMegabytes ?? fromMemoryMb) * BYTES_PER_MB;
 }
 
+const DEFAULT_MAX_CONNECTIONS = 2_048;
+/** The others are for targets, other routers and files. */
+const CONNECTION_SHARE = 0.5;
+
+/** Connections that a listener for requests keeps, from the settings. */
+export function computeMaxConnections(
+  maxConnections: number | undefined,
+  maxDescriptors: number | undefined,
+): number {
+  const fromDescriptors =
+    maxDescriptors === undefined
+      ? DEFAULT_MAX_CONNECTIONS
+      : Math.max(1, Math.floor(maxDescriptors * CONNECTION_SHARE));
+  return maxConnections ?? fromDescriptors;
+}
+
 /** Whether readers and senders are paused. */
 export function isPauseDue({ heldBytes, limitBytes }: HeldBytes): boolean {
   return heldBytes > limitBytes * PAUSE_SHARE;
--- a/packages/sequoiarill-kernel/src/__tests__/guardedServer.test.ts
+++ b/packages/sequoiarill-kernel/src/__tests__/guardedServer.test.ts
@@ -1,5 +1,6 @@
+import { once } from 'node:events';
 import { readFileSync, readdirSync } from 'node:fs';
-import type { RequestListener } from 'node:http';
+import type { RequestListener, ServerResponse } from 'node:http';
 import * as Net from 'node:net';
 import path from 'node:path';
 import { describe, it } from 'node:test';
@@ -107,6 +108,40 @@
     });
   });
 
+  it('makes room by the connection that has had no request for longest', async () => {
+    // Guards against silent connections that leave none to ordinary clients.
+    await runWithServer({ maxConnections: 3 }, createAnswer(), async (open) => {
+      const silent = [await open(), await open()];
+      const closed = silent.map((socket) => readUntilClose(socket));
+      const kept = await open();
+      kept.write(`${HEAD}host: a\r\n\r\n`);
+      await once(kept, 'data');
+      const added = [await open(), await open()];
+      await Promise.all(closed);
+      for (const socket of [kept, ...added]) {
+        socket.write(`${HEAD}host: a\r\n\r\n`);
+        await once(socket, 'data');
+        expect(socket.destroyed).toEqual(false);
+      }
+      [kept, ...added].forEach((socket) => socket.destroy());
+    });
+  });
+
+  it('keeps connections with a request in progress', async () => {
+    const responses: ServerResponse[] = [];
+    const hold: RequestListener = (_request, response) => responses.push(response);
+    await runWithServer({ maxConnections: 1 }, hold, async (open) => {
+      const busy = await open();
+      busy.write(`${HEAD}host: a\r\n\r\n`);
+      while (responses.length === 0) await new Promise(setImmediate);
+      await readUntilClose(await open());
+      responses.forEach((response) => response.end('ok'));
+      await once(busy, 'data');
+      expect(busy.destroyed).toEqual(false);
+      busy.destroy();
+    });
+  });
+
   it('is what all listeners of the product are', () => {
     // Guards against a listener without the bounds of the others.
     const files = readdirSync(PACKAGES, { recursive: true, encoding: 'utf8' })
--- a/packages/sequoiarill-kernel/src/guardedServer.ts
+++ b/packages/sequoiarill-kernel/src/guardedServer.ts
@@ -8,7 +8,7 @@
 export interface GuardedServerOptions extends Http.ServerOptions {
   /** Returns the complete raw HTTP response for an error code of Node.js. */
   readonly formatRefusal?: (code: string) => string;
-  /** Connections beyond this number are closed at once. */
+  /** Connections beyond this number replace those that have had no request for longest. */
   readonly maxConnections?: number | undefined;
   /** Time after which a connection is reset whose reader takes nothing of what is sent, milliseconds. */
   readonly unreadMs?: number;
@@ -55,6 +55,45 @@
   server.once('close', () => clearInterval(timer));
 }
 
+function hasBody({ headers }: Http.IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
+
+/**
+ * Failure: connections that send nothing, or never end what they send, take all that there may be, and ordinary callers find
+ * none left. So the one that has had no request for longest makes room.
+ */
+function createConnectionLimit(maxConnections: number) {
+  let count = 0;
+  /** Without a request in progress, longest first. */
+  const idle = new Set<Socket>();
+  /** Of the latest request on each connection; earlier ones are answered before it. */
+  const latestResponses = new WeakMap<Socket, Http.ServerResponse>();
+
+  return {
+    addConnection(socket: Socket): void {
+      count += 1;
+      socket.once('close', () => {
+        count -= 1;
+        idle.delete(socket);
+      });
+      if (count > maxConnections) ([...idle.keys()].at(0) ?? socket).destroy();
+      idle.add(socket);
+    },
+    addRequest(request: Http.IncomingMessage, response: Http.ServerResponse): void {
+      const { socket } = request;
+      // A request whose body is under way is in progress when all of it was read.
+      if (hasBody(request)) request.once('end', () => idle.delete(socket));
+      else idle.delete(socket);
+      latestResponses.set(socket, response);
+      response.once('close', () => {
+        const isLatest = latestResponses.get(socket) === response;
+        if (isLatest && !socket.destroyed) idle.add(socket);
+      });
+    },
+  };
+}
+
 export function createGuardedServer(
   options: GuardedServerOptions,
   handleRequest: Http.RequestListener,
@@ -66,18 +105,20 @@
     ...serverOptions
   } = options;
   const guard = RequestGuards.createRequestGuard(formatRefusal);
+  const limit = createConnectionLimit(maxConnections);
   // The guard answers requests without the header, and closes their connections.
   const server = Http.createServer({ ...serverOptions, requireHostHeader: false });
   server.on('request', (request, response) => {
     if (!guard.admitRequest(request, response)) return;
+    limit.addRequest(request, response);
     handleRequest(request, response);
   });
   server.on('clientError', guard.handleClientError);
   server.on('timeout', Listeners.closeIdleConnection);
   server.on('connection', (socket: Socket) => {
+    limit.addConnection(socket);
     guard.watchConnection(socket);
   });
-  server.maxConnections = maxConnections;
   closeUnread(server, unreadMs);
   return server;
 }
--- a/packages/sequoiarill-kernel/src/settings.ts
+++ b/packages/sequoiarill-kernel/src/settings.ts
@@ -19,6 +19,14 @@
   Zod.coerce.number(MEGABYTES_HINT).min(1, MEGABYTES_HINT).optional(),
 );
 
+const COUNT_HINT = 'use a whole number, 1 or more, such as 2048, or leave it empty';
+
+/** Schema of an optional number of things. An empty value counts as absent. */
+export const countSchema = Zod.preprocess(
+  (value) => (value === '' ? undefined : value),
+  Zod.coerce.number(COUNT_HINT).int(COUNT_HINT).min(1, COUNT_HINT).optional(),
+);
+
 const ADDRESS_HINT = 'use IP:port, such as 127.0.0.1:8080';
 
 /** Section `[process]`. */
@@ -28,6 +36,8 @@
   region: Zod.string().min(1),
   /** Memory of the VM; if absent, limits that depend on it have fixed defaults. */
   memoryMb: megabytesSchema,
+  /** File descriptors that this process may open; if absent, limits that depend on them have fixed defaults. */
+  maxDescriptors: countSchema,
 });
 
 /** Section `[telemetry]`. */
--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -2,8 +2,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import * as Decisions from '@sequoiarill/decisions';
 import * as Kernel from '@sequoiarill/kernel';
-import type { CallerLimits } from '@sequoiarill/types';
+import type { CallerLimits, ProcessSettings } from '@sequoiarill/types';
 import type { ServiceSchema } from 'moleculer';
 import ApiGateway from 'moleculer-web';
 
@@ -65,7 +66,6 @@
 const OK = 200;
 const UNAVAILABLE = 503;
 
-const MAX_CONNECTIONS = 2_048;
 /** The platform asks on a few connections, and reads each answer at once. */
 const READINESS_LIMITS = { maxConnections: 64, unreadMs: 10_000 } as const;
 
@@ -75,6 +75,18 @@
   readonly service: ServiceSchema;
 }
 
+/** The settings with the limit of connections that follows from those of the process. */
+export function resolveSettings(
+  settings: ForwardingSettings,
+  { maxDescriptors }: Pick<ProcessSettings, 'maxDescriptors'>,
+): ForwardingSettings {
+  const { maxConnections } = settings;
+  return {
+    ...settings,
+    maxConnections: Decisions.computeMaxConnections(maxConnections, maxDescriptors),
+  };
+}
+
 export function createHttpFrontEnd(options: HttpFrontEndOptions): HttpFrontEnd {
   const { settings } = options;
   const { relayListen } = settings;
@@ -86,7 +98,7 @@
     let handleAdmitted: RequestHandler = (_request, response) => sendStatus(response, UNAVAILABLE);
     const server = Kernel.createGuardedServer(
       {
-        maxConnections: MAX_CONNECTIONS,
+        maxConnections: settings.maxConnections,
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -49,7 +49,7 @@
   let configurationVersion: number | undefined;
 
   const frontEnd = HttpFrontEnds.createHttpFrontEnd({
-    settings,
+    settings: HttpFrontEnds.resolveSettings(settings, context.process),
     handleRequest: (request, response) => Exchanges.handleExchange(dependencies, request, response),
     handleRelayed: (request, response) =>
       Exchanges.handleRelayedExchange(dependencies, request, response),
--- a/packages/sequoiarill-plugin-forwarding/src/settings.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/settings.ts
@@ -22,6 +22,11 @@
    * where that is absent too.
    */
   heldMegabytes: Kernel.megabytesSchema,
+  /**
+   * Connections of callers, and as many of other routers, beyond which those without a request for longest are closed; if
+   * absent, half of `[process] maxDescriptors`, or 2,048 where that is absent too.
+   */
+  maxConnections: Kernel.countSchema,
 });
 
 export type ForwardingSettings = Readonly<Zod.infer<typeof settingsSchema>>;
--- a/packages/sequoiarill-plugin-membership/src/peerRecord.ts
+++ b/packages/sequoiarill-plugin-membership/src/peerRecord.ts
@@ -3,7 +3,7 @@
 
 export type RecordState = 'alive' | 'leaving' | 'dead';
 
-export interface PeerRecord extends Omit<ProcessSettings, 'memoryMb'> {
+export interface PeerRecord extends Omit<ProcessSettings, 'memoryMb' | 'maxDescriptors'> {
   /** `host:port` of the router's listener for other routers. */
   readonly address: string;
   /** Increases with each start of the process and each time it refutes its reported death. */
--- a/packages/sequoiarill-types/src/plugins.ts
+++ b/packages/sequoiarill-types/src/plugins.ts
@@ -97,6 +97,8 @@
   readonly region: string;
   /** Memory of the VM, megabytes; undefined where it is not known. */
   readonly memoryMb?: number | undefined;
+  /** File descriptors that the process may open; undefined if not known. */
+  readonly maxDescriptors?: number | undefined;
 }
 
 export type LifecyclePhase = 'starting' | 'ready' | 'draining' | 'stopped';
