--- a/packages/sequoiarill-plugin-callers/src/settings.ts
+++ b/packages/sequoiarill-plugin-callers/src/settings.ts
@@ -17,7 +17,7 @@
   requestTimeoutMs: positiveIntegerSchema.default(60_000),
   /** Time limit for receiving the request headers, in milliseconds. */
   headersTimeoutMs: positiveIntegerSchema.default(15_000),
-  /** Connections above this number are closed at once, which limits memory and file handles. */
+  /** One connection more closes the one without a request for longest, which limits memory and file handles. */
   maxConnections: positiveIntegerSchema.default(10_000),
   /** Time after which an idle connection is closed, in milliseconds. */
   keepAliveMs: positiveIntegerSchema.default(65_000),
