Reset unread connections by checks in a row, not by the time between two

A process that was paused for longer than the bound would have reset each connection that had bytes to take at its first check, although its client had no chance to take any. The bound counts checks, of which a paused process makes none.

--- a/packages/sequoiarill-kernel/src/guardedServer.ts
+++ b/packages/sequoiarill-kernel/src/guardedServer.ts
@@ -30,27 +30,28 @@
   return `HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
 }
 
-/** Resets connections whose reader has taken nothing for a while; a part of an answer must not look whole. */
+/**
+ * Resets connections whose reader has taken nothing at several checks in a row; a part of an answer must not look whole. A
+ * process that was paused has made no checks meanwhile.
+ */
 function closeUnread(server: Http.Server, unreadMs: number): void {
-  const waiting = new Map<Socket, { taken: number; sinceMs: number }>();
+  const connections = new Map<Socket, { taken: number; checks: number }>();
 
   function checkSocket(socket: Socket): void {
     const taken = socket.bytesWritten - socket.writableLength;
-    const nowMs = performance.now();
-    const earlier = waiting.get(socket);
-    if (socket.writableLength === 0 || earlier?.taken !== taken) {
-      waiting.set(socket, { taken, sinceMs: nowMs });
-    } else if (nowMs - earlier.sinceMs >= unreadMs) socket.resetAndDestroy();
+    const earlier = connections.get(socket);
+    const isStalled = socket.writableLength > 0 && earlier?.taken === taken;
+    const checks = isStalled ? earlier.checks + 1 : 0;
+    connections.set(socket, { taken, checks });
+    if (checks >= UNREAD_CHECKS) socket.resetAndDestroy();
   }
 
-  const timer = setInterval(
-    () => [...waiting.keys()].forEach(checkSocket),
-    unreadMs / UNREAD_CHECKS,
-  );
+  const checkAll = () => [...connections.keys()].forEach(checkSocket);
+  const timer = setInterval(checkAll, unreadMs / UNREAD_CHECKS);
   timer.unref();
   server.on('connection', (socket: Socket) => {
-    waiting.set(socket, { taken: 0, sinceMs: performance.now() });
-    socket.once('close', () => waiting.delete(socket));
+    connections.set(socket, { taken: 0, checks: 0 });
+    socket.once('close', () => connections.delete(socket));
   });
   server.once('close', () => clearInterval(timer));
 }
@@ -77,7 +78,8 @@
         count -= 1;
         idle.delete(socket);
       });
-      if (count > maxConnections) ([...idle.keys()].at(0) ?? socket).destroy();
+      const [longest = socket] = idle;
+      if (count > maxConnections) longest.destroy();
       idle.add(socket);
     },
     addRequest(request: Http.IncomingMessage, response: Http.ServerResponse): void {
