Refuse requests by their heads before large bodies are read

A client without a key filled as much of the budget of held bytes as one with a key: its body was read to the end, or its time limit, before 401 or 404.

The check after the body stays, for configurations that change meanwhile.

--- a/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/exchange.ts
@@ -13,6 +13,7 @@
 import * as Headers from './headers';
 import * as PromptSizes from './promptSize';
 import * as HeldExchanges from './heldExchange';
+import type { HeldExchange } from './heldExchange';
 import type { Drain } from './drain';
 import * as OpenExchanges from './openExchanges';
 import * as RequestBodies from './requestBody';
@@ -67,16 +68,8 @@
   const { closed, calls, setRequest } = dependencies.exchanges.register(exchange);
   const id = Headers.findSingleValue(headers, dependencies.wire.headers.requestId);
   const held = HeldExchanges.createHeldExchange(dependencies.heldBudget, response, id);
-  const body = await RequestBodies.readBody(incoming, {
-    maxBytes: dependencies.directory.getConfiguration()?.limits.maxBodyBytes,
-    budget: dependencies.heldBudget,
-    held,
-  });
-  if (body === 'callerLeft' || (await hasDisconnected(incoming, closed))) return;
-  if (typeof body === 'string') {
-    await RequestBodies.refuseBody(dependencies, exchange, body);
-    return;
-  }
+  const body = await readAllowedBody(dependencies, exchange, held);
+  if (body === undefined || (await hasDisconnected(incoming, closed))) return;
   const relayRefusal = findRelayRefusal(dependencies, relayTerms);
   if (relayRefusal !== undefined) {
     refuseRelayed(dependencies, exchange, relayRefusal);
@@ -114,6 +107,40 @@
   await sendAnswer(dependencies, { ...request, held }, response);
 }
 
+/** The whole body; undefined where the request was refused, or its caller has left. */
+async function readAllowedBody(
+  dependencies: ExchangeDependencies,
+  exchange: Exchange,
+  held: HeldExchange,
+): Promise<Buffer | undefined> {
+  const headRefusal = findHeadRefusal(dependencies, exchange);
+  if (headRefusal !== undefined) {
+    await RequestBodies.refuseUnread(dependencies, exchange, headRefusal);
+    return undefined;
+  }
+  const body = await RequestBodies.readBody(exchange.incoming, {
+    maxBytes: dependencies.directory.getConfiguration()?.limits.maxBodyBytes,
+    budget: dependencies.heldBudget,
+    held,
+  });
+  if (typeof body !== 'string') return body;
+  if (body !== 'callerLeft') await RequestBodies.refuseBody(dependencies, exchange, body);
+  return undefined;
+}
+
+/**
+ * Failure: clients without a key fill the budget of held bytes by bodies that end only in a refusal. Requests of other
+ * routers are refused after their body, since their terms go first.
+ */
+function findHeadRefusal(
+  dependencies: ExchangeDependencies,
+  { incoming, headers, relayTerms }: Exchange,
+): Refusal | undefined {
+  if (relayTerms !== undefined || !RequestBodies.hasLargeBody(incoming)) return undefined;
+  const access = Access.checkAccess(dependencies, incoming, headers);
+  return access.kind === 'refused' ? access.refusal : undefined;
+}
+
 /** Another router that sent the request on asks the next one. */
 function refuseLate(
   dependencies: ExchangeDependencies,
--- a/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/requestBody.ts
@@ -91,6 +91,12 @@
   });
 }
 
+/** Whether the body may be large, so that a refusal should not wait for it. */
+export function hasLargeBody(incoming: IncomingMessage): boolean {
+  const isChunked = incoming.headers['transfer-encoding'] !== undefined;
+  return isChunked || (parseLength(incoming) ?? 0) > Decisions.SMALL_BODY_BYTES;
+}
+
 function parseLength({ headers }: IncomingMessage): number | undefined {
   const length = headers['content-length'];
   return length === undefined ? undefined : Number(length);
@@ -110,22 +116,31 @@
   },
 };
 
+export async function refuseBody(
+  dependencies: ExchangeDependencies,
+  exchange: Exchange,
+  failure: Exclude<BodyFailure, 'callerLeft'>,
+): Promise<void> {
+  if (exchange.relayTerms !== undefined && failure !== 'tooLarge') {
+    const cause: RelayRefusalCause = 'refused';
+    exchange.response.setHeader(RelayHeaders.RELAY_HEADERS.refused, cause);
+  }
+  await refuseUnread(dependencies, exchange, BODY_REFUSALS[failure]);
+}
+
 /**
- * The rest of the body may still be under way, so the connection takes no other request.
+ * Refuses a request whose body is under way, so that the connection takes no other request.
  *
  * Failure: bytes that arrive after the connection was closed reset it, and a caller that sends its whole body before it
  * reads never gets the refusal. So the response ends after the body.
  */
-export async function refuseBody(
+export async function refuseUnread(
   dependencies: ExchangeDependencies,
-  { incoming, response, headers, relayTerms }: Exchange,
-  failure: Exclude<BodyFailure, 'callerLeft'>,
+  { incoming, response, headers }: Exchange,
+  refusal: Refusal,
 ): Promise<void> {
   response.setHeader('connection', 'close');
-  if (relayTerms !== undefined && failure !== 'tooLarge') {
-    response.setHeader(RelayHeaders.RELAY_HEADERS.refused, 'refused' satisfies RelayRefusalCause);
-  }
-  const refusal = BODY_REFUSALS[failure];
+  incoming.resume();
   Replies.sendRefusal(dependencies, response, headers, refusal, () => response.flushHeaders());
   await Kernel.waitForRest(incoming);
   response.end();
