Leave descriptors to targets where both listeners for requests are full

Callers and other routers could each have half of the descriptors of a router, and all together. Callers have two fifths now and other routers half of that; with 1,000 descriptors that leaves 200 to targets besides those for files.

--- a/packages/sequoiarill-decisions/src/heldBytes.ts
+++ b/packages/sequoiarill-decisions/src/heldBytes.ts
@@ -60,10 +60,10 @@
 }
 
 const DEFAULT_MAX_CONNECTIONS = 2_048;
-/** The others are for targets, other routers and files. */
-const CONNECTION_SHARE = 0.5;
+/** Share of the descriptors for callers; other routers have half as many, and the rest is for targets and files. */
+const CONNECTION_SHARE = 0.4;
 
-/** Connections that a listener for requests keeps, from the settings. */
+/** Connections that the listener for callers keeps, from the settings. */
 export function computeMaxConnections(
   maxConnections: number | undefined,
   maxDescriptors: number | undefined,
--- a/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/front/httpFrontEnd.ts
@@ -94,11 +94,15 @@
   let connectionCount = 0;
   const idleConnections = Kernel.createIdleConnections();
 
-  function createServer(name: string, runTask: RequestTask): CountedServer {
+  function createServer(
+    name: string,
+    runTask: RequestTask,
+    maxConnections = settings.maxConnections,
+  ): CountedServer {
     let handleAdmitted: RequestHandler = (_request, response) => sendStatus(response, UNAVAILABLE);
     const server = Kernel.createGuardedServer(
       {
-        maxConnections: settings.maxConnections,
+        maxConnections,
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         requestTimeout: REQUEST_TIMEOUT_MS,
@@ -132,7 +136,8 @@
   }
 
   const callers = createServer('forwarding', options.handleRequest);
-  const routers = createServer('forwarding-relayed', options.handleRelayed);
+  const maxRouters = settings.maxConnections && Math.ceil(settings.maxConnections / 2);
+  const routers = createServer('forwarding-relayed', options.handleRelayed, maxRouters);
   routers.server.keepAliveTimeout = RELAY_IDLE_TIMEOUT_MS;
   const readiness = Kernel.createGuardedServer(READINESS_LIMITS, (request, response) => {
     request.resume();
--- a/packages/sequoiarill-plugin-forwarding/src/settings.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/settings.ts
@@ -23,8 +23,8 @@
    */
   heldMegabytes: Kernel.megabytesSchema,
   /**
-   * Connections of callers, and as many of other routers, beyond which those without a request for longest are closed; if
-   * absent, half of `[process] maxDescriptors`, or 2,048 where that is absent too.
+   * Connections of callers, and half as many of other routers, beyond which those without a request for longest are closed;
+   * if absent, two fifths of `[process] maxDescriptors`, or 2,048 where that is absent too.
    */
   maxConnections: Kernel.countSchema,
 });
