--- a/bench/src/repeats.ts
+++ b/bench/src/repeats.ts
@@ -18,6 +18,7 @@
   readonly kind: Kind;
   readonly rate: string;
   readonly maxTargets: string;
+  readonly limit: string;
   readonly ratio: string;
   readonly slack: string;
   readonly window: string;
@@ -31,9 +32,10 @@
   .option('--row <text>', 'plays only rows whose name contains this')
   .option('--routers <number>', 'number of router processes', '9')
   .option('--targets <number>', 'number of targets', '12')
-  .option('--kind <streams|reads>', 'requests to play', 'streams')
+  .option('--kind <streams|reads|orders>', 'requests to play', 'streams')
   .option('--rate <number>', 'requests per second', '40')
   .option('--max-targets <number>', 'targets that a request may be sent to', '5')
+  .option('--limit <seconds>', 'time limit of the requests', '8')
   .option('--ratio <number>', 'repeats that the rule allows for each request', '0.3')
   .option('--slack <number>', 'repeats that the rule allows in a window besides', '40')
   .option('--window <seconds>', 'length of the window of the rule', '10')
@@ -51,6 +53,7 @@
       kind: args.kind,
       perSecond: Number(args.rate),
       maxTargets: Number(args.maxTargets),
+      limitMs: Number(args.limit) * MS_PER_SECOND,
       rule: {
         ratio: Number(args.ratio),
         slack: Number(args.slack),
--- a/bench/src/repeats/__tests__/windows.test.ts
+++ b/bench/src/repeats/__tests__/windows.test.ts
@@ -42,4 +42,14 @@
     expect(Windows.countBeyondTime(arrivals, sent, 1_000)).toEqual(4);
     expect(Windows.countBeyondTime(arrivals, sent, 1_100)).toEqual(0);
   });
+
+  it('are late and too long where their time ends after that of the first one and of the caller', () => {
+    const sent = [{ id: 'r1', atMs: 0 }];
+    const first = createArrival('r1', 10);
+    const countLate = (atMs: number, limitMs: number) =>
+      Windows.countLateLimits([first, { ...first, atMs, limitMs }], sent, 1_000);
+    expect(countLate(500, 1_500)).toEqual({ late: 0, tooLong: 0 });
+    expect(countLate(700, 800)).toEqual({ late: 1, tooLong: 0 });
+    expect(countLate(700, 820)).toEqual({ late: 1, tooLong: 1 });
+  });
 });
--- a/bench/src/repeats/callers.ts
+++ b/bench/src/repeats/callers.ts
@@ -7,19 +7,19 @@
 import type { Fleet, FleetOptions } from './fleet';
 import type { Row } from './rows';
 import * as Windows from './windows';
-import type { SentRequest } from './windows';
+import type { LateLimits, SentRequest } from './windows';
 
-export interface PlayOptions extends Omit<
-  FleetOptions,
-  'limitMs' | 'hasTargetLinks' | 'hasRouterLinks'
-> {
+export interface PlayOptions extends Omit<FleetOptions, 'hasTargetLinks' | 'hasRouterLinks'> {
   readonly perSecond: number;
 }
 
-export interface Summary {
+type Answers = Readonly<Record<string, number>>;
+
+export interface Summary extends LateLimits {
   readonly name: string;
   readonly sent: number;
-  readonly answered: number;
+  /** Requests by the status of their answers; `none` where none came. */
+  readonly answers: Answers;
   readonly arrivals: number;
   readonly repeats: number;
   /** Largest number of repeats in a window, as a multiple of what the rule allows. */
@@ -28,54 +28,64 @@
   readonly beyondTargets: number;
   /** Largest number of targets that one request reached. */
   readonly mostTargets: number;
+  /** Largest number of arrivals of one request. */
+  readonly mostArrivals: number;
   readonly beyondTime: number;
 }
 
-const LIMIT_MS = 8_000;
-const OK = 200;
+const PATHS = {
+  streams: { method: 'POST', path: '/advice/x' },
+  reads: { method: 'GET', path: '/reads/x' },
+  orders: { method: 'POST', path: '/orders/x' },
+} as const;
 const MS_PER_SECOND = 1_000;
 /** Windows before the disturbance: the second one of a process is the first in which it may use its whole share. */
 const WINDOWS_BEFORE = 2;
 const WINDOWS_AFTER = 2;
 
-function createHeaders(kind: FleetOptions['kind'], id: string, organisation: string) {
+function createHeaders(
+  { kind, limitMs }: Pick<FleetOptions, 'kind' | 'limitMs'>,
+  id: string,
+  organisation: string,
+) {
   const apiKey = Fleets.formatKey(organisation);
   return {
-    ...Standins.createCallerHeaders({ requestId: id, apiKey, limitMs: LIMIT_MS }),
+    ...Standins.createCallerHeaders({ requestId: id, apiKey, limitMs }),
     ...(kind === 'streams' ? Standins.createStreamHeaders(`p${id}`) : {}),
   };
 }
 
-/** Sends until the signal is aborted; returns the number of whole answers. */
+/** Sends until the signal is aborted. */
 async function sendRequests(
   { routers }: Fleet,
-  { kind, perSecond }: PlayOptions,
+  options: PlayOptions,
   sent: SentRequest[],
   signal: AbortSignal,
-): Promise<number> {
+): Promise<Answers> {
+  const { kind, limitMs, perSecond } = options;
   const agent = new Undici.Agent({ pipelining: 0, bodyTimeout: 0 });
   const sending: Promise<void>[] = [];
-  let answered = 0;
+  const answers: Record<string, number> = {};
 
   async function sendOne(address: string, index: number): Promise<void> {
     const id = `r${index}`;
     const organisation = Fleets.ORGANISATIONS[index % Fleets.ORGANISATIONS.length] ?? '';
     sent.push({ id, atMs: performance.now() });
+    const { method, path } = PATHS[kind];
+    let status = 'none';
     try {
-      const response = await Undici.request(
-        `http://${address}/${kind === 'streams' ? 'advice' : 'reads'}/x`,
-        {
-          method: kind === 'streams' ? 'POST' : 'GET',
-          dispatcher: agent,
-          headers: createHeaders(kind, id, organisation),
-          signal: AbortSignal.timeout(LIMIT_MS),
-        },
-      );
+      const response = await Undici.request(`http://${address}${path}`, {
+        method,
+        dispatcher: agent,
+        headers: createHeaders(options, id, organisation),
+        signal: AbortSignal.timeout(limitMs),
+      });
       await response.body.text();
-      if (response.statusCode === OK) answered += 1;
+      status = String(response.statusCode);
     } catch {
       // Its router has ended, or nothing came in time.
     }
+    answers[status] = (answers[status] ?? 0) + 1;
   }
 
   const startMs = performance.now();
@@ -93,7 +103,7 @@
   }
   await Promise.all(sending);
   await agent.destroy();
-  return answered;
+  return answers;
 }
 
 async function waitMs(ms: number): Promise<void> {
@@ -103,10 +113,9 @@
 }
 
 export async function runRow(row: Row, options: PlayOptions): Promise<Summary> {
-  const { kind, rule } = options;
+  const { kind, limitMs, rule } = options;
   const fleet = await Fleets.startFleet({
     ...options,
-    limitMs: LIMIT_MS,
     hasTargetLinks: row.hasTargetLinks === true,
     hasRouterLinks: row.hasRouterLinks === true,
   });
@@ -124,7 +133,7 @@
     await row.disturb(fleet);
     await waitMs(WINDOWS_AFTER * rule.windowMs);
     ended.abort();
-    const answered = await sending;
+    const answers = await sending;
     faults.abort();
     await failing;
     const arrivals = fleet.listArrivals();
@@ -133,13 +142,15 @@
     return {
       name: row.name,
       sent: sent.length,
-      answered,
+      answers,
       arrivals: arrivals.length,
       repeats: repeats.length,
       worst: Outputs.computeRounded(Windows.computeWorstWindow(sentMs, repeats, rule), 3),
       beyondTargets: Windows.countBeyondTargets(arrivals, options.maxTargets),
       mostTargets: Math.max(0, ...Windows.countTargets(arrivals)),
-      beyondTime: Windows.countBeyondTime(arrivals, sent, LIMIT_MS),
+      mostArrivals: Windows.countMostArrivals(arrivals),
+      beyondTime: Windows.countBeyondTime(arrivals, sent, limitMs),
+      ...Windows.countLateLimits(arrivals, sent, limitMs),
     };
   } finally {
     await fleet.stop();
--- a/bench/src/repeats/fleet.ts
+++ b/bench/src/repeats/fleet.ts
@@ -6,7 +6,7 @@
 
 import type { Arrival, Rule } from './windows';
 
-export type Kind = 'streams' | 'reads';
+export type Kind = 'streams' | 'reads' | 'orders';
 
 export interface FleetOptions {
   /** Program file of the routers. */
@@ -54,6 +54,8 @@
 const EVENT_COUNT = 60;
 const MS_PER_SECOND = 1_000;
 const RESTART_MS = 500;
+/** More routers at a time would take the processor time that this process needs. */
+const STARTED_TOGETHER = 6;
 /** Each target fails in all but one of so many steps. */
 const FAULT_STEPS = 3;
 const FAULT_STEP_MS = 150;
@@ -226,9 +228,15 @@
     targets.map(({ address }) => address),
   );
   const { addresses, peerLinks } = await startViews(store, ownLinks);
-  const routers = await Promise.all(
-    addresses.map((address, index) => startRouter(index, store, address, options)),
-  );
+  const routers: Awaited<ReturnType<typeof startRouter>>[] = [];
+  for (let from = 0; from < addresses.length; from += STARTED_TOGETHER) {
+    const batch = addresses.slice(from, from + STARTED_TOGETHER);
+    routers.push(
+      ...(await Promise.all(
+        batch.map((address, index) => startRouter(from + index, store, address, options)),
+      )),
+    );
+  }
   const storeLinks = routers.map(({ link }) => link);
   const targetLinks = targets.flatMap(({ links }) => links);
   const routerLinks = ownLinks.map((links) => links.map(({ link }) => link));
--- a/bench/src/repeats/rows.ts
+++ b/bench/src/repeats/rows.ts
@@ -1,5 +1,5 @@
 /** What happens to a fleet that has more to repeat than it may. */
-import type { LinkStandin } from '@sequoiarill/standins';
+import type { LinkStandin, TargetStandin } from '@sequoiarill/standins';
 
 import type { Fleet } from './fleet';
 
@@ -13,6 +13,8 @@
 const KILL_INTERVAL_MS = 4_000;
 const TURN_MS = 1_500;
 const CUT_MS = 12_000;
+const READ_PERIOD_MS = 1_500;
+const UNREAD_MS = 900;
 
 async function waitMs(ms: number): Promise<void> {
   await new Promise((resolve) => {
@@ -67,6 +69,16 @@
     });
 }
 
+/** Lets a target read nothing for most of the time, from a share of the period on. */
+async function readLate(target: TargetStandin, phase: number): Promise<void> {
+  await waitMs(phase * READ_PERIOD_MS);
+  await runRepeatedly(CUT_MS / READ_PERIOD_MS, READ_PERIOD_MS, async () => {
+    target.setSilent(true);
+    await waitMs(UNREAD_MS);
+    target.setSilent(false);
+  });
+}
+
 export const ROWS: readonly Row[] = [
   { name: 'calm', disturb: async () => undefined },
   { name: 'all killed', disturb: createRestarts(['SIGKILL'], 1) },
@@ -130,6 +142,12 @@
         targets.forEach((target) => target.setSilent(false));
       }),
   },
+  {
+    name: 'targets read late',
+    disturb: async ({ targets }) => {
+      await Promise.all(targets.map((target, index) => readLate(target, index / targets.length)));
+    },
+  },
   {
     name: 'targets reject',
     disturb: async ({ targets }) => {
--- a/bench/src/repeats/windows.ts
+++ b/bench/src/repeats/windows.ts
@@ -22,6 +22,8 @@
 
 /** Distance of the windows that are compared. */
 const STEP_MS = 50;
+/** Time by which a target may work on a request for longer than its caller waits. */
+const MAX_EXCESS_MS = 500;
 
 /** Counts sorted times within windows. */
 function createCounter(timesMs: readonly number[]) {
@@ -90,13 +92,50 @@
   return countTargets(arrivals).filter((count) => count > maxTargets).length;
 }
 
+/** Largest number of arrivals of one request, with those that were rejected. */
+export function countMostArrivals(arrivals: readonly Arrival[]): number {
+  const counts = new Map<string, number>();
+  for (const { requestId } of arrivals) counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+  return Math.max(0, ...counts.values());
+}
+
+export interface LateLimits {
+  /** Arrivals of requests later than half a second after their first ones. */
+  readonly late: number;
+  /** Of these, the ones whose time ends more than half a second after that of the first one, and after their caller's. */
+  readonly tooLong: number;
+}
+
+/** Compares the time that late repeats allow their targets with the time of the first arrival and of the caller. */
+export function countLateLimits(
+  arrivals: readonly Arrival[],
+  sent: readonly SentRequest[],
+  limitMs: number,
+): LateLimits {
+  const latestMs = new Map(sent.map(({ id, atMs }) => [id, atMs + limitMs]));
+  const firsts = new Map<string, Arrival>();
+  let late = 0;
+  let tooLong = 0;
+  for (const arrival of [...arrivals].sort((left, right) => left.atMs - right.atMs)) {
+    const { requestId, atMs } = arrival;
+    const first = firsts.get(requestId);
+    if (first === undefined) firsts.set(requestId, arrival);
+    else if (atMs > first.atMs + MAX_EXCESS_MS) {
+      const endMs = (one: Arrival): number => one.atMs + (one.limitMs ?? Number.POSITIVE_INFINITY);
+      const allowedMs = Math.max(endMs(first), latestMs.get(requestId) ?? 0) + MAX_EXCESS_MS;
+      late += 1;
+      if (endMs(arrival) > allowedMs) tooLong += 1;
+    }
+  }
+  return { late, tooLong };
+}
+
 /** Sends that allow their target more than half a second longer than their caller waits. */
 export function countBeyondTime(
   arrivals: readonly Arrival[],
   sent: readonly SentRequest[],
   limitMs: number,
 ): number {
-  const MAX_EXCESS_MS = 500;
   const sentAtMs = new Map(sent.map(({ id, atMs }) => [id, atMs]));
   return arrivals.filter(({ requestId, atMs, limitMs: allowedMs }) => {
     const endsAtMs = (sentAtMs.get(requestId) ?? Number.POSITIVE_INFINITY) + limitMs;
