Log what a router's retry budget has counted, and count repeats by cause

Cause: nothing told rejected repeats from lost ones for plain requests, and no line told what a router had counted in a window, so that it could not be compared with the arrivals of that window.

The state of decisions by service has a file of its own, since pluginParts had grown too long.

--- a/bench/src/repeats/__tests__/windows.test.ts
+++ b/bench/src/repeats/__tests__/windows.test.ts
@@ -52,4 +52,15 @@
     expect(countLate(700, 800)).toEqual({ late: 1, tooLong: 0 });
     expect(countLate(700, 820)).toEqual({ late: 1, tooLong: 1 });
   });
+
+  it('are compared with what routers have counted last', () => {
+    const counts = [
+      { router: 1, atMs: 100, repeats: 2 },
+      { router: 2, atMs: 200, repeats: 3 },
+      { router: 1, atMs: 300, repeats: 1 },
+      { router: 1, atMs: 1_400, repeats: 4 },
+    ];
+    expect(Windows.computeMostCounted(counts, 1_000)).toEqual(5);
+    expect(Windows.computeMostRepeats([100, 200, 1_150, 1_300], 1_000)).toEqual(2);
+  });
 });
--- a/bench/src/repeats/callers.ts
+++ b/bench/src/repeats/callers.ts
@@ -24,6 +24,9 @@
   readonly repeats: number;
   /** Largest number of repeats in a window, as a multiple of what the rule allows. */
   readonly worst: number;
+  /** Largest number of repeats in a window, by arrivals at targets and by what all routers together have counted. */
+  readonly mostRepeats: number;
+  readonly mostCounted: number;
   /** Requests that reached more targets than their route allows. */
   readonly beyondTargets: number;
   /** Largest number of targets that one request reached. */
@@ -146,6 +149,16 @@
       arrivals: arrivals.length,
       repeats: repeats.length,
       worst: Outputs.computeRounded(Windows.computeWorstWindow(sentMs, repeats, rule), 3),
+      mostRepeats: Windows.computeMostRepeats(repeats, rule.windowMs),
+      mostCounted: Outputs.computeRounded(
+        Windows.computeMostCounted(
+          fleet.routers.flatMap(({ listCounts }, router) =>
+            listCounts().map((count) => ({ ...count, router })),
+          ),
+          rule.windowMs,
+        ),
+        1,
+      ),
       beyondTargets: Windows.countBeyondTargets(arrivals, options.maxTargets),
       mostTargets: Math.max(0, ...Windows.countTargets(arrivals)),
       mostArrivals: Windows.countMostArrivals(arrivals),
--- a/bench/src/repeats/fleet.ts
+++ b/bench/src/repeats/fleet.ts
@@ -4,7 +4,7 @@
 import * as Testing from '@sequoiarill/testing';
 import type { StartedRouter } from '@sequoiarill/testing';
 
-import type { Arrival, Rule } from './windows';
+import type { Arrival, Count, Rule } from './windows';
 
 export type Kind = 'streams' | 'reads' | 'orders';
 
@@ -29,6 +29,8 @@
   readonly restart: (signal: 'SIGKILL' | 'SIGTERM') => Promise<void>;
   readonly pause: (ms: number) => Promise<void>;
   readonly stop: () => Promise<void>;
+  /** Repeats in its window by its own count, over all its processes. */
+  readonly listCounts: () => readonly Omit<Count, 'router'>[];
 }
 
 export interface Fleet {
@@ -141,9 +143,11 @@
   const settings = formatSettings(`router-${index}`, zone, storeAddress, options.rule);
   let current: StartedRouter;
   let isServing = false;
+  const lives: StartedRouter[] = [];
 
   async function startNext(): Promise<void> {
     current = Testing.startUserRouter(options.daemon, settings);
+    lives.push(current);
     await current.start;
     await current.waitForLine(
       ({ name, known }) => name === 'directory.targetsChanged' && Number(known) >= options.targets,
@@ -169,6 +173,14 @@
       current.process.kill('SIGKILL');
       await current.exited;
     },
+    listCounts: () =>
+      lives
+        .flatMap(({ lines }) => lines)
+        .filter(({ name }) => name === 'repeats.counted')
+        .map(({ time, retries, held }) => ({
+          atMs: Number(time) - performance.timeOrigin,
+          repeats: Number(retries) + Number(held),
+        })),
   };
   await startNext();
   return { router, link };
--- a/bench/src/repeats/windows.ts
+++ b/bench/src/repeats/windows.ts
@@ -142,3 +142,31 @@
     return allowedMs === undefined || atMs + allowedMs > endsAtMs + MAX_EXCESS_MS;
   }).length;
 }
+
+/** What one router has counted in its window. */
+export interface Count {
+  readonly router: number;
+  readonly atMs: number;
+  readonly repeats: number;
+}
+
+/** Largest sum over all routers of what they have counted last, each within a window. */
+export function computeMostCounted(counts: readonly Count[], windowMs: number): number {
+  const latest = new Map<number, Count>();
+  let most = 0;
+  for (const count of [...counts].sort((left, right) => left.atMs - right.atMs)) {
+    latest.set(count.router, count);
+    const current = [...latest.values()].filter(({ atMs }) => atMs > count.atMs - windowMs);
+    most = Math.max(
+      most,
+      current.reduce((sum, { repeats }) => sum + repeats, 0),
+    );
+  }
+  return most;
+}
+
+/** Largest number of repeats in a sliding window. */
+export function computeMostRepeats(repeatsMs: readonly number[], windowMs: number): number {
+  const repeats = createCounter(repeatsMs);
+  return Math.max(0, ...repeats.sorted.map((atMs) => repeats.countWithin(atMs - windowMs, atMs)));
+}
--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -281,7 +281,7 @@
   request: ForwardRequest,
   progress: Progress,
 ): Promise<ForwardOutcome> {
-  const { clock, log } = dependencies;
+  const { clock, log, metrics } = dependencies;
   const refusal = admitRequest(dependencies, request, progress);
   if (refusal !== undefined) return refusal;
   for (;;) {
@@ -308,7 +308,7 @@
     if (finalOutcome !== undefined) return finalOutcome;
     progress.excluded.add(target.id);
     if (progress.excluded.size > MAX_TARGETS_TRIED) return decideEnd(request, progress, false);
-    dependencies.metrics.addCount(Metrics.REPEATED);
+    metrics.addCount(Metrics.REPEATED, 1, { service: request.service, cause: outcome.kind });
     log.logEvent(Events.REQUEST_REPEATED, {
       request: request.id,
       content: request.contentKey,
--- a/packages/sequoiarill-plugin-forwarding/src/events.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/events.ts
@@ -101,13 +101,6 @@
   'A command to an engine failed with an internal error of the router; the stream continues without it.',
 );
 
-export const REPEATS_BORROWED = Kernel.defineEvent(
-  1922,
-  'info',
-  'repeats.borrowed',
-  "This router's share of the retry quota was used up; it requested unused quota from other routers.",
-);
-
 export const TARGET_ENDED = Kernel.defineEvent(
   1923,
   'warn',
@@ -287,7 +280,6 @@
   STREAM_PLACED,
   STREAM_COPIED,
   ORDER_FAILED,
-  REPEATS_BORROWED,
   TARGET_ENDED,
   CONTENT_BLOCKED,
   PEER_NOT_TOLD,
--- a/packages/sequoiarill-plugin-forwarding/src/metrics.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/metrics.ts
@@ -67,14 +67,24 @@
     unit: 'count',
     meaning: 'Calls cut because the target sent more than an answer has, by phase.',
   },
-  { name: CONTINUED, unit: 'count', meaning: 'Streams continued on another target, by cause.' },
+  {
+    name: CONTINUED,
+    unit: 'count',
+    meaning:
+      'Streams continued on another target, by service and cause (lost, notRun: rejected, notSent, whole: a server error).',
+  },
   {
     name: COPIES,
     unit: 'count',
     meaning:
       'Copies of a KV cache that were commanded to replace an earlier copy during a run, by outcome.',
   },
-  { name: REPEATED, unit: 'count', meaning: 'Retries of requests on another target.' },
+  {
+    name: REPEATED,
+    unit: 'count',
+    meaning:
+      'Retries of plain requests on another target, by service and cause (lost, notRun: rejected, notSent, whole: a server error).',
+  },
   {
     name: REPEATS,
     unit: 'count',
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -15,12 +15,14 @@
 import * as OpenExchanges from './front/openExchanges';
 import * as PluginHandlers from './pluginHandlers';
 import * as Parts from './pluginParts';
+import * as RepeatEvents from './repeatEvents';
 import * as RetryQuotas from './retryQuota';
 import * as StopEvents from './front/stopEvents';
 import * as RouteTables from './front/routeTable';
 import type { RouteTable } from './front/routeTable';
 import * as WaitingStreams from './streams/waitingStreams';
 import * as PeerContacts from './targets/peerContacts';
+import * as ServiceDecisions from './serviceDecisions';
 import * as SilenceEvents from './targets/silenceEvents';
 import { settingsSchema } from './settings';
 import type { ForwardingSettings } from './settings';
@@ -37,7 +39,7 @@
   const rollouts = context.getCapability('rollouts');
   const room = context.getCapability('room');
   const log = RateLimitedLogs.createRateLimitedLog(logEvent, clock.getNowMs);
-  const decisions = Parts.createServiceDecisions(context, settings);
+  const decisions = ServiceDecisions.createServiceDecisions(context, settings);
   const parts = Parts.createTargetParts(context, settings, log, decisions);
   const { connections, paths, registry, relays, notices, probes, crashes, limits, brittle } = parts;
   const origins = Parts.createOrigins(context, log);
@@ -169,6 +171,7 @@
   needs: ['wire', 'directory', 'peers', 'rollouts', 'room', 'keyValue'],
   events: [
     ...Events.EVENTS,
+    ...RepeatEvents.REPEAT_EVENTS,
     ...HeldEvents.HELD_EVENTS,
     ...SilenceEvents.SILENCE_EVENTS,
     ...FailureEvents.FAILURE_EVENTS,
--- a/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginHandlers.ts
@@ -2,7 +2,8 @@
 import type { Directory, ForwardingTarget, PluginContext } from '@sequoiarill/types';
 
 import type { StreamOrigins } from './origins/streamOrigins';
-import type { ServiceDecisions, TargetParts } from './pluginParts';
+import type { TargetParts } from './pluginParts';
+import type { ServiceDecisions } from './serviceDecisions';
 import * as ContactQueries from './targets/contactQueries';
 import type { WaitingStreams } from './streams/waitingStreams';
 
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -1,6 +1,5 @@
 /** Creates the parts of the plug-in from its context. */
 import * as Decisions from '@sequoiarill/decisions';
-import type { FleetRetryBudget, StallPolicy } from '@sequoiarill/decisions';
 import type { PluginContext } from '@sequoiarill/types';
 
 import * as CallOpeners from './callOpeners';
@@ -10,13 +9,9 @@
 import * as ExitChecks from './crashes/exitCheck';
 import * as HeldBudgets from './front/heldBudget';
 import type { HeldBudget } from './front/heldBudget';
-import type { ExchangeDependencies } from './front/replies';
 import * as Events from './events';
-import * as LazyGetters from './lazyGetter';
-import * as Metrics from './metrics';
 import * as BrittleTargets from './limits/brittleTargets';
 import * as TargetLimits from './limits/targetLimits';
-import * as RetryHandovers from './retryHandover';
 import type { RateLimitedLog } from './rateLimitedLog';
 import * as BuildEntries from './origins/buildEntries';
 import * as OriginMemories from './origins/originMemory';
@@ -28,6 +23,7 @@
 import type { StreamOrigins as StreamOriginsState } from './origins/streamOrigins';
 import * as Relays from './relay/relays';
 import type { Relays as RelaysState } from './relay/relays';
+import type { ServiceDecisions } from './serviceDecisions';
 import type { ForwardingSettings } from './settings';
 import * as CopyCommands from './streams/copyCommands';
 import * as ContactChecks from './targets/contactCheck';
@@ -41,66 +37,6 @@
 import * as TargetProbes from './targets/targetProbe';
 import * as TargetRegistries from './targets/targetRegistry';
 
-const MS_PER_SECOND = 1_000;
-
-export interface ServiceDecisions extends Pick<
-  ExchangeDependencies,
-  'getBudget' | 'getAdmission' | 'getPromptEstimates' | 'getRunEstimates' | 'getStallPolicy'
-> {
-  /** Retry budget of each service. */
-  readonly dumpRepeats: () => readonly Readonly<Record<string, unknown>>[];
-}
-
-/** Creates the decision state that each service has separately. */
-export function createServiceDecisions(
-  { clock, nextRandom, metrics, process, getCapability }: PluginContext,
-  settings: ForwardingSettings,
-): ServiceDecisions {
-  const startedMs = clock.getNowMs();
-  const budgets = new Map<string, FleetRetryBudget>();
-  const room = getCapability('room');
-  const peers = getCapability('peers');
-  const windowMs = settings.repeatWindowSeconds * MS_PER_SECOND;
-  const sharers = Decisions.createRetrySharers({
-    getNowMs: clock.getNowMs,
-    listRouters: () => peers.listRouters().map(({ name, address }) => name ?? address),
-    self: process.name,
-    isUpToDate: getCapability('directory').isUpToDate,
-    windowMs,
-  });
-  const handover = RetryHandovers.createRetryHandover(peers.getStopRecord, clock, windowMs);
-  peers.setStopRecord(() => RetryHandovers.encodeBudgets(budgets, clock, windowMs, startedMs));
-  const createBudget = (service: string): FleetRetryBudget =>
-    Decisions.createFleetRetryBudget({
-      ratio: settings.repeatRatio,
-      slack: settings.repeatSlack,
-      windowMs,
-      countRouters: sharers.count,
-      isShareReserved: sharers.isReserved,
-      hasPredecessor: peers.hasPredecessor,
-      getPredecessor: () => handover.getPredecessor(service),
-      startedMs,
-      getFleetTotals: () => room.getFleetRepeats(service),
-      reportChange: (change) => metrics.addCount(Metrics.REPEATS, 1, { service, change }),
-    });
-  const getBudget = LazyGetters.createLazyGetter(createBudget, budgets);
-  room.setRepeatSource((service) => getBudget(service).getTotals(clock.getNowMs()));
-  return {
-    getBudget,
-    dumpRepeats: () =>
-      [...budgets].map(([service, budget]) => ({
-        service,
-        ...budget.describe(clock.getNowMs()),
-      })),
-    getAdmission: LazyGetters.createLazyGetter(() =>
-      Decisions.createLatencyAdmission({ nextRandom }),
-    ),
-    getPromptEstimates: LazyGetters.createLazyGetter(Decisions.createPromptEstimates),
-    getRunEstimates: LazyGetters.createLazyGetter(Decisions.createRunEstimates),
-    getStallPolicy: LazyGetters.createLazyGetter<StallPolicy>(Decisions.createStallPolicy),
-  };
-}
-
 /** An answer without framing waits so long for a target that does not respond. */
 const END_CHECK_TIMEOUT_MS = 150;
 /** The listener of a killed process closes within a few milliseconds after its connections. */
--- a/packages/sequoiarill-plugin-forwarding/src/retryQuota.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/retryQuota.ts
@@ -2,7 +2,7 @@
 import type { FleetRetryBudget } from '@sequoiarill/decisions';
 import type { RetryQuotaRequest } from '@sequoiarill/types';
 
-import * as Events from './events';
+import * as RepeatEvents from './repeatEvents';
 import type { ForwardRequest } from './forwardRequest';
 import type { ForwardingDependencies } from './dependencies';
 
@@ -108,7 +108,7 @@
       while (computeMissing() > 0 && pending.size > 0 && clock.getNowMs() < deadlineMs) {
         await waitForResponse(deadlineMs - clock.getNowMs());
       }
-      log.logEvent(Events.REPEATS_BORROWED, {
+      log.logEvent(RepeatEvents.REPEATS_BORROWED, {
         request: request.id,
         service,
         missing,
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -114,7 +114,7 @@
   if (outcome.kind === 'whole' && !progress.hasEvents) {
     return { kind: 'answer', head: outcome.head, body: outcome.body };
   }
-  updateProgress(dependencies, plan, progress, outcome);
+  updateProgress(dependencies, request, plan, progress, outcome);
   if (outcome.kind === 'lost' && outcome.isUnanswered === true) {
     LateArrivals.recordUnanswered(dependencies, request, progress.late, plan.target.id);
   }
@@ -149,6 +149,7 @@
 
 function updateProgress(
   dependencies: ForwardingDependencies,
+  { service }: ForwardRequest,
   plan: Plan,
   progress: Progress,
   outcome: Exclude<AttemptOutcome, { kind: 'complete' | 'callerLeft' | 'expired' | 'outOfTime' }>,
@@ -162,7 +163,7 @@
   if (outcome.kind !== 'notSent') progress.deliveries += 1;
   if (outcome.kind === 'lost' && 'next' in outcome) progress.reserved = outcome.next;
   recordOutcome(dependencies, target, outcome);
-  dependencies.metrics.addCount(Metrics.CONTINUED, 1, { cause: outcome.kind });
+  dependencies.metrics.addCount(Metrics.CONTINUED, 1, { service, cause: outcome.kind });
 }
 
 function recordOutcome(
