Count rejected sends of streams against the targets that their route allows

What callers saw: engines that are full got single streams again and again, up to twelve times where a route allows five, and the repeats that this took were missing where streams had begun.

Cause: only sends that may have run counted against the number of targets; rejected ones were bounded by the number of tries alone. At another router, rejections counted as no send at all.

Change: a stream counts the targets that it was sent to, here and by other routers, whether they ran it or not.

Measured: of the eight properties in targetSends (streams, reads and orders that targets reject, lose, fail or misdirect, here or through other routers), the two for streams failed before (one target allowed, one rejection: sent on) and all pass.

--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -53,7 +53,7 @@
     const router = relays.chooseRouter(tried);
     if (router === undefined) break;
     tried.add(router.address);
-    const allowance = RelayAttempts.computeAllowance(request, progress.runs);
+    const allowance = RelayAttempts.computeAllowance(request, progress.sends);
     const hop = { router, allowance, tried };
     const outcome = yield* relayThroughRouter(dependencies, request, progress, hop);
     recordSpent(progress, outcome, allowance);
@@ -103,7 +103,7 @@
     lastEventId,
     build,
     mayLeave: () => {
-      const next = { ...progress, runs: progress.runs + allowance };
+      const next = { ...progress, sends: progress.sends + allowance };
       return isNextPossible(dependencies, request, next, tried);
     },
   });
@@ -226,6 +226,7 @@
   const spent = RelayAttempts.countSpent(outcome, allowance);
   if (spent === 0) return;
   progress.deliveries += 1;
+  progress.sends += spent;
   if (outcome.kind === 'refused') return;
   progress.runs += spent;
   progress.copy = undefined;
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAnswer.ts
@@ -160,7 +160,10 @@
   progress.excluded.add(target.id);
   if (StreamRelays.hasRun(outcome)) progress.runs += 1;
   else if (copy !== undefined) progress.copy = undefined;
-  if (outcome.kind !== 'notSent') progress.deliveries += 1;
+  if (outcome.kind !== 'notSent') {
+    progress.deliveries += 1;
+    progress.sends += 1;
+  }
   if (outcome.kind === 'lost' && 'next' in outcome) progress.reserved = outcome.next;
   recordOutcome(dependencies, target, outcome);
   dependencies.metrics.addCount(Metrics.CONTINUED, 1, { service, cause: outcome.kind });
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamPlan.ts
@@ -24,7 +24,7 @@
   | { readonly kind: 'broken'; readonly reason: string; readonly lastTarget?: string }
   | Exclude<ForwardOutcome, PassedEnd>;
 
-/** Bounds all sends of a stream, including those that targets did not accept. */
+/** Bounds the tries of a stream, also where connections are refused and nothing is sent. */
 const MAX_TRIES = 12;
 /** Prefilling the prompt again takes a second, so a busy holder may take longer than an idle one. */
 const HOLDER_TIMEOUT_MS = 120;
@@ -50,8 +50,10 @@
   /** Attempts in which a target may have begun to run the request, here and in lost hops. */
   runs: number;
   tries: number;
-  /** Sends that reached a target, including ones that it did not accept. */
+  /** Sends from here, to targets and through other routers, that reached a target, which may have rejected it. */
   deliveries: number;
+  /** Targets that it was sent to, here and by other routers, including those that rejected it. */
+  sends: number;
   readonly excluded: Set<string>;
   readonly late: LateArrivals.LateSends;
   /** Undefined where it is not decided who gets room. */
@@ -95,6 +97,7 @@
     runs: 0,
     tries: 0,
     deliveries: 0,
+    sends: 0,
     excluded: new Set(),
     late: LateArrivals.createLateSends(),
     copy: undefined,
@@ -327,6 +330,6 @@
 /** Whether the request may be sent once more. */
 export function hasTriesLeft(request: ForwardRequest, progress: Progress): boolean {
   const { retryPolicy, maxTargets } = request.route;
-  if (retryPolicy === 'once') return progress.runs === 0 && progress.tries < MAX_TRIES;
-  return progress.runs < maxTargets && progress.tries < MAX_TRIES;
+  if (retryPolicy === 'once' && progress.runs > 0) return false;
+  return progress.sends < maxTargets && progress.tries < MAX_TRIES;
 }
--- a/packages/sequoiarill-plugin-forwarding/src/streams/takeover.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/takeover.ts
@@ -92,6 +92,7 @@
       ...progress,
       runs: progress.runs + 1,
       deliveries: progress.deliveries + 1,
+      sends: progress.sends + 1,
       excluded: new Set([...progress.excluded, ...still, target.id]),
       copy,
       lastTarget: target.id,
