Give repeats of plain requests half of the time that is left

What callers saw: targets went on with requests whose callers had left, and others waited behind them for a place.

Cause: a router names the time that is left when it sends a request, and the target counts it from when it reads the request. Where a target, a router or a link stands still in between, the target works on for as long after the caller has left. No router can know that time. The first send is no later than its caller's own by much; a repeat comes when the time is nearly over.

Change: a repeat of a plain request, here or through another router, gets half of what is left, or the objective of its route where that is more. A target may then read it as late as the other half allows. The figure rests on no estimate of a delay. Streams keep all the time that is left, which their events need. Other ways weighed: what such sends have lately taken (unknown where a target answers nothing), and a fixed time off (as long as the longest silence).

--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -273,7 +273,7 @@
     getRunEstimates: () => estimates[1],
     getBudget: () => budget,
     getStallPolicy: () => policy,
-    openCall: (_request, target, extraHeaders) => recordCall(target.id, extraHeaders),
+    openCall: (_request, target, { extraHeaders }) => recordCall(target.id, extraHeaders),
     readReport: (target, timeoutMs) => readResponse(target, reports.get(target.id), timeoutMs),
     readCachedParts: (target, timeoutMs) =>
       readResponse(target, cachedParts.get(target.id), timeoutMs),
--- a/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/fullAnswer.ts
@@ -4,6 +4,7 @@
 import * as AdmittedSends from './admittedSend';
 import * as Checks from './answerChecks';
 import * as AttemptRecords from './attemptRecords';
+import * as AttemptTimeouts from './attemptTimeout';
 import * as Events from '../events';
 import * as ForwardRequests from '../forwardRequest';
 import type { ForwardOutcome, ForwardRequest, PlainOutcome, SendOutcome } from '../forwardRequest';
@@ -21,10 +22,6 @@
 import * as ServiceAdmissions from './serviceAdmission';
 import * as WaitEnds from '../streams/waitEnds';
 
-/** Timeout of an attempt in multiples of the objective, so that a retry can still succeed in time. */
-const ATTEMPT_TIMEOUT_OBJECTIVES = 2.5;
-/** Maximum share of the remaining time that one attempt may use while another one can follow. */
-const ATTEMPT_TIMEOUT_SHARE = 0.45;
 /** Default retry delay of a refusal; targets that failed are tried again after it. */
 const RETRY_AFTER_SECONDS = 0.3;
 /** A server error from a second target is caused by the request and is returned as the answer. */
@@ -50,20 +47,6 @@
   lastFailure?: Extract<SendOutcome, { kind: 'whole' }>;
 }
 
-/** Timeout of one attempt: all the remaining time, unless another target can be tried afterwards. */
-function computeAttemptTimeoutMs(
-  request: ForwardRequest,
-  progress: Progress,
-  nowMs: number,
-): number {
-  const leftMs = request.expiresAtMs - nowMs;
-  const { retryPolicy, maxTargets, objectiveMs } = request.route;
-  const isLast = retryPolicy === 'once' || progress.sends + 1 >= maxTargets;
-  return isLast
-    ? leftMs
-    : Math.min(objectiveMs * ATTEMPT_TIMEOUT_OBJECTIVES, leftMs * ATTEMPT_TIMEOUT_SHARE);
-}
-
 function buildRefusal(progress: Progress, retryAfterSeconds = RETRY_AFTER_SECONDS): ForwardOutcome {
   const { lastReason: reason } = progress;
   return { kind: 'refused', reason, retryAfterSeconds, ...getLastTarget(progress) };
@@ -298,7 +281,8 @@
     progress.lastTarget = target.id;
     const outcome = await AdmittedSends.sendWithAdmission(dependencies, request, {
       target,
-      attemptTimeoutMs: computeAttemptTimeoutMs(request, progress, nowMs),
+      attemptTimeoutMs: AttemptTimeouts.computeAttemptTimeoutMs(request, progress, nowMs),
+      isRepeat: progress.sends > 0,
       next: NextSends.createNextSend(dependencies, request, progress, target),
     });
     releaseSlot(progress, outcome, clock.getNowMs() - nowMs - getUnreadMs(request));
--- a/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/answers/sending.ts
@@ -65,6 +65,7 @@
   readonly target: ForwardingTarget;
   /** Time after which another target is preferred. */
   readonly attemptTimeoutMs: number;
+  readonly isRepeat: boolean;
   readonly next: NextSend;
 }
 
@@ -72,9 +73,9 @@
 export async function sendOnce(
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
-  { target, attemptTimeoutMs, next }: SendOptions,
+  { target, attemptTimeoutMs, isRepeat, next }: SendOptions,
 ): Promise<PlainOutcome> {
-  const call = dependencies.openCall(request, target, []);
+  const call = dependencies.openCall(request, target, { extraHeaders: [], isRepeat });
   // A request that must not be retried is run to its end, even when its caller has disconnected.
   const mayCancel = request.route.retryPolicy !== 'once';
   if (mayCancel) request.closed.addEventListener('abort', call.cancel, { once: true });
--- a/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
@@ -2,6 +2,7 @@
 import type { ForwardingTarget, HeaderNames, PluginContext } from '@sequoiarill/types';
 
 import * as Checks from './answers/answerChecks';
+import * as ForwardRequests from './forwardRequest';
 import type { AnswerHead, ForwardRequest } from './forwardRequest';
 import type { RawHeader } from './front/headers';
 import type { ExchangeDependencies } from './front/replies';
@@ -90,8 +91,8 @@
   notices: TargetNotices.TargetNotices,
 ): ExchangeDependencies['openCall'] {
   const { headers: headerNames } = getCapability('wire');
-  return (request, target, extraHeaders) => {
-    const leftMs = Math.max(1, Math.floor(request.expiresAtMs - clock.getNowMs()));
+  return (request, target, { extraHeaders, isRepeat }) => {
+    const targetMs = ForwardRequests.computeTargetMs(request, clock.getNowMs(), isRepeat);
     const replaced = new Set(extraHeaders.map(([name]) => name));
     const organisation: readonly RawHeader[] =
       request.organisation === undefined ? [] : [[headerNames.organisation, request.organisation]];
@@ -111,7 +112,7 @@
         recordExcess: notices.createExcessRecord(target, request.id),
         headers: [
           ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
-          [headerNames.remainingMs, String(leftMs)],
+          [headerNames.remainingMs, String(targetMs)],
           [headerNames.expectedTarget, target.id],
           ...organisation,
           ...extraHeaders,
--- a/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/dependencies.ts
@@ -38,6 +38,13 @@
 import type { TargetRegistry } from './targets/targetRegistry';
 import type { TargetCall } from './targets/targetCall';
 
+export interface SendTerms {
+  /** Headers that only a router may set. */
+  readonly extraHeaders: readonly RawHeader[];
+  /** Whether the request was sent before, here or through another router. */
+  readonly isRepeat: boolean;
+}
+
 export interface ForwardingDependencies {
   readonly zone: string;
   readonly clock: Pick<Clock, 'getNowMs' | 'getRunningMs' | 'getReadDelayMs' | 'waitMs'>;
@@ -80,7 +87,7 @@
   readonly openCall: (
     request: ForwardRequest,
     target: ForwardingTarget,
-    extraHeaders: readonly RawHeader[],
+    terms: SendTerms,
   ) => TargetCall;
   /** Load report of an engine; undefined when it does not respond within the timeout. */
   readonly readReport: EngineProbes['readReport'];
--- a/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/forwardRequest.ts
@@ -72,6 +72,23 @@
   return expiresAtMs + (sink?.getUnreadMs().totalMs ?? 0);
 }
 
+/**
+ * Time that a target is given for the request, milliseconds. It counts from when the target reads the request, which
+ * no router knows. So a repeat of a plain request gets half of what is left, or the objective of its route where that is
+ * more, and a target may read it as late as the other half allows without working on it after its caller has left. A
+ * stream needs all the time that is left for its events.
+ */
+export function computeTargetMs(
+  { expiresAtMs, route }: Pick<ForwardRequest, 'expiresAtMs' | 'route'>,
+  nowMs: number,
+  isRepeat: boolean,
+): number {
+  const leftMs = expiresAtMs - nowMs;
+  const isShared = isRepeat && !route.isStream;
+  const givenMs = isShared ? Math.max(leftMs / 2, Math.min(leftMs, route.objectiveMs)) : leftMs;
+  return Math.max(1, Math.floor(givenMs));
+}
+
 export interface AnswerHead {
   readonly status: number;
   readonly statusMessage: string;
--- a/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/endlessRouters.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/__tests__/endlessRouters.test.ts
@@ -11,7 +11,7 @@
 
 const ROUTER = { address: 'r1:2', zone: 'a' };
 const LIMIT_MS = 4_000;
-const HOP = { targetsLeft: 1, hasRun: false, mayLeave: () => false };
+const HOP = { targetsLeft: 1, hasRun: false, isRepeat: false, mayLeave: () => false };
 
 function createHead(headers: Readonly<Record<string, string>>): CallEvent {
   return Fakes.createHead(503, { [RELAY_HEADERS.version]: '1', ...headers });
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayAttempt.ts
@@ -131,7 +131,7 @@
   dependencies: ForwardingDependencies,
   request: ForwardRequest,
   router: RelayRouter,
-  options: Pick<RelayCallOptions, 'targetsLeft' | 'hasRun' | 'target' | 'mayLeave'>,
+  options: Pick<RelayCallOptions, 'targetsLeft' | 'hasRun' | 'isRepeat' | 'target' | 'mayLeave'>,
 ): Promise<RelayOutcome | PassedOutcome> {
   const call = dependencies.relays.openCall(request, router, options);
   // The other router decides, as for its own callers, whether the request still runs to its end.
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relayedAnswer.ts
@@ -79,6 +79,7 @@
   const outcome = await RelayAttempts.relayAnswer(dependencies, request, router, {
     targetsLeft: allowance,
     hasRun: mayHaveRun,
+    isRepeat: sends > 0,
     target,
     mayLeave: (missedChecks) =>
       !isSettled &&
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -33,6 +33,8 @@
   readonly targetsLeft: number;
   /** Whether a target may have run it. */
   readonly hasRun: boolean;
+  /** Whether it was sent to a target before. */
+  readonly isRepeat: boolean;
   /** Last event that the caller received of a stream. */
   readonly lastEventId?: string | undefined;
   /** Build that must go on with the stream. */
@@ -141,10 +143,12 @@
   function createHeaders(
     request: ForwardRequest,
     { address }: RelayRouter,
-    { targetsLeft, hasRun, lastEventId = request.lastEventId, build, target }: RelayCallOptions,
+    callOptions: RelayCallOptions,
   ): readonly RawHeader[] {
+    const { targetsLeft, hasRun, isRepeat, build, target } = callOptions;
+    const { lastEventId = request.lastEventId } = callOptions;
     const names = wire.headers;
-    const leftMs = request.expiresAtMs - clock.getNowMs() - HOP_MARGIN_MS;
+    const atMs = clock.getNowMs() + HOP_MARGIN_MS;
     const terms = {
       version: getVersion(),
       targetsLeft,
@@ -155,7 +159,7 @@
     };
     return [
       ...request.headers.filter(([name]) => name.toLowerCase() !== names.lastEventId),
-      [names.remainingMs, String(Math.max(1, Math.floor(leftMs)))],
+      [names.remainingMs, String(ForwardRequests.computeTargetMs(request, atMs, isRepeat))],
       // A target that has the address of a router that is gone refuses the request.
       [names.expectedTarget, address],
       ...(request.apiKey === undefined ? [] : [[names.apiKey, request.apiKey] as const]),
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/roomSimulation.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/roomSimulation.ts
@@ -126,7 +126,7 @@
       ...fake.dependencies,
       zone,
       room,
-      openCall(request, target, extraHeaders) {
+      openCall(request, target, { extraHeaders }) {
         recordSend();
         return findEngine(target).openCall(request.id, Object.fromEntries(extraHeaders));
       },
--- a/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/silentRuns.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/__tests__/silentRuns.test.ts
@@ -235,7 +235,7 @@
         target: A1,
         hasCopy: () => true,
         timeouts: { firstTokenMs: 700, gapMs: 420 },
-        call: dependencies.openCall(request, A1, []),
+        call: dependencies.openCall(request, A1, { extraHeaders: [], isRepeat: false }),
         takeover: { reserve, release: () => undefined },
         isBegun: false,
         silences: SilenceLogs.createSilenceLog(dependencies, request, A1),
--- a/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/relayedStream.ts
@@ -100,6 +100,7 @@
   const call = dependencies.relays.openCall(request, router, {
     targetsLeft: allowance,
     hasRun: StreamUrgency.isBegun(request, progress),
+    isRepeat: progress.deliveries > 0,
     lastEventId,
     build,
     mayLeave: () => {
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamAttempt.ts
@@ -40,6 +40,7 @@
   readonly request: ForwardRequest;
   readonly target: ForwardingTarget;
   readonly extraHeaders: readonly RawHeader[];
+  readonly isRepeat: boolean;
   /** Whether the answer goes on after events of an earlier attempt. */
   readonly isContinued: boolean;
   /** Whether this router has passed on events of an earlier attempt. */
@@ -65,9 +66,9 @@
   dependencies: ForwardingDependencies,
   options: AttemptOptions,
 ): AsyncGenerator<EventBatch, AttemptOutcome, void> {
-  const { request, target } = options;
+  const { request, target, extraHeaders, isRepeat } = options;
   const run = dependencies.crashes.startRun(request);
-  const call = dependencies.openCall(request, target, options.extraHeaders);
+  const call = dependencies.openCall(request, target, { extraHeaders, isRepeat });
   request.closed.addEventListener('abort', call.cancel, { once: true });
   const recordEnd = dependencies.registry.recordStart(target, {
     id: request.id,
--- a/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/streams/streamRelay.ts
@@ -55,6 +55,7 @@
     request,
     target: plan.target,
     extraHeaders: createExtraHeaders(dependencies, request, plan, progress),
+    isRepeat: plan.isRetry,
     isContinued: progress.lastEventId !== undefined,
     isBegun: progress.hasEvents,
     hasCopy: () => monitor.getCopy() !== undefined,
