Count a repeat until its target has answered it, and for a window from then on

What callers saw: targets that had read nothing for a moment got the repeats of two windows in one, on top of what was waiting for them.

Cause: a router counted a repeat for a window and half a second from when it was taken, and a target counts it from when it reads it. A burst that is read later than that meets the next burst, and each router has kept to its share. Repeats were held longer only where a target had not answered in time.

Change: a repeat counts from its send until its target, or the other router, has answered it, or its send has ended, and for a window from then on, by the answer's time and not by the router's clock. It is recorded where calls are opened, so for streams, plain requests and hops alike; the half second remains for rounding and for quota that is lent.

--- a/packages/sequoiarill-decisions/src/__tests__/fleetBudgetShares.test.ts
+++ b/packages/sequoiarill-decisions/src/__tests__/fleetBudgetShares.test.ts
@@ -29,6 +29,8 @@
   readonly collapseMs?: number;
   /** Longest time from taking a retry until it arrives. */
   readonly deliveryMs?: number;
+  /** Time for which all targets read nothing when everything begins to fail. */
+  readonly unreadMs?: number;
   readonly areBorrowed?: boolean;
   /** The first router has so many times the requests of another one. */
   readonly first?: number;
@@ -36,6 +38,11 @@
 
 type Budget = FleetRetryBudgets.FleetRetryBudget;
 
+interface Unanswered {
+  readonly arrivesMs: number;
+  readonly settle: ReturnType<Budget['recordSend']>;
+}
+
 interface Reported extends ReturnType<Budget['getTotals']> {
   readonly atMs: number;
 }
@@ -73,6 +80,8 @@
 
 function simulateFleet(play: Play): number {
   const { seed, routers, perSecond, swing = 0, periodMs = 15_000, deliveryMs = 0 } = play;
+  const { unreadMs = 0 } = play;
+  let unanswered: readonly Unanswered[] = [];
   const nextRandom = Random.createRandom(seed);
   const requestsMs: number[] = [];
   const retriesMs: number[] = [];
@@ -139,11 +148,23 @@
     }
   }
 
+  function sendRetry(budget: Budget, nowMs: number): void {
+    const settle = budget.recordSend(nowMs);
+    const arrivesMs = Math.max(nowMs + nextRandom() * deliveryMs, FAILING_MS + unreadMs);
+    retriesMs.push(arrivesMs);
+    unanswered = [...unanswered, { settle, arrivesMs }];
+  }
+
+  function handleArrived(nowMs: number): void {
+    unanswered.filter(({ arrivesMs }) => arrivesMs <= nowMs).forEach(({ settle }) => settle(nowMs));
+    unanswered = unanswered.filter(({ arrivesMs }) => arrivesMs > nowMs);
+  }
+
   function takeRetries(nowMs: number): void {
     for (const budget of fleet) {
       for (let stream = 0; stream < 2; stream += 1) {
         if (play.areBorrowed === true) borrowQuota(budget, nowMs);
-        if (budget.takeRetry(nowMs)) retriesMs.push(nowMs + nextRandom() * deliveryMs);
+        if (budget.takeRetry(nowMs)) sendRetry(budget, nowMs);
       }
     }
   }
@@ -151,6 +172,7 @@
   for (let nowMs = 0; nowMs < END_MS; nowMs += STEP_MS) {
     if (nowMs % REPORT_MS === 0) updateTotals(nowMs);
     recordRequests(nowMs);
+    handleArrived(nowMs);
     if (nowMs >= FAILING_MS) takeRetries(nowMs);
   }
   return computeWorst(requestsMs, retriesMs);
@@ -171,6 +193,8 @@
   ['routers borrow from each other', { areBorrowed: true }],
   // Guards against retries that arrive together with later ones.
   ['retries arrive within 0.5 s', { deliveryMs: 500 }],
+  ['the first ones arrive 1 s late', { unreadMs: 1_000 }],
+  ['the first ones arrive 3 s late', { unreadMs: 3_000, totalsAgeMs: 1_000 }],
 ];
 const FLEETS = [
   { routers: 9, perSecond: 10 },
--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -24,7 +24,7 @@
 import type { FleetRepeats, OwnRepeats } from '@sequoiarill/types';
 
 import * as BorrowedQuotas from './borrowedQuota';
-import * as HeldRetries from './heldRetries';
+import * as CountedRetries from './countedRetries';
 import type { RetryBudget } from './retryBudget';
 import * as SlotCounters from './slotCounter';
 
@@ -65,6 +65,11 @@
 export interface FleetRetryBudget extends RetryBudget {
   /** Returns a retry that was spent on an attempt which reached no target and so added no load. */
   readonly releaseRetry: () => void;
+  /**
+   * A retry that was taken is sent. It counts until the returned function is called, when the target has answered it or
+   * its send has ended, and for a window from then on.
+   */
+  readonly recordSend: (nowMs: number) => (endMs: number) => void;
   /**
    * The request of a retry was sent to a target that has not answered it, and may receive it later together with what is sent
    * by then. The retry counts until the target is heard, and for a window from then on.
@@ -153,12 +158,11 @@
   const comparedMs = windowMs / COMPARED_WINDOWS;
   const requests = SlotCounters.createSlotCounter(slotMs, 2 * windowMs + comparedMs);
   const countFewest = createFewestCount(requests, windowMs);
-  const retries = SlotCounters.createSlotCounter(slotMs, countedMs);
+  const retries = CountedRetries.createCountedRetries(slotMs, countedMs);
   /** Retries that were paid with quota of other routers. */
   const paidByOthers = SlotCounters.createSlotCounter(slotMs, countedMs);
   /** End of the first window of which all requests are known. */
   let settledMs = startedMs + windowMs;
-  const held = HeldRetries.createHeldRetries();
   const borrowed = BorrowedQuotas.createBorrowedQuota();
   let latestMs = startedMs;
   let taken = 0;
@@ -198,12 +202,9 @@
     settledMs = Number.NEGATIVE_INFINITY;
   }
 
-  const countHeld = (): number =>
-    held.count(latestMs, (count, untilMs) => retries.addCounts([count], untilMs));
-
   /** What is left of the own share; negative where it has shrunk since it was used. */
   function getOwnBalance(nowMs: number): number {
-    return computeShare(nowMs) - countHeld() - retries.sumAll(latestMs);
+    return computeShare(nowMs) - retries.countHeld(latestMs) - retries.count(latestMs);
   }
 
   /** Routers of an earlier build may use more than their share. */
@@ -226,7 +227,7 @@
       const capacity = computeShare(nowMs);
       return {
         requests: requests.sum(latestMs, windowMs),
-        retries: countHeld() + retries.sumAll(latestMs),
+        retries: retries.countHeld(latestMs) + retries.count(latestMs),
         capacity,
         isSettled: isSettled(),
       };
@@ -240,11 +241,11 @@
       const capacity = computeShare(nowMs);
       return {
         requests: requests.sum(latestMs, windowMs),
-        retries: retries.sumAll(latestMs),
+        retries: retries.count(latestMs),
         fewestRequests: countFewestRequests(),
         capacity,
         borrowed: borrowed.count(latestMs),
-        held: countHeld(),
+        held: retries.countHeld(latestMs),
         routers: countRouters(),
         slackShare: getSlackShare(),
         taken,
@@ -269,14 +270,20 @@
       taken -= 1;
       reportChange?.('returned');
     },
+    recordSend(sentMs) {
+      const recordEnd = retries.recordSend(sentMs);
+      return (endMs) => {
+        latestMs = Math.max(latestMs, endMs);
+        recordEnd(latestMs);
+      };
+    },
     holdRetry(nowMs, target) {
       latestMs = Math.max(latestMs, nowMs);
-      retries.removeOldest(latestMs, 1);
-      held.add(target, latestMs);
+      retries.hold(latestMs, target);
     },
     settleHeld(nowMs, target) {
       latestMs = Math.max(latestMs, nowMs);
-      retries.add(latestMs, held.remove(target));
+      retries.settle(latestMs, target);
     },
     grantQuota(nowMs, wanted) {
       const balance = Math.min(getOwnBalance(nowMs), getFleetBalance());
--- a/packages/sequoiarill-decisions/src/slotCounter.ts
+++ b/packages/sequoiarill-decisions/src/slotCounter.ts
@@ -12,6 +12,8 @@
   readonly listCounts: (nowMs: number) => readonly number[];
   /** Adds the counts that another counter listed at an earlier time. */
   readonly addCounts: (counts: readonly number[], listedMs: number) => void;
+  /** Takes up to so much off the newest counts that are not later than the time; returns how much it was. */
+  readonly removeUntil: (endMs: number, count: number) => number;
   /** Takes so much off the oldest counts, so that no later sum is below that of what is left. */
   readonly removeOldest: (nowMs: number, count: number) => void;
 }
@@ -87,6 +89,16 @@
         if (slot > newestSlot - length) addToSlot(slot, count);
       });
     },
+    removeUntil(endMs, count) {
+      let left = count;
+      const last = Math.min(newestSlot, Math.floor(endMs / slotMs));
+      for (let slot = last; slot > newestSlot - length && left > 0; slot -= 1) {
+        const removed = Math.min(left, getCount(slot));
+        addToSlot(slot, -removed);
+        left -= removed;
+      }
+      return count - left;
+    },
     removeOldest(nowMs, count) {
       update(nowMs);
       let left = count;
--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/fakeDependencies.ts
@@ -180,7 +180,7 @@
     directory,
     paths,
     peers: { self: '', listRouters: () => otherRouters },
-    openCall: (router, headers) => recordCall(router.address, headers),
+    openCall: (router, { headers }) => recordCall(router.address, headers),
     closeMissing: () => undefined,
     checkExit: async ({ address }) => (goneRouters.has(address) ? 'silent' : 'alive'),
   });
--- a/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/callOpeners.ts
@@ -1,5 +1,6 @@
 /** Opens the calls that carry callers' requests to targets and to other routers. */
-import type { ForwardingTarget, HeaderNames, PluginContext } from '@sequoiarill/types';
+import type { FleetRetryBudget } from '@sequoiarill/decisions';
+import type { Clock, ForwardingTarget, HeaderNames, PluginContext } from '@sequoiarill/types';
 
 import * as Checks from './answers/answerChecks';
 import * as ForwardRequests from './forwardRequest';
@@ -61,34 +62,67 @@
   };
 }
 
+export interface RepeatCounting {
+  readonly clock: Pick<Clock, 'getNowMs'>;
+  readonly getBudget: (service: string) => Pick<FleetRetryBudget, 'recordSend'>;
+}
+
+/** Counts a repeat until it is answered or its send has ended, which the returned function records. */
+function recordRepeat(
+  { clock, getBudget }: RepeatCounting,
+  { service }: ForwardRequest,
+  isRepeat: boolean,
+): () => void {
+  if (!isRepeat) return () => undefined;
+  const recordEnd = getBudget(service).recordSend(clock.getNowMs());
+  return () => recordEnd(clock.getNowMs());
+}
+
+export interface HopTerms {
+  readonly headers: readonly RawHeader[];
+  readonly isRepeat: boolean;
+}
+
 /** Sends a caller's request to another router. */
 export function openHop(
   connections: TargetConnections.TargetConnections,
-  names: HeaderNames,
+  { names, ...counting }: RepeatCounting & { readonly names: HeaderNames },
   { address }: RelayRouter,
-  headers: readonly RawHeader[],
+  { headers, isRepeat }: HopTerms,
   request: ForwardRequest,
 ): TargetCalls.TargetCall {
   const endpoint = { id: address, address, startedAtUnixMs: 0 };
   const { key, findMismatch } = createIdentity(request, names);
-  return openRecorded(request, createHopTerms(address, request, names), (recordHead) =>
-    TargetCalls.openCall({
+  return openRecorded(request, createHopTerms(address, request, names), (recordHead) => {
+    const recordAnswered = recordRepeat(counting, request, isRepeat);
+    return TargetCalls.openCall({
       connection: connections.takeConnection(endpoint, key),
       target: { address },
       headers,
-      recordHead,
+      recordHead(head) {
+        recordAnswered();
+        recordHead(head);
+      },
+      recordStart: () => recordAnswered,
       findMismatch,
       ...buildContent(request),
-    }),
-  );
+    });
+  });
+}
+
+export interface CallOpenerParts extends Pick<RepeatCounting, 'getBudget'> {
+  readonly connections: TargetConnections.TargetConnections;
+  readonly limits: Pick<TargetLimits.TargetLimits, 'recordSend'>;
+  readonly notices: Pick<
+    TargetNotices.TargetNotices,
+    'recordHead' | 'recordStart' | 'createExcessRecord'
+  >;
 }
 
 /** Sends a caller's request together with the headers that only the router may set. */
 export function createCallOpener(
   { clock, getCapability }: PluginContext,
-  connections: TargetConnections.TargetConnections,
-  recordSend: TargetLimits.TargetLimits['recordSend'],
-  notices: TargetNotices.TargetNotices,
+  { connections, getBudget, limits, notices }: CallOpenerParts,
 ): ExchangeDependencies['openCall'] {
   const { headers: headerNames } = getCapability('wire');
   return (request, target, { extraHeaders, isRepeat }) => {
@@ -97,18 +131,27 @@
     const organisation: readonly RawHeader[] =
       request.organisation === undefined ? [] : [[headerNames.organisation, request.organisation]];
     const { key, findMismatch } = createIdentity(request, headerNames);
-    recordSend(target);
-    return openRecorded(request, createTargetTerms(target, request, headerNames), (recordHead) =>
-      TargetCalls.openCall({
+    limits.recordSend(target);
+    const terms = createTargetTerms(target, request, headerNames);
+    return openRecorded(request, terms, (recordHead) => {
+      const recordAnswered = recordRepeat({ clock, getBudget }, request, isRepeat);
+      return TargetCalls.openCall({
         connection: connections.takeConnection(target, key),
         target,
         ...buildContent(request),
         findMismatch,
         recordHead(head) {
+          recordAnswered();
           recordHead(head);
           notices.recordHead(target, head);
         },
-        recordStart: () => notices.recordStart(target),
+        recordStart() {
+          const recordEnd = notices.recordStart(target);
+          return () => {
+            recordAnswered();
+            recordEnd();
+          };
+        },
         recordExcess: notices.createExcessRecord(target, request.id),
         headers: [
           ...request.headers.filter(([name]) => !replaced.has(name.toLowerCase())),
@@ -117,7 +160,7 @@
           ...organisation,
           ...extraHeaders,
         ],
-      }),
-    );
+      });
+    });
   };
 }
--- a/packages/sequoiarill-plugin-forwarding/src/plugin.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/plugin.ts
@@ -93,7 +93,7 @@
     log,
     metrics: context.metrics,
     ...decisions,
-    openCall: CallOpeners.createCallOpener(context, connections, limits.recordSend, notices),
+    openCall: CallOpeners.createCallOpener(context, { ...parts, ...decisions }),
     readReport: probes.readReport,
     readCachedParts: probes.readCachedParts,
     ...parts.targetCalls,
--- a/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/pluginParts.ts
@@ -103,6 +103,7 @@
   context: PluginContext,
   paths: PathMonitor,
   connections: TargetConnections.TargetConnections,
+  getBudget: CallOpeners.RepeatCounting['getBudget'],
 ): RelaysState {
   const { clock, nextRandom, getCapability } = context;
   const wire = getCapability('wire');
@@ -113,8 +114,14 @@
     peers: getCapability('peers'),
     directory: getCapability('directory'),
     paths,
-    openCall: (router, headers, request) =>
-      CallOpeners.openHop(connections, wire.headers, router, headers, request),
+    openCall: (router, terms, request) =>
+      CallOpeners.openHop(
+        connections,
+        { clock, getBudget, names: wire.headers },
+        router,
+        terms,
+        request,
+      ),
     closeMissing: (addresses) => connections.removeMissing(({ id }) => addresses.has(id)),
     checkExit: ExitChecks.createExitCheck(clock, ROUTER_CHECK_TIMEOUT_MS),
   });
@@ -193,7 +200,7 @@
     paths,
     brittle: { recordHead: (service, head) => brittle.recordHead(service, head) },
   });
-  const relays = createRelays(context, paths, routerConnections);
+  const relays = createRelays(context, paths, routerConnections, getBudget);
   const brittle = BrittleTargets.createBrittleTargets({
     clock,
     nextRandom,
--- a/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/relay/relays.ts
@@ -8,6 +8,7 @@
   TargetBuild,
 } from '@sequoiarill/types';
 
+import type { HopTerms } from '../callOpeners';
 import type { ExitCheck } from '../crashes/exitCheck';
 import * as ForwardRequests from '../forwardRequest';
 import type { ForwardRequest } from '../forwardRequest';
@@ -77,11 +78,7 @@
   readonly directory: Pick<Directory, 'getConfiguration' | 'listTargets'>;
   readonly paths: Pick<PathMonitor, 'isRelayDue' | 'mayRelay' | 'recordRelayed' | 'recordUntaken'>;
   /** Sends the request with these headers to the router. */
-  readonly openCall: (
-    router: RelayRouter,
-    headers: readonly RawHeader[],
-    request: ForwardRequest,
-  ) => TargetCall;
+  readonly openCall: (router: RelayRouter, terms: HopTerms, request: ForwardRequest) => TargetCall;
   readonly checkExit: ExitCheck;
   /** Closes connections to other routers than these, by address. */
   readonly closeMissing: (addresses: ReadonlySet<string>) => void;
@@ -225,7 +222,8 @@
     },
     openCall(request, router, callOptions) {
       const headers = createHeaders(request, router, callOptions);
-      const call = options.openCall(router, headers, request);
+      const { isRepeat } = callOptions;
+      const call = options.openCall(router, { headers, isRepeat }, request);
       const isTooLate = createLateReadLimit();
       return {
         wasSent: call.wasSent,
