--- a/packages/sequoiarill-plugin-forwarding/src/__tests__/targetSends.test.ts
+++ b/packages/sequoiarill-plugin-forwarding/src/__tests__/targetSends.test.ts
@@ -84,8 +84,8 @@
   readonly maxTargets: number;
   /** Of the sends in their order; the last one goes on. */
   readonly behaviours: readonly Behaviour[];
-  /** Whether targets are reached through other routers only. */
-  readonly isCutOff: boolean;
+  /** Number of sends after which targets are reached through other routers only. */
+  readonly sendsBeforeCut: number;
 }
 
 interface Counts {
@@ -95,12 +95,17 @@
   arrivals: number;
 }
 
-function createFakes(kind: Kind, { behaviours, isCutOff }: Play, counts: Counts): FakeDependencies {
+function createFakes(
+  kind: Kind,
+  { behaviours, sendsBeforeCut }: Play,
+  counts: Counts,
+): FakeDependencies {
   const { isStream } = KINDS[kind];
   let calls = 0;
   const fakes: FakeDependencies = Fakes.createFakeDependencies((name, headers) => {
     const behaviour = behaviours[Math.min(calls, behaviours.length - 1)] ?? 'rejects';
     calls += 1;
+    if (calls === sendsBeforeCut) closePaths();
     if (behaviour === 'refusesConnection') return NOT_SENT;
     counts.arrivals += 1;
     if (!name.startsWith('r')) {
@@ -117,12 +122,17 @@
   const targets = TARGETS.map((id) => Fakes.createTarget(id, { service }));
   fakes.setTargets(targets);
   fakes.otherRouters.push(...ROUTERS);
-  for (const target of targets) {
-    if (isCutOff) {
+  targets.forEach(({ id }) => fakes.reports.set(id, Fakes.IDLE_REPORT));
+
+  function closePaths(): void {
+    for (const target of targets) {
       fakes.unreachable.add(target.id);
+      fakes.reports.delete(target.id);
       fakes.dependencies.paths.recordLoss(target);
-    } else fakes.reports.set(target.id, Fakes.IDLE_REPORT);
+    }
   }
+
+  if (sendsBeforeCut === 0) closePaths();
   return fakes;
 }
 
@@ -155,7 +165,7 @@
     minLength: 1,
     maxLength: 12,
   }),
-  isCutOff: FastCheck.boolean(),
+  sendsBeforeCut: FastCheck.integer({ min: 0, max: 6 }),
 });
 
 describe('a request that targets reject, lose or fail', () => {
