--- a/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
+++ b/packages/sequoiarill-decisions/src/fleetRetryBudget.ts
@@ -126,7 +126,7 @@
 const WINDOW_SLOTS = 100;
 /** Windows that are compared end so often within one. */
 const COMPARED_WINDOWS = 2;
-/** Time from taking a retry, or borrowing quota, until it reaches its target at the latest; it counts for so much longer. */
+/** Time for which borrowed quota may be used, and by which retries count for longer than a window. */
 const DELIVERY_MS = 500;
 
 /**
